--- /dev/null
+++ b/src/lists/types.rs
@@ -0,0 +1,182 @@
+//! Typed form of the two lists. A value of these types has passed the checks of this module's
+//! parent when it came from a file.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{PlanName, PoolName, QueueName, Resources, TeamName};
+
+/// Both lists, as one publication puts them in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lists {
+    /// What customers bought.
+    pub plans: Plans,
+    /// What each plan may use.
+    pub entitlements: Entitlements,
+}
+
+/// The list of what customers bought.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plans {
+    /// The plans on offer.
+    pub plans: Vec<Plan>,
+    /// The teams, each on one plan.
+    pub teams: Vec<Team>,
+    /// How much each of the four measures counts in this deployment.
+    #[serde(default)]
+    pub measure_weights: MeasureWeights,
+}
+
+/// A plan: targets, share, upper limit and availability budget.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Unique name.
+    pub name: PlanName,
+    /// Weight of each team of the plan when the fleet is full.
+    pub share_weight: u32,
+    /// Requests that one team of the plan may have running over the whole fleet.
+    pub running_max_requests: u32,
+    /// Time within which an urgent request starts, in milliseconds.
+    pub start_target_ms: u64,
+    /// Part of the requests that must end within their deadline, in thousandths.
+    pub on_time_target_permille: u32,
+    /// How much of each pool that the plan uses may be unavailable at once.
+    pub availability: AvailabilityBudget,
+}
+
+/// How much may be unavailable at once, planned stops and failures together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AvailabilityBudget {
+    /// Part of a pool's instances, in thousandths.
+    pub pool_unavailable_max_permille: u32,
+    /// Part of a pool's instances within one availability zone, in thousandths.
+    pub zone_unavailable_max_permille: u32,
+}
+
+/// A team: one customer's group of submitters.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Unique name.
+    pub name: TeamName,
+    /// Plan that the team bought.
+    pub plan: PlanName,
+    /// Upper limit that replaces the plan's, if the team bought another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running_max_requests: Option<u32>,
+    /// Weight that replaces the plan's, if the team bought another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share_weight: Option<u32>,
+}
+
+/// Weights of the four measures; only their ratios count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MeasureWeights {
+    /// Weight of the cost of spare instances.
+    pub buffer_cost: u32,
+    /// Weight of the time that a roll-out takes.
+    pub roll_out_time: u32,
+    /// Weight of the number of moves of instances between pools.
+    pub moves: u32,
+    /// Weight of how near each team comes to its share.
+    pub share_nearness: u32,
+}
+
+impl Default for MeasureWeights {
+    fn default() -> Self {
+        Self {
+            buffer_cost: 1,
+            roll_out_time: 1,
+            moves: 1,
+            share_nearness: 1,
+        }
+    }
+}
+
+/// The list of what each plan may use.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entitlements {
+    /// The pools of the fleet.
+    pub pools: Vec<Pool>,
+    /// The queues that requests name.
+    pub queues: Vec<Queue>,
+    /// What each plan may use.
+    pub entitlements: Vec<Entitlement>,
+}
+
+/// A pool of instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Unique name.
+    pub name: PoolName,
+    /// Whether the pool holds spare instances for the others and runs no work of its own.
+    #[serde(default)]
+    pub is_spare: bool,
+    /// Instances that the pool keeps at least.
+    pub instances_min_count: u32,
+}
+
+/// A queue: where requests of one kind wait.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Queue {
+    /// Unique name.
+    pub name: QueueName,
+    /// Pools that run the queue's work, the preferred one first.
+    pub pools: Vec<PoolName>,
+    /// Whether the queue takes work without a key.
+    #[serde(default)]
+    pub is_open_to_all: bool,
+    /// Whether the queue's work must start within the plan's start target.
+    #[serde(default)]
+    pub is_urgent: bool,
+}
+
+/// What one plan may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entitlement {
+    /// Plan that the row is for.
+    pub plan: PlanName,
+    /// Queues that the plan's teams may name.
+    pub queues: Vec<QueueName>,
+    /// Largest size of one request.
+    pub request_max: Resources,
+}
+
+impl Lists {
+    /// Returns the plan of `team`, if both exist.
+    pub fn plan_of(&self, team: &str) -> Option<&Plan> {
+        let team = self.plans.teams.iter().find(|row| row.name == team)?;
+        self.plans.plans.iter().find(|plan| plan.name == team.plan)
+    }
+
+    /// Returns the upper limit of `team` over the whole fleet, in requests.
+    pub fn running_max_requests(&self, team: &Team) -> u32 {
+        let of_plan = || {
+            self.plan_of(&team.name)
+                .map_or(0, |plan| plan.running_max_requests)
+        };
+        team.running_max_requests.unwrap_or_else(of_plan)
+    }
+
+    /// Returns the weight of `team` when the fleet is full.
+    pub fn share_weight(&self, team: &Team) -> u32 {
+        let of_plan = || self.plan_of(&team.name).map_or(0, |plan| plan.share_weight);
+        team.share_weight.unwrap_or_else(of_plan)
+    }
+
+    /// Returns the entitlement of `plan`, if it has one.
+    pub fn entitlement_of(&self, plan: &str) -> Option<&Entitlement> {
+        self.entitlements
+            .entitlements
+            .iter()
+            .find(|row| row.plan == plan)
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `hawthornladder` program.
+
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! The integration tests, one module per topic.
