--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters: the ports over HTTP and JSON-RPC.
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,2 @@
+//! The subcommands of the program, one module each: a maker of its `clap` command beside its
+//! `execute`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,5 @@
 //! The `hawthornladder` program.
 
+mod cmd;
+
 fn main() {}
--- /dev/null
+++ b/src/upkeep/mod.rs
@@ -0,0 +1,2 @@
+//! Upkeep of the instances: availability budgets, moves between pools, buffers and roll-outs, all as
+//! pure functions of a view of the fleet.
