--- /dev/null
+++ b/src/ledger/instances.rs
@@ -0,0 +1,371 @@
+//! Instances: each belongs to exactly one pool. A planned stop and a move are judged at their offset
+//! against all stops and failures already known, and proceed only when every seat has proved that it
+//! can no longer dispatch to the instance.
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{
+    fleet::{InstanceName, InstanceRow, Offset, PoolName, RackName, Standing, UnixMs, ZoneName},
+    lists::Lists,
+    upkeep::{
+        can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, FleetCounts,
+        InstanceKey, Member, PoolBudget, PoolKey, RackKey, ZoneKey,
+    },
+};
+
+/// How many earlier incarnations of an instance are remembered, so that a lagging list does not
+/// bring one of them back.
+const PAST_INCARNATIONS_MAX_COUNT: usize = 4;
+
+/// Why an instance is stopped by plan.
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum StopWhy {
+    /// A roll-out reboots it.
+    Maintenance,
+    /// It moves to the named pool.
+    Move(PoolName),
+}
+
+/// One instance as the ledger knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceEntry {
+    /// Row of the instance list; its pool is the one that the instance belongs to now.
+    pub row: InstanceRow,
+    /// Rises with every change of this entry.
+    pub version: u64,
+    /// What the instance can be counted on for.
+    pub standing: Standing,
+    /// Why it is stopped by plan, if it is.
+    pub stop: Option<StopWhy>,
+    /// Offset at which the stop or the release was claimed.
+    pub stop_offset: Offset,
+    /// Log time of the latest reboot by a roll-out, or 0.
+    pub maintained_at_unix_ms: UnixMs,
+    /// Log time of the latest change of `standing`.
+    pub standing_at_unix_ms: UnixMs,
+    /// Earlier incarnations, the latest last.
+    pub past_incarnations: Vec<SmolStr>,
+}
+
+/// All instances with the counts that budgets are judged on.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Instances {
+    entries: IndexMap<InstanceName, InstanceEntry>,
+    pools: IndexSet<PoolName>,
+    zones: IndexSet<ZoneName>,
+    racks: IndexSet<RackName>,
+    #[serde(skip)]
+    counts: FleetCounts,
+    #[serde(skip)]
+    budgets: Vec<PoolBudget>,
+}
+
+impl PartialEq for Instances {
+    fn eq(&self, other: &Self) -> bool {
+        self.entries == other.entries && self.pools == other.pools
+    }
+}
+
+impl Instances {
+    /// Returns an instance.
+    pub fn get(&self, name: &str) -> Option<&InstanceEntry> {
+        self.entries.get(name)
+    }
+
+    /// Returns the key of an instance for the counts.
+    pub fn key(&self, name: &str) -> Option<InstanceKey> {
+        self.entries
+            .get_index_of(name)
+            .map(|index| InstanceKey(index as u32))
+    }
+
+    /// Returns an instance by its key.
+    pub fn by_key(&self, key: InstanceKey) -> Option<&InstanceEntry> {
+        self.entries.get_index(key.index()).map(|(_, entry)| entry)
+    }
+
+    /// Returns all instances; one that left the instance list stays with the standing `down`.
+    pub fn iter(&self) -> impl Iterator<Item = &InstanceEntry> {
+        self.entries.values()
+    }
+
+    /// Returns the key of a pool for the counts.
+    pub fn pool_key(&self, pool: &str) -> Option<PoolKey> {
+        self.pools
+            .get_index_of(pool)
+            .map(|index| PoolKey(index as u16))
+    }
+
+    /// Returns the pools in the order of their keys.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.pools.iter()
+    }
+
+    /// Returns the name of a pool.
+    pub fn pool_name(&self, key: PoolKey) -> Option<&PoolName> {
+        self.pools.get_index(key.index())
+    }
+
+    /// Returns what stops are judged against.
+    pub fn budget_view(&self) -> BudgetView<'_> {
+        BudgetView {
+            counts: &self.counts,
+            budgets: &self.budgets,
+        }
+    }
+
+    /// Judges a planned stop of the instance as it would be judged now.
+    pub fn judge_stop(&self, name: &str) -> Result<(), BudgetBreach> {
+        let key = self.key(name).ok_or(BudgetBreach::UnknownInstance)?;
+        judge_stop(&self.budget_view(), key)
+    }
+
+    /// Judges a release of the instance from its pool as it would be judged now.
+    pub fn judge_release(&self, name: &str) -> Result<(), BudgetBreach> {
+        let key = self.key(name).ok_or(BudgetBreach::UnknownInstance)?;
+        can_release(&self.budget_view(), key)
+    }
+
+    /// Takes over the budgets of newly published lists.
+    pub(crate) fn set_budgets(&mut self, lists: &Lists) {
+        for pool in &lists.entitlements.pools {
+            self.pools.insert(pool.name.clone());
+        }
+        let budget_of = |name: &PoolName| {
+            let mut pools = lists.entitlements.pools.iter();
+            pools
+                .find(|pool| pool.name == *name)
+                .map_or_else(PoolBudget::default, |pool| strictest_budget(lists, pool))
+        };
+        self.budgets = self.pools.iter().map(budget_of).collect();
+    }
+
+    /// Rebuilds the counts after the entries were read from a snapshot.
+    pub(crate) fn rebuild_counts(&mut self) {
+        self.counts = FleetCounts::new();
+        for index in 0..self.entries.len() {
+            self.count(index);
+        }
+    }
+
+    /// Notes an instance of the instance list; returns whether that had an effect.
+    pub(crate) fn see(&mut self, row: &InstanceRow, at_unix_ms: UnixMs) -> bool {
+        let past = match self.entries.get(&row.name) {
+            Some(entry) if entry.row.incarnation == row.incarnation => return false,
+            Some(entry) if entry.past_incarnations.contains(&row.incarnation) => return false,
+            Some(entry) => Some(entry.clone()),
+            None => None,
+        };
+        let entry = match past {
+            None => InstanceEntry {
+                row: row.clone(),
+                version: 1,
+                standing: Standing::Serving,
+                stop: None,
+                stop_offset: 0,
+                maintained_at_unix_ms: 0,
+                standing_at_unix_ms: at_unix_ms,
+                past_incarnations: Vec::new(),
+            },
+            Some(old) => next_incarnation(old, row, at_unix_ms),
+        };
+        let (index, _) = self.entries.insert_full(row.name.clone(), entry);
+        self.count(index);
+        true
+    }
+
+    /// Notes that an incarnation left the instance list; returns whether that had an effect.
+    pub(crate) fn lose(&mut self, name: &str, incarnation: &str, at_unix_ms: UnixMs) -> bool {
+        match self.entries.get(name) {
+            Some(entry) if entry.row.incarnation != incarnation => false,
+            Some(entry) if entry.standing == Standing::Down => false,
+            // A stopped instance is expected to leave the list while it reboots.
+            Some(entry) if entry.standing == Standing::Stopped => false,
+            Some(_) => self.update(name, |entry| {
+                entry.standing = Standing::Down;
+                entry.stop = None;
+                entry.standing_at_unix_ms = at_unix_ms;
+            }),
+            None => false,
+        }
+    }
+
+    /// Changes between `serving` and `doubtful`; returns whether that had an effect.
+    pub(crate) fn set_standing(
+        &mut self,
+        name: &str,
+        incarnation: &str,
+        standing: Standing,
+        at_unix_ms: UnixMs,
+    ) -> bool {
+        let is_free = |standing| matches!(standing, Standing::Serving | Standing::Doubtful);
+        match self.entries.get(name) {
+            Some(entry) if entry.row.incarnation != incarnation => false,
+            Some(entry) if !is_free(entry.standing) || !is_free(standing) => false,
+            Some(entry) if entry.standing == standing => false,
+            Some(_) => self.update(name, |entry| {
+                entry.standing = standing;
+                entry.standing_at_unix_ms = at_unix_ms;
+            }),
+            None => false,
+        }
+    }
+
+    /// Claims a planned stop or a release.
+    pub(crate) fn claim_stop(
+        &mut self,
+        name: &str,
+        version: u64,
+        why: &StopWhy,
+        offset: Offset,
+        at_unix_ms: UnixMs,
+    ) -> Result<(), SmolStr> {
+        self.check_version(name, version)?;
+        let verdict = match why {
+            StopWhy::Maintenance => self.judge_stop(name),
+            StopWhy::Move(to_pool) if !self.pools.contains(to_pool) => {
+                return Err(SmolStr::new_static("unknown_pool"))
+            }
+            StopWhy::Move(_) => self.judge_release(name),
+        };
+        verdict.map_err(|breach| SmolStr::new(breach.to_string()))?;
+        self.update(name, |entry| {
+            entry.standing = Standing::Draining;
+            entry.stop = Some(why.clone());
+            entry.stop_offset = offset;
+            entry.standing_at_unix_ms = at_unix_ms;
+        });
+        Ok(())
+    }
+
+    /// Proceeds with a claimed stop; the caller has checked that the seats are clean.
+    pub(crate) fn proceed(
+        &mut self,
+        name: &str,
+        version: u64,
+        at_unix_ms: UnixMs,
+    ) -> Result<(), SmolStr> {
+        self.check_version(name, version)?;
+        match self.entries.get(name).map(|entry| (entry.standing, &entry.stop)) {
+            Some((Standing::Draining, Some(StopWhy::Maintenance))) => {}
+            Some(_) | None => return Err(SmolStr::new_static("not_draining")),
+        }
+        self.update(name, |entry| {
+            entry.standing = Standing::Stopped;
+            entry.standing_at_unix_ms = at_unix_ms;
+        });
+        Ok(())
+    }
+
+    /// Withdraws a claimed stop or release.
+    pub(crate) fn cancel_stop(
+        &mut self,
+        name: &str,
+        version: u64,
+        at_unix_ms: UnixMs,
+    ) -> Result<(), SmolStr> {
+        self.check_version(name, version)?;
+        match self.entries.get(name).map(|entry| entry.standing) {
+            Some(Standing::Draining) => {}
+            Some(_) | None => return Err(SmolStr::new_static("not_draining")),
+        }
+        self.update(name, |entry| {
+            entry.standing = Standing::Serving;
+            entry.stop = None;
+            entry.standing_at_unix_ms = at_unix_ms;
+        });
+        Ok(())
+    }
+
+    /// Assigns a released instance to its new pool; the caller has checked that the seats are clean.
+    pub(crate) fn assign(
+        &mut self,
+        name: &str,
+        version: u64,
+        at_unix_ms: UnixMs,
+    ) -> Result<(), SmolStr> {
+        self.check_version(name, version)?;
+        let to_pool = match self.entries.get(name).map(|entry| (entry.standing, &entry.stop)) {
+            Some((Standing::Draining, Some(StopWhy::Move(to_pool)))) => to_pool.clone(),
+            Some(_) | None => return Err(SmolStr::new_static("not_released")),
+        };
+        self.update(name, |entry| {
+            entry.row.pool = to_pool;
+            entry.standing = Standing::Serving;
+            entry.stop = None;
+            entry.standing_at_unix_ms = at_unix_ms;
+        });
+        Ok(())
+    }
+
+    /// Returns the offset from which the seats must be clean for the instance's stop to go on.
+    pub(crate) fn stop_offset(&self, name: &str) -> Option<Offset> {
+        self.entries.get(name).map(|entry| entry.stop_offset)
+    }
+
+    fn check_version(&self, name: &str, version: u64) -> Result<(), SmolStr> {
+        match self.entries.get(name) {
+            Some(entry) if entry.version == version => Ok(()),
+            Some(_) => Err(SmolStr::new_static("version_conflict")),
+            None => Err(SmolStr::new_static("unknown_instance")),
+        }
+    }
+
+    fn update(&mut self, name: &str, change: impl FnOnce(&mut InstanceEntry)) -> bool {
+        let Some((index, _, entry)) = self.entries.get_full_mut(name) else {
+            return false;
+        };
+        change(entry);
+        entry.version += 1;
+        self.count(index);
+        true
+    }
+
+    fn count(&mut self, index: usize) {
+        let Some((_, entry)) = self.entries.get_index(index) else {
+            return;
+        };
+        let (pool, _) = self.pools.insert_full(entry.row.pool.clone());
+        let (zone, _) = self.zones.insert_full(entry.row.zone.clone());
+        let (rack, _) = self.racks.insert_full(entry.row.rack.clone());
+        let member = Member {
+            pool: PoolKey(pool as u16),
+            zone: ZoneKey(zone as u16),
+            rack: RackKey(rack as u32),
+            standing: entry.standing,
+        };
+        self.counts.add(InstanceKey(index as u32), member);
+    }
+}
+
+/// Returns the entry of a new incarnation; the pool stays the one that the ledger decided.
+fn next_incarnation(old: InstanceEntry, row: &InstanceRow, at_unix_ms: UnixMs) -> InstanceEntry {
+    let mut past_incarnations = old.past_incarnations;
+    past_incarnations.push(old.row.incarnation);
+    if past_incarnations.len() > PAST_INCARNATIONS_MAX_COUNT {
+        past_incarnations.remove(0);
+    }
+    let was_maintained = old.standing == Standing::Stopped;
+    InstanceEntry {
+        row: InstanceRow {
+            pool: old.row.pool,
+            ..row.clone()
+        },
+        version: old.version + 1,
+        standing: Standing::Serving,
+        stop: None,
+        stop_offset: old.stop_offset,
+        maintained_at_unix_ms: match was_maintained {
+            true => at_unix_ms,
+            false => old.maintained_at_unix_ms,
+        },
+        standing_at_unix_ms: at_unix_ms,
+        past_incarnations,
+    }
+}
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,27 @@
+//! The ledger: everything that is agreed or kept, as the deterministic fold of the platform's log.
+//! Every reader that folds the same records holds the same state; a change takes effect only if the
+//! version, sequence number or seat that it names still holds at its offset.
+
+mod claims;
+mod escrow;
+mod fold;
+mod instances;
+mod jobs;
+mod keys;
+mod patch;
+mod record;
+mod seats;
+mod snapshot;
+
+pub use claims::{ClaimRow, ClaimState, Claims};
+pub use escrow::{Escrow, TeamEscrow};
+pub use fold::{Effect, Ledger, Verdict};
+pub use instances::{InstanceEntry, Instances, StopWhy};
+pub use jobs::{JobEntry, JobRow, JobState, Jobs};
+pub use keys::{KeyId, KeyRow, Keys};
+pub use patch::{ListsPatch, SectionPatch};
+pub use record::{
+    OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk,
+};
+pub use seats::{SeatId, SeatRow, SeatState, Seats};
+pub use snapshot::{SnapshotError, SnapshotParts, SNAPSHOT_CHUNK_BYTES};
--- /dev/null
+++ b/src/ledger/snapshot.rs
@@ -0,0 +1,115 @@
+//! Snapshots of the ledger, written to the log in parts of bounded size so that a fresh entry can
+//! start after the records that made the state were trimmed.
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::{
+    fleet::Offset,
+    ledger::{fold::Ledger, record::SnapshotChunk},
+};
+
+/// Bytes of state in one part at most; characters are not split.
+pub const SNAPSHOT_CHUNK_BYTES: usize = 48 * 1024;
+
+/// Snapshots whose parts are held while they are being put together.
+const OPEN_SNAPSHOTS_MAX_COUNT: usize = 4;
+
+/// Why the text of a snapshot was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum SnapshotError {
+    /// The text does not have the digest that its parts name.
+    WrongDigest,
+    /// The text is no state of the ledger.
+    Unreadable,
+}
+
+impl Ledger {
+    /// Returns the state as text.
+    pub fn to_snapshot(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Returns the state that [`Ledger::to_snapshot`] gave as text.
+    pub fn from_snapshot(text: &str) -> Result<Self, SnapshotError> {
+        let mut ledger: Self =
+            serde_json::from_str(text).map_err(|_| SnapshotError::Unreadable)?;
+        let lists = ledger.lists.clone();
+        ledger.instances.rebuild_counts();
+        ledger.instances.set_budgets(&lists);
+        Ok(ledger)
+    }
+
+    /// Returns the state in parts for the log.
+    pub fn to_chunks(&self, snapshot_id: Uuid) -> Vec<SnapshotChunk> {
+        let text = self.to_snapshot();
+        let digest = SmolStr::new(blake3::hash(text.as_bytes()).to_hex());
+        let parts = split_at_chars(&text, SNAPSHOT_CHUNK_BYTES);
+        let chunks_count = parts.len() as u32;
+        (0u32..)
+            .zip(parts)
+            .map(|(index, part)| SnapshotChunk {
+                snapshot_id,
+                next_offset: self.next_offset,
+                index,
+                chunks_count,
+                digest: digest.clone(),
+                text: part.to_owned(),
+            })
+            .collect()
+    }
+}
+
+fn split_at_chars(text: &str, max_bytes: usize) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut end = rest.len().min(max_bytes);
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (part, tail) = rest.split_at(end);
+        parts.push(part);
+        rest = tail;
+    }
+    parts
+}
+
+/// Puts snapshots together from the parts that a reader of the log meets.
+#[derive(Clone, Debug, Default)]
+pub struct SnapshotParts {
+    open: IndexMap<Uuid, IndexMap<u32, SnapshotChunk>>,
+}
+
+impl SnapshotParts {
+    /// Takes a part; returns the offset of the state and its text once the snapshot is whole.
+    pub fn add(&mut self, chunk: SnapshotChunk) -> Result<Option<(Offset, String)>, SnapshotError> {
+        let id = chunk.snapshot_id;
+        let chunks_count = chunk.chunks_count as usize;
+        let parts = self.open.entry(id).or_default();
+        parts.insert(chunk.index, chunk);
+        let is_whole = parts.len() == chunks_count;
+        if is_whole {
+            return self.open.shift_remove(&id).map(join).transpose();
+        }
+        while self.open.len() > OPEN_SNAPSHOTS_MAX_COUNT {
+            self.open.shift_remove_index(0);
+        }
+        Ok(None)
+    }
+}
+
+fn join(mut parts: IndexMap<u32, SnapshotChunk>) -> Result<(Offset, String), SnapshotError> {
+    parts.sort_keys();
+    let Some((_, first)) = parts.first() else {
+        return Err(SnapshotError::Unreadable);
+    };
+    let (next_offset, digest) = (first.next_offset, first.digest.clone());
+    let text: String = parts.into_values().map(|part| part.text).collect();
+    match blake3::hash(text.as_bytes()).to_hex().as_str() == digest {
+        true => Ok((next_offset, text)),
+        false => Err(SnapshotError::WrongDigest),
+    }
+}
