Judge planned stops against availability budgets

Counts per pool, zone and rack are kept up with every change, so a stop costs a few counter reads at any fleet size. Planned stops, failures and doubtful instances count alike; stops stay in one rack of a pool unless the budget bears the loss of every rack with stops under way.

--- /dev/null
+++ b/src/upkeep/budget.rs
@@ -0,0 +1,373 @@
+//! Availability budgets: whether one more planned stop may be claimed, judged against all planned
+//! stops and failures that are already known.
+//!
+//! A budget of `p` thousandths allows `floor(members * p / 1000)` unavailable instances, so a part
+//! smaller than one instance allows none. Planned stops, failures and doubtful instances count
+//! alike. The judgement reads a handful of counters and costs the same at any size of the fleet.
+
+use serde::{Deserialize, Serialize};
+
+use super::counts::{is_planned_stop, FleetCounts, Member, PoolCounts};
+use super::keys::{InstanceKey, PoolKey};
+use crate::fleet::Standing;
+use crate::lists::{AvailabilityBudget, Lists, Plan, Pool};
+
+/// Whole of a part that is given in thousandths.
+const PERMILLE_WHOLE: u64 = 1000;
+
+/// Part of a pool without customers, such as the spare pool, that may be unavailable at once, in
+/// thousandths: half of the buffer stays usable while the other half is maintained.
+pub const UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE: u32 = 500;
+
+/// What may be unavailable in one pool: the strictest of all plans that use it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolBudget {
+    /// Part of the pool and of its zones.
+    pub availability: AvailabilityBudget,
+    /// Available instances that the pool keeps at least.
+    pub instances_min_count: u32,
+}
+
+impl Default for PoolBudget {
+    /// Returns the budget of a pool that is in no list: nothing may be stopped.
+    fn default() -> Self {
+        Self {
+            availability: AvailabilityBudget {
+                pool_unavailable_max_permille: 0,
+                zone_unavailable_max_permille: 0,
+            },
+            instances_min_count: 0,
+        }
+    }
+}
+
+/// Returns the budget of `pool`: for each limit the strictest of the plans entitled to a queue that
+/// the pool runs.
+pub fn strictest_budget(lists: &Lists, pool: &Pool) -> PoolBudget {
+    let unbound = AvailabilityBudget {
+        pool_unavailable_max_permille: UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE,
+        zone_unavailable_max_permille: UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE,
+    };
+    let availability = lists
+        .plans
+        .plans
+        .iter()
+        .filter(|plan| uses_pool(lists, plan, pool))
+        .map(|plan| plan.availability)
+        .reduce(stricter)
+        .unwrap_or(unbound);
+    PoolBudget {
+        availability,
+        instances_min_count: pool.instances_min_count,
+    }
+}
+
+fn uses_pool(lists: &Lists, plan: &Plan, pool: &Pool) -> bool {
+    let entitled = |queue: &str| {
+        lists
+            .entitlement_of(&plan.name)
+            .is_some_and(|row| row.queues.iter().any(|name| name == queue))
+    };
+    lists
+        .entitlements
+        .queues
+        .iter()
+        .filter(|queue| queue.pools.contains(&pool.name))
+        .any(|queue| entitled(&queue.name))
+}
+
+fn stricter(a: AvailabilityBudget, b: AvailabilityBudget) -> AvailabilityBudget {
+    AvailabilityBudget {
+        pool_unavailable_max_permille: a
+            .pool_unavailable_max_permille
+            .min(b.pool_unavailable_max_permille),
+        zone_unavailable_max_permille: a
+            .zone_unavailable_max_permille
+            .min(b.zone_unavailable_max_permille),
+    }
+}
+
+/// Returns how many of `members_count` instances a budget of `permille` lets be unavailable.
+pub fn allowed_count(members_count: u32, permille: u32) -> u32 {
+    let part = u64::from(members_count) * u64::from(permille) / PERMILLE_WHOLE;
+    u32::try_from(part).map_or(members_count, |part| part.min(members_count))
+}
+
+/// What a stop is judged against: the fold at the offset of the claim.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetView<'a> {
+    /// Counts of the fleet.
+    pub counts: &'a FleetCounts,
+    /// Budgets, indexed by [`PoolKey`]; a pool without one allows no stop.
+    pub budgets: &'a [PoolBudget],
+}
+
+/// Why a planned stop, a release or an assignment would breach a budget.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::IntoStaticStr,
+    strum::EnumDiscriminants,
+)]
+#[serde(rename_all = "snake_case", tag = "breach")]
+#[strum(serialize_all = "snake_case")]
+#[strum_discriminants(name(BudgetBreachKind), derive(Hash, strum::EnumIter, strum::Display))]
+#[strum_discriminants(doc = "Kind of a [`BudgetBreach`], without its numbers.")]
+#[strum_discriminants(strum(serialize_all = "snake_case"))]
+pub enum BudgetBreach {
+    /// The fleet has no such instance.
+    UnknownInstance,
+    /// The instance already drains or is stopped by plan.
+    AlreadyStopping,
+    /// The instance is in the pool that it would be assigned to.
+    SamePool,
+    /// Too much of the pool would be unavailable.
+    PoolBudget {
+        /// Unavailable instances if it went ahead.
+        unavailable_count: u32,
+        /// Instances that may be unavailable.
+        allowed_count: u32,
+        /// Instances of the pool.
+        members_count: u32,
+    },
+    /// Too much of the pool's part of the instance's zone would be unavailable.
+    ZoneBudget {
+        /// Unavailable instances of the zone if it went ahead.
+        unavailable_count: u32,
+        /// Instances of the zone that may be unavailable.
+        allowed_count: u32,
+        /// Instances of the pool in the zone.
+        members_count: u32,
+    },
+    /// Fewer instances would be available than the pool keeps at least.
+    PoolMinimum {
+        /// Available instances if it went ahead.
+        available_count: u32,
+        /// Instances that the pool keeps at least.
+        instances_min_count: u32,
+    },
+    /// Stops are under way in another rack of the pool, and the budget does not allow the loss of
+    /// all these racks together.
+    SecondRack {
+        /// Racks of the pool with planned stops under way.
+        racks_with_stops_count: u32,
+        /// Unavailable instances if those racks and this one were lost whole.
+        exposed_count: u32,
+        /// Instances that may be unavailable.
+        allowed_count: u32,
+    },
+}
+
+/// Judges a planned stop of `instance` against all stops and failures of the view.
+pub fn judge_stop(view: &BudgetView<'_>, instance: InstanceKey) -> Result<(), BudgetBreach> {
+    let (member, pool) = find(view, instance)?;
+    if is_planned_stop(member.standing) {
+        return Err(BudgetBreach::AlreadyStopping);
+    }
+    let budget = view.budget(member.pool);
+    let lost_count = u32::from(member.standing.is_available());
+    check_minimum(pool, &budget, lost_count)?;
+    check_pool(pool, &budget, lost_count)?;
+    check_zone(pool, &budget, member, lost_count)?;
+    check_racks(pool, &budget, member)
+}
+
+/// Judges whether `instance` may be released from its pool for a move: its drain must be within the
+/// budgets, and so must the smaller pool that it leaves behind.
+pub fn can_release(view: &BudgetView<'_>, instance: InstanceKey) -> Result<(), BudgetBreach> {
+    judge_stop(view, instance)?;
+    let (member, pool) = find(view, instance)?;
+    let budget = view.budget(member.pool);
+    let mut smaller = SizeAfter::of(pool, member);
+    smaller.take_out(member.standing.is_available());
+    smaller.check(&budget)
+}
+
+/// Judges whether `instance` may join `pool` with `standing`. One that serves always may; any other
+/// counts as unavailable there from the start.
+pub fn can_assign(
+    view: &BudgetView<'_>,
+    instance: InstanceKey,
+    pool: PoolKey,
+    standing: Standing,
+) -> Result<(), BudgetBreach> {
+    let (member, _) = find(view, instance)?;
+    match view.counts.pool(pool) {
+        _ if member.pool == pool => Err(BudgetBreach::SamePool),
+        _ if standing.is_available() => Ok(()),
+        None => Ok(()),
+        Some(counts) => {
+            let mut larger = SizeAfter::of(counts, member);
+            larger.put_in_unavailable();
+            larger.check(&view.budget(pool))
+        }
+    }
+}
+
+impl BudgetView<'_> {
+    /// Returns the budget of `pool`.
+    pub fn budget(&self, pool: PoolKey) -> PoolBudget {
+        self.budgets.get(pool.index()).copied().unwrap_or_default()
+    }
+}
+
+fn find<'a>(
+    view: &BudgetView<'a>,
+    instance: InstanceKey,
+) -> Result<(Member, &'a PoolCounts), BudgetBreach> {
+    let member = view
+        .counts
+        .member(instance)
+        .ok_or(BudgetBreach::UnknownInstance)?;
+    let pool = view
+        .counts
+        .pool(member.pool)
+        .ok_or(BudgetBreach::UnknownInstance)?;
+    Ok((member, pool))
+}
+
+fn check_minimum(
+    pool: &PoolCounts,
+    budget: &PoolBudget,
+    lost_count: u32,
+) -> Result<(), BudgetBreach> {
+    let available_count = pool.total.available_count - lost_count;
+    match budget.instances_min_count {
+        min if available_count < min => Err(BudgetBreach::PoolMinimum {
+            available_count,
+            instances_min_count: min,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn check_pool(pool: &PoolCounts, budget: &PoolBudget, lost_count: u32) -> Result<(), BudgetBreach> {
+    let members_count = pool.total.members_count;
+    let unavailable_count = pool.total.unavailable_count() + lost_count;
+    match pool_allowed(members_count, budget) {
+        allowed_count if unavailable_count > allowed_count => Err(BudgetBreach::PoolBudget {
+            unavailable_count,
+            allowed_count,
+            members_count,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn check_zone(
+    pool: &PoolCounts,
+    budget: &PoolBudget,
+    member: Member,
+    lost_count: u32,
+) -> Result<(), BudgetBreach> {
+    let zone = pool.zone(member.zone).total;
+    let unavailable_count = zone.unavailable_count() + lost_count;
+    match zone_allowed(zone.members_count, budget) {
+        allowed_count if unavailable_count > allowed_count => Err(BudgetBreach::ZoneBudget {
+            unavailable_count,
+            allowed_count,
+            members_count: zone.members_count,
+        }),
+        _ => Ok(()),
+    }
+}
+
+/// Keeps stops to one rack of the pool, unless the pool and the zone can bear the loss of every
+/// rack with stops under way, this one included. What a wave breaks at once is then never more
+/// than a budget allows or one rack holds.
+fn check_racks(pool: &PoolCounts, budget: &PoolBudget, member: Member) -> Result<(), BudgetBreach> {
+    let rack = pool.rack(member.rack);
+    if rack.planned_count > 0 || pool.racks_with_stops_count == 0 {
+        return Ok(());
+    }
+    let zone = pool.zone(member.zone);
+    let added_count = rack.available_count;
+    let breach = |exposed_count, allowed_count| BudgetBreach::SecondRack {
+        racks_with_stops_count: pool.racks_with_stops_count,
+        exposed_count,
+        allowed_count,
+    };
+    let pool_exposed = pool.total.unavailable_count() + pool.exposed_count + added_count;
+    let zone_exposed = zone.total.unavailable_count() + zone.exposed_count + added_count;
+    let pool_max = pool_allowed(pool.total.members_count, budget);
+    let zone_max = zone_allowed(zone.total.members_count, budget);
+    match () {
+        () if pool_exposed > pool_max => Err(breach(pool_exposed, pool_max)),
+        () if zone_exposed > zone_max => Err(breach(zone_exposed, zone_max)),
+        () => Ok(()),
+    }
+}
+
+fn pool_allowed(members_count: u32, budget: &PoolBudget) -> u32 {
+    let permille = budget.availability.pool_unavailable_max_permille;
+    allowed_count(members_count, permille)
+}
+
+fn zone_allowed(members_count: u32, budget: &PoolBudget) -> u32 {
+    let permille = budget.availability.zone_unavailable_max_permille;
+    allowed_count(members_count, permille)
+}
+
+/// Sizes of a pool and of its part of one zone after an instance left or joined.
+struct SizeAfter {
+    pool_members_count: u32,
+    pool_unavailable_count: u32,
+    zone_members_count: u32,
+    zone_unavailable_count: u32,
+}
+
+impl SizeAfter {
+    fn of(pool: &PoolCounts, member: Member) -> Self {
+        let zone = pool.zone(member.zone).total;
+        Self {
+            pool_members_count: pool.total.members_count,
+            pool_unavailable_count: pool.total.unavailable_count(),
+            zone_members_count: zone.members_count,
+            zone_unavailable_count: zone.unavailable_count(),
+        }
+    }
+
+    fn take_out(&mut self, is_available: bool) {
+        let unavailable_count = u32::from(!is_available);
+        self.pool_members_count -= 1;
+        self.pool_unavailable_count -= unavailable_count;
+        self.zone_members_count -= 1;
+        self.zone_unavailable_count -= unavailable_count;
+    }
+
+    fn put_in_unavailable(&mut self) {
+        self.pool_members_count += 1;
+        self.pool_unavailable_count += 1;
+        self.zone_members_count += 1;
+        self.zone_unavailable_count += 1;
+    }
+
+    fn check(&self, budget: &PoolBudget) -> Result<(), BudgetBreach> {
+        let pool_max = pool_allowed(self.pool_members_count, budget);
+        let zone_max = zone_allowed(self.zone_members_count, budget);
+        let available_count = self.pool_members_count - self.pool_unavailable_count;
+        match () {
+            () if available_count < budget.instances_min_count => Err(BudgetBreach::PoolMinimum {
+                available_count,
+                instances_min_count: budget.instances_min_count,
+            }),
+            () if self.pool_unavailable_count > pool_max => Err(BudgetBreach::PoolBudget {
+                unavailable_count: self.pool_unavailable_count,
+                allowed_count: pool_max,
+                members_count: self.pool_members_count,
+            }),
+            () if self.zone_unavailable_count > zone_max => Err(BudgetBreach::ZoneBudget {
+                unavailable_count: self.zone_unavailable_count,
+                allowed_count: zone_max,
+                members_count: self.zone_members_count,
+            }),
+            () => Ok(()),
+        }
+    }
+}
