--- a/src/ledger/claims.rs
+++ b/src/ledger/claims.rs
@@ -43,7 +43,10 @@
 
 /// Returns the time inside a UUID of version 7, or none for another version.
 pub fn issued_at_unix_ms(id: &Uuid) -> Option<UnixMs> {
-    let (seconds, nanos) = id.get_timestamp().filter(|_| id.get_version_num() == 7)?.to_unix();
+    let (seconds, nanos) = id
+        .get_timestamp()
+        .filter(|_| id.get_version_num() == 7)?
+        .to_unix();
     Some(seconds * 1_000 + u64::from(nanos) / 1_000_000)
 }
 
--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -20,9 +20,7 @@
 const PAST_INCARNATIONS_MAX_COUNT: usize = 4;
 
 /// Why an instance is stopped by plan.
-#[derive(
-    Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum StopWhy {
@@ -252,7 +250,11 @@
         at_unix_ms: UnixMs,
     ) -> Result<(), SmolStr> {
         self.check_version(name, version)?;
-        match self.entries.get(name).map(|entry| (entry.standing, &entry.stop)) {
+        match self
+            .entries
+            .get(name)
+            .map(|entry| (entry.standing, &entry.stop))
+        {
             Some((Standing::Draining, Some(StopWhy::Maintenance))) => {}
             Some(_) | None => return Err(SmolStr::new_static("not_draining")),
         }
@@ -291,7 +293,11 @@
         at_unix_ms: UnixMs,
     ) -> Result<(), SmolStr> {
         self.check_version(name, version)?;
-        let to_pool = match self.entries.get(name).map(|entry| (entry.standing, &entry.stop)) {
+        let to_pool = match self
+            .entries
+            .get(name)
+            .map(|entry| (entry.standing, &entry.stop))
+        {
             Some((Standing::Draining, Some(StopWhy::Move(to_pool)))) => to_pool.clone(),
             Some(_) | None => return Err(SmolStr::new_static("not_released")),
         };
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -13,15 +13,13 @@
 mod seats;
 mod snapshot;
 
-pub use claims::{ClaimRow, ClaimState, Claims};
+pub use claims::{issued_at_unix_ms, ClaimRow, ClaimState, Claims};
 pub use escrow::{Escrow, TeamEscrow};
 pub use fold::{Effect, Ledger, Verdict};
 pub use instances::{InstanceEntry, Instances, StopWhy};
 pub use jobs::{JobEntry, JobRow, JobState, Jobs};
 pub use keys::{KeyId, KeyRow, Keys};
 pub use patch::{ListsPatch, SectionPatch};
-pub use record::{
-    OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk,
-};
+pub use record::{OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk};
 pub use seats::{SeatId, SeatRow, SeatState, Seats};
 pub use snapshot::{SnapshotError, SnapshotParts, SNAPSHOT_CHUNK_BYTES};
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -225,7 +225,7 @@
         /// Version that the lists were edited from; another version in force voids the change.
         base_version: u64,
         /// The rows that differ.
-        patch: ListsPatch,
+        patch: Box<ListsPatch>,
     },
     /// Grants a key.
     GrantKey {
--- a/src/ledger/seats.rs
+++ b/src/ledger/seats.rs
@@ -11,9 +11,7 @@
 pub type SeatId = SmolStr;
 
 /// How far a seat has come.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum SeatState {
--- a/src/ledger/snapshot.rs
+++ b/src/ledger/snapshot.rs
@@ -34,8 +34,7 @@
 
     /// Returns the state that [`Ledger::to_snapshot`] gave as text.
     pub fn from_snapshot(text: &str) -> Result<Self, SnapshotError> {
-        let mut ledger: Self =
-            serde_json::from_str(text).map_err(|_| SnapshotError::Unreadable)?;
+        let mut ledger: Self = serde_json::from_str(text).map_err(|_| SnapshotError::Unreadable)?;
         let lists = ledger.lists.clone();
         ledger.instances.rebuild_counts();
         ledger.instances.set_budgets(&lists);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod adapters;
 pub mod fleet;
+pub mod ledger;
 pub mod lists;
 pub mod platform;
 pub mod policy;
--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -4,3 +4,9 @@
 pub mod budget;
 pub mod counts;
 pub mod keys;
+
+pub use budget::{
+    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, PoolBudget,
+};
+pub use counts::{FleetCounts, Member};
+pub use keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
