--- /dev/null
+++ b/src/entry/admission.rs
@@ -0,0 +1,201 @@
+//! Admission: whether a call may be taken at all, judged against the ledger, the withdrawals that
+//! were heard and how recent both are.
+
+use indexmap::IndexSet;
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::{
+    callers::CallerRequest,
+    entry::event::{parse_request_id, Now},
+    error::ErrorKind,
+    fleet::{Resources, TeamName, UnixMs},
+    keys,
+    ledger::{issued_at_unix_ms, ClaimState, KeyId, Ledger},
+    lists::Queue,
+};
+
+/// How far ahead of this entry's clock the time inside a request id may lie, in milliseconds.
+const ID_AHEAD_MAX_MS: u64 = 30_000;
+
+/// A refusal with what exactly was wrong.
+pub(crate) type Refused = (ErrorKind, SmolStr);
+
+/// What of this entry's state admission depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    /// Whether the process was told to stop.
+    pub(crate) is_draining: bool,
+    /// Whether the head of the ledger was known at some time.
+    pub(crate) is_ready: bool,
+    /// Whether the configuration may be trusted now.
+    pub(crate) is_config_fresh: bool,
+    /// Whether the seat's lease holds.
+    pub(crate) is_lease_valid: bool,
+    /// Whether the log was heard recently.
+    pub(crate) is_log_fresh: bool,
+}
+
+/// A call that may be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Admitted {
+    /// Team of the key; empty for a queue open to all.
+    pub(crate) team: TeamName,
+    /// Largest size that the plan allows.
+    pub(crate) size_max: Resources,
+    /// Id to claim, for work that must run at most once or is kept for later.
+    pub(crate) claim_id: Option<Uuid>,
+    /// Whether the queue's work is urgent.
+    pub(crate) is_urgent: bool,
+}
+
+/// Judges a call.
+pub(crate) fn admit(
+    now: Now,
+    ledger: &Ledger,
+    withdrawn: &IndexSet<KeyId>,
+    standing: Standing,
+    request: &CallerRequest,
+) -> Result<Admitted, Refused> {
+    check_standing(standing)?;
+    let queue = find_queue(ledger, &request.queue)?;
+    let team = find_team(ledger, withdrawn, queue, request.key.as_deref())?;
+    let size_max = check_plan(ledger, queue, &team, request)?;
+    let needs_claim = !request.is_idempotent || request.is_for_later;
+    let claim_id = match needs_claim {
+        true => Some(check_request_id(now, ledger, &request.request_id)?),
+        false => None,
+    };
+    if needs_claim && !(standing.is_log_fresh && standing.is_lease_valid) {
+        return refuse(ErrorKind::LogUnavailable, "");
+    }
+    // The lease guards the upper limit, which queues open to all do not have.
+    if !team.is_empty() && !standing.is_lease_valid {
+        return refuse(ErrorKind::SeatLapsed, "");
+    }
+    if let Some(kind) = claim_id.and_then(|id| claimed(ledger, &team, &id)) {
+        return refuse(kind, "");
+    }
+    Ok(Admitted {
+        team,
+        size_max,
+        claim_id,
+        is_urgent: queue.is_urgent,
+    })
+}
+
+fn refuse<T>(kind: ErrorKind, detail: &str) -> Result<T, Refused> {
+    Err((kind, SmolStr::new(detail)))
+}
+
+fn check_standing(standing: Standing) -> Result<(), Refused> {
+    match standing {
+        Standing {
+            is_draining: true, ..
+        } => refuse(ErrorKind::Draining, ""),
+        Standing {
+            is_ready: false, ..
+        } => refuse(ErrorKind::EntryNotReady, ""),
+        Standing {
+            is_config_fresh: false,
+            ..
+        } => refuse(ErrorKind::ConfigurationStale, ""),
+        _ => Ok(()),
+    }
+}
+
+fn find_queue<'a>(ledger: &'a Ledger, name: &str) -> Result<&'a Queue, Refused> {
+    let mut queues = ledger.lists.entitlements.queues.iter();
+    match queues.find(|queue| queue.name == name) {
+        Some(queue) => Ok(queue),
+        None => refuse(ErrorKind::UnknownQueue, name),
+    }
+}
+
+/// Returns the team that work for `queue` is accepted for; empty if it is open to all.
+fn find_team(
+    ledger: &Ledger,
+    withdrawn: &IndexSet<KeyId>,
+    queue: &Queue,
+    key: Option<&str>,
+) -> Result<TeamName, Refused> {
+    match key {
+        _ if queue.is_open_to_all => Ok(TeamName::default()),
+        None => refuse(ErrorKind::KeyMissing, ""),
+        Some(key) => team_of_key(ledger, withdrawn, key),
+    }
+}
+
+/// Returns the team of a key that is in force.
+pub(crate) fn team_of_key(
+    ledger: &Ledger,
+    withdrawn: &IndexSet<KeyId>,
+    key: &str,
+) -> Result<TeamName, Refused> {
+    let Some((key_id, digest)) = keys::split(key) else {
+        return refuse(ErrorKind::KeyUnknown, "");
+    };
+    match ledger.keys.get(key_id) {
+        Some(row) if !row.has_digest(&digest) => refuse(ErrorKind::KeyUnknown, ""),
+        Some(row) if row.is_withdrawn => refuse(ErrorKind::KeyWithdrawn, key_id),
+        Some(_) if withdrawn.contains(key_id) => refuse(ErrorKind::KeyWithdrawn, key_id),
+        Some(row) => Ok(row.team.clone()),
+        None => refuse(ErrorKind::KeyUnknown, ""),
+    }
+}
+
+/// Returns the largest size of one request.
+fn check_plan(
+    ledger: &Ledger,
+    queue: &Queue,
+    team: &str,
+    request: &CallerRequest,
+) -> Result<Resources, Refused> {
+    const NO_BOUND: Resources = Resources {
+        cores_milli: u64::MAX,
+        memory_mb: u64::MAX,
+        accelerators_count: u64::MAX,
+    };
+    if queue.is_open_to_all {
+        return Ok(NO_BOUND);
+    }
+    let entitlement = ledger
+        .lists
+        .plan_of(team)
+        .and_then(|plan| ledger.lists.entitlement_of(&plan.name));
+    match entitlement {
+        Some(row) if !row.queues.contains(&queue.name) => {
+            refuse(ErrorKind::NotEntitled, &queue.name)
+        }
+        Some(row) if !request.size.fits_in(&row.request_max) => refuse(ErrorKind::TooLarge, ""),
+        Some(row) => Ok(row.request_max),
+        None => refuse(ErrorKind::NotEntitled, &queue.name),
+    }
+}
+
+fn check_request_id(now: Now, ledger: &Ledger, text: &str) -> Result<Uuid, Refused> {
+    const DETAIL: &str =
+        "x-request-id: work that must run at most once needs a UUID of version 7, issued now";
+    let id = parse_request_id(text);
+    let issued_at: Option<UnixMs> = id.as_ref().and_then(issued_at_unix_ms);
+    match (id, issued_at) {
+        (Some(_), Some(at)) if at < ledger.oldest_claim_unix_ms() => {
+            refuse(ErrorKind::StaleRequestId, text)
+        }
+        (Some(_), Some(at)) if at > now.unix_ms + ID_AHEAD_MAX_MS => {
+            refuse(ErrorKind::MalformedRequest, DETAIL)
+        }
+        (Some(id), Some(_)) => Ok(id),
+        _ => refuse(ErrorKind::MalformedRequest, DETAIL),
+    }
+}
+
+/// Returns why an id that is on record cannot be used again, if it cannot.
+pub(crate) fn claimed(ledger: &Ledger, team: &str, request_id: &Uuid) -> Option<ErrorKind> {
+    match ledger.claims.get(team, request_id)?.state {
+        ClaimState::Open => Some(ErrorKind::DuplicateInFlight),
+        ClaimState::Ran => Some(ErrorKind::DuplicateFinished),
+        ClaimState::Unknown => Some(ErrorKind::DuplicateOutcomeUnknown),
+        ClaimState::NotRun => None,
+    }
+}
--- /dev/null
+++ b/src/entry/escrow.rs
@@ -0,0 +1,289 @@
+//! The holder's side of the escrow: how much of each team's upper limit this seat may have running,
+//! when it asks for more, and when it gives some back or passes it on to a peer in need.
+
+use indexmap::IndexMap;
+
+use crate::{
+    entry::gossip::Demand,
+    fleet::{MonoMs, TeamName},
+    ledger::{Ledger, SeatChange, SeatId, TeamEscrow},
+};
+
+/// What this seat does with one team's limit.
+#[derive(Clone, Debug, Default)]
+struct Hold {
+    /// Tasks that may run because of this seat.
+    running_requests: u32,
+    waiting_requests: u32,
+    oldest_waiting_ms: Option<MonoMs>,
+    /// Given away in changes that are not folded yet.
+    leaving_requests: u32,
+    /// To be given to peers as soon as it is not running any more.
+    owed_requests: u32,
+    is_take_pending: bool,
+    idle_since_ms: Option<MonoMs>,
+}
+
+/// The holds of one seat.
+#[derive(Clone, Debug)]
+pub(crate) struct EscrowKeeper {
+    idle_ms: u64,
+    holds: IndexMap<TeamName, Hold>,
+}
+
+impl EscrowKeeper {
+    /// Starts without anything held.
+    pub(crate) fn new(idle_ms: u64) -> Self {
+        Self {
+            idle_ms,
+            holds: IndexMap::new(),
+        }
+    }
+
+    /// Returns whether one more request of `team` may start under the seat's part of the limit.
+    pub(crate) fn can_start(&self, ledger: &Ledger, seat: &SeatId, team: &str) -> bool {
+        let hold = self.holds.get(team);
+        let running = hold.map_or(0, |hold| hold.running_requests);
+        running < self.usable_requests(ledger, seat, team)
+    }
+
+    fn usable_requests(&self, ledger: &Ledger, seat: &SeatId, team: &str) -> u32 {
+        let allowance = ledger
+            .escrow
+            .get(team)
+            .map_or(0, |escrow| escrow.allowance_requests(seat));
+        let reserved = self.holds.get(team).map_or(0, |hold| {
+            hold.leaving_requests + hold.owed_requests
+        });
+        allowance.saturating_sub(reserved)
+    }
+
+    /// Counts a task that may run from now on.
+    pub(crate) fn started(&mut self, team: &TeamName) {
+        self.holds.entry(team.clone()).or_default().running_requests += 1;
+    }
+
+    /// Counts a task that cannot be running any more.
+    pub(crate) fn ended(&mut self, team: &str) {
+        if let Some(hold) = self.holds.get_mut(team) {
+            hold.running_requests = hold.running_requests.saturating_sub(1);
+        }
+    }
+
+    /// Sets what waits, for all teams at once.
+    pub(crate) fn set_waiting<'a>(
+        &mut self,
+        waiting: impl Iterator<Item = (&'a TeamName, u32, MonoMs)>,
+    ) {
+        for hold in self.holds.values_mut() {
+            hold.waiting_requests = 0;
+            hold.oldest_waiting_ms = None;
+        }
+        for (team, requests, oldest_ms) in waiting {
+            let hold = self.holds.entry(team.clone()).or_default();
+            hold.waiting_requests = requests;
+            hold.oldest_waiting_ms = Some(oldest_ms);
+        }
+    }
+
+    /// Takes in that a change of this seat was folded.
+    pub(crate) fn folded(&mut self, change: &SeatChange) {
+        match change {
+            SeatChange::EscrowTake { team, .. } => {
+                if let Some(hold) = self.holds.get_mut(team) {
+                    hold.is_take_pending = false;
+                }
+            }
+            SeatChange::EscrowGive { team, requests, .. } => {
+                if let Some(hold) = self.holds.get_mut(team) {
+                    hold.leaving_requests = hold.leaving_requests.saturating_sub(*requests);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the demand to tell peers.
+    pub(crate) fn demand(&self, now_ms: MonoMs) -> IndexMap<TeamName, Demand> {
+        self.holds
+            .iter()
+            .filter(|(_, hold)| hold.running_requests + hold.waiting_requests > 0)
+            .map(|(team, hold)| (team.clone(), hold.demand(now_ms)))
+            .collect()
+    }
+
+    /// Returns the changes to propose now. `peers` is the demand that live seats told.
+    pub(crate) fn poll(
+        &mut self,
+        now_ms: MonoMs,
+        ledger: &Ledger,
+        seat: &SeatId,
+        peers: &IndexMap<SeatId, IndexMap<TeamName, Demand>>,
+    ) -> Vec<SeatChange> {
+        let mut changes = Vec::new();
+        for (team, escrow) in ledger.escrow.iter() {
+            let hold = match self.holds.get_mut(team) {
+                Some(hold) => hold,
+                None if escrow.parts.contains_key(seat) => {
+                    self.holds.entry(team.clone()).or_default()
+                }
+                None => continue,
+            };
+            let demands: Vec<(&SeatId, Demand)> = peers
+                .iter()
+                .filter_map(|(peer, teams)| Some((peer, *teams.get(team)?)))
+                .collect();
+            hold.poll(
+                now_ms,
+                self.idle_ms,
+                team,
+                escrow,
+                seat,
+                &demands,
+                &mut changes,
+            );
+        }
+        self.holds.retain(|team, hold| {
+            hold.running_requests + hold.waiting_requests + hold.leaving_requests > 0
+                || ledger.escrow.get(team).is_some()
+        });
+        changes
+    }
+}
+
+impl Hold {
+    fn demand(&self, now_ms: MonoMs) -> Demand {
+        let oldest_wait = |at_ms: MonoMs| now_ms.saturating_sub(at_ms);
+        Demand {
+            running_requests: self.running_requests,
+            waiting_requests: self.waiting_requests,
+            oldest_wait_ms: self.oldest_waiting_ms.map_or(0, oldest_wait),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn poll(
+        &mut self,
+        now_ms: MonoMs,
+        idle_ms: u64,
+        team: &TeamName,
+        escrow: &TeamEscrow,
+        seat: &SeatId,
+        peers: &[(&SeatId, Demand)],
+        changes: &mut Vec<SeatChange>,
+    ) {
+        let part = escrow.parts.get(seat).copied().unwrap_or(0);
+        let held = part.saturating_sub(self.leaving_requests);
+        let spare = held.saturating_sub(self.running_requests);
+        let is_over = escrow.held_requests() > escrow.limit_requests;
+        let wanted = (self.running_requests + self.waiting_requests).saturating_sub(held);
+        let needy = neediest(peers, escrow);
+        self.owed_requests = match needy {
+            Some(_) if escrow.free_requests() == 0 && !is_over => {
+                held.saturating_sub(self.fair_part(now_ms, seat, escrow, peers))
+            }
+            Some(_) | None => 0,
+        };
+        match needy {
+            _ if is_over && spare > 0 => self.give(team, None, spare, changes),
+            Some((peer, deficit)) if self.owed_requests > 0 && spare > 0 => {
+                let requests = spare.min(self.owed_requests).min(deficit);
+                self.owed_requests -= requests;
+                self.give(team, Some(peer.clone()), requests, changes);
+            }
+            _ if wanted > 0 && escrow.free_requests() > 0 && !self.is_take_pending => {
+                self.is_take_pending = true;
+                changes.push(SeatChange::EscrowTake {
+                    team: team.clone(),
+                    wanted_requests: wanted,
+                });
+            }
+            _ => self.return_idle(now_ms, idle_ms, team, spare, changes),
+        }
+    }
+
+    fn return_idle(
+        &mut self,
+        now_ms: MonoMs,
+        idle_ms: u64,
+        team: &TeamName,
+        spare: u32,
+        changes: &mut Vec<SeatChange>,
+    ) {
+        match self.idle_since_ms {
+            _ if spare == 0 || self.waiting_requests > 0 => self.idle_since_ms = None,
+            None => self.idle_since_ms = Some(now_ms),
+            Some(since_ms) if now_ms >= since_ms + idle_ms => {
+                self.idle_since_ms = None;
+                self.give(team, None, spare, changes);
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn give(
+        &mut self,
+        team: &TeamName,
+        to: Option<SeatId>,
+        requests: u32,
+        changes: &mut Vec<SeatChange>,
+    ) {
+        if requests == 0 {
+            return;
+        }
+        self.leaving_requests += requests;
+        changes.push(SeatChange::EscrowGive {
+            team: team.clone(),
+            to,
+            requests,
+        });
+    }
+
+    /// Returns the part of the limit that is this seat's by demand.
+    ///
+    /// While there is enough for one each, parts follow demand; below that, the seats whose oldest
+    /// request has waited longest come first, so that a limit of one goes round.
+    fn fair_part(
+        &self,
+        now_ms: MonoMs,
+        seat: &SeatId,
+        escrow: &TeamEscrow,
+        peers: &[(&SeatId, Demand)],
+    ) -> u32 {
+        let own = self.demand(now_ms);
+        let limit = escrow.limit_requests;
+        let asking = |demand: &Demand| demand.running_requests + demand.waiting_requests;
+        let seats_count = 1 + peers.iter().filter(|(_, peer)| asking(peer) > 0).count() as u32;
+        if limit < seats_count {
+            let own_rank = (own.oldest_wait_ms, seat);
+            let ahead = peers
+                .iter()
+                .filter(|(peer, demand)| {
+                    demand.waiting_requests > 0 && (demand.oldest_wait_ms, *peer) > own_rank
+                })
+                .count() as u32;
+            let is_served = own.waiting_requests > 0 && ahead < limit;
+            return u32::from(is_served);
+        }
+        let total: u64 = peers.iter().map(|(_, peer)| u64::from(asking(peer))).sum();
+        let own_asking = u64::from(asking(&own));
+        let total = (total + own_asking).max(1);
+        // Rounded up, so that no part is left to nobody.
+        (u64::from(limit) * own_asking).div_ceil(total) as u32
+    }
+}
+
+/// Returns the peer that lacks most of what it waits for, with how much it lacks.
+fn neediest<'a>(peers: &[(&'a SeatId, Demand)], escrow: &TeamEscrow) -> Option<(&'a SeatId, u32)> {
+    let deficit = |peer: &SeatId, demand: &Demand| {
+        let part = escrow.parts.get(peer).copied().unwrap_or(0);
+        (demand.running_requests + demand.waiting_requests).saturating_sub(part)
+    };
+    peers
+        .iter()
+        .filter(|(_, demand)| demand.waiting_requests > 0)
+        .map(|(peer, demand)| (*peer, demand.oldest_wait_ms, deficit(peer, demand)))
+        .filter(|(_, _, deficit)| *deficit > 0)
+        .max_by_key(|(peer, oldest_wait_ms, _)| (*oldest_wait_ms, *peer))
+        .map(|(peer, _, deficit)| (peer, deficit))
+}
--- /dev/null
+++ b/src/entry/proposer.rs
@@ -0,0 +1,148 @@
+//! The proposer batches this seat's changes into numbered records, one append in flight at a time.
+//! An append whose answer was lost is sent again under the same number: the fold takes the first
+//! that lands and voids the others.
+
+use std::collections::VecDeque;
+
+use crate::{
+    fleet::MonoMs,
+    ledger::{Record, SeatBatch, SeatChange, SeatId},
+    ports::PortError,
+};
+
+/// Time after which an append whose answer was lost is sent again.
+const RESEND_AFTER_MS: u64 = 250;
+
+/// A batch on its way into the ledger.
+#[derive(Clone, Debug)]
+struct Flight {
+    seq: u64,
+    payload: String,
+    first_sent_ms: MonoMs,
+    resend_at_ms: Option<MonoMs>,
+}
+
+/// Batches and numbers the changes of one seat.
+#[derive(Clone, Debug)]
+pub(crate) struct Proposer {
+    seat: SeatId,
+    next_seq: u64,
+    waiting: VecDeque<SeatChange>,
+    waiting_max_count: usize,
+    batch_max_count: usize,
+    interval_ms: u64,
+    last_sent_ms: Option<MonoMs>,
+    /// Sent and not known to have landed.
+    flight: Option<Flight>,
+    /// Landed and not folded yet: number and time of the first sending.
+    landed: VecDeque<(u64, MonoMs)>,
+}
+
+/// A record to append.
+pub(crate) struct Outgoing {
+    pub(crate) seq: u64,
+    pub(crate) payload: String,
+}
+
+impl Proposer {
+    /// Starts the proposals of a new seat.
+    pub(crate) fn open(
+        seat: SeatId,
+        waiting_max_count: usize,
+        batch_max_count: usize,
+        interval_ms: u64,
+    ) -> Self {
+        Self {
+            seat,
+            next_seq: 1,
+            waiting: VecDeque::new(),
+            waiting_max_count,
+            batch_max_count,
+            interval_ms,
+            last_sent_ms: None,
+            flight: None,
+            landed: VecDeque::new(),
+        }
+    }
+
+    /// Queues a change; returns whether there was room.
+    pub(crate) fn propose(&mut self, change: SeatChange) -> bool {
+        let has_room = self.waiting.len() < self.waiting_max_count;
+        if has_room {
+            self.waiting.push_back(change);
+        }
+        has_room
+    }
+
+    /// Returns how many changes wait or are on their way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.flight.is_none() && self.landed.is_empty()
+    }
+
+    /// Returns the record to append now, if one is due.
+    pub(crate) fn poll(&mut self, now_ms: MonoMs) -> Option<Outgoing> {
+        match &mut self.flight {
+            Some(flight) if flight.resend_at_ms.is_some_and(|at| at <= now_ms) => {
+                flight.resend_at_ms = None;
+                Some(Outgoing {
+                    seq: flight.seq,
+                    payload: flight.payload.clone(),
+                })
+            }
+            Some(_) => None,
+            None if self.waiting.is_empty() || !self.is_due(now_ms) => None,
+            None => Some(self.send_next(now_ms)),
+        }
+    }
+
+    /// Takes in how the append of batch `seq` ended.
+    pub(crate) fn appended<T>(&mut self, now_ms: MonoMs, seq: u64, result: &Result<T, PortError>) {
+        let Some(flight) = self.flight.as_mut().filter(|flight| flight.seq == seq) else {
+            return;
+        };
+        match result {
+            Ok(_) => self.land(),
+            Err(_) => flight.resend_at_ms = Some(now_ms + RESEND_AFTER_MS),
+        }
+    }
+
+    /// Takes in that batch `seq` was folded; returns when it was first sent.
+    pub(crate) fn folded(&mut self, seq: u64) -> Option<MonoMs> {
+        if self.flight.as_ref().is_some_and(|flight| flight.seq == seq) {
+            self.land();
+        }
+        let index = self.landed.iter().position(|(landed, _)| *landed == seq)?;
+        self.landed.remove(index).map(|(_, sent_ms)| sent_ms)
+    }
+
+    fn land(&mut self) {
+        if let Some(flight) = self.flight.take() {
+            self.landed.push_back((flight.seq, flight.first_sent_ms));
+        }
+    }
+
+    fn is_due(&self, now_ms: MonoMs) -> bool {
+        self.last_sent_ms
+            .is_none_or(|sent_ms| now_ms >= sent_ms + self.interval_ms)
+    }
+
+    fn send_next(&mut self, now_ms: MonoMs) -> Outgoing {
+        let count = self.waiting.len().min(self.batch_max_count);
+        let seq = self.next_seq;
+        let record = Record::Seat(SeatBatch {
+            seat: self.seat.clone(),
+            seq,
+            changes: self.waiting.drain(..count).collect(),
+        });
+        let payload = serde_json::to_string(&record).unwrap_or_default();
+        self.next_seq += 1;
+        self.last_sent_ms = Some(now_ms);
+        self.flight = Some(Flight {
+            seq,
+            payload: payload.clone(),
+            first_sent_ms: now_ms,
+            resend_at_ms: None,
+        });
+        Outgoing { seq, payload }
+    }
+}
--- /dev/null
+++ b/src/entry/reader.rs
@@ -0,0 +1,275 @@
+//! The reader turns pages of the log into a ledger. A fresh entry looks backwards for the newest
+//! whole snapshot, then folds the tail; from then on it follows the head. It never goes back to an
+//! older state.
+
+use uuid::Uuid;
+
+use crate::{
+    fleet::Offset,
+    ledger::{Effect, Ledger, Record, SnapshotParts},
+    ports::{LogPage, LogRecord, PortError},
+};
+
+/// Records that a fresh entry looks back over at first for a snapshot.
+const LOOK_BACK_RECORDS: u64 = 8_192;
+
+/// Where the reader stands.
+#[derive(Clone, Debug)]
+enum Phase {
+    /// Asks where the log begins and ends.
+    Probing { from_offset: Offset },
+    /// Looks through `start..end` for snapshots.
+    Scanning {
+        start: Offset,
+        next: Offset,
+        end: Offset,
+        oldest: Offset,
+        parts: SnapshotParts,
+        found: Option<Box<Ledger>>,
+    },
+    /// Folds each record at the head.
+    Following,
+    /// The log has neither its beginning nor a whole snapshot.
+    Lost,
+}
+
+/// Reads the log from its newest snapshot on.
+#[derive(Clone, Debug)]
+pub(crate) struct Reader {
+    phase: Phase,
+}
+
+/// What a page brought.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// What the newly folded records brought about.
+    pub(crate) effects: Vec<Effect>,
+    /// Whether everything up to the head that the page names is folded.
+    pub(crate) is_at_head: bool,
+    /// Whether the ledger was replaced by one from a snapshot.
+    pub(crate) is_replaced: bool,
+}
+
+impl Reader {
+    /// Returns a reader that knows nothing.
+    pub(crate) fn new() -> Self {
+        Self {
+            phase: Phase::Probing { from_offset: 0 },
+        }
+    }
+
+    /// Returns the offset to read from next.
+    pub(crate) fn wanted_offset(&self, ledger: &Ledger) -> Offset {
+        match &self.phase {
+            Phase::Probing { from_offset } => *from_offset,
+            Phase::Scanning { next, .. } => *next,
+            Phase::Following => ledger.next_offset,
+            Phase::Lost => 0,
+        }
+    }
+
+    /// Returns whether the reader follows the head.
+    pub(crate) fn is_following(&self) -> bool {
+        matches!(self.phase, Phase::Following)
+    }
+
+    /// Returns whether the log alone cannot bring the ledger back.
+    pub(crate) fn is_lost(&self) -> bool {
+        matches!(self.phase, Phase::Lost)
+    }
+
+    /// Follows from a ledger that came from a peer.
+    pub(crate) fn follow(&mut self) {
+        self.phase = Phase::Following;
+    }
+
+    /// Takes in that a read failed.
+    pub(crate) fn failed(&mut self, error: &PortError) {
+        match (error, &self.phase) {
+            (PortError::Trimmed { oldest_offset }, _) => {
+                self.phase = Phase::Probing {
+                    from_offset: *oldest_offset,
+                };
+            }
+            (_, Phase::Lost) => self.phase = Phase::Probing { from_offset: 0 },
+            _ => {}
+        }
+    }
+
+    /// Takes in a page that was read from `from_offset`.
+    pub(crate) fn read(
+        &mut self,
+        ledger: &mut Ledger,
+        from_offset: Offset,
+        page: &LogPage,
+    ) -> Progress {
+        match &mut self.phase {
+            Phase::Probing {
+                from_offset: wanted,
+            } if *wanted == from_offset => {
+                self.begin(ledger, page);
+                Progress::default()
+            }
+            Phase::Scanning { next, .. } if *next == from_offset => self.scan(ledger, page),
+            Phase::Following => fold_page(ledger, page),
+            Phase::Lost => {
+                self.phase = Phase::Probing { from_offset: 0 };
+                Progress::default()
+            }
+            Phase::Probing { .. } | Phase::Scanning { .. } => Progress::default(),
+        }
+    }
+
+    fn begin(&mut self, ledger: &Ledger, page: &LogPage) {
+        let (oldest, head) = (page.oldest_offset, page.head_offset);
+        self.phase = match () {
+            // What is known already goes on from where it is, if the log still has the rest.
+            () if ledger.next_offset > 0 && ledger.next_offset >= oldest => Phase::Following,
+            () if oldest == 0 && head <= LOOK_BACK_RECORDS && ledger.next_offset == 0 => {
+                Phase::Following
+            }
+            () => scanning(head.saturating_sub(LOOK_BACK_RECORDS).max(oldest), head, oldest),
+        };
+    }
+
+    fn scan(&mut self, ledger: &mut Ledger, page: &LogPage) -> Progress {
+        let Phase::Scanning {
+            start,
+            next,
+            end,
+            oldest,
+            parts,
+            found,
+        } = &mut self.phase
+        else {
+            return Progress::default();
+        };
+        *oldest = (*oldest).max(page.oldest_offset);
+        for record in page.records.iter().filter(|record| record.offset >= *next) {
+            if let Some(newer) = snapshot_in(parts, record) {
+                *found = Some(newer);
+            }
+            *next = record.offset + 1;
+        }
+        if *next < *end && !page.records.is_empty() {
+            return Progress::default();
+        }
+        let (start, end, oldest) = (*start, *end, *oldest);
+        let usable = found
+            .take()
+            .filter(|state| state.next_offset >= oldest.max(ledger.next_offset));
+        self.phase = match usable {
+            Some(state) => {
+                *ledger = *state;
+                self.phase = Phase::Following;
+                return Progress {
+                    is_replaced: true,
+                    ..Progress::default()
+                };
+            }
+            None if start > oldest => {
+                let span = (end - start) * 2;
+                scanning(end.saturating_sub(span).max(oldest), end, oldest)
+            }
+            None if oldest == 0 && ledger.next_offset == 0 => Phase::Following,
+            None => Phase::Lost,
+        };
+        Progress::default()
+    }
+}
+
+fn scanning(start: Offset, end: Offset, oldest: Offset) -> Phase {
+    Phase::Scanning {
+        start,
+        next: start,
+        end,
+        oldest,
+        parts: SnapshotParts::default(),
+        found: None,
+    }
+}
+
+fn snapshot_in(parts: &mut SnapshotParts, record: &LogRecord) -> Option<Box<Ledger>> {
+    let Ok(Record::Snapshot(chunk)) = serde_json::from_str(&record.payload) else {
+        return None;
+    };
+    let (_, text) = parts.add(chunk).ok()??;
+    Ledger::from_snapshot(&text).ok().map(Box::new)
+}
+
+/// Folds the records of `page` that come next; others are passed over.
+fn fold_page(ledger: &mut Ledger, page: &LogPage) -> Progress {
+    let mut effects = Vec::new();
+    for record in &page.records {
+        if record.offset == ledger.next_offset {
+            effects.push(ledger.apply(record));
+        }
+    }
+    Progress {
+        effects,
+        // An older head than what is folded tells nothing about now.
+        is_at_head: ledger.next_offset == page.head_offset,
+        is_replaced: false,
+    }
+}
+
+/// Decides when this entry writes a snapshot.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SnapshotWriter {
+    /// Offset of the state in the newest whole snapshot that went by.
+    last_offset: Offset,
+    last_bytes: u64,
+    tail_bytes: u64,
+    parts: SnapshotParts,
+    is_writing: bool,
+}
+
+impl SnapshotWriter {
+    /// Takes in a folded record.
+    pub(crate) fn folded(&mut self, effect: &Effect, payload_bytes: u64) {
+        self.tail_bytes += payload_bytes;
+        let Effect::Snapshot(chunk) = effect else {
+            return;
+        };
+        if let Ok(Some((offset, text))) = self.parts.add(chunk.clone()) {
+            if offset > self.last_offset {
+                self.last_offset = offset;
+                self.last_bytes = text.len() as u64;
+                self.tail_bytes = 0;
+            }
+        }
+    }
+
+    /// Takes in that a snapshot was written or given up.
+    pub(crate) fn finished(&mut self) {
+        self.is_writing = false;
+    }
+
+    /// Returns the records of a snapshot if one is due.
+    ///
+    /// It is due after `every_records`, if the tail has grown past the size of the last snapshot,
+    /// so that snapshots never cost more than the records; and in any case once the last one has
+    /// come into the older half of what the log keeps.
+    pub(crate) fn poll(
+        &mut self,
+        ledger: &Ledger,
+        oldest_offset: Offset,
+        every_records: u64,
+        snapshot_id: Uuid,
+    ) -> Option<Vec<String>> {
+        let tail_records = ledger.next_offset.saturating_sub(self.last_offset);
+        let kept_records = ledger.next_offset.saturating_sub(oldest_offset);
+        let is_due = tail_records >= every_records && self.tail_bytes > self.last_bytes;
+        let is_ageing = oldest_offset > 0 && tail_records * 2 > kept_records;
+        if self.is_writing || tail_records == 0 || !(is_due || is_ageing) {
+            return None;
+        }
+        self.is_writing = true;
+        let chunks = ledger.to_chunks(snapshot_id);
+        let records = chunks
+            .into_iter()
+            .map(Record::Snapshot)
+            .filter_map(|record| serde_json::to_string(&record).ok());
+        Some(records.collect())
+    }
+}
--- /dev/null
+++ b/src/entry/requests.rs
@@ -0,0 +1,232 @@
+//! The requests that one entry holds and the attempts that it has out, with the times at which
+//! something has to be done about them.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::{
+    callers::CallId,
+    entry::event::AttemptKey,
+    fleet::{InstanceName, MonoMs, Offset, PoolName, QueueName, Resources, TeamName},
+    ledger::SeatId,
+    policy::{
+        health::WorkKey,
+        keys::{PoolKey, RequestKey, WorkerKey},
+        lane::Waiting,
+        share::TeamSlot,
+    },
+};
+
+/// Who is told how a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// The caller that waits for it.
+    Call(CallId),
+    /// The ledger; the request is a job.
+    Job,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Its claim or its job record is on the way into the ledger.
+    Claiming,
+    /// It waits in the queue.
+    Waiting,
+    /// It waits for its next attempt.
+    BackingOff,
+    /// An attempt is out.
+    Running(AttemptKey),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) origin: Origin,
+    pub(crate) request_id: SmolStr,
+    /// Id under which a non-idempotent request or a job is on record.
+    pub(crate) claim_id: Option<Uuid>,
+    /// Empty for work from a queue open to all.
+    pub(crate) team: TeamName,
+    pub(crate) queue: QueueName,
+    pub(crate) is_idempotent: bool,
+    pub(crate) size: Resources,
+    pub(crate) size_max: Resources,
+    pub(crate) body: Arc<[u8]>,
+    pub(crate) waiting: Waiting,
+    pub(crate) stage: Stage,
+    pub(crate) attempts_count: u32,
+    /// Whether the start of a job is on record.
+    pub(crate) is_announced: bool,
+}
+
+/// One attempt to run a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: RequestKey,
+    pub(crate) attempt_id: SmolStr,
+    pub(crate) worker: WorkerKey,
+    pub(crate) instance: InstanceName,
+    pub(crate) address: SmolStr,
+    pub(crate) pool: PoolKey,
+    pub(crate) pool_name: PoolName,
+    pub(crate) team: TeamName,
+    pub(crate) team_slot: TeamSlot,
+    pub(crate) size: Resources,
+    pub(crate) work: WorkKey,
+    /// Seat whose part of the team's limit the attempt uses.
+    pub(crate) seat: SeatId,
+    pub(crate) started_ms: MonoMs,
+    /// Time after which the worker cannot be running the task any more.
+    pub(crate) over_ms: MonoMs,
+    /// Offset up to which the ledger was folded when the attempt was decided.
+    pub(crate) decided_offset: Offset,
+}
+
+/// All requests and attempts of one entry.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Requests {
+    rows: HashMap<RequestKey, Request>,
+    by_id: HashMap<(TeamName, SmolStr), RequestKey>,
+    by_call: HashMap<CallId, RequestKey>,
+    deadlines: BTreeSet<(MonoMs, RequestKey)>,
+    backoffs: BTreeSet<(MonoMs, RequestKey)>,
+    attempts: HashMap<AttemptKey, Attempt>,
+    /// Attempts whose outcome is unknown and whose task may still run.
+    ghosts: BTreeSet<(MonoMs, AttemptKey)>,
+    ghost_rows: HashMap<AttemptKey, Attempt>,
+    next_request: u64,
+    next_attempt: u64,
+}
+
+impl Requests {
+    /// Returns the key of the next request.
+    pub(crate) fn next_key(&mut self) -> RequestKey {
+        self.next_request += 1;
+        RequestKey(self.next_request)
+    }
+
+    pub(crate) fn insert(&mut self, key: RequestKey, request: Request) {
+        let id = (request.team.clone(), request.request_id.clone());
+        self.by_id.insert(id, key);
+        if let Origin::Call(call_id) = request.origin {
+            self.by_call.insert(call_id, key);
+        }
+        self.deadlines.insert((request.waiting.deadline_ms, key));
+        self.rows.insert(key, request);
+    }
+
+    pub(crate) fn get(&self, key: RequestKey) -> Option<&Request> {
+        self.rows.get(&key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: RequestKey) -> Option<&mut Request> {
+        self.rows.get_mut(&key)
+    }
+
+    pub(crate) fn find(&self, team: &TeamName, request_id: &SmolStr) -> Option<RequestKey> {
+        self.by_id
+            .get(&(team.clone(), request_id.clone()))
+            .copied()
+    }
+
+    pub(crate) fn find_call(&self, call_id: CallId) -> Option<RequestKey> {
+        self.by_call.get(&call_id).copied()
+    }
+
+    pub(crate) fn remove(&mut self, key: RequestKey) -> Option<Request> {
+        let request = self.rows.remove(&key)?;
+        let id = (request.team.clone(), request.request_id.clone());
+        if self.by_id.get(&id) == Some(&key) {
+            self.by_id.remove(&id);
+        }
+        if let Origin::Call(call_id) = request.origin {
+            self.by_call.remove(&call_id);
+        }
+        self.deadlines.remove(&(request.waiting.deadline_ms, key));
+        Some(request)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RequestKey, &Request)> {
+        self.rows.iter().map(|(key, request)| (*key, request))
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Takes out the requests whose deadline has passed, without removing them.
+    pub(crate) fn overdue(&mut self, now_ms: MonoMs) -> Vec<RequestKey> {
+        pop_due(&mut self.deadlines, now_ms)
+    }
+
+    pub(crate) fn back_off(&mut self, key: RequestKey, until_ms: MonoMs) {
+        self.backoffs.insert((until_ms, key));
+    }
+
+    /// Takes out the requests whose back-off has ended.
+    pub(crate) fn backed_off(&mut self, now_ms: MonoMs) -> Vec<RequestKey> {
+        pop_due(&mut self.backoffs, now_ms)
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> AttemptKey {
+        self.next_attempt += 1;
+        AttemptKey(self.next_attempt)
+    }
+
+    pub(crate) fn start(&mut self, key: AttemptKey, attempt: Attempt) {
+        self.attempts.insert(key, attempt);
+    }
+
+    pub(crate) fn attempt(&self, key: AttemptKey) -> Option<&Attempt> {
+        self.attempts.get(&key)
+    }
+
+    pub(crate) fn end(&mut self, key: AttemptKey) -> Option<Attempt> {
+        self.attempts.remove(&key)
+    }
+
+    pub(crate) fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values()
+    }
+
+    /// Attempts that may be running, those of unknown outcome included.
+    pub(crate) fn may_run(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values().chain(self.ghost_rows.values())
+    }
+
+    /// Keeps an attempt of unknown outcome in mind until its task's lease has ended.
+    pub(crate) fn haunt(&mut self, key: AttemptKey, attempt: Attempt) {
+        self.ghosts.insert((attempt.over_ms, key));
+        self.ghost_rows.insert(key, attempt);
+    }
+
+    /// Takes out the attempts of unknown outcome that are over by now.
+    pub(crate) fn over(&mut self, now_ms: MonoMs) -> Vec<Attempt> {
+        pop_due(&mut self.ghosts, now_ms)
+            .into_iter()
+            .filter_map(|key| self.ghost_rows.remove(&key))
+            .collect()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.rows.is_empty() && self.attempts.is_empty() && self.ghosts.is_empty()
+    }
+}
+
+fn pop_due<K: Ord + Copy>(times: &mut BTreeSet<(MonoMs, K)>, now_ms: MonoMs) -> Vec<K> {
+    let mut due = Vec::new();
+    while let Some((at_ms, key)) = times.first().copied() {
+        if at_ms > now_ms {
+            break;
+        }
+        times.pop_first();
+        due.push(key);
+    }
+    due
+}
--- /dev/null
+++ b/src/entry/seat.rs
@@ -0,0 +1,139 @@
+//! The holder's side of its seat, and the watch that it keeps on the seats of others. The holder
+//! counts its lease from before the renewal was sent; a watcher waits longer, from when it read the
+//! renewal, and afresh after each time that it was out of touch with the log.
+
+use std::collections::HashMap;
+
+use crate::{
+    fleet::{MonoMs, Offset},
+    ledger::{Ledger, SeatChange, SeatId, SeatState},
+};
+
+/// Part by which watchers wait longer than the lease, in thousandths; it covers the difference in
+/// the rates of two monotonic clocks many times over.
+const WATCH_MARGIN_PERMILLE: u64 = 100;
+
+/// The lease of this process's own seat.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    lease_ms: u64,
+    renew_ms: u64,
+    valid_until_ms: MonoMs,
+    last_proposed_ms: Option<MonoMs>,
+}
+
+impl Lease {
+    /// Returns a lease that is not valid yet.
+    pub(crate) fn new(lease_ms: u64, renew_ms: u64) -> Self {
+        Self {
+            lease_ms,
+            renew_ms,
+            valid_until_ms: 0,
+            last_proposed_ms: None,
+        }
+    }
+
+    /// Takes in that a renewal first sent at `sent_ms` took effect.
+    pub(crate) fn renewed(&mut self, sent_ms: MonoMs) {
+        self.valid_until_ms = self.valid_until_ms.max(sent_ms + self.lease_ms);
+    }
+
+    /// Returns whether a guarded act may be done now.
+    pub(crate) fn is_valid(&self, now_ms: MonoMs) -> bool {
+        now_ms < self.valid_until_ms
+    }
+
+    /// Returns how long the lease still lasts.
+    pub(crate) fn left_ms(&self, now_ms: MonoMs) -> u64 {
+        self.valid_until_ms.saturating_sub(now_ms)
+    }
+
+    /// Returns whether to propose a renewal now, and notes that it was proposed.
+    pub(crate) fn is_renewal_due(&mut self, now_ms: MonoMs, is_urgent: bool) -> bool {
+        let every_ms = match is_urgent {
+            true => self.renew_ms / 8,
+            false => self.renew_ms,
+        };
+        let is_due = self
+            .last_proposed_ms
+            .is_none_or(|at_ms| now_ms >= at_ms + every_ms);
+        if is_due {
+            self.last_proposed_ms = Some(now_ms);
+        }
+        is_due
+    }
+}
+
+/// What a watcher knows of another seat.
+#[derive(Clone, Copy, Debug)]
+struct Watched {
+    /// Renewal or expiry that was read last.
+    offset: Offset,
+    read_ms: MonoMs,
+    proposed_ms: Option<MonoMs>,
+}
+
+/// The watch on the seats of others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Watch {
+    seats: HashMap<SeatId, Watched>,
+}
+
+/// Time between two proposals about the same seat.
+const PROPOSE_AGAIN_MS: u64 = 2_000;
+
+impl Watch {
+    /// Starts every wait afresh, since renewals may have been missed.
+    pub(crate) fn start_afresh(&mut self) {
+        self.seats.clear();
+    }
+
+    /// Returns the changes that end the seats whose lease has lapsed.
+    pub(crate) fn poll(
+        &mut self,
+        now_ms: MonoMs,
+        ledger: &Ledger,
+        own: &SeatId,
+        run_max_ms: u64,
+    ) -> Vec<SeatChange> {
+        self.seats.retain(|seat, _| ledger.seats.get(seat).is_some());
+        let mut changes = Vec::new();
+        for (seat, row) in ledger.seats.iter().filter(|(seat, _)| *seat != own) {
+            let (offset, wait_ms) = match row.state {
+                SeatState::Live => (row.renewed_offset, row.lease_ms),
+                // The offset is past every renewal, so the wait starts when the expiry is read.
+                SeatState::Expired { .. } => (Offset::MAX, run_max_ms),
+            };
+            let watched = self.seats.entry(seat.clone()).or_insert(Watched {
+                offset,
+                read_ms: now_ms,
+                proposed_ms: None,
+            });
+            if watched.offset != offset {
+                *watched = Watched {
+                    offset,
+                    read_ms: now_ms,
+                    proposed_ms: None,
+                };
+            }
+            let wait_ms = wait_ms + wait_ms * WATCH_MARGIN_PERMILLE / 1_000;
+            let is_quiet = watched
+                .proposed_ms
+                .is_none_or(|at_ms| now_ms >= at_ms + PROPOSE_AGAIN_MS);
+            if now_ms < watched.read_ms + wait_ms || !is_quiet {
+                continue;
+            }
+            watched.proposed_ms = Some(now_ms);
+            changes.push(match row.state {
+                SeatState::Live => SeatChange::ExpireSeat {
+                    target: seat.clone(),
+                    renewed_offset: offset,
+                },
+                SeatState::Expired { .. } => SeatChange::ReclaimSeat {
+                    target: seat.clone(),
+                },
+            });
+        }
+        changes
+    }
+}
