Add the policy cores for sharing, placement, retries and health

Pure state machines: a bounded queue with weighted max-min over the dominant resource and deadlines within a team's part, refusals at once with paced times to come back, placement by the power of two choices, a retry budget earned by successes, and ejection by outcome with a cap for each pool.

Property tests with fixed seeds cover work conservation, shares by weight, bounded queues, keys neither lost nor doubled, and the ejection cap.

--- /dev/null
+++ b/src/policy/keys.rs
@@ -0,0 +1,30 @@
+//! Small `Copy` keys by which the policies refer to teams, pools, queues, workers and requests, so
+//! that no name is compared or cloned on the request path.
+
+/// A team, as the process that drives the policies numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TeamKey(pub u32);
+
+/// A pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PoolKey(pub u16);
+
+/// A queue of the entitlements list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct QueueKey(pub u16);
+
+/// An availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ZoneKey(pub u16);
+
+/// One incarnation of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WorkerKey(pub u32);
+
+/// A request within one entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestKey(pub u64);
+
+/// A peer entry whose reports are merged into the usage view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PeerKey(pub u32);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,5 @@
 //! The integration tests, one module per topic.
+
+mod policy_health;
+mod policy_retry;
+mod policy_share;
--- /dev/null
+++ b/tests/testsuite/policy_health.rs
@@ -0,0 +1,210 @@
+//! Health and placement: bad workers are told from bad work, a pool is never emptied, and no
+//! worker is chosen beyond its slots.
+
+use std::collections::HashMap;
+
+use hawthornladder::fleet::Resources;
+use hawthornladder::policy::health::{Access, Attempt, Health, HealthSettings, Outcome, WorkKey};
+use hawthornladder::policy::keys::{PoolKey, WorkerKey, ZoneKey};
+use hawthornladder::policy::placement::{Placement, PlacementSettings, WorkerFacts};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const POOL: PoolKey = PoolKey(1);
+const WORKERS_COUNT: u32 = 10;
+
+fn health() -> Health {
+    let mut health = Health::new(HealthSettings::default());
+    for worker in 0..WORKERS_COUNT {
+        health.set_worker(WorkerKey(worker), POOL);
+    }
+    health
+}
+
+fn attempt(worker: u32, work: u64, started_ms: u64, outcome: Outcome) -> Attempt {
+    Attempt {
+        worker: WorkerKey(worker),
+        work: WorkKey(work),
+        started_ms,
+        outcome,
+    }
+}
+
+fn outcome_of(index: u8) -> Outcome {
+    [
+        Outcome::Succeeded,
+        Outcome::Failed,
+        Outcome::Silent,
+        Outcome::Unreachable,
+    ][usize::from(index)]
+}
+
+fn facts(zone: u16) -> WorkerFacts {
+    WorkerFacts {
+        pool: POOL,
+        zone: ZoneKey(zone),
+        capacity: Resources {
+            cores_milli: 32_000,
+            memory_mb: 128_000,
+            accelerators_count: 2,
+        },
+        slots_count: 8,
+        is_usable: true,
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn ejections_stay_under_the_cap(
+        events in prop::collection::vec((0..WORKERS_COUNT, 0u64..5, 0u8..4, 0u64..500), 1..1_000),
+    ) {
+        let mut health = health();
+        let mut now_ms = 0;
+        for (worker, work, outcome, elapsed_ms) in events {
+            now_ms += elapsed_ms;
+            health.observe(now_ms, &attempt(worker, work, now_ms, outcome_of(outcome)));
+            health.tick(now_ms);
+            let ejected_count = (0..WORKERS_COUNT)
+                .filter(|worker| health.access(WorkerKey(*worker)) == Access::Ejected)
+                .count();
+            prop_assert_eq!(ejected_count, health.ejected_count(POOL));
+            prop_assert!(ejected_count <= 3);
+        }
+    }
+
+    #[test]
+    fn no_worker_is_given_more_than_its_slots(
+        steps in prop::collection::vec((0u8..6, 0u32..6, 0u32..10), 1..400),
+    ) {
+        let mut placement = Placement::new(PlacementSettings::in_zone(ZoneKey(0)));
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut running: HashMap<WorkerKey, u32> = HashMap::new();
+        let mut closed: HashMap<WorkerKey, bool> = HashMap::new();
+        for worker in 0..6 {
+            placement.set_worker(WorkerKey(worker), facts((worker % 3) as u16));
+        }
+        let size = Resources { cores_milli: 1_000, ..Resources::default() };
+        for (kind, worker, count) in steps {
+            let worker = WorkerKey(worker);
+            match kind {
+                0..=2 => {
+                    if let Some(chosen) = placement.choose(0, POOL, &size, &mut rng) {
+                        prop_assert!(!closed.get(&chosen).copied().unwrap_or(false));
+                        placement.started(chosen, &size);
+                        *running.entry(chosen).or_insert(0) += 1;
+                        prop_assert!(running[&chosen] <= 8);
+                    }
+                }
+                3 if running.get(&worker).is_some_and(|count| *count > 0) => {
+                    placement.ended(worker, &size);
+                    *running.entry(worker).or_insert(0) -= 1;
+                }
+                4 => placement.report(worker, count),
+                _ => {
+                    placement.set_usable(worker, count % 2 == 0);
+                    closed.insert(worker, count % 2 != 0);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_worker_that_fails_all_is_ejected_though_it_takes_most_attempts() {
+    let mut health = health();
+    for work in 0..3 {
+        for worker in 1..5 {
+            health.observe(0, &attempt(worker, work, 0, Outcome::Succeeded));
+        }
+    }
+    let attempts_count = (1..100).find(|at_ms| {
+        health
+            .observe(*at_ms, &attempt(0, at_ms % 3, *at_ms, Outcome::Failed))
+            .is_some()
+    });
+    assert!(attempts_count.is_some_and(|count| count <= 10));
+    assert_eq!(health.access(WorkerKey(0)), Access::Ejected);
+}
+
+#[test]
+fn work_that_fails_everywhere_ejects_nobody_and_is_named() {
+    let mut health = health();
+    for round in 0..100 {
+        for worker in 0..WORKERS_COUNT {
+            health.observe(round, &attempt(worker, 7, round, Outcome::Failed));
+            health.observe(round, &attempt(worker, 8, round, Outcome::Succeeded));
+        }
+    }
+    assert_eq!(health.ejected_count(POOL), 0);
+    assert!(health.is_bad_work(WorkKey(7)));
+    assert!(!health.is_bad_work(WorkKey(8)));
+}
+
+#[test]
+fn ejection_ends_in_probation_and_grows_when_that_fails() {
+    let mut health = health();
+    let settings = HealthSettings::default();
+    while health.access(WorkerKey(0)) != Access::Ejected {
+        health.observe(0, &attempt(0, 1, 0, Outcome::Unreachable));
+    }
+    assert!(health.tick(settings.eject_first_ms - 1).is_empty());
+    assert_eq!(
+        health.tick(settings.eject_first_ms)[0].access,
+        Access::Probation
+    );
+    health.observe(
+        settings.eject_first_ms,
+        &attempt(0, 1, 0, Outcome::Unreachable),
+    );
+    assert_eq!(health.access(WorkerKey(0)), Access::Ejected);
+    assert!(health.tick(settings.eject_first_ms * 3 - 1).is_empty());
+    assert_eq!(health.tick(settings.eject_first_ms * 3).len(), 1);
+    for _ in 0..settings.probation_successes_count {
+        health.observe(20_000, &attempt(0, 1, 20_000, Outcome::Succeeded));
+    }
+    assert_eq!(health.access(WorkerKey(0)), Access::Open);
+}
+
+#[test]
+fn a_dead_connection_is_not_a_dead_worker() {
+    let mut health = health();
+    health.observe(1_000, &attempt(0, 1, 900, Outcome::Succeeded));
+    for _ in 0..20 {
+        health.observe(5_000, &attempt(0, 1, 500, Outcome::Silent));
+    }
+    assert_eq!(health.access(WorkerKey(0)), Access::Open);
+    for _ in 0..20 {
+        health.observe(9_000, &attempt(0, 1, 6_000, Outcome::Silent));
+    }
+    assert_eq!(health.access(WorkerKey(0)), Access::Ejected);
+}
+
+#[test]
+fn accelerators_are_reserved_and_the_own_zone_is_preferred() {
+    let mut placement = Placement::new(PlacementSettings::in_zone(ZoneKey(2)));
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for worker in 0..30 {
+        placement.set_worker(WorkerKey(worker), facts((worker % 3) as u16));
+    }
+    let size = Resources {
+        accelerators_count: 1,
+        ..Resources::default()
+    };
+    let mut chosen: HashMap<WorkerKey, u32> = HashMap::new();
+    while let Some(worker) = placement.choose(0, POOL, &size, &mut rng) {
+        placement.started(worker, &size);
+        *chosen.entry(worker).or_insert(0) += 1;
+        let count: u32 = chosen.values().sum();
+        assert!(count > 5 || worker.0 % 3 == 2, "zone 2 has room");
+    }
+    assert!(chosen.values().all(|count| *count <= 2));
+}
--- /dev/null
+++ b/tests/testsuite/policy_share.rs
@@ -0,0 +1,259 @@
+//! Sharing: the bounded queue and the usage view, driven with random requests at fixed seeds.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use hawthornladder::fleet::Resources;
+use hawthornladder::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey, TeamKey};
+use hawthornladder::policy::lane::Waiting;
+use hawthornladder::policy::queue::{QueueSettings, WaitQueue};
+use hawthornladder::policy::refusal::RefusalReason;
+use hawthornladder::policy::share::{ShareSettings, UsageRow, UsageView};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const POOL: PoolKey = PoolKey(1);
+const SLOTS_COUNT: u64 = 20;
+const RUN_MS: u64 = 100;
+
+fn fixed_seed() -> Config {
+    Config {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn size() -> Resources {
+    Resources {
+        cores_milli: 1_000,
+        memory_mb: 1_000,
+        accelerators_count: 0,
+    }
+}
+
+fn times(count: u64) -> Resources {
+    (0..count).fold(Resources::default(), |sum, _| sum.plus(&size()))
+}
+
+fn waiting(key: u64, team: u32, now_ms: u64, deadline_ms: u64) -> Waiting {
+    Waiting {
+        key: RequestKey(key),
+        team: Some(TeamKey(team)),
+        queue: QueueKey(0),
+        pools: Arc::from([POOL]),
+        size: size(),
+        enqueued_ms: now_ms,
+        deadline_ms,
+        is_urgent: false,
+        declared_run_ms: 1,
+    }
+}
+
+fn view(weights: &[u32]) -> UsageView {
+    let mut view = UsageView::new(ShareSettings::default());
+    view.set_pool_capacity(POOL, times(SLOTS_COUNT));
+    for (team, weight) in weights.iter().enumerate() {
+        view.set_weight(TeamKey(team as u32), *weight);
+    }
+    view
+}
+
+fn queue() -> WaitQueue {
+    let mut queue = WaitQueue::new(QueueSettings::default(), 1);
+    queue.set_pool_largest(POOL, times(4));
+    queue
+}
+
+/// Runs `teams` with endless demand on `SLOTS_COUNT` slots and returns the starts of each.
+fn starts_when_full(weights: &[u32], demand_per_step: &[u64], steps: u64) -> Vec<u64> {
+    let (mut queue, mut view) = (queue(), view(weights));
+    let mut starts = vec![0u64; weights.len()];
+    let mut running: Vec<(u64, u32)> = Vec::new();
+    let mut key = 0;
+    for step in 0..steps {
+        let now_ms = step * 10;
+        for (team, count) in demand_per_step.iter().enumerate() {
+            for _ in 0..*count {
+                key += 1;
+                let _ = queue.push(
+                    now_ms,
+                    waiting(key, team as u32, now_ms, now_ms + 1_000),
+                    &times(4),
+                );
+            }
+        }
+        for (_, team) in running.iter().filter(|(end_ms, _)| *end_ms <= now_ms) {
+            view.ended(now_ms, Some(TeamKey(*team)), POOL, &size());
+        }
+        running.retain(|(end_ms, _)| *end_ms > now_ms);
+        queue.expire(now_ms);
+        while (running.len() as u64) < SLOTS_COUNT {
+            let Some(next) = queue.next(now_ms, POOL, &view, &mut |_| true) else {
+                break;
+            };
+            let team = next.team.expect("all have a team");
+            view.started(now_ms, next.team, POOL, &size());
+            starts[team.0 as usize] += 1;
+            running.push((now_ms + RUN_MS, team.0));
+        }
+        assert!(
+            queue.is_empty() || running.len() as u64 == SLOTS_COUNT,
+            "a slot is idle while work waits"
+        );
+    }
+    starts
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn full_pool_is_shared_by_weight(weights in prop::collection::vec(1u32..8, 2..6)) {
+        let demand = vec![3; weights.len()];
+        let starts = starts_when_full(&weights, &demand, 2_000);
+        let total: u64 = starts.iter().sum();
+        let weight_sum: u32 = weights.iter().sum();
+        for (team, weight) in weights.iter().enumerate() {
+            let share = starts[team] as f64 / total as f64;
+            // A team cannot use more than it asks for: 3 of the 2 starts that a step has room for.
+            let fair = f64::from(*weight) / f64::from(weight_sum);
+            prop_assert!((share - fair).abs() < 0.03, "team {team}: {share} for {fair}");
+        }
+    }
+
+    #[test]
+    fn what_a_light_team_leaves_goes_to_the_others(heavy in 1u32..8, light in 1u32..8) {
+        // The light team asks for one start in two steps, a quarter of what there is.
+        let (mut demand, weights) = (vec![4, 4, 0], [heavy, heavy, light * 4]);
+        demand[2] = 1;
+        let starts = starts_when_full(&weights, &demand, 1_000);
+        let total: u64 = starts.iter().sum();
+        prop_assert!(total >= 1_990 - SLOTS_COUNT);
+        prop_assert!(starts[0].abs_diff(starts[1]) <= total / 50);
+    }
+
+    #[test]
+    fn no_request_is_lost_or_doubled(
+        steps in prop::collection::vec((0u8..5, 0u64..40, 0u32..4, 1u64..400), 1..300),
+    ) {
+        let (mut queue, mut view) = (queue(), view(&[1, 2, 3, 4]));
+        let mut inside: HashSet<RequestKey> = HashSet::new();
+        let mut now_ms = 0;
+        for (kind, key, team, time_ms) in steps {
+            now_ms += time_ms / 20;
+            let key = RequestKey(key);
+            match kind {
+                0 | 1 => {
+                    let result = queue.push(now_ms, waiting(key.0, team, now_ms, now_ms + time_ms), &times(4));
+                    let reason = result.err().map(|refusal| refusal.reason);
+                    prop_assert_eq!(reason == Some(RefusalReason::DuplicateKey), inside.contains(&key));
+                    if reason.is_none() {
+                        inside.insert(key);
+                    }
+                }
+                2 => {
+                    prop_assert_eq!(queue.cancel(now_ms, key).is_some(), inside.remove(&key));
+                    prop_assert!(queue.cancel(now_ms, key).is_none());
+                }
+                3 => {
+                    if let Some(next) = queue.next(now_ms, POOL, &view, &mut |next| next.team != Some(TeamKey(3))) {
+                        prop_assert!(inside.remove(&next.key));
+                        prop_assert!(next.team != Some(TeamKey(3)));
+                        view.started(now_ms, next.team, POOL, &next.size);
+                        queue.observe_run(next.team, next.queue, time_ms / 4);
+                    }
+                }
+                _ => {
+                    for given_up in queue.expire(now_ms) {
+                        prop_assert!(inside.remove(&given_up.key));
+                    }
+                }
+            }
+            prop_assert_eq!(queue.len(), inside.len());
+        }
+    }
+}
+
+#[test]
+fn bounded_and_leaves_room_for_other_teams() {
+    let settings = QueueSettings {
+        waiting_max_count: 100,
+        ..QueueSettings::default()
+    };
+    let mut queue = WaitQueue::new(settings, 1);
+    let mut reasons: HashMap<RefusalReason, u32> = HashMap::new();
+    for key in 0..1_000 {
+        if let Err(refusal) = queue.push(0, waiting(key, (key % 3) as u32, 0, 1_000), &times(4)) {
+            *reasons.entry(refusal.reason).or_insert(0) += 1;
+        }
+    }
+    assert!(queue.len() <= 100);
+    assert!(reasons[&RefusalReason::TeamQueueFull] > 0);
+    assert!(queue
+        .push(0, waiting(5_000, 9, 0, 1_000), &times(4))
+        .is_ok());
+}
+
+#[test]
+fn refused_at_once_what_can_never_run_or_not_in_time() {
+    let mut queue = queue();
+    let mut too_large = waiting(1, 0, 0, 1_000);
+    too_large.size = times(5);
+    let refusal = queue.push(0, too_large, &times(9)).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::TooLarge);
+    assert_eq!(refusal.retry_after_ms, None);
+    for _ in 0..20 {
+        queue.observe_run(Some(TeamKey(0)), QueueKey(0), 500);
+    }
+    let refusal = queue
+        .push(9_000, waiting(2, 0, 9_000, 9_400), &times(4))
+        .unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::DeadlinePassed);
+}
+
+#[test]
+fn backlog_beyond_reach_is_given_up_early_with_times_that_spread() {
+    let (mut queue, view) = (queue(), view(&[1]));
+    for key in 0..1_000 {
+        queue.push(0, waiting(key, 0, 0, 2_000), &times(4)).unwrap();
+    }
+    let mut given_up = Vec::new();
+    for step in 1..=20 {
+        queue.next(step * 10, POOL, &view, &mut |_| true).unwrap();
+        given_up.extend(queue.expire(step * 10));
+    }
+    assert!(
+        given_up.len() > 500,
+        "one start in 10 ms cannot serve 1000 in 2 s"
+    );
+    let mut told: Vec<u64> = given_up
+        .iter()
+        .map(|one| one.retry_after_ms / 100)
+        .collect();
+    let most_in_100_ms = told
+        .chunk_by_mut(|left, right| left == right)
+        .map(|chunk| chunk.len())
+        .max();
+    assert!(
+        most_in_100_ms <= Some(30),
+        "callers come back together: {most_in_100_ms:?}"
+    );
+}
+
+#[test]
+fn gossiped_usage_of_peers_counts_and_expires() {
+    let mut view = view(&[1, 1]);
+    let row = UsageRow {
+        running: times(8),
+        waiting_count: 2,
+        ..UsageRow::idle(Some(TeamKey(0)), POOL)
+    };
+    view.apply_peer_report(0, PeerKey(1), vec![row]);
+    assert!(view.level(10, Some(TeamKey(0)), POOL) > view.level(10, Some(TeamKey(1)), POOL));
+    assert_eq!(view.waiting_at_peers_count(POOL), 2);
+    assert_eq!(view.expire_peers(10_000), vec![PeerKey(1)]);
+    assert_eq!(view.running(Some(TeamKey(0)), POOL), Resources::default());
+    assert_eq!(view.waiting_at_peers_count(POOL), 0);
+}
