--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,308 @@
+//! The closed list of refusals and failures, and the one table from each of them to the answer that
+//! a caller gets.
+
+use serde::{Deserialize, Serialize};
+
+/// Whether the work of a call ran, as far as the answer can prove it.
+///
+/// The state speaks for the call that it answers. A caller that repeats a request id may be told
+/// `not_run` for the repetition although an earlier call with the same id ran; only
+/// [`ErrorKind::DuplicateFinished`] and its kin speak for earlier calls.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum RunState {
+    /// It is proved that no worker started the work for this call.
+    NotRun,
+    /// The work ran to its end.
+    Ran,
+    /// The work may have run, in part or whole.
+    OutcomeUnknown,
+}
+
+/// Every reason for which a call is refused or fails.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumCount,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ErrorKind {
+    /// The call cannot be read: a header, an id, a path or the framing is wrong.
+    MalformedRequest,
+    /// No list in force names the queue.
+    UnknownQueue,
+    /// The queue needs a key and the call has none.
+    KeyMissing,
+    /// The key was never granted.
+    KeyUnknown,
+    /// The key was withdrawn.
+    KeyWithdrawn,
+    /// The plan of the key's team may not use the queue.
+    NotEntitled,
+    /// The declared size is more than the plan allows for one request.
+    TooLarge,
+    /// No worker that the plan may use could ever hold the request.
+    CanNeverRun,
+    /// The body is longer than the entry takes.
+    BodyTooLarge,
+    /// The work ran, and its answer is longer than the entry passes on.
+    AnswerTooLarge,
+    /// The bounded queue of waiting work is full.
+    QueueFull,
+    /// The work could not start before its deadline with what waits ahead of it.
+    DeadlineUnreachable,
+    /// The deadline passed before the work started.
+    DeadlinePassed,
+    /// The deadline passed while the work was running.
+    DeadlinePassedWhileRunning,
+    /// Every attempt was turned away and the retry budget is spent.
+    GivenUp,
+    /// The team has its upper limit running.
+    LimitReached,
+    /// The entry does not know the head of the ledger yet.
+    EntryNotReady,
+    /// The entry's lease on its seat lapsed.
+    SeatLapsed,
+    /// The entry has heard neither the log nor peers for too long to trust its configuration.
+    ConfigurationStale,
+    /// The log is out of reach, and work that must run at most once needs it.
+    LogUnavailable,
+    /// The entry is stopping.
+    Draining,
+    /// The request id is older than the ledger keeps claims for.
+    StaleRequestId,
+    /// A call with the same request id is in flight.
+    DuplicateInFlight,
+    /// An earlier call with the same request id may have run.
+    DuplicateOutcomeUnknown,
+    /// An earlier call with the same request id ran to its end.
+    DuplicateFinished,
+    /// No worker is available in the pools of the queue.
+    NoWorker,
+    /// The worker was lost, or its answer was not whole, after the work was sent.
+    WorkerLost,
+    /// The work ran and reported failure itself.
+    TaskFailed,
+    /// The work was cancelled before it started.
+    CancelledNotRun,
+    /// The work was cancelled after it was sent to a worker.
+    CancelledWhileRunning,
+    /// The entry has its bound of open connections.
+    TooManyConnections,
+    /// The caller sent its request too slowly.
+    SlowSender,
+    /// No job with this id is known to the key's team.
+    UnknownJob,
+    /// The change names a version that is no longer the one in force.
+    VersionConflict,
+    /// The entry met a fault of its own.
+    Internal,
+}
+
+/// What a caller is told for one [`ErrorKind`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ErrorAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the work ran.
+    pub ran: RunState,
+    /// Whether the answer carries a time to come back.
+    pub has_retry_after: bool,
+    /// One sentence for the person who reads the answer.
+    pub text: &'static str,
+}
+
+const RETRY: bool = true;
+const FINAL: bool = false;
+
+const fn row(status: u16, ran: RunState, has_retry_after: bool, text: &'static str) -> ErrorAnswer {
+    ErrorAnswer {
+        status,
+        ran,
+        has_retry_after,
+        text,
+    }
+}
+
+impl ErrorKind {
+    /// Returns the name that answers, logs and metrics use.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// Returns the row of the table for this kind.
+    ///
+    /// A failure of the work itself or of a caller has a status below 500, so that a balancer does
+    /// not take an entry out of service for what its callers did.
+    pub const fn answer(self) -> ErrorAnswer {
+        use RunState::{NotRun, OutcomeUnknown, Ran};
+        match self {
+            Self::MalformedRequest => row(400, NotRun, FINAL, "The request cannot be read."),
+            Self::UnknownQueue => row(404, NotRun, FINAL, "No queue of this name is in force."),
+            Self::KeyMissing => row(401, NotRun, FINAL, "The queue needs a team's key."),
+            Self::KeyUnknown => row(401, NotRun, FINAL, "The key is not known."),
+            Self::KeyWithdrawn => row(401, NotRun, FINAL, "The key was withdrawn."),
+            Self::NotEntitled => row(403, NotRun, FINAL, "The plan may not use this queue."),
+            Self::TooLarge => row(
+                422,
+                NotRun,
+                FINAL,
+                "The declared size is more than the plan allows for one request.",
+            ),
+            Self::CanNeverRun => row(
+                422,
+                NotRun,
+                FINAL,
+                "No worker of the queue's pools could ever hold this request.",
+            ),
+            Self::BodyTooLarge => row(413, NotRun, FINAL, "The body is too long."),
+            Self::AnswerTooLarge => row(
+                422,
+                Ran,
+                FINAL,
+                "The work ran, but its answer is too long to be passed on.",
+            ),
+            Self::QueueFull => row(503, NotRun, RETRY, "The queue is full."),
+            Self::DeadlineUnreachable => row(
+                503,
+                NotRun,
+                RETRY,
+                "The work could not start before its deadline.",
+            ),
+            Self::DeadlinePassed => row(
+                504,
+                NotRun,
+                RETRY,
+                "The deadline passed before the work started.",
+            ),
+            Self::DeadlinePassedWhileRunning => row(
+                504,
+                OutcomeUnknown,
+                FINAL,
+                "The deadline passed while the work was running.",
+            ),
+            Self::GivenUp => row(
+                503,
+                NotRun,
+                RETRY,
+                "Every attempt was turned away and the retry budget is spent.",
+            ),
+            Self::LimitReached => row(429, NotRun, RETRY, "The team has its limit running."),
+            Self::EntryNotReady => row(
+                503,
+                NotRun,
+                RETRY,
+                "The entry has not learned the head of the ledger yet.",
+            ),
+            Self::SeatLapsed => row(503, NotRun, RETRY, "The entry's seat lapsed."),
+            Self::ConfigurationStale => row(
+                503,
+                NotRun,
+                RETRY,
+                "The entry's configuration may be out of date.",
+            ),
+            Self::LogUnavailable => row(
+                503,
+                NotRun,
+                RETRY,
+                "The log is out of reach, so the work cannot be claimed for a single run.",
+            ),
+            Self::Draining => row(503, NotRun, RETRY, "The entry is stopping."),
+            Self::StaleRequestId => row(
+                409,
+                OutcomeUnknown,
+                FINAL,
+                "The request id is too old to tell whether the work ran before.",
+            ),
+            Self::DuplicateInFlight => row(
+                409,
+                OutcomeUnknown,
+                RETRY,
+                "A call with the same request id is in flight.",
+            ),
+            Self::DuplicateOutcomeUnknown => row(
+                409,
+                OutcomeUnknown,
+                FINAL,
+                "An earlier call with the same request id may have run.",
+            ),
+            Self::DuplicateFinished => row(
+                409,
+                Ran,
+                FINAL,
+                "An earlier call with the same request id ran to its end.",
+            ),
+            Self::NoWorker => row(503, NotRun, RETRY, "No worker is available."),
+            Self::WorkerLost => row(
+                502,
+                OutcomeUnknown,
+                FINAL,
+                "The worker was lost after the work was sent to it.",
+            ),
+            Self::TaskFailed => row(422, Ran, FINAL, "The work ran and reported failure."),
+            Self::CancelledNotRun => row(
+                409,
+                NotRun,
+                FINAL,
+                "The work was cancelled before it started.",
+            ),
+            Self::CancelledWhileRunning => row(
+                409,
+                OutcomeUnknown,
+                FINAL,
+                "The work was cancelled after it was sent to a worker.",
+            ),
+            Self::TooManyConnections => {
+                row(503, NotRun, RETRY, "The entry has too many connections.")
+            }
+            Self::SlowSender => row(408, NotRun, RETRY, "The request came too slowly."),
+            Self::UnknownJob => row(
+                404,
+                OutcomeUnknown,
+                FINAL,
+                "No job with this id is known to the team of the key.",
+            ),
+            Self::VersionConflict => row(
+                409,
+                NotRun,
+                FINAL,
+                "The change was made from a version that is no longer in force.",
+            ),
+            Self::Internal => row(
+                500,
+                OutcomeUnknown,
+                FINAL,
+                "The entry met a fault of its own.",
+            ),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! share and limit, and take instances out for moves and maintenance within availability budgets.
 
 pub mod adapters;
+pub mod callers;
+pub mod error;
 pub mod fleet;
 pub mod lists;
 pub mod platform;
