Check both lists, the settings and the fleet file, and ship two examples

Every fault is reported at once, with its file, line, field and what to write instead; files named together are checked against each other. The examples of Lahore and Denmark are built into the program and pass without a warning.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,2 +1,52 @@
 //! The subcommands of the program, one module each: a maker of its `clap` command beside its
 //! `execute`.
+
+mod check;
+mod exit;
+
+use clap::{ArgMatches, Command};
+use error_stack::Report;
+
+pub(crate) use exit::{CmdError, Exit};
+
+/// What a subcommand ends with.
+pub(crate) type CmdResult = Result<Exit, Report<CmdError>>;
+
+/// A subcommand of the program.
+struct Subcommand {
+    /// Makes its `clap` command, whose name selects it.
+    make: fn() -> Command,
+    /// Carries it out.
+    execute: fn(&ArgMatches) -> CmdResult,
+}
+
+/// Every subcommand, in the order of the help.
+const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
+    make: check::make_command,
+    execute: check::execute,
+}];
+
+/// Makes the command line of the program.
+pub(crate) fn make_command() -> Command {
+    Command::new("hawthornladder")
+        .version(clap::crate_version!())
+        .about("Manages the capacity and the maintenance of a shared fleet")
+        .after_help(exit::HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|subcommand| (subcommand.make)()))
+}
+
+/// Carries out the subcommand that was chosen.
+pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(Report::new(CmdError::Usage));
+    };
+    let chosen = SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.make)().get_name() == name);
+    match chosen {
+        Some(subcommand) => (subcommand.execute)(matches),
+        None => Err(Report::new(CmdError::Usage)),
+    }
+}
--- /dev/null
+++ b/src/findings.rs
@@ -0,0 +1,156 @@
+//! Findings: faults and oddities of a configuration file, each with its file, line, field and what to
+//! write instead.
+
+use std::fmt;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// How much a finding weighs.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, strum::Display, strum::EnumIter,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Severity {
+    /// The file can be used, but probably does not say what its author means.
+    Warning,
+    /// The file is refused.
+    Error,
+}
+
+/// The closed list of what can be wrong with a configuration file.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum FindingKind {
+    /// The text is not JSON with comments.
+    Syntax,
+    /// The file is of no known kind, of the same kind as another, or one that is needed is missing.
+    File,
+    /// A field that its object does not have.
+    UnknownField,
+    /// A required field is not there.
+    MissingField,
+    /// A value of another type than the field's.
+    WrongType,
+    /// A value outside the field's bounds.
+    OutOfRange,
+    /// A name, row or field that is there twice.
+    Duplicate,
+    /// A reference to a name that does not exist.
+    DanglingReference,
+    /// Values that are each valid, but cannot hold together.
+    CannotHold,
+    /// Valid, but probably not what was meant.
+    Unusual,
+}
+
+/// One fault or oddity of a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// File, as the caller named it.
+    pub file: SmolStr,
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Whether the file is refused for it.
+    pub severity: Severity,
+    /// What kind of fault it is.
+    pub kind: FindingKind,
+    /// Path of the field, such as `plans[2].share_weight`; empty for the file as a whole.
+    pub field: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to write instead.
+    pub instead: String,
+}
+
+impl Finding {
+    /// Returns an error about a file as a whole.
+    pub(crate) fn of_file(file: &str, problem: &str, instead: &str) -> Self {
+        Self {
+            file: file.into(),
+            line: 1,
+            severity: Severity::Error,
+            kind: FindingKind::File,
+            field: String::new(),
+            problem: problem.to_owned(),
+            instead: instead.to_owned(),
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            file,
+            line,
+            severity,
+            kind,
+            field,
+            problem,
+            instead,
+        } = self;
+        write!(f, "{file}:{line}: {severity}: ")?;
+        if !field.is_empty() {
+            write!(f, "{field}: ")?;
+        }
+        write!(f, "{problem}; {instead} [{kind}]")
+    }
+}
+
+/// Outcome of a check: the value with its warnings, or every finding if one is an error.
+pub type Checked<T> = Result<(T, Vec<Finding>), Vec<Finding>>;
+
+/// Sorts `findings` by place and gives out `value` unless one of them is an error.
+pub(crate) fn settle<T>(value: Option<T>, mut findings: Vec<Finding>) -> Checked<T> {
+    findings.sort_by(|a, b| (&a.file, a.line, &a.field).cmp(&(&b.file, b.line, &b.field)));
+    let is_refused = findings.iter().any(|f| f.severity == Severity::Error);
+    match value {
+        Some(value) if !is_refused => Ok((value, findings)),
+        _ => Err(findings),
+    }
+}
+
+/// Returns the candidate that is spelled most like `word`, if one is near.
+pub(crate) fn nearest<'c>(
+    word: &str,
+    candidates: impl IntoIterator<Item = &'c str>,
+) -> Option<&'c str> {
+    let far = word.chars().count().max(3) / 2 + 1;
+    candidates
+        .into_iter()
+        .map(|candidate| (edit_distance(word, candidate), candidate))
+        .min_by_key(|(distance, _)| *distance)
+        .filter(|(distance, _)| *distance < far)
+        .map(|(_, candidate)| candidate)
+}
+
+/// Counts the insertions, deletions and replacements between two words (Levenshtein distance).
+fn edit_distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, from) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, to) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(from != *to);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(row[j + 1] + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/src/fleet_file/layout.rs
@@ -0,0 +1,66 @@
+//! Layout of a fleet: which instance stands in which zone and rack.
+
+use indexmap::IndexMap;
+use smol_str::{format_smolstr, SmolStr};
+
+use crate::fleet::{InstanceName, InstanceRow, RackName};
+use crate::fleet_file::{FleetFile, FleetPool};
+
+impl FleetFile {
+    /// Returns the rows of the platform's instance list for the fleet, all at their first boot.
+    /// `address_of` gives the worker's `ip:port` for the place in the list and the name.
+    pub fn instance_rows(
+        &self,
+        mut address_of: impl FnMut(usize, &InstanceName) -> SmolStr,
+    ) -> Vec<InstanceRow> {
+        let mut rows = Vec::new();
+        let mut count_in_zone: IndexMap<&str, u32> = IndexMap::new();
+        for (pool_at, pool) in self.pools.iter().enumerate() {
+            for index in 0..pool.instances_count {
+                let Some(zone) = zone_of(pool, pool_at, index) else {
+                    continue;
+                };
+                let count = count_in_zone.entry(zone).or_default();
+                let rack = rack_name(zone, *count / self.rack_instances_count.max(1));
+                *count += 1;
+                let name = format_smolstr!("{}-{:02}", pool.name, index + 1);
+                rows.push(InstanceRow {
+                    incarnation: format_smolstr!("{name}-boot-1"),
+                    address: address_of(rows.len(), &name),
+                    name,
+                    pool: pool.name.clone(),
+                    zone: zone.into(),
+                    rack,
+                    leaving: false,
+                    capacity: pool.capacity,
+                    slots_count: pool.slots_count,
+                });
+            }
+        }
+        rows
+    }
+
+    /// Returns how many instances `pool` has in each availability zone.
+    pub fn count_by_zone(&self, pool: &str) -> IndexMap<SmolStr, u32> {
+        let mut counts = IndexMap::new();
+        for (pool_at, row) in self.pools.iter().enumerate() {
+            let indices = (0..row.instances_count).filter(|_| row.name == pool);
+            for zone in indices.filter_map(|index| zone_of(row, pool_at, index)) {
+                *counts.entry(SmolStr::new(zone)).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// Returns the zone of the instance at `index` of a pool. Each pool starts at another zone, so that
+/// what is left over does not all fall to the first zone.
+fn zone_of(pool: &FleetPool, pool_at: usize, index: u32) -> Option<&str> {
+    let index = usize::try_from(index).ok()?;
+    let at = (pool_at + index).checked_rem(pool.zones.len())?;
+    pool.zones.get(at).map(SmolStr::as_str)
+}
+
+fn rack_name(zone: &str, index: u32) -> RackName {
+    format_smolstr!("{zone}-r{:02}", index + 1)
+}
--- /dev/null
+++ b/src/jsonc/fields.rs
@@ -0,0 +1,223 @@
+//! Cursors over the values of a document.
+
+use std::ops::RangeInclusive;
+
+use indexmap::IndexSet;
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+use smol_str::SmolStr;
+
+use crate::findings::{nearest, FindingKind};
+use crate::jsonc::document::join;
+use crate::jsonc::Document;
+
+/// Longest name of a team, pool and so on, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// One value of a document and the path that leads to it.
+pub(crate) struct Place<'d> {
+    document: &'d Document<'d>,
+    value: &'d Value<'d>,
+    path: String,
+}
+
+impl<'d> Place<'d> {
+    pub(crate) fn new(document: &'d Document<'d>, value: &'d Value<'d>, path: String) -> Self {
+        Self {
+            document,
+            value,
+            path,
+        }
+    }
+
+    /// Opens the value as an object with the fields `known`, and reports every other field.
+    pub(crate) fn fields(&self, known: &[&str]) -> Fields<'d> {
+        let object = self.value.as_object();
+        match object {
+            Some(object) => self.report_unknown_and_doubled(object, known),
+            None => self.wrong_type("an object, { ... }"),
+        }
+        Fields {
+            document: self.document,
+            object,
+            path: self.path.clone(),
+        }
+    }
+
+    fn report_unknown_and_doubled(&self, object: &Object<'_>, known: &[&str]) {
+        let mut seen = IndexSet::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = join(&self.path, name);
+            let report = |kind, problem: &str, instead: &str| {
+                self.document
+                    .error_at(property.start(), kind, &path, problem, instead);
+            };
+            if !known.contains(&name) {
+                let instead = match nearest(name, known.iter().copied()) {
+                    Some(near) => format!("write `{near}`, or remove it"),
+                    None => format!("remove it; the fields here are {}", known.join(", ")),
+                };
+                report(
+                    FindingKind::UnknownField,
+                    "there is no such field",
+                    &instead,
+                );
+            } else if !seen.insert(name) {
+                let problem = "the field is there twice";
+                report(FindingKind::Duplicate, problem, "keep one of the two");
+            }
+        }
+    }
+
+    /// Reads the elements of an array.
+    pub(crate) fn elements(&self) -> Vec<Place<'d>> {
+        let Some(array) = self.value.as_array() else {
+            self.wrong_type("an array, [ ... ]");
+            return Vec::new();
+        };
+        let elements = array.elements.iter().enumerate();
+        elements
+            .map(|(index, value)| {
+                Place::new(self.document, value, format!("{}[{index}]", self.path))
+            })
+            .collect()
+    }
+
+    /// Reads any text.
+    pub(crate) fn text(&self) -> Option<SmolStr> {
+        let text = self.value.as_string_lit();
+        if text.is_none() {
+            self.wrong_type("a text in double quotes");
+        }
+        text.map(|text| SmolStr::new(&text.value))
+    }
+
+    /// Reads a name: lower-case letters, digits, `-`, `_` and `.`.
+    pub(crate) fn name(&self) -> Option<SmolStr> {
+        let name = self.text()?;
+        let is_allowed = |c: char| matches!(c, 'a'..='z' | '0'..='9' | '-' | '_' | '.');
+        match name.as_str() {
+            "" => self.out_of_range("the name is empty", "write a name of 1 to 64 characters"),
+            name if name.len() > NAME_MAX_BYTES => {
+                self.out_of_range("the name is too long", "write a name of 1 to 64 characters")
+            }
+            name if !name.chars().all(is_allowed) => self.out_of_range(
+                "the name holds characters that names may not have",
+                "write lower-case letters a-z, digits, `-`, `_` and `.` only",
+            ),
+            _ => return Some(name),
+        }
+        None
+    }
+
+    /// Reads a truth value.
+    pub(crate) fn flag(&self) -> Option<bool> {
+        let flag = self.value.as_boolean_lit();
+        if flag.is_none() {
+            self.wrong_type("`true` or `false`");
+        }
+        flag.map(|flag| flag.value)
+    }
+
+    /// Reads a whole number within `range`.
+    pub(crate) fn u64(&self, range: RangeInclusive<u64>) -> Option<u64> {
+        let bounds = format!("a whole number from {} to {}", range.start(), range.end());
+        let Some(number) = self.value.as_number_lit() else {
+            self.wrong_type(&bounds);
+            return None;
+        };
+        match number.value.parse::<u64>() {
+            Ok(number) if range.contains(&number) => return Some(number),
+            Err(_) if number.value.contains(['.', 'e', 'E']) => self.wrong_type(&bounds),
+            _ => self.out_of_range(
+                &format!("{} is out of range", number.value),
+                &format!("write {bounds}"),
+            ),
+        }
+        None
+    }
+
+    /// Reads a whole number within `range`.
+    pub(crate) fn u32(&self, range: RangeInclusive<u32>) -> Option<u32> {
+        let wide = u64::from(*range.start())..=u64::from(*range.end());
+        self.u64(wide).and_then(|number| u32::try_from(number).ok())
+    }
+
+    /// Reports that the value is out of range.
+    pub(crate) fn out_of_range(&self, problem: &str, instead: &str) {
+        self.document
+            .error(FindingKind::OutOfRange, &self.path, problem, instead);
+    }
+
+    fn wrong_type(&self, wanted: &str) {
+        let found = match self.value {
+            Value::StringLit(_) => "a text",
+            Value::NumberLit(number) if number.value.contains(['.', 'e', 'E']) => "a fraction",
+            Value::NumberLit(_) => "a number",
+            Value::BooleanLit(_) => "a truth value",
+            Value::Object(_) => "an object",
+            Value::Array(_) => "an array",
+            Value::NullKeyword(_) => "null",
+        };
+        let problem = format!("{found} cannot stand here");
+        let instead = format!("write {wanted}");
+        self.document
+            .error(FindingKind::WrongType, &self.path, &problem, &instead);
+    }
+}
+
+/// The fields of one object. Reading goes on after faults: a value that is not there or not valid
+/// reads as `None`.
+pub(crate) struct Fields<'d> {
+    document: &'d Document<'d>,
+    object: Option<&'d Object<'d>>,
+    path: String,
+}
+
+impl<'d> Fields<'d> {
+    /// Returns a field, if it is there.
+    pub(crate) fn get(&self, name: &str) -> Option<Place<'d>> {
+        let properties = self.object?.properties.iter();
+        let property = properties
+            .into_iter()
+            .find(|property| property.name.as_str() == name)?;
+        let path = join(&self.path, name);
+        Some(Place::new(self.document, &property.value, path))
+    }
+
+    /// Returns a field, and reports it if it is not there.
+    pub(crate) fn required(&self, name: &str) -> Option<Place<'d>> {
+        let place = self.get(name);
+        if let (None, Some(object)) = (&place, self.object) {
+            self.document.error_at(
+                object.start(),
+                FindingKind::MissingField,
+                &join(&self.path, name),
+                "the field is missing",
+                &format!("add `\"{name}\": ...`"),
+            );
+        }
+        place
+    }
+
+    /// Reads a required array of objects or names, element by element.
+    pub(crate) fn rows<T>(&self, name: &str, read: impl FnMut(Place<'d>) -> T) -> Vec<T> {
+        let elements = self.required(name).map(|place| place.elements());
+        elements.unwrap_or_default().into_iter().map(read).collect()
+    }
+
+    /// Reads a required name; a fault reads as the empty name, which no check looks at again.
+    pub(crate) fn name(&self, name: &str) -> SmolStr {
+        self.required(name)
+            .and_then(|place| place.name())
+            .unwrap_or_default()
+    }
+
+    /// Reads a truth value that is false if it is not there.
+    pub(crate) fn flag(&self, name: &str) -> bool {
+        self.get(name)
+            .and_then(|place| place.flag())
+            .unwrap_or_default()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,15 @@
 //! share and limit, and take instances out for moves and maintenance within availability budgets.
 
 pub mod adapters;
+pub mod config_files;
+pub mod examples;
+pub mod findings;
 pub mod fleet;
+pub mod fleet_file;
+mod jsonc;
 pub mod lists;
 pub mod platform;
 pub mod policy;
 pub mod ports;
+pub mod settings;
 pub mod upkeep;
--- /dev/null
+++ b/src/lists/cross.rs
@@ -0,0 +1,109 @@
+//! Checks across both lists: references from entitlements to plans, and budgets and targets that the
+//! pools and queues of a plan cannot keep.
+
+use crate::findings::FindingKind;
+use crate::jsonc::Document;
+use crate::lists::checks::refuse_dangling;
+use crate::lists::{Entitlement, Lists, Plan};
+
+/// Smallest time within which an urgent request can be promised to start, in milliseconds. An entry
+/// learns of a slot that another entry's request gave back by gossip, every 200 ms by default, and may
+/// then need a second attempt.
+const URGENT_START_TARGET_MIN_MS: u64 = 400;
+
+/// Checks the two lists against each other.
+pub(crate) fn check_both(plans_in: &Document<'_>, entitlements_in: &Document<'_>, lists: &Lists) {
+    for (index, row) in lists.entitlements.entitlements.iter().enumerate() {
+        let path = format!("entitlements[{index}].plan");
+        let names = lists.plans.plans.iter().map(|plan| plan.name.as_str());
+        refuse_dangling(entitlements_in, &path, "plan", &row.plan, names);
+    }
+    for (index, plan) in lists.plans.plans.iter().enumerate() {
+        let path = format!("plans[{index}]");
+        match lists.entitlement_of(&plan.name) {
+            Some(entitlement) => {
+                check_budget(plans_in, &path, lists, plan, entitlement);
+                check_start_target(plans_in, &path, lists, plan, entitlement);
+            }
+            None if plan.name.is_empty() => {}
+            None => refuse_unentitled(plans_in, &path, lists, plan),
+        }
+    }
+}
+
+/// Refuses a plan with teams that may use nothing.
+fn refuse_unentitled(plans_in: &Document<'_>, path: &str, lists: &Lists, plan: &Plan) {
+    let problem = format!("plan `{}` is entitled to nothing", plan.name);
+    let instead = "add a row for it to `entitlements`";
+    match lists.plans.teams.iter().any(|team| team.plan == plan.name) {
+        true => plans_in.error(FindingKind::CannotHold, path, &problem, instead),
+        false => plans_in.warn(path, &problem, instead),
+    }
+}
+
+/// Refuses an availability budget under which no instance of a pool could ever be stopped while the
+/// pool is at its smallest.
+fn check_budget(
+    plans_in: &Document<'_>,
+    path: &str,
+    lists: &Lists,
+    plan: &Plan,
+    entitlement: &Entitlement,
+) {
+    let pools = lists.entitlements.pools.iter();
+    for pool in pools.filter(|pool| lists.reaches_pool(entitlement, &pool.name)) {
+        let count = pool.instances_min_count;
+        let refuse = |field: &str| {
+            plans_in.error(
+                FindingKind::CannotHold,
+                &format!("{path}.availability.{field}"),
+                &format!(
+                    "with the {count} instances that pool `{}` keeps at least, the budget allows \
+                     less than one unavailable instance, so none could ever be maintained",
+                    pool.name
+                ),
+                &format!(
+                    "write at least {}, or raise the pool's `instances_min_count`",
+                    1_000_u32.div_ceil(count)
+                ),
+            );
+        };
+        if count > 0 && plan.availability.pool_unavailable_max_count(count) == 0 {
+            refuse("pool_unavailable_max_permille");
+        }
+        // A zone has at most all instances of the pool.
+        if count > 0 && plan.availability.zone_unavailable_max_count(count) == 0 {
+            refuse("zone_unavailable_max_permille");
+        }
+    }
+}
+
+/// Refuses a start target that no urgent request can be promised.
+fn check_start_target(
+    plans_in: &Document<'_>,
+    path: &str,
+    lists: &Lists,
+    plan: &Plan,
+    entitlement: &Entitlement,
+) {
+    let path = format!("{path}.start_target_ms");
+    let urgent = lists
+        .entitlements
+        .queues
+        .iter()
+        .find(|queue| queue.is_urgent && entitlement.queues.contains(&queue.name));
+    match urgent {
+        Some(queue) if plan.start_target_ms < URGENT_START_TARGET_MIN_MS => {
+            plans_in.error(
+                FindingKind::CannotHold,
+                &path,
+                &format!(
+                    "urgent queue `{}` cannot promise a start within {} ms",
+                    queue.name, plan.start_target_ms
+                ),
+                &format!("write at least {URGENT_START_TARGET_MIN_MS}"),
+            );
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/lists/decode.rs
@@ -0,0 +1,179 @@
+//! Reading of the two lists out of their files: field names, types and bounds. What a broken field
+//! reads as is chosen so that the checks across rows find nothing more to say about it.
+
+use std::ops::RangeInclusive;
+
+use crate::fleet::Resources;
+use crate::jsonc::{Document, Place};
+use crate::lists::{
+    AvailabilityBudget, Entitlement, Entitlements, MeasureWeights, Plan, Plans, Pool, Queue, Team,
+};
+
+/// Bounds of a share weight.
+const SHARE_WEIGHT: RangeInclusive<u32> = 1..=10_000;
+/// Bounds of an upper limit, in requests.
+const RUNNING_MAX_REQUESTS: RangeInclusive<u32> = 1..=1_000_000;
+/// Bounds of the time within which an urgent request starts, in milliseconds.
+const START_TARGET_MS: RangeInclusive<u64> = 1..=86_400_000;
+/// Bounds of a part that must not be zero, in thousandths.
+const PART_PERMILLE: RangeInclusive<u32> = 1..=1_000;
+/// Bounds of the weight of a measure.
+const MEASURE_WEIGHT: RangeInclusive<u32> = 0..=1_000;
+/// Bounds of the number of instances that a pool keeps.
+const INSTANCES_MIN_COUNT: RangeInclusive<u32> = 0..=100_000;
+/// Bounds of processor time, in thousandths of a core.
+const CORES_MILLI: RangeInclusive<u64> = 1..=1_024_000;
+/// Bounds of memory, in megabytes.
+const MEMORY_MB: RangeInclusive<u64> = 1..=67_108_864;
+/// Bounds of a number of accelerators.
+const ACCELERATORS_COUNT: RangeInclusive<u64> = 0..=1_024;
+
+/// Fields of the `plans` file.
+pub(crate) const PLANS_FIELDS: [&str; 3] = ["plans", "teams", "measure_weights"];
+/// Fields of the `entitlements` file.
+pub(crate) const ENTITLEMENTS_FIELDS: [&str; 3] = ["pools", "queues", "entitlements"];
+
+/// Reads the `plans` file.
+pub(crate) fn plans(document: &Document<'_>) -> Option<Plans> {
+    let fields = document.root()?.fields(&PLANS_FIELDS);
+    Some(Plans {
+        plans: fields.rows("plans", plan),
+        teams: fields.rows("teams", team),
+        measure_weights: fields
+            .get("measure_weights")
+            .map(measure_weights)
+            .unwrap_or_default(),
+    })
+}
+
+fn plan(place: Place<'_>) -> Plan {
+    let fields = place.fields(&[
+        "name",
+        "share_weight",
+        "running_max_requests",
+        "start_target_ms",
+        "on_time_target_permille",
+        "availability",
+    ]);
+    let number = |name, range: RangeInclusive<u32>| {
+        let default = *range.end();
+        let place = fields.required(name);
+        place.and_then(|place| place.u32(range)).unwrap_or(default)
+    };
+    Plan {
+        name: fields.name("name"),
+        share_weight: number("share_weight", SHARE_WEIGHT),
+        running_max_requests: number("running_max_requests", RUNNING_MAX_REQUESTS),
+        start_target_ms: fields
+            .required("start_target_ms")
+            .and_then(|place| place.u64(START_TARGET_MS))
+            .unwrap_or(*START_TARGET_MS.end()),
+        on_time_target_permille: number("on_time_target_permille", PART_PERMILLE),
+        availability: fields
+            .required("availability")
+            .map_or(AvailabilityBudget::WHOLE, availability),
+    }
+}
+
+fn availability(place: Place<'_>) -> AvailabilityBudget {
+    let fields = place.fields(&[
+        "pool_unavailable_max_permille",
+        "zone_unavailable_max_permille",
+    ]);
+    let part = |name| {
+        let place = fields.required(name);
+        place
+            .and_then(|place| place.u32(PART_PERMILLE))
+            .unwrap_or(*PART_PERMILLE.end())
+    };
+    AvailabilityBudget {
+        pool_unavailable_max_permille: part("pool_unavailable_max_permille"),
+        zone_unavailable_max_permille: part("zone_unavailable_max_permille"),
+    }
+}
+
+fn team(place: Place<'_>) -> Team {
+    let fields = place.fields(&["name", "plan", "running_max_requests", "share_weight"]);
+    let number = |name, range| fields.get(name).and_then(|place| place.u32(range));
+    Team {
+        name: fields.name("name"),
+        plan: fields.name("plan"),
+        running_max_requests: number("running_max_requests", RUNNING_MAX_REQUESTS),
+        share_weight: number("share_weight", SHARE_WEIGHT),
+    }
+}
+
+fn measure_weights(place: Place<'_>) -> MeasureWeights {
+    let fields = place.fields(&["buffer_cost", "roll_out_time", "moves", "share_nearness"]);
+    let default = MeasureWeights::default();
+    let weight = |name, default| {
+        let place = fields.get(name);
+        place
+            .and_then(|place| place.u32(MEASURE_WEIGHT))
+            .unwrap_or(default)
+    };
+    MeasureWeights {
+        buffer_cost: weight("buffer_cost", default.buffer_cost),
+        roll_out_time: weight("roll_out_time", default.roll_out_time),
+        moves: weight("moves", default.moves),
+        share_nearness: weight("share_nearness", default.share_nearness),
+    }
+}
+
+/// Reads the `entitlements` file.
+pub(crate) fn entitlements(document: &Document<'_>) -> Option<Entitlements> {
+    let fields = document.root()?.fields(&ENTITLEMENTS_FIELDS);
+    Some(Entitlements {
+        pools: fields.rows("pools", pool),
+        queues: fields.rows("queues", queue),
+        entitlements: fields.rows("entitlements", entitlement),
+    })
+}
+
+fn pool(place: Place<'_>) -> Pool {
+    let fields = place.fields(&["name", "is_spare", "instances_min_count"]);
+    Pool {
+        name: fields.name("name"),
+        is_spare: fields.flag("is_spare"),
+        instances_min_count: fields
+            .required("instances_min_count")
+            .and_then(|place| place.u32(INSTANCES_MIN_COUNT))
+            .unwrap_or(*INSTANCES_MIN_COUNT.end()),
+    }
+}
+
+fn queue(place: Place<'_>) -> Queue {
+    let fields = place.fields(&["name", "pools", "is_open_to_all", "is_urgent"]);
+    Queue {
+        name: fields.name("name"),
+        pools: fields.rows("pools", |place| place.name().unwrap_or_default()),
+        is_open_to_all: fields.flag("is_open_to_all"),
+        is_urgent: fields.flag("is_urgent"),
+    }
+}
+
+fn entitlement(place: Place<'_>) -> Entitlement {
+    let fields = place.fields(&["plan", "queues", "request_max"]);
+    Entitlement {
+        plan: fields.name("plan"),
+        queues: fields.rows("queues", |place| place.name().unwrap_or_default()),
+        request_max: fields
+            .required("request_max")
+            .map(resources)
+            .unwrap_or_default(),
+    }
+}
+
+/// Reads a bundle of resources; accelerators may be left out.
+pub(crate) fn resources(place: Place<'_>) -> Resources {
+    let fields = place.fields(&["cores_milli", "memory_mb", "accelerators_count"]);
+    let number = |place: Option<Place<'_>>, range: RangeInclusive<u64>| {
+        let default = *range.start();
+        place.and_then(|place| place.u64(range)).unwrap_or(default)
+    };
+    Resources {
+        cores_milli: number(fields.required("cores_milli"), CORES_MILLI),
+        memory_mb: number(fields.required("memory_mb"), MEMORY_MB),
+        accelerators_count: number(fields.get("accelerators_count"), ACCELERATORS_COUNT),
+    }
+}
--- /dev/null
+++ b/src/lists/diff.rs
@@ -0,0 +1,125 @@
+//! The difference between two states of the lists, one change a line.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::lists::Lists;
+
+/// What happened to a row or a field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ChangeKind {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// It has another value.
+    Changed,
+}
+
+/// One change of one row or field.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Change {
+    /// What happened.
+    pub kind: ChangeKind,
+    /// Where, by the names of the rows, such as `teams[flood-office].share_weight`.
+    pub path: String,
+    /// Value before, as JSON; empty if it was not there.
+    pub before: String,
+    /// Value after, as JSON; empty if it is gone.
+    pub after: String,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            kind,
+            path,
+            before,
+            after,
+        } = self;
+        match kind {
+            ChangeKind::Added => write!(f, "+ {path}: {after}"),
+            ChangeKind::Removed => write!(f, "- {path}: {before}"),
+            ChangeKind::Changed => write!(f, "~ {path}: {before} -> {after}"),
+        }
+    }
+}
+
+/// Returns what changed from `before` to `after`. Rows are matched by their names, so that a mere
+/// change of their order is no change; the order of a queue's pools is a preference and counts. A new
+/// or removed row is one change, as is each field that differs in a row that stays.
+pub fn diff(before: &Lists, after: &Lists) -> Vec<Change> {
+    let before = rows(before);
+    let mut after = rows(after);
+    let mut changes = Vec::new();
+    for (path, old) in &before {
+        match after.shift_remove(path) {
+            Some(new) => diff_values(path, Some(old), Some(&new), &mut changes),
+            None => diff_values(path, Some(old), None, &mut changes),
+        }
+    }
+    for (path, new) in &after {
+        diff_values(path, None, Some(new), &mut changes);
+    }
+    changes.sort_by(|a, b| a.path.cmp(&b.path));
+    changes
+}
+
+/// Returns the rows of both lists by their paths, and what is no row as one.
+fn rows(lists: &Lists) -> IndexMap<String, Value> {
+    let parts = [
+        serde_json::to_value(&lists.plans),
+        serde_json::to_value(&lists.entitlements),
+    ];
+    let mut rows = IndexMap::new();
+    let objects = parts.into_iter().flatten();
+    let fields = objects.flat_map(|part| part.as_object().cloned().unwrap_or_default());
+    for (list, value) in fields {
+        match value {
+            Value::Array(values) => rows.extend(values.into_iter().map(|row| {
+                let key = row.get("name").or_else(|| row.get("plan"));
+                let key = key.and_then(Value::as_str).unwrap_or_default();
+                (format!("{list}[{key}]"), row)
+            })),
+            value => {
+                rows.insert(list, value);
+            }
+        }
+    }
+    rows
+}
+
+/// Adds the changes between two values at `path`, field by field if both are objects.
+fn diff_values(
+    path: &str,
+    before: Option<&Value>,
+    after: Option<&Value>,
+    changes: &mut Vec<Change>,
+) {
+    let kind = match (before, after) {
+        (before, after) if before == after => return,
+        (Some(Value::Object(old)), Some(Value::Object(new))) => {
+            let added = new.keys().filter(|name| !old.contains_key(*name));
+            for name in old.keys().chain(added) {
+                let path = format!("{path}.{name}");
+                diff_values(&path, old.get(name), new.get(name), changes);
+            }
+            return;
+        }
+        (None, _) => ChangeKind::Added,
+        (_, None) => ChangeKind::Removed,
+        _ => ChangeKind::Changed,
+    };
+    let text = |value: Option<&Value>| value.map(Value::to_string).unwrap_or_default();
+    changes.push(Change {
+        kind,
+        path: path.to_owned(),
+        before: text(before),
+        after: text(after),
+    });
+}
--- a/src/lists/types.rs
+++ b/src/lists/types.rs
@@ -56,6 +56,30 @@
     pub zone_unavailable_max_permille: u32,
 }
 
+impl AvailabilityBudget {
+    /// The budget that allows everything to be unavailable at once.
+    pub const WHOLE: Self = Self {
+        pool_unavailable_max_permille: 1_000,
+        zone_unavailable_max_permille: 1_000,
+    };
+
+    /// Returns how many of the `instances_count` instances of a pool may be unavailable at once.
+    pub fn pool_unavailable_max_count(&self, instances_count: u32) -> u32 {
+        part_rounded_down(instances_count, self.pool_unavailable_max_permille)
+    }
+
+    /// Returns how many of the `instances_count` instances that a pool has in one availability zone
+    /// may be unavailable at once.
+    pub fn zone_unavailable_max_count(&self, instances_count: u32) -> u32 {
+        part_rounded_down(instances_count, self.zone_unavailable_max_permille)
+    }
+}
+
+fn part_rounded_down(count: u32, part_permille: u32) -> u32 {
+    let part = u64::from(count) * u64::from(part_permille) / 1_000;
+    u32::try_from(part).unwrap_or(u32::MAX)
+}
+
 /// A team: one customer's group of submitters.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -179,4 +203,12 @@
             .iter()
             .find(|row| row.plan == plan)
     }
+
+    /// Returns whether `entitlement` lets work reach `pool` through one of its queues.
+    pub fn reaches_pool(&self, entitlement: &Entitlement, pool: &str) -> bool {
+        let queues = self.entitlements.queues.iter();
+        queues
+            .filter(|queue| entitlement.queues.contains(&queue.name))
+            .any(|queue| queue.pools.iter().any(|name| name == pool))
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,4 +2,13 @@
 
 mod cmd;
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cmd::make_command().get_matches();
+    let exit = cmd::execute(&matches).unwrap_or_else(|report| {
+        eprintln!("error: {report:?}");
+        report.current_context().exit()
+    });
+    exit.into()
+}
--- /dev/null
+++ b/tests/testsuite/lists.rs
@@ -0,0 +1,337 @@
+//! The two lists and the fleet file: every kind of fault is found, at its line, all at once.
+
+use hawthornladder::config_files::{self, ConfigSource};
+use hawthornladder::examples::{Example, DENMARK, EXAMPLES, LAHORE};
+use hawthornladder::findings::{Finding, FindingKind, Severity};
+use hawthornladder::lists::{check_texts, diff};
+use proptest::prelude::*;
+
+/// Checks the files of an example after `edits`, each a text to find and what to put in its place.
+fn findings_after(example: &Example, edits: &[(&str, &str)]) -> Vec<Finding> {
+    let mut texts = example
+        .sources()
+        .map(|(file, text)| (file, text.to_owned()));
+    for (from, to) in edits {
+        assert!(texts.iter().any(|(_, text)| text.contains(from)), "{from}");
+        for (_, text) in &mut texts {
+            *text = text.replace(from, to);
+        }
+    }
+    let sources = texts
+        .iter()
+        .map(|(file, text)| ConfigSource { file, text })
+        .collect::<Vec<_>>();
+    match config_files::check(&sources) {
+        Ok((_, findings)) | Err(findings) => findings,
+    }
+}
+
+fn line_of(text: &str, part: &str) -> usize {
+    let at = text.lines().position(|line| line.contains(part));
+    at.expect("the part is there") + 1
+}
+
+fn assert_found(findings: &[Finding], kind: FindingKind, field: &str, instead: &str) {
+    let is_found = findings
+        .iter()
+        .any(|f| f.kind == kind && f.field == field && f.instead.contains(instead));
+    assert!(
+        is_found,
+        "{kind} at {field} ({instead}) among {findings:#?}"
+    );
+}
+
+#[test]
+fn examples_have_neither_errors_nor_warnings() {
+    for example in EXAMPLES {
+        let ((lists, fleet), findings) = example.load().expect("no errors");
+        assert_eq!(findings, []);
+        let rows = fleet.instance_rows(|at, _| format!("127.0.0.1:{}", 9_000 + at).into());
+        assert_eq!(rows.len(), 50);
+        assert_eq!(lists.plans.teams.len(), 6);
+        assert_eq!(lists.entitlements.pools.len(), 5);
+        for pool in &fleet.pools {
+            assert!((8..=12).contains(&pool.instances_count), "{}", pool.name);
+        }
+        for rack in rows.iter().map(|row| &row.rack) {
+            assert!(rows.iter().filter(|row| row.rack == *rack).count() <= 4);
+        }
+    }
+    assert_eq!(LAHORE.load().expect("no errors").0 .1.zones.len(), 4);
+    assert_eq!(DENMARK.load().expect("no errors").0 .1.zones.len(), 3);
+}
+
+#[test]
+fn each_queue_in_its_turn_asks_for_more_than_its_preferred_pool_holds() {
+    for example in EXAMPLES {
+        let (lists, fleet) = example.load().expect("no errors").0;
+        let queues = fleet.queues_in_turn().len();
+        for turn in 0..u64::try_from(queues).expect("few queues") {
+            let at_ms = turn * fleet.turns.turn_ms;
+            let queue = fleet.queue_in_turn(at_ms).expect("demand");
+            let slots_asked: u64 = fleet
+                .demand
+                .iter()
+                .filter(|stream| stream.queue == queue)
+                .map(|stream| fleet.rate_milli_per_s(stream, at_ms) * stream.run_ms / 1_000_000)
+                .sum();
+            let mut rows = lists.entitlements.queues.iter();
+            let row = rows.find(|row| row.name == queue).expect("the queue");
+            let mut pools = fleet.pools.iter();
+            let pool = pools.find(|pool| pool.name == row.pools[0]).expect("pool");
+            let slots = u64::from(pool.instances_count * pool.slots_count);
+            assert!(slots_asked > slots, "{queue}: {slots_asked} of {slots}");
+        }
+    }
+}
+
+#[test]
+fn every_fault_is_reported_at_once_with_its_line() {
+    let edits = [
+        ("\"share_weight\": 4", "\"share_wait\": 4"),
+        (
+            "\"running_max_requests\": 40",
+            "\"running_max_requests\": 0",
+        ),
+        ("\"plan\": \"research\" }", "\"plan\": \"reserch\" }"),
+        ("\"farm-guidance\", \"plan\"", "\"survey-crews\", \"plan\""),
+        ("[\"transit\"]", "[\"spare\", \"transit\", \"tranzit\"]"),
+        (
+            "\"pools\": [\"gauges\"], \"is_urgent\"",
+            "\"pools\": [], \"is_urgent\"",
+        ),
+        ("\"is_open_to_all\": true", "\"is_open_to_all\": \"yes\""),
+    ];
+    let findings = findings_after(&LAHORE, &edits);
+    let found = |kind, field, instead| assert_found(&findings, kind, field, instead);
+    found(
+        FindingKind::UnknownField,
+        "plans[1].share_wait",
+        "`share_weight`",
+    );
+    found(FindingKind::MissingField, "plans[1].share_weight", "add");
+    found(
+        FindingKind::OutOfRange,
+        "plans[2].running_max_requests",
+        "from 1 to",
+    );
+    found(
+        FindingKind::DanglingReference,
+        "teams[5].plan",
+        "`research`",
+    );
+    found(FindingKind::Duplicate, "teams[4].name", "another name");
+    found(FindingKind::CannotHold, "queues[1].pools[0]", "not spare");
+    found(
+        FindingKind::DanglingReference,
+        "queues[1].pools[2]",
+        "`transit`",
+    );
+    found(FindingKind::CannotHold, "queues[3].pools", "at least one");
+    found(
+        FindingKind::WrongType,
+        "queues[5].is_open_to_all",
+        "`true` or `false`",
+    );
+    let limit = line_of(LAHORE.plans, "\"running_max_requests\": 40");
+    assert!(findings.iter().any(|f| f.line == limit));
+}
+
+#[test]
+fn values_that_cannot_hold_together_are_refused() {
+    let cases = [
+        (
+            "\"running_max_requests\": 120,\n      \"start_target_ms\": 1600",
+            "\"running_max_requests\": 120,\n      \"start_target_ms\": 100",
+            "plans[1].start_target_ms",
+        ),
+        (
+            "{ \"pool_unavailable_max_permille\": 250",
+            "{ \"pool_unavailable_max_permille\": 100",
+            "plans[0].availability.pool_unavailable_max_permille",
+        ),
+        (
+            "\"zone_unavailable_max_permille\": 500",
+            "\"zone_unavailable_max_permille\": 400",
+            "plans[0].availability.zone_unavailable_max_permille",
+        ),
+        (
+            "\"is_open_to_all\": true",
+            "\"is_open_to_all\": true, \"is_urgent\": true",
+            "queues[5].is_urgent",
+        ),
+        (
+            "\"buffer_cost\": 1, \"roll_out_time\": 5, \"moves\": 4, \"share_nearness\": 2",
+            "\"buffer_cost\": 0, \"roll_out_time\": 0, \"moves\": 0, \"share_nearness\": 0",
+            "measure_weights",
+        ),
+        (
+            "\"gauges\", \"instances_min_count\": 6",
+            "\"gauges\", \"instances_min_count\": 9",
+            "pools[3].instances_count",
+        ),
+        (
+            "\"gauges\", \"instances_min_count\": 6",
+            "\"gauges\", \"instances_min_count\": 0",
+            "pools[3].instances_min_count",
+        ),
+        (
+            "\"cores_milli\": 8000, \"memory_mb\": 32000 },\n      \"body",
+            "\"cores_milli\": 33000, \"memory_mb\": 32000 },\n      \"body",
+            "demand[6].size",
+        ),
+        (
+            "\"queue\": \"archive\", \"team\": \"university\"",
+            "\"queue\": \"delay-maps\", \"team\": \"university\"",
+            "demand[6].queue",
+        ),
+        (
+            "\"plan\": \"research\",\n      \"queues\"",
+            "\"plan\": \"nothing\",\n      \"queues\"",
+            "plans[2]",
+        ),
+    ];
+    for (from, to, field) in cases {
+        let findings = findings_after(&LAHORE, &[(from, to)]);
+        assert_found(&findings, FindingKind::CannotHold, field, "");
+    }
+}
+
+#[test]
+fn oddities_are_warnings_only() {
+    let cases = [
+        (
+            "\"on_time_target_permille\": 995",
+            "\"on_time_target_permille\": 1000",
+        ),
+        (
+            "\"pool_unavailable_max_permille\": 400",
+            "\"pool_unavailable_max_permille\": 1000",
+        ),
+        (
+            "[\"delay-maps\", \"field-corrections\", \"archive\"]",
+            "[\"delay-maps\", \"archive\"]",
+        ),
+        (
+            "\"queues\": [\"archive\"]",
+            "\"queues\": [\"archive\", \"public-status\"]",
+        ),
+        (
+            "\"running_max_requests\": 120",
+            "\"running_max_requests\": 10",
+        ),
+    ];
+    for (from, to) in cases {
+        let mut edits = vec![(from, to)];
+        if to.starts_with("[\"delay") {
+            edits.push((
+                "\"queue\": \"field-corrections\"",
+                "\"queue\": \"delay-maps\"",
+            ));
+        }
+        let findings = findings_after(&LAHORE, &edits);
+        assert!(!findings.is_empty(), "{to}");
+        for finding in findings {
+            assert_eq!(finding.severity, Severity::Warning, "{finding}");
+        }
+    }
+}
+
+#[test]
+fn both_lists_are_needed_once() {
+    let plans = ConfigSource {
+        file: "plans",
+        text: LAHORE.plans,
+    };
+    for sources in [&[plans][..], &[plans, plans], &[]] {
+        let findings = check_texts(sources).expect_err("a list is missing");
+        assert_found(&findings, FindingKind::File, "", "file");
+    }
+    let entitlements = ConfigSource {
+        file: "entitlements",
+        text: LAHORE.entitlements,
+    };
+    assert!(check_texts(&[entitlements, plans]).is_ok());
+}
+
+#[test]
+fn diff_matches_rows_by_name_and_shows_a_line_a_change() {
+    let before = LAHORE.load().expect("no errors").0 .0;
+    let mut after = before.clone();
+    after.plans.teams.reverse();
+    assert_eq!(diff(&before, &after), []);
+    after.plans.teams[0].share_weight = Some(2);
+    after.plans.plans[0].running_max_requests = 150;
+    after.entitlements.queues.remove(5);
+    let lines: Vec<String> = diff(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        lines,
+        [
+            "~ plans[critical].running_max_requests: 160 -> 150",
+            "- queues[public-status]: {\"is_open_to_all\":true,\"is_urgent\":false,\
+             \"name\":\"public-status\",\"pools\":[\"gauges\"]}",
+            "+ teams[university].share_weight: 2",
+        ]
+    );
+}
+
+/// Texts near to valid ones: an example with a piece cut out and another put in.
+fn damaged_text() -> impl Strategy<Value = String> {
+    let texts: Vec<&'static str> = EXAMPLES
+        .iter()
+        .flat_map(|example| example.sources().map(|(_, text)| text))
+        .collect();
+    let put_in = prop_oneof![
+        Just(String::new()),
+        "[0-9]{1,25}",
+        "[\\[\\]{}:,\"/*.-]{1,4}",
+        "\\PC{0,6}",
+    ];
+    (
+        proptest::sample::select(texts),
+        0..10_000_usize,
+        0..40_usize,
+        put_in,
+    )
+        .prop_map(|(text, at, cut, put_in)| {
+            let chars: Vec<char> = text.chars().collect();
+            let at = at % chars.len();
+            let end = (at + cut).min(chars.len());
+            let mut out: String = chars[..at].iter().collect();
+            out.push_str(&put_in);
+            out.extend(&chars[end..]);
+            out
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        cases: 400,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_text_is_checked_without_panic_and_each_finding_names_a_line(
+        texts in prop::collection::vec(prop_oneof![damaged_text(), "\\PC{0,60}"], 1..4)
+    ) {
+        let sources: Vec<ConfigSource<'_>> = texts
+            .iter()
+            .map(|text| ConfigSource { file: "f", text })
+            .collect();
+        let (is_ok, findings) = match config_files::check(&sources) {
+            Ok((_, findings)) => (true, findings),
+            Err(findings) => (false, findings),
+        };
+        prop_assert_eq!(is_ok, findings.iter().all(|f| f.severity == Severity::Warning));
+        let last = texts.iter().map(|text| text.split('\n').count()).max();
+        for finding in findings {
+            prop_assert!(finding.line >= 1 && Some(finding.line) <= last, "{}", finding);
+            prop_assert!(!finding.problem.is_empty() && !finding.instead.is_empty());
+        }
+    }
+}
