--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,3 +3,6 @@
 mod policy_health;
 mod policy_retry;
 mod policy_share;
+mod check_command;
+mod lists;
+mod settings;
