--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! The integration tests, one module per topic.
+
+mod upkeep_budget;
