--- a/src/upkeep/budget.rs
+++ b/src/upkeep/budget.rs
@@ -13,7 +13,7 @@
 use crate::lists::{AvailabilityBudget, Lists, Plan, Pool};
 
 /// Whole of a part that is given in thousandths.
-const PERMILLE_WHOLE: u64 = 1000;
+pub(super) const PERMILLE_WHOLE: u64 = 1000;
 
 /// Part of a pool without customers, such as the spare pool, that may be unavailable at once, in
 /// thousandths: half of the buffer stays usable while the other half is maintained.
--- /dev/null
+++ b/src/upkeep/buffers.rs
@@ -0,0 +1,200 @@
+//! Buffers: how many spare instances to keep so that budgets and targets survive the loss of the
+//! next failure domain, a rack or a whole zone.
+//!
+//! A pool needs what its budget promises and what its demand asks for most of the time. The loss of
+//! a domain leaves some pools short of that; the spare instances outside the domain must make up
+//! the shortage of the worst one.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::budget::{allowed_count, BudgetView, PERMILLE_WHOLE};
+use super::counts::PoolCounts;
+use super::demand::PoolState;
+use super::keys::{PoolKey, RackKey, ZoneKey};
+use crate::lists::MeasureWeights;
+
+/// Worth of a missing instance against the cost of a spare one at even weights.
+const MISSING_TO_SPARE_WORTH: u64 = 19;
+
+/// The failure that buffers are kept for.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum SurvivedFailure {
+    /// The loss of any one rack.
+    #[default]
+    Rack,
+    /// The loss of any one availability zone.
+    Zone,
+}
+
+/// What buffers are worked out from.
+#[derive(Clone, Copy)]
+pub struct BufferView<'a> {
+    /// Counts and budgets.
+    pub budget: BudgetView<'a>,
+    /// The pools, indexed by [`PoolKey`].
+    pub pools: &'a [PoolState],
+}
+
+/// Instances to keep.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BufferPlan {
+    /// Spare instances in the whole fleet.
+    pub spare_count: u32,
+    /// Their part in each zone.
+    pub zones: IndexMap<ZoneKey, u32>,
+    /// Instances that budgets and minima call for in each pool, indexed by [`PoolKey`]; those under
+    /// a planned stop count, as they come back by themselves.
+    pub floors: Vec<u32>,
+}
+
+/// Works out the buffers for `failure`.
+pub fn plan_buffers(
+    view: &BufferView<'_>,
+    failure: SurvivedFailure,
+    weights: &MeasureWeights,
+) -> BufferPlan {
+    let counts = view.budget.counts;
+    let pools = || (0u16..).map(PoolKey).take(counts.pools_count());
+    let part_permille = critical_permille(weights);
+    let floors: Vec<u32> = pools().map(|pool| floor(view, pool)).collect();
+    let needs: Vec<u32> = pools()
+        .zip(&floors)
+        .map(|(pool, floor)| need(view, pool, *floor, part_permille))
+        .collect();
+    let shortage = match failure {
+        SurvivedFailure::Rack => worst(shortages(view, &needs, rack_losses)),
+        SurvivedFailure::Zone => worst(shortages(view, &needs, zone_losses)),
+    };
+    let mut zones: Vec<ZoneKey> = pools()
+        .filter_map(|pool| counts.pool(pool))
+        .flat_map(|pool| pool.zones.keys().copied())
+        .collect();
+    zones.sort();
+    zones.dedup();
+    let spare_count = match failure {
+        SurvivedFailure::Rack => shortage,
+        SurvivedFailure::Zone => outside_any_zone(shortage, zones.len()),
+    };
+    BufferPlan {
+        spare_count,
+        zones: spread(spare_count, &zones),
+        floors,
+    }
+}
+
+/// Returns the part of the time, in thousandths, for which a pool is to have enough: the critical
+/// fractile of the newsvendor problem, from the worth of a missing and of a spare instance.
+pub fn critical_permille(weights: &MeasureWeights) -> u32 {
+    let missing = MISSING_TO_SPARE_WORTH * u64::from(weights.share_nearness.max(1));
+    let spare = u64::from(weights.buffer_cost);
+    u32::try_from(missing * PERMILLE_WHOLE / (missing + spare)).unwrap_or(1000)
+}
+
+/// Returns the instances that the budget promises and the minimum asks for in `pool`.
+fn floor(view: &BufferView<'_>, pool: PoolKey) -> u32 {
+    let is_spare = is_spare(view, pool);
+    let Some(counts) = view.budget.counts.pool(pool).filter(|_| !is_spare) else {
+        return 0;
+    };
+    let budget = view.budget.budget(pool);
+    let members_count = counts.total.members_count;
+    let permille = budget.availability.pool_unavailable_max_permille;
+    let promised_count = members_count - allowed_count(members_count, permille);
+    promised_count.max(budget.instances_min_count)
+}
+
+/// Returns the available instances that `pool` needs. Demand beyond what the pool has is left to
+/// queues and moves, so that a burst does not call for a buffer of its size.
+fn need(view: &BufferView<'_>, pool: PoolKey, floor_count: u32, part_permille: u32) -> u32 {
+    let members_count = view
+        .budget
+        .counts
+        .pool(pool)
+        .map_or(0, |counts| counts.total.members_count);
+    let wanted_count = view.pools.get(pool.index()).map_or(0, |state| {
+        state.demand.quantile_milli(part_permille).div_ceil(1000)
+    });
+    wanted_count.min(members_count).max(floor_count)
+}
+
+fn is_spare(view: &BufferView<'_>, pool: PoolKey) -> bool {
+    let state = view.pools.get(pool.index());
+    state.is_some_and(|state| state.is_spare)
+}
+
+/// Sums for each failure domain what the pools would be short of after its loss, and the spare
+/// instances that it would take along.
+fn shortages<K: std::hash::Hash + Eq>(
+    view: &BufferView<'_>,
+    needs: &[u32],
+    losses: impl Fn(&PoolCounts) -> Vec<(K, u32)>,
+) -> IndexMap<K, u32> {
+    let mut sums = IndexMap::new();
+    for (index, need) in needs.iter().enumerate() {
+        let pool = u16::try_from(index).map(PoolKey).unwrap_or_default();
+        let Some(counts) = view.budget.counts.pool(pool) else {
+            continue;
+        };
+        let is_spare = is_spare(view, pool);
+        for (domain, lost_count) in losses(counts) {
+            let left_count = counts.total.available_count - lost_count;
+            let short_count = match is_spare {
+                true => lost_count,
+                false => need.saturating_sub(left_count),
+            };
+            *sums.entry(domain).or_default() += short_count;
+        }
+    }
+    sums
+}
+
+fn rack_losses(pool: &PoolCounts) -> Vec<(RackKey, u32)> {
+    let racks = pool.racks.iter();
+    racks
+        .map(|(key, rack)| (*key, rack.available_count))
+        .collect()
+}
+
+fn zone_losses(pool: &PoolCounts) -> Vec<(ZoneKey, u32)> {
+    let zones = pool.zones.iter();
+    zones
+        .map(|(key, zone)| (*key, zone.total.available_count))
+        .collect()
+}
+
+fn worst<K>(sums: IndexMap<K, u32>) -> u32 {
+    sums.into_values().max().unwrap_or_default()
+}
+
+/// Returns how many instances, spread evenly over the zones, leave `shortage_count` outside any one
+/// of them.
+fn outside_any_zone(shortage_count: u32, zones_count: usize) -> u32 {
+    match u32::try_from(zones_count).unwrap_or(u32::MAX) {
+        0 | 1 => shortage_count,
+        zones_count => shortage_count.div_ceil(zones_count - 1) * zones_count,
+    }
+}
+
+fn spread(spare_count: u32, zones: &[ZoneKey]) -> IndexMap<ZoneKey, u32> {
+    let zones_count = u32::try_from(zones.len()).unwrap_or(u32::MAX).max(1);
+    let each_count = spare_count / zones_count;
+    let rest_count = spare_count % zones_count;
+    (0u32..)
+        .zip(zones)
+        .map(|(index, zone)| (*zone, each_count + u32::from(index < rest_count)))
+        .collect()
+}
--- /dev/null
+++ b/src/upkeep/demand.rs
@@ -0,0 +1,106 @@
+//! Demand of a pool as it was observed over a window: how many instances the running and waiting
+//! work would keep busy, sampled at even intervals. Declared sizes and run times play no part.
+
+use std::collections::VecDeque;
+
+use super::budget::PERMILLE_WHOLE;
+use crate::fleet::UnixMs;
+
+/// Work of a pool at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ObservedWork {
+    /// Requests running.
+    pub running_count: u32,
+    /// Requests waiting that can still meet their deadline.
+    pub waiting_count: u32,
+    /// Mean part of an instance that a request was seen to use, in thousandths.
+    pub size_instance_permille: u32,
+}
+
+impl ObservedWork {
+    /// Returns the instances that this work keeps busy, in thousandths of an instance.
+    pub fn busy_instances_milli(&self) -> u32 {
+        let requests_count = u64::from(self.running_count) + u64::from(self.waiting_count);
+        let milli = requests_count * u64::from(self.size_instance_permille);
+        u32::try_from(milli).unwrap_or(u32::MAX)
+    }
+}
+
+/// The latest samples of one pool's demand, each in thousandths of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DemandWindow {
+    samples: VecDeque<u32>,
+    samples_max_count: usize,
+}
+
+impl DemandWindow {
+    /// Returns an empty window that holds `samples_max_count` samples.
+    pub fn new(samples_max_count: usize) -> Self {
+        Self {
+            samples: VecDeque::with_capacity(samples_max_count),
+            samples_max_count,
+        }
+    }
+
+    /// Adds a sample and drops the oldest one once the window is full.
+    pub fn push(&mut self, busy_instances_milli: u32) {
+        if self.samples.len() >= self.samples_max_count {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(busy_instances_milli);
+    }
+
+    /// Returns whether the window holds enough samples to decide on.
+    pub fn is_full(&self) -> bool {
+        self.samples.len() >= self.samples_max_count
+    }
+
+    /// Returns the part of the time, in thousandths, for which one more instance than
+    /// `instances_count` would have had work. It is the marginal worth of an instance: the value of
+    /// the next one, and, asked with one less, the loss of the last one.
+    pub fn marginal_worth_permille(&self, instances_count: u32) -> u32 {
+        let threshold_milli = u64::from(instances_count) * PERMILLE_WHOLE;
+        let is_above = |sample: &&u32| u64::from(**sample) > threshold_milli;
+        let above_count = self.samples.iter().filter(is_above).count() as u64;
+        match self.samples.len() as u64 {
+            0 => 0,
+            all_count => u32::try_from(above_count * PERMILLE_WHOLE / all_count).unwrap_or(1000),
+        }
+    }
+
+    /// Returns the mean demand in thousandths of an instance.
+    pub fn mean_milli(&self) -> u32 {
+        let sum: u64 = self.samples.iter().map(|sample| u64::from(*sample)).sum();
+        match self.samples.len() as u64 {
+            0 => 0,
+            count => u32::try_from(sum / count).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the demand in thousandths of an instance that `part_permille` of the samples do not
+    /// exceed.
+    pub fn quantile_milli(&self, part_permille: u32) -> u32 {
+        let mut sorted: Vec<u32> = self.samples.iter().copied().collect();
+        sorted.sort_unstable();
+        let rank = sorted.len() as u64 * u64::from(part_permille) / PERMILLE_WHOLE;
+        let last = sorted.len().saturating_sub(1);
+        let index = usize::try_from(rank).map_or(last, |rank| rank.min(last));
+        sorted.get(index).copied().unwrap_or_default()
+    }
+}
+
+/// What is known of one pool.
+#[derive(Clone, Debug)]
+pub struct PoolState {
+    /// Demand over the window.
+    pub demand: DemandWindow,
+    /// Whether the pool holds spare instances and runs no work.
+    pub is_spare: bool,
+    /// Time that an instance of the pool was seen to take to drain and to come back, in
+    /// milliseconds.
+    pub move_ms: u64,
+    /// Last time that the pool gave or got an instance.
+    pub moved_at_unix_ms: Option<UnixMs>,
+    /// Whether a move from or to the pool is under way.
+    pub is_moving: bool,
+}
--- /dev/null
+++ b/src/upkeep/drive.rs
@@ -0,0 +1,19 @@
+//! Which entry drives a duty. Every entry works it out for itself from the live seats by highest
+//! random weight (Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996), so
+//! the loss of a driver hands its duties to others without any agreement. Entries with different
+//! views may both drive for a while: what they claim is judged at its offset in the log.
+
+/// Returns the seat that drives `duty`, or `None` if there is no seat.
+pub fn driver<'a>(seats: impl IntoIterator<Item = &'a str>, duty: &str) -> Option<&'a str> {
+    seats
+        .into_iter()
+        .max_by_key(|seat| (weight(seat, duty), *seat))
+}
+
+fn weight(seat: &str, duty: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seat.len().to_le_bytes());
+    hasher.update(seat.as_bytes());
+    hasher.update(duty.as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -2,5 +2,14 @@
 //! pure functions of a view of the fleet.
 
 pub mod budget;
+pub mod buffers;
 pub mod counts;
+pub mod demand;
+pub mod drain;
+pub mod drive;
 pub mod keys;
+pub mod maintenance;
+pub mod moves;
+pub mod rollout;
+mod survey;
+mod wave;
--- /dev/null
+++ b/src/upkeep/wave.rs
@@ -0,0 +1,117 @@
+//! Choice of the next wave: the largest set of due instances, in the order of zones and racks, that
+//! the budgets take at once.
+
+use super::budget::{allowed_count, judge_stop, BudgetBreach, BudgetView};
+use super::counts::{FleetCounts, Member};
+use super::keys::{InstanceKey, PoolKey};
+use super::rollout::{RolloutSettings, RolloutView};
+use super::survey::{upkeep_of, Survey};
+use crate::fleet::Standing;
+use crate::lists::MeasureWeights;
+
+/// A wave in the making, tried on a copy of the counts.
+struct Wave<'a> {
+    view: &'a RolloutView<'a>,
+    weights: &'a MeasureWeights,
+    counts: FleetCounts,
+    is_closed: Vec<bool>,
+    claims: Vec<InstanceKey>,
+}
+
+/// Returns at most `max_count` instances to stop now. Instances that went bad before come last.
+pub(super) fn next_wave(
+    view: &RolloutView<'_>,
+    settings: &RolloutSettings,
+    weights: &MeasureWeights,
+    survey: Survey,
+    max_count: usize,
+) -> Vec<InstanceKey> {
+    if max_count == 0 || survey.due.is_empty() {
+        return Vec::new();
+    }
+    let is_closed = survey.pools.iter().map(|tally| tally.is_over(settings));
+    let mut wave = Wave {
+        view,
+        weights,
+        counts: view.budget.counts.clone(),
+        is_closed: is_closed.collect(),
+        claims: Vec::new(),
+    };
+    for (key, member) in in_order(view, survey.due) {
+        if wave.claims.len() >= max_count {
+            break;
+        }
+        wave.offer(key, member.pool);
+    }
+    wave.claims
+}
+
+fn in_order(
+    view: &RolloutView<'_>,
+    mut due: Vec<(InstanceKey, Member)>,
+) -> Vec<(InstanceKey, Member)> {
+    due.sort_by_key(|(key, member)| {
+        let went_bad = upkeep_of(view, *key).bad_at_unix_ms.is_some();
+        (went_bad, member.zone, member.rack, *key)
+    });
+    due
+}
+
+impl Wave<'_> {
+    fn offer(&mut self, key: InstanceKey, pool: PoolKey) {
+        if self.is_closed[pool.index()] {
+            return;
+        }
+        match self.judge(key) {
+            _ if self.is_paced(pool) => self.is_closed[pool.index()] = true,
+            Ok(()) => {
+                self.counts.change(key, Standing::Draining);
+                self.claims.push(key);
+            }
+            Err(breach) => self.is_closed[pool.index()] = closes_pool(breach),
+        }
+    }
+
+    fn judge(&self, key: InstanceKey) -> Result<(), BudgetBreach> {
+        let budget = BudgetView {
+            counts: &self.counts,
+            ..self.view.budget
+        };
+        judge_stop(&budget, key)
+    }
+
+    /// Returns whether the pool has used what the weights leave to a roll-out while work waits: the
+    /// part that roll-out time has of roll-out time and nearness to share together, at least one
+    /// stop unless roll-out time has no weight.
+    fn is_paced(&self, pool: PoolKey) -> bool {
+        let is_under_pressure = self.view.is_under_pressure.get(pool.index());
+        match self.counts.pool(pool) {
+            Some(counts) if is_under_pressure == Some(&true) => {
+                let total = counts.total;
+                let availability = self.view.budget.budget(pool).availability;
+                let permille = availability.pool_unavailable_max_permille;
+                let allowed = allowed_count(total.members_count, permille);
+                total.planned_count >= paced_count(allowed, self.weights)
+            }
+            _ => false,
+        }
+    }
+}
+
+fn paced_count(allowed_count: u32, weights: &MeasureWeights) -> u32 {
+    let allowed = u64::from(allowed_count);
+    let roll_out = u64::from(weights.roll_out_time);
+    let part = match roll_out + u64::from(weights.share_nearness) {
+        0 => allowed,
+        both => (allowed * roll_out).div_ceil(both),
+    };
+    u32::try_from(part).unwrap_or(allowed_count)
+}
+
+/// Returns whether no other instance of the pool can be stopped either.
+fn closes_pool(breach: BudgetBreach) -> bool {
+    matches!(
+        breach,
+        BudgetBreach::PoolBudget { .. } | BudgetBreach::PoolMinimum { .. }
+    )
+}
