--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod check_command;
 mod lists;
 mod settings;
+mod upkeep_budget;
