--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -1,7 +1,12 @@
 //! Exit codes of the program and the errors that subcommands end with.
 
+use std::backtrace::Backtrace;
+use std::panic::Location;
 use std::process::ExitCode;
 
+use error_stack::fmt::{Charset, ColorMode};
+use error_stack::Report;
+
 /// The exit codes as the help shows them.
 pub(crate) const HELP: &str = "\
 Exit codes:
@@ -77,3 +82,11 @@
         }
     }
 }
+
+/// Makes error reports plain text for operators, without places in the code.
+pub(crate) fn plain_reports() {
+    Report::set_color_mode(ColorMode::None);
+    Report::set_charset(Charset::Ascii);
+    Report::install_debug_hook::<Location<'static>>(|_, _| {});
+    Report::install_debug_hook::<Backtrace>(|_, _| {});
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,7 +7,7 @@
 use clap::{ArgMatches, Command};
 use error_stack::Report;
 
-pub(crate) use exit::{CmdError, Exit};
+pub(crate) use exit::{plain_reports, CmdError, Exit};
 
 /// What a subcommand ends with.
 pub(crate) type CmdResult = Result<Exit, Report<CmdError>>;
--- a/src/config_files.rs
+++ b/src/config_files.rs
@@ -79,63 +79,114 @@
         .iter()
         .map(|source| Document::parse(source.file, source.text))
         .collect();
-    let mut files = ConfigFiles::default();
+    let mut read = ReadFiles::default();
     let mut findings = Vec::new();
-    let mut found = [None; 3];
     for document in documents.iter().filter(|document| document.is_parsed()) {
+        findings.extend(read.add(document));
+    }
+    read.check_together();
+    let files = read.into_files();
+    findings.extend(documents.into_iter().flat_map(Document::into_findings));
+    settle(Some(files), findings)
+}
+
+/// Tells what a file is by its content; `None` if it cannot be parsed or is of no known kind.
+pub fn kind_of(source: &ConfigSource<'_>) -> Option<ConfigKind> {
+    recognise(&Document::parse(source.file, source.text))
+}
+
+/// A file as it was parsed, and what was read out of it.
+type ReadFile<'d, T> = (&'d Document<'d>, T);
+
+/// The files read so far.
+#[derive(Default)]
+struct ReadFiles<'d> {
+    plans: Option<ReadFile<'d, Plans>>,
+    entitlements: Option<ReadFile<'d, Entitlements>>,
+    fleet: Option<ReadFile<'d, FleetFile>>,
+    settings: Vec<ReadFile<'d, Settings>>,
+}
+
+impl<'d> ReadFiles<'d> {
+    /// Reads one file by its kind; the finding is about the file as a whole.
+    fn add(&mut self, document: &'d Document<'d>) -> Option<Finding> {
         let Some(kind) = recognise(document) else {
-            findings.push(Finding::of_file(
+            return Some(Finding::of_file(
                 document.file(),
                 "the file is no list, no fleet and no settings",
                 "write the fields of one of these, as in `examples/`",
             ));
-            continue;
         };
         let first = match kind {
-            ConfigKind::Plans => &mut found[0],
-            ConfigKind::Entitlements => &mut found[1],
-            ConfigKind::Fleet => &mut found[2],
+            ConfigKind::Plans => add_once(&mut self.plans, document, read_plans),
+            ConfigKind::Entitlements => {
+                add_once(&mut self.entitlements, document, read_entitlements)
+            }
+            ConfigKind::Fleet => add_once(&mut self.fleet, document, fleet_file::read),
             ConfigKind::Settings => {
-                files.settings.extend(settings::read(document));
-                continue;
+                let settings = settings::read(document);
+                self.settings.extend(settings.map(|read| (document, read)));
+                None
             }
         };
-        if let Some(first) = first.replace(document) {
-            findings.push(Finding::of_file(
+        first.map(|first| {
+            Finding::of_file(
                 document.file(),
                 &format!("`{}` is the {kind} file already", first.file()),
                 "name one file of this kind",
-            ));
+            )
+        })
+    }
+
+    /// Checks the files against each other, as far as they are there.
+    fn check_together(&self) {
+        if let (Some((plans_in, plans)), Some((entitlements_in, entitlements))) =
+            (&self.plans, &self.entitlements)
+        {
+            let lists = Lists {
+                plans: plans.clone(),
+                entitlements: entitlements.clone(),
+            };
+            cross::check_both(plans_in, entitlements_in, &lists);
+            if let Some((fleet_in, fleet)) = &self.fleet {
+                fleet_file::check_with_lists(fleet_in, plans_in, fleet, &lists);
+            }
+        }
+        if let Some((fleet_in, fleet)) = &self.fleet {
+            for (settings_in, settings) in &self.settings {
+                settings::check_with_fleet(settings_in, fleet_in, settings, fleet);
+            }
         }
     }
-    let [plans_in, entitlements_in, fleet_in] = found;
-    files.plans = plans_in.and_then(checked_plans);
-    files.entitlements = entitlements_in.and_then(checked_entitlements);
-    files.fleet = fleet_in.and_then(fleet_file::read);
-    if let (Some(plans_in), Some(entitlements_in), Some(lists)) =
-        (plans_in, entitlements_in, files.lists())
-    {
-        cross::check_both(plans_in, entitlements_in, &lists);
-        if let (Some(fleet_in), Some(fleet)) = (fleet_in, &files.fleet) {
-            fleet_file::check_with_lists(fleet_in, plans_in, fleet, &lists);
+
+    fn into_files(self) -> ConfigFiles {
+        ConfigFiles {
+            plans: self.plans.map(|(_, plans)| plans),
+            entitlements: self.entitlements.map(|(_, entitlements)| entitlements),
+            fleet: self.fleet.map(|(_, fleet)| fleet),
+            settings: self.settings.into_iter().map(|(_, read)| read).collect(),
         }
     }
-    findings.extend(documents.into_iter().flat_map(Document::into_findings));
-    settle(Some(files), findings)
 }
 
-/// Tells what a file is by its content; `None` if it cannot be parsed or is of no known kind.
-pub fn kind_of(source: &ConfigSource<'_>) -> Option<ConfigKind> {
-    recognise(&Document::parse(source.file, source.text))
+/// Reads a file into its slot, and returns the file that was there before.
+fn add_once<'d, T>(
+    slot: &mut Option<ReadFile<'d, T>>,
+    document: &'d Document<'d>,
+    read: impl Fn(&'d Document<'d>) -> Option<T>,
+) -> Option<&'d Document<'d>> {
+    let value = read(document)?;
+    let first = slot.replace((document, value));
+    first.map(|(document, _)| document)
 }
 
-fn checked_plans(document: &Document<'_>) -> Option<Plans> {
+fn read_plans(document: &Document<'_>) -> Option<Plans> {
     let plans = decode::plans(document)?;
     checks::check_plans(document, &plans);
     Some(plans)
 }
 
-fn checked_entitlements(document: &Document<'_>) -> Option<Entitlements> {
+fn read_entitlements(document: &Document<'_>) -> Option<Entitlements> {
     let entitlements = decode::entitlements(document)?;
     checks::check_entitlements(document, &entitlements);
     Some(entitlements)
--- a/src/fleet_file/layout.rs
+++ b/src/fleet_file/layout.rs
@@ -43,11 +43,12 @@
     /// Returns how many instances `pool` has in each availability zone.
     pub fn count_by_zone(&self, pool: &str) -> IndexMap<SmolStr, u32> {
         let mut counts = IndexMap::new();
-        for (pool_at, row) in self.pools.iter().enumerate() {
-            let indices = (0..row.instances_count).filter(|_| row.name == pool);
-            for zone in indices.filter_map(|index| zone_of(row, pool_at, index)) {
-                *counts.entry(SmolStr::new(zone)).or_default() += 1;
-            }
+        let mut pools = self.pools.iter().enumerate();
+        let Some((pool_at, pool)) = pools.find(|(_, row)| row.name == pool) else {
+            return counts;
+        };
+        for zone in (0..pool.instances_count).filter_map(|index| zone_of(pool, pool_at, index)) {
+            *counts.entry(SmolStr::new(zone)).or_default() += 1;
         }
         counts
     }
--- a/src/jsonc/document.rs
+++ b/src/jsonc/document.rs
@@ -54,8 +54,8 @@
                 document.line_at(error.range().start),
                 FindingKind::Syntax,
                 "",
-                &error.kind().to_string(),
-                "write JSON; comments and trailing commas are allowed",
+                &error.kind().to_string().to_lowercase(),
+                "write JSON; only comments and trailing commas may be added to it",
             ),
         }
         document
--- a/src/jsonc/fields.rs
+++ b/src/jsonc/fields.rs
@@ -122,7 +122,7 @@
 
     /// Reads a whole number within `range`.
     pub(crate) fn u64(&self, range: RangeInclusive<u64>) -> Option<u64> {
-        let bounds = format!("a whole number from {} to {}", range.start(), range.end());
+        let bounds = bounds(&range);
         let Some(number) = self.value.as_number_lit() else {
             self.wrong_type(&bounds);
             return None;
@@ -186,8 +186,8 @@
         Some(Place::new(self.document, &property.value, path))
     }
 
-    /// Returns a field, and reports it if it is not there.
-    pub(crate) fn required(&self, name: &str) -> Option<Place<'d>> {
+    /// Returns a field, and reports it if it is not there; `wanted` says what to write.
+    pub(crate) fn required(&self, name: &str, wanted: &str) -> Option<Place<'d>> {
         let place = self.get(name);
         if let (None, Some(object)) = (&place, self.object) {
             self.document.error_at(
@@ -195,25 +195,47 @@
                 FindingKind::MissingField,
                 &join(&self.path, name),
                 "the field is missing",
-                &format!("add `\"{name}\": ...`"),
+                &format!("add `\"{name}\"` with {wanted}"),
             );
         }
         place
     }
 
-    /// Reads a required array of objects or names, element by element.
+    /// Reads a required array, element by element.
     pub(crate) fn rows<T>(&self, name: &str, read: impl FnMut(Place<'d>) -> T) -> Vec<T> {
-        let elements = self.required(name).map(|place| place.elements());
-        elements.unwrap_or_default().into_iter().map(read).collect()
+        let elements = self.required(name, "an array, [ ... ]");
+        elements
+            .map(|place| place.elements())
+            .unwrap_or_default()
+            .into_iter()
+            .map(read)
+            .collect()
+    }
+
+    /// Reads a required object.
+    pub(crate) fn object<T>(&self, name: &str, read: impl FnOnce(Place<'d>) -> T) -> Option<T> {
+        self.required(name, "an object, { ... }").map(read)
     }
 
     /// Reads a required name; a fault reads as the empty name, which no check looks at again.
     pub(crate) fn name(&self, name: &str) -> SmolStr {
-        self.required(name)
+        self.required(name, "a name in double quotes")
             .and_then(|place| place.name())
             .unwrap_or_default()
     }
 
+    /// Reads a required whole number within `range`.
+    pub(crate) fn u64(&self, name: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let place = self.required(name, &bounds(&range));
+        place.and_then(|place| place.u64(range))
+    }
+
+    /// Reads a required whole number within `range`.
+    pub(crate) fn u32(&self, name: &str, range: RangeInclusive<u32>) -> Option<u32> {
+        let place = self.required(name, &bounds(&range));
+        place.and_then(|place| place.u32(range))
+    }
+
     /// Reads a truth value that is false if it is not there.
     pub(crate) fn flag(&self, name: &str) -> bool {
         self.get(name)
@@ -221,3 +243,8 @@
             .unwrap_or_default()
     }
 }
+
+/// Says in words which numbers are within `range`.
+fn bounds<N: std::fmt::Display>(range: &RangeInclusive<N>) -> String {
+    format!("a whole number from {} to {}", range.start(), range.end())
+}
--- a/src/lists/decode.rs
+++ b/src/lists/decode.rs
@@ -17,6 +17,8 @@
 const START_TARGET_MS: RangeInclusive<u64> = 1..=86_400_000;
 /// Bounds of a part that must not be zero, in thousandths.
 const PART_PERMILLE: RangeInclusive<u32> = 1..=1_000;
+/// What a broken part reads as, in thousandths.
+const STAND_IN_PERMILLE: u32 = 999;
 /// Bounds of the weight of a measure.
 const MEASURE_WEIGHT: RangeInclusive<u32> = 0..=1_000;
 /// Bounds of the number of instances that a pool keeps.
@@ -56,22 +58,25 @@
         "availability",
     ]);
     let number = |name, range: RangeInclusive<u32>| {
-        let default = *range.end();
-        let place = fields.required(name);
-        place.and_then(|place| place.u32(range)).unwrap_or(default)
+        let stand_in = *range.end();
+        fields.u32(name, range).unwrap_or(stand_in)
     };
     Plan {
         name: fields.name("name"),
         share_weight: number("share_weight", SHARE_WEIGHT),
         running_max_requests: number("running_max_requests", RUNNING_MAX_REQUESTS),
         start_target_ms: fields
-            .required("start_target_ms")
-            .and_then(|place| place.u64(START_TARGET_MS))
+            .u64("start_target_ms", START_TARGET_MS)
             .unwrap_or(*START_TARGET_MS.end()),
-        on_time_target_permille: number("on_time_target_permille", PART_PERMILLE),
+        on_time_target_permille: fields
+            .u32("on_time_target_permille", PART_PERMILLE)
+            .unwrap_or(STAND_IN_PERMILLE),
         availability: fields
-            .required("availability")
-            .map_or(AvailabilityBudget::WHOLE, availability),
+            .object("availability", availability)
+            .unwrap_or(AvailabilityBudget {
+                pool_unavailable_max_permille: STAND_IN_PERMILLE,
+                zone_unavailable_max_permille: STAND_IN_PERMILLE,
+            }),
     }
 }
 
@@ -81,10 +86,8 @@
         "zone_unavailable_max_permille",
     ]);
     let part = |name| {
-        let place = fields.required(name);
-        place
-            .and_then(|place| place.u32(PART_PERMILLE))
-            .unwrap_or(*PART_PERMILLE.end())
+        let part = fields.u32(name, PART_PERMILLE);
+        part.unwrap_or(STAND_IN_PERMILLE)
     };
     AvailabilityBudget {
         pool_unavailable_max_permille: part("pool_unavailable_max_permille"),
@@ -136,8 +139,7 @@
         name: fields.name("name"),
         is_spare: fields.flag("is_spare"),
         instances_min_count: fields
-            .required("instances_min_count")
-            .and_then(|place| place.u32(INSTANCES_MIN_COUNT))
+            .u32("instances_min_count", INSTANCES_MIN_COUNT)
             .unwrap_or(*INSTANCES_MIN_COUNT.end()),
     }
 }
@@ -157,23 +159,23 @@
     Entitlement {
         plan: fields.name("plan"),
         queues: fields.rows("queues", |place| place.name().unwrap_or_default()),
-        request_max: fields
-            .required("request_max")
-            .map(resources)
-            .unwrap_or_default(),
+        request_max: fields.object("request_max", resources).unwrap_or_default(),
     }
 }
 
 /// Reads a bundle of resources; accelerators may be left out.
 pub(crate) fn resources(place: Place<'_>) -> Resources {
     let fields = place.fields(&["cores_milli", "memory_mb", "accelerators_count"]);
-    let number = |place: Option<Place<'_>>, range: RangeInclusive<u64>| {
-        let default = *range.start();
-        place.and_then(|place| place.u64(range)).unwrap_or(default)
+    let number = |name, range: RangeInclusive<u64>| {
+        let stand_in = *range.start();
+        fields.u64(name, range).unwrap_or(stand_in)
     };
     Resources {
-        cores_milli: number(fields.required("cores_milli"), CORES_MILLI),
-        memory_mb: number(fields.required("memory_mb"), MEMORY_MB),
-        accelerators_count: number(fields.get("accelerators_count"), ACCELERATORS_COUNT),
+        cores_milli: number("cores_milli", CORES_MILLI),
+        memory_mb: number("memory_mb", MEMORY_MB),
+        accelerators_count: fields
+            .get("accelerators_count")
+            .and_then(|place| place.u64(ACCELERATORS_COUNT))
+            .unwrap_or_default(),
     }
 }
--- a/src/lists/types.rs
+++ b/src/lists/types.rs
@@ -57,12 +57,6 @@
 }
 
 impl AvailabilityBudget {
-    /// The budget that allows everything to be unavailable at once.
-    pub const WHOLE: Self = Self {
-        pool_unavailable_max_permille: 1_000,
-        zone_unavailable_max_permille: 1_000,
-    };
-
     /// Returns how many of the `instances_count` instances of a pool may be unavailable at once.
     pub fn pool_unavailable_max_count(&self, instances_count: u32) -> u32 {
         part_rounded_down(instances_count, self.pool_unavailable_max_permille)
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod numbers;
 mod read;
+mod with_fleet;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -15,6 +16,7 @@
 
 pub use numbers::{NumberField, NUMBER_FIELDS};
 pub(crate) use read::{field_names, read};
+pub(crate) use with_fleet::check_with_fleet;
 
 /// How much is logged.
 #[derive(
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -34,8 +34,9 @@
     let names: Vec<&str> = field_names().collect();
     let fields = document.root()?.fields(&names);
     let mut settings = Settings::default();
-    let own = |name| fields.required(name).and_then(|place| address(&place));
-    let other = |name| fields.required(name).and_then(|place| reached(&place));
+    let required = |name| fields.required(name, "an address such as `10.0.1.7:7100`");
+    let own = |name| required(name).and_then(|place| address(&place));
+    let other = |name| required(name).and_then(|place| reached(&place));
     let default = settings.callers_address;
     settings.zone = fields.name("zone");
     settings.region = fields.name("region");
@@ -44,7 +45,7 @@
     settings.operators_address = own("operators_address").unwrap_or(default);
     settings.instance_list_address = other("instance_list_address").unwrap_or(default);
     settings.log_addresses = fields
-        .required("log_addresses")
+        .required("log_addresses", "an array of addresses")
         .map_or(Vec::new(), all_reached);
     settings.peer_addresses = fields.get("peer_addresses").map_or(Vec::new(), all_reached);
     settings.log_file = fields.get("log_file").and_then(|place| log_file(&place));
