--- a/tests/testsuite/lists.rs
+++ b/tests/testsuite/lists.rs
@@ -5,6 +5,7 @@
 use hawthornladder::findings::{Finding, FindingKind, Severity};
 use hawthornladder::lists::{check_texts, diff};
 use proptest::prelude::*;
+use strum::IntoEnumIterator;
 
 /// Checks the files of an example after `edits`, each a text to find and what to put in its place.
 fn findings_after(example: &Example, edits: &[(&str, &str)]) -> Vec<Finding> {
@@ -278,6 +279,63 @@
     );
 }
 
+#[test]
+fn lists_as_they_are_shown_can_be_checked_again() {
+    let lists = DENMARK.load().expect("no errors").0 .0;
+    let plans = serde_json::to_string_pretty(&lists.plans).expect("JSON");
+    let entitlements = serde_json::to_string_pretty(&lists.entitlements).expect("JSON");
+    let sources = [plans, entitlements];
+    let sources = sources
+        .each_ref()
+        .map(|text| ConfigSource { file: "f", text });
+    assert_eq!(check_texts(&sources), Ok((lists, Vec::new())));
+}
+
+#[test]
+fn demand_is_checked_against_the_settings_of_an_entry() {
+    let edits = [
+        (
+            "\"log_level\"",
+            "\"run_max_ms\": 500, \"body_max_bytes\": 65535, \"log_level\"",
+        ),
+        ("\"zone\": \"lahore-a\"", "\"zone\": \"lahore-e\""),
+    ];
+    let findings = findings_after(&LAHORE, &edits);
+    assert_found(
+        &findings,
+        FindingKind::CannotHold,
+        "demand[6].run_ms",
+        "500 or less",
+    );
+    assert_found(
+        &findings,
+        FindingKind::CannotHold,
+        "demand[7].body_bytes",
+        "65535 or less",
+    );
+    assert_found(
+        &findings,
+        FindingKind::DanglingReference,
+        "zone",
+        "`lahore-a`",
+    );
+}
+
+#[test]
+fn the_reference_names_each_field_and_each_kind_of_finding() {
+    let reference = include_str!("../../docs/lists.md");
+    for text in [LAHORE.plans, LAHORE.entitlements, LAHORE.fleet] {
+        let names = text.split('"').skip(1).step_by(2);
+        let fields = names.zip(text.split('"').skip(2).step_by(2));
+        for (name, _) in fields.filter(|(_, after)| after.starts_with(':')) {
+            assert!(reference.contains(name), "{name}");
+        }
+    }
+    for kind in FindingKind::iter() {
+        assert!(reference.contains(&format!("| `{kind}` |")), "{kind}");
+    }
+}
+
 /// Texts near to valid ones: an example with a piece cut out and another put in.
 fn damaged_text() -> impl Strategy<Value = String> {
     let texts: Vec<&'static str> = EXAMPLES
