--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -66,12 +66,7 @@
         own: &SeatId,
     ) -> bool {
         let is_heard = |seat: &SeatId| {
-            seat == own
-                || is_fresh(
-                    self.peers_heard_ms.get(seat).copied(),
-                    now_ms,
-                    max_age_ms,
-                )
+            seat == own || is_fresh(self.peers_heard_ms.get(seat).copied(), now_ms, max_age_ms)
         };
         let live_count = ledger.seats.iter_live().count();
         let heard_count = ledger
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -2,16 +2,20 @@
 //! go in, actions come out; the threads of the daemon, the embedded platform and the tests drive the
 //! same code.
 
+use std::collections::BTreeSet;
+
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smol_str::{format_smolstr, SmolStr};
+use uuid::Uuid;
 
 use crate::{
     callers::{CallId, CallerAnswer},
     entry::{
         contact::Contact,
         counts::Counts,
+        dispatch::OrphanClaims,
         escrow::EscrowKeeper,
         event::{Action, Event, Now, Source},
         gossip::Gossip,
@@ -24,11 +28,11 @@
         workers::Workers,
     },
     error::ErrorKind,
-    fleet::{MonoMs, Offset, QueueName, TeamName},
+    fleet::{InstanceName, MonoMs, Offset, QueueName, TeamName},
     ledger::{Effect, KeyId, Ledger, SeatChange, SeatId, Verdict},
     policy::{
         health::Health,
-        keys::{PeerKey, TeamKey},
+        keys::{PeerKey, PoolKey, TeamKey},
         placement::{Placement, PlacementSettings},
         queue::WaitQueue,
         retry::RetryBudget,
@@ -55,6 +59,8 @@
     pub(crate) incarnation: SmolStr,
     pub(crate) seat: SeatId,
     seats_opened_count: u32,
+    /// Whether the opening of the seat was folded.
+    is_seated: bool,
     pub(crate) ledger: Ledger,
     pub(crate) reader: Reader,
     snapshots: SnapshotWriter,
@@ -72,6 +78,13 @@
     pub(crate) queues: IndexSet<QueueName>,
     lists_version: u64,
     pub(crate) workers: Workers,
+    pub(crate) workers_of_pool_changed: IndexSet<PoolKey>,
+    /// Workers that are left alone until the time named.
+    pub(crate) held: BTreeSet<(MonoMs, InstanceName)>,
+    pub(crate) orphan_claims: OrphanClaims,
+    /// Callers that wait for their job's record.
+    pub(crate) submissions: IndexMap<(TeamName, Uuid), CallId>,
+    pub(crate) jobs_polled_ms: MonoMs,
     pub(crate) requests: Requests,
     pub(crate) wait: WaitQueue,
     pub(crate) usage: UsageView,
@@ -111,6 +124,7 @@
             now: Now::default(),
             incarnation: seat.clone(),
             seats_opened_count: 0,
+            is_seated: false,
             ledger: Ledger::default(),
             reader: Reader::new(),
             snapshots: SnapshotWriter::default(),
@@ -128,6 +142,11 @@
             queues: IndexSet::new(),
             lists_version: 0,
             workers,
+            workers_of_pool_changed: IndexSet::new(),
+            held: BTreeSet::new(),
+            orphan_claims: OrphanClaims::new(),
+            submissions: IndexMap::new(),
+            jobs_polled_ms: 0,
             requests: Requests::default(),
             wait: WaitQueue::new(settings.queue, settings.seed),
             usage: UsageView::new(settings.share),
@@ -230,13 +249,7 @@
 
     // The log.
 
-    fn read_page(
-        &mut self,
-        sent_ms: MonoMs,
-        from_offset: Offset,
-        page: &LogPage,
-        source: &Source,
-    ) {
+    fn read_page(&mut self, sent_ms: MonoMs, from_offset: Offset, page: &LogPage, source: &Source) {
         let was_silent = !self
             .contact
             .is_log_fresh(self.now.mono_ms, self.settings.config_stale_max_ms);
@@ -280,6 +293,12 @@
         self.lists_version = 0;
         self.sync_lists();
         self.sync_all_workers();
+        // What this seat had on the way may be inside the new state, unseen.
+        if self.seats_opened_count > 0 {
+            self.counts.seats_lost_count += 1;
+            self.drop_claims_of_lost_seat();
+            self.open_seat();
+        }
     }
 
     fn sync_lists(&mut self) {
@@ -329,8 +348,10 @@
 
     fn fold_own_batch(&mut self, seq: u64, changes: &[SeatChange]) {
         let sent_ms = self.proposer.folded(seq);
-        let is_renewal =
-            |change: &SeatChange| matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. });
+        self.is_seated = true;
+        let is_renewal = |change: &SeatChange| {
+            matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. })
+        };
         if let Some(sent_ms) = sent_ms.filter(|_| changes.iter().any(is_renewal)) {
             self.lease.renewed(sent_ms);
         }
@@ -360,10 +381,7 @@
                 tell!(self, "seat_expired", seat = target);
                 self.lose_seat_if_ended();
             }
-            (
-                SeatChange::InstanceSeen { row },
-                Verdict::Accepted,
-            ) => self.sync_worker(&row.name),
+            (SeatChange::InstanceSeen { row }, Verdict::Accepted) => self.sync_worker(&row.name),
             (
                 SeatChange::InstanceGone { name, .. }
                 | SeatChange::Standing { name, .. }
@@ -391,6 +409,7 @@
 
     fn open_seat(&mut self) {
         self.seats_opened_count += 1;
+        self.is_seated = false;
         self.seat = match self.seats_opened_count {
             1 => self.incarnation.clone(),
             count => format_smolstr!("{}.{count}", self.incarnation),
@@ -403,18 +422,19 @@
             zone: self.settings.zone.clone(),
             lease_ms: self.settings.seat_lease_ms,
         });
+        let withdrawn: Vec<KeyId> = self.withdrawn.iter().cloned().collect();
+        for key_id in withdrawn {
+            self.propose(SeatChange::WithdrawKey { key_id });
+        }
         tell!(self, "seat_opening", seat = self.seat);
     }
 
     /// Takes a new seat if the others have declared this one lapsed.
     fn lose_seat_if_ended(&mut self) {
-        if self.is_closing || self.seats_opened_count == 0 {
+        if self.is_closing {
             return;
         }
-        let is_unfolded = self.ledger.seats.get(&self.seat).is_none()
-            && self.lease.left_ms(self.now.mono_ms) == 0
-            && self.counts.seats_lost_count + 1 < u64::from(self.seats_opened_count);
-        if self.ledger.seats.live(&self.seat).is_some() || is_unfolded {
+        if !self.is_seated || self.ledger.seats.live(&self.seat).is_some() {
             return;
         }
         self.counts.seats_lost_count += 1;
@@ -436,7 +456,9 @@
         let max_age_ms = self.settings.config_stale_max_ms;
         if self.contact.is_log_fresh(now_ms, max_age_ms) {
             let run_max_ms = crate::ledger::RUN_MAX_MS;
-            let changes = self.watch.poll(now_ms, &self.ledger, &self.seat, run_max_ms);
+            let changes = self
+                .watch
+                .poll(now_ms, &self.ledger, &self.seat, run_max_ms);
             for change in changes {
                 self.propose(change);
             }
@@ -669,7 +691,13 @@
     ) {
         let answer = CallerAnswer::failed(self.settings.entry.clone(), kind, retry_after_ms)
             .with_detail(detail);
-        tell!(self, "refused", call = call_id, kind = kind, detail = detail);
+        tell!(
+            self,
+            "refused",
+            call = call_id,
+            kind = kind,
+            detail = detail
+        );
         self.answer(call_id, answer);
     }
 }
--- a/src/entry/escrow.rs
+++ b/src/entry/escrow.rs
@@ -52,9 +52,10 @@
             .escrow
             .get(team)
             .map_or(0, |escrow| escrow.allowance_requests(seat));
-        let reserved = self.holds.get(team).map_or(0, |hold| {
-            hold.leaving_requests + hold.owed_requests
-        });
+        let reserved = self
+            .holds
+            .get(team)
+            .map_or(0, |hold| hold.leaving_requests + hold.owed_requests);
         allowance.saturating_sub(reserved)
     }
 
--- a/src/entry/proposer.rs
+++ b/src/entry/proposer.rs
@@ -81,6 +81,7 @@
 
     /// Returns the record to append now, if one is due.
     pub(crate) fn poll(&mut self, now_ms: MonoMs) -> Option<Outgoing> {
+        let is_due = self.is_due(now_ms);
         match &mut self.flight {
             Some(flight) if flight.resend_at_ms.is_some_and(|at| at <= now_ms) => {
                 flight.resend_at_ms = None;
@@ -90,7 +91,7 @@
                 })
             }
             Some(_) => None,
-            None if self.waiting.is_empty() || !self.is_due(now_ms) => None,
+            None if self.waiting.is_empty() || !is_due => None,
             None => Some(self.send_next(now_ms)),
         }
     }
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -128,7 +128,11 @@
             () if oldest == 0 && head <= LOOK_BACK_RECORDS && ledger.next_offset == 0 => {
                 Phase::Following
             }
-            () => scanning(head.saturating_sub(LOOK_BACK_RECORDS).max(oldest), head, oldest),
+            () => scanning(
+                head.saturating_sub(LOOK_BACK_RECORDS).max(oldest),
+                head,
+                oldest,
+            ),
         };
     }
 
@@ -145,7 +149,8 @@
             return Progress::default();
         };
         *oldest = (*oldest).max(page.oldest_offset);
-        for record in page.records.iter().filter(|record| record.offset >= *next) {
+        let first = *next;
+        for record in page.records.iter().filter(|record| record.offset >= first) {
             if let Some(newer) = snapshot_in(parts, record) {
                 *found = Some(newer);
             }
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -130,9 +130,7 @@
     }
 
     pub(crate) fn find(&self, team: &TeamName, request_id: &SmolStr) -> Option<RequestKey> {
-        self.by_id
-            .get(&(team.clone(), request_id.clone()))
-            .copied()
+        self.by_id.get(&(team.clone(), request_id.clone())).copied()
     }
 
     pub(crate) fn find_call(&self, call_id: CallId) -> Option<RequestKey> {
--- a/src/entry/seat.rs
+++ b/src/entry/seat.rs
@@ -96,7 +96,8 @@
         own: &SeatId,
         run_max_ms: u64,
     ) -> Vec<SeatChange> {
-        self.seats.retain(|seat, _| ledger.seats.get(seat).is_some());
+        self.seats
+            .retain(|seat, _| ledger.seats.get(seat).is_some());
         let mut changes = Vec::new();
         for (seat, row) in ledger.seats.iter().filter(|(seat, _)| *seat != own) {
             let (offset, wait_ms) = match row.state {
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -21,15 +21,15 @@
 };
 
 /// Settings that every reader must share, so they are constants of the protocol.
-pub(crate) mod protocol {
+pub mod protocol {
     /// How long a request id may be repeated, counted from the time inside it, in milliseconds.
-    pub(crate) const CLAIM_WINDOW_MS: u64 = 600_000;
+    pub const CLAIM_WINDOW_MS: u64 = 600_000;
     /// How far in the future the time inside a request id may lie, in milliseconds.
     pub(crate) const CLAIM_AHEAD_MAX_MS: u64 = 60_000;
     /// Longest task lease that an entry may start, in milliseconds.
-    pub(crate) const RUN_MAX_MS: u64 = 60_000;
+    pub const RUN_MAX_MS: u64 = 60_000;
     /// How long an ended or overdue job is kept after its deadline, in milliseconds.
-    pub(crate) const JOB_KEPT_MS: u64 = 600_000;
+    pub const JOB_KEPT_MS: u64 = 600_000;
     /// Records between two sweeps of what is to be forgotten.
     pub(crate) const FORGET_EVERY_RECORDS: u64 = 256;
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -15,7 +15,10 @@
 
 pub use claims::{issued_at_unix_ms, ClaimRow, ClaimState, Claims};
 pub use escrow::{Escrow, TeamEscrow};
-pub use fold::{Effect, Ledger, Verdict};
+pub use fold::{
+    protocol::{CLAIM_WINDOW_MS, JOB_KEPT_MS, RUN_MAX_MS},
+    Effect, Ledger, Verdict,
+};
 pub use instances::{InstanceEntry, Instances, StopWhy};
 pub use jobs::{JobEntry, JobRow, JobState, Jobs};
 pub use keys::{KeyId, KeyRow, Keys};
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -79,6 +79,8 @@
 pub struct WorkerRequest {
     /// Unique for each attempt; the answer must carry it.
     pub attempt_id: SmolStr,
+    /// Incarnation that is meant; another one at the same address must refuse.
+    pub incarnation: SmolStr,
     /// Caller's id of the request.
     pub request_id: SmolStr,
     /// Team, or empty for work from a queue open to all.
@@ -125,6 +127,8 @@
     Late,
     /// The size is more than the worker has.
     TooLarge,
+    /// Another incarnation answers at the address.
+    WrongIncarnation,
     /// No connection could be made, so nothing was sent.
     Unreachable,
 }
