--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,1 +1,8 @@
-//! Adapters: the ports over HTTP and JSON-RPC.
+//! Adapters: the ports over HTTP and JSON-RPC, and the clocks of the machine.
+
+pub mod clock;
+pub mod http_client;
+pub mod instances_http;
+pub mod log_http;
+pub mod worker_answer;
+pub mod workers_http;
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,383 @@
+//! The log service in memory: dense offsets, a time stamp for each record, limited retention, a
+//! limited rate of appends, and faults that can be set while it runs.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::adapters::clock::SystemClock;
+use crate::fleet::{Offset, UnixMs};
+use crate::ports::{Clock, LogPage, LogPort, LogRecord, PortError};
+
+/// Most records that one append may hold.
+pub const APPEND_MAX_RECORDS: usize = 1_024;
+/// Most bytes that the records of one append may hold together.
+pub const APPEND_MAX_BYTES: usize = 256 * 1_024;
+/// Most records that one page holds.
+pub const PAGE_MAX_RECORDS: usize = 4_096;
+/// Bytes of records after which a page ends.
+pub const PAGE_MAX_BYTES: usize = 512 * 1_024;
+/// Longest time that a read waits.
+pub const READ_WAIT_MAX_MS: u64 = 30_000;
+/// Longest time that an append waits for its turn before it is refused.
+const APPEND_WAIT_MAX_MS: u64 = 1_000;
+/// Most appends that may be on their way to land late.
+const LATE_MAX_COUNT: u32 = 64;
+const US_PER_S: u64 = 1_000_000;
+const US_PER_MS: u64 = 1_000;
+
+/// Limits of the log service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogLimits {
+    /// Appends taken in a second.
+    pub appends_per_s: u64,
+    /// Records kept at most.
+    pub records_max_count: usize,
+    /// Age after which a record is trimmed.
+    pub record_age_max_ms: u64,
+}
+
+impl Default for LogLimits {
+    fn default() -> Self {
+        Self {
+            appends_per_s: 400,
+            records_max_count: 200_000,
+            record_age_max_ms: 24 * 60 * 60 * 1_000,
+        }
+    }
+}
+
+/// Faults of the log service. Counts fall by one with each append that they strike.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Every call fails without effect.
+    pub is_down: bool,
+    /// Appends are refused without effect; reads go on.
+    pub is_refusing: bool,
+    /// Every call takes this much longer.
+    pub delay_ms: u64,
+    /// Reads show the log as it was this long ago.
+    pub stale_ms: u64,
+    /// Appends that take effect and lose their answer.
+    pub answer_lost_count: u32,
+    /// Appends that land twice.
+    pub doubled_count: u32,
+    /// Appends that lose their answer at once and land after `late_ms`.
+    pub late_count: u32,
+    /// How long a late append takes to land.
+    pub late_ms: u64,
+}
+
+/// What the log service counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogCounts {
+    /// Appends that took effect.
+    pub appends_count: u64,
+    /// Bytes appended.
+    pub appended_bytes: u64,
+    /// Appends refused.
+    pub refused_count: u64,
+    /// Reads answered.
+    pub reads_count: u64,
+    /// Faults that struck an append.
+    pub faults_count: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    limits: LogLimits,
+    faults: LogFaults,
+    counts: LogCounts,
+    records: VecDeque<LogRecord>,
+    head_offset: Offset,
+    next_append_at_us: u64,
+    late_pending_count: u32,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    landed: Condvar,
+}
+
+/// The log service in memory; clones share one log.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryLog {
+    shared: Arc<Shared>,
+}
+
+/// What befalls one append.
+enum Fate {
+    Lands,
+    LandsUnheard,
+    LandsTwice,
+    LandsLate(u64),
+}
+
+impl MemoryLog {
+    /// Opens an empty log.
+    pub fn open(limits: LogLimits) -> Self {
+        let log = Self::default();
+        log.lock().limits = limits;
+        log
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.lock().faults = faults;
+        self.shared.landed.notify_all();
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> LogFaults {
+        self.lock().faults
+    }
+
+    /// Returns what was counted so far.
+    pub fn counts(&self) -> LogCounts {
+        self.lock().counts
+    }
+
+    /// Trims every record before `oldest_offset`, as retention does.
+    pub fn trim_before(&self, oldest_offset: Offset) {
+        let mut state = self.lock();
+        while state
+            .records
+            .front()
+            .is_some_and(|record| record.offset < oldest_offset)
+        {
+            state.records.pop_front();
+        }
+    }
+
+    /// Returns the offset that the next append will get.
+    pub fn head_offset(&self) -> Offset {
+        self.lock().head_offset
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn delay(&self) {
+        let delay_ms = self.lock().faults.delay_ms;
+        if delay_ms > 0 {
+            thread::sleep(Duration::from_millis(delay_ms));
+        }
+    }
+
+    /// Waits for the append's turn under the rate limit.
+    fn wait_for_turn(&self) -> Result<(), PortError> {
+        let now_us = SystemClock.mono_ms() * US_PER_MS;
+        let mut state = self.lock();
+        let at_us = state.next_append_at_us.max(now_us);
+        let wait_us = at_us - now_us;
+        if wait_us > APPEND_WAIT_MAX_MS * US_PER_MS {
+            state.counts.refused_count += 1;
+            return Err(PortError::Refused("over_rate".into()));
+        }
+        state.next_append_at_us = at_us + US_PER_S / state.limits.appends_per_s.max(1);
+        drop(state);
+        if wait_us > 0 {
+            thread::sleep(Duration::from_micros(wait_us));
+        }
+        Ok(())
+    }
+
+    fn land(&self, payloads: &[String]) -> Offset {
+        let now_unix_ms = SystemClock.unix_ms();
+        let offset = self.lock().land(payloads, now_unix_ms);
+        self.shared.landed.notify_all();
+        offset
+    }
+
+    fn land_late(&self, payloads: &[String], late_ms: u64) {
+        let log = self.clone();
+        let payloads = payloads.to_vec();
+        self.lock().late_pending_count += 1;
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(late_ms));
+            log.land(&payloads);
+            log.lock().late_pending_count -= 1;
+        });
+    }
+}
+
+impl LogPort for MemoryLog {
+    fn append(&self, payloads: &[String]) -> Result<Offset, PortError> {
+        self.delay();
+        self.lock().admit(payloads)?;
+        self.wait_for_turn()?;
+        let fate = self.lock().draw_fate()?;
+        match fate {
+            Fate::Lands => Ok(self.land(payloads)),
+            Fate::LandsUnheard => {
+                self.land(payloads);
+                Err(PortError::AnswerLost("answer_lost".into()))
+            }
+            Fate::LandsTwice => {
+                let offset = self.land(payloads);
+                self.land(payloads);
+                Ok(offset)
+            }
+            Fate::LandsLate(late_ms) => {
+                self.land_late(payloads, late_ms);
+                Err(PortError::AnswerLost("late".into()))
+            }
+        }
+    }
+
+    fn read(&self, from_offset: Offset, wait_ms: u64) -> Result<LogPage, PortError> {
+        self.delay();
+        let deadline_ms = SystemClock.mono_ms() + wait_ms.min(READ_WAIT_MAX_MS);
+        let mut state = self.lock();
+        loop {
+            let page = state.page(from_offset, SystemClock.unix_ms())?;
+            let left_ms = deadline_ms.saturating_sub(SystemClock.mono_ms());
+            if !page.records.is_empty() || left_ms == 0 {
+                state.counts.reads_count += 1;
+                return Ok(page);
+            }
+            // A stale view changes by the passing of time alone, without a wake-up.
+            let step_ms = match state.faults.stale_ms {
+                0 => left_ms,
+                _ => left_ms.min(10),
+            };
+            state = self
+                .shared
+                .landed
+                .wait_timeout(state, Duration::from_millis(step_ms))
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+impl State {
+    fn admit(&mut self, payloads: &[String]) -> Result<(), PortError> {
+        let refusal = match () {
+            () if self.faults.is_down => return Err(PortError::NotSent("down".into())),
+            () if self.faults.is_refusing => "refusing",
+            () if payloads.is_empty() => "empty",
+            () if payloads.len() > APPEND_MAX_RECORDS => "too_many_records",
+            () if payloads.iter().map(String::len).sum::<usize>() > APPEND_MAX_BYTES => "too_large",
+            () => return Ok(()),
+        };
+        self.counts.refused_count += 1;
+        Err(PortError::Refused(SmolStr::new_static(refusal)))
+    }
+
+    /// Decides what befalls the append whose turn it is, and uses up the fault that strikes it.
+    fn draw_fate(&mut self) -> Result<Fate, PortError> {
+        let faults = &mut self.faults;
+        let fate = match () {
+            // The outage may have begun while the append waited for its turn.
+            () if faults.is_down => return Err(PortError::NotSent("down".into())),
+            () if faults.late_count > 0 && self.late_pending_count < LATE_MAX_COUNT => {
+                faults.late_count -= 1;
+                Fate::LandsLate(faults.late_ms)
+            }
+            () if faults.answer_lost_count > 0 => {
+                faults.answer_lost_count -= 1;
+                Fate::LandsUnheard
+            }
+            () if faults.doubled_count > 0 => {
+                faults.doubled_count -= 1;
+                Fate::LandsTwice
+            }
+            () => return Ok(Fate::Lands),
+        };
+        self.counts.faults_count += 1;
+        Ok(fate)
+    }
+
+    fn land(&mut self, payloads: &[String], at_unix_ms: UnixMs) -> Offset {
+        let first_offset = self.head_offset;
+        for payload in payloads {
+            self.counts.appended_bytes += payload.len() as u64;
+            self.records.push_back(LogRecord {
+                offset: self.head_offset,
+                at_unix_ms,
+                payload: Arc::from(payload.as_str()),
+            });
+            self.head_offset += 1;
+        }
+        self.counts.appends_count += 1;
+        self.trim(at_unix_ms);
+        first_offset
+    }
+
+    fn trim(&mut self, now_unix_ms: UnixMs) {
+        let oldest_kept_unix_ms = now_unix_ms.saturating_sub(self.limits.record_age_max_ms);
+        while self.records.front().is_some_and(|record| {
+            self.records.len() > self.limits.records_max_count
+                || record.at_unix_ms < oldest_kept_unix_ms
+        }) {
+            self.records.pop_front();
+        }
+    }
+
+    fn oldest_offset(&self) -> Offset {
+        self.records
+            .front()
+            .map_or(self.head_offset, |record| record.offset)
+    }
+
+    /// Returns the head as readers see it, which a stale view puts back.
+    fn visible_head_offset(&self, now_unix_ms: UnixMs) -> Offset {
+        let seen_until_unix_ms = now_unix_ms.saturating_sub(self.faults.stale_ms);
+        match self.faults.stale_ms {
+            0 => self.head_offset,
+            _ => self
+                .records
+                .iter()
+                .rev()
+                .find(|record| record.at_unix_ms <= seen_until_unix_ms)
+                .map_or(self.oldest_offset(), |record| record.offset + 1),
+        }
+    }
+
+    fn page(&mut self, from_offset: Offset, now_unix_ms: UnixMs) -> Result<LogPage, PortError> {
+        if self.faults.is_down {
+            return Err(PortError::NotSent("down".into()));
+        }
+        self.trim(now_unix_ms);
+        let oldest_offset = self.oldest_offset();
+        if from_offset < oldest_offset {
+            return Err(PortError::Trimmed { oldest_offset });
+        }
+        let head_offset = self.visible_head_offset(now_unix_ms);
+        Ok(LogPage {
+            records: self.records_between(from_offset, head_offset),
+            head_offset,
+            oldest_offset,
+        })
+    }
+
+    fn records_between(&self, from_offset: Offset, head_offset: Offset) -> Vec<LogRecord> {
+        let skip_count = usize::try_from(from_offset - self.oldest_offset()).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        self.records
+            .iter()
+            .skip(skip_count)
+            .take(PAGE_MAX_RECORDS)
+            .take_while(|record| record.offset < head_offset)
+            .take_while(|record| {
+                // The first record always passes, so that a page makes progress.
+                let is_room = bytes < PAGE_MAX_BYTES;
+                bytes += record.payload.len();
+                is_room
+            })
+            .cloned()
+            .collect()
+    }
+}
