--- /dev/null
+++ b/src/entry/jobs.rs
@@ -0,0 +1,327 @@
+//! Work accepted for later. A job is accepted once its record is folded, so it survives the entry
+//! that took it; whichever seat owns it runs it, and its end and answer are put on record.
+
+use std::sync::Arc;
+
+use base64::{engine::general_purpose::STANDARD as BASE64, Engine as _};
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::{
+    callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch, RanOn},
+    entry::{
+        admission::{self, Admitted},
+        dispatch::deadline_unix_ms,
+        engine::Engine,
+        requests::{Origin, Request, Stage},
+    },
+    error::{ErrorKind, RunState},
+    fleet::{Resources, TeamName},
+    ledger::{JobEntry, JobRow, JobState, SeatChange, Verdict},
+    policy::lane::Waiting,
+};
+
+/// Time between two looks for jobs whose owner has ended, in milliseconds.
+const ADOPT_EVERY_MS: u64 = 500;
+
+impl Engine {
+    /// Puts a job on record; the caller is answered when the record is folded.
+    pub(crate) fn submit_job(
+        &mut self,
+        call_id: CallId,
+        request: &CallerRequest,
+        admitted: &Admitted,
+    ) {
+        let Some(request_id) = admitted.claim_id else {
+            return self.refuse(call_id, ErrorKind::MalformedRequest, 0, "x-request-id");
+        };
+        if request.body.len() > self.settings.later_body_max_bytes {
+            return self.refuse(call_id, ErrorKind::BodyTooLarge, 0, "");
+        }
+        let job = JobRow {
+            request_id,
+            team: admitted.team.clone(),
+            queue: request.queue.clone(),
+            deadline_unix_ms: deadline_unix_ms(self.now.unix_ms, request.deadline_ms),
+            is_idempotent: request.is_idempotent,
+            size: request.size,
+            declared_run_ms: request.declared_run_ms,
+            body_base64: BASE64.encode(&request.body),
+        };
+        let id = (admitted.team.clone(), request_id);
+        match self.propose(SeatChange::JobSubmit { job }) {
+            true => {
+                self.submissions.insert(id, call_id);
+            }
+            false => self.refuse(call_id, ErrorKind::QueueFull, 1_000, ""),
+        }
+    }
+
+    /// Takes in the verdict on a submission.
+    pub(crate) fn take_submission(&mut self, job: &JobRow, verdict: &Verdict) {
+        let id = (job.team.clone(), job.request_id);
+        let call_id = self.submissions.shift_remove(&id);
+        match (verdict, call_id) {
+            (Verdict::Accepted, call_id) => {
+                if let Some(call_id) = call_id {
+                    let answer = CallerAnswer::accepted(self.settings.entry.clone());
+                    self.answer(call_id, answer);
+                }
+                self.enqueue_job(&job.team, &job.request_id);
+            }
+            (_, Some(call_id)) => {
+                let kind = admission::claimed(&self.ledger, &job.team, &job.request_id)
+                    .unwrap_or(ErrorKind::StaleRequestId);
+                self.refuse(call_id, kind, 1_000, "");
+            }
+            (_, None) => {}
+        }
+    }
+
+    /// Queues a job that this seat owns.
+    pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid) {
+        let Some(entry) = self.ledger.jobs.get(team, request_id).cloned() else {
+            return;
+        };
+        if entry.owner != self.seat || entry.state.is_final() || self.is_draining {
+            return;
+        }
+        let text = SmolStr::new(request_id.hyphenated().to_string());
+        if self.requests.find(team, &text).is_some() {
+            return;
+        }
+        let request = self.job_request(text, &entry);
+        let key = request.waiting.key;
+        self.requests.insert(key, request);
+        self.push_waiting(key);
+    }
+
+    fn job_request(&mut self, text: SmolStr, entry: &JobEntry) -> Request {
+        let row = &entry.row;
+        let key = self.requests.next_key();
+        let now_ms = self.now.mono_ms;
+        let left_ms = row.deadline_unix_ms.saturating_sub(self.now.unix_ms);
+        let is_urgent = self
+            .ledger
+            .lists
+            .entitlements
+            .queues
+            .iter()
+            .any(|queue| queue.name == row.queue && queue.is_urgent);
+        let waiting = Waiting {
+            key,
+            team: self.team_slot(&row.team),
+            queue: self.queue_key(&row.queue),
+            pools: self.pools_of(&row.queue),
+            size: row.size,
+            enqueued_ms: now_ms,
+            deadline_ms: now_ms + left_ms,
+            is_urgent,
+            declared_run_ms: row.declared_run_ms,
+        };
+        let body = BASE64.decode(&row.body_base64).unwrap_or_default();
+        Request {
+            origin: Origin::Job,
+            request_id: text,
+            claim_id: Some(row.request_id),
+            team: row.team.clone(),
+            queue: row.queue.clone(),
+            is_idempotent: row.is_idempotent,
+            size: row.size,
+            // The plan was checked when the job was accepted.
+            size_max: Resources {
+                cores_milli: u64::MAX,
+                memory_mb: u64::MAX,
+                accelerators_count: u64::MAX,
+            },
+            body: Arc::from(body),
+            waiting,
+            stage: Stage::Claiming,
+            attempts_count: 0,
+            // A second run of an idempotent job does no harm, so its start need not be on record.
+            is_announced: row.is_idempotent,
+        }
+    }
+
+    /// Puts the start of a job on record before its first attempt.
+    pub(crate) fn announce_job(&mut self, key: crate::policy::keys::RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.stage = Stage::Claiming;
+        let Some(request_id) = request.claim_id else {
+            return;
+        };
+        let team = request.team.clone();
+        if !self.propose(SeatChange::JobStart { team, request_id }) {
+            self.push_waiting(key);
+        }
+    }
+
+    /// Takes in the verdict on the announcement of a job.
+    pub(crate) fn take_job_start(&mut self, team: &TeamName, request_id: &Uuid, verdict: &Verdict) {
+        let text = SmolStr::new(request_id.hyphenated().to_string());
+        let Some(key) = self.requests.find(team, &text) else {
+            return;
+        };
+        match verdict {
+            Verdict::Accepted | Verdict::AcceptedCount(_) => {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.is_announced = true;
+                }
+                self.push_waiting(key);
+            }
+            Verdict::Rejected(_) => {
+                self.requests.remove(key);
+            }
+        }
+    }
+
+    /// Puts the end of a job on record.
+    pub(crate) fn end_job(&mut self, request: &Request, answer: &CallerAnswer) {
+        let Some(request_id) = request.claim_id else {
+            return;
+        };
+        if matches!(answer.outcome, CallerOutcome::Failed(ErrorKind::Draining)) {
+            return;
+        }
+        self.propose(SeatChange::JobEnd {
+            team: request.team.clone(),
+            request_id,
+            state: job_state(answer, self.settings.later_body_max_bytes),
+        });
+    }
+
+    /// Drops the jobs that were not started; the seat's end lets others adopt them.
+    pub(crate) fn hand_over_jobs(&mut self) {
+        let keys: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.origin == Origin::Job)
+            .filter(|(_, request)| !matches!(request.stage, Stage::Running(_)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.wait.cancel(self.now.mono_ms, key);
+            self.requests.remove(key);
+        }
+    }
+
+    /// Adopts jobs whose owner has ended, each by the seat that its id chooses.
+    pub(crate) fn poll_jobs(&mut self) {
+        let now_ms = self.now.mono_ms;
+        if now_ms < self.jobs_polled_ms + ADOPT_EVERY_MS || self.is_draining {
+            return;
+        }
+        self.jobs_polled_ms = now_ms;
+        if !self.lease.is_valid(now_ms) {
+            return;
+        }
+        let seats = &self.ledger.seats;
+        let orphans: Vec<SeatChange> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|job| !job.state.is_final() && seats.get(&job.owner).is_none())
+            .filter(|job| {
+                let topic = job.row.request_id.hyphenated().to_string();
+                seats.choose(&topic) == Some(&self.seat)
+            })
+            .map(|job| SeatChange::JobAdopt {
+                team: job.row.team.clone(),
+                request_id: job.row.request_id,
+                from: job.owner.clone(),
+            })
+            .collect();
+        for change in orphans {
+            self.propose(change);
+        }
+    }
+
+    /// Reports on a job.
+    pub(crate) fn fetch(&mut self, call_id: CallId, fetch: &Fetch) {
+        let team = match &fetch.key {
+            None => Ok(TeamName::default()),
+            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
+        };
+        let team = match team {
+            Ok(team) => team,
+            Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
+        };
+        let id = Uuid::parse_str(&fetch.request_id).ok();
+        let entry = id.and_then(|id| self.ledger.jobs.get(&team, &id));
+        let answer = match entry {
+            Some(entry) => job_answer(&self.settings.entry, &entry.state),
+            None if !self.is_ready() => {
+                CallerAnswer::failed(self.settings.entry.clone(), ErrorKind::EntryNotReady, 1_000)
+            }
+            None => CallerAnswer::failed(self.settings.entry.clone(), ErrorKind::UnknownJob, 0),
+        };
+        self.answer(call_id, answer);
+    }
+}
+
+fn job_state(answer: &CallerAnswer, body_max_bytes: usize) -> JobState {
+    let ran_on = answer.ran_on.as_ref();
+    match answer.outcome {
+        CallerOutcome::Done | CallerOutcome::Failed(ErrorKind::TaskFailed)
+            if answer.body.len() > body_max_bytes =>
+        {
+            JobState::Ran {
+                is_success: false,
+                ran_on: SmolStr::new_static("answer_too_large"),
+                body_base64: String::new(),
+            }
+        }
+        CallerOutcome::Done | CallerOutcome::Accepted => JobState::Ran {
+            is_success: true,
+            ran_on: ran_on
+                .map(|ran_on| ran_on.instance.clone())
+                .unwrap_or_default(),
+            body_base64: BASE64.encode(&answer.body),
+        },
+        CallerOutcome::Failed(ErrorKind::TaskFailed) => JobState::Ran {
+            is_success: false,
+            ran_on: ran_on
+                .map(|ran_on| ran_on.instance.clone())
+                .unwrap_or_default(),
+            body_base64: BASE64.encode(&answer.body),
+        },
+        CallerOutcome::Failed(kind) if answer.ran == RunState::NotRun => JobState::NotRun {
+            kind: SmolStr::new(kind.name()),
+        },
+        CallerOutcome::Failed(_) => JobState::Unknown,
+    }
+}
+
+fn job_answer(entry: &SmolStr, state: &JobState) -> CallerAnswer {
+    let entry = entry.clone();
+    match state {
+        JobState::Waiting | JobState::Started => CallerAnswer::accepted(entry),
+        JobState::Ran {
+            is_success,
+            ran_on,
+            body_base64,
+        } => {
+            let ran_on = RanOn {
+                instance: ran_on.clone(),
+                ..RanOn::default()
+            };
+            let body: Arc<[u8]> = BASE64.decode(body_base64).unwrap_or_default().into();
+            match is_success {
+                true => CallerAnswer::done(entry, ran_on, body),
+                false => {
+                    let mut answer = CallerAnswer::failed(entry, ErrorKind::TaskFailed, 0);
+                    answer.ran_on = Some(ran_on);
+                    answer.body = body;
+                    answer
+                }
+            }
+        }
+        JobState::Unknown => CallerAnswer::failed(entry, ErrorKind::DuplicateOutcomeUnknown, 0),
+        JobState::NotRun { kind } => {
+            let kind = kind.parse().unwrap_or(ErrorKind::GivenUp);
+            CallerAnswer::failed(entry, kind, 0)
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,36 @@
+//! One entry: the engine that decides, and the daemon whose threads carry its decisions out.
+
+/// Logs one event as `event=NAME key=value ...`.
+macro_rules! tell {
+    ($engine:expr, $event:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        log::info!(
+            concat!("event=", $event, " entry={}" $(, " ", stringify!($key), "={}")*),
+            $engine.settings.entry
+            $(, $value)*
+        )
+    };
+}
+
+mod admission;
+mod contact;
+mod counts;
+mod dispatch;
+mod engine;
+mod escrow;
+mod event;
+mod gossip;
+mod jobs;
+mod proposer;
+mod reader;
+mod requests;
+mod seat;
+mod settings;
+mod status;
+mod upkeep;
+mod workers;
+
+pub use engine::Engine;
+pub use event::{Action, AttemptKey, Event, Now, Source};
+pub use gossip::{Demand, Gossip, GossipUsage};
+pub use settings::EngineSettings;
+pub use status::{EntryStatus, TeamStatus};
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,150 @@
+//! What one entry reports of itself to operators.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{
+    entry::engine::Engine,
+    fleet::{Offset, TeamName},
+    ledger::SeatId,
+};
+
+/// State of one entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EntryStatus {
+    /// Name of the entry instance.
+    pub entry: SmolStr,
+    /// Its seat.
+    pub seat: SeatId,
+    /// Whether it takes work.
+    pub is_serving: bool,
+    /// Whether it is stopping.
+    pub is_draining: bool,
+    /// What remains of the seat's lease.
+    pub lease_left_ms: u64,
+    /// Time since the log was last heard at its head, if it ever was.
+    pub log_age_ms: Option<u64>,
+    /// All records below this offset are folded.
+    pub next_offset: Offset,
+    /// Version of the lists in force.
+    pub lists_version: u64,
+    /// Seats that are live.
+    pub live_seats: Vec<SeatId>,
+    /// Keys that are in force.
+    pub keys_count: u64,
+    /// Withdrawals that were heard and are not in the log yet.
+    pub withdrawn_unlogged_count: u64,
+    /// Requests held.
+    pub requests_count: u64,
+    /// Requests waiting.
+    pub waiting_count: u64,
+    /// Calls taken since the start.
+    pub calls_count: u64,
+    /// Calls answered with success since the start.
+    pub answered_count: u64,
+    /// Refusals and failures since the start, by kind.
+    pub refused: IndexMap<SmolStr, u64>,
+    /// Retries since the start, by reason.
+    pub retried: IndexMap<SmolStr, u64>,
+    /// Retries not made since the start, by reason.
+    pub not_retried: IndexMap<SmolStr, u64>,
+    /// Attempts on workers since the start.
+    pub attempts_count: u64,
+    /// Appends since the start.
+    pub appends_count: u64,
+    /// Seats lost since the start.
+    pub seats_lost_count: u64,
+    /// Planned stops and moves judged since the start.
+    pub planned_judged_count: u64,
+    /// Of these, those that were rejected.
+    pub planned_rejected_count: u64,
+    /// Instances by standing.
+    pub instances: IndexMap<SmolStr, u64>,
+    /// Teams' upper limits.
+    pub teams: IndexMap<TeamName, TeamStatus>,
+}
+
+/// State of one team's upper limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamStatus {
+    /// Limit over the whole fleet, in requests.
+    pub limit_requests: u32,
+    /// Part that this entry may have running.
+    pub allowance_requests: u32,
+    /// Part that no seat holds.
+    pub free_requests: u32,
+}
+
+impl Engine {
+    /// Returns the state of this entry.
+    pub fn status(&self) -> EntryStatus {
+        let now_ms = self.now.mono_ms;
+        let ledger = &self.ledger;
+        let names = |rows: &IndexMap<SmolStr, u64>| rows.clone();
+        let refused = self.counts.refused.iter();
+        let refused = refused.map(|(kind, count)| (SmolStr::new(kind.name()), *count));
+        let mut instances: IndexMap<SmolStr, u64> = IndexMap::new();
+        for entry in ledger.instances.iter() {
+            let standing = SmolStr::new(entry.standing.to_string());
+            *instances.entry(standing).or_default() += 1;
+        }
+        EntryStatus {
+            entry: self.settings.entry.clone(),
+            seat: self.seat.clone(),
+            is_serving: self.is_serving(),
+            is_draining: self.is_draining,
+            lease_left_ms: self.lease.left_ms(now_ms),
+            log_age_ms: self.contact.log_age_ms(now_ms),
+            next_offset: ledger.next_offset,
+            lists_version: ledger.lists_version,
+            live_seats: ledger
+                .seats
+                .iter_live()
+                .map(|(seat, _)| seat.clone())
+                .collect(),
+            keys_count: ledger
+                .keys
+                .iter()
+                .filter(|(_, row)| !row.is_withdrawn)
+                .count() as u64,
+            withdrawn_unlogged_count: self.withdrawn.len() as u64,
+            requests_count: self.requests.len() as u64,
+            waiting_count: self.wait.len() as u64,
+            calls_count: self.counts.calls_count,
+            answered_count: self.counts.answered_count,
+            refused: names(&refused.collect()),
+            retried: named(self.retry.retried_count()),
+            not_retried: named(self.retry.stopped_count()),
+            attempts_count: self.counts.attempts_count,
+            appends_count: self.counts.appends_count,
+            seats_lost_count: self.counts.seats_lost_count,
+            planned_judged_count: self.upkeep.judged_count,
+            planned_rejected_count: self.upkeep.rejected_count,
+            instances,
+            teams: self.team_statuses(),
+        }
+    }
+
+    fn team_statuses(&self) -> IndexMap<TeamName, TeamStatus> {
+        self.ledger
+            .escrow
+            .iter()
+            .map(|(team, escrow)| {
+                let status = TeamStatus {
+                    limit_requests: escrow.limit_requests,
+                    allowance_requests: escrow.allowance_requests(&self.seat),
+                    free_requests: escrow.free_requests(),
+                };
+                (team.clone(), status)
+            })
+            .collect()
+    }
+}
+
+fn named<K: ToString>(rows: &IndexMap<K, u64>) -> IndexMap<SmolStr, u64> {
+    rows.iter()
+        .map(|(key, count)| (SmolStr::new(key.to_string()), *count))
+        .collect()
+}
