--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,8 +1,6 @@
-//! Adapters: the ports over HTTP and JSON-RPC.
-
-pub mod callers_http;
 //! Adapters: the ports over HTTP and JSON-RPC, and the clocks of the machine.
 
+pub mod callers_http;
 pub mod clock;
 pub mod http_client;
 pub mod instances_http;
--- a/src/adapters/workers_http.rs
+++ b/src/adapters/workers_http.rs
@@ -117,6 +117,7 @@
     let number = |value: u64| format_smolstr!("{value}");
     vec![
         (X_ATTEMPT_ID, request.attempt_id.clone()),
+        (X_INCARNATION, request.incarnation.clone()),
         (X_REQUEST_ID, request.request_id.clone()),
         (X_TEAM, request.team.clone()),
         (X_QUEUE, request.queue.clone()),
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -46,18 +46,13 @@
 
     /// Runs one attempt and waits for what becomes of it until `deadline`.
     ///
-    /// With `incarnation` given, any other boot than that one refuses the attempt.
-    pub fn run(
-        &self,
-        request: &WorkerRequest,
-        incarnation: Option<&str>,
-        deadline: Instant,
-    ) -> Attempt {
+    /// Any other boot than the one that the request names refuses it.
+    pub fn run(&self, request: &WorkerRequest, deadline: Instant) -> Attempt {
         let start_delay = Duration::from_millis(self.faults().start_delay_ms);
         if !self.sleep(start_delay, deadline) || !self.wait_for_thaw(deadline) {
             return Attempt::StillRunning;
         }
-        let started = self.lock().start(request, incarnation, now_unix_us());
+        let started = self.lock().start(request, now_unix_us());
         let run_number = match started {
             Ok(run_number) => run_number,
             Err(refusal) => return Attempt::Refused(refusal),
--- a/src/platform/worker_server.rs
+++ b/src/platform/worker_server.rs
@@ -72,7 +72,6 @@
 
 fn run(worker: &MemoryWorker, request: &Request) -> Result<Response, Response> {
     let order = read_order(request).ok_or_else(|| refused(400, "malformed"))?;
-    let incarnation = request.header(X_INCARNATION).and_then(percent_decode);
     let hold = Duration::from_millis(
         order
             .lease_ms
@@ -80,7 +79,7 @@
             .min(HOLD_MAX_MS * 2),
     );
     let deadline = Instant::now() + hold;
-    let attempt = worker.run(&order, incarnation.as_deref(), deadline);
+    let attempt = worker.run(&order, deadline);
     let response = match attempt {
         Attempt::Answered(answer, AnswerFault::Silent) => {
             worker.wait_for_sound(&order.attempt_id, deadline);
@@ -106,6 +105,7 @@
     request.header("content-length")?;
     Some(WorkerRequest {
         attempt_id: text(X_ATTEMPT_ID).filter(|id| !id.is_empty())?,
+        incarnation: text(X_INCARNATION)?,
         request_id: text(X_REQUEST_ID)?,
         team: text(X_TEAM)?,
         queue: text(X_QUEUE)?,
--- a/src/platform/worker_state.rs
+++ b/src/platform/worker_state.rs
@@ -196,13 +196,11 @@
     pub fn start(
         &mut self,
         request: &WorkerRequest,
-        incarnation: Option<&str>,
         now_us: UnixUs,
     ) -> Result<u64, Refusal> {
         self.advance(now_us);
         self.remember(request, now_us)?;
-        self.admit(request, incarnation, now_us)
-            .map_err(Refusal::NotStarted)?;
+        self.admit(request, now_us).map_err(Refusal::NotStarted)?;
         let order = TaskOrder::from_body(&request.body);
         let run_number = self.journal.push(
             self.run_of(request, now_us),
@@ -313,10 +311,9 @@
     fn admit(
         &self,
         request: &WorkerRequest,
-        incarnation: Option<&str>,
         now_us: UnixUs,
     ) -> Result<(), NotStarted> {
-        let is_other_boot = incarnation.is_some_and(|named| named != self.settings.incarnation);
+        let is_other_boot = request.incarnation != self.settings.incarnation;
         let used = self
             .tasks
             .values()
@@ -326,7 +323,8 @@
             () if now_us > request.start_before_unix_ms.saturating_mul(US_PER_MS) => {
                 Err(NotStarted::Late)
             }
-            () if self.is_off || self.is_draining || is_other_boot => Err(NotStarted::Draining),
+            () if is_other_boot => Err(NotStarted::WrongIncarnation),
+            () if self.is_off || self.is_draining => Err(NotStarted::Draining),
             () if !request.size.fits_in(&self.settings.capacity) => Err(NotStarted::TooLarge),
             () if self.tasks.len() >= slots_count => Err(NotStarted::Busy),
             () if !used.fits_in(&self.settings.capacity) => Err(NotStarted::Busy),
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -107,7 +107,7 @@
             return WorkerOutcome::NotStarted(NotStarted::Unreachable);
         };
         let deadline = Instant::now() + Duration::from_millis(timeout_ms);
-        let (answer, fault) = match worker.run(request, None, deadline) {
+        let (answer, fault) = match worker.run(request, deadline) {
             Attempt::Answered(answer, fault) => (answer, fault),
             Attempt::Refused(Refusal::NotStarted(reason)) => {
                 return WorkerOutcome::NotStarted(reason)
