--- /dev/null
+++ b/src/entry/daemon/core_loop.rs
@@ -0,0 +1,328 @@
+//! The thread of the engine: takes events and calls off their rings, steps the engine and hands its
+//! actions to the threads that carry them out.
+
+use std::{
+    sync::{atomic::Ordering, Arc},
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+
+use crate::{
+    adapters::peers_rpc::{CancelAtPeer, PeerCall},
+    callers::{CallerAnswer, CallerCall},
+    entry::{
+        daemon::{lock, peers, Append, PeerAddress, Replies, Shared},
+        engine::Engine,
+        event::{Action, AttemptKey, Event},
+    },
+    error::ErrorKind,
+    ports::{Clock, InstancePort, NotStarted, Platform, PortError, WorkerOutcome, WorkerPort},
+};
+
+/// Time between two ticks of the engine.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time between two publications of status and metrics.
+const PUBLISH: Duration = Duration::from_millis(100);
+
+/// Events and calls taken in one turn at most, so that ticks are not put off for long.
+const TURN_MAX_COUNT: usize = 512;
+
+/// The engine with the callers that wait for it.
+pub(crate) struct CoreLoop<P: Platform> {
+    shared: Arc<Shared<P>>,
+    engine: Engine,
+    replies: Replies,
+    ticked: Instant,
+    published: Instant,
+}
+
+impl<P: Platform> CoreLoop<P> {
+    /// Makes the loop of a fresh engine.
+    pub(crate) fn open(shared: Arc<Shared<P>>, incarnation: &str) -> Self {
+        let engine = Engine::open(shared.settings.engine.clone(), incarnation);
+        let now = Instant::now();
+        Self {
+            shared,
+            engine,
+            replies: Replies::new(),
+            ticked: now,
+            published: now,
+        }
+    }
+
+    /// Runs until the process stops.
+    pub(crate) fn run(
+        mut self,
+        events: &flume::Receiver<Event>,
+        calls: &flume::Receiver<CallerCall>,
+    ) {
+        while !self.shared.is_stopped() {
+            let wait = (self.ticked + TICK).saturating_duration_since(Instant::now());
+            let first = flume::Selector::new()
+                .recv(events, |event| event.ok().map(Input::Event))
+                .recv(calls, |call| call.ok().map(Input::Call))
+                .wait_timeout(wait);
+            if let Ok(Some(input)) = first {
+                self.take(input);
+            }
+            self.take_waiting(events, calls);
+            self.tick_if_due();
+        }
+    }
+
+    fn take_waiting(
+        &mut self,
+        events: &flume::Receiver<Event>,
+        calls: &flume::Receiver<CallerCall>,
+    ) {
+        for event in events.try_iter().take(TURN_MAX_COUNT) {
+            self.step(event);
+        }
+        for call in calls.try_iter().take(TURN_MAX_COUNT) {
+            self.take(Input::Call(call));
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.step(event),
+            Input::Call(call) => self.take_call(call),
+        }
+    }
+
+    fn take_call(&mut self, call: CallerCall) {
+        let event = match call {
+            CallerCall::Run {
+                call_id,
+                request,
+                reply,
+            } => {
+                self.replies.insert(call_id, reply);
+                Event::Call { call_id, request }
+            }
+            CallerCall::Cancel {
+                call_id,
+                cancel,
+                reply,
+            } => {
+                self.replies.insert(call_id, reply);
+                Event::Cancel { call_id, cancel }
+            }
+            CallerCall::Fetch {
+                call_id,
+                fetch,
+                reply,
+            } => {
+                self.replies.insert(call_id, reply);
+                Event::Fetch { call_id, fetch }
+            }
+            CallerCall::Gone { call_id, .. } => Event::Gone { call_id },
+        };
+        self.step(event);
+    }
+
+    fn tick_if_due(&mut self) {
+        if self.ticked.elapsed() < TICK {
+            return;
+        }
+        self.ticked = Instant::now();
+        self.step(Event::Tick);
+        if self.published.elapsed() >= PUBLISH {
+            self.published = Instant::now();
+            self.publish_status();
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let is_gossip_due = matches!(event, Event::Tick | Event::Withdraw { .. });
+        let is_withdrawal = matches!(event, Event::Withdraw { .. });
+        let actions = self.engine.step(self.shared.now(), event);
+        for action in actions {
+            self.carry_out(action);
+        }
+        let wanted_offset = self.engine.wanted_offset();
+        self.shared
+            .wanted_offset
+            .store(wanted_offset, Ordering::Release);
+        self.shared
+            .is_serving
+            .store(self.engine.is_serving(), Ordering::Release);
+        // A withdrawal is acknowledged only after peers would hear of it.
+        if is_withdrawal || is_gossip_due {
+            self.publish_gossip();
+        }
+    }
+
+    fn publish_gossip(&mut self) {
+        let gossip = self.engine.gossip();
+        lock(&self.shared.published).gossip = gossip;
+    }
+
+    fn publish_status(&mut self) {
+        let status = self.engine.status();
+        let peers = self
+            .engine
+            .ledger()
+            .seats
+            .iter_live()
+            .filter(|(seat, _)| **seat != status.seat)
+            .map(|(seat, row)| PeerAddress {
+                seat: seat.clone(),
+                address: row.peers_address.clone(),
+            })
+            .collect();
+        self.shared.metrics.publish(&status);
+        let mut published = lock(&self.shared.published);
+        published.status = status;
+        published.peers = peers;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Answer { call_id, answer } => self.answer(call_id, answer),
+            Action::Append { seq, payload } => {
+                let append = Append::Batch { seq, payload };
+                if self.shared.appends.try_send(append).is_err() {
+                    let error = PortError::NotSent("ring_full".into());
+                    let result = Err(error);
+                    self.step(Event::Appended { seq, result });
+                }
+            }
+            Action::AppendSnapshot { payloads } => {
+                let append = Append::Snapshot { payloads };
+                if self.shared.appends.try_send(append).is_err() {
+                    self.step(Event::SnapshotAppended { is_done: false });
+                }
+            }
+            Action::Run {
+                attempt,
+                address,
+                request,
+                timeout_ms,
+            } => self.run_attempt(attempt, address, request, timeout_ms),
+            other => self.run_errand(other),
+        }
+    }
+
+    fn answer(&mut self, call_id: u64, answer: CallerAnswer) {
+        if let Some(reply) = self.replies.remove(&call_id) {
+            // A caller that has gone needs no answer.
+            let _ = reply.try_send(answer);
+        }
+    }
+
+    fn run_attempt(
+        &mut self,
+        attempt: AttemptKey,
+        address: SmolStr,
+        request: Box<crate::ports::WorkerRequest>,
+        timeout_ms: u64,
+    ) {
+        let shared = Arc::clone(&self.shared);
+        let is_taken = self.shared.attempts.run(move || {
+            // The process may have been paused since the decision; the worker refuses a late
+            // start by its own clock as well.
+            let is_late = shared.platform.clock().unix_ms() > request.start_before_unix_ms;
+            let outcome = match is_late {
+                true => WorkerOutcome::NotStarted(NotStarted::Late),
+                false => shared.platform.workers().run(
+                    &address,
+                    &request,
+                    timeout_ms,
+                    shared.settings.answer_max_bytes,
+                ),
+            };
+            shared.tell(Event::AttemptEnded { attempt, outcome });
+        });
+        if !is_taken {
+            let outcome = WorkerOutcome::NotStarted(NotStarted::Late);
+            self.step(Event::AttemptEnded { attempt, outcome });
+        }
+    }
+
+    fn run_errand(&self, action: Action) {
+        let shared = Arc::clone(&self.shared);
+        match action {
+            Action::CancelAttempt {
+                address,
+                attempt_id,
+            } => {
+                self.shared.errands.run(move || {
+                    let _ = shared.platform.workers().cancel(&address, &attempt_id);
+                });
+            }
+            Action::Probe {
+                name,
+                incarnation,
+                address,
+            } => {
+                self.shared.errands.run(move || {
+                    let status = shared.platform.workers().status(&address);
+                    let is_reachable = status.is_ok_and(|row| row.incarnation == incarnation);
+                    shared.tell(Event::Probed {
+                        name,
+                        incarnation,
+                        is_reachable,
+                    });
+                });
+            }
+            Action::Reboot { name, incarnation } => {
+                self.shared.errands.run(move || {
+                    let result = shared.platform.instances().reboot(&name, &incarnation);
+                    log::info!(
+                        "event=reboot_ordered instance={name} incarnation={incarnation} is_taken={}",
+                        result.is_ok()
+                    );
+                });
+            }
+            Action::RelayCancel { team, request_id } => {
+                let addresses = lock(&self.shared.published).peers.clone();
+                for peer in addresses {
+                    let shared = Arc::clone(&self.shared);
+                    let call = PeerCall::Cancel(CancelAtPeer {
+                        request_id: request_id.clone(),
+                        team: team.clone(),
+                    });
+                    self.shared.errands.run(move || {
+                        let _ = peers::call(&shared, &peer.address, &call);
+                    });
+                }
+            }
+            Action::PullTail {
+                peers_address,
+                from_offset,
+            } => {
+                self.shared
+                    .errands
+                    .run(move || peers::pull_tail(&shared, &peers_address, from_offset));
+            }
+            Action::PullLedger { peers_address } => {
+                self.shared
+                    .errands
+                    .run(move || peers::pull_ledger(&shared, &peers_address));
+            }
+            Action::Drained => self.shared.is_drained.store(true, Ordering::Release),
+            Action::Append { .. }
+            | Action::AppendSnapshot { .. }
+            | Action::Answer { .. }
+            | Action::Run { .. } => {}
+        }
+    }
+}
+
+impl<P: Platform> Drop for CoreLoop<P> {
+    fn drop(&mut self) {
+        let entry = self.shared.settings.engine.entry.clone();
+        for (_, reply) in self.replies.drain() {
+            let answer = CallerAnswer::failed(entry.clone(), ErrorKind::Internal, 0);
+            let _ = reply.try_send(answer);
+        }
+    }
+}
+
+enum Input {
+    Event(Event),
+    Call(CallerCall),
+}
--- /dev/null
+++ b/src/entry/daemon/mod.rs
@@ -0,0 +1,345 @@
+//! The daemon of one entry: a thread for each duty drives the engine over bounded rings. The threads
+//! decide nothing; they carry out actions and bring back events.
+
+mod core_loop;
+mod duties;
+mod operators;
+mod peers;
+mod pool;
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+
+use crate::{
+    adapters::{
+        callers_http::{CallersLimits, CallersServer},
+        operators_http::OperatorsServer,
+        peers_rpc::PeersServer,
+    },
+    callers::{CallId, CallerCall, ReplySender},
+    entry::{
+        event::{Event, Now},
+        gossip::Gossip,
+        settings::EngineSettings,
+        status::EntryStatus,
+    },
+    error::ErrorKind,
+    fleet::Offset,
+    ledger::SeatId,
+    metrics::Metrics,
+    ports::{Clock, LogRecord, Platform},
+};
+
+use core_loop::CoreLoop;
+use pool::Pool;
+
+/// Events that may wait for the engine.
+const EVENTS_RING_LEN: usize = 8_192;
+
+/// Calls that may wait for the engine.
+const CALLS_RING_LEN: usize = 4_096;
+
+/// Appends that may wait for the appender.
+const APPENDS_RING_LEN: usize = 64;
+
+/// Records of the log kept for peers.
+const RELAY_MAX_RECORDS: usize = 4_096;
+
+/// Bytes of the records kept for peers.
+const RELAY_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Errands (probes, cancels, reboots, calls to peers) under way at once.
+const ERRAND_THREADS_COUNT: usize = 16;
+
+/// Errands that may wait.
+const ERRANDS_RING_LEN: usize = 1_024;
+
+/// Settings of one entry's daemon.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Settings of the engine.
+    pub engine: EngineSettings,
+    /// Address for callers.
+    pub callers_address: SocketAddr,
+    /// Address for peers.
+    pub peers_address: SocketAddr,
+    /// Address for operators.
+    pub operators_address: SocketAddr,
+    /// Peers to ask while the log is out of reach at the start.
+    pub peer_addresses: Vec<SmolStr>,
+    /// Bounds of the callers' interface.
+    pub callers: CallersLimits,
+    /// Longest answer that is passed on.
+    pub answer_max_bytes: u64,
+    /// Time for which a read waits at the log.
+    pub log_read_wait_ms: u64,
+    /// Time between two reads of the instance list.
+    pub instance_list_poll_ms: u64,
+    /// Time between two exchanges with each peer.
+    pub peer_gossip_ms: u64,
+    /// Time after which an exchange with a peer counts as lost.
+    pub peer_timeout_ms: u64,
+    /// Attempts out at once at most.
+    pub dispatch_threads_count: usize,
+    /// Time for which a stopping entry waits for what is in flight.
+    pub drain_timeout_ms: u64,
+}
+
+/// Another entry, for exchanges.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PeerAddress {
+    pub(crate) seat: SeatId,
+    pub(crate) address: SmolStr,
+}
+
+/// What the threads share.
+pub(crate) struct Shared<P: Platform> {
+    pub(crate) platform: Arc<P>,
+    pub(crate) settings: EntrySettings,
+    pub(crate) events: flume::Sender<Event>,
+    pub(crate) appends: flume::Sender<Append>,
+    pub(crate) wanted_offset: AtomicU64,
+    pub(crate) is_stopped: AtomicBool,
+    pub(crate) is_serving: AtomicBool,
+    pub(crate) is_drained: AtomicBool,
+    pub(crate) published: Mutex<Published>,
+    pub(crate) relay: Mutex<Relay>,
+    pub(crate) attempts: Pool,
+    pub(crate) errands: Pool,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// What the engine shows to the other threads.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Published {
+    pub(crate) gossip: Gossip,
+    pub(crate) status: EntryStatus,
+    pub(crate) peers: Vec<PeerAddress>,
+}
+
+/// The latest records of the log, for peers that cannot reach it.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    pub(crate) records: std::collections::VecDeque<LogRecord>,
+    pub(crate) bytes: usize,
+    pub(crate) head_offset: Offset,
+    pub(crate) oldest_offset: Offset,
+}
+
+/// One append for the appender thread.
+#[derive(Debug)]
+pub(crate) enum Append {
+    /// A batch of the seat.
+    Batch {
+        /// Number of the batch.
+        seq: u64,
+        /// Text of the record.
+        payload: String,
+    },
+    /// Parts of a snapshot.
+    Snapshot {
+        /// Texts of the records.
+        payloads: Vec<String>,
+    },
+}
+
+impl Relay {
+    /// Keeps a record that was read from the log.
+    pub(crate) fn push(&mut self, record: &LogRecord) {
+        let is_next = match self.records.back() {
+            Some(last) => record.offset == last.offset + 1,
+            None => true,
+        };
+        if !is_next {
+            return;
+        }
+        self.bytes += record.payload.len();
+        self.records.push_back(record.clone());
+        while self.records.len() > RELAY_MAX_RECORDS || self.bytes > RELAY_MAX_BYTES {
+            if let Some(oldest) = self.records.pop_front() {
+                self.bytes -= oldest.payload.len();
+            }
+        }
+    }
+}
+
+impl<P: Platform> Shared<P> {
+    /// Reads both clocks.
+    pub(crate) fn now(&self) -> Now {
+        let clock = self.platform.clock();
+        Now {
+            mono_ms: clock.mono_ms(),
+            unix_ms: clock.unix_ms(),
+        }
+    }
+
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Acquire)
+    }
+
+    /// Hands an event to the engine, waiting while its ring is full.
+    pub(crate) fn tell(&self, event: Event) {
+        // The engine is gone only when the process stops.
+        let _ = self.events.send(event);
+    }
+}
+
+/// A running entry.
+pub struct Entry<P: Platform> {
+    shared: Arc<Shared<P>>,
+    callers: Option<CallersServer>,
+    peers: PeersServer,
+    operators: OperatorsServer,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Callers that wait for the engine's answer.
+pub(crate) type Replies = HashMap<CallId, ReplySender>;
+
+impl<P: Platform> Entry<P> {
+    /// Binds all ports and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// An error of the system if a port cannot be bound or a thread cannot be started.
+    pub fn spawn(mut settings: EntrySettings, platform: Arc<P>, incarnation: &str) -> io::Result<Self> {
+        let metrics = Arc::new(Metrics::open());
+        let (events, events_receiver) = flume::bounded(EVENTS_RING_LEN);
+        let (appends, appends_receiver) = flume::bounded(APPENDS_RING_LEN);
+        let (calls, calls_receiver) = flume::bounded::<CallerCall>(CALLS_RING_LEN);
+        let refusals = Arc::clone(&metrics);
+        let on_refusal = Arc::new(move |kind: ErrorKind| refusals.count_refusal(kind));
+        let callers = CallersServer::bind(
+            settings.callers_address,
+            &settings.engine.entry,
+            settings.callers.clone(),
+            calls,
+            on_refusal,
+        )?;
+        settings.callers_address = callers.address();
+        let late = Arc::new(peers::LateHandler::default());
+        let peers = PeersServer::bind(settings.peers_address, late.handler())?;
+        settings.peers_address = peers.address();
+        if settings.engine.peers_address.is_empty() {
+            settings.engine.peers_address = SmolStr::new(peers.address().to_string());
+        }
+        let dispatch_threads_count = settings.dispatch_threads_count;
+        let shared = Arc::new(Shared {
+            platform,
+            events,
+            appends,
+            wanted_offset: AtomicU64::new(0),
+            is_stopped: AtomicBool::new(false),
+            is_serving: AtomicBool::new(false),
+            is_drained: AtomicBool::new(false),
+            published: Mutex::new(Published::default()),
+            relay: Mutex::new(Relay::default()),
+            attempts: Pool::open("attempt", dispatch_threads_count, dispatch_threads_count),
+            errands: Pool::open("errand", ERRAND_THREADS_COUNT, ERRANDS_RING_LEN),
+            metrics,
+            settings,
+        });
+        late.set(&shared);
+        let operators = OperatorsServer::bind(
+            shared.settings.operators_address,
+            operators::handler(&shared),
+        )?;
+        let core = CoreLoop::open(Arc::clone(&shared), incarnation);
+        let mut threads = vec![spawn_thread("core", {
+            move || core.run(&events_receiver, &calls_receiver)
+        })?];
+        threads.extend(duties::spawn(&shared, appends_receiver)?);
+        threads.push(peers::spawn(&shared)?);
+        Ok(Self {
+            shared,
+            callers: Some(callers),
+            peers,
+            operators,
+            threads,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.shared.settings.callers_address
+    }
+
+    /// Returns the address for peers.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Returns the address for operators.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Returns whether the entry takes work.
+    pub fn is_serving(&self) -> bool {
+        self.shared.is_serving.load(Ordering::Acquire)
+    }
+
+    /// Returns the state that the entry reports.
+    pub fn status(&self) -> EntryStatus {
+        lock(&self.shared.published).status.clone()
+    }
+
+    /// Stops gracefully: refuses new work, finishes what is in flight, hands over what is held and
+    /// closes the ports. Returns how many connections were cut at the end of the drain's time.
+    pub fn stop(mut self) -> usize {
+        let timeout = Duration::from_millis(self.shared.settings.drain_timeout_ms);
+        let end = Instant::now() + timeout;
+        self.shared.tell(Event::Drain);
+        if let Some(callers) = &self.callers {
+            callers.begin_closing();
+        }
+        while !self.shared.is_drained.load(Ordering::Acquire) && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let left_ms = end.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let cut_count = match self.callers.take() {
+            Some(callers) => callers.finish(left_ms.max(100)),
+            None => 0,
+        };
+        self.halt();
+        cut_count
+    }
+
+    fn halt(&mut self) {
+        self.shared.is_stopped.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl<P: Platform> Drop for Entry<P> {
+    fn drop(&mut self) {
+        self.halt();
+    }
+}
+
+pub(crate) fn spawn_thread(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
+/// Locks, also after a thread panicked while it held the lock: what it guards is replaced whole.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/entry/daemon/pool.rs
@@ -0,0 +1,98 @@
+//! A pool of threads that grows with the work up to a bound and shrinks again when idle. Its ring is
+//! bounded too; what does not fit is handed back.
+
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+
+/// Time after which a thread without work ends.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// Stack of a pool's thread, in bytes.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// Work for one thread of a pool.
+type Job = Box<dyn FnOnce() + Send>;
+
+/// A running pool.
+#[derive(Clone)]
+pub(crate) struct Pool {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    name: &'static str,
+    threads_max_count: usize,
+    threads_count: AtomicUsize,
+    idle_count: AtomicUsize,
+    sender: flume::Sender<Job>,
+    receiver: flume::Receiver<Job>,
+}
+
+impl Pool {
+    /// Starts a pool without threads.
+    pub(crate) fn open(name: &'static str, threads_max_count: usize, ring_len: usize) -> Self {
+        let (sender, receiver) = flume::bounded(ring_len);
+        let shared = Shared {
+            name,
+            threads_max_count,
+            threads_count: AtomicUsize::new(0),
+            idle_count: AtomicUsize::new(0),
+            sender,
+            receiver,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Hands a job to a thread; returns whether there was room for it.
+    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
+        if self.shared.sender.try_send(Box::new(job)).is_err() {
+            return false;
+        }
+        let waiting_count = self.shared.receiver.len();
+        if self.shared.idle_count.load(Ordering::Acquire) < waiting_count {
+            self.grow();
+        }
+        true
+    }
+
+    fn grow(&self) {
+        let shared = Arc::clone(&self.shared);
+        if shared.threads_count.fetch_add(1, Ordering::AcqRel) >= shared.threads_max_count {
+            shared.threads_count.fetch_sub(1, Ordering::AcqRel);
+            return;
+        }
+        let spawned = thread::Builder::new()
+            .name(shared.name.to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn({
+                let shared = Arc::clone(&shared);
+                move || shared.work()
+            });
+        if spawned.is_err() {
+            shared.threads_count.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
+impl Shared {
+    fn work(&self) {
+        loop {
+            self.idle_count.fetch_add(1, Ordering::AcqRel);
+            let job = self.receiver.recv_timeout(IDLE_MAX);
+            self.idle_count.fetch_sub(1, Ordering::AcqRel);
+            match job {
+                Ok(job) => job(),
+                Err(_) => break,
+            }
+        }
+        self.threads_count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -176,3 +176,24 @@
     /// Wall clock in milliseconds since the Unix epoch.
     fn unix_ms(&self) -> UnixMs;
 }
+
+/// The outside systems of one process, as one set of adapters.
+pub trait Platform: Send + Sync + 'static {
+    /// Adapter to the log service.
+    type Log: LogPort + 'static;
+    /// Adapter to the instance list.
+    type Instances: InstancePort + 'static;
+    /// Adapter to the workers.
+    type Workers: WorkerPort + 'static;
+    /// The clocks.
+    type Clock: Clock + 'static;
+
+    /// Returns the log service.
+    fn log(&self) -> &Self::Log;
+    /// Returns the instance list.
+    fn instances(&self) -> &Self::Instances;
+    /// Returns the workers.
+    fn workers(&self) -> &Self::Workers;
+    /// Returns the clocks.
+    fn clock(&self) -> &Self::Clock;
+}
