Add the operators' and peers' interfaces, metrics and logs

The callers' and the peers' servers stand on one bounded HTTP server. jsonrpsee's own accept loop bounds neither idle connections nor a body that stalls, so only its dispatch is used there.

--- a/src/adapters/callers_http/answer.rs
+++ b/src/adapters/callers_http/answer.rs
@@ -87,6 +87,17 @@
     response
 }
 
+/// Returns what the balancer reads.
+pub(super) fn readiness(is_ready: bool) -> HttpAnswer {
+    let (status, text) = match is_ready {
+        true => (StatusCode::OK, "ready\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    };
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
 /// Returns a refusal as the bytes of a response that ends its connection.
 pub(super) fn raw_refusal(kind: ErrorKind, entry: &SmolStr, retry_after_ms: u64) -> Vec<u8> {
     let body = refusal_json(
--- /dev/null
+++ b/src/adapters/callers_http/body.rs
@@ -0,0 +1,87 @@
+//! Reads a body whole within the bounds on its length, its pauses and the bytes of all bodies.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use tokio::time::{timeout_at, Instant};
+
+use super::service::Refusal;
+use super::Shared;
+use crate::adapters::http_server::SlotGuard;
+use crate::error::ErrorKind;
+
+/// Bytes that are allocated for a body before any of it has come.
+const ALLOCATION_FIRST_BYTES: u64 = 64 << 10;
+
+/// A body under way.
+struct Partial {
+    bytes: Vec<u8>,
+    reserved_bytes: u64,
+    guard: SlotGuard,
+}
+
+/// Reads the whole body by `deadline`; the guard holds its part of the total while it is in use.
+pub(super) async fn read(
+    shared: &Shared,
+    mut body: Incoming,
+    deadline: Instant,
+) -> Result<(Arc<[u8]>, SlotGuard), Refusal> {
+    let limits = &shared.limits;
+    let declared_bytes = body.size_hint().exact().unwrap_or(0);
+    if declared_bytes > limits.body_max_bytes {
+        return Err(too_large());
+    }
+    let mut partial = Partial {
+        bytes: Vec::with_capacity(declared_bytes.min(ALLOCATION_FIRST_BYTES) as usize),
+        reserved_bytes: declared_bytes,
+        guard: shared.body_bytes.take(declared_bytes).ok_or_else(no_room)?,
+    };
+    let idle = Duration::from_millis(limits.body_idle_timeout_ms);
+    loop {
+        let until = deadline.min(Instant::now() + idle);
+        match timeout_at(until, body.frame()).await {
+            Ok(None) => return Ok((partial.bytes.into(), partial.guard)),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                partial.add(&data, limits.body_max_bytes)?;
+            }
+            Ok(Some(Err(_))) => return Err(broken()),
+            Err(_) => return Err(stalled()),
+        }
+    }
+}
+
+impl Partial {
+    fn add(&mut self, data: &[u8], body_max_bytes: u64) -> Result<(), Refusal> {
+        let total_bytes = (self.bytes.len() + data.len()) as u64;
+        if total_bytes > body_max_bytes {
+            return Err(too_large());
+        }
+        let missing_bytes = total_bytes.saturating_sub(self.reserved_bytes);
+        if !self.guard.grow(missing_bytes) {
+            return Err(no_room());
+        }
+        self.reserved_bytes += missing_bytes;
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+fn too_large() -> Refusal {
+    Refusal::unread(ErrorKind::BodyTooLarge, "")
+}
+
+fn no_room() -> Refusal {
+    Refusal::unread(ErrorKind::QueueFull, "body: no room for the bytes of more")
+}
+
+fn broken() -> Refusal {
+    let detail = "body: it ended early or is framed wrongly";
+    Refusal::unread(ErrorKind::MalformedRequest, detail)
+}
+
+fn stalled() -> Refusal {
+    Refusal::unread(ErrorKind::SlowSender, "body: it stalled")
+}
--- a/src/adapters/callers_http/mod.rs
+++ b/src/adapters/callers_http/mod.rs
@@ -3,51 +3,29 @@
 //! else. `docs/callers.md` describes the interface from the outside.
 
 mod answer;
-mod connection;
+mod body;
 mod limits;
 mod request;
 mod service;
-mod slots;
 
-use std::net::{SocketAddr, TcpListener as StdTcpListener};
-use std::sync::atomic::AtomicU64;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::thread;
-use std::time::{Duration, Instant};
 
+use hyper::service::service_fn;
 use smol_str::SmolStr;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 pub use limits::CallersLimits;
 
+use crate::adapters::http_server::{HttpLimits, HttpServer, Phase, Refusal, Slots};
 use crate::callers::CallerCall;
 use crate::error::ErrorKind;
-use slots::Slots;
-
-/// Pause after an accept error such as a full table of open files.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// How often a finish looks whether every connection has closed.
-const FINISH_POLL: Duration = Duration::from_millis(5);
-/// Time that the runtime's threads get to end once no connection is left.
-const RUNTIME_STOP: Duration = Duration::from_millis(200);
 
 /// What the server is told of each refusal that it makes without the core.
 pub type OnRefusal = Arc<dyn Fn(ErrorKind) + Send + Sync>;
 
-/// How far the server has gone on its way to a stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Connections are accepted and kept open between requests.
-    Serving,
-    /// Connections are still accepted, and each closes with its next answer.
-    Closing,
-    /// Nothing is accepted; idle connections are closed, the others end with their answer.
-    Stopped,
-}
-
 /// What every connection of one server shares.
 struct Shared {
     limits: CallersLimits,
@@ -55,9 +33,8 @@
     on_refusal: OnRefusal,
     entry: SmolStr,
     next_call_id: AtomicU64,
-    connections: Arc<Slots>,
     body_bytes: Arc<Slots>,
-    refusals: Arc<Slots>,
+    is_ready: Arc<AtomicBool>,
     phase: watch::Receiver<Phase>,
 }
 
@@ -69,10 +46,8 @@
 
 /// A running server for callers.
 pub struct CallersServer {
-    address: SocketAddr,
-    shared: Arc<Shared>,
-    phase: watch::Sender<Phase>,
-    runtime: Option<Runtime>,
+    server: HttpServer,
+    is_ready: Arc<AtomicBool>,
 }
 
 impl CallersServer {
@@ -85,118 +60,70 @@
         calls: flume::Sender<CallerCall>,
         on_refusal: OnRefusal,
     ) -> std::io::Result<Self> {
-        let listener = StdTcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(limits.threads_count)
-            .max_blocking_threads(1)
-            .thread_name("callers")
-            .enable_all()
-            .build()?;
-        let (phase, phase_receiver) = watch::channel(Phase::Serving);
-        let shared = Arc::new(Shared {
-            connections: Slots::new(limits.connections_max_count as u64),
-            body_bytes: Slots::new(limits.bodies_total_max_bytes),
-            refusals: Slots::new(limits.refusals_max_count as u64),
-            limits,
-            calls,
-            on_refusal,
-            entry: entry.into(),
-            next_call_id: AtomicU64::new(1),
-            phase: phase_receiver,
-        });
-        let listener = {
-            let _context = runtime.enter();
-            TcpListener::from_std(listener)?
+        let http_limits = HttpLimits {
+            connections_max_count: limits.connections_max_count,
+            refusals_max_count: limits.refusals_max_count,
+            header_timeout_ms: limits.header_timeout_ms,
+            write_idle_timeout_ms: limits.write_idle_timeout_ms,
+            threads_count: limits.threads_count,
+            blocking_threads_count: 1,
+        };
+        let on_refused = Arc::clone(&on_refusal);
+        let kind = ErrorKind::TooManyConnections;
+        let refusal = Refusal {
+            response: answer::raw_refusal(kind, &entry.into(), limits.retry_after_ms),
+            on_refused: Box::new(move || on_refused(kind)),
+        };
+        let is_ready = Arc::new(AtomicBool::new(false));
+        let is_ready_shared = Arc::clone(&is_ready);
+        let make_service = |phase| {
+            let shared = Arc::new(Shared {
+                body_bytes: Slots::new(limits.bodies_total_max_bytes),
+                limits,
+                calls,
+                on_refusal,
+                entry: entry.into(),
+                next_call_id: AtomicU64::new(1),
+                is_ready: is_ready_shared,
+                phase,
+            });
+            move |slot| {
+                let shared = Arc::clone(&shared);
+                service_fn(move |request| {
+                    let answer = service::answer(Arc::clone(&shared), Arc::clone(&slot), request);
+                    async { Ok::<_, Infallible>(answer.await) }
+                })
+            }
         };
-        runtime.spawn(accept_loop(listener, Arc::clone(&shared)));
-        Ok(Self {
-            address,
-            shared,
-            phase,
-            runtime: Some(runtime),
-        })
+        let server = HttpServer::bind(address, "callers", http_limits, refusal, make_service)?;
+        Ok(Self { server, is_ready })
     }
 
     /// Returns the bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
 
     /// Returns the number of open connections.
     pub fn connections_count(&self) -> usize {
-        self.shared.connections.taken() as usize
+        self.server.connections_count()
     }
 
-    /// Goes on accepting, but closes each connection with its next answer, so that callers move to
-    /// other entries before [`Self::finish`] closes the port.
+    /// Sets what `GET /ready` tells the balancer; a new server is not ready.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.is_ready.store(is_ready, Ordering::Release);
+    }
+
+    /// Stops being ready, goes on accepting, and closes each connection with its next answer, so
+    /// that callers move to other entries before [`Self::finish`] closes the port.
     pub fn begin_closing(&self) {
-        self.phase.send_if_modified(|phase| match *phase {
-            Phase::Serving => {
-                *phase = Phase::Closing;
-                true
-            }
-            _ => false,
-        });
+        self.set_ready(false);
+        self.server.begin_closing();
     }
 
     /// Closes the port and the idle connections, waits up to `timeout_ms` for the calls in flight
     /// and returns the number of connections that were cut.
-    pub fn finish(mut self, timeout_ms: u64) -> usize {
-        self.phase.send_replace(Phase::Stopped);
-        let end = Instant::now() + Duration::from_millis(timeout_ms);
-        while self.connections_count() > 0 && Instant::now() < end {
-            thread::sleep(FINISH_POLL);
-        }
-        let cut_count = self.connections_count();
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_timeout(RUNTIME_STOP);
-        }
-        cut_count
-    }
-}
-
-impl Drop for CallersServer {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
-async fn accept_loop(listener: TcpListener, shared: Arc<Shared>) {
-    let mut phase = shared.phase.clone();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => admit(stream, &shared),
-                Err(_) => sleep(ACCEPT_RETRY).await,
-            },
-            () = until_stopped(&mut phase) => return,
-        }
-    }
-}
-
-/// Returns once the server is told to stop, or is dropped.
-async fn until_stopped(phase: &mut watch::Receiver<Phase>) {
-    let _ = phase.wait_for(|phase| *phase == Phase::Stopped).await;
-}
-
-fn admit(stream: TcpStream, shared: &Arc<Shared>) {
-    match shared.connections.take(1) {
-        Some(slot) => {
-            tokio::spawn(connection::serve(
-                stream,
-                Arc::new(slot),
-                Arc::clone(shared),
-            ));
-        }
-        None => {
-            (shared.on_refusal)(ErrorKind::TooManyConnections);
-            if let Some(slot) = shared.refusals.take(1) {
-                tokio::spawn(connection::refuse(stream, slot, Arc::clone(shared)));
-            }
-        }
+    pub fn finish(self, timeout_ms: u64) -> usize {
+        self.server.finish(timeout_ms)
     }
 }
--- a/src/adapters/callers_http/request.rs
+++ b/src/adapters/callers_http/request.rs
@@ -32,6 +32,20 @@
     Cancel(Cancel),
     /// Report on work accepted for later.
     Fetch(Fetch),
+    /// Tell the balancer whether to send callers here.
+    Readiness,
+}
+
+impl Asked {
+    /// Returns the id of the request that is asked for, or nothing.
+    pub(super) fn request_id(&self) -> SmolStr {
+        match self {
+            Self::Run(head) => head.request_id.clone(),
+            Self::Cancel(cancel) => cancel.request_id.clone(),
+            Self::Fetch(fetch) => fetch.request_id.clone(),
+            Self::Readiness => SmolStr::default(),
+        }
+    }
 }
 
 /// A request to run work, but for its body.
@@ -68,6 +82,7 @@
             request_id: request_id(id)?,
             key: key(&parts.headers)?,
         })),
+        (&Method::GET, ["ready"]) => Ok(Asked::Readiness),
         _ => Err("path: nothing is served under this method and path".into()),
     }
 }
--- /dev/null
+++ b/src/adapters/http_server/mod.rs
@@ -0,0 +1,230 @@
+//! An HTTP/1 server on `hyper` whose cost is bounded whatever its callers do: connections, heads
+//! and pauses have bounds, and an accept error does not end it. The callers' interface and the
+//! peers' server stand on it.
+
+mod connection;
+mod slots;
+mod stream;
+
+use std::error::Error;
+use std::net::{SocketAddr, TcpListener as StdTcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hyper::body::{Body, Incoming};
+use hyper::service::Service;
+use hyper::{Request, Response};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+pub(crate) use slots::{SlotGuard, Slots};
+
+/// Pause after an accept error such as a full table of open files.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// How often a finish looks whether every connection has closed.
+const FINISH_POLL: Duration = Duration::from_millis(5);
+/// Time that the runtime's threads get to end once no connection is left.
+const RUNTIME_STOP: Duration = Duration::from_millis(200);
+
+/// Bounds of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpLimits {
+    /// Open connections at most.
+    pub(crate) connections_max_count: usize,
+    /// Connections over the bound that are told so; more are closed without a word.
+    pub(crate) refusals_max_count: usize,
+    /// Time that a connection may take over a head, idle time between requests included.
+    pub(crate) header_timeout_ms: u64,
+    /// Time that the other side may pause while it reads an answer.
+    pub(crate) write_idle_timeout_ms: u64,
+    /// Threads that serve the connections.
+    pub(crate) threads_count: usize,
+    /// Threads for calls that block.
+    pub(crate) blocking_threads_count: usize,
+}
+
+/// What a server does with a connection over its bound.
+pub(crate) struct Refusal {
+    /// Bytes of the response.
+    pub(crate) response: Vec<u8>,
+    /// Told of each refused connection.
+    pub(crate) on_refused: Box<dyn Fn() + Send + Sync>,
+}
+
+/// How far a server has gone on its way to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Connections are accepted and kept open between requests.
+    Serving,
+    /// Connections are still accepted, and each is to close with its next answer.
+    Closing,
+    /// Nothing is accepted; idle connections are closed, the others end with their answer.
+    Stopped,
+}
+
+/// A running server.
+pub(crate) struct HttpServer {
+    address: SocketAddr,
+    connections: Arc<Slots>,
+    phase: watch::Sender<Phase>,
+    runtime: Option<Runtime>,
+}
+
+/// What the accept loop and its connections share.
+struct Shared<M> {
+    limits: HttpLimits,
+    refusal: Refusal,
+    connections: Arc<Slots>,
+    refusals: Arc<Slots>,
+    phase: watch::Receiver<Phase>,
+    make_service: M,
+}
+
+impl HttpServer {
+    /// Binds `address` and serves each connection by the service that `make_service` returns for
+    /// it. The service may keep the connection's slot for work that outlives the connection.
+    pub(crate) fn bind<M, S, B>(
+        address: SocketAddr,
+        thread_name: &str,
+        limits: HttpLimits,
+        refusal: Refusal,
+        make_service: impl FnOnce(watch::Receiver<Phase>) -> M,
+    ) -> std::io::Result<Self>
+    where
+        M: Fn(Arc<SlotGuard>) -> S + Send + Sync + 'static,
+        S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+        S::Future: Send,
+        S::Error: Into<Box<dyn Error + Send + Sync>>,
+        B: Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let listener = StdTcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(limits.threads_count)
+            .max_blocking_threads(limits.blocking_threads_count)
+            .thread_name(thread_name)
+            .enable_all()
+            .build()?;
+        let (phase, phase_receiver) = watch::channel(Phase::Serving);
+        let connections = Slots::new(limits.connections_max_count as u64);
+        let shared = Arc::new(Shared {
+            connections: Arc::clone(&connections),
+            refusals: Slots::new(limits.refusals_max_count as u64),
+            limits,
+            refusal,
+            make_service: make_service(phase_receiver.clone()),
+            phase: phase_receiver,
+        });
+        let listener = {
+            let _context = runtime.enter();
+            TcpListener::from_std(listener)?
+        };
+        runtime.spawn(accept_loop(listener, shared));
+        Ok(Self {
+            address,
+            connections,
+            phase,
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn connections_count(&self) -> usize {
+        self.connections.taken() as usize
+    }
+
+    /// Moves to [`Phase::Closing`].
+    pub(crate) fn begin_closing(&self) {
+        self.phase.send_if_modified(|phase| match *phase {
+            Phase::Serving => {
+                *phase = Phase::Closing;
+                true
+            }
+            Phase::Closing | Phase::Stopped => false,
+        });
+    }
+
+    /// Moves to [`Phase::Stopped`], waits up to `timeout_ms` for the requests in flight and returns
+    /// the number of connections that were cut.
+    pub(crate) fn finish(mut self, timeout_ms: u64) -> usize {
+        self.phase.send_replace(Phase::Stopped);
+        let end = Instant::now() + Duration::from_millis(timeout_ms);
+        while self.connections_count() > 0 && Instant::now() < end {
+            thread::sleep(FINISH_POLL);
+        }
+        let cut_count = self.connections_count();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_timeout(RUNTIME_STOP);
+        }
+        cut_count
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+async fn accept_loop<M, S, B>(listener: TcpListener, shared: Arc<Shared<M>>)
+where
+    M: Fn(Arc<SlotGuard>) -> S + Send + Sync + 'static,
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut phase = shared.phase.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => admit(stream, &shared),
+                Err(_) => sleep(ACCEPT_RETRY).await,
+            },
+            () = until_stopped(&mut phase) => return,
+        }
+    }
+}
+
+fn admit<M, S, B>(stream: TcpStream, shared: &Arc<Shared<M>>)
+where
+    M: Fn(Arc<SlotGuard>) -> S + Send + Sync + 'static,
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    match shared.connections.take(1) {
+        Some(slot) => {
+            tokio::spawn(connection::serve(stream, slot, Arc::clone(shared)));
+        }
+        None => {
+            (shared.refusal.on_refused)();
+            if let Some(slot) = shared.refusals.take(1) {
+                tokio::spawn(connection::refuse(stream, slot, Arc::clone(shared)));
+            }
+        }
+    }
+}
+
+/// Returns once the server is told to stop, or is dropped.
+async fn until_stopped(phase: &mut watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase == Phase::Stopped).await;
+}
--- a/src/adapters/callers_http/slots.rs
+++ b/src/adapters/http_server/slots.rs
@@ -4,20 +4,20 @@
 use std::sync::Arc;
 
 /// A bound and what is taken of it.
-pub(super) struct Slots {
+pub(crate) struct Slots {
     max_count: u64,
     taken_count: AtomicU64,
 }
 
 /// A part of a bound that its holder has taken.
-pub(super) struct SlotGuard {
+pub(crate) struct SlotGuard {
     slots: Arc<Slots>,
     count: u64,
 }
 
 impl Slots {
     /// Returns a bound of which nothing is taken.
-    pub(super) fn new(max_count: u64) -> Arc<Self> {
+    pub(crate) fn new(max_count: u64) -> Arc<Self> {
         Arc::new(Self {
             max_count,
             taken_count: AtomicU64::new(0),
@@ -25,12 +25,12 @@
     }
 
     /// Returns what is taken.
-    pub(super) fn taken(&self) -> u64 {
+    pub(crate) fn taken(&self) -> u64 {
         self.taken_count.load(Ordering::Acquire)
     }
 
     /// Takes `count`, or nothing if the bound does not allow it.
-    pub(super) fn take(self: &Arc<Self>, count: u64) -> Option<SlotGuard> {
+    pub(crate) fn take(self: &Arc<Self>, count: u64) -> Option<SlotGuard> {
         self.add(count).then(|| SlotGuard {
             slots: Arc::clone(self),
             count,
@@ -51,7 +51,7 @@
 
 impl SlotGuard {
     /// Takes `count` more; returns whether the bound allowed it.
-    pub(super) fn grow(&mut self, count: u64) -> bool {
+    pub(crate) fn grow(&mut self, count: u64) -> bool {
         let is_added = self.slots.add(count);
         if is_added {
             self.count += count;
--- a/src/error.rs
+++ b/src/error.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ports::NotStarted;
+
 /// Whether the work of a call ran, as far as the answer can prove it.
 ///
 /// The state speaks for the call that it answers. A caller that repeats a request id may be told
@@ -306,3 +308,62 @@
         }
     }
 }
+
+/// Why an attempt, an append or a call between entries is made again.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumCount,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum RetryReason {
+    /// The worker had no free slot.
+    WorkerBusy,
+    /// The worker was draining.
+    WorkerDraining,
+    /// The attempt reached the worker after its start time had passed.
+    WorkerLate,
+    /// The worker was smaller than the request.
+    WorkerTooSmall,
+    /// No connection to the worker could be made.
+    WorkerUnreachable,
+    /// The worker was lost while it ran idempotent work.
+    WorkerLost,
+    /// The worker reported that idempotent work failed.
+    TaskFailed,
+    /// The answer to an append was lost, and the record was not found by reading.
+    AppendLost,
+    /// The record's version or epoch no longer held at its offset.
+    AppendOutrun,
+    /// The log was out of reach.
+    LogUnreachable,
+    /// The instance list was out of reach.
+    InstanceListUnreachable,
+    /// A peer gave no answer.
+    PeerSilent,
+}
+
+impl From<NotStarted> for RetryReason {
+    fn from(reason: NotStarted) -> Self {
+        match reason {
+            NotStarted::Busy => Self::WorkerBusy,
+            NotStarted::Draining => Self::WorkerDraining,
+            NotStarted::Late => Self::WorkerLate,
+            NotStarted::TooLarge => Self::WorkerTooSmall,
+            NotStarted::Unreachable => Self::WorkerUnreachable,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod error;
 pub mod fleet;
 pub mod lists;
+pub mod logging;
+pub mod metrics;
 pub mod platform;
 pub mod policy;
 pub mod ports;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,120 @@
+//! Logs: one line of key=value pairs for each event, to the standard error or to a file.
+
+use std::fmt::{Display, Write};
+use std::io;
+
+use flexi_logger::{DeferredNow, FileSpec, FlexiLoggerError, Logger, LoggerHandle};
+use log::{Level, Record};
+
+/// Where the log lines go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LogTarget {
+    /// To the standard error.
+    Stderr,
+    /// To the end of this file.
+    File(std::path::PathBuf),
+}
+
+/// Starts logging at `level` (`error`, `warn`, `info`, `debug` or `trace`); it ends when the handle
+/// is dropped.
+pub fn open(level: &str, target: &LogTarget) -> Result<LoggerHandle, FlexiLoggerError> {
+    let logger = Logger::try_with_str(level)?.use_utc().format(write_line);
+    let logger = match target {
+        LogTarget::Stderr => logger.log_to_stderr(),
+        LogTarget::File(path) => logger.append().log_to_file(FileSpec::try_from(path)?),
+    };
+    logger.start()
+}
+
+/// One event, as a line of key=value pairs.
+///
+/// ```
+/// use hawthornladder::logging::Event;
+///
+/// let event = Event::new("key_withdrawn").with("key", "ab12").with("reason", "asked for");
+/// assert_eq!(event.line(), r#"event=key_withdrawn key=ab12 reason="asked for""#);
+/// event.info();
+/// ```
+#[derive(Clone, Debug)]
+pub struct Event {
+    line: String,
+}
+
+impl Event {
+    /// Begins the event `name`, in snake_case.
+    pub fn new(name: &str) -> Self {
+        Self {
+            line: format!("event={name}"),
+        }
+    }
+
+    /// Adds a pair; the value is quoted where it would not read back as one word.
+    pub fn with(mut self, key: &str, value: impl Display) -> Self {
+        let start = self.line.len();
+        // Writing to a string does not fail.
+        let _ = write!(self.line, " {key}={value}");
+        let value_start = start + key.len() + 2;
+        if needs_quotes(&self.line[value_start..]) {
+            let quoted = format!("{:?}", &self.line[value_start..]);
+            self.line.replace_range(value_start.., &quoted);
+        }
+        self
+    }
+
+    /// Returns the line.
+    pub fn line(&self) -> &str {
+        &self.line
+    }
+
+    /// Logs the event at the level of faults that need an operator.
+    pub fn error(&self) {
+        self.log(Level::Error);
+    }
+
+    /// Logs the event at the level of faults that the entry handles itself.
+    pub fn warn(&self) {
+        self.log(Level::Warn);
+    }
+
+    /// Logs the event at the level of changes of state.
+    pub fn info(&self) {
+        self.log(Level::Info);
+    }
+
+    /// Logs the event at the level of single requests.
+    pub fn debug(&self) {
+        self.log(Level::Debug);
+    }
+
+    fn log(&self, level: Level) {
+        log::log!(level, "{}", self.line);
+    }
+}
+
+fn needs_quotes(value: &str) -> bool {
+    let is_plain = |letter: char| !letter.is_control() && !letter.is_whitespace();
+    value.is_empty()
+        || !value
+            .chars()
+            .all(|letter| is_plain(letter) && !"\"=\\".contains(letter))
+}
+
+/// Writes one line; lines of libraries become an event of their own.
+fn write_line(
+    writer: &mut dyn io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let text = record.args().to_string();
+    let line = match text.starts_with("event=") {
+        true => text,
+        false => {
+            Event::new("library")
+                .with("target", record.target())
+                .with("text", text)
+                .line
+        }
+    };
+    let level = record.level().as_str().to_ascii_lowercase();
+    write!(writer, "at={} level={level} {line}", now.format_rfc3339())
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,213 @@
+//! The metrics of one entry, in the Prometheus text format: a counter for each refusal and each
+//! retry reason, gauges for what is held, histograms for the time that the entry adds.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::{Metric, Registry};
+use strum::IntoEnumIterator;
+
+use crate::error::{ErrorKind, RetryReason};
+
+/// Prefix of each metric's name.
+const PREFIX: &str = "hawthornladder";
+/// Lowest bound of the histograms of time, in milliseconds.
+const BUCKET_FIRST_MS: f64 = 0.125;
+/// Each bound of a histogram is this many times the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Bounds of a histogram; the last one is 16 s.
+const BUCKETS_COUNT: u16 = 18;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// An answer of a worker that was dropped.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumCount,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum DroppedAnswer {
+    /// It came after its request was answered.
+    Late,
+    /// It belonged to another attempt.
+    Crossed,
+    /// It had come before.
+    Doubled,
+    /// It was shorter than it said.
+    Truncated,
+    /// It was longer than is passed on.
+    TooLong,
+}
+
+/// A gauge that holds a whole number from 0.
+pub type CountGauge = Gauge<u64, AtomicU64>;
+
+/// The metrics of one entry. Gauges and histograms are set through the fields.
+pub struct Metrics {
+    registry: Registry,
+    refusals: Family<KindLabel, Counter>,
+    retries: Family<ReasonLabel, Counter>,
+    dropped_answers: Family<ReasonLabel, Counter>,
+    /// Requests that were answered by a task.
+    pub answered: Counter,
+    /// Requests waiting at this entry.
+    pub waiting_count: CountGauge,
+    /// Requests running for this entry.
+    pub running_count: CountGauge,
+    /// Time left of the lease on this entry's seat, in milliseconds.
+    pub seat_lease_left_ms: CountGauge,
+    /// Offset up to which the ledger is folded.
+    pub ledger_offset: CountGauge,
+    /// Version of the lists in force.
+    pub in_force_version: CountGauge,
+    /// Open connections of callers.
+    pub caller_connections_count: CountGauge,
+    /// Time from a call's arrival to its answer, but for the run itself, in milliseconds.
+    pub added_latency_ms: Histogram,
+    /// Time from a call's arrival to its start on a worker, in milliseconds.
+    pub start_delay_ms: Histogram,
+}
+
+impl Metrics {
+    /// Opens a registry in which every counter stands at 0.
+    pub fn open() -> Self {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let into = &mut registry;
+        Self {
+            refusals: add(into, "refusals", "Calls refused or failed.", kinds()),
+            retries: add(into, "retries", "Tries made again.", retry_reasons()),
+            dropped_answers: add(
+                into,
+                "dropped_answers",
+                "Answers of workers dropped.",
+                dropped_answers(),
+            ),
+            answered: add(into, "answered", "Requests done.", Counter::default()),
+            waiting_count: gauge(into, "waiting_count", "Requests waiting."),
+            running_count: gauge(into, "running_count", "Requests running."),
+            seat_lease_left_ms: gauge(into, "seat_lease_left_ms", "Lease left on the seat."),
+            ledger_offset: gauge(into, "ledger_offset", "Offset folded up to."),
+            in_force_version: gauge(into, "in_force_version", "Version of the lists in force."),
+            caller_connections_count: gauge(
+                into,
+                "caller_connections_count",
+                "Open connections of callers.",
+            ),
+            added_latency_ms: add(
+                into,
+                "added_latency_ms",
+                "Time added to a run.",
+                histogram_ms(),
+            ),
+            start_delay_ms: add(into, "start_delay_ms", "Time to start.", histogram_ms()),
+            registry,
+        }
+    }
+
+    /// Counts a refusal or failure.
+    pub fn count_refusal(&self, kind: ErrorKind) {
+        self.refusals
+            .get_or_create(&KindLabel { kind: kind.name() })
+            .inc();
+    }
+
+    /// Returns how often `kind` was counted.
+    pub fn refusals_count(&self, kind: ErrorKind) -> u64 {
+        self.refusals
+            .get_or_create(&KindLabel { kind: kind.name() })
+            .get()
+    }
+
+    /// Counts a retry.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries.get_or_create(&reason_label(reason)).inc();
+    }
+
+    /// Returns how often `reason` was counted.
+    pub fn retries_count(&self, reason: RetryReason) -> u64 {
+        self.retries.get_or_create(&reason_label(reason)).get()
+    }
+
+    /// Counts an answer of a worker that was dropped.
+    pub fn count_dropped_answer(&self, reason: DroppedAnswer) {
+        self.dropped_answers
+            .get_or_create(&reason_label(reason))
+            .inc();
+    }
+
+    /// Returns all metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn reason_label(reason: impl Into<&'static str>) -> ReasonLabel {
+    ReasonLabel {
+        reason: reason.into(),
+    }
+}
+
+fn kinds() -> Family<KindLabel, Counter> {
+    let family = Family::default();
+    for kind in ErrorKind::iter() {
+        drop(family.get_or_create(&KindLabel { kind: kind.name() }));
+    }
+    family
+}
+
+fn retry_reasons() -> Family<ReasonLabel, Counter> {
+    let family = Family::default();
+    for reason in RetryReason::iter() {
+        drop(family.get_or_create(&reason_label(reason)));
+    }
+    family
+}
+
+fn dropped_answers() -> Family<ReasonLabel, Counter> {
+    let family = Family::default();
+    for reason in DroppedAnswer::iter() {
+        drop(family.get_or_create(&reason_label(reason)));
+    }
+    family
+}
+
+fn histogram_ms() -> Histogram {
+    Histogram::new(exponential_buckets(
+        BUCKET_FIRST_MS,
+        BUCKET_FACTOR,
+        BUCKETS_COUNT,
+    ))
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> CountGauge {
+    add(registry, name, help, CountGauge::default())
+}
+
+fn add<T: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: T) -> T {
+    registry.register(name, help, metric.clone());
+    metric
+}
