--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,3 +7,6 @@
 pub mod log_http;
 pub mod worker_answer;
 pub mod workers_http;
+pub(crate) mod http_server;
+pub mod operators_http;
+pub mod peers_rpc;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod keys;
 pub mod ledger;
 pub mod lists;
+pub mod logging;
+pub mod metrics;
 pub mod platform;
 pub mod policy;
 pub mod ports;
