--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,10 +3,10 @@
 pub mod callers_http;
 pub mod clock;
 pub mod http_client;
+pub(crate) mod http_server;
 pub mod instances_http;
 pub mod log_http;
-pub mod worker_answer;
-pub mod workers_http;
-pub(crate) mod http_server;
 pub mod operators_http;
 pub mod peers_rpc;
+pub mod worker_answer;
+pub mod workers_http;
--- a/src/adapters/operators_http.rs
+++ b/src/adapters/operators_http.rs
@@ -74,8 +74,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WithdrawKey {
-    /// Digest of the key, as the list of keys shows it.
-    pub digest: SmolStr,
+    /// Public id of the key, as the list of keys shows it.
+    pub key_id: SmolStr,
 }
 
 /// What an operator is told.
--- a/src/adapters/peers_rpc/client.rs
+++ b/src/adapters/peers_rpc/client.rs
@@ -2,7 +2,7 @@
 
 use std::error::Error;
 use std::io;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::client::{ClientT, Error as RpcError};
@@ -19,11 +19,13 @@
 /// Calls that may wait for one peer at once; one more is not sent.
 const CALLS_MAX_COUNT: usize = 8;
 
+/// Threads that carry all links of the process.
+const RUNTIME_THREADS_COUNT: usize = 2;
+
 /// A link to one peer.
 pub struct PeerClient {
     url: String,
     timeout: Duration,
-    runtime: Runtime,
     link: Mutex<Link>,
 }
 
@@ -40,18 +42,10 @@
     pub fn open(address: &str, timeout_ms: u64) -> Result<Self, PortError> {
         let url = format!("http://{address}");
         let timeout = Duration::from_millis(timeout_ms);
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
-            .max_blocking_threads(1)
-            .thread_name("peer")
-            .enable_all()
-            .build()
-            .map_err(|error| PortError::NotSent(format_smolstr!("{error}")))?;
         let client = build(&url, timeout)?;
         Ok(Self {
             url,
             timeout,
-            runtime,
             link: Mutex::new(Link {
                 client,
                 generation: 0,
@@ -67,7 +61,7 @@
         let params = params_of(call)?;
         let (client, generation) = self.begin()?;
         // The timeout of the client does not cover a connection that takes no bytes.
-        let answer = self.runtime.block_on(async {
+        let answer = runtime()?.block_on(async {
             let request = client.request::<PeerAnswer, _>(method, params);
             tokio::time::timeout(self.timeout, request)
                 .await
@@ -102,6 +96,22 @@
     }
 }
 
+/// Returns the runtime that the links of the process share.
+fn runtime() -> Result<&'static Runtime, PortError> {
+    static RUNTIME: OnceLock<Option<Runtime>> = OnceLock::new();
+    let make = || {
+        Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS_COUNT)
+            .max_blocking_threads(1)
+            .thread_name("peer")
+            .enable_all()
+            .build()
+            .ok()
+    };
+    let no_runtime = PortError::NotSent(SmolStr::new_static("no thread for calls to peers"));
+    RUNTIME.get_or_init(make).as_ref().ok_or(no_runtime)
+}
+
 fn build(url: &str, timeout: Duration) -> Result<HttpClient, PortError> {
     HttpClientBuilder::default()
         .request_timeout(timeout)
--- a/src/adapters/peers_rpc/messages.rs
+++ b/src/adapters/peers_rpc/messages.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 
+use crate::entry::Gossip;
 use crate::error::ErrorKind;
 use crate::fleet::{Offset, TeamName};
 use crate::ports::LogPage;
@@ -29,13 +30,11 @@
 )]
 pub enum PeerCall {
     /// Tell usage and pressure, and hear the peer's.
-    Gossip(Gossip),
+    Gossip(Box<Gossip>),
     /// Read records of the log that the peer has seen.
     Tail(TailAsk),
     /// Read one chunk of the peer's newest snapshot.
     Snapshot(SnapshotAsk),
-    /// Ask for a part of a team's limit that the peer's seat holds.
-    AskEscrow(AskEscrow),
     /// Refuse a key from now on, before the log says so.
     WithdrawKey(WithdrawAtPeer),
     /// Cancel a request that the peer may hold.
@@ -44,17 +43,6 @@
     Status,
 }
 
-/// Usage and pressure of one entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Gossip {
-    /// Entry that tells.
-    pub from: SmolStr,
-    /// Rises with each message of one incarnation, so that a late one is dropped.
-    pub sequence: u64,
-    /// What it tells.
-    pub body: Value,
-}
-
 /// Question for records of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TailAsk {
@@ -88,22 +76,11 @@
     pub text: String,
 }
 
-/// Question for a part of a team's limit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskEscrow {
-    /// Seat that wants it.
-    pub to_seat: SmolStr,
-    /// Team whose limit is meant.
-    pub team: TeamName,
-    /// Requests that it wants to run besides those that it may.
-    pub wanted_count: u32,
-}
-
 /// Order to refuse a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WithdrawAtPeer {
-    /// Digest of the key.
-    pub digest: SmolStr,
+    /// Public id of the key.
+    pub key_id: SmolStr,
 }
 
 /// Order to cancel a request.
@@ -120,16 +97,11 @@
 #[serde(rename_all = "snake_case")]
 pub enum PeerAnswer {
     /// The peer's own usage and pressure.
-    Gossip(Gossip),
+    Gossip(Box<Gossip>),
     /// Records of the log.
     Tail(LogPage),
     /// One chunk of a snapshot.
     Snapshot(SnapshotChunk),
-    /// Requests that the peer will give away; the ledger decides.
-    AskEscrow {
-        /// Number of requests.
-        given_count: u32,
-    },
     /// Whether the peer knew what the order named.
     Ordered {
         /// Whether it did.
--- a/src/adapters/peers_rpc/mod.rs
+++ b/src/adapters/peers_rpc/mod.rs
@@ -7,8 +7,7 @@
 
 pub use client::PeerClient;
 pub use messages::{
-    AskEscrow, CancelAtPeer, Gossip, PeerAnswer, PeerCall, SnapshotAsk, SnapshotChunk, TailAsk,
-    WithdrawAtPeer,
+    CancelAtPeer, PeerAnswer, PeerCall, SnapshotAsk, SnapshotChunk, TailAsk, WithdrawAtPeer,
 };
 pub use server::{PeerHandler, PeersServer};
 
--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     adapters::peers_rpc::{CancelAtPeer, PeerCall},
-    callers::{CallerAnswer, CallerCall},
+    callers::{CallerAnswer, CallerCall, CallerOutcome},
     entry::{
         daemon::{lock, peers, Append, PeerAddress, Replies, Shared},
         engine::Engine,
@@ -173,8 +173,8 @@
                 address: row.peers_address.clone(),
             })
             .collect();
-        self.shared.metrics.publish(&status);
         let mut published = lock(&self.shared.published);
+        self.shared.metrics.publish(&status, &published.status);
         published.status = status;
         published.peers = peers;
     }
@@ -201,12 +201,21 @@
                 address,
                 request,
                 timeout_ms,
-            } => self.run_attempt(attempt, address, request, timeout_ms),
+                queued_ms,
+            } => {
+                self.shared.metrics.start_delay_ms.observe(queued_ms as f64);
+                self.run_attempt(attempt, address, request, timeout_ms);
+            }
             other => self.run_errand(other),
         }
     }
 
     fn answer(&mut self, call_id: u64, answer: CallerAnswer) {
+        match answer.outcome {
+            CallerOutcome::Failed(kind) => self.shared.metrics.count_refusal(kind),
+            CallerOutcome::Done => drop(self.shared.metrics.answered.inc()),
+            CallerOutcome::Accepted => {}
+        }
         if let Some(reply) = self.replies.remove(&call_id) {
             // A caller that has gone needs no answer.
             let _ = reply.try_send(answer);
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -213,7 +213,11 @@
     /// # Errors
     ///
     /// An error of the system if a port cannot be bound or a thread cannot be started.
-    pub fn spawn(mut settings: EntrySettings, platform: Arc<P>, incarnation: &str) -> io::Result<Self> {
+    pub fn spawn(
+        mut settings: EntrySettings,
+        platform: Arc<P>,
+        incarnation: &str,
+    ) -> io::Result<Self> {
         let metrics = Arc::new(Metrics::open());
         let (events, events_receiver) = flume::bounded(EVENTS_RING_LEN);
         let (appends, appends_receiver) = flume::bounded(APPENDS_RING_LEN);
--- /dev/null
+++ b/src/entry/daemon/operators.rs
@@ -0,0 +1,125 @@
+//! What operators ask of an entry, answered from what the engine publishes.
+
+use std::{
+    sync::{atomic::Ordering, Arc, Weak},
+    time::Duration,
+};
+
+use serde_json::json;
+
+use crate::{
+    adapters::{
+        operators_http::{OperatorAnswer, OperatorCall, OperatorHandler},
+        peers_rpc::{PeerAnswer, PeerCall, WithdrawAtPeer},
+    },
+    entry::{
+        daemon::{lock, peers, Shared},
+        event::Event,
+    },
+    error::ErrorKind,
+    ledger::KeyId,
+    ports::Platform,
+};
+
+/// Longest wait for the engine's answer.
+const ENGINE_WAIT: Duration = Duration::from_secs(2);
+
+/// Returns what answers operators.
+pub(crate) fn handler<P: Platform>(shared: &Arc<Shared<P>>) -> OperatorHandler {
+    let shared: Weak<Shared<P>> = Arc::downgrade(shared);
+    Arc::new(move |call| match shared.upgrade() {
+        Some(shared) => answer(&shared, call),
+        None => failed(ErrorKind::Draining),
+    })
+}
+
+fn answer<P: Platform>(shared: &Arc<Shared<P>>, call: OperatorCall) -> OperatorAnswer {
+    match call {
+        OperatorCall::Ready => ready(shared),
+        OperatorCall::Metrics => OperatorAnswer::Text {
+            status: 200,
+            content_type: "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            body: shared.metrics.encode(),
+        },
+        OperatorCall::Status => {
+            let status = lock(&shared.published).status.clone();
+            OperatorAnswer::Json {
+                status: 200,
+                body: serde_json::to_value(status).unwrap_or_default(),
+            }
+        }
+        OperatorCall::Explain(question) => {
+            let (reply, receiver) = flume::bounded(1);
+            shared.tell(Event::Explain { question, reply });
+            match receiver.recv_timeout(ENGINE_WAIT) {
+                Ok(explanation) => OperatorAnswer::Json {
+                    status: 200,
+                    body: serde_json::to_value(explanation).unwrap_or_default(),
+                },
+                Err(_) => failed(ErrorKind::EntryNotReady),
+            }
+        }
+        OperatorCall::WithdrawKey(order) => withdraw(shared, order.key_id),
+    }
+}
+
+fn ready<P: Platform>(shared: &Shared<P>) -> OperatorAnswer {
+    let is_serving = shared.is_serving.load(Ordering::Acquire);
+    let (status, body) = match is_serving {
+        true => (200, "ready\n"),
+        false => (503, "not ready\n"),
+    };
+    OperatorAnswer::Text {
+        status,
+        content_type: "text/plain; charset=utf-8",
+        body: body.to_owned(),
+    }
+}
+
+/// Withdraws a key here and tells every peer; answers with the seats that acknowledged.
+///
+/// The withdrawal holds everywhere once more than half of the live seats have acknowledged it: an
+/// entry that hears neither the log nor such a half refuses work.
+fn withdraw<P: Platform>(shared: &Arc<Shared<P>>, key_id: KeyId) -> OperatorAnswer {
+    if !peers::withdraw_here(shared, &key_id) {
+        return failed(ErrorKind::EntryNotReady);
+    }
+    let (own, peers_known) = {
+        let published = lock(&shared.published);
+        (published.status.seat.clone(), published.peers.clone())
+    };
+    let seats_count = peers_known.len() + 1;
+    let (acks, acked) = flume::bounded(peers_known.len().max(1));
+    for peer in peers_known {
+        let (shared_for_call, acks) = (Arc::clone(shared), acks.clone());
+        let call = PeerCall::WithdrawKey(WithdrawAtPeer {
+            key_id: key_id.clone(),
+        });
+        shared.errands.run(move || {
+            let answer = peers::call(&shared_for_call, &peer.address, &call);
+            if matches!(answer, Ok(PeerAnswer::Ordered { .. })) {
+                let _ = acks.try_send(peer.seat);
+            }
+        });
+    }
+    drop(acks);
+    let mut acknowledged = vec![own];
+    acknowledged.extend(acked.iter());
+    OperatorAnswer::Json {
+        status: 200,
+        body: json!({
+            "key_id": key_id,
+            "seats_count": seats_count,
+            "acknowledged_count": acknowledged.len(),
+            "is_in_force_everywhere": acknowledged.len() * 2 > seats_count,
+            "acknowledged": acknowledged,
+        }),
+    }
+}
+
+fn failed(kind: ErrorKind) -> OperatorAnswer {
+    OperatorAnswer::Failed {
+        kind,
+        detail: Default::default(),
+    }
+}
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -3,11 +3,15 @@
 
 use std::{
     io,
-    sync::{Arc, OnceLock, Weak},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, OnceLock, Weak,
+    },
     thread::JoinHandle,
     time::Duration,
 };
 
+use indexmap::{map::Entry, IndexMap};
 use smol_str::SmolStr;
 
 use crate::{
@@ -21,6 +25,7 @@
     },
     error::ErrorKind,
     fleet::Offset,
+    ledger::KeyId,
     ports::{Clock, LogPage, Platform, PortError},
 };
 
@@ -73,3 +78,220 @@
 ) -> Result<PeerAnswer, PortError> {
     PeerClient::open(address, shared.settings.peer_timeout_ms)?.call(call)
 }
+
+/// Answers a peer's call.
+fn answer<P: Platform>(shared: &Shared<P>, call: PeerCall) -> PeerAnswer {
+    match call {
+        PeerCall::Gossip(gossip) => {
+            // A call proves nothing about how recent its content is: it may have been on its way
+            // for long. Only answers to this entry's own calls count as contact.
+            let _ = shared.events.try_send(Event::Hint {
+                gossip: gossip.clone(),
+            });
+            let own = lock(&shared.published).gossip.clone();
+            PeerAnswer::Gossip(Box::new(own))
+        }
+        PeerCall::Tail(ask) => PeerAnswer::Tail(tail(shared, &ask)),
+        PeerCall::Snapshot(ask) => snapshot_chunk(shared, &ask),
+        PeerCall::WithdrawKey(order) => match withdraw_here(shared, &order.key_id) {
+            true => PeerAnswer::Ordered { was_known: true },
+            false => PeerAnswer::Failed {
+                kind: ErrorKind::EntryNotReady,
+            },
+        },
+        PeerCall::Cancel(order) => {
+            shared.tell(Event::PeerCancel {
+                team: order.team,
+                request_id: order.request_id,
+            });
+            PeerAnswer::Ordered { was_known: true }
+        }
+        PeerCall::Status => {
+            let status = lock(&shared.published).status.clone();
+            PeerAnswer::Status(serde_json::to_value(status).unwrap_or_default())
+        }
+    }
+}
+
+/// Withdraws a key at this entry; returns whether it is in force here now.
+pub(crate) fn withdraw_here<P: Platform>(shared: &Shared<P>, key_id: &KeyId) -> bool {
+    let (reply, receiver) = flume::bounded(1);
+    shared.tell(Event::Withdraw {
+        key_id: key_id.clone(),
+    });
+    // Events are taken in order: this one is answered after the withdrawal is in force.
+    shared.tell(Event::Ping { reply });
+    let wait = Duration::from_millis(shared.settings.peer_timeout_ms);
+    receiver.recv_timeout(wait).is_ok()
+}
+
+fn tail<P: Platform>(shared: &Shared<P>, ask: &TailAsk) -> LogPage {
+    let relay = lock(&shared.relay);
+    let records = relay
+        .records
+        .iter()
+        .filter(|record| record.offset >= ask.from_offset)
+        .take(ask.records_max_count as usize)
+        .cloned()
+        .collect();
+    LogPage {
+        records,
+        head_offset: relay.head_offset,
+        oldest_offset: relay.oldest_offset,
+    }
+}
+
+/// Bytes of one chunk of a relayed ledger.
+const CHUNK_BYTES: usize = 1024 * 1024;
+
+fn snapshot_chunk<P: Platform>(shared: &Shared<P>, ask: &SnapshotAsk) -> PeerAnswer {
+    let (reply, receiver) = flume::bounded(1);
+    shared.tell(Event::AskLedger { reply });
+    let wait = Duration::from_millis(shared.settings.peer_timeout_ms);
+    let Ok((at_offset, text)) = receiver.recv_timeout(wait) else {
+        return PeerAnswer::Failed {
+            kind: ErrorKind::EntryNotReady,
+        };
+    };
+    if ask.at_offset.is_some_and(|wanted| wanted != at_offset) {
+        return PeerAnswer::Failed {
+            kind: ErrorKind::VersionConflict,
+        };
+    }
+    let chunks = crate::ledger::split_at_chars(&text, CHUNK_BYTES);
+    match chunks.get(ask.chunk_index as usize) {
+        Some(chunk) => PeerAnswer::Snapshot(SnapshotChunk {
+            at_offset,
+            chunk_index: ask.chunk_index,
+            chunks_count: chunks.len() as u32,
+            text: (*chunk).to_owned(),
+        }),
+        None => PeerAnswer::Failed {
+            kind: ErrorKind::MalformedRequest,
+        },
+    }
+}
+
+/// Fetches records that the log does not give.
+pub(crate) fn pull_tail<P: Platform>(shared: &Shared<P>, address: &str, from_offset: Offset) {
+    let sent_ms = shared.platform.clock().mono_ms();
+    let ask = PeerCall::Tail(TailAsk {
+        from_offset,
+        records_max_count: TAIL_MAX_RECORDS,
+        wait_ms: 0,
+    });
+    match call(shared, address, &ask) {
+        Ok(PeerAnswer::Tail(page)) if starts_at(&page, from_offset) => {
+            shared.tell(Event::LogPage {
+                sent_ms,
+                from_offset,
+                page,
+                source: Source::Peer,
+            });
+        }
+        // The peer no longer has the records in between.
+        Ok(PeerAnswer::Tail(page)) if !page.records.is_empty() => pull_ledger(shared, address),
+        Ok(_) => {}
+        Err(error) => log::warn!("event=pull_failed peer={address} error={error}"),
+    }
+}
+
+fn starts_at(page: &LogPage, from_offset: Offset) -> bool {
+    let first = page.records.first();
+    first.is_some_and(|record| record.offset == from_offset)
+}
+
+/// Fetches the whole ledger from a peer.
+pub(crate) fn pull_ledger<P: Platform>(shared: &Shared<P>, address: &str) {
+    let mut text = String::new();
+    let mut at_offset = None;
+    let mut chunk_index = 0;
+    loop {
+        let ask = PeerCall::Snapshot(SnapshotAsk {
+            at_offset,
+            chunk_index,
+        });
+        let Ok(PeerAnswer::Snapshot(chunk)) = call(shared, address, &ask) else {
+            return;
+        };
+        at_offset = Some(chunk.at_offset);
+        text.push_str(&chunk.text);
+        chunk_index += 1;
+        if chunk_index >= chunk.chunks_count {
+            break;
+        }
+    }
+    shared.tell(Event::PeerLedger { text });
+}
+
+/// Starts the thread that exchanges gossip with every peer.
+pub(crate) fn spawn<P: Platform>(shared: &Arc<Shared<P>>) -> io::Result<JoinHandle<()>> {
+    let shared = Arc::clone(shared);
+    spawn_thread("gossip", move || gossip_all(&shared))
+}
+
+/// A peer with the link that exchanges go over.
+struct Link {
+    client: Arc<PeerClient>,
+    is_busy: Arc<AtomicBool>,
+}
+
+fn gossip_all<P: Platform>(shared: &Arc<Shared<P>>) {
+    let every = Duration::from_millis(shared.settings.peer_gossip_ms);
+    let mut links: IndexMap<SmolStr, Link> = IndexMap::new();
+    while !shared.is_stopped() {
+        let addresses = peer_addresses(shared);
+        links.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            let link = match links.entry(address.clone()) {
+                Entry::Occupied(entry) => entry.into_mut(),
+                Entry::Vacant(entry) => {
+                    match PeerClient::open(&address, shared.settings.peer_timeout_ms) {
+                        Ok(client) => entry.insert(Link {
+                            client: Arc::new(client),
+                            is_busy: Arc::new(AtomicBool::new(false)),
+                        }),
+                        Err(_) => continue,
+                    }
+                }
+            };
+            exchange(shared, link);
+        }
+        sleep_unless_stopped(shared, every);
+    }
+}
+
+/// Returns the peers of the ledger and, while it names none, those of the settings.
+fn peer_addresses<P: Platform>(shared: &Shared<P>) -> Vec<SmolStr> {
+    let peers: Vec<PeerAddress> = lock(&shared.published).peers.clone();
+    let own = &shared.settings.engine.peers_address;
+    let known = peers.into_iter().map(|peer| peer.address);
+    let mut addresses: Vec<SmolStr> = known.filter(|address| address != own).collect();
+    if addresses.is_empty() {
+        let configured = shared.settings.peer_addresses.iter();
+        addresses.extend(configured.filter(|address| *address != own).cloned());
+    }
+    addresses
+}
+
+/// Exchanges gossip over a link, unless the last exchange over it still waits.
+fn exchange<P: Platform>(shared: &Arc<Shared<P>>, link: &Link) {
+    if link.is_busy.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let is_busy = Arc::clone(&link.is_busy);
+    let client = Arc::clone(&link.client);
+    let exchanging = Arc::clone(shared);
+    let is_taken = shared.errands.run(move || {
+        let sent_ms = exchanging.platform.clock().mono_ms();
+        let own: Gossip = lock(&exchanging.published).gossip.clone();
+        let call = PeerCall::Gossip(Box::new(own));
+        if let Ok(PeerAnswer::Gossip(gossip)) = client.call(&call) {
+            exchanging.tell(Event::Gossip { sent_ms, gossip });
+        }
+        is_busy.store(false, Ordering::Release);
+    });
+    if !is_taken {
+        link.is_busy.store(false, Ordering::Release);
+    }
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -400,6 +400,7 @@
             address: attempt.address.clone(),
             request: Box::new(worker_request),
             timeout_ms: start_window_ms + lease_ms,
+            queued_ms: now_ms.saturating_sub(waiting.enqueued_ms),
         });
         self.occupy(&attempt);
         self.requests.start(attempt_key, attempt);
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -185,6 +185,17 @@
             Event::SnapshotAppended { .. } => self.snapshots.finished(),
             Event::Instances { page, .. } => self.take_instances(page),
             Event::Gossip { sent_ms, gossip } => self.take_gossip(sent_ms, *gossip),
+            Event::Hint { gossip } => self.take_hint(*gossip),
+            Event::AskLedger { reply } => {
+                // A peer that has gone needs no answer.
+                let _ = reply.try_send((self.ledger.next_offset, self.ledger.to_snapshot()));
+            }
+            Event::Ping { reply } => {
+                let _ = reply.try_send(());
+            }
+            Event::Explain { question, reply } => {
+                let _ = reply.try_send(self.explain(&question));
+            }
             Event::Call { call_id, request } => self.take_call(call_id, request),
             Event::Cancel { call_id, cancel } => self.cancel_for(call_id, &cancel),
             Event::PeerCancel { team, request_id } => {
@@ -551,7 +562,7 @@
     }
 
     /// Takes the hints of a peer that called, which proves nothing about now.
-    pub fn take_hint(&mut self, gossip: Gossip) {
+    fn take_hint(&mut self, gossip: Gossip) {
         if gossip.seat == self.seat || gossip.seat.is_empty() {
             return;
         }
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -5,8 +5,9 @@
 use uuid::Uuid;
 
 use crate::{
+    adapters::operators_http::Explain,
     callers::{CallId, CallerAnswer, CallerRequest, Cancel, Fetch},
-    entry::gossip::Gossip,
+    entry::{explain::Explanation, gossip::Gossip},
     fleet::{InstanceName, MonoMs, Offset, TeamName, UnixMs},
     ledger::{KeyId, SeatId},
     ports::{InstancePage, LogPage, PortError, WorkerOutcome, WorkerRequest},
@@ -86,6 +87,28 @@
         /// What it knows.
         gossip: Box<Gossip>,
     },
+    /// A peer called and told what it knows, which proves nothing about now.
+    Hint {
+        /// What it knows.
+        gossip: Box<Gossip>,
+    },
+    /// A peer asks for the whole ledger.
+    AskLedger {
+        /// Where it goes, with the offset up to which it is folded.
+        reply: flume::Sender<(Offset, String)>,
+    },
+    /// Asks for a sign that all earlier events have been taken in.
+    Ping {
+        /// Where the sign goes.
+        reply: flume::Sender<()>,
+    },
+    /// An operator asks why something would be refused or delayed.
+    Explain {
+        /// What is asked.
+        question: Explain,
+        /// Where the answer goes.
+        reply: flume::Sender<Explanation>,
+    },
     /// A caller asks for work.
     Call {
         /// Number of the call.
@@ -176,6 +199,8 @@
         request: Box<WorkerRequest>,
         /// How long to wait for the answer.
         timeout_ms: u64,
+        /// How long the request has waited for the attempt.
+        queued_ms: u64,
     },
     /// Stop an attempt on a worker.
     CancelAttempt {
--- /dev/null
+++ b/src/entry/explain.rs
@@ -0,0 +1,166 @@
+//! Explanations for operators: why a request, a stop or a move would be refused or delayed now.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{
+    adapters::operators_http::Explain,
+    entry::engine::Engine,
+    error::ErrorKind,
+    fleet::{InstanceName, Resources, TeamName},
+    upkeep::BudgetBreach,
+};
+
+/// Why something would be refused or delayed now.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// Whether it would be let through at once.
+    pub is_free: bool,
+    /// Every reason against it, one sentence each, the deciding one first.
+    pub reasons: Vec<String>,
+}
+
+impl Explanation {
+    fn of(reasons: Vec<String>) -> Self {
+        Self {
+            is_free: reasons.is_empty(),
+            reasons,
+        }
+    }
+}
+
+impl Engine {
+    /// Explains what would happen now.
+    pub(crate) fn explain(&self, question: &Explain) -> Explanation {
+        let mut reasons = self.explain_standing();
+        match question {
+            Explain::Request {
+                queue,
+                team,
+                size,
+                deadline_ms,
+            } => reasons.extend(self.explain_request(queue, team.as_ref(), size, *deadline_ms)),
+            Explain::Stop { instance } => {
+                let verdict = self.ledger.instances.judge_stop(instance);
+                reasons.extend(self.explain_planned(instance, verdict));
+            }
+            Explain::Move { instance, to_pool } => {
+                if self.ledger.instances.pool_key(to_pool).is_none() {
+                    reasons.push(format!("unknown_pool: no pool is called {to_pool}."));
+                }
+                let verdict = self.ledger.instances.judge_release(instance);
+                reasons.extend(self.explain_planned(instance, verdict));
+            }
+        }
+        Explanation::of(reasons)
+    }
+
+    fn explain_standing(&self) -> Vec<String> {
+        let standing = self.standing();
+        let checks = [
+            (standing.is_draining, ErrorKind::Draining),
+            (!standing.is_ready, ErrorKind::EntryNotReady),
+            (!standing.is_config_fresh, ErrorKind::ConfigurationStale),
+            (!standing.is_log_fresh, ErrorKind::LogUnavailable),
+            (!standing.is_lease_valid, ErrorKind::SeatLapsed),
+        ];
+        checks
+            .into_iter()
+            .filter(|(is_so, _)| *is_so)
+            .map(|(_, kind)| reason(kind))
+            .collect()
+    }
+
+    fn explain_request(
+        &self,
+        queue: &str,
+        team: Option<&TeamName>,
+        size: &Resources,
+        deadline_ms: u64,
+    ) -> Vec<String> {
+        let mut queues = self.ledger.lists.entitlements.queues.iter();
+        let Some(row) = queues.find(|row| row.name == queue) else {
+            return vec![reason(ErrorKind::UnknownQueue)];
+        };
+        let mut reasons = Vec::new();
+        match team {
+            _ if row.is_open_to_all => {}
+            None => reasons.push(reason(ErrorKind::KeyMissing)),
+            Some(team) => reasons.extend(self.explain_team(queue, team, size)),
+        }
+        let pools = self.pools_of(queue);
+        let free_count: usize = pools
+            .iter()
+            .map(|pool| self.placement.free_workers_count(*pool))
+            .sum();
+        if free_count == 0 {
+            reasons.push("no_free_worker: every worker of the queue's pools is taken, ejected or being stopped; the request would wait.".to_owned());
+        }
+        if self.wait.len() >= self.settings.queue.waiting_max_count {
+            reasons.push(reason(ErrorKind::QueueFull));
+        }
+        if deadline_ms == 0 {
+            reasons.push(reason(ErrorKind::DeadlinePassed));
+        }
+        reasons
+    }
+
+    fn explain_team(&self, queue: &str, team: &TeamName, size: &Resources) -> Vec<String> {
+        let lists = &self.ledger.lists;
+        let entitlement = lists
+            .plan_of(team)
+            .and_then(|plan| lists.entitlement_of(&plan.name));
+        let mut reasons = Vec::new();
+        match entitlement {
+            Some(row) if row.queues.iter().any(|name| name == queue) => {
+                if !size.fits_in(&row.request_max) {
+                    reasons.push(reason(ErrorKind::TooLarge));
+                }
+            }
+            Some(_) | None => reasons.push(reason(ErrorKind::NotEntitled)),
+        }
+        if !self.escrow.can_start(&self.ledger, &self.seat, team) {
+            let escrow = self.ledger.escrow.get(team);
+            let (limit, held) =
+                escrow.map_or((0, 0), |row| (row.limit_requests, row.held_requests()));
+            reasons.push(format!(
+                "limit: this entry has no unused part of the team's limit of {limit} requests, of which the entries hold {held}; the request would wait for a part."
+            ));
+        }
+        reasons
+    }
+
+    fn explain_planned(
+        &self,
+        instance: &InstanceName,
+        verdict: Result<(), BudgetBreach>,
+    ) -> Vec<String> {
+        let mut reasons = Vec::new();
+        if let Err(breach) = verdict {
+            let numbers = serde_json::to_string(&breach).unwrap_or_default();
+            reasons.push(format!(
+                "{breach}: the budgets do not allow it now {numbers}."
+            ));
+        }
+        let entry = self.ledger.instances.get(instance);
+        let stopping = entry.filter(|entry| entry.stop.is_some());
+        if let Some(entry) = stopping.filter(|entry| !self.ledger.is_clean_at(entry.stop_offset)) {
+            let waits_for: Vec<SmolStr> = self
+                .ledger
+                .seats
+                .iter()
+                .filter(|(_, row)| row.clean_offset <= entry.stop_offset)
+                .map(|(seat, _)| seat.clone())
+                .collect();
+            reasons.push(format!(
+                "seats_not_clean: it waits until these seats have nothing in flight there: {}.",
+                waits_for.join(", ")
+            ));
+        }
+        reasons
+    }
+}
+
+fn reason(kind: ErrorKind) -> String {
+    format!("{}: {}", kind.name(), kind.answer().text)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,10 +14,12 @@
 mod admission;
 mod contact;
 mod counts;
+mod daemon;
 mod dispatch;
 mod engine;
 mod escrow;
 mod event;
+mod explain;
 mod gossip;
 mod jobs;
 mod proposer;
@@ -29,8 +31,10 @@
 mod upkeep;
 mod workers;
 
+pub use daemon::{Entry, EntrySettings};
 pub use engine::Engine;
 pub use event::{Action, AttemptKey, Event, Now, Source};
+pub use explain::Explanation;
 pub use gossip::{Demand, Gossip, GossipUsage};
 pub use settings::EngineSettings;
 pub use status::{EntryStatus, TeamStatus};
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     entry::engine::Engine,
+    error::RetryReason,
     fleet::{Offset, TeamName},
     ledger::SeatId,
 };
@@ -40,6 +41,8 @@
     pub requests_count: u64,
     /// Requests waiting.
     pub waiting_count: u64,
+    /// Attempts that are out.
+    pub running_count: u64,
     /// Calls taken since the start.
     pub calls_count: u64,
     /// Calls answered with success since the start.
@@ -112,10 +115,11 @@
             withdrawn_unlogged_count: self.withdrawn.len() as u64,
             requests_count: self.requests.len() as u64,
             waiting_count: self.wait.len() as u64,
+            running_count: self.requests.may_run().count() as u64,
             calls_count: self.counts.calls_count,
             answered_count: self.counts.answered_count,
             refused: names(&refused.collect()),
-            retried: named(self.retry.retried_count()),
+            retried: self.retried(),
             not_retried: named(self.retry.stopped_count()),
             attempts_count: self.counts.attempts_count,
             appends_count: self.counts.appends_count,
@@ -127,6 +131,15 @@
         }
     }
 
+    fn retried(&self) -> IndexMap<SmolStr, u64> {
+        let mut rows: IndexMap<SmolStr, u64> = IndexMap::new();
+        for (reason, count) in self.retry.retried_count() {
+            let name = SmolStr::new(RetryReason::from(*reason).to_string());
+            *rows.entry(name).or_default() += count;
+        }
+        rows
+    }
+
     fn team_statuses(&self) -> IndexMap<TeamName, TeamStatus> {
         self.ledger
             .escrow
--- a/src/error.rs
+++ b/src/error.rs
@@ -356,11 +356,26 @@
     PeerSilent,
 }
 
+impl From<crate::policy::retry::RetryReason> for RetryReason {
+    fn from(reason: crate::policy::retry::RetryReason) -> Self {
+        use crate::policy::retry::RetryReason as Policy;
+        match reason {
+            Policy::WorkerBusy => Self::WorkerBusy,
+            Policy::WorkerDraining => Self::WorkerDraining,
+            Policy::WorkerLate => Self::WorkerLate,
+            Policy::WorkerTooSmall => Self::WorkerTooSmall,
+            Policy::Unreachable => Self::WorkerUnreachable,
+            Policy::OutcomeUnknown => Self::WorkerLost,
+            Policy::TaskFailed => Self::TaskFailed,
+        }
+    }
+}
+
 impl From<NotStarted> for RetryReason {
     fn from(reason: NotStarted) -> Self {
         match reason {
             NotStarted::Busy => Self::WorkerBusy,
-            NotStarted::Draining => Self::WorkerDraining,
+            NotStarted::Draining | NotStarted::WrongIncarnation => Self::WorkerDraining,
             NotStarted::Late => Self::WorkerLate,
             NotStarted::TooLarge => Self::WorkerTooSmall,
             NotStarted::Unreachable => Self::WorkerUnreachable,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -25,4 +25,5 @@
 pub use patch::{ListsPatch, SectionPatch};
 pub use record::{OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk};
 pub use seats::{SeatId, SeatRow, SeatState, Seats};
+pub(crate) use snapshot::split_at_chars;
 pub use snapshot::{SnapshotError, SnapshotParts, SNAPSHOT_CHUNK_BYTES};
--- a/src/ledger/snapshot.rs
+++ b/src/ledger/snapshot.rs
@@ -61,7 +61,8 @@
     }
 }
 
-fn split_at_chars(text: &str, max_bytes: usize) -> Vec<&str> {
+/// Splits `text` into parts of at most `max_bytes`, never inside a character.
+pub(crate) fn split_at_chars(text: &str, max_bytes: usize) -> Vec<&str> {
     let mut parts = Vec::new();
     let mut rest = text;
     while !rest.is_empty() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::{Metric, Registry};
 use strum::IntoEnumIterator;
 
+use crate::entry::EntryStatus;
 use crate::error::{ErrorKind, RetryReason};
 
 /// Prefix of each metric's name.
@@ -156,6 +157,22 @@
             .inc();
     }
 
+    /// Sets the gauges from `status`, and counts the retries made since `before`.
+    pub fn publish(&self, status: &EntryStatus, before: &EntryStatus) {
+        self.waiting_count.set(status.waiting_count);
+        self.running_count.set(status.running_count);
+        self.seat_lease_left_ms.set(status.lease_left_ms);
+        self.ledger_offset.set(status.next_offset);
+        self.in_force_version.set(status.lists_version);
+        for (reason, count) in &status.retried {
+            let counted = before.retried.get(reason).copied().unwrap_or(0);
+            if let Ok(reason) = reason.parse::<RetryReason>() {
+                let retries = self.retries.get_or_create(&reason_label(reason));
+                retries.inc_by(count.saturating_sub(counted));
+            }
+        }
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/platform/worker_state.rs
+++ b/src/platform/worker_state.rs
@@ -193,11 +193,7 @@
     ///
     /// An attempt id that was seen once never starts afterwards, whether it was refused or ran, so
     /// that a copy of an attempt on the network cannot run it again.
-    pub fn start(
-        &mut self,
-        request: &WorkerRequest,
-        now_us: UnixUs,
-    ) -> Result<u64, Refusal> {
+    pub fn start(&mut self, request: &WorkerRequest, now_us: UnixUs) -> Result<u64, Refusal> {
         self.advance(now_us);
         self.remember(request, now_us)?;
         self.admit(request, now_us).map_err(Refusal::NotStarted)?;
@@ -308,11 +304,7 @@
         }
     }
 
-    fn admit(
-        &self,
-        request: &WorkerRequest,
-        now_us: UnixUs,
-    ) -> Result<(), NotStarted> {
+    fn admit(&self, request: &WorkerRequest, now_us: UnixUs) -> Result<(), NotStarted> {
         let is_other_boot = request.incarnation != self.settings.incarnation;
         let used = self
             .tasks
