--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -1,2 +1,21 @@
 //! Upkeep of the instances: availability budgets, moves between pools, buffers and roll-outs, all as
 //! pure functions of a view of the fleet.
+
+pub mod budget;
+pub mod buffers;
+pub mod counts;
+pub mod demand;
+pub mod drain;
+pub mod drive;
+pub mod keys;
+pub mod maintenance;
+pub mod moves;
+pub mod rollout;
+mod survey;
+mod wave;
+
+pub use budget::{
+    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, PoolBudget,
+};
+pub use counts::{FleetCounts, Member};
+pub use keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
