--- a/src/adapters/log_http.rs
+++ b/src/adapters/log_http.rs
@@ -113,15 +113,15 @@
 pub(crate) const STATUS_GONE: u16 = 410;
 
 /// Returns a call to one of the platform's services, without a body.
-pub(crate) fn service_call(
-    address: &SmolStr,
+pub fn service_call(
+    address: &str,
     timeouts: ServiceTimeouts,
     method: Method,
     path: String,
 ) -> HttpCall {
     HttpCall {
         method,
-        address: address.clone(),
+        address: address.into(),
         path,
         headers: Vec::new(),
         body: Arc::default(),
--- a/src/adapters/workers_http.rs
+++ b/src/adapters/workers_http.rs
@@ -69,7 +69,7 @@
     }
 
     fn call(&self, address: &str, method: Method, path: String) -> Result<HttpAnswer, PortError> {
-        let answer = service_call(&address.into(), self.timeouts, method, path).send()?;
+        let answer = service_call(address, self.timeouts, method, path).send()?;
         refuse_other_than_ok(answer)
     }
 }
@@ -87,7 +87,7 @@
             body: Arc::clone(&request.body),
             timeout_ms,
             answer_max_bytes,
-            ..service_call(&address.into(), self.timeouts, Method::POST, "/run".into())
+            ..service_call(address, self.timeouts, Method::POST, "/run".into())
         }
         .send();
         match sent {
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -86,8 +86,7 @@
     pub fn open(rows: Vec<InstanceRow>, on_event: OnInstanceEvent) -> Self {
         let state = State {
             faults: InstanceFaults::default(),
-            // The wall clock keeps incarnations apart over restarts of the list itself.
-            last_boot_number: SystemClock.unix_ms(),
+            last_boot_number: 0,
             rows: rows
                 .into_iter()
                 .map(|row| (row.name.clone(), row))
@@ -128,12 +127,17 @@
         self.lock().reboots_count
     }
 
-    /// Adds or replaces a row as it is given.
-    pub fn put(&self, row: InstanceRow) {
+    /// Adds or replaces rows as they are given, all under one new version.
+    pub fn put(&self, rows: Vec<InstanceRow>) {
         self.change(|state| {
-            let event = InstanceEvent::Began(row.clone());
-            state.rows.insert(row.name.clone(), row);
-            Some(event)
+            let mut events = Vec::new();
+            for row in rows {
+                let old = state.rows.insert(row.name.clone(), row.clone());
+                if old.is_none_or(|old| old.incarnation != row.incarnation) {
+                    events.push(InstanceEvent::Began(row));
+                }
+            }
+            Some(events)
         });
     }
 
@@ -142,13 +146,16 @@
         self.change(|state| {
             let row = state.rows.get_mut(name)?;
             row.leaving = true;
-            Some(InstanceEvent::Leaving(row.clone()))
+            Some(vec![InstanceEvent::Leaving(row.clone())])
         })
     }
 
     /// Takes `name` off the list and ends its boot; returns whether it was listed.
     pub fn remove(&self, name: &str) -> bool {
-        self.change(|state| state.rows.shift_remove(name).map(InstanceEvent::Ended))
+        self.change(|state| {
+            let row = state.rows.shift_remove(name)?;
+            Some(vec![InstanceEvent::Ended(row)])
+        })
     }
 
     /// Puts a new boot of `name` on the list, at `address` if given and else at the same one;
@@ -166,20 +173,22 @@
         row.incarnation = self.lock().next_incarnation(&row.name);
         row.leaving = false;
         row.address = address.map_or(row.address, SmolStr::new);
-        self.put(row);
+        self.put(vec![row]);
     }
 
-    fn change(&self, edit: impl FnOnce(&mut State) -> Option<InstanceEvent>) -> bool {
+    /// Edits the rows and publishes them, unless the edit finds nothing to do; returns whether it did.
+    fn change(&self, edit: impl FnOnce(&mut State) -> Option<Vec<InstanceEvent>>) -> bool {
         let mut state = self.lock();
-        let event = edit(&mut state);
-        if event.is_some() {
-            state.publish();
-        }
+        let Some(events) = edit(&mut state) else {
+            return false;
+        };
+        state.publish();
         drop(state);
         self.shared.changed.notify_all();
-        event
-            .inspect(|event| (self.shared.on_event)(event))
-            .is_some()
+        events
+            .iter()
+            .for_each(|event| (self.shared.on_event)(event));
+        true
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -211,7 +220,7 @@
             let row = state.rows.shift_remove(name)?;
             state.reboots_count += 1;
             ended = Some(row.clone());
-            Some(InstanceEvent::Ended(row))
+            Some(vec![InstanceEvent::Ended(row)])
         });
         ended
     }
@@ -304,7 +313,8 @@
     }
 
     fn next_incarnation(&mut self, name: &str) -> SmolStr {
-        self.last_boot_number += 1;
+        // The wall clock keeps boots apart from those that registered by themselves.
+        self.last_boot_number = SystemClock.unix_ms().max(self.last_boot_number + 1);
         format_smolstr!("{name}.{}", self.last_boot_number)
     }
 }
