--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -8,5 +8,6 @@
 pub mod log_http;
 pub mod operators_http;
 pub mod peers_rpc;
+pub mod platform_http;
 pub mod worker_answer;
 pub mod workers_http;
--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -54,6 +54,9 @@
     /// The command line asks for nothing that there is.
     #[strum(serialize = "the command line is wrong")]
     Usage,
+    /// What was given or asked is refused.
+    #[strum(serialize = "refused")]
+    Refused,
     /// Another change came first.
     #[strum(serialize = "another change came first")]
     RaceLost,
@@ -75,6 +78,7 @@
     pub(crate) fn exit(self) -> Exit {
         match self {
             Self::Usage => Exit::Usage,
+            Self::Refused => Exit::Refused,
             Self::RaceLost => Exit::RaceLost,
             Self::Unavailable => Exit::Unavailable,
             Self::Unsettled => Exit::Unsettled,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,11 +2,17 @@
 //! `execute`.
 
 mod check;
+mod entry;
 mod exit;
+mod keys;
+mod lists;
+mod log_access;
 mod stand_in;
 
+use std::io::{self, Write};
+
 use clap::{ArgMatches, Command};
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 
 pub(crate) use exit::{plain_reports, CmdError, Exit};
 
@@ -27,12 +33,33 @@
         make: check::make_command,
         execute: check::execute,
     },
+    Subcommand {
+        make: entry::make_command,
+        execute: entry::execute,
+    },
+    Subcommand {
+        make: lists::make_command,
+        execute: lists::execute,
+    },
+    Subcommand {
+        make: keys::make_command,
+        execute: keys::execute,
+    },
     Subcommand {
         make: stand_in::make_command,
         execute: stand_in::execute,
     },
 ];
 
+/// Prints one line to the standard output at once.
+pub(crate) fn say(line: &str) -> Result<(), Report<CmdError>> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{line}")
+        .and_then(|()| out.flush())
+        .change_context(CmdError::Unavailable)
+        .attach("cannot write to the standard output")
+}
+
 /// Makes the command line of the program.
 pub(crate) fn make_command() -> Command {
     Command::new("hawthornladder")
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -1,7 +1,7 @@
 //! `stand-in log|instances|workers`: small daemons that take the platform's place in trials and tests.
 
 use std::fs;
-use std::io::{self, Write};
+use std::io;
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -26,7 +26,7 @@
 use hawthornladder::ports::Clock;
 use smol_str::{format_smolstr, SmolStr};
 
-use crate::cmd::{CmdError, CmdResult};
+use crate::cmd::{say, CmdError, CmdResult};
 
 /// Longest time that the instance list may take to register the workers.
 const REGISTER_TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
@@ -259,14 +259,6 @@
         .attach("cannot bind the address")
 }
 
-fn say(line: &str) -> Result<(), Report<CmdError>> {
-    let mut out = io::stdout().lock();
-    writeln!(out, "{line}")
-        .and_then(|()| out.flush())
-        .change_context(CmdError::Unavailable)
-        .attach("cannot write to the standard output")
-}
-
 fn address(matches: &ArgMatches) -> &str {
     text(matches, "address").unwrap_or("127.0.0.1:0")
 }
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -3,6 +3,7 @@
 
 mod core_loop;
 mod duties;
+mod from_settings;
 mod operators;
 mod peers;
 mod pool;
@@ -41,6 +42,8 @@
     ports::{Clock, LogRecord, Platform},
 };
 
+pub use from_settings::entry_name;
+
 use core_loop::CoreLoop;
 use pool::Pool;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,10 +31,11 @@
 mod upkeep;
 mod workers;
 
-pub use daemon::{Entry, EntrySettings};
+pub use daemon::{entry_name, Entry, EntrySettings};
 pub use engine::Engine;
 pub use event::{Action, AttemptKey, Event, Now, Source};
 pub use explain::Explanation;
 pub use gossip::{Demand, Gossip, GossipUsage};
+pub use reader::Reader;
 pub use settings::EngineSettings;
 pub use status::{EntryStatus, TeamStatus};
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -35,7 +35,7 @@
 
 /// Reads the log from its newest snapshot on.
 #[derive(Clone, Debug)]
-pub(crate) struct Reader {
+pub struct Reader {
     phase: Phase,
 }
 
@@ -73,11 +73,6 @@
         matches!(self.phase, Phase::Following)
     }
 
-    /// Returns whether the log alone cannot bring the ledger back.
-    pub(crate) fn is_lost(&self) -> bool {
-        matches!(self.phase, Phase::Lost)
-    }
-
     /// Follows from a ledger that came from a peer.
     pub(crate) fn follow(&mut self) {
         self.phase = Phase::Following;
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -189,10 +189,6 @@
         self.attempts.remove(&key)
     }
 
-    pub(crate) fn attempts(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.values()
-    }
-
     /// Attempts that may be running, those of unknown outcome included.
     pub(crate) fn may_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.values().chain(self.ghost_rows.values())
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -60,10 +60,6 @@
         self.names.get(&key)
     }
 
-    pub(crate) fn get(&self, name: &str) -> Option<&Worker> {
-        self.by_name.get(name)
-    }
-
     pub(crate) fn by_key(&self, key: WorkerKey) -> Option<(&InstanceName, &Worker)> {
         let name = self.names.get(&key)?;
         Some((name, self.by_name.get(name)?))
@@ -97,10 +93,6 @@
     pub(crate) fn is_list_known(&self) -> bool {
         self.is_list_known
     }
-
-    pub(crate) fn list_version(&self) -> u64 {
-        self.list_version
-    }
 }
 
 /// Returns whether a worker may be given new work, as far as ledger and list say.
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -13,6 +13,9 @@
         instances::{Instances, StopWhy},
         jobs::{JobState, Jobs},
         keys::Keys,
+        protocol::{
+            CLAIM_AHEAD_MAX_MS, CLAIM_WINDOW_MS, FORGET_EVERY_RECORDS, JOB_KEPT_MS, RUN_MAX_MS,
+        },
         record::{OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk},
         seats::{SeatId, SeatRow, SeatState, Seats},
     },
@@ -20,20 +23,6 @@
     ports::LogRecord,
 };
 
-/// Settings that every reader must share, so they are constants of the protocol.
-pub mod protocol {
-    /// How long a request id may be repeated, counted from the time inside it, in milliseconds.
-    pub const CLAIM_WINDOW_MS: u64 = 600_000;
-    /// How far in the future the time inside a request id may lie, in milliseconds.
-    pub(crate) const CLAIM_AHEAD_MAX_MS: u64 = 60_000;
-    /// Longest task lease that an entry may start, in milliseconds.
-    pub const RUN_MAX_MS: u64 = 60_000;
-    /// How long an ended or overdue job is kept after its deadline, in milliseconds.
-    pub const JOB_KEPT_MS: u64 = 600_000;
-    /// Records between two sweeps of what is to be forgotten.
-    pub(crate) const FORGET_EVERY_RECORDS: u64 = 256;
-}
-
 /// The verdict on one change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -111,7 +100,7 @@
         let offset = record.offset;
         self.next_offset += 1;
         self.clock_unix_ms = self.clock_unix_ms.max(record.at_unix_ms);
-        if offset % protocol::FORGET_EVERY_RECORDS == 0 {
+        if offset % FORGET_EVERY_RECORDS == 0 {
             self.forget();
         }
         match serde_json::from_str(&record.payload) {
@@ -129,13 +118,13 @@
 
     /// Returns the oldest time that the id of a non-idempotent request may carry.
     pub fn oldest_claim_unix_ms(&self) -> UnixMs {
-        self.clock_unix_ms.saturating_sub(protocol::CLAIM_WINDOW_MS)
+        self.clock_unix_ms.saturating_sub(CLAIM_WINDOW_MS)
     }
 
     fn forget(&mut self) {
         let oldest_unix_ms = self.oldest_claim_unix_ms();
         self.claims.forget_before(oldest_unix_ms);
-        let oldest_unix_ms = self.clock_unix_ms.saturating_sub(protocol::JOB_KEPT_MS);
+        let oldest_unix_ms = self.clock_unix_ms.saturating_sub(JOB_KEPT_MS);
         self.jobs.forget_before(oldest_unix_ms);
     }
 
@@ -242,9 +231,7 @@
             SeatChange::Claim { team, request_id } => match issued_at_unix_ms(request_id) {
                 None => rejected("not_version_7"),
                 Some(at) if at < self.oldest_claim_unix_ms() => rejected("stale_request_id"),
-                Some(at) if at > at_unix_ms + protocol::CLAIM_AHEAD_MAX_MS => {
-                    rejected("request_id_ahead")
-                }
+                Some(at) if at > at_unix_ms + CLAIM_AHEAD_MAX_MS => rejected("request_id_ahead"),
                 Some(_) => accepted_if(self.claims.claim(team, request_id, seat), "claimed"),
             },
             SeatChange::ClaimEnd {
@@ -367,7 +354,7 @@
     fn reclaim(&mut self, target: &SeatId) -> Verdict {
         match self.seats.get(target).map(|row| row.state) {
             Some(SeatState::Expired { at_unix_ms })
-                if at_unix_ms + protocol::RUN_MAX_MS > self.clock_unix_ms =>
+                if at_unix_ms + RUN_MAX_MS > self.clock_unix_ms =>
             {
                 rejected("tasks_may_run")
             }
@@ -390,7 +377,7 @@
         match issued_at_unix_ms(&job.request_id) {
             None => rejected("not_version_7"),
             Some(at) if at < self.oldest_claim_unix_ms() => rejected("stale_request_id"),
-            Some(at) if at > self.clock_unix_ms + protocol::CLAIM_AHEAD_MAX_MS => {
+            Some(at) if at > self.clock_unix_ms + CLAIM_AHEAD_MAX_MS => {
                 rejected("request_id_ahead")
             }
             Some(_) => match self.claims.claim(&job.team, &job.request_id, seat) {
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -9,20 +9,19 @@
 mod jobs;
 mod keys;
 mod patch;
+mod protocol;
 mod record;
 mod seats;
 mod snapshot;
 
 pub use claims::{issued_at_unix_ms, ClaimRow, ClaimState, Claims};
 pub use escrow::{Escrow, TeamEscrow};
-pub use fold::{
-    protocol::{CLAIM_WINDOW_MS, JOB_KEPT_MS, RUN_MAX_MS},
-    Effect, Ledger, Verdict,
-};
+pub use fold::{Effect, Ledger, Verdict};
 pub use instances::{InstanceEntry, Instances, StopWhy};
 pub use jobs::{JobEntry, JobRow, JobState, Jobs};
 pub use keys::{KeyId, KeyRow, Keys};
 pub use patch::{ListsPatch, SectionPatch};
+pub use protocol::{CLAIM_WINDOW_MS, JOB_KEPT_MS, RUN_MAX_MS};
 pub use record::{OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange, SnapshotChunk};
 pub use seats::{SeatId, SeatRow, SeatState, Seats};
 pub(crate) use snapshot::split_at_chars;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lists;
 pub mod logging;
 pub mod metrics;
+pub mod operator;
 pub mod platform;
 pub mod policy;
 pub mod ports;
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,190 @@
+//! What operators do through the log: they read the ledger, propose a change and learn by reading
+//! whether it took effect. Nothing here writes but by appending a proposal, and a proposal that
+//! lands twice counts once.
+
+use std::time::{Duration, Instant};
+
+use uuid::Uuid;
+
+use crate::{
+    entry::Reader,
+    fleet::Offset,
+    ledger::{Effect, Ledger, OperatorChange, OperatorProposal, Record, Verdict},
+    ports::{LogPort, PortError},
+};
+
+/// Time that one read waits for a record, in milliseconds.
+const READ_WAIT_MS: u64 = 200;
+
+/// Pause after a failed call to the log.
+const FAILED_PAUSE: Duration = Duration::from_millis(200);
+
+/// The ledger as an operator's command reads it.
+pub struct LedgerReader<'a> {
+    log: &'a dyn LogPort,
+    ledger: Ledger,
+    reader: Reader,
+    /// The latest publication that was read going by.
+    last_publication: Option<OperatorProposal>,
+}
+
+/// How a proposal ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settled {
+    /// It took effect; the lists in force have this version.
+    Accepted {
+        /// Version of the lists in force.
+        lists_version: u64,
+    },
+    /// It had no effect.
+    Rejected {
+        /// Why.
+        reason: String,
+        /// Version of the lists in force.
+        lists_version: u64,
+        /// The publication that came first, if it was read going by.
+        winner: Option<Box<OperatorProposal>>,
+    },
+    /// Whether it took effect could not be learnt in time.
+    Unsettled {
+        /// Id by which it can be found in the log.
+        proposal_id: Uuid,
+        /// The last error.
+        error: String,
+    },
+}
+
+impl<'a> LedgerReader<'a> {
+    /// Reads the ledger up to the head of the log.
+    ///
+    /// # Errors
+    ///
+    /// The last error of the log, if the head was not reached within `timeout`.
+    pub fn open(log: &'a dyn LogPort, timeout: Duration) -> Result<Self, PortError> {
+        let mut reader = Self {
+            log,
+            ledger: Ledger::default(),
+            reader: Reader::new(),
+            last_publication: None,
+        };
+        let end = Instant::now() + timeout;
+        let mut last_error = PortError::NotSent("the head of the log was not reached".into());
+        while Instant::now() < end {
+            match reader.read_page(0) {
+                Ok((_, true)) => return Ok(reader),
+                Ok((_, false)) => {}
+                Err(error) => {
+                    last_error = error;
+                    std::thread::sleep(FAILED_PAUSE);
+                }
+            }
+        }
+        Err(last_error)
+    }
+
+    /// Returns the ledger as far as it was read.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Proposes a change and reads until it is judged, or until `timeout`.
+    ///
+    /// A proposal whose append was not answered is looked for in the log; it is sent again, under
+    /// the same id, only while it has not been read.
+    pub fn propose(
+        &mut self,
+        operator: &str,
+        change: OperatorChange,
+        timeout: Duration,
+    ) -> Settled {
+        let proposal = OperatorProposal {
+            proposal_id: Uuid::now_v7(),
+            operator: operator.into(),
+            change,
+        };
+        let proposal_id = proposal.proposal_id;
+        let payload = serde_json::to_string(&Record::Operator(proposal)).unwrap_or_default();
+        let end = Instant::now() + timeout;
+        let mut error = String::new();
+        let mut is_sent = false;
+        while Instant::now() < end {
+            if !is_sent {
+                match self.log.append(std::slice::from_ref(&payload)) {
+                    Ok(_) => is_sent = true,
+                    Err(failure) => error = format!("{failure}: {failure:?}"),
+                }
+            }
+            match self.read_until_judged(proposal_id, is_sent) {
+                Ok(Some(settled)) => return settled,
+                Ok(None) => {}
+                Err(failure) => {
+                    error = format!("{failure}: {failure:?}");
+                    std::thread::sleep(FAILED_PAUSE);
+                }
+            }
+        }
+        Settled::Unsettled { proposal_id, error }
+    }
+
+    /// Reads on until the proposal is judged or the head is reached.
+    fn read_until_judged(
+        &mut self,
+        proposal_id: Uuid,
+        is_sent: bool,
+    ) -> Result<Option<Settled>, PortError> {
+        let wait_ms = match is_sent {
+            true => READ_WAIT_MS,
+            false => 0,
+        };
+        loop {
+            let (effects, is_at_head) = self.read_page(wait_ms)?;
+            for effect in effects {
+                if let Some(settled) = self.take(effect, proposal_id) {
+                    return Ok(Some(settled));
+                }
+            }
+            if is_at_head {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn take(&mut self, effect: Effect, proposal_id: Uuid) -> Option<Settled> {
+        let Effect::Operator { proposal, verdict } = effect else {
+            return None;
+        };
+        let is_own = proposal.proposal_id == proposal_id;
+        let is_publication = matches!(proposal.change, OperatorChange::Publish { .. });
+        let lists_version = self.ledger.lists_version;
+        match verdict {
+            Verdict::Rejected(reason) if is_own => Some(Settled::Rejected {
+                reason: reason.to_string(),
+                lists_version,
+                winner: self.last_publication.clone().map(Box::new),
+            }),
+            Verdict::Accepted | Verdict::AcceptedCount(_) if is_own => {
+                Some(Settled::Accepted { lists_version })
+            }
+            Verdict::Accepted if is_publication => {
+                self.last_publication = Some(proposal);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn read_page(&mut self, wait_ms: u64) -> Result<(Vec<Effect>, bool), PortError> {
+        let from_offset: Offset = self.reader.wanted_offset(&self.ledger);
+        match self.log.read(from_offset, wait_ms) {
+            Ok(page) => {
+                let progress = self.reader.read(&mut self.ledger, from_offset, &page);
+                Ok((progress.effects, progress.is_at_head))
+            }
+            Err(error @ PortError::Trimmed { .. }) => {
+                self.reader.failed(&error);
+                Ok((Vec::new(), false))
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
