--- /dev/null
+++ b/src/load/upkeep_model/experiments.rs
@@ -0,0 +1,284 @@
+//! The experiments: each puts candidates and baselines through the same scripts and seed.
+
+use serde::Serialize;
+
+use super::deployment::Deployment;
+use super::figures::Figures;
+use super::run::run;
+use super::scenario::{
+    BadImage, BadKind, MovePolicy, RackLoss, RolloutPolicy, Scenario, Shift,
+};
+use crate::lists::MeasureWeights;
+use crate::upkeep::keys::RackKey;
+use crate::upkeep::rollout::RolloutSettings;
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+/// Workers of the fleet of two years from now.
+const LARGE_INSTANCES_COUNT: u32 = 14_000;
+
+/// Failures of single instances: 200 of 14,000 on an ordinary day.
+const FAILURES_PERMILLE_PER_DAY: u32 = 14;
+
+/// Settings that let a roll-out begin at full width.
+const NO_RAMP: RolloutSettings = RolloutSettings {
+    return_timeout_ms: 600_000,
+    probation_ms: 60_000,
+    window_ms: 1_200_000,
+    bad_min_count: 2,
+    bad_max_permille: 100,
+    ramp_first_count: u32::MAX,
+    ramp_factor: 1,
+    claims_max_count: 64,
+};
+
+/// One run of an experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Fleet.
+    pub deployment: &'static str,
+    /// What happened.
+    pub script: &'static str,
+    /// Policy or setting under test.
+    pub candidate: String,
+    /// What it came to.
+    pub figures: Figures,
+}
+
+/// Roll-outs: healthy, with a bad image, with the driver lost, and with two drivers at once.
+pub fn rollouts(seed: u64, with_large: bool) -> Vec<Row> {
+    let mut deployments = vec![Deployment::lahore(), Deployment::denmark()];
+    if with_large {
+        deployments.push(Deployment::large(LARGE_INSTANCES_COUNT));
+    }
+    let mut rows = Vec::new();
+    for deployment in &deployments {
+        for (script, scenario) in rollout_scripts(deployment) {
+            for (candidate, scenario) in rollout_candidates(deployment, script, &scenario) {
+                rows.push(Row {
+                    deployment: deployment.name,
+                    script,
+                    candidate,
+                    figures: run(deployment, &scenario, seed),
+                });
+            }
+        }
+    }
+    rows
+}
+
+fn rollout_scripts(deployment: &Deployment) -> Vec<(&'static str, Scenario)> {
+    let is_large = deployment.name == "large";
+    let healthy = Scenario {
+        duration_ms: 36 * HOUR_MS,
+        step_ms: if is_large { 5000 } else { 1000 },
+        rollout_at_ms: Some(MINUTE_MS),
+        weights: deployment.weights,
+        ..Scenario::default()
+    };
+    let bad = |kind| Scenario {
+        bad_image: Some(BadImage {
+            from_ms: super::world::EPOCH_MS,
+            until_ms: super::world::EPOCH_MS + 2 * HOUR_MS,
+            part_permille: 1000,
+            kind,
+        }),
+        ..healthy.clone()
+    };
+    vec![
+        ("healthy", healthy.clone()),
+        (
+            "failures",
+            Scenario {
+                failures_permille_per_day: FAILURES_PERMILLE_PER_DAY,
+                ..healthy.clone()
+            },
+        ),
+        ("bad_no_return", bad(BadKind::NoReturn)),
+        ("bad_on_trial", bad(BadKind::FailsOnTrial)),
+        (
+            "driver_lost",
+            Scenario {
+                driver_lost_at_ms: Some(20 * MINUTE_MS),
+                ..healthy.clone()
+            },
+        ),
+        (
+            "two_drivers",
+            Scenario {
+                drivers_count: 2,
+                ..healthy
+            },
+        ),
+    ]
+}
+
+fn rollout_candidates(
+    deployment: &Deployment,
+    script: &str,
+    scenario: &Scenario,
+) -> Vec<(String, Scenario)> {
+    let is_large = deployment.name == "large";
+    let with_policy = |rollout_policy, rollout_settings| Scenario {
+        rollout_policy,
+        rollout_settings,
+        ..scenario.clone()
+    };
+    let ramp = RolloutSettings::default();
+    let mut candidates = vec![
+        ("budgets", with_policy(RolloutPolicy::Budgets, ramp)),
+        ("budgets_no_ramp", with_policy(RolloutPolicy::Budgets, NO_RAMP)),
+    ];
+    if script == "healthy" {
+        candidates.push(("whole_waves", with_policy(RolloutPolicy::WholeWaves, NO_RAMP)));
+        candidates.push(("fixed_drain", with_policy(RolloutPolicy::FixedDrain, NO_RAMP)));
+    }
+    if script == "healthy" && !is_large {
+        candidates.push(("one_by_one", with_policy(RolloutPolicy::OneByOne, NO_RAMP)));
+    }
+    let named = candidates.into_iter();
+    named.map(|(name, scenario)| (name.to_owned(), scenario)).collect()
+}
+
+/// Moves: demand by turns, a long shift of demand and the loss of a rack.
+pub fn moves(seed: u64, with_large: bool) -> Vec<Row> {
+    let mut deployments = vec![Deployment::lahore(), Deployment::denmark()];
+    if with_large {
+        deployments.push(Deployment::large(LARGE_INSTANCES_COUNT));
+    }
+    let mut rows = Vec::new();
+    for deployment in &deployments {
+        for (script, scenario) in move_scripts(deployment) {
+            for move_policy in [
+                MovePolicy::Never,
+                MovePolicy::FollowDemand,
+                MovePolicy::MarginalWorth,
+            ] {
+                let scenario = Scenario {
+                    move_policy,
+                    ..scenario.clone()
+                };
+                rows.push(Row {
+                    deployment: deployment.name,
+                    script,
+                    candidate: move_policy.to_string(),
+                    figures: run(deployment, &scenario, seed),
+                });
+            }
+        }
+    }
+    rows
+}
+
+fn move_scripts(deployment: &Deployment) -> Vec<(&'static str, Scenario)> {
+    let turns = Scenario {
+        duration_ms: 6 * HOUR_MS,
+        has_demand: true,
+        failures_permille_per_day: FAILURES_PERMILLE_PER_DAY,
+        weights: deployment.weights,
+        ..Scenario::default()
+    };
+    let shift = |pool, factor_permille| Shift {
+        pool,
+        from_ms: 2 * HOUR_MS,
+        until_ms: 4 * HOUR_MS,
+        factor_permille,
+    };
+    vec![
+        ("turns", turns.clone()),
+        (
+            "shift",
+            Scenario {
+                shifts: vec![shift(0, 1800), shift(1, 500)],
+                ..turns.clone()
+            },
+        ),
+        (
+            "rack_loss",
+            Scenario {
+                rack_loss: Some(RackLoss {
+                    rack: RackKey(0),
+                    at_ms: 2 * HOUR_MS,
+                }),
+                ..turns
+            },
+        ),
+    ]
+}
+
+/// Weights: the same script under even weights and under those of each deployment.
+pub fn weights(seed: u64) -> Vec<Row> {
+    let (lahore, denmark) = (Deployment::lahore(), Deployment::denmark());
+    let settings = [
+        ("even", MeasureWeights::default()),
+        ("lahore", lahore.weights),
+        ("denmark", denmark.weights),
+        (
+            "buffer",
+            MeasureWeights {
+                buffer_cost: 100,
+                ..MeasureWeights::default()
+            },
+        ),
+    ];
+    let mut rows = Vec::new();
+    for deployment in [&lahore, &denmark] {
+        let (_, shift) = move_scripts(deployment).swap_remove(1);
+        for (name, weights) in settings {
+            let scenario = Scenario {
+                rollout_at_ms: Some(HOUR_MS),
+                move_policy: MovePolicy::MarginalWorth,
+                weights,
+                ..shift.clone()
+            };
+            rows.push(Row {
+                deployment: deployment.name,
+                script: "shift_and_rollout",
+                candidate: name.to_owned(),
+                figures: run(deployment, &scenario, seed),
+            });
+        }
+    }
+    rows
+}
+
+/// Prints rows as a table: one line a run, one column for each of `columns` with its field's name.
+pub fn table(rows: &[Row], columns: &[&str]) -> String {
+    let mut lines = vec![["deployment", "script", "candidate"]
+        .iter()
+        .chain(columns)
+        .map(|name| (*name).to_owned())
+        .collect::<Vec<String>>()];
+    for row in rows {
+        let figures = serde_json::to_value(row.figures).unwrap_or_default();
+        let mut line = vec![
+            row.deployment.to_owned(),
+            row.script.to_owned(),
+            row.candidate.clone(),
+        ];
+        line.extend(columns.iter().map(|column| cell(&figures[*column])));
+        lines.push(line);
+    }
+    align(&lines)
+}
+
+fn cell(value: &serde_json::Value) -> String {
+    match value.as_f64() {
+        Some(number) if value.is_f64() => format!("{number:.1}"),
+        _ => value.to_string(),
+    }
+}
+
+fn align(lines: &[Vec<String>]) -> String {
+    let width = |column: usize| lines.iter().map(|line| line[column].len()).max();
+    let mut text = String::new();
+    for line in lines {
+        for (column, cell) in line.iter().enumerate() {
+            text.push_str(&format!("{cell:<1$}  ", width(column).unwrap_or_default()));
+        }
+        text.truncate(text.trim_end().len());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/src/load/upkeep_model/run.rs
@@ -0,0 +1,331 @@
+//! One run: the drivers act on the modelled fleet step by step until the script ends.
+
+use super::baseline::follow_demand;
+use super::demand::DemandModel;
+use super::deployment::Deployment;
+use super::figures::{figures, Figures};
+use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
+use super::world::{Record, World, EPOCH_MS};
+use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
+use crate::upkeep::demand::{DemandWindow, PoolState};
+use crate::upkeep::drive::driver;
+use crate::upkeep::keys::{InstanceKey, PoolKey};
+use crate::upkeep::maintenance::{next_step, StopObservation, StopStage, StopStep};
+use crate::upkeep::moves::{decide_move, may_assign, MoveView};
+use crate::upkeep::rollout::{assess, propose, Rollout, RolloutAction, RolloutPhase, RolloutView};
+
+/// Entry processes of the model.
+const ENTRIES_COUNT: usize = 8;
+
+/// Time after which the seat of a lost entry is given up, in milliseconds.
+const SEAT_LAPSE_MS: u64 = 15_000;
+
+/// Time between two decisions on moves, in milliseconds.
+const MOVE_INTERVAL_MS: u64 = 10_000;
+
+/// Drain time of the baseline that does not wait for the work to end, in milliseconds.
+const FIXED_DRAIN_MS: u64 = 30_000;
+
+/// Time that a drain and a reboot take as a rule, in milliseconds.
+const MOVE_MS: u64 = 240_000;
+
+/// Samples of the last seconds that the baseline follows.
+const RECENT_SAMPLES_COUNT: usize = 10;
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// State of a run.
+pub(super) struct Run<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) world: World,
+    pub(super) demand: DemandModel,
+    pools: Vec<PoolState>,
+    recent: Vec<Vec<u32>>,
+    seats: Vec<(String, Option<u64>)>,
+    pub(super) spare_instance_ms: u64,
+    pub(super) driver_lost_at_ms: Option<u64>,
+    pub(super) is_finished: bool,
+    pub(super) bad_max_count: u32,
+}
+
+/// Runs `scenario` on `deployment`.
+pub fn run(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Figures {
+    let samples_count = scenario.move_settings.samples_count as usize;
+    let pools = deployment.pools.iter().map(|spec| PoolState {
+        demand: DemandWindow::new(samples_count),
+        is_spare: spec.is_spare,
+        move_ms: MOVE_MS,
+        moved_at_unix_ms: None,
+        is_moving: false,
+    });
+    let mut run = Run {
+        scenario,
+        world: World::new(deployment, scenario, seed),
+        demand: DemandModel::new(deployment, &scenario.shifts, seed),
+        pools: pools.collect(),
+        recent: vec![Vec::new(); deployment.pools.len()],
+        seats: (0..ENTRIES_COUNT)
+            .map(|index| (format!("entry-{index}"), None))
+            .collect(),
+        spare_instance_ms: 0,
+        driver_lost_at_ms: None,
+        is_finished: false,
+        bad_max_count: 0,
+    };
+    let steps_count = scenario.duration_ms / scenario.step_ms;
+    for _ in 0..steps_count {
+        run.step();
+        if run.is_finished && !scenario.has_demand {
+            break;
+        }
+    }
+    figures(&run)
+}
+
+impl Run<'_> {
+    /// Returns the time since the start of the run.
+    pub(super) fn at_ms(&self) -> u64 {
+        self.world.now_ms - EPOCH_MS
+    }
+
+    fn step(&mut self) {
+        self.world.step(self.scenario.step_ms);
+        self.play_script();
+        self.world.observe();
+        self.serve();
+        for _ in 0..self.scenario.drivers_count {
+            self.drive_rollout();
+        }
+        if self.at_ms() % MOVE_INTERVAL_MS < self.scenario.step_ms {
+            self.drive_moves();
+        }
+        self.continue_moves();
+    }
+
+    fn play_script(&mut self) {
+        let at_ms = self.at_ms();
+        let is_now = |time: u64| time <= at_ms && at_ms < time + self.scenario.step_ms;
+        if self.scenario.rollout_at_ms.is_some_and(is_now) {
+            self.world.rollout = Some(Rollout {
+                started_at_unix_ms: self.world.now_ms,
+                halted_at_unix_ms: None,
+            });
+        }
+        if self.scenario.driver_lost_at_ms.is_some_and(is_now) {
+            self.lose_driver();
+        }
+        if let Some(loss) = self.scenario.rack_loss.filter(|loss| is_now(loss.at_ms)) {
+            let members = self.world.counts.members();
+            let lost = members.filter(|(_, member)| member.rack == loss.rack);
+            let lost: Vec<InstanceKey> = lost.map(|(key, _)| key).collect();
+            for key in lost {
+                self.world.workers.fail(key.index(), self.world.now_ms);
+            }
+        }
+    }
+
+    fn lose_driver(&mut self) {
+        let now_ms = self.world.now_ms;
+        let name = self.driver_name("rollout");
+        if let Some(seat) = self
+            .seats
+            .iter_mut()
+            .find(|(seat, _)| Some(seat) == name.as_ref())
+        {
+            seat.1 = Some(now_ms + SEAT_LAPSE_MS);
+            self.driver_lost_at_ms = Some(now_ms);
+        }
+    }
+
+    fn driver_name(&self, duty: &str) -> Option<String> {
+        let now_ms = self.world.now_ms;
+        let held = |lapses_at: &Option<u64>| lapses_at.is_none_or(|at| now_ms < at);
+        let seats = self.seats.iter().filter(|(_, lapses_at)| held(lapses_at));
+        driver(seats.map(|(name, _)| name.as_str()), duty).map(str::to_owned)
+    }
+
+    fn has_driver(&self, duty: &str) -> bool {
+        let name = self.driver_name(duty);
+        let mut seats = self.seats.iter();
+        seats.any(|(seat, lapses_at)| Some(seat) == name.as_ref() && lapses_at.is_none())
+    }
+
+    fn serve(&mut self) {
+        let available: Vec<u32> = (0..self.pools.len())
+            .map(|pool| self.available_count(pool))
+            .collect();
+        for (state, available) in self.pools.iter().zip(&available) {
+            if state.is_spare {
+                self.spare_instance_ms += u64::from(*available) * self.scenario.step_ms;
+            }
+        }
+        if !self.scenario.has_demand {
+            return;
+        }
+        let at_ms = self.at_ms();
+        self.demand.step(at_ms, self.scenario.step_ms, &available);
+        for pool in 0..self.pools.len() {
+            let milli = self.demand.demand_milli(pool);
+            self.pools[pool].demand.push(milli);
+            let recent = &mut self.recent[pool];
+            recent.push(milli);
+            if recent.len() > RECENT_SAMPLES_COUNT {
+                recent.remove(0);
+            }
+        }
+    }
+
+    fn available_count(&self, pool: usize) -> u32 {
+        let counts = self.world.counts.pool(PoolKey(pool as u16));
+        counts.map_or(0, |counts| counts.total.available_count)
+    }
+
+    fn drive_rollout(&mut self) {
+        let Some(rollout) = self.world.rollout.filter(|_| self.has_driver("rollout")) else {
+            return;
+        };
+        let is_under_pressure: Vec<bool> = (0..self.pools.len())
+            .map(|pool| self.scenario.has_demand && self.demand.is_waiting(pool))
+            .collect();
+        let view = RolloutView {
+            budget: self.world.budget_view(),
+            upkeep: &self.world.upkeep,
+            rollout,
+            is_under_pressure: &is_under_pressure,
+            now_unix_ms: self.world.now_ms,
+        };
+        let settings = &self.scenario.rollout_settings;
+        let actions = propose(&view, settings, &self.scenario.weights);
+        if actions.is_empty() && !self.is_finished {
+            let status = assess(&view, settings);
+            self.is_finished = status.phase == RolloutPhase::Finished;
+            self.bad_max_count = self.bad_max_count.max(status.bad_count);
+        }
+        self.continue_stops();
+        for action in self.filter_actions(actions) {
+            self.world.append(match action {
+                RolloutAction::Halt => Record::Halt,
+                RolloutAction::MarkBad(key) => Record::MarkBad(key),
+                RolloutAction::Claim(key) => Record::Claim(key),
+            });
+        }
+    }
+
+    /// Leaves out what the policy under test would not claim now.
+    fn filter_actions(&self, mut actions: Vec<RolloutAction>) -> Vec<RolloutAction> {
+        let is_claim = |action: &RolloutAction| matches!(action, RolloutAction::Claim(_));
+        let is_idle = self.world.stopping().is_empty();
+        match self.scenario.rollout_policy {
+            RolloutPolicy::Budgets | RolloutPolicy::FixedDrain => {}
+            RolloutPolicy::WholeWaves if is_idle => {}
+            RolloutPolicy::OneByOne if is_idle => actions.truncate(1),
+            RolloutPolicy::WholeWaves | RolloutPolicy::OneByOne => {
+                actions.retain(|action| !is_claim(action));
+            }
+        }
+        actions
+    }
+
+    /// Takes the next step of each stop for maintenance.
+    fn continue_stops(&mut self) {
+        for key in self.world.stopping() {
+            let Some(claim) = self.world.upkeep[key.index()].claim else {
+                continue;
+            };
+            let now_ms = self.world.now_ms;
+            let seen = StopObservation {
+                drain: self.world.drain_evidence(key),
+                is_back: self.world.workers.is_up(key.index()),
+            };
+            let timeout_ms = self.scenario.rollout_settings.return_timeout_ms;
+            let is_fixed = self.scenario.rollout_policy == RolloutPolicy::FixedDrain;
+            let step = match claim.stage {
+                StopStage::Draining if is_fixed => {
+                    match now_ms - claim.since_unix_ms >= FIXED_DRAIN_MS {
+                        true => StopStep::Reboot,
+                        false => StopStep::Wait,
+                    }
+                }
+                _ => next_step(&claim, &seen, timeout_ms, now_ms),
+            };
+            match step {
+                StopStep::Wait => {}
+                StopStep::Reboot => self.world.append(Record::Rebooting(key)),
+                StopStep::Return => self.world.append(Record::Returned(key)),
+                StopStep::MarkBad => self.world.append(Record::MarkBad(key)),
+            }
+        }
+    }
+
+    fn drive_moves(&mut self) {
+        for pool in 0..self.pools.len() {
+            let key = PoolKey(pool as u16);
+            let mut moves = self.world.moves.values();
+            let state = &mut self.pools[pool];
+            state.is_moving = moves.any(|move_| move_.from == key || move_.to == key);
+            state.moved_at_unix_ms = self.world.moved_at_ms[pool];
+        }
+        let buffers = self.plan();
+        let hour_ago_ms = self.world.now_ms.saturating_sub(HOUR_MS);
+        let recent_moves = self.world.tally.moves_at_ms.iter().rev();
+        let moves_last_hour_count = recent_moves.take_while(|at| **at > hour_ago_ms).count();
+        let view = MoveView {
+            budget: self.world.budget_view(),
+            pools: &self.pools,
+            buffers: &buffers,
+            moves_last_hour_count: moves_last_hour_count as u32,
+            now_unix_ms: self.world.now_ms,
+        };
+        let chosen = match self.scenario.move_policy {
+            MovePolicy::Never => None,
+            MovePolicy::FollowDemand => {
+                let mean = |samples: &Vec<u32>| match samples.len() as u32 {
+                    0 => 0,
+                    count => samples.iter().sum::<u32>() / count,
+                };
+                let recent: Vec<u32> = self.recent.iter().map(mean).collect();
+                follow_demand(&view, &recent)
+            }
+            MovePolicy::MarginalWorth => {
+                decide_move(&view, &self.scenario.move_settings, &self.scenario.weights)
+                    .ok()
+                    .map(|proposal| (proposal.instance, proposal.from, proposal.to))
+            }
+        };
+        if let Some((instance, _, to)) = chosen {
+            self.world.append(Record::Release(instance, to));
+        }
+    }
+
+    /// Works out the buffers as a driver of moves sees them.
+    fn plan(&self) -> BufferPlan {
+        let view = BufferView {
+            budget: self.world.budget_view(),
+            pools: &self.pools,
+        };
+        plan_buffers(
+            &view,
+            self.scenario.survived_failure,
+            &self.scenario.weights,
+        )
+    }
+
+    fn continue_moves(&mut self) {
+        let moves: Vec<_> = self
+            .world
+            .moves
+            .iter()
+            .map(|(key, under_way)| (*key, *under_way))
+            .collect();
+        for (key, under_way) in moves {
+            let evidence = self.world.drain_evidence(key);
+            let is_released = may_assign(&evidence, self.world.now_ms);
+            let is_up = self.world.workers.is_up(key.index());
+            match under_way.is_rebooting {
+                false if is_released => self.world.append(Record::Rebooting(key)),
+                true if is_up => self.world.append(Record::Assigned(key)),
+                _ => {}
+            }
+        }
+    }
+}
