--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -13,3 +13,9 @@
 pub mod rollout;
 mod survey;
 mod wave;
+
+pub use budget::{
+    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, PoolBudget,
+};
+pub use counts::{FleetCounts, Member};
+pub use keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
