--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod exit;
+mod upkeep_experiment;
 
 use clap::{ArgMatches, Command};
 use error_stack::Report;
@@ -21,10 +22,16 @@
 }
 
 /// Every subcommand, in the order of the help.
-const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    make: check::make_command,
-    execute: check::execute,
-}];
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        make: check::make_command,
+        execute: check::execute,
+    },
+    Subcommand {
+        make: upkeep_experiment::make_command,
+        execute: upkeep_experiment::execute,
+    },
+];
 
 /// Makes the command line of the program.
 pub(crate) fn make_command() -> Command {
--- a/src/cmd/upkeep_experiment.rs
+++ b/src/cmd/upkeep_experiment.rs
@@ -65,7 +65,8 @@
         .subcommand_required(true)
         .args([seed, output, large])
         .subcommand(
-            Command::new("rollout").about("Roll-outs: healthy, bad image, lost driver, two drivers"),
+            Command::new("rollout")
+                .about("Roll-outs: healthy, bad image, lost driver, two drivers"),
         )
         .subcommand(
             Command::new("moves").about("Moves: demand by turns, a long shift, the loss of a rack"),
@@ -84,7 +85,11 @@
     let is_json = matches.get_one::<String>("output").map(String::as_str) == Some("json");
     let with_large = matches.get_flag("large");
     match matches.subcommand_name() {
-        Some("rollout") => print(&experiments::rollouts(seed, with_large), ROLLOUT_COLUMNS, is_json),
+        Some("rollout") => print(
+            &experiments::rollouts(seed, with_large),
+            ROLLOUT_COLUMNS,
+            is_json,
+        ),
         Some("moves") => print(&experiments::moves(seed, with_large), MOVE_COLUMNS, is_json),
         Some("weights") => print(&experiments::weights(seed), WEIGHT_COLUMNS, is_json),
         _ => print_cost(&cost::measure(), is_json),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,15 +4,14 @@
 
 pub mod adapters;
 pub mod callers;
-pub mod error;
-pub mod fleet;
-pub mod ledger;
 pub mod config_files;
+pub mod error;
 pub mod examples;
 pub mod findings;
 pub mod fleet;
 pub mod fleet_file;
 mod jsonc;
+pub mod ledger;
 pub mod lists;
 pub mod load;
 pub mod platform;
--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -5,9 +5,7 @@
 use super::deployment::Deployment;
 use super::figures::Figures;
 use super::run::run;
-use super::scenario::{
-    BadImage, BadKind, MovePolicy, RackLoss, RolloutPolicy, Scenario, Shift,
-};
+use super::scenario::{BadImage, BadKind, MovePolicy, RackLoss, RolloutPolicy, Scenario, Shift};
 use crate::lists::MeasureWeights;
 use crate::upkeep::keys::RackKey;
 use crate::upkeep::rollout::RolloutSettings;
@@ -128,17 +126,28 @@
     let ramp = RolloutSettings::default();
     let mut candidates = vec![
         ("budgets", with_policy(RolloutPolicy::Budgets, ramp)),
-        ("budgets_no_ramp", with_policy(RolloutPolicy::Budgets, NO_RAMP)),
+        (
+            "budgets_no_ramp",
+            with_policy(RolloutPolicy::Budgets, NO_RAMP),
+        ),
     ];
     if script == "healthy" {
-        candidates.push(("whole_waves", with_policy(RolloutPolicy::WholeWaves, NO_RAMP)));
-        candidates.push(("fixed_drain", with_policy(RolloutPolicy::FixedDrain, NO_RAMP)));
+        candidates.push((
+            "whole_waves",
+            with_policy(RolloutPolicy::WholeWaves, NO_RAMP),
+        ));
+        candidates.push((
+            "fixed_drain",
+            with_policy(RolloutPolicy::FixedDrain, NO_RAMP),
+        ));
     }
     if script == "healthy" && !is_large {
         candidates.push(("one_by_one", with_policy(RolloutPolicy::OneByOne, NO_RAMP)));
     }
     let named = candidates.into_iter();
-    named.map(|(name, scenario)| (name.to_owned(), scenario)).collect()
+    named
+        .map(|(name, scenario)| (name.to_owned(), scenario))
+        .collect()
 }
 
 /// Moves: demand by turns, a long shift of demand and the loss of a rack.
@@ -275,7 +284,10 @@
     let mut text = String::new();
     for line in lines {
         for (column, cell) in line.iter().enumerate() {
-            text.push_str(&format!("{cell:<1$}  ", width(column).unwrap_or_default()));
+            text.push_str(&format!(
+                "{cell:<width$}  ",
+                width = width(column).unwrap_or_default()
+            ));
         }
         text.truncate(text.trim_end().len());
         text.push('\n');
