Let the weights choose whether stops keep to one rack

Conclusion: stops spread over racks only where roll-out time outweighs nearness to share, which is so in Lahore and not in Denmark.

--- a/src/cmd/upkeep_experiment.rs
+++ b/src/cmd/upkeep_experiment.rs
@@ -13,6 +13,7 @@
     "bound_ms",
     "cut_count",
     "breaches_count",
+    "over_budget_ms",
     "refused_count",
     "spoilt_count",
     "stop_bad_ms",
--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -8,7 +8,7 @@
 use super::deployment::Deployment;
 use crate::fleet::Standing;
 use crate::lists::MeasureWeights;
-use crate::upkeep::budget::{judge_stop, BudgetView};
+use crate::upkeep::budget::{judge_stop, BudgetView, RackRule};
 use crate::upkeep::buffers::{plan_buffers, BufferView, SurvivedFailure};
 use crate::upkeep::demand::{DemandWindow, PoolState};
 use crate::upkeep::keys::InstanceKey;
@@ -45,7 +45,7 @@
 fn measure_size(instances_count: u32) -> CostRow {
     let deployment = Deployment::large(instances_count);
     let mut counts = deployment.layout();
-    let budgets = deployment.budgets();
+    let budgets = deployment.budgets(RackRule::One);
     let keys: Vec<InstanceKey> = counts.members().map(|(key, _)| key).collect();
     let rounds = ROUNDS_COUNT as usize * keys.len();
     let judge_stop_ns = {
--- a/src/load/upkeep_model/deployment.rs
+++ b/src/load/upkeep_model/deployment.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::Standing;
 use crate::lists::{AvailabilityBudget, MeasureWeights};
-use crate::upkeep::budget::{PoolBudget, UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE};
+use crate::upkeep::budget::{PoolBudget, RackRule, UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE};
 use crate::upkeep::counts::{FleetCounts, Member};
 use crate::upkeep::keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
 
@@ -56,6 +56,7 @@
                 zone_unavailable_max_permille,
             },
             instances_min_count,
+            racks: RackRule::One,
         },
         mean_demand_permille: MEAN_DEMAND_PERMILLE,
         second_pool,
@@ -179,7 +180,10 @@
     }
 
     /// Returns the budgets, indexed by pool.
-    pub fn budgets(&self) -> Vec<PoolBudget> {
-        self.pools.iter().map(|spec| spec.budget).collect()
+    pub fn budgets(&self, racks: RackRule) -> Vec<PoolBudget> {
+        let budgets = self.pools.iter().map(|spec| spec.budget);
+        budgets
+            .map(|budget| PoolBudget { racks, ..budget })
+            .collect()
     }
 }
--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -7,6 +7,7 @@
 use super::run::run;
 use super::scenario::{BadImage, BadKind, MovePolicy, RackLoss, RolloutPolicy, Scenario, Shift};
 use crate::lists::MeasureWeights;
+use crate::upkeep::budget::{rack_rule, RackRule};
 use crate::upkeep::keys::RackKey;
 use crate::upkeep::rollout::RolloutSettings;
 
@@ -73,6 +74,7 @@
         step_ms: if is_large { 5000 } else { 1000 },
         rollout_at_ms: Some(MINUTE_MS),
         weights: deployment.weights,
+        racks: rack_rule(&deployment.weights),
         ..Scenario::default()
     };
     let bad = |kind| Scenario {
@@ -93,6 +95,16 @@
                 ..healthy.clone()
             },
         ),
+        (
+            "rack_loss",
+            Scenario {
+                rack_loss: Some(RackLoss {
+                    rack: RackKey(6),
+                    at_ms: 15 * MINUTE_MS,
+                }),
+                ..healthy.clone()
+            },
+        ),
         ("bad_no_return", bad(BadKind::NoReturn)),
         ("bad_on_trial", bad(BadKind::FailsOnTrial)),
         (
@@ -131,6 +143,14 @@
             with_policy(RolloutPolicy::Budgets, NO_RAMP),
         ),
     ];
+    let with_racks = |racks| Scenario {
+        racks,
+        ..with_policy(RolloutPolicy::Budgets, ramp)
+    };
+    if script == "healthy" || script == "rack_loss" {
+        candidates.push(("one_rack", with_racks(RackRule::One)));
+        candidates.push(("any_rack", with_racks(RackRule::Any)));
+    }
     if script == "healthy" {
         candidates.push((
             "whole_waves",
@@ -186,6 +206,7 @@
         has_demand: true,
         failures_permille_per_day: FAILURES_PERMILLE_PER_DAY,
         weights: deployment.weights,
+        racks: rack_rule(&deployment.weights),
         ..Scenario::default()
     };
     let shift = |pool, factor_permille| Shift {
@@ -239,6 +260,7 @@
                 rollout_at_ms: Some(HOUR_MS),
                 move_policy: MovePolicy::MarginalWorth,
                 weights,
+                racks: rack_rule(&weights),
                 ..shift.clone()
             };
             rows.push(Row {
--- a/src/load/upkeep_model/figures.rs
+++ b/src/load/upkeep_model/figures.rs
@@ -29,6 +29,8 @@
     pub refused_count: u32,
     /// Accepted stops that a recount found to breach a budget.
     pub breaches_count: u32,
+    /// Time that pools spent beyond their budget by failures on top of stops, summed over pools.
+    pub over_budget_ms: u64,
     /// Requests cut by reboots.
     pub cut_count: u32,
     /// Instances that a bad image spoilt.
@@ -67,6 +69,7 @@
         stops_count: tally.stops_at_ms.len() as u64,
         refused_count: tally.refused_count,
         breaches_count: tally.breaches_count,
+        over_budget_ms: tally.over_budget_ms,
         cut_count: tally.cut_count,
         spoilt_count: world.workers.spoilt_count,
         stop_bad_ms,
--- a/src/load/upkeep_model/scenario.rs
+++ b/src/load/upkeep_model/scenario.rs
@@ -1,6 +1,7 @@
 //! What happens in an experiment, and which policies answer it.
 
 use crate::lists::MeasureWeights;
+use crate::upkeep::budget::RackRule;
 use crate::upkeep::buffers::SurvivedFailure;
 use crate::upkeep::keys::RackKey;
 use crate::upkeep::moves::MoveSettings;
@@ -99,6 +100,8 @@
     pub has_demand: bool,
     /// Long changes of demand.
     pub shifts: Vec<Shift>,
+    /// Racks of a pool in which stops may be under way together.
+    pub racks: RackRule,
     /// Policy of roll-outs.
     pub rollout_policy: RolloutPolicy,
     /// Policy of moves.
@@ -126,6 +129,7 @@
             rack_loss: None,
             has_demand: false,
             shifts: Vec::new(),
+            racks: RackRule::default(),
             rollout_policy: RolloutPolicy::Budgets,
             move_policy: MovePolicy::Never,
             rollout_settings: RolloutSettings::default(),
--- a/src/load/upkeep_model/world.rs
+++ b/src/load/upkeep_model/world.rs
@@ -59,6 +59,8 @@
     pub refused_count: u32,
     /// Accepted stops after which a recount found a budget breached.
     pub breaches_count: u32,
+    /// Time that pools spent beyond their budget, failures included, summed over the pools.
+    pub over_budget_ms: u64,
     /// Requests cut by reboots.
     pub cut_count: u32,
     /// Moves that ended.
@@ -97,7 +99,7 @@
         let count = counts.members().count();
         Self {
             now_ms: EPOCH_MS,
-            budgets: deployment.budgets(),
+            budgets: deployment.budgets(scenario.racks),
             upkeep: vec![InstanceUpkeep::default(); count],
             rollout: None,
             moves: IndexMap::new(),
@@ -135,6 +137,19 @@
         for record in std::mem::take(&mut self.log) {
             self.apply(record);
         }
+        let over_count = (0u16..)
+            .zip(&self.budgets)
+            .filter(|(pool, budget)| self.is_pool_over(PoolKey(*pool), budget))
+            .count();
+        self.tally.over_budget_ms += over_count as u64 * step_ms;
+    }
+
+    fn is_pool_over(&self, pool: PoolKey, budget: &PoolBudget) -> bool {
+        let permille = budget.availability.pool_unavailable_max_permille;
+        self.counts.pool(pool).is_some_and(|counts| {
+            let total = counts.total;
+            total.unavailable_count() > allowed_count(total.members_count, permille)
+        })
     }
 
     /// Appends what the health checks of the entries see.
--- a/src/upkeep/budget.rs
+++ b/src/upkeep/budget.rs
@@ -10,7 +10,7 @@
 use super::counts::{is_planned_stop, FleetCounts, Member, PoolCounts};
 use super::keys::{InstanceKey, PoolKey};
 use crate::fleet::Standing;
-use crate::lists::{AvailabilityBudget, Lists, Plan, Pool};
+use crate::lists::{AvailabilityBudget, Lists, MeasureWeights, Plan, Pool};
 
 /// Whole of a part that is given in thousandths.
 pub(super) const PERMILLE_WHOLE: u64 = 1000;
@@ -19,6 +19,29 @@
 /// thousandths: half of the buffer stays usable while the other half is maintained.
 pub const UNBOUND_POOL_UNAVAILABLE_MAX_PERMILLE: u32 = 500;
 
+/// Racks of a pool in which planned stops may be under way together.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum RackRule {
+    /// One rack, or more if the budgets bear the loss of all of them together.
+    #[default]
+    One,
+    /// Any; the budgets alone bind.
+    Any,
+}
+
 /// What may be unavailable in one pool: the strictest of all plans that use it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolBudget {
@@ -26,6 +49,9 @@
     pub availability: AvailabilityBudget,
     /// Available instances that the pool keeps at least.
     pub instances_min_count: u32,
+    /// Racks in which stops may be under way together.
+    #[serde(default)]
+    pub racks: RackRule,
 }
 
 impl Default for PoolBudget {
@@ -37,6 +63,7 @@
                 zone_unavailable_max_permille: 0,
             },
             instances_min_count: 0,
+            racks: RackRule::One,
         }
     }
 }
@@ -59,6 +86,16 @@
     PoolBudget {
         availability,
         instances_min_count: pool.instances_min_count,
+        racks: rack_rule(&lists.plans.measure_weights),
+    }
+}
+
+/// Returns the rule for racks: stops spread over racks end a roll-out sooner, but the loss of a rack
+/// then adds to them; so they do only where roll-out time outweighs nearness to share.
+pub fn rack_rule(weights: &MeasureWeights) -> RackRule {
+    match weights.roll_out_time > weights.share_nearness {
+        true => RackRule::Any,
+        false => RackRule::One,
     }
 }
 
@@ -283,7 +320,8 @@
 /// than a budget allows or one rack holds.
 fn check_racks(pool: &PoolCounts, budget: &PoolBudget, member: Member) -> Result<(), BudgetBreach> {
     let rack = pool.rack(member.rack);
-    if rack.planned_count > 0 || pool.racks_with_stops_count == 0 {
+    let is_first = rack.planned_count > 0 || pool.racks_with_stops_count == 0;
+    if is_first || budget.racks == RackRule::Any {
         return Ok(());
     }
     let zone = pool.zone(member.zone);
