Count an instance as well only if it stayed well after its last return

Cause: an instance that failed on trial and was repaired counted as maintained and well, so the ramp grew on the strength of spoilt instances, and it never got the mended image.

--- a/src/upkeep/survey.rs
+++ b/src/upkeep/survey.rs
@@ -99,7 +99,10 @@
     let has_failed = matches!(member.standing, Standing::Doubtful | Standing::Down);
     let failed_by = |at: UnixMs| has_failed && upkeep.availability_since_unix_ms <= at;
     let marked_at = upkeep.bad_at_unix_ms.filter(|at| *at >= start);
-    let maintained_at = upkeep.maintained_at_unix_ms.filter(|at| *at >= start);
+    let stayed_well = |at: UnixMs| upkeep.bad_at_unix_ms.is_none_or(|bad_at| bad_at < at);
+    let maintained_at = upkeep
+        .maintained_at_unix_ms
+        .filter(|at| *at >= start && stayed_well(*at));
     let trial_end = maintained_at.map(|at| at.saturating_add(settings.probation_ms));
     match (upkeep.claim, trial_end) {
         (Some(claim), _) if is_overdue(claim.stage, claim.since_unix_ms, now, settings) => {
