--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod lists;
 mod log_access;
 mod stand_in;
+mod upkeep_experiment;
 
 use std::io::{self, Write};
 
@@ -49,6 +50,10 @@
         make: stand_in::make_command,
         execute: stand_in::execute,
     },
+    Subcommand {
+        make: upkeep_experiment::make_command,
+        execute: upkeep_experiment::execute,
+    },
 ];
 
 /// Prints one line to the standard output at once.
--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -11,6 +11,7 @@
         share::ShareSettings,
     },
     settings::Settings,
+    upkeep::{moves::MoveSettings, rollout::RolloutSettings},
 };
 
 /// Time within which a worker must have started an attempt, in milliseconds.
@@ -111,7 +112,17 @@
         escrow_idle_ms: ESCROW_IDLE_MS,
         upkeep_every_ms: UPKEEP_EVERY_MS,
         probe_every_ms: PROBE_EVERY_MS,
-        maintain_every_ms: 0,
+        roll_out: RolloutSettings {
+            return_timeout_ms: settings.reboot_max_ms,
+            bad_max_permille: settings.wave_failures_max_permille as u32,
+            ..RolloutSettings::default()
+        },
+        moves: MoveSettings {
+            samples_count: (settings.move_wait_ms / MoveSettings::default().sample_interval_ms)
+                .max(1) as u32,
+            cool_down_ms: settings.move_rest_ms,
+            ..MoveSettings::default()
+        },
         queue: QueueSettings {
             waiting_max_count: settings.waiting_max_requests as usize,
             retry_after: RetryAfterLimits {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -22,6 +22,7 @@
         proposer::Proposer,
         reader::{Reader, SnapshotWriter},
         requests::Requests,
+        roll_out::Observed,
         seat::{Lease, Watch},
         settings::EngineSettings,
         upkeep::Upkeep,
@@ -92,6 +93,7 @@
     pub(crate) health: Health,
     pub(crate) retry: RetryBudget,
     pub(crate) upkeep: Upkeep,
+    pub(crate) observed: Observed,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) counts: Counts,
     pub(crate) is_draining: bool,
@@ -154,6 +156,7 @@
             health: Health::new(settings.health),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
+            observed: Observed::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             counts: Counts::default(),
             is_draining: false,
@@ -400,7 +403,8 @@
                 | SeatChange::StopProceed { name, .. }
                 | SeatChange::StopCancel { name, .. }
                 | SeatChange::PoolRelease { name, .. }
-                | SeatChange::PoolAssign { name, .. },
+                | SeatChange::PoolAssign { name, .. }
+                | SeatChange::MarkBad { name, .. },
                 verdict,
             ) => {
                 self.note_instance_change(change, verdict);
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -225,6 +225,13 @@
         /// Its address.
         address: SmolStr,
     },
+    /// Tell a worker to refuse new work, or to take it again.
+    DrainWorker {
+        /// Address of the worker.
+        address: SmolStr,
+        /// Whether it refuses from now on.
+        is_draining: bool,
+    },
     /// Reboot an instance.
     Reboot {
         /// Name of the instance.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,8 +2,11 @@
 
 use smol_str::SmolStr;
 
-use crate::policy::{
-    health::HealthSettings, queue::QueueSettings, retry::RetrySettings, share::ShareSettings,
+use crate::{
+    policy::{
+        health::HealthSettings, queue::QueueSettings, retry::RetrySettings, share::ShareSettings,
+    },
+    upkeep::{moves::MoveSettings, rollout::RolloutSettings},
 };
 
 /// Settings of one engine.
@@ -43,8 +46,10 @@
     pub upkeep_every_ms: u64,
     /// Time for which a doubtful worker is left alone between two probes.
     pub probe_every_ms: u64,
-    /// Time between two roll-outs of an instance; 0 for none.
-    pub maintain_every_ms: u64,
+    /// Roll-outs.
+    pub roll_out: RolloutSettings,
+    /// Moves.
+    pub moves: MoveSettings,
     /// Waiting work.
     pub queue: QueueSettings,
     /// Shares.
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -29,6 +29,7 @@
     /// Looks at the instances, if this seat drives their upkeep.
     pub(crate) fn poll_upkeep(&mut self) {
         self.poll_jobs();
+        self.sample_demand();
         let now_ms = self.now.mono_ms;
         if now_ms < self.upkeep.polled_ms + self.settings.upkeep_every_ms {
             return;
@@ -45,6 +46,7 @@
             .retain(|_, acted_ms| now_ms < *acted_ms + AGAIN_MS);
         self.register_listed();
         self.carry_on_stops();
+        self.poll_decisions();
         self.probe_doubtful();
     }
 
@@ -130,7 +132,7 @@
         }
     }
 
-    fn propose_once(&mut self, name: &InstanceName, change: SeatChange) {
+    pub(crate) fn propose_once(&mut self, name: &InstanceName, change: SeatChange) {
         if self.may_act(name) {
             self.propose(change);
         }
@@ -147,6 +149,27 @@
         is_due
     }
 
+    /// Tells the worker of an accepted stop or move, if this seat drives the upkeep.
+    fn drain_worker(&mut self, change: &SeatChange, verdict: &Verdict) {
+        let (name, is_draining) = match change {
+            SeatChange::StopClaim { name, .. } | SeatChange::PoolRelease { name, .. } => {
+                (name, true)
+            }
+            SeatChange::StopCancel { name, .. } | SeatChange::PoolAssign { name, .. } => {
+                (name, false)
+            }
+            _ => return,
+        };
+        let is_driver = self.ledger.seats.choose("upkeep") == Some(&self.seat);
+        let entry = self.ledger.instances.get(name);
+        if let Some(entry) = entry.filter(|_| is_driver && *verdict == Verdict::Accepted) {
+            self.actions.push(Action::DrainWorker {
+                address: entry.row.address.clone(),
+                is_draining,
+            });
+        }
+    }
+
     /// Counts and logs the verdict on a planned stop or a move.
     pub(crate) fn note_instance_change(&mut self, change: &SeatChange, verdict: &Verdict) {
         let name = match change {
@@ -157,6 +180,7 @@
             | SeatChange::PoolAssign { name, .. } => name,
             _ => return,
         };
+        self.drain_worker(change, verdict);
         self.upkeep.judged_count += 1;
         // The next step need not wait for the last one to be due again.
         self.upkeep.acted_ms.remove(name);
--- a/src/lists/decode.rs
+++ b/src/lists/decode.rs
@@ -6,7 +6,8 @@
 use crate::fleet::Resources;
 use crate::jsonc::{Document, Place};
 use crate::lists::{
-    AvailabilityBudget, Entitlement, Entitlements, MeasureWeights, Plan, Plans, Pool, Queue, Team,
+    AvailabilityBudget, Entitlement, Entitlements, Maintenance, MeasureWeights, Plan, Plans, Pool,
+    Queue, Team,
 };
 
 /// Bounds of a share weight.
@@ -30,10 +31,16 @@
 /// Bounds of a number of accelerators.
 const ACCELERATORS_COUNT: RangeInclusive<u64> = 0..=1_024;
 
+/// Bounds of the hours between two maintenances; 0 is none.
+const EVERY_HOURS: RangeInclusive<u32> = 0..=8_760;
+/// Bounds of the time before which instances are due, up to the year 2100.
+const DUE_BEFORE_UNIX_MS: RangeInclusive<u64> = 0..=4_102_444_800_000;
+
 /// Fields of the `plans` file.
 pub(crate) const PLANS_FIELDS: [&str; 3] = ["plans", "teams", "measure_weights"];
 /// Fields of the `entitlements` file.
-pub(crate) const ENTITLEMENTS_FIELDS: [&str; 3] = ["pools", "queues", "entitlements"];
+pub(crate) const ENTITLEMENTS_FIELDS: [&str; 4] =
+    ["pools", "queues", "entitlements", "maintenance"];
 
 /// Reads the `plans` file.
 pub(crate) fn plans(document: &Document<'_>) -> Option<Plans> {
@@ -130,9 +137,27 @@
         pools: fields.rows("pools", pool),
         queues: fields.rows("queues", queue),
         entitlements: fields.rows("entitlements", entitlement),
+        maintenance: fields
+            .get("maintenance")
+            .map(maintenance)
+            .unwrap_or_default(),
     })
 }
 
+fn maintenance(place: Place<'_>) -> Maintenance {
+    let fields = place.fields(&["every_hours", "due_before_unix_ms"]);
+    let every_hours = fields.get("every_hours");
+    let due_before = fields.get("due_before_unix_ms");
+    Maintenance {
+        every_hours: every_hours
+            .and_then(|place| place.u32(EVERY_HOURS))
+            .unwrap_or_default(),
+        due_before_unix_ms: due_before
+            .and_then(|place| place.u64(DUE_BEFORE_UNIX_MS))
+            .unwrap_or_default(),
+    }
+}
+
 fn pool(place: Place<'_>) -> Pool {
     let fields = place.fields(&["name", "is_spare", "instances_min_count"]);
     Pool {
--- a/src/lists/types.rs
+++ b/src/lists/types.rs
@@ -125,6 +125,33 @@
     pub queues: Vec<Queue>,
     /// What each plan may use.
     pub entitlements: Vec<Entitlement>,
+    /// When instances are due for maintenance.
+    #[serde(default)]
+    pub maintenance: Maintenance,
+}
+
+/// When instances are due for maintenance; nothing is due by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Maintenance {
+    /// Hours after its last maintenance at which an instance is due again; 0 for never.
+    pub every_hours: u32,
+    /// Every instance that was last maintained before this time is due, in milliseconds since the
+    /// Unix epoch; 0 for none. Setting it to now starts a roll-out.
+    pub due_before_unix_ms: u64,
+}
+
+impl Maintenance {
+    /// Returns the time before which an instance must last have been maintained to be due, or none
+    /// if nothing is due.
+    pub fn due_before(&self, now_unix_ms: u64) -> Option<u64> {
+        let every_ms = u64::from(self.every_hours) * 3_600_000;
+        let periodic = match every_ms {
+            0 => 0,
+            every_ms => now_unix_ms.saturating_sub(every_ms),
+        };
+        Some(periodic.max(self.due_before_unix_ms)).filter(|at| *at > 0)
+    }
 }
 
 /// A pool of instances.
