--- a/src/ports.rs
+++ b/src/ports.rs
@@ -79,6 +79,8 @@
 pub struct WorkerRequest {
     /// Unique for each attempt; the answer must carry it.
     pub attempt_id: SmolStr,
+    /// Incarnation that is meant; another one at the same address must refuse.
+    pub incarnation: SmolStr,
     /// Caller's id of the request.
     pub request_id: SmolStr,
     /// Team, or empty for work from a queue open to all.
@@ -125,6 +127,8 @@
     Late,
     /// The size is more than the worker has.
     TooLarge,
+    /// Another incarnation answers at the address.
+    WrongIncarnation,
     /// No connection could be made, so nothing was sent.
     Unreachable,
 }
@@ -172,3 +176,24 @@
     /// Wall clock in milliseconds since the Unix epoch.
     fn unix_ms(&self) -> UnixMs;
 }
+
+/// The outside systems of one process, as one set of adapters.
+pub trait Platform: Send + Sync + 'static {
+    /// Adapter to the log service.
+    type Log: LogPort + 'static;
+    /// Adapter to the instance list.
+    type Instances: InstancePort + 'static;
+    /// Adapter to the workers.
+    type Workers: WorkerPort + 'static;
+    /// The clocks.
+    type Clock: Clock + 'static;
+
+    /// Returns the log service.
+    fn log(&self) -> &Self::Log;
+    /// Returns the instance list.
+    fn instances(&self) -> &Self::Instances;
+    /// Returns the workers.
+    fn workers(&self) -> &Self::Workers;
+    /// Returns the clocks.
+    fn clock(&self) -> &Self::Clock;
+}
