--- a/src/platform/worker_state.rs
+++ b/src/platform/worker_state.rs
@@ -17,6 +17,8 @@
 pub(crate) const US_PER_MS: u64 = 1_000;
 /// Most attempt ids that a worker remembers; with more it starts nothing.
 const KNOWN_ATTEMPTS_MAX_COUNT: usize = 65_536;
+/// How long an attempt id is kept beyond its last start, for copies that the network held back.
+const KNOWN_ATTEMPT_KEEP_MS: u64 = 60_000;
 /// Attempt ids at which the worker looks for ones that it may forget.
 const KNOWN_ATTEMPTS_SWEEP_COUNT: usize = 4_096;
 
@@ -288,9 +290,11 @@
 
     fn remember(&mut self, request: &WorkerRequest, now_us: UnixUs) -> Result<(), Refusal> {
         if self.known_attempts.len() >= self.sweep_at_count {
-            // A copy that comes later than this is refused as late.
-            self.known_attempts
-                .retain(|_, start_before_unix_ms| *start_before_unix_ms * US_PER_MS >= now_us);
+            // A copy that comes later still is refused as late.
+            self.known_attempts.retain(|_, start_before_unix_ms| {
+                let forget_at_ms = start_before_unix_ms.saturating_add(KNOWN_ATTEMPT_KEEP_MS);
+                forget_at_ms.saturating_mul(US_PER_MS) >= now_us
+            });
             self.sweep_at_count = KNOWN_ATTEMPTS_SWEEP_COUNT.max(2 * self.known_attempts.len());
         }
         match () {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,14 @@
 
 mod check_command;
 mod lists;
+mod platform_instances;
+mod platform_links;
+mod platform_log;
+mod platform_workers;
 mod policy_health;
 mod policy_retry;
 mod policy_share;
+mod processes;
+mod proxy;
 mod settings;
 mod upkeep_budget;
--- /dev/null
+++ b/tests/testsuite/platform_instances.rs
@@ -0,0 +1,185 @@
+//! The stand-in instance list: versions, lag, removals, reboots and re-used addresses, in memory
+//! and over HTTP with worker daemons that follow it.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hawthornladder::adapters::instances_http::HttpInstances;
+use hawthornladder::adapters::log_http::ServiceTimeouts;
+use hawthornladder::adapters::workers_http::HttpWorkers;
+use hawthornladder::fleet::{InstanceRow, Resources};
+use hawthornladder::platform::instances::{InstanceFaults, MemoryInstances};
+use hawthornladder::platform::instances_server::{serve_instances, tell_workers};
+use hawthornladder::platform::journal::Ending;
+use hawthornladder::platform::log::LogLimits;
+use hawthornladder::platform::worker::MemoryWorker;
+use hawthornladder::platform::worker_server::serve_worker;
+use hawthornladder::platform::workers::{worker_settings, MemoryPlatform};
+use hawthornladder::ports::{
+    InstancePort, NotStarted, PortError, WorkerOutcome, WorkerPort, WorkerRequest,
+};
+
+use crate::platform_workers::attempt;
+
+/// Returns a row of an instance that offers two slots.
+pub(crate) fn row(name: &str, address: &str) -> InstanceRow {
+    InstanceRow {
+        name: name.into(),
+        incarnation: format!("{name}.1").into(),
+        address: address.into(),
+        pool: "maps".into(),
+        zone: "a".into(),
+        rack: "a-r1".into(),
+        leaving: false,
+        capacity: Resources {
+            cores_milli: 4_000,
+            memory_mb: 8_000,
+            accelerators_count: 1,
+        },
+        slots_count: 2,
+    }
+}
+
+fn quiet_list(rows: Vec<InstanceRow>) -> MemoryInstances {
+    MemoryInstances::open(rows, Arc::new(|_| {}))
+}
+
+#[test]
+fn every_change_makes_a_version_that_wakes_readers() {
+    let list = quiet_list(vec![row("w1", "w1"), row("w2", "w2")]);
+    let server = serve_instances("127.0.0.1:0", list.clone()).expect("a port is free");
+    let http = HttpInstances::open(&server.address().to_string(), ServiceTimeouts::default());
+    let ports: [&dyn InstancePort; 2] = [&list, &http];
+    for port in ports {
+        let first = port.list(0, 0).expect("the list is up");
+        assert_eq!(first.rows.len(), 2);
+        let started = Instant::now();
+        let changed = list.clone();
+        let thread = thread::spawn(move || {
+            thread::sleep(Duration::from_millis(50));
+            changed.leave("w1")
+        });
+        let second = port.list(first.version, 10_000).expect("the list is up");
+        assert!(started.elapsed() < Duration::from_secs(5));
+        assert!(thread.join().expect("no panic"));
+        assert!(second.version > first.version);
+        assert!(second.rows.iter().any(|row| row.name == "w1" && row.leaving));
+    }
+    assert!(!list.leave("nobody"));
+}
+
+#[test]
+fn a_lagging_list_shows_an_older_state_and_then_catches_up() {
+    let list = quiet_list(vec![row("w1", "w1")]);
+    thread::sleep(Duration::from_millis(300));
+    list.set_faults(InstanceFaults {
+        lag_ms: 200,
+        ..InstanceFaults::default()
+    });
+    let before = list.list(0, 0).expect("the list is up");
+    assert!(list.remove("w1"));
+    assert_eq!(list.list(0, 0), Ok(before.clone()));
+    let after = list.list(before.version, 5_000).expect("the list is up");
+    assert!(after.rows.is_empty());
+}
+
+#[test]
+fn an_outage_and_a_lost_answer_are_told_apart() {
+    let list = quiet_list(vec![row("w1", "w1")]);
+    let server = serve_instances("127.0.0.1:0", list.clone()).expect("a port is free");
+    let http = HttpInstances::open(&server.address().to_string(), ServiceTimeouts::default());
+    let ports: [&dyn InstancePort; 2] = [&list, &http];
+    for (orders_before, port) in ports.into_iter().enumerate() {
+        list.set_faults(InstanceFaults {
+            is_down: true,
+            ..InstanceFaults::default()
+        });
+        let incarnation = list.rows()[0].incarnation.clone();
+        let refused = port.reboot("w1", &incarnation);
+        let is_without_effect =
+            matches!(refused, Err(PortError::NotSent(_) | PortError::Refused(_)));
+        assert!(is_without_effect && port.list(0, 0).is_err());
+        list.set_faults(InstanceFaults {
+            answer_lost_count: 1,
+            ..InstanceFaults::default()
+        });
+        let lost = port.reboot("w1", &incarnation);
+        assert!(matches!(lost, Err(PortError::AnswerLost(_))), "{lost:?}");
+        // The order is idempotent, so that repeating it settles the matter.
+        assert_eq!(port.reboot("w1", &incarnation), Ok(()));
+        assert_eq!(list.reboots_count(), orders_before as u64 + 1);
+        assert_ne!(list.rows()[0].incarnation, incarnation);
+    }
+}
+
+/// Starts a task on a thread and returns once the worker runs it.
+fn start_long_task(
+    port: impl WorkerPort + 'static,
+    address: &str,
+    request: WorkerRequest,
+) -> thread::JoinHandle<WorkerOutcome> {
+    let port = Arc::new(port);
+    let (runner, at) = (Arc::clone(&port), address.to_owned());
+    let thread = thread::spawn(move || runner.run(&at, &request, 20_000, 1_000));
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while port.status(address).expect("the worker is up").running_count == 0 {
+        assert!(Instant::now() < deadline, "the task does not start");
+        thread::sleep(Duration::from_millis(1));
+    }
+    thread
+}
+
+#[test]
+fn a_reboot_kills_what_runs_and_begins_another_incarnation() {
+    let worker = Arc::new(MemoryWorker::open(worker_settings(&row("w1", ""))));
+    let server = serve_worker("127.0.0.1:0", Arc::clone(&worker)).expect("a port is free");
+    let address = server.address().to_string();
+    let list = MemoryInstances::open(vec![row("w1", &address)], tell_workers());
+    let in_memory = MemoryPlatform::open(vec![row("w1", "w1")], LogLimits::default());
+    let http = HttpWorkers::default();
+    let runs = || worker.journal().runs.into_iter().collect();
+    check_reboot(&list, http, &address, &runs);
+    let workers = in_memory.workers.clone();
+    let runs = || workers.runs();
+    check_reboot(&in_memory.instances, in_memory.workers.clone(), "w1", &runs);
+}
+
+fn check_reboot(
+    list: &MemoryInstances,
+    port: impl WorkerPort + Clone + 'static,
+    address: &str,
+    runs: &dyn Fn() -> Vec<hawthornladder::platform::journal::Run>,
+) {
+    let order = br#"{"run_ms":10000}"#;
+    let task = start_long_task(port.clone(), address, attempt("a1", order));
+    assert_eq!(list.reboot("w1", "w1.1"), Ok(()));
+    let outcome = task.join().expect("no panic");
+    assert_eq!(outcome, WorkerOutcome::Unknown("killed".into()));
+    assert_eq!(runs()[0].ending, Some(Ending::Killed));
+    let old_boot = port.run(address, &attempt("a2", b""), 1_000, 1_000);
+    let refused = WorkerOutcome::NotStarted(NotStarted::WrongIncarnation);
+    assert_eq!(old_boot, refused);
+    let new_boot = WorkerRequest {
+        incarnation: list.rows()[0].incarnation.clone(),
+        ..attempt("a3", b"")
+    };
+    let outcome = port.run(address, &new_boot, 5_000, 1_000);
+    assert!(matches!(outcome, WorkerOutcome::Ran { .. }), "{outcome:?}");
+}
+
+#[test]
+fn an_address_that_another_instance_took_over_refuses_work_for_the_first() {
+    let platform = MemoryPlatform::open(
+        vec![row("w1", "one"), row("w2", "two")],
+        LogLimits::default(),
+    );
+    assert!(platform.instances.remove("w1"));
+    let gone = platform.workers.run("one", &attempt("a1", b""), 1_000, 1_000);
+    assert_eq!(gone, WorkerOutcome::NotStarted(NotStarted::Unreachable));
+    assert!(platform.instances.replace("w2", Some("one")));
+    let stranger = platform.workers.run("one", &attempt("a2", b""), 1_000, 1_000);
+    let refused = WorkerOutcome::NotStarted(NotStarted::WrongIncarnation);
+    assert_eq!(stranger, refused);
+    assert!(platform.workers.runs().is_empty());
+}
--- /dev/null
+++ b/tests/testsuite/platform_links.rs
@@ -0,0 +1,260 @@
+//! The adapter to workers behind a faulty network, and the stand-ins as real processes: nothing is
+//! ever called "not started" that ran, and nothing runs twice.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use attohttpc::Method;
+use hawthornladder::adapters::instances_http::HttpInstances;
+use hawthornladder::adapters::log_http::{HttpLog, ServiceTimeouts};
+use hawthornladder::adapters::workers_http::HttpWorkers;
+use hawthornladder::platform::http::RunningServer;
+use hawthornladder::platform::log::LogFaults;
+use hawthornladder::platform::task::TaskAnswer;
+use hawthornladder::platform::worker::MemoryWorker;
+use hawthornladder::platform::worker_server::serve_worker;
+use hawthornladder::platform::workers::worker_settings;
+use hawthornladder::ports::{
+    InstancePort, LogPort, NotStarted, PortError, WorkerOutcome, WorkerPort, WorkerRequest,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+use crate::platform_instances::row;
+use crate::platform_workers::attempt;
+use crate::processes::{admin_call, StandIns};
+use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
+
+const TIMEOUT_MS: u64 = 300;
+const ANSWER_MAX_BYTES: u64 = 100_000;
+
+struct Setup {
+    worker: Arc<MemoryWorker>,
+    proxy: Proxy,
+    _server: RunningServer,
+}
+
+impl Setup {
+    fn new() -> Self {
+        let worker = Arc::new(MemoryWorker::open(worker_settings(&row("w1", ""))));
+        let server = serve_worker("127.0.0.1:0", Arc::clone(&worker)).expect("a port is free");
+        let proxy = Proxy::spawn(&server.address().to_string());
+        Self {
+            worker,
+            proxy,
+            _server: server,
+        }
+    }
+
+    fn run(&self, request: &WorkerRequest) -> WorkerOutcome {
+        HttpWorkers::default().run(&self.proxy.address(), request, TIMEOUT_MS, ANSWER_MAX_BYTES)
+    }
+
+    fn runs_count(&self, request: &WorkerRequest) -> usize {
+        let runs = self.worker.journal().runs;
+        let of_request = runs.iter().filter(|run| run.request_id == request.request_id);
+        of_request.count()
+    }
+}
+
+fn is_whole_answer(outcome: &WorkerOutcome, request: &WorkerRequest) -> bool {
+    match outcome {
+        WorkerOutcome::Ran { body, .. } => TaskAnswer::decode(body)
+            .is_some_and(|answer| answer.is_for(&request.request_id, &request.body)),
+        _ => false,
+    }
+}
+
+#[test]
+fn only_a_refused_connection_proves_that_a_worker_is_unreachable() {
+    let setup = Setup::new();
+    setup.proxy.set(ProxyFaults {
+        is_refusing: true,
+        ..ProxyFaults::default()
+    });
+    let refused = attempt("refused", b"");
+    let unreachable = WorkerOutcome::NotStarted(NotStarted::Unreachable);
+    assert_eq!(setup.run(&refused), unreachable);
+    setup.proxy.set(ProxyFaults::default());
+    let passed = attempt("passed", b"");
+    assert!(is_whole_answer(&setup.run(&passed), &passed));
+    assert_eq!(setup.runs_count(&refused), 0);
+}
+
+#[test]
+fn a_fault_at_any_byte_leaves_an_unknown_outcome_or_a_whole_answer() {
+    let setup = Setup::new();
+    let faults_at: [fn(u64) -> DirectionFaults; 3] = [
+        |byte| DirectionFaults {
+            close_at_byte: Some(byte),
+            ..DirectionFaults::default()
+        },
+        |byte| DirectionFaults {
+            reset_at_byte: Some(byte),
+            ..DirectionFaults::default()
+        },
+        |byte| DirectionFaults {
+            silent_at_byte: Some(byte),
+            ..DirectionFaults::default()
+        },
+    ];
+    let mut whole_count = 0;
+    for (kind, fault_at) in faults_at.into_iter().enumerate() {
+        for byte in [0, 1, 17, 100, 300, 420, 470, 520, 600, 700, 100_000] {
+            for is_to_client in [false, true] {
+                let mut faults = ProxyFaults::default();
+                match is_to_client {
+                    true => faults.to_client = fault_at(byte),
+                    false => faults.to_upstream = fault_at(byte),
+                }
+                setup.proxy.set(faults);
+                let id = format!("kind-{kind}-byte-{byte}-{is_to_client}");
+                let request = attempt(&id, br#"{"run_ms":1,"answer_bytes":600}"#);
+                let outcome = setup.run(&request);
+                let is_whole = is_whole_answer(&outcome, &request);
+                let is_unknown = matches!(outcome, WorkerOutcome::Unknown(_));
+                assert!(is_whole || is_unknown, "{id}: {outcome:?}");
+                assert!(setup.runs_count(&request) <= 1, "{id}");
+                assert!(!is_whole || setup.runs_count(&request) == 1, "{id}");
+                whole_count += u32::from(is_whole);
+            }
+        }
+    }
+    // At least the last byte is beyond each request and answer.
+    assert!(whole_count >= 6, "{whole_count}");
+}
+
+#[test]
+fn a_request_that_the_network_repeats_runs_once() {
+    let setup = Setup::new();
+    setup.proxy.set(ProxyFaults {
+        replay_after_ms: Some(50),
+        ..ProxyFaults::default()
+    });
+    let ran = attempt("ran", b"");
+    assert!(is_whole_answer(&setup.run(&ran), &ran));
+    let mut refused = attempt("refused", b"");
+    refused.size.accelerators_count = 2;
+    let too_large = WorkerOutcome::NotStarted(NotStarted::TooLarge);
+    assert_eq!(setup.run(&refused), too_large);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(setup.proxy.replay_answers(), ["HTTP/1.1 409 Conflict"; 2]);
+    assert_eq!((setup.runs_count(&ran), setup.runs_count(&refused)), (1, 0));
+}
+
+#[test]
+fn a_connection_gone_silent_costs_only_the_request_on_it() {
+    let setup = Setup::new();
+    let address = setup.proxy.address();
+    let stuck = thread::spawn(move || {
+        let request = attempt("stuck", br#"{"run_ms":500}"#);
+        HttpWorkers::default().run(&address, &request, 2_000, ANSWER_MAX_BYTES)
+    });
+    while setup.worker.status().running_count == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    setup.proxy.silence_open();
+    let next = attempt("next", b"");
+    assert!(is_whole_answer(&setup.run(&next), &next));
+    let outcome = stuck.join().expect("no panic");
+    assert_eq!(outcome, WorkerOutcome::Unknown("timed_out".into()));
+}
+
+#[test]
+fn bytes_that_are_no_answer_prove_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let (answers, next) = flume::bounded::<Vec<u8>>(1);
+    let server = thread::spawn(move || {
+        for answer in next {
+            let (mut stream, _) = listener.accept().expect("the adapter connects");
+            drop(stream.read(&mut [0; 4_096]));
+            drop(stream.write_all(&answer));
+        }
+    });
+    let id = "x-attempt-id: garbled\r\n";
+    let status = prop::sample::select(vec!["200", "429", "503", "409", "500", "x"]);
+    let header = prop::sample::select(vec![
+        "x-success: true\r\n",
+        "x-answer-bytes: 2\r\n",
+        "x-answer-blake3: 00\r\n",
+        "content-length: 2\r\n",
+        "content-length: 99999999999\r\n",
+        "transfer-encoding: chunked\r\n",
+        "x-loss: killed\r\n",
+        "no header\r\n",
+    ]);
+    let head = (status, prop::collection::vec(header, 0..6), any::<bool>());
+    let answer = prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..200),
+        (head, prop::collection::vec(any::<u8>(), 0..20)).prop_map(
+            move |((status, headers, is_named), body)| {
+                let named = if is_named { id } else { "" };
+                let head = format!("HTTP/1.1 {status} X\r\n{named}{}\r\n", headers.concat());
+                [head.as_bytes(), &body].concat()
+            }
+        ),
+    ];
+    let mut runner = TestRunner::new(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    });
+    let request = attempt("garbled", b"");
+    let checked = runner.run(&answer, |answer| {
+        answers.send(answer).expect("the server runs");
+        let outcome =
+            HttpWorkers::default().run(&address, &request, TIMEOUT_MS, ANSWER_MAX_BYTES);
+        prop_assert!(matches!(outcome, WorkerOutcome::Unknown(_)), "{outcome:?}");
+        Ok(())
+    });
+    drop(answers);
+    server.join().expect("no panic");
+    checked.expect("no garbled answer proves anything");
+}
+
+#[test]
+fn real_processes_are_found_killed_and_paused() {
+    let mut platform = StandIns::spawn("examples/lahore/fleet.jsonc", &[]);
+    let timeouts = ServiceTimeouts::default();
+    let page = HttpInstances::open(&platform.instances_address, timeouts)
+        .list(0, 0)
+        .expect("the list is up");
+    assert_eq!(page.rows.len(), platform.worker_addresses.len());
+    let log = HttpLog::open(&platform.log_address, timeouts);
+    assert_eq!(log.append(&["one".to_owned()]), Ok(0));
+    let lossy = LogFaults {
+        answer_lost_count: 1,
+        ..LogFaults::default()
+    };
+    admin_call(&platform.log_address, Method::POST, "/faults", &lossy);
+    let lost = log.append(&["two".to_owned()]);
+    assert!(matches!(lost, Err(PortError::AnswerLost(_))), "{lost:?}");
+
+    let workers = HttpWorkers::default();
+    let run = |id: &str| {
+        let request = WorkerRequest {
+            incarnation: page.rows[0].incarnation.clone(),
+            ..attempt(id, b"")
+        };
+        let outcome = workers.run(&page.rows[0].address, &request, TIMEOUT_MS, 1_000);
+        (outcome, request)
+    };
+    let (outcome, request) = run("up");
+    assert!(is_whole_answer(&outcome, &request), "{outcome:?}");
+    assert_eq!(platform.runs().len(), 1);
+    platform.workers.pause();
+    let (outcome, _) = run("paused");
+    assert_eq!(outcome, WorkerOutcome::Unknown("timed_out".into()));
+    platform.workers.resume();
+    platform.workers.kill();
+    let (outcome, _) = run("killed");
+    let unreachable = WorkerOutcome::NotStarted(NotStarted::Unreachable);
+    assert_eq!(outcome, unreachable);
+    platform.log.terminate();
+    assert!(matches!(log.read(0, 0), Err(PortError::NotSent(_))));
+}
