--- a/tests/testsuite/platform_links.rs
+++ b/tests/testsuite/platform_links.rs
@@ -234,9 +234,8 @@
 fn real_processes_are_found_killed_and_paused() {
     let mut platform = StandIns::spawn("examples/lahore/fleet.jsonc", &[]);
     let timeouts = ServiceTimeouts::default();
-    let page = HttpInstances::open(&platform.instances_address, timeouts)
-        .list(0, 0)
-        .expect("the list is up");
+    let list = HttpInstances::open(&platform.instances_address, timeouts);
+    let page = list.list(0, 0).expect("the list is up");
     assert_eq!(page.rows.len(), platform.worker_addresses.len());
     let log = HttpLog::open(&platform.log_address, timeouts);
     assert_eq!(log.append(&["one".to_owned()]), Ok(0));
@@ -270,4 +269,6 @@
     assert_eq!(outcome, unreachable);
     platform.log.terminate();
     assert!(matches!(log.read(0, 0), Err(PortError::NotSent(_))));
+    platform.instances.kill();
+    assert!(matches!(list.list(0, 0), Err(PortError::NotSent(_))));
 }
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -169,9 +169,10 @@
         self.kill();
         if !thread::panicking() {
             drop(fs::remove_file(&self.log_path));
-            let directory = self.log_path.parent();
-            // Fails as long as other processes have their logs there.
-            directory.map(fs::remove_dir).map(drop);
+            if let Some(directory) = self.log_path.parent() {
+                // Fails as long as other processes have their logs there.
+                drop(fs::remove_dir(directory));
+            }
         }
     }
 }
