Keep only settings that have an effect; bound a batch by its bytes

Cause: seven settings were declared and checked but nothing read them, and a batch of jobs was bounded by its number of changes only, so it could grow past what the log takes. Conclusion: the settings are gone or wired; an estimate of the bytes bounds each batch.

--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -103,6 +103,8 @@
         config_stale_max_ms: settings.config_stale_max_ms,
         append_interval_ms: settings.append_interval_min_ms,
         append_batch_max_count: settings.append_batch_max_records as usize,
+        append_batch_max_bytes: settings.append_batch_max_bytes as usize,
+        worker_connections_max_count: settings.worker_connections_max_count as u32,
         changes_max_count: CHANGES_MAX_COUNT,
         snapshot_every_records: settings.snapshot_every_records,
         start_window_ms: START_WINDOW_MS,
@@ -114,6 +116,7 @@
         probe_every_ms: PROBE_EVERY_MS,
         roll_out: RolloutSettings {
             return_timeout_ms: settings.reboot_max_ms,
+            probation_ms: settings.wave_trial_ms,
             bad_max_permille: settings.wave_failures_max_permille as u32,
             ..RolloutSettings::default()
         },
@@ -121,6 +124,7 @@
             samples_count: (settings.move_wait_ms / MoveSettings::default().sample_interval_ms)
                 .max(1) as u32,
             cool_down_ms: settings.move_rest_ms,
+            moves_max_per_hour_count: settings.moves_max_per_hour_count as u32,
             ..MoveSettings::default()
         },
         queue: QueueSettings {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -415,10 +415,9 @@
     /// Returns the longest task lease that ends before a seat's parts are given to others.
     fn lease_max_ms(&self) -> u64 {
         let settings = &self.settings;
-        settings
-            .run_max_ms
-            .min(crate::ledger::RUN_MAX_MS)
-            .saturating_sub(settings.start_window_ms + settings.clock_skew_max_ms)
+        let delays_ms = settings.start_window_ms + settings.clock_skew_max_ms;
+        let of_protocol_ms = crate::ledger::RUN_MAX_MS.saturating_sub(delays_ms);
+        settings.run_max_ms.min(of_protocol_ms)
     }
 
     fn pool_name(&self, pool: PoolKey) -> SmolStr {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -19,7 +19,7 @@
         escrow::EscrowKeeper,
         event::{Action, Event, Now, Source},
         gossip::Gossip,
-        proposer::Proposer,
+        proposer::{Proposer, ProposerLimits},
         reader::{Reader, SnapshotWriter},
         requests::Requests,
         roll_out::Observed,
@@ -152,7 +152,10 @@
             requests: Requests::default(),
             wait: WaitQueue::new(settings.queue, settings.seed),
             usage: UsageView::new(settings.share),
-            placement: Placement::new(PlacementSettings::in_zone(zone)),
+            placement: Placement::new(PlacementSettings {
+                connections_max_count: settings.worker_connections_max_count,
+                ..PlacementSettings::in_zone(zone)
+            }),
             health: Health::new(settings.health),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
@@ -718,12 +721,13 @@
 }
 
 fn new_proposer(settings: &EngineSettings, seat: &SeatId) -> Proposer {
-    Proposer::open(
-        seat.clone(),
-        settings.changes_max_count,
-        settings.append_batch_max_count,
-        settings.append_interval_ms,
-    )
+    let limits = ProposerLimits {
+        waiting_max_count: settings.changes_max_count,
+        batch_max_count: settings.append_batch_max_count,
+        batch_max_bytes: settings.append_batch_max_bytes,
+        interval_ms: settings.append_interval_ms,
+    };
+    Proposer::open(seat.clone(), limits)
 }
 
 fn payload_bytes(page: &LogPage, offset: Offset) -> u64 {
--- a/src/entry/proposer.rs
+++ b/src/entry/proposer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     fleet::MonoMs,
-    ledger::{Record, SeatBatch, SeatChange, SeatId},
+    ledger::{JobState, Record, SeatBatch, SeatChange, SeatId},
     ports::PortError,
 };
 
@@ -22,15 +22,26 @@
     resend_at_ms: Option<MonoMs>,
 }
 
+/// Bounds of the proposals.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProposerLimits {
+    /// Changes that may wait.
+    pub(crate) waiting_max_count: usize,
+    /// Changes in one batch.
+    pub(crate) batch_max_count: usize,
+    /// Bytes of one batch.
+    pub(crate) batch_max_bytes: usize,
+    /// Time between two batches.
+    pub(crate) interval_ms: u64,
+}
+
 /// Batches and numbers the changes of one seat.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposer {
     seat: SeatId,
     next_seq: u64,
     waiting: VecDeque<SeatChange>,
-    waiting_max_count: usize,
-    batch_max_count: usize,
-    interval_ms: u64,
+    limits: ProposerLimits,
     last_sent_ms: Option<MonoMs>,
     /// Sent and not known to have landed.
     flight: Option<Flight>,
@@ -46,19 +57,12 @@
 
 impl Proposer {
     /// Starts the proposals of a new seat.
-    pub(crate) fn open(
-        seat: SeatId,
-        waiting_max_count: usize,
-        batch_max_count: usize,
-        interval_ms: u64,
-    ) -> Self {
+    pub(crate) fn open(seat: SeatId, limits: ProposerLimits) -> Self {
         Self {
             seat,
             next_seq: 1,
             waiting: VecDeque::new(),
-            waiting_max_count,
-            batch_max_count,
-            interval_ms,
+            limits,
             last_sent_ms: None,
             flight: None,
             landed: VecDeque::new(),
@@ -67,7 +71,7 @@
 
     /// Queues a change; returns whether there was room.
     pub(crate) fn propose(&mut self, change: SeatChange) -> bool {
-        let has_room = self.waiting.len() < self.waiting_max_count;
+        let has_room = self.waiting.len() < self.limits.waiting_max_count;
         if has_room {
             self.waiting.push_back(change);
         }
@@ -124,11 +128,22 @@
 
     fn is_due(&self, now_ms: MonoMs) -> bool {
         self.last_sent_ms
-            .is_none_or(|sent_ms| now_ms >= sent_ms + self.interval_ms)
+            .is_none_or(|sent_ms| now_ms >= sent_ms + self.limits.interval_ms)
+    }
+
+    /// Returns how many of the waiting changes fit in one batch; one always does.
+    fn next_count(&self) -> usize {
+        let mut bytes = 0;
+        let fitting = self.waiting.iter().take_while(|change| {
+            bytes += estimated_bytes(change);
+            bytes <= self.limits.batch_max_bytes
+        });
+        let fitting_count = fitting.take(self.limits.batch_max_count).count();
+        fitting_count.max(1)
     }
 
     fn send_next(&mut self, now_ms: MonoMs) -> Outgoing {
-        let count = self.waiting.len().min(self.batch_max_count);
+        let count = self.next_count();
         let seq = self.next_seq;
         let record = Record::Seat(SeatBatch {
             seat: self.seat.clone(),
@@ -147,3 +162,18 @@
         Outgoing { seq, payload }
     }
 }
+
+/// Bytes that any change takes beside what it carries of a job.
+const CHANGE_BYTES: usize = 512;
+
+fn estimated_bytes(change: &SeatChange) -> usize {
+    let carried = match change {
+        SeatChange::JobSubmit { job } => job.body_base64.len(),
+        SeatChange::JobEnd {
+            state: JobState::Ran { body_base64, .. },
+            ..
+        } => body_base64.len(),
+        _ => 0,
+    };
+    CHANGE_BYTES + carried
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -28,6 +28,10 @@
     pub append_interval_ms: u64,
     /// Changes in one batch at most.
     pub append_batch_max_count: usize,
+    /// Bytes of one batch at most, by a careful estimate.
+    pub append_batch_max_bytes: usize,
+    /// Attempts out at one worker at most.
+    pub worker_connections_max_count: u32,
     /// Changes that may wait for an append.
     pub changes_max_count: usize,
     /// Records between two snapshots.
--- a/src/settings/checks.rs
+++ b/src/settings/checks.rs
@@ -48,15 +48,6 @@
             problem: "the clocks may differ by a quarter of the seat's lease or more",
             instead: format!("write less than {}", s.seat_lease_ms / 4),
         },
-        Rule {
-            field: "claim_window_ms",
-            holds: s.claim_window_ms >= 2 * s.run_max_ms + s.clock_skew_max_ms,
-            problem: "a request id would be forgotten while its task may still run",
-            instead: format!(
-                "write at least {}, twice `run_max_ms` and `clock_skew_max_ms`",
-                2 * s.run_max_ms + s.clock_skew_max_ms
-            ),
-        },
         Rule {
             field: "config_stale_max_ms",
             holds: s.config_stale_max_ms >= 3 * s.peer_gossip_ms,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -70,9 +70,6 @@
     pub config_stale_max_ms: u64,
     /// Most by which the wall clocks of two instances may differ, in milliseconds.
     pub clock_skew_max_ms: u64,
-    /// Time for which a request id is remembered, in milliseconds. A repeat of a non-idempotent
-    /// request within it never runs again.
-    pub claim_window_ms: u64,
     /// Shortest time between two appends of one entry, in milliseconds; records that come up in
     /// between share the next append.
     pub append_interval_min_ms: u64,
@@ -109,8 +106,6 @@
     pub header_timeout_ms: u64,
     /// Longest pause within a body or an answer, in milliseconds.
     pub body_idle_timeout_ms: u64,
-    /// Time after which a caller's connection without a request is closed, in milliseconds.
-    pub idle_connection_max_ms: u64,
     /// Most requests that wait for a worker at once; more are refused as not run.
     pub waiting_max_requests: u64,
     /// Longest lease of a task on a worker, in milliseconds.
@@ -125,16 +120,12 @@
     pub worker_connections_max_count: u64,
     /// Time within which a connection to a worker must stand, in milliseconds.
     pub worker_connect_timeout_ms: u64,
-    /// Time after which an unused connection to a worker is closed, in milliseconds.
-    pub worker_idle_connection_max_ms: u64,
     /// Threads that each carry one attempt on a worker.
     pub dispatch_threads_count: u64,
     /// Most further attempts for one request that may run again.
     pub retries_max_count: u64,
     /// Retries allowed for each thousand first attempts.
     pub retry_budget_permille: u64,
-    /// Failed attempts in a row after which an instance is ejected.
-    pub eject_failures_count: u64,
     /// Time for which an instance is ejected the first time, in milliseconds; it doubles with each
     /// further time.
     pub eject_ms: u64,
@@ -145,22 +136,18 @@
     pub eject_max_permille: u64,
     /// Time over which use is averaged for the shares, in milliseconds.
     pub share_window_ms: u64,
-    /// Failures of instances in one availability zone that the spare instances of a pool must be able
-    /// to make good.
-    pub spare_failures_count: u64,
     /// Time for which a pool must have been short before an instance is moved to it, in milliseconds;
     /// shorter bursts are waited out.
     pub move_wait_ms: u64,
     /// Shortest time between two moves of one instance, in milliseconds.
     pub move_rest_ms: u64,
-    /// Most moves under way at once.
-    pub moves_max_count: u64,
-    /// Time that a drain of an instance is expected to take at most, in milliseconds; a longer one is
-    /// reported, never cut.
-    pub instance_drain_ms: u64,
     /// Time after which an instance that did not come back from a reboot counts as failed, in
     /// milliseconds.
     pub reboot_max_ms: u64,
+    /// Time after its return from maintenance for which an instance is on trial, in milliseconds.
+    pub wave_trial_ms: u64,
+    /// Moves of instances between pools within an hour at most.
+    pub moves_max_per_hour_count: u64,
     /// Part of a wave that may fail before the roll-out stops, in thousandths.
     pub wave_failures_max_permille: u64,
 }
@@ -184,7 +171,6 @@
             seat_renew_ms: 0,
             config_stale_max_ms: 0,
             clock_skew_max_ms: 0,
-            claim_window_ms: 0,
             append_interval_min_ms: 0,
             append_batch_max_records: 0,
             append_batch_max_bytes: 0,
@@ -202,7 +188,6 @@
             callers_max_connections: 0,
             header_timeout_ms: 0,
             body_idle_timeout_ms: 0,
-            idle_connection_max_ms: 0,
             waiting_max_requests: 0,
             run_max_ms: 0,
             retry_after_min_ms: 0,
@@ -210,21 +195,18 @@
             drain_timeout_ms: 0,
             worker_connections_max_count: 0,
             worker_connect_timeout_ms: 0,
-            worker_idle_connection_max_ms: 0,
             dispatch_threads_count: 0,
             retries_max_count: 0,
             retry_budget_permille: 0,
-            eject_failures_count: 0,
             eject_ms: 0,
             eject_longest_ms: 0,
             eject_max_permille: 0,
             share_window_ms: 0,
-            spare_failures_count: 0,
             move_wait_ms: 0,
             move_rest_ms: 0,
-            moves_max_count: 0,
-            instance_drain_ms: 0,
             reboot_max_ms: 0,
+            wave_trial_ms: 0,
+            moves_max_per_hour_count: 0,
             wave_failures_max_permille: 0,
         };
         for field in NUMBER_FIELDS {
--- a/src/settings/numbers.rs
+++ b/src/settings/numbers.rs
@@ -44,9 +44,6 @@
     number("clock_skew_max_ms", 500, 1..=60_000, |s| {
         &mut s.clock_skew_max_ms
     }),
-    number("claim_window_ms", 600_000, 1_000..=86_400_000, |s| {
-        &mut s.claim_window_ms
-    }),
     number("append_interval_min_ms", 30, 1..=1_000, |s| {
         &mut s.append_interval_min_ms
     }),
@@ -102,13 +99,10 @@
     number("body_idle_timeout_ms", 10_000, 100..=600_000, |s| {
         &mut s.body_idle_timeout_ms
     }),
-    number("idle_connection_max_ms", 60_000, 1_000..=3_600_000, |s| {
-        &mut s.idle_connection_max_ms
-    }),
     number("waiting_max_requests", 4_096, 1..=1_000_000, |s| {
         &mut s.waiting_max_requests
     }),
-    number("run_max_ms", 60_000, 10..=86_400_000, |s| &mut s.run_max_ms),
+    number("run_max_ms", 60_000, 10..=60_000, |s| &mut s.run_max_ms),
     number("retry_after_min_ms", 200, 1..=60_000, |s| {
         &mut s.retry_after_min_ms
     }),
@@ -124,12 +118,6 @@
     number("worker_connect_timeout_ms", 300, 10..=30_000, |s| {
         &mut s.worker_connect_timeout_ms
     }),
-    number(
-        "worker_idle_connection_max_ms",
-        30_000,
-        100..=3_600_000,
-        |s| &mut s.worker_idle_connection_max_ms,
-    ),
     number("dispatch_threads_count", 256, 1..=4_096, |s| {
         &mut s.dispatch_threads_count
     }),
@@ -137,9 +125,6 @@
     number("retry_budget_permille", 100, 0..=1_000, |s| {
         &mut s.retry_budget_permille
     }),
-    number("eject_failures_count", 5, 1..=1_000, |s| {
-        &mut s.eject_failures_count
-    }),
     number("eject_ms", 5_000, 100..=3_600_000, |s| &mut s.eject_ms),
     number("eject_longest_ms", 60_000, 100..=86_400_000, |s| {
         &mut s.eject_longest_ms
@@ -150,22 +135,21 @@
     number("share_window_ms", 1_000, 50..=60_000, |s| {
         &mut s.share_window_ms
     }),
-    number("spare_failures_count", 1, 0..=1_000, |s| {
-        &mut s.spare_failures_count
-    }),
     number("move_wait_ms", 30_000, 100..=86_400_000, |s| {
         &mut s.move_wait_ms
     }),
     number("move_rest_ms", 300_000, 100..=86_400_000, |s| {
         &mut s.move_rest_ms
     }),
-    number("moves_max_count", 4, 0..=10_000, |s| &mut s.moves_max_count),
-    number("instance_drain_ms", 120_000, 100..=86_400_000, |s| {
-        &mut s.instance_drain_ms
-    }),
     number("reboot_max_ms", 300_000, 100..=86_400_000, |s| {
         &mut s.reboot_max_ms
     }),
+    number("wave_trial_ms", 60_000, 0..=86_400_000, |s| {
+        &mut s.wave_trial_ms
+    }),
+    number("moves_max_per_hour_count", 60, 0..=10_000, |s| {
+        &mut s.moves_max_per_hour_count
+    }),
     number("wave_failures_max_permille", 200, 0..=1_000, |s| {
         &mut s.wave_failures_max_permille
     }),
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -37,8 +37,12 @@
     let cases = [
         ("\"seat_lease_ms\": 5000", CannotHold, "seat_renew_ms"),
         ("\"seat_renew_ms\": 40000", CannotHold, "seat_renew_ms"),
-        ("\"claim_window_ms\": 100000", CannotHold, "claim_window_ms"),
-        ("\"run_max_ms\": 100000", CannotHold, "drain_timeout_ms"),
+        ("\"run_max_ms\": 100000", OutOfRange, "run_max_ms"),
+        (
+            "\"drain_timeout_ms\": 50000",
+            CannotHold,
+            "drain_timeout_ms",
+        ),
         (
             "\"peer_gossip_ms\": 2000",
             CannotHold,
