Test that a cut request never starts and that a refusal must name its attempt

The limit on appends counted its turns in truncated milliseconds and let the last one go up to a millisecond early; it now counts by Instant.

--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -155,7 +155,9 @@
     let number = |name| matches.get_one::<u64>(name).copied();
     let records_max_count = number("records-max-count").map(usize::try_from);
     let limits = LogLimits {
-        appends_per_s: number("appends-per-s").unwrap_or(default.appends_per_s),
+        appends_per_s: number("appends-per-s").map_or(default.appends_per_s, |count| {
+            u32::try_from(count).unwrap_or(u32::MAX)
+        }),
         records_max_count: records_max_count.map_or(default.records_max_count, |count| {
             count.unwrap_or(usize::MAX)
         }),
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -24,18 +24,16 @@
 /// Longest time that a read waits.
 pub const READ_WAIT_MAX_MS: u64 = 30_000;
 /// Longest time that an append waits for its turn before it is refused.
-const APPEND_WAIT_MAX_MS: u64 = 1_000;
+const APPEND_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Most appends that may be on their way to land late.
 const LATE_MAX_COUNT: u32 = 64;
-const US_PER_S: u64 = 1_000_000;
-const US_PER_MS: u64 = 1_000;
 
 /// Limits of the log service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogLimits {
     /// Appends taken in a second.
-    pub appends_per_s: u64,
+    pub appends_per_s: u32,
     /// Records kept at most.
     pub records_max_count: usize,
     /// Age after which a record is trimmed.
@@ -96,7 +94,7 @@
     counts: LogCounts,
     records: VecDeque<LogRecord>,
     head_offset: Offset,
-    next_append_at_us: u64,
+    next_turn: Option<Instant>,
     late_pending_count: u32,
 }
 
@@ -177,19 +175,18 @@
 
     /// Waits for the append's turn under the rate limit.
     fn wait_for_turn(&self) -> Result<(), PortError> {
-        let now_us = SystemClock.mono_ms() * US_PER_MS;
+        let now = Instant::now();
         let mut state = self.lock();
-        let at_us = state.next_append_at_us.max(now_us);
-        let wait_us = at_us - now_us;
-        if wait_us > APPEND_WAIT_MAX_MS * US_PER_MS {
+        let turn = state.next_turn.map_or(now, |turn| turn.max(now));
+        let wait = turn - now;
+        if wait > APPEND_WAIT_MAX {
             state.counts.refused_count += 1;
             return Err(PortError::Refused("over_rate".into()));
         }
-        state.next_append_at_us = at_us + US_PER_S / state.limits.appends_per_s.max(1);
+        let gap = Duration::from_secs(1) / state.limits.appends_per_s.max(1);
+        state.next_turn = Some(turn + gap);
         drop(state);
-        if wait_us > 0 {
-            thread::sleep(Duration::from_micros(wait_us));
-        }
+        thread::sleep(wait);
         Ok(())
     }
 
--- a/tests/testsuite/platform_links.rs
+++ b/tests/testsuite/platform_links.rs
@@ -178,18 +178,84 @@
 }
 
 #[test]
-fn bytes_that_are_no_answer_prove_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it is bound").to_string();
-    let (answers, next) = flume::bounded::<Vec<u8>>(1);
-    let server = thread::spawn(move || {
-        for answer in next {
-            let (mut stream, _) = listener.accept().expect("the adapter connects");
-            drop(stream.read(&mut [0; 4_096]));
-            drop(stream.write_all(&answer));
-        }
+fn a_request_whose_body_is_cut_never_starts() {
+    let setup = Setup::new();
+    setup.proxy.set(ProxyFaults {
+        to_upstream: DirectionFaults {
+            close_at_byte: Some(20_000),
+            ..DirectionFaults::default()
+        },
+        ..ProxyFaults::default()
     });
-    let id = "x-attempt-id: garbled\r\n";
+    let request = attempt("cut", &[b'x'; 50_000]);
+    let outcome = setup.run_within(&request, GIVE_UP_MS);
+    assert!(matches!(outcome, WorkerOutcome::Unknown(_)), "{outcome:?}");
+    // The copy that was cut may still be on its way, so the worker is asked for some time.
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(setup.runs_count(&request), 0);
+}
+
+/// A server that answers each connection with the bytes it is given, whatever it is asked.
+struct Parrot {
+    address: String,
+    answers: flume::Sender<Vec<u8>>,
+}
+
+impl Parrot {
+    fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let (answers, next) = flume::bounded::<Vec<u8>>(1);
+        thread::spawn(move || {
+            for answer in next {
+                let (mut stream, _) = listener.accept().expect("the adapter connects");
+                drop(stream.read(&mut [0; 4_096]));
+                drop(stream.write_all(&answer));
+            }
+        });
+        Self { address, answers }
+    }
+
+    /// Returns the outcome of an attempt `mine` that is answered with `answer`.
+    fn outcome_of(&self, answer: Vec<u8>) -> WorkerOutcome {
+        self.answers.send(answer).expect("the server runs");
+        let request = attempt("mine", b"");
+        HttpWorkers::default().run(&self.address, &request, PATIENCE_MS, ANSWER_MAX_BYTES)
+    }
+}
+
+#[test]
+fn a_refusal_proves_something_only_if_it_names_the_attempt() {
+    let parrot = Parrot::spawn();
+    let unknown = |reason: &str| WorkerOutcome::Unknown(reason.into());
+    let busy = WorkerOutcome::NotStarted(NotStarted::Busy);
+    for (headers, expected) in [
+        ("x-attempt-id: mine\r\nx-not-started: busy", busy),
+        (
+            "x-attempt-id: yours\r\nx-not-started: busy",
+            unknown("crossed"),
+        ),
+        ("x-not-started: busy", unknown("worker_failed")),
+        (
+            "x-attempt-id: mine\r\nx-not-started: bored",
+            unknown("worker_failed"),
+        ),
+        ("x-attempt-id: mine\r\nx-loss: killed", unknown("killed")),
+        ("x-attempt-id: mine", unknown("worker_failed")),
+    ] {
+        let answer = format!("HTTP/1.1 429 X\r\n{headers}\r\ncontent-length: 0\r\n\r\n");
+        assert_eq!(
+            parrot.outcome_of(answer.into_bytes()),
+            expected,
+            "{headers}"
+        );
+    }
+}
+
+#[test]
+fn bytes_that_are_no_answer_prove_nothing() {
+    let parrot = Parrot::spawn();
+    let id = "x-attempt-id: mine\r\n";
     let status = prop::sample::select(vec!["200", "429", "503", "409", "500", "x"]);
     let header = prop::sample::select(vec![
         "x-success: true\r\n",
@@ -218,15 +284,11 @@
         failure_persistence: None,
         ..ProptestConfig::default()
     });
-    let request = attempt("garbled", b"");
     let checked = runner.run(&answer, |answer| {
-        answers.send(answer).expect("the server runs");
-        let outcome = HttpWorkers::default().run(&address, &request, GIVE_UP_MS, ANSWER_MAX_BYTES);
+        let outcome = parrot.outcome_of(answer);
         prop_assert!(matches!(outcome, WorkerOutcome::Unknown(_)), "{outcome:?}");
         Ok(())
     });
-    drop(answers);
-    server.join().expect("no panic");
     checked.expect("no garbled answer proves anything");
 }
 
