--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use indexmap::IndexMap;
 use smol_str::SmolStr;
 use uuid::Uuid;
 
@@ -12,11 +13,11 @@
         admission::{self, Admitted, Standing},
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
-        gossip::{Gossip, GossipUsage},
+        gossip::{Gossip, GossipUsage, PoolLoad},
         requests::{Attempt, Origin, Request, Stage},
     },
     error::ErrorKind,
-    fleet::{TeamName, UnixMs},
+    fleet::{PoolName, TeamName, UnixMs},
     ledger::{ClaimState, SeatChange, Verdict},
     policy::{
         health::{self, Outcome, WorkKey},
@@ -777,6 +778,22 @@
         self.usage.apply_peer_report(self.now.mono_ms, peer, rows);
     }
 
+    /// Returns this entry's own requests by pool.
+    pub(crate) fn pool_loads(&self) -> IndexMap<PoolName, PoolLoad> {
+        let mut loads: IndexMap<PoolName, PoolLoad> = IndexMap::new();
+        for attempt in self.requests.may_run() {
+            let load = loads.entry(attempt.pool_name.clone()).or_default();
+            load.running_requests += 1;
+        }
+        for row in self.wait.report_rows(&self.usage) {
+            if row.waiting_count > 0 {
+                let load = loads.entry(self.pool_name(row.pool)).or_default();
+                load.waiting_requests += row.waiting_count;
+            }
+        }
+        loads
+    }
+
     /// Returns what to tell peers now.
     pub fn gossip(&self) -> Gossip {
         let usage = self
@@ -803,6 +820,7 @@
             is_draining: self.is_draining,
             withdrawn: self.withdrawn.iter().cloned().collect(),
             demand: self.escrow.demand(self.now.mono_ms),
+            pools: self.pool_loads(),
             usage,
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,11 +3,10 @@
 /// Logs one event as `event=NAME key=value ...`.
 macro_rules! tell {
     ($engine:expr, $event:literal $(, $key:ident = $value:expr)* $(,)?) => {
-        log::info!(
-            concat!("event=", $event, " entry={}" $(, " ", stringify!($key), "={}")*),
-            $engine.settings.entry
-            $(, $value)*
-        )
+        crate::logging::Event::new($event)
+            .with("entry", &$engine.settings.entry)
+            $(.with(stringify!($key), &$value))*
+            .info()
     };
 }
 
@@ -25,16 +24,18 @@
 mod proposer;
 mod reader;
 mod requests;
+mod roll_out;
 mod seat;
 mod settings;
 mod status;
 mod upkeep;
 mod workers;
 
-pub use daemon::{Entry, EntrySettings};
+pub use daemon::{entry_name, Entry, EntrySettings};
 pub use engine::Engine;
 pub use event::{Action, AttemptKey, Event, Now, Source};
 pub use explain::Explanation;
-pub use gossip::{Demand, Gossip, GossipUsage};
+pub use gossip::{Demand, Gossip, GossipUsage, PoolLoad};
+pub use reader::Reader;
 pub use settings::EngineSettings;
 pub use status::{EntryStatus, TeamStatus};
