--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -96,8 +96,11 @@
     EngineSettings {
         entry: SmolStr::new(entry),
         zone: settings.zone.clone(),
-        // Known once the port is bound.
-        peers_address: SmolStr::default(),
+        // Known once the port is bound, if it is not given.
+        peers_address: settings
+            .peers_advertised_address
+            .map(|address| SmolStr::new(address.to_string()))
+            .unwrap_or_default(),
         seat_lease_ms: settings.seat_lease_ms,
         seat_renew_ms: settings.seat_renew_ms,
         config_stale_max_ms: settings.config_stale_max_ms,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -56,6 +56,8 @@
     pub instance_list_address: SocketAddr,
     /// Addresses of peers to ask while the log is down at the start; later ones come from the ledger.
     pub peer_addresses: Vec<SocketAddr>,
+    /// Address that the other entries are told to reach this one at; `peers_address` if it is not set.
+    pub peers_advertised_address: Option<SocketAddr>,
     /// File that logs go to; standard error if it is not set.
     pub log_file: Option<SmolStr>,
     /// How much is logged.
@@ -165,6 +167,7 @@
             log_addresses: Vec::new(),
             instance_list_address: loopback,
             peer_addresses: Vec::new(),
+            peers_advertised_address: None,
             log_file: None,
             log_level: LogLevel::Info,
             seat_lease_ms: 0,
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -10,7 +10,7 @@
 use crate::settings::{checks, LogLevel, Settings, NUMBER_FIELDS};
 
 /// Names of the settings that are not numbers.
-const TEXT_FIELDS: [&str; 10] = [
+const TEXT_FIELDS: [&str; 11] = [
     "zone",
     "region",
     "callers_address",
@@ -19,6 +19,7 @@
     "log_addresses",
     "instance_list_address",
     "peer_addresses",
+    "peers_advertised_address",
     "log_file",
     "log_level",
 ];
@@ -48,6 +49,9 @@
         .required("log_addresses", "an array of addresses")
         .map_or(Vec::new(), all_reached);
     settings.peer_addresses = fields.get("peer_addresses").map_or(Vec::new(), all_reached);
+    settings.peers_advertised_address = fields
+        .get("peers_advertised_address")
+        .and_then(|place| reached(&place));
     settings.log_file = fields.get("log_file").and_then(|place| log_file(&place));
     settings.log_level = fields
         .get("log_level")
--- /dev/null
+++ b/tests/testsuite/cluster.rs
@@ -0,0 +1,486 @@
+//! A builder of whole clusters of real processes: the stand-ins of the platform, several entries,
+//! and a fault-injecting proxy on each link between an entry and the log, the instance list and its
+//! peers.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+use attohttpc::{Method, RequestBuilder};
+use hawthornladder::entry::EntryStatus;
+use serde_json::Value;
+use uuid::Uuid;
+
+use crate::processes::{admin_call, Process, StandIns};
+use crate::proxy::Proxy;
+
+/// Longest time that a test waits for a condition.
+pub(crate) const WAIT_MAX: Duration = Duration::from_secs(20);
+
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// What a cluster is made of.
+pub(crate) struct ClusterBuilder {
+    entries_count: usize,
+    example: &'static str,
+    fleet: Option<String>,
+    settings: String,
+    log_args: Vec<&'static str>,
+}
+
+impl ClusterBuilder {
+    /// Sets how many entries there are.
+    pub(crate) fn entries(mut self, entries_count: usize) -> Self {
+        self.entries_count = entries_count;
+        self
+    }
+
+    /// Uses the files of the example deployment `name`.
+    pub(crate) fn example(mut self, name: &'static str) -> Self {
+        self.example = name;
+        self
+    }
+
+    /// Replaces the fleet file by `text`.
+    pub(crate) fn fleet(mut self, text: &str) -> Self {
+        self.fleet = Some(text.to_owned());
+        self
+    }
+
+    /// Adds `fields`, such as `"seat_lease_ms": 4000`, to the settings of every entry.
+    pub(crate) fn settings(mut self, fields: &str) -> Self {
+        self.settings.push_str(", ");
+        self.settings.push_str(fields);
+        self
+    }
+
+    /// Adds arguments of the stand-in log.
+    pub(crate) fn log_args(mut self, args: &[&'static str]) -> Self {
+        self.log_args.extend(args);
+        self
+    }
+
+    /// Starts the platform and the entries, and publishes the example's lists.
+    pub(crate) fn spawn(self) -> Cluster {
+        let mut cluster = self.spawn_unpublished();
+        cluster.publish(0, |_, text| text);
+        cluster.wait_serving();
+        cluster.wait_until("the lists and the fleet are in force", |cluster| {
+            cluster.entries.iter().all(|entry| {
+                let status = entry.status();
+                status.lists_version == 1 && !status.instances.is_empty()
+            })
+        });
+        cluster
+    }
+
+    /// Starts the platform and the entries without any lists in force.
+    pub(crate) fn spawn_unpublished(self) -> Cluster {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let directory = std::env::temp_dir().join(format!(
+            "hawthornladder-cluster-{}-{number}",
+            std::process::id()
+        ));
+        fs::create_dir_all(&directory).expect("the temporary directory is writable");
+        let example = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+            .join("examples")
+            .join(self.example);
+        let fleet = match &self.fleet {
+            Some(text) => {
+                let path = directory.join("fleet.jsonc");
+                fs::write(&path, text).expect("the directory is writable");
+                path
+            }
+            None => example.join("fleet.jsonc"),
+        };
+        let fleet = fleet.to_str().expect("paths are text").to_owned();
+        let stand_ins = StandIns::spawn(&fleet, &self.log_args);
+        let mut cluster = Cluster {
+            stand_ins,
+            entries: Vec::new(),
+            directory,
+            example,
+            settings: self.settings,
+        };
+        for _ in 0..self.entries_count {
+            cluster.add_entry();
+        }
+        cluster
+    }
+}
+
+/// One entry with its links.
+pub(crate) struct EntryProcess {
+    /// Name in answers and logs.
+    pub(crate) name: String,
+    /// The process.
+    pub(crate) process: Process,
+    /// Address for callers.
+    pub(crate) callers_address: String,
+    /// Address for operators.
+    pub(crate) operators_address: String,
+    /// Link to the log.
+    pub(crate) log_link: Proxy,
+    /// Link to the instance list.
+    pub(crate) instances_link: Proxy,
+    /// Link over which its peers reach it.
+    pub(crate) peers_link: Proxy,
+}
+
+impl EntryProcess {
+    /// Returns the state that the entry reports.
+    pub(crate) fn status(&self) -> EntryStatus {
+        self.try_status().expect("the entry reports its state")
+    }
+
+    /// Returns the state that the entry reports, if it does.
+    pub(crate) fn try_status(&self) -> Option<EntryStatus> {
+        let answer = http(&self.operators_address, Method::GET, "/v1/status", b"")?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Returns whether the entry tells the balancer that it takes work.
+    pub(crate) fn is_ready(&self) -> bool {
+        http(&self.operators_address, Method::GET, "/ready", b"")
+            .is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Withdraws a key at this entry and its peers; returns the entry's answer.
+    pub(crate) fn withdraw(&self, key_id: &str) -> Value {
+        let body = serde_json::json!({ "key_id": key_id }).to_string();
+        let path = "/v1/keys/withdraw";
+        let answer = http(&self.operators_address, Method::POST, path, body.as_bytes());
+        let answer = answer.expect("the entry answers");
+        serde_json::from_slice(&answer.body).expect("the answer is JSON")
+    }
+
+    /// Makes a call.
+    pub(crate) fn call(&self, call: &Call) -> Reply {
+        call.send(&self.callers_address)
+    }
+}
+
+/// A running cluster.
+pub(crate) struct Cluster {
+    /// The platform.
+    pub(crate) stand_ins: StandIns,
+    /// The entries.
+    pub(crate) entries: Vec<EntryProcess>,
+    directory: PathBuf,
+    example: PathBuf,
+    settings: String,
+}
+
+impl Cluster {
+    /// Begins a cluster of three entries with the fleet and the lists of the Lahore example.
+    pub(crate) fn builder() -> ClusterBuilder {
+        ClusterBuilder {
+            entries_count: 3,
+            example: "lahore",
+            fleet: None,
+            settings: String::new(),
+            log_args: Vec::new(),
+        }
+    }
+
+    /// Starts one more entry, as a fresh instance; returns its index.
+    pub(crate) fn add_entry(&mut self) -> usize {
+        let name = format!("entry-{}", self.entries.len());
+        let entry = self.start_entry(&name);
+        self.entries.push(entry);
+        self.entries.len() - 1
+    }
+
+    /// Replaces an entry, whose process has ended, by a fresh one.
+    pub(crate) fn replace_entry(&mut self, index: usize) {
+        let name = self.entries[index].name.clone();
+        self.entries[index] = self.start_entry(&name);
+    }
+
+    fn start_entry(&self, name: &str) -> EntryProcess {
+        let peers_port = free_port();
+        let log_link = Proxy::spawn(&self.stand_ins.log_address);
+        let instances_link = Proxy::spawn(&self.stand_ins.instances_address);
+        let peers_link = Proxy::spawn(&format!("127.0.0.1:{peers_port}"));
+        let peers: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| format!("\"{}\"", entry.peers_link.address()))
+            .collect();
+        let text = format!(
+            r#"{{
+    "zone": "lahore-a", "region": "punjab",
+    "callers_address": "127.0.0.1:0", "operators_address": "127.0.0.1:0",
+    "peers_address": "127.0.0.1:{peers_port}", "peers_advertised_address": "{}",
+    "peer_addresses": [{}],
+    "log_addresses": ["{}"], "instance_list_address": "{}"{}
+}}"#,
+            peers_link.address(),
+            peers.join(", "),
+            log_link.address(),
+            instances_link.address(),
+            self.settings,
+        );
+        let path = self.directory.join(format!("{name}.jsonc"));
+        fs::write(&path, text).expect("the directory is writable");
+        let path = path.to_str().expect("paths are text");
+        let mut process = Process::spawn(name, &["entry", "--settings", path, "--name", name]);
+        let addresses = process.addresses();
+        EntryProcess {
+            name: name.to_owned(),
+            process,
+            callers_address: addresses[0].clone(),
+            operators_address: addresses[2].clone(),
+            log_link,
+            instances_link,
+            peers_link,
+        }
+    }
+
+    /// Publishes the example's lists, edited by `edit(file, text)`, from version `from`.
+    pub(crate) fn publish(&mut self, from: u64, edit: impl Fn(&str, String) -> String) {
+        let mut paths = Vec::new();
+        for file in ["plans.jsonc", "entitlements.jsonc"] {
+            let text = fs::read_to_string(self.example.join(file)).expect("the example is there");
+            let path = self.directory.join(format!("{from}-{file}"));
+            fs::write(&path, edit(file, text)).expect("the directory is writable");
+            paths.push(path.to_str().expect("paths are text").to_owned());
+        }
+        let from = from.to_string();
+        let args = ["lists", "publish", &paths[0], &paths[1], "--from", &from];
+        let lines = self.operate(&args);
+        assert!(lines[0].contains("event=published"), "{lines:?}");
+    }
+
+    /// Grants a key to `team`; returns its id and its whole text.
+    pub(crate) fn grant(&self, team: &str) -> (String, String) {
+        let lines = self.operate(&["keys", "grant", team, "--output", "json"]);
+        let key: Value = serde_json::from_str(&lines[0]).expect("the key is printed as JSON");
+        let text = |name: &str| key[name].as_str().expect("fields are text").to_owned();
+        self.wait_until("the key is known everywhere", |cluster| {
+            cluster
+                .entries
+                .iter()
+                .filter_map(EntryProcess::try_status)
+                .all(|status| status.keys_count > 0)
+        });
+        (text("key_id"), text("key"))
+    }
+
+    /// Runs an operator's command against the log and returns its lines; it must succeed.
+    pub(crate) fn operate(&self, args: &[&str]) -> Vec<String> {
+        let log = &self.stand_ins.log_address;
+        let mut process = Process::spawn("operator", &[args, &["--log", log]].concat());
+        let status = process.wait_for_exit();
+        assert!(status.success(), "{args:?}: {status}\n{}", process.log());
+        // The thread that collects the lines may be a moment behind.
+        thread::sleep(Duration::from_millis(20));
+        process.lines()
+    }
+
+    /// Sets faults of the stand-in log, such as `{"is_down": true}`.
+    pub(crate) fn set_log_faults(&self, faults: &Value) {
+        admin_call(&self.stand_ins.log_address, Method::POST, "/faults", faults);
+    }
+
+    /// Waits until every entry takes work.
+    pub(crate) fn wait_serving(&self) {
+        self.wait_until("every entry takes work", |cluster| {
+            cluster.entries.iter().all(EntryProcess::is_ready)
+        });
+    }
+
+    /// Waits until `is_so` holds.
+    pub(crate) fn wait_until(&self, what: &str, is_so: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + WAIT_MAX;
+        while !is_so(self) {
+            assert!(Instant::now() < end, "waited in vain until {what}");
+            thread::sleep(WAIT_STEP);
+        }
+    }
+
+    /// Returns how often each request id ran, by the workers' journals.
+    pub(crate) fn runs_of(&self, request_id: &str) -> usize {
+        let runs = self.stand_ins.runs();
+        runs.iter()
+            .filter(|run| run.request_id == request_id)
+            .count()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            drop(fs::remove_dir_all(&self.directory));
+        }
+    }
+}
+
+/// A call as a caller makes it.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// Queue.
+    pub(crate) queue: String,
+    /// Key, if any.
+    pub(crate) key: Option<String>,
+    /// Id of the request.
+    pub(crate) request_id: String,
+    /// Deadline.
+    pub(crate) deadline_ms: u64,
+    /// Whether the work may run more than once.
+    pub(crate) is_idempotent: bool,
+    /// Whether the work is submitted for later.
+    pub(crate) is_for_later: bool,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Call {
+    /// Returns an idempotent call whose task runs for `run_ms`.
+    pub(crate) fn new(queue: &str, key: &str, run_ms: u64) -> Self {
+        Self {
+            queue: queue.to_owned(),
+            key: Some(key.to_owned()).filter(|key| !key.is_empty()),
+            request_id: Uuid::now_v7().to_string(),
+            deadline_ms: 10_000,
+            is_idempotent: true,
+            is_for_later: false,
+            body: format!("{{\"run_ms\":{run_ms}}}").into_bytes(),
+        }
+    }
+
+    /// Makes the call one that must run at most once.
+    pub(crate) fn once(mut self) -> Self {
+        self.is_idempotent = false;
+        self
+    }
+
+    /// Submits the work for later.
+    pub(crate) fn for_later(mut self) -> Self {
+        self.is_for_later = true;
+        self
+    }
+
+    /// Sets the deadline.
+    pub(crate) fn deadline_ms(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+
+    /// Sends the call to an entry.
+    pub(crate) fn send(&self, callers_address: &str) -> Reply {
+        let what = match self.is_for_later {
+            true => "jobs",
+            false => "call",
+        };
+        let path = format!("/v1/queues/{}/{what}", self.queue);
+        let request = request(callers_address, Method::POST, &path, self.key.as_deref())
+            .header("x-request-id", self.request_id.as_str())
+            .header("x-deadline-ms", self.deadline_ms)
+            .header("x-idempotent", self.is_idempotent.to_string());
+        Reply::of(send(request, &self.body))
+    }
+}
+
+/// Fetches a job.
+pub(crate) fn fetch_job(callers_address: &str, key: &str, request_id: &str) -> Reply {
+    let path = format!("/v1/jobs/{request_id}");
+    keyed(callers_address, Method::GET, &path, key)
+}
+
+/// Cancels a request.
+pub(crate) fn cancel(callers_address: &str, key: &str, request_id: &str) -> Reply {
+    let path = format!("/v1/requests/{request_id}");
+    keyed(callers_address, Method::DELETE, &path, key)
+}
+
+fn keyed(address: &str, method: Method, path: &str, key: &str) -> Reply {
+    Reply::of(send(request(address, method, path, Some(key)), b""))
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    /// HTTP status, or 0 if no whole answer came.
+    pub(crate) status: u16,
+    /// Kind of the refusal; empty for a success.
+    pub(crate) kind: String,
+    /// What the answer says of the run: `ran`, `not_run` or `outcome_unknown`.
+    pub(crate) ran: String,
+    /// When to come back.
+    pub(crate) retry_after_ms: Option<u64>,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Reply {
+    fn of(answer: Option<Answer>) -> Self {
+        let Some(answer) = answer else {
+            return Self {
+                status: 0,
+                kind: String::new(),
+                ran: String::new(),
+                retry_after_ms: None,
+                body: Vec::new(),
+            };
+        };
+        let document: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        Self {
+            status: answer.status,
+            kind: document["kind"].as_str().unwrap_or_default().to_owned(),
+            ran: answer.ran,
+            retry_after_ms: document["retry_after_ms"].as_u64(),
+            body: answer.body,
+        }
+    }
+
+    /// Returns whether the work ran to its end.
+    pub(crate) fn is_done(&self) -> bool {
+        self.status == 200
+    }
+}
+
+/// A whole answer.
+pub(crate) struct Answer {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Value of `x-ran`.
+    pub(crate) ran: String,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// Makes an HTTP call without a key; none if no whole answer came.
+pub(crate) fn http(address: &str, method: Method, path: &str, body: &[u8]) -> Option<Answer> {
+    send(request(address, method, path, None), body)
+}
+
+fn request(address: &str, method: Method, path: &str, key: Option<&str>) -> RequestBuilder {
+    let request = RequestBuilder::new(method, format!("http://{address}{path}"))
+        .connect_timeout(Duration::from_secs(1))
+        .timeout(Duration::from_secs(30));
+    match key {
+        Some(key) => request.bearer_auth(key),
+        None => request,
+    }
+}
+
+fn send(request: RequestBuilder, body: &[u8]) -> Option<Answer> {
+    let response = request.bytes(body.to_vec()).send().ok()?;
+    let ran = response.headers().get("x-ran");
+    let ran = ran.and_then(|ran| ran.to_str().ok()).unwrap_or_default();
+    Some(Answer {
+        status: response.status().as_u16(),
+        ran: ran.to_owned(),
+        body: response.bytes().ok()?,
+    })
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr();
+    address.expect("a bound listener has an address").port()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration tests, one module per topic.
 
 mod check_command;
+mod cluster;
 mod lists;
 mod platform_instances;
 mod platform_links;
@@ -13,3 +14,4 @@
 mod proxy;
 mod settings;
 mod upkeep_budget;
+mod whole_path;
