Divide a pool over teams and entries by gossiped demand

Picking the lowest level alone does not share a pool between entries: a freed slot is first seen by the entry whose request ended, which fills it again from its own queue. Each entry now computes the same weighted max-min division from gossip and leaves slots beyond its part to others for a bounded time. Slots count as a resource, so that a declared size far too small hides nothing.

--- /dev/null
+++ b/src/policy/allot.rs
@@ -0,0 +1,206 @@
+//! Division of a pool's capacity by weighted max-min: every entry computes the same division from
+//! the gossiped demand and takes of each team's part what its own demand is of the team's whole.
+
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+use rand::{Rng, RngExt};
+
+use crate::fleet::MonoMs;
+use crate::policy::keys::PoolKey;
+use crate::policy::share::{TeamSlot, UsageView};
+
+/// What one team asks of a pool. All amounts are slots, or other resources in slots' worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// Weight of the team.
+    pub weight: f64,
+    /// What it holds elsewhere and is counted against its share here.
+    pub held: f64,
+    /// What it has running and waiting here.
+    pub wanted: f64,
+}
+
+impl Claim {
+    fn filled_to(&self, level: f64) -> f64 {
+        (self.weight * level - self.held).clamp(0.0, self.wanted)
+    }
+}
+
+/// Halvings of the interval in which the common level is sought.
+const LEVEL_HALVINGS_COUNT: u32 = 50;
+
+/// Returns what each claim gets of `capacity` by weighted max-min (water-filling): claims are
+/// raised to a common level of what they hold for each unit of weight, and none gets more than it
+/// wants.
+pub fn fill(claims: &[Claim], capacity: f64) -> Vec<f64> {
+    let wanted: f64 = claims.iter().map(|claim| claim.wanted).sum();
+    if wanted <= capacity {
+        return claims.iter().map(|claim| claim.wanted).collect();
+    }
+    let top = |claim: &Claim| (claim.held + claim.wanted) / claim.weight;
+    let (mut low, mut high) = (0.0, claims.iter().map(top).fold(0.0, f64::max));
+    for _ in 0..LEVEL_HALVINGS_COUNT {
+        let level = (low + high) / 2.0;
+        let filled: f64 = claims.iter().map(|claim| claim.filled_to(level)).sum();
+        match filled > capacity {
+            true => high = level,
+            false => low = level,
+        }
+    }
+    claims.iter().map(|claim| claim.filled_to(low)).collect()
+}
+
+/// Demand of one team for a pool, at this entry and at the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Weight of the team.
+    pub weight: f64,
+    /// What it holds in other pools, fleet-wide.
+    pub held_elsewhere: f64,
+    /// What it has running here by this entry.
+    pub own_running: f64,
+    /// What waits for this pool at this entry.
+    pub own_waiting: f64,
+    /// What it has running here by other entries.
+    pub peers_running: f64,
+    /// What waits for this pool at other entries.
+    pub peers_waiting: f64,
+}
+
+impl Demand {
+    fn own(&self) -> f64 {
+        self.own_running + self.own_waiting
+    }
+
+    fn whole(&self) -> f64 {
+        self.own() + self.peers_running + self.peers_waiting
+    }
+}
+
+/// This entry's part of a pool, team by team, valid until the next gossip round.
+#[derive(Clone, Debug, Default)]
+struct Allotment {
+    own: HashMap<TeamSlot, f64>,
+    /// What is free beyond the parts that other entries have yet to take up.
+    spare: f64,
+}
+
+impl Allotment {
+    /// Divides `capacity` by the demand. Fractions of a slot are rounded up as often as they are
+    /// large, so that small parts come true over time and in sum over the entries.
+    fn divide<R: Rng>(demand: &IndexMap<TeamSlot, Demand>, capacity: f64, rng: &mut R) -> Self {
+        let claims: Vec<Claim> = demand
+            .values()
+            .map(|one| Claim {
+                weight: one.weight,
+                held: one.held_elsewhere,
+                wanted: one.whole(),
+            })
+            .collect();
+        let parts = fill(&claims, capacity);
+        let mut allotment = Self::default();
+        let mut taken = 0.0;
+        // Systematic rounding: the sum over the teams is never off by more than one.
+        let mut own_sum = rng.random_range(0.0..1.0);
+        for ((team, one), part) in demand.iter().zip(parts) {
+            let own_part = part * one.own() / one.whole().max(f64::MIN_POSITIVE);
+            let peers_part = part - own_part;
+            taken += one.own_running + peers_part.max(one.peers_running);
+            let own_sum_before: f64 = own_sum;
+            own_sum += own_part;
+            allotment
+                .own
+                .insert(*team, own_sum.floor() - own_sum_before.floor());
+        }
+        allotment.spare = (capacity - taken).max(0.0);
+        allotment
+    }
+
+    /// Returns this entry's part of the team's part, in whole slots.
+    fn own_part(&self, team: TeamSlot) -> f64 {
+        self.own.get(&team).copied().unwrap_or(0.0)
+    }
+}
+
+/// Time for which a division is used before the next is computed.
+const DIVISION_PERIOD_MS: u64 = 50;
+
+/// The divisions of all pools that this entry starts work in, and how long it has yielded.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Divider {
+    pools: HashMap<PoolKey, Division>,
+}
+
+#[derive(Clone, Debug)]
+struct Division {
+    computed_ms: MonoMs,
+    allotment: Allotment,
+    /// Since when this entry leaves free slots to others although work waits here.
+    yielding_since_ms: Option<MonoMs>,
+}
+
+impl Divider {
+    /// Returns whether the division of `pool` is due for [`Divider::divide`].
+    pub(crate) fn is_due(&self, now_ms: MonoMs, pool: PoolKey) -> bool {
+        self.pools
+            .get(&pool)
+            .is_none_or(|known| known.computed_ms + DIVISION_PERIOD_MS <= now_ms)
+    }
+
+    /// Divides `pool` anew.
+    pub(crate) fn divide<R: Rng>(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        view: &UsageView,
+        own_waiting: &IndexMap<TeamSlot, usize>,
+        rng: &mut R,
+    ) {
+        let demand = view.demand(pool, own_waiting);
+        let capacity = view.slots_count(pool) as f64;
+        let yielding_since_ms = self.pools.get(&pool).and_then(|old| old.yielding_since_ms);
+        let division = Division {
+            computed_ms: now_ms,
+            allotment: Allotment::divide(&demand, capacity, rng),
+            yielding_since_ms,
+        };
+        self.pools.insert(pool, division);
+    }
+
+    /// Returns whether this entry may start work of `team` in `pool` now: within its part, or in
+    /// what is spare.
+    pub(crate) fn may_start(&self, team: TeamSlot, pool: PoolKey, view: &UsageView) -> bool {
+        let Some(division) = self.pools.get(&pool) else {
+            return true;
+        };
+        let running = view.own_running_count(team, pool) as f64;
+        running < division.allotment.own_part(team) || division.allotment.spare >= 1.0
+    }
+
+    /// Counts a start, which ends the yielding.
+    pub(crate) fn started(&mut self, team: TeamSlot, pool: PoolKey, view: &UsageView) {
+        let running = view.own_running_count(team, pool) as f64;
+        let Some(division) = self.pools.get_mut(&pool) else {
+            return;
+        };
+        division.yielding_since_ms = None;
+        if running >= division.allotment.own_part(team) {
+            division.allotment.spare = (division.allotment.spare - 1.0).max(0.0);
+        }
+    }
+
+    /// Counts that this entry has a worker to offer and work for it, but leaves it to others;
+    /// returns whether it has done so for `max_ms`, and then starts counting afresh.
+    pub(crate) fn has_yielded(&mut self, now_ms: MonoMs, pool: PoolKey, max_ms: u64) -> bool {
+        let Some(division) = self.pools.get_mut(&pool) else {
+            return true;
+        };
+        let since_ms = *division.yielding_since_ms.get_or_insert(now_ms);
+        let is_over = now_ms.saturating_sub(since_ms) >= max_ms;
+        if is_over {
+            division.yielding_since_ms = None;
+        }
+        is_over
+    }
+}
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -1,9 +1,10 @@
-//! Estimates from what was observed: how long requests of a team in a queue run, and how fast a
-//! lane of waiting requests drains. Declared run times are never used, as they can be far off.
+//! Estimates from what was observed: how long requests of a team in a queue run, how large they
+//! are, and how fast a lane of waiting requests drains. Declared run times are never used, and
+//! declared sizes only until the first observation, as both can be far off.
 
 use std::collections::HashMap;
 
-use crate::fleet::MonoMs;
+use crate::fleet::{MonoMs, Resources};
 use crate::policy::keys::QueueKey;
 use crate::policy::share::TeamSlot;
 
@@ -66,6 +67,34 @@
     }
 }
 
+/// Observed sizes for each team and queue.
+#[derive(Clone, Debug, Default)]
+pub struct ObservedSizes {
+    by_team: HashMap<(TeamSlot, QueueKey), Resources>,
+}
+
+impl ObservedSizes {
+    /// Takes in the size that a request had by its worker's account.
+    pub fn observe(&mut self, team: TeamSlot, queue: QueueKey, used: &Resources) {
+        let known = self.by_team.entry((team, queue)).or_insert(*used);
+        let smooth = |known: u64, used: u64| (known * 7 + used).div_ceil(8);
+        known.cores_milli = smooth(known.cores_milli, used.cores_milli);
+        known.memory_mb = smooth(known.memory_mb, used.memory_mb);
+    }
+
+    /// Returns the size to count a request with: the observed one if there is one, else the
+    /// declared one. Accelerators are always counted as declared, since they are whole.
+    pub fn size_of(&self, team: TeamSlot, queue: QueueKey, declared: &Resources) -> Resources {
+        match self.by_team.get(&(team, queue)) {
+            Some(observed) => Resources {
+                accelerators_count: declared.accelerators_count,
+                ..*observed
+            },
+            None => *declared,
+        }
+    }
+}
+
 /// Time constant of the memory of a drain rate.
 const DRAIN_WINDOW_MS: f64 = 3_000.0;
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Admission and sharing: pure state machines that decide which request runs next and where.
 
+pub mod allot;
 pub mod estimate;
 pub mod health;
 pub mod keys;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,7 @@
 //! (Mitzenmacher, "The power of two choices", 2001), from the entry's own availability zone first.
 //! All operations take constant time, whatever the number of workers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
@@ -55,6 +55,9 @@
 /// How long a worker that said it is busy counts as full when nothing newer is known.
 const BUSY_HOLD_MS: u64 = 50;
 
+/// Time after which half of what a worker was reported to run for others is taken to have ended.
+const REPORT_HALF_LIFE_MS: u64 = 200;
+
 /// A worker as this entry sees it.
 #[derive(Clone, Debug)]
 struct Worker {
@@ -63,6 +66,7 @@
     own_count: u32,
     own_used: Resources,
     others_count: u32,
+    reported_ms: MonoMs,
     busy_until_ms: MonoMs,
     /// Position in the free list of its pool and zone, if it has a free slot.
     free_index: Option<usize>,
@@ -115,13 +119,15 @@
 ///
 /// The engine calls [`Placement::choose`] for a request, [`Placement::started`] when it sends it,
 /// [`Placement::ended`] with the same size when the attempt has ended, [`Placement::refused_busy`]
-/// when the worker had no slot after all, and [`Placement::report`] for each report of what the
-/// worker runs in total.
+/// when the worker had no slot after all, [`Placement::report`] for each report of what the worker
+/// runs in total, and [`Placement::tick`] every few tens of milliseconds.
 #[derive(Clone, Debug)]
 pub struct Placement {
     settings: PlacementSettings,
     workers: HashMap<WorkerKey, Worker>,
     pools: IndexMap<PoolKey, FreeLists>,
+    /// Workers that others were reported to use, the oldest report first.
+    reports: VecDeque<(MonoMs, WorkerKey)>,
 }
 
 impl Placement {
@@ -131,6 +137,7 @@
             settings,
             workers: HashMap::new(),
             pools: IndexMap::new(),
+            reports: VecDeque::new(),
         }
     }
 
@@ -146,6 +153,7 @@
                 own_count: 0,
                 own_used: Resources::default(),
                 others_count: 0,
+                reported_ms: 0,
                 busy_until_ms: 0,
                 free_index: None,
             });
@@ -190,10 +198,33 @@
     }
 
     /// Takes in how many requests a worker runs in total, by its own or a peer's report.
-    pub fn report(&mut self, key: WorkerKey, running_count: u32) {
+    pub fn report(&mut self, now_ms: MonoMs, key: WorkerKey, running_count: u32) {
+        let mut is_used_by_others = false;
         self.change(key, |worker| {
             worker.others_count = running_count.saturating_sub(worker.own_count);
+            worker.reported_ms = now_ms;
+            is_used_by_others = worker.others_count > 0;
         });
+        if is_used_by_others {
+            self.reports.push_back((now_ms, key));
+        }
+    }
+
+    /// Lets old reports fade, so that a worker once reported full is tried again. To be called
+    /// every few tens of milliseconds.
+    pub fn tick(&mut self, now_ms: MonoMs) {
+        while let Some((at_ms, key)) = self.reports.front().copied() {
+            if now_ms.saturating_sub(at_ms) < REPORT_HALF_LIFE_MS {
+                break;
+            }
+            self.reports.pop_front();
+            let others_count = match self.workers.get(&key) {
+                Some(worker) if worker.reported_ms == at_ms => worker.others_count / 2,
+                _ => continue,
+            };
+            let own_count = self.own_running_count(key);
+            self.report(now_ms, key, own_count + others_count);
+        }
     }
 
     /// Returns how many workers of `pool` have a free slot, as far as this entry knows.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -22,12 +22,24 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::{MonoMs, Resources};
+use crate::policy::allot::Divider;
 use crate::policy::estimate::RunTimes;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::{Lane, Place, PlaceOrder, RetryAfterLimits, Waiting};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
 use crate::policy::share::{TeamSlot, UsageRow, UsageView};
 
+/// How an entry shares a pool with the other entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Sharing {
+    /// It starts the waiting team with the lowest level by gossip, whenever a worker is free.
+    Levels,
+    /// It divides the pool over all teams and entries by gossip and keeps to its own part; beyond
+    /// that it starts only what is spare, or what others have left for a while.
+    Divided,
+}
+
 /// Settings of the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueSettings {
@@ -43,6 +55,11 @@
     pub give_up_slack: f64,
     /// Time that a request waits for a preferred pool before the next one may take it.
     pub spill_after_ms: u64,
+    /// How this entry shares a pool with the others.
+    pub sharing: Sharing,
+    /// Time for which this entry leaves a free slot to the team and entry whose turn it is by
+    /// gossip, before it takes the slot itself.
+    pub yield_max_ms: u64,
     /// Limits of the time that callers are told to stay away.
     pub retry_after: RetryAfterLimits,
 }
@@ -56,6 +73,8 @@
             run_deviations: 2.0,
             give_up_slack: 1.5,
             spill_after_ms: 20,
+            sharing: Sharing::Divided,
+            yield_max_ms: 150,
             retry_after: RetryAfterLimits {
                 min_ms: 100,
                 max_ms: 30_000,
@@ -73,6 +92,9 @@
 /// What decides between lanes: class, level and deadline; the lowest is served first.
 type Rank = (u8, f64, MonoMs);
 
+/// The head of a lane that may be started.
+type Candidate = (Rank, LaneKey, PlaceOrder);
+
 /// The waiting requests of one entry.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
@@ -89,6 +111,7 @@
     largest_worker: HashMap<PoolKey, Resources>,
     urgent_part: HashMap<PoolKey, f64>,
     run_times: RunTimes,
+    divider: Divider,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
 }
@@ -107,6 +130,7 @@
             largest_worker: HashMap::new(),
             urgent_part: HashMap::new(),
             run_times: RunTimes::default(),
+            divider: Divider::default(),
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -197,11 +221,13 @@
         can_start: &mut dyn FnMut(&Waiting) -> bool,
     ) -> Option<Waiting> {
         let mut candidates = self.candidates(now_ms, pool, view);
+        self.yield_to_others(now_ms, pool, view, &mut candidates);
         while !candidates.is_empty() {
             let best = index_of_lowest(&candidates);
             let (_, lane_key, order) = candidates.swap_remove(best);
             let head = self.lanes[lane_key].head(now_ms)?;
             if can_start(head) {
+                self.divider.started(head.team, pool, view);
                 return self.start(now_ms, pool, lane_key, order);
             }
         }
@@ -364,12 +390,7 @@
         self.lanes[lane_key].insert(now_ms, place);
     }
 
-    fn candidates(
-        &self,
-        now_ms: MonoMs,
-        pool: PoolKey,
-        view: &UsageView,
-    ) -> Vec<(Rank, LaneKey, PlaceOrder)> {
+    fn candidates(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Vec<Candidate> {
         let Some(lanes) = self.busy_lanes.get(&pool) else {
             return Vec::new();
         };
@@ -392,6 +413,53 @@
             .collect()
     }
 
+    /// Removes the candidates that are to leave the pool's free slots to other entries.
+    fn yield_to_others(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        view: &UsageView,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        if self.settings.sharing == Sharing::Levels || candidates.is_empty() {
+            return;
+        }
+        if self.divider.is_due(now_ms, pool) {
+            let own_waiting = self.waiting_for(pool);
+            self.divider
+                .divide(now_ms, pool, view, &own_waiting, &mut self.rng);
+        }
+        let (lanes, divider) = (&self.lanes, &self.divider);
+        let may_start = |candidate: &Candidate| {
+            let lane = &lanes[candidate.1];
+            lane.is_urgent || divider.may_start(lane.team, pool, view)
+        };
+        let is_any = candidates.iter().any(may_start);
+        if is_any
+            || !self
+                .divider
+                .has_yielded(now_ms, pool, self.settings.yield_max_ms)
+        {
+            let (lanes, divider) = (&self.lanes, &self.divider);
+            candidates.retain(|candidate| {
+                let lane = &lanes[candidate.1];
+                lane.is_urgent || divider.may_start(lane.team, pool, view)
+            });
+        }
+    }
+
+    /// Returns what waits here for `pool` as the preferred one, by team.
+    fn waiting_for(&self, pool: PoolKey) -> IndexMap<TeamSlot, usize> {
+        let mut waiting = IndexMap::new();
+        let lanes = self.busy_lanes.get(&pool).into_iter().flatten();
+        for lane in lanes.map(|lane_key| &self.lanes[*lane_key]) {
+            if lane.pools[0] == pool {
+                *waiting.entry(lane.team).or_insert(0) += lane.len();
+            }
+        }
+        waiting
+    }
+
     fn start(
         &mut self,
         now_ms: MonoMs,
@@ -428,7 +496,7 @@
     }
 }
 
-fn index_of_lowest(candidates: &[(Rank, LaneKey, PlaceOrder)]) -> usize {
+fn index_of_lowest(candidates: &[Candidate]) -> usize {
     let compare = |left: &Rank, right: &Rank| {
         left.0
             .cmp(&right.0)
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -4,9 +4,10 @@
 
 use std::collections::HashMap;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::fleet::{MonoMs, Resources};
+use crate::policy::allot::Demand;
 use crate::policy::keys::{PeerKey, PoolKey, TeamKey};
 
 /// Team of a request; `None` stands for all work from queues open to all together.
@@ -58,6 +59,8 @@
     pub pool: PoolKey,
     /// Sum of the sizes that the peer has running.
     pub running: Resources,
+    /// Requests that the peer has running.
+    pub running_count: u32,
     /// Requests that wait at the peer with this pool as the preferred one.
     pub waiting_count: u32,
 }
@@ -69,28 +72,85 @@
             team,
             pool,
             running: Resources::default(),
+            running_count: 0,
             waiting_count: 0,
         }
     }
 }
 
+/// What requests take together: their sizes, and a slot of a worker each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Sum of the sizes.
+    pub size: Resources,
+    /// Requests, each of which holds one slot.
+    pub slots_count: u64,
+}
+
+impl Load {
+    /// Returns the load of one request.
+    pub fn of_request(size: &Resources) -> Self {
+        Self {
+            size: *size,
+            slots_count: 1,
+        }
+    }
+
+    pub(crate) fn of_row(row: &UsageRow) -> Self {
+        Self {
+            size: row.running,
+            slots_count: u64::from(row.running_count),
+        }
+    }
+
+    /// Returns the sum of both.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            size: self.size.plus(&other.size),
+            slots_count: self.slots_count + other.slots_count,
+        }
+    }
+
+    /// Returns the difference, at least zero in each part.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            size: self.size.minus(&other.size),
+            slots_count: self.slots_count.saturating_sub(other.slots_count),
+        }
+    }
+
+    /// Returns the dominant share of `capacity`, slots counted as one more resource: they are what
+    /// workers run out of first, and a declared size far too small cannot hide them.
+    pub fn dominant_share(&self, capacity: &Self) -> f64 {
+        let of_slots = match (self.slots_count, capacity.slots_count) {
+            (0, _) => 0.0,
+            (_, 0) => f64::INFINITY,
+            (part, whole) => part as f64 / whole as f64,
+        };
+        of_slots.max(self.size.dominant_share(&capacity.size))
+    }
+}
+
 /// Usage of one team within one scope, integrated over time as it changes.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
-    own: Resources,
-    peers: Resources,
-    peers_waiting_count: u32,
+    own: Load,
+    peers: Load,
     history: f64,
     history_at_ms: MonoMs,
 }
 
 impl Usage {
-    fn share(&self, capacity: &Resources) -> f64 {
+    fn share(&self, capacity: &Load) -> f64 {
         let share = self.own.plus(&self.peers).dominant_share(capacity);
         share.min(SHARE_MAX)
     }
 
-    fn history_at(&self, now_ms: MonoMs, capacity: &Resources, window_ms: u64) -> f64 {
+    fn is_idle(&self) -> bool {
+        self.own == Load::default() && self.peers == Load::default()
+    }
+
+    fn history_at(&self, now_ms: MonoMs, capacity: &Load, window_ms: u64) -> f64 {
         let elapsed_ms = now_ms.saturating_sub(self.history_at_ms) as f64;
         let keep = (-elapsed_ms / window_ms.max(1) as f64).exp();
         self.history * keep + self.share(capacity) * (1.0 - keep)
@@ -113,9 +173,10 @@
 pub struct UsageView {
     settings: ShareSettings,
     weights: HashMap<TeamKey, u32>,
-    pool_capacity: IndexMap<PoolKey, Resources>,
-    fleet_capacity: Resources,
+    pool_capacity: IndexMap<PoolKey, Load>,
+    fleet_capacity: Load,
     usage: HashMap<UsageKey, Usage>,
+    running_teams: IndexMap<PoolKey, IndexSet<TeamSlot>>,
     waiting_at_peers: IndexMap<PoolKey, IndexMap<TeamSlot, u32>>,
     reports: IndexMap<PeerKey, (MonoMs, Vec<UsageRow>)>,
 }
@@ -127,8 +188,9 @@
             settings,
             weights: HashMap::new(),
             pool_capacity: IndexMap::new(),
-            fleet_capacity: Resources::default(),
+            fleet_capacity: Load::default(),
             usage: HashMap::new(),
+            running_teams: IndexMap::new(),
             waiting_at_peers: IndexMap::new(),
             reports: IndexMap::new(),
         }
@@ -140,23 +202,27 @@
     }
 
     /// Sets what the workers of a pool that take work offer together.
-    pub fn set_pool_capacity(&mut self, pool: PoolKey, capacity: Resources) {
+    pub fn set_pool_capacity(&mut self, pool: PoolKey, capacity: Load) {
         self.pool_capacity.insert(pool, capacity);
         self.fleet_capacity = self
             .pool_capacity
             .values()
-            .fold(Resources::default(), |sum, part| sum.plus(part));
+            .fold(Load::default(), |sum, part| sum.plus(part));
     }
 
     /// Counts an attempt of this entry that starts.
     pub fn started(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
-        self.change(now_ms, team, pool, |usage| usage.own = usage.own.plus(size));
+        let load = Load::of_request(size);
+        self.change(now_ms, team, pool, |usage| {
+            usage.own = usage.own.plus(&load)
+        });
     }
 
     /// Counts an attempt of this entry that ended, whatever its outcome.
     pub fn ended(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
+        let load = Load::of_request(size);
         self.change(now_ms, team, pool, |usage| {
-            usage.own = usage.own.minus(size);
+            usage.own = usage.own.minus(&load)
         });
     }
 
@@ -165,8 +231,7 @@
         self.remove_peer(now_ms, peer);
         for row in &rows {
             self.change(now_ms, row.team, row.pool, |usage| {
-                usage.peers = usage.peers.plus(&row.running);
-                usage.peers_waiting_count += row.waiting_count;
+                usage.peers = usage.peers.plus(&Load::of_row(row));
             });
             self.count_waiting_at_peers(row);
         }
@@ -196,9 +261,7 @@
         };
         for row in &rows {
             self.change(now_ms, row.team, row.pool, |usage| {
-                usage.peers = usage.peers.minus(&row.running);
-                usage.peers_waiting_count =
-                    usage.peers_waiting_count.saturating_sub(row.waiting_count);
+                usage.peers = usage.peers.minus(&Load::of_row(row));
             });
             self.uncount_waiting_at_peers(row);
         }
@@ -226,15 +289,6 @@
         share / f64::from(self.weight(team))
     }
 
-    /// Returns the lowest level among the teams that wait for `pool` at peers.
-    pub fn lowest_level_at_peers(&self, now_ms: MonoMs, pool: PoolKey) -> Option<f64> {
-        let teams = self.waiting_at_peers.get(&pool)?;
-        teams
-            .keys()
-            .map(|team| self.level(now_ms, *team, pool))
-            .min_by(f64::total_cmp)
-    }
-
     /// Returns how many requests wait for `pool` at peers, by their last reports.
     pub fn waiting_at_peers_count(&self, pool: PoolKey) -> u32 {
         self.waiting_at_peers
@@ -243,10 +297,75 @@
     }
 
     /// Returns what `team` has running in `pool`, own and gossiped.
-    pub fn running(&self, team: TeamSlot, pool: PoolKey) -> Resources {
+    pub fn running(&self, team: TeamSlot, pool: PoolKey) -> Load {
+        self.usage
+            .get(&(team, Some(pool)))
+            .map_or_else(Load::default, |usage| usage.own.plus(&usage.peers))
+    }
+
+    /// Returns how many requests of `team` this entry has running in `pool`.
+    pub fn own_running_count(&self, team: TeamSlot, pool: PoolKey) -> u64 {
         self.usage
             .get(&(team, Some(pool)))
-            .map_or_else(Resources::default, |usage| usage.own.plus(&usage.peers))
+            .map_or(0, |usage| usage.own.slots_count)
+    }
+
+    /// Returns the slots that the workers of `pool` offer together.
+    pub fn slots_count(&self, pool: PoolKey) -> u64 {
+        self.capacity_of(Some(pool)).slots_count
+    }
+
+    /// Returns the demand for `pool`, team by team, in slots' worth; `own_waiting` is what waits
+    /// for it at this entry.
+    pub(crate) fn demand(
+        &self,
+        pool: PoolKey,
+        own_waiting: &IndexMap<TeamSlot, usize>,
+    ) -> IndexMap<TeamSlot, Demand> {
+        let running = self.running_teams.get(&pool).into_iter().flatten();
+        let at_peers = self.waiting_at_peers.get(&pool);
+        let mut demand: IndexMap<TeamSlot, Demand> = running
+            .chain(at_peers.into_iter().flat_map(IndexMap::keys))
+            .chain(own_waiting.keys())
+            .map(|team| (*team, Demand::default()))
+            .collect();
+        for (team, one) in &mut demand {
+            let waiting = own_waiting.get(team).copied().unwrap_or(0) as f64;
+            let at_peers = at_peers.and_then(|teams| teams.get(team)).copied();
+            *one = self.demand_of(*team, pool, waiting, f64::from(at_peers.unwrap_or(0)));
+        }
+        demand
+    }
+
+    fn demand_of(
+        &self,
+        team: TeamSlot,
+        pool: PoolKey,
+        own_waiting_count: f64,
+        peers_waiting_count: f64,
+    ) -> Demand {
+        let usage = |scope| self.usage.get(&(team, scope)).copied().unwrap_or_default();
+        let (here, fleet) = (usage(Some(pool)), usage(None));
+        let capacity = self.capacity_of(Some(pool));
+        let running_count = (here.own.slots_count + here.peers.slots_count) as f64;
+        let worth = here.share(&capacity) * capacity.slots_count as f64;
+        let cost = match running_count {
+            0.0 => 1.0,
+            running_count => (worth / running_count).max(1.0),
+        };
+        let fleet_count = (fleet.own.slots_count + fleet.peers.slots_count) as f64;
+        let held_elsewhere = match self.settings.scope {
+            ShareScope::Fleet => (fleet_count - running_count) * cost,
+            ShareScope::Pool => 0.0,
+        };
+        Demand {
+            weight: f64::from(self.weight(team)),
+            held_elsewhere,
+            own_running: here.own.slots_count as f64 * cost,
+            own_waiting: own_waiting_count * cost,
+            peers_running: here.peers.slots_count as f64 * cost,
+            peers_waiting: peers_waiting_count * cost,
+        }
     }
 
     /// Returns what this entry itself has running, one row for each team and pool in use, in the
@@ -255,12 +374,13 @@
         let mut rows: Vec<UsageRow> = self
             .usage
             .iter()
-            .filter(|(_, usage)| usage.own != Resources::default())
+            .filter(|(_, usage)| usage.own != Load::default())
             .filter_map(|((team, pool), usage)| {
                 Some(UsageRow {
                     team: *team,
                     pool: (*pool)?,
-                    running: usage.own,
+                    running: usage.own.size,
+                    running_count: usage.own.slots_count as u32,
                     waiting_count: 0,
                 })
             })
@@ -276,7 +396,7 @@
         }
     }
 
-    fn capacity_of(&self, pool: Option<PoolKey>) -> Resources {
+    fn capacity_of(&self, pool: Option<PoolKey>) -> Load {
         match pool {
             Some(pool) => self.pool_capacity.get(&pool).copied().unwrap_or_default(),
             None => self.fleet_capacity,
@@ -299,6 +419,11 @@
             usage.history_at_ms = now_ms;
             change(usage);
         }
+        let teams = self.running_teams.entry(pool).or_default();
+        match self.usage[&(team, Some(pool))].is_idle() {
+            true => teams.swap_remove(&team),
+            false => teams.insert(team),
+        };
     }
 
     fn count_waiting_at_peers(&mut self, row: &UsageRow) {
--- a/tests/testsuite/policy_health.rs
+++ b/tests/testsuite/policy_health.rs
@@ -108,7 +108,7 @@
                     placement.ended(worker, &size);
                     *running.entry(worker).or_insert(0) -= 1;
                 }
-                4 => placement.report(worker, count),
+                4 => placement.report(0, worker, count),
                 _ => {
                     placement.set_usable(worker, count % 2 == 0);
                     closed.insert(worker, count % 2 != 0);
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -8,7 +8,7 @@
 use hawthornladder::policy::lane::Waiting;
 use hawthornladder::policy::queue::{QueueSettings, WaitQueue};
 use hawthornladder::policy::refusal::RefusalReason;
-use hawthornladder::policy::share::{ShareSettings, UsageRow, UsageView};
+use hawthornladder::policy::share::{Load, ShareSettings, UsageRow, UsageView};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -53,7 +53,11 @@
 
 fn view(weights: &[u32]) -> UsageView {
     let mut view = UsageView::new(ShareSettings::default());
-    view.set_pool_capacity(POOL, times(SLOTS_COUNT));
+    let capacity = Load {
+        size: times(SLOTS_COUNT),
+        slots_count: SLOTS_COUNT,
+    };
+    view.set_pool_capacity(POOL, capacity);
     for (team, weight) in weights.iter().enumerate() {
         view.set_weight(TeamKey(team as u32), *weight);
     }
@@ -247,6 +251,7 @@
     let mut view = view(&[1, 1]);
     let row = UsageRow {
         running: times(8),
+        running_count: 8,
         waiting_count: 2,
         ..UsageRow::idle(Some(TeamKey(0)), POOL)
     };
@@ -254,6 +259,6 @@
     assert!(view.level(10, Some(TeamKey(0)), POOL) > view.level(10, Some(TeamKey(1)), POOL));
     assert_eq!(view.waiting_at_peers_count(POOL), 2);
     assert_eq!(view.expire_peers(10_000), vec![PeerKey(1)]);
-    assert_eq!(view.running(Some(TeamKey(0)), POOL), Resources::default());
+    assert_eq!(view.running(Some(TeamKey(0)), POOL), Load::default());
     assert_eq!(view.waiting_at_peers_count(POOL), 0);
 }
