--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod adapters;
 pub mod fleet;
 pub mod lists;
+pub mod load;
 pub mod platform;
 pub mod policy;
 pub mod ports;
--- /dev/null
+++ b/src/load/entry.rs
@@ -0,0 +1,254 @@
+//! A modelled entry: the policy cores as an engine drives them, or the baseline without them.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::{MonoMs, Resources};
+use crate::policy::estimate::ObservedSizes;
+use crate::policy::health::{Access, Health, HealthSettings};
+use crate::policy::keys::{PeerKey, PoolKey, WorkerKey, ZoneKey};
+use crate::policy::lane::Waiting;
+use crate::policy::placement::{Placement, PlacementSettings, WorkerFacts};
+use crate::policy::queue::{QueueSettings, WaitQueue};
+use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
+use crate::policy::retry::{RetryBudget, RetrySettings};
+use crate::policy::share::{Load, ShareSettings, UsageRow, UsageView};
+
+/// Time that the baseline tells every refused caller to stay away.
+const BASELINE_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What holds the waiting requests.
+pub(crate) enum Line {
+    /// One bounded first-in first-out line for each pool; the deadline alone ends the waiting.
+    Fifo {
+        lines: IndexMap<PoolKey, VecDeque<Waiting>>,
+        waiting_max_count: usize,
+        refused: IndexMap<RefusalReason, u64>,
+    },
+    /// The queue of the policies.
+    Policy(Box<WaitQueue>),
+}
+
+impl Line {
+    pub(crate) fn push(
+        &mut self,
+        now_ms: MonoMs,
+        waiting: Waiting,
+        size_max: &Resources,
+    ) -> Result<(), Refusal> {
+        match self {
+            Self::Policy(queue) => queue.push(now_ms, waiting, size_max),
+            Self::Fifo {
+                lines,
+                waiting_max_count,
+                refused,
+            } => {
+                let count: usize = lines.values().map(VecDeque::len).sum();
+                if count >= *waiting_max_count {
+                    *refused.entry(RefusalReason::QueueFull).or_insert(0) += 1;
+                    return Err(Refusal {
+                        reason: RefusalReason::QueueFull,
+                        retry_after_ms: Some(BASELINE_RETRY_AFTER_MS),
+                    });
+                }
+                lines
+                    .entry(waiting.pools[0])
+                    .or_default()
+                    .push_back(waiting);
+                Ok(())
+            }
+        }
+    }
+
+    pub(crate) fn put_back(&mut self, now_ms: MonoMs, waiting: Waiting) {
+        match self {
+            Self::Policy(queue) => queue.put_back(now_ms, waiting),
+            Self::Fifo { lines, .. } => {
+                lines
+                    .entry(waiting.pools[0])
+                    .or_default()
+                    .push_front(waiting);
+            }
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
+        match self {
+            Self::Policy(queue) => queue.expire(now_ms),
+            Self::Fifo { lines, refused, .. } => {
+                let mut given_up = Vec::new();
+                for line in lines.values_mut() {
+                    line.retain(|waiting| {
+                        let is_late = waiting.deadline_ms < now_ms;
+                        if is_late {
+                            given_up.push(GivenUp {
+                                key: waiting.key,
+                                retry_after_ms: BASELINE_RETRY_AFTER_MS,
+                            });
+                        }
+                        !is_late
+                    });
+                }
+                *refused.entry(RefusalReason::GivenUp).or_insert(0) += given_up.len() as u64;
+                given_up
+            }
+        }
+    }
+
+    pub(crate) fn refused(&self) -> &IndexMap<RefusalReason, u64> {
+        match self {
+            Self::Policy(queue) => queue.refused_count(),
+            Self::Fifo { refused, .. } => refused,
+        }
+    }
+
+    fn next(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        view: &UsageView,
+        can_start: &mut dyn FnMut(&Waiting) -> bool,
+    ) -> Option<Waiting> {
+        match self {
+            Self::Policy(queue) => queue.next(now_ms, pool, view, can_start),
+            Self::Fifo { lines, .. } => {
+                let line = lines.get_mut(&pool)?;
+                line.front().is_some_and(can_start).then_some(())?;
+                line.pop_front()
+            }
+        }
+    }
+}
+
+/// What an entry of an experiment is made from.
+#[derive(Clone, Debug)]
+pub(crate) struct EntrySpec {
+    pub(crate) seed: u64,
+    pub(crate) zone: ZoneKey,
+    /// Settings of the policies; `None` makes the baseline.
+    pub(crate) queue: Option<QueueSettings>,
+    pub(crate) share: ShareSettings,
+    pub(crate) waiting_max_count: usize,
+    pub(crate) has_retry_budget: bool,
+}
+
+/// A modelled entry.
+pub(crate) struct Entry {
+    pub(crate) line: Line,
+    pub(crate) view: UsageView,
+    pub(crate) placement: Placement,
+    pub(crate) health: Health,
+    pub(crate) sizes: ObservedSizes,
+    pub(crate) retries: Option<RetryBudget>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) is_up: bool,
+}
+
+impl Entry {
+    pub(crate) fn new(spec: &EntrySpec) -> Self {
+        let line = match spec.queue {
+            Some(settings) => Line::Policy(Box::new(WaitQueue::new(settings, spec.seed))),
+            None => Line::Fifo {
+                lines: IndexMap::new(),
+                waiting_max_count: spec.waiting_max_count,
+                refused: IndexMap::new(),
+            },
+        };
+        Self {
+            line,
+            view: UsageView::new(spec.share),
+            placement: Placement::new(PlacementSettings::in_zone(spec.zone)),
+            health: Health::new(HealthSettings::default()),
+            sizes: ObservedSizes::default(),
+            retries: spec
+                .has_retry_budget
+                .then(|| RetryBudget::new(RetrySettings::default())),
+            rng: ChaCha8Rng::seed_from_u64(spec.seed ^ 0x5eed),
+            is_up: true,
+        }
+    }
+
+    pub(crate) fn set_pool(
+        &mut self,
+        pool: PoolKey,
+        capacity: Load,
+        workers: &[(WorkerKey, WorkerFacts)],
+    ) {
+        self.view.set_pool_capacity(pool, capacity);
+        for (key, facts) in workers {
+            self.placement.set_worker(*key, *facts);
+            self.health.set_worker(*key, pool);
+        }
+        if let (Line::Policy(queue), Some((_, facts))) = (&mut self.line, workers.first()) {
+            queue.set_pool_largest(pool, facts.capacity);
+        }
+    }
+
+    /// Hands out the next request of `pool` with the worker to send it to.
+    pub(crate) fn dispatch(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+    ) -> Option<(Waiting, WorkerKey)> {
+        if self.placement.free_workers_count(pool) == 0 {
+            return None;
+        }
+        let (placement, rng) = (&self.placement, &mut self.rng);
+        let mut chosen = None;
+        let mut can_start = |waiting: &Waiting| {
+            chosen = placement.choose(now_ms, pool, &waiting.size, rng);
+            chosen.is_some()
+        };
+        let waiting = self.line.next(now_ms, pool, &self.view, &mut can_start)?;
+        let worker = chosen?;
+        self.placement.started(worker, &waiting.size);
+        self.view.started(now_ms, waiting.team, pool, &waiting.size);
+        Some((waiting, worker))
+    }
+
+    /// Takes in the end of an attempt and what the worker said of itself.
+    pub(crate) fn ended(
+        &mut self,
+        now_ms: MonoMs,
+        waiting: &Waiting,
+        pool: PoolKey,
+        worker: WorkerKey,
+        running_count: u32,
+    ) {
+        self.placement.ended(worker, &waiting.size);
+        self.placement.report(now_ms, worker, running_count);
+        self.view.ended(now_ms, waiting.team, pool, &waiting.size);
+    }
+
+    pub(crate) fn tick(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
+        self.placement.tick(now_ms);
+        self.view.expire_peers(now_ms);
+        for change in self.health.tick(now_ms) {
+            self.placement.set_access(change.worker, change.access);
+        }
+        self.line.expire(now_ms)
+    }
+
+    pub(crate) fn set_access(&mut self, worker: WorkerKey, access: Access) {
+        self.placement.set_access(worker, access);
+    }
+
+    pub(crate) fn report_rows(&self) -> Vec<UsageRow> {
+        match &self.line {
+            Line::Policy(queue) => queue.report_rows(&self.view),
+            Line::Fifo { .. } => Vec::new(),
+        }
+    }
+
+    pub(crate) fn take_report(&mut self, now_ms: MonoMs, from: PeerKey, rows: Vec<UsageRow>) {
+        self.view.apply_peer_report(now_ms, from, rows);
+    }
+
+    /// Draws a time up to `max_ms`.
+    pub(crate) fn draw_ms(&mut self, max_ms: u64) -> u64 {
+        self.rng.random_range(0..=max_ms)
+    }
+}
--- /dev/null
+++ b/src/load/measure.rs
@@ -0,0 +1,123 @@
+//! Measures of an experiment: distance from the ideal share over windows, idle capacity while work
+//! waits, and the ideal itself by progressive filling.
+
+use serde::Serialize;
+
+/// Returns what each team should have running now: slots are given one by one to the team that
+/// has least for its weight, among those that want more in a pool that has room.
+///
+/// `wanted[team][pool]` are the requests that could still be served in time.
+pub fn ideal_running(wanted: &[Vec<u32>], weights: &[u32], slots_of_pools: &[u32]) -> Vec<f64> {
+    let mut wanted: Vec<Vec<u32>> = wanted.to_vec();
+    let mut free: Vec<u32> = slots_of_pools.to_vec();
+    let mut given = vec![0.0; weights.len()];
+    loop {
+        let wanted_in = |pool: usize| wanted.iter().map(|of| of[pool]).sum::<u32>();
+        let slack: Vec<i64> = (0..free.len())
+            .map(|pool| i64::from(free[pool]) - i64::from(wanted_in(pool)))
+            .collect();
+        let best_pool = |team: usize| {
+            (0..free.len())
+                .filter(|pool| free[*pool] > 0 && wanted[team][*pool] > 0)
+                .max_by_key(|pool| slack[*pool])
+        };
+        let next = (0..weights.len())
+            .filter_map(|team| Some((team, best_pool(team)?)))
+            .min_by(|left, right| {
+                let level = |team: usize| (given[team] + 1.0) / f64::from(weights[team]);
+                level(left.0).total_cmp(&level(right.0))
+            });
+        let Some((team, pool)) = next else {
+            return given;
+        };
+        given[team] += 1.0;
+        free[pool] -= 1;
+        wanted[team][pool] -= 1;
+    }
+}
+
+/// Distance from share over windows of one length, in thousandths of the capacity of the pools
+/// that were full.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ShareDistance {
+    /// Length of a window.
+    pub window_ms: u64,
+    /// Windows in which some pool was full.
+    pub windows_count: u64,
+    /// Largest distance of any team in any window.
+    pub largest_permille: f64,
+    /// Capacity given to the wrong team, mean over the windows.
+    pub mean_misplaced_permille: f64,
+}
+
+/// Accumulates samples into windows.
+#[derive(Clone, Debug)]
+pub struct ShareMeter {
+    distance: ShareDistance,
+    samples_per_window: u64,
+    samples_count: u64,
+    full_slots: f64,
+    difference: Vec<f64>,
+    misplaced: Vec<f64>,
+}
+
+impl ShareMeter {
+    /// Makes a meter for `teams_count` teams, sampled every `sample_ms`.
+    pub fn new(window_ms: u64, sample_ms: u64, teams_count: usize) -> Self {
+        Self {
+            distance: ShareDistance {
+                window_ms,
+                ..ShareDistance::default()
+            },
+            samples_per_window: window_ms / sample_ms,
+            samples_count: 0,
+            full_slots: 0.0,
+            difference: vec![0.0; teams_count],
+            misplaced: Vec::new(),
+        }
+    }
+
+    /// Takes in one sample; `full_slots` are the slots of the pools that are full.
+    pub fn sample(&mut self, actual: &[f64], ideal: &[f64], full_slots: f64) {
+        if full_slots > 0.0 {
+            for (sum, (actual, ideal)) in self.difference.iter_mut().zip(actual.iter().zip(ideal)) {
+                *sum += actual - ideal;
+            }
+        }
+        self.full_slots += full_slots;
+        self.samples_count += 1;
+        if self.samples_count == self.samples_per_window {
+            self.close_window();
+        }
+    }
+
+    /// Returns the figures of the windows that were closed.
+    pub fn distance(&self) -> ShareDistance {
+        ShareDistance {
+            mean_misplaced_permille: self.misplaced.iter().sum::<f64>()
+                / self.distance.windows_count.max(1) as f64,
+            ..self.distance
+        }
+    }
+
+    /// Returns the misplaced capacity of each window, in thousandths.
+    pub fn misplaced_by_window(&self) -> &[f64] {
+        &self.misplaced
+    }
+
+    fn close_window(&mut self) {
+        if self.full_slots > 0.0 {
+            let permille = |difference: f64| difference.abs() / self.full_slots * 1_000.0;
+            let distances: Vec<f64> = self.difference.iter().copied().map(permille).collect();
+            let largest = distances.iter().copied().fold(0.0, f64::max);
+            self.distance.largest_permille = self.distance.largest_permille.max(largest);
+            self.misplaced.push(distances.iter().sum::<f64>() / 2.0);
+            self.distance.windows_count += 1;
+        } else {
+            self.misplaced.push(0.0);
+        }
+        self.samples_count = 0;
+        self.full_slots = 0.0;
+        self.difference.fill(0.0);
+    }
+}
--- /dev/null
+++ b/src/load/share.rs
@@ -0,0 +1,275 @@
+//! The share experiment: each queue in its turn asks for more than its pool holds, and all ways of
+//! sharing face the same demand in one run.
+
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use crate::fleet::MonoMs;
+use crate::load::demand::{arrivals, Pattern, QueueSpec, Stream};
+use crate::load::measure::ShareDistance;
+use crate::load::world::{run, Way, WorldOutcome, WorldSpec};
+use crate::policy::queue::QueueSettings;
+use crate::policy::share::ShareSettings;
+
+/// Settings of the share experiment.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ShareConfig {
+    /// Seed of the demand and of all else that is random.
+    pub seed: u64,
+    /// Entries.
+    pub entries_count: usize,
+    /// Workers of each pool that runs work.
+    pub workers_of_pools: Vec<u32>,
+    /// Slots of a worker.
+    pub slots_count: u32,
+    /// Weight of each team.
+    pub weights: Vec<u32>,
+    /// Demand of a queue in its turn, as a part of what its pool holds.
+    pub turn_demand: f64,
+    /// Length of a turn.
+    pub turn_ms: u64,
+    /// Demand for urgent work in each pool, as a part of what the pool holds.
+    pub urgent_demand: f64,
+    /// Time between two reports of an entry to its peers.
+    pub gossip_period_ms: u64,
+    /// When one entry is lost, if at all.
+    pub lost_entry_at_ms: Option<MonoMs>,
+    /// End of the experiment.
+    pub duration_ms: MonoMs,
+}
+
+impl Default for ShareConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries_count: 9,
+            workers_of_pools: vec![8, 10, 12, 10],
+            slots_count: 8,
+            weights: vec![4, 2, 2, 1, 1, 1],
+            turn_demand: 2.0,
+            turn_ms: 6_000,
+            urgent_demand: 0.05,
+            gossip_period_ms: 100,
+            lost_entry_at_ms: Some(100_000),
+            duration_ms: 150_000,
+        }
+    }
+}
+
+/// Figures of one way of sharing.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ShareRow {
+    /// The way.
+    pub way: Way,
+    /// Requests that arrived.
+    pub arrived_count: u64,
+    /// Requests answered in time.
+    pub on_time_count: u64,
+    /// Distance from share, by window.
+    pub distances: Vec<ShareDistance>,
+    /// Part of the capacity that was idle while work for it waited.
+    pub idle_while_waiting_permille: f64,
+    /// Median time from arrival to start of urgent work.
+    pub urgent_start_p50_ms: u64,
+    /// 99th percentile of it.
+    pub urgent_start_p99_ms: u64,
+    /// Urgent requests that started later than the target, or not at all.
+    pub urgent_missed_permille: f64,
+    /// Attempts that found the chosen worker without a free slot.
+    pub worker_busy_count: u64,
+    /// Capacity that was given to the wrong team in each second.
+    #[serde(skip)]
+    pub misplaced_by_s: Vec<f64>,
+}
+
+/// Figures of all ways.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ShareReport {
+    /// What was run.
+    pub config: ShareConfig,
+    /// One row for each way.
+    pub rows: Vec<ShareRow>,
+}
+
+/// Deadline of ordinary work, from its arrival.
+const DEADLINE_MS: u64 = 8_000;
+
+/// Deadline of urgent work, from its arrival.
+const URGENT_DEADLINE_MS: u64 = 4_000;
+
+/// Median run time of work.
+const RUN_MS: u64 = 300;
+
+/// Mean of the log-normal run times over their median.
+const RUN_MEAN_FACTOR: f64 = 1.133;
+
+/// Factors of the demand within and outside of a queue's turn, from the brief's sizes.
+const TURN_HIGH: f64 = 5.0;
+const TURN_LOW: f64 = 0.05;
+
+/// Runs all ways on the same demand.
+pub fn run_share_experiment(config: &ShareConfig) -> ShareReport {
+    let (queues, streams) = deployment(config);
+    let demand = arrivals(
+        config.seed,
+        config.duration_ms,
+        config.entries_count,
+        &queues,
+        &streams,
+    );
+    let rows = Way::iter()
+        .map(|way| share_row(way, &run(&world(config, way, &queues), &demand)))
+        .collect();
+    ShareReport {
+        config: config.clone(),
+        rows,
+    }
+}
+
+/// Returns one ordinary and one urgent queue for each pool, and one queue open to all.
+fn deployment(config: &ShareConfig) -> (Vec<QueueSpec>, Vec<Stream>) {
+    let pools_count = config.workers_of_pools.len();
+    let capacity_per_s = |pool: usize| {
+        let slots = f64::from(config.workers_of_pools[pool] * config.slots_count);
+        slots * 1_000.0 / (RUN_MS as f64 * RUN_MEAN_FACTOR)
+    };
+    let queue = |pool, is_open_to_all, is_urgent| QueueSpec {
+        pool,
+        is_open_to_all,
+        is_urgent,
+        deadline_ms: match is_urgent {
+            true => URGENT_DEADLINE_MS,
+            false => DEADLINE_MS,
+        },
+        run_ms: RUN_MS,
+    };
+    let mut queues = Vec::new();
+    let mut streams = Vec::new();
+    let teams_count = config.weights.len();
+    for turn in 0..=pools_count {
+        let pool = turn % pools_count;
+        queues.push(queue(pool, turn == pools_count, false));
+        streams.push(Stream {
+            queue: turn,
+            mean_per_s: capacity_per_s(pool) * config.turn_demand / TURN_HIGH,
+            pattern: Pattern::Turns {
+                turn_ms: config.turn_ms,
+                turns_count: pools_count as u64 + 1,
+                turn: turn as u64,
+                high: TURN_HIGH,
+                low: TURN_LOW,
+            },
+            team_parts: team_parts(teams_count, turn),
+        });
+    }
+    for pool in 0..pools_count {
+        queues.push(queue(pool, false, true));
+        streams.push(Stream {
+            queue: queues.len() - 1,
+            mean_per_s: capacity_per_s(pool) * config.urgent_demand,
+            pattern: Pattern::Constant,
+            team_parts: team_parts(teams_count, pool),
+        });
+    }
+    (queues, streams)
+}
+
+/// Parts of the teams in the demand of a queue, unlike their weights: another team asks for most
+/// in each queue.
+fn team_parts(teams_count: usize, shift: usize) -> Vec<f64> {
+    (0..teams_count)
+        .map(|team| 1.0 / ((team + shift) % teams_count + 1) as f64)
+        .collect()
+}
+
+fn world(config: &ShareConfig, way: Way, queues: &[QueueSpec]) -> WorldSpec {
+    WorldSpec {
+        seed: config.seed,
+        way,
+        entries_count: config.entries_count,
+        workers_of_pools: config.workers_of_pools.clone(),
+        slots_count: config.slots_count,
+        queues: queues.to_vec(),
+        weights: config.weights.clone(),
+        queue: QueueSettings::default(),
+        share: ShareSettings::default(),
+        gossip_period_ms: config.gossip_period_ms,
+        hop_ms: 1,
+        returns_max_count: 0,
+        lost_entry: config.lost_entry_at_ms.map(|at_ms| (LOST_ENTRY, at_ms)),
+        take_over_ms: TAKE_OVER_MS,
+        bad_worker: None,
+        duration_ms: config.duration_ms,
+    }
+}
+
+/// The entry that is lost; it owns pools under the rendezvous hash.
+const LOST_ENTRY: usize = 2;
+
+/// Lease of the entry that decides for a pool, after which another takes over.
+const TAKE_OVER_MS: u64 = 3_000;
+
+fn share_row(way: Way, outcome: &WorldOutcome) -> ShareRow {
+    let urgent = &outcome.urgent_start_ms;
+    let urgent_count = outcome.urgent_count.max(1) as f64;
+    ShareRow {
+        way,
+        arrived_count: outcome.arrived_count,
+        on_time_count: outcome.on_time_count,
+        distances: outcome.distances.clone(),
+        idle_while_waiting_permille: outcome.idle_while_waiting_permille,
+        urgent_start_p50_ms: urgent.value_at_quantile(0.5),
+        urgent_start_p99_ms: urgent.value_at_quantile(0.99),
+        urgent_missed_permille: outcome.urgent_missed_count as f64 / urgent_count * 1_000.0,
+        worker_busy_count: outcome.retried.get("worker_busy").copied().unwrap_or(0),
+        misplaced_by_s: outcome.misplaced_by_s.clone(),
+    }
+}
+
+impl ShareReport {
+    /// Returns the figures as a table of text.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>7}\n",
+            "way",
+            "arrived",
+            "on_time",
+            "max_1s",
+            "mean_1s",
+            "max_10s",
+            "mean_10s",
+            "idle",
+            "urg_p50",
+            "urg_p99",
+            "urg_miss",
+            "busy",
+        );
+        for row in &self.rows {
+            text.push_str(&row.line());
+        }
+        text.push_str("distances, idle and urg_miss in permille; urg_p50 and urg_p99 in ms\n");
+        text
+    }
+}
+
+impl ShareRow {
+    fn line(&self) -> String {
+        let distance = |index: usize| self.distances.get(index).copied().unwrap_or_default();
+        let (short, long) = (distance(0), distance(1));
+        format!(
+            "{:<8} {:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>7.1} {:>7} {:>7} {:>8.1} {:>7}\n",
+            self.way.to_string(),
+            self.arrived_count,
+            self.on_time_count,
+            short.largest_permille,
+            short.mean_misplaced_permille,
+            long.largest_permille,
+            long.mean_misplaced_permille,
+            self.idle_while_waiting_permille,
+            self.urgent_start_p50_ms,
+            self.urgent_start_p99_ms,
+            self.urgent_missed_permille,
+            self.worker_busy_count,
+        )
+    }
+}
