Judge a wait by the drain of the whole pool instead of the lane's own

A lane's own rate is low while other teams compete, so at the start of a burst requests were refused that the pool had room for seconds later. The wait is now that of generalised processor sharing: of each other lane only as much goes ahead as its weight allows while this one drains, at the observed rate of the pool.

--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -33,14 +33,15 @@
 }
 
 impl Line {
-    pub(crate) fn push(
+    fn push(
         &mut self,
         now_ms: MonoMs,
         waiting: Waiting,
         size_max: &Resources,
+        view: &UsageView,
     ) -> Result<(), Refusal> {
         match self {
-            Self::Policy(queue) => queue.push(now_ms, waiting, size_max),
+            Self::Policy(queue) => queue.push(now_ms, waiting, size_max, view),
             Self::Fifo {
                 lines,
                 waiting_max_count,
@@ -75,9 +76,9 @@
         }
     }
 
-    pub(crate) fn expire(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
+    fn expire(&mut self, now_ms: MonoMs, view: &UsageView) -> Vec<GivenUp> {
         match self {
-            Self::Policy(queue) => queue.expire(now_ms),
+            Self::Policy(queue) => queue.expire(now_ms, view),
             Self::Fifo { lines, refused, .. } => {
                 let mut given_up = Vec::new();
                 for line in lines.values_mut() {
@@ -187,6 +188,15 @@
         }
     }
 
+    pub(crate) fn push(
+        &mut self,
+        now_ms: MonoMs,
+        waiting: Waiting,
+        size_max: &Resources,
+    ) -> Result<(), Refusal> {
+        self.line.push(now_ms, waiting, size_max, &self.view)
+    }
+
     /// Hands out the next request of `pool` with the worker to send it to.
     pub(crate) fn dispatch(
         &mut self,
@@ -229,7 +239,7 @@
         for change in self.health.tick(now_ms) {
             self.placement.set_access(change.worker, change.access);
         }
-        self.line.expire(now_ms)
+        self.line.expire(now_ms, &self.view)
     }
 
     pub(crate) fn set_access(&mut self, worker: WorkerKey, access: Access) {
--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -1,6 +1,7 @@
 //! The share experiment: each queue in its turn asks for more than its pool holds, and all ways of
 //! sharing face the same demand in one run.
 
+use indexmap::IndexMap;
 use serde::Serialize;
 use strum::IntoEnumIterator;
 
@@ -77,6 +78,8 @@
     pub urgent_missed_permille: f64,
     /// Attempts that found the chosen worker without a free slot.
     pub worker_busy_count: u64,
+    /// Refusals by reason.
+    pub refused: IndexMap<String, u64>,
     /// Capacity that was given to the wrong team in each second.
     #[serde(skip)]
     pub misplaced_by_s: Vec<f64>,
@@ -222,6 +225,7 @@
         urgent_start_p99_ms: urgent.value_at_quantile(0.99),
         urgent_missed_permille: outcome.urgent_missed_count as f64 / urgent_count * 1_000.0,
         worker_busy_count: outcome.retried.get("worker_busy").copied().unwrap_or(0),
+        refused: outcome.refused.clone(),
         misplaced_by_s: outcome.misplaced_by_s.clone(),
     }
 }
@@ -270,6 +274,6 @@
             self.urgent_start_p99_ms,
             self.urgent_missed_permille,
             self.worker_busy_count,
-        )
+        ) + &format!("{:?}\n", self.refused)
     }
 }
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -427,7 +427,7 @@
             memory_mb: u64::MAX,
             accelerators_count: u64::MAX,
         };
-        match self.entries[entry].line.push(now_ms, waiting, &size_max) {
+        match self.entries[entry].push(now_ms, waiting, &size_max) {
             Ok(()) => {
                 self.jobs[job].stage = Stage::Waiting;
                 self.jobs[job].holder = entry;
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -123,20 +123,14 @@
             .map(|place| &place.waiting)
     }
 
-    /// Returns how long `count` requests take to start at the observed rate; `None` if the rate is
-    /// not known yet, infinity if nothing was started.
-    pub(crate) fn wait_ms(&self, count: usize) -> Option<f64> {
-        match (count, self.drain.per_ms()?) {
-            (0, _) => Some(0.0),
-            (count, per_ms) => Some(count as f64 / per_ms),
-        }
-    }
-
-    /// Returns the requests that the observed rate will not reach in time, in order: each is
-    /// judged by those ahead of it that stay. `slack` stretches the time left, against noise.
-    pub(crate) fn unreachable(&mut self, now_ms: MonoMs, slack: f64) -> Vec<RequestKey> {
-        self.drain.advance(now_ms, !self.places.is_empty());
-        let per_ms = self.drain.per_ms();
+    /// Returns the requests that a drain of `per_ms` starts a millisecond will not reach in time,
+    /// in order: each is judged by those ahead of it that stay. `slack` stretches the time left.
+    pub(crate) fn unreachable(
+        &self,
+        now_ms: MonoMs,
+        per_ms: Option<f64>,
+        slack: f64,
+    ) -> Vec<RequestKey> {
         let mut ahead_count = 0usize;
         let mut unreachable = Vec::new();
         for place in self.places.values() {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -23,7 +23,7 @@
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
-use crate::policy::estimate::RunTimes;
+use crate::policy::estimate::{DrainRate, RunTimes};
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::{Lane, Place, PlaceOrder, RetryAfterLimits, Waiting};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
@@ -111,6 +111,8 @@
     largest_worker: HashMap<PoolKey, Resources>,
     urgent_part: HashMap<PoolKey, f64>,
     run_times: RunTimes,
+    /// Starts of this entry in each pool while work waits for it.
+    drains: HashMap<PoolKey, DrainRate>,
     divider: Divider,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
@@ -130,6 +132,7 @@
             largest_worker: HashMap::new(),
             urgent_part: HashMap::new(),
             run_times: RunTimes::default(),
+            drains: HashMap::new(),
             divider: Divider::default(),
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -180,13 +183,14 @@
         now_ms: MonoMs,
         waiting: Waiting,
         size_max: &Resources,
+        view: &UsageView,
     ) -> Result<(), Refusal> {
         if let Some(reason) = self.never_runs(&waiting, size_max) {
             return Err(self.refuse(reason, None));
         }
         let lane_key = self.lane_for(now_ms, &waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
-        match self.cannot_take(now_ms, lane_key, latest_start_ms) {
+        match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key);
                 Err(self.refuse(reason, Some(retry_after_ms)))
@@ -237,18 +241,22 @@
     /// Takes out a request; returns it unless it was started, given up or cancelled before.
     pub fn cancel(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
         let (lane_key, order) = self.places.get(&key).copied()?;
+        self.advance_drain(now_ms, self.lanes[lane_key].pools[0]);
         let place = self.lanes[lane_key].remove(now_ms, order)?;
         self.forget(lane_key, key);
         Some(place.waiting)
     }
 
     /// Gives up what can no longer be served in time, so that each can be answered at once.
-    pub fn expire(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
+    pub fn expire(&mut self, now_ms: MonoMs, view: &UsageView) -> Vec<GivenUp> {
         let slack = self.settings.give_up_slack;
         let busy: IndexSet<LaneKey> = self.busy_lanes.values().flatten().copied().collect();
         let mut given_up = Vec::new();
         for lane_key in busy {
-            for key in self.lanes[lane_key].unreachable(now_ms, slack) {
+            let drain_ms = self.drain_ms(lane_key, view);
+            let lane = &self.lanes[lane_key];
+            let per_ms = drain_ms.map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
+            for key in lane.unreachable(now_ms, per_ms, slack) {
                 self.cancel(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key);
@@ -296,6 +304,7 @@
         now_ms: MonoMs,
         lane_key: LaneKey,
         latest_start_ms: MonoMs,
+        view: &UsageView,
     ) -> Option<RefusalReason> {
         let lane = &self.lanes[lane_key];
         let left_ms = latest_start_ms.saturating_sub(now_ms) as f64;
@@ -311,13 +320,45 @@
             () if latest_start_ms < now_ms => Some(RefusalReason::DeadlinePassed),
             () if free == 0 => Some(RefusalReason::QueueFull),
             () if of_team >= team_max.max(1) => Some(RefusalReason::TeamQueueFull),
-            () if lane.wait_ms(lane.len()).is_some_and(|ms| ms > left_ms) => {
+            () if self.drain_ms(lane_key, view).is_some_and(|ms| ms > left_ms) => {
                 Some(RefusalReason::DeadlineUnreachable)
             }
             () => None,
         }
     }
 
+    /// Returns how long the lane takes to drain at the observed rate of its pool, if nothing more
+    /// arrives: of each other lane only as much goes ahead as its weight allows while this one
+    /// drains (generalised processor sharing). `None` if the rate is not known yet.
+    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
+        let lane = &self.lanes[lane_key];
+        let pool = lane.pools[0];
+        let per_ms = self.drains.get(&pool)?.per_ms()?;
+        let own_turns = lane.len() as f64 / f64::from(view.weight(lane.team));
+        let others = self.busy_lanes.get(&pool).into_iter().flatten();
+        let ahead: f64 = others
+            .filter(|other_key| **other_key != lane_key)
+            .map(|other_key| &self.lanes[*other_key])
+            .filter(|other| other.pools[0] == pool)
+            .map(|other| match (lane.is_urgent, other.is_urgent) {
+                (true, false) => 0.0,
+                (false, true) => other.len() as f64,
+                _ => (other.len() as f64).min(own_turns * f64::from(view.weight(other.team))),
+            })
+            .sum();
+        match ahead + lane.len() as f64 {
+            0.0 => Some(0.0),
+            ahead => Some(ahead / per_ms),
+        }
+    }
+
+    /// Brings the drain rate of a pool up to now, before anything enters or leaves its lanes.
+    fn advance_drain(&mut self, now_ms: MonoMs, pool: PoolKey) {
+        let is_busy = self.has_work_for(pool);
+        let drain = self.drains.entry(pool).or_default();
+        drain.advance(now_ms, is_busy);
+    }
+
     fn refuse(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) -> Refusal {
         *self.refused.entry(reason).or_insert(0) += 1;
         Refusal {
@@ -377,6 +418,7 @@
         waiting: Waiting,
         latest_start_ms: MonoMs,
     ) {
+        self.advance_drain(now_ms, waiting.pools[0]);
         let order = (waiting.deadline_ms, waiting.key);
         self.places.insert(waiting.key, (lane_key, order));
         *self.waiting_by_team.entry(waiting.team).or_insert(0) += 1;
@@ -467,6 +509,10 @@
         lane_key: LaneKey,
         order: PlaceOrder,
     ) -> Option<Waiting> {
+        self.advance_drain(now_ms, pool);
+        if let Some(drain) = self.drains.get_mut(&pool) {
+            drain.count_start();
+        }
         let place = self.lanes[lane_key].start(now_ms, order)?;
         self.forget(lane_key, place.waiting.key);
         let sample = f64::from(u8::from(place.waiting.is_urgent));
