--- a/src/policy/allot.rs
+++ b/src/policy/allot.rs
@@ -89,7 +89,7 @@
 impl Allotment {
     /// Divides `capacity` by the demand. Fractions of a slot are rounded up as often as they are
     /// large, so that small parts come true over time and in sum over the entries.
-    fn divide<R: Rng>(demand: &IndexMap<TeamSlot, Demand>, capacity: f64, rng: &mut R) -> Self {
+    fn divide(demand: &IndexMap<TeamSlot, Demand>, capacity: f64, offset: f64) -> Self {
         let claims: Vec<Claim> = demand
             .values()
             .map(|one| Claim {
@@ -102,12 +102,12 @@
         let mut allotment = Self::default();
         let mut taken = 0.0;
         // Systematic rounding: the sum over the teams is never off by more than one.
-        let mut own_sum = rng.random_range(0.0..1.0);
+        let mut own_sum = offset;
         for ((team, one), part) in demand.iter().zip(parts) {
             let own_part = part * one.own() / one.whole().max(f64::MIN_POSITIVE);
             let peers_part = part - own_part;
             taken += one.own_running + peers_part.max(one.peers_running);
-            let own_sum_before: f64 = own_sum;
+            let own_sum_before = own_sum;
             own_sum += own_part;
             allotment
                 .own
@@ -126,6 +126,10 @@
 /// Time for which a division is used before the next is computed.
 const DIVISION_PERIOD_MS: u64 = 50;
 
+/// Time for which fractions of slots are rounded the same way. Longer than requests commonly run,
+/// so that parts do not change faster than work can follow.
+const OFFSET_PERIOD_MS: u64 = 1_000;
+
 /// The divisions of all pools that this entry starts work in, and how long it has yielded.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Divider {
@@ -136,6 +140,9 @@
 struct Division {
     computed_ms: MonoMs,
     allotment: Allotment,
+    /// Where the systematic rounding starts, in slots.
+    offset: f64,
+    offset_drawn_ms: MonoMs,
     /// Since when this entry leaves free slots to others although work waits here.
     yielding_since_ms: Option<MonoMs>,
 }
@@ -159,13 +166,20 @@
     ) {
         let demand = view.demand(pool, own_waiting);
         let capacity = view.slots_count(pool) as f64;
-        let yielding_since_ms = self.pools.get(&pool).and_then(|old| old.yielding_since_ms);
-        let division = Division {
+        let mut draw = || rng.random_range(0.0..1.0);
+        let division = self.pools.entry(pool).or_insert_with(|| Division {
             computed_ms: now_ms,
-            allotment: Allotment::divide(&demand, capacity, rng),
-            yielding_since_ms,
-        };
-        self.pools.insert(pool, division);
+            allotment: Allotment::default(),
+            offset: draw(),
+            offset_drawn_ms: now_ms,
+            yielding_since_ms: None,
+        });
+        if division.offset_drawn_ms + OFFSET_PERIOD_MS <= now_ms {
+            division.offset = draw();
+            division.offset_drawn_ms = now_ms;
+        }
+        division.computed_ms = now_ms;
+        division.allotment = Allotment::divide(&demand, capacity, division.offset);
     }
 
     /// Returns whether this entry may start work of `team` in `pool` now: within its part, or in
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -85,6 +85,7 @@
                     now_ms,
                     waiting(key, team as u32, now_ms, now_ms + 1_000),
                     &times(4),
+                    &view,
                 );
             }
         }
