Try a busy worker again after 10 ms; a lost entry of the model stops

A lost entry of the model went on handing out work on reports of its peers, and the counter of waiting requests ran below zero, which showed as idle capacity.

--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -478,6 +478,9 @@
     }
 
     fn dispatch(&mut self, entry: usize) {
+        if !self.entries[entry].is_up {
+            return;
+        }
         for pool in 0..self.spec.workers_of_pools.len() {
             let key = PoolKey(pool as u16);
             while let Some((waiting, worker)) = self.entries[entry].dispatch(self.now_ms, key) {
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -53,7 +53,7 @@
 }
 
 /// How long a worker that said it is busy counts as full when nothing newer is known.
-const BUSY_HOLD_MS: u64 = 50;
+const BUSY_HOLD_MS: u64 = 10;
 
 /// Time after which half of what a worker was reported to run for others is taken to have ended.
 const REPORT_HALF_LIFE_MS: u64 = 200;
