Prefer an own part of the workers; let reports of full workers fade slower

Each entry now looks first at a range of the pool's workers that starts elsewhere for each entry and is as large as what it runs. The ranges stay, as they bound the connections of each entry.

--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -129,6 +129,8 @@
 pub(crate) struct EntrySpec {
     pub(crate) seed: u64,
     pub(crate) zone: ZoneKey,
+    pub(crate) rank: u32,
+    pub(crate) entries_count: u32,
     /// Settings of the policies; `None` makes the baseline.
     pub(crate) queue: Option<QueueSettings>,
     pub(crate) share: ShareSettings,
@@ -161,7 +163,11 @@
         Self {
             line,
             view: UsageView::new(spec.share),
-            placement: Placement::new(PlacementSettings::in_zone(spec.zone)),
+            placement: Placement::new(PlacementSettings {
+                entry_rank: spec.rank,
+                entries_count: spec.entries_count,
+                ..PlacementSettings::in_zone(spec.zone)
+            }),
             health: Health::new(HealthSettings::default()),
             sizes: ObservedSizes::default(),
             retries: spec
@@ -206,7 +212,7 @@
         if self.placement.free_workers_count(pool) == 0 {
             return None;
         }
-        let (placement, rng) = (&self.placement, &mut self.rng);
+        let (placement, rng) = (&mut self.placement, &mut self.rng);
         let mut chosen = None;
         let mut can_start = |waiting: &Waiting| {
             chosen = placement.choose(now_ms, pool, &waiting.size, rng);
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -824,6 +824,8 @@
     EntrySpec {
         seed: spec.seed.wrapping_mul(31).wrapping_add(index as u64),
         zone: ZoneKey((index % 4) as u16),
+        rank: index as u32,
+        entries_count: spec.entries_count as u32,
         queue: (spec.way != Way::Fifo).then_some(QueueSettings {
             sharing,
             ..spec.queue
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,6 +1,8 @@
 //! Choice of a worker within a pool: of two random workers with a free slot the less loaded one
-//! (Mitzenmacher, "The power of two choices", 2001), from the entry's own availability zone first.
-//! All operations take constant time, whatever the number of workers.
+//! (Mitzenmacher, "The power of two choices", 2001), from the entry's own part of the workers
+//! first. That part is in its own availability zone, starts elsewhere for each entry and is as
+//! large as what the entry runs, so that entries seldom compete for a slot that neither sees. The
+//! cost of a choice does not grow with the number of workers.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -34,8 +36,10 @@
     pub zone: ZoneKey,
     /// Connections that this entry may have open to one worker.
     pub connections_max_count: u32,
-    /// Load, in thousandths of the slots, from which other zones are as good as the own one.
-    pub zone_load_max_permille: u32,
+    /// Place of this entry among the entries, from 0; no two should have the same.
+    pub entry_rank: u32,
+    /// Number of entries.
+    pub entries_count: u32,
     /// Pairs of workers that are tried for one that has room for the request.
     pub tries_max_count: u32,
 }
@@ -46,7 +50,8 @@
         Self {
             zone,
             connections_max_count: 64,
-            zone_load_max_permille: 900,
+            entry_rank: 0,
+            entries_count: 1,
             tries_max_count: 8,
         }
     }
@@ -56,7 +61,7 @@
 const BUSY_HOLD_MS: u64 = 10;
 
 /// Time after which half of what a worker was reported to run for others is taken to have ended.
-const REPORT_HALF_LIFE_MS: u64 = 200;
+const REPORT_HALF_LIFE_MS: u64 = 400;
 
 /// A worker as this entry sees it.
 #[derive(Clone, Debug)]
@@ -68,11 +73,24 @@
     others_count: u32,
     reported_ms: MonoMs,
     busy_until_ms: MonoMs,
-    /// Position in the free list of its pool and zone, if it has a free slot.
+    /// Position in the free list of its pool, if it has a free slot.
     free_index: Option<usize>,
 }
 
 impl Worker {
+    fn idle(facts: WorkerFacts) -> Self {
+        Self {
+            facts,
+            access: Access::Open,
+            own_count: 0,
+            own_used: Resources::default(),
+            others_count: 0,
+            reported_ms: 0,
+            busy_until_ms: 0,
+            free_index: None,
+        }
+    }
+
     fn running_count(&self) -> u32 {
         self.own_count + self.others_count
     }
@@ -108,13 +126,27 @@
     }
 }
 
-/// The free workers of one pool, by zone.
+/// The workers of one pool.
 #[derive(Clone, Debug, Default)]
-struct FreeLists {
-    by_zone: IndexMap<ZoneKey, Vec<WorkerKey>>,
-    free_count: usize,
+struct PoolWorkers {
+    /// All, in the order in which this entry prefers them.
+    preferred: Vec<WorkerKey>,
+    is_preferred_stale: bool,
+    /// Those with a free slot, in no order.
+    free: Vec<WorkerKey>,
+    own_count: u32,
+    slots_count: u32,
 }
 
+/// Slots of preferred workers for each request that the entry runs in the pool.
+const PREFERRED_SLOTS_PER_REQUEST: u32 = 2;
+
+/// Preferred workers that are looked at in any case.
+const PREFERRED_MIN_COUNT: usize = 2;
+
+/// Workers up to which all of a range are compared instead of random pairs.
+const COMPARE_ALL_MAX_COUNT: usize = 8;
+
 /// The workers of all pools and how loaded this entry believes them to be.
 ///
 /// The engine calls [`Placement::choose`] for a request, [`Placement::started`] when it sends it,
@@ -125,7 +157,7 @@
 pub struct Placement {
     settings: PlacementSettings,
     workers: HashMap<WorkerKey, Worker>,
-    pools: IndexMap<PoolKey, FreeLists>,
+    pools: IndexMap<PoolKey, PoolWorkers>,
     /// Workers that others were reported to use, the oldest report first.
     reports: VecDeque<(MonoMs, WorkerKey)>,
 }
@@ -143,21 +175,19 @@
 
     /// Adds a worker or changes what is known of it; its running requests stay counted.
     pub fn set_worker(&mut self, key: WorkerKey, facts: WorkerFacts) {
-        self.unlist(key);
-        self.workers
-            .entry(key)
-            .and_modify(|worker| worker.facts = facts)
-            .or_insert_with(|| Worker {
-                facts,
-                access: Access::Open,
-                own_count: 0,
-                own_used: Resources::default(),
-                others_count: 0,
-                reported_ms: 0,
-                busy_until_ms: 0,
-                free_index: None,
-            });
-        self.relist(key);
+        let old = self.take_out(key);
+        let worker = Worker {
+            facts,
+            free_index: None,
+            ..old.unwrap_or_else(|| Worker::idle(facts))
+        };
+        let pool = self.pools.entry(facts.pool).or_default();
+        pool.preferred.push(key);
+        pool.is_preferred_stale = true;
+        pool.own_count += worker.own_count;
+        pool.slots_count += facts.slots_count;
+        self.workers.insert(key, worker);
+        self.change(key, |_| {});
     }
 
     /// Says whether a worker may be given new work.
@@ -172,8 +202,17 @@
 
     /// Forgets a worker that has left.
     pub fn remove_worker(&mut self, key: WorkerKey) {
-        self.unlist(key);
-        self.workers.remove(&key);
+        self.take_out(key);
+    }
+
+    fn take_out(&mut self, key: WorkerKey) -> Option<Worker> {
+        self.change(key, |worker| worker.facts.is_usable = false);
+        let worker = self.workers.remove(&key)?;
+        let pool = self.pools.entry(worker.facts.pool).or_default();
+        pool.preferred.retain(|known| *known != key);
+        pool.own_count -= worker.own_count;
+        pool.slots_count -= worker.facts.slots_count;
+        Some(worker)
     }
 
     /// Counts an attempt sent to a worker.
@@ -229,7 +268,9 @@
 
     /// Returns how many workers of `pool` have a free slot, as far as this entry knows.
     pub fn free_workers_count(&self, pool: PoolKey) -> usize {
-        self.pools.get(&pool).map_or(0, |lists| lists.free_count)
+        self.pools
+            .get(&pool)
+            .map_or(0, |workers| workers.free.len())
     }
 
     /// Returns how many requests of this entry run on a worker.
@@ -237,123 +278,129 @@
         self.workers.get(&key).map_or(0, |worker| worker.own_count)
     }
 
+    /// Sets the place of this entry among the entries, for example the rank of its seat.
+    pub fn set_rank(&mut self, entry_rank: u32, entries_count: u32) {
+        self.settings.entry_rank = entry_rank;
+        self.settings.entries_count = entries_count.max(1);
+        for workers in self.pools.values_mut() {
+            workers.is_preferred_stale = true;
+        }
+    }
+
     /// Chooses a worker of `pool` with room for a request of `size`. `None` says that none of
     /// those tried had room; the request stays where it is.
     pub fn choose<R: Rng>(
-        &self,
+        &mut self,
         now_ms: MonoMs,
         pool: PoolKey,
         size: &Resources,
         rng: &mut R,
     ) -> Option<WorkerKey> {
-        let lists = self.pools.get(&pool)?;
-        let near = lists.by_zone.get(&self.settings.zone);
-        let load_max = f64::from(self.settings.zone_load_max_permille) / 1_000.0;
-        let near = near
-            .and_then(|list| self.choose_of(now_ms, list, size, rng))
-            .filter(|key| self.workers[key].load() < load_max);
-        near.or_else(|| self.choose_anywhere(now_ms, lists, size, rng))
+        self.refresh_preferred(pool);
+        let workers = self.pools.get(&pool)?;
+        let (mut start, mut end) = (0, workers.preferred_count());
+        // Ever larger ranges of the preferred order, then anything that is free.
+        while start < end {
+            let range = &workers.preferred[start..end];
+            let chosen = self.choose_of(now_ms, range, size, rng);
+            if chosen.is_some() {
+                return chosen;
+            }
+            (start, end) = (end, (end * 2).min(workers.preferred.len()));
+        }
+        self.choose_of(now_ms, &workers.free, size, rng)
     }
 
-    fn choose_anywhere<R: Rng>(
+    /// Takes the less loaded of a few workers with room: of all if they are few, else of pairs
+    /// that are drawn until one of them has room.
+    fn choose_of<R: Rng>(
         &self,
         now_ms: MonoMs,
-        lists: &FreeLists,
+        range: &[WorkerKey],
         size: &Resources,
         rng: &mut R,
     ) -> Option<WorkerKey> {
-        let pick = |rng: &mut R| lists.pick(rng);
-        self.choose_with(now_ms, lists.free_count, size, rng, pick)
+        match range.len() {
+            0 => None,
+            len if len <= COMPARE_ALL_MAX_COUNT => self.least_loaded(now_ms, range, size),
+            len => (0..self.settings.tries_max_count).find_map(|_| {
+                let pair = [(); 2].map(|()| range[rng.random_range(0..len)]);
+                self.least_loaded(now_ms, &pair, size)
+            }),
+        }
     }
 
-    fn choose_of<R: Rng>(
+    fn least_loaded(
         &self,
         now_ms: MonoMs,
-        list: &[WorkerKey],
+        keys: &[WorkerKey],
         size: &Resources,
-        rng: &mut R,
     ) -> Option<WorkerKey> {
-        let pick = |rng: &mut R| list[rng.random_range(0..list.len())];
-        self.choose_with(now_ms, list.len(), size, rng, pick)
+        let load = |key: &WorkerKey| self.workers[key].load();
+        keys.iter()
+            .filter(|key| {
+                let worker = &self.workers[*key];
+                worker.free_index.is_some() && worker.has_room(now_ms, size)
+            })
+            .min_by(|left, right| load(left).total_cmp(&load(right)))
+            .copied()
     }
 
-    /// Draws pairs until one of a pair has room; the less loaded of the two is taken.
-    fn choose_with<R: Rng>(
-        &self,
-        now_ms: MonoMs,
-        choices_count: usize,
-        size: &Resources,
-        rng: &mut R,
-        pick: impl Fn(&mut R) -> WorkerKey,
-    ) -> Option<WorkerKey> {
-        if choices_count == 0 {
-            return None;
+    /// Sorts the workers of a pool by preference if any was added, moved or removed.
+    fn refresh_preferred(&mut self, pool: PoolKey) {
+        let Some(workers) = self.pools.get_mut(&pool) else {
+            return;
+        };
+        if !std::mem::take(&mut workers.is_preferred_stale) {
+            return;
+        }
+        let own_zone = self.settings.zone;
+        let is_far = |key: &WorkerKey| self.workers[key].facts.zone != own_zone;
+        workers.preferred.sort_by_key(|key| (is_far(key), *key));
+        let near_count = workers.preferred.partition_point(|key| !is_far(key));
+        let (near, far) = workers.preferred.split_at_mut(near_count);
+        for zone in [near, far] {
+            let offset = zone.len() * self.settings.entry_rank as usize
+                / self.settings.entries_count as usize;
+            zone.rotate_left(offset % zone.len().max(1));
         }
-        (0..self.settings.tries_max_count).find_map(|_| {
-            [pick(rng), pick(rng)]
-                .into_iter()
-                .filter(|key| self.workers[key].has_room(now_ms, size))
-                .min_by(|left, right| {
-                    let load = |key: &WorkerKey| self.workers[key].load();
-                    load(left).total_cmp(&load(right))
-                })
-        })
     }
 
     fn change(&mut self, key: WorkerKey, change: impl FnOnce(&mut Worker)) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
+        let own_count = worker.own_count;
         change(worker);
+        let workers = self.pools.entry(worker.facts.pool).or_default();
+        workers.own_count = workers.own_count + worker.own_count - own_count;
         let is_free = worker.has_free_slot(self.settings.connections_max_count);
         match (is_free, worker.free_index) {
-            (true, None) => self.relist(key),
-            (false, Some(_)) => self.unlist(key),
+            (true, None) => {
+                worker.free_index = Some(workers.free.len());
+                workers.free.push(key);
+            }
+            (false, Some(index)) => {
+                worker.free_index = None;
+                workers.free.swap_remove(index);
+                let moved = workers.free.get(index).copied();
+                if let Some(moved) = moved.and_then(|key| self.workers.get_mut(&key)) {
+                    moved.free_index = Some(index);
+                }
+            }
             _ => {}
         }
     }
-
-    fn relist(&mut self, key: WorkerKey) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        if !worker.has_free_slot(self.settings.connections_max_count) {
-            return;
-        }
-        let lists = self.pools.entry(worker.facts.pool).or_default();
-        let list = lists.by_zone.entry(worker.facts.zone).or_default();
-        worker.free_index = Some(list.len());
-        list.push(key);
-        lists.free_count += 1;
-    }
-
-    fn unlist(&mut self, key: WorkerKey) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        let (Some(index), facts) = (worker.free_index.take(), worker.facts) else {
-            return;
-        };
-        let lists = self.pools.entry(facts.pool).or_default();
-        lists.free_count -= 1;
-        let list = lists.by_zone.entry(facts.zone).or_default();
-        list.swap_remove(index);
-        if let Some(moved) = list.get(index).and_then(|key| self.workers.get_mut(key)) {
-            moved.free_index = Some(index);
-        }
-    }
 }
 
-impl FreeLists {
-    /// Draws one of all free workers; there must be one.
-    fn pick<R: Rng>(&self, rng: &mut R) -> WorkerKey {
-        let mut index = rng.random_range(0..self.free_count);
-        for list in self.by_zone.values() {
-            match list.get(index) {
-                Some(key) => return *key,
-                None => index -= list.len(),
-            }
-        }
-        unreachable!("free_count is the sum of the lists' lengths")
+impl PoolWorkers {
+    /// Returns how many of the preferred workers are looked at first.
+    fn preferred_count(&self) -> usize {
+        let slots_per_worker = (self.slots_count as usize / self.preferred.len().max(1)).max(1);
+        let wanted_slots = ((self.own_count + 1) * PREFERRED_SLOTS_PER_REQUEST) as usize;
+        wanted_slots
+            .div_ceil(slots_per_worker)
+            .max(PREFERRED_MIN_COUNT)
+            .min(self.preferred.len())
     }
 }
