--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -1,26 +1,138 @@
-//! `experiment`: measures the policies in virtual time.
+//! `experiment`: measures the policies in virtual time, baseline and candidates in one run.
+
+use std::path::Path;
 
 use clap::{value_parser, Arg, ArgMatches, Command};
+use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
+use hawthornladder::load::plot::{plot_overload, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
+use serde::Serialize;
 
 /// Makes the `clap` command.
 pub(crate) fn make_command() -> Command {
-    Command::new("experiment").subcommand(
-        Command::new("share").arg(
+    Command::new("experiment")
+        .about("Measure the policies in virtual time, baseline and candidates in one run")
+        .subcommand_required(true)
+        .subcommand(
+            with_common_args(Command::new("share"))
+                .about("Distance from share while each queue in its turn overloads its pool")
+                .arg(
+                    Arg::new("entries")
+                        .long("entries")
+                        .value_name("COUNT")
+                        .value_parser(value_parser!(u16).range(1..))
+                        .default_value("9")
+                        .help("Entries"),
+                )
+                .arg(
+                    Arg::new("workers")
+                        .long("workers")
+                        .value_name("COUNT")
+                        .value_parser(value_parser!(u32).range(1..))
+                        .help("Workers of each pool, in place of 8 to 12"),
+                )
+                .arg(
+                    Arg::new("duration")
+                        .long("duration-ms")
+                        .value_name("MS")
+                        .value_parser(value_parser!(u64))
+                        .default_value("150000")
+                        .help("Length of the run in virtual milliseconds"),
+                )
+                .arg(
+                    Arg::new("gossip")
+                        .long("gossip-period-ms")
+                        .value_name("MS")
+                        .value_parser(value_parser!(u64).range(1..))
+                        .default_value("100")
+                        .help("Time between two reports of an entry to its peers"),
+                ),
+        )
+        .subcommand(
+            with_common_args(Command::new("overload"))
+                .about("Goodput from half to ten times capacity, bursts and a failing worker"),
+        )
+}
+
+fn with_common_args(command: Command) -> Command {
+    command
+        .arg(
             Arg::new("seed")
                 .long("seed")
+                .value_name("N")
                 .value_parser(value_parser!(u64))
-                .default_value("1"),
-        ),
-    )
+                .default_value("1")
+                .help("Seed; the same one gives the same figures"),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_name("FORM")
+                .value_parser(["table", "json"])
+                .default_value("table")
+                .help("Form of the figures"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Also write a plot as SVG to this file"),
+        )
 }
 
-/// Runs the command.
-pub(crate) fn execute(args: &ArgMatches) {
-    let args = args.subcommand_matches("share").unwrap();
-    let config = ShareConfig {
-        seed: *args.get_one("seed").unwrap(),
+/// Runs the command; the text of an error is for the operator.
+pub(crate) fn execute(args: &ArgMatches) -> Result<(), String> {
+    match args.subcommand() {
+        Some(("share", args)) => execute_share(args),
+        Some(("overload", args)) => execute_overload(args),
+        _ => Err("a subcommand is required".to_owned()),
+    }
+}
+
+fn execute_share(args: &ArgMatches) -> Result<(), String> {
+    let mut config = ShareConfig {
+        seed: number(args, "seed"),
+        entries_count: usize::from(*args.get_one::<u16>("entries").unwrap_or(&9)),
+        duration_ms: number(args, "duration"),
+        gossip_period_ms: number(args, "gossip"),
         ..ShareConfig::default()
     };
-    print!("{}", run_share_experiment(&config).table());
+    if let Some(workers_count) = args.get_one::<u32>("workers") {
+        config.workers_of_pools.fill(*workers_count);
+    }
+    let report = run_share_experiment(&config);
+    print_report(args, &report.table(), &report)?;
+    match args.get_one::<String>("plot") {
+        Some(file) => plot_share(&report, Path::new(file)),
+        None => Ok(()),
+    }
+}
+
+fn execute_overload(args: &ArgMatches) -> Result<(), String> {
+    let config = OverloadConfig {
+        seed: number(args, "seed"),
+        ..OverloadConfig::default()
+    };
+    let report = run_overload_experiment(&config);
+    print_report(args, &report.table(), &report)?;
+    match args.get_one::<String>("plot") {
+        Some(file) => plot_overload(&report, Path::new(file)),
+        None => Ok(()),
+    }
+}
+
+fn number(args: &ArgMatches, name: &str) -> u64 {
+    args.get_one(name).copied().unwrap_or_default()
+}
+
+fn print_report<R: Serialize>(args: &ArgMatches, table: &str, report: &R) -> Result<(), String> {
+    let is_json = args
+        .get_one::<String>("output")
+        .is_some_and(|form| form == "json");
+    let text = match is_json {
+        true => serde_json::to_string_pretty(report).map_err(|error| error.to_string())? + "\n",
+        false => table.to_owned(),
+    };
+    print!("{text}");
+    Ok(())
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -4,5 +4,7 @@
 pub mod demand;
 pub(crate) mod entry;
 pub mod measure;
+pub mod overload;
+pub mod plot;
 pub mod share;
 pub mod world;
--- /dev/null
+++ b/src/load/overload.rs
@@ -0,0 +1,320 @@
+//! The overload experiment: goodput from half to ten times what the pools hold, callers that come
+//! back when they are told to, a burst that ends, and a worker that fails all it starts.
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::load::demand::{arrivals, Pattern, QueueSpec, Stream};
+use crate::load::world::{run, Way, WorldOutcome, WorldSpec};
+use crate::policy::queue::QueueSettings;
+use crate::policy::share::ShareSettings;
+
+/// Settings of the overload experiment.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OverloadConfig {
+    /// Seed of the demand and of all else that is random.
+    pub seed: u64,
+    /// Entries.
+    pub entries_count: usize,
+    /// Workers of the pool.
+    pub workers_count: u32,
+    /// Slots of a worker.
+    pub slots_count: u32,
+    /// Weight of each team.
+    pub weights: Vec<u32>,
+    /// Offered loads, as parts of what the pool holds.
+    pub loads: Vec<f64>,
+    /// Time from a request's arrival to its deadline.
+    pub deadline_ms: u64,
+    /// Times that a caller that was refused comes back.
+    pub returns_max_count: u32,
+    /// Length of each run.
+    pub duration_ms: u64,
+}
+
+impl Default for OverloadConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries_count: 9,
+            workers_count: 10,
+            slots_count: 8,
+            weights: vec![4, 2, 2, 1, 1, 1],
+            loads: vec![0.5, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0],
+            deadline_ms: 3_000,
+            returns_max_count: 3,
+            duration_ms: 40_000,
+        }
+    }
+}
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Scenario {
+    /// The same load throughout.
+    Constant,
+    /// Five times what the pool holds for an eighth of the time, then a twentieth of that.
+    Burst,
+    /// A load that fits, and one worker fails all it starts from a quarter of the time on.
+    BadWorker,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OverloadRow {
+    /// What happens.
+    pub scenario: Scenario,
+    /// How the entries decide.
+    pub way: Way,
+    /// Offered load as a part of what the pool holds, callers that come back not counted.
+    pub load: f64,
+    /// Requests that arrived.
+    pub arrived_count: u64,
+    /// Requests answered in time.
+    pub on_time_count: u64,
+    /// Goodput as a part of what the pool holds.
+    pub goodput_permille: f64,
+    /// Runs that ended too late to count.
+    pub late_count: u64,
+    /// Callers that were told to come back and did.
+    pub returned_count: u64,
+    /// Of these, served in time after all.
+    pub returned_served_permille: f64,
+    /// Largest number of callers that came back within 100 ms, over the mean of the second around.
+    pub return_peak_factor: f64,
+    /// Refusals by reason.
+    pub refused: IndexMap<String, u64>,
+    /// Attempts tried again by reason.
+    pub retried: IndexMap<String, u64>,
+}
+
+/// Figures of all runs.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OverloadReport {
+    /// What was run.
+    pub config: OverloadConfig,
+    /// One row for each scenario, load and way.
+    pub rows: Vec<OverloadRow>,
+}
+
+/// Median run time of the work.
+const RUN_MS: u64 = 300;
+
+/// Mean of the log-normal run times over their median.
+const RUN_MEAN_FACTOR: f64 = 1.133;
+
+/// Ways that are compared: the baseline and the default.
+const WAYS: [Way; 2] = [Way::Fifo, Way::Divided];
+
+/// Load at which the bad worker is tried.
+const BAD_WORKER_LOAD: f64 = 0.7;
+
+/// Turns of the burst scenario; the burst is the first.
+const BURST_TURNS_COUNT: u64 = 8;
+
+/// Load of the burst while it lasts.
+const BURST_LOAD: f64 = 5.0;
+
+/// Runs all scenarios, loads and ways.
+pub fn run_overload_experiment(config: &OverloadConfig) -> OverloadReport {
+    let constant = config.loads.iter().map(|load| (Scenario::Constant, *load));
+    let others = [
+        (Scenario::Burst, BURST_LOAD),
+        (Scenario::BadWorker, BAD_WORKER_LOAD),
+    ];
+    let rows = constant
+        .chain(others)
+        .flat_map(|(scenario, load)| WAYS.map(|way| one_run(config, scenario, load, way)))
+        .collect();
+    OverloadReport {
+        config: config.clone(),
+        rows,
+    }
+}
+
+fn one_run(config: &OverloadConfig, scenario: Scenario, load: f64, way: Way) -> OverloadRow {
+    let queues = [QueueSpec {
+        pool: 0,
+        is_open_to_all: false,
+        is_urgent: false,
+        deadline_ms: config.deadline_ms,
+        run_ms: RUN_MS,
+    }];
+    let stream = Stream {
+        queue: 0,
+        mean_per_s: capacity_per_s(config) * load,
+        pattern: pattern(config, scenario),
+        team_parts: (1..=config.weights.len())
+            .rev()
+            .map(|rank| 1.0 / rank as f64)
+            .collect(),
+    };
+    let entries_count = config.entries_count;
+    let demand = arrivals(
+        config.seed,
+        config.duration_ms,
+        entries_count,
+        &queues,
+        &[stream],
+    );
+    let outcome = run(&world(config, scenario, way, &queues), &demand);
+    overload_row(config, scenario, load, way, &outcome)
+}
+
+fn capacity_per_s(config: &OverloadConfig) -> f64 {
+    let slots = f64::from(config.workers_count * config.slots_count);
+    slots * 1_000.0 / (RUN_MS as f64 * RUN_MEAN_FACTOR)
+}
+
+fn pattern(config: &OverloadConfig, scenario: Scenario) -> Pattern {
+    match scenario {
+        Scenario::Constant | Scenario::BadWorker => Pattern::Constant,
+        Scenario::Burst => Pattern::Turns {
+            turn_ms: config.duration_ms / BURST_TURNS_COUNT,
+            turns_count: BURST_TURNS_COUNT,
+            turn: 0,
+            high: 1.0,
+            low: 1.0 / 20.0,
+        },
+    }
+}
+
+fn world(config: &OverloadConfig, scenario: Scenario, way: Way, queues: &[QueueSpec]) -> WorldSpec {
+    WorldSpec {
+        seed: config.seed,
+        way,
+        entries_count: config.entries_count,
+        workers_of_pools: vec![config.workers_count],
+        slots_count: config.slots_count,
+        queues: queues.to_vec(),
+        weights: config.weights.clone(),
+        queue: QueueSettings::default(),
+        share: ShareSettings::default(),
+        gossip_period_ms: 100,
+        hop_ms: 1,
+        returns_max_count: config.returns_max_count,
+        lost_entry: None,
+        take_over_ms: 0,
+        bad_worker: match scenario {
+            Scenario::BadWorker => Some((0, config.duration_ms / 4)),
+            _ => None,
+        },
+        duration_ms: config.duration_ms,
+    }
+}
+
+fn overload_row(
+    config: &OverloadConfig,
+    scenario: Scenario,
+    load: f64,
+    way: Way,
+    outcome: &WorldOutcome,
+) -> OverloadRow {
+    let held = capacity_per_s(config) * config.duration_ms as f64 / 1_000.0;
+    let returned = outcome.returned_count.max(1) as f64;
+    OverloadRow {
+        scenario,
+        way,
+        load,
+        arrived_count: outcome.arrived_count,
+        on_time_count: outcome.on_time_count,
+        goodput_permille: outcome.on_time_count as f64 / held * 1_000.0,
+        late_count: outcome.late_count,
+        returned_count: outcome.returned_count,
+        returned_served_permille: outcome.returned_served_count as f64 / returned * 1_000.0,
+        return_peak_factor: peak_factor(&outcome.returns_by_100_ms),
+        refused: outcome.refused.clone(),
+        retried: outcome.retried.clone(),
+    }
+}
+
+/// Callers below which a tenth of a second says nothing about synchronised returns.
+const PEAK_MIN_COUNT: u64 = 20;
+
+/// Returns the largest count over the mean of the ten counts around it.
+fn peak_factor(counts: &[u64]) -> f64 {
+    counts
+        .windows(10)
+        .map(|window| {
+            let mean = window.iter().sum::<u64>() as f64 / window.len() as f64;
+            match window.iter().copied().max() {
+                Some(largest) if largest >= PEAK_MIN_COUNT => largest as f64 / mean,
+                _ => 0.0,
+            }
+        })
+        .fold(0.0, f64::max)
+}
+
+impl OverloadReport {
+    /// Returns the lowest goodput at or above the load of the peak, over the peak, in thousandths,
+    /// with a constant load.
+    pub fn kept_permille(&self, way: Way) -> f64 {
+        let goodput: Vec<f64> = self
+            .rows
+            .iter()
+            .filter(|row| row.scenario == Scenario::Constant && row.way == way)
+            .map(|row| row.goodput_permille)
+            .collect();
+        let peak = goodput.iter().copied().fold(0.0, f64::max);
+        let after_peak = goodput.iter().skip_while(|value| **value < peak);
+        after_peak.copied().fold(peak, f64::min) / peak.max(1.0) * 1_000.0
+    }
+
+    /// Returns the figures as a table of text.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<11} {:<8} {:>5} {:>8} {:>8} {:>8} {:>7} {:>9} {:>8} {:>6}  refused; retried\n",
+            "scenario",
+            "way",
+            "load",
+            "arrived",
+            "on_time",
+            "goodput",
+            "late",
+            "returned",
+            "served",
+            "peak",
+        );
+        for row in &self.rows {
+            text.push_str(&row.line());
+        }
+        for way in WAYS {
+            let kept = self.kept_permille(way);
+            text.push_str(&format!(
+                "goodput kept past the peak, {way}: {kept:.0} permille\n"
+            ));
+        }
+        text.push_str("goodput: permille of capacity; served: permille of those that came back;\n");
+        text.push_str("peak: most callers back within 100 ms over the mean of the second\n");
+        text
+    }
+}
+
+impl OverloadRow {
+    fn line(&self) -> String {
+        let list = |counts: &IndexMap<String, u64>| {
+            let items: Vec<String> = counts
+                .iter()
+                .map(|(reason, count)| format!("{reason}={count}"))
+                .collect();
+            items.join(" ")
+        };
+        format!(
+            "{:<11} {:<8} {:>5} {:>8} {:>8} {:>8.0} {:>7} {:>9} {:>8.0} {:>6.1}  {}; {}\n",
+            self.scenario.to_string(),
+            self.way.to_string(),
+            self.load,
+            self.arrived_count,
+            self.on_time_count,
+            self.goodput_permille,
+            self.late_count,
+            self.returned_count,
+            self.returned_served_permille,
+            self.return_peak_factor,
+            list(&self.refused),
+            list(&self.retried),
+        )
+    }
+}
--- /dev/null
+++ b/src/load/plot.rs
@@ -0,0 +1,106 @@
+//! Plots of the experiments as SVG files for the operators' pages.
+
+use std::path::Path;
+
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+use crate::load::overload::{OverloadReport, Scenario};
+use crate::load::share::ShareReport;
+use crate::load::world::Way;
+
+/// Size of a plot in pixels.
+const SIZE_PX: (u32, u32) = (900, 420);
+
+/// Height of one line of the legend in pixels.
+const LEGEND_LINE_PX: i32 = 18;
+
+/// A named series of points.
+struct Series {
+    way: Way,
+    points: Vec<(f64, f64)>,
+}
+
+/// Draws the misplaced capacity of each second, one line for each way.
+pub fn plot_share(report: &ShareReport, file: &Path) -> Result<(), String> {
+    let series: Vec<Series> = report
+        .rows
+        .iter()
+        .map(|row| Series {
+            way: row.way,
+            points: row
+                .misplaced_by_s
+                .iter()
+                .enumerate()
+                .map(|(second, permille)| (second as f64, *permille))
+                .collect(),
+        })
+        .collect();
+    let title = "Capacity given to the wrong team (permille of full pools) over time (s)";
+    draw(file, title, &series).map_err(|error| error.to_string())
+}
+
+/// Draws the goodput over the offered load, one line for each way.
+pub fn plot_overload(report: &OverloadReport, file: &Path) -> Result<(), String> {
+    let ways = [Way::Fifo, Way::Divided];
+    let series = ways.map(|way| Series {
+        way,
+        points: report
+            .rows
+            .iter()
+            .filter(|row| row.scenario == Scenario::Constant && row.way == way)
+            .map(|row| (row.load, row.goodput_permille))
+            .collect(),
+    });
+    let title = "Goodput (permille of capacity) over offered load (multiples of capacity)";
+    draw(file, title, &series).map_err(|error| error.to_string())
+}
+
+type DrawError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
+
+fn draw<'a>(file: &'a Path, title: &str, series: &[Series]) -> Result<(), DrawError<'a>> {
+    let area = SVGBackend::new(file, SIZE_PX).into_drawing_area();
+    area.fill(&WHITE)?;
+    let points = || series.iter().flat_map(|one| one.points.iter());
+    let x_max = points().map(|point| point.0).fold(1.0, f64::max);
+    let y_max = points().map(|point| point.1).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .caption(title, ("sans-serif", 16))
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..x_max, 0.0..y_max * 1.05)?;
+    chart.configure_mesh().light_line_style(WHITE).draw()?;
+    for one in series {
+        let style = colour_of(one.way).stroke_width(2);
+        chart.draw_series(LineSeries::new(one.points.iter().copied(), style))?;
+    }
+    draw_legend(&area, series)?;
+    area.present()
+}
+
+/// Draws the names of the series in the upper right corner.
+fn draw_legend<'a>(
+    area: &DrawingArea<SVGBackend<'a>, Shift>,
+    series: &[Series],
+) -> Result<(), DrawError<'a>> {
+    let left_px = SIZE_PX.0 as i32 - 130;
+    for (index, one) in series.iter().enumerate() {
+        let top_px = 48 + index as i32 * LEGEND_LINE_PX;
+        let style = colour_of(one.way).stroke_width(3);
+        let line = vec![(left_px, top_px + 6), (left_px + 24, top_px + 6)];
+        area.draw(&PathElement::new(line, style))?;
+        let place = (left_px + 32, top_px);
+        area.draw(&Text::new(one.way.to_string(), place, ("sans-serif", 14)))?;
+    }
+    Ok(())
+}
+
+fn colour_of(way: Way) -> RGBColor {
+    match way {
+        Way::Fifo => RGBColor(170, 60, 60),
+        Way::Levels => RGBColor(200, 150, 30),
+        Way::Divided => RGBColor(30, 90, 180),
+        Way::Owner => RGBColor(60, 140, 70),
+    }
+}
--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -274,6 +274,6 @@
             self.urgent_start_p99_ms,
             self.urgent_missed_permille,
             self.worker_busy_count,
-        ) + &format!("{:?}\n", self.refused)
+        )
     }
 }
