--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -70,7 +70,7 @@
             waiting_max_count: 8_192,
             team_part_permille: 1_000,
             urgent_max_permille: 750,
-            run_deviations: 2.0,
+            run_deviations: 3.0,
             give_up_slack: 1.5,
             spill_after_ms: 20,
             sharing: Sharing::Divided,
