Split the waiting queue; count what runs where starts are too rare to tell

The lanes and their index are a module of their own, and so are the settings. The wait is judged by the larger of two rates: what the entry starts while work waits, and what it has running over the observed run time. For work that runs for minutes the first is zero most of the time, which refused everything.

--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -12,9 +12,10 @@
 use crate::policy::keys::{PeerKey, PoolKey, WorkerKey, ZoneKey};
 use crate::policy::lane::Waiting;
 use crate::policy::placement::{Placement, PlacementSettings, WorkerFacts};
-use crate::policy::queue::{QueueSettings, WaitQueue};
+use crate::policy::queue::WaitQueue;
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
 use crate::policy::retry::{RetryBudget, RetrySettings};
+use crate::policy::settings::QueueSettings;
 use crate::policy::share::{Load, ShareSettings, UsageRow, UsageView};
 
 /// Time that the baseline tells every refused caller to stay away.
--- a/src/load/overload.rs
+++ b/src/load/overload.rs
@@ -6,7 +6,7 @@
 
 use crate::load::demand::{arrivals, Pattern, QueueSpec, Stream};
 use crate::load::world::{run, Way, WorldOutcome, WorldSpec};
-use crate::policy::queue::QueueSettings;
+use crate::policy::settings::QueueSettings;
 use crate::policy::share::ShareSettings;
 
 /// Settings of the overload experiment.
--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -9,7 +9,7 @@
 use crate::load::demand::{arrivals, Pattern, QueueSpec, Stream};
 use crate::load::measure::ShareDistance;
 use crate::load::world::{run, Way, WorldOutcome, WorldSpec};
-use crate::policy::queue::QueueSettings;
+use crate::policy::settings::QueueSettings;
 use crate::policy::share::ShareSettings;
 
 /// Settings of the share experiment.
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -18,8 +18,8 @@
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey, TeamKey, WorkerKey, ZoneKey};
 use crate::policy::lane::Waiting;
 use crate::policy::placement::WorkerFacts;
-use crate::policy::queue::{QueueSettings, Sharing};
 use crate::policy::retry::{FailedAttempt, RetryDecision, RetryReason};
+use crate::policy::settings::{QueueSettings, Sharing};
 use crate::policy::share::{Load, ShareSettings, UsageRow};
 
 /// How the entries decide.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -17,74 +17,22 @@
 
 use std::collections::HashMap;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
-use crate::policy::estimate::{DrainRate, RunTimes};
+use crate::policy::estimate::RunTimes;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
-use crate::policy::lane::{Lane, Place, PlaceOrder, RetryAfterLimits, Waiting};
+use crate::policy::lane::Waiting;
+use crate::policy::lanes::{LaneKey, Lanes};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
+use crate::policy::settings::{QueueSettings, Sharing};
 use crate::policy::share::{TeamSlot, UsageRow, UsageView};
 
-/// How an entry shares a pool with the other entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
-#[strum(serialize_all = "snake_case")]
-pub enum Sharing {
-    /// It starts the waiting team with the lowest level by gossip, whenever a worker is free.
-    Levels,
-    /// It divides the pool over all teams and entries by gossip and keeps to its own part; beyond
-    /// that it starts only what is spare, or what others have left for a while.
-    Divided,
-}
-
-/// Settings of the queue.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QueueSettings {
-    /// Requests that may wait at once.
-    pub waiting_max_count: usize,
-    /// Part of the free places that one team may take, in thousandths.
-    pub team_part_permille: u32,
-    /// Part of the recent starts of a pool that urgent work may take ahead of other work.
-    pub urgent_max_permille: u32,
-    /// Mean deviations of the run time that are reserved before a deadline.
-    pub run_deviations: f64,
-    /// Factor on the time left before a waiting request is given up by the observed rate.
-    pub give_up_slack: f64,
-    /// Time that a request waits for a preferred pool before the next one may take it.
-    pub spill_after_ms: u64,
-    /// How this entry shares a pool with the others.
-    pub sharing: Sharing,
-    /// Time for which this entry leaves a free slot to the team and entry whose turn it is by
-    /// gossip, before it takes the slot itself.
-    pub yield_max_ms: u64,
-    /// Limits of the time that callers are told to stay away.
-    pub retry_after: RetryAfterLimits,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        Self {
-            waiting_max_count: 8_192,
-            team_part_permille: 1_000,
-            urgent_max_permille: 750,
-            run_deviations: 3.0,
-            give_up_slack: 1.5,
-            spill_after_ms: 20,
-            sharing: Sharing::Divided,
-            yield_max_ms: 150,
-            retry_after: RetryAfterLimits {
-                min_ms: 100,
-                max_ms: 30_000,
-            },
-        }
-    }
-}
-
-/// Index of a lane.
-type LaneKey = usize;
+/// Least time between two searches for requests to give up.
+pub const EXPIRE_PERIOD_MS: u64 = 20;
 
 /// Starts over which the part of urgent work is smoothed.
 const URGENT_WINDOW_STARTS: f64 = 64.0;
@@ -93,27 +41,18 @@
 type Rank = (u8, f64, MonoMs);
 
 /// The head of a lane that may be started.
-type Candidate = (Rank, LaneKey, PlaceOrder);
+type Candidate = (Rank, LaneKey, RequestKey);
 
 /// The waiting requests of one entry.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
     settings: QueueSettings,
-    lanes: Vec<Lane>,
-    /// Lanes that are empty and that no team and queue refers to any more.
-    free_lanes: Vec<LaneKey>,
-    lane_of: HashMap<(TeamSlot, QueueKey), LaneKey>,
-    /// Where each waiting request is; its size is that of the queue.
-    places: HashMap<RequestKey, (LaneKey, PlaceOrder)>,
-    waiting_by_team: HashMap<TeamSlot, usize>,
-    /// Lanes in use of each pool.
-    busy_lanes: IndexMap<PoolKey, IndexSet<LaneKey>>,
+    lanes: Lanes,
     largest_worker: HashMap<PoolKey, Resources>,
     urgent_part: HashMap<PoolKey, f64>,
     run_times: RunTimes,
-    /// Starts of this entry in each pool while work waits for it.
-    drains: HashMap<PoolKey, DrainRate>,
     divider: Divider,
+    next_expire_ms: MonoMs,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
 }
@@ -123,17 +62,12 @@
     pub fn new(settings: QueueSettings, seed: u64) -> Self {
         Self {
             settings,
-            lanes: Vec::new(),
-            free_lanes: Vec::new(),
-            lane_of: HashMap::new(),
-            places: HashMap::new(),
-            waiting_by_team: HashMap::new(),
-            busy_lanes: IndexMap::new(),
+            lanes: Lanes::default(),
             largest_worker: HashMap::new(),
             urgent_part: HashMap::new(),
             run_times: RunTimes::default(),
-            drains: HashMap::new(),
             divider: Divider::default(),
+            next_expire_ms: 0,
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -156,19 +90,17 @@
 
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
-        self.places.len()
+        self.lanes.len()
     }
 
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
+        self.lanes.len() == 0
     }
 
     /// Returns whether any request may start in `pool`.
     pub fn has_work_for(&self, pool: PoolKey) -> bool {
-        self.busy_lanes
-            .get(&pool)
-            .is_some_and(|lanes| !lanes.is_empty())
+        self.lanes.of_pool(pool).next().is_some()
     }
 
     /// Returns how many requests were refused or given up, by reason.
@@ -188,7 +120,7 @@
         if let Some(reason) = self.never_runs(&waiting, size_max) {
             return Err(self.refuse(reason, None));
         }
-        let lane_key = self.lane_for(now_ms, &waiting);
+        let lane_key = self.lanes.lane_for(now_ms, &waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
@@ -196,7 +128,8 @@
                 Err(self.refuse(reason, Some(retry_after_ms)))
             }
             None => {
-                self.insert(now_ms, lane_key, waiting, latest_start_ms);
+                self.lanes
+                    .insert(now_ms, lane_key, waiting, latest_start_ms);
                 Ok(())
             }
         }
@@ -205,12 +138,13 @@
     /// Returns a request that was handed out and is proved not started. It keeps its deadline and
     /// is not refused for lack of room, as its place was given to it before.
     pub fn put_back(&mut self, now_ms: MonoMs, waiting: Waiting) {
-        if self.places.contains_key(&waiting.key) {
+        if self.lanes.holds(waiting.key) {
             return;
         }
-        let lane_key = self.lane_for(now_ms, &waiting);
+        let lane_key = self.lanes.lane_for(now_ms, &waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
-        self.insert(now_ms, lane_key, waiting, latest_start_ms);
+        self.lanes
+            .insert(now_ms, lane_key, waiting, latest_start_ms);
     }
 
     /// Hands out the request that `pool` is to start next, if any waits that may.
@@ -228,11 +162,11 @@
         self.yield_to_others(now_ms, pool, view, &mut candidates);
         while !candidates.is_empty() {
             let best = index_of_lowest(&candidates);
-            let (_, lane_key, order) = candidates.swap_remove(best);
-            let head = self.lanes[lane_key].head(now_ms)?;
+            let (_, lane_key, key) = candidates.swap_remove(best);
+            let head = self.lanes.get(lane_key).head(now_ms)?;
             if can_start(head) {
                 self.divider.started(head.team, pool, view);
-                return self.start(now_ms, pool, lane_key, order);
+                return self.start(now_ms, pool, key);
             }
         }
         None
@@ -240,24 +174,20 @@
 
     /// Takes out a request; returns it unless it was started, given up or cancelled before.
     pub fn cancel(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
-        let (lane_key, order) = self.places.get(&key).copied()?;
-        self.advance_drain(now_ms, self.lanes[lane_key].pools[0]);
-        let place = self.lanes[lane_key].remove(now_ms, order)?;
-        self.forget(lane_key, key);
-        Some(place.waiting)
+        self.lanes.remove(now_ms, key)
     }
 
-    /// Gives up what can no longer be served in time, so that each can be answered at once.
+    /// Gives up what can no longer be served in time, so that each can be answered at once. Calls
+    /// within [`EXPIRE_PERIOD_MS`] of the last one do nothing.
     pub fn expire(&mut self, now_ms: MonoMs, view: &UsageView) -> Vec<GivenUp> {
-        let slack = self.settings.give_up_slack;
-        let busy: IndexSet<LaneKey> = self.busy_lanes.values().flatten().copied().collect();
+        if now_ms < self.next_expire_ms {
+            return Vec::new();
+        }
+        self.next_expire_ms = now_ms + EXPIRE_PERIOD_MS;
         let mut given_up = Vec::new();
-        for lane_key in busy {
-            let drain_ms = self.drain_ms(lane_key, view);
-            let lane = &self.lanes[lane_key];
-            let per_ms = drain_ms.map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
-            for key in lane.unreachable(now_ms, per_ms, slack) {
-                self.cancel(now_ms, key);
+        for lane_key in self.lanes.busy() {
+            for key in self.unreachable(now_ms, lane_key, view) {
+                self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key);
                 given_up.push(GivenUp {
@@ -276,7 +206,8 @@
             .into_iter()
             .map(|row| ((row.team, row.pool), row))
             .collect();
-        for lane in self.lanes.iter().filter(|lane| !lane.is_empty()) {
+        for lane_key in self.lanes.busy() {
+            let lane = self.lanes.get(lane_key);
             let pool = lane.pools[0];
             rows.entry((lane.team, pool))
                 .or_insert_with(|| UsageRow::idle(lane.team, pool))
@@ -289,7 +220,7 @@
         let is_known = |pool: &PoolKey| self.largest_worker.contains_key(pool);
         let fits = |pool: &PoolKey| waiting.size.fits_in(&self.largest_worker[pool]);
         match &waiting.pools {
-            _ if self.places.contains_key(&waiting.key) => Some(RefusalReason::DuplicateKey),
+            _ if self.lanes.holds(waiting.key) => Some(RefusalReason::DuplicateKey),
             pools if pools.is_empty() => Some(RefusalReason::NoPool),
             _ if !waiting.size.fits_in(size_max) => Some(RefusalReason::TooLarge),
             pools if pools.iter().all(|pool| is_known(pool) && !fits(pool)) => {
@@ -306,13 +237,13 @@
         latest_start_ms: MonoMs,
         view: &UsageView,
     ) -> Option<RefusalReason> {
-        let lane = &self.lanes[lane_key];
+        let lane = self.lanes.get(lane_key);
         let left_ms = latest_start_ms.saturating_sub(now_ms) as f64;
-        let of_team = self.waiting_by_team.get(&lane.team).copied().unwrap_or(0);
+        let of_team = self.lanes.waiting_of(lane.team);
         let free = self
             .settings
             .waiting_max_count
-            .saturating_sub(self.places.len());
+            .saturating_sub(self.lanes.len());
         // Dynamic thresholds (Choudhury and Hahne, 1998): the fewer places are free, the fewer
         // one team may hold, so some are always left for the others.
         let team_max = free * self.settings.team_part_permille as usize / 1_000;
@@ -327,36 +258,26 @@
         }
     }
 
-    /// Returns how long the lane takes to drain at the observed rate of its pool, if nothing more
-    /// arrives: of each other lane only as much goes ahead as its weight allows while this one
-    /// drains (generalised processor sharing). `None` if the rate is not known yet.
+    /// Returns how long the lane takes to drain. The rate is what this entry starts in the pool
+    /// while work waits; where starts are too rare to tell, it is what runs over its run time.
     fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
-        let lane = &self.lanes[lane_key];
+        let lane = self.lanes.get(lane_key);
         let pool = lane.pools[0];
-        let per_ms = self.drains.get(&pool)?.per_ms()?;
-        let own_turns = lane.len() as f64 / f64::from(view.weight(lane.team));
-        let others = self.busy_lanes.get(&pool).into_iter().flatten();
-        let ahead: f64 = others
-            .filter(|other_key| **other_key != lane_key)
-            .map(|other_key| &self.lanes[*other_key])
-            .filter(|other| other.pools[0] == pool)
-            .map(|other| match (lane.is_urgent, other.is_urgent) {
-                (true, false) => 0.0,
-                (false, true) => other.len() as f64,
-                _ => (other.len() as f64).min(own_turns * f64::from(view.weight(other.team))),
-            })
-            .sum();
-        match ahead + lane.len() as f64 {
+        let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
+        let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
+        let per_ms = self.lanes.drain_per_ms(pool)?.max(by_running);
+        match self.lanes.ahead_count(lane_key, view) {
             0.0 => Some(0.0),
-            ahead => Some(ahead / per_ms),
+            ahead_count => Some(ahead_count / per_ms),
         }
     }
 
-    /// Brings the drain rate of a pool up to now, before anything enters or leaves its lanes.
-    fn advance_drain(&mut self, now_ms: MonoMs, pool: PoolKey) {
-        let is_busy = self.has_work_for(pool);
-        let drain = self.drains.entry(pool).or_default();
-        drain.advance(now_ms, is_busy);
+    fn unreachable(&self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> Vec<RequestKey> {
+        let lane = self.lanes.get(lane_key);
+        let per_ms = self
+            .drain_ms(lane_key, view)
+            .map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
+        lane.unreachable(now_ms, per_ms, self.settings.give_up_slack)
     }
 
     fn refuse(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) -> Refusal {
@@ -369,7 +290,9 @@
 
     fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey) -> u64 {
         let limits = self.settings.retry_after;
-        self.lanes[lane_key].book_return_ms(now_ms, limits, &mut self.rng)
+        self.lanes
+            .get_mut(lane_key)
+            .book_return_ms(now_ms, limits, &mut self.rng)
     }
 
     /// Returns the last moment at which a start still leaves the observed run time.
@@ -381,76 +304,22 @@
         waiting.deadline_ms.saturating_sub(run_ms)
     }
 
-    /// Returns the lane of a request, a fresh one if the lists changed what the lane stands for.
-    fn lane_for(&mut self, now_ms: MonoMs, waiting: &Waiting) -> LaneKey {
-        let id = (waiting.team, waiting.queue);
-        match self.lane_of.get(&id) {
-            Some(lane_key) if self.lanes[*lane_key].is_for(waiting) => *lane_key,
-            Some(lane_key) if self.lanes[*lane_key].is_empty() => {
-                self.lanes[*lane_key] = Lane::new(now_ms, waiting);
-                *lane_key
-            }
-            _ => {
-                let lane_key = self.add_lane(Lane::new(now_ms, waiting));
-                self.lane_of.insert(id, lane_key);
-                lane_key
-            }
-        }
-    }
-
-    fn add_lane(&mut self, lane: Lane) -> LaneKey {
-        match self.free_lanes.pop() {
-            Some(lane_key) => {
-                self.lanes[lane_key] = lane;
-                lane_key
-            }
-            None => {
-                self.lanes.push(lane);
-                self.lanes.len() - 1
-            }
-        }
-    }
-
-    fn insert(
-        &mut self,
-        now_ms: MonoMs,
-        lane_key: LaneKey,
-        waiting: Waiting,
-        latest_start_ms: MonoMs,
-    ) {
-        self.advance_drain(now_ms, waiting.pools[0]);
-        let order = (waiting.deadline_ms, waiting.key);
-        self.places.insert(waiting.key, (lane_key, order));
-        *self.waiting_by_team.entry(waiting.team).or_insert(0) += 1;
-        for pool in waiting.pools.iter() {
-            self.busy_lanes.entry(*pool).or_default().insert(lane_key);
-        }
-        let place = Place {
-            waiting,
-            latest_start_ms,
-        };
-        self.lanes[lane_key].insert(now_ms, place);
-    }
-
     fn candidates(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Vec<Candidate> {
-        let Some(lanes) = self.busy_lanes.get(&pool) else {
-            return Vec::new();
-        };
         let urgent_part = self.urgent_part.get(&pool).copied().unwrap_or(0.0);
         let is_urgent_bounded =
             urgent_part * 1_000.0 > f64::from(self.settings.urgent_max_permille);
-        lanes
-            .iter()
+        self.lanes
+            .of_pool(pool)
             .filter_map(|lane_key| {
-                let lane = &self.lanes[*lane_key];
+                let lane = self.lanes.get(lane_key);
                 let head = lane.head(now_ms)?;
                 let rank = lane.pools.iter().position(|known| *known == pool)? as u64;
                 let waited_ms = now_ms.saturating_sub(head.enqueued_ms);
                 let may_spill = waited_ms >= rank * self.settings.spill_after_ms;
                 let class = u8::from(!lane.is_urgent || is_urgent_bounded);
                 let level = view.level(now_ms, lane.team, pool);
-                let order = (head.deadline_ms, head.key);
-                may_spill.then_some(((class, level, head.deadline_ms), *lane_key, order))
+                let rank = (class, level, head.deadline_ms);
+                may_spill.then_some((rank, lane_key, head.key))
             })
             .collect()
     }
@@ -467,78 +336,28 @@
             return;
         }
         if self.divider.is_due(now_ms, pool) {
-            let own_waiting = self.waiting_for(pool);
+            let own_waiting = self.lanes.waiting_for(pool);
             self.divider
                 .divide(now_ms, pool, view, &own_waiting, &mut self.rng);
         }
         let (lanes, divider) = (&self.lanes, &self.divider);
         let may_start = |candidate: &Candidate| {
-            let lane = &lanes[candidate.1];
+            let lane = lanes.get(candidate.1);
             lane.is_urgent || divider.may_start(lane.team, pool, view)
         };
-        let is_any = candidates.iter().any(may_start);
-        if is_any
-            || !self
-                .divider
-                .has_yielded(now_ms, pool, self.settings.yield_max_ms)
-        {
-            let (lanes, divider) = (&self.lanes, &self.divider);
-            candidates.retain(|candidate| {
-                let lane = &lanes[candidate.1];
-                lane.is_urgent || divider.may_start(lane.team, pool, view)
-            });
-        }
-    }
-
-    /// Returns what waits here for `pool` as the preferred one, by team.
-    fn waiting_for(&self, pool: PoolKey) -> IndexMap<TeamSlot, usize> {
-        let mut waiting = IndexMap::new();
-        let lanes = self.busy_lanes.get(&pool).into_iter().flatten();
-        for lane in lanes.map(|lane_key| &self.lanes[*lane_key]) {
-            if lane.pools[0] == pool {
-                *waiting.entry(lane.team).or_insert(0) += lane.len();
-            }
+        let allowed: Vec<Candidate> = candidates.iter().copied().filter(may_start).collect();
+        let max_ms = self.settings.yield_max_ms;
+        if !allowed.is_empty() || !self.divider.has_yielded(now_ms, pool, max_ms) {
+            *candidates = allowed;
         }
-        waiting
     }
 
-    fn start(
-        &mut self,
-        now_ms: MonoMs,
-        pool: PoolKey,
-        lane_key: LaneKey,
-        order: PlaceOrder,
-    ) -> Option<Waiting> {
-        self.advance_drain(now_ms, pool);
-        if let Some(drain) = self.drains.get_mut(&pool) {
-            drain.count_start();
-        }
-        let place = self.lanes[lane_key].start(now_ms, order)?;
-        self.forget(lane_key, place.waiting.key);
-        let sample = f64::from(u8::from(place.waiting.is_urgent));
+    fn start(&mut self, now_ms: MonoMs, pool: PoolKey, key: RequestKey) -> Option<Waiting> {
+        let waiting = self.lanes.start(now_ms, pool, key)?;
+        let sample = f64::from(u8::from(waiting.is_urgent));
         let part = self.urgent_part.entry(pool).or_insert(0.0);
         *part += (sample - *part) / URGENT_WINDOW_STARTS;
-        Some(place.waiting)
-    }
-
-    /// Removes what the queue holds of a request that has left its lane.
-    fn forget(&mut self, lane_key: LaneKey, key: RequestKey) {
-        self.places.remove(&key);
-        let lane = &self.lanes[lane_key];
-        if let Some(count) = self.waiting_by_team.get_mut(&lane.team) {
-            *count = count.saturating_sub(1);
-        }
-        if !lane.is_empty() {
-            return;
-        }
-        for pool in lane.pools.iter() {
-            if let Some(lanes) = self.busy_lanes.get_mut(pool) {
-                lanes.swap_remove(&lane_key);
-            }
-        }
-        if self.lane_of.get(&(lane.team, lane.queue)) != Some(&lane_key) {
-            self.free_lanes.push(lane_key);
-        }
+        Some(waiting)
     }
 }
 
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -176,6 +176,7 @@
     pool_capacity: IndexMap<PoolKey, Load>,
     fleet_capacity: Load,
     usage: HashMap<UsageKey, Usage>,
+    own_running: HashMap<PoolKey, u64>,
     running_teams: IndexMap<PoolKey, IndexSet<TeamSlot>>,
     waiting_at_peers: IndexMap<PoolKey, IndexMap<TeamSlot, u32>>,
     reports: IndexMap<PeerKey, (MonoMs, Vec<UsageRow>)>,
@@ -190,6 +191,7 @@
             pool_capacity: IndexMap::new(),
             fleet_capacity: Load::default(),
             usage: HashMap::new(),
+            own_running: HashMap::new(),
             running_teams: IndexMap::new(),
             waiting_at_peers: IndexMap::new(),
             reports: IndexMap::new(),
@@ -310,6 +312,11 @@
             .map_or(0, |usage| usage.own.slots_count)
     }
 
+    /// Returns how many requests this entry has running in `pool`.
+    pub fn own_running_in(&self, pool: PoolKey) -> u64 {
+        self.own_running.get(&pool).copied().unwrap_or(0)
+    }
+
     /// Returns the slots that the workers of `pool` offer together.
     pub fn slots_count(&self, pool: PoolKey) -> u64 {
         self.capacity_of(Some(pool)).slots_count
