Tell the entry whose turn it is of a slot that is left free

An entry that keeps to its part leaves freed slots, but the one they are for had to find them by trying workers that were mostly full. The entry that saw the slot now tells the peer that is owed most by gossip; reports of full workers fade by half after 1 s in place of 400 ms.

--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -240,6 +240,21 @@
         self.view.ended(now_ms, waiting.team, pool, &waiting.size);
     }
 
+    /// Returns the peer to tell of a slot that this entry saw free and does not use itself.
+    pub(crate) fn whose_turn(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        worker: WorkerKey,
+    ) -> Option<PeerKey> {
+        match &mut self.line {
+            Line::Policy(queue) if self.placement.is_free(worker) => {
+                queue.whose_turn(now_ms, pool, &self.view)
+            }
+            _ => None,
+        }
+    }
+
     pub(crate) fn tick(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
         self.placement.tick(now_ms);
         self.view.expire_peers(now_ms);
--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -78,6 +78,8 @@
     pub urgent_missed_permille: f64,
     /// Attempts that found the chosen worker without a free slot.
     pub worker_busy_count: u64,
+    /// Messages to peers about a free slot.
+    pub hints_count: u64,
     /// Refusals by reason.
     pub refused: IndexMap<String, u64>,
     /// Capacity that was given to the wrong team in each second.
@@ -225,6 +227,7 @@
         urgent_start_p99_ms: urgent.value_at_quantile(0.99),
         urgent_missed_permille: outcome.urgent_missed_count as f64 / urgent_count * 1_000.0,
         worker_busy_count: outcome.retried.get("worker_busy").copied().unwrap_or(0),
+        hints_count: outcome.hints_count,
         refused: outcome.refused.clone(),
         misplaced_by_s: outcome.misplaced_by_s.clone(),
     }
@@ -234,7 +237,7 @@
     /// Returns the figures as a table of text.
     pub fn table(&self) -> String {
         let mut text = format!(
-            "{:<8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>7}\n",
+            "{:<8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>7} {:>7}\n",
             "way",
             "arrived",
             "on_time",
@@ -247,6 +250,7 @@
             "urg_p99",
             "urg_miss",
             "busy",
+            "hints",
         );
         for row in &self.rows {
             text.push_str(&row.line());
@@ -261,7 +265,7 @@
         let distance = |index: usize| self.distances.get(index).copied().unwrap_or_default();
         let (short, long) = (distance(0), distance(1));
         format!(
-            "{:<8} {:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>7.1} {:>7} {:>7} {:>8.1} {:>7}\n",
+            "{:<8} {:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>7.1} {:>7} {:>7} {:>8.1} {:>7} {:>7}\n",
             self.way.to_string(),
             self.arrived_count,
             self.on_time_count,
@@ -274,6 +278,7 @@
             self.urgent_start_p99_ms,
             self.urgent_missed_permille,
             self.worker_busy_count,
+            self.hints_count,
         )
     }
 }
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -104,6 +104,8 @@
     pub refused: IndexMap<String, u64>,
     /// Attempts tried again by reason, over all entries.
     pub retried: IndexMap<String, u64>,
+    /// Messages to peers about a free slot.
+    pub hints_count: u64,
     /// Distance from share, by window.
     pub distances: Vec<ShareDistance>,
     /// Misplaced capacity in each second, for a plot.
@@ -152,6 +154,7 @@
     PutBack(JobKey, usize),
     Gossip(usize),
     Report(usize, usize, Vec<UsageRow>),
+    Hint(usize, WorkerKey, u32),
     Tick(usize),
     Lapse(JobKey, u32),
     Lose(usize),
@@ -349,6 +352,12 @@
                 self.entries[to].take_report(now_ms, PeerKey(from as u32), rows);
                 self.dispatch(to);
             }
+            Event::Hint(entry, worker, running_count) => {
+                self.entries[entry]
+                    .placement
+                    .report(self.now_ms, worker, running_count);
+                self.dispatch(entry);
+            }
             Event::Tick(entry) => self.tick(entry),
             Event::Lapse(job, visit) => {
                 let job_state = &self.jobs[job];
@@ -570,6 +579,20 @@
             Answer::Ran => self.succeeded(job, entry, worker),
         }
         self.dispatch(entry);
+        self.hint(entry, worker, running_count);
+    }
+
+    /// Tells peers of a slot that this entry saw free and does not use itself.
+    fn hint(&mut self, entry: usize, worker: WorkerKey, running_count: u32) {
+        let pool = PoolKey(self.workers[worker.0 as usize].pool as u16);
+        let peer = self.entries[entry].whose_turn(self.now_ms, pool, worker);
+        if let Some(PeerKey(to)) = peer {
+            self.outcome.hints_count += 1;
+            self.after(
+                self.spec.hop_ms,
+                Event::Hint(to as usize, worker, running_count),
+            );
+        }
     }
 
     fn succeeded(&mut self, job: JobKey, entry: usize, worker: WorkerKey) {
@@ -778,6 +801,7 @@
             returns_by_100_ms: vec![0; duration_ms as usize / 100 + 1],
             refused: IndexMap::new(),
             retried: IndexMap::new(),
+            hints_count: 0,
             distances: Vec::new(),
             misplaced_by_s: Vec::new(),
             idle_while_waiting_permille: 0.0,
--- a/src/policy/allot.rs
+++ b/src/policy/allot.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, RngExt};
 
 use crate::fleet::MonoMs;
-use crate::policy::keys::PoolKey;
-use crate::policy::share::{TeamSlot, UsageView};
+use crate::policy::keys::{PeerKey, PoolKey};
+use crate::policy::share::{TeamSlot, UsageRow, UsageView};
 
 /// What one team asks of a pool. All amounts are slots, or other resources in slots' worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -78,10 +78,15 @@
     }
 }
 
+/// Least part of a slot for which a peer is told of a free one.
+const OWED_MIN: f64 = 0.5;
+
 /// This entry's part of a pool, team by team, valid until the next gossip round.
 #[derive(Clone, Debug, Default)]
 struct Allotment {
     own: HashMap<TeamSlot, f64>,
+    /// What each peer has yet to take up of its part.
+    owed: IndexMap<PeerKey, f64>,
     /// What is free beyond the parts that other entries have yet to take up.
     spare: f64,
 }
@@ -89,7 +94,13 @@
 impl Allotment {
     /// Divides `capacity` by the demand. Fractions of a slot are rounded up as often as they are
     /// large, so that small parts come true over time and in sum over the entries.
-    fn divide(demand: &IndexMap<TeamSlot, Demand>, capacity: f64, offset: f64) -> Self {
+    fn divide(
+        view: &UsageView,
+        pool: PoolKey,
+        demand: &IndexMap<TeamSlot, Demand>,
+        offset: f64,
+    ) -> Self {
+        let capacity = view.slots_count(pool) as f64;
         let claims: Vec<Claim> = demand
             .values()
             .map(|one| Claim {
@@ -103,7 +114,7 @@
         let mut taken = 0.0;
         // Systematic rounding: the sum over the teams is never off by more than one.
         let mut own_sum = offset;
-        for ((team, one), part) in demand.iter().zip(parts) {
+        for ((team, one), part) in demand.iter().zip(&parts) {
             let own_part = part * one.own() / one.whole().max(f64::MIN_POSITIVE);
             let peers_part = part - own_part;
             taken += one.own_running + peers_part.max(one.peers_running);
@@ -114,9 +125,43 @@
                 .insert(*team, own_sum.floor() - own_sum_before.floor());
         }
         allotment.spare = (capacity - taken).max(0.0);
+        allotment.count_owed(view, pool, demand, &parts);
         allotment
     }
 
+    /// Works out what each peer has yet to take up, from its last report.
+    fn count_owed(
+        &mut self,
+        view: &UsageView,
+        pool: PoolKey,
+        demand: &IndexMap<TeamSlot, Demand>,
+        parts: &[f64],
+    ) {
+        for (peer, rows) in view.peer_rows(pool) {
+            let owed_in = |row: &UsageRow| {
+                let index = demand.get_index_of(&row.team)?;
+                let whole = demand[index].whole().max(f64::MIN_POSITIVE);
+                let running = f64::from(row.running_count);
+                let peers_part = parts[index] * (running + f64::from(row.waiting_count)) / whole;
+                Some((peers_part - running).max(0.0))
+            };
+            let owed: f64 = rows.iter().filter_map(owed_in).sum();
+            self.owed.insert(peer, owed);
+        }
+    }
+
+    /// Returns the peer that is owed most, if any is owed half a slot, and counts one slot to it.
+    fn take_owed(&mut self) -> Option<PeerKey> {
+        let (peer, owed) = self
+            .owed
+            .iter_mut()
+            .max_by(|left, right| left.1.total_cmp(right.1))?;
+        (*owed >= OWED_MIN).then(|| {
+            *owed -= 1.0;
+            *peer
+        })
+    }
+
     /// Returns this entry's part of the team's part, in whole slots.
     fn own_part(&self, team: TeamSlot) -> f64 {
         self.own.get(&team).copied().unwrap_or(0.0)
@@ -165,7 +210,6 @@
         rng: &mut R,
     ) {
         let demand = view.demand(pool, own_waiting);
-        let capacity = view.slots_count(pool) as f64;
         let mut draw = || rng.random_range(0.0..1.0);
         let division = self.pools.entry(pool).or_insert_with(|| Division {
             computed_ms: now_ms,
@@ -179,7 +223,7 @@
             division.offset_drawn_ms = now_ms;
         }
         division.computed_ms = now_ms;
-        division.allotment = Allotment::divide(&demand, capacity, division.offset);
+        division.allotment = Allotment::divide(view, pool, &demand, division.offset);
     }
 
     /// Returns whether this entry may start work of `team` in `pool` now: within its part, or in
@@ -192,6 +236,11 @@
         running < division.allotment.own_part(team) || division.allotment.spare >= 1.0
     }
 
+    /// Returns the peer that is owed a slot of `pool` most, and counts one slot to it.
+    pub(crate) fn whose_turn(&mut self, pool: PoolKey) -> Option<PeerKey> {
+        self.pools.get_mut(&pool)?.allotment.take_owed()
+    }
+
     /// Counts a start, which ends the yielding.
     pub(crate) fn started(&mut self, team: TeamSlot, pool: PoolKey, view: &UsageView) {
         let running = view.own_running_count(team, pool) as f64;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -61,7 +61,7 @@
 const BUSY_HOLD_MS: u64 = 10;
 
 /// Time after which half of what a worker was reported to run for others is taken to have ended.
-const REPORT_HALF_LIFE_MS: u64 = 400;
+const REPORT_HALF_LIFE_MS: u64 = 1000;
 
 /// A worker as this entry sees it.
 #[derive(Clone, Debug)]
@@ -273,6 +273,13 @@
             .map_or(0, |workers| workers.free.len())
     }
 
+    /// Returns whether a worker has a free slot, as far as this entry knows.
+    pub fn is_free(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(&key)
+            .is_some_and(|worker| worker.free_index.is_some())
+    }
+
     /// Returns how many requests of this entry run on a worker.
     pub fn own_running_count(&self, key: WorkerKey) -> u32 {
         self.workers.get(&key).map_or(0, |worker| worker.own_count)
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -11,9 +11,15 @@
 //!    team's permit (upper limit) and a place on a worker, and says whether it got both. What is
 //!    returned is to be started at once; call [`UsageView::started`] for it.
 //! 4. An attempt ends: [`UsageView::ended`], and [`WaitQueue::observe_run`] if the task ran.
-//! 5. An attempt that is proved not started may go back: [`WaitQueue::put_back`].
-//! 6. A caller cancels or goes away: [`WaitQueue::cancel`].
-//! 7. The instance list or the lists change: [`WaitQueue::set_pool_largest`].
+//! 5. After that, if [`Placement::is_free`] says that the worker has a free slot left and
+//!    [`WaitQueue::whose_turn`] names a peer, tell that peer the worker and what it runs; the peer
+//!    hands it to [`Placement::report`] and tries step 3 at once.
+//! 6. An attempt that is proved not started may go back: [`WaitQueue::put_back`].
+//! 7. A caller cancels or goes away: [`WaitQueue::cancel`].
+//! 8. The instance list or the lists change: [`WaitQueue::set_pool_largest`].
+//!
+//! [`Placement::is_free`]: crate::policy::placement::Placement::is_free
+//! [`Placement::report`]: crate::policy::placement::Placement::report
 
 use std::collections::HashMap;
 
@@ -24,7 +30,7 @@
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
 use crate::policy::estimate::RunTimes;
-use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
+use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::Waiting;
 use crate::policy::lanes::{LaneKey, Lanes};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
@@ -172,6 +178,21 @@
         None
     }
 
+    /// Returns the peer to tell of a slot in `pool` that an attempt of this entry has freed and that
+    /// this entry leaves free: the one that by gossip has most to take up of its part.
+    pub fn whose_turn(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        view: &UsageView,
+    ) -> Option<PeerKey> {
+        if self.settings.sharing == Sharing::Levels || view.waiting_at_peers_count(pool) == 0 {
+            return None;
+        }
+        self.divide_if_due(now_ms, pool, view);
+        self.divider.whose_turn(pool)
+    }
+
     /// Takes out a request; returns it unless it was started, given up or cancelled before.
     pub fn cancel(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
         self.lanes.remove(now_ms, key)
@@ -335,11 +356,7 @@
         if self.settings.sharing == Sharing::Levels || candidates.is_empty() {
             return;
         }
-        if self.divider.is_due(now_ms, pool) {
-            let own_waiting = self.lanes.waiting_for(pool);
-            self.divider
-                .divide(now_ms, pool, view, &own_waiting, &mut self.rng);
-        }
+        self.divide_if_due(now_ms, pool, view);
         let (lanes, divider) = (&self.lanes, &self.divider);
         let may_start = |candidate: &Candidate| {
             let lane = lanes.get(candidate.1);
@@ -352,6 +369,14 @@
         }
     }
 
+    fn divide_if_due(&mut self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) {
+        if self.divider.is_due(now_ms, pool) {
+            let own_waiting = self.lanes.waiting_for(pool);
+            self.divider
+                .divide(now_ms, pool, view, &own_waiting, &mut self.rng);
+        }
+    }
+
     fn start(&mut self, now_ms: MonoMs, pool: PoolKey, key: RequestKey) -> Option<Waiting> {
         let waiting = self.lanes.start(now_ms, pool, key)?;
         let sample = f64::from(u8::from(waiting.is_urgent));
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -229,8 +229,9 @@
     }
 
     /// Replaces what `peer` reported before by `rows`.
-    pub fn apply_peer_report(&mut self, now_ms: MonoMs, peer: PeerKey, rows: Vec<UsageRow>) {
+    pub fn apply_peer_report(&mut self, now_ms: MonoMs, peer: PeerKey, mut rows: Vec<UsageRow>) {
         self.remove_peer(now_ms, peer);
+        rows.sort_by_key(|row| (row.pool, row.team));
         for row in &rows {
             self.change(now_ms, row.team, row.pool, |usage| {
                 usage.peers = usage.peers.plus(&Load::of_row(row));
@@ -344,6 +345,18 @@
         demand
     }
 
+    /// Returns the rows of `pool` in the last report of each peer.
+    pub(crate) fn peer_rows(
+        &self,
+        pool: PoolKey,
+    ) -> impl Iterator<Item = (PeerKey, &[UsageRow])> + '_ {
+        self.reports.iter().map(move |(peer, (_, rows))| {
+            let start = rows.partition_point(|row| row.pool < pool);
+            let end = rows.partition_point(|row| row.pool <= pool);
+            (*peer, &rows[start..end])
+        })
+    }
+
     fn demand_of(
         &self,
         team: TeamSlot,
