--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod entry;
 mod exit;
+mod experiment;
 mod keys;
 mod lists;
 mod log_access;
@@ -50,6 +51,10 @@
         make: stand_in::make_command,
         execute: stand_in::execute,
     },
+    Subcommand {
+        make: experiment::make_command,
+        execute: experiment::execute,
+    },
     Subcommand {
         make: upkeep_experiment::make_command,
         execute: upkeep_experiment::execute,
--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -7,8 +7,8 @@
     adapters::callers_http::CallersLimits,
     entry::{daemon::EntrySettings, settings::EngineSettings},
     policy::{
-        health::HealthSettings, lane::RetryAfterLimits, queue::QueueSettings, retry::RetrySettings,
-        share::ShareSettings,
+        health::HealthSettings, lane::RetryAfterLimits, retry::RetrySettings,
+        settings::QueueSettings, share::ShareSettings,
     },
     settings::Settings,
     upkeep::{moves::MoveSettings, rollout::RolloutSettings},
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -178,7 +178,6 @@
         pools
             .iter()
             .filter_map(|pool| self.ledger.instances.pool_key(pool))
-            .map(|pool| PoolKey(pool.0))
             .collect()
     }
 
@@ -240,7 +239,7 @@
         };
         request.stage = Stage::Waiting;
         let (waiting, size_max) = (request.waiting.clone(), request.size_max);
-        match self.wait.push(now_ms, waiting, &size_max) {
+        match self.wait.push(now_ms, waiting, &size_max, &self.usage) {
             Ok(()) => {}
             Err(refusal) => {
                 let retry_after_ms = refusal.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
@@ -255,7 +254,7 @@
         for key in self.requests.overdue(now_ms) {
             self.miss_deadline(key);
         }
-        for given_up in self.wait.expire(now_ms) {
+        for given_up in self.wait.expire(now_ms, &self.usage) {
             self.finish_not_run(given_up.key, ErrorKind::GivenUp, given_up.retry_after_ms);
         }
         for key in self.requests.backed_off(now_ms) {
@@ -421,8 +420,7 @@
     }
 
     fn pool_name(&self, pool: PoolKey) -> SmolStr {
-        let key = crate::upkeep::PoolKey(pool.0);
-        let name = self.ledger.instances.pool_name(key);
+        let name = self.ledger.instances.pool_name(pool);
         name.cloned().unwrap_or_default()
     }
 
@@ -768,8 +766,9 @@
                 let pool = self.ledger.instances.pool_key(&row.pool)?;
                 Some(UsageRow {
                     team: self.team_slot(&row.team),
-                    pool: PoolKey(pool.0),
+                    pool,
                     running: row.running,
+                    running_count: row.running_requests,
                     waiting_count: row.waiting_requests,
                 })
             })
@@ -806,6 +805,7 @@
                     .unwrap_or_default(),
                 pool: self.pool_name(row.pool),
                 running: row.running,
+                running_requests: row.running_count,
                 waiting_requests: row.waiting_count,
             })
             .collect();
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -466,6 +466,7 @@
         if self.ledger.seats.live(&self.seat).is_none() || self.is_closing {
             return;
         }
+        self.rank_among_seats();
         let is_stop_pending = self.workers.has_stop_pending();
         if self.lease.is_renewal_due(now_ms, is_stop_pending) {
             let clean_offset = self.clean_offset();
@@ -484,6 +485,16 @@
         self.contact.forget_ended(&self.ledger);
     }
 
+    /// Gives the placement this entry's rank among the live seats, so that each entry begins with
+    /// other workers.
+    fn rank_among_seats(&mut self) {
+        let seats = &self.ledger.seats;
+        let before = seats.iter_live().filter(|(seat, _)| **seat < self.seat);
+        let rank = before.count() as u32;
+        let count = seats.iter_live().count() as u32;
+        self.placement.set_rank(rank, count);
+    }
+
     /// Returns the offset below which every decision of this seat is over.
     ///
     /// An attempt holds it back only while its instance is being stopped or moved.
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -66,6 +66,8 @@
     pub pool: PoolName,
     /// Sum of the sizes running.
     pub running: Resources,
+    /// Requests running.
+    pub running_requests: u32,
     /// Requests waiting.
     pub waiting_requests: u32,
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     policy::{
-        health::HealthSettings, queue::QueueSettings, retry::RetrySettings, share::ShareSettings,
+        health::HealthSettings, retry::RetrySettings, settings::QueueSettings, share::ShareSettings,
     },
     upkeep::{moves::MoveSettings, rollout::RolloutSettings},
 };
