--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod platform_instances;
 mod platform_links;
 mod platform_log;
+mod platform_worker_state;
 mod platform_workers;
 mod policy_health;
 mod policy_retry;
