Wait for all lines of an operator's command under test

Cause of the one failure: the thread that collects an ended command's output could be more than 20 ms behind on a loaded machine, so the builder saw no line. Ruled out: the command (exit code 0 was asserted first).

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -276,9 +276,7 @@
         let mut process = Process::spawn("operator", &[args, &["--log", log]].concat());
         let status = process.wait_for_exit();
         assert!(status.success(), "{args:?}: {status}\n{}", process.log());
-        // The thread that collects the lines may be a moment behind.
-        thread::sleep(Duration::from_millis(20));
-        process.lines()
+        process.all_lines()
     }
 
     /// Sets faults of the stand-in log, such as `{"is_down": true}`.
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, LazyLock, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use attohttpc::Method;
@@ -40,6 +40,7 @@
 pub(crate) struct Process {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    collector: Option<JoinHandle<()>>,
     log_path: PathBuf,
 }
 
@@ -69,7 +70,7 @@
         let stdout = child.stdout.take().expect("the output is piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let collected = Arc::clone(&lines);
-        thread::spawn(move || {
+        let collector = thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 let mut lines = collected.lock().unwrap();
                 if lines.len() < LINES_MAX_COUNT {
@@ -80,6 +81,7 @@
         Self {
             child,
             lines,
+            collector: Some(collector),
             log_path,
         }
     }
@@ -89,6 +91,14 @@
         self.lines.lock().unwrap().clone()
     }
 
+    /// Returns all lines of the standard output of a process that has ended.
+    pub(crate) fn all_lines(&mut self) -> Vec<String> {
+        if let Some(collector) = self.collector.take() {
+            collector.join().expect("the collector does not panic");
+        }
+        self.lines()
+    }
+
     /// Returns what the process wrote to its standard error so far.
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log_path).unwrap_or_default()
