--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use clap::{value_parser, Arg, ArgMatches, Command};
+use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::plot::{plot_overload, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
@@ -52,6 +53,11 @@
             with_common_args(Command::new("overload"))
                 .about("Goodput from half to ten times capacity, bursts and a failing worker"),
         )
+        .subcommand(
+            Command::new("cost")
+                .about("Processor time of the policies' steps over the size of the fleet")
+                .arg(output_arg()),
+        )
 }
 
 fn with_common_args(command: Command) -> Command {
@@ -64,14 +70,7 @@
                 .default_value("1")
                 .help("Seed; the same one gives the same figures"),
         )
-        .arg(
-            Arg::new("output")
-                .long("output")
-                .value_name("FORM")
-                .value_parser(["table", "json"])
-                .default_value("table")
-                .help("Form of the figures"),
-        )
+        .arg(output_arg())
         .arg(
             Arg::new("plot")
                 .long("plot")
@@ -80,11 +79,24 @@
         )
 }
 
+fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .value_name("FORM")
+        .value_parser(["table", "json"])
+        .default_value("table")
+        .help("Form of the figures")
+}
+
 /// Runs the command; the text of an error is for the operator.
 pub(crate) fn execute(args: &ArgMatches) -> Result<(), String> {
     match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
+        Some(("cost", args)) => {
+            let rows = measure_cost(&FLEET_SIZES);
+            print_report(args, &cost_table(&rows), &rows)
+        }
         _ => Err("a subcommand is required".to_owned()),
     }
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments that measure the policies in virtual time: the same cores that the daemons drive,
 //! with modelled entries, workers and callers, at fixed seeds, baseline and candidates in one run.
 
+pub mod cost;
 pub mod demand;
 pub(crate) mod entry;
 pub mod measure;
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -814,7 +814,7 @@
 }
 
 /// A worker as the brief's smaller deployment has it.
-fn worker_facts(pool: usize, index: u32, slots_count: u32) -> WorkerFacts {
+pub(crate) fn worker_facts(pool: usize, index: u32, slots_count: u32) -> WorkerFacts {
     WorkerFacts {
         pool: PoolKey(pool as u16),
         zone: ZoneKey((index % 4) as u16),
