--- a/src/policy/allot.rs
+++ b/src/policy/allot.rs
@@ -1,12 +1,11 @@
 //! Division of a pool's capacity by weighted max-min: every entry computes the same division from
 //! the gossiped demand and takes of each team's part what its own demand is of the team's whole.
 
-use std::collections::HashMap;
-
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
 
 use crate::fleet::MonoMs;
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey};
 use crate::policy::share::{TeamSlot, UsageRow, UsageView};
 
@@ -84,7 +83,7 @@
 /// This entry's part of a pool, team by team, valid until the next gossip round.
 #[derive(Clone, Debug, Default)]
 struct Allotment {
-    own: HashMap<TeamSlot, f64>,
+    own: KeyMap<TeamSlot, f64>,
     /// What each peer has yet to take up of its part.
     owed: IndexMap<PeerKey, f64>,
     /// What is free beyond the parts that other entries have yet to take up.
@@ -178,7 +177,7 @@
 /// The divisions of all pools that this entry starts work in, and how long it has yielded.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Divider {
-    pools: HashMap<PoolKey, Division>,
+    pools: KeyMap<PoolKey, Division>,
 }
 
 #[derive(Clone, Debug)]
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -2,9 +2,8 @@
 //! are, and how fast a lane of waiting requests drains. Declared run times are never used, and
 //! declared sizes only until the first observation, as both can be far off.
 
-use std::collections::HashMap;
-
 use crate::fleet::{MonoMs, Resources};
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::QueueKey;
 use crate::policy::share::TeamSlot;
 
@@ -37,8 +36,8 @@
 /// Observed run times for each team and queue, with the queue's own as the fallback.
 #[derive(Clone, Debug, Default)]
 pub struct RunTimes {
-    by_team: HashMap<(TeamSlot, QueueKey), Smoothed>,
-    by_queue: HashMap<QueueKey, Smoothed>,
+    by_team: KeyMap<(TeamSlot, QueueKey), Smoothed>,
+    by_queue: KeyMap<QueueKey, Smoothed>,
 }
 
 impl RunTimes {
@@ -70,7 +69,7 @@
 /// Observed sizes for each team and queue.
 #[derive(Clone, Debug, Default)]
 pub struct ObservedSizes {
-    by_team: HashMap<(TeamSlot, QueueKey), Resources>,
+    by_team: KeyMap<(TeamSlot, QueueKey), Resources>,
 }
 
 impl ObservedSizes {
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -3,11 +3,10 @@
 //! the workers; and never more than a part of a pool is ejected, so that a fault common to all
 //! does not empty it.
 
-use std::collections::HashMap;
-
 use indexmap::IndexMap;
 
 use crate::fleet::MonoMs;
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, WorkerKey};
 
 /// Work whose failures are compared over workers, for example a hash of team and queue.
@@ -132,7 +131,7 @@
 pub struct Health {
     settings: HealthSettings,
     workers: IndexMap<WorkerKey, Tracked>,
-    pools: HashMap<PoolKey, PoolCounts>,
+    pools: KeyMap<PoolKey, PoolCounts>,
     works: IndexMap<WorkKey, IndexMap<WorkerKey, bool>>,
     suppressed_count: u64,
 }
@@ -149,7 +148,7 @@
         Self {
             settings,
             workers: IndexMap::new(),
-            pools: HashMap::new(),
+            pools: KeyMap::default(),
             works: IndexMap::new(),
             suppressed_count: 0,
         }
--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -1,12 +1,11 @@
 //! All lanes of an entry: where each waiting request is, which lanes have work for a pool, and how
 //! fast the pool drains them.
 
-use std::collections::HashMap;
-
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fleet::MonoMs;
 use crate::policy::estimate::DrainRate;
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::{Lane, Place, PlaceOrder, Waiting};
 use crate::policy::share::{TeamSlot, UsageView};
@@ -20,13 +19,13 @@
     lanes: Vec<Lane>,
     /// Lanes that are empty and that no team and queue refers to any more.
     free: Vec<LaneKey>,
-    lane_of: HashMap<(TeamSlot, QueueKey), LaneKey>,
-    places: HashMap<RequestKey, (LaneKey, PlaceOrder)>,
-    waiting_by_team: HashMap<TeamSlot, usize>,
+    lane_of: KeyMap<(TeamSlot, QueueKey), LaneKey>,
+    places: KeyMap<RequestKey, (LaneKey, PlaceOrder)>,
+    waiting_by_team: KeyMap<TeamSlot, usize>,
     /// Lanes that are not empty, by the pools that may run their work.
     busy: IndexMap<PoolKey, IndexSet<LaneKey>>,
     /// Starts of this entry in each pool while work waits for it.
-    drains: HashMap<PoolKey, DrainRate>,
+    drains: KeyMap<PoolKey, DrainRate>,
 }
 
 impl Lanes {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod allot;
 pub mod estimate;
+pub(crate) mod hash;
 pub mod health;
 pub mod keys;
 pub mod lane;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -4,12 +4,13 @@
 //! large as what the entry runs, so that entries seldom compete for a slot that neither sees. The
 //! cost of a choice does not grow with the number of workers.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
 
 use crate::fleet::{MonoMs, Resources};
+use crate::policy::hash::KeyMap;
 use crate::policy::health::Access;
 use crate::policy::keys::{PoolKey, WorkerKey, ZoneKey};
 
@@ -156,7 +157,7 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     settings: PlacementSettings,
-    workers: HashMap<WorkerKey, Worker>,
+    workers: KeyMap<WorkerKey, Worker>,
     pools: IndexMap<PoolKey, PoolWorkers>,
     /// Workers that others were reported to use, the oldest report first.
     reports: VecDeque<(MonoMs, WorkerKey)>,
@@ -167,7 +168,7 @@
     pub fn new(settings: PlacementSettings) -> Self {
         Self {
             settings,
-            workers: HashMap::new(),
+            workers: KeyMap::default(),
             pools: IndexMap::new(),
             reports: VecDeque::new(),
         }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -21,8 +21,6 @@
 //! [`Placement::is_free`]: crate::policy::placement::Placement::is_free
 //! [`Placement::report`]: crate::policy::placement::Placement::report
 
-use std::collections::HashMap;
-
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -30,6 +28,7 @@
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
 use crate::policy::estimate::RunTimes;
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::Waiting;
 use crate::policy::lanes::{LaneKey, Lanes};
@@ -54,8 +53,8 @@
 pub struct WaitQueue {
     settings: QueueSettings,
     lanes: Lanes,
-    largest_worker: HashMap<PoolKey, Resources>,
-    urgent_part: HashMap<PoolKey, f64>,
+    largest_worker: KeyMap<PoolKey, Resources>,
+    urgent_part: KeyMap<PoolKey, f64>,
     run_times: RunTimes,
     divider: Divider,
     next_expire_ms: MonoMs,
@@ -69,8 +68,8 @@
         Self {
             settings,
             lanes: Lanes::default(),
-            largest_worker: HashMap::new(),
-            urgent_part: HashMap::new(),
+            largest_worker: KeyMap::default(),
+            urgent_part: KeyMap::default(),
             run_times: RunTimes::default(),
             divider: Divider::default(),
             next_expire_ms: 0,
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -2,12 +2,11 @@
 //! the next team: the dominant share of the fleet that the team holds, now and over a recent
 //! window, divided by its weight (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011).
 
-use std::collections::HashMap;
-
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Demand;
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, TeamKey};
 
 /// Team of a request; `None` stands for all work from queues open to all together.
@@ -172,11 +171,11 @@
 #[derive(Clone, Debug)]
 pub struct UsageView {
     settings: ShareSettings,
-    weights: HashMap<TeamKey, u32>,
+    weights: KeyMap<TeamKey, u32>,
     pool_capacity: IndexMap<PoolKey, Load>,
     fleet_capacity: Load,
-    usage: HashMap<UsageKey, Usage>,
-    own_running: HashMap<PoolKey, u64>,
+    usage: KeyMap<UsageKey, Usage>,
+    own_running: KeyMap<PoolKey, u64>,
     running_teams: IndexMap<PoolKey, IndexSet<TeamSlot>>,
     waiting_at_peers: IndexMap<PoolKey, IndexMap<TeamSlot, u32>>,
     reports: IndexMap<PeerKey, (MonoMs, Vec<UsageRow>)>,
@@ -187,11 +186,11 @@
     pub fn new(settings: ShareSettings) -> Self {
         Self {
             settings,
-            weights: HashMap::new(),
+            weights: KeyMap::default(),
             pool_capacity: IndexMap::new(),
             fleet_capacity: Load::default(),
-            usage: HashMap::new(),
-            own_running: HashMap::new(),
+            usage: KeyMap::default(),
+            own_running: KeyMap::default(),
             running_teams: IndexMap::new(),
             waiting_at_peers: IndexMap::new(),
             reports: IndexMap::new(),
