--- a/src/policy/settings.rs
+++ b/src/policy/settings.rs
@@ -47,7 +47,7 @@
             give_up_slack: 1.5,
             spill_after_ms: 20,
             sharing: Sharing::Divided,
-            yield_max_ms: 150,
+            yield_max_ms: 50,
             retry_after: RetryAfterLimits {
                 min_ms: 100,
                 max_ms: 30_000,
