--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -69,6 +69,11 @@
 
 fn rollout_scripts(deployment: &Deployment) -> Vec<(&'static str, Scenario)> {
     let is_large = deployment.name == "large";
+    let midway_ms = if is_large {
+        3 * HOUR_MS / 2
+    } else {
+        15 * MINUTE_MS
+    };
     let healthy = Scenario {
         duration_ms: 36 * HOUR_MS,
         step_ms: if is_large { 5000 } else { 1000 },
@@ -77,11 +82,11 @@
         racks: rack_rule(&deployment.weights),
         ..Scenario::default()
     };
-    let bad = |kind| Scenario {
+    let bad = |kind, from_ms, part_permille| Scenario {
         bad_image: Some(BadImage {
-            from_ms: super::world::EPOCH_MS,
+            from_ms: super::world::EPOCH_MS + from_ms,
             until_ms: super::world::EPOCH_MS + 2 * HOUR_MS,
-            part_permille: 1000,
+            part_permille,
             kind,
         }),
         ..healthy.clone()
@@ -105,8 +110,10 @@
                 ..healthy.clone()
             },
         ),
-        ("bad_no_return", bad(BadKind::NoReturn)),
-        ("bad_on_trial", bad(BadKind::FailsOnTrial)),
+        ("bad_no_return", bad(BadKind::NoReturn, 0, 1000)),
+        ("bad_on_trial", bad(BadKind::FailsOnTrial, 0, 1000)),
+        ("bad_midway", bad(BadKind::FailsOnTrial, midway_ms, 1000)),
+        ("bad_part", bad(BadKind::FailsOnTrial, 0, 300)),
         (
             "driver_lost",
             Scenario {
