Leave room in the budget for instances on trial

Cause: a returned instance freed its place in the budget at once; if the image was bad, the next stops ran while it failed, and the pool went over budget.

--- a/src/upkeep/survey.rs
+++ b/src/upkeep/survey.rs
@@ -56,6 +56,7 @@
     pub(super) fleet: Tally,
     pub(super) pools: Vec<Tally>,
     pub(super) due: Vec<(InstanceKey, Member)>,
+    pub(super) on_trial: Vec<InstanceKey>,
     pub(super) turned_bad: Vec<InstanceKey>,
 }
 
@@ -66,6 +67,7 @@
         fleet: Tally::default(),
         pools: vec![Tally::default(); counts.pools_count()],
         due: Vec::new(),
+        on_trial: Vec::new(),
         turned_bad: Vec::new(),
     };
     for (key, member) in counts.members() {
@@ -73,6 +75,7 @@
         let progress = progress(view, settings, &upkeep, member);
         match progress {
             Progress::Due => survey.due.push((key, member)),
+            Progress::OnTrial => survey.on_trial.push(key),
             Progress::TurnedBad => survey.turned_bad.push(key),
             _ => {}
         }
--- a/src/upkeep/wave.rs
+++ b/src/upkeep/wave.rs
@@ -18,7 +18,8 @@
     claims: Vec<InstanceKey>,
 }
 
-/// Returns at most `max_count` instances to stop now. Instances that went bad before come last.
+/// Returns at most `max_count` instances to stop now. Instances that went bad before come last, and
+/// those on trial count as still stopped, so that the next stops leave room for them to fail.
 pub(super) fn next_wave(
     view: &RolloutView<'_>,
     settings: &RolloutSettings,
@@ -29,11 +30,15 @@
     if max_count == 0 || survey.due.is_empty() {
         return Vec::new();
     }
+    let mut counts = view.budget.counts.clone();
+    for key in &survey.on_trial {
+        counts.change(*key, Standing::Stopped);
+    }
     let is_closed = survey.pools.iter().map(|tally| tally.is_over(settings));
     let mut wave = Wave {
         view,
         weights,
-        counts: view.budget.counts.clone(),
+        counts,
         is_closed: is_closed.collect(),
         claims: Vec::new(),
     };
