Widen a roll-out by 16 for each instance that came back well

Ruled out: more instances at the start, which spoil 8 or 16 for no shorter roll-out. Conclusion: 1 at the start, 16 for each one back well.

--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -32,6 +32,14 @@
     claims_max_count: 64,
 };
 
+/// Ramps tried: name, instances on trial at the start, and for each one that came back well.
+const RAMPS: &[(&str, u32, u32)] = &[
+    ("ramp_1_2", 1, 2),
+    ("ramp_1_4", 1, 4),
+    ("ramp_2_4", 2, 4),
+    ("ramp_4_4", 4, 4),
+];
+
 /// One run of an experiment.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
@@ -154,6 +162,16 @@
         racks,
         ..with_policy(RolloutPolicy::Budgets, ramp)
     };
+    if script == "healthy" || script.starts_with("bad") {
+        for (name, ramp_first_count, ramp_factor) in RAMPS {
+            let settings = RolloutSettings {
+                ramp_first_count: *ramp_first_count,
+                ramp_factor: *ramp_factor,
+                ..ramp
+            };
+            candidates.push((name, with_policy(RolloutPolicy::Budgets, settings)));
+        }
+    }
     if script == "healthy" || script == "rack_loss" {
         candidates.push(("one_rack", with_racks(RackRule::One)));
         candidates.push(("any_rack", with_racks(RackRule::Any)));
--- a/src/upkeep/rollout.rs
+++ b/src/upkeep/rollout.rs
@@ -47,7 +47,7 @@
             bad_min_count: 2,
             bad_max_permille: 100,
             ramp_first_count: 1,
-            ramp_factor: 4,
+            ramp_factor: 16,
             claims_max_count: 64,
         }
     }
