Decide moves from the time gained within a recent and a long window

Cause: with one window of ten minutes the threshold for Lahore's weights was never reached, so idle spare instances stayed idle while work missed its target. Not solved: equal pools go on exchanging instances, as the part of the time for which one more would have had work hardly depends on the size of a pool.

--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -10,7 +10,7 @@
 use crate::lists::MeasureWeights;
 use crate::upkeep::budget::{judge_stop, BudgetView, RackRule};
 use crate::upkeep::buffers::{plan_buffers, BufferView, SurvivedFailure};
-use crate::upkeep::demand::{DemandWindow, PoolState};
+use crate::upkeep::demand::{DemandHistory, PoolState};
 use crate::upkeep::keys::InstanceKey;
 use crate::upkeep::maintenance::InstanceUpkeep;
 use crate::upkeep::moves::{decide_move, MoveSettings, MoveView};
@@ -111,7 +111,7 @@
         .pools
         .iter()
         .map(|spec| PoolState {
-            demand: full_window(settings.samples_count, spec.instances_count),
+            demand: full_history(&settings, spec.instances_count),
             is_spare: spec.is_spare,
             move_ms: 1,
             moved_at_unix_ms: None,
@@ -137,12 +137,12 @@
     per_round_ns(ROUNDS_COUNT as usize, round) / 1000
 }
 
-fn full_window(samples_count: u32, instances_count: u32) -> DemandWindow {
-    let mut window = DemandWindow::new(samples_count as usize);
-    for sample in 0..samples_count {
-        window.push(instances_count * 2 * sample);
+fn full_history(settings: &MoveSettings, instances_count: u32) -> DemandHistory {
+    let mut history = settings.new_history();
+    for sample in 0..settings.long_samples_count * settings.long_every_count {
+        history.push(instances_count * 2 * (sample % settings.recent_samples_count));
     }
-    window
+    history
 }
 
 fn per_round_ns(rounds_count: usize, mut round: impl FnMut(usize)) -> u64 {
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -7,7 +7,7 @@
 use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
 use super::world::{Record, World, EPOCH_MS};
 use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
-use crate::upkeep::demand::{DemandWindow, PoolState};
+use crate::upkeep::demand::PoolState;
 use crate::upkeep::drive::driver;
 use crate::upkeep::keys::{InstanceKey, PoolKey};
 use crate::upkeep::maintenance::{next_step, StopObservation, StopStage, StopStep};
@@ -50,9 +50,8 @@
 
 /// Runs `scenario` on `deployment`.
 pub fn run(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Figures {
-    let samples_count = scenario.move_settings.samples_count as usize;
     let pools = deployment.pools.iter().map(|spec| PoolState {
-        demand: DemandWindow::new(samples_count),
+        demand: scenario.move_settings.new_history(),
         is_spare: spec.is_spare,
         move_ms: MOVE_MS,
         moved_at_unix_ms: None,
--- a/src/upkeep/demand.rs
+++ b/src/upkeep/demand.rs
@@ -50,9 +50,9 @@
         self.samples.push_back(busy_instances_milli);
     }
 
-    /// Returns whether the window holds enough samples to decide on.
-    pub fn is_full(&self) -> bool {
-        self.samples.len() >= self.samples_max_count
+    /// Returns the number of samples.
+    pub fn samples_count(&self) -> usize {
+        self.samples.len()
     }
 
     /// Returns the part of the time, in thousandths, for which one more instance than
@@ -89,11 +89,48 @@
     }
 }
 
+/// Demand of one pool over a recent and a long window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DemandHistory {
+    /// Every sample of the last minutes.
+    pub recent: DemandWindow,
+    /// Some of the samples of the last hours.
+    pub long: DemandWindow,
+    long_every_count: u32,
+    skipped_count: u32,
+}
+
+impl DemandHistory {
+    /// Returns an empty history that keeps one of `long_every_count` samples for the long window.
+    pub fn new(
+        recent_samples_count: usize,
+        long_samples_count: usize,
+        long_every_count: u32,
+    ) -> Self {
+        Self {
+            recent: DemandWindow::new(recent_samples_count),
+            long: DemandWindow::new(long_samples_count),
+            long_every_count,
+            skipped_count: 0,
+        }
+    }
+
+    /// Adds a sample.
+    pub fn push(&mut self, busy_instances_milli: u32) {
+        self.recent.push(busy_instances_milli);
+        self.skipped_count += 1;
+        if self.skipped_count >= self.long_every_count {
+            self.skipped_count = 0;
+            self.long.push(busy_instances_milli);
+        }
+    }
+}
+
 /// What is known of one pool.
 #[derive(Clone, Debug)]
 pub struct PoolState {
-    /// Demand over the window.
-    pub demand: DemandWindow,
+    /// Demand as it was observed.
+    pub demand: DemandHistory,
     /// Whether the pool holds spare instances and runs no work.
     pub is_spare: bool,
     /// Time that an instance of the pool was seen to take to drain and to come back, in
--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -1,19 +1,21 @@
 //! Moves of instances between pools: when to move one, and when to wait out a burst.
 //!
 //! A move takes an instance out of work for the length of a drain and a reboot, which is longer
-//! than a burst. So it is decided from a window of several such lengths: the part of the window for
-//! which the receiver would have kept one more instance busy, less the part for which the donor
-//! kept its last one busy. What is symmetric, such as bursts that go round by turns, cancels out.
-//! The gain must beat the part of the window that the move itself costs, scaled by the weights of
-//! moves and of nearness to share. After a move the opposite one has the negative gain, so a move
-//! is only undone once demand has changed by twice the threshold.
+//! than a burst. So it is decided from windows of several such lengths: the time for which the
+//! receiver would have kept one more instance busy, less the time for which the donor kept its last
+//! one busy. What is symmetric, such as bursts that go round by turns, cancels out. The gain within
+//! a window must beat the time that the move itself costs, scaled by the weights of moves and of
+//! nearness to share: the rule for renting or buying skis, which loses at most as much by waiting
+//! as the move costs. A recent window forgets an old pattern of demand soon; a long one sees small
+//! gains that last, and decides only while the recent one does not speak against it. Right after a
+//! move the opposite one has the negative gain, so it is not undone before demand has changed.
 
 use serde::{Deserialize, Serialize};
 
 use super::budget::{can_release, BudgetView, PERMILLE_WHOLE};
 use super::buffers::BufferPlan;
 use super::counts::{is_planned_stop, Member};
-use super::demand::PoolState;
+use super::demand::{DemandHistory, DemandWindow, PoolState};
 use super::drain::DrainEvidence;
 use super::keys::{InstanceKey, PoolKey};
 use crate::fleet::UnixMs;
@@ -25,14 +27,16 @@
 pub struct MoveSettings {
     /// Interval of the samples of demand, in milliseconds.
     pub sample_interval_ms: u64,
-    /// Samples in the window.
-    pub samples_count: u32,
+    /// Samples in the recent window.
+    pub recent_samples_count: u32,
+    /// Samples in the long window.
+    pub long_samples_count: u32,
+    /// Samples of which the long window keeps one.
+    pub long_every_count: u32,
     /// Time for which a pool rests after it gave or got an instance, in milliseconds.
     pub cool_down_ms: u64,
     /// Moves in the whole fleet within an hour.
     pub moves_max_per_hour_count: u32,
-    /// Least gain for which an instance is moved, in thousandths, whatever the weights.
-    pub gain_min_permille: u32,
     /// Worth of a spare instance that the buffer needs, in thousandths of the time of a busy one.
     pub buffer_worth_permille: u32,
 }
@@ -41,19 +45,50 @@
     fn default() -> Self {
         Self {
             sample_interval_ms: 1000,
-            samples_count: 600,
+            recent_samples_count: 600,
+            long_samples_count: 1000,
+            long_every_count: 7,
             cool_down_ms: 120_000,
             moves_max_per_hour_count: 60,
-            gain_min_permille: 50,
             buffer_worth_permille: 500,
         }
     }
 }
 
 impl MoveSettings {
-    /// Returns the length of the window in milliseconds.
-    pub fn window_ms(&self) -> u64 {
-        self.sample_interval_ms * u64::from(self.samples_count)
+    /// Returns an empty history of demand with the windows of these settings.
+    pub fn new_history(&self) -> DemandHistory {
+        DemandHistory::new(
+            self.recent_samples_count as usize,
+            self.long_samples_count as usize,
+            self.long_every_count,
+        )
+    }
+}
+
+/// Window that a gain is taken over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Horizon {
+    Recent,
+    Long,
+}
+
+impl Horizon {
+    fn window(self, history: &DemandHistory) -> &DemandWindow {
+        match self {
+            Self::Recent => &history.recent,
+            Self::Long => &history.long,
+        }
+    }
+
+    /// Returns the time that the samples of the window span so far, in milliseconds.
+    fn span_ms(self, history: &DemandHistory, settings: &MoveSettings) -> u64 {
+        let every_count = match self {
+            Self::Recent => 1,
+            Self::Long => u64::from(settings.long_every_count),
+        };
+        let samples_count = self.window(history).samples_count() as u64;
+        samples_count * every_count * settings.sample_interval_ms
     }
 }
 
@@ -74,7 +109,18 @@
 
 /// What a move is for.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumIter,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
@@ -98,8 +144,8 @@
     pub to: PoolKey,
     /// What it is for.
     pub reason: MoveReason,
-    /// Gain in thousandths of the time of an instance.
-    pub gain_permille: u32,
+    /// Time of an instance that the windows say the move would have gained, in milliseconds.
+    pub gain_ms: u64,
 }
 
 /// Why nothing is moved now.
@@ -122,7 +168,7 @@
     from: PoolKey,
     to: PoolKey,
     reason: MoveReason,
-    gain_permille: i64,
+    gain_ms: i64,
 }
 
 /// Returns the move to claim now, or why there is none. At most one is under way for each pool.
@@ -138,11 +184,11 @@
     if candidates.is_empty() {
         return Err(NoMove::NoNeed);
     }
-    candidates.retain(|candidate| is_worth_it(view, settings, weights, candidate));
+    candidates.retain(|candidate| is_worth_it(view, weights, candidate));
     if candidates.is_empty() {
         return Err(NoMove::WaitingOutBurst);
     }
-    candidates.sort_by_key(|candidate| (candidate.reason as u8, -candidate.gain_permille));
+    candidates.sort_by_key(|candidate| (candidate.reason, -candidate.gain_ms));
     candidates
         .into_iter()
         .find_map(|candidate| propose(view, candidate))
@@ -156,22 +202,23 @@
 
 fn candidates(view: &MoveView<'_>, settings: &MoveSettings) -> Vec<Candidate> {
     let keys = || (0u16..).map(PoolKey).take(view.pools.len());
+    let free: Vec<PoolKey> = keys()
+        .filter(|pool| is_free(view, settings, *pool))
+        .collect();
     let mut found = Vec::new();
-    for to in keys().filter(|to| is_free(view, settings, *to)) {
-        let Some((reason, worth)) = worth_to_receiver(view, settings, to) else {
+    for to in &free {
+        let Some(reason) = reason_to_give(view, *to) else {
             continue;
         };
-        for from in keys().filter(|from| *from != to && is_free(view, settings, *from)) {
-            let Some(loss) = loss_to_donor(view, settings, from, reason) else {
-                continue;
-            };
-            let gain_permille = i64::from(worth) - i64::from(loss);
-            if gain_permille > 0 {
+        let donors = free.iter().filter(|from| *from != to);
+        for from in donors.filter(|from| can_give(view, **from)) {
+            let gain_ms = gain_ms(view, settings, *from, *to, reason);
+            if reason == MoveReason::Refill || gain_ms > 0 {
                 found.push(Candidate {
-                    from,
-                    to,
+                    from: *from,
+                    to: *to,
                     reason,
-                    gain_permille,
+                    gain_ms,
                 });
             }
         }
@@ -188,57 +235,93 @@
     !state.is_moving && !rests
 }
 
-fn worth_to_receiver(
+fn reason_to_give(view: &MoveView<'_>, to: PoolKey) -> Option<MoveReason> {
+    let state = &view.pools[to.index()];
+    let count = lasting_count(view, to);
+    match state.is_spare {
+        true if count < view.buffers.spare_count => Some(MoveReason::Buffer),
+        true => None,
+        false if count < floor(view, to) => Some(MoveReason::Refill),
+        false => Some(MoveReason::Demand),
+    }
+}
+
+fn can_give(view: &MoveView<'_>, from: PoolKey) -> bool {
+    let count = lasting_count(view, from);
+    count > floor(view, from) && count > 0
+}
+
+/// Returns the gain of the move: that of the recent window, or that of the long one where the
+/// recent one does not speak against it.
+fn gain_ms(
     view: &MoveView<'_>,
     settings: &MoveSettings,
-    pool: PoolKey,
-) -> Option<(MoveReason, u32)> {
-    let state = &view.pools[pool.index()];
-    let available_count = available_count(view, pool);
+    from: PoolKey,
+    to: PoolKey,
+    reason: MoveReason,
+) -> i64 {
+    let gain = |horizon: Horizon| {
+        let worth = worth_permille(view, settings, to, horizon);
+        let loss = loss_permille(view, settings, from, horizon, reason);
+        let permille = i64::from(worth) - i64::from(loss);
+        let working = [from, to].into_iter().map(|pool| &view.pools[pool.index()]);
+        let span_ms = working
+            .filter(|state| !state.is_spare)
+            .map(|state| horizon.span_ms(&state.demand, settings))
+            .min()
+            .and_then(|span_ms| i64::try_from(span_ms).ok());
+        permille * span_ms.unwrap_or_default() / i64::from(PERMILLE_WHOLE as u32)
+    };
+    let recent_ms = gain(Horizon::Recent);
+    match gain(Horizon::Long) {
+        long_ms if recent_ms >= 0 => recent_ms.max(long_ms),
+        _ => recent_ms,
+    }
+}
+
+fn worth_permille(
+    view: &MoveView<'_>,
+    settings: &MoveSettings,
+    to: PoolKey,
+    horizon: Horizon,
+) -> u32 {
+    let state = &view.pools[to.index()];
     match state.is_spare {
-        true if available_count < view.buffers.spare_count => {
-            Some((MoveReason::Buffer, settings.buffer_worth_permille))
-        }
-        true => None,
-        false if available_count + planned_count(view, pool) < floor(view, pool) => {
-            Some((MoveReason::Refill, PERMILLE_WHOLE as u32))
-        }
-        false if !state.demand.is_full() => None,
+        true => settings.buffer_worth_permille,
         false => {
-            let worth = state.demand.marginal_worth_permille(available_count);
-            (worth > 0).then_some((MoveReason::Demand, worth))
+            let window = horizon.window(&state.demand);
+            window.marginal_worth_permille(lasting_count(view, to))
         }
     }
 }
 
-/// Returns what the donor loses, or `None` if it needs every instance that it has.
-fn loss_to_donor(
+fn loss_permille(
     view: &MoveView<'_>,
     settings: &MoveSettings,
-    pool: PoolKey,
+    from: PoolKey,
+    horizon: Horizon,
     reason: MoveReason,
-) -> Option<u32> {
-    let state = &view.pools[pool.index()];
-    let available_count = available_count(view, pool);
+) -> u32 {
+    let state = &view.pools[from.index()];
+    let count = lasting_count(view, from);
     match state.is_spare {
-        _ if available_count == 0 => None,
-        true if reason == MoveReason::Refill => Some(0),
-        true if available_count <= view.buffers.spare_count => Some(settings.buffer_worth_permille),
-        true => Some(0),
-        false if available_count <= floor(view, pool) => None,
-        false if !state.demand.is_full() => None,
-        false => Some(state.demand.marginal_worth_permille(available_count - 1)),
+        true if reason == MoveReason::Refill => 0,
+        true if count <= view.buffers.spare_count => settings.buffer_worth_permille,
+        true => 0,
+        false => {
+            let window = horizon.window(&state.demand);
+            window.marginal_worth_permille(count.saturating_sub(1))
+        }
     }
 }
 
-fn available_count(view: &MoveView<'_>, pool: PoolKey) -> u32 {
+/// Returns the instances that the pool has to count on: those available, and those under a planned
+/// stop, which come back by themselves.
+fn lasting_count(view: &MoveView<'_>, pool: PoolKey) -> u32 {
     let counts = view.budget.counts.pool(pool);
-    counts.map_or(0, |counts| counts.total.available_count)
-}
-
-fn planned_count(view: &MoveView<'_>, pool: PoolKey) -> u32 {
-    let counts = view.budget.counts.pool(pool);
-    counts.map_or(0, |counts| counts.total.planned_count)
+    counts.map_or(0, |counts| {
+        counts.total.available_count + counts.total.planned_count
+    })
 }
 
 fn floor(view: &MoveView<'_>, pool: PoolKey) -> u32 {
@@ -248,36 +331,24 @@
 
 /// Returns whether the gain beats the cost of the move. A refill always does: without it the next
 /// failure breaches a budget.
-fn is_worth_it(
-    view: &MoveView<'_>,
-    settings: &MoveSettings,
-    weights: &MeasureWeights,
-    candidate: &Candidate,
-) -> bool {
-    let move_ms = view.pools[candidate.from.index()].move_ms;
-    let threshold = gain_threshold_permille(settings, weights, move_ms);
+fn is_worth_it(view: &MoveView<'_>, weights: &MeasureWeights, candidate: &Candidate) -> bool {
+    let cost_ms = cost_ms(view.pools[candidate.from.index()].move_ms, weights);
+    let gain_ms = u64::try_from(candidate.gain_ms).unwrap_or_default();
     match candidate.reason {
         MoveReason::Refill => true,
-        MoveReason::Demand | MoveReason::Buffer => candidate.gain_permille >= i64::from(threshold),
+        MoveReason::Demand | MoveReason::Buffer => gain_ms >= cost_ms,
     }
 }
 
-/// Returns the least gain, in thousandths, for which an instance is moved: the part of the window
-/// that the move takes, times the weight of moves over that of nearness to share.
-pub fn gain_threshold_permille(
-    settings: &MoveSettings,
-    weights: &MeasureWeights,
-    move_ms: u64,
-) -> u32 {
-    let cost = move_ms * PERMILLE_WHOLE * u64::from(weights.moves);
-    let worth = settings.window_ms() * u64::from(weights.share_nearness);
-    let threshold = match worth {
-        0 => PERMILLE_WHOLE,
-        worth => cost / worth,
-    };
-    u32::try_from(threshold.min(PERMILLE_WHOLE))
-        .unwrap_or(u32::MAX)
-        .max(settings.gain_min_permille)
+/// Returns the gain that a move of `move_ms` must reach: its length, times the weight of moves over
+/// that of nearness to share, and its length at least.
+pub fn cost_ms(move_ms: u64, weights: &MeasureWeights) -> u64 {
+    let share_nearness = u64::from(weights.share_nearness);
+    let weighted = move_ms.saturating_mul(u64::from(weights.moves));
+    match share_nearness {
+        0 => u64::MAX,
+        weight => (weighted / weight).max(move_ms),
+    }
 }
 
 /// Picks the instance: one that the budgets let go, from the zone where the receiver has fewest and
@@ -305,6 +376,6 @@
         from: candidate.from,
         to: candidate.to,
         reason: candidate.reason,
-        gain_permille: u32::try_from(candidate.gain_permille).unwrap_or_default(),
+        gain_ms: u64::try_from(candidate.gain_ms).unwrap_or_default(),
     })
 }
