Move an instance for late work only, and judge anew after each move

Cause: the part of the time with work for one more instance is the same for pools of very different size when demand comes in bursts, so small differences moved instances for ever and piled 20 of them up in one pool. Ruled out: a higher threshold, which leaves the spare instances idle as before.

--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -10,7 +10,7 @@
 use crate::lists::MeasureWeights;
 use crate::upkeep::budget::{judge_stop, BudgetView, RackRule};
 use crate::upkeep::buffers::{plan_buffers, BufferView, SurvivedFailure};
-use crate::upkeep::demand::{DemandHistory, PoolState};
+use crate::upkeep::demand::{DemandHistory, DemandSample, PoolState};
 use crate::upkeep::keys::InstanceKey;
 use crate::upkeep::maintenance::InstanceUpkeep;
 use crate::upkeep::moves::{decide_move, MoveSettings, MoveView};
@@ -140,7 +140,10 @@
 fn full_history(settings: &MoveSettings, instances_count: u32) -> DemandHistory {
     let mut history = settings.new_history();
     for sample in 0..settings.long_samples_count * settings.long_every_count {
-        history.push(instances_count * 2 * (sample % settings.recent_samples_count));
+        history.push(DemandSample {
+            busy_instances_milli: instances_count * 2 * (sample % settings.recent_samples_count),
+            is_late: sample % 2 == 0,
+        });
     }
     history
 }
--- a/src/load/upkeep_model/demand.rs
+++ b/src/load/upkeep_model/demand.rs
@@ -129,6 +129,13 @@
         queues.any(|queue| queue.pool == pool && !queue.backlog.is_empty())
     }
 
+    /// Returns whether work waits for the pool that has used up half of the time to start.
+    pub fn is_late(&self, pool: usize, at_ms: u64) -> bool {
+        let queue = self.queues.iter().find(|queue| queue.pool == pool);
+        let oldest = queue.and_then(|queue| queue.backlog.front());
+        oldest.is_some_and(|(arrived_ms, _)| at_ms - arrived_ms >= START_TARGET_MS / 2)
+    }
+
     fn arriving_milli(&mut self, index: usize, at_ms: u64) -> u64 {
         let queues_count = self.queues.len() as u64;
         let queue = &self.queues[index];
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -7,7 +7,7 @@
 use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
 use super::world::{Record, World, EPOCH_MS};
 use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
-use crate::upkeep::demand::PoolState;
+use crate::upkeep::demand::{DemandSample, PoolState};
 use crate::upkeep::drive::driver;
 use crate::upkeep::keys::{InstanceKey, PoolKey};
 use crate::upkeep::maintenance::{next_step, StopObservation, StopStage, StopStep};
@@ -165,7 +165,10 @@
         self.demand.step(at_ms, self.scenario.step_ms, &available);
         for pool in 0..self.pools.len() {
             let milli = self.demand.demand_milli(pool);
-            self.pools[pool].demand.push(milli);
+            self.pools[pool].demand.push(DemandSample {
+                busy_instances_milli: milli,
+                is_late: self.demand.is_late(pool, at_ms),
+            });
             let recent = &mut self.recent[pool];
             recent.push(milli);
             if recent.len() > RECENT_SAMPLES_COUNT {
@@ -262,7 +265,10 @@
             let mut moves = self.world.moves.values();
             let state = &mut self.pools[pool];
             state.is_moving = moves.any(|move_| move_.from == key || move_.to == key);
-            state.moved_at_unix_ms = self.world.moved_at_ms[pool];
+            if state.moved_at_unix_ms != self.world.moved_at_ms[pool] {
+                state.moved_at_unix_ms = self.world.moved_at_ms[pool];
+                state.demand.restart_recent();
+            }
         }
         let buffers = self.plan();
         let hour_ago_ms = self.world.now_ms.saturating_sub(HOUR_MS);
--- a/src/upkeep/demand.rs
+++ b/src/upkeep/demand.rs
@@ -26,10 +26,19 @@
     }
 }
 
-/// The latest samples of one pool's demand, each in thousandths of an instance.
+/// One sample of a pool's demand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemandSample {
+    /// Instances that the running and waiting work keeps busy, in thousandths of an instance.
+    pub busy_instances_milli: u32,
+    /// Whether work waits that has missed the time to start, or used up half of it.
+    pub is_late: bool,
+}
+
+/// The latest samples of one pool's demand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DemandWindow {
-    samples: VecDeque<u32>,
+    samples: VecDeque<DemandSample>,
     samples_max_count: usize,
 }
 
@@ -43,11 +52,11 @@
     }
 
     /// Adds a sample and drops the oldest one once the window is full.
-    pub fn push(&mut self, busy_instances_milli: u32) {
+    pub fn push(&mut self, sample: DemandSample) {
         if self.samples.len() >= self.samples_max_count {
             self.samples.pop_front();
         }
-        self.samples.push_back(busy_instances_milli);
+        self.samples.push_back(sample);
     }
 
     /// Returns the number of samples.
@@ -55,22 +64,34 @@
         self.samples.len()
     }
 
-    /// Returns the part of the time, in thousandths, for which one more instance than
-    /// `instances_count` would have had work. It is the marginal worth of an instance: the value of
-    /// the next one, and, asked with one less, the loss of the last one.
-    pub fn marginal_worth_permille(&self, instances_count: u32) -> u32 {
-        let threshold_milli = u64::from(instances_count) * PERMILLE_WHOLE;
-        let is_above = |sample: &&u32| u64::from(**sample) > threshold_milli;
-        let above_count = self.samples.iter().filter(is_above).count() as u64;
+    /// Returns the part of the time, in thousandths, for which work was late and would have kept
+    /// one more instance than `instances_count` busy: the worth of another instance.
+    pub fn late_permille(&self, instances_count: u32) -> u32 {
+        self.part_permille(|sample| sample.is_late && is_above(sample, instances_count))
+    }
+
+    /// Returns the part of the time, in thousandths, for which more than `instances_count` were
+    /// busy: the loss of the last one, if asked with one less than there are.
+    pub fn busy_permille(&self, instances_count: u32) -> u32 {
+        self.part_permille(|sample| is_above(sample, instances_count))
+    }
+
+    fn part_permille(&self, is_counted: impl Fn(&DemandSample) -> bool) -> u32 {
+        let counted = self.samples.iter().filter(|sample| is_counted(sample));
+        let counted_count = counted.count() as u64;
         match self.samples.len() as u64 {
             0 => 0,
-            all_count => u32::try_from(above_count * PERMILLE_WHOLE / all_count).unwrap_or(1000),
+            all_count => u32::try_from(counted_count * PERMILLE_WHOLE / all_count).unwrap_or(1000),
         }
     }
 
     /// Returns the mean demand in thousandths of an instance.
     pub fn mean_milli(&self) -> u32 {
-        let sum: u64 = self.samples.iter().map(|sample| u64::from(*sample)).sum();
+        let busy = self
+            .samples
+            .iter()
+            .map(|sample| sample.busy_instances_milli);
+        let sum: u64 = busy.map(u64::from).sum();
         match self.samples.len() as u64 {
             0 => 0,
             count => u32::try_from(sum / count).unwrap_or(u32::MAX),
@@ -80,7 +101,11 @@
     /// Returns the demand in thousandths of an instance that `part_permille` of the samples do not
     /// exceed.
     pub fn quantile_milli(&self, part_permille: u32) -> u32 {
-        let mut sorted: Vec<u32> = self.samples.iter().copied().collect();
+        let busy = self
+            .samples
+            .iter()
+            .map(|sample| sample.busy_instances_milli);
+        let mut sorted: Vec<u32> = busy.collect();
         sorted.sort_unstable();
         let rank = sorted.len() as u64 * u64::from(part_permille) / PERMILLE_WHOLE;
         let last = sorted.len().saturating_sub(1);
@@ -89,6 +114,10 @@
     }
 }
 
+fn is_above(sample: &DemandSample, instances_count: u32) -> bool {
+    u64::from(sample.busy_instances_milli) > u64::from(instances_count) * PERMILLE_WHOLE
+}
+
 /// Demand of one pool over a recent and a long window.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DemandHistory {
@@ -116,14 +145,20 @@
     }
 
     /// Adds a sample.
-    pub fn push(&mut self, busy_instances_milli: u32) {
-        self.recent.push(busy_instances_milli);
+    pub fn push(&mut self, sample: DemandSample) {
+        self.recent.push(sample);
         self.skipped_count += 1;
         if self.skipped_count >= self.long_every_count {
             self.skipped_count = 0;
-            self.long.push(busy_instances_milli);
+            self.long.push(sample);
         }
     }
+
+    /// Forgets the recent window: the pool has changed its size, and what it was late for before
+    /// no longer tells whether it is late now.
+    pub fn restart_recent(&mut self) {
+        self.recent = DemandWindow::new(self.recent.samples_max_count);
+    }
 }
 
 /// What is known of one pool.
--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -2,9 +2,9 @@
 //!
 //! A move takes an instance out of work for the length of a drain and a reboot, which is longer
 //! than a burst. So it is decided from windows of several such lengths: the time for which the
-//! receiver would have kept one more instance busy, less the time for which the donor kept its last
-//! one busy. What is symmetric, such as bursts that go round by turns, cancels out. The gain within
-//! a window must beat the time that the move itself costs, scaled by the weights of moves and of
+//! receiver was late with work for one more instance, less the time for which the donor kept its
+//! last one busy. Pools that are only busy by turns gain nothing from each other. The gain within a
+//! window must beat the time that the move itself costs, scaled by the weights of moves and of
 //! nearness to share: the rule for renting or buying skis, which loses at most as much by waiting
 //! as the move costs. A recent window forgets an old pattern of demand soon; a long one sees small
 //! gains that last, and decides only while the recent one does not speak against it. Right after a
@@ -239,13 +239,19 @@
     let state = &view.pools[to.index()];
     let count = lasting_count(view, to);
     match state.is_spare {
-        true if count < view.buffers.spare_count => Some(MoveReason::Buffer),
+        true if count < low_spare_count(view.buffers.spare_count) => Some(MoveReason::Buffer),
         true => None,
         false if count < floor(view, to) => Some(MoveReason::Refill),
         false => Some(MoveReason::Demand),
     }
 }
 
+/// Returns the spare instances below which the spare pool asks for more; the distance to what the
+/// buffer needs keeps an instance from going back and forth.
+fn low_spare_count(spare_count: u32) -> u32 {
+    spare_count - spare_count / 4
+}
+
 fn can_give(view: &MoveView<'_>, from: PoolKey) -> bool {
     let count = lasting_count(view, from);
     count > floor(view, from) && count > 0
@@ -274,7 +280,7 @@
     };
     let recent_ms = gain(Horizon::Recent);
     match gain(Horizon::Long) {
-        long_ms if recent_ms >= 0 => recent_ms.max(long_ms),
+        long_ms if recent_ms > 0 => recent_ms.max(long_ms),
         _ => recent_ms,
     }
 }
@@ -290,7 +296,7 @@
         true => settings.buffer_worth_permille,
         false => {
             let window = horizon.window(&state.demand);
-            window.marginal_worth_permille(lasting_count(view, to))
+            window.late_permille(lasting_count(view, to))
         }
     }
 }
@@ -310,7 +316,7 @@
         true => 0,
         false => {
             let window = horizon.window(&state.demand);
-            window.marginal_worth_permille(count.saturating_sub(1))
+            window.busy_permille(count.saturating_sub(1))
         }
     }
 }
