--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -347,13 +347,12 @@
 }
 
 /// Returns the gain that a move of `move_ms` must reach: its length, times the weight of moves over
-/// that of nearness to share, and its length at least.
+/// that of nearness to share.
 pub fn cost_ms(move_ms: u64, weights: &MeasureWeights) -> u64 {
-    let share_nearness = u64::from(weights.share_nearness);
     let weighted = move_ms.saturating_mul(u64::from(weights.moves));
-    match share_nearness {
+    match u64::from(weights.share_nearness) {
         0 => u64::MAX,
-        weight => (weighted / weight).max(move_ms),
+        weight => weighted / weight,
     }
 }
 
