--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -142,7 +142,7 @@
     for sample in 0..settings.long_samples_count * settings.long_every_count {
         history.push(DemandSample {
             busy_instances_milli: instances_count * 2 * (sample % settings.recent_samples_count),
-            is_late: sample % 2 == 0,
+            waited_permille: sample % 1000,
         });
     }
     history
--- a/src/load/upkeep_model/demand.rs
+++ b/src/load/upkeep_model/demand.rs
@@ -129,11 +129,13 @@
         queues.any(|queue| queue.pool == pool && !queue.backlog.is_empty())
     }
 
-    /// Returns whether work waits for the pool that has used up half of the time to start.
-    pub fn is_late(&self, pool: usize, at_ms: u64) -> bool {
+    /// Returns the part of its time to start that the oldest work of the pool has waited, in
+    /// thousandths.
+    pub fn waited_permille(&self, pool: usize, at_ms: u64) -> u32 {
         let queue = self.queues.iter().find(|queue| queue.pool == pool);
         let oldest = queue.and_then(|queue| queue.backlog.front());
-        oldest.is_some_and(|(arrived_ms, _)| at_ms - arrived_ms >= START_TARGET_MS / 2)
+        let waited_ms = oldest.map_or(0, |(arrived_ms, _)| at_ms - arrived_ms);
+        u32::try_from(waited_ms * 1000 / START_TARGET_MS).unwrap_or(u32::MAX)
     }
 
     fn arriving_milli(&mut self, index: usize, at_ms: u64) -> u64 {
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -167,7 +167,7 @@
             let milli = self.demand.demand_milli(pool);
             self.pools[pool].demand.push(DemandSample {
                 busy_instances_milli: milli,
-                is_late: self.demand.is_late(pool, at_ms),
+                waited_permille: self.demand.waited_permille(pool, at_ms),
             });
             let recent = &mut self.recent[pool];
             recent.push(milli);
--- a/src/upkeep/demand.rs
+++ b/src/upkeep/demand.rs
@@ -6,6 +6,15 @@
 use super::budget::PERMILLE_WHOLE;
 use crate::fleet::UnixMs;
 
+/// Part of its time to start, in thousandths, from which waiting work counts as late: what is left
+/// is needed to place and start it.
+const LATE_WAIT_PERMILLE: u32 = 500;
+
+/// Part of its time to start, in thousandths, from which waiting work would be late if the pool had
+/// an instance less. The distance to [`LATE_WAIT_PERMILLE`] keeps instances from going back and
+/// forth.
+const CLOSE_WAIT_PERMILLE: u32 = 250;
+
 /// Work of a pool at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ObservedWork {
@@ -31,8 +40,8 @@
 pub struct DemandSample {
     /// Instances that the running and waiting work keeps busy, in thousandths of an instance.
     pub busy_instances_milli: u32,
-    /// Whether work waits that has missed the time to start, or used up half of it.
-    pub is_late: bool,
+    /// Part of its time to start that the longest waiting work has used up, in thousandths.
+    pub waited_permille: u32,
 }
 
 /// The latest samples of one pool's demand.
@@ -66,14 +75,19 @@
 
     /// Returns the part of the time, in thousandths, for which work was late and would have kept
     /// one more instance than `instances_count` busy: the worth of another instance.
-    pub fn late_permille(&self, instances_count: u32) -> u32 {
-        self.part_permille(|sample| sample.is_late && is_above(sample, instances_count))
+    pub fn worth_permille(&self, instances_count: u32) -> u32 {
+        self.part_permille(|sample| {
+            sample.waited_permille >= LATE_WAIT_PERMILLE && is_above(sample, instances_count)
+        })
     }
 
-    /// Returns the part of the time, in thousandths, for which more than `instances_count` were
-    /// busy: the loss of the last one, if asked with one less than there are.
-    pub fn busy_permille(&self, instances_count: u32) -> u32 {
-        self.part_permille(|sample| is_above(sample, instances_count))
+    /// Returns the part of the time, in thousandths, for which work could have become late with one
+    /// instance less than `instances_count`: the loss of one of them.
+    pub fn loss_permille(&self, instances_count: u32) -> u32 {
+        let left_count = instances_count.saturating_sub(1);
+        self.part_permille(|sample| {
+            sample.waited_permille >= CLOSE_WAIT_PERMILLE && is_above(sample, left_count)
+        })
     }
 
     fn part_permille(&self, is_counted: impl Fn(&DemandSample) -> bool) -> u32 {
--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -2,9 +2,9 @@
 //!
 //! A move takes an instance out of work for the length of a drain and a reboot, which is longer
 //! than a burst. So it is decided from windows of several such lengths: the time for which the
-//! receiver was late with work for one more instance, less the time for which the donor kept its
-//! last one busy. Pools that are only busy by turns gain nothing from each other. The gain within a
-//! window must beat the time that the move itself costs, scaled by the weights of moves and of
+//! receiver was late with work for one more instance, less the time for which the donor would have
+//! been late with one less. Bursts that queues and second pools absorb in time count on neither
+//! side. The gain within a window must beat the time that the move itself costs, scaled by the weights of moves and of
 //! nearness to share: the rule for renting or buying skis, which loses at most as much by waiting
 //! as the move costs. A recent window forgets an old pattern of demand soon; a long one sees small
 //! gains that last, and decides only while the recent one does not speak against it. Right after a
@@ -188,7 +188,10 @@
     if candidates.is_empty() {
         return Err(NoMove::WaitingOutBurst);
     }
-    candidates.sort_by_key(|candidate| (candidate.reason, -candidate.gain_ms));
+    candidates.sort_by_key(|candidate| {
+        let is_spare = view.pools[candidate.from.index()].is_spare;
+        (candidate.reason, -candidate.gain_ms, !is_spare)
+    });
     candidates
         .into_iter()
         .find_map(|candidate| propose(view, candidate))
@@ -296,7 +299,7 @@
         true => settings.buffer_worth_permille,
         false => {
             let window = horizon.window(&state.demand);
-            window.late_permille(lasting_count(view, to))
+            window.worth_permille(lasting_count(view, to))
         }
     }
 }
@@ -316,7 +319,7 @@
         true => 0,
         false => {
             let window = horizon.window(&state.demand);
-            window.busy_permille(count.saturating_sub(1))
+            window.loss_permille(count)
         }
     }
 }
