--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -32,6 +32,14 @@
     claims_max_count: 64,
 };
 
+/// Ramps tried: name, instances on trial at the start, and for each one that came back well.
+const RAMPS: &[(&str, u32, u32)] = &[
+    ("ramp_1_2", 1, 2),
+    ("ramp_1_4", 1, 4),
+    ("ramp_2_4", 2, 4),
+    ("ramp_4_4", 4, 4),
+];
+
 /// One run of an experiment.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
@@ -69,6 +77,11 @@
 
 fn rollout_scripts(deployment: &Deployment) -> Vec<(&'static str, Scenario)> {
     let is_large = deployment.name == "large";
+    let midway_ms = if is_large {
+        3 * HOUR_MS / 2
+    } else {
+        15 * MINUTE_MS
+    };
     let healthy = Scenario {
         duration_ms: 36 * HOUR_MS,
         step_ms: if is_large { 5000 } else { 1000 },
@@ -77,11 +90,11 @@
         racks: rack_rule(&deployment.weights),
         ..Scenario::default()
     };
-    let bad = |kind| Scenario {
+    let bad = |kind, from_ms, part_permille| Scenario {
         bad_image: Some(BadImage {
-            from_ms: super::world::EPOCH_MS,
+            from_ms: super::world::EPOCH_MS + from_ms,
             until_ms: super::world::EPOCH_MS + 2 * HOUR_MS,
-            part_permille: 1000,
+            part_permille,
             kind,
         }),
         ..healthy.clone()
@@ -105,8 +118,10 @@
                 ..healthy.clone()
             },
         ),
-        ("bad_no_return", bad(BadKind::NoReturn)),
-        ("bad_on_trial", bad(BadKind::FailsOnTrial)),
+        ("bad_no_return", bad(BadKind::NoReturn, 0, 1000)),
+        ("bad_on_trial", bad(BadKind::FailsOnTrial, 0, 1000)),
+        ("bad_midway", bad(BadKind::FailsOnTrial, midway_ms, 1000)),
+        ("bad_part", bad(BadKind::FailsOnTrial, 0, 300)),
         (
             "driver_lost",
             Scenario {
@@ -147,6 +162,16 @@
         racks,
         ..with_policy(RolloutPolicy::Budgets, ramp)
     };
+    if script == "healthy" || script.starts_with("bad") {
+        for (name, ramp_first_count, ramp_factor) in RAMPS {
+            let settings = RolloutSettings {
+                ramp_first_count: *ramp_first_count,
+                ramp_factor: *ramp_factor,
+                ..ramp
+            };
+            candidates.push((name, with_policy(RolloutPolicy::Budgets, settings)));
+        }
+    }
     if script == "healthy" || script == "rack_loss" {
         candidates.push(("one_rack", with_racks(RackRule::One)));
         candidates.push(("any_rack", with_racks(RackRule::Any)));
--- a/src/upkeep/demand.rs
+++ b/src/upkeep/demand.rs
@@ -6,6 +6,15 @@
 use super::budget::PERMILLE_WHOLE;
 use crate::fleet::UnixMs;
 
+/// Part of its time to start, in thousandths, from which waiting work counts as late: what is left
+/// is needed to place and start it.
+const LATE_WAIT_PERMILLE: u32 = 500;
+
+/// Part of its time to start, in thousandths, from which waiting work would be late if the pool had
+/// an instance less. The distance to [`LATE_WAIT_PERMILLE`] keeps instances from going back and
+/// forth.
+const CLOSE_WAIT_PERMILLE: u32 = 250;
+
 /// Work of a pool at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ObservedWork {
@@ -26,10 +35,19 @@
     }
 }
 
-/// The latest samples of one pool's demand, each in thousandths of an instance.
+/// One sample of a pool's demand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemandSample {
+    /// Instances that the running and waiting work keeps busy, in thousandths of an instance.
+    pub busy_instances_milli: u32,
+    /// Part of its time to start that the longest waiting work has used up, in thousandths.
+    pub waited_permille: u32,
+}
+
+/// The latest samples of one pool's demand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DemandWindow {
-    samples: VecDeque<u32>,
+    samples: VecDeque<DemandSample>,
     samples_max_count: usize,
 }
 
@@ -43,34 +61,51 @@
     }
 
     /// Adds a sample and drops the oldest one once the window is full.
-    pub fn push(&mut self, busy_instances_milli: u32) {
+    pub fn push(&mut self, sample: DemandSample) {
         if self.samples.len() >= self.samples_max_count {
             self.samples.pop_front();
         }
-        self.samples.push_back(busy_instances_milli);
+        self.samples.push_back(sample);
+    }
+
+    /// Returns the number of samples.
+    pub fn samples_count(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Returns the part of the time, in thousandths, for which work was late and would have kept
+    /// one more instance than `instances_count` busy: the worth of another instance.
+    pub fn worth_permille(&self, instances_count: u32) -> u32 {
+        self.part_permille(|sample| {
+            sample.waited_permille >= LATE_WAIT_PERMILLE && is_above(sample, instances_count)
+        })
     }
 
-    /// Returns whether the window holds enough samples to decide on.
-    pub fn is_full(&self) -> bool {
-        self.samples.len() >= self.samples_max_count
+    /// Returns the part of the time, in thousandths, for which work could have become late with one
+    /// instance less than `instances_count`: the loss of one of them.
+    pub fn loss_permille(&self, instances_count: u32) -> u32 {
+        let left_count = instances_count.saturating_sub(1);
+        self.part_permille(|sample| {
+            sample.waited_permille >= CLOSE_WAIT_PERMILLE && is_above(sample, left_count)
+        })
     }
 
-    /// Returns the part of the time, in thousandths, for which one more instance than
-    /// `instances_count` would have had work. It is the marginal worth of an instance: the value of
-    /// the next one, and, asked with one less, the loss of the last one.
-    pub fn marginal_worth_permille(&self, instances_count: u32) -> u32 {
-        let threshold_milli = u64::from(instances_count) * PERMILLE_WHOLE;
-        let is_above = |sample: &&u32| u64::from(**sample) > threshold_milli;
-        let above_count = self.samples.iter().filter(is_above).count() as u64;
+    fn part_permille(&self, is_counted: impl Fn(&DemandSample) -> bool) -> u32 {
+        let counted = self.samples.iter().filter(|sample| is_counted(sample));
+        let counted_count = counted.count() as u64;
         match self.samples.len() as u64 {
             0 => 0,
-            all_count => u32::try_from(above_count * PERMILLE_WHOLE / all_count).unwrap_or(1000),
+            all_count => u32::try_from(counted_count * PERMILLE_WHOLE / all_count).unwrap_or(1000),
         }
     }
 
     /// Returns the mean demand in thousandths of an instance.
     pub fn mean_milli(&self) -> u32 {
-        let sum: u64 = self.samples.iter().map(|sample| u64::from(*sample)).sum();
+        let busy = self
+            .samples
+            .iter()
+            .map(|sample| sample.busy_instances_milli);
+        let sum: u64 = busy.map(u64::from).sum();
         match self.samples.len() as u64 {
             0 => 0,
             count => u32::try_from(sum / count).unwrap_or(u32::MAX),
@@ -80,7 +115,11 @@
     /// Returns the demand in thousandths of an instance that `part_permille` of the samples do not
     /// exceed.
     pub fn quantile_milli(&self, part_permille: u32) -> u32 {
-        let mut sorted: Vec<u32> = self.samples.iter().copied().collect();
+        let busy = self
+            .samples
+            .iter()
+            .map(|sample| sample.busy_instances_milli);
+        let mut sorted: Vec<u32> = busy.collect();
         sorted.sort_unstable();
         let rank = sorted.len() as u64 * u64::from(part_permille) / PERMILLE_WHOLE;
         let last = sorted.len().saturating_sub(1);
@@ -89,11 +128,58 @@
     }
 }
 
+fn is_above(sample: &DemandSample, instances_count: u32) -> bool {
+    u64::from(sample.busy_instances_milli) > u64::from(instances_count) * PERMILLE_WHOLE
+}
+
+/// Demand of one pool over a recent and a long window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DemandHistory {
+    /// Every sample of the last minutes.
+    pub recent: DemandWindow,
+    /// Some of the samples of the last hours.
+    pub long: DemandWindow,
+    long_every_count: u32,
+    skipped_count: u32,
+}
+
+impl DemandHistory {
+    /// Returns an empty history that keeps one of `long_every_count` samples for the long window.
+    pub fn new(
+        recent_samples_count: usize,
+        long_samples_count: usize,
+        long_every_count: u32,
+    ) -> Self {
+        Self {
+            recent: DemandWindow::new(recent_samples_count),
+            long: DemandWindow::new(long_samples_count),
+            long_every_count,
+            skipped_count: 0,
+        }
+    }
+
+    /// Adds a sample.
+    pub fn push(&mut self, sample: DemandSample) {
+        self.recent.push(sample);
+        self.skipped_count += 1;
+        if self.skipped_count >= self.long_every_count {
+            self.skipped_count = 0;
+            self.long.push(sample);
+        }
+    }
+
+    /// Forgets the recent window: the pool has changed its size, and what it was late for before
+    /// no longer tells whether it is late now.
+    pub fn restart_recent(&mut self) {
+        self.recent = DemandWindow::new(self.recent.samples_max_count);
+    }
+}
+
 /// What is known of one pool.
 #[derive(Clone, Debug)]
 pub struct PoolState {
-    /// Demand over the window.
-    pub demand: DemandWindow,
+    /// Demand as it was observed.
+    pub demand: DemandHistory,
     /// Whether the pool holds spare instances and runs no work.
     pub is_spare: bool,
     /// Time that an instance of the pool was seen to take to drain and to come back, in
