--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -26,6 +26,9 @@
 /// Time between two publications of status and metrics.
 const PUBLISH: Duration = Duration::from_millis(100);
 
+/// Time between two renewals of what peers are told.
+const GOSSIP: Duration = Duration::from_millis(50);
+
 /// Events and calls taken in one turn at most, so that ticks are not put off for long.
 const TURN_MAX_COUNT: usize = 512;
 
@@ -36,6 +39,7 @@
     replies: Replies,
     ticked: Instant,
     published: Instant,
+    gossiped: Instant,
 }
 
 impl<P: Platform> CoreLoop<P> {
@@ -49,6 +53,7 @@
             replies: Replies::new(),
             ticked: now,
             published: now,
+            gossiped: now,
         }
     }
 
@@ -136,7 +141,6 @@
     }
 
     fn step(&mut self, event: Event) {
-        let is_gossip_due = matches!(event, Event::Tick | Event::Withdraw { .. });
         let is_withdrawal = matches!(event, Event::Withdraw { .. });
         let actions = self.engine.step(self.shared.now(), event);
         for action in actions {
@@ -150,7 +154,8 @@
             .is_serving
             .store(self.engine.is_serving(), Ordering::Release);
         // A withdrawal is acknowledged only after peers would hear of it.
-        if is_withdrawal || is_gossip_due {
+        if is_withdrawal || self.gossiped.elapsed() >= GOSSIP {
+            self.gossiped = Instant::now();
             self.publish_gossip();
         }
     }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -783,15 +783,31 @@
             let load = loads.entry(attempt.pool_name.clone()).or_default();
             load.running_requests += 1;
         }
-        for row in self.wait.report_rows(&self.usage) {
-            if row.waiting_count > 0 {
-                let load = loads.entry(self.pool_name(row.pool)).or_default();
-                load.waiting_requests += row.waiting_count;
-            }
+        let waiting = self.requests.iter().map(|(_, request)| request);
+        for request in waiting.filter(|request| request.is_waiting()) {
+            let Some(pool) = request.waiting.pools.first() else {
+                continue;
+            };
+            let load = loads.entry(self.pool_name(*pool)).or_default();
+            load.waiting_requests += 1;
+            load.waited_permille = load.waited_permille.max(self.waited_permille(request));
         }
         loads
     }
 
+    /// Returns the part of its time to start that a request has waited, in thousandths.
+    fn waited_permille(&self, request: &Request) -> u32 {
+        let waiting = &request.waiting;
+        let waited_ms = self.now.mono_ms.saturating_sub(waiting.enqueued_ms);
+        let plan = self.ledger.lists.plan_of(&request.team);
+        let start_ms = match plan.filter(|_| waiting.is_urgent) {
+            Some(plan) => plan.start_target_ms,
+            None => waiting.deadline_ms.saturating_sub(waiting.enqueued_ms),
+        };
+        let permille = waited_ms * 1_000 / start_ms.max(1);
+        permille.min(1_000) as u32
+    }
+
     /// Returns what to tell peers now.
     pub fn gossip(&self) -> Gossip {
         let usage = self
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -44,6 +44,8 @@
     pub running_requests: u32,
     /// Requests waiting with this pool as the preferred one.
     pub waiting_requests: u32,
+    /// Part of its time to start that the longest waiting request has used up, in thousandths.
+    pub waited_permille: u32,
 }
 
 /// What one entry wants of a team's upper limit.
--- a/src/entry/roll_out.rs
+++ b/src/entry/roll_out.rs
@@ -11,7 +11,7 @@
     ledger::{InstanceEntry, SeatChange, StopWhy},
     upkeep::{
         buffers::{plan_buffers, BufferView, SurvivedFailure},
-        demand::{DemandWindow, ObservedWork, PoolState},
+        demand::{DemandHistory, DemandSample, ObservedWork, PoolState},
         maintenance::{InstanceUpkeep, StopClaim, StopStage},
         moves::{decide_move, MoveView},
         rollout::{propose, Rollout, RolloutAction, RolloutView},
@@ -32,7 +32,7 @@
 pub(crate) struct Observed {
     decided_ms: MonoMs,
     sampled_ms: MonoMs,
-    demand: HashMap<PoolName, DemandWindow>,
+    demand: HashMap<PoolName, DemandHistory>,
 }
 
 impl Engine {
@@ -64,12 +64,25 @@
                 waiting_count: load.waiting_requests,
                 size_instance_permille: self.size_permille(&pool),
             };
-            let samples_count = settings.samples_count as usize;
             self.observed
                 .demand
                 .entry(pool)
-                .or_insert_with(|| DemandWindow::new(samples_count))
-                .push(work.busy_instances_milli());
+                .or_insert_with(|| settings.new_history())
+                .push(DemandSample {
+                    busy_instances_milli: work.busy_instances_milli(),
+                    waited_permille: load.waited_permille,
+                });
+        }
+    }
+
+    /// Forgets the recent demand of the pools that an accepted release changes the size of.
+    pub(crate) fn restart_demand(&mut self, name: &str, to_pool: &PoolName) {
+        let from_pool = self.ledger.instances.get(name);
+        let from_pool = from_pool.map(|entry| entry.row.pool.clone());
+        for pool in from_pool.iter().chain([to_pool]) {
+            if let Some(history) = self.observed.demand.get_mut(pool) {
+                history.restart_recent();
+            }
         }
     }
 
@@ -84,6 +97,7 @@
             let sum = loads.entry(pool.clone()).or_default();
             sum.running_requests += load.running_requests;
             sum.waiting_requests += load.waiting_requests;
+            sum.waited_permille = sum.waited_permille.max(load.waited_permille);
         }
         loads
     }
@@ -195,7 +209,7 @@
             instance = name,
             to_pool = to_pool,
             reason = proposal.reason,
-            gain_permille = proposal.gain_permille
+            gain_ms = proposal.gain_ms
         );
         let change = SeatChange::PoolRelease {
             name: name.clone(),
@@ -223,8 +237,8 @@
             .pools()
             .map(|pool| PoolState {
                 demand: match self.observed.demand.get(pool) {
-                    Some(window) => window.clone(),
-                    None => DemandWindow::new(self.settings.moves.samples_count as usize),
+                    Some(history) => history.clone(),
+                    None => self.settings.moves.new_history(),
                 },
                 is_spare: is_spare(pool),
                 move_ms: MOVE_MS,
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -181,6 +181,11 @@
             _ => return,
         };
         self.drain_worker(change, verdict);
+        if let (SeatChange::PoolRelease { name, to_pool, .. }, Verdict::Accepted) =
+            (change, verdict)
+        {
+            self.restart_demand(name, to_pool);
+        }
         self.upkeep.judged_count += 1;
         // The next step need not wait for the last one to be due again.
         self.upkeep.acted_ms.remove(name);
--- a/src/settings/numbers.rs
+++ b/src/settings/numbers.rs
@@ -135,10 +135,10 @@
     number("share_window_ms", 1_000, 50..=60_000, |s| {
         &mut s.share_window_ms
     }),
-    number("move_wait_ms", 30_000, 100..=86_400_000, |s| {
+    number("move_wait_ms", 600_000, 100..=86_400_000, |s| {
         &mut s.move_wait_ms
     }),
-    number("move_rest_ms", 300_000, 100..=86_400_000, |s| {
+    number("move_rest_ms", 600_000, 100..=86_400_000, |s| {
         &mut s.move_rest_ms
     }),
     number("reboot_max_ms", 300_000, 100..=86_400_000, |s| {
