--- /dev/null
+++ b/tests/testsuite/peers.rs
@@ -0,0 +1,210 @@
+//! Calls between entries, and the operators' port: a silent or broken other side costs one call.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+
+use hawthornladder::adapters::operators_http::{OperatorAnswer, OperatorCall, OperatorsServer};
+use hawthornladder::adapters::peers_rpc::{
+    Gossip, PeerAnswer, PeerCall, PeerClient, PeersServer, TailAsk, WithdrawAtPeer,
+};
+use hawthornladder::error::ErrorKind;
+use hawthornladder::ports::{LogPage, LogRecord, PortError};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use serde_json::json;
+
+use crate::support::{connect, exchange, fixed_runner, is_closed_within, wait_until, SOON};
+
+const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+const TIMEOUT_MS: u64 = 200;
+
+fn answer(call: PeerCall) -> PeerAnswer {
+    match call {
+        PeerCall::Gossip(gossip) => PeerAnswer::Gossip(gossip),
+        PeerCall::Tail(ask) => PeerAnswer::Tail(LogPage {
+            records: vec![LogRecord {
+                offset: ask.from_offset,
+                at_unix_ms: 1,
+                payload: "record".into(),
+            }],
+            head_offset: ask.from_offset + 1,
+            oldest_offset: 0,
+        }),
+        PeerCall::WithdrawKey(_) => PeerAnswer::Ordered { was_known: true },
+        PeerCall::Status => PeerAnswer::Status(json!({ "version": 3 })),
+        _ => PeerAnswer::Failed {
+            kind: ErrorKind::EntryNotReady,
+        },
+    }
+}
+
+fn open_pair() -> (PeersServer, PeerClient) {
+    let server = PeersServer::bind(SocketAddr::from(LOOPBACK), Arc::new(answer)).expect("a port");
+    let client = PeerClient::open(&server.address().to_string(), 2_000).expect("a client");
+    (server, client)
+}
+
+#[test]
+fn typed_calls_come_back_typed() {
+    let (_server, client) = open_pair();
+    let gossip = Gossip {
+        from: "entry-2".into(),
+        sequence: 4,
+        body: json!({ "running": [["tram", 3]] }),
+    };
+    let echoed = client.call(&PeerCall::Gossip(gossip.clone()));
+    assert_eq!(echoed, Ok(PeerAnswer::Gossip(gossip)));
+    let ask = TailAsk {
+        from_offset: 7,
+        records_max_count: 1,
+        wait_ms: 0,
+    };
+    match client.call(&PeerCall::Tail(ask)) {
+        Ok(PeerAnswer::Tail(page)) => assert_eq!(page.records[0].offset, 7),
+        other => panic!("no page came, but {other:?}"),
+    }
+    let withdraw = PeerCall::WithdrawKey(WithdrawAtPeer {
+        digest: "ab".into(),
+    });
+    let ordered = PeerAnswer::Ordered { was_known: true };
+    assert_eq!(client.call(&withdraw), Ok(ordered));
+    let status = PeerAnswer::Status(json!({ "version": 3 }));
+    assert_eq!(client.call(&PeerCall::Status), Ok(status));
+}
+
+#[test]
+fn a_closed_port_is_known_as_not_sent() {
+    let listener = TcpListener::bind(SocketAddr::from(LOOPBACK)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let client = PeerClient::open(&address.to_string(), TIMEOUT_MS).expect("a client");
+    let result = client.call(&PeerCall::Status);
+    assert!(matches!(result, Err(PortError::NotSent(_))), "{result:?}");
+}
+
+#[test]
+fn a_silent_peer_costs_one_timeout_and_the_next_call_a_fresh_connection() {
+    let listener = TcpListener::bind(SocketAddr::from(LOOPBACK)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let accepted_count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&accepted_count);
+    thread::spawn(move || {
+        let mut silent = Vec::new();
+        for stream in listener.incoming() {
+            counted.fetch_add(1, Ordering::SeqCst);
+            silent.push(stream);
+        }
+    });
+    let client = PeerClient::open(&address.to_string(), TIMEOUT_MS).expect("a client");
+    for calls_count in 1..=2 {
+        let start = Instant::now();
+        let result = client.call(&PeerCall::Status);
+        assert!(
+            matches!(result, Err(PortError::AnswerLost(_))),
+            "{result:?}"
+        );
+        assert!(start.elapsed() < SOON);
+        assert_eq!(accepted_count.load(Ordering::SeqCst), calls_count);
+    }
+}
+
+#[test]
+fn calls_that_wait_for_a_peer_are_bounded() {
+    let listener = TcpListener::bind(SocketAddr::from(LOOPBACK)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let client = PeerClient::open(&address.to_string(), 1_000).expect("a client");
+    let not_sent_count = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..12 {
+            scope.spawn(|| {
+                if let Err(PortError::NotSent(_)) = client.call(&PeerCall::Status) {
+                    not_sent_count.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    assert_eq!(not_sent_count.load(Ordering::SeqCst), 4);
+}
+
+#[test]
+fn malformed_calls_leave_the_peers_port_serving() {
+    let (server, client) = open_pair();
+    let bodies = prop_oneof![
+        "[ -~]{0,80}",
+        Just(r#"{"jsonrpc":"2.0","id":1,"method":"tail","params":[{"from_offset":-1}]}"#.into()),
+        Just(r#"{"jsonrpc":"2.0","id":1,"method":"status","params":[[],[]]}"#.into()),
+        Just(r#"[{"jsonrpc":"2.0","id":1,"method":"status"}]"#.into()),
+        Just(format!("{}1", "[".repeat(5_000))),
+    ];
+    let mut runner = fixed_runner(100, 3);
+    let outcome = runner.run(&(bodies, vec(any::<u8>(), 0..60)), |(body, raw)| {
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n",
+            body.len()
+        );
+        let mut stream = connect(server.address());
+        stream
+            .write_all(&[head.as_bytes(), body.as_bytes()].concat())
+            .unwrap();
+        prop_assert!(is_closed_within(&mut stream, SOON));
+        let mut stream = connect(server.address());
+        let _ = stream.write_all(&raw);
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        prop_assert!(is_closed_within(&mut stream, SOON));
+        Ok(())
+    });
+    outcome.expect("no violation");
+    assert!(client.call(&PeerCall::Status).is_ok());
+}
+
+#[test]
+fn silent_connections_at_the_peers_port_are_bounded() {
+    let (server, _client) = open_pair();
+    let silent: Vec<TcpStream> = (0..80).map(|_| connect(server.address())).collect();
+    assert!(wait_until(|| server.connections_count() == 64));
+    drop(silent);
+    assert!(wait_until(|| server.connections_count() == 0));
+}
+
+#[test]
+fn operators_calls_are_routed_typed_and_malformed_ones_refused() {
+    let handler = |call: OperatorCall| match call {
+        OperatorCall::Ready => OperatorAnswer::Text {
+            status: 200,
+            content_type: "text/plain",
+            body: "ready\n".into(),
+        },
+        OperatorCall::WithdrawKey(order) => OperatorAnswer::Json {
+            status: 200,
+            body: json!({ "withdrawn": order.digest }),
+        },
+        call => OperatorAnswer::Json {
+            status: 200,
+            body: json!(format!("{call:?}")),
+        },
+    };
+    let server = OperatorsServer::bind(SocketAddr::from(LOOPBACK), Arc::new(handler)).unwrap();
+    let send = |line: &str, body: &str| {
+        let length = body.len();
+        let head = format!("{line} HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+        exchange(server.address(), head.as_bytes()).expect("an answer")
+    };
+    assert_eq!(send("GET /ready", "").status, 200);
+    let withdrawn = send("POST /v1/keys/withdraw", r#"{"digest":"ab"}"#);
+    assert_eq!(withdrawn.json()["withdrawn"], "ab");
+    let explained = send("POST /v1/explain", r#"{"what":"stop","instance":"w1"}"#);
+    assert!(explained.json().as_str().unwrap().contains("Stop"));
+    let mut runner = fixed_runner(60, 4);
+    let outcome = runner.run(&"[ -~]{0,60}", |body| {
+        let reply = send("POST /v1/explain", &body);
+        prop_assert_eq!(reply.status, ErrorKind::MalformedRequest.answer().status);
+        Ok(())
+    });
+    outcome.expect("no violation");
+    assert_eq!(send("GET /nothing", "").status, 400);
+}
--- /dev/null
+++ b/tests/testsuite/support.rs
@@ -0,0 +1,107 @@
+//! What several topics share: raw HTTP exchanges and property runs from fixed seeds.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Bound on anything that ought to happen at once.
+pub(crate) const SOON: Duration = Duration::from_secs(5);
+
+/// One response, read whole.
+#[derive(Debug)]
+pub(crate) struct HttpReply {
+    pub(crate) status: u16,
+    head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl HttpReply {
+    /// Returns the value of a header, if it was sent.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let pairs = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = pairs.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        values.next().map(|(_, value)| value.trim())
+    }
+
+    /// Returns the body as JSON.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+}
+
+/// Opens a connection whose reads give up after [`SOON`].
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(SOON)).expect("a timeout");
+    stream.set_write_timeout(Some(SOON)).expect("a timeout");
+    stream
+}
+
+/// Reads one response with a content length; none if the connection ended first.
+pub(crate) fn read_reply(stream: &mut TcpStream) -> Option<HttpReply> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let head = String::from_utf8(head).expect("an ASCII head");
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut reply = HttpReply {
+        status,
+        head,
+        body: Vec::new(),
+    };
+    let length = reply.header("content-length").unwrap_or("0").parse().ok()?;
+    reply.body.resize(length, 0);
+    stream.read_exact(&mut reply.body).ok()?;
+    Some(reply)
+}
+
+/// Sends `bytes` on a new connection and reads one response.
+pub(crate) fn exchange(address: SocketAddr, bytes: &[u8]) -> Option<HttpReply> {
+    let mut stream = connect(address);
+    // A server that has refused the request may close before it has read all of it.
+    let _ = stream.write_all(bytes);
+    read_reply(&mut stream)
+}
+
+/// Returns whether the other side closes the connection within `within`.
+pub(crate) fn is_closed_within(stream: &mut TcpStream, within: Duration) -> bool {
+    stream.set_read_timeout(Some(within)).expect("a timeout");
+    let mut rest = [0; 4_096];
+    loop {
+        match stream.read(&mut rest) {
+            Ok(0) => return true,
+            Ok(_) => (),
+            Err(error) => return error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+/// Waits up to [`SOON`] until `is_met`; returns whether it was.
+pub(crate) fn wait_until(is_met: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + SOON;
+    while Instant::now() < end {
+        if is_met() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    is_met()
+}
+
+/// Returns a runner of `cases_count` cases from a fixed seed.
+pub(crate) fn fixed_runner(cases_count: u32, seed: u8) -> TestRunner {
+    let config = Config {
+        cases: cases_count,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    TestRunner::new_with_rng(config, rng)
+}
