--- /dev/null
+++ b/src/config_files.rs
@@ -0,0 +1,208 @@
+//! The check of any set of configuration files: what each file is, by its content, and every fault in
+//! and between them.
+
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use crate::findings::{settle, Checked, Finding};
+use crate::fleet_file::{self, FleetFile};
+use crate::jsonc::Document;
+use crate::lists::{checks, cross, decode, Entitlements, Lists, Plans};
+use crate::settings::{self, Settings};
+
+/// One configuration file.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigSource<'a> {
+    /// Name of the file, used in findings.
+    pub file: &'a str,
+    /// Text of the file.
+    pub text: &'a str,
+}
+
+/// The kinds of configuration files.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, strum::Display, strum::EnumIter)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ConfigKind {
+    /// The list of what customers bought.
+    Plans,
+    /// The list of what each plan may use.
+    Entitlements,
+    /// The description of a fleet and its demand, for stand-ins and load runs.
+    Fleet,
+    /// The settings of one entry process.
+    Settings,
+}
+
+impl ConfigKind {
+    /// Returns the names of the outermost fields.
+    fn field_names(self) -> Vec<&'static str> {
+        match self {
+            Self::Plans => decode::PLANS_FIELDS.to_vec(),
+            Self::Entitlements => decode::ENTITLEMENTS_FIELDS.to_vec(),
+            Self::Fleet => fleet_file::FIELDS.to_vec(),
+            Self::Settings => settings::field_names().collect(),
+        }
+    }
+}
+
+/// What a set of configuration files holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigFiles {
+    /// The `plans` list, if its file was named.
+    pub plans: Option<Plans>,
+    /// The `entitlements` list, if its file was named.
+    pub entitlements: Option<Entitlements>,
+    /// The fleet, if its file was named.
+    pub fleet: Option<FleetFile>,
+    /// The settings of every entry whose file was named.
+    pub settings: Vec<Settings>,
+}
+
+impl ConfigFiles {
+    /// Returns both lists, if both files were named.
+    pub fn lists(&self) -> Option<Lists> {
+        Some(Lists {
+            plans: self.plans.clone()?,
+            entitlements: self.entitlements.clone()?,
+        })
+    }
+}
+
+/// Tells what each file is, checks each, and checks them against each other.
+///
+/// # Errors
+///
+/// All findings of all files, if one of them is an error.
+pub fn check(sources: &[ConfigSource<'_>]) -> Checked<ConfigFiles> {
+    let documents: Vec<Document<'_>> = sources
+        .iter()
+        .map(|source| Document::parse(source.file, source.text))
+        .collect();
+    let mut read = ReadFiles::default();
+    let mut findings = Vec::new();
+    for document in documents.iter().filter(|document| document.is_parsed()) {
+        findings.extend(read.add(document));
+    }
+    read.check_together();
+    let files = read.into_files();
+    findings.extend(documents.into_iter().flat_map(Document::into_findings));
+    settle(Some(files), findings)
+}
+
+/// Tells what a file is by its content; `None` if it cannot be parsed or is of no known kind.
+pub fn kind_of(source: &ConfigSource<'_>) -> Option<ConfigKind> {
+    recognise(&Document::parse(source.file, source.text))
+}
+
+/// A file as it was parsed, and what was read out of it.
+type ReadFile<'d, T> = (&'d Document<'d>, T);
+
+/// The files read so far.
+#[derive(Default)]
+struct ReadFiles<'d> {
+    plans: Option<ReadFile<'d, Plans>>,
+    entitlements: Option<ReadFile<'d, Entitlements>>,
+    fleet: Option<ReadFile<'d, FleetFile>>,
+    settings: Vec<ReadFile<'d, Settings>>,
+}
+
+impl<'d> ReadFiles<'d> {
+    /// Reads one file by its kind; the finding is about the file as a whole.
+    fn add(&mut self, document: &'d Document<'d>) -> Option<Finding> {
+        let Some(kind) = recognise(document) else {
+            return Some(Finding::of_file(
+                document.file(),
+                "the file is no list, no fleet and no settings",
+                "write the fields of one of these, as in `examples/`",
+            ));
+        };
+        let first = match kind {
+            ConfigKind::Plans => add_once(&mut self.plans, document, read_plans),
+            ConfigKind::Entitlements => {
+                add_once(&mut self.entitlements, document, read_entitlements)
+            }
+            ConfigKind::Fleet => add_once(&mut self.fleet, document, fleet_file::read),
+            ConfigKind::Settings => {
+                let settings = settings::read(document);
+                self.settings.extend(settings.map(|read| (document, read)));
+                None
+            }
+        };
+        first.map(|first| {
+            Finding::of_file(
+                document.file(),
+                &format!("`{}` is the {kind} file already", first.file()),
+                "name one file of this kind",
+            )
+        })
+    }
+
+    /// Checks the files against each other, as far as they are there.
+    fn check_together(&self) {
+        if let (Some((plans_in, plans)), Some((entitlements_in, entitlements))) =
+            (&self.plans, &self.entitlements)
+        {
+            let lists = Lists {
+                plans: plans.clone(),
+                entitlements: entitlements.clone(),
+            };
+            cross::check_both(plans_in, entitlements_in, &lists);
+            if let Some((fleet_in, fleet)) = &self.fleet {
+                fleet_file::check_with_lists(fleet_in, plans_in, fleet, &lists);
+            }
+        }
+        if let Some((fleet_in, fleet)) = &self.fleet {
+            for (settings_in, settings) in &self.settings {
+                settings::check_with_fleet(settings_in, fleet_in, settings, fleet);
+            }
+        }
+    }
+
+    fn into_files(self) -> ConfigFiles {
+        ConfigFiles {
+            plans: self.plans.map(|(_, plans)| plans),
+            entitlements: self.entitlements.map(|(_, entitlements)| entitlements),
+            fleet: self.fleet.map(|(_, fleet)| fleet),
+            settings: self.settings.into_iter().map(|(_, read)| read).collect(),
+        }
+    }
+}
+
+/// Reads a file into its slot, and returns the file that was there before.
+fn add_once<'d, T>(
+    slot: &mut Option<ReadFile<'d, T>>,
+    document: &'d Document<'d>,
+    read: impl Fn(&'d Document<'d>) -> Option<T>,
+) -> Option<&'d Document<'d>> {
+    let value = read(document)?;
+    let first = slot.replace((document, value));
+    first.map(|(document, _)| document)
+}
+
+fn read_plans(document: &Document<'_>) -> Option<Plans> {
+    let plans = decode::plans(document)?;
+    checks::check_plans(document, &plans);
+    Some(plans)
+}
+
+fn read_entitlements(document: &Document<'_>) -> Option<Entitlements> {
+    let entitlements = decode::entitlements(document)?;
+    checks::check_entitlements(document, &entitlements);
+    Some(entitlements)
+}
+
+/// Returns the kind whose outermost fields the file has most of, the earlier kind on a tie.
+fn recognise(document: &Document<'_>) -> Option<ConfigKind> {
+    let names = document.root_names();
+    let count_known = |kind: ConfigKind| {
+        let known = kind.field_names();
+        names.iter().filter(|name| known.contains(name)).count()
+    };
+    ConfigKind::iter()
+        .map(|kind| (count_known(kind), kind))
+        .rev()
+        .max_by_key(|(count, _)| *count)
+        .filter(|(count, _)| *count > 0)
+        .map(|(_, kind)| kind)
+}
--- /dev/null
+++ b/src/entry/workers.rs
@@ -0,0 +1,344 @@
+//! The workers as one entry knows them: the ledger says to which pool an instance belongs and
+//! whether it may be given work, the instance list says where it is and whether it is leaving.
+
+use std::collections::HashMap;
+
+use indexmap::{IndexMap, IndexSet};
+use smol_str::SmolStr;
+
+use crate::{
+    entry::{engine::Engine, event::Action},
+    fleet::{InstanceName, InstanceRow, MonoMs, Resources, Standing, ZoneName},
+    ledger::{InstanceEntry, SeatChange},
+    policy::{
+        health::Access,
+        keys::{PoolKey, WorkerKey, ZoneKey},
+        placement::WorkerFacts,
+    },
+    ports::InstancePage,
+};
+
+/// Time that a worker which said that it drains is left alone, in milliseconds.
+const DRAINING_HOLD_MS: u64 = 2_000;
+
+/// One incarnation of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) key: WorkerKey,
+    pub(crate) incarnation: SmolStr,
+    pub(crate) address: SmolStr,
+    pub(crate) pool: PoolKey,
+    pub(crate) capacity: Resources,
+    /// Time until which the worker is left alone, since it said that it drains.
+    pub(crate) held_until_ms: MonoMs,
+    pub(crate) probed_ms: MonoMs,
+}
+
+/// All workers that the ledger and the instance list agree on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Workers {
+    by_name: IndexMap<InstanceName, Worker>,
+    names: HashMap<WorkerKey, InstanceName>,
+    zones: IndexSet<ZoneName>,
+    next_key: u32,
+    /// Rows of the instance list by name.
+    listed: IndexMap<InstanceName, InstanceRow>,
+    list_version: u64,
+    is_list_known: bool,
+    /// Instances with a claimed stop or release.
+    stopping: IndexSet<InstanceName>,
+}
+
+impl Workers {
+    /// Returns the key of a zone, a new one if need be.
+    pub(crate) fn zone_key(&mut self, zone: &ZoneName) -> ZoneKey {
+        let (index, _) = self.zones.insert_full(zone.clone());
+        ZoneKey(index as u16)
+    }
+
+    pub(crate) fn name_of(&self, key: WorkerKey) -> Option<&InstanceName> {
+        self.names.get(&key)
+    }
+
+    pub(crate) fn get(&self, name: &str) -> Option<&Worker> {
+        self.by_name.get(name)
+    }
+
+    pub(crate) fn by_key(&self, key: WorkerKey) -> Option<(&InstanceName, &Worker)> {
+        let name = self.names.get(&key)?;
+        Some((name, self.by_name.get(name)?))
+    }
+
+    pub(crate) fn get_mut(&mut self, name: &str) -> Option<&mut Worker> {
+        self.by_name.get_mut(name)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&InstanceName, &Worker)> {
+        self.by_name.iter()
+    }
+
+    /// Returns whether some instance is being stopped or moved.
+    pub(crate) fn has_stop_pending(&self) -> bool {
+        !self.stopping.is_empty()
+    }
+
+    pub(crate) fn stopping(&self) -> impl Iterator<Item = &InstanceName> {
+        self.stopping.iter()
+    }
+
+    pub(crate) fn listed(&self, name: &str) -> Option<&InstanceRow> {
+        self.listed.get(name)
+    }
+
+    pub(crate) fn all_listed(&self) -> impl Iterator<Item = &InstanceRow> {
+        self.listed.values()
+    }
+
+    pub(crate) fn is_list_known(&self) -> bool {
+        self.is_list_known
+    }
+
+    pub(crate) fn list_version(&self) -> u64 {
+        self.list_version
+    }
+}
+
+/// Returns whether a worker may be given new work, as far as ledger and list say.
+fn is_usable(entry: &InstanceEntry, listed: Option<&InstanceRow>) -> bool {
+    let is_leaving = listed
+        .filter(|row| row.incarnation == entry.row.incarnation)
+        .is_some_and(|row| row.leaving);
+    // The ledger may lag: a listed successor means that the incarnation is gone.
+    let is_replaced = listed.is_some_and(|row| row.incarnation != entry.row.incarnation);
+    entry.standing == Standing::Serving && !is_leaving && !is_replaced
+}
+
+impl Engine {
+    /// Takes in the instance list.
+    pub(crate) fn take_instances(&mut self, page: InstancePage) {
+        if self.workers.is_list_known && page.version == self.workers.list_version {
+            return;
+        }
+        self.workers.list_version = page.version;
+        self.workers.is_list_known = true;
+        let new: IndexMap<InstanceName, InstanceRow> = page
+            .rows
+            .into_iter()
+            .map(|row| (row.name.clone(), row))
+            .collect();
+        let old = std::mem::replace(&mut self.workers.listed, new);
+        let changed: Vec<InstanceName> = self
+            .workers
+            .listed
+            .values()
+            .filter(|row| old.get(&row.name) != Some(row))
+            .map(|row| row.name.clone())
+            .collect();
+        let gone = old
+            .into_keys()
+            .filter(|name| !self.workers.listed.contains_key(name));
+        let gone: Vec<InstanceName> = gone.collect();
+        for name in changed.iter().chain(&gone) {
+            self.sync_worker(name);
+        }
+    }
+
+    /// Brings all workers in line with the ledger and the instance list.
+    pub(crate) fn sync_all_workers(&mut self) {
+        let names: Vec<InstanceName> = self
+            .ledger
+            .instances
+            .iter()
+            .map(|entry| entry.row.name.clone())
+            .collect();
+        for name in &names {
+            self.sync_worker(name);
+        }
+    }
+
+    /// Brings one worker in line with the ledger and the instance list.
+    pub(crate) fn sync_worker(&mut self, name: &InstanceName) {
+        let Some(entry) = self.ledger.instances.get(name).cloned() else {
+            return;
+        };
+        match entry.stop.is_some() {
+            true => self.workers.stopping.insert(name.clone()),
+            false => self.workers.stopping.swap_remove(name),
+        };
+        let Some(pool) = self.ledger.instances.pool_key(&entry.row.pool) else {
+            return;
+        };
+        let pool = PoolKey(pool.0);
+        let old = self.workers.by_name.get(name);
+        let old_pool = old.map(|worker| worker.pool);
+        let is_same = old.is_some_and(|worker| worker.incarnation == entry.row.incarnation);
+        if !is_same {
+            self.replace_worker(name, &entry, pool);
+        }
+        let zone = self.workers.zone_key(&entry.row.zone);
+        let Some(worker) = self.workers.by_name.get_mut(name) else {
+            return;
+        };
+        worker.pool = pool;
+        let facts = WorkerFacts {
+            pool,
+            zone,
+            capacity: entry.row.capacity,
+            slots_count: entry.row.slots_count,
+            is_usable: is_usable(&entry, self.workers.listed.get(name))
+                && worker.held_until_ms <= self.now.mono_ms,
+        };
+        let key = worker.key;
+        self.placement.set_worker(key, facts);
+        self.health.set_worker(key, pool);
+        self.sync_pool(pool);
+        if let Some(old_pool) = old_pool.filter(|old_pool| *old_pool != pool) {
+            self.sync_pool(old_pool);
+        }
+    }
+
+    fn replace_worker(&mut self, name: &InstanceName, entry: &InstanceEntry, pool: PoolKey) {
+        if let Some(old) = self.workers.by_name.get(name) {
+            let key = old.key;
+            self.placement.remove_worker(key);
+            self.health.remove_worker(key);
+            self.workers.names.remove(&key);
+        }
+        let key = WorkerKey(self.workers.next_key);
+        self.workers.next_key += 1;
+        self.workers.names.insert(key, name.clone());
+        let worker = Worker {
+            key,
+            incarnation: entry.row.incarnation.clone(),
+            address: entry.row.address.clone(),
+            pool,
+            capacity: entry.row.capacity,
+            held_until_ms: 0,
+            probed_ms: 0,
+        };
+        self.workers.by_name.insert(name.clone(), worker);
+    }
+
+    /// Brings the capacities of all pools in line.
+    pub(crate) fn sync_pools(&mut self) {
+        let count = self.ledger.instances.pools().count();
+        for index in 0..count {
+            self.sync_pool(PoolKey(index as u16));
+        }
+    }
+
+    fn sync_pool(&mut self, pool: PoolKey) {
+        self.workers_of_pool_changed.insert(pool);
+    }
+
+    /// Brings the capacities of the pools whose workers changed in line.
+    pub(crate) fn poll_pools(&mut self) {
+        if self.workers_of_pool_changed.is_empty() {
+            return;
+        }
+        let changed = std::mem::take(&mut self.workers_of_pool_changed);
+        let mut sums: HashMap<PoolKey, (Resources, Resources)> = changed
+            .iter()
+            .map(|pool| (*pool, Default::default()))
+            .collect();
+        for (name, worker) in self.workers.iter() {
+            let Some((sum, largest)) = sums.get_mut(&worker.pool) else {
+                continue;
+            };
+            let entry = self.ledger.instances.get(name);
+            *largest = largest_of(largest, &worker.capacity);
+            if entry.is_some_and(|entry| is_usable(entry, self.workers.listed.get(name))) {
+                *sum = sum.plus(&worker.capacity);
+            }
+        }
+        for (pool, (sum, largest)) in sums {
+            self.usage.set_pool_capacity(pool, sum);
+            if largest != Resources::default() {
+                self.wait.set_pool_largest(pool, largest);
+            }
+        }
+    }
+
+    /// Leaves a worker alone that said that it drains.
+    pub(crate) fn hold_worker(&mut self, name: &InstanceName) {
+        let until_ms = self.now.mono_ms + DRAINING_HOLD_MS;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.held_until_ms = until_ms;
+            let key = worker.key;
+            self.placement.set_usable(key, false);
+            self.held.insert((until_ms, name.clone()));
+        }
+    }
+
+    /// Looks after workers that were left alone or ejected.
+    pub(crate) fn poll_workers(&mut self) {
+        let now_ms = self.now.mono_ms;
+        while let Some((until_ms, name)) = self.held.first().cloned() {
+            if until_ms > now_ms {
+                break;
+            }
+            self.held.pop_first();
+            self.sync_worker(&name);
+        }
+        for change in self.health.tick(now_ms) {
+            self.apply_access(change.worker, change.access);
+        }
+        self.poll_pools();
+    }
+
+    /// Puts a change of health in force.
+    pub(crate) fn apply_access(&mut self, key: WorkerKey, access: Access) {
+        self.placement.set_access(key, access);
+        if let Some(name) = self.workers.name_of(key) {
+            tell!(self, "worker_access", instance = name, access = access);
+        }
+    }
+
+    /// Takes in whether a worker answered a probe.
+    pub(crate) fn take_probe(&mut self, name: &str, incarnation: &str, is_reachable: bool) {
+        let standing = match is_reachable {
+            true => Standing::Serving,
+            false => Standing::Doubtful,
+        };
+        let entry = self.ledger.instances.get(name);
+        let is_news = entry.is_some_and(|entry| {
+            entry.row.incarnation == incarnation
+                && entry.standing != standing
+                && matches!(entry.standing, Standing::Serving | Standing::Doubtful)
+        });
+        if is_news {
+            self.propose(SeatChange::Standing {
+                name: name.into(),
+                incarnation: incarnation.into(),
+                standing,
+            });
+        }
+    }
+
+    /// Asks a worker how it is, unless it was asked recently.
+    pub(crate) fn probe(&mut self, name: &InstanceName) {
+        let now_ms = self.now.mono_ms;
+        let every_ms = self.settings.probe_every_ms;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.probed_ms != 0 && now_ms < worker.probed_ms + every_ms {
+            return;
+        }
+        worker.probed_ms = now_ms;
+        let action = Action::Probe {
+            name: name.clone(),
+            incarnation: worker.incarnation.clone(),
+            address: worker.address.clone(),
+        };
+        self.actions.push(action);
+    }
+}
+
+fn largest_of(a: &Resources, b: &Resources) -> Resources {
+    Resources {
+        cores_milli: a.cores_milli.max(b.cores_milli),
+        memory_mb: a.memory_mb.max(b.memory_mb),
+        accelerators_count: a.accelerators_count.max(b.accelerators_count),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,21 @@
 
 pub mod adapters;
 pub mod callers;
+pub mod config_files;
+pub mod entry;
 pub mod error;
+pub mod examples;
+pub mod findings;
 pub mod fleet;
+pub mod fleet_file;
+mod jsonc;
+pub mod keys;
+pub mod ledger;
 pub mod lists;
 pub mod logging;
 pub mod metrics;
 pub mod platform;
 pub mod policy;
 pub mod ports;
+pub mod settings;
 pub mod upkeep;
