--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -9,8 +9,9 @@
 
 use hawthornladder::adapters::operators_http::{OperatorAnswer, OperatorCall, OperatorsServer};
 use hawthornladder::adapters::peers_rpc::{
-    Gossip, PeerAnswer, PeerCall, PeerClient, PeersServer, TailAsk, WithdrawAtPeer,
+    PeerAnswer, PeerCall, PeerClient, PeersServer, TailAsk, WithdrawAtPeer,
 };
+use hawthornladder::entry::Gossip;
 use hawthornladder::error::ErrorKind;
 use hawthornladder::ports::{LogPage, LogRecord, PortError};
 use proptest::collection::vec;
@@ -52,12 +53,12 @@
 fn typed_calls_come_back_typed() {
     let (_server, client) = open_pair();
     let gossip = Gossip {
-        from: "entry-2".into(),
-        sequence: 4,
-        body: json!({ "running": [["tram", 3]] }),
+        seat: "entry-2".into(),
+        withdrawn: vec!["k1".into()],
+        ..Gossip::default()
     };
-    let echoed = client.call(&PeerCall::Gossip(gossip.clone()));
-    assert_eq!(echoed, Ok(PeerAnswer::Gossip(gossip)));
+    let echoed = client.call(&PeerCall::Gossip(Box::new(gossip.clone())));
+    assert_eq!(echoed, Ok(PeerAnswer::Gossip(Box::new(gossip))));
     let ask = TailAsk {
         from_offset: 7,
         records_max_count: 1,
@@ -68,7 +69,7 @@
         other => panic!("no page came, but {other:?}"),
     }
     let withdraw = PeerCall::WithdrawKey(WithdrawAtPeer {
-        digest: "ab".into(),
+        key_id: "ab".into(),
     });
     let ordered = PeerAnswer::Ordered { was_known: true };
     assert_eq!(client.call(&withdraw), Ok(ordered));
@@ -181,7 +182,7 @@
         },
         OperatorCall::WithdrawKey(order) => OperatorAnswer::Json {
             status: 200,
-            body: json!({ "withdrawn": order.digest }),
+            body: json!({ "withdrawn": order.key_id }),
         },
         call => OperatorAnswer::Json {
             status: 200,
@@ -195,7 +196,7 @@
         exchange(server.address(), head.as_bytes()).expect("an answer")
     };
     assert_eq!(send("GET /ready", "").status, 200);
-    let withdrawn = send("POST /v1/keys/withdraw", r#"{"digest":"ab"}"#);
+    let withdrawn = send("POST /v1/keys/withdraw", r#"{"key_id":"ab"}"#);
     assert_eq!(withdrawn.json()["withdrawn"], "ab");
     let explained = send("POST /v1/explain", r#"{"what":"stop","instance":"w1"}"#);
     assert!(explained.json().as_str().unwrap().contains("Stop"));
