--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod check_command;
 mod error_table;
 mod lists;
+mod model;
 mod peers;
 mod policy_health;
 mod policy_retry;
--- /dev/null
+++ b/tests/testsuite/model/folds.rs
@@ -0,0 +1,96 @@
+//! The real fold, with each state of the ledger kept once and named by a small number, so that the
+//! states of the model are small and equal ledgers are equal states.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use hawthornladder::ledger::{Ledger, Record};
+use hawthornladder::ports::LogRecord;
+use indexmap::IndexSet;
+
+/// Name of a state of the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct NodeId(u32);
+
+/// Name of a record's text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct PayloadId(u32);
+
+/// Milliseconds of one tick of the model: a task's longest lease takes two.
+pub(crate) const TICK_MS: u64 = hawthornladder::ledger::RUN_MAX_MS / 2;
+
+/// Log time at the start of the model, so that ids issued then are within the claim window.
+pub(crate) const START_UNIX_MS: u64 = 1_800_000_000_000;
+
+#[derive(Default)]
+struct Inner {
+    ledgers: Vec<Rc<Ledger>>,
+    by_text: HashMap<String, NodeId>,
+    payloads: IndexSet<String>,
+    folded: HashMap<(NodeId, PayloadId, u8), NodeId>,
+}
+
+/// All states of the ledger that the model has met.
+#[derive(Default)]
+pub(crate) struct Folds {
+    inner: RefCell<Inner>,
+}
+
+impl Folds {
+    /// Returns the empty ledger after `records`, all at tick 0.
+    pub(crate) fn start(&self, records: &[Record]) -> NodeId {
+        let empty = self.inner.borrow_mut().intern(Ledger::default());
+        records.iter().fold(empty, |node, record| {
+            self.fold(node, self.payload(record), 0)
+        })
+    }
+
+    /// Returns the name of a record.
+    pub(crate) fn payload(&self, record: &Record) -> PayloadId {
+        let text = serde_json::to_string(record).expect("a record");
+        PayloadId(self.inner.borrow_mut().payloads.insert_full(text).0 as u32)
+    }
+
+    /// Returns a state of the ledger.
+    pub(crate) fn ledger(&self, node: NodeId) -> Rc<Ledger> {
+        Rc::clone(&self.inner.borrow().ledgers[node.0 as usize])
+    }
+
+    /// Folds a record that landed at `tick`.
+    ///
+    /// Only the end of a seat depends on the log's time, so the others keep the time of the record
+    /// before; equal ledgers are more often the same state then.
+    pub(crate) fn fold(&self, node: NodeId, payload: PayloadId, tick: u8) -> NodeId {
+        let mut inner = self.inner.borrow_mut();
+        let text = &inner.payloads[payload.0 as usize];
+        let tick = match text.contains("expire_seat") || text.contains("reclaim_seat") {
+            true => tick,
+            false => 0,
+        };
+        if let Some(folded) = inner.folded.get(&(node, payload, tick)) {
+            return *folded;
+        }
+        let mut ledger = Ledger::clone(&inner.ledgers[node.0 as usize]);
+        let record = LogRecord {
+            offset: ledger.next_offset,
+            at_unix_ms: START_UNIX_MS + u64::from(tick) * TICK_MS,
+            payload: inner.payloads[payload.0 as usize].as_str().into(),
+        };
+        ledger.apply(&record);
+        let folded = inner.intern(ledger);
+        inner.folded.insert((node, payload, tick), folded);
+        folded
+    }
+}
+
+impl Inner {
+    fn intern(&mut self, ledger: Ledger) -> NodeId {
+        let next = NodeId(self.ledgers.len() as u32);
+        let node = *self.by_text.entry(ledger.to_snapshot()).or_insert(next);
+        if node == next {
+            self.ledgers.push(Rc::new(ledger));
+        }
+        node
+    }
+}
--- /dev/null
+++ b/tests/testsuite/model/limits.rs
@@ -0,0 +1,255 @@
+//! No team has more running than its upper limit, with parts of the limit taken, given away, and
+//! freed from a seat whose holder was paused.
+
+use hawthornladder::ledger::{ListsPatch, OperatorChange, Record, SeatChange};
+use hawthornladder::lists::{AvailabilityBudget, Lists, Plan, Team};
+
+use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::folds::Folds;
+use super::world::{open_record, operator_record, Phase, Rules, Task, World, SEATS};
+
+const TEAM: &str = "t";
+const LIMIT_REQUESTS: usize = 1;
+/// Tasks that run or may start at most.
+const TASKS_MAX_COUNT: usize = 2;
+const TOO_MANY: &str = "a team has more running than its upper limit";
+
+/// A guard that is left out.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Broken {
+    Nothing,
+    /// An entry starts work without a look at its lease.
+    Lease,
+    /// An entry uses a part of the limit until it has read that it gave it away.
+    GivenAway,
+    /// An entry stops counting a task when it has lost sight of it.
+    LostTask,
+}
+
+/// What is explored; the whole at once would have too many states.
+#[derive(Clone, Copy)]
+struct Scenario {
+    name: &'static str,
+    ticks_max: u8,
+    /// Whether the entries give parts away.
+    has_gifts: bool,
+    /// Whether the second entry only takes what it frees from the first.
+    is_second_watching: bool,
+    /// Whether the opening of the first seat may land again, also after that seat has ended.
+    is_reopened: bool,
+}
+
+/// Parts go to and fro, without time for a lease to lapse.
+const GIFTS: Scenario = Scenario {
+    name: "limits, gifts",
+    ticks_max: 0,
+    has_gifts: true,
+    is_second_watching: false,
+    is_reopened: false,
+};
+
+/// The first holder is paused, or its appends come late, and the second frees its part.
+const LAPSE: Scenario = Scenario {
+    name: "limits, lapse",
+    ticks_max: 5,
+    has_gifts: false,
+    is_second_watching: true,
+    is_reopened: false,
+};
+
+/// The same, and the record that opened the first seat lands again.
+const REOPENED: Scenario = Scenario {
+    name: "limits, reopened",
+    ticks_max: 4,
+    is_reopened: true,
+    ..LAPSE
+};
+
+/// What each entry has given away in changes that it has not folded.
+type Leaving = [u32; 2];
+
+type TeamWorld = World<Leaving>;
+
+fn publication() -> Record {
+    let mut lists = Lists::default();
+    lists.plans.plans.push(Plan {
+        name: "p".into(),
+        share_weight: 1,
+        running_max_requests: LIMIT_REQUESTS as u32,
+        start_target_ms: 1,
+        on_time_target_permille: 1,
+        availability: AvailabilityBudget {
+            pool_unavailable_max_permille: 0,
+            zone_unavailable_max_permille: 0,
+        },
+    });
+    lists.plans.teams.push(Team {
+        name: TEAM.into(),
+        plan: "p".into(),
+        running_max_requests: None,
+        share_weight: None,
+    });
+    let patch = ListsPatch::between(&Lists::default(), &lists);
+    operator_record(
+        1,
+        OperatorChange::Publish {
+            base_version: 0,
+            patch: Box::new(patch),
+        },
+    )
+}
+
+fn spare(folds: &Folds, world: &TeamWorld, entry: usize, broken: Broken) -> u32 {
+    let ledger = world.view(folds, entry);
+    let allowance = ledger
+        .escrow
+        .get(TEAM)
+        .map_or(0, |escrow| escrow.allowance_requests(SEATS[entry]));
+    let leaving = match broken {
+        Broken::GivenAway => 0,
+        _ => world.extra[entry],
+    };
+    let running = world.counted(entry).count() as u32;
+    allowance.saturating_sub(leaving + running)
+}
+
+fn take() -> SeatChange {
+    SeatChange::EscrowTake {
+        team: TEAM.into(),
+        wanted_requests: 1,
+    }
+}
+
+fn give(to: usize) -> SeatChange {
+    SeatChange::EscrowGive {
+        team: TEAM.into(),
+        to: Some(SEATS[to].into()),
+        requests: 1,
+    }
+}
+
+fn proposals(
+    rules: &Rules<'_, Leaving>,
+    world: &TeamWorld,
+    entry: usize,
+    spare: u32,
+    scenario: Scenario,
+) -> Vec<TeamWorld> {
+    if !rules.can_propose(world, entry) {
+        return Vec::new();
+    }
+    let mut after = Vec::new();
+    let mut propose = |changes: Vec<SeatChange>, leaving: u32| {
+        let mut next = world.clone();
+        next.extra[entry] += leaving;
+        next.propose(rules.folds, entry, 0, changes);
+        after.push(next);
+    };
+    let escrow = world.view(rules.folds, entry).escrow.clone();
+    let has_free = escrow
+        .get(TEAM)
+        .is_some_and(|team| team.free_requests() > 0);
+    let is_watching = scenario.is_second_watching && entry == 1;
+    if world.entries[entry].lease_until == world.now + 1 && !is_watching {
+        propose(Vec::new(), 0);
+    }
+    if has_free && !is_watching {
+        propose(vec![take()], 0);
+    }
+    if spare > 0 && scenario.has_gifts {
+        propose(vec![give(1 - entry)], 1);
+    }
+    if let Some(change) = rules.end_other_seat(world, entry) {
+        propose(vec![change, take()], 0);
+    }
+    after
+}
+
+fn run(scenario: Scenario, broken: Broken) -> Explored {
+    let folds = Folds::default();
+    let add_steps = |world: &TeamWorld, steps: &mut Vec<Step<TeamWorld>>| {
+        let rules = rules_of(&folds, scenario, &|_, _| (), &|_, _| ());
+        for entry in 0..SEATS.len() {
+            let spare = spare(&folds, world, entry, broken);
+            for after in proposals(&rules, world, entry, spare, scenario) {
+                steps.push(("proposes", entry as u8, after));
+            }
+            let has_lease = world.is_lease_valid(entry) || broken == Broken::Lease;
+            if has_lease && spare > 0 && world.tasks.len() < TASKS_MAX_COUNT {
+                let mut after = world.clone();
+                after.dispatch(entry, 0, 0);
+                steps.push(("dispatches", entry as u8, after));
+            }
+        }
+        for (index, task) in world.tasks.iter().enumerate() {
+            if task.is_counted && broken == Broken::LostTask {
+                let mut after = world.clone();
+                after.tasks[index].is_counted = false;
+                steps.push(("stops_counting", task.by, after));
+            }
+        }
+        // An entry that hears at once of each end may start the most, so later is covered too.
+        for (_, _, after) in steps {
+            after.tasks.retain(Task::is_alive);
+        }
+    };
+    let on_fold = |world: &mut TeamWorld, entry: usize| {
+        if world.entries[entry].flight.is_none() {
+            world.extra[entry] = 0;
+        }
+    };
+    let rules = rules_of(&folds, scenario, &on_fold, &add_steps);
+    let pending = match scenario.is_reopened {
+        true => vec![open_record(0)],
+        false => Vec::new(),
+    };
+    let start = TeamWorld::start(&folds, &[publication()], &pending, 0, [0, 0]);
+    let violation = |world: &TeamWorld| {
+        let is_running = |task: &&Task| matches!(task.phase, Phase::Running(_));
+        let running_count = world.tasks.iter().filter(is_running).count();
+        (running_count > LIMIT_REQUESTS).then_some(TOO_MANY)
+    };
+    explore(start, |world| rules.next(world), violation)
+}
+
+fn rules_of<'a>(
+    folds: &'a Folds,
+    scenario: Scenario,
+    on_fold: &'a dyn Fn(&mut TeamWorld, usize),
+    own_steps: &'a dyn Fn(&TeamWorld, &mut Vec<Step<TeamWorld>>),
+) -> Rules<'a, Leaving> {
+    Rules {
+        folds,
+        ticks_max: scenario.ticks_max,
+        batches_max: 3,
+        has_refusals: false,
+        on_fold,
+        own_steps,
+    }
+}
+
+#[test]
+fn the_limit_holds_in_every_state() {
+    for scenario in [GIFTS, LAPSE, REOPENED] {
+        let explored = run(scenario, Broken::Nothing);
+        assert_holds(scenario.name, &explored);
+    }
+}
+
+#[test]
+fn a_start_without_a_lease_is_found() {
+    let explored = run(LAPSE, Broken::Lease);
+    assert_found("limits without the lease", &explored, TOO_MANY);
+}
+
+#[test]
+fn a_part_used_after_it_was_given_away_is_found() {
+    let explored = run(GIFTS, Broken::GivenAway);
+    assert_found("limits without the reservation", &explored, TOO_MANY);
+}
+
+#[test]
+fn a_lost_task_that_is_not_counted_is_found() {
+    let explored = run(GIFTS, Broken::LostTask);
+    assert_found("limits without lost tasks", &explored, TOO_MANY);
+}
