--- a/tests/testsuite/model/single_runs.rs
+++ b/tests/testsuite/model/single_runs.rs
@@ -1,1 +1,426 @@
-//! To come.
+//! Work that is not idempotent runs at most once, and "not run" is true, while its caller repeats
+//! it at both entries, attempts are lost and a holder is paused.
+
+use hawthornladder::ledger::{ClaimState, SeatChange};
+use uuid::{Builder, Uuid};
+
+use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::folds::{Folds, START_UNIX_MS};
+use super::world::{open_record, Phase, Rules, Task, World, SEATS};
+
+const TEAM: &str = "t";
+const TWICE: &str = "work that must run at most once ran twice";
+const FALSE_NOT_RUN: &str = "a caller was told not run of a call that ran";
+const FALSE_RAN: &str = "the ledger says ran of work that never ran";
+
+/// Entry that each call of the same request goes to, in the order of the calls of one entry.
+const CALLS: [usize; 3] = [0, 1, 0];
+
+/// A guard that is left out.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Broken {
+    Nothing,
+    /// An entry sends the work before it has read that its claim was accepted.
+    Claim,
+    /// An entry takes a lost outcome for one that never started.
+    LostOutcome,
+    /// An entry answers not run of work that it has sent.
+    SentIsNotRun,
+}
+
+/// How far one call has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Call {
+    NotMade,
+    Claiming,
+    Waiting,
+    Sent,
+    AnsweredNotRun,
+    Answered,
+}
+
+/// What the calls add to a state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Calls {
+    calls: [CallState; CALLS.len()],
+    /// How often the work started, up to 2.
+    starts_count: u8,
+    /// How each entry's claim is to end.
+    ends: [Option<ClaimState>; 2],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct CallState {
+    call: Call,
+    has_started: bool,
+}
+
+impl Default for CallState {
+    fn default() -> Self {
+        Self {
+            call: Call::NotMade,
+            has_started: false,
+        }
+    }
+}
+
+type CallWorld = World<Calls>;
+
+/// What is explored.
+#[derive(Clone, Copy)]
+struct Scenario {
+    name: &'static str,
+    ticks_max: u8,
+    calls_count: usize,
+    batches_max: [u64; 2],
+    repeats_count: u8,
+    /// Whether the first record of the first seat lands again.
+    is_reopened: bool,
+}
+
+/// All calls within one tick, with a record that lands twice.
+const RACE: Scenario = Scenario {
+    name: "single runs, race",
+    ticks_max: 0,
+    calls_count: 3,
+    batches_max: [4; 2],
+    repeats_count: 1,
+    is_reopened: false,
+};
+
+/// The first entry is paused, and the second ends its seat.
+const LAPSE: Scenario = Scenario {
+    name: "single runs, lapse",
+    ticks_max: 4,
+    calls_count: 2,
+    batches_max: [3, 4],
+    repeats_count: 0,
+    is_reopened: false,
+};
+
+/// The same, and the record that opened the first seat lands again.
+const REOPENED: Scenario = Scenario {
+    name: "single runs, reopened",
+    calls_count: 1,
+    batches_max: [2, 3],
+    is_reopened: true,
+    ..LAPSE
+};
+
+fn request_id() -> Uuid {
+    Builder::from_unix_timestamp_millis(START_UNIX_MS, &[0; 10]).into_uuid()
+}
+
+fn claim() -> SeatChange {
+    SeatChange::Claim {
+        team: TEAM.into(),
+        request_id: request_id(),
+    }
+}
+
+fn end_claim(state: ClaimState) -> SeatChange {
+    SeatChange::ClaimEnd {
+        team: TEAM.into(),
+        request_id: request_id(),
+        state,
+    }
+}
+
+/// Returns the calls of one entry.
+fn calls_of(entry: usize) -> impl Iterator<Item = usize> {
+    (0..CALLS.len()).filter(move |call| CALLS[*call] == entry)
+}
+
+fn find(world: &CallWorld, entry: usize, state: Call) -> Option<usize> {
+    calls_of(entry).find(|call| world.extra.calls[*call].call == state)
+}
+
+fn in_flight(world: &CallWorld, entry: usize) -> bool {
+    [Call::Claiming, Call::Waiting, Call::Sent]
+        .into_iter()
+        .any(|state| find(world, entry, state).is_some())
+}
+
+/// Takes in what an entry has folded: the verdict on its claim, or the end of its seat.
+fn on_fold(folds: &Folds, world: &mut CallWorld, entry: usize) {
+    if world.entries[entry].flight.is_some() {
+        return;
+    }
+    let ledger = world.view(folds, entry);
+    let is_live = ledger.seats.live(SEATS[entry]).is_some();
+    let row = ledger.claims.get(TEAM, &request_id());
+    let is_own = row.is_some_and(|row| row.seat == SEATS[entry] && row.state == ClaimState::Open);
+    let claiming = find(world, entry, Call::Claiming);
+    let has_user = find(world, entry, Call::Waiting).is_some()
+        || world.counted(entry).next().is_some()
+        || world.extra.ends[entry].is_some();
+    match claiming {
+        _ if !is_live => drop_unsent(world, entry),
+        Some(call) if is_own => world.extra.calls[call].call = Call::Waiting,
+        Some(call) => world.extra.calls[call].call = Call::Answered,
+        // Nobody waits for it any more, so it is never sent.
+        None if is_own && !has_user => world.extra.ends[entry] = Some(ClaimState::NotRun),
+        None => {}
+    }
+}
+
+fn drop_unsent(world: &mut CallWorld, entry: usize) {
+    for call in calls_of(entry) {
+        let state = &mut world.extra.calls[call].call;
+        if matches!(state, Call::Claiming | Call::Waiting) {
+            *state = Call::AnsweredNotRun;
+        }
+    }
+    world.extra.ends[entry] = None;
+}
+
+/// Adds the next call of an entry, as admission takes it.
+fn add_call(
+    rules: &Rules<'_, Calls>,
+    scenario: Scenario,
+    world: &CallWorld,
+    entry: usize,
+    steps: &mut Vec<Step<CallWorld>>,
+) {
+    let Some(call) = find(world, entry, Call::NotMade).filter(|call| *call < scenario.calls_count)
+    else {
+        return;
+    };
+    let ledger = world.view(rules.folds, entry);
+    let row = ledger.claims.get(TEAM, &request_id());
+    let is_free = row.is_none_or(|row| row.state == ClaimState::NotRun);
+    let mut after = world.clone();
+    if !is_free || in_flight(world, entry) {
+        after.extra.calls[call].call = Call::Answered;
+        steps.push(("refuses_duplicate", entry as u8, after));
+        return;
+    }
+    after.extra.calls[call].call = Call::Claiming;
+    match world.entries[entry].flight {
+        // The claim of an earlier call is on its way, and serves this one.
+        Some(_) => steps.push(("joins_claim", entry as u8, after)),
+        None if rules.can_propose(world, entry) => {
+            after.propose(rules.folds, entry, 0, vec![claim()]);
+            steps.push(("claims", entry as u8, after));
+        }
+        None => {}
+    }
+}
+
+fn add_entry_steps(
+    rules: &Rules<'_, Calls>,
+    scenario: Scenario,
+    broken: Broken,
+    world: &CallWorld,
+    entry: usize,
+    steps: &mut Vec<Step<CallWorld>>,
+) {
+    let whom = entry as u8;
+    add_call(rules, scenario, world, entry, steps);
+    for state in [Call::Claiming, Call::Waiting] {
+        let Some(call) = find(world, entry, state) else {
+            continue;
+        };
+        let mut after = world.clone();
+        after.extra.calls[call].call = Call::AnsweredNotRun;
+        if state == Call::Waiting {
+            after.extra.ends[entry] = Some(ClaimState::NotRun);
+        }
+        steps.push(("gives_up", whom, after));
+        if state == Call::Waiting || broken == Broken::Claim {
+            let mut after = world.clone();
+            after.extra.calls[call].call = Call::Sent;
+            after.dispatch(entry, 0, call as u8);
+            steps.push(("dispatches", whom, after));
+        }
+    }
+    if let Some(call) = find(world, entry, Call::Sent) {
+        let mut after = world.clone();
+        after.extra.calls[call].call = match broken {
+            Broken::SentIsNotRun => Call::AnsweredNotRun,
+            _ => Call::Answered,
+        };
+        steps.push(("answers_unknown", whom, after));
+    }
+    if !rules.can_propose(world, entry) {
+        return;
+    }
+    if let Some(state) = world.extra.ends[entry] {
+        let mut after = world.clone();
+        after.extra.ends[entry] = None;
+        after.propose(rules.folds, entry, 0, vec![end_claim(state)]);
+        steps.push(("ends_claim", whom, after));
+    }
+    if let Some(change) = rules.end_other_seat(world, entry).filter(|_| entry == 1) {
+        let mut after = world.clone();
+        after.propose(rules.folds, entry, 0, vec![change]);
+        steps.push(("ends_seat", whom, after));
+    }
+}
+
+/// Adds the ways in which an entry hears how a task ended, or does not.
+fn add_outcomes(broken: Broken, world: &CallWorld, index: usize, steps: &mut Vec<Step<CallWorld>>) {
+    let task = world.tasks[index];
+    let entry = usize::from(task.by);
+    let call = usize::from(task.label);
+    let mut hear = |what, answer: Call, end: Option<ClaimState>| {
+        let mut after = world.clone();
+        after.tasks[index].is_counted = false;
+        // A caller that was answered before stays so.
+        if world.extra.calls[call].call == Call::Sent {
+            after.extra.calls[call].call = answer;
+        }
+        after.extra.ends[entry] = end;
+        steps.push((what, task.by, after));
+    };
+    let was_answered = world.extra.calls[call].call != Call::Sent;
+    match task.phase {
+        Phase::Ran => hear("hears_ran", Call::Answered, Some(ClaimState::Ran)),
+        Phase::NeverStarted => {
+            hear(
+                "hears_not_started",
+                Call::AnsweredNotRun,
+                Some(ClaimState::NotRun),
+            );
+            if !was_answered {
+                hear("will_retry", Call::Waiting, None);
+            }
+        }
+        Phase::Sent | Phase::Running(_) => {}
+    }
+    match broken {
+        Broken::LostOutcome => {
+            hear(
+                "loses_outcome",
+                Call::AnsweredNotRun,
+                Some(ClaimState::NotRun),
+            );
+        }
+        _ => hear("loses_outcome", Call::Answered, Some(ClaimState::Unknown)),
+    }
+}
+
+/// Counts the starts of tasks, which the shared steps bring about.
+fn count_starts(before: &CallWorld, after: &mut CallWorld) {
+    let is_running = |task: &&Task| matches!(task.phase, Phase::Running(_));
+    let started = |world: &CallWorld| -> Vec<u8> {
+        world
+            .tasks
+            .iter()
+            .filter(is_running)
+            .map(|task| task.label)
+            .collect()
+    };
+    let (old, new) = (started(before), started(after));
+    if let (true, Some(label)) = (
+        new.len() > old.len(),
+        new.iter().find(|label| !old.contains(label)),
+    ) {
+        let calls = &mut after.extra;
+        calls.starts_count = (calls.starts_count + 1).min(2);
+        calls.calls[usize::from(*label)].has_started = true;
+    }
+}
+
+fn violation(folds: &Folds, world: &CallWorld) -> Option<&'static str> {
+    let calls = &world.extra;
+    let is_false = |state: &CallState| state.call == Call::AnsweredNotRun && state.has_started;
+    let ledger = world.head(folds);
+    let row = ledger.claims.get(TEAM, &request_id());
+    let says_ran = row.is_some_and(|row| row.state == ClaimState::Ran);
+    match calls {
+        Calls {
+            starts_count: 2.., ..
+        } => Some(TWICE),
+        _ if calls.calls.iter().any(is_false) => Some(FALSE_NOT_RUN),
+        _ if says_ran && calls.starts_count == 0 => Some(FALSE_RAN),
+        _ => None,
+    }
+}
+
+fn run(scenario: Scenario, broken: Broken) -> Explored {
+    let folds = Folds::default();
+    let on_fold = |world: &mut CallWorld, entry: usize| on_fold(&folds, world, entry);
+    let own_steps = |world: &CallWorld, steps: &mut Vec<Step<CallWorld>>| {
+        let rules = rules_of(&folds, scenario, &|_, _| (), &|_, _| ());
+        for (_, _, after) in steps.iter_mut() {
+            count_starts(world, after);
+        }
+        for entry in 0..SEATS.len() {
+            add_entry_steps(&rules, scenario, broken, world, entry, steps);
+        }
+        for index in 0..world.tasks.len() {
+            if world.tasks[index].is_counted {
+                add_outcomes(broken, world, index, steps);
+            }
+        }
+    };
+    let rules = rules_of(&folds, scenario, &on_fold, &own_steps);
+    let records = [open_record(0, &[]), open_record(1, &[])];
+    let pending = match scenario.is_reopened {
+        true => vec![open_record(0, &[])],
+        false => Vec::new(),
+    };
+    let start = CallWorld::start(
+        &folds,
+        &records,
+        &pending,
+        scenario.repeats_count,
+        Calls::default(),
+    );
+    // The work ran, and its claim says so or has been lost with its seat.
+    let is_done = |world: &CallWorld| {
+        let ledger = world.head(&folds);
+        let row = ledger.claims.get(TEAM, &request_id());
+        let is_ended =
+            row.is_some_and(|row| matches!(row.state, ClaimState::Ran | ClaimState::Unknown));
+        is_ended && world.extra.starts_count == 1
+    };
+    explore(
+        start,
+        |world| rules.next(world),
+        |world| violation(&folds, world),
+        is_done,
+    )
+}
+
+fn rules_of<'a>(
+    folds: &'a Folds,
+    scenario: Scenario,
+    on_fold: &'a dyn Fn(&mut CallWorld, usize),
+    own_steps: &'a dyn Fn(&CallWorld, &mut Vec<Step<CallWorld>>),
+) -> Rules<'a, Calls> {
+    Rules {
+        folds,
+        ticks_max: scenario.ticks_max,
+        batches_max: scenario.batches_max,
+        has_refusals: true,
+        on_fold,
+        own_steps,
+    }
+}
+
+#[test]
+fn work_runs_at_most_once_in_every_state() {
+    for scenario in [RACE, LAPSE, REOPENED] {
+        assert_holds(scenario.name, &run(scenario, Broken::Nothing));
+    }
+}
+
+#[test]
+fn work_sent_before_its_claim_is_found() {
+    let explored = run(RACE, Broken::Claim);
+    assert_found("single runs without the claim", &explored, TWICE);
+}
+
+#[test]
+fn a_lost_outcome_taken_for_not_run_is_found() {
+    let explored = run(RACE, Broken::LostOutcome);
+    assert_found("single runs with lost outcomes", &explored, FALSE_NOT_RUN);
+}
+
+#[test]
+fn a_false_not_run_is_found() {
+    let explored = run(RACE, Broken::SentIsNotRun);
+    assert_found("single runs with early answers", &explored, FALSE_NOT_RUN);
+}
