--- a/tests/testsuite/model/moves.rs
+++ b/tests/testsuite/model/moves.rs
@@ -16,7 +16,7 @@
 const TWO_POOLS: &str = "an instance has work under two pools";
 const CUT: &str = "a planned stop cut work off";
 /// Age up to which the latest word from the log is trusted, where that stands for a lease.
-const STALE_MAX_TICKS: u8 = 1;
+const STALE_MAX_TICKS: u8 = 0;
 
 /// A guard that is left out.
 #[derive(Clone, Copy, PartialEq, Eq)]
