--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -1,7 +1,7 @@
 //! `stand-in log|instances|workers`: small daemons that take the platform's place in trials and tests.
 
 use std::fs;
-use std::io::{self, Write};
+use std::io;
 use std::net::IpAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -26,7 +26,7 @@
 use hawthornladder::ports::Clock;
 use smol_str::{format_smolstr, SmolStr};
 
-use crate::cmd::{CmdError, CmdResult};
+use crate::cmd::{say, CmdError, CmdResult};
 
 /// Longest time that the instance list may take to register the workers.
 const REGISTER_TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
@@ -155,7 +155,9 @@
     let number = |name| matches.get_one::<u64>(name).copied();
     let records_max_count = number("records-max-count").map(usize::try_from);
     let limits = LogLimits {
-        appends_per_s: number("appends-per-s").unwrap_or(default.appends_per_s),
+        appends_per_s: number("appends-per-s").map_or(default.appends_per_s, |count| {
+            u32::try_from(count).unwrap_or(u32::MAX)
+        }),
         records_max_count: records_max_count.map_or(default.records_max_count, |count| {
             count.unwrap_or(usize::MAX)
         }),
@@ -259,14 +261,6 @@
         .attach("cannot bind the address")
 }
 
-fn say(line: &str) -> Result<(), Report<CmdError>> {
-    let mut out = io::stdout().lock();
-    writeln!(out, "{line}")
-        .and_then(|()| out.flush())
-        .change_context(CmdError::Unavailable)
-        .attach("cannot write to the standard output")
-}
-
 fn address(matches: &ArgMatches) -> &str {
     text(matches, "address").unwrap_or("127.0.0.1:0")
 }
--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -277,6 +277,16 @@
                     });
                 });
             }
+            Action::DrainWorker {
+                address,
+                is_draining,
+            } => {
+                self.shared.errands.run(move || {
+                    // Entries keep to the ledger by themselves; the worker's refusal is a second
+                    // safeguard.
+                    let _ = shared.platform.workers().drain(&address, is_draining);
+                });
+            }
             Action::Reboot { name, incarnation } => {
                 self.shared.errands.run(move || {
                     let result = shared.platform.instances().reboot(&name, &incarnation);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,11 +1,14 @@
 //! Admission and sharing: pure state machines that decide which request runs next and where.
 
+pub mod allot;
 pub mod estimate;
 pub mod health;
 pub mod keys;
 pub mod lane;
+pub(crate) mod lanes;
 pub mod placement;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
+pub mod settings;
 pub mod share;
