Keep an instance doubtful through a stop that is called off, and through a move

Found by the model of budgets: fail, report, claim a stop, cancel it, claim a stop of the other instance.

--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -48,6 +48,10 @@
     pub stop: Option<StopWhy>,
     /// Offset at which the stop or the release was claimed.
     pub stop_offset: Offset,
+    /// Whether the instance was doubtful when its latest stop or release was claimed; it is again
+    /// once that has ended, until a probe says otherwise.
+    #[serde(default)]
+    pub was_doubtful: bool,
     /// Log time of the latest reboot by a roll-out, or 0.
     pub maintained_at_unix_ms: UnixMs,
     /// Log time at which it last failed to return from maintenance or went bad after it, or 0.
@@ -59,6 +63,16 @@
     pub past_incarnations: Vec<SmolStr>,
 }
 
+impl InstanceEntry {
+    /// Returns what the instance could be counted on for before its stop was claimed.
+    fn standing_before_stop(&self) -> Standing {
+        match self.was_doubtful {
+            true => Standing::Doubtful,
+            false => Standing::Serving,
+        }
+    }
+}
+
 /// All instances with the counts that budgets are judged on.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Instances {
@@ -224,6 +238,7 @@
                 standing: Standing::Serving,
                 stop: None,
                 stop_offset: 0,
+                was_doubtful: false,
                 // A new instance is as good as one that was just maintained.
                 maintained_at_unix_ms: at_unix_ms,
                 bad_at_unix_ms: 0,
@@ -296,6 +311,7 @@
             self.note_release(name, to_pool, at_unix_ms);
         }
         self.update(name, |entry| {
+            entry.was_doubtful = entry.standing == Standing::Doubtful;
             entry.standing = Standing::Draining;
             entry.stop = Some(why.clone());
             entry.stop_offset = offset;
@@ -340,7 +356,7 @@
             Some(_) | None => return Err(SmolStr::new_static("not_draining")),
         }
         self.update(name, |entry| {
-            entry.standing = Standing::Serving;
+            entry.standing = entry.standing_before_stop();
             entry.stop = None;
             entry.standing_at_unix_ms = at_unix_ms;
         });
@@ -365,7 +381,7 @@
         };
         self.update(name, |entry| {
             entry.row.pool = to_pool;
-            entry.standing = Standing::Serving;
+            entry.standing = entry.standing_before_stop();
             entry.stop = None;
             entry.standing_at_unix_ms = at_unix_ms;
         });
@@ -441,6 +457,7 @@
         standing: Standing::Serving,
         stop: None,
         stop_offset: old.stop_offset,
+        was_doubtful: false,
         maintained_at_unix_ms: match was_maintained {
             true => at_unix_ms,
             false => old.maintained_at_unix_ms,
