Start nothing without a lease, from queues open to all either

Found by the model of moves: an entry whose seat had been ended and freed, but which heard the log, gave out work from a queue open to all while the instance was moved: no seat was left that the move would have waited for. The same held before the first opening of a seat landed.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -69,8 +69,8 @@
     if needs_claim && !(standing.is_log_fresh && standing.is_lease_valid) {
         return refuse(ErrorKind::LogUnavailable, "");
     }
-    // The lease guards the upper limit, which queues open to all do not have.
-    if !team.is_empty() && !standing.is_lease_valid {
+    // The lease guards the upper limits, and the moves and stops of instances.
+    if !standing.is_lease_valid {
         return refuse(ErrorKind::SeatLapsed, "");
     }
     if let Some(kind) = claim_id.and_then(|id| claimed(ledger, &team, &id)) {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -332,11 +332,13 @@
         } = self;
         let is_lease_valid = lease.is_valid(now_ms);
         let mut can_start = |waiting: &Waiting| {
+            // Moves and stops wait for every seat, so nothing starts without one.
             let has_permit = match waiting.team {
+                _ if !is_lease_valid => false,
                 None => true,
                 Some(TeamKey(team)) => teams
                     .get_index(team as usize)
-                    .is_some_and(|team| is_lease_valid && escrow.can_start(ledger, seat, team)),
+                    .is_some_and(|team| escrow.can_start(ledger, seat, team)),
             };
             chosen = match has_permit {
                 true => placement.choose(now_ms, pool, &waiting.size, rng),
