--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,12 @@
 //! The integration tests, one module per topic.
 
+mod callers;
 mod check_command;
 mod cluster;
+mod error_table;
 mod lists;
+mod model;
+mod peers;
 mod platform_instances;
 mod platform_links;
 mod platform_log;
@@ -14,5 +18,6 @@
 mod processes;
 mod proxy;
 mod settings;
+mod support;
 mod upkeep_budget;
 mod whole_path;
