--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod check_command;
 mod cluster;
+mod engines;
 mod lists;
 mod platform_instances;
 mod platform_links;
@@ -11,6 +12,11 @@
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_keys;
+mod promises_limits;
+mod promises_membership;
+mod promises_recovery;
+mod promises_single_run;
 mod proxy;
 mod settings;
 mod upkeep_budget;
