--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -1,12 +1,13 @@
 //! How recently this entry heard the log and its peers, and what may be trusted for that. With the
 //! log out of reach, the configuration is trusted only while more than half of the live seats are
 //! heard: an operator's withdrawal counts as done once more than half have acknowledged it, and two
-//! such halves share a seat.
+//! such halves share a seat. Whoever is heard vouches only for what this entry has folded as well,
+//! and a page of the log only if no acknowledged append and no peer proves that there is more.
 
 use std::collections::HashMap;
 
 use crate::{
-    fleet::MonoMs,
+    fleet::{MonoMs, Offset},
     ledger::{Ledger, SeatId},
 };
 
@@ -14,7 +15,18 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Contact {
     log_heard_ms: Option<MonoMs>,
-    peers_heard_ms: HashMap<SeatId, MonoMs>,
+    /// The log has at least this many records, so a page that shows fewer is an old view.
+    proved_offset: Offset,
+    peers: HashMap<SeatId, PeerContact>,
+}
+
+/// The latest contact with one peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerContact {
+    /// Beginning of the latest exchange of which everything that the peer knew is folded here.
+    heard_ms: Option<MonoMs>,
+    /// Beginning of a later exchange, and the offset that the peer had reached.
+    ahead: Option<(MonoMs, Offset)>,
 }
 
 impl Contact {
@@ -23,15 +35,50 @@
         self.log_heard_ms = self.log_heard_ms.max(Some(sent_ms));
     }
 
-    /// Notes that a peer answered an exchange that began at `sent_ms`.
-    pub(crate) fn heard_peer(&mut self, seat: &SeatId, sent_ms: MonoMs) {
-        let heard_ms = self.peers_heard_ms.entry(seat.clone()).or_default();
-        *heard_ms = (*heard_ms).max(sent_ms);
+    /// Notes that the log has all records below `offset`, whatever its pages show.
+    pub(crate) fn prove_head(&mut self, offset: Offset) {
+        self.proved_offset = self.proved_offset.max(offset);
+    }
+
+    /// Returns whether a page may be the present state of the log, with `offset` as its head.
+    pub(crate) fn may_be_head(&self, offset: Offset) -> bool {
+        offset >= self.proved_offset
+    }
+
+    /// Notes that a peer that had reached `peer_offset` answered an exchange that began at
+    /// `sent_ms`. It counts once this entry has folded as much.
+    pub(crate) fn heard_peer(
+        &mut self,
+        seat: &SeatId,
+        sent_ms: MonoMs,
+        peer_offset: Offset,
+        folded_offset: Offset,
+    ) {
+        let contact = self.peers.entry(seat.clone()).or_default();
+        match contact.ahead {
+            _ if peer_offset <= folded_offset => {
+                contact.heard_ms = contact.heard_ms.max(Some(sent_ms));
+            }
+            None => contact.ahead = Some((sent_ms, peer_offset)),
+            // The earlier one is caught up with first.
+            Some(_) => {}
+        }
+    }
+
+    /// Notes that all records below `folded_offset` are folded.
+    pub(crate) fn caught_up(&mut self, folded_offset: Offset) {
+        for contact in self.peers.values_mut() {
+            let reached = contact.ahead.filter(|(_, offset)| *offset <= folded_offset);
+            if let Some((sent_ms, _)) = reached {
+                contact.heard_ms = contact.heard_ms.max(Some(sent_ms));
+                contact.ahead = None;
+            }
+        }
     }
 
     /// Forgets the peers that hold no seat any more.
     pub(crate) fn forget_ended(&mut self, ledger: &Ledger) {
-        self.peers_heard_ms
+        self.peers
             .retain(|seat, _| ledger.seats.get(seat).is_some());
     }
 
@@ -58,7 +105,8 @@
             || self.hears_majority(now_ms, max_age_ms, ledger, own)
     }
 
-    fn hears_majority(
+    /// Returns whether more than half of the live seats are heard.
+    pub(crate) fn hears_majority(
         &self,
         now_ms: MonoMs,
         max_age_ms: u64,
@@ -66,7 +114,9 @@
         own: &SeatId,
     ) -> bool {
         let is_heard = |seat: &SeatId| {
-            seat == own || is_fresh(self.peers_heard_ms.get(seat).copied(), now_ms, max_age_ms)
+            let contact = self.peers.get(seat);
+            let heard_ms = contact.and_then(|contact| contact.heard_ms);
+            seat == own || is_fresh(heard_ms, now_ms, max_age_ms)
         };
         let live_count = ledger.seats.iter_live().count();
         let heard_count = ledger
--- a/src/entry/daemon/duties.rs
+++ b/src/entry/daemon/duties.rs
@@ -87,7 +87,8 @@
     }
 }
 
-fn relay<P: Platform>(shared: &Shared<P>, page: &LogPage) {
+/// Keeps what was read for peers.
+pub(crate) fn relay<P: Platform>(shared: &Shared<P>, page: &LogPage) {
     let mut relay = lock(&shared.relay);
     for record in &page.records {
         relay.push(record);
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -158,14 +158,15 @@
 }
 
 impl Relay {
-    /// Keeps a record that was read from the log.
+    /// Keeps a record that was read from the log; after a gap, it starts afresh from there.
     pub(crate) fn push(&mut self, record: &LogRecord) {
-        let is_next = match self.records.back() {
-            Some(last) => record.offset == last.offset + 1,
-            None => true,
-        };
-        if !is_next {
-            return;
+        match self.records.back().map(|last| last.offset + 1) {
+            Some(next_offset) if record.offset < next_offset => return,
+            Some(next_offset) if record.offset > next_offset => {
+                self.records.clear();
+                self.bytes = 0;
+            }
+            Some(_) | None => {}
         }
         self.bytes += record.payload.len();
         self.records.push_back(record.clone());
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -19,7 +19,10 @@
         PeerAnswer, PeerCall, PeerClient, PeerHandler, SnapshotAsk, SnapshotChunk, TailAsk,
     },
     entry::{
-        daemon::{duties::sleep_unless_stopped, lock, spawn_thread, PeerAddress, Shared},
+        daemon::{
+            duties::{relay, sleep_unless_stopped},
+            lock, spawn_thread, PeerAddress, Shared,
+        },
         event::{Event, Source},
         gossip::Gossip,
     },
@@ -182,6 +185,7 @@
     });
     match call(shared, address, &ask) {
         Ok(PeerAnswer::Tail(page)) if starts_at(&page, from_offset) => {
+            relay(shared, &page);
             shared.tell(Event::LogPage {
                 sent_ms,
                 from_offset,
@@ -189,8 +193,8 @@
                 source: Source::Peer,
             });
         }
-        // The peer no longer has the records in between.
-        Ok(PeerAnswer::Tail(page)) if !page.records.is_empty() => pull_ledger(shared, address),
+        // The peer does not have the records in between.
+        Ok(PeerAnswer::Tail(_)) => pull_ledger(shared, address),
         Ok(_) => {}
         Err(error) => log::warn!("event=pull_failed peer={address} error={error}"),
     }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -117,6 +117,7 @@
             stage: Stage::Claiming,
             attempts_count: 0,
             is_announced: true,
+            may_have_run: false,
         };
         self.admit_request(key, request);
     }
@@ -512,6 +513,9 @@
     /// Ends or retries the request that an attempt was for.
     fn settle(&mut self, attempt: &Attempt, outcome: WorkerOutcome) {
         let key = attempt.request;
+        if let Some(request) = self.requests.get_mut(key) {
+            request.may_have_run |= !matches!(outcome, WorkerOutcome::NotStarted(_));
+        }
         match outcome {
             WorkerOutcome::Ran {
                 is_success: true,
@@ -619,9 +623,14 @@
         self.finish(key, answer, ClaimState::Ran);
     }
 
-    /// Ends a request that is proved not to have started.
+    /// Ends a request of which no attempt is out. Its answer says "not run" only if no attempt of
+    /// it may have run.
     pub(crate) fn finish_not_run(&mut self, key: RequestKey, kind: ErrorKind, retry_after_ms: u64) {
         self.wait.cancel(self.now.mono_ms, key);
+        let request = self.requests.get(key);
+        if request.is_some_and(|request| request.may_have_run) {
+            return self.finish_unknown(key, kind_if_run(kind));
+        }
         let entry = self.settings.entry.clone();
         let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
         self.finish(key, answer, ClaimState::NotRun);
@@ -856,6 +865,15 @@
     }
 }
 
+/// Returns what a refusal becomes if the work may have run before.
+fn kind_if_run(kind: ErrorKind) -> ErrorKind {
+    match kind {
+        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
+        ErrorKind::DeadlinePassed => ErrorKind::DeadlinePassedWhileRunning,
+        _ => ErrorKind::WorkerLost,
+    }
+}
+
 fn kind_of(reason: RefusalReason) -> ErrorKind {
     match reason {
         RefusalReason::QueueFull | RefusalReason::TeamQueueFull => ErrorKind::QueueFull,
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -62,6 +62,13 @@
     seats_opened_count: u32,
     /// Whether the opening of the seat was folded.
     is_seated: bool,
+    /// Whether the opening of any seat was folded: only this proves that what is read of the log is
+    /// not from before the start of this process.
+    was_seated: bool,
+    /// When the head of the log was first reached.
+    first_head_ms: Option<MonoMs>,
+    /// Whether withdrawals that only peers know would have been heard.
+    is_introduced: bool,
     pub(crate) ledger: Ledger,
     pub(crate) reader: Reader,
     snapshots: SnapshotWriter,
@@ -127,6 +134,9 @@
             incarnation: seat.clone(),
             seats_opened_count: 0,
             is_seated: false,
+            was_seated: false,
+            first_head_ms: None,
+            is_introduced: false,
             ledger: Ledger::default(),
             reader: Reader::new(),
             snapshots: SnapshotWriter::default(),
@@ -186,6 +196,9 @@
             Event::LogFailed { error } => self.reader.failed(&error),
             Event::PeerLedger { text } => self.take_peer_ledger(&text),
             Event::Appended { seq, result } => {
+                if let Ok(offset) = &result {
+                    self.contact.prove_head(offset + 1);
+                }
                 self.proposer.appended(now.mono_ms, seq, &result);
             }
             Event::SnapshotAppended { .. } => self.snapshots.finished(),
@@ -233,9 +246,12 @@
         &self.ledger
     }
 
-    /// Returns whether the head of the ledger was known at some time.
+    /// Returns whether the head of the ledger was known at some time, and with it every withdrawal
+    /// that peers may know beyond it.
     pub fn is_ready(&self) -> bool {
-        self.reader.is_following() && self.contact.log_age_ms(self.now.mono_ms).is_some()
+        self.reader.is_following()
+            && self.is_introduced
+            && self.contact.log_age_ms(self.now.mono_ms).is_some()
     }
 
     /// Returns whether the balancer should send callers here.
@@ -251,6 +267,7 @@
 
     fn tick(&mut self) {
         let now_ms = self.now.mono_ms;
+        self.poll_introduction();
         self.poll_seat();
         self.poll_requests();
         self.poll_workers();
@@ -264,6 +281,22 @@
         self.poll_drain();
     }
 
+    /// Notes once withdrawals that are not in the log yet would have been heard.
+    ///
+    /// Whoever knows of one and reaches the log has put it on record before the configuration of
+    /// everybody else has become stale; more than half of the seats know of it before that.
+    fn poll_introduction(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let max_age_ms = self.settings.config_stale_max_ms;
+        let Some(first_head_ms) = self.first_head_ms.filter(|_| !self.is_introduced) else {
+            return;
+        };
+        let hears_majority =
+            self.contact
+                .hears_majority(now_ms, max_age_ms, &self.ledger, &self.seat);
+        self.is_introduced = hears_majority || now_ms >= first_head_ms + max_age_ms;
+    }
+
     // The log.
 
     fn read_page(&mut self, sent_ms: MonoMs, from_offset: Offset, page: &LogPage, source: &Source) {
@@ -283,12 +316,17 @@
             self.snapshots.folded(effect, bytes);
             self.take_effect(effect);
         }
-        if progress.is_at_head && *source == Source::Log {
+        self.contact.caught_up(self.ledger.next_offset);
+        let is_at_head = progress.is_at_head && *source == Source::Log;
+        if is_at_head {
+            self.open_seat_if_none();
+        }
+        if is_at_head && self.was_seated && self.contact.may_be_head(self.ledger.next_offset) {
             if was_silent {
                 self.watch.start_afresh();
             }
             self.contact.heard_log(sent_ms);
-            self.open_seat_if_none();
+            self.first_head_ms.get_or_insert(self.now.mono_ms);
         }
         self.sync_lists();
     }
@@ -300,6 +338,7 @@
         if ledger.next_offset > self.ledger.next_offset {
             self.ledger = ledger;
             self.reader.follow();
+            self.contact.caught_up(self.ledger.next_offset);
             self.adopt_ledger();
             self.sync_lists();
         }
@@ -366,6 +405,7 @@
     fn fold_own_batch(&mut self, seq: u64, changes: &[SeatChange]) {
         let sent_ms = self.proposer.folded(seq);
         self.is_seated = true;
+        self.was_seated = true;
         let is_renewal = |change: &SeatChange| {
             matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. })
         };
@@ -390,7 +430,7 @@
                     team, request_id, ..
                 },
                 Verdict::Accepted,
-            ) if is_own => self.enqueue_job(team, request_id),
+            ) if is_own => self.enqueue_job(team, request_id, true),
             (SeatChange::JobStart { team, request_id }, verdict) if is_own => {
                 self.take_job_start(team, request_id, verdict);
             }
@@ -551,7 +591,10 @@
             .collect();
         let changes = self.escrow.poll(now_ms, &self.ledger, &self.seat, &peers);
         for change in changes {
-            self.propose(change);
+            // A change that finds no room is as good as folded without effect.
+            if !self.propose(change.clone()) {
+                self.escrow.folded(&change);
+            }
         }
     }
 
@@ -564,7 +607,9 @@
         for key_id in &gossip.withdrawn {
             self.withdraw(key_id.clone());
         }
-        self.contact.heard_peer(&gossip.seat, sent_ms);
+        let (peer_offset, folded_offset) = (gossip.next_offset, self.ledger.next_offset);
+        self.contact
+            .heard_peer(&gossip.seat, sent_ms, peer_offset, folded_offset);
         self.take_hint(gossip);
     }
 
@@ -576,6 +621,7 @@
         for key_id in &gossip.withdrawn {
             self.withdraw(key_id.clone());
         }
+        self.contact.prove_head(gossip.next_offset);
         let heard_ms = self.now.mono_ms;
         let key = match self.peers.get(&gossip.seat) {
             Some(hint) => hint.key,
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -67,7 +67,7 @@
                     let answer = CallerAnswer::accepted(self.settings.entry.clone());
                     self.answer(call_id, answer);
                 }
-                self.enqueue_job(&job.team, &job.request_id);
+                self.enqueue_job(&job.team, &job.request_id, false);
             }
             (_, Some(call_id)) => {
                 let kind = admission::claimed(&self.ledger, &job.team, &job.request_id)
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Queues a job that this seat owns.
-    pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid) {
+    /// Queues a job that this seat owns, and may have adopted.
+    pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid, is_adopted: bool) {
         let Some(entry) = self.ledger.jobs.get(team, request_id).cloned() else {
             return;
         };
@@ -90,7 +90,9 @@
         if self.requests.find(team, &text).is_some() {
             return;
         }
-        let request = self.job_request(text, &entry);
+        let mut request = self.job_request(text, &entry);
+        // The former owner started it without an announcement if it is idempotent.
+        request.may_have_run = is_adopted && request.is_idempotent;
         let key = request.waiting.key;
         self.requests.insert(key, request);
         self.push_waiting(key);
@@ -140,6 +142,7 @@
             attempts_count: 0,
             // A second run of an idempotent job does no harm, so its start need not be on record.
             is_announced: row.is_idempotent,
+            may_have_run: false,
         }
     }
 
@@ -193,17 +196,27 @@
     }
 
     /// Drops the jobs that were not started; the seat's end lets others adopt them.
+    ///
+    /// An announcement is taken back first, as nobody adopts a non-idempotent job that may have
+    /// run.
     pub(crate) fn hand_over_jobs(&mut self) {
-        let keys: Vec<_> = self
+        let rows: Vec<_> = self
             .requests
             .iter()
             .filter(|(_, request)| request.origin == Origin::Job)
             .filter(|(_, request)| !matches!(request.stage, Stage::Running(_)))
-            .map(|(key, _)| key)
+            .map(|(key, request)| (key, request.team.clone(), request.claim_id))
             .collect();
-        for key in keys {
-            self.wait.cancel(self.now.mono_ms, key);
-            self.requests.remove(key);
+        for (key, team, request_id) in rows {
+            let taken_back = request_id.map(|request_id| SeatChange::JobEnd {
+                team,
+                request_id,
+                state: JobState::Waiting,
+            });
+            if taken_back.is_none_or(|change| self.propose(change)) {
+                self.wait.cancel(self.now.mono_ms, key);
+                self.requests.remove(key);
+            }
         }
     }
 
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts_count: u32,
     /// Whether the start of a job is on record.
     pub(crate) is_announced: bool,
+    /// Whether an earlier attempt may have run, so that "not run" would not be true.
+    pub(crate) may_have_run: bool,
 }
 
 /// One attempt to run a request.
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -129,13 +129,13 @@
         /// Id of the request.
         request_id: Uuid,
     },
-    /// Ends a job.
+    /// Ends a job, or takes its announcement back (`waiting`) if it was not started after all.
     JobEnd {
         /// Team of the job.
         team: TeamName,
         /// Id of the request.
         request_id: Uuid,
-        /// How it ended, with the answer.
+        /// How it ended, with the answer, or `waiting`.
         state: JobState,
     },
     /// An instance, or a new incarnation of one, is in the instance list.
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -99,10 +99,13 @@
     }
 
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
+    ///
+    /// One start is always taken to be due: a lane that has waited for a moment without any, for
+    /// its turn under a limit or for a slow log, is not one that never drains.
     pub fn per_ms(&self) -> Option<f64> {
         match self.busy_ms {
             busy_ms if busy_ms < DRAIN_KNOWN_AFTER_MS => None,
-            busy_ms => Some(self.starts / busy_ms),
+            busy_ms => Some((self.starts + 1.0) / busy_ms),
         }
     }
 }
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -33,7 +33,7 @@
 
 #[test]
 fn a_log_that_stands_still_is_not_trusted_for_long() {
-    let mut engines = Engines::open(1);
+    let mut engines = Engines::open_with(1, |_| {}, |settings| settings.seat_renew_ms = 1_000);
     let key = engines.grant("ionosphere-desk");
     engines.stale_ms = 60_000;
     engines.advance(5_000);
