Take a configuration as stale if the log is proved to hold what is not read

Cause: with the log showing an old view to all entries, each heard the others and so trusted the old view for as long as it lasted; seen failing in the test of a log that stands still while peers are heard. Acknowledged appends and peers prove how far the log has come; what is proved and not folded within the age allowed makes the configuration stale.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -2,7 +2,8 @@
 //! log out of reach, the configuration is trusted only while more than half of the live seats are
 //! heard: an operator's withdrawal counts as done once more than half have acknowledged it, and two
 //! such halves share a seat. Whoever is heard vouches only for what this entry has folded as well,
-//! and a page of the log only if no acknowledged append and no peer proves that there is more.
+//! and a page of the log only if no acknowledged append and no peer proves that there is more. What
+//! is proved to be in the log and is not read in time makes the configuration stale as well.
 
 use std::collections::HashMap;
 
@@ -17,6 +18,8 @@
     log_heard_ms: Option<MonoMs>,
     /// The log has at least this many records, so a page that shows fewer is an old view.
     proved_offset: Offset,
+    /// Since when more than what is folded here is proved to be in the log, and how much it was.
+    behind: Option<(MonoMs, Offset)>,
     peers: HashMap<SeatId, PeerContact>,
 }
 
@@ -36,8 +39,11 @@
     }
 
     /// Notes that the log has all records below `offset`, whatever its pages show.
-    pub(crate) fn prove_head(&mut self, offset: Offset) {
+    pub(crate) fn prove_head(&mut self, now_ms: MonoMs, offset: Offset, folded_offset: Offset) {
         self.proved_offset = self.proved_offset.max(offset);
+        if self.behind.is_none() && offset > folded_offset {
+            self.behind = Some((now_ms, offset));
+        }
     }
 
     /// Returns whether a page may be the present state of the log, with `offset` as its head.
@@ -66,7 +72,14 @@
     }
 
     /// Notes that all records below `folded_offset` are folded.
-    pub(crate) fn caught_up(&mut self, folded_offset: Offset) {
+    pub(crate) fn caught_up(&mut self, now_ms: MonoMs, folded_offset: Offset) {
+        if self
+            .behind
+            .is_some_and(|(_, offset)| offset <= folded_offset)
+        {
+            let is_behind = self.proved_offset > folded_offset;
+            self.behind = is_behind.then_some((now_ms, self.proved_offset));
+        }
         for contact in self.peers.values_mut() {
             let reached = contact.ahead.filter(|(_, offset)| *offset <= folded_offset);
             if let Some((sent_ms, _)) = reached {
@@ -101,8 +114,11 @@
         ledger: &Ledger,
         own: &SeatId,
     ) -> bool {
+        let is_behind = self
+            .behind
+            .is_some_and(|(since_ms, _)| now_ms.saturating_sub(since_ms) > max_age_ms);
         self.is_log_fresh(now_ms, max_age_ms)
-            || self.hears_majority(now_ms, max_age_ms, ledger, own)
+            || (!is_behind && self.hears_majority(now_ms, max_age_ms, ledger, own))
     }
 
     /// Returns whether more than half of the live seats are heard.
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -197,7 +197,9 @@
             Event::PeerLedger { text } => self.take_peer_ledger(&text),
             Event::Appended { seq, result } => {
                 if let Ok(offset) = &result {
-                    self.contact.prove_head(offset + 1);
+                    let folded_offset = self.ledger.next_offset;
+                    self.contact
+                        .prove_head(now.mono_ms, offset + 1, folded_offset);
                 }
                 self.proposer.appended(now.mono_ms, seq, &result);
             }
@@ -316,7 +318,8 @@
             self.snapshots.folded(effect, bytes);
             self.take_effect(effect);
         }
-        self.contact.caught_up(self.ledger.next_offset);
+        self.contact
+            .caught_up(self.now.mono_ms, self.ledger.next_offset);
         let is_at_head = progress.is_at_head && *source == Source::Log;
         if is_at_head {
             self.open_seat_if_none();
@@ -338,7 +341,8 @@
         if ledger.next_offset > self.ledger.next_offset {
             self.ledger = ledger;
             self.reader.follow();
-            self.contact.caught_up(self.ledger.next_offset);
+            self.contact
+                .caught_up(self.now.mono_ms, self.ledger.next_offset);
             self.adopt_ledger();
             self.sync_lists();
         }
@@ -621,8 +625,9 @@
         for key_id in &gossip.withdrawn {
             self.withdraw(key_id.clone());
         }
-        self.contact.prove_head(gossip.next_offset);
         let heard_ms = self.now.mono_ms;
+        self.contact
+            .prove_head(heard_ms, gossip.next_offset, self.ledger.next_offset);
         let key = match self.peers.get(&gossip.seat) {
             Some(hint) => hint.key,
             None => {
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -54,6 +54,26 @@
     engines.advance_until(500, |engines| !engines.nodes[0].attempts.is_empty());
 }
 
+#[test]
+fn a_log_that_stands_still_is_not_trusted_though_peers_are_heard() {
+    let mut engines = Engines::open(3);
+    let key = engines.grant("ionosphere-desk");
+    engines.stale_ms = 60_000;
+    engines.advance(5_000);
+    let request = engines.request(&key, true);
+    let call = engines.call(0, &request);
+    let refusal = engines.refusal(call);
+    assert_eq!(
+        refusal,
+        Some((ErrorKind::ConfigurationStale, RunState::NotRun))
+    );
+    engines.stale_ms = 0;
+    engines.advance(500);
+    let request = engines.request(&key, true);
+    engines.call(0, &request);
+    engines.advance_until(500, |engines| !engines.nodes[0].attempts.is_empty());
+}
+
 #[test]
 fn a_job_survives_the_engine_that_took_it() {
     let mut engines = Engines::open_with(
