--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -1,27 +1,15 @@
 //! `keys`: grant, withdraw and list the teams' keys.
 
-use std::{net::SocketAddr, sync::Arc};
-
-use attohttpc::Method;
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use error_stack::Report;
 use hawthornladder::{
-    adapters::{
-        http_client::HttpCall,
-        log_http::{service_call, ServiceTimeouts},
-    },
+    adapters::operators_client::OperatorsClient,
     keys,
     ledger::{KeyRow, OperatorChange},
     operator::Settled,
 };
 
-use crate::cmd::{log_access, say, CmdError, CmdResult, Exit};
-
-/// Timeouts of a withdrawal at an entry, which tells its peers before it answers.
-const ENTRY_TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
-    connect_ms: 500,
-    call_ms: 4_000,
-};
+use crate::cmd::{entry_access, is_json, log_access, output_arg, say, CmdError, CmdResult, Exit};
 
 /// Makes the command line of `keys`.
 pub(crate) fn make_command() -> Command {
@@ -68,25 +56,10 @@
                 .help("Public id of the key: the part before the dot")
                 .required(true),
         )
-        .arg(
-            Arg::new("entry")
-                .long("entry")
-                .value_name("IP:PORT")
-                .help("Operators' address of an entry to tell; may be given more than once")
-                .action(ArgAction::Append),
-        )
+        .arg(entry_access::arg())
         .args(log_access::args())
 }
 
-fn output_arg() -> Arg {
-    Arg::new("output")
-        .long("output")
-        .value_name("FORMAT")
-        .help("How to print")
-        .value_parser(["text", "json"])
-        .default_value("text")
-}
-
 /// Carries out `keys`.
 pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
     match matches.subcommand() {
@@ -138,13 +111,20 @@
     // A whole key is taken too, so that nobody has to split one in a hurry.
     let key_id = key_id.split('.').next().unwrap_or(key_id);
     let mut is_in_force = false;
-    for entry in matches.get_many::<String>("entry").unwrap_or_default() {
-        match tell_entry(entry, key_id) {
-            Ok(answer) => {
-                is_in_force |= answer["is_in_force_everywhere"] == true;
-                say(&format!("event=entry_told entry={entry} answer={answer}"))?;
+    for entry in entry_access::addresses(matches)? {
+        match OperatorsClient::open(entry).withdraw_key(key_id) {
+            Ok(ack) => {
+                is_in_force |= ack.is_in_force_everywhere;
+                say(&format!(
+                    "event=entry_told entry={entry} seats_count={} acknowledged_count={} \
+                     is_in_force_everywhere={}",
+                    ack.seats_count, ack.acknowledged_count, ack.is_in_force_everywhere
+                ))?;
             }
-            Err(error) => say(&format!("event=entry_not_told entry={entry} error={error}"))?,
+            Err(failure) => say(&format!(
+                "event=entry_not_told entry={entry} error={:?}",
+                failure.to_string()
+            ))?,
         }
     }
     let change = OperatorChange::WithdrawKey {
@@ -173,26 +153,6 @@
     Ok(Exit::Done)
 }
 
-/// Tells one entry; returns its answer.
-fn tell_entry(entry: &str, key_id: &str) -> Result<serde_json::Value, String> {
-    entry
-        .parse::<SocketAddr>()
-        .map_err(|_| "write IP:PORT".to_owned())?;
-    let body = serde_json::json!({ "key_id": key_id }).to_string();
-    let path = "/v1/keys/withdraw".into();
-    let call = HttpCall {
-        body: Arc::from(body.into_bytes()),
-        ..service_call(entry, ENTRY_TIMEOUTS, Method::POST, path)
-    };
-    match call.send() {
-        Ok(answer) if answer.status == 200 => {
-            serde_json::from_slice(&answer.body).map_err(|error| error.to_string())
-        }
-        Ok(answer) => Err(format!("status {}", answer.status)),
-        Err(error) => Err(format!("{error:?}")),
-    }
-}
-
 fn list(matches: &ArgMatches) -> CmdResult {
     let access = log_access::open(matches)?;
     let reader = access.read()?;
@@ -228,10 +188,6 @@
     }
 }
 
-fn is_json(matches: &ArgMatches) -> bool {
-    matches.get_one::<String>("output").map(String::as_str) == Some("json")
-}
-
 fn text<'m>(matches: &'m ArgMatches, name: &str) -> &'m str {
     matches.get_one::<String>(name).map_or("", String::as_str)
 }
--- a/src/cmd/lists.rs
+++ b/src/cmd/lists.rs
@@ -11,7 +11,7 @@
     operator::Settled,
 };
 
-use crate::cmd::{log_access, say, CmdError, CmdResult, Exit};
+use crate::cmd::{is_json, log_access, output_arg, say, CmdError, CmdResult, Exit};
 
 /// Makes the command line of `lists`.
 pub(crate) fn make_command() -> Command {
@@ -70,15 +70,6 @@
         .value_parser(value_parser!(PathBuf))
 }
 
-fn output_arg() -> Arg {
-    Arg::new("output")
-        .long("output")
-        .value_name("FORMAT")
-        .help("How to print")
-        .value_parser(["text", "json"])
-        .default_value("text")
-}
-
 /// Carries out `lists`.
 pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
     match matches.subcommand() {
@@ -147,8 +138,8 @@
     let reader = access.read()?;
     let ledger = reader.ledger();
     let lists = &*ledger.lists;
-    let text = match matches.get_one::<String>("output").map(String::as_str) {
-        Some("json") => {
+    let text = match is_json(matches) {
+        true => {
             let document = serde_json::json!({
                 "version": ledger.lists_version,
                 "plans": lists.plans,
@@ -156,7 +147,7 @@
             });
             document.to_string()
         }
-        _ => format!(
+        false => format!(
             "// version {}\n// plans\n{}\n// entitlements\n{}",
             ledger.lists_version,
             pretty(&lists.plans)?,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,15 +3,20 @@
 
 mod check;
 mod entry;
+mod entry_access;
 mod exit;
+mod explain;
 mod keys;
 mod lists;
 mod log_access;
 mod stand_in;
+mod standalone;
+mod status;
+mod table;
 
 use std::io::{self, Write};
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use error_stack::{Report, ResultExt};
 
 pub(crate) use exit::{plain_reports, CmdError, Exit};
@@ -45,6 +50,18 @@
         make: keys::make_command,
         execute: keys::execute,
     },
+    Subcommand {
+        make: status::make_command,
+        execute: status::execute,
+    },
+    Subcommand {
+        make: explain::make_command,
+        execute: explain::execute,
+    },
+    Subcommand {
+        make: standalone::make_command,
+        execute: standalone::execute,
+    },
     Subcommand {
         make: stand_in::make_command,
         execute: stand_in::execute,
@@ -60,6 +77,21 @@
         .attach("cannot write to the standard output")
 }
 
+/// Makes the argument that chooses between text and JSON.
+pub(crate) fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .value_name("FORMAT")
+        .help("How to print")
+        .value_parser(["text", "json"])
+        .default_value("text")
+}
+
+/// Returns whether [`output_arg`] asks for JSON.
+pub(crate) fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("output").map(String::as_str) == Some("json")
+}
+
 /// Makes the command line of the program.
 pub(crate) fn make_command() -> Command {
     Command::new("hawthornladder")
