--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,5 +1,6 @@
 //! Adapters: the ports over HTTP and JSON-RPC, and the clocks of the machine.
 
+pub mod callers_client;
 pub mod callers_http;
 pub mod clock;
 pub mod http_client;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod policy;
 pub mod ports;
 pub mod settings;
+pub mod standalone;
 pub mod upkeep;
--- /dev/null
+++ b/src/platform/local.rs
@@ -0,0 +1,51 @@
+//! The in-memory platform behind the [`Platform`] port, for runs of the whole path in one process.
+
+use crate::{
+    adapters::clock::SystemClock,
+    platform::{
+        instances::MemoryInstances,
+        log::MemoryLog,
+        workers::{MemoryPlatform, MemoryWorkers},
+    },
+    ports::Platform,
+};
+
+/// A platform in memory with the clocks of the machine.
+#[derive(Clone, Debug)]
+pub struct LocalPlatform {
+    memory: MemoryPlatform,
+    clock: SystemClock,
+}
+
+impl LocalPlatform {
+    /// Returns the port to `memory`; clones share it.
+    pub fn open(memory: MemoryPlatform) -> Self {
+        Self {
+            memory,
+            clock: SystemClock,
+        }
+    }
+}
+
+impl Platform for LocalPlatform {
+    type Log = MemoryLog;
+    type Instances = MemoryInstances;
+    type Workers = MemoryWorkers;
+    type Clock = SystemClock;
+
+    fn log(&self) -> &MemoryLog {
+        &self.memory.log
+    }
+
+    fn instances(&self) -> &MemoryInstances {
+        &self.memory.instances
+    }
+
+    fn workers(&self) -> &MemoryWorkers {
+        &self.memory.workers
+    }
+
+    fn clock(&self) -> &SystemClock {
+        &self.clock
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod instances;
 pub mod instances_server;
 pub mod journal;
+pub mod local;
 pub mod log;
 pub mod log_server;
 pub mod task;
