--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod entry_access;
 mod exit;
+mod experiment;
 mod explain;
 mod keys;
 mod lists;
@@ -13,6 +14,7 @@
 mod standalone;
 mod status;
 mod table;
+mod upkeep_experiment;
 
 use std::io::{self, Write};
 
@@ -66,6 +68,14 @@
         make: stand_in::make_command,
         execute: stand_in::execute,
     },
+    Subcommand {
+        make: experiment::make_command,
+        execute: experiment::execute,
+    },
+    Subcommand {
+        make: upkeep_experiment::make_command,
+        execute: upkeep_experiment::execute,
+    },
 ];
 
 /// Prints one line to the standard output at once.
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use indexmap::IndexMap;
 use smol_str::SmolStr;
 use uuid::Uuid;
 
@@ -12,11 +13,11 @@
         admission::{self, Admitted, Standing},
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
-        gossip::{Gossip, GossipUsage},
+        gossip::{Gossip, GossipUsage, PoolLoad},
         requests::{Attempt, Origin, Request, Stage},
     },
     error::ErrorKind,
-    fleet::{TeamName, UnixMs},
+    fleet::{PoolName, TeamName, UnixMs},
     ledger::{ClaimState, SeatChange, Verdict},
     policy::{
         health::{self, Outcome, WorkKey},
@@ -177,7 +178,6 @@
         pools
             .iter()
             .filter_map(|pool| self.ledger.instances.pool_key(pool))
-            .map(|pool| PoolKey(pool.0))
             .collect()
     }
 
@@ -239,7 +239,7 @@
         };
         request.stage = Stage::Waiting;
         let (waiting, size_max) = (request.waiting.clone(), request.size_max);
-        match self.wait.push(now_ms, waiting, &size_max) {
+        match self.wait.push(now_ms, waiting, &size_max, &self.usage) {
             Ok(()) => {}
             Err(refusal) => {
                 let retry_after_ms = refusal.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
@@ -254,7 +254,7 @@
         for key in self.requests.overdue(now_ms) {
             self.miss_deadline(key);
         }
-        for given_up in self.wait.expire(now_ms) {
+        for given_up in self.wait.expire(now_ms, &self.usage) {
             self.finish_not_run(given_up.key, ErrorKind::GivenUp, given_up.retry_after_ms);
         }
         for key in self.requests.backed_off(now_ms) {
@@ -414,15 +414,13 @@
     /// Returns the longest task lease that ends before a seat's parts are given to others.
     fn lease_max_ms(&self) -> u64 {
         let settings = &self.settings;
-        settings
-            .run_max_ms
-            .min(crate::ledger::RUN_MAX_MS)
-            .saturating_sub(settings.start_window_ms + settings.clock_skew_max_ms)
+        let delays_ms = settings.start_window_ms + settings.clock_skew_max_ms;
+        let of_protocol_ms = crate::ledger::RUN_MAX_MS.saturating_sub(delays_ms);
+        settings.run_max_ms.min(of_protocol_ms)
     }
 
     fn pool_name(&self, pool: PoolKey) -> SmolStr {
-        let key = crate::upkeep::PoolKey(pool.0);
-        let name = self.ledger.instances.pool_name(key);
+        let name = self.ledger.instances.pool_name(pool);
         name.cloned().unwrap_or_default()
     }
 
@@ -768,8 +766,9 @@
                 let pool = self.ledger.instances.pool_key(&row.pool)?;
                 Some(UsageRow {
                     team: self.team_slot(&row.team),
-                    pool: PoolKey(pool.0),
+                    pool,
                     running: row.running,
+                    running_count: row.running_requests,
                     waiting_count: row.waiting_requests,
                 })
             })
@@ -777,6 +776,22 @@
         self.usage.apply_peer_report(self.now.mono_ms, peer, rows);
     }
 
+    /// Returns this entry's own requests by pool.
+    pub(crate) fn pool_loads(&self) -> IndexMap<PoolName, PoolLoad> {
+        let mut loads: IndexMap<PoolName, PoolLoad> = IndexMap::new();
+        for attempt in self.requests.may_run() {
+            let load = loads.entry(attempt.pool_name.clone()).or_default();
+            load.running_requests += 1;
+        }
+        for row in self.wait.report_rows(&self.usage) {
+            if row.waiting_count > 0 {
+                let load = loads.entry(self.pool_name(row.pool)).or_default();
+                load.waiting_requests += row.waiting_count;
+            }
+        }
+        loads
+    }
+
     /// Returns what to tell peers now.
     pub fn gossip(&self) -> Gossip {
         let usage = self
@@ -790,6 +805,7 @@
                     .unwrap_or_default(),
                 pool: self.pool_name(row.pool),
                 running: row.running,
+                running_requests: row.running_count,
                 waiting_requests: row.waiting_count,
             })
             .collect();
@@ -803,6 +819,7 @@
             is_draining: self.is_draining,
             withdrawn: self.withdrawn.iter().cloned().collect(),
             demand: self.escrow.demand(self.now.mono_ms),
+            pools: self.pool_loads(),
             usage,
         }
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -31,10 +31,21 @@
     pub withdrawn: Vec<KeyId>,
     /// Demand on the upper limits of teams.
     pub demand: IndexMap<TeamName, Demand>,
+    /// Requests running and waiting by pool.
+    pub pools: IndexMap<PoolName, PoolLoad>,
     /// Usage by team and pool.
     pub usage: Vec<GossipUsage>,
 }
 
+/// Requests of one entry in one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// Requests running.
+    pub running_requests: u32,
+    /// Requests waiting with this pool as the preferred one.
+    pub waiting_requests: u32,
+}
+
 /// What one entry wants of a team's upper limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
@@ -55,6 +66,8 @@
     pub pool: PoolName,
     /// Sum of the sizes running.
     pub running: Resources,
+    /// Requests running.
+    pub running_requests: u32,
     /// Requests waiting.
     pub waiting_requests: u32,
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,8 +2,11 @@
 
 use smol_str::SmolStr;
 
-use crate::policy::{
-    health::HealthSettings, queue::QueueSettings, retry::RetrySettings, share::ShareSettings,
+use crate::{
+    policy::{
+        health::HealthSettings, retry::RetrySettings, settings::QueueSettings, share::ShareSettings,
+    },
+    upkeep::{moves::MoveSettings, rollout::RolloutSettings},
 };
 
 /// Settings of one engine.
@@ -25,6 +28,10 @@
     pub append_interval_ms: u64,
     /// Changes in one batch at most.
     pub append_batch_max_count: usize,
+    /// Bytes of one batch at most, by a careful estimate.
+    pub append_batch_max_bytes: usize,
+    /// Attempts out at one worker at most.
+    pub worker_connections_max_count: u32,
     /// Changes that may wait for an append.
     pub changes_max_count: usize,
     /// Records between two snapshots.
@@ -43,8 +50,10 @@
     pub upkeep_every_ms: u64,
     /// Time for which a doubtful worker is left alone between two probes.
     pub probe_every_ms: u64,
-    /// Time between two roll-outs of an instance; 0 for none.
-    pub maintain_every_ms: u64,
+    /// Roll-outs.
+    pub roll_out: RolloutSettings,
+    /// Moves.
+    pub moves: MoveSettings,
     /// Waiting work.
     pub queue: QueueSettings,
     /// Shares.
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -14,6 +14,7 @@
         health::Access,
         keys::{PoolKey, WorkerKey, ZoneKey},
         placement::WorkerFacts,
+        share::Load,
     },
     ports::InstancePage,
 };
@@ -29,6 +30,7 @@
     pub(crate) address: SmolStr,
     pub(crate) pool: PoolKey,
     pub(crate) capacity: Resources,
+    pub(crate) slots_count: u32,
     /// Time until which the worker is left alone, since it said that it drains.
     pub(crate) held_until_ms: MonoMs,
     pub(crate) probed_ms: MonoMs,
@@ -160,7 +162,6 @@
         let Some(pool) = self.ledger.instances.pool_key(&entry.row.pool) else {
             return;
         };
-        let pool = PoolKey(pool.0);
         let old = self.workers.by_name.get(name);
         let old_pool = old.map(|worker| worker.pool);
         let is_same = old.is_some_and(|worker| worker.incarnation == entry.row.incarnation);
@@ -205,6 +206,7 @@
             address: entry.row.address.clone(),
             pool,
             capacity: entry.row.capacity,
+            slots_count: entry.row.slots_count,
             held_until_ms: 0,
             probed_ms: 0,
         };
@@ -229,7 +231,7 @@
             return;
         }
         let changed = std::mem::take(&mut self.workers_of_pool_changed);
-        let mut sums: HashMap<PoolKey, (Resources, Resources)> = changed
+        let mut sums: HashMap<PoolKey, (Load, Resources)> = changed
             .iter()
             .map(|pool| (*pool, Default::default()))
             .collect();
@@ -240,7 +242,10 @@
             let entry = self.ledger.instances.get(name);
             *largest = largest_of(largest, &worker.capacity);
             if entry.is_some_and(|entry| is_usable(entry, self.workers.listed.get(name))) {
-                *sum = sum.plus(&worker.capacity);
+                *sum = sum.plus(&Load {
+                    size: worker.capacity,
+                    slots_count: u64::from(worker.slots_count),
+                });
             }
         }
         for (pool, (sum, largest)) in sums {
@@ -275,6 +280,7 @@
         for change in self.health.tick(now_ms) {
             self.apply_access(change.worker, change.access);
         }
+        self.placement.tick(now_ms);
         self.poll_pools();
     }
 
--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -2,6 +2,8 @@
 //! against all stops and failures already known, and proceed only when every seat has proved that it
 //! can no longer dispatch to the instance.
 
+use std::collections::VecDeque;
+
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -19,6 +21,9 @@
 /// bring one of them back.
 const PAST_INCARNATIONS_MAX_COUNT: usize = 4;
 
+/// How many times of releases are remembered, to bound the moves of an hour.
+const RELEASES_MAX_COUNT: usize = 256;
+
 /// Why an instance is stopped by plan.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "snake_case")]
@@ -45,6 +50,9 @@
     pub stop_offset: Offset,
     /// Log time of the latest reboot by a roll-out, or 0.
     pub maintained_at_unix_ms: UnixMs,
+    /// Log time at which it last failed to return from maintenance or went bad after it, or 0.
+    #[serde(default)]
+    pub bad_at_unix_ms: UnixMs,
     /// Log time of the latest change of `standing`.
     pub standing_at_unix_ms: UnixMs,
     /// Earlier incarnations, the latest last.
@@ -58,6 +66,15 @@
     pools: IndexSet<PoolName>,
     zones: IndexSet<ZoneName>,
     racks: IndexSet<RackName>,
+    /// Log time of the latest halt of a roll-out, or 0.
+    #[serde(default)]
+    halted_at_unix_ms: UnixMs,
+    /// Log times of the latest releases for a move, the latest last.
+    #[serde(default)]
+    releases_at_unix_ms: VecDeque<UnixMs>,
+    /// Log time at which each pool last gave or got an instance.
+    #[serde(default)]
+    moved_at_unix_ms: IndexMap<PoolName, UnixMs>,
     #[serde(skip)]
     counts: FleetCounts,
     #[serde(skip)]
@@ -130,6 +147,46 @@
         can_release(&self.budget_view(), key)
     }
 
+    /// Returns the log time of the latest halt of a roll-out, if there was one.
+    pub fn halted_at_unix_ms(&self) -> Option<UnixMs> {
+        Some(self.halted_at_unix_ms).filter(|at| *at > 0)
+    }
+
+    /// Returns how many instances were released for a move since `since_unix_ms`.
+    pub fn moves_since_count(&self, since_unix_ms: UnixMs) -> u32 {
+        let times = self.releases_at_unix_ms.iter();
+        times.filter(|at| **at >= since_unix_ms).count() as u32
+    }
+
+    /// Returns the log time at which a pool last gave or got an instance.
+    pub fn moved_at_unix_ms(&self, pool: &str) -> Option<UnixMs> {
+        self.moved_at_unix_ms.get(pool).copied()
+    }
+
+    /// Notes that a roll-out halted.
+    pub(crate) fn halt(&mut self, at_unix_ms: UnixMs) {
+        self.halted_at_unix_ms = at_unix_ms;
+    }
+
+    /// Notes that a member of a wave went bad; one that did not return counts as failed.
+    pub(crate) fn mark_bad(
+        &mut self,
+        name: &str,
+        version: u64,
+        at_unix_ms: UnixMs,
+    ) -> Result<(), SmolStr> {
+        self.check_version(name, version)?;
+        self.update(name, |entry| {
+            entry.bad_at_unix_ms = at_unix_ms;
+            if entry.standing == Standing::Stopped {
+                entry.standing = Standing::Down;
+                entry.stop = None;
+                entry.standing_at_unix_ms = at_unix_ms;
+            }
+        });
+        Ok(())
+    }
+
     /// Takes over the budgets of newly published lists.
     pub(crate) fn set_budgets(&mut self, lists: &Lists) {
         for pool in &lists.entitlements.pools {
@@ -167,7 +224,9 @@
                 standing: Standing::Serving,
                 stop: None,
                 stop_offset: 0,
-                maintained_at_unix_ms: 0,
+                // A new instance is as good as one that was just maintained.
+                maintained_at_unix_ms: at_unix_ms,
+                bad_at_unix_ms: 0,
                 standing_at_unix_ms: at_unix_ms,
                 past_incarnations: Vec::new(),
             },
@@ -233,6 +292,9 @@
             StopWhy::Move(_) => self.judge_release(name),
         };
         verdict.map_err(|breach| SmolStr::new(breach.to_string()))?;
+        if let StopWhy::Move(to_pool) = why {
+            self.note_release(name, to_pool, at_unix_ms);
+        }
         self.update(name, |entry| {
             entry.standing = Standing::Draining;
             entry.stop = Some(why.clone());
@@ -315,6 +377,18 @@
         self.entries.get(name).map(|entry| entry.stop_offset)
     }
 
+    fn note_release(&mut self, name: &str, to_pool: &PoolName, at_unix_ms: UnixMs) {
+        self.releases_at_unix_ms.push_back(at_unix_ms);
+        if self.releases_at_unix_ms.len() > RELEASES_MAX_COUNT {
+            self.releases_at_unix_ms.pop_front();
+        }
+        if let Some(entry) = self.entries.get(name) {
+            let from_pool = entry.row.pool.clone();
+            self.moved_at_unix_ms.insert(from_pool, at_unix_ms);
+        }
+        self.moved_at_unix_ms.insert(to_pool.clone(), at_unix_ms);
+    }
+
     fn check_version(&self, name: &str, version: u64) -> Result<(), SmolStr> {
         match self.entries.get(name) {
             Some(entry) if entry.version == version => Ok(()),
@@ -371,6 +445,7 @@
             true => at_unix_ms,
             false => old.maintained_at_unix_ms,
         },
+        bad_at_unix_ms: old.bad_at_unix_ms,
         standing_at_unix_ms: at_unix_ms,
         past_incarnations,
     }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -198,6 +198,15 @@
         /// Version of the instance.
         version: u64,
     },
+    /// Records that a member of a wave failed to return, or went bad soon after it had.
+    MarkBad {
+        /// Name of the instance.
+        name: InstanceName,
+        /// Version of the instance.
+        version: u64,
+    },
+    /// Records that a roll-out halted, since members of its waves went bad.
+    HaltRollout,
     /// Puts a withdrawal of a key on record that reached an entry directly.
     WithdrawKey {
         /// The key.
