--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod exit;
 mod keys;
 mod lists;
+mod load;
 mod log_access;
 mod stand_in;
 
@@ -45,6 +46,10 @@
         make: keys::make_command,
         execute: keys::execute,
     },
+    Subcommand {
+        make: load::make_command,
+        execute: load::execute,
+    },
     Subcommand {
         make: stand_in::make_command,
         execute: stand_in::execute,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod keys;
 pub mod ledger;
 pub mod lists;
+pub mod load;
 pub mod logging;
 pub mod metrics;
 pub mod operator;
--- /dev/null
+++ b/src/load/live/account.rs
@@ -0,0 +1,211 @@
+//! Accounts for the promises from both ends: what the workers' journals hold and what the callers
+//! were told.
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::outcome::{End, Outcome};
+use super::schedule::Shot;
+use crate::fleet::{InstanceName, TeamName};
+use crate::platform::journal::{peak_running_by_team, Run};
+
+/// Time after which a leaving instance may be given nothing new, in microseconds.
+const LEAVING_GRACE_US: u64 = 3_000_000;
+/// Time after which a withdrawn key may open nothing, in microseconds.
+const WITHDRAWN_GRACE_US: u64 = 5_000_000;
+/// Examples that are named for each kind of violation.
+const EXAMPLES_MAX_COUNT: usize = 5;
+
+/// An instance that was leaving for a time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Leaving {
+    /// Instance.
+    pub instance: InstanceName,
+    /// When it was announced.
+    pub from_unix_us: u64,
+    /// When it was gone or replaced, if it was.
+    pub until_unix_us: Option<u64>,
+}
+
+/// A key that was withdrawn during the run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Withdrawn {
+    /// Team.
+    pub team: TeamName,
+    /// Place of the key among the team's.
+    pub key: usize,
+    /// When the withdrawal was acknowledged.
+    pub at_unix_us: u64,
+}
+
+/// What the accounts are made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Evidence<'a> {
+    /// The schedule.
+    pub shots: &'a [Shot],
+    /// What became of it.
+    pub outcomes: &'a [Outcome],
+    /// All runs that the workers' journals hold.
+    pub runs: &'a [Run],
+    /// Upper limits of the teams, in requests.
+    pub limits: &'a IndexMap<TeamName, u32>,
+    /// Instances that were leaving.
+    pub leaving: &'a [Leaving],
+    /// Keys that were withdrawn.
+    pub withdrawn: &'a [Withdrawn],
+}
+
+/// Count of one kind of violation with some examples.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Violations {
+    /// How many there are.
+    pub count: u64,
+    /// The first of them.
+    pub examples: Vec<SmolStr>,
+}
+
+impl Violations {
+    fn add(&mut self, example: impl FnOnce() -> String) {
+        self.count += 1;
+        if self.examples.len() < EXAMPLES_MAX_COUNT {
+            self.examples.push(example().into());
+        }
+    }
+}
+
+/// The accounts of one run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Accounts {
+    /// Runs at the workers that belong to the schedule.
+    pub runs_count: u64,
+    /// Non-idempotent requests that ran more than once.
+    pub doubled: Violations,
+    /// Requests answered as done that no worker ran.
+    pub lost: Violations,
+    /// Answers that were not the caller's own, or not whole.
+    pub crossed: Violations,
+    /// Requests that were refused as not run and ran.
+    pub not_run_ran: Violations,
+    /// Teams that had more running than their limit at some instant.
+    pub over_limit: Violations,
+    /// Runs that started at an instance more than 3 s after it was leaving.
+    pub late_to_leaving: Violations,
+    /// Requests answered as done with a key that had been withdrawn for 5 s.
+    pub withdrawn_key: Violations,
+    /// Most requests of each team that ran at one instant.
+    pub peak_running: IndexMap<TeamName, u32>,
+    /// Idempotent requests that ran more than once, which is allowed.
+    pub repeated_idempotent_count: u64,
+}
+
+impl Accounts {
+    /// Returns the number of broken promises.
+    pub fn violations_count(&self) -> u64 {
+        let rows = [
+            &self.doubled,
+            &self.lost,
+            &self.crossed,
+            &self.not_run_ran,
+            &self.over_limit,
+            &self.late_to_leaving,
+            &self.withdrawn_key,
+        ];
+        rows.iter().map(|violations| violations.count).sum()
+    }
+}
+
+/// Makes the accounts.
+pub fn settle(evidence: &Evidence<'_>) -> Accounts {
+    let mut runs_of: IndexMap<&str, Vec<&Run>> = IndexMap::new();
+    for outcome in evidence.outcomes {
+        runs_of.insert(&outcome.request_id, Vec::new());
+    }
+    for run in evidence.runs {
+        if let Some(runs) = runs_of.get_mut(run.request_id.as_str()) {
+            runs.push(run);
+        }
+    }
+    let mut accounts = Accounts::default();
+    for outcome in evidence.outcomes {
+        let runs = runs_of.get(outcome.request_id.as_str());
+        let runs = runs.map_or(&[][..], Vec::as_slice);
+        if let Some(shot) = evidence.shots.get(outcome.shot) {
+            settle_one(&mut accounts, evidence, shot, outcome, runs);
+        }
+    }
+    let own_runs: Vec<&Run> = runs_of.into_values().flatten().collect();
+    accounts.runs_count = own_runs.len() as u64;
+    settle_limits(&mut accounts, evidence, &own_runs);
+    settle_leaving(&mut accounts, evidence, &own_runs);
+    accounts
+}
+
+fn settle_one(
+    accounts: &mut Accounts,
+    evidence: &Evidence<'_>,
+    shot: &Shot,
+    outcome: &Outcome,
+    runs: &[&Run],
+) {
+    let describe = || {
+        let runs: Vec<String> = runs
+            .iter()
+            .map(|run| format!("{}@{}:{:?}", run.attempt_id, run.worker, run.ending))
+            .collect();
+        let end = outcome.end.name();
+        format!("request_id={} end={end} runs={runs:?}", outcome.request_id)
+    };
+    match runs.len() {
+        0 | 1 => {}
+        _ if shot.is_idempotent => accounts.repeated_idempotent_count += 1,
+        _ => accounts.doubled.add(describe),
+    }
+    let is_done = outcome.end == End::Done;
+    if is_done && runs.is_empty() {
+        accounts.lost.add(describe);
+    }
+    if !outcome.is_own_answer {
+        accounts.crossed.add(describe);
+    }
+    if outcome.is_proved_not_run && !runs.is_empty() {
+        accounts.not_run_ran.add(describe);
+    }
+    let is_withdrawn = |row: &Withdrawn| {
+        shot.team.as_ref() == Some(&row.team)
+            && outcome.key == row.key
+            && outcome.sent_unix_us > row.at_unix_us + WITHDRAWN_GRACE_US
+    };
+    if is_done && evidence.withdrawn.iter().any(is_withdrawn) {
+        accounts.withdrawn_key.add(describe);
+    }
+}
+
+fn settle_limits(accounts: &mut Accounts, evidence: &Evidence<'_>, runs: &[&Run]) {
+    accounts.peak_running = peak_running_by_team(runs.iter().copied());
+    for (team, peak) in &accounts.peak_running {
+        match evidence.limits.get(team) {
+            Some(limit) if peak > limit => accounts
+                .over_limit
+                .add(|| format!("team={team} peak={peak} limit={limit}")),
+            _ => {}
+        }
+    }
+}
+
+fn settle_leaving(accounts: &mut Accounts, evidence: &Evidence<'_>, runs: &[&Run]) {
+    for run in runs {
+        let is_late = |row: &Leaving| {
+            row.instance == run.worker
+                && run.started_unix_us > row.from_unix_us + LEAVING_GRACE_US
+                && row
+                    .until_unix_us
+                    .is_none_or(|until| run.started_unix_us < until)
+        };
+        if evidence.leaving.iter().any(is_late) {
+            accounts
+                .late_to_leaving
+                .add(|| format!("attempt_id={} worker={}", run.attempt_id, run.worker));
+        }
+    }
+}
--- /dev/null
+++ b/src/load/live/balancer.rs
@@ -0,0 +1,87 @@
+//! The balancer in front of the entries, as a load run plays it: it asks each entry whether it is
+//! ready, sends callers to ready ones only and cuts the connections to one that does not answer.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::Request;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use super::client::HttpPool;
+
+/// Time between two questions to an entry.
+const POLL: Duration = Duration::from_millis(200);
+/// Time after which an entry that does not answer is taken for dead.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One entry as the balancer sees it.
+pub(crate) struct Backend {
+    /// Connections of the callers.
+    pub(crate) pool: HttpPool,
+    probe: HttpPool,
+    is_ready: AtomicBool,
+    /// Woken when the entry stops answering.
+    pub(crate) died: Notify,
+}
+
+/// All entries.
+pub(crate) struct Balancer {
+    backends: Vec<Backend>,
+}
+
+impl Balancer {
+    /// Starts to watch the entries at `addresses`; must be called within a runtime.
+    pub(crate) fn spawn(addresses: &[std::net::SocketAddr]) -> Arc<Self> {
+        let backends = addresses.iter().map(|address| Backend {
+            pool: HttpPool::open(*address),
+            probe: HttpPool::open(*address),
+            is_ready: AtomicBool::new(true),
+            died: Notify::new(),
+        });
+        let balancer = Arc::new(Self {
+            backends: backends.collect(),
+        });
+        for index in 0..balancer.backends.len() {
+            let watched = Arc::clone(&balancer);
+            tokio::spawn(async move { watched.watch(index).await });
+        }
+        balancer
+    }
+
+    /// Returns the entry of that place, or the next one that is ready.
+    pub(crate) fn pick(&self, preferred: usize) -> Option<(usize, &Backend)> {
+        let count = self.backends.len();
+        let mut candidates = (0..count).map(|shift| (preferred + shift) % count);
+        let ready = candidates.find(|index| self.is_ready(*index));
+        let index = ready.or_else(|| preferred.checked_rem(count))?;
+        self.backends.get(index).map(|backend| (index, backend))
+    }
+
+    fn is_ready(&self, index: usize) -> bool {
+        let backend = self.backends.get(index);
+        backend.is_some_and(|backend| backend.is_ready.load(Ordering::Relaxed))
+    }
+
+    async fn watch(&self, index: usize) {
+        let Some(backend) = self.backends.get(index) else {
+            return;
+        };
+        loop {
+            let question = Request::get("/ready")
+                .header("host", "balancer")
+                .body(Full::<Bytes>::default());
+            let Ok(question) = question else { return };
+            let answer = timeout(POLL_TIMEOUT, backend.probe.call(question)).await;
+            let is_ready = matches!(&answer, Ok(Ok(reply)) if reply.status == 200);
+            backend.is_ready.store(is_ready, Ordering::Relaxed);
+            if answer.is_err() {
+                backend.died.notify_waiters();
+            }
+            sleep(POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/load/live/direct.rs
@@ -0,0 +1,118 @@
+//! The baseline: the same requests straight to the workers, without any entry.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use super::caller::Errand;
+use super::client::{CallLoss, HttpPool, Reply};
+use super::outcome::{End, Outcome};
+use super::targets::CallerSettings;
+use crate::adapters::workers_http::{
+    X_ACCELERATORS_COUNT, X_ATTEMPT_ID, X_CORES_MILLI, X_INCARNATION, X_LEASE_MS, X_MEMORY_MB,
+    X_NOT_STARTED, X_QUEUE, X_REQUEST_ID, X_START_BEFORE_MS, X_TEAM,
+};
+use crate::error::RunState;
+use crate::fleet::InstanceRow;
+use crate::platform::task::TaskAnswer;
+
+/// Lease of the tasks beyond their run time, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 60_000;
+
+struct Worker {
+    row: InstanceRow,
+    pool: HttpPool,
+}
+
+/// The workers, used in turn.
+pub(crate) struct DirectCallers {
+    workers: Vec<Worker>,
+    next: AtomicUsize,
+    settings: CallerSettings,
+}
+
+impl DirectCallers {
+    /// Returns callers of the workers in `rows`; rows whose address is none are left out.
+    pub(crate) fn open(rows: &[InstanceRow], settings: CallerSettings) -> Self {
+        let workers = rows.iter().filter_map(|row| {
+            let address = row.address.parse().ok()?;
+            Some(Worker {
+                row: row.clone(),
+                pool: HttpPool::open(address),
+            })
+        });
+        Self {
+            workers: workers.collect(),
+            next: AtomicUsize::new(0),
+            settings,
+        }
+    }
+
+    /// Serves one request to its end.
+    pub(crate) async fn serve(&self, errand: Errand) -> Outcome {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        let index = turn.checked_rem(self.workers.len()).unwrap_or(0);
+        let Some(worker) = self.workers.get(index) else {
+            return errand.outcome(lost("no_worker"), RunState::NotRun, true);
+        };
+        let Some(request) = request_for(&errand, &worker.row) else {
+            return errand.outcome(lost("malformed_schedule"), RunState::NotRun, true);
+        };
+        let patience_ms = errand.shot.deadline_ms + self.settings.grace_ms;
+        let call = worker.pool.call(request);
+        match timeout(Duration::from_millis(patience_ms), call).await {
+            Ok(Ok(reply)) => read(&errand, &reply),
+            Ok(Err(CallLoss::NotConnected)) => {
+                errand.outcome(lost("not_connected"), RunState::NotRun, true)
+            }
+            Ok(Err(CallLoss::Broken)) => {
+                errand.outcome(lost("connection_broken"), RunState::OutcomeUnknown, true)
+            }
+            Err(_) => errand.outcome(lost("timed_out"), RunState::OutcomeUnknown, true),
+        }
+    }
+}
+
+fn request_for(errand: &Errand, row: &InstanceRow) -> Option<Request<Full<hyper::body::Bytes>>> {
+    let shot = &errand.shot;
+    let deadline_unix_ms = errand.sent_unix_us / 1_000 + shot.deadline_ms;
+    Request::post("/run")
+        .header("host", "worker")
+        .header(X_ATTEMPT_ID, format!("direct-{}", errand.request_id))
+        .header(X_INCARNATION, row.incarnation.as_str())
+        .header(X_REQUEST_ID, errand.request_id.as_str())
+        .header(X_TEAM, shot.team.as_deref().unwrap_or_default())
+        .header(X_QUEUE, shot.queue.as_str())
+        .header(X_START_BEFORE_MS, deadline_unix_ms)
+        .header(X_LEASE_MS, shot.run_ms + LEASE_MARGIN_MS)
+        .header(X_CORES_MILLI, shot.size.cores_milli)
+        .header(X_MEMORY_MB, shot.size.memory_mb)
+        .header(X_ACCELERATORS_COUNT, shot.size.accelerators_count)
+        .body(Full::new(errand.body.clone()))
+        .ok()
+}
+
+fn read(errand: &Errand, reply: &Reply) -> Outcome {
+    match (reply.status, reply.header(X_NOT_STARTED)) {
+        (200, _) => {
+            let answer = TaskAnswer::decode(&reply.body);
+            let is_own = answer.is_some_and(|row| row.is_for(&errand.request_id, &errand.body));
+            errand.outcome(End::Done, RunState::Ran, is_own)
+        }
+        (_, Some(reason)) => {
+            let kind = SmolStr::new(reason);
+            errand.outcome(End::Failed { kind }, RunState::NotRun, true)
+        }
+        (_, None) => errand.outcome(lost("worker_failed"), RunState::OutcomeUnknown, true),
+    }
+}
+
+fn lost(reason: &'static str) -> End {
+    End::Lost {
+        reason: SmolStr::new_static(reason),
+    }
+}
--- /dev/null
+++ b/src/load/live/faults.rs
@@ -0,0 +1,289 @@
+//! Scripts of faults: what is done to the stand-ins and the entries, and when. A script comes from a
+//! file in JSON with comments, or is drawn from a seed.
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{InstanceName, InstanceRow, TeamName};
+use crate::platform::instances::InstanceFaults;
+use crate::platform::log::LogFaults;
+use crate::platform::worker_state::{AnswerFault, WorkerFaults};
+
+/// Mean time between two faults of the mixed script, in milliseconds.
+const MIXED_GAP_MS: u64 = 4_000;
+/// Faultless time at either end of the mixed script, in milliseconds.
+const MIXED_EDGE_MS: u64 = 3_000;
+
+/// What is done to the process of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Signal {
+    /// Ends it at once.
+    Kill,
+    /// Pauses it.
+    Stop,
+    /// Lets it go on.
+    Cont,
+    /// Asks it to stop gracefully.
+    Term,
+}
+
+/// What happens to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum InstanceOrder {
+    /// The platform announces that it takes the instance away.
+    Leave,
+    /// The instance is gone.
+    Remove,
+    /// The instance boots anew at once; what it ran is killed.
+    Replace,
+}
+
+/// One fault, or the end of one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// Sets the faults of the log.
+    Log(LogFaults),
+    /// Sets the faults of the instance list.
+    Instances(InstanceFaults),
+    /// Sets the faults of a worker.
+    Worker {
+        /// Name of its instance.
+        name: InstanceName,
+        /// The faults.
+        faults: WorkerFaults,
+    },
+    /// Changes the instance list.
+    Instance {
+        /// Instance.
+        name: InstanceName,
+        /// What happens to it.
+        order: InstanceOrder,
+    },
+    /// Sends a signal to an entry.
+    Entry {
+        /// Place of the entry on the command line.
+        index: usize,
+        /// The signal.
+        signal: Signal,
+    },
+    /// Withdraws a key at one of the entries.
+    WithdrawKey {
+        /// Team.
+        team: TeamName,
+        /// Place of the key among the team's.
+        key: usize,
+    },
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// When it happens, in milliseconds after the start of the load.
+    pub at_ms: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// Reads a script: an array of steps, in JSON with comments.
+///
+/// # Errors
+///
+/// What is wrong with the text.
+pub fn parse(text: &str) -> Result<Vec<Step>, String> {
+    let value: Option<serde_json::Value> =
+        jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
+            .map_err(|error| error.to_string())?;
+    let mut steps: Vec<Step> =
+        serde_json::from_value(value.unwrap_or_default()).map_err(|error| error.to_string())?;
+    steps.sort_by_key(|step| step.at_ms);
+    Ok(steps)
+}
+
+/// What a mixed script may strike.
+#[derive(Clone, Copy, Debug)]
+pub struct MixedSettings<'a> {
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Length of the load.
+    pub duration_ms: u64,
+    /// Instances.
+    pub rows: &'a [InstanceRow],
+    /// Entries whose processes may be struck.
+    pub entries_count: usize,
+    /// Teams that have a second key, which may be withdrawn.
+    pub teams: &'a [TeamName],
+}
+
+/// Draws a script that mixes all faults, overlapping and repeated.
+pub fn mixed(settings: &MixedSettings<'_>) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let mut steps = Vec::new();
+    let mut teams = settings.teams.iter();
+    let mut at_ms = MIXED_EDGE_MS;
+    while at_ms + 2 * MIXED_EDGE_MS < settings.duration_ms {
+        // The leave, the withdrawal and the entries' faults come less often than the rest.
+        let faults = match rng.random_range(0..14u32) {
+            0..=3 => log_fault(&mut rng),
+            4 => spell(
+                Fault::Instances(InstanceFaults {
+                    lag_ms: 1_000,
+                    ..InstanceFaults::default()
+                }),
+                5_000,
+                Fault::Instances(InstanceFaults::default()),
+            ),
+            5..=8 => worker_fault(&mut rng, settings),
+            9..=10 => instance_fault(&mut rng, settings),
+            11..=12 => entry_fault(&mut rng, settings),
+            _ => withdrawal(teams.next()),
+        };
+        for (after_ms, fault) in faults {
+            steps.push(Step {
+                at_ms: at_ms + after_ms,
+                fault,
+            });
+        }
+        at_ms += rng.random_range(MIXED_GAP_MS / 2..MIXED_GAP_MS * 3 / 2);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+    steps
+}
+
+/// A fault that ends after some time.
+fn spell(fault: Fault, length_ms: u64, end: Fault) -> Vec<(u64, Fault)> {
+    vec![(0, fault), (length_ms, end)]
+}
+
+fn log_fault(rng: &mut impl Rng) -> Vec<(u64, Fault)> {
+    let none = LogFaults::default();
+    let (faults, length_ms) = match rng.random_range(0..5u32) {
+        0 => (
+            LogFaults {
+                is_down: true,
+                ..none
+            },
+            5_000,
+        ),
+        1 => (
+            LogFaults {
+                delay_ms: 300,
+                ..none
+            },
+            5_000,
+        ),
+        2 => (
+            LogFaults {
+                answer_lost_count: 10,
+                ..none
+            },
+            3_000,
+        ),
+        3 => (
+            LogFaults {
+                doubled_count: 10,
+                ..none
+            },
+            3_000,
+        ),
+        _ => (
+            LogFaults {
+                late_count: 5,
+                late_ms: 1_500,
+                ..none
+            },
+            4_000,
+        ),
+    };
+    spell(Fault::Log(faults), length_ms, Fault::Log(none))
+}
+
+fn worker_fault(rng: &mut impl Rng, settings: &MixedSettings<'_>) -> Vec<(u64, Fault)> {
+    let Some(name) = instance(rng, settings) else {
+        return Vec::new();
+    };
+    let none = WorkerFaults::default();
+    let struck = |answer| WorkerFaults {
+        answer,
+        answer_permille: 500,
+        ..none
+    };
+    let faults = match rng.random_range(0..8u32) {
+        0 => WorkerFaults {
+            is_failing_all: true,
+            ..none
+        },
+        1 => WorkerFaults {
+            is_frozen: true,
+            ..none
+        },
+        2 => WorkerFaults {
+            answer_delay_ms: 700,
+            ..none
+        },
+        3 => WorkerFaults {
+            run_time_permille: 10_000,
+            ..none
+        },
+        4 => struck(AnswerFault::Crossed),
+        5 => struck(AnswerFault::Truncated),
+        6 => struck(AnswerFault::Doubled),
+        _ => struck(AnswerFault::Silent),
+    };
+    let with = |faults| Fault::Worker {
+        name: name.clone(),
+        faults,
+    };
+    spell(with(faults), 5_000, with(none))
+}
+
+fn instance_fault(rng: &mut impl Rng, settings: &MixedSettings<'_>) -> Vec<(u64, Fault)> {
+    let Some(name) = instance(rng, settings) else {
+        return Vec::new();
+    };
+    let with = |order| Fault::Instance {
+        name: name.clone(),
+        order,
+    };
+    match rng.random_bool(0.5) {
+        true => spell(
+            with(InstanceOrder::Leave),
+            8_000,
+            with(InstanceOrder::Replace),
+        ),
+        false => vec![(0, with(InstanceOrder::Replace))],
+    }
+}
+
+fn entry_fault(rng: &mut impl Rng, settings: &MixedSettings<'_>) -> Vec<(u64, Fault)> {
+    if settings.entries_count == 0 {
+        return Vec::new();
+    }
+    let index = rng.random_range(0..settings.entries_count);
+    let with = |signal| Fault::Entry { index, signal };
+    match rng.random_range(0..3u32) {
+        0 => vec![(0, with(Signal::Kill))],
+        1 => vec![(0, with(Signal::Term))],
+        _ => spell(with(Signal::Stop), 4_000, with(Signal::Cont)),
+    }
+}
+
+fn withdrawal(team: Option<&TeamName>) -> Vec<(u64, Fault)> {
+    let withdraw = |team: &TeamName| Fault::WithdrawKey {
+        team: team.clone(),
+        key: 1,
+    };
+    team.map(|team| (0, withdraw(team))).into_iter().collect()
+}
+
+fn instance(rng: &mut impl Rng, settings: &MixedSettings<'_>) -> Option<InstanceName> {
+    let count = settings.rows.len();
+    let row = settings.rows.get(rng.random_range(0..count.max(1)))?;
+    Some(row.name.clone())
+}
--- /dev/null
+++ b/src/load/live/injector.rs
@@ -0,0 +1,156 @@
+//! Carries out a script of faults against the stand-ins and the entries' processes. It ends, pauses
+//! and resumes only the processes that it was given; it starts none.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use attohttpc::Method;
+use indexmap::IndexMap;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::account::{Leaving, Withdrawn};
+use super::faults::{Fault, InstanceOrder, Signal, Step};
+use super::process;
+use super::report::Site;
+use super::targets::TeamKeys;
+use crate::adapters::http_client::{percent_encode, HttpCall};
+use crate::adapters::log_http::{service_call, ServiceTimeouts};
+use crate::fleet::InstanceName;
+use crate::platform::worker::now_unix_us;
+
+const TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
+    connect_ms: 500,
+    call_ms: 4_000,
+};
+
+/// What the injector did that the accounts need.
+#[derive(Clone, Debug, Default)]
+pub struct Injected {
+    /// Instances that were leaving.
+    pub leaving: Vec<Leaving>,
+    /// Keys that were withdrawn.
+    pub withdrawn: Vec<Withdrawn>,
+    /// Steps carried out.
+    pub done_count: u64,
+    /// Steps that failed.
+    pub failed: Vec<SmolStr>,
+}
+
+/// What a script acts on.
+pub struct Injector {
+    /// Addresses and processes.
+    pub site: Site,
+    /// Addresses of the workers by instance.
+    pub workers: IndexMap<InstanceName, SmolStr>,
+    /// Keys of the teams.
+    pub keys: TeamKeys,
+}
+
+impl Injector {
+    /// Carries out `steps`, whose times count from `started`.
+    pub fn run(&self, steps: &[Step], started: Instant) -> Injected {
+        let mut injected = Injected::default();
+        for step in steps {
+            let due = started + Duration::from_millis(step.at_ms);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let result = self.carry_out(&step.fault, &mut injected);
+            log::info!(
+                "event=fault at_ms={} fault={:?} result={result:?}",
+                step.at_ms,
+                step.fault
+            );
+            match result {
+                Ok(()) => injected.done_count += 1,
+                Err(error) => injected
+                    .failed
+                    .push(format!("{:?}: {error}", step.fault).into()),
+            }
+        }
+        injected
+    }
+
+    fn carry_out(&self, fault: &Fault, injected: &mut Injected) -> Result<(), String> {
+        match fault {
+            Fault::Log(faults) => post(&self.site.log, "/faults", faults),
+            Fault::Instances(faults) => post(&self.site.instances, "/faults", faults),
+            Fault::Worker { name, faults } => {
+                let address = self.workers.get(name).ok_or("no such worker")?;
+                post(address, "/faults", faults)
+            }
+            Fault::Instance { name, order } => self.order(name, *order, injected),
+            Fault::Entry { index, signal } => {
+                let path = self.site.entry_pid_files.get(*index);
+                let pid = process::read_pid(path.ok_or("no such entry")?)?;
+                process::send_signal(pid, signal_number(*signal))
+            }
+            Fault::WithdrawKey { team, key } => {
+                let text = self.keys.get(team).and_then(|keys| keys.get(*key));
+                let key_id = text.and_then(|text| text.split('.').next());
+                let body = serde_json::json!({ "key_id": key_id.ok_or("no such key")? });
+                // Any entry will do; the others must hear of it.
+                let mut operators = self.site.operators.iter();
+                let is_told = |address: &SmolStr| post(address, "/v1/keys/withdraw", &body).is_ok();
+                match operators.any(is_told) {
+                    false => Err("no entry took it".to_owned()),
+                    true => {
+                        injected.withdrawn.push(Withdrawn {
+                            team: team.clone(),
+                            key: *key,
+                            at_unix_us: now_unix_us(),
+                        });
+                        Ok(())
+                    }
+                }
+            }
+        }
+    }
+
+    fn order(
+        &self,
+        name: &InstanceName,
+        order: InstanceOrder,
+        injected: &mut Injected,
+    ) -> Result<(), String> {
+        let now_unix_us = now_unix_us();
+        // A replaced instance is no longer leaving; it ends its earlier boot before the answer.
+        for row in &mut injected.leaving {
+            if row.instance == *name && row.until_unix_us.is_none() {
+                row.until_unix_us = Some(now_unix_us);
+            }
+        }
+        let path = format!("/instances/{}/{order}", percent_encode(name));
+        post(&self.site.instances, &path, &())?;
+        if order == InstanceOrder::Leave {
+            injected.leaving.push(Leaving {
+                instance: name.clone(),
+                from_unix_us: now_unix_us,
+                until_unix_us: None,
+            });
+        }
+        Ok(())
+    }
+}
+
+fn signal_number(signal: Signal) -> i32 {
+    match signal {
+        Signal::Kill => libc::SIGKILL,
+        Signal::Stop => libc::SIGSTOP,
+        Signal::Cont => libc::SIGCONT,
+        Signal::Term => libc::SIGTERM,
+    }
+}
+
+fn post(address: &str, path: &str, body: &impl Serialize) -> Result<(), String> {
+    let body = serde_json::to_vec(body).map_err(|error| error.to_string())?;
+    let call = HttpCall {
+        body: Arc::from(body),
+        ..service_call(address, TIMEOUTS, Method::POST, path.to_owned())
+    };
+    match call.send() {
+        Ok(answer) if answer.status == 200 => Ok(()),
+        Ok(answer) => Err(format!("status {}", answer.status)),
+        Err(error) => Err(format!("{error:?}")),
+    }
+}
--- /dev/null
+++ b/src/load/live/report.rs
@@ -0,0 +1,361 @@
+//! The result of a load run: what was on time, refused, retried and lost, how long it took, what the
+//! entries used, and the accounts.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde::Serialize;
+use smol_str::{format_smolstr, SmolStr};
+
+use super::account::Accounts;
+use super::outcome::{End, Outcome};
+use super::process::Usage;
+use super::schedule::Shot;
+use crate::platform::journal::{Ending, Run};
+
+/// Longest time that the histograms hold, in microseconds.
+const TIME_MAX_US: u64 = 3_600_000_000;
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+const PERMILLE: u64 = 1_000;
+
+/// Where the parts of a deployment are.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// Address of the log.
+    pub log: SmolStr,
+    /// Address of the instance list.
+    pub instances: SmolStr,
+    /// Operators' addresses of the entries.
+    pub operators: Vec<SmolStr>,
+    /// Files that hold the entries' process ids.
+    pub entry_pid_files: Vec<PathBuf>,
+}
+
+/// Times as a distribution.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Times {
+    /// How many there are.
+    pub count: u64,
+    /// Median, in microseconds.
+    pub p50_us: u64,
+    /// 90th percentile, in microseconds.
+    pub p90_us: u64,
+    /// 99th percentile, in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile, in microseconds.
+    pub p999_us: u64,
+    /// Longest, in microseconds.
+    pub max_us: u64,
+}
+
+impl Times {
+    fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile| histogram.value_at_quantile(quantile);
+        Self {
+            count: histogram.len(),
+            p50_us: at(0.5),
+            p90_us: at(0.9),
+            p99_us: at(0.99),
+            p999_us: at(0.999),
+            max_us: histogram.max(),
+        }
+    }
+}
+
+/// Figures of a group of requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Group {
+    /// Requests of the schedule.
+    pub requests_count: u64,
+    /// Requests that were answered by their task.
+    pub done_count: u64,
+    /// Requests that were answered by their task before their deadline.
+    pub on_time_count: u64,
+    /// Requests that could not be answered on time, whatever the entries did: cancelled by their
+    /// caller, refused for a withdrawn key, or not idempotent and cut by a fault of their worker.
+    pub not_servable_count: u64,
+    /// Part of the servable requests that were on time, in thousandths.
+    pub on_time_permille: u64,
+    /// Time from the planned sending to the answer, of the requests that were done.
+    pub latency: Times,
+    /// Time from the planned sending to the start at a worker.
+    pub start_delay: Times,
+}
+
+/// Figures of one way through the schedule.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// All requests.
+    pub total: Group,
+    /// By queue and team, and by whether they are idempotent.
+    pub groups: IndexMap<SmolStr, Group>,
+    /// Requests by how they ended.
+    pub ends: IndexMap<SmolStr, u64>,
+    /// Calls that the callers repeated, by what they were told before.
+    pub retried_after: IndexMap<SmolStr, u64>,
+    /// Quantiles of the latency, in microseconds, for the plot.
+    #[serde(skip)]
+    pub latency: Option<Histogram<u64>>,
+}
+
+/// What an entry used during the run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct EntryUsage {
+    /// At the end of the run.
+    pub usage: Usage,
+    /// Processor time during the run, in thousandths of a core.
+    pub cpu_permille: u64,
+}
+
+/// The whole result.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Length of the schedule.
+    pub duration_ms: u64,
+    /// Through the entries.
+    pub entries: Figures,
+    /// Straight to the workers.
+    pub direct: Option<Figures>,
+    /// Median through the entries less that of the baseline, in microseconds.
+    pub added_p50_us: Option<i64>,
+    /// 99th percentile through the entries less that of the baseline, in microseconds.
+    pub added_p99_us: Option<i64>,
+    /// Use of each entry.
+    pub usage: Vec<EntryUsage>,
+    /// Appends at the log during the run.
+    pub appends_count: u64,
+    /// Bytes appended during the run.
+    pub appended_bytes: u64,
+    /// The accounts.
+    pub accounts: Accounts,
+    /// Runs that journals dropped for lack of room; the accounts hold only while this is 0.
+    pub journal_dropped_count: u64,
+    /// Steps of the script of faults that were carried out.
+    pub faults_count: u64,
+    /// Steps that failed.
+    pub faults_failed: Vec<SmolStr>,
+}
+
+struct Tally {
+    group: Group,
+    latency: Histogram<u64>,
+    start_delay: Histogram<u64>,
+}
+
+impl Tally {
+    fn new() -> Self {
+        Self {
+            group: Group::default(),
+            latency: histogram(),
+            start_delay: histogram(),
+        }
+    }
+
+    fn add(&mut self, shot: &Shot, outcome: &Outcome, runs: &[&Run]) {
+        let group = &mut self.group;
+        group.requests_count += 1;
+        let is_on_time = outcome.is_on_time(shot.deadline_ms);
+        group.on_time_count += u64::from(is_on_time);
+        group.not_servable_count += u64::from(!is_on_time && !is_servable(shot, outcome, runs));
+        if outcome.end == End::Done {
+            group.done_count += 1;
+            self.latency.saturating_record(outcome.latency_us.max(1));
+        }
+        if let Some(started) = runs.iter().map(|run| run.started_unix_us).min() {
+            let delay_us = started.saturating_sub(outcome.sent_unix_us);
+            self.start_delay.saturating_record(delay_us.max(1));
+        }
+    }
+
+    fn finish(&self) -> Group {
+        let group = self.group.clone();
+        let servable_count = group.requests_count - group.not_servable_count;
+        Group {
+            on_time_permille: (group.on_time_count * PERMILLE)
+                .checked_div(servable_count)
+                .unwrap_or(PERMILLE),
+            latency: Times::of(&self.latency),
+            start_delay: Times::of(&self.start_delay),
+            ..group
+        }
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, TIME_MAX_US, DIGITS).expect("the bounds are sound")
+}
+
+fn is_servable(shot: &Shot, outcome: &Outcome, runs: &[&Run]) -> bool {
+    let is_cut = runs
+        .iter()
+        .any(|run| matches!(run.ending, Some(Ending::Killed | Ending::Failed)));
+    match outcome.end.name() {
+        "key_withdrawn" => false,
+        _ if outcome.is_cancelled => false,
+        _ => shot.is_idempotent || !is_cut,
+    }
+}
+
+impl Figures {
+    /// Makes the figures of one way; `runs` are those of the journals.
+    pub fn of(shots: &[Shot], outcomes: &[Outcome], runs: &[Run]) -> Self {
+        let mut runs_of: HashMap<&str, Vec<&Run>> = HashMap::new();
+        for run in runs {
+            runs_of.entry(&run.request_id).or_default().push(run);
+        }
+        let mut total = Tally::new();
+        let mut groups: IndexMap<SmolStr, Tally> = IndexMap::new();
+        let mut figures = Self::default();
+        for outcome in outcomes {
+            let Some(shot) = shots.get(outcome.shot) else {
+                continue;
+            };
+            let runs = runs_of.get(outcome.request_id.as_str());
+            let runs = runs.map_or(&[][..], Vec::as_slice);
+            total.add(shot, outcome, runs);
+            for name in group_names(shot) {
+                let tally = groups.entry(name).or_insert_with(Tally::new);
+                tally.add(shot, outcome, runs);
+            }
+            *figures.ends.entry(outcome.end.name().into()).or_default() += 1;
+            for reason in &outcome.retried_after {
+                *figures.retried_after.entry(reason.clone()).or_default() += 1;
+            }
+        }
+        groups.sort_unstable_keys();
+        figures.total = total.finish();
+        figures.groups = groups
+            .into_iter()
+            .map(|(name, tally)| (name, tally.finish()))
+            .collect();
+        figures.latency = Some(total.latency);
+        figures
+    }
+}
+
+fn group_names(shot: &Shot) -> [SmolStr; 2] {
+    let team = shot.team.as_deref().unwrap_or("-");
+    let mode = match (shot.is_idempotent, shot.is_for_later) {
+        (true, false) => "idempotent",
+        (false, false) => "not_idempotent",
+        (_, true) => "for_later",
+    };
+    [
+        format_smolstr!("queue={} team={team}", shot.queue),
+        format_smolstr!("mode={mode}"),
+    ]
+}
+
+impl Report {
+    /// Sets the latency that the entries add to the baseline.
+    pub fn compare(&mut self) {
+        let Some(direct) = &self.direct else { return };
+        let candidate = self.entries.total.latency;
+        let baseline = direct.total.latency;
+        let less = |a: u64, b: u64| a as i64 - b as i64;
+        self.added_p50_us = Some(less(candidate.p50_us, baseline.p50_us));
+        self.added_p99_us = Some(less(candidate.p99_us, baseline.p99_us));
+    }
+
+    /// Returns the result as lines of text.
+    pub fn lines(&self) -> Vec<String> {
+        let mut lines = vec![
+            format!("seed={} duration_ms={}", self.seed, self.duration_ms),
+            TABLE_HEAD.to_owned(),
+        ];
+        if let Some(direct) = &self.direct {
+            lines.push(table_row("direct", &direct.total));
+        }
+        lines.push(table_row("entries", &self.entries.total));
+        for (name, group) in &self.entries.groups {
+            lines.push(table_row(name, group));
+        }
+        if let (Some(p50_us), Some(p99_us)) = (self.added_p50_us, self.added_p99_us) {
+            lines.push(format!("added_p50_us={p50_us} added_p99_us={p99_us}"));
+        }
+        lines.push(counts_line("ends", &self.entries.ends));
+        lines.push(counts_line("retried_after", &self.entries.retried_after));
+        for (index, entry) in self.usage.iter().enumerate() {
+            lines.push(format!(
+                "entry={index} cpu_permille={} resident_kb={} resident_peak_kb={} threads_count={}",
+                entry.cpu_permille,
+                entry.usage.resident_kb,
+                entry.usage.resident_peak_kb,
+                entry.usage.threads_count
+            ));
+        }
+        lines.push(format!(
+            "appends_count={} appended_bytes={} runs_count={} journal_dropped_count={} \
+             faults_count={} faults_failed={:?}",
+            self.appends_count,
+            self.appended_bytes,
+            self.accounts.runs_count,
+            self.journal_dropped_count,
+            self.faults_count,
+            self.faults_failed
+        ));
+        lines.extend(self.violation_lines());
+        lines
+    }
+
+    fn violation_lines(&self) -> Vec<String> {
+        let accounts = &self.accounts;
+        let rows = [
+            ("doubled", &accounts.doubled),
+            ("lost", &accounts.lost),
+            ("crossed", &accounts.crossed),
+            ("not_run_ran", &accounts.not_run_ran),
+            ("over_limit", &accounts.over_limit),
+            ("late_to_leaving", &accounts.late_to_leaving),
+            ("withdrawn_key", &accounts.withdrawn_key),
+        ];
+        let counts: Vec<String> = rows
+            .iter()
+            .map(|(name, row)| format!("{name}={}", row.count))
+            .collect();
+        let mut lines = vec![format!("violations: {}", counts.join(" "))];
+        for (name, row) in rows {
+            for example in &row.examples {
+                lines.push(format!("violation={name} {example}"));
+            }
+        }
+        let peaks = accounts.peak_running.iter();
+        let peaks: Vec<String> = peaks.map(|(team, peak)| format!("{team}={peak}")).collect();
+        lines.push(format!("peak_running: {}", peaks.join(" ")));
+        lines
+    }
+}
+
+const TABLE_HEAD: &str = "group                                            requests     done  on_time \
+                          unservable permille   p50_ms   p99_ms  p999_ms   max_ms start_p50 start_p99";
+
+fn table_row(name: &str, group: &Group) -> String {
+    let ms = |us: u64| us as f64 / 1e3;
+    format!(
+        "{name:<48} {:>8} {:>8} {:>8} {:>10} {:>8} {:>8.2} {:>8.2} {:>8.2} {:>8.1} {:>9.2} {:>9.2}",
+        group.requests_count,
+        group.done_count,
+        group.on_time_count,
+        group.not_servable_count,
+        group.on_time_permille,
+        ms(group.latency.p50_us),
+        ms(group.latency.p99_us),
+        ms(group.latency.p999_us),
+        ms(group.latency.max_us),
+        ms(group.start_delay.p50_us),
+        ms(group.start_delay.p99_us),
+    )
+}
+
+fn counts_line(name: &str, counts: &IndexMap<SmolStr, u64>) -> String {
+    let counts: Vec<String> = counts
+        .iter()
+        .map(|(name, count)| format!("{name}={count}"))
+        .collect();
+    format!("{name}: {}", counts.join(" "))
+}
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,3 @@
+//! Load runs and experiments.
+
+pub mod live;
