--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod log_access;
 mod stand_in;
+mod upkeep_experiment;
 
 use std::io::{self, Write};
 
@@ -54,6 +55,10 @@
         make: stand_in::make_command,
         execute: stand_in::execute,
     },
+    Subcommand {
+        make: upkeep_experiment::make_command,
+        execute: upkeep_experiment::execute,
+    },
 ];
 
 /// Prints one line to the standard output at once.
--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -11,6 +11,7 @@
         share::ShareSettings,
     },
     settings::Settings,
+    upkeep::{moves::MoveSettings, rollout::RolloutSettings},
 };
 
 /// Time within which a worker must have started an attempt, in milliseconds.
@@ -95,13 +96,18 @@
     EngineSettings {
         entry: SmolStr::new(entry),
         zone: settings.zone.clone(),
-        // Known once the port is bound.
-        peers_address: SmolStr::default(),
+        // Known once the port is bound, if it is not given.
+        peers_address: settings
+            .peers_advertised_address
+            .map(|address| SmolStr::new(address.to_string()))
+            .unwrap_or_default(),
         seat_lease_ms: settings.seat_lease_ms,
         seat_renew_ms: settings.seat_renew_ms,
         config_stale_max_ms: settings.config_stale_max_ms,
         append_interval_ms: settings.append_interval_min_ms,
         append_batch_max_count: settings.append_batch_max_records as usize,
+        append_batch_max_bytes: settings.append_batch_max_bytes as usize,
+        worker_connections_max_count: settings.worker_connections_max_count as u32,
         changes_max_count: CHANGES_MAX_COUNT,
         snapshot_every_records: settings.snapshot_every_records,
         start_window_ms: START_WINDOW_MS,
@@ -111,7 +117,19 @@
         escrow_idle_ms: ESCROW_IDLE_MS,
         upkeep_every_ms: UPKEEP_EVERY_MS,
         probe_every_ms: PROBE_EVERY_MS,
-        maintain_every_ms: 0,
+        roll_out: RolloutSettings {
+            return_timeout_ms: settings.reboot_max_ms,
+            probation_ms: settings.wave_trial_ms,
+            bad_max_permille: settings.wave_failures_max_permille as u32,
+            ..RolloutSettings::default()
+        },
+        moves: MoveSettings {
+            samples_count: (settings.move_wait_ms / MoveSettings::default().sample_interval_ms)
+                .max(1) as u32,
+            cool_down_ms: settings.move_rest_ms,
+            moves_max_per_hour_count: settings.moves_max_per_hour_count as u32,
+            ..MoveSettings::default()
+        },
         queue: QueueSettings {
             waiting_max_count: settings.waiting_max_requests as usize,
             retry_after: RetryAfterLimits {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -19,9 +19,10 @@
         escrow::EscrowKeeper,
         event::{Action, Event, Now, Source},
         gossip::Gossip,
-        proposer::Proposer,
+        proposer::{Proposer, ProposerLimits},
         reader::{Reader, SnapshotWriter},
         requests::Requests,
+        roll_out::Observed,
         seat::{Lease, Watch},
         settings::EngineSettings,
         upkeep::Upkeep,
@@ -92,6 +93,7 @@
     pub(crate) health: Health,
     pub(crate) retry: RetryBudget,
     pub(crate) upkeep: Upkeep,
+    pub(crate) observed: Observed,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) counts: Counts,
     pub(crate) is_draining: bool,
@@ -150,10 +152,14 @@
             requests: Requests::default(),
             wait: WaitQueue::new(settings.queue, settings.seed),
             usage: UsageView::new(settings.share),
-            placement: Placement::new(PlacementSettings::in_zone(zone)),
+            placement: Placement::new(PlacementSettings {
+                connections_max_count: settings.worker_connections_max_count,
+                ..PlacementSettings::in_zone(zone)
+            }),
             health: Health::new(settings.health),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
+            observed: Observed::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             counts: Counts::default(),
             is_draining: false,
@@ -400,7 +406,8 @@
                 | SeatChange::StopProceed { name, .. }
                 | SeatChange::StopCancel { name, .. }
                 | SeatChange::PoolRelease { name, .. }
-                | SeatChange::PoolAssign { name, .. },
+                | SeatChange::PoolAssign { name, .. }
+                | SeatChange::MarkBad { name, .. },
                 verdict,
             ) => {
                 self.note_instance_change(change, verdict);
@@ -714,12 +721,13 @@
 }
 
 fn new_proposer(settings: &EngineSettings, seat: &SeatId) -> Proposer {
-    Proposer::open(
-        seat.clone(),
-        settings.changes_max_count,
-        settings.append_batch_max_count,
-        settings.append_interval_ms,
-    )
+    let limits = ProposerLimits {
+        waiting_max_count: settings.changes_max_count,
+        batch_max_count: settings.append_batch_max_count,
+        batch_max_bytes: settings.append_batch_max_bytes,
+        interval_ms: settings.append_interval_ms,
+    };
+    Proposer::open(seat.clone(), limits)
 }
 
 fn payload_bytes(page: &LogPage, offset: Offset) -> u64 {
--- /dev/null
+++ b/src/entry/roll_out.rs
@@ -0,0 +1,254 @@
+//! Roll-outs and moves as the driving seat proposes them: views of the ledger for the policies of
+//! [`crate::upkeep`], and their decisions as changes.
+
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+
+use crate::{
+    entry::{engine::Engine, gossip::PoolLoad},
+    fleet::{MonoMs, PoolName, Standing},
+    ledger::{InstanceEntry, SeatChange, StopWhy},
+    upkeep::{
+        buffers::{plan_buffers, BufferView, SurvivedFailure},
+        demand::{DemandWindow, ObservedWork, PoolState},
+        maintenance::{InstanceUpkeep, StopClaim, StopStage},
+        moves::{decide_move, MoveView},
+        rollout::{propose, Rollout, RolloutAction, RolloutView},
+    },
+};
+
+/// Time between two decisions on roll-outs and moves, in milliseconds.
+const DECIDE_EVERY_MS: u64 = 1_000;
+
+/// Time that a move is taken to last while none was seen, in milliseconds.
+const MOVE_MS: u64 = 10_000;
+
+/// One hour, in milliseconds.
+const HOUR_MS: u64 = 3_600_000;
+
+/// What the driver observes over time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Observed {
+    decided_ms: MonoMs,
+    sampled_ms: MonoMs,
+    demand: HashMap<PoolName, DemandWindow>,
+}
+
+impl Engine {
+    /// Decides on the next stops and moves, if it is time to.
+    pub(crate) fn poll_decisions(&mut self) {
+        let now_ms = self.now.mono_ms;
+        if now_ms < self.observed.decided_ms + DECIDE_EVERY_MS {
+            return;
+        }
+        self.observed.decided_ms = now_ms;
+        self.decide_stops();
+        self.decide_move();
+    }
+
+    /// Samples the demand on every pool; each seat does, so that any can take over the driving.
+    pub(crate) fn sample_demand(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let settings = self.settings.moves;
+        if now_ms < self.observed.sampled_ms + settings.sample_interval_ms {
+            return;
+        }
+        self.observed.sampled_ms = now_ms;
+        let loads = self.fleet_loads();
+        let pools: Vec<PoolName> = self.ledger.instances.pools().cloned().collect();
+        for pool in pools {
+            let load = loads.get(&pool).copied().unwrap_or_default();
+            let work = ObservedWork {
+                running_count: load.running_requests,
+                waiting_count: load.waiting_requests,
+                size_instance_permille: self.size_permille(&pool),
+            };
+            let samples_count = settings.samples_count as usize;
+            self.observed
+                .demand
+                .entry(pool)
+                .or_insert_with(|| DemandWindow::new(samples_count))
+                .push(work.busy_instances_milli());
+        }
+    }
+
+    /// Returns the requests of all live seats by pool, as far as they told.
+    fn fleet_loads(&self) -> IndexMap<PoolName, PoolLoad> {
+        let mut loads = self.pool_loads();
+        let live = self
+            .peers
+            .iter()
+            .filter(|(seat, _)| self.ledger.seats.live(seat).is_some());
+        for (pool, load) in live.flat_map(|(_, hint)| &hint.gossip.pools) {
+            let sum = loads.entry(pool.clone()).or_default();
+            sum.running_requests += load.running_requests;
+            sum.waiting_requests += load.waiting_requests;
+        }
+        loads
+    }
+
+    /// Returns the part of an instance of the pool that one request takes, in thousandths.
+    fn size_permille(&self, pool: &str) -> u32 {
+        let mut entries = self.ledger.instances.iter();
+        let slots_count = entries
+            .find(|entry| entry.row.pool == pool)
+            .map_or(1, |entry| entry.row.slots_count);
+        1_000 / slots_count.max(1)
+    }
+
+    fn decide_stops(&mut self) {
+        let now_unix_ms = self.now.unix_ms;
+        let lists = self.ledger.lists.clone();
+        let Some(due_before) = lists.entitlements.maintenance.due_before(now_unix_ms) else {
+            return;
+        };
+        let upkeep: Vec<InstanceUpkeep> = self.ledger.instances.iter().map(upkeep_of).collect();
+        let is_under_pressure = self.pressure();
+        let view = RolloutView {
+            budget: self.ledger.instances.budget_view(),
+            upkeep: &upkeep,
+            rollout: Rollout {
+                started_at_unix_ms: due_before,
+                halted_at_unix_ms: self.ledger.instances.halted_at_unix_ms(),
+            },
+            is_under_pressure: &is_under_pressure,
+            now_unix_ms,
+        };
+        let weights = lists.plans.measure_weights;
+        for action in propose(&view, &self.settings.roll_out, &weights) {
+            self.carry_out_roll_out(action);
+        }
+    }
+
+    fn carry_out_roll_out(&mut self, action: RolloutAction) {
+        let (key, is_claim) = match action {
+            RolloutAction::Halt => {
+                tell!(self, "roll_out_halted");
+                self.propose(SeatChange::HaltRollout);
+                return;
+            }
+            RolloutAction::MarkBad(key) => (key, false),
+            RolloutAction::Claim(key) => (key, true),
+        };
+        let Some(entry) = self.ledger.instances.by_key(key) else {
+            return;
+        };
+        let (name, version) = (entry.row.name.clone(), entry.version);
+        let change = match is_claim {
+            true => SeatChange::StopClaim {
+                name: name.clone(),
+                version,
+                why: StopWhy::Maintenance,
+            },
+            false => SeatChange::MarkBad {
+                name: name.clone(),
+                version,
+            },
+        };
+        self.propose_once(&name, change);
+    }
+
+    fn pressure(&self) -> Vec<bool> {
+        let loads = self.fleet_loads();
+        let is_waiting = |pool: &PoolName| {
+            let load = loads.get(pool);
+            load.is_some_and(|load| load.waiting_requests > 0)
+        };
+        self.ledger.instances.pools().map(is_waiting).collect()
+    }
+
+    fn decide_move(&mut self) {
+        let lists = self.ledger.lists.clone();
+        let now_unix_ms = self.now.unix_ms;
+        let pools = self.pool_states();
+        let budget = self.ledger.instances.budget_view();
+        let weights = lists.plans.measure_weights;
+        let view = BufferView {
+            budget,
+            pools: &pools,
+        };
+        let buffers = plan_buffers(&view, SurvivedFailure::Rack, &weights);
+        let view = MoveView {
+            budget,
+            pools: &pools,
+            buffers: &buffers,
+            moves_last_hour_count: self
+                .ledger
+                .instances
+                .moves_since_count(now_unix_ms.saturating_sub(HOUR_MS)),
+            now_unix_ms,
+        };
+        let Ok(proposal) = decide_move(&view, &self.settings.moves, &weights) else {
+            return;
+        };
+        let instances = &self.ledger.instances;
+        let entry = instances.by_key(proposal.instance);
+        let to_pool = instances.pool_name(proposal.to);
+        let (Some(entry), Some(to_pool)) = (entry, to_pool.cloned()) else {
+            return;
+        };
+        let (name, version) = (entry.row.name.clone(), entry.version);
+        tell!(
+            self,
+            "move_proposed",
+            instance = name,
+            to_pool = to_pool,
+            reason = proposal.reason,
+            gain_permille = proposal.gain_permille
+        );
+        let change = SeatChange::PoolRelease {
+            name: name.clone(),
+            version,
+            to_pool,
+        };
+        self.propose_once(&name, change);
+    }
+
+    fn pool_states(&self) -> Vec<PoolState> {
+        let instances = &self.ledger.instances;
+        let is_moving = |pool: &PoolName| {
+            self.workers.stopping().any(|name| {
+                let entry = instances.get(name);
+                entry.is_some_and(|entry| match &entry.stop {
+                    Some(StopWhy::Move(to_pool)) => to_pool == pool || entry.row.pool == *pool,
+                    Some(StopWhy::Maintenance) | None => false,
+                })
+            })
+        };
+        let pools = &self.ledger.lists.entitlements.pools;
+        let is_spare =
+            |name: &PoolName| pools.iter().any(|pool| pool.name == *name && pool.is_spare);
+        instances
+            .pools()
+            .map(|pool| PoolState {
+                demand: match self.observed.demand.get(pool) {
+                    Some(window) => window.clone(),
+                    None => DemandWindow::new(self.settings.moves.samples_count as usize),
+                },
+                is_spare: is_spare(pool),
+                move_ms: MOVE_MS,
+                moved_at_unix_ms: instances.moved_at_unix_ms(pool),
+                is_moving: is_moving(pool),
+            })
+            .collect()
+    }
+}
+
+fn upkeep_of(entry: &InstanceEntry) -> InstanceUpkeep {
+    let is_maintenance = entry.stop == Some(StopWhy::Maintenance);
+    let stage = match entry.standing {
+        Standing::Stopped => StopStage::Rebooting,
+        _ => StopStage::Draining,
+    };
+    let some = |at_unix_ms: u64| Some(at_unix_ms).filter(|at| *at > 0);
+    InstanceUpkeep {
+        maintained_at_unix_ms: some(entry.maintained_at_unix_ms),
+        bad_at_unix_ms: some(entry.bad_at_unix_ms),
+        claim: is_maintenance.then_some(StopClaim {
+            stage,
+            since_unix_ms: entry.standing_at_unix_ms,
+        }),
+        availability_since_unix_ms: entry.standing_at_unix_ms,
+    }
+}
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -311,6 +311,13 @@
             SeatChange::StopCancel { name, version } => {
                 verdict(self.instances.cancel_stop(name, *version, at_unix_ms))
             }
+            SeatChange::MarkBad { name, version } => {
+                verdict(self.instances.mark_bad(name, *version, at_unix_ms))
+            }
+            SeatChange::HaltRollout => {
+                self.instances.halt(at_unix_ms);
+                Verdict::Accepted
+            }
             SeatChange::WithdrawKey { key_id } => {
                 accepted_if(self.keys.withdraw(key_id), "already_withdrawn")
             }
--- a/src/ledger/patch.rs
+++ b/src/ledger/patch.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::lists::{Entitlement, Lists, MeasureWeights, Plan, Pool, Queue, Team};
+use crate::lists::{Entitlement, Lists, Maintenance, MeasureWeights, Plan, Pool, Queue, Team};
 
 /// Changed rows of one section of a list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -81,6 +81,9 @@
     /// Changed weights of the four measures.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub measure_weights: Option<MeasureWeights>,
+    /// Changed times of maintenance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub maintenance: Option<Maintenance>,
 }
 
 impl ListsPatch {
@@ -99,6 +102,8 @@
                 |row| &row.plan,
             ),
             measure_weights: (weights != old.plans.measure_weights).then_some(weights),
+            maintenance: (new_use.maintenance != old_use.maintenance)
+                .then_some(new_use.maintenance),
         }
     }
 
@@ -116,6 +121,9 @@
         if let Some(weights) = self.measure_weights {
             lists.plans.measure_weights = weights;
         }
+        if let Some(maintenance) = self.maintenance {
+            lists.entitlements.maintenance = maintenance;
+        }
     }
 
     /// Returns whether the patch changes nothing.
--- a/src/lists/mod.rs
+++ b/src/lists/mod.rs
@@ -11,6 +11,6 @@
 pub use check::check_texts;
 pub use diff::{diff, Change, ChangeKind};
 pub use types::{
-    AvailabilityBudget, Entitlement, Entitlements, Lists, MeasureWeights, Plan, Plans, Pool, Queue,
-    Team,
+    AvailabilityBudget, Entitlement, Entitlements, Lists, Maintenance, MeasureWeights, Plan, Plans,
+    Pool, Queue, Team,
 };
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,3 +1,4 @@
 //! Load runs and experiments.
 
 pub mod live;
+pub mod upkeep_model;
