Show on the callers' port whether the entry takes work

Nothing ever set the readiness of the callers' server, so GET /ready answered 503 for good and a balancer that asks there would have sent no caller anywhere. The flag that the engine's thread keeps is now the server's own.

--- a/src/adapters/callers_http/mod.rs
+++ b/src/adapters/callers_http/mod.rs
@@ -109,6 +109,11 @@
         self.server.connections_count()
     }
 
+    /// Returns the flag behind `GET /ready`, for the thread that knows whether work is taken.
+    pub(crate) fn readiness(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.is_ready)
+    }
+
     /// Sets what `GET /ready` tells the balancer; a new server is not ready.
     pub fn set_ready(&self, is_ready: bool) {
         self.is_ready.store(is_ready, Ordering::Release);
--- a/src/adapters/callers_http/service.rs
+++ b/src/adapters/callers_http/service.rs
@@ -56,7 +56,10 @@
 ) -> HttpAnswer {
     let (parts, body) = request.into_parts();
     let asked = match parse(&parts, &shared.limits) {
-        Ok(Asked::Readiness) => return readiness(shared.is_ready.load(Ordering::Acquire)),
+        Ok(Asked::Readiness) => {
+            let is_ready = shared.is_ready.load(Ordering::Acquire) && !shared.is_closing();
+            return readiness(is_ready);
+        }
         Ok(asked) => asked,
         Err(detail) => {
             let refusal = Refusal {
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -114,7 +114,8 @@
     pub(crate) appends: flume::Sender<Append>,
     pub(crate) wanted_offset: AtomicU64,
     pub(crate) is_stopped: AtomicBool,
-    pub(crate) is_serving: AtomicBool,
+    /// Whether the entry takes work; the callers' port shows it to the balancer.
+    pub(crate) is_serving: Arc<AtomicBool>,
     pub(crate) is_drained: AtomicBool,
     pub(crate) published: Mutex<Published>,
     pub(crate) relay: Mutex<Relay>,
@@ -248,7 +249,7 @@
             appends,
             wanted_offset: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
-            is_serving: AtomicBool::new(false),
+            is_serving: callers.readiness(),
             is_drained: AtomicBool::new(false),
             published: Mutex::new(Published::default()),
             relay: Mutex::new(Relay::default()),
