--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod keys;
 mod lists;
+mod load;
 mod log_access;
 mod stand_in;
 mod standalone;
@@ -64,6 +65,10 @@
         make: standalone::make_command,
         execute: standalone::execute,
     },
+    Subcommand {
+        make: load::make_command,
+        execute: load::execute,
+    },
     Subcommand {
         make: stand_in::make_command,
         execute: stand_in::execute,
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -4,6 +4,7 @@
 pub mod cost;
 pub mod demand;
 pub(crate) mod entry;
+pub mod live;
 pub mod measure;
 pub mod overload;
 pub mod plot;
