--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -8,6 +8,7 @@
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::plot::{plot_overload, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
+use hawthornladder::load::state_cost::{measure_state, state_table};
 use serde::Serialize;
 
 use crate::cmd::{CmdError, CmdResult, Exit};
@@ -56,6 +57,11 @@
             with_common_args(Command::new("overload"))
                 .about("Goodput from half to ten times capacity, bursts and a failing worker"),
         )
+        .subcommand(
+            Command::new("state-cost")
+                .about("Cost of the ledger, the snapshot and the engine over the size of the fleet")
+                .arg(output_arg()),
+        )
         .subcommand(
             Command::new("cost")
                 .about("Processor time of the policies' steps over the size of the fleet")
@@ -96,6 +102,10 @@
     let result = match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
+        Some(("state-cost", args)) => {
+            let rows = measure_state();
+            print_report(args, &state_table(&rows), &rows)
+        }
         Some(("cost", args)) => {
             let rows = measure_cost(&FLEET_SIZES);
             print_report(args, &cost_table(&rows), &rows)
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -9,5 +9,6 @@
 pub mod overload;
 pub mod plot;
 pub mod share;
+pub mod state_cost;
 pub mod upkeep_model;
 pub mod world;
