--- a/src/load/state_cost.rs
+++ b/src/load/state_cost.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     callers::CallerRequest,
-    entry::{Action, Engine, EngineSettings, EntrySettings, Event, Now, Source},
+    entry::{Action, AttemptKey, Engine, EngineSettings, EntrySettings, Event, Now, Source},
     fleet::{InstanceRow, Resources},
     keys,
     ledger::{
@@ -370,6 +370,8 @@
     list_version: u64,
     key: SmolStr,
     next_call: u64,
+    /// Attempts that are out.
+    started: Vec<AttemptKey>,
 }
 
 impl MeasuredEngine {
@@ -398,6 +400,7 @@
             list_version: 1,
             key: key.text,
             next_call: 0,
+            started: Vec::new(),
         };
         let rows = measured.rows.clone();
         let page = InstancePage { version: 1, rows };
@@ -417,6 +420,9 @@
         let engine = &mut self.engine;
         let (actions, ns) = timed(|| engine.step(now, event));
         for action in &actions {
+            if let Action::Run { attempt, .. } = action {
+                self.started.push(*attempt);
+            }
             if let Action::Append { seq, payload } = action {
                 let offset = self.log.records.len() as u64;
                 self.log.records.push(LogRecord {
@@ -482,18 +488,13 @@
         for _ in 0..REPEATS_COUNT {
             self.pass_ms(STEP_MS);
             let call = self.call();
-            let (actions, call_ns) = self.timed_step(call);
-            let started = actions.iter().find_map(|action| match action {
-                Action::Run { attempt, .. } => Some(*attempt),
-                _ => None,
-            });
-            if let Some(attempt) = started {
+            total_ns += self.timed_step(call).1;
+            for attempt in std::mem::take(&mut self.started) {
                 let outcome = WorkerOutcome::Ran {
                     is_success: true,
                     body: Arc::default(),
                 };
-                let (_, end_ns) = self.timed_step(Event::AttemptEnded { attempt, outcome });
-                total_ns += call_ns + end_ns;
+                total_ns += self.timed_step(Event::AttemptEnded { attempt, outcome }).1;
                 started_count += 1;
             }
             self.read_log();
