--- a/tests/testsuite/model/configuration.rs
+++ b/tests/testsuite/model/configuration.rs
@@ -29,6 +29,8 @@
     Staleness,
     /// An entry takes any word of a peer for one from the log.
     PeerWord,
+    /// A fresh entry serves on the word of a peer, before it has known the head of the log.
+    FreshByPeer,
     /// An operator who lost a race sends the same lists for the new version.
     BlindRebase,
 }
@@ -178,14 +180,17 @@
     }
     let peer = world.extra.memories[1 - entry];
     let has_caught_up = world.entries[entry].view >= world.entries[1 - entry].view;
+    let was_ready = memory.heard.is_some() || broken == Broken::FreshByPeer;
     match broken {
-        Broken::PeerWord if memory.heard.is_some() => add("hears_peer", &|after| {
+        Broken::PeerWord if was_ready => add("hears_peer", &|after| {
             after.extra.memories[entry].heard = Some(after.now);
         }),
         // What the peer knew of the head then, this entry knows too.
-        _ if has_caught_up && peer.heard > memory.heard => add("hears_peer", &|after| {
-            after.extra.memories[entry].heard = peer.heard;
-        }),
+        _ if was_ready && has_caught_up && peer.heard > memory.heard => {
+            add("hears_peer", &|after| {
+                after.extra.memories[entry].heard = peer.heard;
+            })
+        }
         _ => {}
     }
     let (own, other) = (world.entries[entry].view, world.entries[1 - entry].view);
@@ -323,6 +328,12 @@
     assert_found("configuration with peers' words", &explored, KEY_LATE);
 }
 
+#[test]
+fn a_fresh_entry_that_serves_on_a_word_of_a_peer_is_found() {
+    let explored = run(Scenario::Versions, Broken::FreshByPeer);
+    assert_found("configuration with fresh entries", &explored, REVERTED);
+}
+
 #[test]
 fn a_publication_over_one_not_read_is_found() {
     let explored = run(Scenario::Versions, Broken::BlindRebase);
