--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -212,6 +212,8 @@
     fn apply_change(&mut self, seat: &SeatId, change: &SeatChange, offset: Offset) -> Verdict {
         let at_unix_ms = self.clock_unix_ms;
         match change {
+            // An earlier change of the same batch ended the seat.
+            _ if self.seats.live(seat).is_none() => rejected("seat_ended"),
             SeatChange::Open { .. } => Verdict::Accepted,
             SeatChange::Renew { clean_offset } => self.renew(seat, *clean_offset, offset),
             SeatChange::Close => self.close(seat),
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -13,7 +13,8 @@
 use proptest::prelude::*;
 
 use crate::support::{
-    connect, exchange, fixed_runner, is_closed_within, read_reply, wait_until, HttpReply, SOON,
+    assert_property, connect, exchange, fixed_runner, is_closed_within, read_reply, wait_until,
+    HttpReply, SOON,
 };
 
 const REQUEST_ID: &str = "01980000-0000-7000-8000-000000000001";
@@ -417,7 +418,7 @@
         prop_assert!(bench.calls.is_empty());
         Ok(())
     });
-    outcome.expect("no violation");
+    assert_property(outcome);
     spawn_echo(bench.calls.clone());
     let served = exchange(bench.address(), &call_bytes("", b"x")).expect("an answer");
     assert_eq!(served.status, 200);
@@ -447,7 +448,7 @@
         }
         Ok(())
     });
-    outcome.expect("no violation");
+    assert_property(outcome);
 }
 
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod check_command;
 mod cluster;
 mod error_table;
+mod ledger_fold;
 mod lists;
 mod model;
 mod peers;
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -18,7 +18,9 @@
 use proptest::prelude::*;
 use serde_json::json;
 
-use crate::support::{connect, exchange, fixed_runner, is_closed_within, wait_until, SOON};
+use crate::support::{
+    assert_property, connect, exchange, fixed_runner, is_closed_within, wait_until, SOON,
+};
 
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 const TIMEOUT_MS: u64 = 200;
@@ -159,7 +161,7 @@
         prop_assert!(is_closed_within(&mut stream, SOON));
         Ok(())
     });
-    outcome.expect("no violation");
+    assert_property(outcome);
     assert!(client.call(&PeerCall::Status).is_ok());
 }
 
@@ -206,6 +208,6 @@
         prop_assert_eq!(reply.status, ErrorKind::MalformedRequest.answer().status);
         Ok(())
     });
-    outcome.expect("no violation");
+    assert_property(outcome);
     assert_eq!(send("GET /nothing", "").status, 400);
 }
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
 
 /// Bound on anything that ought to happen at once.
 pub(crate) const SOON: Duration = Duration::from_secs(5);
@@ -105,3 +105,23 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     TestRunner::new_with_rng(config, rng)
 }
+
+/// Characters of a failing input that are shown at most.
+const INPUT_SHOWN_MAX_CHARS: usize = 2_000;
+
+/// Fails with the reason and the smallest failing input if a property did not hold.
+pub(crate) fn assert_property<T: std::fmt::Debug>(outcome: Result<(), TestError<T>>) {
+    let Err(error) = outcome else {
+        return;
+    };
+    match error {
+        TestError::Abort(reason) => panic!("aborted: {reason}"),
+        TestError::Fail(reason, input) => {
+            let input: String = format!("{input:?}")
+                .chars()
+                .take(INPUT_SHOWN_MAX_CHARS)
+                .collect();
+            panic!("{reason}; smallest input found: {input}");
+        }
+    }
+}
