--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,11 +1,13 @@
 //! Adapters: the ports over HTTP and JSON-RPC, and the clocks of the machine.
 
+pub mod callers_client;
 pub mod callers_http;
 pub mod clock;
 pub mod http_client;
 pub(crate) mod http_server;
 pub mod instances_http;
 pub mod log_http;
+pub mod operators_client;
 pub mod operators_http;
 pub mod peers_rpc;
 pub mod platform_http;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,17 +3,23 @@
 
 mod check;
 mod entry;
+mod entry_access;
 mod exit;
 mod experiment;
+mod explain;
 mod keys;
 mod lists;
+mod load;
 mod log_access;
 mod stand_in;
+mod standalone;
+mod status;
+mod table;
 mod upkeep_experiment;
 
 use std::io::{self, Write};
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use error_stack::{Report, ResultExt};
 
 pub(crate) use exit::{plain_reports, CmdError, Exit};
@@ -47,6 +53,22 @@
         make: keys::make_command,
         execute: keys::execute,
     },
+    Subcommand {
+        make: status::make_command,
+        execute: status::execute,
+    },
+    Subcommand {
+        make: explain::make_command,
+        execute: explain::execute,
+    },
+    Subcommand {
+        make: standalone::make_command,
+        execute: standalone::execute,
+    },
+    Subcommand {
+        make: load::make_command,
+        execute: load::execute,
+    },
     Subcommand {
         make: stand_in::make_command,
         execute: stand_in::execute,
@@ -70,6 +92,21 @@
         .attach("cannot write to the standard output")
 }
 
+/// Makes the argument that chooses between text and JSON.
+pub(crate) fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .value_name("FORMAT")
+        .help("How to print")
+        .value_parser(["text", "json"])
+        .default_value("text")
+}
+
+/// Returns whether [`output_arg`] asks for JSON.
+pub(crate) fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("output").map(String::as_str) == Some("json")
+}
+
 /// Makes the command line of the program.
 pub(crate) fn make_command() -> Command {
     Command::new("hawthornladder")
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -114,7 +114,8 @@
     pub(crate) appends: flume::Sender<Append>,
     pub(crate) wanted_offset: AtomicU64,
     pub(crate) is_stopped: AtomicBool,
-    pub(crate) is_serving: AtomicBool,
+    /// Whether the entry takes work; the callers' port shows it to the balancer.
+    pub(crate) is_serving: Arc<AtomicBool>,
     pub(crate) is_drained: AtomicBool,
     pub(crate) published: Mutex<Published>,
     pub(crate) relay: Mutex<Relay>,
@@ -158,14 +159,15 @@
 }
 
 impl Relay {
-    /// Keeps a record that was read from the log.
+    /// Keeps a record that was read from the log; after a gap, it starts afresh from there.
     pub(crate) fn push(&mut self, record: &LogRecord) {
-        let is_next = match self.records.back() {
-            Some(last) => record.offset == last.offset + 1,
-            None => true,
-        };
-        if !is_next {
-            return;
+        match self.records.back().map(|last| last.offset + 1) {
+            Some(next_offset) if record.offset < next_offset => return,
+            Some(next_offset) if record.offset > next_offset => {
+                self.records.clear();
+                self.bytes = 0;
+            }
+            Some(_) | None => {}
         }
         self.bytes += record.payload.len();
         self.records.push_back(record.clone());
@@ -248,7 +250,7 @@
             appends,
             wanted_offset: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
-            is_serving: AtomicBool::new(false),
+            is_serving: callers.readiness(),
             is_drained: AtomicBool::new(false),
             published: Mutex::new(Published::default()),
             relay: Mutex::new(Relay::default()),
