--- a/tests/testsuite/model/budgets.rs
+++ b/tests/testsuite/model/budgets.rs
@@ -7,9 +7,10 @@
 };
 use hawthornladder::lists::{AvailabilityBudget, Entitlement, Lists, Plan, Pool, Queue};
 
-use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::checker::{assert_found, assert_holds, explore, Explored};
 use super::folds::Folds;
-use super::world::{open_record, operator_record, Rules, World, SEATS};
+use super::rules::{Rules, Steps};
+use super::world::{open_record, operator_record, World, SEATS};
 
 const INSTANCES: [&str; 2] = ["w0", "w1"];
 const POOL: &str = "p";
@@ -140,7 +141,7 @@
     }
 }
 
-fn add_failures(world: &FleetWorld, steps: &mut Vec<Step<FleetWorld>>) {
+fn add_failures(world: &FleetWorld, steps: &mut Steps<Fleet>) {
     for index in 0..INSTANCES.len() {
         let mut after = world.clone();
         let fleet = &mut after.extra;
@@ -184,7 +185,7 @@
 
 fn run(broken: Broken) -> Explored {
     let folds = Folds::default();
-    let own_steps = |world: &FleetWorld, steps: &mut Vec<Step<FleetWorld>>| {
+    let own_steps = |world: &FleetWorld, steps: &mut Steps<Fleet>| {
         let rules = rules_of(&folds, &|_, _| ());
         for (_, _, after) in steps.iter_mut() {
             judge(&folds, world, after);
@@ -222,7 +223,7 @@
 
 fn rules_of<'a>(
     folds: &'a Folds,
-    own_steps: &'a dyn Fn(&FleetWorld, &mut Vec<Step<FleetWorld>>),
+    own_steps: &'a dyn Fn(&FleetWorld, &mut Steps<Fleet>),
 ) -> Rules<'a, Fleet> {
     Rules {
         folds,
--- a/tests/testsuite/model/configuration.rs
+++ b/tests/testsuite/model/configuration.rs
@@ -4,9 +4,10 @@
 use hawthornladder::ledger::{KeyRow, Ledger, ListsPatch, OperatorChange, Record, SeatChange};
 use hawthornladder::lists::{Lists, Pool};
 
-use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::checker::{assert_found, assert_holds, explore, Explored};
 use super::folds::Folds;
-use super::world::{open_record, operator_record, Rules, World, SEATS};
+use super::rules::{Rules, Steps};
+use super::world::{open_record, operator_record, World, SEATS};
 
 const KEY: &str = "k";
 const KEY_BACK: &str = "an entry takes a key that it refused before";
@@ -145,7 +146,7 @@
     broken: Broken,
     world: &ControlWorld,
     entry: usize,
-    steps: &mut Vec<Step<ControlWorld>>,
+    steps: &mut Steps<Control>,
 ) {
     let folds = rules.folds;
     let memory = world.extra.memories[entry];
@@ -241,7 +242,7 @@
 
 fn run(scenario: Scenario, broken: Broken) -> Explored {
     let folds = Folds::default();
-    let own_steps = |world: &ControlWorld, steps: &mut Vec<Step<ControlWorld>>| {
+    let own_steps = |world: &ControlWorld, steps: &mut Steps<Control>| {
         let rules = rules_of(&folds, &|_, _| ());
         for entry in 0..SEATS.len() {
             add_entry_steps(&rules, broken, world, entry, steps);
@@ -284,7 +285,7 @@
 
 fn rules_of<'a>(
     folds: &'a Folds,
-    own_steps: &'a dyn Fn(&ControlWorld, &mut Vec<Step<ControlWorld>>),
+    own_steps: &'a dyn Fn(&ControlWorld, &mut Steps<Control>),
 ) -> Rules<'a, Control> {
     Rules {
         folds,
--- a/tests/testsuite/model/limits.rs
+++ b/tests/testsuite/model/limits.rs
@@ -4,9 +4,10 @@
 use hawthornladder::ledger::{ListsPatch, OperatorChange, Record, SeatChange};
 use hawthornladder::lists::{AvailabilityBudget, Lists, Plan, Team};
 
-use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::checker::{assert_found, assert_holds, explore, Explored};
 use super::folds::Folds;
-use super::world::{open_record, operator_record, Phase, Rules, Task, World, SEATS};
+use super::rules::{Rules, Steps};
+use super::world::{open_record, operator_record, Phase, Task, World, SEATS};
 
 const TEAM: &str = "t";
 const TOO_MANY: &str = "a team has more running than its upper limit";
@@ -174,7 +175,7 @@
 
 fn run(scenario: Scenario, broken: Broken) -> Explored {
     let folds = Folds::default();
-    let add_steps = |world: &TeamWorld, steps: &mut Vec<Step<TeamWorld>>| {
+    let add_steps = |world: &TeamWorld, steps: &mut Steps<Leaving>| {
         let rules = rules_of(&folds, scenario, &|_, _| (), &|_, _| ());
         for entry in 0..SEATS.len() {
             let spare = spare(&folds, world, entry, broken);
@@ -233,7 +234,7 @@
     folds: &'a Folds,
     scenario: Scenario,
     on_fold: &'a dyn Fn(&mut TeamWorld, usize),
-    own_steps: &'a dyn Fn(&TeamWorld, &mut Vec<Step<TeamWorld>>),
+    own_steps: &'a dyn Fn(&TeamWorld, &mut Steps<Leaving>),
 ) -> Rules<'a, Leaving> {
     Rules {
         folds,
--- a/tests/testsuite/model/mod.rs
+++ b/tests/testsuite/model/mod.rs
@@ -3,10 +3,12 @@
 //! covered. Each property also runs once with one guard broken, to show that the checker finds it.
 
 mod budgets;
+mod calls;
 mod checker;
 mod configuration;
 mod folds;
 mod limits;
 mod moves;
+mod rules;
 mod single_runs;
 mod world;
--- a/tests/testsuite/model/moves.rs
+++ b/tests/testsuite/model/moves.rs
@@ -7,16 +7,15 @@
 };
 use hawthornladder::lists::{Lists, Pool};
 
-use super::checker::{assert_found, assert_holds, explore, Explored, Step};
+use super::checker::{assert_found, assert_holds, explore, Explored};
 use super::folds::Folds;
-use super::world::{open_record, operator_record, Rules, Task, World, SEATS};
+use super::rules::{Rules, Steps};
+use super::world::{open_record, operator_record, Task, World, SEATS};
 
 const INSTANCE: &str = "w";
 const POOLS: [&str; 2] = ["p", "q"];
 const TWO_POOLS: &str = "an instance has work under two pools";
 const CUT: &str = "a planned stop cut work off";
-/// Age up to which the latest word from the log is trusted, where that stands for a lease.
-const STALE_MAX_TICKS: u8 = 0;
 
 /// A guard that is left out.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -178,7 +177,7 @@
     broken: Broken,
     world: &MoveWorld,
     entry: usize,
-    steps: &mut Vec<Step<MoveWorld>>,
+    steps: &mut Steps<Heard>,
 ) {
     if !rules.can_propose(world, entry) {
         return;
@@ -208,11 +207,11 @@
     broken: Broken,
     world: &MoveWorld,
     entry: usize,
-    steps: &mut Vec<Step<MoveWorld>>,
+    steps: &mut Steps<Heard>,
 ) {
     let row = instance(folds, world, entry);
     let may_start = match broken {
-        Broken::Lease => world.now - world.extra[entry] <= STALE_MAX_TICKS,
+        Broken::Lease => world.extra[entry] == world.now,
         _ => world.is_lease_valid(entry),
     };
     let has_own = world.counted(entry).next().is_some();
@@ -226,7 +225,7 @@
     steps.push(("dispatches", entry as u8, after));
 }
 
-fn add_hearing(world: &MoveWorld, entry: usize, steps: &mut Vec<Step<MoveWorld>>) {
+fn add_hearing(world: &MoveWorld, entry: usize, steps: &mut Steps<Heard>) {
     let is_at_head = world.entries[entry].view + 1 == world.chain.len();
     if is_at_head && world.extra[entry] < world.now {
         let mut after = world.clone();
@@ -253,7 +252,7 @@
 
 fn run(scenario: Scenario, broken: Broken) -> Explored {
     let folds = Folds::default();
-    let own_steps = |world: &MoveWorld, steps: &mut Vec<Step<MoveWorld>>| {
+    let own_steps = |world: &MoveWorld, steps: &mut Steps<Heard>| {
         let rules = rules_of(&folds, scenario, &|_, _| ());
         for entry in 0..SEATS.len() {
             add_proposals(&rules, scenario, broken, world, entry, steps);
@@ -287,7 +286,7 @@
 fn rules_of<'a>(
     folds: &'a Folds,
     scenario: Scenario,
-    own_steps: &'a dyn Fn(&MoveWorld, &mut Vec<Step<MoveWorld>>),
+    own_steps: &'a dyn Fn(&MoveWorld, &mut Steps<Heard>),
 ) -> Rules<'a, Heard> {
     Rules {
         folds,
--- a/tests/testsuite/model/single_runs.rs
+++ b/tests/testsuite/model/single_runs.rs
@@ -1,21 +1,20 @@
 //! Work that is not idempotent runs at most once, and "not run" is true, while its caller repeats
 //! it at both entries, attempts are lost and a holder is paused.
 
-use hawthornladder::ledger::{ClaimState, SeatChange};
-use uuid::{Builder, Uuid};
+use hawthornladder::ledger::ClaimState;
 
-use super::checker::{assert_found, assert_holds, explore, Explored, Step};
-use super::folds::{Folds, START_UNIX_MS};
-use super::world::{open_record, Phase, Rules, Task, World, SEATS};
+use super::calls::{
+    claim, end_claim, find, in_flight, on_fold, request_id, Call, CallState, CallWorld, Calls, TEAM,
+};
+use super::checker::{assert_found, assert_holds, explore, Explored};
+use super::folds::Folds;
+use super::rules::{Rules, Steps};
+use super::world::{open_record, Phase, Task, SEATS};
 
-const TEAM: &str = "t";
 const TWICE: &str = "work that must run at most once ran twice";
 const FALSE_NOT_RUN: &str = "a caller was told not run of a call that ran";
 const FALSE_RAN: &str = "the ledger says ran of work that never ran";
 
-/// Entry that each call of the same request goes to, in the order of the calls of one entry.
-const CALLS: [usize; 3] = [0, 1, 0];
-
 /// A guard that is left out.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Broken {
@@ -28,44 +27,6 @@
     SentIsNotRun,
 }
 
-/// How far one call has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Call {
-    NotMade,
-    Claiming,
-    Waiting,
-    Sent,
-    AnsweredNotRun,
-    Answered,
-}
-
-/// What the calls add to a state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Calls {
-    calls: [CallState; CALLS.len()],
-    /// How often the work started, up to 2.
-    starts_count: u8,
-    /// How each entry's claim is to end.
-    ends: [Option<ClaimState>; 2],
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct CallState {
-    call: Call,
-    has_started: bool,
-}
-
-impl Default for CallState {
-    fn default() -> Self {
-        Self {
-            call: Call::NotMade,
-            has_started: false,
-        }
-    }
-}
-
-type CallWorld = World<Calls>;
-
 /// What is explored.
 #[derive(Clone, Copy)]
 struct Scenario {
@@ -107,80 +68,13 @@
     ..LAPSE
 };
 
-fn request_id() -> Uuid {
-    Builder::from_unix_timestamp_millis(START_UNIX_MS, &[0; 10]).into_uuid()
-}
-
-fn claim() -> SeatChange {
-    SeatChange::Claim {
-        team: TEAM.into(),
-        request_id: request_id(),
-    }
-}
-
-fn end_claim(state: ClaimState) -> SeatChange {
-    SeatChange::ClaimEnd {
-        team: TEAM.into(),
-        request_id: request_id(),
-        state,
-    }
-}
-
-/// Returns the calls of one entry.
-fn calls_of(entry: usize) -> impl Iterator<Item = usize> {
-    (0..CALLS.len()).filter(move |call| CALLS[*call] == entry)
-}
-
-fn find(world: &CallWorld, entry: usize, state: Call) -> Option<usize> {
-    calls_of(entry).find(|call| world.extra.calls[*call].call == state)
-}
-
-fn in_flight(world: &CallWorld, entry: usize) -> bool {
-    [Call::Claiming, Call::Waiting, Call::Sent]
-        .into_iter()
-        .any(|state| find(world, entry, state).is_some())
-}
-
-/// Takes in what an entry has folded: the verdict on its claim, or the end of its seat.
-fn on_fold(folds: &Folds, world: &mut CallWorld, entry: usize) {
-    if world.entries[entry].flight.is_some() {
-        return;
-    }
-    let ledger = world.view(folds, entry);
-    let is_live = ledger.seats.live(SEATS[entry]).is_some();
-    let row = ledger.claims.get(TEAM, &request_id());
-    let is_own = row.is_some_and(|row| row.seat == SEATS[entry] && row.state == ClaimState::Open);
-    let claiming = find(world, entry, Call::Claiming);
-    let has_user = find(world, entry, Call::Waiting).is_some()
-        || world.counted(entry).next().is_some()
-        || world.extra.ends[entry].is_some();
-    match claiming {
-        _ if !is_live => drop_unsent(world, entry),
-        Some(call) if is_own => world.extra.calls[call].call = Call::Waiting,
-        Some(call) => world.extra.calls[call].call = Call::Answered,
-        // Nobody waits for it any more, so it is never sent.
-        None if is_own && !has_user => world.extra.ends[entry] = Some(ClaimState::NotRun),
-        None => {}
-    }
-}
-
-fn drop_unsent(world: &mut CallWorld, entry: usize) {
-    for call in calls_of(entry) {
-        let state = &mut world.extra.calls[call].call;
-        if matches!(state, Call::Claiming | Call::Waiting) {
-            *state = Call::AnsweredNotRun;
-        }
-    }
-    world.extra.ends[entry] = None;
-}
-
 /// Adds the next call of an entry, as admission takes it.
 fn add_call(
     rules: &Rules<'_, Calls>,
     scenario: Scenario,
     world: &CallWorld,
     entry: usize,
-    steps: &mut Vec<Step<CallWorld>>,
+    steps: &mut Steps<Calls>,
 ) {
     let Some(call) = find(world, entry, Call::NotMade).filter(|call| *call < scenario.calls_count)
     else {
@@ -213,7 +107,7 @@
     broken: Broken,
     world: &CallWorld,
     entry: usize,
-    steps: &mut Vec<Step<CallWorld>>,
+    steps: &mut Steps<Calls>,
 ) {
     let whom = entry as u8;
     add_call(rules, scenario, world, entry, steps);
@@ -259,7 +153,7 @@
 }
 
 /// Adds the ways in which an entry hears how a task ended, or does not.
-fn add_outcomes(broken: Broken, world: &CallWorld, index: usize, steps: &mut Vec<Step<CallWorld>>) {
+fn add_outcomes(broken: Broken, world: &CallWorld, index: usize, steps: &mut Steps<Calls>) {
     let task = world.tasks[index];
     let entry = usize::from(task.by);
     let call = usize::from(task.label);
@@ -341,7 +235,7 @@
 fn run(scenario: Scenario, broken: Broken) -> Explored {
     let folds = Folds::default();
     let on_fold = |world: &mut CallWorld, entry: usize| on_fold(&folds, world, entry);
-    let own_steps = |world: &CallWorld, steps: &mut Vec<Step<CallWorld>>| {
+    let own_steps = |world: &CallWorld, steps: &mut Steps<Calls>| {
         let rules = rules_of(&folds, scenario, &|_, _| (), &|_, _| ());
         for (_, _, after) in steps.iter_mut() {
             count_starts(world, after);
@@ -388,7 +282,7 @@
     folds: &'a Folds,
     scenario: Scenario,
     on_fold: &'a dyn Fn(&mut CallWorld, usize),
-    own_steps: &'a dyn Fn(&CallWorld, &mut Vec<Step<CallWorld>>),
+    own_steps: &'a dyn Fn(&CallWorld, &mut Steps<Calls>),
 ) -> Rules<'a, Calls> {
     Rules {
         folds,
