--- a/tests/testsuite/model/checker.rs
+++ b/tests/testsuite/model/checker.rs
@@ -7,7 +7,7 @@
 use pathfinding::prelude::bfs;
 
 /// States at most; a specification that has more is not explored whole, which fails its test.
-const STATES_MAX_COUNT: usize = 1_000_000;
+const STATES_MAX_COUNT: usize = 1_500_000;
 
 /// A step: what happened, to which process or thing, and the state after it.
 pub(crate) type Step<S> = (&'static str, u8, S);
--- a/tests/testsuite/model/limits.rs
+++ b/tests/testsuite/model/limits.rs
@@ -1,7 +1,7 @@
 //! No team has more running than its upper limit, with parts of the limit taken, given away, and
 //! freed from a seat whose holder was paused.
 
-use hawthornladder::ledger::{ListsPatch, OperatorChange, Record, SeatChange};
+use hawthornladder::ledger::{ListsPatch, OperatorChange, Record, SeatChange, TeamEscrow};
 use hawthornladder::lists::{AvailabilityBudget, Lists, Plan, Team};
 
 use super::checker::{assert_found, assert_holds, explore, Explored};
@@ -20,6 +20,8 @@
     Lease,
     /// An entry uses a part of the limit until it has read that it gave it away.
     GivenAway,
+    /// An entry uses its part although the parts are more than a limit that was lowered.
+    Lowered,
     /// An entry stops counting a task when it has lost sight of it.
     LostTask,
 }
@@ -39,6 +41,8 @@
     is_second_watching: bool,
     /// Whether the opening of the first seat may land again, also after that seat has ended.
     is_reopened: bool,
+    /// Whether an operator lowers the limit to one.
+    is_lowered: bool,
 }
 
 /// Parts go to and fro, without time for a lease to lapse.
@@ -51,6 +55,16 @@
     has_gifts: true,
     is_second_watching: false,
     is_reopened: false,
+    is_lowered: false,
+};
+
+/// The same while the limit is lowered.
+const LOWERED: Scenario = Scenario {
+    name: "limits, lowered",
+    batches_max: [4; 2],
+    repeats_count: 0,
+    is_lowered: true,
+    ..GIFTS
 };
 
 /// The first holder is paused, or its appends come late, and the second frees its part.
@@ -63,6 +77,7 @@
     has_gifts: false,
     is_second_watching: true,
     is_reopened: false,
+    is_lowered: false,
 };
 
 /// The same, and the record that opened the first seat lands again.
@@ -78,12 +93,12 @@
 
 type TeamWorld = World<Leaving>;
 
-fn publication(scenario: Scenario) -> Record {
+fn lists(limit_requests: u32) -> Lists {
     let mut lists = Lists::default();
     lists.plans.plans.push(Plan {
         name: "p".into(),
         share_weight: 1,
-        running_max_requests: scenario.limit_requests,
+        running_max_requests: limit_requests,
         start_target_ms: 1,
         on_time_target_permille: 1,
         availability: AvailabilityBudget {
@@ -97,28 +112,50 @@
         running_max_requests: None,
         share_weight: None,
     });
-    let patch = ListsPatch::between(&Lists::default(), &lists);
-    operator_record(
-        1,
-        OperatorChange::Publish {
-            base_version: 0,
-            patch: Box::new(patch),
-        },
-    )
+    lists
 }
 
-fn spare(folds: &Folds, world: &TeamWorld, entry: usize, broken: Broken) -> u32 {
+fn publication(base_version: u64, old: &Lists, new: &Lists) -> Record {
+    let patch = Box::new(ListsPatch::between(old, new));
+    let change = OperatorChange::Publish {
+        base_version,
+        patch,
+    };
+    operator_record(base_version.into(), change)
+}
+
+fn limit_in_view(folds: &Folds, world: &TeamWorld, entry: usize) -> u32 {
     let ledger = world.view(folds, entry);
-    let allowance = ledger
+    ledger
         .escrow
         .get(TEAM)
-        .map_or(0, |escrow| escrow.allowance_requests(SEATS[entry]));
+        .map_or(0, |team| team.limit_requests)
+}
+
+/// Returns what an entry holds and neither uses nor has given away.
+fn spare_part(folds: &Folds, world: &TeamWorld, entry: usize, broken: Broken) -> u32 {
+    let ledger = world.view(folds, entry);
+    let parts = ledger.escrow.get(TEAM).map(|team| &team.parts);
+    let part = parts.and_then(|parts| parts.get(SEATS[entry]));
     let leaving = match broken {
         Broken::GivenAway => 0,
         _ => world.extra[entry],
     };
     let running = world.counted(entry).count() as u32;
-    allowance.saturating_sub(leaving + running)
+    part.map_or(0, |part| part.saturating_sub(leaving + running))
+}
+
+fn can_start(folds: &Folds, world: &TeamWorld, entry: usize, broken: Broken) -> bool {
+    let ledger = world.view(folds, entry);
+    let allowance = |team: &TeamEscrow| team.allowance_requests(SEATS[entry]);
+    let is_allowed = ledger
+        .escrow
+        .get(TEAM)
+        .is_some_and(|team| allowance(team) > 0);
+    let has_lease = world.is_lease_valid(entry) || broken == Broken::Lease;
+    has_lease
+        && (is_allowed || broken == Broken::Lowered)
+        && spare_part(folds, world, entry, broken) > 0
 }
 
 fn take() -> SeatChange {
@@ -178,14 +215,15 @@
     let add_steps = |world: &TeamWorld, steps: &mut Steps<Leaving>| {
         let rules = rules_of(&folds, scenario, &|_, _| (), &|_, _| ());
         for entry in 0..SEATS.len() {
-            let spare = spare(&folds, world, entry, broken);
+            let spare = spare_part(&folds, world, entry, broken);
             for after in proposals(&rules, world, entry, spare, scenario) {
                 steps.push(("proposes", entry as u8, after));
             }
-            let has_lease = world.is_lease_valid(entry) || broken == Broken::Lease;
-            if has_lease && spare > 0 && world.tasks.len() <= scenario.limit_requests as usize {
+            let is_within = world.tasks.len() <= scenario.limit_requests as usize;
+            if is_within && can_start(&folds, world, entry, broken) {
                 let mut after = world.clone();
-                after.dispatch(entry, 0, 0);
+                let limit_requests = limit_in_view(&folds, world, entry);
+                after.dispatch(entry, 0, limit_requests as u8);
                 steps.push(("dispatches", entry as u8, after));
             }
         }
@@ -207,12 +245,16 @@
         }
     };
     let rules = rules_of(&folds, scenario, &on_fold, &add_steps);
-    let pending = match scenario.is_reopened {
-        true => vec![open_record(0, &[])],
-        false => Vec::new(),
-    };
+    let (before, after) = (lists(scenario.limit_requests), lists(1));
+    let mut pending = Vec::new();
+    if scenario.is_reopened {
+        pending.push(open_record(0, &[]));
+    }
+    if scenario.is_lowered {
+        pending.push(publication(1, &before, &after));
+    }
     let records = [
-        publication(scenario),
+        publication(0, &Lists::default(), &before),
         open_record(0, &[]),
         open_record(1, &[]),
     ];
@@ -220,7 +262,10 @@
     let violation = |world: &TeamWorld| {
         let is_running = |task: &&Task| matches!(task.phase, Phase::Running(_));
         let running_count = world.tasks.iter().filter(is_running).count();
-        (running_count > scenario.limit_requests as usize).then_some(TOO_MANY)
+        // Nothing starts beyond the limit that its entry has read.
+        let limits = world.tasks.iter().filter(is_running).map(|task| task.label);
+        let limit = limits.min().unwrap_or(u8::MAX);
+        (running_count > usize::from(limit)).then_some(TOO_MANY)
     };
     // The second entry runs work under a part that the first had.
     let is_done = |world: &TeamWorld| {
@@ -248,7 +293,7 @@
 
 #[test]
 fn the_limit_holds_in_every_state() {
-    for scenario in [GIFTS, LAPSE, REOPENED] {
+    for scenario in [GIFTS, LOWERED, LAPSE, REOPENED] {
         let explored = run(scenario, Broken::Nothing);
         assert_holds(scenario.name, &explored);
     }
@@ -266,6 +311,12 @@
     assert_found("limits without the reservation", &explored, TOO_MANY);
 }
 
+#[test]
+fn a_start_beyond_a_lowered_limit_is_found() {
+    let explored = run(LOWERED, Broken::Lowered);
+    assert_found("limits, lowered without the check", &explored, TOO_MANY);
+}
+
 #[test]
 fn a_lost_task_that_is_not_counted_is_found() {
     let explored = run(GIFTS, Broken::LostTask);
