--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod promises_keys;
 mod promises_limits;
 mod promises_membership;
+mod promises_pools;
 mod promises_recovery;
 mod promises_single_run;
 mod proxy;
