Gather evidence for moves as a cumulative sum for each pair of pools

Cause: a window keeps the old pattern of demand as long as the new one, so after a long shift the donors still looked busy and the receivers went on receiving; Lahore moved 25 of its instances into one pool and back.

--- a/src/load/upkeep_model/baseline.rs
+++ b/src/load/upkeep_model/baseline.rs
@@ -15,7 +15,7 @@
 pub(super) fn follow_demand(
     view: &MoveView<'_>,
     recent_milli: &[u32],
-) -> Option<(InstanceKey, PoolKey, PoolKey)> {
+) -> Option<(InstanceKey, PoolKey)> {
     let load_permille = |pool: &PoolKey| {
         let counts = view.budget.counts.pool(*pool);
         let available = counts.map_or(0, |counts| counts.total.available_count);
@@ -41,6 +41,6 @@
                 && member.standing.is_available()
                 && can_release(&view.budget, *key).is_ok()
         })?;
-        Some((instance, from, to))
+        Some((instance, to))
     })
 }
--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -10,7 +10,8 @@
 use crate::lists::MeasureWeights;
 use crate::upkeep::budget::{judge_stop, BudgetView, RackRule};
 use crate::upkeep::buffers::{plan_buffers, BufferView, SurvivedFailure};
-use crate::upkeep::demand::{DemandHistory, DemandSample, PoolState};
+use crate::upkeep::demand::{DemandSample, DemandWindow, PoolState};
+use crate::upkeep::evidence::MoveEvidence;
 use crate::upkeep::keys::InstanceKey;
 use crate::upkeep::maintenance::InstanceUpkeep;
 use crate::upkeep::moves::{decide_move, MoveSettings, MoveView};
@@ -111,7 +112,7 @@
         .pools
         .iter()
         .map(|spec| PoolState {
-            demand: full_history(&settings, spec.instances_count),
+            demand: full_window(&settings, spec.instances_count),
             is_spare: spec.is_spare,
             move_ms: 1,
             moved_at_unix_ms: None,
@@ -119,6 +120,7 @@
         })
         .collect();
     let weights = MeasureWeights::default();
+    let mut evidence = MoveEvidence::new(pools.len());
     let round = |_| {
         let buffer_view = BufferView {
             budget,
@@ -132,20 +134,21 @@
             moves_last_hour_count: 0,
             now_unix_ms: 1,
         };
-        let _ = black_box(decide_move(&view, &settings, &weights));
+        let _ = black_box(decide_move(&view, &evidence, &settings, &weights));
+        evidence.observe(&view, &settings);
     };
     per_round_ns(ROUNDS_COUNT as usize, round) / 1000
 }
 
-fn full_history(settings: &MoveSettings, instances_count: u32) -> DemandHistory {
-    let mut history = settings.new_history();
-    for sample in 0..settings.long_samples_count * settings.long_every_count {
-        history.push(DemandSample {
-            busy_instances_milli: instances_count * 2 * (sample % settings.recent_samples_count),
+fn full_window(settings: &MoveSettings, instances_count: u32) -> DemandWindow {
+    let mut window = DemandWindow::new(settings.samples_count as usize);
+    for sample in 0..settings.samples_count {
+        window.push(DemandSample {
+            busy_instances_milli: instances_count * 2 * sample,
             waited_permille: sample % 1000,
         });
     }
-    history
+    window
 }
 
 fn per_round_ns(rounds_count: usize, mut round: impl FnMut(usize)) -> u64 {
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -7,8 +7,9 @@
 use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
 use super::world::{Record, World, EPOCH_MS};
 use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
-use crate::upkeep::demand::{DemandSample, PoolState};
+use crate::upkeep::demand::{DemandSample, DemandWindow, PoolState};
 use crate::upkeep::drive::driver;
+use crate::upkeep::evidence::MoveEvidence;
 use crate::upkeep::keys::{InstanceKey, PoolKey};
 use crate::upkeep::maintenance::{next_step, StopObservation, StopStage, StopStep};
 use crate::upkeep::moves::{decide_move, may_assign, MoveView};
@@ -40,6 +41,8 @@
     pub(super) world: World,
     pub(super) demand: DemandModel,
     pools: Vec<PoolState>,
+    evidence: MoveEvidence,
+    buffers: BufferPlan,
     recent: Vec<Vec<u32>>,
     seats: Vec<(String, Option<u64>)>,
     pub(super) spare_instance_ms: u64,
@@ -50,8 +53,9 @@
 
 /// Runs `scenario` on `deployment`.
 pub fn run(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Figures {
+    let samples_count = scenario.move_settings.samples_count as usize;
     let pools = deployment.pools.iter().map(|spec| PoolState {
-        demand: scenario.move_settings.new_history(),
+        demand: DemandWindow::new(samples_count),
         is_spare: spec.is_spare,
         move_ms: MOVE_MS,
         moved_at_unix_ms: None,
@@ -62,6 +66,8 @@
         world: World::new(deployment, scenario, seed),
         demand: DemandModel::new(deployment, &scenario.shifts, seed),
         pools: pools.collect(),
+        evidence: MoveEvidence::new(deployment.pools.len()),
+        buffers: BufferPlan::default(),
         recent: vec![Vec::new(); deployment.pools.len()],
         seats: (0..ENTRIES_COUNT)
             .map(|index| (format!("entry-{index}"), None))
@@ -95,6 +101,9 @@
         for _ in 0..self.scenario.drivers_count {
             self.drive_rollout();
         }
+        if self.scenario.has_demand {
+            self.observe_moves();
+        }
         if self.at_ms() % MOVE_INTERVAL_MS < self.scenario.step_ms {
             self.drive_moves();
         }
@@ -259,49 +268,59 @@
         }
     }
 
-    fn drive_moves(&mut self) {
+    /// Lets the entries gather evidence, as all of them do all the time.
+    fn observe_moves(&mut self) {
         for pool in 0..self.pools.len() {
             let key = PoolKey(pool as u16);
             let mut moves = self.world.moves.values();
             let state = &mut self.pools[pool];
             state.is_moving = moves.any(|move_| move_.from == key || move_.to == key);
-            if state.moved_at_unix_ms != self.world.moved_at_ms[pool] {
-                state.moved_at_unix_ms = self.world.moved_at_ms[pool];
-                state.demand.restart_recent();
-            }
+            state.moved_at_unix_ms = self.world.moved_at_ms[pool];
         }
-        let buffers = self.plan();
+        let mut evidence = std::mem::take(&mut self.evidence);
+        evidence.observe(&self.move_view(), &self.scenario.move_settings);
+        self.evidence = evidence;
+    }
+
+    fn move_view(&self) -> MoveView<'_> {
         let hour_ago_ms = self.world.now_ms.saturating_sub(HOUR_MS);
         let recent_moves = self.world.tally.moves_at_ms.iter().rev();
         let moves_last_hour_count = recent_moves.take_while(|at| **at > hour_ago_ms).count();
-        let view = MoveView {
+        MoveView {
             budget: self.world.budget_view(),
             pools: &self.pools,
-            buffers: &buffers,
+            buffers: &self.buffers,
             moves_last_hour_count: moves_last_hour_count as u32,
             now_unix_ms: self.world.now_ms,
-        };
+        }
+    }
+
+    fn drive_moves(&mut self) {
+        self.buffers = self.plan();
+        let view = self.move_view();
+        let settings = &self.scenario.move_settings;
         let chosen = match self.scenario.move_policy {
             MovePolicy::Never => None,
-            MovePolicy::FollowDemand => {
-                let mean = |samples: &Vec<u32>| match samples.len() as u32 {
-                    0 => 0,
-                    count => samples.iter().sum::<u32>() / count,
-                };
-                let recent: Vec<u32> = self.recent.iter().map(mean).collect();
-                follow_demand(&view, &recent)
-            }
+            MovePolicy::FollowDemand => follow_demand(&view, &self.recent_means()),
             MovePolicy::MarginalWorth => {
-                decide_move(&view, &self.scenario.move_settings, &self.scenario.weights)
+                decide_move(&view, &self.evidence, settings, &self.scenario.weights)
                     .ok()
-                    .map(|proposal| (proposal.instance, proposal.from, proposal.to))
+                    .map(|proposal| (proposal.instance, proposal.to))
             }
         };
-        if let Some((instance, _, to)) = chosen {
+        if let Some((instance, to)) = chosen.filter(|_| self.has_driver("moves")) {
             self.world.append(Record::Release(instance, to));
         }
     }
 
+    fn recent_means(&self) -> Vec<u32> {
+        let mean = |samples: &Vec<u32>| match samples.len() as u32 {
+            0 => 0,
+            count => samples.iter().sum::<u32>() / count,
+        };
+        self.recent.iter().map(mean).collect()
+    }
+
     /// Works out the buffers as a driver of moves sees them.
     fn plan(&self) -> BufferPlan {
         let view = BufferView {
@@ -328,7 +347,10 @@
             let is_up = self.world.workers.is_up(key.index());
             match under_way.is_rebooting {
                 false if is_released => self.world.append(Record::Rebooting(key)),
-                true if is_up => self.world.append(Record::Assigned(key)),
+                true if is_up => {
+                    self.evidence.note_move(under_way.from, under_way.to);
+                    self.world.append(Record::Assigned(key));
+                }
                 _ => {}
             }
         }
--- a/src/upkeep/buffers.rs
+++ b/src/upkeep/buffers.rs
@@ -126,11 +126,7 @@
         .pool(pool)
         .map_or(0, |counts| counts.total.members_count);
     let wanted_count = view.pools.get(pool.index()).map_or(0, |state| {
-        state
-            .demand
-            .recent
-            .quantile_milli(part_permille)
-            .div_ceil(1000)
+        state.demand.quantile_milli(part_permille).div_ceil(1000)
     });
     wanted_count.min(members_count).max(floor_count)
 }
--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod drain;
 pub mod drive;
+pub mod evidence;
 pub mod keys;
 pub mod maintenance;
 pub mod moves;
--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -1,22 +1,23 @@
 //! Moves of instances between pools: when to move one, and when to wait out a burst.
 //!
 //! A move takes an instance out of work for the length of a drain and a reboot, which is longer
-//! than a burst. So it is decided from windows of several such lengths: the time for which the
-//! receiver was late with work for one more instance, less the time for which the donor would have
-//! been late with one less. Bursts that queues and second pools absorb in time count on neither
-//! side. The gain within a window must beat the time that the move itself costs, scaled by the weights of moves and of
-//! nearness to share: the rule for renting or buying skis, which loses at most as much by waiting
-//! as the move costs. A recent window forgets an old pattern of demand soon; a long one sees small
-//! gains that last, and decides only while the recent one does not speak against it. Right after a
-//! move the opposite one has the negative gain, so it is not undone before demand has changed.
+//! than a burst. So evidence is gathered for each pair of pools: the time for which the receiver was
+//! late with work for one more instance, less the time for which the donor would have been late
+//! with one less. Bursts that queues and second pools absorb in time count on neither side. An
+//! instance is moved once the evidence reaches the time that the move costs, scaled by the weights
+//! of moves and of nearness to share. That is the rule for renting or buying skis: waiting never
+//! loses more than the move would have cost.
+
+use std::cmp::Reverse;
 
 use serde::{Deserialize, Serialize};
 
-use super::budget::{can_release, BudgetView, PERMILLE_WHOLE};
+use super::budget::{can_release, BudgetView};
 use super::buffers::BufferPlan;
 use super::counts::{is_planned_stop, Member};
-use super::demand::{DemandHistory, DemandWindow, PoolState};
+use super::demand::PoolState;
 use super::drain::DrainEvidence;
+use super::evidence::{low_spare_count, MoveEvidence};
 use super::keys::{InstanceKey, PoolKey};
 use crate::fleet::UnixMs;
 use crate::lists::MeasureWeights;
@@ -27,12 +28,10 @@
 pub struct MoveSettings {
     /// Interval of the samples of demand, in milliseconds.
     pub sample_interval_ms: u64,
-    /// Samples in the recent window.
-    pub recent_samples_count: u32,
-    /// Samples in the long window.
-    pub long_samples_count: u32,
-    /// Samples of which the long window keeps one.
-    pub long_every_count: u32,
+    /// Samples in the window that buffers are worked out from.
+    pub samples_count: u32,
+    /// Part of the time, in thousandths, that a lasting gain must exceed to add up.
+    pub drift_permille: u32,
     /// Time for which a pool rests after it gave or got an instance, in milliseconds.
     pub cool_down_ms: u64,
     /// Moves in the whole fleet within an hour.
@@ -45,9 +44,8 @@
     fn default() -> Self {
         Self {
             sample_interval_ms: 1000,
-            recent_samples_count: 600,
-            long_samples_count: 1000,
-            long_every_count: 7,
+            samples_count: 600,
+            drift_permille: 50,
             cool_down_ms: 120_000,
             moves_max_per_hour_count: 60,
             buffer_worth_permille: 500,
@@ -55,43 +53,6 @@
     }
 }
 
-impl MoveSettings {
-    /// Returns an empty history of demand with the windows of these settings.
-    pub fn new_history(&self) -> DemandHistory {
-        DemandHistory::new(
-            self.recent_samples_count as usize,
-            self.long_samples_count as usize,
-            self.long_every_count,
-        )
-    }
-}
-
-/// Window that a gain is taken over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Horizon {
-    Recent,
-    Long,
-}
-
-impl Horizon {
-    fn window(self, history: &DemandHistory) -> &DemandWindow {
-        match self {
-            Self::Recent => &history.recent,
-            Self::Long => &history.long,
-        }
-    }
-
-    /// Returns the time that the samples of the window span so far, in milliseconds.
-    fn span_ms(self, history: &DemandHistory, settings: &MoveSettings) -> u64 {
-        let every_count = match self {
-            Self::Recent => 1,
-            Self::Long => u64::from(settings.long_every_count),
-        };
-        let samples_count = self.window(history).samples_count() as u64;
-        samples_count * every_count * settings.sample_interval_ms
-    }
-}
-
 /// What a move is decided from.
 #[derive(Clone, Copy, Debug)]
 pub struct MoveView<'a> {
@@ -144,7 +105,7 @@
     pub to: PoolKey,
     /// What it is for.
     pub reason: MoveReason,
-    /// Time of an instance that the windows say the move would have gained, in milliseconds.
+    /// Time of an instance that the move would have gained, in milliseconds.
     pub gain_ms: u64,
 }
 
@@ -168,19 +129,20 @@
     from: PoolKey,
     to: PoolKey,
     reason: MoveReason,
-    gain_ms: i64,
+    gain_ms: u64,
 }
 
 /// Returns the move to claim now, or why there is none. At most one is under way for each pool.
 pub fn decide_move(
     view: &MoveView<'_>,
+    evidence: &MoveEvidence,
     settings: &MoveSettings,
     weights: &MeasureWeights,
 ) -> Result<MoveProposal, NoMove> {
     if view.moves_last_hour_count >= settings.moves_max_per_hour_count {
         return Err(NoMove::HourlyLimit);
     }
-    let mut candidates = candidates(view, settings);
+    let mut candidates = candidates(view, evidence, settings);
     if candidates.is_empty() {
         return Err(NoMove::NoNeed);
     }
@@ -190,7 +152,7 @@
     }
     candidates.sort_by_key(|candidate| {
         let is_spare = view.pools[candidate.from.index()].is_spare;
-        (candidate.reason, -candidate.gain_ms, !is_spare)
+        (candidate.reason, Reverse(candidate.gain_ms), !is_spare)
     });
     candidates
         .into_iter()
@@ -203,7 +165,11 @@
     evidence.is_released(now_unix_ms)
 }
 
-fn candidates(view: &MoveView<'_>, settings: &MoveSettings) -> Vec<Candidate> {
+fn candidates(
+    view: &MoveView<'_>,
+    evidence: &MoveEvidence,
+    settings: &MoveSettings,
+) -> Vec<Candidate> {
     let keys = || (0u16..).map(PoolKey).take(view.pools.len());
     let free: Vec<PoolKey> = keys()
         .filter(|pool| is_free(view, settings, *pool))
@@ -215,7 +181,7 @@
         };
         let donors = free.iter().filter(|from| *from != to);
         for from in donors.filter(|from| can_give(view, **from)) {
-            let gain_ms = gain_ms(view, settings, *from, *to, reason);
+            let gain_ms = evidence.gain_ms(*from, *to);
             if reason == MoveReason::Refill || gain_ms > 0 {
                 found.push(Candidate {
                     from: *from,
@@ -249,91 +215,22 @@
     }
 }
 
-/// Returns the spare instances below which the spare pool asks for more; the distance to what the
-/// buffer needs keeps an instance from going back and forth.
-fn low_spare_count(spare_count: u32) -> u32 {
-    spare_count - spare_count / 4
-}
-
+/// Returns whether the pool has an instance that neither its budget nor its minimum calls for.
 fn can_give(view: &MoveView<'_>, from: PoolKey) -> bool {
     let count = lasting_count(view, from);
     count > floor(view, from) && count > 0
 }
 
-/// Returns the gain of the move: that of the recent window, or that of the long one where the
-/// recent one does not speak against it.
-fn gain_ms(
-    view: &MoveView<'_>,
-    settings: &MoveSettings,
-    from: PoolKey,
-    to: PoolKey,
-    reason: MoveReason,
-) -> i64 {
-    let gain = |horizon: Horizon| {
-        let worth = worth_permille(view, settings, to, horizon);
-        let loss = loss_permille(view, settings, from, horizon, reason);
-        let permille = i64::from(worth) - i64::from(loss);
-        let working = [from, to].into_iter().map(|pool| &view.pools[pool.index()]);
-        let span_ms = working
-            .filter(|state| !state.is_spare)
-            .map(|state| horizon.span_ms(&state.demand, settings))
-            .min()
-            .and_then(|span_ms| i64::try_from(span_ms).ok());
-        permille * span_ms.unwrap_or_default() / i64::from(PERMILLE_WHOLE as u32)
-    };
-    let recent_ms = gain(Horizon::Recent);
-    match gain(Horizon::Long) {
-        long_ms if recent_ms > 0 => recent_ms.max(long_ms),
-        _ => recent_ms,
-    }
-}
-
-fn worth_permille(
-    view: &MoveView<'_>,
-    settings: &MoveSettings,
-    to: PoolKey,
-    horizon: Horizon,
-) -> u32 {
-    let state = &view.pools[to.index()];
-    match state.is_spare {
-        true => settings.buffer_worth_permille,
-        false => {
-            let window = horizon.window(&state.demand);
-            window.worth_permille(lasting_count(view, to))
-        }
-    }
-}
-
-fn loss_permille(
-    view: &MoveView<'_>,
-    settings: &MoveSettings,
-    from: PoolKey,
-    horizon: Horizon,
-    reason: MoveReason,
-) -> u32 {
-    let state = &view.pools[from.index()];
-    let count = lasting_count(view, from);
-    match state.is_spare {
-        true if reason == MoveReason::Refill => 0,
-        true if count <= view.buffers.spare_count => settings.buffer_worth_permille,
-        true => 0,
-        false => {
-            let window = horizon.window(&state.demand);
-            window.loss_permille(count)
-        }
-    }
-}
-
 /// Returns the instances that the pool has to count on: those available, and those under a planned
 /// stop, which come back by themselves.
-fn lasting_count(view: &MoveView<'_>, pool: PoolKey) -> u32 {
+pub(super) fn lasting_count(view: &MoveView<'_>, pool: PoolKey) -> u32 {
     let counts = view.budget.counts.pool(pool);
     counts.map_or(0, |counts| {
         counts.total.available_count + counts.total.planned_count
     })
 }
 
-fn floor(view: &MoveView<'_>, pool: PoolKey) -> u32 {
+pub(super) fn floor(view: &MoveView<'_>, pool: PoolKey) -> u32 {
     let floors = &view.buffers.floors;
     floors.get(pool.index()).copied().unwrap_or_default()
 }
@@ -342,10 +239,9 @@
 /// failure breaches a budget.
 fn is_worth_it(view: &MoveView<'_>, weights: &MeasureWeights, candidate: &Candidate) -> bool {
     let cost_ms = cost_ms(view.pools[candidate.from.index()].move_ms, weights);
-    let gain_ms = u64::try_from(candidate.gain_ms).unwrap_or_default();
     match candidate.reason {
         MoveReason::Refill => true,
-        MoveReason::Demand | MoveReason::Buffer => gain_ms >= cost_ms,
+        MoveReason::Demand | MoveReason::Buffer => candidate.gain_ms >= cost_ms,
     }
 }
 
@@ -368,7 +264,7 @@
     let rank = |member: &Member| {
         let receiver_count = to.map_or(0, |to| to.zone(member.zone).total.members_count);
         let donor_count = from.rack(member.rack).members_count;
-        (receiver_count, std::cmp::Reverse(donor_count))
+        (receiver_count, Reverse(donor_count))
     };
     let mut members: Vec<(InstanceKey, Member)> = counts
         .members()
@@ -384,6 +280,6 @@
         from: candidate.from,
         to: candidate.to,
         reason: candidate.reason,
-        gain_ms: u64::try_from(candidate.gain_ms).unwrap_or_default(),
+        gain_ms: candidate.gain_ms,
     })
 }
