--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -1,7 +1,12 @@
 //! Exit codes of the program and the errors that subcommands end with.
 
+use std::backtrace::Backtrace;
+use std::panic::Location;
 use std::process::ExitCode;
 
+use error_stack::fmt::{Charset, ColorMode};
+use error_stack::Report;
+
 /// The exit codes as the help shows them.
 pub(crate) const HELP: &str = "\
 Exit codes:
@@ -49,6 +54,9 @@
     /// The command line asks for nothing that there is.
     #[strum(serialize = "the command line is wrong")]
     Usage,
+    /// What was given or asked is refused.
+    #[strum(serialize = "refused")]
+    Refused,
     /// Another change came first.
     #[strum(serialize = "another change came first")]
     RaceLost,
@@ -70,6 +78,7 @@
     pub(crate) fn exit(self) -> Exit {
         match self {
             Self::Usage => Exit::Usage,
+            Self::Refused => Exit::Refused,
             Self::RaceLost => Exit::RaceLost,
             Self::Unavailable => Exit::Unavailable,
             Self::Unsettled => Exit::Unsettled,
@@ -77,3 +86,11 @@
         }
     }
 }
+
+/// Makes error reports plain text for operators, without places in the code.
+pub(crate) fn plain_reports() {
+    Report::set_color_mode(ColorMode::None);
+    Report::set_charset(Charset::Ascii);
+    Report::install_debug_hook::<Location<'static>>(|_, _| {});
+    Report::install_debug_hook::<Backtrace>(|_, _| {});
+}
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -2,33 +2,38 @@
 //! go in, actions come out; the threads of the daemon, the embedded platform and the tests drive the
 //! same code.
 
+use std::collections::BTreeSet;
+
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smol_str::{format_smolstr, SmolStr};
+use uuid::Uuid;
 
 use crate::{
     callers::{CallId, CallerAnswer},
     entry::{
         contact::Contact,
         counts::Counts,
+        dispatch::OrphanClaims,
         escrow::EscrowKeeper,
         event::{Action, Event, Now, Source},
         gossip::Gossip,
-        proposer::Proposer,
+        proposer::{Proposer, ProposerLimits},
         reader::{Reader, SnapshotWriter},
         requests::Requests,
+        roll_out::Observed,
         seat::{Lease, Watch},
         settings::EngineSettings,
         upkeep::Upkeep,
         workers::Workers,
     },
     error::ErrorKind,
-    fleet::{MonoMs, Offset, QueueName, TeamName},
+    fleet::{InstanceName, MonoMs, Offset, QueueName, TeamName},
     ledger::{Effect, KeyId, Ledger, SeatChange, SeatId, Verdict},
     policy::{
         health::Health,
-        keys::{PeerKey, TeamKey},
+        keys::{PeerKey, PoolKey, TeamKey},
         placement::{Placement, PlacementSettings},
         queue::WaitQueue,
         retry::RetryBudget,
@@ -55,6 +60,15 @@
     pub(crate) incarnation: SmolStr,
     pub(crate) seat: SeatId,
     seats_opened_count: u32,
+    /// Whether the opening of the seat was folded.
+    is_seated: bool,
+    /// Whether the opening of any seat was folded: only this proves that what is read of the log is
+    /// not from before the start of this process.
+    was_seated: bool,
+    /// When the head of the log was first reached.
+    first_head_ms: Option<MonoMs>,
+    /// Whether withdrawals that only peers know would have been heard.
+    is_introduced: bool,
     pub(crate) ledger: Ledger,
     pub(crate) reader: Reader,
     snapshots: SnapshotWriter,
@@ -72,6 +86,13 @@
     pub(crate) queues: IndexSet<QueueName>,
     lists_version: u64,
     pub(crate) workers: Workers,
+    pub(crate) workers_of_pool_changed: IndexSet<PoolKey>,
+    /// Workers that are left alone until the time named.
+    pub(crate) held: BTreeSet<(MonoMs, InstanceName)>,
+    pub(crate) orphan_claims: OrphanClaims,
+    /// Callers that wait for their job's record.
+    pub(crate) submissions: IndexMap<(TeamName, Uuid), CallId>,
+    pub(crate) jobs_polled_ms: MonoMs,
     pub(crate) requests: Requests,
     pub(crate) wait: WaitQueue,
     pub(crate) usage: UsageView,
@@ -79,6 +100,7 @@
     pub(crate) health: Health,
     pub(crate) retry: RetryBudget,
     pub(crate) upkeep: Upkeep,
+    pub(crate) observed: Observed,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) counts: Counts,
     pub(crate) is_draining: bool,
@@ -111,6 +133,10 @@
             now: Now::default(),
             incarnation: seat.clone(),
             seats_opened_count: 0,
+            is_seated: false,
+            was_seated: false,
+            first_head_ms: None,
+            is_introduced: false,
             ledger: Ledger::default(),
             reader: Reader::new(),
             snapshots: SnapshotWriter::default(),
@@ -128,13 +154,22 @@
             queues: IndexSet::new(),
             lists_version: 0,
             workers,
+            workers_of_pool_changed: IndexSet::new(),
+            held: BTreeSet::new(),
+            orphan_claims: OrphanClaims::new(),
+            submissions: IndexMap::new(),
+            jobs_polled_ms: 0,
             requests: Requests::default(),
             wait: WaitQueue::new(settings.queue, settings.seed),
             usage: UsageView::new(settings.share),
-            placement: Placement::new(PlacementSettings::in_zone(zone)),
+            placement: Placement::new(PlacementSettings {
+                connections_max_count: settings.worker_connections_max_count,
+                ..PlacementSettings::in_zone(zone)
+            }),
             health: Health::new(settings.health),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
+            observed: Observed::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             counts: Counts::default(),
             is_draining: false,
@@ -161,11 +196,27 @@
             Event::LogFailed { error } => self.reader.failed(&error),
             Event::PeerLedger { text } => self.take_peer_ledger(&text),
             Event::Appended { seq, result } => {
+                if let Ok(offset) = &result {
+                    let folded_offset = self.ledger.next_offset;
+                    self.contact
+                        .prove_head(now.mono_ms, offset + 1, folded_offset);
+                }
                 self.proposer.appended(now.mono_ms, seq, &result);
             }
             Event::SnapshotAppended { .. } => self.snapshots.finished(),
             Event::Instances { page, .. } => self.take_instances(page),
             Event::Gossip { sent_ms, gossip } => self.take_gossip(sent_ms, *gossip),
+            Event::Hint { gossip } => self.take_hint(*gossip),
+            Event::AskLedger { reply } => {
+                // A peer that has gone needs no answer.
+                let _ = reply.try_send((self.ledger.next_offset, self.ledger.to_snapshot()));
+            }
+            Event::Ping { reply } => {
+                let _ = reply.try_send(());
+            }
+            Event::Explain { question, reply } => {
+                let _ = reply.try_send(self.explain(&question));
+            }
             Event::Call { call_id, request } => self.take_call(call_id, request),
             Event::Cancel { call_id, cancel } => self.cancel_for(call_id, &cancel),
             Event::PeerCancel { team, request_id } => {
@@ -197,9 +248,12 @@
         &self.ledger
     }
 
-    /// Returns whether the head of the ledger was known at some time.
+    /// Returns whether the head of the ledger was known at some time, and with it every withdrawal
+    /// that peers may know beyond it.
     pub fn is_ready(&self) -> bool {
-        self.reader.is_following() && self.contact.log_age_ms(self.now.mono_ms).is_some()
+        self.reader.is_following()
+            && self.is_introduced
+            && self.contact.log_age_ms(self.now.mono_ms).is_some()
     }
 
     /// Returns whether the balancer should send callers here.
@@ -215,6 +269,7 @@
 
     fn tick(&mut self) {
         let now_ms = self.now.mono_ms;
+        self.poll_introduction();
         self.poll_seat();
         self.poll_requests();
         self.poll_workers();
@@ -228,15 +283,25 @@
         self.poll_drain();
     }
 
+    /// Notes once withdrawals that are not in the log yet would have been heard.
+    ///
+    /// Whoever knows of one and reaches the log has put it on record before the configuration of
+    /// everybody else has become stale; more than half of the seats know of it before that.
+    fn poll_introduction(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let max_age_ms = self.settings.config_stale_max_ms;
+        let Some(first_head_ms) = self.first_head_ms.filter(|_| !self.is_introduced) else {
+            return;
+        };
+        let hears_majority =
+            self.contact
+                .hears_majority(now_ms, max_age_ms, &self.ledger, &self.seat);
+        self.is_introduced = hears_majority || now_ms >= first_head_ms + max_age_ms;
+    }
+
     // The log.
 
-    fn read_page(
-        &mut self,
-        sent_ms: MonoMs,
-        from_offset: Offset,
-        page: &LogPage,
-        source: &Source,
-    ) {
+    fn read_page(&mut self, sent_ms: MonoMs, from_offset: Offset, page: &LogPage, source: &Source) {
         let was_silent = !self
             .contact
             .is_log_fresh(self.now.mono_ms, self.settings.config_stale_max_ms);
@@ -253,12 +318,18 @@
             self.snapshots.folded(effect, bytes);
             self.take_effect(effect);
         }
-        if progress.is_at_head && *source == Source::Log {
+        self.contact
+            .caught_up(self.now.mono_ms, self.ledger.next_offset);
+        let is_at_head = progress.is_at_head && *source == Source::Log;
+        if is_at_head {
+            self.open_seat_if_none();
+        }
+        if is_at_head && self.was_seated && self.contact.may_be_head(self.ledger.next_offset) {
             if was_silent {
                 self.watch.start_afresh();
             }
             self.contact.heard_log(sent_ms);
-            self.open_seat_if_none();
+            self.first_head_ms.get_or_insert(self.now.mono_ms);
         }
         self.sync_lists();
     }
@@ -270,6 +341,8 @@
         if ledger.next_offset > self.ledger.next_offset {
             self.ledger = ledger;
             self.reader.follow();
+            self.contact
+                .caught_up(self.now.mono_ms, self.ledger.next_offset);
             self.adopt_ledger();
             self.sync_lists();
         }
@@ -280,6 +353,12 @@
         self.lists_version = 0;
         self.sync_lists();
         self.sync_all_workers();
+        // What this seat had on the way may be inside the new state, unseen.
+        if self.seats_opened_count > 0 {
+            self.counts.seats_lost_count += 1;
+            self.drop_claims_of_lost_seat();
+            self.open_seat();
+        }
     }
 
     fn sync_lists(&mut self) {
@@ -329,8 +408,11 @@
 
     fn fold_own_batch(&mut self, seq: u64, changes: &[SeatChange]) {
         let sent_ms = self.proposer.folded(seq);
-        let is_renewal =
-            |change: &SeatChange| matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. });
+        self.is_seated = true;
+        self.was_seated = true;
+        let is_renewal = |change: &SeatChange| {
+            matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. })
+        };
         if let Some(sent_ms) = sent_ms.filter(|_| changes.iter().any(is_renewal)) {
             self.lease.renewed(sent_ms);
         }
@@ -352,7 +434,7 @@
                     team, request_id, ..
                 },
                 Verdict::Accepted,
-            ) if is_own => self.enqueue_job(team, request_id),
+            ) if is_own => self.enqueue_job(team, request_id, true),
             (SeatChange::JobStart { team, request_id }, verdict) if is_own => {
                 self.take_job_start(team, request_id, verdict);
             }
@@ -360,10 +442,7 @@
                 tell!(self, "seat_expired", seat = target);
                 self.lose_seat_if_ended();
             }
-            (
-                SeatChange::InstanceSeen { row },
-                Verdict::Accepted,
-            ) => self.sync_worker(&row.name),
+            (SeatChange::InstanceSeen { row }, Verdict::Accepted) => self.sync_worker(&row.name),
             (
                 SeatChange::InstanceGone { name, .. }
                 | SeatChange::Standing { name, .. }
@@ -371,7 +450,8 @@
                 | SeatChange::StopProceed { name, .. }
                 | SeatChange::StopCancel { name, .. }
                 | SeatChange::PoolRelease { name, .. }
-                | SeatChange::PoolAssign { name, .. },
+                | SeatChange::PoolAssign { name, .. }
+                | SeatChange::MarkBad { name, .. },
                 verdict,
             ) => {
                 self.note_instance_change(change, verdict);
@@ -391,6 +471,7 @@
 
     fn open_seat(&mut self) {
         self.seats_opened_count += 1;
+        self.is_seated = false;
         self.seat = match self.seats_opened_count {
             1 => self.incarnation.clone(),
             count => format_smolstr!("{}.{count}", self.incarnation),
@@ -403,18 +484,19 @@
             zone: self.settings.zone.clone(),
             lease_ms: self.settings.seat_lease_ms,
         });
+        let withdrawn: Vec<KeyId> = self.withdrawn.iter().cloned().collect();
+        for key_id in withdrawn {
+            self.propose(SeatChange::WithdrawKey { key_id });
+        }
         tell!(self, "seat_opening", seat = self.seat);
     }
 
     /// Takes a new seat if the others have declared this one lapsed.
     fn lose_seat_if_ended(&mut self) {
-        if self.is_closing || self.seats_opened_count == 0 {
+        if self.is_closing {
             return;
         }
-        let is_unfolded = self.ledger.seats.get(&self.seat).is_none()
-            && self.lease.left_ms(self.now.mono_ms) == 0
-            && self.counts.seats_lost_count + 1 < u64::from(self.seats_opened_count);
-        if self.ledger.seats.live(&self.seat).is_some() || is_unfolded {
+        if !self.is_seated || self.ledger.seats.live(&self.seat).is_some() {
             return;
         }
         self.counts.seats_lost_count += 1;
@@ -428,6 +510,7 @@
         if self.ledger.seats.live(&self.seat).is_none() || self.is_closing {
             return;
         }
+        self.rank_among_seats();
         let is_stop_pending = self.workers.has_stop_pending();
         if self.lease.is_renewal_due(now_ms, is_stop_pending) {
             let clean_offset = self.clean_offset();
@@ -436,7 +519,9 @@
         let max_age_ms = self.settings.config_stale_max_ms;
         if self.contact.is_log_fresh(now_ms, max_age_ms) {
             let run_max_ms = crate::ledger::RUN_MAX_MS;
-            let changes = self.watch.poll(now_ms, &self.ledger, &self.seat, run_max_ms);
+            let changes = self
+                .watch
+                .poll(now_ms, &self.ledger, &self.seat, run_max_ms);
             for change in changes {
                 self.propose(change);
             }
@@ -444,6 +529,16 @@
         self.contact.forget_ended(&self.ledger);
     }
 
+    /// Gives the placement this entry's rank among the live seats, so that each entry begins with
+    /// other workers.
+    fn rank_among_seats(&mut self) {
+        let seats = &self.ledger.seats;
+        let before = seats.iter_live().filter(|(seat, _)| **seat < self.seat);
+        let rank = before.count() as u32;
+        let count = seats.iter_live().count() as u32;
+        self.placement.set_rank(rank, count);
+    }
+
     /// Returns the offset below which every decision of this seat is over.
     ///
     /// An attempt holds it back only while its instance is being stopped or moved.
@@ -511,7 +606,10 @@
             .collect();
         let changes = self.escrow.poll(now_ms, &self.ledger, &self.seat, &peers);
         for change in changes {
-            self.propose(change);
+            // A change that finds no room is as good as folded without effect.
+            if !self.propose(change.clone()) {
+                self.escrow.folded(&change);
+            }
         }
     }
 
@@ -524,12 +622,14 @@
         for key_id in &gossip.withdrawn {
             self.withdraw(key_id.clone());
         }
-        self.contact.heard_peer(&gossip.seat, sent_ms);
+        let (peer_offset, folded_offset) = (gossip.next_offset, self.ledger.next_offset);
+        self.contact
+            .heard_peer(&gossip.seat, sent_ms, peer_offset, folded_offset);
         self.take_hint(gossip);
     }
 
     /// Takes the hints of a peer that called, which proves nothing about now.
-    pub fn take_hint(&mut self, gossip: Gossip) {
+    fn take_hint(&mut self, gossip: Gossip) {
         if gossip.seat == self.seat || gossip.seat.is_empty() {
             return;
         }
@@ -537,6 +637,8 @@
             self.withdraw(key_id.clone());
         }
         let heard_ms = self.now.mono_ms;
+        self.contact
+            .prove_head(heard_ms, gossip.next_offset, self.ledger.next_offset);
         let key = match self.peers.get(&gossip.seat) {
             Some(hint) => hint.key,
             None => {
@@ -669,18 +771,25 @@
     ) {
         let answer = CallerAnswer::failed(self.settings.entry.clone(), kind, retry_after_ms)
             .with_detail(detail);
-        tell!(self, "refused", call = call_id, kind = kind, detail = detail);
+        tell!(
+            self,
+            "refused",
+            call = call_id,
+            kind = kind,
+            detail = detail
+        );
         self.answer(call_id, answer);
     }
 }
 
 fn new_proposer(settings: &EngineSettings, seat: &SeatId) -> Proposer {
-    Proposer::open(
-        seat.clone(),
-        settings.changes_max_count,
-        settings.append_batch_max_count,
-        settings.append_interval_ms,
-    )
+    let limits = ProposerLimits {
+        waiting_max_count: settings.changes_max_count,
+        batch_max_count: settings.append_batch_max_count,
+        batch_max_bytes: settings.append_batch_max_bytes,
+        interval_ms: settings.append_interval_ms,
+    };
+    Proposer::open(seat.clone(), limits)
 }
 
 fn payload_bytes(page: &LogPage, offset: Offset) -> u64 {
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -35,7 +35,7 @@
 
 /// Reads the log from its newest snapshot on.
 #[derive(Clone, Debug)]
-pub(crate) struct Reader {
+pub struct Reader {
     phase: Phase,
 }
 
@@ -73,11 +73,6 @@
         matches!(self.phase, Phase::Following)
     }
 
-    /// Returns whether the log alone cannot bring the ledger back.
-    pub(crate) fn is_lost(&self) -> bool {
-        matches!(self.phase, Phase::Lost)
-    }
-
     /// Follows from a ledger that came from a peer.
     pub(crate) fn follow(&mut self) {
         self.phase = Phase::Following;
@@ -128,7 +123,11 @@
             () if oldest == 0 && head <= LOOK_BACK_RECORDS && ledger.next_offset == 0 => {
                 Phase::Following
             }
-            () => scanning(head.saturating_sub(LOOK_BACK_RECORDS).max(oldest), head, oldest),
+            () => scanning(
+                head.saturating_sub(LOOK_BACK_RECORDS).max(oldest),
+                head,
+                oldest,
+            ),
         };
     }
 
@@ -145,7 +144,8 @@
             return Progress::default();
         };
         *oldest = (*oldest).max(page.oldest_offset);
-        for record in page.records.iter().filter(|record| record.offset >= *next) {
+        let first = *next;
+        for record in page.records.iter().filter(|record| record.offset >= first) {
             if let Some(newer) = snapshot_in(parts, record) {
                 *found = Some(newer);
             }
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts_count: u32,
     /// Whether the start of a job is on record.
     pub(crate) is_announced: bool,
+    /// Whether an earlier attempt may have run, so that "not run" would not be true.
+    pub(crate) may_have_run: bool,
 }
 
 /// One attempt to run a request.
@@ -130,9 +132,7 @@
     }
 
     pub(crate) fn find(&self, team: &TeamName, request_id: &SmolStr) -> Option<RequestKey> {
-        self.by_id
-            .get(&(team.clone(), request_id.clone()))
-            .copied()
+        self.by_id.get(&(team.clone(), request_id.clone())).copied()
     }
 
     pub(crate) fn find_call(&self, call_id: CallId) -> Option<RequestKey> {
@@ -191,10 +191,6 @@
         self.attempts.remove(&key)
     }
 
-    pub(crate) fn attempts(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.values()
-    }
-
     /// Attempts that may be running, those of unknown outcome included.
     pub(crate) fn may_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.values().chain(self.ghost_rows.values())
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -129,13 +129,13 @@
         /// Id of the request.
         request_id: Uuid,
     },
-    /// Ends a job.
+    /// Ends a job, or takes its announcement back (`waiting`) if it was not started after all.
     JobEnd {
         /// Team of the job.
         team: TeamName,
         /// Id of the request.
         request_id: Uuid,
-        /// How it ended, with the answer.
+        /// How it ended, with the answer, or `waiting`.
         state: JobState,
     },
     /// An instance, or a new incarnation of one, is in the instance list.
@@ -198,6 +198,15 @@
         /// Version of the instance.
         version: u64,
     },
+    /// Records that a member of a wave failed to return, or went bad soon after it had.
+    MarkBad {
+        /// Name of the instance.
+        name: InstanceName,
+        /// Version of the instance.
+        version: u64,
+    },
+    /// Records that a roll-out halted, since members of its waves went bad.
+    HaltRollout,
     /// Puts a withdrawal of a key on record that reached an entry directly.
     WithdrawKey {
         /// The key.
--- a/src/lists/decode.rs
+++ b/src/lists/decode.rs
@@ -6,7 +6,8 @@
 use crate::fleet::Resources;
 use crate::jsonc::{Document, Place};
 use crate::lists::{
-    AvailabilityBudget, Entitlement, Entitlements, MeasureWeights, Plan, Plans, Pool, Queue, Team,
+    AvailabilityBudget, Entitlement, Entitlements, Maintenance, MeasureWeights, Plan, Plans, Pool,
+    Queue, Team,
 };
 
 /// Bounds of a share weight.
@@ -17,6 +18,8 @@
 const START_TARGET_MS: RangeInclusive<u64> = 1..=86_400_000;
 /// Bounds of a part that must not be zero, in thousandths.
 const PART_PERMILLE: RangeInclusive<u32> = 1..=1_000;
+/// What a broken part reads as, in thousandths.
+const STAND_IN_PERMILLE: u32 = 999;
 /// Bounds of the weight of a measure.
 const MEASURE_WEIGHT: RangeInclusive<u32> = 0..=1_000;
 /// Bounds of the number of instances that a pool keeps.
@@ -28,10 +31,16 @@
 /// Bounds of a number of accelerators.
 const ACCELERATORS_COUNT: RangeInclusive<u64> = 0..=1_024;
 
+/// Bounds of the hours between two maintenances; 0 is none.
+const EVERY_HOURS: RangeInclusive<u32> = 0..=8_760;
+/// Bounds of the time before which instances are due, up to the year 2100.
+const DUE_BEFORE_UNIX_MS: RangeInclusive<u64> = 0..=4_102_444_800_000;
+
 /// Fields of the `plans` file.
 pub(crate) const PLANS_FIELDS: [&str; 3] = ["plans", "teams", "measure_weights"];
 /// Fields of the `entitlements` file.
-pub(crate) const ENTITLEMENTS_FIELDS: [&str; 3] = ["pools", "queues", "entitlements"];
+pub(crate) const ENTITLEMENTS_FIELDS: [&str; 4] =
+    ["pools", "queues", "entitlements", "maintenance"];
 
 /// Reads the `plans` file.
 pub(crate) fn plans(document: &Document<'_>) -> Option<Plans> {
@@ -56,22 +65,25 @@
         "availability",
     ]);
     let number = |name, range: RangeInclusive<u32>| {
-        let default = *range.end();
-        let place = fields.required(name);
-        place.and_then(|place| place.u32(range)).unwrap_or(default)
+        let stand_in = *range.end();
+        fields.u32(name, range).unwrap_or(stand_in)
     };
     Plan {
         name: fields.name("name"),
         share_weight: number("share_weight", SHARE_WEIGHT),
         running_max_requests: number("running_max_requests", RUNNING_MAX_REQUESTS),
         start_target_ms: fields
-            .required("start_target_ms")
-            .and_then(|place| place.u64(START_TARGET_MS))
+            .u64("start_target_ms", START_TARGET_MS)
             .unwrap_or(*START_TARGET_MS.end()),
-        on_time_target_permille: number("on_time_target_permille", PART_PERMILLE),
+        on_time_target_permille: fields
+            .u32("on_time_target_permille", PART_PERMILLE)
+            .unwrap_or(STAND_IN_PERMILLE),
         availability: fields
-            .required("availability")
-            .map_or(AvailabilityBudget::WHOLE, availability),
+            .object("availability", availability)
+            .unwrap_or(AvailabilityBudget {
+                pool_unavailable_max_permille: STAND_IN_PERMILLE,
+                zone_unavailable_max_permille: STAND_IN_PERMILLE,
+            }),
     }
 }
 
@@ -81,10 +93,8 @@
         "zone_unavailable_max_permille",
     ]);
     let part = |name| {
-        let place = fields.required(name);
-        place
-            .and_then(|place| place.u32(PART_PERMILLE))
-            .unwrap_or(*PART_PERMILLE.end())
+        let part = fields.u32(name, PART_PERMILLE);
+        part.unwrap_or(STAND_IN_PERMILLE)
     };
     AvailabilityBudget {
         pool_unavailable_max_permille: part("pool_unavailable_max_permille"),
@@ -127,17 +137,34 @@
         pools: fields.rows("pools", pool),
         queues: fields.rows("queues", queue),
         entitlements: fields.rows("entitlements", entitlement),
+        maintenance: fields
+            .get("maintenance")
+            .map(maintenance)
+            .unwrap_or_default(),
     })
 }
 
+fn maintenance(place: Place<'_>) -> Maintenance {
+    let fields = place.fields(&["every_hours", "due_before_unix_ms"]);
+    let every_hours = fields.get("every_hours");
+    let due_before = fields.get("due_before_unix_ms");
+    Maintenance {
+        every_hours: every_hours
+            .and_then(|place| place.u32(EVERY_HOURS))
+            .unwrap_or_default(),
+        due_before_unix_ms: due_before
+            .and_then(|place| place.u64(DUE_BEFORE_UNIX_MS))
+            .unwrap_or_default(),
+    }
+}
+
 fn pool(place: Place<'_>) -> Pool {
     let fields = place.fields(&["name", "is_spare", "instances_min_count"]);
     Pool {
         name: fields.name("name"),
         is_spare: fields.flag("is_spare"),
         instances_min_count: fields
-            .required("instances_min_count")
-            .and_then(|place| place.u32(INSTANCES_MIN_COUNT))
+            .u32("instances_min_count", INSTANCES_MIN_COUNT)
             .unwrap_or(*INSTANCES_MIN_COUNT.end()),
     }
 }
@@ -157,23 +184,23 @@
     Entitlement {
         plan: fields.name("plan"),
         queues: fields.rows("queues", |place| place.name().unwrap_or_default()),
-        request_max: fields
-            .required("request_max")
-            .map(resources)
-            .unwrap_or_default(),
+        request_max: fields.object("request_max", resources).unwrap_or_default(),
     }
 }
 
 /// Reads a bundle of resources; accelerators may be left out.
 pub(crate) fn resources(place: Place<'_>) -> Resources {
     let fields = place.fields(&["cores_milli", "memory_mb", "accelerators_count"]);
-    let number = |place: Option<Place<'_>>, range: RangeInclusive<u64>| {
-        let default = *range.start();
-        place.and_then(|place| place.u64(range)).unwrap_or(default)
+    let number = |name, range: RangeInclusive<u64>| {
+        let stand_in = *range.start();
+        fields.u64(name, range).unwrap_or(stand_in)
     };
     Resources {
-        cores_milli: number(fields.required("cores_milli"), CORES_MILLI),
-        memory_mb: number(fields.required("memory_mb"), MEMORY_MB),
-        accelerators_count: number(fields.get("accelerators_count"), ACCELERATORS_COUNT),
+        cores_milli: number("cores_milli", CORES_MILLI),
+        memory_mb: number("memory_mb", MEMORY_MB),
+        accelerators_count: fields
+            .get("accelerators_count")
+            .and_then(|place| place.u64(ACCELERATORS_COUNT))
+            .unwrap_or_default(),
     }
 }
--- a/tests/testsuite/upkeep_budget.rs
+++ b/tests/testsuite/upkeep_budget.rs
@@ -316,6 +316,7 @@
                 entitlement("b", "q"),
                 entitlement("c", "r"),
             ],
+            ..Entitlements::default()
         },
     };
     assert_eq!(strictest_budget(&lists, &pool("used")), budget(100, 300, 2));
