--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -124,8 +124,7 @@
             ..RolloutSettings::default()
         },
         moves: MoveSettings {
-            recent_samples_count: (settings.move_wait_ms
-                / MoveSettings::default().sample_interval_ms)
+            samples_count: (settings.move_wait_ms / MoveSettings::default().sample_interval_ms)
                 .max(1) as u32,
             cool_down_ms: settings.move_rest_ms,
             moves_max_per_hour_count: settings.moves_max_per_hour_count as u32,
--- a/src/entry/roll_out.rs
+++ b/src/entry/roll_out.rs
@@ -10,8 +10,9 @@
     fleet::{MonoMs, PoolName, Standing},
     ledger::{InstanceEntry, SeatChange, StopWhy},
     upkeep::{
-        buffers::{plan_buffers, BufferView, SurvivedFailure},
-        demand::{DemandHistory, DemandSample, ObservedWork, PoolState},
+        buffers::{plan_buffers, BufferPlan, BufferView, SurvivedFailure},
+        demand::{DemandSample, DemandWindow, ObservedWork, PoolState},
+        evidence::MoveEvidence,
         maintenance::{InstanceUpkeep, StopClaim, StopStage},
         moves::{decide_move, MoveView},
         rollout::{propose, Rollout, RolloutAction, RolloutView},
@@ -32,7 +33,8 @@
 pub(crate) struct Observed {
     decided_ms: MonoMs,
     sampled_ms: MonoMs,
-    demand: HashMap<PoolName, DemandHistory>,
+    demand: HashMap<PoolName, DemandWindow>,
+    evidence: MoveEvidence,
 }
 
 impl Engine {
@@ -67,22 +69,31 @@
             self.observed
                 .demand
                 .entry(pool)
-                .or_insert_with(|| settings.new_history())
+                .or_insert_with(|| DemandWindow::new(settings.samples_count as usize))
                 .push(DemandSample {
                     busy_instances_milli: work.busy_instances_milli(),
                     waited_permille: load.waited_permille,
                 });
         }
+        self.gather_evidence();
     }
 
-    /// Forgets the recent demand of the pools that an accepted release changes the size of.
-    pub(crate) fn restart_demand(&mut self, name: &str, to_pool: &PoolName) {
-        let from_pool = self.ledger.instances.get(name);
-        let from_pool = from_pool.map(|entry| entry.row.pool.clone());
-        for pool in from_pool.iter().chain([to_pool]) {
-            if let Some(history) = self.observed.demand.get_mut(pool) {
-                history.restart_recent();
-            }
+    fn gather_evidence(&mut self) {
+        let pools = self.pool_states();
+        let buffers = self.buffers(&pools);
+        let mut evidence = std::mem::take(&mut self.observed.evidence);
+        evidence.observe(&self.move_view(&pools, &buffers), &self.settings.moves);
+        self.observed.evidence = evidence;
+    }
+
+    /// Takes an accepted release into the evidence for further moves.
+    pub(crate) fn note_move(&mut self, name: &str, to_pool: &PoolName) {
+        let instances = &self.ledger.instances;
+        let from = instances
+            .get(name)
+            .and_then(|entry| instances.pool_key(&entry.row.pool));
+        if let (Some(from), Some(to)) = (from, instances.pool_key(to_pool)) {
+            self.observed.evidence.note_move(from, to);
         }
     }
 
@@ -172,28 +183,34 @@
         self.ledger.instances.pools().map(is_waiting).collect()
     }
 
-    fn decide_move(&mut self) {
-        let lists = self.ledger.lists.clone();
-        let now_unix_ms = self.now.unix_ms;
-        let pools = self.pool_states();
-        let budget = self.ledger.instances.budget_view();
-        let weights = lists.plans.measure_weights;
+    fn buffers(&self, pools: &[PoolState]) -> BufferPlan {
         let view = BufferView {
-            budget,
-            pools: &pools,
+            budget: self.ledger.instances.budget_view(),
+            pools,
         };
-        let buffers = plan_buffers(&view, SurvivedFailure::Rack, &weights);
-        let view = MoveView {
-            budget,
-            pools: &pools,
-            buffers: &buffers,
-            moves_last_hour_count: self
-                .ledger
-                .instances
-                .moves_since_count(now_unix_ms.saturating_sub(HOUR_MS)),
+        let weights = self.ledger.lists.plans.measure_weights;
+        plan_buffers(&view, SurvivedFailure::Rack, &weights)
+    }
+
+    fn move_view<'a>(&'a self, pools: &'a [PoolState], buffers: &'a BufferPlan) -> MoveView<'a> {
+        let now_unix_ms = self.now.unix_ms;
+        let instances = &self.ledger.instances;
+        MoveView {
+            budget: instances.budget_view(),
+            pools,
+            buffers,
+            moves_last_hour_count: instances.moves_since_count(now_unix_ms.saturating_sub(HOUR_MS)),
             now_unix_ms,
-        };
-        let Ok(proposal) = decide_move(&view, &self.settings.moves, &weights) else {
+        }
+    }
+
+    fn decide_move(&mut self) {
+        let weights = self.ledger.lists.plans.measure_weights;
+        let pools = self.pool_states();
+        let buffers = self.buffers(&pools);
+        let view = self.move_view(&pools, &buffers);
+        let evidence = &self.observed.evidence;
+        let Ok(proposal) = decide_move(&view, evidence, &self.settings.moves, &weights) else {
             return;
         };
         let instances = &self.ledger.instances;
@@ -238,7 +255,7 @@
             .map(|pool| PoolState {
                 demand: match self.observed.demand.get(pool) {
                     Some(history) => history.clone(),
-                    None => self.settings.moves.new_history(),
+                    None => DemandWindow::new(0),
                 },
                 is_spare: is_spare(pool),
                 move_ms: MOVE_MS,
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -184,7 +184,7 @@
         if let (SeatChange::PoolRelease { name, to_pool, .. }, Verdict::Accepted) =
             (change, verdict)
         {
-            self.restart_demand(name, to_pool);
+            self.note_move(name, to_pool);
         }
         self.upkeep.judged_count += 1;
         // The next step need not wait for the last one to be due again.
--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -120,7 +120,7 @@
         })
         .collect();
     let weights = MeasureWeights::default();
-    let mut evidence = MoveEvidence::new(pools.len());
+    let mut evidence = MoveEvidence::default();
     let round = |_| {
         let buffer_view = BufferView {
             budget,
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -66,7 +66,7 @@
         world: World::new(deployment, scenario, seed),
         demand: DemandModel::new(deployment, &scenario.shifts, seed),
         pools: pools.collect(),
-        evidence: MoveEvidence::new(deployment.pools.len()),
+        evidence: MoveEvidence::default(),
         buffers: BufferPlan::default(),
         recent: vec![Vec::new(); deployment.pools.len()],
         seats: (0..ENTRIES_COUNT)
--- a/src/upkeep/evidence.rs
+++ b/src/upkeep/evidence.rs
@@ -6,6 +6,8 @@
 //! soon as the new one speaks against it, and a small gain that lasts adds up. A steady drift lets
 //! gains fade that are too small to matter.
 
+use std::collections::HashMap;
+
 use super::budget::PERMILLE_WHOLE;
 use super::demand::DemandSample;
 use super::keys::PoolKey;
@@ -27,57 +29,58 @@
 /// Evidence for moves between each two pools.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MoveEvidence {
-    pools_count: usize,
-    /// Gain of each pair in thousandths of a millisecond of an instance, by receiver and donor.
-    gains: Vec<i64>,
+    /// Gain of each pair in thousandths of a millisecond of an instance, by donor and receiver;
+    /// pairs without evidence are left out.
+    gains: HashMap<(PoolKey, PoolKey), i64>,
 }
 
 impl MoveEvidence {
-    /// Returns no evidence, for `pools_count` pools.
-    pub fn new(pools_count: usize) -> Self {
-        Self {
-            pools_count,
-            gains: vec![0; pools_count * pools_count],
-        }
-    }
-
     /// Adds the latest sample of each pool, which stands for one sample interval. Pools with a move
     /// under way are left out.
     pub fn observe(&mut self, view: &MoveView<'_>, settings: &MoveSettings) {
-        let keys = || (0u16..).map(PoolKey).take(self.pools_count);
-        let worths: Vec<i64> = keys()
-            .map(|pool| worth_permille(view, settings, pool))
-            .collect();
-        let losses: Vec<i64> = keys()
-            .map(|pool| loss_permille(view, settings, pool))
+        let keys = || (0u16..).map(PoolKey).take(view.pools.len());
+        let resting = keys().filter(|pool| !view.pools[pool.index()].is_moving);
+        let resting: Vec<(PoolKey, i64, i64)> = resting
+            .map(|pool| {
+                let worth = worth_permille(view, settings, pool);
+                (pool, worth, loss_permille(view, settings, pool))
+            })
             .collect();
+        for (to, worth, _) in &resting {
+            for (from, _, loss) in resting.iter().filter(|(from, ..)| from != to) {
+                self.add(*from, *to, worth - loss, settings);
+            }
+        }
+    }
+
+    fn add(&mut self, from: PoolKey, to: PoolKey, rate_permille: i64, settings: &MoveSettings) {
         let interval_ms = i64::try_from(settings.sample_interval_ms).unwrap_or_default();
-        let drift = i64::from(settings.drift_permille);
-        for (to, worth) in worths.iter().enumerate() {
-            for (from, loss) in losses.iter().enumerate() {
-                if view.pools[to].is_moving || view.pools[from].is_moving {
-                    continue;
-                }
-                let gain = &mut self.gains[to * self.pools_count + from];
-                *gain = (*gain + (worth - loss - drift) * interval_ms).max(0);
+        let drift_permille = i64::from(settings.drift_permille);
+        let before = self.gains.get(&(from, to)).copied().unwrap_or_default();
+        match before + (rate_permille - drift_permille) * interval_ms {
+            gain if gain > 0 => {
+                self.gains.insert((from, to), gain);
+            }
+            _ => {
+                self.gains.remove(&(from, to));
             }
         }
     }
 
-    /// Takes a move into account that has ended.
+    /// Takes a move into account: the receiver keeps a part of its evidence, and the donor has none
+    /// to get an instance back.
     pub fn note_move(&mut self, from: PoolKey, to: PoolKey) {
-        let whole = i64::from(PERMILLE_WHOLE as u32);
-        for other in 0..self.pools_count {
-            let kept = &mut self.gains[to.index() * self.pools_count + other];
-            *kept = *kept * KEPT_PERMILLE / whole;
-            self.gains[from.index() * self.pools_count + other] = 0;
+        self.gains.retain(|(_, receiver), _| *receiver != from);
+        let of_receiver = self.gains.iter_mut().filter(|((_, other), _)| *other == to);
+        for (_, gain) in of_receiver {
+            *gain = *gain * KEPT_PERMILLE / i64::from(PERMILLE_WHOLE as u32);
         }
     }
 
     /// Returns the time that an instance would have been worth more in `to` than in `from`, in
     /// milliseconds.
     pub fn gain_ms(&self, from: PoolKey, to: PoolKey) -> u64 {
-        let gain = self.gains[to.index() * self.pools_count + from.index()];
+        let gain = self.gains.get(&(from, to)).copied().unwrap_or_default();
         u64::try_from(gain).unwrap_or_default() / PERMILLE_WHOLE
     }
 }
