Cap the evidence for a move at its cost, and test roll-outs and moves

Cause: evidence gathered while a pool rests after a move could exceed the cost, so that the next move followed without any new lateness; seen by a test that failed (upkeep_moves::lateness_that_lasts_moves_a_spare_instance_and_the_next_needs_new_evidence).

--- a/src/entry/roll_out.rs
+++ b/src/entry/roll_out.rs
@@ -82,7 +82,9 @@
         let pools = self.pool_states();
         let buffers = self.buffers(&pools);
         let mut evidence = std::mem::take(&mut self.observed.evidence);
-        evidence.observe(&self.move_view(&pools, &buffers), &self.settings.moves);
+        let weights = self.ledger.lists.plans.measure_weights;
+        let view = self.move_view(&pools, &buffers);
+        evidence.observe(&view, &self.settings.moves, &weights);
         self.observed.evidence = evidence;
     }
 
--- a/src/load/upkeep_model/cost.rs
+++ b/src/load/upkeep_model/cost.rs
@@ -135,7 +135,7 @@
             now_unix_ms: 1,
         };
         let _ = black_box(decide_move(&view, &evidence, &settings, &weights));
-        evidence.observe(&view, &settings);
+        evidence.observe(&view, &settings, &weights);
     };
     per_round_ns(ROUNDS_COUNT as usize, round) / 1000
 }
--- a/src/load/upkeep_model/mod.rs
+++ b/src/load/upkeep_model/mod.rs
@@ -7,7 +7,7 @@
 pub mod demand;
 pub mod deployment;
 pub mod experiments;
-mod figures;
+pub mod figures;
 pub mod run;
 pub mod scenario;
 mod workers;
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -278,7 +278,8 @@
             state.moved_at_unix_ms = self.world.moved_at_ms[pool];
         }
         let mut evidence = std::mem::take(&mut self.evidence);
-        evidence.observe(&self.move_view(), &self.scenario.move_settings);
+        let settings = &self.scenario.move_settings;
+        evidence.observe(&self.move_view(), settings, &self.scenario.weights);
         self.evidence = evidence;
     }
 
--- a/src/upkeep/evidence.rs
+++ b/src/upkeep/evidence.rs
@@ -11,7 +11,8 @@
 use super::budget::PERMILLE_WHOLE;
 use super::demand::DemandSample;
 use super::keys::PoolKey;
-use super::moves::{floor, lasting_count, MoveSettings, MoveView};
+use super::moves::{cost_ms, floor, lasting_count, MoveSettings, MoveView};
+use crate::lists::MeasureWeights;
 
 /// Part of its time to start, in thousandths, from which waiting work counts as late: what is left
 /// is needed to place and start it.
@@ -35,9 +36,14 @@
 }
 
 impl MoveEvidence {
-    /// Adds the latest sample of each pool, which stands for one sample interval. Pools with a move
-    /// under way are left out.
-    pub fn observe(&mut self, view: &MoveView<'_>, settings: &MoveSettings) {
+    /// Adds the latest sample of each pool, which stands for one sample interval, up to what a move
+    /// costs. Pools with a move under way are left out.
+    pub fn observe(
+        &mut self,
+        view: &MoveView<'_>,
+        settings: &MoveSettings,
+        weights: &MeasureWeights,
+    ) {
         let keys = || (0u16..).map(PoolKey).take(view.pools.len());
         let resting = keys().filter(|pool| !view.pools[pool.index()].is_moving);
         let resting: Vec<(PoolKey, i64, i64)> = resting
@@ -48,21 +54,29 @@
             .collect();
         for (to, worth, _) in &resting {
             for (from, _, loss) in resting.iter().filter(|(from, ..)| from != to) {
-                self.add(*from, *to, worth - loss, settings);
+                let cost_ms = cost_ms(view.pools[from.index()].move_ms, weights);
+                self.add((*from, *to), worth - loss, cost_ms, settings);
             }
         }
     }
 
-    fn add(&mut self, from: PoolKey, to: PoolKey, rate_permille: i64, settings: &MoveSettings) {
+    fn add(
+        &mut self,
+        pair: (PoolKey, PoolKey),
+        rate_permille: i64,
+        cost_ms: u64,
+        settings: &MoveSettings,
+    ) {
         let interval_ms = i64::try_from(settings.sample_interval_ms).unwrap_or_default();
         let drift_permille = i64::from(settings.drift_permille);
-        let before = self.gains.get(&(from, to)).copied().unwrap_or_default();
+        let cost = i64::try_from(cost_ms.saturating_mul(PERMILLE_WHOLE)).unwrap_or(i64::MAX);
+        let before = self.gains.get(&pair).copied().unwrap_or_default();
         match before + (rate_permille - drift_permille) * interval_ms {
             gain if gain > 0 => {
-                self.gains.insert((from, to), gain);
+                self.gains.insert(pair, gain.min(cost));
             }
             _ => {
-                self.gains.remove(&(from, to));
+                self.gains.remove(&pair);
             }
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,4 +26,6 @@
 mod settings;
 mod support;
 mod upkeep_budget;
+mod upkeep_moves;
+mod upkeep_rollout;
 mod whole_path;
