End an attempt when its worker says that it stopped the task

Cause: a cancelled task, one whose lease lapsed and one that a reboot killed ended as of unknown outcome, although the worker itself had said that the task was over. Each held its team's limit and held up its entry's drain until its lease ended (55 s in the test), and each counted against the health of its worker. Ruled out: a request that stays in the queue (the status showed none held or waiting, only running), a change stuck in the proposer, a connection that does not close.

--- a/src/adapters/worker_answer.rs
+++ b/src/adapters/worker_answer.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use crate::ports::WorkerOutcome;
+use crate::ports::{TaskStop, WorkerOutcome};
 
 /// Why an attempt ended without an answer that can be trusted; each is a name to count by.
 #[derive(
@@ -48,7 +48,12 @@
 impl Loss {
     /// Returns the outcome of an attempt that was lost in this way.
     pub fn outcome(self) -> WorkerOutcome {
-        WorkerOutcome::Unknown(self.into())
+        match self {
+            Self::Cancelled => WorkerOutcome::Stopped(TaskStop::Cancelled),
+            Self::LeaseLapsed => WorkerOutcome::Stopped(TaskStop::LeaseLapsed),
+            Self::Killed => WorkerOutcome::Stopped(TaskStop::Killed),
+            _ => WorkerOutcome::Unknown(self.into()),
+        }
     }
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -27,7 +27,7 @@
         retry::{FailedAttempt, RetryDecision, RetryReason, StopReason},
         share::{TeamSlot, UsageRow},
     },
-    ports::{NotStarted, WorkerOutcome, WorkerRequest},
+    ports::{NotStarted, TaskStop, WorkerOutcome, WorkerRequest},
 };
 
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
@@ -454,7 +454,9 @@
         match &outcome {
             // The task may still run, so it keeps its permit until its lease has ended.
             WorkerOutcome::Unknown(_) => self.requests.haunt(key, attempt.clone()),
-            WorkerOutcome::Ran { .. } | WorkerOutcome::NotStarted(_) => self.release(&attempt),
+            WorkerOutcome::Ran { .. }
+            | WorkerOutcome::NotStarted(_)
+            | WorkerOutcome::Stopped(_) => self.release(&attempt),
         }
         let is_current = self
             .requests
@@ -473,7 +475,10 @@
                 is_success: true, ..
             } => Outcome::Succeeded,
             WorkerOutcome::Ran { .. } => Outcome::Failed,
-            WorkerOutcome::Unknown(_) => Outcome::Silent,
+            // The caller's wish says nothing about the worker.
+            WorkerOutcome::Stopped(TaskStop::Cancelled) => return,
+            WorkerOutcome::Stopped(TaskStop::LeaseLapsed) => Outcome::Failed,
+            WorkerOutcome::Stopped(TaskStop::Killed) | WorkerOutcome::Unknown(_) => Outcome::Silent,
             WorkerOutcome::NotStarted(NotStarted::Unreachable) => Outcome::Unreachable,
             WorkerOutcome::NotStarted(NotStarted::Busy) => {
                 self.placement.refused_busy(now_ms, attempt.worker);
@@ -533,7 +538,7 @@
                     self.finish_not_run(key, kind, retry_after_ms);
                 }
             }
-            WorkerOutcome::Unknown(_) => {
+            WorkerOutcome::Stopped(_) | WorkerOutcome::Unknown(_) => {
                 if !self.retry_later(key, RetryReason::OutcomeUnknown) {
                     self.finish_unknown(key, ErrorKind::WorkerLost);
                     self.end_orphan_claim(attempt, key, ClaimState::Unknown);
@@ -581,7 +586,7 @@
         let state = match outcome {
             WorkerOutcome::Ran { .. } => ClaimState::Ran,
             WorkerOutcome::NotStarted(_) => ClaimState::NotRun,
-            WorkerOutcome::Unknown(_) => ClaimState::Unknown,
+            WorkerOutcome::Stopped(_) | WorkerOutcome::Unknown(_) => ClaimState::Unknown,
         };
         if let Some((team, request_id)) = self.orphan_claims.remove(&attempt.attempt_id) {
             self.end_claim(&team, &request_id, state);
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -109,10 +109,27 @@
     },
     /// The worker proved that the task never started, or nothing was sent to it.
     NotStarted(NotStarted),
-    /// The task may have run: the answer was lost, late, crossed or not whole.
+    /// The worker itself says that the task started, was stopped before its end and does not run any
+    /// more.
+    Stopped(TaskStop),
+    /// The task may have run, and may run still: the answer was lost, late, crossed or not whole.
     Unknown(SmolStr),
 }
 
+/// Why a worker stopped a task before its end.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum TaskStop {
+    /// The worker was told to.
+    Cancelled,
+    /// The lease of the task lapsed.
+    LeaseLapsed,
+    /// The instance was rebooted or taken away.
+    Killed,
+}
+
 /// Why a worker did not start a task.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString, strum::EnumIter,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one module per topic.
 
+mod cancellation;
 mod check_command;
 mod cluster;
 mod lists;
