--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -47,8 +47,9 @@
             "Withdraw a key for good.\n\n\
              The withdrawal is told to the entries named with `--entry` first, which refuse the \
              key at once and tell their peers, so that it holds even while the log is down; then \
-             it is put on record in the log. The exit code is 0 once it is on record, and 5 while \
-             it is in force at the entries but not on record yet.",
+             it is put on record in the log. The exit code is 0 once it is on record, 5 while \
+             it is in force at the entries but not on record yet, and 1 if no key of this id was \
+             ever granted.",
         )
         .arg(
             Arg::new("key")
@@ -131,8 +132,16 @@
         key_id: key_id.into(),
     };
     let access = log_access::open(matches)?;
-    let settled = match access.read() {
-        Ok(mut reader) => reader.propose(&access.operator, change, access.timeout),
+    let (is_known, settled) = match access.read() {
+        Ok(mut reader) => (
+            // The withdrawal of an id that was never granted has a row without a team.
+            reader
+                .ledger()
+                .keys
+                .get(key_id)
+                .is_some_and(|row| !row.team.is_empty()),
+            reader.propose(&access.operator, change, access.timeout),
+        ),
         Err(report) => {
             say(&format!(
                 "event=key_withdrawn key_id={key_id} is_on_record=false is_in_force={is_in_force}"
@@ -148,9 +157,14 @@
         settled => return Err(unsettled(settled)),
     }
     say(&format!(
-        "event=key_withdrawn key_id={key_id} is_on_record=true"
+        "event=key_withdrawn key_id={key_id} is_on_record=true is_known={is_known}"
     ))?;
-    Ok(Exit::Done)
+    // A mistyped id must not pass for a withdrawal.
+    match is_known {
+        true => Ok(Exit::Done),
+        false => Err(Report::new(CmdError::Refused)
+            .attach("no key of this id was ever granted; `keys list` shows those that were")),
+    }
 }
 
 fn list(matches: &ArgMatches) -> CmdResult {
--- a/src/cmd/lists.rs
+++ b/src/cmd/lists.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use hawthornladder::{
     config_files::ConfigSource,
-    ledger::{ListsPatch, OperatorChange, OperatorProposal},
+    ledger::{ListsPatch, OperatorChange, Publication},
     lists::{self, Lists},
     operator::Settled,
 };
@@ -87,10 +87,7 @@
     let mut reader = access.read()?;
     let in_force = reader.ledger().lists_version;
     if in_force != base_version {
-        say(&format!(
-            "event=race_lost edited_from={base_version} in_force={in_force}"
-        ))?;
-        return Ok(Exit::RaceLost);
+        return race_lost(base_version, in_force, &reader.ledger().lists_published);
     }
     let patch = ListsPatch::between(&reader.ledger().lists, &new);
     if patch.is_empty() {
@@ -116,21 +113,25 @@
             lists_version,
             winner,
             ..
-        } => {
-            let winner = winner.as_deref().map_or("unknown", operator_of);
-            say(&format!(
-                "event=race_lost edited_from={base_version} in_force={lists_version} winner={winner}"
-            ))?;
-            Ok(Exit::RaceLost)
-        }
+        } => race_lost(base_version, lists_version, &winner),
         Settled::Unsettled { proposal_id, error } => Err(Report::new(CmdError::Unsettled)
             .attach(format!("proposal {proposal_id}: {error}"))
             .attach("run `lists show` when the log answers: it tells which version is in force")),
     }
 }
 
-fn operator_of(proposal: &OperatorProposal) -> &str {
-    &proposal.operator
+/// Tells the loser of a race who won and how to go on.
+fn race_lost(base_version: u64, in_force: u64, winner: &Publication) -> CmdResult {
+    say(&format!(
+        "event=race_lost edited_from={base_version} in_force={in_force} winner={} \
+         published_at_unix_ms={}",
+        winner.operator, winner.at_unix_ms
+    ))?;
+    eprintln!(
+        "nothing was changed, and your files are as they were: `lists diff` shows how they differ \
+         from what is in force; take over what the winner changed and publish with --from {in_force}"
+    );
+    Ok(Exit::RaceLost)
 }
 
 fn show(matches: &ArgMatches) -> CmdResult {
@@ -142,14 +143,16 @@
         true => {
             let document = serde_json::json!({
                 "version": ledger.lists_version,
+                "published_by": ledger.lists_published.operator,
                 "plans": lists.plans,
                 "entitlements": lists.entitlements,
             });
             document.to_string()
         }
         false => format!(
-            "// version {}\n// plans\n{}\n// entitlements\n{}",
+            "// version {}\n// published by {}\n// plans\n{}\n// entitlements\n{}",
             ledger.lists_version,
+            ledger.lists_published.operator,
             pretty(&lists.plans)?,
             pretty(&lists.entitlements)?,
         ),
--- a/src/entry/daemon/operators.rs
+++ b/src/entry/daemon/operators.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
+use indexmap::IndexMap;
 use serde_json::json;
+use smol_str::SmolStr;
+use strum::IntoEnumIterator;
 
 use crate::{
     adapters::{
@@ -42,7 +45,8 @@
             body: shared.metrics.encode(),
         },
         OperatorCall::Status => {
-            let status = lock(&shared.published).status.clone();
+            let mut status = lock(&shared.published).status.clone();
+            status.refused = refused(shared);
             OperatorAnswer::Json {
                 status: 200,
                 body: serde_json::to_value(status).unwrap_or_default(),
@@ -63,6 +67,20 @@
     }
 }
 
+/// Returns every refusal that was counted, those of the callers' interface included, of which the
+/// engine does not know.
+fn refused<P: Platform>(shared: &Shared<P>) -> IndexMap<SmolStr, u64> {
+    ErrorKind::iter()
+        .map(|kind| {
+            (
+                SmolStr::new(kind.name()),
+                shared.metrics.refusals_count(kind),
+            )
+        })
+        .filter(|(_, count)| *count > 0)
+        .collect()
+}
+
 fn ready<P: Platform>(shared: &Shared<P>) -> OperatorAnswer {
     let is_serving = shared.is_serving.load(Ordering::Acquire);
     let (status, body) = match is_serving {
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -121,11 +121,15 @@
         }
         if !self.escrow.can_start(&self.ledger, &self.seat, team) {
             let escrow = self.ledger.escrow.get(team);
-            let (limit, held) =
-                escrow.map_or((0, 0), |row| (row.limit_requests, row.held_requests()));
-            reasons.push(format!(
-                "limit: this entry has no unused part of the team's limit of {limit} requests, of which the entries hold {held}; the request would wait for a part."
-            ));
+            let (limit, free) =
+                escrow.map_or((0, 0), |row| (row.limit_requests, row.free_requests()));
+            // A part that nobody holds is taken by one append; only a limit that is used up delays.
+            if free == 0 {
+                reasons.push(format!(
+                    "{}: the entries hold the team's whole limit of {limit} requests, and this one has no unused part of it; the request would wait for a part.",
+                    ErrorKind::LimitReached.name()
+                ));
+            }
         }
         reasons
     }
@@ -136,11 +140,17 @@
         verdict: Result<(), BudgetBreach>,
     ) -> Vec<String> {
         let mut reasons = Vec::new();
-        if let Err(breach) = verdict {
-            let numbers = serde_json::to_string(&breach).unwrap_or_default();
-            reasons.push(format!(
-                "{breach}: the budgets do not allow it now {numbers}."
-            ));
+        match verdict {
+            Ok(()) => {}
+            Err(breach @ BudgetBreach::UnknownInstance) => {
+                return vec![format!("{breach}: no instance is called {instance}.")];
+            }
+            Err(breach) => {
+                let numbers = serde_json::to_string(&breach).unwrap_or_default();
+                reasons.push(format!(
+                    "{breach}: the budgets do not allow it now {numbers}."
+                ));
+            }
         }
         let entry = self.ledger.instances.get(instance);
         let stopping = entry.filter(|entry| entry.stop.is_some());
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -64,6 +64,15 @@
     Unreadable,
 }
 
+/// Who put the lists in force, and when.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Publication {
+    /// Name that the operator gave.
+    pub operator: SmolStr,
+    /// Time at which the log service took the record.
+    pub at_unix_ms: UnixMs,
+}
+
 /// The state that all readers of the log agree on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -73,6 +82,9 @@
     pub clock_unix_ms: UnixMs,
     /// Version of the lists in force; rises with each publication.
     pub lists_version: u64,
+    /// Who put that version in force.
+    #[serde(default)]
+    pub lists_published: Publication,
     /// The lists in force.
     pub lists: Arc<Lists>,
     /// Keys.
@@ -137,6 +149,10 @@
                 let mut lists = Lists::clone(&self.lists);
                 patch.apply_to(&mut lists);
                 self.put_in_force(lists);
+                self.lists_published = Publication {
+                    operator: proposal.operator.clone(),
+                    at_unix_ms: self.clock_unix_ms,
+                };
                 Verdict::Accepted
             }
             OperatorChange::GrantKey { key_id, row } => {
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -16,7 +16,7 @@
 
 pub use claims::{issued_at_unix_ms, ClaimRow, ClaimState, Claims};
 pub use escrow::{Escrow, TeamEscrow};
-pub use fold::{Effect, Ledger, Verdict};
+pub use fold::{Effect, Ledger, Publication, Verdict};
 pub use instances::{InstanceEntry, Instances, StopWhy};
 pub use jobs::{JobEntry, JobRow, JobState, Jobs};
 pub use keys::{KeyId, KeyRow, Keys};
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -9,7 +9,7 @@
 use crate::{
     entry::Reader,
     fleet::Offset,
-    ledger::{Effect, Ledger, OperatorChange, OperatorProposal, Record, Verdict},
+    ledger::{Effect, Ledger, OperatorChange, OperatorProposal, Publication, Record, Verdict},
     ports::{LogPort, PortError},
 };
 
@@ -24,8 +24,6 @@
     log: &'a dyn LogPort,
     ledger: Ledger,
     reader: Reader,
-    /// The latest publication that was read going by.
-    last_publication: Option<OperatorProposal>,
 }
 
 /// How a proposal ended.
@@ -42,8 +40,8 @@
         reason: String,
         /// Version of the lists in force.
         lists_version: u64,
-        /// The publication that came first, if it was read going by.
-        winner: Option<Box<OperatorProposal>>,
+        /// Who put that version in force.
+        winner: Publication,
     },
     /// Whether it took effect could not be learnt in time.
     Unsettled {
@@ -65,7 +63,6 @@
             log,
             ledger: Ledger::default(),
             reader: Reader::new(),
-            last_publication: None,
         };
         let end = Instant::now() + timeout;
         let mut last_error = PortError::NotSent("the head of the log was not reached".into());
@@ -154,21 +151,16 @@
             return None;
         };
         let is_own = proposal.proposal_id == proposal_id;
-        let is_publication = matches!(proposal.change, OperatorChange::Publish { .. });
         let lists_version = self.ledger.lists_version;
         match verdict {
             Verdict::Rejected(reason) if is_own => Some(Settled::Rejected {
                 reason: reason.to_string(),
                 lists_version,
-                winner: self.last_publication.clone().map(Box::new),
+                winner: self.ledger.lists_published.clone(),
             }),
             Verdict::Accepted | Verdict::AcceptedCount(_) if is_own => {
                 Some(Settled::Accepted { lists_version })
             }
-            Verdict::Accepted if is_publication => {
-                self.last_publication = Some(proposal);
-                None
-            }
             _ => None,
         }
     }
