--- a/src/standalone/account.rs
+++ b/src/standalone/account.rs
@@ -147,7 +147,7 @@
     };
     answers
         .iter()
-        .any(|answer| is_unproved(answer))
+        .any(is_unproved)
         .then(|| "no worker ran what the answer says".to_owned())
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,5 +17,6 @@
 mod proxy;
 mod settings;
 mod standalone;
+mod standalone_account;
 mod upkeep_budget;
 mod whole_path;
