Count the calls to the platform and to peers that are made again

Cause: four retry reasons (append_lost, log_unreachable, instance_list_unreachable, peer_silent) were named and registered, and nothing counted them. The new test waited in vain for the first one; it now finds all four in the state of an entry, which takes them from the metrics.

--- a/src/entry/daemon/duties.rs
+++ b/src/entry/daemon/duties.rs
@@ -12,7 +12,8 @@
         daemon::{lock, spawn_thread, Append, Shared},
         event::{Event, Source},
     },
-    ports::{Clock, InstancePort, LogPage, LogPort, Platform},
+    error::RetryReason,
+    ports::{Clock, InstancePort, LogPage, LogPort, Platform, PortError},
 };
 
 /// Pause after a failed call to the platform.
@@ -72,6 +73,10 @@
             }
             Err(error) => {
                 log::warn!("event=log_read_failed error={error}");
+                // A trimmed offset is an answer; the reader starts again from a snapshot.
+                if !matches!(error, PortError::Trimmed { .. }) {
+                    shared.metrics.count_retry(RetryReason::LogUnreachable);
+                }
                 shared.tell(Event::LogFailed { error });
                 thread::sleep(FAILED_PAUSE);
             }
@@ -110,6 +115,10 @@
     let result = shared.platform.log().append(&[payload]);
     if let Err(error) = &result {
         log::warn!("event=append_failed seq={seq} error={error}");
+        shared.metrics.count_retry(match error {
+            PortError::AnswerLost(_) => RetryReason::AppendLost,
+            _ => RetryReason::LogUnreachable,
+        });
     }
     shared.tell(Event::Appended { seq, result });
 }
@@ -156,7 +165,11 @@
                 version = page.version;
                 shared.tell(Event::Instances { sent_ms, page });
             }
-            Err(error) => log::warn!("event=instance_list_failed error={error}"),
+            Err(error) => {
+                log::warn!("event=instance_list_failed error={error}");
+                let reason = RetryReason::InstanceListUnreachable;
+                shared.metrics.count_retry(reason);
+            }
         }
         sleep_unless_stopped(shared, poll);
     }
--- a/src/entry/daemon/operators.rs
+++ b/src/entry/daemon/operators.rs
@@ -19,7 +19,7 @@
         daemon::{lock, peers, Shared},
         event::Event,
     },
-    error::ErrorKind,
+    error::{ErrorKind, RetryReason},
     ledger::KeyId,
     ports::Platform,
 };
@@ -47,6 +47,7 @@
         OperatorCall::Status => {
             let mut status = lock(&shared.published).status.clone();
             status.refused = refused(shared);
+            status.retried = retried(shared);
             OperatorAnswer::Json {
                 status: 200,
                 body: serde_json::to_value(status).unwrap_or_default(),
@@ -81,6 +82,19 @@
         .collect()
 }
 
+/// Returns every retry that was counted, those of calls to the platform and to peers included.
+fn retried<P: Platform>(shared: &Shared<P>) -> IndexMap<SmolStr, u64> {
+    RetryReason::iter()
+        .map(|reason| {
+            (
+                SmolStr::new(reason.to_string()),
+                shared.metrics.retries_count(reason),
+            )
+        })
+        .filter(|(_, count)| *count > 0)
+        .collect()
+}
+
 fn ready<P: Platform>(shared: &Shared<P>) -> OperatorAnswer {
     let is_serving = shared.is_serving.load(Ordering::Acquire);
     let (status, body) = match is_serving {
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -23,7 +23,7 @@
         event::{Event, Source},
         gossip::Gossip,
     },
-    error::ErrorKind,
+    error::{ErrorKind, RetryReason},
     fleet::Offset,
     ledger::KeyId,
     ports::{Clock, LogPage, Platform, PortError},
@@ -286,8 +286,9 @@
         let sent_ms = exchanging.platform.clock().mono_ms();
         let own: Gossip = lock(&exchanging.published).gossip.clone();
         let call = PeerCall::Gossip(Box::new(own));
-        if let Ok(PeerAnswer::Gossip(gossip)) = client.call(&call) {
-            exchanging.tell(Event::Gossip { sent_ms, gossip });
+        match client.call(&call) {
+            Ok(PeerAnswer::Gossip(gossip)) => exchanging.tell(Event::Gossip { sent_ms, gossip }),
+            Ok(_) | Err(_) => exchanging.metrics.count_retry(RetryReason::PeerSilent),
         }
         is_busy.store(false, Ordering::Release);
     });
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -11,7 +11,7 @@
 use serde_json::{json, Value};
 
 use crate::cluster::{http, Call, Cluster};
-use crate::processes::Process;
+use crate::processes::{admin_call, Process};
 
 /// What a command ended with.
 struct Ended {
@@ -289,3 +289,32 @@
     let silent = run(&["explain", "stop", "maps-01", "--entry", "127.0.0.1:9"]);
     assert_eq!(silent.code, Some(4), "{:?}", silent.lines);
 }
+
+#[test]
+fn calls_to_the_platform_and_to_peers_that_are_made_again_are_counted() {
+    let mut cluster = Cluster::builder().entries(2).spawn();
+    let is_counted = |reason: &str| {
+        let reason = reason.to_owned();
+        move |cluster: &Cluster| {
+            let retried = cluster.entries[0].status().retried;
+            retried.get(reason.as_str()).is_some_and(|count| *count > 0)
+        }
+    };
+    cluster.set_log_faults(&json!({ "answer_lost_count": 20 }));
+    cluster.wait_until("a lost append is counted", is_counted("append_lost"));
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    cluster.wait_until("the log's outage is counted", is_counted("log_unreachable"));
+    let instances = &cluster.stand_ins.instances_address;
+    admin_call(
+        instances,
+        Method::POST,
+        "/faults",
+        &json!({ "is_down": true }),
+    );
+    cluster.wait_until(
+        "the instance list's outage is counted",
+        is_counted("instance_list_unreachable"),
+    );
+    cluster.entries[1].process.kill();
+    cluster.wait_until("the silent peer is counted", is_counted("peer_silent"));
+}
