--- a/src/load/upkeep_model/demand.rs
+++ b/src/load/upkeep_model/demand.rs
@@ -129,6 +129,15 @@
         queues.any(|queue| queue.pool == pool && !queue.backlog.is_empty())
     }
 
+    /// Returns the part of its time to start that the oldest work of the pool has waited, in
+    /// thousandths.
+    pub fn waited_permille(&self, pool: usize, at_ms: u64) -> u32 {
+        let queue = self.queues.iter().find(|queue| queue.pool == pool);
+        let oldest = queue.and_then(|queue| queue.backlog.front());
+        let waited_ms = oldest.map_or(0, |(arrived_ms, _)| at_ms - arrived_ms);
+        u32::try_from(waited_ms * 1000 / START_TARGET_MS).unwrap_or(u32::MAX)
+    }
+
     fn arriving_milli(&mut self, index: usize, at_ms: u64) -> u64 {
         let queues_count = self.queues.len() as u64;
         let queue = &self.queues[index];
--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -15,7 +15,8 @@
 mod wave;
 
 pub use budget::{
-    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, PoolBudget,
+    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetBreachKind,
+    BudgetView, PoolBudget,
 };
 pub use counts::{FleetCounts, Member};
 pub use keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,16 @@
 //! The integration tests, one module per topic.
 
+mod callers;
 mod cancellation;
 mod check_command;
 mod cluster;
+mod documentation;
+mod engines;
+mod error_table;
 mod lists;
+mod model;
 mod operator_commands;
+mod peers;
 mod platform_instances;
 mod platform_links;
 mod platform_log;
@@ -14,9 +20,15 @@
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_keys;
+mod promises_limits;
+mod promises_membership;
+mod promises_recovery;
+mod promises_single_run;
 mod proxy;
 mod settings;
 mod standalone;
 mod standalone_account;
+mod support;
 mod upkeep_budget;
 mod whole_path;
