--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,13 +1,16 @@
 //! The integration tests, one module per topic.
 
 mod callers;
+mod cancellation;
 mod check_command;
 mod cluster;
+mod documentation;
 mod engines;
 mod error_table;
 mod ledger_fold;
 mod lists;
 mod model;
+mod operator_commands;
 mod peers;
 mod platform_instances;
 mod platform_links;
@@ -26,6 +29,8 @@
 mod promises_single_run;
 mod proxy;
 mod settings;
+mod standalone;
+mod standalone_account;
 mod support;
 mod upkeep_budget;
 mod upkeep_moves;
