--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -23,6 +23,12 @@
 /// Time between two ticks of the engine.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Time between two ticks of an engine that holds no request and proposes nothing.
+const IDLE_TICK: Duration = Duration::from_millis(25);
+
+/// Time between two publications of what peers are told, unless it is urgent.
+const GOSSIP: Duration = Duration::from_millis(25);
+
 /// Time between two publications of status and metrics.
 const PUBLISH: Duration = Duration::from_millis(100);
 
@@ -36,6 +42,7 @@
     replies: Replies,
     ticked: Instant,
     published: Instant,
+    gossiped: Instant,
 }
 
 impl<P: Platform> CoreLoop<P> {
@@ -49,6 +56,7 @@
             replies: Replies::new(),
             ticked: now,
             published: now,
+            gossiped: now,
         }
     }
 
@@ -59,7 +67,7 @@
         calls: &flume::Receiver<CallerCall>,
     ) {
         while !self.shared.is_stopped() {
-            let wait = (self.ticked + TICK).saturating_duration_since(Instant::now());
+            let wait = (self.ticked + self.tick_time()).saturating_duration_since(Instant::now());
             let first = flume::Selector::new()
                 .recv(events, |event| event.ok().map(Input::Event))
                 .recv(calls, |call| call.ok().map(Input::Call))
@@ -124,7 +132,7 @@
     }
 
     fn tick_if_due(&mut self) {
-        if self.ticked.elapsed() < TICK {
+        if self.ticked.elapsed() < self.tick_time() {
             return;
         }
         self.ticked = Instant::now();
@@ -135,8 +143,15 @@
         }
     }
 
+    /// Returns the time between two ticks; requests wait and run by the fine one.
+    fn tick_time(&self) -> Duration {
+        match self.engine.is_idle() {
+            true => IDLE_TICK,
+            false => TICK,
+        }
+    }
+
     fn step(&mut self, event: Event) {
-        let is_gossip_due = matches!(event, Event::Tick | Event::Withdraw { .. });
         let is_withdrawal = matches!(event, Event::Withdraw { .. });
         let actions = self.engine.step(self.shared.now(), event);
         for action in actions {
@@ -150,7 +165,8 @@
             .is_serving
             .store(self.engine.is_serving(), Ordering::Release);
         // A withdrawal is acknowledged only after peers would hear of it.
-        if is_withdrawal || is_gossip_due {
+        if is_withdrawal || self.gossiped.elapsed() >= GOSSIP {
+            self.gossiped = Instant::now();
             self.publish_gossip();
         }
     }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -81,6 +81,11 @@
 }
 
 impl Engine {
+    /// Returns whether no request is held and nothing is proposed to the log.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.requests.len() == 0 && self.proposer.is_idle()
+    }
+
     /// Returns the state of this entry.
     pub fn status(&self) -> EntryStatus {
         let now_ms = self.now.mono_ms;
