--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -50,9 +50,12 @@
 
 # Starts entry number $1; its process id goes to entry-$1.pid.
 start_entry() {
-    local zone region port
-    zone=$(grep -o '"name": "[^"]*", "region"' "$EXAMPLE/fleet.jsonc" | cut -d'"' -f4 | head -1)
-    region=$(grep -o '"region": "[^"]*"' "$EXAMPLE/fleet.jsonc" | cut -d'"' -f4 | head -1)
+    local rows row zone region port
+    # Entries are spread over the availability zones.
+    mapfile -t rows < <(grep -o '"name": "[^"]*", "region": "[^"]*"' "$EXAMPLE/fleet.jsonc")
+    row=${rows[$(($1 % ${#rows[@]}))]}
+    zone=$(cut -d'"' -f4 <<<"$row")
+    region=$(cut -d'"' -f8 <<<"$row")
     port=$((PORT_BASE + $1 * 3))
     cat >"$DIR/entry-$1.jsonc" <<SETTINGS
 {
--- /dev/null
+++ b/tests/testsuite/load.rs
@@ -0,0 +1,309 @@
+//! The load tool: its schedules, its scripts of faults, its accounts, and a short run.
+
+use std::fs;
+
+use hawthornladder::error::RunState;
+use hawthornladder::examples::LAHORE;
+use hawthornladder::fleet_file::FleetFile;
+use hawthornladder::load::live::account::{settle, Accounts, Evidence, Leaving, Withdrawn};
+use hawthornladder::load::live::faults::{self, Fault, MixedSettings};
+use hawthornladder::load::live::outcome::{End, Outcome};
+use hawthornladder::load::live::schedule::{self, Arrivals, Mix, ScheduleSettings, Shot};
+use hawthornladder::platform::journal::{Ending, Run};
+use indexmap::IndexMap;
+use serde_json::Value;
+
+use crate::cluster::Cluster;
+
+const SECOND_US: u64 = 1_000_000;
+/// Wall clock of the made-up evidence.
+const START_UNIX_US: u64 = 1_700_000_000 * SECOND_US;
+
+fn lahore() -> FleetFile {
+    LAHORE.load().expect("the example is sound").0 .1
+}
+
+fn settings(seed: u64) -> ScheduleSettings {
+    ScheduleSettings {
+        seed,
+        duration_ms: 20_000,
+        arrivals: Arrivals::Turns {
+            scale_permille: 1_000,
+        },
+        mix: Mix {
+            cancel_permille: 100,
+            twin_permille: 100,
+            ..Mix::default()
+        },
+        entries_count: 8,
+        is_skewed: true,
+    }
+}
+
+#[test]
+fn a_seed_gives_one_schedule() {
+    let fleet = lahore();
+    let shots = schedule::make(&settings(1), &fleet);
+    assert_eq!(shots, schedule::make(&settings(1), &fleet));
+    assert_ne!(shots, schedule::make(&settings(2), &fleet));
+    assert!(shots.is_sorted_by_key(|shot| shot.at_us));
+    assert!(shots
+        .iter()
+        .all(|shot| shot.twin_entry != Some(shot.entry) && shot.entry < 8));
+    let mut ids: Vec<_> = shots.iter().map(|shot| shot.request_id(0)).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    assert_eq!(ids.len(), shots.len());
+}
+
+#[test]
+fn each_queue_bursts_in_its_turn() {
+    let fleet = lahore();
+    let shots = schedule::make(&settings(1), &fleet);
+    for queue in fleet.queues_in_turn() {
+        let is_its_turn = |shot: &&Shot| fleet.queue_in_turn(shot.at_us / 1_000) == Some(queue);
+        let of_queue = || shots.iter().filter(|shot| shot.queue == queue);
+        let within = of_queue().filter(is_its_turn).count();
+        let outside = of_queue().count() - within;
+        let streams = fleet.demand.iter().filter(|stream| stream.queue == queue);
+        let mean_per_s: u32 = streams.map(|stream| stream.mean_per_s).sum();
+        let expected = f64::from(mean_per_s * 5 * 4);
+        assert!(
+            (within as f64 - expected).abs() < 0.2 * expected,
+            "{queue}: {within}"
+        );
+        assert!(
+            outside < within,
+            "{queue}: {outside} outside, {within} within"
+        );
+    }
+}
+
+#[test]
+fn a_flat_rate_is_held() {
+    let flat = ScheduleSettings {
+        arrivals: Arrivals::Flat { rate_per_s: 1_000 },
+        ..settings(1)
+    };
+    let count = schedule::make(&flat, &lahore()).len();
+    assert!((19_000..21_000).contains(&count), "{count}");
+}
+
+#[test]
+fn a_mixed_script_is_fixed_by_its_seed_and_undoes_its_faults() {
+    let rows = lahore().instance_rows(|_, _| "127.0.0.1:1".into());
+    let script = |seed| {
+        faults::mixed(&MixedSettings {
+            seed,
+            duration_ms: 300_000,
+            rows: &rows,
+            entries_count: 8,
+            teams: &["tramway".into()],
+        })
+    };
+    assert_eq!(script(1), script(1));
+    assert_ne!(script(1), script(2));
+    let last_log_fault = script(1)
+        .into_iter()
+        .rev()
+        .find_map(|step| match step.fault {
+            Fault::Log(faults) => Some(faults),
+            _ => None,
+        });
+    assert_eq!(last_log_fault, Some(Default::default()));
+    let text = serde_json::to_string(&script(1)).expect("steps encode");
+    let text = format!("// a comment\n{text}");
+    assert_eq!(faults::parse(&text), Ok(script(1)));
+    assert!(faults::parse("[{ \"at_ms\": 1, \"fault\": { \"flood\": {} } }]").is_err());
+}
+
+/// Evidence of one sound non-idempotent request, to be spoilt.
+struct Case {
+    shot: Shot,
+    outcome: Outcome,
+    runs: Vec<Run>,
+    limit: u32,
+    leaving: Vec<Leaving>,
+    withdrawn: Vec<Withdrawn>,
+}
+
+impl Case {
+    fn sound() -> Self {
+        let shots = schedule::make(&settings(1), &lahore());
+        let shot = shots.into_iter().find(|shot| !shot.is_idempotent);
+        let shot = shot.expect("some requests are not idempotent");
+        let outcome = Outcome {
+            shot: 0,
+            request_id: "request".into(),
+            key: 0,
+            sent_unix_us: START_UNIX_US,
+            latency_us: 10,
+            end: End::Done,
+            ran: RunState::Ran,
+            is_proved_not_run: false,
+            is_own_answer: true,
+            calls_count: 1,
+            is_cancelled: false,
+            retried_after: Vec::new(),
+        };
+        let team = shot.team.clone().expect("the example's demand has teams");
+        let run = Run {
+            request_id: "request".into(),
+            attempt_id: "attempt-1".into(),
+            team,
+            queue: shot.queue.clone(),
+            worker: "maps-01".into(),
+            incarnation: "boot".into(),
+            size: shot.size,
+            started_unix_us: START_UNIX_US,
+            ended_unix_us: Some(START_UNIX_US + 5),
+            ending: Some(Ending::Succeeded),
+        };
+        Self {
+            shot,
+            outcome,
+            runs: vec![run],
+            limit: 1,
+            leaving: Vec::new(),
+            withdrawn: Vec::new(),
+        }
+    }
+
+    fn repeat_run(&mut self, after_us: u64) {
+        let mut run = self.runs[0].clone();
+        run.attempt_id = "attempt-2".into();
+        run.started_unix_us += after_us;
+        run.ended_unix_us = run.ended_unix_us.map(|ended| ended + after_us);
+        self.runs.push(run);
+    }
+
+    fn accounts(&self) -> Accounts {
+        let team = self.runs.first().map(|run| run.team.clone());
+        let limits: IndexMap<_, _> = team.into_iter().map(|team| (team, self.limit)).collect();
+        settle(&Evidence {
+            shots: std::slice::from_ref(&self.shot),
+            outcomes: std::slice::from_ref(&self.outcome),
+            runs: &self.runs,
+            limits: &limits,
+            leaving: &self.leaving,
+            withdrawn: &self.withdrawn,
+        })
+    }
+}
+
+#[test]
+fn sound_evidence_breaks_no_promise() {
+    let mut case = Case::sound();
+    assert_eq!(case.accounts().violations_count(), 0);
+    case.shot.is_idempotent = true;
+    case.repeat_run(100);
+    let accounts = case.accounts();
+    assert_eq!(accounts.violations_count(), 0);
+    assert_eq!(accounts.repeated_idempotent_count, 1);
+}
+
+#[test]
+fn each_broken_promise_is_found() {
+    let mut doubled = Case::sound();
+    doubled.repeat_run(100);
+    assert_eq!(doubled.accounts().doubled.count, 1);
+
+    let mut lost = Case::sound();
+    lost.runs.clear();
+    assert_eq!(lost.accounts().lost.count, 1);
+
+    let mut crossed = Case::sound();
+    crossed.outcome.is_own_answer = false;
+    assert_eq!(crossed.accounts().crossed.count, 1);
+
+    let mut not_run = Case::sound();
+    not_run.outcome.is_proved_not_run = true;
+    assert_eq!(not_run.accounts().not_run_ran.count, 1);
+
+    let mut over_limit = Case::sound();
+    over_limit.shot.is_idempotent = true;
+    over_limit.repeat_run(1);
+    assert_eq!(over_limit.accounts().over_limit.count, 1);
+
+    let leaving = |from_unix_us| Leaving {
+        instance: "maps-01".into(),
+        from_unix_us,
+        until_unix_us: None,
+    };
+    let mut late = Case::sound();
+    late.leaving = vec![leaving(START_UNIX_US - 2 * SECOND_US)];
+    assert_eq!(late.accounts().violations_count(), 0);
+    late.leaving = vec![leaving(START_UNIX_US - 4 * SECOND_US)];
+    assert_eq!(late.accounts().late_to_leaving.count, 1);
+
+    let withdrawn = |team: &Option<_>, at_unix_us| Withdrawn {
+        team: Option::clone(team).expect("the request has a team"),
+        key: 0,
+        at_unix_us,
+    };
+    let mut key = Case::sound();
+    key.withdrawn = vec![withdrawn(&key.shot.team, START_UNIX_US - 4 * SECOND_US)];
+    assert_eq!(key.accounts().violations_count(), 0);
+    key.withdrawn = vec![withdrawn(&key.shot.team, START_UNIX_US - 6 * SECOND_US)];
+    assert_eq!(key.accounts().withdrawn_key.count, 1);
+}
+
+#[test]
+fn a_short_run_accounts_for_every_request() {
+    let cluster = Cluster::builder().entries(2).spawn();
+    let keys: IndexMap<&str, [String; 1]> = ["ionosphere-desk", "tramway", "flood-office"]
+        .into_iter()
+        .chain(["survey-crews", "farm-guidance", "university"])
+        .map(|team| (team, [cluster.grant(team).1]))
+        .collect();
+    let directory =
+        std::env::temp_dir().join(format!("hawthornladder-load-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("the temporary directory is writable");
+    let path = |name: &str| directory.join(name).to_str().expect("text").to_owned();
+    let (keys_file, plot_file) = (path("keys.json"), path("plot.svg"));
+    let keys = serde_json::to_string(&keys).expect("keys encode");
+    fs::write(&keys_file, keys).expect("the directory is writable");
+    let mut args = vec!["load", "--instances", &cluster.stand_ins.instances_address];
+    for entry in &cluster.entries {
+        args.extend(["--entry", &entry.callers_address]);
+        args.extend(["--operators", &entry.operators_address]);
+    }
+    args.extend([
+        "--keys", &keys_file, "--plot", &plot_file, "--output", "json",
+    ]);
+    args.extend([
+        "--rate",
+        "50",
+        "--seconds",
+        "2",
+        "--run-ms",
+        "5",
+        "--direct",
+    ]);
+    args.extend([
+        "--later-permille",
+        "100",
+        "--twin-permille",
+        "100",
+        "--obey",
+    ]);
+    // The command ends with an error if a promise was broken.
+    let lines = cluster.operate(&args);
+    let report: Value = serde_json::from_str(&lines.join("\n")).expect("the report is JSON");
+    let total = &report["entries"]["total"];
+    let requests_count = total["requests_count"].as_u64().expect("a number");
+    assert!(requests_count > 50, "{report}");
+    assert_eq!(
+        total["done_count"].as_u64(),
+        Some(requests_count),
+        "{report}"
+    );
+    assert_eq!(
+        report["direct"]["total"]["requests_count"].as_u64(),
+        Some(requests_count)
+    );
+    assert!(report["accounts"]["runs_count"].as_u64() >= Some(requests_count));
+    let plot = fs::read_to_string(&plot_file).expect("the plot is written");
+    assert!(plot.starts_with("<svg") && plot.contains("straight to the workers"));
+    drop(fs::remove_dir_all(&directory));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod check_command;
 mod cluster;
 mod lists;
+mod load;
 mod platform_instances;
 mod platform_links;
 mod platform_log;
