--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -26,12 +26,12 @@
 /// Time between two ticks of an engine that holds no request and proposes nothing.
 const IDLE_TICK: Duration = Duration::from_millis(25);
 
-/// Time between two publications of what peers are told, unless it is urgent.
-const GOSSIP: Duration = Duration::from_millis(25);
-
 /// Time between two publications of status and metrics.
 const PUBLISH: Duration = Duration::from_millis(100);
 
+/// Time between two renewals of what peers are told.
+const GOSSIP: Duration = Duration::from_millis(50);
+
 /// Events and calls taken in one turn at most, so that ticks are not put off for long.
 const TURN_MAX_COUNT: usize = 512;
 
--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -7,8 +7,8 @@
     adapters::callers_http::CallersLimits,
     entry::{daemon::EntrySettings, settings::EngineSettings},
     policy::{
-        health::HealthSettings, lane::RetryAfterLimits, queue::QueueSettings, retry::RetrySettings,
-        share::ShareSettings,
+        health::HealthSettings, lane::RetryAfterLimits, retry::RetrySettings,
+        settings::QueueSettings, share::ShareSettings,
     },
     settings::Settings,
     upkeep::{moves::MoveSettings, rollout::RolloutSettings},
@@ -124,7 +124,8 @@
             ..RolloutSettings::default()
         },
         moves: MoveSettings {
-            samples_count: (settings.move_wait_ms / MoveSettings::default().sample_interval_ms)
+            recent_samples_count: (settings.move_wait_ms
+                / MoveSettings::default().sample_interval_ms)
                 .max(1) as u32,
             cool_down_ms: settings.move_rest_ms,
             moves_max_per_hour_count: settings.moves_max_per_hour_count as u32,
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -117,6 +117,7 @@
             stage: Stage::Claiming,
             attempts_count: 0,
             is_announced: true,
+            may_have_run: false,
         };
         self.admit_request(key, request);
     }
@@ -178,7 +179,6 @@
         pools
             .iter()
             .filter_map(|pool| self.ledger.instances.pool_key(pool))
-            .map(|pool| PoolKey(pool.0))
             .collect()
     }
 
@@ -240,7 +240,7 @@
         };
         request.stage = Stage::Waiting;
         let (waiting, size_max) = (request.waiting.clone(), request.size_max);
-        match self.wait.push(now_ms, waiting, &size_max) {
+        match self.wait.push(now_ms, waiting, &size_max, &self.usage) {
             Ok(()) => {}
             Err(refusal) => {
                 let retry_after_ms = refusal.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
@@ -255,7 +255,7 @@
         for key in self.requests.overdue(now_ms) {
             self.miss_deadline(key);
         }
-        for given_up in self.wait.expire(now_ms) {
+        for given_up in self.wait.expire(now_ms, &self.usage) {
             self.finish_not_run(given_up.key, ErrorKind::GivenUp, given_up.retry_after_ms);
         }
         for key in self.requests.backed_off(now_ms) {
@@ -333,11 +333,13 @@
         } = self;
         let is_lease_valid = lease.is_valid(now_ms);
         let mut can_start = |waiting: &Waiting| {
+            // Moves and stops wait for every seat, so nothing starts without one.
             let has_permit = match waiting.team {
+                _ if !is_lease_valid => false,
                 None => true,
                 Some(TeamKey(team)) => teams
                     .get_index(team as usize)
-                    .is_some_and(|team| is_lease_valid && escrow.can_start(ledger, seat, team)),
+                    .is_some_and(|team| escrow.can_start(ledger, seat, team)),
             };
             chosen = match has_permit {
                 true => placement.choose(now_ms, pool, &waiting.size, rng),
@@ -421,8 +423,7 @@
     }
 
     fn pool_name(&self, pool: PoolKey) -> SmolStr {
-        let key = crate::upkeep::PoolKey(pool.0);
-        let name = self.ledger.instances.pool_name(key);
+        let name = self.ledger.instances.pool_name(pool);
         name.cloned().unwrap_or_default()
     }
 
@@ -512,6 +513,9 @@
     /// Ends or retries the request that an attempt was for.
     fn settle(&mut self, attempt: &Attempt, outcome: WorkerOutcome) {
         let key = attempt.request;
+        if let Some(request) = self.requests.get_mut(key) {
+            request.may_have_run |= !matches!(outcome, WorkerOutcome::NotStarted(_));
+        }
         match outcome {
             WorkerOutcome::Ran {
                 is_success: true,
@@ -619,9 +623,14 @@
         self.finish(key, answer, ClaimState::Ran);
     }
 
-    /// Ends a request that is proved not to have started.
+    /// Ends a request of which no attempt is out. Its answer says "not run" only if no attempt of
+    /// it may have run.
     pub(crate) fn finish_not_run(&mut self, key: RequestKey, kind: ErrorKind, retry_after_ms: u64) {
         self.wait.cancel(self.now.mono_ms, key);
+        let request = self.requests.get(key);
+        if request.is_some_and(|request| request.may_have_run) {
+            return self.finish_unknown(key, kind_if_run(kind));
+        }
         let entry = self.settings.entry.clone();
         let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
         self.finish(key, answer, ClaimState::NotRun);
@@ -768,8 +777,9 @@
                 let pool = self.ledger.instances.pool_key(&row.pool)?;
                 Some(UsageRow {
                     team: self.team_slot(&row.team),
-                    pool: PoolKey(pool.0),
+                    pool,
                     running: row.running,
+                    running_count: row.running_requests,
                     waiting_count: row.waiting_requests,
                 })
             })
@@ -784,15 +794,31 @@
             let load = loads.entry(attempt.pool_name.clone()).or_default();
             load.running_requests += 1;
         }
-        for row in self.wait.report_rows(&self.usage) {
-            if row.waiting_count > 0 {
-                let load = loads.entry(self.pool_name(row.pool)).or_default();
-                load.waiting_requests += row.waiting_count;
-            }
+        let waiting = self.requests.iter().map(|(_, request)| request);
+        for request in waiting.filter(|request| request.is_waiting()) {
+            let Some(pool) = request.waiting.pools.first() else {
+                continue;
+            };
+            let load = loads.entry(self.pool_name(*pool)).or_default();
+            load.waiting_requests += 1;
+            load.waited_permille = load.waited_permille.max(self.waited_permille(request));
         }
         loads
     }
 
+    /// Returns the part of its time to start that a request has waited, in thousandths.
+    fn waited_permille(&self, request: &Request) -> u32 {
+        let waiting = &request.waiting;
+        let waited_ms = self.now.mono_ms.saturating_sub(waiting.enqueued_ms);
+        let plan = self.ledger.lists.plan_of(&request.team);
+        let start_ms = match plan.filter(|_| waiting.is_urgent) {
+            Some(plan) => plan.start_target_ms,
+            None => waiting.deadline_ms.saturating_sub(waiting.enqueued_ms),
+        };
+        let permille = waited_ms * 1_000 / start_ms.max(1);
+        permille.min(1_000) as u32
+    }
+
     /// Returns what to tell peers now.
     pub fn gossip(&self) -> Gossip {
         let usage = self
@@ -806,6 +832,7 @@
                     .unwrap_or_default(),
                 pool: self.pool_name(row.pool),
                 running: row.running,
+                running_requests: row.running_count,
                 waiting_requests: row.waiting_count,
             })
             .collect();
@@ -856,6 +883,15 @@
     }
 }
 
+/// Returns what a refusal becomes if the work may have run before.
+fn kind_if_run(kind: ErrorKind) -> ErrorKind {
+    match kind {
+        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
+        ErrorKind::DeadlinePassed => ErrorKind::DeadlinePassedWhileRunning,
+        _ => ErrorKind::WorkerLost,
+    }
+}
+
 fn kind_of(reason: RefusalReason) -> ErrorKind {
     match reason {
         RefusalReason::QueueFull | RefusalReason::TeamQueueFull => ErrorKind::QueueFull,
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -7,7 +7,7 @@
 use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
 use super::world::{Record, World, EPOCH_MS};
 use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
-use crate::upkeep::demand::{DemandWindow, PoolState};
+use crate::upkeep::demand::{DemandSample, PoolState};
 use crate::upkeep::drive::driver;
 use crate::upkeep::keys::{InstanceKey, PoolKey};
 use crate::upkeep::maintenance::{next_step, StopObservation, StopStage, StopStep};
@@ -50,9 +50,8 @@
 
 /// Runs `scenario` on `deployment`.
 pub fn run(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Figures {
-    let samples_count = scenario.move_settings.samples_count as usize;
     let pools = deployment.pools.iter().map(|spec| PoolState {
-        demand: DemandWindow::new(samples_count),
+        demand: scenario.move_settings.new_history(),
         is_spare: spec.is_spare,
         move_ms: MOVE_MS,
         moved_at_unix_ms: None,
@@ -166,7 +165,10 @@
         self.demand.step(at_ms, self.scenario.step_ms, &available);
         for pool in 0..self.pools.len() {
             let milli = self.demand.demand_milli(pool);
-            self.pools[pool].demand.push(milli);
+            self.pools[pool].demand.push(DemandSample {
+                busy_instances_milli: milli,
+                waited_permille: self.demand.waited_permille(pool, at_ms),
+            });
             let recent = &mut self.recent[pool];
             recent.push(milli);
             if recent.len() > RECENT_SAMPLES_COUNT {
@@ -263,7 +265,10 @@
             let mut moves = self.world.moves.values();
             let state = &mut self.pools[pool];
             state.is_moving = moves.any(|move_| move_.from == key || move_.to == key);
-            state.moved_at_unix_ms = self.world.moved_at_ms[pool];
+            if state.moved_at_unix_ms != self.world.moved_at_ms[pool] {
+                state.moved_at_unix_ms = self.world.moved_at_ms[pool];
+                state.demand.restart_recent();
+            }
         }
         let buffers = self.plan();
         let hour_ago_ms = self.world.now_ms.saturating_sub(HOUR_MS);
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -1,9 +1,9 @@
-//! Estimates from what was observed: how long requests of a team in a queue run, and how fast a
-//! lane of waiting requests drains. Declared run times are never used, as they can be far off.
+//! Estimates from what was observed: how long requests of a team in a queue run, how large they
+//! are, and how fast a lane of waiting requests drains. Declared run times are never used, and
+//! declared sizes only until the first observation, as both can be far off.
 
-use std::collections::HashMap;
-
-use crate::fleet::MonoMs;
+use crate::fleet::{MonoMs, Resources};
+use crate::policy::hash::KeyMap;
 use crate::policy::keys::QueueKey;
 use crate::policy::share::TeamSlot;
 
@@ -36,8 +36,8 @@
 /// Observed run times for each team and queue, with the queue's own as the fallback.
 #[derive(Clone, Debug, Default)]
 pub struct RunTimes {
-    by_team: HashMap<(TeamSlot, QueueKey), Smoothed>,
-    by_queue: HashMap<QueueKey, Smoothed>,
+    by_team: KeyMap<(TeamSlot, QueueKey), Smoothed>,
+    by_queue: KeyMap<QueueKey, Smoothed>,
 }
 
 impl RunTimes {
@@ -66,6 +66,34 @@
     }
 }
 
+/// Observed sizes for each team and queue.
+#[derive(Clone, Debug, Default)]
+pub struct ObservedSizes {
+    by_team: KeyMap<(TeamSlot, QueueKey), Resources>,
+}
+
+impl ObservedSizes {
+    /// Takes in the size that a request had by its worker's account.
+    pub fn observe(&mut self, team: TeamSlot, queue: QueueKey, used: &Resources) {
+        let known = self.by_team.entry((team, queue)).or_insert(*used);
+        let smooth = |known: u64, used: u64| (known * 7 + used).div_ceil(8);
+        known.cores_milli = smooth(known.cores_milli, used.cores_milli);
+        known.memory_mb = smooth(known.memory_mb, used.memory_mb);
+    }
+
+    /// Returns the size to count a request with: the observed one if there is one, else the
+    /// declared one. Accelerators are always counted as declared, since they are whole.
+    pub fn size_of(&self, team: TeamSlot, queue: QueueKey, declared: &Resources) -> Resources {
+        match self.by_team.get(&(team, queue)) {
+            Some(observed) => Resources {
+                accelerators_count: declared.accelerators_count,
+                ..*observed
+            },
+            None => *declared,
+        }
+    }
+}
+
 /// Time constant of the memory of a drain rate.
 const DRAIN_WINDOW_MS: f64 = 3_000.0;
 
@@ -99,10 +127,13 @@
     }
 
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
+    ///
+    /// One start is always taken to be due: a lane that has waited for a moment without any, for
+    /// its turn under a limit or for a slow log, is not one that never drains.
     pub fn per_ms(&self) -> Option<f64> {
         match self.busy_ms {
             busy_ms if busy_ms < DRAIN_KNOWN_AFTER_MS => None,
-            busy_ms => Some(self.starts / busy_ms),
+            busy_ms => Some((self.starts + 1.0) / busy_ms),
         }
     }
 }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -11,61 +11,33 @@
 //!    team's permit (upper limit) and a place on a worker, and says whether it got both. What is
 //!    returned is to be started at once; call [`UsageView::started`] for it.
 //! 4. An attempt ends: [`UsageView::ended`], and [`WaitQueue::observe_run`] if the task ran.
-//! 5. An attempt that is proved not started may go back: [`WaitQueue::put_back`].
-//! 6. A caller cancels or goes away: [`WaitQueue::cancel`].
-//! 7. The instance list or the lists change: [`WaitQueue::set_pool_largest`].
-
-use std::collections::HashMap;
+//! 5. After that, if [`Placement::is_free`] says that the worker has a free slot left and
+//!    [`WaitQueue::whose_turn`] names a peer, tell that peer the worker and what it runs; the peer
+//!    hands it to [`Placement::report`] and tries step 3 at once.
+//! 6. An attempt that is proved not started may go back: [`WaitQueue::put_back`].
+//! 7. A caller cancels or goes away: [`WaitQueue::cancel`].
+//! 8. The instance list or the lists change: [`WaitQueue::set_pool_largest`].
+//!
+//! [`Placement::is_free`]: crate::policy::placement::Placement::is_free
+//! [`Placement::report`]: crate::policy::placement::Placement::report
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::{MonoMs, Resources};
+use crate::policy::allot::Divider;
 use crate::policy::estimate::RunTimes;
-use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
-use crate::policy::lane::{Lane, Place, PlaceOrder, RetryAfterLimits, Waiting};
+use crate::policy::hash::KeyMap;
+use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
+use crate::policy::lane::Waiting;
+use crate::policy::lanes::{LaneKey, Lanes};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
+use crate::policy::settings::{QueueSettings, Sharing};
 use crate::policy::share::{TeamSlot, UsageRow, UsageView};
 
-/// Settings of the queue.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QueueSettings {
-    /// Requests that may wait at once.
-    pub waiting_max_count: usize,
-    /// Part of the free places that one team may take, in thousandths.
-    pub team_part_permille: u32,
-    /// Part of the recent starts of a pool that urgent work may take ahead of other work.
-    pub urgent_max_permille: u32,
-    /// Mean deviations of the run time that are reserved before a deadline.
-    pub run_deviations: f64,
-    /// Factor on the time left before a waiting request is given up by the observed rate.
-    pub give_up_slack: f64,
-    /// Time that a request waits for a preferred pool before the next one may take it.
-    pub spill_after_ms: u64,
-    /// Limits of the time that callers are told to stay away.
-    pub retry_after: RetryAfterLimits,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        Self {
-            waiting_max_count: 8_192,
-            team_part_permille: 1_000,
-            urgent_max_permille: 750,
-            run_deviations: 2.0,
-            give_up_slack: 1.5,
-            spill_after_ms: 20,
-            retry_after: RetryAfterLimits {
-                min_ms: 100,
-                max_ms: 30_000,
-            },
-        }
-    }
-}
-
-/// Index of a lane.
-type LaneKey = usize;
+/// Least time between two searches for requests to give up.
+pub const EXPIRE_PERIOD_MS: u64 = 20;
 
 /// Starts over which the part of urgent work is smoothed.
 const URGENT_WINDOW_STARTS: f64 = 64.0;
@@ -73,22 +45,19 @@
 /// What decides between lanes: class, level and deadline; the lowest is served first.
 type Rank = (u8, f64, MonoMs);
 
+/// The head of a lane that may be started.
+type Candidate = (Rank, LaneKey, RequestKey);
+
 /// The waiting requests of one entry.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
     settings: QueueSettings,
-    lanes: Vec<Lane>,
-    /// Lanes that are empty and that no team and queue refers to any more.
-    free_lanes: Vec<LaneKey>,
-    lane_of: HashMap<(TeamSlot, QueueKey), LaneKey>,
-    /// Where each waiting request is; its size is that of the queue.
-    places: HashMap<RequestKey, (LaneKey, PlaceOrder)>,
-    waiting_by_team: HashMap<TeamSlot, usize>,
-    /// Lanes in use of each pool.
-    busy_lanes: IndexMap<PoolKey, IndexSet<LaneKey>>,
-    largest_worker: HashMap<PoolKey, Resources>,
-    urgent_part: HashMap<PoolKey, f64>,
+    lanes: Lanes,
+    largest_worker: KeyMap<PoolKey, Resources>,
+    urgent_part: KeyMap<PoolKey, f64>,
     run_times: RunTimes,
+    divider: Divider,
+    next_expire_ms: MonoMs,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
 }
@@ -98,15 +67,12 @@
     pub fn new(settings: QueueSettings, seed: u64) -> Self {
         Self {
             settings,
-            lanes: Vec::new(),
-            free_lanes: Vec::new(),
-            lane_of: HashMap::new(),
-            places: HashMap::new(),
-            waiting_by_team: HashMap::new(),
-            busy_lanes: IndexMap::new(),
-            largest_worker: HashMap::new(),
-            urgent_part: HashMap::new(),
+            lanes: Lanes::default(),
+            largest_worker: KeyMap::default(),
+            urgent_part: KeyMap::default(),
             run_times: RunTimes::default(),
+            divider: Divider::default(),
+            next_expire_ms: 0,
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -129,19 +95,17 @@
 
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
-        self.places.len()
+        self.lanes.len()
     }
 
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
+        self.lanes.len() == 0
     }
 
     /// Returns whether any request may start in `pool`.
     pub fn has_work_for(&self, pool: PoolKey) -> bool {
-        self.busy_lanes
-            .get(&pool)
-            .is_some_and(|lanes| !lanes.is_empty())
+        self.lanes.of_pool(pool).next().is_some()
     }
 
     /// Returns how many requests were refused or given up, by reason.
@@ -156,19 +120,21 @@
         now_ms: MonoMs,
         waiting: Waiting,
         size_max: &Resources,
+        view: &UsageView,
     ) -> Result<(), Refusal> {
         if let Some(reason) = self.never_runs(&waiting, size_max) {
             return Err(self.refuse(reason, None));
         }
-        let lane_key = self.lane_for(now_ms, &waiting);
+        let lane_key = self.lanes.lane_for(now_ms, &waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
-        match self.cannot_take(now_ms, lane_key, latest_start_ms) {
+        match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key);
                 Err(self.refuse(reason, Some(retry_after_ms)))
             }
             None => {
-                self.insert(now_ms, lane_key, waiting, latest_start_ms);
+                self.lanes
+                    .insert(now_ms, lane_key, waiting, latest_start_ms);
                 Ok(())
             }
         }
@@ -177,12 +143,13 @@
     /// Returns a request that was handed out and is proved not started. It keeps its deadline and
     /// is not refused for lack of room, as its place was given to it before.
     pub fn put_back(&mut self, now_ms: MonoMs, waiting: Waiting) {
-        if self.places.contains_key(&waiting.key) {
+        if self.lanes.holds(waiting.key) {
             return;
         }
-        let lane_key = self.lane_for(now_ms, &waiting);
+        let lane_key = self.lanes.lane_for(now_ms, &waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
-        self.insert(now_ms, lane_key, waiting, latest_start_ms);
+        self.lanes
+            .insert(now_ms, lane_key, waiting, latest_start_ms);
     }
 
     /// Hands out the request that `pool` is to start next, if any waits that may.
@@ -197,33 +164,50 @@
         can_start: &mut dyn FnMut(&Waiting) -> bool,
     ) -> Option<Waiting> {
         let mut candidates = self.candidates(now_ms, pool, view);
+        self.yield_to_others(now_ms, pool, view, &mut candidates);
         while !candidates.is_empty() {
             let best = index_of_lowest(&candidates);
-            let (_, lane_key, order) = candidates.swap_remove(best);
-            let head = self.lanes[lane_key].head(now_ms)?;
+            let (_, lane_key, key) = candidates.swap_remove(best);
+            let head = self.lanes.get(lane_key).head(now_ms)?;
             if can_start(head) {
-                return self.start(now_ms, pool, lane_key, order);
+                self.divider.started(head.team, pool, view);
+                return self.start(now_ms, pool, key);
             }
         }
         None
     }
 
+    /// Returns the peer to tell of a slot in `pool` that an attempt of this entry has freed and that
+    /// this entry leaves free: the one that by gossip has most to take up of its part.
+    pub fn whose_turn(
+        &mut self,
+        now_ms: MonoMs,
+        pool: PoolKey,
+        view: &UsageView,
+    ) -> Option<PeerKey> {
+        if self.settings.sharing == Sharing::Levels || view.waiting_at_peers_count(pool) == 0 {
+            return None;
+        }
+        self.divide_if_due(now_ms, pool, view);
+        self.divider.whose_turn(pool)
+    }
+
     /// Takes out a request; returns it unless it was started, given up or cancelled before.
     pub fn cancel(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
-        let (lane_key, order) = self.places.get(&key).copied()?;
-        let place = self.lanes[lane_key].remove(now_ms, order)?;
-        self.forget(lane_key, key);
-        Some(place.waiting)
+        self.lanes.remove(now_ms, key)
     }
 
-    /// Gives up what can no longer be served in time, so that each can be answered at once.
-    pub fn expire(&mut self, now_ms: MonoMs) -> Vec<GivenUp> {
-        let slack = self.settings.give_up_slack;
-        let busy: IndexSet<LaneKey> = self.busy_lanes.values().flatten().copied().collect();
+    /// Gives up what can no longer be served in time, so that each can be answered at once. Calls
+    /// within [`EXPIRE_PERIOD_MS`] of the last one do nothing.
+    pub fn expire(&mut self, now_ms: MonoMs, view: &UsageView) -> Vec<GivenUp> {
+        if now_ms < self.next_expire_ms {
+            return Vec::new();
+        }
+        self.next_expire_ms = now_ms + EXPIRE_PERIOD_MS;
         let mut given_up = Vec::new();
-        for lane_key in busy {
-            for key in self.lanes[lane_key].unreachable(now_ms, slack) {
-                self.cancel(now_ms, key);
+        for lane_key in self.lanes.busy() {
+            for key in self.unreachable(now_ms, lane_key, view) {
+                self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key);
                 given_up.push(GivenUp {
@@ -242,7 +226,8 @@
             .into_iter()
             .map(|row| ((row.team, row.pool), row))
             .collect();
-        for lane in self.lanes.iter().filter(|lane| !lane.is_empty()) {
+        for lane_key in self.lanes.busy() {
+            let lane = self.lanes.get(lane_key);
             let pool = lane.pools[0];
             rows.entry((lane.team, pool))
                 .or_insert_with(|| UsageRow::idle(lane.team, pool))
@@ -255,7 +240,7 @@
         let is_known = |pool: &PoolKey| self.largest_worker.contains_key(pool);
         let fits = |pool: &PoolKey| waiting.size.fits_in(&self.largest_worker[pool]);
         match &waiting.pools {
-            _ if self.places.contains_key(&waiting.key) => Some(RefusalReason::DuplicateKey),
+            _ if self.lanes.holds(waiting.key) => Some(RefusalReason::DuplicateKey),
             pools if pools.is_empty() => Some(RefusalReason::NoPool),
             _ if !waiting.size.fits_in(size_max) => Some(RefusalReason::TooLarge),
             pools if pools.iter().all(|pool| is_known(pool) && !fits(pool)) => {
@@ -270,14 +255,15 @@
         now_ms: MonoMs,
         lane_key: LaneKey,
         latest_start_ms: MonoMs,
+        view: &UsageView,
     ) -> Option<RefusalReason> {
-        let lane = &self.lanes[lane_key];
+        let lane = self.lanes.get(lane_key);
         let left_ms = latest_start_ms.saturating_sub(now_ms) as f64;
-        let of_team = self.waiting_by_team.get(&lane.team).copied().unwrap_or(0);
+        let of_team = self.lanes.waiting_of(lane.team);
         let free = self
             .settings
             .waiting_max_count
-            .saturating_sub(self.places.len());
+            .saturating_sub(self.lanes.len());
         // Dynamic thresholds (Choudhury and Hahne, 1998): the fewer places are free, the fewer
         // one team may hold, so some are always left for the others.
         let team_max = free * self.settings.team_part_permille as usize / 1_000;
@@ -285,13 +271,35 @@
             () if latest_start_ms < now_ms => Some(RefusalReason::DeadlinePassed),
             () if free == 0 => Some(RefusalReason::QueueFull),
             () if of_team >= team_max.max(1) => Some(RefusalReason::TeamQueueFull),
-            () if lane.wait_ms(lane.len()).is_some_and(|ms| ms > left_ms) => {
+            () if self.drain_ms(lane_key, view).is_some_and(|ms| ms > left_ms) => {
                 Some(RefusalReason::DeadlineUnreachable)
             }
             () => None,
         }
     }
 
+    /// Returns how long the lane takes to drain. The rate is what this entry starts in the pool
+    /// while work waits; where starts are too rare to tell, it is what runs over its run time.
+    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
+        let lane = self.lanes.get(lane_key);
+        let pool = lane.pools[0];
+        let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
+        let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
+        let per_ms = self.lanes.drain_per_ms(pool)?.max(by_running);
+        match self.lanes.ahead_count(lane_key, view) {
+            0.0 => Some(0.0),
+            ahead_count => Some(ahead_count / per_ms),
+        }
+    }
+
+    fn unreachable(&self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> Vec<RequestKey> {
+        let lane = self.lanes.get(lane_key);
+        let per_ms = self
+            .drain_ms(lane_key, view)
+            .map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
+        lane.unreachable(now_ms, per_ms, self.settings.give_up_slack)
+    }
+
     fn refuse(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) -> Refusal {
         *self.refused.entry(reason).or_insert(0) += 1;
         Refusal {
@@ -302,7 +310,9 @@
 
     fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey) -> u64 {
         let limits = self.settings.retry_after;
-        self.lanes[lane_key].book_return_ms(now_ms, limits, &mut self.rng)
+        self.lanes
+            .get_mut(lane_key)
+            .book_return_ms(now_ms, limits, &mut self.rng)
     }
 
     /// Returns the last moment at which a start still leaves the observed run time.
@@ -314,121 +324,68 @@
         waiting.deadline_ms.saturating_sub(run_ms)
     }
 
-    /// Returns the lane of a request, a fresh one if the lists changed what the lane stands for.
-    fn lane_for(&mut self, now_ms: MonoMs, waiting: &Waiting) -> LaneKey {
-        let id = (waiting.team, waiting.queue);
-        match self.lane_of.get(&id) {
-            Some(lane_key) if self.lanes[*lane_key].is_for(waiting) => *lane_key,
-            Some(lane_key) if self.lanes[*lane_key].is_empty() => {
-                self.lanes[*lane_key] = Lane::new(now_ms, waiting);
-                *lane_key
-            }
-            _ => {
-                let lane_key = self.add_lane(Lane::new(now_ms, waiting));
-                self.lane_of.insert(id, lane_key);
-                lane_key
-            }
-        }
-    }
-
-    fn add_lane(&mut self, lane: Lane) -> LaneKey {
-        match self.free_lanes.pop() {
-            Some(lane_key) => {
-                self.lanes[lane_key] = lane;
-                lane_key
-            }
-            None => {
-                self.lanes.push(lane);
-                self.lanes.len() - 1
-            }
-        }
-    }
-
-    fn insert(
-        &mut self,
-        now_ms: MonoMs,
-        lane_key: LaneKey,
-        waiting: Waiting,
-        latest_start_ms: MonoMs,
-    ) {
-        let order = (waiting.deadline_ms, waiting.key);
-        self.places.insert(waiting.key, (lane_key, order));
-        *self.waiting_by_team.entry(waiting.team).or_insert(0) += 1;
-        for pool in waiting.pools.iter() {
-            self.busy_lanes.entry(*pool).or_default().insert(lane_key);
-        }
-        let place = Place {
-            waiting,
-            latest_start_ms,
-        };
-        self.lanes[lane_key].insert(now_ms, place);
-    }
-
-    fn candidates(
-        &self,
-        now_ms: MonoMs,
-        pool: PoolKey,
-        view: &UsageView,
-    ) -> Vec<(Rank, LaneKey, PlaceOrder)> {
-        let Some(lanes) = self.busy_lanes.get(&pool) else {
-            return Vec::new();
-        };
+    fn candidates(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Vec<Candidate> {
         let urgent_part = self.urgent_part.get(&pool).copied().unwrap_or(0.0);
         let is_urgent_bounded =
             urgent_part * 1_000.0 > f64::from(self.settings.urgent_max_permille);
-        lanes
-            .iter()
+        self.lanes
+            .of_pool(pool)
             .filter_map(|lane_key| {
-                let lane = &self.lanes[*lane_key];
+                let lane = self.lanes.get(lane_key);
                 let head = lane.head(now_ms)?;
                 let rank = lane.pools.iter().position(|known| *known == pool)? as u64;
                 let waited_ms = now_ms.saturating_sub(head.enqueued_ms);
                 let may_spill = waited_ms >= rank * self.settings.spill_after_ms;
                 let class = u8::from(!lane.is_urgent || is_urgent_bounded);
                 let level = view.level(now_ms, lane.team, pool);
-                let order = (head.deadline_ms, head.key);
-                may_spill.then_some(((class, level, head.deadline_ms), *lane_key, order))
+                let rank = (class, level, head.deadline_ms);
+                may_spill.then_some((rank, lane_key, head.key))
             })
             .collect()
     }
 
-    fn start(
+    /// Removes the candidates that are to leave the pool's free slots to other entries.
+    fn yield_to_others(
         &mut self,
         now_ms: MonoMs,
         pool: PoolKey,
-        lane_key: LaneKey,
-        order: PlaceOrder,
-    ) -> Option<Waiting> {
-        let place = self.lanes[lane_key].start(now_ms, order)?;
-        self.forget(lane_key, place.waiting.key);
-        let sample = f64::from(u8::from(place.waiting.is_urgent));
-        let part = self.urgent_part.entry(pool).or_insert(0.0);
-        *part += (sample - *part) / URGENT_WINDOW_STARTS;
-        Some(place.waiting)
-    }
-
-    /// Removes what the queue holds of a request that has left its lane.
-    fn forget(&mut self, lane_key: LaneKey, key: RequestKey) {
-        self.places.remove(&key);
-        let lane = &self.lanes[lane_key];
-        if let Some(count) = self.waiting_by_team.get_mut(&lane.team) {
-            *count = count.saturating_sub(1);
-        }
-        if !lane.is_empty() {
+        view: &UsageView,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        if self.settings.sharing == Sharing::Levels || candidates.is_empty() {
             return;
         }
-        for pool in lane.pools.iter() {
-            if let Some(lanes) = self.busy_lanes.get_mut(pool) {
-                lanes.swap_remove(&lane_key);
-            }
+        self.divide_if_due(now_ms, pool, view);
+        let (lanes, divider) = (&self.lanes, &self.divider);
+        let may_start = |candidate: &Candidate| {
+            let lane = lanes.get(candidate.1);
+            lane.is_urgent || divider.may_start(lane.team, pool, view)
+        };
+        let allowed: Vec<Candidate> = candidates.iter().copied().filter(may_start).collect();
+        let max_ms = self.settings.yield_max_ms;
+        if !allowed.is_empty() || !self.divider.has_yielded(now_ms, pool, max_ms) {
+            *candidates = allowed;
         }
-        if self.lane_of.get(&(lane.team, lane.queue)) != Some(&lane_key) {
-            self.free_lanes.push(lane_key);
+    }
+
+    fn divide_if_due(&mut self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) {
+        if self.divider.is_due(now_ms, pool) {
+            let own_waiting = self.lanes.waiting_for(pool);
+            self.divider
+                .divide(now_ms, pool, view, &own_waiting, &mut self.rng);
         }
     }
+
+    fn start(&mut self, now_ms: MonoMs, pool: PoolKey, key: RequestKey) -> Option<Waiting> {
+        let waiting = self.lanes.start(now_ms, pool, key)?;
+        let sample = f64::from(u8::from(waiting.is_urgent));
+        let part = self.urgent_part.entry(pool).or_insert(0.0);
+        *part += (sample - *part) / URGENT_WINDOW_STARTS;
+        Some(waiting)
+    }
 }
 
-fn index_of_lowest(candidates: &[(Rank, LaneKey, PlaceOrder)]) -> usize {
+fn index_of_lowest(candidates: &[Candidate]) -> usize {
     let compare = |left: &Rank, right: &Rank| {
         left.0
             .cmp(&right.0)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,18 +1,30 @@
 //! The integration tests, one module per topic.
 
+mod callers;
 mod check_command;
 mod cluster;
+mod engines;
+mod error_table;
 mod lists;
 mod load;
+mod model;
+mod peers;
 mod platform_instances;
 mod platform_links;
 mod platform_log;
+mod platform_worker_state;
 mod platform_workers;
 mod policy_health;
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_keys;
+mod promises_limits;
+mod promises_membership;
+mod promises_recovery;
+mod promises_single_run;
 mod proxy;
 mod settings;
+mod support;
 mod upkeep_budget;
 mod whole_path;
