--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -23,6 +23,9 @@
 /// Time between two ticks of the engine.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Time between two ticks of an engine that holds no request and proposes nothing.
+const IDLE_TICK: Duration = Duration::from_millis(25);
+
 /// Time between two publications of status and metrics.
 const PUBLISH: Duration = Duration::from_millis(100);
 
@@ -64,7 +67,7 @@
         calls: &flume::Receiver<CallerCall>,
     ) {
         while !self.shared.is_stopped() {
-            let wait = (self.ticked + TICK).saturating_duration_since(Instant::now());
+            let wait = (self.ticked + self.tick_time()).saturating_duration_since(Instant::now());
             let first = flume::Selector::new()
                 .recv(events, |event| event.ok().map(Input::Event))
                 .recv(calls, |call| call.ok().map(Input::Call))
@@ -129,7 +132,7 @@
     }
 
     fn tick_if_due(&mut self) {
-        if self.ticked.elapsed() < TICK {
+        if self.ticked.elapsed() < self.tick_time() {
             return;
         }
         self.ticked = Instant::now();
@@ -140,6 +143,14 @@
         }
     }
 
+    /// Returns the time between two ticks; requests wait and run by the fine one.
+    fn tick_time(&self) -> Duration {
+        match self.engine.is_idle() {
+            true => IDLE_TICK,
+            false => TICK,
+        }
+    }
+
     fn step(&mut self, event: Event) {
         let is_withdrawal = matches!(event, Event::Withdraw { .. });
         let actions = self.engine.step(self.shared.now(), event);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod error_table;
 mod ledger_fold;
 mod lists;
+mod load;
 mod model;
 mod operator_commands;
 mod peers;
