--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -5,7 +5,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use std::{fs, thread};
 
 use attohttpc::{Method, RequestBuilder};
@@ -559,6 +559,12 @@
     links
 }
 
+/// Returns the time since the Unix epoch in microseconds.
+pub(crate) fn unix_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is past 1970").as_micros() as u64
+}
+
 fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr();
--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -1,9 +1,19 @@
 //! Keys: a withdrawn key stops within seconds everywhere and never comes back.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use attohttpc::Method;
 use hawthornladder::entry::Event;
 use hawthornladder::error::ErrorKind;
+use serde_json::json;
 
+use crate::cluster::{Call, Cluster, EntryProcess};
 use crate::engines::Engines;
+use crate::processes::admin_call;
+use crate::proxy::ProxyFaults;
 
 #[test]
 fn a_fresh_engine_does_not_take_a_key_that_its_peers_know_as_withdrawn() {
@@ -32,3 +42,148 @@
         engines.advance(20);
     }
 }
+
+const TEAM: &str = "ionosphere-desk";
+
+/// Longest time until a withdrawn key is refused everywhere.
+const WITHDRAWN_WITHIN: Duration = Duration::from_secs(5);
+
+/// Waits until no entry takes the key any more, and checks that this was soon enough.
+fn assert_refused_in_time(cluster: &Cluster, key: &str, withdrawn: Instant) {
+    cluster.wait_until("no entry takes the key", |cluster| {
+        let entries = cluster.entries.iter();
+        entries.fold(true, |is_refused, entry| {
+            is_refused && !entry.call(&Call::new("delay-maps", key, 1)).is_done()
+        })
+    });
+    let elapsed = withdrawn.elapsed();
+    assert!(elapsed < WITHDRAWN_WITHIN, "{elapsed:?}");
+}
+
+#[test]
+fn a_withdrawal_told_to_one_entry_holds_everywhere_while_the_log_is_down() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    let withdrawn = Instant::now();
+    let answer = cluster.entries[1].withdraw(&key_id);
+    assert_eq!(answer["is_in_force_everywhere"], true, "{answer}");
+    assert_refused_in_time(&cluster, &key, withdrawn);
+    // Every entry that was told is replaced by one that was not.
+    for index in 0..3 {
+        cluster.entries[index].process.kill();
+        cluster.replace_entry(index);
+        cluster.wait_until("the fresh entry knows the ledger", |cluster| {
+            cluster.entries[index].status().lists_version == 1
+        });
+        thread::sleep(Duration::from_millis(500));
+    }
+    cluster.set_log_faults(&json!({}));
+    let end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < end && !cluster.entries.iter().all(EntryProcess::is_ready) {
+        for entry in &cluster.entries {
+            let reply = entry.call(&Call::new("delay-maps", &key, 1));
+            assert!(!reply.is_done(), "the key came back");
+        }
+    }
+    cluster.wait_serving();
+    for entry in &cluster.entries {
+        let reply = entry.call(&Call::new("delay-maps", &key, 1));
+        assert_eq!(reply.kind, "key_withdrawn");
+    }
+}
+
+#[test]
+fn an_entry_that_is_cut_off_stops_taking_a_withdrawn_key() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    let cut = &cluster.entries[2];
+    assert!(cut.call(&Call::new("delay-maps", &key, 1)).is_done());
+    let is_refusing = ProxyFaults {
+        is_refusing: true,
+        ..ProxyFaults::default()
+    };
+    let peers = cluster.entries.iter().map(|entry| &entry.peers_link);
+    for link in peers.chain([&cut.log_link]) {
+        link.set(is_refusing);
+        link.reset_open();
+    }
+    let withdrawn = Instant::now();
+    cluster.operate(&["keys", "withdraw", &key_id]);
+    assert_refused_in_time(&cluster, &key, withdrawn);
+}
+
+#[test]
+fn the_log_holds_no_secret() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    let reply = cluster.entries[0].call(&Call::new("delay-maps", &key, 1).once());
+    assert!(reply.is_done(), "{reply:?}");
+    let page = admin_call(
+        &cluster.stand_ins.log_address,
+        Method::GET,
+        "/records?from=0&wait_ms=0",
+        &(),
+    );
+    let page = String::from_utf8(page).expect("pages are text");
+    let secret = key.split('.').nth(1).expect("keys have a secret");
+    assert!(page.contains(&key_id));
+    assert!(!page.contains(secret));
+    let logs = cluster.entries.iter().map(|entry| entry.process.log());
+    assert!(logs.into_iter().all(|log| !log.contains(secret)));
+}
+
+#[test]
+fn a_wrong_secret_is_refused_though_the_id_is_right() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    let secret = key.split('.').nth(1).expect("keys have a secret");
+    let flipped: String = secret.chars().rev().collect();
+    for wrong in [
+        key_id.clone(),
+        format!("{key_id}."),
+        format!("{key_id}.{flipped}"),
+        format!("{key_id}.{}", &secret[1..]),
+        format!("{key}0"),
+        format!("{key}."),
+        format!(".{secret}"),
+    ] {
+        let reply = cluster.entries[0].call(&Call::new("delay-maps", &wrong, 1));
+        let told = (reply.kind.as_str(), reply.ran.as_str());
+        assert_eq!(told, ("key_unknown", "not_run"), "{wrong}");
+    }
+    let none = cluster.entries[0].call(&Call::new("delay-maps", "", 1));
+    assert_eq!(none.kind, "key_missing");
+}
+
+#[test]
+fn a_flood_of_wrong_keys_leaves_the_service_responsive() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let address = cluster.entries[0].callers_address.clone();
+    let floods: Vec<_> = (0..8)
+        .map(|number| {
+            let (address, is_over) = (address.clone(), Arc::clone(&is_over));
+            let wrong = format!("{key_id}.{number}");
+            thread::spawn(move || {
+                let mut refused_count = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    let reply = Call::new("delay-maps", &wrong, 1).send(&address);
+                    refused_count += usize::from(reply.kind == "key_unknown");
+                }
+                refused_count
+            })
+        })
+        .collect();
+    for _ in 0..20 {
+        let start = Instant::now();
+        let reply = cluster.entries[0].call(&Call::new("delay-maps", &key, 1));
+        assert!(reply.is_done(), "{reply:?}");
+        // The plan's target for the start of urgent work.
+        assert!(start.elapsed() < Duration::from_millis(1_600));
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let refused_count: usize = floods.into_iter().map(|flood| flood.join().unwrap()).sum();
+    assert!(refused_count > 0);
+}
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use hawthornladder::platform::journal::{peak_running_by_team, Run};
 
-use crate::cluster::{cancel, Call, Cluster, Reply, SHORT_LEASE};
+use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
 use crate::engines::{ran, Engines};
 
 /// Returns the engines with a limit of `limit_requests` for the team of the tests.
@@ -181,11 +181,6 @@
     assert!(cluster.peak_running_of(TEAM) <= 12);
 }
 
-fn unix_us() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.expect("the clock is past 1970").as_micros() as u64
-}
-
 #[test]
 fn a_cancelled_run_frees_its_part_at_once() {
     let mut cluster = Cluster::builder().small_fleet().spawn();
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -1,8 +1,15 @@
 //! Membership: leases through the log, and what an entry does that hears only a part of the others.
 
+use std::thread;
+use std::time::{Duration, Instant};
+
 use hawthornladder::error::{ErrorKind, RunState};
+use hawthornladder::platform::journal::Run;
+use serde_json::json;
 
+use crate::cluster::{unix_us, Call, Cluster, EntryProcess, Reply, SHORT_LEASE, SOON_STALE};
 use crate::engines::Engines;
+use crate::proxy::{Proxy, ProxyFaults};
 
 #[test]
 fn peers_that_are_ahead_do_not_vouch_for_an_older_configuration() {
@@ -28,3 +35,209 @@
     let refusal = engines.refusal(call);
     assert_eq!(refusal, Some((ErrorKind::KeyWithdrawn, RunState::NotRun)));
 }
+
+const TEAM: &str = "ionosphere-desk";
+
+/// Lets every link carry nothing, or carry again.
+fn refuse(links: &[&Proxy], is_refusing: bool) {
+    for link in links {
+        link.set(ProxyFaults {
+            is_refusing,
+            ..ProxyFaults::default()
+        });
+        link.reset_open();
+    }
+}
+
+/// Returns the kind of the refusal of a call, empty if it was done.
+fn kind_at(entry: &EntryProcess, call: &Call) -> String {
+    let reply = entry.call(call);
+    assert!(reply.kind.is_empty() || reply.ran == "not_run", "{reply:?}");
+    reply.kind
+}
+
+#[test]
+fn a_paused_holder_starts_nothing_under_its_lapsed_seat() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SHORT_LEASE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let paused = &cluster.entries[0];
+    let old_seat = paused.status().seat;
+    let callers: Vec<_> = (0..24)
+        .map(|number| {
+            let mut call = Call::new("delay-maps", &key, 40).deadline_ms(15_000);
+            call.is_idempotent = number % 2 == 0;
+            let address = paused.callers_address.clone();
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(number * 8));
+                let reply = call.send(&address);
+                (call, reply)
+            })
+        })
+        .collect();
+    // In the middle of the dispatches, for longer than lease and margin.
+    thread::sleep(Duration::from_millis(100));
+    paused.process.pause();
+    cluster.wait_until("the others have declared the seat lapsed", |cluster| {
+        !cluster.entries[1].status().live_seats.contains(&old_seat)
+    });
+    let lapsed_unix_us = unix_us();
+    paused.process.resume();
+    let replies: Vec<(Call, Reply)> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller ends"))
+        .collect();
+    let runs = cluster.stand_ins.runs();
+    let of_old_seat = format!("{old_seat}-");
+    let is_guarded = |run: &&Run| run.attempt_id.starts_with(&of_old_seat);
+    let late = runs.iter().filter(is_guarded);
+    let late_count = late
+        .filter(|run| run.started_unix_us > lapsed_unix_us)
+        .count();
+    assert_eq!(late_count, 0);
+    for (call, reply) in &replies {
+        let count = cluster.runs_of(&call.request_id);
+        assert!(call.is_idempotent || count <= 1, "{reply:?}");
+        assert!(reply.ran != "not_run" || count == 0, "{reply:?}");
+    }
+    cluster.wait_until("it holds a new seat", |cluster| {
+        let status = cluster.entries[0].status();
+        status.seat != old_seat && status.live_seats.contains(&status.seat)
+    });
+    assert!(cluster.entries[0]
+        .call(&Call::new("delay-maps", &key, 1))
+        .is_done());
+}
+
+#[test]
+fn an_entry_that_hears_the_log_alone_does_everything() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let links: Vec<&Proxy> = cluster
+        .entries
+        .iter()
+        .map(|entry| &entry.peers_link)
+        .collect();
+    refuse(&links, true);
+    thread::sleep(Duration::from_millis(1_000));
+    for entry in &cluster.entries {
+        assert!(entry.is_ready());
+        assert_eq!(kind_at(entry, &Call::new("delay-maps", &key, 1)), "");
+        assert_eq!(kind_at(entry, &Call::new("delay-maps", &key, 1).once()), "");
+    }
+}
+
+#[test]
+fn an_entry_that_hears_peers_alone_does_what_needs_no_record() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let cut = &cluster.entries[2];
+    // It holds a part of the limit when it loses the log.
+    assert_eq!(kind_at(cut, &Call::new("delay-maps", &key, 1)), "");
+    refuse(&[&cut.log_link], true);
+    thread::sleep(Duration::from_millis(1_000));
+    assert!(cut.is_ready());
+    assert_eq!(kind_at(cut, &Call::new("delay-maps", &key, 1)), "");
+    assert_eq!(kind_at(cut, &Call::new("public-status", "", 1)), "");
+    let once = Call::new("delay-maps", &key, 1).once();
+    assert_eq!(kind_at(cut, &once), "log_unavailable");
+    let later = Call::new("delay-maps", &key, 1).for_later();
+    assert_eq!(kind_at(cut, &later), "log_unavailable");
+    // The others, which hear everybody, go on; what was refused may run there.
+    assert_eq!(kind_at(&cluster.entries[0], &once), "");
+    // What others put on record reaches it through them.
+    let (key_id, other) = cluster.grant(TEAM);
+    cluster.operate(&["keys", "withdraw", &key_id]);
+    cluster.wait_until("the withdrawal has come through peers", |cluster| {
+        kind_at(&cluster.entries[2], &Call::new("delay-maps", &other, 1)) == "key_withdrawn"
+    });
+}
+
+#[test]
+fn an_entry_that_hears_nobody_refuses_all_work() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let cut = &cluster.entries[2];
+    assert_eq!(kind_at(cut, &Call::new("delay-maps", &key, 1)), "");
+    let mut links: Vec<&Proxy> = cluster
+        .entries
+        .iter()
+        .map(|entry| &entry.peers_link)
+        .collect();
+    links.push(&cut.log_link);
+    refuse(&links, true);
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(!cut.is_ready());
+    for call in [
+        Call::new("delay-maps", &key, 1),
+        Call::new("delay-maps", &key, 1).once(),
+        Call::new("delay-maps", &key, 1).for_later(),
+        Call::new("public-status", "", 1),
+    ] {
+        assert_eq!(kind_at(cut, &call), "configuration_stale");
+    }
+    assert_eq!(
+        kind_at(&cluster.entries[0], &Call::new("delay-maps", &key, 1)),
+        ""
+    );
+    refuse(&links, false);
+    cluster.wait_serving();
+    assert_eq!(kind_at(cut, &Call::new("delay-maps", &key, 1)), "");
+}
+
+#[test]
+fn an_entry_whose_lease_has_lapsed_starts_no_work_of_teams() {
+    let settings = format!("{SOON_STALE}, {SHORT_LEASE}");
+    let cluster = Cluster::builder().small_fleet().settings(&settings).spawn();
+    let (_, key) = cluster.grant(TEAM);
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    thread::sleep(Duration::from_millis(2_000));
+    for entry in &cluster.entries {
+        assert_eq!(
+            kind_at(entry, &Call::new("delay-maps", &key, 1)),
+            "seat_lapsed"
+        );
+        assert_eq!(kind_at(entry, &Call::new("public-status", "", 1)), "");
+    }
+    cluster.set_log_faults(&json!({}));
+    cluster.wait_until("work goes on", |cluster| {
+        let entries = cluster.entries.iter();
+        let kinds = entries.map(|entry| kind_at(entry, &Call::new("delay-maps", &key, 1)));
+        kinds.fold(true, |is_done, kind| is_done && kind.is_empty())
+    });
+}
+
+#[test]
+fn idempotent_work_of_teams_goes_on_in_an_outage_of_the_log() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    for entry in &cluster.entries {
+        assert_eq!(kind_at(entry, &Call::new("delay-maps", &key, 1)), "");
+    }
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    let end = Instant::now() + Duration::from_millis(3_500);
+    while Instant::now() < end {
+        for entry in &cluster.entries {
+            assert_eq!(kind_at(entry, &Call::new("delay-maps", &key, 5)), "");
+        }
+    }
+    for entry in &cluster.entries {
+        let once = Call::new("delay-maps", &key, 1).once();
+        assert_eq!(kind_at(entry, &once), "log_unavailable");
+        assert_eq!(cluster.runs_of(&once.request_id), 0);
+    }
+}
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -1,9 +1,15 @@
 //! Recovery: what was accepted is neither lost nor reverted, however entries and the log fail.
 
+use std::thread;
+use std::time::{Duration, Instant};
+
 use hawthornladder::entry::Event;
 use hawthornladder::error::{ErrorKind, RunState};
 use hawthornladder::ledger::OperatorChange;
 
+use serde_json::{json, Value};
+
+use crate::cluster::{fetch_job, Call, Cluster, SHORT_LEASE};
 use crate::engines::{busy, lost, ran, Engines};
 
 #[test]
@@ -185,3 +191,224 @@
     assert_eq!(engines.nodes[1].attempts.len(), 1, "the job was lost");
     engines.end_attempt(1, lost());
 }
+
+/// Returns whether each entry knows the version and refuses or takes the keys as it should.
+fn assert_nothing_lost(cluster: &Cluster, key: &str, withdrawn: &str, ran: &Call) {
+    for entry in &cluster.entries {
+        let reply = entry.call(&Call::new("delay-maps", key, 1));
+        assert!(reply.is_done(), "{reply:?}");
+        let reply = entry.call(&Call::new("delay-maps", withdrawn, 1));
+        assert_eq!(reply.kind, "key_withdrawn", "{reply:?}");
+        let reply = entry.call(ran);
+        assert!(reply.kind.starts_with("duplicate_"), "{reply:?}");
+        assert_eq!(entry.status().lists_version, 1);
+    }
+    assert_eq!(cluster.runs_of(&ran.request_id), 1);
+}
+
+/// Grants two keys, withdraws one and runs a non-idempotent request.
+fn prepare(cluster: &Cluster) -> (String, String, Call) {
+    let (_, key) = cluster.grant("ionosphere-desk");
+    let (withdrawn_id, withdrawn) = cluster.grant("ionosphere-desk");
+    cluster.operate(&["keys", "withdraw", &withdrawn_id]);
+    let call = Call::new("delay-maps", &key, 5).once();
+    cluster.wait_until("the key is known", |cluster| {
+        let entries = cluster.entries.iter();
+        entries.fold(true, |is_known, entry| {
+            let reply = entry.call(&Call::new("delay-maps", &withdrawn, 1));
+            is_known && reply.kind == "key_withdrawn"
+        })
+    });
+    let reply = cluster.entries[0].call(&call);
+    assert!(reply.is_done(), "{reply:?}");
+    (key, withdrawn, call)
+}
+
+#[test]
+fn a_fresh_entry_learns_from_a_snapshot_after_retention() {
+    let mut cluster = Cluster::builder()
+        .small_fleet()
+        .log_args(&["--records-max-count", "150"])
+        .settings(
+            r#""snapshot_every_records": 100, "append_batch_max_records": 50,
+            "seat_renew_ms": 50"#,
+        )
+        .spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    let start_offset = cluster.entries[0].status().next_offset;
+    cluster.wait_until("retention has passed twice", |cluster| {
+        cluster.entries[0].status().next_offset > start_offset + 300
+    });
+    cluster.add_entry();
+    cluster.entries[1].process.kill();
+    cluster.replace_entry(1);
+    cluster.wait_serving();
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+}
+
+#[test]
+fn a_fresh_entry_learns_from_peers_while_the_log_is_down() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    let fresh = cluster.add_entry();
+    cluster.wait_until("the ledger has come from a peer", |cluster| {
+        cluster.entries[fresh].status().lists_version == 1
+    });
+    let reply = cluster.entries[fresh].call(&Call::new("delay-maps", &key, 1));
+    assert_eq!(
+        (reply.kind.as_str(), reply.ran.as_str()),
+        ("entry_not_ready", "not_run")
+    );
+    assert!(!cluster.entries[fresh].is_ready());
+    cluster.set_log_faults(&json!({}));
+    cluster.wait_serving();
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+}
+
+#[test]
+fn nothing_is_lost_when_every_entry_is_replaced_in_turn() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    for index in 0..3 {
+        let exit = cluster.entries[index].process.terminate();
+        assert!(exit.success(), "{exit}");
+        cluster.replace_entry(index);
+        cluster.wait_serving();
+    }
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+}
+
+#[test]
+fn nothing_is_lost_when_all_entries_are_killed_at_once() {
+    let mut cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SHORT_LEASE)
+        .spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    for entry in &mut cluster.entries {
+        entry.process.kill();
+    }
+    for index in 0..3 {
+        cluster.replace_entry(index);
+    }
+    cluster.wait_serving();
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+}
+
+#[test]
+fn a_waiting_job_outlives_the_entry_that_stops() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, "ionosphere-desk", 1);
+    let (_, key) = cluster.grant("ionosphere-desk");
+    let long = Call::new("delay-maps", &key, 1_500);
+    let address = cluster.entries[0].callers_address.clone();
+    let sent = long.clone();
+    let caller = thread::spawn(move || sent.send(&address));
+    cluster.wait_until("the limit is used up", |cluster| {
+        cluster.runs_of(&long.request_id) == 1
+    });
+    let job = Call::new("delay-maps", &key, 5)
+        .once()
+        .for_later()
+        .deadline_ms(60_000);
+    assert_eq!(cluster.entries[0].call(&job).status, 202);
+    let exit = cluster.entries[0].process.terminate();
+    assert!(exit.success(), "{exit}");
+    assert!(
+        caller.join().expect("the caller ends").is_done(),
+        "a stop cuts nothing"
+    );
+    let address = &cluster.entries[1].callers_address;
+    cluster.wait_until("the job is done", |_| {
+        fetch_job(address, &key, &job.request_id).is_done()
+    });
+    assert_eq!(cluster.runs_of(&job.request_id), 1);
+}
+
+/// Runs calls and a publication while the log misbehaves in one way, and checks the accounts.
+fn check_under(faults: Value) {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    cluster.set_log_faults(&faults);
+    let calls: Vec<Call> = (0..12)
+        .map(|_| Call::new("delay-maps", &key, 5).once())
+        .collect();
+    for (number, call) in calls.iter().enumerate() {
+        let reply = cluster.entries[number % 3].call(call);
+        assert!(reply.is_done(), "{faults}: {reply:?}");
+    }
+    // The offset of the head and the version never fall, though old appends still land.
+    let mut last = (0, 0);
+    let end = Instant::now() + Duration::from_millis(1_500);
+    while Instant::now() < end {
+        let status = cluster.entries[0].status();
+        let now = (status.next_offset, status.lists_version);
+        assert!(now >= last && now.1 >= last.1, "{faults}: {last:?} {now:?}");
+        last = now;
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+    cluster.set_log_faults(&faults);
+    cluster.limit(1, "ionosphere-desk", 7);
+    cluster.set_log_faults(&json!({}));
+    for call in &calls {
+        assert_eq!(cluster.runs_of(&call.request_id), 1);
+        let reply = cluster.entries[2].call(call);
+        assert!(reply.kind.starts_with("duplicate_"), "{faults}: {reply:?}");
+    }
+}
+
+#[test]
+fn appends_that_land_after_their_timeout_do_no_harm() {
+    check_under(json!({ "late_count": 12, "late_ms": 1_000 }));
+}
+
+#[test]
+fn appends_that_land_twice_do_no_harm() {
+    check_under(json!({ "doubled_count": 1_000 }));
+}
+
+#[test]
+fn appends_whose_answer_is_lost_do_no_harm() {
+    check_under(json!({ "answer_lost_count": 20 }));
+}
+
+#[test]
+fn a_log_that_shows_an_older_head_does_no_harm() {
+    check_under(json!({ "stale_ms": 400 }));
+}
+
+#[test]
+fn nothing_accepted_is_lost_in_an_outage_of_the_log() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let (key, withdrawn, call) = prepare(&cluster);
+    let job = Call::new("delay-maps", &key, 1_000)
+        .once()
+        .for_later()
+        .deadline_ms(60_000);
+    assert_eq!(cluster.entries[0].call(&job).status, 202);
+    cluster.wait_until("the job runs", |cluster| {
+        cluster.runs_of(&job.request_id) == 1
+    });
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    cluster.entries[1].process.kill();
+    cluster.replace_entry(1);
+    thread::sleep(Duration::from_millis(4_000));
+    // What is refused was not run; what is accepted for later is on record.
+    let later = Call::new("delay-maps", &key, 5).once().for_later();
+    let reply = cluster.entries[0].call(&later);
+    assert_eq!(
+        (reply.kind.as_str(), reply.ran.as_str()),
+        ("log_unavailable", "not_run")
+    );
+    cluster.set_log_faults(&json!({}));
+    cluster.wait_serving();
+    let address = &cluster.entries[2].callers_address;
+    cluster.wait_until("the job is done", |_| {
+        fetch_job(address, &key, &job.request_id).is_done()
+    });
+    assert_eq!(cluster.runs_of(&job.request_id), 1);
+    assert_eq!(cluster.runs_of(&later.request_id), 0);
+    assert_nothing_lost(&cluster, &key, &withdrawn, &call);
+}
