Let idempotent work go on through an outage that hides the latest append

Nothing is given away while the log is not reached, and what is proved but unread counts only while the log answers.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -2,8 +2,9 @@
 //! log out of reach, the configuration is trusted only while more than half of the live seats are
 //! heard: an operator's withdrawal counts as done once more than half have acknowledged it, and two
 //! such halves share a seat. Whoever is heard vouches only for what this entry has folded as well,
-//! and a page of the log only if no acknowledged append and no peer proves that there is more. What
-//! is proved to be in the log and is not read in time makes the configuration stale as well.
+//! and a page of the log only if no acknowledged append and no peer proves that there is more. A
+//! log that answers, but without showing in time what is proved to be in it, makes the configuration
+//! stale whoever is heard.
 
 use std::collections::HashMap;
 
@@ -16,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Contact {
     log_heard_ms: Option<MonoMs>,
+    /// Beginning of the latest read that the log answered at all, be it with an old view.
+    log_answered_ms: Option<MonoMs>,
     /// The log has at least this many records, so a page that shows fewer is an old view.
     proved_offset: Offset,
     /// Since when more than what is folded here is proved to be in the log, and how much it was.
@@ -38,6 +41,11 @@
         self.log_heard_ms = self.log_heard_ms.max(Some(sent_ms));
     }
 
+    /// Notes that the log answered a read sent at `sent_ms`.
+    pub(crate) fn log_answered(&mut self, sent_ms: MonoMs) {
+        self.log_answered_ms = self.log_answered_ms.max(Some(sent_ms));
+    }
+
     /// Notes that the log has all records below `offset`, whatever its pages show.
     pub(crate) fn prove_head(&mut self, now_ms: MonoMs, offset: Offset, folded_offset: Offset) {
         self.proved_offset = self.proved_offset.max(offset);
@@ -114,9 +122,12 @@
         ledger: &Ledger,
         own: &SeatId,
     ) -> bool {
+        // In an outage nobody can read what landed last, and peers are all that is left to go by.
+        let is_answering = is_fresh(self.log_answered_ms, now_ms, max_age_ms);
         let is_behind = self
             .behind
             .is_some_and(|(since_ms, _)| now_ms.saturating_sub(since_ms) > max_age_ms);
+        let is_behind = is_behind && is_answering;
         self.is_log_fresh(now_ms, max_age_ms)
             || (!is_behind && self.hears_majority(now_ms, max_age_ms, ledger, own))
     }
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -65,6 +65,8 @@
     /// Whether the opening of any seat was folded: only this proves that what is read of the log is
     /// not from before the start of this process.
     was_seated: bool,
+    /// Whether the latest read of the log was answered.
+    is_log_reached: bool,
     /// When the head of the log was first reached.
     first_head_ms: Option<MonoMs>,
     /// Whether withdrawals that only peers know would have been heard.
@@ -135,6 +137,7 @@
             seats_opened_count: 0,
             is_seated: false,
             was_seated: false,
+            is_log_reached: false,
             first_head_ms: None,
             is_introduced: false,
             ledger: Ledger::default(),
@@ -193,7 +196,10 @@
                 page,
                 source,
             } => self.read_page(sent_ms, from_offset, &page, &source),
-            Event::LogFailed { error } => self.reader.failed(&error),
+            Event::LogFailed { error } => {
+                self.is_log_reached = false;
+                self.reader.failed(&error);
+            }
             Event::PeerLedger { text } => self.take_peer_ledger(&text),
             Event::Appended { seq, result } => {
                 if let Ok(offset) = &result {
@@ -306,6 +312,8 @@
             .contact
             .is_log_fresh(self.now.mono_ms, self.settings.config_stale_max_ms);
         if *source == Source::Log {
+            self.is_log_reached = true;
+            self.contact.log_answered(sent_ms);
             self.oldest_offset = self.oldest_offset.max(page.oldest_offset);
         }
         let first = self.ledger.next_offset;
@@ -593,7 +601,13 @@
             })
             .map(|(seat, hint)| (seat.clone(), hint.gossip.demand.clone()))
             .collect();
-        let changes = self.escrow.poll(now_ms, &self.ledger, &self.seat, &peers);
+        let changes = self.escrow.poll(
+            now_ms,
+            self.is_log_reached,
+            &self.ledger,
+            &self.seat,
+            &peers,
+        );
         for change in changes {
             // A change that finds no room is as good as folded without effect.
             if !self.propose(change.clone()) {
--- a/src/entry/escrow.rs
+++ b/src/entry/escrow.rs
@@ -114,14 +114,25 @@
     }
 
     /// Returns the changes to propose now. `peers` is the demand that live seats told.
+    ///
+    /// While appends cannot land (`is_log_reached` is false), nothing is given away: what was
+    /// offered could be used neither here nor elsewhere for as long as the outage lasts.
     pub(crate) fn poll(
         &mut self,
         now_ms: MonoMs,
+        is_log_reached: bool,
         ledger: &Ledger,
         seat: &SeatId,
         peers: &IndexMap<SeatId, IndexMap<TeamName, Demand>>,
     ) -> Vec<SeatChange> {
         let mut changes = Vec::new();
+        if !is_log_reached {
+            for hold in self.holds.values_mut() {
+                hold.owed_requests = 0;
+                hold.idle_since_ms = None;
+            }
+            return changes;
+        }
         for (team, escrow) in ledger.escrow.iter() {
             let hold = match self.holds.get_mut(team) {
                 Some(hold) => hold,
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use crate::cluster::{unix_us, Call, Cluster, EntryProcess, Reply, SHORT_LEASE, SOON_STALE};
-use crate::engines::Engines;
+use crate::engines::{ran, Engines};
 use crate::proxy::{Proxy, ProxyFaults};
 
 #[test]
@@ -241,3 +241,24 @@
         assert_eq!(cluster.runs_of(&once.request_id), 0);
     }
 }
+
+#[test]
+fn an_outage_that_hides_the_latest_append_stops_no_idempotent_work() {
+    let mut engines = Engines::open(3);
+    let key = engines.grant(TEAM);
+    let request = engines.request(&key, true);
+    engines.call(2, &request);
+    engines.advance_until(1_000, |engines| !engines.nodes[2].attempts.is_empty());
+    engines.end_attempt(2, ran());
+    // An append of the last is acknowledged, and nobody has read it yet.
+    engines.advance_until(5_000, |engines| {
+        let is_unread = |index| engines.records.len() as u64 > engines.ledger(index).next_offset;
+        (0..3).all(is_unread)
+    });
+    engines.is_log_down = true;
+    engines.advance(5_000);
+    let request = engines.request(&key, true);
+    let call = engines.call(2, &request);
+    assert_eq!(engines.refusal(call), None);
+    assert_eq!(engines.nodes[2].attempts.len(), 1);
+}
