Keep waves of cancels apart from exchanges with peers

Cause, seen failing in a_wave_of_cancels_and_a_silent_peer_...: cancels are passed on to every peer by the same 16 threads that exchange gossip, withdraw keys and order reboots; with one silent peer each waits out its timeout, the ring fills, exchanges are dropped and the entry takes its configuration for stale. Cancels now have threads and a ring of their own. After: the test passes. Also: records are fetched from any peer that is ahead, as one may lack what another has; and engine tests of the part of a killed and of a paused holder.

--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -258,7 +258,7 @@
                 address,
                 attempt_id,
             } => {
-                self.shared.errands.run(move || {
+                self.shared.cancels.run(move || {
                     let _ = shared.platform.workers().cancel(&address, &attempt_id);
                 });
             }
@@ -304,7 +304,7 @@
                         request_id: request_id.clone(),
                         team: team.clone(),
                     });
-                    self.shared.errands.run(move || {
+                    self.shared.cancels.run(move || {
                         let _ = peers::call(&shared, &peer.address, &call);
                     });
                 }
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -62,9 +62,13 @@
 /// Bytes of the records kept for peers.
 const RELAY_MAX_BYTES: usize = 4 * 1024 * 1024;
 
-/// Errands (probes, cancels, reboots, calls to peers) under way at once.
+/// Errands (probes, reboots, exchanges with peers) under way at once.
 const ERRAND_THREADS_COUNT: usize = 16;
 
+/// Cancels on their way to workers and peers at once. They come in waves, so that they have threads
+/// and a ring of their own; those beyond are dropped, and the task ends with its lease.
+const CANCEL_THREADS_COUNT: usize = 8;
+
 /// Errands that may wait.
 const ERRANDS_RING_LEN: usize = 1_024;
 
@@ -120,6 +124,7 @@
     pub(crate) relay: Mutex<Relay>,
     pub(crate) attempts: Pool,
     pub(crate) errands: Pool,
+    pub(crate) cancels: Pool,
     pub(crate) metrics: Arc<Metrics>,
 }
 
@@ -255,6 +260,7 @@
             relay: Mutex::new(Relay::default()),
             attempts: Pool::open("attempt", dispatch_threads_count, dispatch_threads_count),
             errands: Pool::open("errand", ERRAND_THREADS_COUNT, ERRANDS_RING_LEN),
+            cancels: Pool::open("cancel", CANCEL_THREADS_COUNT, ERRANDS_RING_LEN),
             metrics,
             settings,
         });
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -193,8 +193,8 @@
                 source: Source::Peer,
             });
         }
-        // The peer does not have the records in between.
-        Ok(PeerAnswer::Tail(_)) => pull_ledger(shared, address),
+        // The peer no longer has the records in between.
+        Ok(PeerAnswer::Tail(page)) if !page.records.is_empty() => pull_ledger(shared, address),
         Ok(_) => {}
         Err(error) => log::warn!("event=pull_failed peer={address} error={error}"),
     }
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -668,12 +668,13 @@
         if !is_log_silent || now_ms < self.pulled_ms + PULL_EVERY_MS {
             return;
         }
-        let ahead = self
+        let ahead: Vec<&PeerHint> = self
             .peers
             .values()
             .filter(|hint| hint.gossip.next_offset > self.ledger.next_offset)
-            .max_by_key(|hint| hint.gossip.next_offset);
-        let Some(hint) = ahead else {
+            .collect();
+        // Any of them: one may not have the records that another has.
+        let Some(hint) = rand::seq::IndexedRandom::choose(&ahead[..], &mut self.rng) else {
             return;
         };
         self.pulled_ms = now_ms;
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -6,6 +6,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use hawthornladder::entry::Event;
+use hawthornladder::lists::Lists;
 use hawthornladder::platform::journal::{peak_running_by_team, Run};
 
 use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
@@ -13,15 +15,13 @@
 
 /// Returns the engines with a limit of `limit_requests` for the team of the tests.
 fn limited(count: usize, limit_requests: u32) -> Engines {
-    Engines::open_with(
-        count,
-        |lists| {
-            let mut teams = lists.plans.teams.iter_mut();
-            let team = teams.find(|team| team.name == "ionosphere-desk");
-            team.expect("the example has it").running_max_requests = Some(limit_requests);
-        },
-        |_| {},
-    )
+    Engines::open_with(count, |lists| set_limit(lists, limit_requests), |_| {})
+}
+
+fn set_limit(lists: &mut Lists, limit_requests: u32) {
+    let mut teams = lists.plans.teams.iter_mut();
+    let team = teams.find(|team| team.name == TEAM);
+    team.expect("the example has it").running_max_requests = Some(limit_requests);
 }
 
 #[test]
@@ -200,3 +200,69 @@
     assert!(reply.is_done(), "{reply:?}");
     assert_eq!(cluster.peak_running_of(TEAM), 1);
 }
+
+#[test]
+fn the_part_of_a_killed_engine_is_used_again_only_after_all_leases() {
+    let mut engines = Engines::open_with(
+        3,
+        |lists| set_limit(lists, 1),
+        |settings| {
+            settings.seat_lease_ms = 4_000;
+            settings.seat_renew_ms = 500;
+        },
+    );
+    let key = engines.grant(TEAM);
+    let mut request = engines.request(&key, true);
+    request.deadline_ms = 55_000;
+    engines.call(0, &request);
+    engines.advance_until(1_000, |engines| !engines.nodes[0].attempts.is_empty());
+    let (_, attempt) = engines.nodes[0].attempts[0].clone();
+    let started_ms = engines.now_ms;
+    engines.kill(0);
+    let mut request = engines.request(&key, true);
+    request.deadline_ms = 200_000;
+    engines.call(0, &request);
+    engines.advance_until(100_000, |engines| !engines.nodes[0].attempts.is_empty());
+    let took_ms = engines.now_ms - started_ms;
+    assert!(took_ms > attempt.lease_ms, "{took_ms} {}", attempt.lease_ms);
+}
+
+#[test]
+fn a_paused_engine_keeps_its_part_and_uses_it_no_more() {
+    let mut engines = Engines::open_with(
+        3,
+        |lists| set_limit(lists, 1),
+        |settings| {
+            settings.seat_lease_ms = 4_000;
+            settings.seat_renew_ms = 500;
+        },
+    );
+    let key = engines.grant(TEAM);
+    let mut first = engines.request(&key, true);
+    first.deadline_ms = 200_000;
+    engines.call(0, &first);
+    engines.advance_until(1_000, |engines| !engines.nodes[0].attempts.is_empty());
+    // A second waits for the part of the first when the pause begins.
+    let mut second = engines.request(&key, true);
+    second.deadline_ms = 200_000;
+    engines.call(0, &second);
+    engines.nodes[0].is_paused = true;
+    engines.advance(6_000);
+    // The end of the first reaches it before it has read that its seat has lapsed.
+    engines.end_attempt(0, ran());
+    engines.step(0, Event::Tick);
+    assert!(
+        engines.nodes[0].attempts.is_empty(),
+        "it started under a lapsed lease"
+    );
+    engines.nodes[0].is_paused = false;
+    engines.advance(10_000);
+    let running: usize = engines.nodes.iter().map(|node| node.attempts.len()).sum();
+    assert_eq!(
+        running, 0,
+        "the part is not free before all leases have ended"
+    );
+    engines.advance_until(90_000, |engines| {
+        engines.nodes.iter().any(|node| !node.attempts.is_empty())
+    });
+}
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -6,10 +6,13 @@
 use hawthornladder::error::{ErrorKind, RunState};
 use hawthornladder::platform::journal::Run;
 use serde_json::json;
+use uuid::Uuid;
 
-use crate::cluster::{unix_us, Call, Cluster, EntryProcess, Reply, SHORT_LEASE, SOON_STALE};
+use crate::cluster::{
+    cancel, unix_us, Call, Cluster, EntryProcess, Reply, SHORT_LEASE, SOON_STALE,
+};
 use crate::engines::{ran, Engines};
-use crate::proxy::{Proxy, ProxyFaults};
+use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
 
 #[test]
 fn peers_that_are_ahead_do_not_vouch_for_an_older_configuration() {
@@ -262,3 +265,42 @@
     assert_eq!(engines.refusal(call), None);
     assert_eq!(engines.nodes[2].attempts.len(), 1);
 }
+
+#[test]
+fn a_wave_of_cancels_and_a_silent_peer_do_not_stop_the_exchange_with_the_others() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let silent = &cluster.entries[2].peers_link;
+    silent.set(ProxyFaults {
+        to_client: DirectionFaults {
+            silent_at_byte: Some(0),
+            ..DirectionFaults::default()
+        },
+        ..ProxyFaults::default()
+    });
+    silent.reset_open();
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    let address = cluster.entries[0].callers_address.clone();
+    let end = Instant::now() + Duration::from_millis(3_000);
+    let callers: Vec<_> = (0..4)
+        .map(|_| {
+            let (address, key) = (address.clone(), key.clone());
+            thread::spawn(move || {
+                while Instant::now() < end {
+                    cancel(&address, &key, &Uuid::now_v7().to_string());
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_500));
+    while Instant::now() < end {
+        assert!(cluster.entries[0].is_ready(), "it hears half of its peers");
+        thread::sleep(Duration::from_millis(50));
+    }
+    for caller in callers {
+        caller.join().expect("the caller ends");
+    }
+}
