--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -51,10 +51,8 @@
 /// Waits until no entry takes the key any more, and checks that this was soon enough.
 fn assert_refused_in_time(cluster: &Cluster, key: &str, withdrawn: Instant) {
     cluster.wait_until("no entry takes the key", |cluster| {
-        let entries = cluster.entries.iter();
-        entries.fold(true, |is_refused, entry| {
-            is_refused && !entry.call(&Call::new("delay-maps", key, 1)).is_done()
-        })
+        let mut entries = cluster.entries.iter();
+        entries.all(|entry| !entry.call(&Call::new("delay-maps", key, 1)).is_done())
     });
     let elapsed = withdrawn.elapsed();
     assert!(elapsed < WITHDRAWN_WITHIN, "{elapsed:?}");
@@ -133,6 +131,21 @@
     assert!(logs.into_iter().all(|log| !log.contains(secret)));
 }
 
+#[test]
+fn a_key_opens_only_what_its_team_may_use() {
+    let cluster = Cluster::builder().example("denmark").spawn();
+    let (_, club) = cluster.grant("aarhus-foto");
+    let entry = &cluster.entries[0];
+    assert!(entry.call(&Call::new("uploads", &club, 1)).is_done());
+    let scoring = entry.call(&Call::new("scoring", &club, 1));
+    let told = (scoring.kind.as_str(), scoring.ran.as_str());
+    assert_eq!(told, ("not_entitled", "not_run"));
+    assert!(entry.call(&Call::new("public-results", "", 1)).is_done());
+    let runs = cluster.stand_ins.runs();
+    let teams: Vec<&str> = runs.iter().map(|run| run.team.as_str()).collect();
+    assert_eq!(teams, ["aarhus-foto", ""]);
+}
+
 #[test]
 fn a_wrong_secret_is_refused_though_the_id_is_right() {
     let cluster = Cluster::builder().small_fleet().spawn();
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -10,6 +10,8 @@
 use hawthornladder::lists::Lists;
 use hawthornladder::platform::journal::{peak_running_by_team, Run};
 
+use uuid::Uuid;
+
 use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
 use crate::engines::{ran, Engines};
 
@@ -56,13 +58,16 @@
 
 /// Makes `calls_count` calls at each of the entries at once, with a skew between entries, and
 /// returns all replies.
-fn call_everywhere(addresses: &[String], key: &str, counts: &[usize], run_ms: u64) -> Vec<Reply> {
+fn call_everywhere(addresses: &[String], counts: &[usize], model: &Call) -> Vec<Reply> {
     let calls: Vec<JoinHandle<Reply>> = addresses
         .iter()
         .zip(counts)
         .flat_map(|(address, count)| std::iter::repeat_n(address.clone(), *count))
         .map(|address| {
-            let call = Call::new("delay-maps", key, run_ms).deadline_ms(20_000);
+            let call = Call {
+                request_id: Uuid::now_v7().to_string(),
+                ..model.clone()
+            };
             thread::spawn(move || call.send(&address))
         })
         .collect();
@@ -79,12 +84,13 @@
 
 #[test]
 fn a_limit_of_five_holds_over_skewed_entries() {
-    let mut cluster = Cluster::builder().small_fleet().spawn();
+    let mut cluster = Cluster::builder().small_fleet().entries(4).spawn();
     cluster.limit(1, TEAM, 5);
     let (_, key) = cluster.grant(TEAM);
-    let replies = call_everywhere(&addresses(&cluster), &key, &[40, 10, 2], 40);
+    let call = Call::new("delay-maps", &key, 40).deadline_ms(20_000);
+    let replies = call_everywhere(&addresses(&cluster), &[40, 10, 2, 1], &call);
     let done_count = replies.iter().filter(|reply| reply.is_done()).count();
-    assert_eq!(done_count, 52, "{replies:?}");
+    assert_eq!(done_count, 53, "{replies:?}");
     assert!(cluster.peak_running_of(TEAM) <= 5);
 }
 
@@ -93,7 +99,8 @@
     let mut cluster = Cluster::builder().small_fleet().spawn();
     cluster.limit(1, TEAM, 1);
     let (_, key) = cluster.grant(TEAM);
-    let replies = call_everywhere(&addresses(&cluster), &key, &[6, 6, 6], 40);
+    let call = Call::new("delay-maps", &key, 40).deadline_ms(20_000);
+    let replies = call_everywhere(&addresses(&cluster), &[6, 6, 6], &call);
     let done_count = replies.iter().filter(|reply| reply.is_done()).count();
     assert_eq!(done_count, 18, "{replies:?}");
     assert_eq!(cluster.peak_running_of(TEAM), 1);
@@ -123,10 +130,9 @@
         .spawn();
     cluster.limit(1, TEAM, 5);
     let (_, key) = cluster.grant(TEAM);
-    let before = addresses(&cluster);
-    let at = before.clone();
-    let calling_key = key.clone();
-    let callers = thread::spawn(move || call_everywhere(&at, &calling_key, &[10, 10, 10], 300));
+    let at = addresses(&cluster);
+    let call = Call::new("delay-maps", &key, 300).deadline_ms(4_000);
+    let callers = thread::spawn(move || call_everywhere(&at, &[10, 10, 10], &call));
     thread::sleep(Duration::from_millis(500));
     cluster.entries[1].process.kill();
     cluster.replace_entry(1);
@@ -135,9 +141,9 @@
     cluster.entries[0].process.kill();
     cluster.replace_entry(0);
     cluster.wait_serving();
-    let replies = call_everywhere(&addresses(&cluster), &key, &[2, 2, 2], 50);
-    assert_eq!(replies.len(), 6);
-    drop(callers.join());
+    let call = Call::new("delay-maps", &key, 50).deadline_ms(1_000);
+    call_everywhere(&addresses(&cluster), &[2, 2, 2], &call);
+    callers.join().expect("the callers end");
     assert!(cluster.peak_running_of(TEAM) <= 5);
 }
 
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -56,6 +56,9 @@
 fn kind_at(entry: &EntryProcess, call: &Call) -> String {
     let reply = entry.call(call);
     assert!(reply.kind.is_empty() || reply.ran == "not_run", "{reply:?}");
+    let is_temporary = ["log_unavailable", "seat_lapsed", "configuration_stale"];
+    let is_temporary = is_temporary.contains(&reply.kind.as_str());
+    assert_eq!(reply.retry_after_ms.is_some(), is_temporary, "{reply:?}");
     reply.kind
 }
 
@@ -164,6 +167,23 @@
     });
 }
 
+#[test]
+fn an_entry_without_the_instance_list_goes_on_with_the_workers_that_it_knows() {
+    let cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SOON_STALE)
+        .spawn();
+    let (_, key) = cluster.grant(TEAM);
+    let entries = cluster.entries.iter();
+    let links: Vec<&Proxy> = entries.map(|entry| &entry.instances_link).collect();
+    refuse(&links, true);
+    thread::sleep(Duration::from_millis(1_000));
+    for entry in &cluster.entries {
+        let call = Call::new("delay-maps", &key, 1).once();
+        assert_eq!(kind_at(entry, &call), "");
+    }
+}
+
 #[test]
 fn an_entry_that_hears_nobody_refuses_all_work() {
     let cluster = Cluster::builder()
@@ -215,9 +235,8 @@
     }
     cluster.set_log_faults(&json!({}));
     cluster.wait_until("work goes on", |cluster| {
-        let entries = cluster.entries.iter();
-        let kinds = entries.map(|entry| kind_at(entry, &Call::new("delay-maps", &key, 1)));
-        kinds.fold(true, |is_done, kind| is_done && kind.is_empty())
+        let mut entries = cluster.entries.iter();
+        entries.all(|entry| kind_at(entry, &Call::new("delay-maps", &key, 1)).is_empty())
     });
 }
 
--- a/tests/testsuite/promises_single_run.rs
+++ b/tests/testsuite/promises_single_run.rs
@@ -9,6 +9,7 @@
 use attohttpc::Method;
 use hawthornladder::error::RunState;
 use hawthornladder::platform::journal::runs_by_request;
+use hawthornladder::platform::task::TaskAnswer;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -332,6 +333,9 @@
             "{call:?} ran {count} times"
         );
         assert!(!reply.is_done() || count >= 1, "{call:?} {reply:?}");
+        let answer = TaskAnswer::decode(&reply.body);
+        let is_own = answer.is_some_and(|answer| answer.is_for(&call.request_id, &call.body));
+        assert!(!reply.is_done() || is_own, "{call:?} {reply:?}");
         // What a repeat is told of itself says nothing of the first.
         let same = calls
             .iter()
