Tell every live seat of a withdrawal as well as the log

Cause: entries that hear each other go on while they cannot reach the log, so a withdrawal that an operator put on record there was not in force at any of them for as long as that lasted; seen failing (20 s and longer) in a_withdrawal_on_record_holds_though_no_entry_reaches_the_log. Ruled out: refusing work whenever the log is silent, which would end all service in each outage. The command now tells each live seat that the ledger names. After: the test passes.

--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -1,6 +1,6 @@
 //! `keys`: grant, withdraw and list the teams' keys.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, thread};
 
 use attohttpc::Method;
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -9,9 +9,10 @@
     adapters::{
         http_client::HttpCall,
         log_http::{service_call, ServiceTimeouts},
+        peers_rpc::{PeerAnswer, PeerCall, PeerClient, WithdrawAtPeer},
     },
     keys,
-    ledger::{KeyRow, OperatorChange},
+    ledger::{KeyRow, Ledger, OperatorChange},
     operator::Settled,
 };
 
@@ -23,6 +24,9 @@
     call_ms: 4_000,
 };
 
+/// Time that one seat has to acknowledge a withdrawal, in milliseconds.
+const SEAT_TIMEOUT_MS: u64 = 1_000;
+
 /// Makes the command line of `keys`.
 pub(crate) fn make_command() -> Command {
     Command::new("keys")
@@ -59,7 +63,8 @@
             "Withdraw a key for good.\n\n\
              The withdrawal is told to the entries named with `--entry` first, which refuse the \
              key at once and tell their peers, so that it holds even while the log is down; then \
-             it is put on record in the log. The exit code is 0 once it is on record, and 5 while \
+             every entry that holds a seat by the ledger is told, and it is put on record in the \
+             log. The exit code is 0 once it is on record, and 5 while \
              it is in force at the entries but not on record yet.",
         )
         .arg(
@@ -152,7 +157,13 @@
     };
     let access = log_access::open(matches)?;
     let settled = match access.read() {
-        Ok(mut reader) => reader.propose(&access.operator, change, access.timeout),
+        Ok(mut reader) => {
+            let (told_count, seats_count) = tell_seats(reader.ledger(), key_id);
+            say(&format!(
+                "event=seats_told told_count={told_count} seats_count={seats_count}"
+            ))?;
+            reader.propose(&access.operator, change, access.timeout)
+        }
         Err(report) => {
             say(&format!(
                 "event=key_withdrawn key_id={key_id} is_on_record=false is_in_force={is_in_force}"
@@ -173,6 +184,32 @@
     Ok(Exit::Done)
 }
 
+/// Tells every live seat that the ledger names, since entries may not reach a log that this command
+/// reaches; returns how many acknowledged, of how many.
+fn tell_seats(ledger: &Ledger, key_id: &str) -> (usize, usize) {
+    let call = PeerCall::WithdrawKey(WithdrawAtPeer {
+        key_id: key_id.into(),
+    });
+    let tell = |address: &str| {
+        let answer = PeerClient::open(address, SEAT_TIMEOUT_MS).and_then(|peer| peer.call(&call));
+        matches!(answer, Ok(PeerAnswer::Ordered { .. }))
+    };
+    let addresses: Vec<_> = ledger
+        .seats
+        .iter_live()
+        .map(|(_, row)| row.peers_address.clone())
+        .collect();
+    let told_count = thread::scope(|scope| {
+        let calls: Vec<_> = addresses
+            .iter()
+            .map(|address| scope.spawn(|| tell(address)))
+            .collect();
+        let told = calls.into_iter().map(|call| call.join().unwrap_or(false));
+        told.filter(|is_told| *is_told).count()
+    });
+    (told_count, addresses.len())
+}
+
 /// Tells one entry; returns its answer.
 fn tell_entry(entry: &str, key_id: &str) -> Result<serde_json::Value, String> {
     entry
--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -200,3 +200,24 @@
     let refused_count: usize = floods.into_iter().map(|flood| flood.join().unwrap()).sum();
     assert!(refused_count > 0);
 }
+
+#[test]
+fn a_withdrawal_on_record_holds_though_no_entry_reaches_the_log() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (key_id, key) = cluster.grant(TEAM);
+    for entry in &cluster.entries {
+        assert!(entry.call(&Call::new("delay-maps", &key, 1)).is_done());
+        entry.log_link.set(ProxyFaults {
+            is_refusing: true,
+            ..ProxyFaults::default()
+        });
+        entry.log_link.reset_open();
+    }
+    let withdrawn = Instant::now();
+    cluster.operate(&["keys", "withdraw", &key_id]);
+    assert_refused_in_time(&cluster, &key, withdrawn);
+    for entry in &cluster.entries {
+        let reply = entry.call(&Call::new("delay-maps", &key, 1));
+        assert_eq!(reply.kind, "key_withdrawn", "{reply:?}");
+    }
+}
