--- a/src/adapters/workers_http.rs
+++ b/src/adapters/workers_http.rs
@@ -152,6 +152,7 @@
             not_started.map_or_else(|| Loss::Malformed.outcome(), WorkerOutcome::NotStarted)
         }
         (_, Some(_)) => loss.unwrap_or(Loss::WorkerFailed).outcome(),
+        // Whose loss it is remains open, so it proves nothing.
         (_, None) => Loss::WorkerFailed.outcome(),
     }
 }
