--- a/src/load/overload.rs
+++ b/src/load/overload.rs
@@ -82,8 +82,10 @@
     pub returned_count: u64,
     /// Of these, served in time after all.
     pub returned_served_permille: f64,
-    /// Largest number of callers that came back within 100 ms, over the mean of the second around.
+    /// Largest number of callers that came back within 100 ms, over what the pool can start then.
     pub return_peak_factor: f64,
+    /// Callers that came back in each tenth of a second.
+    pub returns_by_100_ms: Vec<u64>,
     /// Refusals by reason.
     pub refused: IndexMap<String, u64>,
     /// Attempts tried again by reason.
@@ -214,6 +216,7 @@
 ) -> OverloadRow {
     let held = capacity_per_s(config) * config.duration_ms as f64 / 1_000.0;
     let returned = outcome.returned_count.max(1) as f64;
+    let return_peak = outcome.returns_by_100_ms.iter().max().copied().unwrap_or(0);
     OverloadRow {
         scenario,
         way,
@@ -224,29 +227,13 @@
         late_count: outcome.late_count,
         returned_count: outcome.returned_count,
         returned_served_permille: outcome.returned_served_count as f64 / returned * 1_000.0,
-        return_peak_factor: peak_factor(&outcome.returns_by_100_ms),
+        return_peak_factor: return_peak as f64 / (capacity_per_s(config) / 10.0),
+        returns_by_100_ms: outcome.returns_by_100_ms.clone(),
         refused: outcome.refused.clone(),
         retried: outcome.retried.clone(),
     }
 }
 
-/// Callers below which a tenth of a second says nothing about synchronised returns.
-const PEAK_MIN_COUNT: u64 = 20;
-
-/// Returns the largest count over the mean of the ten counts around it.
-fn peak_factor(counts: &[u64]) -> f64 {
-    counts
-        .windows(10)
-        .map(|window| {
-            let mean = window.iter().sum::<u64>() as f64 / window.len() as f64;
-            match window.iter().copied().max() {
-                Some(largest) if largest >= PEAK_MIN_COUNT => largest as f64 / mean,
-                _ => 0.0,
-            }
-        })
-        .fold(0.0, f64::max)
-}
-
 impl OverloadReport {
     /// Returns the lowest goodput at or above the load of the peak, over the peak, in thousandths,
     /// with a constant load.
@@ -287,7 +274,7 @@
             ));
         }
         text.push_str("goodput: permille of capacity; served: permille of those that came back;\n");
-        text.push_str("peak: most callers back within 100 ms over the mean of the second\n");
+        text.push_str("peak: most callers back within 100 ms over what the pool can start then\n");
         text
     }
 }
