Pace returning callers by the pool's rate; count a start that bounced only once

Each team's callers were paced by what its lane drains under contention, so many were told the longest time and came back together. All callers of a pool now book one after the other at the rate at which the pool drains. That rate counted attempts that a busy worker turned away; they are taken back.

The wait is judged by this entry's part of the pool only, which grows when others have drained; to be mended next.

--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -126,6 +126,11 @@
         self.starts += 1.0;
     }
 
+    /// Takes back one start, whose attempt is proved not to have started.
+    pub fn uncount_start(&mut self) {
+        self.starts = (self.starts - 1.0).max(0.0);
+    }
+
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
     pub fn per_ms(&self) -> Option<f64> {
         match self.busy_ms {
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -1,13 +1,9 @@
-//! A lane: the waiting requests of one team in one queue, in order of their deadlines, with the
-//! rate at which they drain and the pacing of the callers that were told to come back.
+//! A lane: the waiting requests of one team in one queue, in order of their deadlines.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rand::{Rng, RngExt};
-
 use crate::fleet::{MonoMs, Resources};
-use crate::policy::estimate::DrainRate;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::share::TeamSlot;
 
@@ -34,18 +30,6 @@
     pub declared_run_ms: u64,
 }
 
-/// Limits of the time that callers are told to stay away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RetryAfterLimits {
-    /// Shortest time told.
-    pub min_ms: u64,
-    /// Longest time told.
-    pub max_ms: u64,
-}
-
-/// Interval of returning callers while the drain rate of a lane is not known yet.
-const UNKNOWN_INTERVAL_MS: f64 = 20.0;
-
 /// A waiting request with the last moment at which it is worth starting.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -64,22 +48,16 @@
     pub(crate) pools: Arc<[PoolKey]>,
     pub(crate) is_urgent: bool,
     places: BTreeMap<PlaceOrder, Place>,
-    drain: DrainRate,
-    return_clock_ms: f64,
 }
 
 impl Lane {
-    pub(crate) fn new(now_ms: MonoMs, waiting: &Waiting) -> Self {
-        let mut drain = DrainRate::default();
-        drain.advance(now_ms, false);
+    pub(crate) fn new(waiting: &Waiting) -> Self {
         Self {
             team: waiting.team,
             queue: waiting.queue,
             pools: Arc::clone(&waiting.pools),
             is_urgent: waiting.is_urgent,
             places: BTreeMap::new(),
-            drain,
-            return_clock_ms: 0.0,
         }
     }
 
@@ -96,25 +74,15 @@
         self.places.is_empty()
     }
 
-    pub(crate) fn insert(&mut self, now_ms: MonoMs, place: Place) {
-        self.drain.advance(now_ms, !self.places.is_empty());
+    pub(crate) fn insert(&mut self, place: Place) {
         let order = (place.waiting.deadline_ms, place.waiting.key);
         self.places.insert(order, place);
     }
 
-    /// Takes out a request that is not started.
-    pub(crate) fn remove(&mut self, now_ms: MonoMs, order: PlaceOrder) -> Option<Place> {
-        self.drain.advance(now_ms, !self.places.is_empty());
+    pub(crate) fn remove(&mut self, order: PlaceOrder) -> Option<Place> {
         self.places.remove(&order)
     }
 
-    /// Takes out a request that is started.
-    pub(crate) fn start(&mut self, now_ms: MonoMs, order: PlaceOrder) -> Option<Place> {
-        let place = self.remove(now_ms, order)?;
-        self.drain.count_start();
-        Some(place)
-    }
-
     /// Returns the request with the earliest deadline that is still worth starting.
     pub(crate) fn head(&self, now_ms: MonoMs) -> Option<&Waiting> {
         self.places
@@ -145,33 +113,4 @@
         }
         unreachable
     }
-
-    /// Books a time to come back for one caller and returns how long it is from now.
-    ///
-    /// The returns are paced as in a virtual queue (the generic cell rate algorithm): after the
-    /// backlog has drained, one caller at a time at the observed rate. Callers that obey spread
-    /// out by themselves; the jitter only breaks ties between entries.
-    pub(crate) fn book_return_ms<R: Rng>(
-        &mut self,
-        now_ms: MonoMs,
-        limits: RetryAfterLimits,
-        rng: &mut R,
-    ) -> u64 {
-        let max_ms = limits.max_ms as f64;
-        let interval_ms = match self.drain.per_ms() {
-            Some(per_ms) if per_ms > 0.0 => (1.0 / per_ms).min(max_ms),
-            Some(_) => max_ms,
-            None => UNKNOWN_INTERVAL_MS,
-        };
-        let backlog_ms = interval_ms * self.places.len() as f64;
-        let earliest_ms = now_ms as f64 + backlog_ms.max(limits.min_ms as f64);
-        let booked_ms = self.return_clock_ms.max(earliest_ms);
-        let latest_ms = now_ms as f64 + max_ms;
-        self.return_clock_ms = (booked_ms + interval_ms).min(latest_ms);
-        let wait_ms = match booked_ms {
-            booked_ms if booked_ms >= latest_ms => rng.random_range(max_ms / 2.0..=max_ms),
-            booked_ms => booked_ms - now_ms as f64 + rng.random_range(0.0..=interval_ms),
-        };
-        wait_ms.min(max_ms) as u64
-    }
 }
--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -33,10 +33,6 @@
         &self.lanes[lane_key]
     }
 
-    pub(crate) fn get_mut(&mut self, lane_key: LaneKey) -> &mut Lane {
-        &mut self.lanes[lane_key]
-    }
-
     /// Returns how many requests wait in all lanes.
     pub(crate) fn len(&self) -> usize {
         self.places.len()
@@ -70,16 +66,16 @@
     }
 
     /// Returns the lane of a request, a fresh one if the lists changed what the lane stands for.
-    pub(crate) fn lane_for(&mut self, now_ms: MonoMs, waiting: &Waiting) -> LaneKey {
+    pub(crate) fn lane_for(&mut self, waiting: &Waiting) -> LaneKey {
         let id = (waiting.team, waiting.queue);
         match self.lane_of.get(&id) {
             Some(lane_key) if self.lanes[*lane_key].is_for(waiting) => *lane_key,
             Some(lane_key) if self.lanes[*lane_key].is_empty() => {
-                self.lanes[*lane_key] = Lane::new(now_ms, waiting);
+                self.lanes[*lane_key] = Lane::new(waiting);
                 *lane_key
             }
             _ => {
-                let lane_key = self.add(Lane::new(now_ms, waiting));
+                let lane_key = self.add(Lane::new(waiting));
                 self.lane_of.insert(id, lane_key);
                 lane_key
             }
@@ -104,7 +100,7 @@
             waiting,
             latest_start_ms,
         };
-        self.lanes[lane_key].insert(now_ms, place);
+        self.lanes[lane_key].insert(place);
     }
 
     /// Takes out a request that is started in `pool`.
@@ -119,16 +115,23 @@
         if let Some(drain) = self.drains.get_mut(&pool) {
             drain.count_start();
         }
-        let place = self.lanes[lane_key].start(now_ms, order)?;
+        let place = self.lanes[lane_key].remove(order)?;
         self.forget(lane_key, key);
         Some(place.waiting)
     }
 
+    /// Takes back the start that was counted for a request, as it is proved not started.
+    pub(crate) fn uncount_start(&mut self, pool: PoolKey) {
+        if let Some(drain) = self.drains.get_mut(&pool) {
+            drain.uncount_start();
+        }
+    }
+
     /// Takes out a request that is not started.
     pub(crate) fn remove(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
         let (lane_key, order) = self.places.get(&key).copied()?;
         self.advance_drain(now_ms, self.lanes[lane_key].pools[0]);
-        let place = self.lanes[lane_key].remove(now_ms, order)?;
+        let place = self.lanes[lane_key].remove(order)?;
         self.forget(lane_key, key);
         Some(place.waiting)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod keys;
 pub mod lane;
 pub(crate) mod lanes;
+pub mod pacing;
 pub mod placement;
 pub mod queue;
 pub mod refusal;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -30,8 +30,9 @@
 use crate::policy::estimate::RunTimes;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
-use crate::policy::lane::Waiting;
+use crate::policy::lane::{Lane, Waiting};
 use crate::policy::lanes::{LaneKey, Lanes};
+use crate::policy::pacing::{Pacing, PoolPace};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
 use crate::policy::settings::{QueueSettings, Sharing};
 use crate::policy::share::{TeamSlot, UsageRow, UsageView};
@@ -57,6 +58,7 @@
     urgent_part: KeyMap<PoolKey, f64>,
     run_times: RunTimes,
     divider: Divider,
+    pacing: Pacing,
     next_expire_ms: MonoMs,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
@@ -72,6 +74,7 @@
             urgent_part: KeyMap::default(),
             run_times: RunTimes::default(),
             divider: Divider::default(),
+            pacing: Pacing::default(),
             next_expire_ms: 0,
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -125,11 +128,11 @@
         if let Some(reason) = self.never_runs(&waiting, size_max) {
             return Err(self.refuse(reason, None));
         }
-        let lane_key = self.lanes.lane_for(now_ms, &waiting);
+        let lane_key = self.lanes.lane_for(&waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
-                let retry_after_ms = self.book_return_ms(now_ms, lane_key);
+                let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
                 Err(self.refuse(reason, Some(retry_after_ms)))
             }
             None => {
@@ -146,7 +149,8 @@
         if self.lanes.holds(waiting.key) {
             return;
         }
-        let lane_key = self.lanes.lane_for(now_ms, &waiting);
+        self.lanes.uncount_start(waiting.pools[0]);
+        let lane_key = self.lanes.lane_for(&waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
         self.lanes
             .insert(now_ms, lane_key, waiting, latest_start_ms);
@@ -209,7 +213,7 @@
             for key in self.unreachable(now_ms, lane_key, view) {
                 self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
-                let retry_after_ms = self.book_return_ms(now_ms, lane_key);
+                let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
                 given_up.push(GivenUp {
                     key,
                     retry_after_ms,
@@ -278,14 +282,19 @@
         }
     }
 
-    /// Returns how long the lane takes to drain. The rate is what this entry starts in the pool
-    /// while work waits; where starts are too rare to tell, it is what runs over its run time.
-    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
-        let lane = self.lanes.get(lane_key);
+    /// Returns the starts a millisecond in the preferred pool of a lane. The rate is what this
+    /// entry starts there while work waits; where starts are too rare to tell, it is what runs
+    /// over its run time.
+    fn per_ms(&self, lane: &Lane, view: &UsageView) -> Option<f64> {
         let pool = lane.pools[0];
         let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
         let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
-        let per_ms = self.lanes.drain_per_ms(pool)?.max(by_running);
+        Some(self.lanes.drain_per_ms(pool)?.max(by_running))
+    }
+
+    /// Returns how long the lane takes to drain.
+    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
+        let per_ms = self.per_ms(self.lanes.get(lane_key), view)?;
         match self.lanes.ahead_count(lane_key, view) {
             0.0 => Some(0.0),
             ahead_count => Some(ahead_count / per_ms),
@@ -308,11 +317,16 @@
         }
     }
 
-    fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey) -> u64 {
+    fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> u64 {
+        let lane = self.lanes.get(lane_key);
+        let pool = lane.pools[0];
+        let pace = PoolPace {
+            pool,
+            per_ms: self.per_ms(lane, view),
+            waiting_count: self.lanes.waiting_for(pool).values().sum(),
+        };
         let limits = self.settings.retry_after;
-        self.lanes
-            .get_mut(lane_key)
-            .book_return_ms(now_ms, limits, &mut self.rng)
+        self.pacing.book_ms(now_ms, pace, limits, &mut self.rng)
     }
 
     /// Returns the last moment at which a start still leaves the observed run time.
--- a/src/policy/settings.rs
+++ b/src/policy/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the waiting queue of an entry.
 
-use crate::policy::lane::RetryAfterLimits;
+use crate::policy::pacing::RetryAfterLimits;
 
 /// How an entry shares a pool with the other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
