Judge a wait by the whole fleet's backlog and rate

The entry's own rate in a pool grows when other entries have drained, so a wait worked out from it alone refused too early. What is ahead is now counted over all entries by gossip, and the rate is what runs in the pool over its mean run time (Little's law). The counts of what this entry runs were never updated; a test covers them now. One test drove the queue without telling what ran, which its documentation asks for; it does so now and expects the same.

--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -4,13 +4,16 @@
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::hash::KeyMap;
-use crate::policy::keys::QueueKey;
+use crate::policy::keys::{PoolKey, QueueKey};
 use crate::policy::share::TeamSlot;
 
 /// Gain of the mean and of the deviation, as for round-trip times in RFC 6298.
 const MEAN_GAIN: f64 = 1.0 / 8.0;
 const DEVIATION_GAIN: f64 = 1.0 / 4.0;
 
+/// Gain of the mean over all work of a pool, which mixes queues.
+const POOL_MEAN_GAIN: f64 = 1.0 / 64.0;
+
 /// Smoothed mean and mean deviation of one series of run times.
 #[derive(Clone, Copy, Debug)]
 struct Smoothed {
@@ -31,6 +34,10 @@
         self.deviation_ms += (error_ms - self.deviation_ms) * DEVIATION_GAIN;
         self.mean_ms += (sample_ms - self.mean_ms) * MEAN_GAIN;
     }
+
+    fn observe_slowly(&mut self, sample_ms: f64) {
+        self.mean_ms += (sample_ms - self.mean_ms) * POOL_MEAN_GAIN;
+    }
 }
 
 /// Observed run times for each team and queue, with the queue's own as the fallback.
@@ -38,6 +45,7 @@
 pub struct RunTimes {
     by_team: KeyMap<(TeamSlot, QueueKey), Smoothed>,
     by_queue: KeyMap<QueueKey, Smoothed>,
+    by_pool: KeyMap<PoolKey, Smoothed>,
 }
 
 impl RunTimes {
@@ -54,6 +62,22 @@
             .or_insert_with(|| Smoothed::first(sample_ms));
     }
 
+    /// Takes in the run time of a request that ran in `pool`, whatever its queue.
+    pub fn observe_in_pool(&mut self, pool: PoolKey, run_ms: u64) {
+        let sample_ms = run_ms as f64;
+        self.by_pool
+            .entry(pool)
+            .and_modify(|smoothed| smoothed.observe_slowly(sample_ms))
+            .or_insert_with(|| Smoothed::first(sample_ms));
+    }
+
+    /// Returns the mean run time of what ran in `pool`, if any has.
+    pub fn mean_in_pool_ms(&self, pool: PoolKey) -> Option<f64> {
+        self.by_pool
+            .get(&pool)
+            .map(|smoothed| smoothed.mean_ms.max(1.0))
+    }
+
     /// Returns the time to reserve for a run: the mean and `deviations` times the mean deviation.
     /// Nothing observed yet gives zero, so that no request is refused on a guess.
     pub fn reserve_ms(&self, team: TeamSlot, queue: QueueKey, deviations: f64) -> u64 {
--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -141,24 +141,38 @@
         self.drains.get(&pool)?.per_ms()
     }
 
-    /// Returns how many requests start before the lane is empty, its own included, if nothing
-    /// more arrives: of each other lane only as much goes ahead as its weight allows while this
-    /// one drains (generalised processor sharing, Parekh and Gallager, 1993), and urgent lanes go
-    /// ahead whole.
+    /// Returns how many requests start in the whole fleet before the lane is empty, its own
+    /// included, if nothing more arrives: of each other team only as much goes ahead as its weight
+    /// allows while this one drains (generalised processor sharing, Parekh and Gallager, 1993).
+    /// Only urgent work of this entry goes ahead of urgent work.
     pub(crate) fn ahead_count(&self, lane_key: LaneKey, view: &UsageView) -> f64 {
         let lane = &self.lanes[lane_key];
-        let own_turns = lane.len() as f64 / f64::from(view.weight(lane.team));
-        let ahead_of_lane = |other: &Lane| match (lane.is_urgent, other.is_urgent) {
-            (true, false) => 0.0,
-            (false, true) => other.len() as f64,
-            _ => (other.len() as f64).min(own_turns * f64::from(view.weight(other.team))),
-        };
-        let others: f64 = self
-            .preferring(lane.pools[0])
-            .filter(|other| !std::ptr::eq(*other, lane))
-            .map(ahead_of_lane)
-            .sum();
-        others + lane.len() as f64
+        let pool = lane.pools[0];
+        let mut waiting: KeyMap<TeamSlot, f64> = KeyMap::default();
+        let mut urgent_count = 0.0;
+        for other in self.preferring(pool) {
+            match other.is_urgent {
+                true => urgent_count += other.len() as f64,
+                false => *waiting.entry(other.team).or_insert(0.0) += other.len() as f64,
+            }
+        }
+        if lane.is_urgent {
+            return urgent_count;
+        }
+        for (team, count) in view.waiting_at_peers(pool) {
+            *waiting.entry(team).or_insert(0.0) += f64::from(count);
+        }
+        let own_count = waiting.get(&lane.team).copied().unwrap_or(0.0);
+        let own_turns = own_count / f64::from(view.weight(lane.team));
+        let ahead_of_lane =
+            |(team, count): (&TeamSlot, &f64)| count.min(own_turns * f64::from(view.weight(*team)));
+        urgent_count + waiting.iter().map(ahead_of_lane).sum::<f64>()
+    }
+
+    /// Returns the preferred pool of a queue for a team that has sent work to it.
+    pub(crate) fn pool_of(&self, team: TeamSlot, queue: QueueKey) -> Option<PoolKey> {
+        let lane_key = self.lane_of.get(&(team, queue))?;
+        Some(self.lanes[*lane_key].pools[0])
     }
 
     fn preferring(&self, pool: PoolKey) -> impl Iterator<Item = &Lane> + '_ {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -89,6 +89,9 @@
     /// Takes in how long a request ran.
     pub fn observe_run(&mut self, team: TeamSlot, queue: QueueKey, run_ms: u64) {
         self.run_times.observe(team, queue, run_ms);
+        if let Some(pool) = self.lanes.pool_of(team, queue) {
+            self.run_times.observe_in_pool(pool, run_ms);
+        }
     }
 
     /// Returns the observed run times.
@@ -292,12 +295,17 @@
         Some(self.lanes.drain_per_ms(pool)?.max(by_running))
     }
 
-    /// Returns how long the lane takes to drain.
+    /// Returns how long the lane takes to drain: what is ahead in the whole fleet, at the rate at
+    /// which the pool ends what it runs (Little's law). `None` while too little was seen to tell.
     fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
-        let per_ms = self.per_ms(self.lanes.get(lane_key), view)?;
-        match self.lanes.ahead_count(lane_key, view) {
-            0.0 => Some(0.0),
-            ahead_count => Some(ahead_count / per_ms),
+        let pool = self.lanes.get(lane_key).pools[0];
+        self.lanes.drain_per_ms(pool)?;
+        let run_ms = self.run_times.mean_in_pool_ms(pool)?;
+        let ahead_count = self.lanes.ahead_count(lane_key, view);
+        match (ahead_count, view.running_in(pool)) {
+            (0.0, _) => Some(0.0),
+            (_, 0) if view.slots_count(pool) > 0 => None,
+            (_, running_count) => Some(ahead_count * run_ms / running_count as f64),
         }
     }
 
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -176,6 +176,7 @@
     fleet_capacity: Load,
     usage: KeyMap<UsageKey, Usage>,
     own_running: KeyMap<PoolKey, u64>,
+    peers_running: KeyMap<PoolKey, u64>,
     running_teams: IndexMap<PoolKey, IndexSet<TeamSlot>>,
     waiting_at_peers: IndexMap<PoolKey, IndexMap<TeamSlot, u32>>,
     reports: IndexMap<PeerKey, (MonoMs, Vec<UsageRow>)>,
@@ -191,6 +192,7 @@
             fleet_capacity: Load::default(),
             usage: KeyMap::default(),
             own_running: KeyMap::default(),
+            peers_running: KeyMap::default(),
             running_teams: IndexMap::new(),
             waiting_at_peers: IndexMap::new(),
             reports: IndexMap::new(),
@@ -214,16 +216,19 @@
     /// Counts an attempt of this entry that starts.
     pub fn started(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
         let load = Load::of_request(size);
+        *self.own_running.entry(pool).or_insert(0) += 1;
         self.change(now_ms, team, pool, |usage| {
-            usage.own = usage.own.plus(&load)
+            usage.own = usage.own.plus(&load);
         });
     }
 
     /// Counts an attempt of this entry that ended, whatever its outcome.
     pub fn ended(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
         let load = Load::of_request(size);
+        let count = self.own_running.entry(pool).or_insert(0);
+        *count = count.saturating_sub(1);
         self.change(now_ms, team, pool, |usage| {
-            usage.own = usage.own.minus(&load)
+            usage.own = usage.own.minus(&load);
         });
     }
 
@@ -235,6 +240,7 @@
             self.change(now_ms, row.team, row.pool, |usage| {
                 usage.peers = usage.peers.plus(&Load::of_row(row));
             });
+            *self.peers_running.entry(row.pool).or_insert(0) += u64::from(row.running_count);
             self.count_waiting_at_peers(row);
         }
         self.reports.insert(peer, (now_ms, rows));
@@ -265,6 +271,8 @@
             self.change(now_ms, row.team, row.pool, |usage| {
                 usage.peers = usage.peers.minus(&Load::of_row(row));
             });
+            let running = self.peers_running.entry(row.pool).or_insert(0);
+            *running = running.saturating_sub(u64::from(row.running_count));
             self.uncount_waiting_at_peers(row);
         }
     }
@@ -317,6 +325,17 @@
         self.own_running.get(&pool).copied().unwrap_or(0)
     }
 
+    /// Returns how many requests run in `pool`, own and gossiped.
+    pub fn running_in(&self, pool: PoolKey) -> u64 {
+        self.own_running_in(pool) + self.peers_running.get(&pool).copied().unwrap_or(0)
+    }
+
+    /// Returns how many requests wait for `pool` at peers, by team.
+    pub fn waiting_at_peers(&self, pool: PoolKey) -> impl Iterator<Item = (TeamSlot, u32)> + '_ {
+        let teams = self.waiting_at_peers.get(&pool).into_iter().flatten();
+        teams.map(|(team, count)| (*team, *count))
+    }
+
     /// Returns the slots that the workers of `pool` offer together.
     pub fn slots_count(&self, pool: PoolKey) -> u64 {
         self.capacity_of(Some(pool)).slots_count
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -227,7 +227,7 @@
 
 #[test]
 fn backlog_beyond_reach_is_given_up_early_with_times_that_spread() {
-    let (mut queue, view) = (queue(), view(&[1]));
+    let (mut queue, mut view) = (queue(), view(&[1]));
     for key in 0..1_000 {
         queue
             .push(0, waiting(key, 0, 0, 2_000), &times(4), &view)
@@ -235,7 +235,13 @@
     }
     let mut given_up = Vec::new();
     for step in 1..=20 {
-        queue.next(step * 10, POOL, &view, &mut |_| true).unwrap();
+        // As an engine does it: a request runs for 10 ms, then the next starts.
+        if step > 1 {
+            view.ended(step * 10, Some(TeamKey(0)), POOL, &size());
+            queue.observe_run(Some(TeamKey(0)), QueueKey(0), 10);
+        }
+        let next = queue.next(step * 10, POOL, &view, &mut |_| true).unwrap();
+        view.started(step * 10, next.team, POOL, &next.size);
         given_up.extend(queue.expire(step * 10, &view));
     }
     assert!(
@@ -256,6 +262,39 @@
     );
 }
 
+#[test]
+fn running_is_counted_by_pool_own_and_gossiped() {
+    let mut view = view(&[1, 1]);
+    let row = UsageRow {
+        running_count: 3,
+        ..UsageRow::idle(Some(TeamKey(1)), POOL)
+    };
+    view.apply_peer_report(0, PeerKey(1), vec![row]);
+    view.started(0, Some(TeamKey(0)), POOL, &size());
+    view.started(0, None, POOL, &size());
+    assert_eq!((view.own_running_in(POOL), view.running_in(POOL)), (2, 5));
+    view.ended(1, None, POOL, &size());
+    view.remove_peer(1, PeerKey(1));
+    assert_eq!((view.own_running_in(POOL), view.running_in(POOL)), (1, 1));
+}
+
+#[test]
+fn the_peer_that_is_owed_most_is_told_of_a_free_slot() {
+    let (mut queue, mut view) = (queue(), view(&[1, 1]));
+    let report = |running_count, waiting_count| {
+        vec![UsageRow {
+            running: times(u64::from(running_count)),
+            running_count,
+            waiting_count,
+            ..UsageRow::idle(Some(TeamKey(1)), POOL)
+        }]
+    };
+    assert_eq!(queue.whose_turn(0, POOL, &view), None);
+    view.apply_peer_report(0, PeerKey(1), report(6, 1));
+    view.apply_peer_report(0, PeerKey(2), report(1, 40));
+    assert_eq!(queue.whose_turn(100, POOL, &view), Some(PeerKey(2)));
+}
+
 #[test]
 fn gossiped_usage_of_peers_counts_and_expires() {
     let mut view = view(&[1, 1]);
