--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -16,7 +16,8 @@
 use crate::policy::placement::{Placement, PlacementSettings};
 use crate::policy::queue::{WaitQueue, EXPIRE_PERIOD_MS};
 use crate::policy::settings::QueueSettings;
-use crate::policy::share::{Load, ShareSettings, UsageRow, UsageView};
+use crate::policy::share::{ShareSettings, UsageView};
+use crate::policy::usage::{Load, UsageRow};
 
 /// Size of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -126,10 +127,17 @@
     let mut queue = WaitQueue::new(QueueSettings::default(), 1);
     let size_max = REQUEST_SIZE.plus(&REQUEST_SIZE);
     let waiting_count = QueueSettings::default().waiting_max_count as u32 / 2;
-    let push_ns = time_ns(waiting_count, |index| {
+    for index in 0..waiting_count / 2 {
         let _ = queue.push(0, waiting(index, size), &size_max, &view);
+    }
+    // From here on the rate of the pool is known, so that each request's wait is worked out.
+    let mut now_ms = 1_000;
+    queue.observe_run(Some(TeamKey(0)), QueueKey(0), 1);
+    view.started(now_ms, Some(TeamKey(0)), PoolKey(0), &REQUEST_SIZE);
+    let push_ns = time_ns(waiting_count / 2, |index| {
+        let request = waiting(waiting_count + index, size);
+        let _ = queue.push(now_ms, request, &size_max, &view);
     });
-    let mut now_ms = 0;
     let held_count = queue.len().max(1) as u64;
     let expire_ns = time_ns(LONG_REPEATS_COUNT, |_| {
         now_ms += EXPIRE_PERIOD_MS;
--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -11,12 +11,14 @@
 use crate::policy::health::{Access, Health, HealthSettings};
 use crate::policy::keys::{PeerKey, PoolKey, WorkerKey, ZoneKey};
 use crate::policy::lane::Waiting;
-use crate::policy::placement::{Placement, PlacementSettings, WorkerFacts};
+use crate::policy::placement::{Placement, PlacementSettings};
 use crate::policy::queue::WaitQueue;
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
 use crate::policy::retry::{RetryBudget, RetrySettings};
 use crate::policy::settings::QueueSettings;
-use crate::policy::share::{Load, ShareSettings, UsageRow, UsageView};
+use crate::policy::share::{ShareSettings, UsageView};
+use crate::policy::usage::{Load, UsageRow};
+use crate::policy::worker::WorkerFacts;
 
 /// Time that the baseline tells every refused caller to stay away.
 const BASELINE_RETRY_AFTER_MS: u64 = 1_000;
--- a/src/load/world.rs
+++ b/src/load/world.rs
@@ -17,10 +17,11 @@
 use crate::policy::health::{Attempt, Outcome, WorkKey};
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey, TeamKey, WorkerKey, ZoneKey};
 use crate::policy::lane::Waiting;
-use crate::policy::placement::WorkerFacts;
 use crate::policy::retry::{FailedAttempt, RetryDecision, RetryReason};
 use crate::policy::settings::{QueueSettings, Sharing};
-use crate::policy::share::{Load, ShareSettings, UsageRow};
+use crate::policy::share::ShareSettings;
+use crate::policy::usage::{Load, UsageRow};
+use crate::policy::worker::WorkerFacts;
 
 /// How the entries decide.
 #[derive(
--- a/src/policy/allot.rs
+++ b/src/policy/allot.rs
@@ -7,7 +7,8 @@
 use crate::fleet::MonoMs;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey};
-use crate::policy::share::{TeamSlot, UsageRow, UsageView};
+use crate::policy::share::UsageView;
+use crate::policy::usage::{TeamSlot, UsageRow};
 
 /// What one team asks of a pool. All amounts are slots, or other resources in slots' worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, QueueKey};
-use crate::policy::share::TeamSlot;
+use crate::policy::usage::TeamSlot;
 
 /// Gain of the mean and of the deviation, as for round-trip times in RFC 6298.
 const MEAN_GAIN: f64 = 1.0 / 8.0;
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
-use crate::policy::share::TeamSlot;
+use crate::policy::usage::TeamSlot;
 
 /// A request that waits to be started.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -8,7 +8,8 @@
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::{Lane, Place, PlaceOrder, Waiting};
-use crate::policy::share::{TeamSlot, UsageView};
+use crate::policy::share::UsageView;
+use crate::policy::usage::TeamSlot;
 
 /// Index of a lane.
 pub(crate) type LaneKey = usize;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -13,22 +13,7 @@
 use crate::policy::hash::KeyMap;
 use crate::policy::health::Access;
 use crate::policy::keys::{PoolKey, WorkerKey, ZoneKey};
-
-/// What the instance list and the ledger say of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkerFacts {
-    /// Pool that the worker belongs to.
-    pub pool: PoolKey,
-    /// Availability zone.
-    pub zone: ZoneKey,
-    /// What it offers in total.
-    pub capacity: Resources,
-    /// Requests that it runs at once at most.
-    pub slots_count: u32,
-    /// Whether the ledger and the instance list let it take new work: not draining, leaving or
-    /// stopped. Ejection is separate, see [`Placement::set_access`].
-    pub is_usable: bool,
-}
+use crate::policy::worker::{Worker, WorkerFacts};
 
 /// Settings of the placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,69 +49,6 @@
 /// Time after which half of what a worker was reported to run for others is taken to have ended.
 const REPORT_HALF_LIFE_MS: u64 = 1000;
 
-/// A worker as this entry sees it.
-#[derive(Clone, Debug)]
-struct Worker {
-    facts: WorkerFacts,
-    access: Access,
-    own_count: u32,
-    own_used: Resources,
-    others_count: u32,
-    reported_ms: MonoMs,
-    busy_until_ms: MonoMs,
-    /// Position in the free list of its pool, if it has a free slot.
-    free_index: Option<usize>,
-}
-
-impl Worker {
-    fn idle(facts: WorkerFacts) -> Self {
-        Self {
-            facts,
-            access: Access::Open,
-            own_count: 0,
-            own_used: Resources::default(),
-            others_count: 0,
-            reported_ms: 0,
-            busy_until_ms: 0,
-            free_index: None,
-        }
-    }
-
-    fn running_count(&self) -> u32 {
-        self.own_count + self.others_count
-    }
-
-    fn has_free_slot(&self, connections_max_count: u32) -> bool {
-        let own_max_count = match self.access {
-            Access::Open => connections_max_count,
-            Access::Probation => connections_max_count.min(1),
-            Access::Ejected => 0,
-        };
-        self.facts.is_usable
-            && self.running_count() < self.facts.slots_count
-            && self.own_count < own_max_count
-    }
-
-    /// Accelerators are reserved; processors and memory only bound a single request, as declared
-    /// sizes are hints and the slots bound the sum.
-    fn has_room(&self, now_ms: MonoMs, size: &Resources) -> bool {
-        let used_count = self.own_used.accelerators_count;
-        let free_count = self
-            .facts
-            .capacity
-            .accelerators_count
-            .saturating_sub(used_count);
-        self.busy_until_ms <= now_ms
-            && size.fits_in(&self.facts.capacity)
-            && size.accelerators_count <= free_count
-    }
-
-    fn load(&self) -> f64 {
-        let slots = f64::from(self.running_count()) / f64::from(self.facts.slots_count.max(1));
-        slots.max(self.own_used.dominant_share(&self.facts.capacity))
-    }
-}
-
 /// The workers of one pool.
 #[derive(Clone, Debug, Default)]
 struct PoolWorkers {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -33,9 +33,11 @@
 use crate::policy::lane::{Lane, Waiting};
 use crate::policy::lanes::{LaneKey, Lanes};
 use crate::policy::pacing::{Pacing, PoolPace};
+use crate::policy::ranking::{index_of_lowest, Candidate, Rank};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
 use crate::policy::settings::{QueueSettings, Sharing};
-use crate::policy::share::{TeamSlot, UsageRow, UsageView};
+use crate::policy::share::UsageView;
+use crate::policy::usage::{TeamSlot, UsageRow};
 
 /// Least time between two searches for requests to give up.
 pub const EXPIRE_PERIOD_MS: u64 = 20;
@@ -43,12 +45,6 @@
 /// Starts over which the part of urgent work is smoothed.
 const URGENT_WINDOW_STARTS: f64 = 64.0;
 
-/// What decides between lanes: class, level and deadline; the lowest is served first.
-type Rank = (u8, f64, MonoMs);
-
-/// The head of a lane that may be started.
-type Candidate = (Rank, LaneKey, RequestKey);
-
 /// The waiting requests of one entry.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
@@ -174,7 +170,7 @@
         self.yield_to_others(now_ms, pool, view, &mut candidates);
         while !candidates.is_empty() {
             let best = index_of_lowest(&candidates);
-            let (_, lane_key, key) = candidates.swap_remove(best);
+            let Candidate { lane_key, key, .. } = candidates.swap_remove(best);
             let head = self.lanes.get(lane_key).head(now_ms)?;
             if can_start(head) {
                 self.divider.started(head.team, pool, view);
@@ -355,13 +351,21 @@
             .filter_map(|lane_key| {
                 let lane = self.lanes.get(lane_key);
                 let head = lane.head(now_ms)?;
-                let rank = lane.pools.iter().position(|known| *known == pool)? as u64;
+                let choice = lane.pools.iter().position(|known| *known == pool)? as u64;
                 let waited_ms = now_ms.saturating_sub(head.enqueued_ms);
-                let may_spill = waited_ms >= rank * self.settings.spill_after_ms;
+                let may_spill = waited_ms >= choice * self.settings.spill_after_ms;
                 let class = u8::from(!lane.is_urgent || is_urgent_bounded);
                 let level = view.level(now_ms, lane.team, pool);
-                let rank = (class, level, head.deadline_ms);
-                may_spill.then_some((rank, lane_key, head.key))
+                let rank = Rank {
+                    class,
+                    level,
+                    deadline_ms: head.deadline_ms,
+                };
+                may_spill.then_some(Candidate {
+                    rank,
+                    lane_key,
+                    key: head.key,
+                })
             })
             .collect()
     }
@@ -380,7 +384,7 @@
         self.divide_if_due(now_ms, pool, view);
         let (lanes, divider) = (&self.lanes, &self.divider);
         let may_start = |candidate: &Candidate| {
-            let lane = lanes.get(candidate.1);
+            let lane = lanes.get(candidate.lane_key);
             lane.is_urgent || divider.may_start(lane.team, pool, view)
         };
         let allowed: Vec<Candidate> = candidates.iter().copied().filter(may_start).collect();
@@ -406,18 +410,3 @@
         Some(waiting)
     }
 }
-
-fn index_of_lowest(candidates: &[Candidate]) -> usize {
-    let compare = |left: &Rank, right: &Rank| {
-        left.0
-            .cmp(&right.0)
-            .then(left.1.total_cmp(&right.1))
-            .then(left.2.cmp(&right.2))
-    };
-    (1..candidates.len()).fold(0, |best, index| {
-        match compare(&candidates[index].0, &candidates[best].0) {
-            std::cmp::Ordering::Less => index,
-            _ => best,
-        }
-    })
-}
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -9,7 +9,8 @@
 use hawthornladder::policy::queue::WaitQueue;
 use hawthornladder::policy::refusal::RefusalReason;
 use hawthornladder::policy::settings::QueueSettings;
-use hawthornladder::policy::share::{Load, ShareSettings, UsageRow, UsageView};
+use hawthornladder::policy::share::{ShareSettings, UsageView};
+use hawthornladder::policy::usage::{Load, UsageRow};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
