--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -4,6 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fleet::MonoMs;
+use crate::policy::backlog::{Backlog, TeamBacklog};
 use crate::policy::estimate::DrainRate;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
@@ -142,32 +143,27 @@
         self.drains.get(&pool)?.per_ms()
     }
 
-    /// Returns how many requests start in the whole fleet before the lane is empty, its own
-    /// included, if nothing more arrives: of each other team only as much goes ahead as its weight
-    /// allows while this one drains (generalised processor sharing, Parekh and Gallager, 1993).
-    /// Only urgent work of this entry goes ahead of urgent work.
-    pub(crate) fn ahead_count(&self, lane_key: LaneKey, view: &UsageView) -> f64 {
-        let lane = &self.lanes[lane_key];
-        let pool = lane.pools[0];
-        let mut waiting: KeyMap<TeamSlot, f64> = KeyMap::default();
+    /// Counts what waits for `pool` in the whole fleet.
+    pub(crate) fn backlog(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Backlog {
+        let mut teams: KeyMap<TeamSlot, TeamBacklog> = KeyMap::default();
+        let mut add = |team: TeamSlot, count: f64| {
+            let backlog = teams.entry(team).or_insert_with(|| TeamBacklog {
+                weight: f64::from(view.weight(team)),
+                waiting_count: 0.0,
+            });
+            backlog.waiting_count += count;
+        };
         let mut urgent_count = 0.0;
-        for other in self.preferring(pool) {
-            match other.is_urgent {
-                true => urgent_count += other.len() as f64,
-                false => *waiting.entry(other.team).or_insert(0.0) += other.len() as f64,
+        for lane in self.preferring(pool) {
+            match lane.is_urgent {
+                true => urgent_count += lane.len() as f64,
+                false => add(lane.team, lane.len() as f64),
             }
         }
-        if lane.is_urgent {
-            return urgent_count;
-        }
         for (team, count) in view.waiting_at_peers(pool) {
-            *waiting.entry(team).or_insert(0.0) += f64::from(count);
+            add(team, f64::from(count));
         }
-        let own_count = waiting.get(&lane.team).copied().unwrap_or(0.0);
-        let own_turns = own_count / f64::from(view.weight(lane.team));
-        let ahead_of_lane =
-            |(team, count): (&TeamSlot, &f64)| count.min(own_turns * f64::from(view.weight(*team)));
-        urgent_count + waiting.iter().map(ahead_of_lane).sum::<f64>()
+        Backlog::new(now_ms, urgent_count, &teams)
     }
 
     /// Returns the preferred pool of a queue for a team that has sent work to it.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Admission and sharing: pure state machines that decide which request runs next and where.
 
 pub mod allot;
+pub(crate) mod backlog;
 pub mod estimate;
 pub(crate) mod hash;
 pub mod health;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -27,6 +27,7 @@
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
+use crate::policy::backlog::Backlog;
 use crate::policy::estimate::RunTimes;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
@@ -53,6 +54,7 @@
     largest_worker: KeyMap<PoolKey, Resources>,
     urgent_part: KeyMap<PoolKey, f64>,
     run_times: RunTimes,
+    backlogs: KeyMap<PoolKey, Backlog>,
     divider: Divider,
     pacing: Pacing,
     next_expire_ms: MonoMs,
@@ -69,6 +71,7 @@
             largest_worker: KeyMap::default(),
             urgent_part: KeyMap::default(),
             run_times: RunTimes::default(),
+            backlogs: KeyMap::default(),
             divider: Divider::default(),
             pacing: Pacing::default(),
             next_expire_ms: 0,
@@ -129,6 +132,7 @@
         }
         let lane_key = self.lanes.lane_for(&waiting);
         let latest_start_ms = self.latest_start_ms(&waiting);
+        self.count_backlog(now_ms, waiting.pools[0], view);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
@@ -209,6 +213,7 @@
         self.next_expire_ms = now_ms + EXPIRE_PERIOD_MS;
         let mut given_up = Vec::new();
         for lane_key in self.lanes.busy() {
+            self.count_backlog(now_ms, self.lanes.get(lane_key).pools[0], view);
             for key in self.unreachable(now_ms, lane_key, view) {
                 self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
@@ -297,7 +302,11 @@
         let pool = self.lanes.get(lane_key).pools[0];
         self.lanes.drain_per_ms(pool)?;
         let run_ms = self.run_times.mean_in_pool_ms(pool)?;
-        let ahead_count = self.lanes.ahead_count(lane_key, view);
+        let lane = self.lanes.get(lane_key);
+        let ahead_count = self
+            .backlogs
+            .get(&pool)?
+            .ahead_count(lane.team, lane.is_urgent);
         match (ahead_count, view.running_in(pool)) {
             (0.0, _) => Some(0.0),
             (_, 0) if view.slots_count(pool) > 0 => None,
@@ -305,6 +314,15 @@
         }
     }
 
+    /// Counts the backlog of a pool anew if the last count is too old.
+    fn count_backlog(&mut self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) {
+        let is_due = |backlog: &Backlog| backlog.is_due(now_ms);
+        if self.backlogs.get(&pool).is_none_or(is_due) {
+            let backlog = self.lanes.backlog(now_ms, pool, view);
+            self.backlogs.insert(pool, backlog);
+        }
+    }
+
     fn unreachable(&self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> Vec<RequestKey> {
         let lane = self.lanes.get(lane_key);
         let per_ms = self
