--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -108,7 +108,7 @@
 /// Mean of the log-normal run times over their median.
 const RUN_MEAN_FACTOR: f64 = 1.133;
 
-/// Factors of the demand within and outside of a queue's turn, from the brief's sizes.
+/// Factors of the demand within and outside of a queue's turn.
 const TURN_HIGH: f64 = 5.0;
 const TURN_LOW: f64 = 0.05;
 
--- /dev/null
+++ b/src/policy/forecast.rs
@@ -0,0 +1,88 @@
+//! Forecast of how long waiting requests wait and run, from observed run times, what waits in the
+//! whole fleet and what runs.
+
+use crate::fleet::MonoMs;
+use crate::policy::backlog::Backlog;
+use crate::policy::estimate::RunTimes;
+use crate::policy::hash::KeyMap;
+use crate::policy::keys::{PoolKey, QueueKey};
+use crate::policy::lane::{Lane, Waiting};
+use crate::policy::lanes::Lanes;
+use crate::policy::share::UsageView;
+use crate::policy::usage::TeamSlot;
+
+/// What the forecast is made from.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Forecast {
+    run_times: RunTimes,
+    backlogs: KeyMap<PoolKey, Backlog>,
+}
+
+impl Forecast {
+    pub(crate) fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
+    /// Takes in how long a request ran; `pool` is the one that its queue prefers.
+    pub(crate) fn observe_run(
+        &mut self,
+        team: TeamSlot,
+        queue: QueueKey,
+        pool: Option<PoolKey>,
+        run_ms: u64,
+    ) {
+        self.run_times.observe(team, queue, run_ms);
+        if let Some(pool) = pool {
+            self.run_times.observe_in_pool(pool, run_ms);
+        }
+    }
+
+    /// Returns the last moment at which a start still leaves the observed run time and
+    /// `deviations` times its mean deviation before the deadline.
+    pub(crate) fn latest_start_ms(&self, waiting: &Waiting, deviations: f64) -> MonoMs {
+        let run_ms = self
+            .run_times
+            .reserve_ms(waiting.team, waiting.queue, deviations);
+        waiting.deadline_ms.saturating_sub(run_ms)
+    }
+
+    /// Returns the starts a millisecond of this entry in the preferred pool of a lane. The rate is
+    /// what it starts there while work waits; where starts are too rare to tell, it is what runs
+    /// over its run time.
+    pub(crate) fn own_per_ms(&self, lanes: &Lanes, lane: &Lane, view: &UsageView) -> Option<f64> {
+        let pool = lane.pools[0];
+        let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
+        let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
+        Some(lanes.drain_per_ms(pool)?.max(by_running))
+    }
+
+    /// Returns how long a lane takes to drain: what is ahead in the whole fleet, at the rate at
+    /// which the pool ends what it runs (Little's law). `None` while too little was seen to tell.
+    pub(crate) fn drain_ms(&self, lanes: &Lanes, lane: &Lane, view: &UsageView) -> Option<f64> {
+        let pool = lane.pools[0];
+        lanes.drain_per_ms(pool)?;
+        let run_ms = self.run_times.mean_in_pool_ms(pool)?;
+        let backlog = self.backlogs.get(&pool)?;
+        let ahead_count = backlog.ahead_count(lane.team, lane.is_urgent);
+        match (ahead_count, view.running_in(pool)) {
+            (0.0, _) => Some(0.0),
+            (_, 0) if view.slots_count(pool) > 0 => None,
+            (_, running_count) => Some(ahead_count * run_ms / running_count as f64),
+        }
+    }
+
+    /// Counts the backlog of a pool anew if the last count is too old.
+    pub(crate) fn count_backlog(
+        &mut self,
+        now_ms: MonoMs,
+        lanes: &Lanes,
+        pool: PoolKey,
+        view: &UsageView,
+    ) {
+        let is_due = |backlog: &Backlog| backlog.is_due(now_ms);
+        if self.backlogs.get(&pool).is_none_or(is_due) {
+            let backlog = lanes.backlog(now_ms, pool, view);
+            self.backlogs.insert(pool, backlog);
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod allot;
 pub(crate) mod backlog;
 pub mod estimate;
+pub(crate) mod forecast;
 pub(crate) mod hash;
 pub mod health;
 pub mod keys;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -27,11 +27,11 @@
 
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
-use crate::policy::backlog::Backlog;
 use crate::policy::estimate::RunTimes;
+use crate::policy::forecast::Forecast;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
-use crate::policy::lane::{Lane, Waiting};
+use crate::policy::lane::Waiting;
 use crate::policy::lanes::{LaneKey, Lanes};
 use crate::policy::pacing::{Pacing, PoolPace};
 use crate::policy::ranking::{index_of_lowest, Candidate, Rank};
@@ -53,8 +53,7 @@
     lanes: Lanes,
     largest_worker: KeyMap<PoolKey, Resources>,
     urgent_part: KeyMap<PoolKey, f64>,
-    run_times: RunTimes,
-    backlogs: KeyMap<PoolKey, Backlog>,
+    forecast: Forecast,
     divider: Divider,
     pacing: Pacing,
     next_expire_ms: MonoMs,
@@ -70,8 +69,7 @@
             lanes: Lanes::default(),
             largest_worker: KeyMap::default(),
             urgent_part: KeyMap::default(),
-            run_times: RunTimes::default(),
-            backlogs: KeyMap::default(),
+            forecast: Forecast::default(),
             divider: Divider::default(),
             pacing: Pacing::default(),
             next_expire_ms: 0,
@@ -87,15 +85,13 @@
 
     /// Takes in how long a request ran.
     pub fn observe_run(&mut self, team: TeamSlot, queue: QueueKey, run_ms: u64) {
-        self.run_times.observe(team, queue, run_ms);
-        if let Some(pool) = self.lanes.pool_of(team, queue) {
-            self.run_times.observe_in_pool(pool, run_ms);
-        }
+        let pool = self.lanes.pool_of(team, queue);
+        self.forecast.observe_run(team, queue, pool, run_ms);
     }
 
     /// Returns the observed run times.
     pub fn run_times(&self) -> &RunTimes {
-        &self.run_times
+        self.forecast.run_times()
     }
 
     /// Returns how many requests wait.
@@ -131,8 +127,10 @@
             return Err(self.refuse(reason, None));
         }
         let lane_key = self.lanes.lane_for(&waiting);
-        let latest_start_ms = self.latest_start_ms(&waiting);
-        self.count_backlog(now_ms, waiting.pools[0], view);
+        let deviations = self.settings.run_deviations;
+        let latest_start_ms = self.forecast.latest_start_ms(&waiting, deviations);
+        self.forecast
+            .count_backlog(now_ms, &self.lanes, waiting.pools[0], view);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
@@ -154,7 +152,8 @@
         }
         self.lanes.uncount_start(waiting.pools[0]);
         let lane_key = self.lanes.lane_for(&waiting);
-        let latest_start_ms = self.latest_start_ms(&waiting);
+        let deviations = self.settings.run_deviations;
+        let latest_start_ms = self.forecast.latest_start_ms(&waiting, deviations);
         self.lanes
             .insert(now_ms, lane_key, waiting, latest_start_ms);
     }
@@ -213,7 +212,8 @@
         self.next_expire_ms = now_ms + EXPIRE_PERIOD_MS;
         let mut given_up = Vec::new();
         for lane_key in self.lanes.busy() {
-            self.count_backlog(now_ms, self.lanes.get(lane_key).pools[0], view);
+            let pool = self.lanes.get(lane_key).pools[0];
+            self.forecast.count_backlog(now_ms, &self.lanes, pool, view);
             for key in self.unreachable(now_ms, lane_key, view) {
                 self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
@@ -259,13 +259,14 @@
     }
 
     fn cannot_take(
-        &mut self,
+        &self,
         now_ms: MonoMs,
         lane_key: LaneKey,
         latest_start_ms: MonoMs,
         view: &UsageView,
     ) -> Option<RefusalReason> {
         let lane = self.lanes.get(lane_key);
+        let drain_ms = self.forecast.drain_ms(&self.lanes, lane, view);
         let left_ms = latest_start_ms.saturating_sub(now_ms) as f64;
         let of_team = self.lanes.waiting_of(lane.team);
         let free = self
@@ -279,54 +280,18 @@
             () if latest_start_ms < now_ms => Some(RefusalReason::DeadlinePassed),
             () if free == 0 => Some(RefusalReason::QueueFull),
             () if of_team >= team_max.max(1) => Some(RefusalReason::TeamQueueFull),
-            () if self.drain_ms(lane_key, view).is_some_and(|ms| ms > left_ms) => {
+            () if drain_ms.is_some_and(|drain_ms| drain_ms > left_ms) => {
                 Some(RefusalReason::DeadlineUnreachable)
             }
             () => None,
         }
     }
 
-    /// Returns the starts a millisecond in the preferred pool of a lane. The rate is what this
-    /// entry starts there while work waits; where starts are too rare to tell, it is what runs
-    /// over its run time.
-    fn per_ms(&self, lane: &Lane, view: &UsageView) -> Option<f64> {
-        let pool = lane.pools[0];
-        let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
-        let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
-        Some(self.lanes.drain_per_ms(pool)?.max(by_running))
-    }
-
-    /// Returns how long the lane takes to drain: what is ahead in the whole fleet, at the rate at
-    /// which the pool ends what it runs (Little's law). `None` while too little was seen to tell.
-    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
-        let pool = self.lanes.get(lane_key).pools[0];
-        self.lanes.drain_per_ms(pool)?;
-        let run_ms = self.run_times.mean_in_pool_ms(pool)?;
-        let lane = self.lanes.get(lane_key);
-        let ahead_count = self
-            .backlogs
-            .get(&pool)?
-            .ahead_count(lane.team, lane.is_urgent);
-        match (ahead_count, view.running_in(pool)) {
-            (0.0, _) => Some(0.0),
-            (_, 0) if view.slots_count(pool) > 0 => None,
-            (_, running_count) => Some(ahead_count * run_ms / running_count as f64),
-        }
-    }
-
-    /// Counts the backlog of a pool anew if the last count is too old.
-    fn count_backlog(&mut self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) {
-        let is_due = |backlog: &Backlog| backlog.is_due(now_ms);
-        if self.backlogs.get(&pool).is_none_or(is_due) {
-            let backlog = self.lanes.backlog(now_ms, pool, view);
-            self.backlogs.insert(pool, backlog);
-        }
-    }
-
     fn unreachable(&self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> Vec<RequestKey> {
         let lane = self.lanes.get(lane_key);
         let per_ms = self
-            .drain_ms(lane_key, view)
+            .forecast
+            .drain_ms(&self.lanes, lane, view)
             .map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
         lane.unreachable(now_ms, per_ms, self.settings.give_up_slack)
     }
@@ -344,22 +309,13 @@
         let pool = lane.pools[0];
         let pace = PoolPace {
             pool,
-            per_ms: self.per_ms(lane, view),
+            per_ms: self.forecast.own_per_ms(&self.lanes, lane, view),
             waiting_count: self.lanes.waiting_for(pool).values().sum(),
         };
         let limits = self.settings.retry_after;
         self.pacing.book_ms(now_ms, pace, limits, &mut self.rng)
     }
 
-    /// Returns the last moment at which a start still leaves the observed run time.
-    fn latest_start_ms(&self, waiting: &Waiting) -> MonoMs {
-        let deviations = self.settings.run_deviations;
-        let run_ms = self
-            .run_times
-            .reserve_ms(waiting.team, waiting.queue, deviations);
-        waiting.deadline_ms.saturating_sub(run_ms)
-    }
-
     fn candidates(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Vec<Candidate> {
         let urgent_part = self.urgent_part.get(&pool).copied().unwrap_or(0.0);
         let is_urgent_bounded =
--- a/src/policy/worker.rs
+++ b/src/policy/worker.rs
@@ -16,7 +16,7 @@
     /// Requests that it runs at once at most.
     pub slots_count: u32,
     /// Whether the ledger and the instance list let it take new work: not draining, leaving or
-    /// stopped. Ejection is separate, see [`Placement::set_access`].
+    /// stopped. Ejection is separate, see `Placement::set_access`.
     pub is_usable: bool,
 }
 
