--- /dev/null
+++ b/src/adapters/callers_http/service.rs
@@ -0,0 +1,243 @@
+//! Answers one request: hands it to the core and waits for the core's answer, the caller's
+//! disconnect or the deadline.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::{Body, Incoming};
+use hyper::Request;
+use smol_str::SmolStr;
+use tokio::runtime::Handle;
+use tokio::time::{timeout, Instant};
+
+use super::answer::{readiness, to_http, HttpAnswer};
+use super::request::{parse, Asked, RunHead};
+use super::{body, Shared};
+use crate::adapters::http_server::SlotGuard;
+use crate::callers::{CallId, CallerAnswer, CallerCall, CallerRequest};
+use crate::error::ErrorKind;
+
+/// A refusal by this interface, before the core knew of the call.
+pub(super) struct Refusal {
+    kind: ErrorKind,
+    detail: &'static str,
+    /// What is wrong with one field, if the text had to be put together.
+    field_detail: Option<SmolStr>,
+    /// Whether the rest of the request is still on the connection, so that it must close.
+    is_unread: bool,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that was read whole.
+    fn new(kind: ErrorKind, detail: &'static str) -> Self {
+        Self {
+            kind,
+            detail,
+            field_detail: None,
+            is_unread: false,
+        }
+    }
+
+    /// Returns a refusal of a request whose body was not read to its end.
+    pub(super) fn unread(kind: ErrorKind, detail: &'static str) -> Self {
+        Self {
+            is_unread: true,
+            ..Self::new(kind, detail)
+        }
+    }
+}
+
+/// Answers `request`; never fails, as every fault has an answer.
+pub(super) async fn answer(
+    shared: Arc<Shared>,
+    slot: Arc<SlotGuard>,
+    request: Request<Incoming>,
+) -> HttpAnswer {
+    let (parts, body) = request.into_parts();
+    let asked = match parse(&parts, &shared.limits) {
+        Ok(Asked::Readiness) => {
+            let is_ready = shared.is_ready.load(Ordering::Acquire) && !shared.is_closing();
+            return readiness(is_ready);
+        }
+        Ok(asked) => asked,
+        Err(detail) => {
+            let refusal = Refusal {
+                field_detail: Some(detail),
+                is_unread: !body.is_end_stream(),
+                ..Refusal::new(ErrorKind::MalformedRequest, "")
+            };
+            return refuse(&shared, refusal, "");
+        }
+    };
+    let request_id = asked.request_id();
+    match exchange(&shared, slot, asked, body).await {
+        Ok(answer) => to_http(answer, &request_id, shared.is_closing()),
+        Err(refusal) => refuse(&shared, refusal, &request_id),
+    }
+}
+
+fn refuse(shared: &Shared, refusal: Refusal, request_id: &str) -> HttpAnswer {
+    (shared.on_refusal)(refusal.kind);
+    let detail = refusal
+        .field_detail
+        .unwrap_or_else(|| SmolStr::new_static(refusal.detail));
+    let entry = shared.entry.clone();
+    let answer =
+        CallerAnswer::failed(entry, refusal.kind, shared.limits.retry_after_ms).with_detail(detail);
+    to_http(answer, request_id, refusal.is_unread || shared.is_closing())
+}
+
+async fn exchange(
+    shared: &Arc<Shared>,
+    slot: Arc<SlotGuard>,
+    asked: Asked,
+    body: Incoming,
+) -> Result<CallerAnswer, Refusal> {
+    let arrived = Instant::now();
+    let call_id = shared.next_call_id.fetch_add(1, Ordering::Relaxed);
+    let (reply, replies) = flume::bounded(1);
+    let answer_by = arrived + Duration::from_millis(shared.limits.deadline_default_ms);
+    match asked {
+        Asked::Run(head) => {
+            let deadline = arrived + Duration::from_millis(head.deadline_ms);
+            let (body, _bytes) = body::read(shared, body, deadline).await?;
+            let guard = GoneGuard::new(shared, slot, call_id, &head.request_id);
+            let request = to_request(head, body, deadline);
+            let call = CallerCall::Run {
+                call_id,
+                request,
+                reply,
+            };
+            guard
+                .wait(send(shared, call), shared, replies, deadline)
+                .await
+        }
+        Asked::Cancel(cancel) => {
+            let call = CallerCall::Cancel {
+                call_id,
+                cancel,
+                reply,
+            };
+            send(shared, call)?;
+            wait(shared, replies, answer_by).await
+        }
+        Asked::Fetch(fetch) => {
+            let call = CallerCall::Fetch {
+                call_id,
+                fetch,
+                reply,
+            };
+            send(shared, call)?;
+            wait(shared, replies, answer_by).await
+        }
+        Asked::Readiness => Err(Refusal::new(ErrorKind::Internal, "")),
+    }
+}
+
+/// Returns the request with the part of its deadline that is left after its body has come.
+fn to_request(head: RunHead, body: Arc<[u8]>, deadline: Instant) -> CallerRequest {
+    let left = deadline.saturating_duration_since(Instant::now());
+    CallerRequest {
+        request_id: head.request_id,
+        key: head.key,
+        queue: head.queue,
+        deadline_ms: left.as_millis() as u64,
+        is_idempotent: head.is_idempotent,
+        size: head.size,
+        declared_run_ms: head.declared_run_ms,
+        is_for_later: head.is_for_later,
+        body,
+    }
+}
+
+fn send(shared: &Shared, call: CallerCall) -> Result<(), Refusal> {
+    shared.calls.try_send(call).map_err(|error| match error {
+        flume::TrySendError::Full(_) => {
+            Refusal::new(ErrorKind::QueueFull, "calls: the entry's ring is full")
+        }
+        // The core has ended, so it will run nothing more.
+        flume::TrySendError::Disconnected(_) => Refusal::new(ErrorKind::Draining, ""),
+    })
+}
+
+/// Waits for the core's answer until a little after `deadline`.
+async fn wait(
+    shared: &Shared,
+    replies: flume::Receiver<CallerAnswer>,
+    deadline: Instant,
+) -> Result<CallerAnswer, Refusal> {
+    let grace = Duration::from_millis(shared.limits.reply_grace_ms);
+    let left = (deadline + grace).saturating_duration_since(Instant::now());
+    match timeout(left, replies.recv_async()).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(_)) => Err(Refusal::new(
+            ErrorKind::Internal,
+            "the core dropped the call",
+        )),
+        Err(_) => Err(Refusal::new(
+            ErrorKind::Internal,
+            "the core gave no answer in time",
+        )),
+    }
+}
+
+/// Tells the core that the caller has gone if it is dropped before the answer came.
+struct GoneGuard {
+    calls: flume::Sender<CallerCall>,
+    slot: Arc<SlotGuard>,
+    call_id: CallId,
+    request_id: SmolStr,
+    is_armed: bool,
+}
+
+impl GoneGuard {
+    fn new(shared: &Shared, slot: Arc<SlotGuard>, call_id: CallId, request_id: &SmolStr) -> Self {
+        Self {
+            calls: shared.calls.clone(),
+            slot,
+            call_id,
+            request_id: request_id.clone(),
+            is_armed: false,
+        }
+    }
+
+    /// Waits for the answer to a call that was `sent`, and tells the core if the wait is given up.
+    async fn wait(
+        mut self,
+        sent: Result<(), Refusal>,
+        shared: &Shared,
+        replies: flume::Receiver<CallerAnswer>,
+        deadline: Instant,
+    ) -> Result<CallerAnswer, Refusal> {
+        sent?;
+        self.is_armed = true;
+        let result = wait(shared, replies, deadline).await;
+        self.is_armed = result.is_err();
+        result
+    }
+}
+
+impl Drop for GoneGuard {
+    fn drop(&mut self) {
+        if !self.is_armed {
+            return;
+        }
+        let gone = CallerCall::Gone {
+            call_id: self.call_id,
+            request_id: self.request_id.clone(),
+        };
+        let Err(flume::TrySendError::Full(gone)) = self.calls.try_send(gone) else {
+            return;
+        };
+        // A full ring must not lose the event; the connection's slot bounds how many wait here.
+        let calls = self.calls.clone();
+        let slot = Arc::clone(&self.slot);
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move {
+                let _ = calls.send_async(gone).await;
+                drop(slot);
+            });
+        }
+    }
+}
--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -3,12 +3,15 @@
 use std::path::Path;
 
 use clap::{value_parser, Arg, ArgMatches, Command};
+use error_stack::Report;
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::plot::{plot_overload, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
 use serde::Serialize;
 
+use crate::cmd::{CmdError, CmdResult, Exit};
+
 /// Makes the `clap` command.
 pub(crate) fn make_command() -> Command {
     Command::new("experiment")
@@ -88,16 +91,20 @@
         .help("Form of the figures")
 }
 
-/// Runs the command; the text of an error is for the operator.
-pub(crate) fn execute(args: &ArgMatches) -> Result<(), String> {
-    match args.subcommand() {
+/// Runs the command.
+pub(crate) fn execute(args: &ArgMatches) -> CmdResult {
+    let result = match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
         Some(("cost", args)) => {
             let rows = measure_cost(&FLEET_SIZES);
             print_report(args, &cost_table(&rows), &rows)
         }
-        _ => Err("a subcommand is required".to_owned()),
+        _ => return Err(Report::new(CmdError::Usage)),
+    };
+    match result {
+        Ok(()) => Ok(Exit::Done),
+        Err(text) => Err(Report::new(CmdError::Unavailable).attach(text)),
     }
 }
 
--- /dev/null
+++ b/src/cmd/keys.rs
@@ -0,0 +1,193 @@
+//! `keys`: grant, withdraw and list the teams' keys.
+
+use clap::{Arg, ArgMatches, Command};
+use error_stack::Report;
+use hawthornladder::{
+    adapters::operators_client::OperatorsClient,
+    keys,
+    ledger::{KeyRow, OperatorChange},
+    operator::Settled,
+};
+
+use crate::cmd::{entry_access, is_json, log_access, output_arg, say, CmdError, CmdResult, Exit};
+
+/// Makes the command line of `keys`.
+pub(crate) fn make_command() -> Command {
+    Command::new("keys")
+        .about("Grant, withdraw and list the teams' keys")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(make_grant_command())
+        .subcommand(make_withdraw_command())
+        .subcommand(
+            Command::new("list")
+                .about("List all keys, without their secrets")
+                .args(log_access::args())
+                .arg(output_arg()),
+        )
+}
+
+fn make_grant_command() -> Command {
+    Command::new("grant")
+        .about("Grant a new key to a team; the key is shown once")
+        .arg(
+            Arg::new("team")
+                .value_name("TEAM")
+                .help("Team that the key stands for")
+                .required(true),
+        )
+        .args(log_access::args())
+        .arg(output_arg())
+}
+
+fn make_withdraw_command() -> Command {
+    Command::new("withdraw")
+        .about("Withdraw a key for good")
+        .long_about(
+            "Withdraw a key for good.\n\n\
+             The withdrawal is told to the entries named with `--entry` first, which refuse the \
+             key at once and tell their peers, so that it holds even while the log is down; then \
+             it is put on record in the log. The exit code is 0 once it is on record, and 5 while \
+             it is in force at the entries but not on record yet.",
+        )
+        .arg(
+            Arg::new("key")
+                .value_name("KEY_ID")
+                .help("Public id of the key: the part before the dot")
+                .required(true),
+        )
+        .arg(entry_access::arg())
+        .args(log_access::args())
+}
+
+/// Carries out `keys`.
+pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
+    match matches.subcommand() {
+        Some(("grant", matches)) => grant(matches),
+        Some(("withdraw", matches)) => withdraw(matches),
+        Some(("list", matches)) => list(matches),
+        _ => Err(Report::new(CmdError::Usage)),
+    }
+}
+
+fn grant(matches: &ArgMatches) -> CmdResult {
+    let team = text(matches, "team");
+    let access = log_access::open(matches)?;
+    let mut reader = access.read()?;
+    let teams = &reader.ledger().lists.plans.teams;
+    if !teams.iter().any(|row| row.name == team) {
+        return Err(Report::new(CmdError::Refused)
+            .attach(format!("TEAM {team}: no team of this name is in force")));
+    }
+    let key = keys::generate();
+    let change = OperatorChange::GrantKey {
+        key_id: key.key_id.clone(),
+        row: KeyRow {
+            team: team.into(),
+            digest: key.digest.clone(),
+            is_withdrawn: false,
+        },
+    };
+    match reader.propose(&access.operator, change, access.timeout) {
+        Settled::Accepted { .. } => {
+            say(&match is_json(matches) {
+                true => serde_json::json!({
+                    "team": team, "key_id": key.key_id, "key": key.text,
+                })
+                .to_string(),
+                false => format!(
+                    "event=key_granted team={team} key_id={} key={}",
+                    key.key_id, key.text
+                ),
+            })?;
+            Ok(Exit::Done)
+        }
+        settled => Err(unsettled(settled)),
+    }
+}
+
+fn withdraw(matches: &ArgMatches) -> CmdResult {
+    let key_id = text(matches, "key");
+    // A whole key is taken too, so that nobody has to split one in a hurry.
+    let key_id = key_id.split('.').next().unwrap_or(key_id);
+    let mut is_in_force = false;
+    for entry in entry_access::addresses(matches)? {
+        match OperatorsClient::open(entry).withdraw_key(key_id) {
+            Ok(ack) => {
+                is_in_force |= ack.is_in_force_everywhere;
+                say(&format!(
+                    "event=entry_told entry={entry} seats_count={} acknowledged_count={} \
+                     is_in_force_everywhere={}",
+                    ack.seats_count, ack.acknowledged_count, ack.is_in_force_everywhere
+                ))?;
+            }
+            Err(failure) => say(&format!(
+                "event=entry_not_told entry={entry} error={:?}",
+                failure.to_string()
+            ))?,
+        }
+    }
+    let change = OperatorChange::WithdrawKey {
+        key_id: key_id.into(),
+    };
+    let access = log_access::open(matches)?;
+    let settled = match access.read() {
+        Ok(mut reader) => reader.propose(&access.operator, change, access.timeout),
+        Err(report) => {
+            say(&format!(
+                "event=key_withdrawn key_id={key_id} is_on_record=false is_in_force={is_in_force}"
+            ))?;
+            return Err(report.change_context(CmdError::Unsettled).attach(
+                "withdraw again when the log answers, so that the withdrawal is on record",
+            ));
+        }
+    };
+    match settled {
+        Settled::Accepted { .. } => {}
+        Settled::Rejected { reason, .. } if reason == "already_withdrawn" => {}
+        settled => return Err(unsettled(settled)),
+    }
+    say(&format!(
+        "event=key_withdrawn key_id={key_id} is_on_record=true"
+    ))?;
+    Ok(Exit::Done)
+}
+
+fn list(matches: &ArgMatches) -> CmdResult {
+    let access = log_access::open(matches)?;
+    let reader = access.read()?;
+    let keys = &reader.ledger().keys;
+    if is_json(matches) {
+        let rows: Vec<_> = keys
+            .iter()
+            .map(|(key_id, row)| {
+                serde_json::json!({
+                    "key_id": key_id, "team": row.team, "is_withdrawn": row.is_withdrawn,
+                })
+            })
+            .collect();
+        say(&serde_json::Value::from(rows).to_string())?;
+        return Ok(Exit::Done);
+    }
+    for (key_id, row) in keys.iter() {
+        say(&format!(
+            "key_id={key_id} team={} is_withdrawn={}",
+            row.team, row.is_withdrawn
+        ))?;
+    }
+    Ok(Exit::Done)
+}
+
+fn unsettled(settled: Settled) -> Report<CmdError> {
+    match settled {
+        Settled::Rejected { reason, .. } => Report::new(CmdError::Refused).attach(reason),
+        Settled::Unsettled { proposal_id, error } => Report::new(CmdError::Unsettled)
+            .attach(format!("proposal {proposal_id}: {error}"))
+            .attach("run `keys list` when the log answers: it tells what is on record"),
+        Settled::Accepted { .. } => Report::new(CmdError::Fault),
+    }
+}
+
+fn text<'m>(matches: &'m ArgMatches, name: &str) -> &'m str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,3 +1,133 @@
 //! The subcommands of the program, one module each: a maker of its `clap` command beside its
 //! `execute`.
-pub(crate) mod experiment;
+
+mod check;
+mod entry;
+mod entry_access;
+mod exit;
+mod experiment;
+mod explain;
+mod keys;
+mod lists;
+mod load;
+mod log_access;
+mod stand_in;
+mod standalone;
+mod status;
+mod table;
+mod upkeep_experiment;
+
+use std::io::{self, Write};
+
+use clap::{Arg, ArgMatches, Command};
+use error_stack::{Report, ResultExt};
+
+pub(crate) use exit::{plain_reports, CmdError, Exit};
+
+/// What a subcommand ends with.
+pub(crate) type CmdResult = Result<Exit, Report<CmdError>>;
+
+/// A subcommand of the program.
+struct Subcommand {
+    /// Makes its `clap` command, whose name selects it.
+    make: fn() -> Command,
+    /// Carries it out.
+    execute: fn(&ArgMatches) -> CmdResult,
+}
+
+/// Every subcommand, in the order of the help.
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        make: check::make_command,
+        execute: check::execute,
+    },
+    Subcommand {
+        make: entry::make_command,
+        execute: entry::execute,
+    },
+    Subcommand {
+        make: lists::make_command,
+        execute: lists::execute,
+    },
+    Subcommand {
+        make: keys::make_command,
+        execute: keys::execute,
+    },
+    Subcommand {
+        make: status::make_command,
+        execute: status::execute,
+    },
+    Subcommand {
+        make: explain::make_command,
+        execute: explain::execute,
+    },
+    Subcommand {
+        make: standalone::make_command,
+        execute: standalone::execute,
+    },
+    Subcommand {
+        make: load::make_command,
+        execute: load::execute,
+    },
+    Subcommand {
+        make: stand_in::make_command,
+        execute: stand_in::execute,
+    },
+    Subcommand {
+        make: experiment::make_command,
+        execute: experiment::execute,
+    },
+    Subcommand {
+        make: upkeep_experiment::make_command,
+        execute: upkeep_experiment::execute,
+    },
+];
+
+/// Prints one line to the standard output at once.
+pub(crate) fn say(line: &str) -> Result<(), Report<CmdError>> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{line}")
+        .and_then(|()| out.flush())
+        .change_context(CmdError::Unavailable)
+        .attach("cannot write to the standard output")
+}
+
+/// Makes the argument that chooses between text and JSON.
+pub(crate) fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .value_name("FORMAT")
+        .help("How to print")
+        .value_parser(["text", "json"])
+        .default_value("text")
+}
+
+/// Returns whether [`output_arg`] asks for JSON.
+pub(crate) fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("output").map(String::as_str) == Some("json")
+}
+
+/// Makes the command line of the program.
+pub(crate) fn make_command() -> Command {
+    Command::new("hawthornladder")
+        .version(clap::crate_version!())
+        .about("Manages the capacity and the maintenance of a shared fleet")
+        .after_help(exit::HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|subcommand| (subcommand.make)()))
+}
+
+/// Carries out the subcommand that was chosen.
+pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(Report::new(CmdError::Usage));
+    };
+    let chosen = SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.make)().get_name() == name);
+    match chosen {
+        Some(subcommand) => (subcommand.execute)(matches),
+        None => Err(Report::new(CmdError::Usage)),
+    }
+}
--- a/src/lists/types.rs
+++ b/src/lists/types.rs
@@ -56,6 +56,24 @@
     pub zone_unavailable_max_permille: u32,
 }
 
+impl AvailabilityBudget {
+    /// Returns how many of the `instances_count` instances of a pool may be unavailable at once.
+    pub fn pool_unavailable_max_count(&self, instances_count: u32) -> u32 {
+        part_rounded_down(instances_count, self.pool_unavailable_max_permille)
+    }
+
+    /// Returns how many of the `instances_count` instances that a pool has in one availability zone
+    /// may be unavailable at once.
+    pub fn zone_unavailable_max_count(&self, instances_count: u32) -> u32 {
+        part_rounded_down(instances_count, self.zone_unavailable_max_permille)
+    }
+}
+
+fn part_rounded_down(count: u32, part_permille: u32) -> u32 {
+    let part = u64::from(count) * u64::from(part_permille) / 1_000;
+    u32::try_from(part).unwrap_or(u32::MAX)
+}
+
 /// A team: one customer's group of submitters.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -107,6 +125,33 @@
     pub queues: Vec<Queue>,
     /// What each plan may use.
     pub entitlements: Vec<Entitlement>,
+    /// When instances are due for maintenance.
+    #[serde(default)]
+    pub maintenance: Maintenance,
+}
+
+/// When instances are due for maintenance; nothing is due by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Maintenance {
+    /// Hours after its last maintenance at which an instance is due again; 0 for never.
+    pub every_hours: u32,
+    /// Every instance that was last maintained before this time is due, in milliseconds since the
+    /// Unix epoch; 0 for none. Setting it to now starts a roll-out.
+    pub due_before_unix_ms: u64,
+}
+
+impl Maintenance {
+    /// Returns the time before which an instance must last have been maintained to be due, or none
+    /// if nothing is due.
+    pub fn due_before(&self, now_unix_ms: u64) -> Option<u64> {
+        let every_ms = u64::from(self.every_hours) * 3_600_000;
+        let periodic = match every_ms {
+            0 => 0,
+            every_ms => now_unix_ms.saturating_sub(every_ms),
+        };
+        Some(periodic.max(self.due_before_unix_ms)).filter(|at| *at > 0)
+    }
 }
 
 /// A pool of instances.
@@ -179,4 +224,12 @@
             .iter()
             .find(|row| row.plan == plan)
     }
+
+    /// Returns whether `entitlement` lets work reach `pool` through one of its queues.
+    pub fn reaches_pool(&self, entitlement: &Entitlement, pool: &str) -> bool {
+        let queues = self.entitlements.queues.iter();
+        queues
+            .filter(|queue| entitlement.queues.contains(&queue.name))
+            .any(|queue| queue.pools.iter().any(|name| name == pool))
+    }
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -4,8 +4,10 @@
 pub mod cost;
 pub mod demand;
 pub(crate) mod entry;
+pub mod live;
 pub mod measure;
 pub mod overload;
 pub mod plot;
 pub mod share;
+pub mod upkeep_model;
 pub mod world;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,23 +1,15 @@
 //! The `hawthornladder` program.
 
-use std::process::ExitCode;
-
 mod cmd;
 
+use std::process::ExitCode;
+
 fn main() -> ExitCode {
-    let matches = clap::Command::new("hawthornladder")
-        .subcommand_required(true)
-        .subcommand(cmd::experiment::make_command())
-        .get_matches();
-    let result = match matches.subcommand() {
-        Some(("experiment", args)) => cmd::experiment::execute(args),
-        _ => Ok(()),
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            eprintln!("{text}");
-            ExitCode::FAILURE
-        }
-    }
+    cmd::plain_reports();
+    let matches = cmd::make_command().get_matches();
+    let exit = cmd::execute(&matches).unwrap_or_else(|report| {
+        eprintln!("error: {report:?}");
+        report.current_context().exit()
+    });
+    exit.into()
 }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -13,7 +13,9 @@
 use crate::policy::hash::KeyMap;
 use crate::policy::health::Access;
 use crate::policy::keys::{PoolKey, WorkerKey, ZoneKey};
-use crate::policy::worker::{Worker, WorkerFacts};
+use crate::policy::worker::Worker;
+
+pub use crate::policy::worker::WorkerFacts;
 
 /// Settings of the placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -36,10 +36,11 @@
 use crate::policy::pacing::{Pacing, PoolPace};
 use crate::policy::ranking::{index_of_lowest, Candidate, Rank};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
-use crate::policy::settings::{QueueSettings, Sharing};
 use crate::policy::share::UsageView;
 use crate::policy::usage::{TeamSlot, UsageRow};
 
+pub use crate::policy::settings::{QueueSettings, Sharing};
+
 /// Least time between two searches for requests to give up.
 pub const EXPIRE_PERIOD_MS: u64 = 20;
 
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -8,7 +8,8 @@
 use crate::policy::allot::Demand;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, TeamKey};
-use crate::policy::usage::{Load, TeamSlot, UsageRow};
+
+pub use crate::policy::usage::{Load, TeamSlot, UsageRow};
 
 /// Over what a team's level is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
