--- a/src/entry/daemon/from_settings.rs
+++ b/src/entry/daemon/from_settings.rs
@@ -7,7 +7,7 @@
     adapters::callers_http::CallersLimits,
     entry::{daemon::EntrySettings, settings::EngineSettings},
     policy::{
-        health::HealthSettings, lane::RetryAfterLimits, retry::RetrySettings,
+        health::HealthSettings, pacing::RetryAfterLimits, retry::RetrySettings,
         settings::QueueSettings, share::ShareSettings,
     },
     settings::Settings,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod ledger_fold;
 mod lists;
 mod load;
+mod load_experiments;
 mod model;
 mod operator_commands;
 mod peers;
