--- a/src/entry/daemon/pool.rs
+++ b/src/entry/daemon/pool.rs
@@ -90,6 +90,8 @@
             self.idle_count.fetch_sub(1, Ordering::AcqRel);
             match job {
                 Ok(job) => job(),
+                // A job may have come while this thread still counted as idle.
+                Err(_) if !self.receiver.is_empty() => {}
                 Err(_) => break,
             }
         }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -481,7 +481,11 @@
                 self.placement.refused_busy(now_ms, attempt.worker);
                 return;
             }
-            WorkerOutcome::NotStarted(NotStarted::Draining | NotStarted::WrongIncarnation) => {
+            WorkerOutcome::NotStarted(NotStarted::Draining) => {
+                self.take_draining(&attempt.instance);
+                return;
+            }
+            WorkerOutcome::NotStarted(NotStarted::WrongIncarnation) => {
                 self.hold_worker(&attempt.instance);
                 return;
             }
@@ -817,6 +821,7 @@
             lists_version: self.ledger.lists_version,
             is_ready: self.is_serving(),
             is_draining: self.is_draining,
+            is_list_stale: self.is_list_stale(),
             withdrawn: self.withdrawn.iter().cloned().collect(),
             demand: self.escrow.demand(self.now.mono_ms),
             pools: self.pool_loads(),
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -113,7 +113,7 @@
 const PULL_AFTER_MS: u64 = 1_000;
 
 /// Age after which a peer's demand counts no more, in milliseconds.
-const PEER_MAX_AGE_MS: u64 = 3_000;
+pub(crate) const PEER_MAX_AGE_MS: u64 = 3_000;
 
 impl Engine {
     /// Makes the engine of a fresh entry process; `incarnation` is unique for each start.
@@ -189,7 +189,7 @@
                 self.proposer.appended(now.mono_ms, seq, &result);
             }
             Event::SnapshotAppended { .. } => self.snapshots.finished(),
-            Event::Instances { page, .. } => self.take_instances(page),
+            Event::Instances { sent_ms, page } => self.take_instances(sent_ms, page),
             Event::Gossip { sent_ms, gossip } => self.take_gossip(sent_ms, *gossip),
             Event::Hint { gossip } => self.take_hint(*gossip),
             Event::AskLedger { reply } => {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -27,6 +27,9 @@
     pub is_ready: bool,
     /// Whether the sender is stopping.
     pub is_draining: bool,
+    /// Whether the sender is out of touch with the instance list.
+    #[serde(default)]
+    pub is_list_stale: bool,
     /// Withdrawals that the sender knows and has not read from the log yet.
     pub withdrawn: Vec<KeyId>,
     /// Demand on the upper limits of teams.
--- a/src/entry/roll_out.rs
+++ b/src/entry/roll_out.rs
@@ -134,19 +134,17 @@
         let Some(entry) = self.ledger.instances.by_key(key) else {
             return;
         };
-        let (name, version) = (entry.row.name.clone(), entry.version);
+        let (row, version) = (entry.row.clone(), entry.version);
+        let name = row.name.clone();
         let change = match is_claim {
             true => SeatChange::StopClaim {
-                name: name.clone(),
+                name,
                 version,
                 why: StopWhy::Maintenance,
             },
-            false => SeatChange::MarkBad {
-                name: name.clone(),
-                version,
-            },
+            false => SeatChange::MarkBad { name, version },
         };
-        self.propose_once(&name, change);
+        self.propose_once(&row, change);
     }
 
     fn pressure(&self) -> Vec<bool> {
@@ -188,21 +186,21 @@
         let (Some(entry), Some(to_pool)) = (entry, to_pool.cloned()) else {
             return;
         };
-        let (name, version) = (entry.row.name.clone(), entry.version);
+        let (row, version) = (entry.row.clone(), entry.version);
         tell!(
             self,
             "move_proposed",
-            instance = name,
+            instance = row.name,
             to_pool = to_pool,
             reason = proposal.reason,
             gain_permille = proposal.gain_permille
         );
         let change = SeatChange::PoolRelease {
-            name: name.clone(),
+            name: row.name.clone(),
             version,
             to_pool,
         };
-        self.propose_once(&name, change);
+        self.propose_once(&row, change);
     }
 
     fn pool_states(&self) -> Vec<PoolState> {
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -4,10 +4,15 @@
 
 use std::collections::HashMap;
 
+use smol_str::SmolStr;
+
 use crate::{
-    entry::{engine::Engine, event::Action},
-    fleet::{InstanceName, MonoMs, Standing},
-    ledger::{InstanceEntry, SeatChange, StopWhy, Verdict},
+    entry::{
+        engine::{Engine, PEER_MAX_AGE_MS},
+        event::Action,
+    },
+    fleet::{InstanceName, InstanceRow, MonoMs, Standing},
+    ledger::{InstanceEntry, SeatChange, SeatId, StopWhy, Verdict},
 };
 
 /// Time between two proposals or orders about the same instance, in milliseconds.
@@ -16,11 +21,19 @@
 /// Proposals about instances in one look at most.
 const PROPOSALS_MAX_COUNT: usize = 128;
 
+/// Returns whether the ledger holds all that a row of the instance list tells.
+fn is_known_as(entry: &InstanceEntry, row: &InstanceRow) -> bool {
+    let is_same = entry.row.incarnation == row.incarnation;
+    let is_back = entry.standing == Standing::Down && !row.leaving;
+    let is_now_leaving = row.leaving && !entry.row.leaving;
+    is_same && !is_back && !is_now_leaving
+}
+
 /// What the driver remembers between two looks.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Upkeep {
     polled_ms: MonoMs,
-    acted_ms: HashMap<InstanceName, MonoMs>,
+    acted_ms: HashMap<(InstanceName, SmolStr), MonoMs>,
     pub(crate) judged_count: u64,
     pub(crate) rejected_count: u64,
 }
@@ -35,7 +48,7 @@
             return;
         }
         self.upkeep.polled_ms = now_ms;
-        let is_driver = self.ledger.seats.choose("upkeep") == Some(&self.seat);
+        let is_driver = self.drives_upkeep();
         let max_age_ms = self.settings.config_stale_max_ms;
         let is_fresh = self.contact.is_log_fresh(now_ms, max_age_ms);
         if !is_driver || !is_fresh || !self.lease.is_valid(now_ms) || self.is_draining {
@@ -50,6 +63,18 @@
         self.probe_doubtful();
     }
 
+    /// Returns whether this seat drives the upkeep. A seat that is out of touch with the instance
+    /// list leaves that to the others, unless all are.
+    fn drives_upkeep(&self) -> bool {
+        let now_ms = self.now.mono_ms;
+        let is_in_touch = |seat: &SeatId| match self.peers.get(seat) {
+            _ if *seat == self.seat => !self.is_list_stale(),
+            Some(hint) if now_ms <= hint.heard_ms + PEER_MAX_AGE_MS => !hint.gossip.is_list_stale,
+            Some(_) | None => true,
+        };
+        self.ledger.seats.choose_among("upkeep", is_in_touch) == Some(&self.seat)
+    }
+
     /// Brings the ledger in line with the instance list.
     fn register_listed(&mut self) {
         if !self.workers.is_list_known() {
@@ -57,13 +82,14 @@
         }
         let mut changes = Vec::new();
         for row in self.workers.all_listed() {
-            let entry = self.ledger.instances.get(&row.name);
-            let is_known = entry.is_some_and(|entry| entry.row.incarnation == row.incarnation);
+            let is_known = self
+                .ledger
+                .instances
+                .get(&row.name)
+                .is_some_and(|entry| is_known_as(entry, row));
             if !is_known {
-                changes.push((
-                    row.name.clone(),
-                    SeatChange::InstanceSeen { row: row.clone() },
-                ));
+                let change = SeatChange::InstanceSeen { row: row.clone() };
+                changes.push((row.clone(), change));
             }
         }
         for entry in self.ledger.instances.iter() {
@@ -74,12 +100,12 @@
                     name: entry.row.name.clone(),
                     incarnation: entry.row.incarnation.clone(),
                 };
-                changes.push((entry.row.name.clone(), change));
+                changes.push((entry.row.clone(), change));
             }
         }
         changes.truncate(PROPOSALS_MAX_COUNT);
-        for (name, change) in changes {
-            self.propose_once(&name, change);
+        for (row, change) in changes {
+            self.propose_once(&row, change);
         }
     }
 
@@ -102,14 +128,12 @@
         let is_clean = self.ledger.is_clean_at(entry.stop_offset);
         match (&entry.stop, entry.standing) {
             (Some(StopWhy::Maintenance), Standing::Draining) if is_clean => {
-                let name = name.clone();
-                self.propose_once(&name.clone(), SeatChange::StopProceed { name, version });
+                self.propose_once(&entry.row, SeatChange::StopProceed { name, version });
             }
             (Some(StopWhy::Move(_)), Standing::Draining) if is_clean => {
-                let name = name.clone();
-                self.propose_once(&name.clone(), SeatChange::PoolAssign { name, version });
+                self.propose_once(&entry.row, SeatChange::PoolAssign { name, version });
             }
-            (Some(StopWhy::Maintenance), Standing::Stopped) if self.may_act(&name) => {
+            (Some(StopWhy::Maintenance), Standing::Stopped) if self.may_act(&entry.row) => {
                 self.actions.push(Action::Reboot {
                     name,
                     incarnation: entry.row.incarnation.clone(),
@@ -132,19 +156,20 @@
         }
     }
 
-    pub(crate) fn propose_once(&mut self, name: &InstanceName, change: SeatChange) {
-        if self.may_act(name) {
+    pub(crate) fn propose_once(&mut self, row: &InstanceRow, change: SeatChange) {
+        if self.may_act(row) {
             self.propose(change);
         }
     }
 
-    /// Returns whether it is time to act on an instance again, and notes that this is done.
-    fn may_act(&mut self, name: &InstanceName) -> bool {
+    /// Returns whether it is time to act on an incarnation again, and notes that this is done.
+    fn may_act(&mut self, row: &InstanceRow) -> bool {
         let now_ms = self.now.mono_ms;
-        let acted_ms = self.upkeep.acted_ms.get(name);
+        let key = (row.name.clone(), row.incarnation.clone());
+        let acted_ms = self.upkeep.acted_ms.get(&key);
         let is_due = acted_ms.is_none_or(|acted_ms| now_ms >= acted_ms + AGAIN_MS);
         if is_due {
-            self.upkeep.acted_ms.insert(name.clone(), now_ms);
+            self.upkeep.acted_ms.insert(key, now_ms);
         }
         is_due
     }
@@ -160,7 +185,7 @@
             }
             _ => return,
         };
-        let is_driver = self.ledger.seats.choose("upkeep") == Some(&self.seat);
+        let is_driver = self.drives_upkeep();
         let entry = self.ledger.instances.get(name);
         if let Some(entry) = entry.filter(|_| is_driver && *verdict == Verdict::Accepted) {
             self.actions.push(Action::DrainWorker {
@@ -183,7 +208,7 @@
         self.drain_worker(change, verdict);
         self.upkeep.judged_count += 1;
         // The next step need not wait for the last one to be due again.
-        self.upkeep.acted_ms.remove(name);
+        self.upkeep.acted_ms.retain(|(acted, _), _| acted != name);
         let reason = match verdict {
             Verdict::Rejected(reason) => {
                 self.upkeep.rejected_count += 1;
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -21,6 +21,9 @@
 /// Time that a worker which said that it drains is left alone, in milliseconds.
 const DRAINING_HOLD_MS: u64 = 2_000;
 
+/// Age of the last word from the instance list after which others drive the upkeep, in milliseconds.
+const LIST_STALE_MS: u64 = 1_500;
+
 /// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -45,6 +48,7 @@
     listed: IndexMap<InstanceName, InstanceRow>,
     list_version: u64,
     is_list_known: bool,
+    list_heard_ms: Option<MonoMs>,
     /// Instances with a claimed stop or release.
     stopping: IndexSet<InstanceName>,
 }
@@ -102,12 +106,13 @@
         .is_some_and(|row| row.leaving);
     // The ledger may lag: a listed successor means that the incarnation is gone.
     let is_replaced = listed.is_some_and(|row| row.incarnation != entry.row.incarnation);
-    entry.standing == Standing::Serving && !is_leaving && !is_replaced
+    entry.standing == Standing::Serving && !is_leaving && !entry.row.leaving && !is_replaced
 }
 
 impl Engine {
     /// Takes in the instance list.
-    pub(crate) fn take_instances(&mut self, page: InstancePage) {
+    pub(crate) fn take_instances(&mut self, sent_ms: MonoMs, page: InstancePage) {
+        self.workers.list_heard_ms = self.workers.list_heard_ms.max(Some(sent_ms));
         if self.workers.is_list_known && page.version == self.workers.list_version {
             return;
         }
@@ -135,6 +140,13 @@
         }
     }
 
+    /// Returns whether the instance list was not heard for a while.
+    pub(crate) fn is_list_stale(&self) -> bool {
+        let now_ms = self.now.mono_ms;
+        let heard_ms = self.workers.list_heard_ms;
+        heard_ms.is_none_or(|heard_ms| now_ms > heard_ms + LIST_STALE_MS)
+    }
+
     /// Brings all workers in line with the ledger and the instance list.
     pub(crate) fn sync_all_workers(&mut self) {
         let names: Vec<InstanceName> = self
@@ -251,7 +263,29 @@
         }
     }
 
-    /// Leaves a worker alone that said that it drains.
+    /// Takes in that a worker refused since it drains, and ends its drain if none is planned.
+    ///
+    /// The seat that told the worker to drain may have ended before it told it that the stop was
+    /// over. The order is given at the second refusal, since this entry may not yet have read of a
+    /// new stop at the first.
+    pub(crate) fn take_draining(&mut self, name: &InstanceName) {
+        let is_planned = self.ledger.instances.get(name).is_none_or(|entry| {
+            entry.stop.is_some() || !is_usable(entry, self.workers.listed.get(name))
+        });
+        // What was never stopped by plan drains for reasons of its own.
+        let was_stopped = self.ledger.instances.stop_offset(name) > Some(0);
+        let worker = self.workers.by_name.get(name);
+        let again = worker.filter(|worker| worker.held_until_ms > 0);
+        if let Some(worker) = again.filter(|_| was_stopped && !is_planned) {
+            self.actions.push(Action::DrainWorker {
+                address: worker.address.clone(),
+                is_draining: false,
+            });
+        }
+        self.hold_worker(name);
+    }
+
+    /// Leaves a worker alone that refuses whatever comes.
     pub(crate) fn hold_worker(&mut self, name: &InstanceName) {
         let until_ms = self.now.mono_ms + DRAINING_HOLD_MS;
         if let Some(worker) = self.workers.get_mut(name) {
--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -212,7 +212,7 @@
     /// Notes an instance of the instance list; returns whether that had an effect.
     pub(crate) fn see(&mut self, row: &InstanceRow, at_unix_ms: UnixMs) -> bool {
         let past = match self.entries.get(&row.name) {
-            Some(entry) if entry.row.incarnation == row.incarnation => return false,
+            Some(entry) if entry.row.incarnation == row.incarnation => return self.see_again(row),
             Some(entry) if entry.past_incarnations.contains(&row.incarnation) => return false,
             Some(entry) => Some(entry.clone()),
             None => None,
@@ -237,6 +237,22 @@
         true
     }
 
+    /// Notes that a known incarnation is leaving, or is listed again after it seemed to be gone.
+    ///
+    /// One that is listed again counts as doubtful until it answers, since the list may lag. The
+    /// time of its standing stays, so that a member of a wave that went bad still counts as such.
+    fn see_again(&mut self, row: &InstanceRow) -> bool {
+        match self.entries.get(&row.name) {
+            Some(entry) if row.leaving && !entry.row.leaving => {
+                self.update(&row.name, |entry| entry.row.leaving = true)
+            }
+            Some(entry) if entry.standing == Standing::Down && !row.leaving => {
+                self.update(&row.name, |entry| entry.standing = Standing::Doubtful)
+            }
+            Some(_) | None => false,
+        }
+    }
+
     /// Notes that an incarnation left the instance list; returns whether that had an effect.
     pub(crate) fn lose(&mut self, name: &str, incarnation: &str, at_unix_ms: UnixMs) -> bool {
         match self.entries.get(name) {
--- a/src/ledger/seats.rs
+++ b/src/ledger/seats.rs
@@ -92,9 +92,15 @@
     /// Rendezvous hashing: Thaler and Ravishankar, "Using name-based mappings to increase hit
     /// rates", IEEE/ACM Transactions on Networking 6(1), 1998.
     pub fn choose(&self, topic: &str) -> Option<&SeatId> {
+        self.choose_among(topic, |_| true)
+    }
+
+    /// Returns the live seat with the highest rendezvous weight for `topic` among those that are
+    /// fit for it, or among all if none is.
+    pub fn choose_among(&self, topic: &str, is_fit: impl Fn(&SeatId) -> bool) -> Option<&SeatId> {
         self.iter_live()
             .map(|(seat, _)| seat)
-            .max_by_key(|seat| rendezvous_weight(topic, seat))
+            .max_by_key(|seat| (is_fit(seat), rendezvous_weight(topic, seat)))
     }
 
     pub(crate) fn insert(&mut self, seat: SeatId, row: SeatRow) {
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -99,10 +99,13 @@
     }
 
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
+    ///
+    /// Less than one start counts as one: that nothing started for a moment, perhaps while the
+    /// first permits are on their way, is no proof that nothing ever will.
     pub fn per_ms(&self) -> Option<f64> {
         match self.busy_ms {
             busy_ms if busy_ms < DRAIN_KNOWN_AFTER_MS => None,
-            busy_ms => Some(self.starts / busy_ms),
+            busy_ms => Some(self.starts.max(1.0) / busy_ms),
         }
     }
 }
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -276,8 +276,11 @@
         let mut process = Process::spawn("operator", &[args, &["--log", log]].concat());
         let status = process.wait_for_exit();
         assert!(status.success(), "{args:?}: {status}\n{}", process.log());
-        // The thread that collects the lines may be a moment behind.
-        thread::sleep(Duration::from_millis(20));
+        // The thread that collects the lines may be behind.
+        let end = Instant::now() + WAIT_MAX;
+        while process.lines().is_empty() && Instant::now() < end {
+            thread::sleep(WAIT_STEP);
+        }
         process.lines()
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_instances;
+mod promises_small;
 mod proxy;
 mod settings;
 mod upkeep_budget;
--- /dev/null
+++ b/tests/testsuite/promises_instances.rs
@@ -0,0 +1,265 @@
+//! Instances under faults: roll-outs and moves cut nothing and keep budgets, leaving endpoints get
+//! nothing new, and an instance list that lags or is out of reach does no lasting harm.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use attohttpc::Method;
+use hawthornladder::fleet::InstanceRow;
+use hawthornladder::platform::journal::Ending;
+use serde_json::json;
+
+use crate::cluster::{Call, Cluster};
+use crate::processes::admin_call;
+use crate::promises_small::{
+    assert_all_done, callers, ended_count, index_of_driver, order, publish, put_rows, rows,
+    rows_at, set_list_faults, spawn, standing_count, start_roll_out, unix_ms, Load, MAPS_COUNT,
+    MAPS_UNAVAILABLE_MAX_COUNT, TOTAL_COUNT,
+};
+
+/// Time after which a leaving endpoint gets nothing new.
+const LEAVING_MAX_MS: u64 = 3_000;
+
+const FAST: &str =
+    r#""wave_trial_ms": 100, "seat_renew_ms": 400, "moves_max_per_hour_count": 0"#;
+
+/// Watches the instance list, in which a rebooting instance is absent.
+struct BudgetWatch {
+    is_stopped: Arc<AtomicBool>,
+    thread: thread::JoinHandle<usize>,
+}
+
+impl BudgetWatch {
+    fn spawn(cluster: &Cluster) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let address = cluster.stand_ins.instances_address.clone();
+        let is_over = Arc::clone(&is_stopped);
+        let thread = thread::spawn(move || {
+            let mut absent_max_count = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                let rows = rows_at(&address);
+                let present_count = rows.iter().filter(|row| row.pool == "maps").count();
+                absent_max_count = absent_max_count.max(MAPS_COUNT - present_count);
+                thread::sleep(Duration::from_millis(5));
+            }
+            absent_max_count
+        });
+        Self { is_stopped, thread }
+    }
+
+    /// Returns the most instances of the pool `maps` that were absent at once.
+    fn stop(self) -> usize {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        self.thread.join().expect("the watch does not panic")
+    }
+}
+
+fn incarnations(cluster: &Cluster) -> Vec<String> {
+    let mut names: Vec<String> = rows(cluster)
+        .iter()
+        .map(|row| row.incarnation.to_string())
+        .collect();
+    names.sort();
+    names
+}
+
+fn wait_rolled_out(cluster: &Cluster, old: &[String]) {
+    cluster.wait_until("every instance was rebooted and serves", |cluster| {
+        let new = incarnations(cluster);
+        let is_new = new.iter().all(|name| !old.contains(name));
+        let mut live = cluster.entries.iter().filter(|entry| entry.is_ready());
+        new.len() == TOTAL_COUNT
+            && is_new
+            && live.all(|entry| standing_count(entry, "serving") == TOTAL_COUNT as u64)
+    });
+}
+
+fn reboots_of(cluster: &Cluster, name: &str) -> usize {
+    let part = format!("event=reboot_ordered instance={name} ");
+    let logs = cluster.entries.iter().map(|entry| entry.process.log());
+    logs.map(|log| log.matches(&part).count()).sum()
+}
+
+#[test]
+fn a_roll_out_reboots_every_instance_within_budgets_and_cuts_nothing() {
+    let mut cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    let old = incarnations(&cluster);
+    set_list_faults(&cluster, &json!({ "reboot_ms": 150 }));
+    let watch = BudgetWatch::spawn(&cluster);
+    let load = Load::spawn(&callers(&cluster), 6, move || Call::new("maps", &key, 40));
+    start_roll_out(&mut cluster, 1);
+    wait_rolled_out(&cluster, &old);
+    assert_all_done(&load.stop());
+    let absent_count = watch.stop();
+    assert!((1..=MAPS_UNAVAILABLE_MAX_COUNT).contains(&absent_count));
+    assert_eq!(ended_count(&cluster.stand_ins.runs(), Ending::Killed), 0);
+    let names = rows(&cluster);
+    assert!(names.iter().all(|row| reboots_of(&cluster, &row.name) >= 1));
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_also_with_a_lagging_list() {
+    let cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    let leaving = first_of_maps(&cluster);
+    set_list_faults(&cluster, &json!({ "lag_ms": 1_000 }));
+    assert_leaving_gets_nothing_new(&cluster, &key, &leaving);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_from_an_entry_cut_off_the_list() {
+    let cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    let cut = (index_of_driver(&cluster) + 1) % 3;
+    cut_list(&cluster, cut);
+    let leaving = first_of_maps(&cluster);
+    assert_leaving_gets_nothing_new(&cluster, &key, &leaving);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_when_the_driver_is_cut_off_the_list() {
+    let cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    cut_list(&cluster, index_of_driver(&cluster));
+    let leaving = first_of_maps(&cluster);
+    assert_leaving_gets_nothing_new(&cluster, &key, &leaving);
+}
+
+fn cut_list(cluster: &Cluster, index: usize) {
+    let link = &cluster.entries[index].instances_link;
+    link.set(crate::proxy::ProxyFaults {
+        is_refusing: true,
+        ..Default::default()
+    });
+    link.reset_open();
+}
+
+fn first_of_maps(cluster: &Cluster) -> InstanceRow {
+    let mut rows = rows(cluster).into_iter();
+    rows.find(|row| row.pool == "maps").expect("there are rows")
+}
+
+fn assert_leaving_gets_nothing_new(cluster: &Cluster, key: &str, leaving: &InstanceRow) {
+    let key = key.to_owned();
+    let load = Load::spawn(&callers(cluster), 12, move || Call::new("maps", &key, 20));
+    thread::sleep(Duration::from_millis(300));
+    let since_unix_ms = unix_ms();
+    order(cluster, &leaving.name, "leave");
+    thread::sleep(Duration::from_millis(LEAVING_MAX_MS + 1_000));
+    let replies = load.stop();
+    for entry in &cluster.entries {
+        let s = entry.status();
+        println!("{} {:?} {:?} {:?}", s.entry, s.retried, s.not_retried, s.instances);
+    }
+    assert_all_done(&replies);
+    let runs = cluster.stand_ins.runs();
+    let last_unix_ms = runs
+        .iter()
+        .filter(|run| run.worker == leaving.name)
+        .map(|run| run.started_unix_us / 1_000)
+        .max()
+        .expect("it got work before it left");
+    assert!(
+        last_unix_ms < since_unix_ms + LEAVING_MAX_MS,
+        "new work {} ms after it was announced as leaving",
+        last_unix_ms - since_unix_ms
+    );
+}
+
+#[test]
+fn new_incarnations_are_registered_while_the_driver_is_cut_off_the_list() {
+    let cluster = spawn(3, FAST);
+    cut_list(&cluster, index_of_driver(&cluster));
+    let old = rows(&cluster).remove(0);
+    order(&cluster, &old.name, "replace");
+    let (_, key) = cluster.grant("desk");
+    cluster.wait_until("the new incarnation takes work", |cluster| {
+        for entry in &cluster.entries {
+            assert!(entry.call(&Call::new("maps", &key, 1)).is_done());
+        }
+        let runs = cluster.stand_ins.runs();
+        runs.iter()
+            .any(|run| run.worker == old.name && run.incarnation != old.incarnation)
+    });
+}
+
+#[test]
+fn an_instance_that_was_missing_in_the_list_for_a_while_serves_again() {
+    let cluster = spawn(3, FAST);
+    let row = rows(&cluster).remove(0);
+    order(&cluster, &row.name, "remove");
+    cluster.wait_until("it counts as down", |cluster| {
+        standing_count(&cluster.entries[0], "down") == 1
+    });
+    put_rows(&cluster, &[row]);
+    cluster.wait_until("it serves again", |cluster| {
+        standing_count(&cluster.entries[0], "serving") == TOTAL_COUNT as u64
+    });
+}
+
+#[test]
+fn a_worker_whose_drain_was_never_ended_takes_work_again() {
+    let mut cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("office");
+    let old = incarnations(&cluster);
+    start_roll_out(&mut cluster, 1);
+    wait_rolled_out(&cluster, &old);
+    // As if the driver had ended after the end of the stop was agreed and before it told the worker.
+    let gauges: Vec<_> = rows(&cluster)
+        .into_iter()
+        .filter(|row| row.pool == "gauges")
+        .collect();
+    for row in &gauges {
+        admin_call(&row.address, Method::POST, "/drain?on=1", &());
+    }
+    cluster.wait_until("the pool takes work", |cluster| {
+        let call = Call::new("gauges", &key, 1).deadline_ms(4_000);
+        cluster.entries[0].call(&call).is_done()
+    });
+}
+
+#[test]
+fn a_move_under_load_cuts_nothing_and_ends_the_old_pools_work_first() {
+    let settings = r#""seat_renew_ms": 400, "move_wait_ms": 1000, "move_rest_ms": 1000"#;
+    let mut cluster = spawn(3, settings);
+    let (_, key) = cluster.grant("desk");
+    let gauges_key = key.clone();
+    let addresses = callers(&cluster);
+    let maps = Load::spawn(&addresses, 6, move || Call::new("maps", &key, 50));
+    let gauges = Load::spawn(&addresses, 6, move || Call::new("gauges", &gauges_key, 50));
+    // The pool is short of its minimum, so instances must come from others.
+    publish(&mut cluster, 1, |text| {
+        text.replace("\"maps\", \"instances_min_count\": 4", "\"maps\", \"instances_min_count\": 9")
+            .replace("\"spare\", \"is_spare\": true, \"instances_min_count\": 0", "\"spare\", \"is_spare\": true, \"instances_min_count\": 4")
+    });
+    let moved = |cluster: &Cluster| {
+        let runs = cluster.stand_ins.runs();
+        let other = runs
+            .iter()
+            .find(|run| run.queue == "maps" && !run.worker.starts_with("maps"));
+        other.map(|run| run.worker.clone())
+    };
+    thread::sleep(Duration::from_millis(6000));
+    for row in rows(&cluster) {
+        let body = admin_call(&row.address, Method::GET, "/status", &());
+        println!("{} {} {}", row.name, row.pool, String::from_utf8(body).unwrap());
+    }
+    cluster.wait_until("an instance of another pool runs work of maps", |cluster| {
+        moved(cluster).is_some()
+    });
+    let worker = moved(&cluster).expect("it was just there");
+    thread::sleep(Duration::from_millis(500));
+    assert_all_done(&maps.stop());
+    assert_all_done(&gauges.stop());
+    let runs = cluster.stand_ins.runs();
+    assert_eq!(ended_count(&runs, Ending::Killed), 0);
+    let on_it = runs.iter().filter(|run| run.worker == worker);
+    let (new, old): (Vec<_>, Vec<_>) = on_it.partition(|run| run.queue == "maps");
+    let first_us = new.iter().map(|run| run.started_unix_us).min();
+    let first_us = first_us.expect("it ran work of maps");
+    let is_over = |ended_us: Option<u64>| ended_us.is_some_and(|ended_us| ended_us <= first_us);
+    assert!(old.iter().all(|run| is_over(run.ended_unix_us)), "{old:?}");
+}
--- a/tests/testsuite/proxy.rs
+++ b/tests/testsuite/proxy.rs
@@ -7,7 +7,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -50,6 +50,7 @@
     upstream: TcpStream,
     is_silent: AtomicBool,
     is_ended: AtomicBool,
+    open_directions_count: AtomicU8,
     sent: Mutex<Vec<u8>>,
 }
 
@@ -186,6 +187,7 @@
         upstream: upstream_stream,
         is_silent: AtomicBool::new(false),
         is_ended: AtomicBool::new(false),
+        open_directions_count: AtomicU8::new(2),
         sent: Mutex::default(),
     });
     links.push(Arc::clone(&link));
@@ -195,9 +197,15 @@
         stream.set_read_timeout(Some(READ_STEP)).expect("not zero");
     }
     let up = Arc::clone(&link);
-    thread::spawn(move || up.pump(&up.client, &up.upstream, faults.to_upstream, true));
+    thread::spawn(move || {
+        up.pump(&up.client, &up.upstream, faults.to_upstream, true);
+        up.end_direction();
+    });
     let down = Arc::clone(&link);
-    thread::spawn(move || down.pump(&down.upstream, &down.client, faults.to_client, false));
+    thread::spawn(move || {
+        down.pump(&down.upstream, &down.client, faults.to_client, false);
+        down.end_direction();
+    });
     if let Some(after_ms) = faults.replay_after_ms {
         let shared = Arc::clone(shared);
         thread::spawn(move || {
@@ -286,6 +294,13 @@
         }
     }
 
+    /// Notes that one direction is over; with both, the proxy forgets the connection.
+    fn end_direction(&self) {
+        if self.open_directions_count.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.is_ended.store(true, Ordering::Relaxed);
+        }
+    }
+
     fn keep(&self, chunk: &[u8]) {
         let mut sent = self.sent.lock().unwrap();
         let room = REPLAY_MAX_BYTES.saturating_sub(sent.len());
