--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -61,6 +61,8 @@
     pub(crate) waiting: Waiting,
     pub(crate) stage: Stage,
     pub(crate) attempts_count: u32,
+    /// Times that a sound worker turned it away; such attempts are not among the others.
+    pub(crate) turned_away_count: u32,
     /// Whether the start of a job is on record.
     pub(crate) is_announced: bool,
 }
--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -6,7 +6,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
     fleet::{InstanceName, InstanceRow, Offset, PoolName, RackName, Standing, UnixMs, ZoneName},
@@ -429,7 +429,9 @@
         };
         let (pool, _) = self.pools.insert_full(entry.row.pool.clone());
         let (zone, _) = self.zones.insert_full(entry.row.zone.clone());
-        let (rack, _) = self.racks.insert_full(entry.row.rack.clone());
+        // The names of racks may be unique within their zone only.
+        let rack = format_smolstr!("{}/{}", entry.row.zone, entry.row.rack);
+        let (rack, _) = self.racks.insert_full(rack);
         let member = Member {
             pool: PoolKey(pool as u16),
             zone: ZoneKey(zone as u16),
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -72,6 +72,9 @@
 /// Time with requests waiting that has to be seen before the rate counts as known.
 const DRAIN_KNOWN_AFTER_MS: f64 = 100.0;
 
+/// The same if nothing was started in that time.
+const DRAIN_SILENT_AFTER_MS: f64 = 1_500.0;
+
 /// Rate at which a lane drains while requests wait in it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DrainRate {
@@ -100,11 +103,13 @@
 
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
     ///
-    /// Less than one start counts as one: that nothing started for a moment, perhaps while the
-    /// first permits are on their way, is no proof that nothing ever will.
+    /// That nothing started for a moment, perhaps while the first permits are on their way, is no
+    /// proof that nothing will: the rate is then not known for longer, and after that less than one
+    /// start counts as one.
     pub fn per_ms(&self) -> Option<f64> {
         match self.busy_ms {
             busy_ms if busy_ms < DRAIN_KNOWN_AFTER_MS => None,
+            busy_ms if self.starts < 1.0 && busy_ms < DRAIN_SILENT_AFTER_MS => None,
             busy_ms => Some(self.starts.max(1.0) / busy_ms),
         }
     }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Counts an attempt that a sound worker turned away, for the `count`th time in a row, and
+    /// returns the back-off before the next one. It costs no budget.
+    pub fn turned_away<R: Rng>(&mut self, reason: RetryReason, count: u32, rng: &mut R) -> u64 {
+        *self.retried.entry(reason).or_insert(0) += 1;
+        self.backoff_ms(count, rng)
+    }
+
     /// Returns how many retries were made, by reason.
     pub fn retried_count(&self) -> &IndexMap<RetryReason, u64> {
         &self.retried
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -255,6 +255,19 @@
         assert!(lines[0].contains("event=published"), "{lines:?}");
     }
 
+    /// Starts an operator's publication of whole lists from version `from` and doesn't wait for it.
+    pub(crate) fn start_publish(&self, from: u64, name: &str, lists: [&str; 2]) -> Process {
+        let paths = lists.map(|text| {
+            let file = format!("{name}-{}.jsonc", blake3::hash(text.as_bytes()).to_hex());
+            let path = self.directory.join(file);
+            fs::write(&path, text).expect("the directory is writable");
+            path.to_str().expect("paths are text").to_owned()
+        });
+        let (from, log) = (from.to_string(), &self.stand_ins.log_address);
+        let args = ["lists", "publish", &paths[0], &paths[1], "--from", &from];
+        Process::spawn(name, &[&args[..], &["--log", log]].concat())
+    }
+
     /// Grants a key to `team`; returns its id and its whole text.
     pub(crate) fn grant(&self, team: &str) -> (String, String) {
         let lines = self.operate(&["keys", "grant", team, "--output", "json"]);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod policy_share;
 mod processes;
 mod promises_instances;
+mod promises_ledger;
 mod promises_small;
 mod proxy;
 mod settings;
--- a/tests/testsuite/promises_instances.rs
+++ b/tests/testsuite/promises_instances.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use attohttpc::Method;
 use hawthornladder::fleet::InstanceRow;
@@ -14,16 +14,18 @@
 use crate::cluster::{Call, Cluster};
 use crate::processes::admin_call;
 use crate::promises_small::{
-    assert_all_done, callers, ended_count, index_of_driver, order, publish, put_rows, rows,
-    rows_at, set_list_faults, spawn, standing_count, start_roll_out, unix_ms, Load, MAPS_COUNT,
-    MAPS_UNAVAILABLE_MAX_COUNT, TOTAL_COUNT,
+    assert_all_done, callers, ended_count, index_of_driver, lists_with_min, order, publish,
+    put_rows, rows, rows_at, set_list_faults, spawn, standing_count, start_roll_out, unix_ms, Load,
+    MAPS_COUNT, MAPS_UNAVAILABLE_MAX_COUNT, TOTAL_COUNT,
 };
 
 /// Time after which a leaving endpoint gets nothing new.
 const LEAVING_MAX_MS: u64 = 3_000;
 
-const FAST: &str =
-    r#""wave_trial_ms": 100, "seat_renew_ms": 400, "moves_max_per_hour_count": 0"#;
+/// Time in which the roll-outs of these tests must end.
+const ROLL_OUT_MAX: Duration = Duration::from_secs(60);
+
+const FAST: &str = r#""wave_trial_ms": 100, "seat_renew_ms": 400, "moves_max_per_hour_count": 0"#;
 
 /// Watches the instance list, in which a rebooting instance is absent.
 struct BudgetWatch {
@@ -66,14 +68,19 @@
 }
 
 fn wait_rolled_out(cluster: &Cluster, old: &[String]) {
-    cluster.wait_until("every instance was rebooted and serves", |cluster| {
+    let end = Instant::now() + ROLL_OUT_MAX;
+    let is_over = || {
         let new = incarnations(cluster);
         let is_new = new.iter().all(|name| !old.contains(name));
         let mut live = cluster.entries.iter().filter(|entry| entry.is_ready());
         new.len() == TOTAL_COUNT
             && is_new
             && live.all(|entry| standing_count(entry, "serving") == TOTAL_COUNT as u64)
-    });
+    };
+    while !is_over() {
+        assert!(Instant::now() < end, "the roll-out does not end");
+        thread::sleep(Duration::from_millis(50));
+    }
 }
 
 fn reboots_of(cluster: &Cluster, name: &str) -> usize {
@@ -149,12 +156,7 @@
     let since_unix_ms = unix_ms();
     order(cluster, &leaving.name, "leave");
     thread::sleep(Duration::from_millis(LEAVING_MAX_MS + 1_000));
-    let replies = load.stop();
-    for entry in &cluster.entries {
-        let s = entry.status();
-        println!("{} {:?} {:?} {:?}", s.entry, s.retried, s.not_retried, s.instances);
-    }
-    assert_all_done(&replies);
+    assert_all_done(&load.stop());
     let runs = cluster.stand_ins.runs();
     let last_unix_ms = runs
         .iter()
@@ -228,12 +230,19 @@
     let (_, key) = cluster.grant("desk");
     let gauges_key = key.clone();
     let addresses = callers(&cluster);
-    let maps = Load::spawn(&addresses, 6, move || Call::new("maps", &key, 50));
+    // Enough that also workers outside the entries' zone are needed.
+    let maps = Load::spawn(&addresses, 48, move || Call::new("maps", &key, 100));
     let gauges = Load::spawn(&addresses, 6, move || Call::new("gauges", &gauges_key, 50));
     // The pool is short of its minimum, so instances must come from others.
     publish(&mut cluster, 1, |text| {
-        text.replace("\"maps\", \"instances_min_count\": 4", "\"maps\", \"instances_min_count\": 9")
-            .replace("\"spare\", \"is_spare\": true, \"instances_min_count\": 0", "\"spare\", \"is_spare\": true, \"instances_min_count\": 4")
+        text.replace(
+            "\"maps\", \"instances_min_count\": 4",
+            "\"maps\", \"instances_min_count\": 9",
+        )
+        .replace(
+            "\"spare\", \"is_spare\": true, \"instances_min_count\": 0",
+            "\"spare\", \"is_spare\": true, \"instances_min_count\": 4",
+        )
     });
     let moved = |cluster: &Cluster| {
         let runs = cluster.stand_ins.runs();
@@ -242,11 +251,6 @@
             .find(|run| run.queue == "maps" && !run.worker.starts_with("maps"));
         other.map(|run| run.worker.clone())
     };
-    thread::sleep(Duration::from_millis(6000));
-    for row in rows(&cluster) {
-        let body = admin_call(&row.address, Method::GET, "/status", &());
-        println!("{} {} {}", row.name, row.pool, String::from_utf8(body).unwrap());
-    }
     cluster.wait_until("an instance of another pool runs work of maps", |cluster| {
         moved(cluster).is_some()
     });
@@ -263,3 +267,128 @@
     let is_over = |ended_us: Option<u64>| ended_us.is_some_and(|ended_us| ended_us <= first_us);
     assert!(old.iter().all(|run| is_over(run.ended_unix_us)), "{old:?}");
 }
+
+#[test]
+fn a_wave_whose_members_do_not_return_halts_the_roll_out_until_they_are_back() {
+    let settings = format!("{FAST}, \"reboot_max_ms\": 800");
+    let mut cluster = spawn(3, &settings);
+    let old = incarnations(&cluster);
+    let watch = BudgetWatch::spawn(&cluster);
+    start_roll_out(&mut cluster, 1);
+    cluster.wait_until("the roll-out has gained speed", |cluster| {
+        let new = incarnations(cluster);
+        new.iter().filter(|name| !old.contains(name)).count() >= 5
+    });
+    let listed = rows(&cluster);
+    set_list_faults(&cluster, &json!({ "reboot_ms": 600_000 }));
+    cluster.wait_until("the roll-out halts", |cluster| {
+        let mut entries = cluster.entries.iter();
+        entries.any(|entry| entry.process.log().contains("event=roll_out_halted"))
+    });
+    let is_absent =
+        |row: &InstanceRow, rows: &[InstanceRow]| !rows.iter().any(|other| other.name == row.name);
+    let at_halt = rows(&cluster);
+    thread::sleep(Duration::from_millis(2_500));
+    let later = rows(&cluster);
+    assert_eq!(at_halt.len(), later.len(), "it went on after its halt");
+    // One wave: what the budgets of the three pools let be stopped at once.
+    let absent: Vec<_> = listed.iter().filter(|row| is_absent(row, &later)).collect();
+    assert!((2..=5).contains(&absent.len()), "{absent:?}");
+    set_list_faults(&cluster, &json!({}));
+    let back: Vec<InstanceRow> = absent
+        .into_iter()
+        .cloned()
+        .map(|mut row| {
+            row.incarnation = format!("{}.back", row.name).into();
+            row
+        })
+        .collect();
+    put_rows(&cluster, &back);
+    wait_rolled_out(&cluster, &old);
+    assert!(watch.stop() <= MAPS_UNAVAILABLE_MAX_COUNT);
+}
+
+#[test]
+fn another_entry_carries_a_roll_out_on_when_the_driver_stops() {
+    let mut cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    let old = incarnations(&cluster);
+    let driver = index_of_driver(&cluster);
+    let mut addresses = callers(&cluster);
+    addresses.remove(driver);
+    let load = Load::spawn(&addresses, 4, move || Call::new("maps", &key, 20));
+    let watch = BudgetWatch::spawn(&cluster);
+    start_roll_out(&mut cluster, 1);
+    cluster.wait_until("the first instance is rebooted", |cluster| {
+        incarnations(cluster) != old
+    });
+    assert!(cluster.entries[driver].process.terminate().success());
+    wait_rolled_out(&cluster, &old);
+    assert_all_done(&load.stop());
+    assert!(watch.stop() <= MAPS_UNAVAILABLE_MAX_COUNT);
+    assert_eq!(ended_count(&cluster.stand_ins.runs(), Ending::Killed), 0);
+}
+
+#[test]
+fn another_entry_claims_stops_soon_after_the_driver_was_killed() {
+    let settings = format!("{FAST}, \"seat_lease_ms\": 2500");
+    let mut cluster = spawn(3, &settings);
+    let driver = index_of_driver(&cluster);
+    cluster.entries[driver].process.kill();
+    start_roll_out(&mut cluster, 1);
+    cluster.wait_until("an instance drains", |cluster| {
+        let mut entries = cluster.entries.iter();
+        entries.any(|entry| standing_count(entry, "draining") > 0)
+    });
+    // The dead seat's attempts may still run, so nothing is rebooted before they have ended.
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(rows(&cluster).len(), TOTAL_COUNT);
+    let logs = cluster.entries.iter().map(|entry| entry.process.log());
+    assert!(!logs.collect::<String>().contains("event=reboot_ordered"));
+}
+
+#[test]
+fn of_two_operators_at_once_one_is_refused_whole() {
+    let cluster = spawn(3, FAST);
+    for (round, mins) in (1..).zip([[5, 6], [7, 8], [4, 5]]) {
+        let lists = mins.map(lists_with_min);
+        let mut processes = lists.each_ref().map(|[plans, entitlements]| {
+            cluster.start_publish(round, "operator", [plans, entitlements])
+        });
+        let is_accepted = processes
+            .each_mut()
+            .map(|process| process.wait_for_exit().success());
+        assert_ne!(is_accepted[0], is_accepted[1], "round {round}");
+        let version = round + 1;
+        cluster.wait_until("the accepted lists are in force", |cluster| {
+            let mut entries = cluster.entries.iter();
+            entries.all(|entry| entry.status().lists_version == version)
+        });
+    }
+}
+
+#[test]
+fn an_address_used_again_by_another_pool_runs_no_work_of_the_old_one() {
+    let cluster = spawn(3, FAST);
+    let (_, key) = cluster.grant("desk");
+    let old = first_of_maps(&cluster);
+    // No entry learns of the change.
+    (0..3).for_each(|index| cut_list(&cluster, index));
+    order(&cluster, &old.name, "remove");
+    let new = InstanceRow {
+        name: "gauges-99".into(),
+        incarnation: "gauges-99.1".into(),
+        pool: "gauges".into(),
+        ..old.clone()
+    };
+    put_rows(&cluster, &[new]);
+    let load = Load::spawn(&callers(&cluster), 24, move || Call::new("maps", &key, 30));
+    thread::sleep(Duration::from_millis(1_500));
+    assert_all_done(&load.stop());
+    let entries = cluster.entries.iter();
+    let retried = entries.map(|entry| entry.status().retried);
+    assert!(retried.into_iter().any(|reasons| !reasons.is_empty()));
+    let runs = cluster.stand_ins.runs();
+    let mut wrong = runs.iter().filter(|run| run.worker == "gauges-99");
+    assert_eq!(wrong.next(), None);
+}
--- /dev/null
+++ b/tests/testsuite/promises_ledger.rs
@@ -0,0 +1,319 @@
+//! The ledger's guards on planned stops and moves against several drivers at once, with the time of
+//! the log set by the test.
+
+use hawthornladder::config_files::ConfigSource;
+use hawthornladder::fleet::{InstanceRow, Resources, Standing};
+use hawthornladder::ledger::{
+    Effect, Ledger, ListsPatch, OperatorChange, OperatorProposal, Record, SeatBatch, SeatChange,
+    StopWhy, Verdict, RUN_MAX_MS,
+};
+use hawthornladder::lists::{check_texts, Lists};
+use hawthornladder::ports::LogRecord;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use uuid::Uuid;
+
+use crate::promises_small::{lists_with_min, MAPS_COUNT, MAPS_UNAVAILABLE_MAX_COUNT};
+
+const SEATS: [&str; 3] = ["a", "b", "c"];
+
+/// A ledger with two seats and eight instances, of which two may be stopped at once.
+struct Log {
+    ledger: Ledger,
+    at_unix_ms: u64,
+    seqs: [u64; 3],
+}
+
+impl Log {
+    fn open() -> Self {
+        let mut log = Self {
+            ledger: Ledger::default(),
+            at_unix_ms: 1_000_000,
+            seqs: [0; 3],
+        };
+        let [plans, entitlements] = lists_with_min(4);
+        let sources = [("plans", &plans), ("entitlements", &entitlements)];
+        let sources = sources.map(|(file, text)| ConfigSource { file, text });
+        let Ok((lists, _)) = check_texts(&sources) else {
+            panic!("the lists are valid");
+        };
+        let patch = ListsPatch::between(&Lists::default(), &lists);
+        let record = Record::Operator(OperatorProposal {
+            proposal_id: Uuid::nil(),
+            operator: "operator".into(),
+            change: OperatorChange::Publish {
+                base_version: 0,
+                patch: Box::new(patch),
+            },
+        });
+        log.apply(&record);
+        (0..2).for_each(|seat| log.open_seat(seat));
+        for index in 0..MAPS_COUNT {
+            let row = row(index);
+            assert!(log.append(0, SeatChange::InstanceSeen { row }));
+        }
+        log
+    }
+
+    fn apply(&mut self, record: &Record) -> Effect {
+        self.at_unix_ms += 1;
+        self.ledger.apply(&LogRecord {
+            offset: self.ledger.next_offset,
+            at_unix_ms: self.at_unix_ms,
+            payload: serde_json::to_string(record)
+                .expect("records encode")
+                .into(),
+        })
+    }
+
+    /// Appends a change of a seat; returns whether it was accepted.
+    fn append(&mut self, seat: usize, change: SeatChange) -> bool {
+        self.seqs[seat] += 1;
+        let batch = SeatBatch {
+            seat: SEATS[seat].into(),
+            seq: self.seqs[seat],
+            changes: vec![change],
+        };
+        match self.apply(&Record::Seat(batch)) {
+            Effect::Batch { verdicts, .. } => verdicts == [Verdict::Accepted],
+            _ => false,
+        }
+    }
+
+    fn open_seat(&mut self, seat: usize) {
+        let change = SeatChange::Open {
+            peers_address: "127.0.0.1:1".into(),
+            zone: "lahore-a".into(),
+            lease_ms: 1_000,
+        };
+        assert!(self.append(seat, change));
+    }
+
+    /// Renews a seat that has nothing in flight.
+    fn renew(&mut self, seat: usize) {
+        let clean_offset = self.ledger.next_offset;
+        assert!(self.append(seat, SeatChange::Renew { clean_offset }));
+    }
+
+    fn version(&self, index: usize) -> u64 {
+        let entry = self.ledger.instances.get(&name(index));
+        entry.expect("it was seen").version
+    }
+
+    fn claim(&mut self, seat: usize, index: usize, version: u64) -> bool {
+        let change = SeatChange::StopClaim {
+            name: name(index),
+            version,
+            why: StopWhy::Maintenance,
+        };
+        self.append(seat, change)
+    }
+
+    fn release(&mut self, seat: usize, index: usize, to_pool: &str) -> bool {
+        let change = SeatChange::PoolRelease {
+            name: name(index),
+            version: self.version(index),
+            to_pool: to_pool.into(),
+        };
+        self.append(seat, change)
+    }
+
+    fn proceed(&mut self, seat: usize, index: usize) -> bool {
+        let version = self.version(index);
+        let name = name(index);
+        self.append(seat, SeatChange::StopProceed { name, version })
+    }
+
+    fn assign(&mut self, seat: usize, index: usize) -> bool {
+        let version = self.version(index);
+        let name = name(index);
+        self.append(seat, SeatChange::PoolAssign { name, version })
+    }
+
+    fn unavailable_count(&self) -> usize {
+        let entries = self.ledger.instances.iter();
+        let of_pool = entries.filter(|entry| entry.row.pool == "maps");
+        of_pool
+            .filter(|entry| entry.standing != Standing::Serving)
+            .count()
+    }
+}
+
+fn name(index: usize) -> smol_str::SmolStr {
+    format!("maps-{index}").into()
+}
+
+fn row(index: usize) -> InstanceRow {
+    InstanceRow {
+        name: name(index),
+        incarnation: format!("maps-{index}.1").into(),
+        address: format!("127.0.0.1:{}", 10 + index).into(),
+        pool: "maps".into(),
+        zone: ["lahore-a", "lahore-b"][index % 2].into(),
+        rack: format!("rack-{}", index / 2).into(),
+        leaving: false,
+        capacity: Resources {
+            cores_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators_count: 0,
+        },
+        slots_count: 1,
+    }
+}
+
+#[test]
+fn two_drivers_that_decided_on_the_same_state_stay_within_the_budget() {
+    let mut log = Log::open();
+    // Both saw every instance serving, and each claims what the budget lets it.
+    let claims = [(0, 0), (0, 2), (1, 4), (1, 6), (0, 0)];
+    let accepted = claims.map(|(seat, index)| log.claim(seat, index, 1));
+    assert_eq!(accepted, [true, true, false, false, false]);
+    assert_eq!(log.unavailable_count(), MAPS_UNAVAILABLE_MAX_COUNT);
+}
+
+#[test]
+fn a_stop_goes_on_only_after_every_seat_is_clean_or_reclaimed() {
+    let mut log = Log::open();
+    assert!(log.claim(0, 0, 1));
+    log.renew(0);
+    assert!(!log.proceed(0, 0), "one seat may still dispatch");
+    let renewed_offset = log
+        .ledger
+        .seats
+        .get("b")
+        .expect("it is live")
+        .renewed_offset;
+    let target: smol_str::SmolStr = "b".into();
+    let expire = SeatChange::ExpireSeat {
+        target: target.clone(),
+        renewed_offset,
+    };
+    assert!(log.append(0, expire));
+    log.renew(0);
+    assert!(!log.proceed(0, 0), "its tasks may still run");
+    let reclaim = SeatChange::ReclaimSeat { target };
+    assert!(!log.append(0, reclaim.clone()));
+    log.at_unix_ms += RUN_MAX_MS;
+    assert!(log.append(0, reclaim));
+    // The one that took over carries on.
+    log.open_seat(2);
+    assert!(log.proceed(2, 0));
+    assert!(!log.proceed(0, 0), "it goes on once");
+}
+
+#[test]
+fn an_instance_that_two_drivers_move_goes_to_one_pool() {
+    let mut log = Log::open();
+    let version = log.version(0);
+    assert!(log.release(0, 0, "gauges"));
+    let other = SeatChange::PoolRelease {
+        name: name(0),
+        version,
+        to_pool: "spare".into(),
+    };
+    assert!(!log.append(1, other));
+    assert!(
+        !log.assign(0, 0),
+        "seats may still dispatch for the old pool"
+    );
+    log.renew(0);
+    log.renew(1);
+    assert!(log.assign(1, 0));
+    assert!(!log.assign(0, 0));
+    let entry = log.ledger.instances.get("maps-0").expect("it was seen");
+    assert_eq!(entry.row.pool, "gauges");
+    // The platform's list still names the pool that it came from.
+    assert!(!log.append(0, SeatChange::InstanceSeen { row: row(0) }));
+    let reborn = InstanceRow {
+        incarnation: "maps-0.2".into(),
+        ..row(0)
+    };
+    assert!(log.append(0, SeatChange::InstanceSeen { row: reborn }));
+    let entry = log.ledger.instances.get("maps-0").expect("it was seen");
+    assert_eq!(entry.row.pool, "gauges");
+}
+
+#[test]
+fn a_list_that_falls_back_brings_no_old_incarnation_back() {
+    let mut log = Log::open();
+    let reborn = InstanceRow {
+        incarnation: "maps-0.2".into(),
+        ..row(0)
+    };
+    assert!(log.append(
+        0,
+        SeatChange::InstanceSeen {
+            row: reborn.clone()
+        }
+    ));
+    assert!(!log.append(1, SeatChange::InstanceSeen { row: row(0) }));
+    let gone = SeatChange::InstanceGone {
+        name: name(0),
+        incarnation: "maps-0.1".into(),
+    };
+    assert!(!log.append(1, gone));
+    let entry = log.ledger.instances.get("maps-0").expect("it was seen");
+    assert_eq!(entry.row, reborn);
+}
+
+#[test]
+fn an_instance_that_is_listed_again_counts_only_once_it_answered() {
+    let mut log = Log::open();
+    let gone = SeatChange::InstanceGone {
+        name: name(0),
+        incarnation: row(0).incarnation,
+    };
+    assert!(log.append(0, gone));
+    assert!(log.append(1, SeatChange::InstanceSeen { row: row(0) }));
+    assert_eq!(log.unavailable_count(), 1);
+    let answered = SeatChange::Standing {
+        name: name(0),
+        incarnation: row(0).incarnation,
+        standing: Standing::Serving,
+    };
+    assert!(log.append(1, answered));
+    assert_eq!(log.unavailable_count(), 0);
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Drivers that act at random, on states as old as they like, never breach the budget by their
+    /// own stops, and no instance proceeds while a seat may still dispatch to it.
+    #[test]
+    fn random_drivers_keep_the_budget(
+        steps in prop::collection::vec((0usize..2, 0usize..MAPS_COUNT, 0u8..7, 0u64..3), 1..120),
+    ) {
+        let mut log = Log::open();
+        for (seat, index, what, behind) in steps {
+            let version = log.version(index).saturating_sub(behind);
+            match what {
+                0 | 1 => drop(log.claim(seat, index, version)),
+                2 => drop(log.release(seat, index, "spare")),
+                3 => log.renew(seat),
+                4 => {
+                    let clean = log.ledger.instances.get(&name(index))
+                        .is_some_and(|entry| log.ledger.is_clean_at(entry.stop_offset));
+                    let is_accepted = log.proceed(seat, index);
+                    prop_assert!(clean || !is_accepted);
+                }
+                5 => drop(log.assign(seat, index)),
+                _ => {
+                    let row = InstanceRow {
+                        incarnation: format!("maps-{index}.{}", log.at_unix_ms).into(),
+                        ..row(index)
+                    };
+                    log.append(seat, SeatChange::InstanceSeen { row });
+                }
+            }
+            let members = log.ledger.instances.iter()
+                .filter(|entry| entry.row.pool == "maps").count();
+            prop_assert!(log.unavailable_count() <= members / 4, "{members} members");
+        }
+    }
+}
--- a/tests/testsuite/promises_small.rs
+++ b/tests/testsuite/promises_small.rs
@@ -87,6 +87,15 @@
     });
 }
 
+/// Returns both lists with the pool `maps` keeping at least `maps_min_count` instances.
+pub(crate) fn lists_with_min(maps_min_count: u32) -> [String; 2] {
+    let min = format!("\"maps\", \"instances_min_count\": {maps_min_count}");
+    let entitlements = ENTITLEMENTS
+        .replace("MORE", "")
+        .replace("\"maps\", \"instances_min_count\": 4", &min);
+    [PLANS.to_owned(), entitlements]
+}
+
 /// Starts a roll-out: every instance is due that was maintained before now.
 pub(crate) fn start_roll_out(cluster: &mut Cluster, from: u64) {
     let due = format!(
