--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -2,6 +2,7 @@
 //! and a fault-injecting proxy on each link between an entry and the log, the instance list and its
 //! peers.
 
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -352,6 +353,8 @@
     pub(crate) is_for_later: bool,
     /// Body.
     pub(crate) body: Vec<u8>,
+    /// Further headers.
+    pub(crate) headers: Vec<(&'static str, String)>,
 }
 
 impl Call {
@@ -365,6 +368,7 @@
             is_idempotent: true,
             is_for_later: false,
             body: format!("{{\"run_ms\":{run_ms}}}").into_bytes(),
+            headers: Vec::new(),
         }
     }
 
@@ -380,6 +384,18 @@
         self
     }
 
+    /// Replaces the body.
+    pub(crate) fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub(crate) fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
     /// Sets the deadline.
     pub(crate) fn deadline_ms(mut self, deadline_ms: u64) -> Self {
         self.deadline_ms = deadline_ms;
@@ -388,6 +404,11 @@
 
     /// Sends the call to an entry.
     pub(crate) fn send(&self, callers_address: &str) -> Reply {
+        Reply::of(self.try_send(callers_address).ok())
+    }
+
+    /// Sends the call to an entry, and tells why no whole answer came.
+    pub(crate) fn try_send(&self, callers_address: &str) -> Result<Answer, Unanswered> {
         let what = match self.is_for_later {
             true => "jobs",
             false => "call",
@@ -397,10 +418,23 @@
             .header("x-request-id", self.request_id.as_str())
             .header("x-deadline-ms", self.deadline_ms)
             .header("x-idempotent", self.is_idempotent.to_string());
-        Reply::of(send(request, &self.body))
+        let add = |request: RequestBuilder, (name, value): &(&'static str, String)| {
+            request.header(*name, value.as_str())
+        };
+        let request = self.headers.iter().fold(request, add);
+        try_send(request, &self.body)
     }
 }
 
+/// Why no whole answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unanswered {
+    /// No connection could be made, so nothing was sent.
+    NotConnected,
+    /// The connection broke after something may have been sent.
+    Lost,
+}
+
 /// Fetches a job.
 pub(crate) fn fetch_job(callers_address: &str, key: &str, request_id: &str) -> Reply {
     let path = format!("/v1/jobs/{request_id}");
@@ -418,7 +452,7 @@
 }
 
 /// What a caller received.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Reply {
     /// HTTP status, or 0 if no whole answer came.
     pub(crate) status: u16,
@@ -433,7 +467,8 @@
 }
 
 impl Reply {
-    fn of(answer: Option<Answer>) -> Self {
+    /// Reads an answer.
+    pub(crate) fn of(answer: Option<Answer>) -> Self {
         let Some(answer) = answer else {
             return Self {
                 status: 0,
@@ -485,13 +520,23 @@
 }
 
 fn send(request: RequestBuilder, body: &[u8]) -> Option<Answer> {
-    let response = request.bytes(body.to_vec()).send().ok()?;
+    try_send(request, body).ok()
+}
+
+fn try_send(request: RequestBuilder, body: &[u8]) -> Result<Answer, Unanswered> {
+    let sent = request.bytes(body.to_vec()).send();
+    let response = sent.map_err(|error| match error.kind() {
+        attohttpc::ErrorKind::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            Unanswered::NotConnected
+        }
+        _ => Unanswered::Lost,
+    })?;
     let ran = response.headers().get("x-ran");
     let ran = ran.and_then(|ran| ran.to_str().ok()).unwrap_or_default();
-    Some(Answer {
+    Ok(Answer {
         status: response.status().as_u16(),
         ran: ran.to_owned(),
-        body: response.bytes().ok()?,
+        body: response.bytes().map_err(|_| Unanswered::Lost)?,
     })
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_answers;
+mod promises_drain;
 mod promises_instances;
 mod promises_ledger;
 mod promises_small;
--- /dev/null
+++ b/tests/testsuite/promises_answers.rs
@@ -0,0 +1,284 @@
+//! Answers under faults: the caller gets its own whole answer or an honest error, and a connection
+//! that goes silent costs the requests on it and nothing else.
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hawthornladder::fleet::InstanceRow;
+use hawthornladder::platform::task::TaskAnswer;
+use serde_json::json;
+
+use crate::cluster::{Call, Cluster, Reply};
+use crate::promises_small::{
+    assert_all_done, callers, clear_pool_faults, first_of_maps, put_rows, rows, set_pool_faults,
+    spawn, Load,
+};
+use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
+
+const QUIET: &str = r#""moves_max_per_hour_count": 0, "answer_max_bytes": 33554432"#;
+
+/// Most that a request on a sound connection may take beyond its run.
+const SOUND_MAX: Duration = Duration::from_millis(1_600);
+
+/// Answer of 24 MB.
+const LARGE_BYTES: usize = 24 * 1_024 * 1_024;
+
+/// Asserts that the caller got its own answer, or an error that says truly what is known.
+fn assert_honest(call: &Call, reply: &Reply, runs_count: usize) {
+    let is_own = TaskAnswer::decode(&reply.body)
+        .is_some_and(|answer| answer.is_for(&call.request_id, &call.body));
+    let is_honest = match (reply.status, reply.ran.as_str()) {
+        (200, "ran") => is_own && runs_count >= 1,
+        (_, "not_run") => runs_count == 0,
+        (_, "outcome_unknown") => true,
+        _ => false,
+    };
+    let is_single = call.is_idempotent || runs_count <= 1;
+    let shown = Reply {
+        body: reply.body.iter().copied().take(200).collect(),
+        ..reply.clone()
+    };
+    assert!(is_honest && is_single, "{runs_count} runs: {shown:?}");
+}
+
+/// Makes all calls at once, in turn at all entries; returns each with its reply and its time.
+fn call_all(cluster: &Cluster, calls: Vec<Call>) -> Vec<(Call, Reply, Duration)> {
+    let addresses = callers(cluster);
+    let threads = calls.into_iter().enumerate().map(|(index, call)| {
+        let address = addresses[index % addresses.len()].clone();
+        thread::spawn(move || {
+            let started = Instant::now();
+            let reply = call.send(&address);
+            (call, reply, started.elapsed())
+        })
+    });
+    let threads: Vec<_> = threads.collect();
+    let joined = threads.into_iter().map(|thread| thread.join());
+    joined.map(|row| row.expect("callers do not panic")).collect()
+}
+
+fn assert_all_honest(cluster: &Cluster, rows: &[(Call, Reply, Duration)]) {
+    let runs = cluster.stand_ins.runs();
+    for (call, reply, _) in rows {
+        let runs = runs.iter().filter(|run| run.request_id == call.request_id);
+        assert_honest(call, reply, runs.count());
+    }
+}
+
+/// Registers the worker of a row anew, reached through a proxy.
+fn put_behind_proxy(cluster: &Cluster, row: &InstanceRow) -> Proxy {
+    let proxy = Proxy::spawn(&row.address);
+    let row = InstanceRow {
+        incarnation: format!("{}.proxied", row.name).into(),
+        address: proxy.address().into(),
+        ..row.clone()
+    };
+    put_rows(cluster, &[row]);
+    proxy
+}
+
+/// Waits until a worker's new incarnation ran something.
+fn wait_used(cluster: &Cluster, key: &str, incarnation: &str) {
+    cluster.wait_until("the worker behind the proxy is used", |cluster| {
+        let calls = (0..12).map(|_| Call::new("maps", key, 20)).collect();
+        call_all(cluster, calls);
+        let runs = cluster.stand_ins.runs();
+        runs.iter().any(|run| run.incarnation == incarnation)
+    });
+}
+
+fn mixed(key: &str, run_ms: u64, deadline_ms: u64, count: usize) -> Vec<Call> {
+    let call = |index| {
+        let call = Call::new("maps", key, run_ms).deadline_ms(deadline_ms);
+        match index % 2 {
+            0 => call,
+            _ => call.once(),
+        }
+    };
+    (0..count).map(call).collect()
+}
+
+#[test]
+fn struck_answers_reach_no_caller() {
+    let cluster = spawn(2, r#""moves_max_per_hour_count": 0, "answer_max_bytes": 1048576"#);
+    let (_, key) = cluster.grant("desk");
+    for fault in ["crossed", "truncated", "doubled", "endless"] {
+        let faults = json!({ "answer": fault, "answer_permille": 400 });
+        set_pool_faults(&cluster, "maps", &faults);
+        let rows = call_all(&cluster, mixed(&key, 10, 5_000, 40));
+        assert_all_honest(&cluster, &rows);
+        let done_count = rows.iter().filter(|(_, reply, _)| reply.is_done()).count();
+        assert!((1..40).contains(&done_count), "{fault}: {done_count}");
+    }
+    clear_pool_faults(&cluster, "maps");
+    cluster.wait_until("the pool is sound again", |cluster| {
+        let rows = call_all(cluster, mixed(&key, 10, 5_000, 10));
+        rows.iter().all(|(_, reply, _)| reply.is_done())
+    });
+}
+
+#[test]
+fn a_late_answer_is_told_as_unknown_at_the_deadline() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    set_pool_faults(&cluster, "maps", &json!({ "answer_delay_ms": 2_000 }));
+    let rows = call_all(&cluster, mixed(&key, 10, 700, 10));
+    assert_all_honest(&cluster, &rows);
+    for (_, reply, elapsed) in rows {
+        assert_eq!(reply.ran, "outcome_unknown");
+        assert!(elapsed < Duration::from_millis(700) + SOUND_MAX);
+    }
+}
+
+#[test]
+fn connections_that_go_silent_cost_their_requests_and_nothing_else() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let row = first_of_maps(&cluster);
+    let proxy = put_behind_proxy(&cluster, &row);
+    wait_used(&cluster, &key, &format!("{}.proxied", row.name));
+    let load_key = key.clone();
+    let load = Load::spawn(&callers(&cluster), 32, move || {
+        Call::new("maps", &load_key, 60).once().deadline_ms(3_000)
+    });
+    thread::sleep(Duration::from_millis(400));
+    proxy.silence_open();
+    thread::sleep(Duration::from_millis(3_500));
+    let replies = load.stop();
+    let (done, others): (Vec<_>, Vec<_>) =
+        replies.iter().partition(|(_, reply, _)| reply.is_done());
+    assert!(others.iter().all(|(_, reply, _)| reply.ran == "outcome_unknown"));
+    let others_count = others.len();
+    assert!((1..=row.slots_count as usize).contains(&others_count), "{others_count}");
+    let slowest = done.iter().map(|(_, _, elapsed)| elapsed).max();
+    assert!(slowest.is_some_and(|slowest| *slowest < SOUND_MAX), "{slowest:?}");
+    // The worker is as good as ever on new connections.
+    let rows = call_all(&cluster, mixed(&key, 20, 3_000, 24));
+    assert!(rows.iter().all(|(_, reply, _)| reply.is_done()));
+}
+
+#[test]
+fn silence_at_any_byte_in_either_direction_is_told_honestly() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let rows: Vec<_> = rows(&cluster)
+        .into_iter()
+        .filter(|row| row.pool == "maps")
+        .take(4)
+        .collect();
+    let proxies: Vec<_> = rows.iter().map(|row| put_behind_proxy(&cluster, row)).collect();
+    wait_used(&cluster, &key, &format!("{}.proxied", rows[0].name));
+    for at_bytes in [[0, 1], [40, 300], [420, 480], [200, 380]] {
+        for (index, proxy) in proxies.iter().enumerate() {
+            let silent = DirectionFaults {
+                silent_at_byte: Some(at_bytes[index / 2]),
+                ..DirectionFaults::default()
+            };
+            let (to_upstream, to_client) = match index % 2 {
+                0 => (silent, DirectionFaults::default()),
+                _ => (DirectionFaults::default(), silent),
+            };
+            proxy.set(ProxyFaults {
+                to_upstream,
+                to_client,
+                ..ProxyFaults::default()
+            });
+        }
+        let rows = call_all(&cluster, mixed(&key, 20, 1_200, 24));
+        assert_all_honest(&cluster, &rows);
+        let done = rows.iter().filter(|(call, reply, _)| reply.is_done() && !call.is_idempotent);
+        assert!(done.map(|(_, _, elapsed)| elapsed).all(|elapsed| *elapsed < SOUND_MAX));
+        let in_time = Duration::from_millis(1_200) + SOUND_MAX;
+        assert!(rows.iter().all(|(_, _, elapsed)| *elapsed < in_time));
+    }
+}
+
+#[test]
+fn large_bodies_and_answers_arrive_whole() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let mut body = format!("{{\"run_ms\":5,\"answer_bytes\":{LARGE_BYTES}}}").into_bytes();
+    body.resize(LARGE_BYTES, b' ');
+    let calls = (0..3).map(|_| {
+        let call = Call::new("maps", &key, 5).deadline_ms(30_000);
+        call.body(body.clone())
+    });
+    let rows = call_all(&cluster, calls.collect());
+    assert_all_honest(&cluster, &rows);
+    for (_, reply, _) in rows {
+        assert!(reply.is_done(), "{} {}", reply.status, reply.kind);
+        assert!(reply.body.len() >= LARGE_BYTES);
+    }
+}
+
+#[test]
+fn a_worker_that_reads_nothing_holds_no_attempt_beyond_its_lease() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    // Connections come about in the listener's queue, and nobody ever reads from them.
+    let hole = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let row = InstanceRow {
+        name: "maps-hole".into(),
+        incarnation: "maps-hole.1".into(),
+        address: hole.local_addr().expect("it is bound").to_string().into(),
+        ..first_of_maps(&cluster)
+    };
+    put_rows(&cluster, &[row]);
+    cluster.wait_until("the hole is registered", |cluster| {
+        let instances = cluster.entries[0].status().instances;
+        instances.values().sum::<u64>() == crate::promises_small::TOTAL_COUNT as u64 + 1
+    });
+    let calls = |count| -> Vec<Call> {
+        let call = |_| {
+            let mut body = b"{\"run_ms\":5}".to_vec();
+            body.resize(8 * 1_024 * 1_024, b' ');
+            Call::new("maps", &key, 5).once().deadline_ms(4_000).body(body)
+        };
+        (0..count).map(call).collect()
+    };
+    let rows = call_all(&cluster, calls(16));
+    assert_all_honest(&cluster, &rows);
+    let lost = rows.iter().filter(|(_, reply, _)| !reply.is_done()).count();
+    assert!((1..=8).contains(&lost), "{lost} of 16 were lost");
+    cluster.wait_until("no attempt is held any more", |cluster| {
+        let mut entries = cluster.entries.iter();
+        entries.all(|entry| entry.status().running_count == 0)
+    });
+}
+
+#[test]
+fn callers_that_go_silent_cost_the_others_nothing() {
+    let settings = format!("{QUIET}, \"header_timeout_ms\": 1000, \"body_idle_timeout_ms\": 1000");
+    let cluster = spawn(1, &settings);
+    let (_, key) = cluster.grant("desk");
+    let address = cluster.entries[0].callers_address.clone();
+    let id = uuid::Uuid::now_v7();
+    let head = format!(
+        "POST /v1/queues/maps/call HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {key}\r\n\
+         x-request-id: {id}\r\nx-idempotent: true\r\ncontent-length: 100\r\n\r\n{{\"run_ms\""
+    );
+    let silent: Vec<TcpStream> = (0..200)
+        .map(|index| {
+            let mut stream = TcpStream::connect(&address).expect("the entry accepts");
+            let part = &head.as_bytes()[..head.len() * (index % 10 + 1) / 10];
+            stream.write_all(part).expect("the entry reads");
+            stream
+        })
+        .collect();
+    let load = Load::spawn(&[address], 4, move || Call::new("maps", &key, 10));
+    thread::sleep(Duration::from_millis(2_500));
+    let replies = load.stop();
+    assert_all_done(&replies);
+    let slowest = replies.iter().map(|(_, _, elapsed)| elapsed).max();
+    assert!(slowest.is_some_and(|slowest| *slowest < SOUND_MAX));
+    // The entry has given up on each of them by now.
+    for mut stream in silent {
+        let timeout = Some(Duration::from_secs(5));
+        stream.set_read_timeout(timeout).expect("not zero");
+        let ended = std::io::copy(&mut stream, &mut std::io::sink());
+        let is_over = !ended.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        assert!(is_over, "a silent caller's connection is still open");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/promises_drain.rs
@@ -0,0 +1,237 @@
+//! Graceful stops of entries: nothing in flight is cut, refusals say when to come back, and what
+//! the entry held is with the others at once.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::cluster::{fetch_job, Call, Cluster, Reply, Unanswered};
+use crate::promises_small::{callers, set_pool_faults, spawn};
+
+const QUIET: &str = r#""moves_max_per_hour_count": 0"#;
+
+/// Time within which what a stopped entry held is with the others.
+const HANDED_BACK_MAX: Duration = Duration::from_secs(5);
+
+type Outcome = Result<Reply, Unanswered>;
+
+/// Calls one entry from several threads until stopped; returns each request id with its outcome.
+struct Callers {
+    is_stopped: Arc<AtomicBool>,
+    outcomes: Arc<Mutex<Vec<(String, Outcome)>>>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Callers {
+    fn spawn(address: &str, key: &str, run_ms: u64, threads_count: usize) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let outcomes = Arc::new(Mutex::new(Vec::new()));
+        let threads = (0..threads_count).map(|_| {
+            let (is_stopped, outcomes) = (Arc::clone(&is_stopped), Arc::clone(&outcomes));
+            let (address, key) = (address.to_owned(), key.to_owned());
+            thread::spawn(move || {
+                while !is_stopped.load(Ordering::Relaxed) {
+                    let call = Call::new("maps", &key, run_ms).once();
+                    let outcome = call.try_send(&address);
+                    let outcome = outcome.map(|answer| Reply::of(Some(answer)));
+                    let is_refused = outcome.as_ref().map_or(true, |reply| !reply.is_done());
+                    outcomes.lock().unwrap().push((call.request_id, outcome));
+                    if is_refused {
+                        thread::sleep(Duration::from_millis(10));
+                    }
+                }
+            })
+        });
+        Self {
+            threads: threads.collect(),
+            is_stopped,
+            outcomes,
+        }
+    }
+
+    fn stop(self) -> Vec<(String, Outcome)> {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().expect("callers do not panic");
+        }
+        std::mem::take(&mut *self.outcomes.lock().unwrap())
+    }
+}
+
+/// Asserts that every call was answered, refused with a time to come back, or not connected.
+fn assert_none_cut(cluster: &Cluster, outcomes: &[(String, Outcome)]) {
+    let runs = cluster.stand_ins.runs();
+    for (request_id, outcome) in outcomes {
+        let runs = runs.iter().filter(|run| run.request_id == *request_id);
+        let runs_count = runs.count();
+        let is_sound = match outcome {
+            Ok(reply) if reply.is_done() => runs_count == 1,
+            Ok(reply) => {
+                runs_count == 0 && reply.ran == "not_run" && reply.retry_after_ms.is_some()
+            }
+            Err(Unanswered::NotConnected) => runs_count == 0,
+            Err(Unanswered::Lost) => false,
+        };
+        assert!(is_sound, "{runs_count} runs: {outcome:?}");
+    }
+}
+
+#[test]
+fn a_stopping_entry_cuts_nothing_and_refuses_with_a_time_to_come_back() {
+    let mut cluster = spawn(3, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let load = Callers::spawn(&cluster.entries[0].callers_address, &key, 250, 12);
+    thread::sleep(Duration::from_millis(600));
+    // A second signal changes nothing.
+    cluster.entries[0].process.signal(libc::SIGTERM);
+    assert!(cluster.entries[0].process.terminate().success());
+    thread::sleep(Duration::from_millis(100));
+    let outcomes = load.stop();
+    assert_none_cut(&cluster, &outcomes);
+    let is_draining = |(_, outcome): &(String, Outcome)| {
+        outcome.as_ref().is_ok_and(|reply| reply.kind == "draining")
+    };
+    assert!(outcomes.iter().any(is_draining));
+    assert!(outcomes.iter().any(|(_, outcome)| *outcome == Err(Unanswered::NotConnected)));
+}
+
+#[test]
+fn a_stopped_entrys_part_of_a_limit_is_with_the_others_at_once() {
+    let mut cluster = spawn(3, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let load = Callers::spawn(&cluster.entries[0].callers_address, &key, 100, 24);
+    cluster.wait_until("the entry holds a part", |cluster| {
+        let status = cluster.entries[0].status();
+        status.teams["desk"].allowance_requests >= 8
+    });
+    let seat = cluster.entries[0].status().seat;
+    assert!(cluster.entries[0].process.terminate().success());
+    let end = Instant::now() + HANDED_BACK_MAX;
+    loop {
+        let status = [1, 2].map(|index| cluster.entries[index].status());
+        let held: u32 = status.iter().map(|row| row.teams["desk"].allowance_requests).sum();
+        let team = status[0].teams["desk"];
+        let is_back = held + team.free_requests == team.limit_requests;
+        if is_back && !status[0].live_seats.contains(&seat) {
+            break;
+        }
+        assert!(Instant::now() < end, "{status:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_none_cut(&cluster, &load.stop());
+}
+
+#[test]
+fn a_stopped_entrys_jobs_run_once_at_the_others() {
+    let mut cluster = spawn(3, QUIET);
+    let (_, key) = cluster.grant("desk");
+    // More than the pool runs at once, so that some run and some wait.
+    let jobs: Vec<Call> = (0..100)
+        .map(|index| {
+            let job = Call::new("maps", &key, 400).for_later().deadline_ms(60_000);
+            match index % 2 {
+                0 => job.once(),
+                _ => job,
+            }
+        })
+        .collect();
+    let address = cluster.entries[0].callers_address.clone();
+    let accepted: Vec<_> = jobs
+        .iter()
+        .map(|job| {
+            let (job, address) = (job.clone(), address.clone());
+            thread::spawn(move || job.send(&address).status)
+        })
+        .collect();
+    for thread in accepted {
+        assert_eq!(thread.join().expect("callers do not panic"), 202);
+    }
+    assert!(cluster.entries[0].process.terminate().success());
+    let address = &cluster.entries[1].callers_address;
+    for job in &jobs {
+        cluster.wait_until("the job is done", |_| {
+            fetch_job(address, &key, &job.request_id).is_done()
+        });
+    }
+    let runs = cluster.stand_ins.runs();
+    for job in &jobs {
+        let count = runs.iter().filter(|run| run.request_id == job.request_id);
+        assert_eq!(count.count(), 1);
+    }
+}
+
+#[test]
+fn an_entry_that_stops_while_the_log_is_down_answers_what_is_in_flight() {
+    let settings = format!("{QUIET}, \"drain_timeout_ms\": 3000");
+    let mut cluster = spawn(3, &settings);
+    let (_, key) = cluster.grant("desk");
+    set_pool_faults(&cluster, "maps", &json!({ "answer_delay_ms": 700 }));
+    let load = Callers::spawn(&cluster.entries[0].callers_address, &key, 10, 8);
+    thread::sleep(Duration::from_millis(400));
+    cluster.set_log_faults(&json!({ "is_down": true }));
+    let started = Instant::now();
+    assert!(cluster.entries[0].process.terminate().success());
+    assert!(started.elapsed() < Duration::from_secs(5));
+    let outcomes = load.stop();
+    assert_none_cut(&cluster, &outcomes);
+}
+
+#[test]
+fn restarts_of_all_entries_under_load_lose_and_double_nothing() {
+    let mut cluster = spawn(3, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let addresses = Arc::new(Mutex::new(callers(&cluster)));
+    let is_stopped = Arc::new(AtomicBool::new(false));
+    let threads: Vec<_> = (0..8)
+        .map(|first| {
+            let (addresses, key) = (Arc::clone(&addresses), key.clone());
+            let is_stopped = Arc::clone(&is_stopped);
+            thread::spawn(move || {
+                let mut done = Vec::new();
+                while !is_stopped.load(Ordering::Relaxed) {
+                    let call = Call::new("maps", &key, 40).once();
+                    call_until_done(&call, &addresses, first);
+                    done.push(call.request_id);
+                }
+                done
+            })
+        })
+        .collect();
+    for index in 0..3 {
+        thread::sleep(Duration::from_millis(400));
+        assert!(cluster.entries[index].process.terminate().success());
+        cluster.replace_entry(index);
+        cluster.wait_serving();
+        *addresses.lock().unwrap() = callers(&cluster);
+    }
+    thread::sleep(Duration::from_millis(300));
+    is_stopped.store(true, Ordering::Relaxed);
+    let done = threads.into_iter().map(|thread| thread.join());
+    let done: Vec<String> = done.flat_map(|ids| ids.expect("no call is lost")).collect();
+    let runs = cluster.stand_ins.runs();
+    assert!(done.len() > 100, "{}", done.len());
+    for request_id in &done {
+        let count = runs.iter().filter(|run| run.request_id == *request_id);
+        assert_eq!(count.count(), 1, "{request_id}");
+    }
+    assert_eq!(runs.len(), done.len());
+}
+
+/// Makes a call at one entry after the other; only refusals that say so prove that it did not run.
+fn call_until_done(call: &Call, addresses: &Mutex<Vec<String>>, first: usize) {
+    for turn in first.. {
+        let address = {
+            let addresses = addresses.lock().unwrap();
+            addresses[turn % addresses.len()].clone()
+        };
+        match call.try_send(&address).map(|answer| Reply::of(Some(answer))) {
+            Ok(reply) if reply.is_done() => return,
+            Ok(reply) => assert_eq!(reply.ran, "not_run", "{reply:?}"),
+            Err(unanswered) => assert_eq!(unanswered, Unanswered::NotConnected),
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/tests/testsuite/promises_instances.rs
+++ b/tests/testsuite/promises_instances.rs
@@ -14,7 +14,7 @@
 use crate::cluster::{Call, Cluster};
 use crate::processes::admin_call;
 use crate::promises_small::{
-    assert_all_done, callers, ended_count, index_of_driver, lists_with_min, order, publish,
+    assert_all_done, callers, ended_count, first_of_maps, index_of_driver, lists_with_min, order, publish,
     put_rows, rows, rows_at, set_list_faults, spawn, standing_count, start_roll_out, unix_ms, Load,
     MAPS_COUNT, MAPS_UNAVAILABLE_MAX_COUNT, TOTAL_COUNT,
 };
@@ -144,11 +144,6 @@
     link.reset_open();
 }
 
-fn first_of_maps(cluster: &Cluster) -> InstanceRow {
-    let mut rows = rows(cluster).into_iter();
-    rows.find(|row| row.pool == "maps").expect("there are rows")
-}
-
 fn assert_leaving_gets_nothing_new(cluster: &Cluster, key: &str, leaving: &InstanceRow) {
     let key = key.to_owned();
     let load = Load::spawn(&callers(cluster), 12, move || Call::new("maps", &key, 20));
--- a/tests/testsuite/promises_small.rs
+++ b/tests/testsuite/promises_small.rs
@@ -131,6 +131,12 @@
     page.rows
 }
 
+/// Returns a row of the pool `maps`.
+pub(crate) fn first_of_maps(cluster: &Cluster) -> InstanceRow {
+    let mut rows = rows(cluster).into_iter();
+    rows.find(|row| row.pool == "maps").expect("there are rows")
+}
+
 /// Puts rows on the instance list.
 pub(crate) fn put_rows(cluster: &Cluster, rows: &[InstanceRow]) {
     let address = &cluster.stand_ins.instances_address;
