Stop an entry without losing callers in the listener's queue or jobs announced to start

Cause, each seen failing first (promises_drain): - A caller whose connection waited in the listener's queue, or was just opened, was reset when the entry closed its port (Err(Lost), 0 runs). The queue is now taken in before the port closes, and an idle connection stays open for a moment, so both are told 'draining'.

--- a/src/adapters/http_server/connection.rs
+++ b/src/adapters/http_server/connection.rs
@@ -20,6 +20,8 @@
 
 /// Longest head of a request; also the size of the read buffer.
 const HEAD_MAX_BYTES: usize = 16 << 10;
+/// Time that an idle connection stays open after a stop.
+const STOP_LINGER: Duration = Duration::from_millis(300);
 /// Time that a refused connection gets to read why.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of a refused connection that are read and dropped before it is closed.
@@ -53,7 +55,8 @@
         _ = connection.as_mut() => true,
         () = until_stopped(&mut phase) => false,
     };
-    if !is_ended {
+    // A request may be on its way, and closing would leave its sender without an answer.
+    if !is_ended && timeout(STOP_LINGER, connection.as_mut()).await.is_err() {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- a/src/adapters/http_server/mod.rs
+++ b/src/adapters/http_server/mod.rs
@@ -8,6 +8,7 @@
 
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// How often a finish looks whether every connection has closed.
 const FINISH_POLL: Duration = Duration::from_millis(5);
+/// Connections of the listener's queue that are still taken after a stop at most.
+const LAST_ACCEPTS_MAX_COUNT: usize = 4_096;
 /// Time that the runtime's threads get to end once no connection is left.
 const RUNTIME_STOP: Duration = Duration::from_millis(200);
 
@@ -61,7 +64,7 @@
     Serving,
     /// Connections are still accepted, and each is to close with its next answer.
     Closing,
-    /// Nothing is accepted; idle connections are closed, the others end with their answer.
+    /// Nothing is accepted; connections that stay idle are closed, the others end with their answer.
     Stopped,
 }
 
@@ -69,6 +72,7 @@
 pub(crate) struct HttpServer {
     address: SocketAddr,
     connections: Arc<Slots>,
+    is_accepting: Arc<AtomicBool>,
     phase: watch::Sender<Phase>,
     runtime: Option<Runtime>,
 }
@@ -125,10 +129,16 @@
             let _context = runtime.enter();
             TcpListener::from_std(listener)?
         };
-        runtime.spawn(accept_loop(listener, shared));
+        let is_accepting = Arc::new(AtomicBool::new(true));
+        let accepting = Arc::clone(&is_accepting);
+        runtime.spawn(async move {
+            accept_loop(listener, shared).await;
+            accepting.store(false, Ordering::Release);
+        });
         Ok(Self {
             address,
             connections,
+            is_accepting,
             phase,
             runtime: Some(runtime),
         })
@@ -160,7 +170,8 @@
     pub(crate) fn finish(mut self, timeout_ms: u64) -> usize {
         self.phase.send_replace(Phase::Stopped);
         let end = Instant::now() + Duration::from_millis(timeout_ms);
-        while self.connections_count() > 0 && Instant::now() < end {
+        let is_busy = || self.is_accepting.load(Ordering::Acquire) || self.connections_count() > 0;
+        while is_busy() && Instant::now() < end {
             thread::sleep(FINISH_POLL);
         }
         let cut_count = self.connections_count();
@@ -196,7 +207,35 @@
                 Ok((stream, _)) => admit(stream, &shared),
                 Err(_) => sleep(ACCEPT_RETRY).await,
             },
-            () = until_stopped(&mut phase) => return,
+            () = until_stopped(&mut phase) => break,
+        }
+    }
+    admit_waiting(listener, &shared);
+}
+
+/// Takes in the connections in the listener's queue, which closing it would reset.
+fn admit_waiting<M, S, B>(listener: TcpListener, shared: &Arc<Shared<M>>)
+where
+    M: Fn(Arc<SlotGuard>) -> S + Send + Sync + 'static,
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    let waiting = std::iter::from_fn(|| listener.accept().ok());
+    let streams: Vec<_> = waiting.take(LAST_ACCEPTS_MAX_COUNT).collect();
+    drop(listener);
+    for (stream, _) in streams {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            admit(stream, shared);
         }
     }
 }
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -193,7 +193,8 @@
         });
     }
 
-    /// Drops the jobs that were not started; the seat's end lets others adopt them.
+    /// Drops the jobs that were not started; the seat's end lets others adopt them. A start that was
+    /// announced and did not happen is taken back first, as nobody else could tell.
     pub(crate) fn hand_over_jobs(&mut self) {
         let keys: Vec<_> = self
             .requests
@@ -203,8 +204,30 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys {
-            self.wait.cancel(self.now.mono_ms, key);
-            self.requests.remove(key);
+            if self.take_back_start(key) {
+                self.wait.cancel(self.now.mono_ms, key);
+                self.requests.remove(key);
+            }
+        }
+    }
+
+    /// Takes back the announcement of a job's start, if there was one; returns whether others may
+    /// have the job.
+    fn take_back_start(&mut self, key: crate::policy::keys::RequestKey) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        let is_announced = request.is_announced || request.stage == Stage::Claiming;
+        match request.claim_id {
+            Some(request_id) if is_announced && !request.is_idempotent => {
+                let team = request.team.clone();
+                self.propose(SeatChange::JobEnd {
+                    team,
+                    request_id,
+                    state: JobState::Waiting,
+                })
+            }
+            Some(_) | None => true,
         }
     }
 
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -129,7 +129,7 @@
         /// Id of the request.
         request_id: Uuid,
     },
-    /// Ends a job.
+    /// Ends a job, or takes the announcement of a start back that did not happen (`waiting`).
     JobEnd {
         /// Team of the job.
         team: TeamName,
