--- a/src/adapters/workers_http.rs
+++ b/src/adapters/workers_http.rs
@@ -151,7 +151,9 @@
         (_, Some(_)) if not_started.is_some() => {
             not_started.map_or_else(|| Loss::Malformed.outcome(), WorkerOutcome::NotStarted)
         }
-        (_, _) => loss.unwrap_or(Loss::WorkerFailed).outcome(),
+        (_, Some(_)) => loss.unwrap_or(Loss::WorkerFailed).outcome(),
+        // A reason without a name may be that of another attempt.
+        (_, None) => Loss::WorkerFailed.outcome(),
     }
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -27,7 +27,9 @@
         retry::{FailedAttempt, RetryDecision, RetryReason, StopReason},
         share::{TeamSlot, UsageRow},
     },
-    ports::{NotStarted, WorkerOutcome, WorkerRequest},
+    ports::{
+        NotStarted, WorkerOutcome, WorkerRequest, LOSS_CANCELLED, LOSS_KILLED, LOSS_LEASE_LAPSED,
+    },
 };
 
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
@@ -459,8 +461,10 @@
         self.observe(&attempt, &outcome);
         match &outcome {
             // The task may still run, so it keeps its permit until its lease has ended.
-            WorkerOutcome::Unknown(_) => self.requests.haunt(key, attempt.clone()),
-            WorkerOutcome::Ran { .. } | WorkerOutcome::NotStarted(_) => self.release(&attempt),
+            WorkerOutcome::Unknown(_) if !outcome.has_ended() => {
+                self.requests.haunt(key, attempt.clone());
+            }
+            _ => self.release(&attempt),
         }
         let is_current = self
             .requests
@@ -479,6 +483,10 @@
                 is_success: true, ..
             } => Outcome::Succeeded,
             WorkerOutcome::Ran { .. } => Outcome::Failed,
+            // The worker did as it was told, or its reboot did.
+            WorkerOutcome::Unknown(loss) if loss == LOSS_CANCELLED || loss == LOSS_KILLED => return,
+            // The worker is alive; the task took longer than its caller could wait.
+            WorkerOutcome::Unknown(loss) if loss == LOSS_LEASE_LAPSED => Outcome::Failed,
             WorkerOutcome::Unknown(_) => Outcome::Silent,
             WorkerOutcome::NotStarted(NotStarted::Unreachable) => Outcome::Unreachable,
             WorkerOutcome::NotStarted(NotStarted::Busy) => {
@@ -574,6 +582,7 @@
         let count = request.turned_away_count.min(TURNED_AWAY_BACKOFF_MAX_COUNT);
         let delay_ms = self.retry.turned_away(reason, count, &mut self.rng);
         request.stage = Stage::BackingOff;
+        self.wait.turned_away(&request.waiting);
         self.requests.back_off(key, now_ms + delay_ms);
     }
 
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -101,6 +101,11 @@
         self.starts += 1.0;
     }
 
+    /// Takes a start back that did not happen after all.
+    pub fn take_back_start(&mut self) {
+        self.starts = (self.starts - 1.0).max(0.0);
+    }
+
     /// Returns the starts for each millisecond of waiting, if enough was seen to tell.
     ///
     /// That nothing started for a moment, perhaps while the first permits are on their way, is no
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -115,6 +115,11 @@
         Some(place)
     }
 
+    /// Takes in that a start did not happen after all.
+    pub(crate) fn take_back_start(&mut self) {
+        self.drain.take_back_start();
+    }
+
     /// Returns the request with the earliest deadline that is still worth starting.
     pub(crate) fn head(&self, now_ms: MonoMs) -> Option<&Waiting> {
         self.places
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Takes in that a worker turned a request away, so that its lane drains slower than it seemed.
+    pub fn turned_away(&mut self, waiting: &Waiting) {
+        if let Some(lane_key) = self.lane_of.get(&(waiting.team, waiting.queue)) {
+            self.lanes[*lane_key].take_back_start();
+        }
+    }
+
     /// Returns a request that was handed out and is proved not started. It keeps its deadline and
     /// is not refused for lack of room, as its place was given to it before.
     pub fn put_back(&mut self, now_ms: MonoMs, waiting: Waiting) {
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -113,6 +113,27 @@
     Unknown(SmolStr),
 }
 
+/// Reason of an unknown outcome: the worker stopped the task on request.
+pub const LOSS_CANCELLED: &str = "cancelled";
+
+/// Reason of an unknown outcome: the worker stopped the task at the end of its lease.
+pub const LOSS_LEASE_LAPSED: &str = "lease_lapsed";
+
+/// Reason of an unknown outcome: the instance was rebooted while the task ran.
+pub const LOSS_KILLED: &str = "killed";
+
+impl WorkerOutcome {
+    /// Returns whether the worker proved that the task does not run any more, whatever it did.
+    pub fn has_ended(&self) -> bool {
+        match self {
+            Self::Ran { .. } | Self::NotStarted(_) => true,
+            Self::Unknown(reason) => {
+                [LOSS_CANCELLED, LOSS_LEASE_LAPSED, LOSS_KILLED].contains(&reason.as_str())
+            }
+        }
+    }
+}
+
 /// Why a worker did not start a task.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString, strum::EnumIter,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod policy_share;
 mod processes;
 mod promises_answers;
+mod promises_bad_workers;
 mod promises_drain;
 mod promises_instances;
 mod promises_ledger;
--- a/tests/testsuite/promises_answers.rs
+++ b/tests/testsuite/promises_answers.rs
@@ -20,7 +20,7 @@
 const QUIET: &str = r#""moves_max_per_hour_count": 0, "answer_max_bytes": 33554432"#;
 
 /// Most that a request on a sound connection may take beyond its run.
-const SOUND_MAX: Duration = Duration::from_millis(1_600);
+pub(crate) const SOUND_MAX: Duration = Duration::from_millis(1_600);
 
 /// Answer of 24 MB.
 const LARGE_BYTES: usize = 24 * 1_024 * 1_024;
@@ -44,7 +44,7 @@
 }
 
 /// Makes all calls at once, in turn at all entries; returns each with its reply and its time.
-fn call_all(cluster: &Cluster, calls: Vec<Call>) -> Vec<(Call, Reply, Duration)> {
+pub(crate) fn call_all(cluster: &Cluster, calls: Vec<Call>) -> Vec<(Call, Reply, Duration)> {
     let addresses = callers(cluster);
     let threads = calls.into_iter().enumerate().map(|(index, call)| {
         let address = addresses[index % addresses.len()].clone();
@@ -61,7 +61,7 @@
         .collect()
 }
 
-fn assert_all_honest(cluster: &Cluster, rows: &[(Call, Reply, Duration)]) {
+pub(crate) fn assert_all_honest(cluster: &Cluster, rows: &[(Call, Reply, Duration)]) {
     let runs = cluster.stand_ins.runs();
     for (call, reply, _) in rows {
         let runs = runs.iter().filter(|run| run.request_id == call.request_id);
--- /dev/null
+++ b/tests/testsuite/promises_bad_workers.rs
@@ -0,0 +1,378 @@
+//! Bad workers, bad work and bad callers: each costs itself, is told honestly, and leaves the rest
+//! served.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use serde_json::json;
+
+use crate::cluster::{cancel, Call, Cluster, Reply};
+use crate::promises_answers::{assert_all_honest, call_all, SOUND_MAX};
+use crate::promises_small::{
+    assert_all_done, callers, clear_pool_faults, first_of_maps, set_pool_faults, set_worker_faults,
+    spawn, Load,
+};
+
+const QUIET: &str = r#""moves_max_per_hour_count": 0"#;
+
+/// Part of a pool that may be ejected at once by default.
+const EJECT_MAX_PERMILLE: usize = 300;
+
+fn assert_quick(replies: &[(String, Reply, Duration)]) {
+    let slowest = replies.iter().map(|(_, _, elapsed)| elapsed).max();
+    assert!(
+        slowest.is_some_and(|slowest| *slowest < SOUND_MAX),
+        "{slowest:?}"
+    );
+}
+
+/// Starts callers of another pool and team, who are to notice nothing.
+fn spawn_others(cluster: &Cluster) -> Load {
+    let (_, key) = cluster.grant("office");
+    Load::spawn(&callers(cluster), 4, move || Call::new("gauges", &key, 10))
+}
+
+fn assert_others_unharmed(others: Load) {
+    let replies = others.stop();
+    assert_all_done(&replies);
+    assert_quick(&replies);
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_ejected_and_the_pool_goes_on() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let bad = first_of_maps(&cluster);
+    set_worker_faults(&bad, &json!({ "is_failing_all": true }));
+    let once_key = key.clone();
+    let once = Load::spawn(&callers(&cluster), 16, move || {
+        Call::new("maps", &once_key, 20).once()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let idempotent = Load::spawn(&callers(&cluster), 8, move || Call::new("maps", &key, 20));
+    thread::sleep(Duration::from_millis(1_500));
+    assert_all_done(&idempotent.stop());
+    let replies = once.stop();
+    let is_failed = |reply: &Reply| !reply.is_done();
+    let failed_count = replies
+        .iter()
+        .filter(|(_, reply, _)| is_failed(reply))
+        .count();
+    for (_, reply, _) in replies.iter().filter(|(_, reply, _)| is_failed(reply)) {
+        assert_eq!(
+            (reply.status, reply.ran.as_str()),
+            (422, "ran"),
+            "{reply:?}"
+        );
+    }
+    assert!(failed_count > 0, "nothing reached the bad worker");
+    let late = &replies[replies.len() / 2..];
+    assert_all_done(late);
+}
+
+#[test]
+fn a_pool_that_is_bad_as_a_whole_is_not_emptied() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let others = spawn_others(&cluster);
+    set_pool_faults(&cluster, "maps", &json!({ "is_failing_all": true }));
+    let load_key = key.clone();
+    let load = Load::spawn(&callers(&cluster), 16, move || {
+        Call::new("maps", &load_key, 5).once()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let replies = load.stop();
+    assert!(replies.iter().all(|(_, reply, _)| reply.ran == "ran"));
+    clear_pool_faults(&cluster, "maps");
+    for entry in &cluster.entries {
+        let log = entry.process.log();
+        let ejected_count = log.matches("access=ejected").count();
+        let allowed_count = crate::promises_small::MAPS_COUNT * EJECT_MAX_PERMILLE / 1_000;
+        assert!(
+            (1..=allowed_count).contains(&ejected_count),
+            "{ejected_count}"
+        );
+    }
+    let calls = (0..24)
+        .map(|_| Call::new("maps", &key, 20).once())
+        .collect();
+    let rows = call_all(&cluster, calls);
+    assert!(rows.iter().all(|(_, reply, _)| reply.is_done()));
+    assert_others_unharmed(others);
+}
+
+#[test]
+fn a_pool_that_hangs_costs_its_own_callers_only() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let others = spawn_others(&cluster);
+    set_pool_faults(&cluster, "maps", &json!({ "is_frozen": true }));
+    let calls = (0..60)
+        .map(|_| Call::new("maps", &key, 5).once().deadline_ms(1_500))
+        .collect();
+    let rows = call_all(&cluster, calls);
+    clear_pool_faults(&cluster, "maps");
+    assert_all_honest(&cluster, &rows);
+    let in_time = Duration::from_millis(1_500) + SOUND_MAX;
+    assert!(rows.iter().all(|(_, _, elapsed)| *elapsed < in_time));
+    assert_others_unharmed(others);
+    cluster.wait_until("the pool serves again", |cluster| {
+        let calls = (0..8).map(|_| Call::new("maps", &key, 5)).collect();
+        let rows = call_all(cluster, calls);
+        rows.iter().all(|(_, reply, _)| reply.is_done())
+    });
+}
+
+#[test]
+fn work_that_can_never_run_is_refused_at_once_with_the_reason() {
+    let cluster = spawn(1, r#""body_max_bytes": 65536"#);
+    let (_, key) = cluster.grant("desk");
+    let call = || Call::new("maps", &key, 5).once();
+    let calls = vec![
+        // More than any worker of the pool has, and more than the plan allows.
+        call().header("x-cores-milli", 40_000),
+        call().header("x-memory-mb", 200_000),
+        call().header("x-accelerators-count", 1),
+        call().header("x-cores-milli", 70_000),
+        call().body(vec![b' '; 65_537]),
+    ];
+    let rows = call_all(&cluster, calls);
+    for (call, reply, elapsed) in &rows {
+        let is_reason = ["can_never_run", "too_large", "body_too_large"];
+        assert!(is_reason.contains(&reply.kind.as_str()), "{reply:?}");
+        assert_eq!(reply.ran, "not_run");
+        assert_eq!(reply.retry_after_ms, None, "it would never succeed");
+        assert!(*elapsed < SOUND_MAX);
+        assert_eq!(cluster.runs_of(&call.request_id), 0);
+    }
+}
+
+#[test]
+fn run_times_and_sizes_wrong_by_ten_are_told_honestly() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let others = spawn_others(&cluster);
+    set_pool_faults(&cluster, "maps", &json!({ "run_time_permille": 10_000 }));
+    let calls = (0..120).map(|index| {
+        let call = Call::new("maps", &key, 60).deadline_ms(2_000);
+        let call = call.header("x-run-ms", 60);
+        match index % 3 {
+            0 => call.once(),
+            1 => call.once().header("x-cores-milli", 10_000),
+            _ => call,
+        }
+    });
+    let rows = call_all(&cluster, calls.collect());
+    assert_all_honest(&cluster, &rows);
+    let done_count = rows.iter().filter(|(_, reply, _)| reply.is_done()).count();
+    assert!(done_count >= 64, "{done_count}");
+    let in_time = Duration::from_millis(2_000) + SOUND_MAX;
+    assert!(rows.iter().all(|(_, _, elapsed)| *elapsed < in_time));
+    assert_others_unharmed(others);
+}
+
+#[test]
+fn a_wave_of_cancellations_frees_the_pool_and_harms_nobody() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let others = spawn_others(&cluster);
+    let calls: Vec<Call> = (0..300)
+        .map(|_| Call::new("maps", &key, 8_000).deadline_ms(20_000))
+        .collect();
+    let ids: Vec<String> = calls.iter().map(|call| call.request_id.clone()).collect();
+    let addresses = callers(&cluster);
+    let started = Instant::now();
+    let canceller = thread::spawn({
+        let key = key.clone();
+        move || {
+            thread::sleep(Duration::from_millis(800));
+            let threads = ids.into_iter().enumerate().map(|(index, id)| {
+                // Half of them at the entry that has not got the request.
+                let address = addresses[(index / 2) % 2].clone();
+                let key = key.clone();
+                thread::spawn(move || cancel(&address, &key, &id).status)
+            });
+            let threads: Vec<_> = threads.collect();
+            threads
+                .into_iter()
+                .all(|thread| thread.join().is_ok_and(|status| status < 300))
+        }
+    });
+    let rows = call_all(&cluster, calls);
+    assert!(canceller.join().expect("cancellers do not panic"));
+    assert!(
+        started.elapsed() < Duration::from_millis(5_800),
+        "{:?}",
+        started.elapsed()
+    );
+    let is_cancelled = |reply: &Reply| reply.kind.starts_with("cancelled");
+    assert!(rows.iter().all(|(_, reply, _)| is_cancelled(reply)));
+    // Tasks that were stopped on request speak for no fault of their workers.
+    for entry in &cluster.entries {
+        assert!(!entry.process.log().contains("access=ejected"));
+    }
+    assert_all_honest(&cluster, &rows);
+    let calls = (0..48)
+        .map(|_| Call::new("maps", &key, 20).deadline_ms(4_000))
+        .collect();
+    let rows = call_all(&cluster, calls);
+    assert!(rows.iter().all(|(_, reply, _)| reply.is_done()));
+    assert_others_unharmed(others);
+}
+
+#[test]
+fn callers_given_up_on_are_told_early_when_to_come_back() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    // About 64 at once, 400 ms each: some 320 within the deadline.
+    let deadline_ms = 2_000;
+    let calls = (0..700)
+        .map(|_| Call::new("maps", &key, 400).once().deadline_ms(deadline_ms))
+        .collect();
+    let rows = call_all(&cluster, calls);
+    assert_all_honest(&cluster, &rows);
+    let mut counts: std::collections::BTreeMap<String, usize> = Default::default();
+    for (_, reply, elapsed) in &rows {
+        *counts
+            .entry(format!(
+                "{} {} {} {}",
+                reply.status,
+                reply.kind,
+                reply.ran,
+                elapsed.as_millis() / 500
+            ))
+            .or_default() += 1;
+    }
+    println!("{counts:?}");
+    for e in &cluster.entries {
+        println!("{:?}", e.status());
+    }
+    let refused: Vec<_> = rows
+        .iter()
+        .filter(|(_, reply, _)| reply.ran == "not_run")
+        .collect();
+    assert!(refused.len() >= 200, "{}", refused.len());
+    assert!(refused
+        .iter()
+        .all(|(_, reply, _)| reply.retry_after_ms.is_some()));
+    let half = Duration::from_millis(deadline_ms / 2);
+    let early_count = refused
+        .iter()
+        .filter(|(_, _, elapsed)| *elapsed < half)
+        .count();
+    assert!(
+        early_count * 2 >= refused.len(),
+        "{early_count} of {}",
+        refused.len()
+    );
+    let done_count = rows.iter().filter(|(_, reply, _)| reply.is_done()).count();
+    assert!(done_count >= 200, "{done_count}");
+}
+
+#[test]
+fn a_first_burst_waits_for_its_permits_through_a_slow_log() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    cluster.set_log_faults(&json!({ "delay_ms": 400 }));
+    let calls = (0..40).map(|_| Call::new("maps", &key, 20)).collect();
+    let rows = call_all(&cluster, calls);
+    for (_, reply, _) in rows {
+        assert!(reply.is_done(), "{reply:?}");
+    }
+}
+
+#[test]
+fn a_pool_at_its_last_slots_turns_nobody_away_who_can_wait() {
+    let cluster = spawn(3, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let load = Load::spawn(&callers(&cluster), 60, move || Call::new("maps", &key, 100));
+    thread::sleep(Duration::from_millis(2_000));
+    assert_all_done(&load.stop());
+}
+
+#[test]
+fn floods_of_wrong_keys_and_malformed_input_leave_good_callers_served() {
+    let cluster = spawn(2, QUIET);
+    let (_, key) = cluster.grant("desk");
+    let others = spawn_others(&cluster);
+    let good = Load::spawn(&callers(&cluster), 4, {
+        let key = key.clone();
+        move || Call::new("maps", &key, 10)
+    });
+    let is_over = Arc::new(AtomicBool::new(false));
+    let entry = &cluster.entries[0];
+    let ports = [
+        entry.callers_address.clone(),
+        entry.operators_address.clone(),
+        entry.peers_link.address(),
+    ];
+    let mut threads: Vec<_> = (0..9)
+        .map(|index| {
+            let (port, is_over) = (ports[index % 3].clone(), Arc::clone(&is_over));
+            thread::spawn(move || flood_malformed(&port, index as u64, &is_over))
+        })
+        .collect();
+    threads.extend((0..6).map(|index| {
+        let (address, is_over) = (entry.callers_address.clone(), Arc::clone(&is_over));
+        let wrong = match index % 2 {
+            0 => format!("{}x", &key[..key.len() - 1]),
+            _ => "hk_nobody_nothing".to_owned(),
+        };
+        thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                let reply = Call::new("maps", &wrong, 5).send(&address);
+                assert_eq!(reply.ran, "not_run", "{reply:?}");
+            }
+        })
+    }));
+    thread::sleep(Duration::from_millis(2_500));
+    is_over.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().expect("floods find only refusals");
+    }
+    let replies = good.stop();
+    assert_all_done(&replies);
+    assert_quick(&replies);
+    assert_others_unharmed(others);
+    cluster.wait_serving();
+}
+
+/// Sends malformed requests, the same ones in each run.
+fn flood_malformed(address: &str, seed: u64, is_over: &AtomicBool) {
+    let mut runner = TestRunner::new(Config {
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    });
+    let part = prop_oneof![
+        Just(b"POST /v1/queues/maps/call HTTP/1.1\r\n".to_vec()),
+        Just(b"POST / HTTP/1.1\r\ncontent-type: application/json\r\n".to_vec()),
+        Just(b"GET /v1/status HTTP/1.1\r\n".to_vec()),
+        Just(b"content-length: 99999999999999999999\r\n".to_vec()),
+        Just(b"content-length: 10\r\n".to_vec()),
+        Just(b"transfer-encoding: chunked\r\n\r\nfffffffff\r\n".to_vec()),
+        Just(b"x-request-id: \xff\xfe\r\nx-deadline-ms: -1\r\n".to_vec()),
+        Just(b"\r\n\r\n".to_vec()),
+        Just(b"{\"jsonrpc\":\"2.0\",\"method\":\"gossip\",\"params\":[{}],\"id\":1}".to_vec()),
+        prop::collection::vec(any::<u8>(), 0..400),
+    ];
+    let input = prop::collection::vec(part, 1..6);
+    while !is_over.load(Ordering::Relaxed) {
+        let parts = input.new_tree(&mut runner).expect("strategies give values");
+        let bytes = parts.current().concat();
+        // An overfull port may refuse, and any end of the connection will do.
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            continue;
+        };
+        let timeout = Some(Duration::from_millis(50));
+        stream.set_read_timeout(timeout).expect("not zero");
+        let _ = stream.write_all(&bytes);
+        let _ = stream.read(&mut [0; 1_024]);
+    }
+}
