--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -2,6 +2,7 @@
 //! and a fault-injecting proxy on each link between an entry and the log, the instance list and its
 //! peers.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -316,6 +317,19 @@
         peaks.get(team).copied().unwrap_or(0)
     }
 
+    /// Starts an operator's publication of whole lists from version `from` and doesn't wait for it.
+    pub(crate) fn start_publish(&self, from: u64, name: &str, lists: [&str; 2]) -> Process {
+        let paths = lists.map(|text| {
+            let file = format!("{name}-{}.jsonc", blake3::hash(text.as_bytes()).to_hex());
+            let path = self.directory.join(file);
+            fs::write(&path, text).expect("the directory is writable");
+            path.to_str().expect("paths are text").to_owned()
+        });
+        let (from, log) = (from.to_string(), &self.stand_ins.log_address);
+        let args = ["lists", "publish", &paths[0], &paths[1], "--from", &from];
+        Process::spawn(name, &[&args[..], &["--log", log]].concat())
+    }
+
     /// Grants a key to `team`; returns its id and its whole text.
     pub(crate) fn grant(&self, team: &str) -> (String, String) {
         let lines = self.operate(&["keys", "grant", team, "--output", "json"]);
@@ -395,6 +409,8 @@
     pub(crate) is_for_later: bool,
     /// Body.
     pub(crate) body: Vec<u8>,
+    /// Further headers.
+    pub(crate) headers: Vec<(&'static str, String)>,
 }
 
 impl Call {
@@ -408,6 +424,7 @@
             is_idempotent: true,
             is_for_later: false,
             body: format!("{{\"run_ms\":{run_ms}}}").into_bytes(),
+            headers: Vec::new(),
         }
     }
 
@@ -423,6 +440,18 @@
         self
     }
 
+    /// Replaces the body.
+    pub(crate) fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub(crate) fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
     /// Sets the deadline.
     pub(crate) fn deadline_ms(mut self, deadline_ms: u64) -> Self {
         self.deadline_ms = deadline_ms;
@@ -431,6 +460,11 @@
 
     /// Sends the call to an entry.
     pub(crate) fn send(&self, callers_address: &str) -> Reply {
+        Reply::of(self.try_send(callers_address).ok())
+    }
+
+    /// Sends the call to an entry, and tells why no whole answer came.
+    pub(crate) fn try_send(&self, callers_address: &str) -> Result<Answer, Unanswered> {
         let what = match self.is_for_later {
             true => "jobs",
             false => "call",
@@ -440,10 +474,23 @@
             .header("x-request-id", self.request_id.as_str())
             .header("x-deadline-ms", self.deadline_ms)
             .header("x-idempotent", self.is_idempotent.to_string());
-        Reply::of(send(request, &self.body))
+        let add = |request: RequestBuilder, (name, value): &(&'static str, String)| {
+            request.header(*name, value.as_str())
+        };
+        let request = self.headers.iter().fold(request, add);
+        try_send(request, &self.body)
     }
 }
 
+/// Why no whole answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unanswered {
+    /// No connection could be made, so nothing was sent.
+    NotConnected,
+    /// The connection broke after something may have been sent.
+    Lost,
+}
+
 /// Fetches a job.
 pub(crate) fn fetch_job(callers_address: &str, key: &str, request_id: &str) -> Reply {
     let path = format!("/v1/jobs/{request_id}");
@@ -461,7 +508,7 @@
 }
 
 /// What a caller received.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Reply {
     /// HTTP status, or 0 if no whole answer came.
     pub(crate) status: u16,
@@ -476,7 +523,8 @@
 }
 
 impl Reply {
-    fn of(answer: Option<Answer>) -> Self {
+    /// Reads an answer.
+    pub(crate) fn of(answer: Option<Answer>) -> Self {
         let Some(answer) = answer else {
             return Self {
                 status: 0,
@@ -528,13 +576,23 @@
 }
 
 fn send(request: RequestBuilder, body: &[u8]) -> Option<Answer> {
-    let response = request.bytes(body.to_vec()).send().ok()?;
+    try_send(request, body).ok()
+}
+
+fn try_send(request: RequestBuilder, body: &[u8]) -> Result<Answer, Unanswered> {
+    let sent = request.bytes(body.to_vec()).send();
+    let response = sent.map_err(|error| match error.kind() {
+        attohttpc::ErrorKind::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            Unanswered::NotConnected
+        }
+        _ => Unanswered::Lost,
+    })?;
     let ran = response.headers().get("x-ran");
     let ran = ran.and_then(|ran| ran.to_str().ok()).unwrap_or_default();
-    Some(Answer {
+    Ok(Answer {
         status: response.status().as_u16(),
         ran: ran.to_owned(),
-        body: response.bytes().ok()?,
+        body: response.bytes().map_err(|_| Unanswered::Lost)?,
     })
 }
 
