Put a request that a busy worker turned away back into the queue at once

Cause: it backed off outside the queue, for up to 2 s, where nobody gives it up early; of 443 callers that two entries gave up on, none was told within half of the deadline (promises_bad_workers, loaded machine). Ruled out: the budget of retries (not spent).

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -36,9 +36,6 @@
 /// Time beyond a request's deadline for which its task's lease runs, in milliseconds.
 const LEASE_SLACK_MS: u64 = 100;
 
-/// Times that a request was turned away after which its back-off grows no more.
-const TURNED_AWAY_BACKOFF_MAX_COUNT: u32 = 5;
-
 /// Attempts started in one step at most, so that one step stays short.
 const STARTS_MAX_COUNT: usize = 256;
 
@@ -119,7 +116,6 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
-            turned_away_count: 0,
             is_announced: true,
             may_have_run: false,
         };
@@ -572,18 +568,18 @@
 
     /// Lets a request that a sound worker turned away wait for another place. Entries do not see
     /// each other's attempts, so this is common on a full pool and says nothing about the request:
-    /// it costs neither the request's attempts nor the budget of retries.
+    /// it costs neither the request's attempts nor the budget of retries. The request waits in the
+    /// queue, where it is given up early if its time runs out; the worker is left alone for a moment.
     fn place_again(&mut self, key: RequestKey, reason: RetryReason) {
         let now_ms = self.now.mono_ms;
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
         request.attempts_count = request.attempts_count.saturating_sub(1);
-        request.turned_away_count += 1;
-        let count = request.turned_away_count.min(TURNED_AWAY_BACKOFF_MAX_COUNT);
-        let delay_ms = self.retry.turned_away(reason, count, &mut self.rng);
-        request.stage = Stage::BackingOff;
-        self.requests.back_off(key, now_ms + delay_ms);
+        request.stage = Stage::Waiting;
+        let waiting = request.waiting.clone();
+        self.retry.turned_away(reason);
+        self.wait.put_back(now_ms, waiting);
     }
 
     /// Plans another attempt, if one is allowed; returns whether it is.
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -140,7 +140,6 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
-            turned_away_count: 0,
             // A second run of an idempotent job does no harm, so its start need not be on record.
             is_announced: row.is_idempotent,
             may_have_run: false,
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -61,8 +61,6 @@
     pub(crate) waiting: Waiting,
     pub(crate) stage: Stage,
     pub(crate) attempts_count: u32,
-    /// Times that a sound worker turned it away; such attempts are not among the others.
-    pub(crate) turned_away_count: u32,
     /// Whether the start of a job is on record.
     pub(crate) is_announced: bool,
     /// Whether an earlier attempt may have run, so that "not run" would not be true.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -197,11 +197,9 @@
         }
     }
 
-    /// Counts an attempt that a sound worker turned away, for the `count`th time in a row, and
-    /// returns the back-off before the next one. It costs no budget.
-    pub fn turned_away<R: Rng>(&mut self, reason: RetryReason, count: u32, rng: &mut R) -> u64 {
+    /// Counts an attempt that a sound worker turned away. It costs no budget.
+    pub fn turned_away(&mut self, reason: RetryReason) {
         *self.retried.entry(reason).or_insert(0) += 1;
-        self.backoff_ms(count, rng)
     }
 
     /// Returns how many retries were made, by reason.
