Tell peers what stays the same once a second

Cause: with nothing to tell, each entry still made 5 exchanges a second with each of 8 peers; by the measured size of an idle message that alone is above the 30 KB a second allowed for control. Ruled out: the log's tail (renewals of 9 seats are below 1 KB a second). Conclusion: news goes out with the next period as before; sameness once a second, and each period again while the log is out of reach, since exchanges then prove contact.

--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -8,7 +8,7 @@
         Arc, OnceLock, Weak,
     },
     thread::JoinHandle,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::{map::Entry, IndexMap};
@@ -144,6 +144,13 @@
     }
 }
 
+/// Time between two exchanges with nothing new to tell.
+const SAME_EVERY: Duration = Duration::from_secs(1);
+
+/// Age of the last word from the log from which exchanges are needed as proof of contact, in
+/// milliseconds.
+const LOG_SILENT_AFTER_MS: u64 = 1_200;
+
 /// Bytes of one chunk of a relayed ledger.
 const CHUNK_BYTES: usize = 1024 * 1024;
 
@@ -238,6 +245,32 @@
 struct Link {
     client: Arc<PeerClient>,
     is_busy: Arc<AtomicBool>,
+    /// What was told last, and when.
+    told: Option<(Instant, Gossip)>,
+}
+
+impl Link {
+    /// Returns whether to exchange now, and notes what is told by it.
+    ///
+    /// What stays the same is told less often. While the log is out of reach, an exchange also
+    /// proves contact, so each is made.
+    fn is_due(&mut self, own: &Gossip, log_age_ms: Option<u64>) -> bool {
+        let told = Gossip {
+            // The head moves with every renewal of any seat, which by itself is no news.
+            next_offset: 0,
+            ..own.clone()
+        };
+        let is_log_fresh = log_age_ms.is_some_and(|age_ms| age_ms < LOG_SILENT_AFTER_MS);
+        let is_news = match &self.told {
+            Some((told_at, before)) => *before != told || told_at.elapsed() >= SAME_EVERY,
+            None => true,
+        };
+        let is_due = is_news || !is_log_fresh;
+        if is_due {
+            self.told = Some((Instant::now(), told));
+        }
+        is_due
+    }
 }
 
 fn gossip_all<P: Platform>(shared: &Arc<Shared<P>>) {
@@ -254,6 +287,7 @@
                         Ok(client) => entry.insert(Link {
                             client: Arc::new(client),
                             is_busy: Arc::new(AtomicBool::new(false)),
+                            told: None,
                         }),
                         Err(_) => continue,
                     }
@@ -278,8 +312,16 @@
     addresses
 }
 
-/// Exchanges gossip over a link, unless the last exchange over it still waits.
-fn exchange<P: Platform>(shared: &Arc<Shared<P>>, link: &Link) {
+/// Exchanges gossip over a link, unless the last exchange over it still waits or there is nothing
+/// new to tell.
+fn exchange<P: Platform>(shared: &Arc<Shared<P>>, link: &mut Link) {
+    let (own, log_age_ms) = {
+        let published = lock(&shared.published);
+        (published.gossip.clone(), published.status.log_age_ms)
+    };
+    if !link.is_due(&own, log_age_ms) {
+        return;
+    }
     if link.is_busy.swap(true, Ordering::AcqRel) {
         return;
     }
@@ -288,7 +330,6 @@
     let exchanging = Arc::clone(shared);
     let is_taken = shared.errands.run(move || {
         let sent_ms = exchanging.platform.clock().mono_ms();
-        let own: Gossip = lock(&exchanging.published).gossip.clone();
         let call = PeerCall::Gossip(Box::new(own));
         match client.call(&call) {
             Ok(PeerAnswer::Gossip(gossip)) => exchanging.tell(Event::Gossip { sent_ms, gossip }),
