Refill a pool below its minimum, not below what its budget promises

Cause: members that failed stay in the size of a pool, so each refilled instance raised the promise again; the loss of a rack of four drew ten instances for the half hour until its repair.

--- a/src/upkeep/buffers.rs
+++ b/src/upkeep/buffers.rs
@@ -56,9 +56,9 @@
     pub spare_count: u32,
     /// Their part in each zone.
     pub zones: IndexMap<ZoneKey, u32>,
-    /// Instances that budgets and minima call for in each pool, indexed by [`PoolKey`]; those under
-    /// a planned stop count, as they come back by themselves.
-    pub floors: Vec<u32>,
+    /// Available instances that each pool needs for what its budget promises and for its usual
+    /// demand, indexed by [`PoolKey`].
+    pub needs: Vec<u32>,
 }
 
 /// Works out the buffers for `failure`.
@@ -70,10 +70,8 @@
     let counts = view.budget.counts;
     let pools = || (0u16..).map(PoolKey).take(counts.pools_count());
     let part_permille = critical_permille(weights);
-    let floors: Vec<u32> = pools().map(|pool| floor(view, pool)).collect();
     let needs: Vec<u32> = pools()
-        .zip(&floors)
-        .map(|(pool, floor)| need(view, pool, *floor, part_permille))
+        .map(|pool| need(view, pool, part_permille))
         .collect();
     let shortage = match failure {
         SurvivedFailure::Rack => worst(shortages(view, &needs, rack_losses)),
@@ -92,7 +90,7 @@
     BufferPlan {
         spare_count,
         zones: spread(spare_count, &zones),
-        floors,
+        needs,
     }
 }
 
@@ -104,8 +102,9 @@
     u32::try_from(missing * PERMILLE_WHOLE / (missing + spare)).unwrap_or(1000)
 }
 
-/// Returns the instances that the budget promises and the minimum asks for in `pool`.
-fn floor(view: &BufferView<'_>, pool: PoolKey) -> u32 {
+/// Returns the available instances that `pool` needs. Demand beyond what the pool has is left to
+/// queues and moves, so that a burst does not call for a buffer of its size.
+fn need(view: &BufferView<'_>, pool: PoolKey, part_permille: u32) -> u32 {
     let is_spare = is_spare(view, pool);
     let Some(counts) = view.budget.counts.pool(pool).filter(|_| !is_spare) else {
         return 0;
@@ -114,21 +113,13 @@
     let members_count = counts.total.members_count;
     let permille = budget.availability.pool_unavailable_max_permille;
     let promised_count = members_count - allowed_count(members_count, permille);
-    promised_count.max(budget.instances_min_count)
-}
-
-/// Returns the available instances that `pool` needs. Demand beyond what the pool has is left to
-/// queues and moves, so that a burst does not call for a buffer of its size.
-fn need(view: &BufferView<'_>, pool: PoolKey, floor_count: u32, part_permille: u32) -> u32 {
-    let members_count = view
-        .budget
-        .counts
-        .pool(pool)
-        .map_or(0, |counts| counts.total.members_count);
     let wanted_count = view.pools.get(pool.index()).map_or(0, |state| {
         state.demand.quantile_milli(part_permille).div_ceil(1000)
     });
-    wanted_count.min(members_count).max(floor_count)
+    wanted_count
+        .min(members_count)
+        .max(promised_count)
+        .max(budget.instances_min_count)
 }
 
 fn is_spare(view: &BufferView<'_>, pool: PoolKey) -> bool {
--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -86,7 +86,7 @@
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum MoveReason {
-    /// The receiver has fewer instances than its budget promises or its minimum asks for.
+    /// The receiver has fewer instances than it keeps at least, those under a planned stop counted.
     Refill,
     /// The receiver would keep one more instance busy for longer than the donor does.
     Demand,
@@ -215,7 +215,7 @@
     }
 }
 
-/// Returns whether the pool has an instance that neither its budget nor its minimum calls for.
+/// Returns whether the pool has more instances than it keeps at least.
 fn can_give(view: &MoveView<'_>, from: PoolKey) -> bool {
     let count = lasting_count(view, from);
     count > floor(view, from) && count > 0
@@ -230,13 +230,12 @@
     })
 }
 
+/// Returns the instances that the pool keeps at least.
 pub(super) fn floor(view: &MoveView<'_>, pool: PoolKey) -> u32 {
-    let floors = &view.buffers.floors;
-    floors.get(pool.index()).copied().unwrap_or_default()
+    view.budget.budget(pool).instances_min_count
 }
 
-/// Returns whether the gain beats the cost of the move. A refill always does: without it the next
-/// failure breaches a budget.
+/// Returns whether the gain beats the cost of the move. A refill always does.
 fn is_worth_it(view: &MoveView<'_>, weights: &MeasureWeights, candidate: &Candidate) -> bool {
     let cost_ms = cost_ms(view.pools[candidate.from.index()].move_ms, weights);
     match candidate.reason {
