--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::budget::{can_release, BudgetView};
+use super::budget::{allowed_count, can_release, BudgetView};
 use super::buffers::BufferPlan;
 use super::counts::{is_planned_stop, Member};
 use super::demand::PoolState;
@@ -180,7 +180,7 @@
             continue;
         };
         let donors = free.iter().filter(|from| *from != to);
-        for from in donors.filter(|from| can_give(view, **from)) {
+        for from in donors.filter(|from| can_give(view, **from, reason)) {
             let gain_ms = evidence.gain_ms(*from, *to);
             if reason == MoveReason::Refill || gain_ms > 0 {
                 found.push(Candidate {
@@ -215,10 +215,18 @@
     }
 }
 
-/// Returns whether the pool has more instances than it keeps at least.
-fn can_give(view: &MoveView<'_>, from: PoolKey) -> bool {
-    let count = lasting_count(view, from);
-    count > floor(view, from) && count > 0
+/// Returns whether the pool can do with one instance less: it keeps its minimum, and, but for a
+/// refill, also an instance that may be stopped for maintenance.
+fn can_give(view: &MoveView<'_>, from: PoolKey, reason: MoveReason) -> bool {
+    let left_count = lasting_count(view, from).saturating_sub(1);
+    let budget = view.budget.budget(from);
+    let permille = budget.availability.pool_unavailable_max_permille;
+    match reason {
+        MoveReason::Refill => left_count >= budget.instances_min_count,
+        MoveReason::Demand | MoveReason::Buffer => {
+            left_count > budget.instances_min_count && allowed_count(left_count, permille) > 0
+        }
+    }
 }
 
 /// Returns the instances that the pool has to count on: those available, and those under a planned
--- a/tests/testsuite/upkeep_moves.rs
+++ b/tests/testsuite/upkeep_moves.rs
@@ -206,6 +206,26 @@
     );
 }
 
+#[test]
+fn moves_leave_each_donor_an_instance_to_maintain() {
+    let mut driver = Driver::new(MeasureWeights::default());
+    for _ in 0..100 {
+        driver.observe(Some(1), 1000);
+        if let Ok(proposal) = driver.decide() {
+            driver.carry_out(proposal);
+        }
+    }
+    for (pool, budget) in (0u16..).zip(&driver.budgets) {
+        let left_count = driver
+            .counts
+            .pool(PoolKey(pool))
+            .unwrap()
+            .total
+            .members_count;
+        assert!(left_count > budget.instances_min_count);
+    }
+}
+
 #[test]
 fn planned_stops_call_for_no_refill() {
     let mut driver = Driver::new(MeasureWeights::default());
