--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -1,16 +1,24 @@
 //! `keys`: grant, withdraw and list the teams' keys.
 
+use std::thread;
+
 use clap::{Arg, ArgMatches, Command};
 use error_stack::Report;
 use hawthornladder::{
-    adapters::operators_client::OperatorsClient,
+    adapters::{
+        operators_client::OperatorsClient,
+        peers_rpc::{PeerAnswer, PeerCall, PeerClient, WithdrawAtPeer},
+    },
     keys,
-    ledger::{KeyRow, OperatorChange},
+    ledger::{KeyRow, Ledger, OperatorChange},
     operator::Settled,
 };
 
 use crate::cmd::{entry_access, is_json, log_access, output_arg, say, CmdError, CmdResult, Exit};
 
+/// Time that one seat has to acknowledge a withdrawal, in milliseconds.
+const SEAT_TIMEOUT_MS: u64 = 1_000;
+
 /// Makes the command line of `keys`.
 pub(crate) fn make_command() -> Command {
     Command::new("keys")
@@ -47,8 +55,9 @@
             "Withdraw a key for good.\n\n\
              The withdrawal is told to the entries named with `--entry` first, which refuse the \
              key at once and tell their peers, so that it holds even while the log is down; then \
-             it is put on record in the log. The exit code is 0 once it is on record, and 5 while \
-             it is in force at the entries but not on record yet.",
+             every entry that holds a seat by the ledger is told, and it is put on record in the \
+             log. The exit code is 0 once it is on record, 5 while it is in force at the entries \
+             but not on record yet, and 1 if no key of this id was ever granted.",
         )
         .arg(
             Arg::new("key")
@@ -131,8 +140,18 @@
         key_id: key_id.into(),
     };
     let access = log_access::open(matches)?;
-    let settled = match access.read() {
-        Ok(mut reader) => reader.propose(&access.operator, change, access.timeout),
+    let (is_known, settled) = match access.read() {
+        Ok(mut reader) => {
+            // The withdrawal of an id that was never granted has a row without a team.
+            let row = reader.ledger().keys.get(key_id);
+            let is_known = row.is_some_and(|row| !row.team.is_empty());
+            let (told_count, seats_count) = tell_seats(reader.ledger(), key_id);
+            say(&format!(
+                "event=seats_told told_count={told_count} seats_count={seats_count}"
+            ))?;
+            let settled = reader.propose(&access.operator, change, access.timeout);
+            (is_known, settled)
+        }
         Err(report) => {
             say(&format!(
                 "event=key_withdrawn key_id={key_id} is_on_record=false is_in_force={is_in_force}"
@@ -148,9 +167,40 @@
         settled => return Err(unsettled(settled)),
     }
     say(&format!(
-        "event=key_withdrawn key_id={key_id} is_on_record=true"
+        "event=key_withdrawn key_id={key_id} is_on_record=true is_known={is_known}"
     ))?;
-    Ok(Exit::Done)
+    // A mistyped id must not pass for a withdrawal.
+    match is_known {
+        true => Ok(Exit::Done),
+        false => Err(Report::new(CmdError::Refused)
+            .attach("no key of this id was ever granted; `keys list` shows those that were")),
+    }
+}
+
+/// Tells every live seat that the ledger names, since entries may not reach a log that this command
+/// reaches; returns how many acknowledged, of how many.
+fn tell_seats(ledger: &Ledger, key_id: &str) -> (usize, usize) {
+    let call = PeerCall::WithdrawKey(WithdrawAtPeer {
+        key_id: key_id.into(),
+    });
+    let tell = |address: &str| {
+        let answer = PeerClient::open(address, SEAT_TIMEOUT_MS).and_then(|peer| peer.call(&call));
+        matches!(answer, Ok(PeerAnswer::Ordered { .. }))
+    };
+    let addresses: Vec<_> = ledger
+        .seats
+        .iter_live()
+        .map(|(_, row)| row.peers_address.clone())
+        .collect();
+    let told_count = thread::scope(|scope| {
+        let calls: Vec<_> = addresses
+            .iter()
+            .map(|address| scope.spawn(|| tell(address)))
+            .collect();
+        let told = calls.into_iter().map(|call| call.join().unwrap_or(false));
+        told.filter(|is_told| *is_told).count()
+    });
+    (told_count, addresses.len())
 }
 
 fn list(matches: &ArgMatches) -> CmdResult {
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -26,7 +26,7 @@
         event::{Event, Source},
         gossip::Gossip,
     },
-    error::ErrorKind,
+    error::{ErrorKind, RetryReason},
     fleet::Offset,
     ledger::KeyId,
     ports::{Clock, LogPage, Platform, PortError},
@@ -193,8 +193,8 @@
                 source: Source::Peer,
             });
         }
-        // The peer does not have the records in between.
-        Ok(PeerAnswer::Tail(_)) => pull_ledger(shared, address),
+        // The peer no longer has the records in between.
+        Ok(PeerAnswer::Tail(page)) if !page.records.is_empty() => pull_ledger(shared, address),
         Ok(_) => {}
         Err(error) => log::warn!("event=pull_failed peer={address} error={error}"),
     }
@@ -290,8 +290,9 @@
         let sent_ms = exchanging.platform.clock().mono_ms();
         let own: Gossip = lock(&exchanging.published).gossip.clone();
         let call = PeerCall::Gossip(Box::new(own));
-        if let Ok(PeerAnswer::Gossip(gossip)) = client.call(&call) {
-            exchanging.tell(Event::Gossip { sent_ms, gossip });
+        match client.call(&call) {
+            Ok(PeerAnswer::Gossip(gossip)) => exchanging.tell(Event::Gossip { sent_ms, gossip }),
+            Ok(_) | Err(_) => exchanging.metrics.count_retry(RetryReason::PeerSilent),
         }
         is_busy.store(false, Ordering::Release);
     });
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -27,7 +27,7 @@
         retry::{FailedAttempt, RetryDecision, RetryReason, StopReason},
         share::{TeamSlot, UsageRow},
     },
-    ports::{NotStarted, WorkerOutcome, WorkerRequest},
+    ports::{NotStarted, TaskStop, WorkerOutcome, WorkerRequest},
 };
 
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
@@ -457,7 +457,9 @@
         match &outcome {
             // The task may still run, so it keeps its permit until its lease has ended.
             WorkerOutcome::Unknown(_) => self.requests.haunt(key, attempt.clone()),
-            WorkerOutcome::Ran { .. } | WorkerOutcome::NotStarted(_) => self.release(&attempt),
+            WorkerOutcome::Ran { .. }
+            | WorkerOutcome::NotStarted(_)
+            | WorkerOutcome::Stopped(_) => self.release(&attempt),
         }
         let is_current = self
             .requests
@@ -476,13 +478,20 @@
                 is_success: true, ..
             } => Outcome::Succeeded,
             WorkerOutcome::Ran { .. } => Outcome::Failed,
-            WorkerOutcome::Unknown(_) => Outcome::Silent,
+            // The caller's wish says nothing about the worker.
+            WorkerOutcome::Stopped(TaskStop::Cancelled) => return,
+            WorkerOutcome::Stopped(TaskStop::LeaseLapsed) => Outcome::Failed,
+            WorkerOutcome::Stopped(TaskStop::Killed) | WorkerOutcome::Unknown(_) => Outcome::Silent,
             WorkerOutcome::NotStarted(NotStarted::Unreachable) => Outcome::Unreachable,
             WorkerOutcome::NotStarted(NotStarted::Busy) => {
                 self.placement.refused_busy(now_ms, attempt.worker);
                 return;
             }
-            WorkerOutcome::NotStarted(NotStarted::Draining | NotStarted::WrongIncarnation) => {
+            WorkerOutcome::NotStarted(NotStarted::Draining) => {
+                self.take_draining(&attempt.instance);
+                return;
+            }
+            WorkerOutcome::NotStarted(NotStarted::WrongIncarnation) => {
                 self.hold_worker(&attempt.instance);
                 return;
             }
@@ -529,6 +538,9 @@
                     false => self.finish_failed(key, attempt, body),
                 }
             }
+            WorkerOutcome::NotStarted(
+                reason @ (NotStarted::Busy | NotStarted::Draining | NotStarted::WrongIncarnation),
+            ) => self.place_again(key, retry_reason(reason)),
             WorkerOutcome::NotStarted(reason) => {
                 if !self.retry_later(key, retry_reason(reason)) {
                     let kind = match reason {
@@ -539,7 +551,7 @@
                     self.finish_not_run(key, kind, retry_after_ms);
                 }
             }
-            WorkerOutcome::Unknown(_) => {
+            WorkerOutcome::Stopped(_) | WorkerOutcome::Unknown(_) => {
                 if !self.retry_later(key, RetryReason::OutcomeUnknown) {
                     self.finish_unknown(key, ErrorKind::WorkerLost);
                     self.end_orphan_claim(attempt, key, ClaimState::Unknown);
@@ -554,6 +566,22 @@
             .is_some_and(|request| request.is_idempotent)
     }
 
+    /// Lets a request that a sound worker turned away wait for another place. Entries do not see
+    /// each other's attempts, so this is common on a full pool and says nothing about the request:
+    /// it costs neither the request's attempts nor the budget of retries. The request waits in the
+    /// queue, where it is given up early if its time runs out; the worker is left alone for a moment.
+    fn place_again(&mut self, key: RequestKey, reason: RetryReason) {
+        let now_ms = self.now.mono_ms;
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.attempts_count = request.attempts_count.saturating_sub(1);
+        request.stage = Stage::Waiting;
+        let waiting = request.waiting.clone();
+        self.retry.turned_away(reason);
+        self.wait.put_back(now_ms, waiting);
+    }
+
     /// Plans another attempt, if one is allowed; returns whether it is.
     fn retry_later(&mut self, key: RequestKey, reason: RetryReason) -> bool {
         let now_ms = self.now.mono_ms;
@@ -587,7 +615,7 @@
         let state = match outcome {
             WorkerOutcome::Ran { .. } => ClaimState::Ran,
             WorkerOutcome::NotStarted(_) => ClaimState::NotRun,
-            WorkerOutcome::Unknown(_) => ClaimState::Unknown,
+            WorkerOutcome::Stopped(_) | WorkerOutcome::Unknown(_) => ClaimState::Unknown,
         };
         if let Some((team, request_id)) = self.orphan_claims.remove(&attempt.attempt_id) {
             self.end_claim(&team, &request_id, state);
@@ -844,6 +872,7 @@
             lists_version: self.ledger.lists_version,
             is_ready: self.is_serving(),
             is_draining: self.is_draining,
+            is_list_stale: self.is_list_stale(),
             withdrawn: self.withdrawn.iter().cloned().collect(),
             demand: self.escrow.demand(self.now.mono_ms),
             pools: self.pool_loads(),
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -195,31 +195,44 @@
         });
     }
 
-    /// Drops the jobs that were not started; the seat's end lets others adopt them.
-    ///
-    /// An announcement is taken back first, as nobody adopts a non-idempotent job that may have
-    /// run.
+    /// Drops the jobs that were not started; the seat's end lets others adopt them. A start that was
+    /// announced and did not happen is taken back first, as nobody else could tell.
     pub(crate) fn hand_over_jobs(&mut self) {
-        let rows: Vec<_> = self
+        let keys: Vec<_> = self
             .requests
             .iter()
             .filter(|(_, request)| request.origin == Origin::Job)
             .filter(|(_, request)| !matches!(request.stage, Stage::Running(_)))
-            .map(|(key, request)| (key, request.team.clone(), request.claim_id))
+            .map(|(key, _)| key)
             .collect();
-        for (key, team, request_id) in rows {
-            let taken_back = request_id.map(|request_id| SeatChange::JobEnd {
-                team,
-                request_id,
-                state: JobState::Waiting,
-            });
-            if taken_back.is_none_or(|change| self.propose(change)) {
+        for key in keys {
+            if self.take_back_start(key) {
                 self.wait.cancel(self.now.mono_ms, key);
                 self.requests.remove(key);
             }
         }
     }
 
+    /// Takes back the announcement of a job's start, if there was one; returns whether others may
+    /// have the job.
+    fn take_back_start(&mut self, key: crate::policy::keys::RequestKey) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        let is_announced = request.is_announced || request.stage == Stage::Claiming;
+        match request.claim_id {
+            Some(request_id) if is_announced && !request.is_idempotent => {
+                let team = request.team.clone();
+                self.propose(SeatChange::JobEnd {
+                    team,
+                    request_id,
+                    state: JobState::Waiting,
+                })
+            }
+            Some(_) | None => true,
+        }
+    }
+
     /// Adopts jobs whose owner has ended, each by the seat that its id chooses.
     pub(crate) fn poll_jobs(&mut self) {
         let now_ms = self.now.mono_ms;
--- a/src/policy/lanes.rs
+++ b/src/policy/lanes.rs
@@ -4,11 +4,13 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fleet::MonoMs;
+use crate::policy::backlog::{Backlog, TeamBacklog};
 use crate::policy::estimate::DrainRate;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::{Lane, Place, PlaceOrder, Waiting};
-use crate::policy::share::{TeamSlot, UsageView};
+use crate::policy::share::UsageView;
+use crate::policy::usage::TeamSlot;
 
 /// Index of a lane.
 pub(crate) type LaneKey = usize;
@@ -33,10 +35,6 @@
         &self.lanes[lane_key]
     }
 
-    pub(crate) fn get_mut(&mut self, lane_key: LaneKey) -> &mut Lane {
-        &mut self.lanes[lane_key]
-    }
-
     /// Returns how many requests wait in all lanes.
     pub(crate) fn len(&self) -> usize {
         self.places.len()
@@ -70,16 +68,16 @@
     }
 
     /// Returns the lane of a request, a fresh one if the lists changed what the lane stands for.
-    pub(crate) fn lane_for(&mut self, now_ms: MonoMs, waiting: &Waiting) -> LaneKey {
+    pub(crate) fn lane_for(&mut self, waiting: &Waiting) -> LaneKey {
         let id = (waiting.team, waiting.queue);
         match self.lane_of.get(&id) {
             Some(lane_key) if self.lanes[*lane_key].is_for(waiting) => *lane_key,
             Some(lane_key) if self.lanes[*lane_key].is_empty() => {
-                self.lanes[*lane_key] = Lane::new(now_ms, waiting);
+                self.lanes[*lane_key] = Lane::new(waiting);
                 *lane_key
             }
             _ => {
-                let lane_key = self.add(Lane::new(now_ms, waiting));
+                let lane_key = self.add(Lane::new(waiting));
                 self.lane_of.insert(id, lane_key);
                 lane_key
             }
@@ -104,7 +102,7 @@
             waiting,
             latest_start_ms,
         };
-        self.lanes[lane_key].insert(now_ms, place);
+        self.lanes[lane_key].insert(place);
     }
 
     /// Takes out a request that is started in `pool`.
@@ -119,16 +117,23 @@
         if let Some(drain) = self.drains.get_mut(&pool) {
             drain.count_start();
         }
-        let place = self.lanes[lane_key].start(now_ms, order)?;
+        let place = self.lanes[lane_key].remove(order)?;
         self.forget(lane_key, key);
         Some(place.waiting)
     }
 
+    /// Takes back the start that was counted for a request, as it is proved not started.
+    pub(crate) fn uncount_start(&mut self, pool: PoolKey) {
+        if let Some(drain) = self.drains.get_mut(&pool) {
+            drain.uncount_start();
+        }
+    }
+
     /// Takes out a request that is not started.
     pub(crate) fn remove(&mut self, now_ms: MonoMs, key: RequestKey) -> Option<Waiting> {
         let (lane_key, order) = self.places.get(&key).copied()?;
         self.advance_drain(now_ms, self.lanes[lane_key].pools[0]);
-        let place = self.lanes[lane_key].remove(now_ms, order)?;
+        let place = self.lanes[lane_key].remove(order)?;
         self.forget(lane_key, key);
         Some(place.waiting)
     }
@@ -138,24 +143,33 @@
         self.drains.get(&pool)?.per_ms()
     }
 
-    /// Returns how many requests start before the lane is empty, its own included, if nothing
-    /// more arrives: of each other lane only as much goes ahead as its weight allows while this
-    /// one drains (generalised processor sharing, Parekh and Gallager, 1993), and urgent lanes go
-    /// ahead whole.
-    pub(crate) fn ahead_count(&self, lane_key: LaneKey, view: &UsageView) -> f64 {
-        let lane = &self.lanes[lane_key];
-        let own_turns = lane.len() as f64 / f64::from(view.weight(lane.team));
-        let ahead_of_lane = |other: &Lane| match (lane.is_urgent, other.is_urgent) {
-            (true, false) => 0.0,
-            (false, true) => other.len() as f64,
-            _ => (other.len() as f64).min(own_turns * f64::from(view.weight(other.team))),
+    /// Counts what waits for `pool` in the whole fleet.
+    pub(crate) fn backlog(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Backlog {
+        let mut teams: KeyMap<TeamSlot, TeamBacklog> = KeyMap::default();
+        let mut add = |team: TeamSlot, count: f64| {
+            let backlog = teams.entry(team).or_insert_with(|| TeamBacklog {
+                weight: f64::from(view.weight(team)),
+                waiting_count: 0.0,
+            });
+            backlog.waiting_count += count;
         };
-        let others: f64 = self
-            .preferring(lane.pools[0])
-            .filter(|other| !std::ptr::eq(*other, lane))
-            .map(ahead_of_lane)
-            .sum();
-        others + lane.len() as f64
+        let mut urgent_count = 0.0;
+        for lane in self.preferring(pool) {
+            match lane.is_urgent {
+                true => urgent_count += lane.len() as f64,
+                false => add(lane.team, lane.len() as f64),
+            }
+        }
+        for (team, count) in view.waiting_at_peers(pool) {
+            add(team, f64::from(count));
+        }
+        Backlog::new(now_ms, urgent_count, &teams)
+    }
+
+    /// Returns the preferred pool of a queue for a team that has sent work to it.
+    pub(crate) fn pool_of(&self, team: TeamSlot, queue: QueueKey) -> Option<PoolKey> {
+        let lane_key = self.lane_of.get(&(team, queue))?;
+        Some(self.lanes[*lane_key].pools[0])
     }
 
     fn preferring(&self, pool: PoolKey) -> impl Iterator<Item = &Lane> + '_ {
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Counts an attempt that a sound worker turned away. It costs no budget.
+    pub fn turned_away(&mut self, reason: RetryReason) {
+        *self.retried.entry(reason).or_insert(0) += 1;
+    }
+
     /// Returns how many retries were made, by reason.
     pub fn retried_count(&self) -> &IndexMap<RetryReason, u64> {
         &self.retried
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -1,19 +1,29 @@
 //! Limits: no team has more running than its upper limit over the whole fleet, and everyone who
 //! waits under a limit is served in turn.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use hawthornladder::entry::Event;
+use hawthornladder::lists::Lists;
+use hawthornladder::platform::journal::{peak_running_by_team, Run};
+
+use uuid::Uuid;
+
+use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
 use crate::engines::{ran, Engines};
 
 /// Returns the engines with a limit of `limit_requests` for the team of the tests.
 fn limited(count: usize, limit_requests: u32) -> Engines {
-    Engines::open_with(
-        count,
-        |lists| {
-            let mut teams = lists.plans.teams.iter_mut();
-            let team = teams.find(|team| team.name == "ionosphere-desk");
-            team.expect("the example has it").running_max_requests = Some(limit_requests);
-        },
-        |_| {},
-    )
+    Engines::open_with(count, |lists| set_limit(lists, limit_requests), |_| {})
+}
+
+fn set_limit(lists: &mut Lists, limit_requests: u32) {
+    let mut teams = lists.plans.teams.iter_mut();
+    let team = teams.find(|team| team.name == TEAM);
+    team.expect("the example has it").running_max_requests = Some(limit_requests);
 }
 
 #[test]
@@ -43,3 +53,222 @@
     let is_done = |call: &u64| engines.answer(*call).is_some_and(|a| &*a.body == b"done");
     assert!(calls.iter().all(is_done));
 }
+
+const TEAM: &str = "ionosphere-desk";
+
+/// Makes `calls_count` calls at each of the entries at once, with a skew between entries, and
+/// returns all replies.
+fn call_everywhere(addresses: &[String], counts: &[usize], model: &Call) -> Vec<Reply> {
+    let calls: Vec<JoinHandle<Reply>> = addresses
+        .iter()
+        .zip(counts)
+        .flat_map(|(address, count)| std::iter::repeat_n(address.clone(), *count))
+        .map(|address| {
+            let call = Call {
+                request_id: Uuid::now_v7().to_string(),
+                ..model.clone()
+            };
+            thread::spawn(move || call.send(&address))
+        })
+        .collect();
+    let replies = calls.into_iter().map(|call| call.join());
+    replies
+        .map(|reply| reply.expect("the caller ends"))
+        .collect()
+}
+
+fn addresses(cluster: &Cluster) -> Vec<String> {
+    let entries = cluster.entries.iter();
+    entries.map(|entry| entry.callers_address.clone()).collect()
+}
+
+#[test]
+fn a_limit_of_five_holds_over_skewed_entries() {
+    let mut cluster = Cluster::builder().small_fleet().entries(4).spawn();
+    cluster.limit(1, TEAM, 5);
+    let (_, key) = cluster.grant(TEAM);
+    let call = Call::new("delay-maps", &key, 40).deadline_ms(20_000);
+    let replies = call_everywhere(&addresses(&cluster), &[40, 10, 2, 1], &call);
+    let done_count = replies.iter().filter(|reply| reply.is_done()).count();
+    assert_eq!(done_count, 53, "{replies:?}");
+    assert!(cluster.peak_running_of(TEAM) <= 5);
+}
+
+#[test]
+fn everyone_is_served_under_a_limit_of_one() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, TEAM, 1);
+    let (_, key) = cluster.grant(TEAM);
+    let call = Call::new("delay-maps", &key, 40).deadline_ms(20_000);
+    let replies = call_everywhere(&addresses(&cluster), &[6, 6, 6], &call);
+    let done_count = replies.iter().filter(|reply| reply.is_done()).count();
+    assert_eq!(done_count, 18, "{replies:?}");
+    assert_eq!(cluster.peak_running_of(TEAM), 1);
+}
+
+#[test]
+fn an_unused_part_moves_within_about_a_second() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, TEAM, 1);
+    let (_, key) = cluster.grant(TEAM);
+    for entry in &cluster.entries {
+        let start = Instant::now();
+        let reply = entry.call(&Call::new("delay-maps", &key, 1));
+        assert!(reply.is_done(), "{reply:?}");
+        assert!(
+            start.elapsed() < Duration::from_millis(1_600),
+            "urgent work starts by then"
+        );
+    }
+}
+
+#[test]
+fn a_limit_holds_while_entries_are_killed() {
+    let mut cluster = Cluster::builder()
+        .small_fleet()
+        .settings(SHORT_LEASE)
+        .spawn();
+    cluster.limit(1, TEAM, 5);
+    let (_, key) = cluster.grant(TEAM);
+    let at = addresses(&cluster);
+    let call = Call::new("delay-maps", &key, 300).deadline_ms(4_000);
+    let callers = thread::spawn(move || call_everywhere(&at, &[10, 10, 10], &call));
+    thread::sleep(Duration::from_millis(500));
+    cluster.entries[1].process.kill();
+    cluster.replace_entry(1);
+    cluster.wait_serving();
+    thread::sleep(Duration::from_millis(500));
+    cluster.entries[0].process.kill();
+    cluster.replace_entry(0);
+    cluster.wait_serving();
+    let call = Call::new("delay-maps", &key, 50).deadline_ms(1_000);
+    call_everywhere(&addresses(&cluster), &[2, 2, 2], &call);
+    callers.join().expect("the callers end");
+    assert!(cluster.peak_running_of(TEAM) <= 5);
+}
+
+#[test]
+fn a_lowered_limit_is_kept_under_load() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, TEAM, 12);
+    let (_, key) = cluster.grant(TEAM);
+    let at = addresses(&cluster);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..24)
+        .map(|number| {
+            let (address, key) = (at[number % 3].clone(), key.clone());
+            let is_over = Arc::clone(&is_over);
+            thread::spawn(move || {
+                let mut done_count = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    let call = Call::new("delay-maps", &key, 50);
+                    done_count += usize::from(call.send(&address).is_done());
+                }
+                done_count
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_000));
+    cluster.limit(2, TEAM, 3);
+    let lowered_unix_us = unix_us();
+    // What ran under the older limit has ended by then.
+    thread::sleep(Duration::from_millis(3_000));
+    is_over.store(true, Ordering::Relaxed);
+    let done_count: usize = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap())
+        .sum();
+    assert!(done_count > 0);
+    let runs = cluster.stand_ins.runs();
+    let is_later = |run: &&Run| run.started_unix_us > lowered_unix_us + 1_000_000;
+    let peak = peak_running_by_team(runs.iter().filter(is_later));
+    assert!(peak.contains_key(TEAM), "work goes on");
+    assert!(peak[TEAM] <= 3, "{peak:?}");
+    assert!(cluster.peak_running_of(TEAM) <= 12);
+}
+
+#[test]
+fn a_cancelled_run_frees_its_part_at_once() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, TEAM, 1);
+    let (_, key) = cluster.grant(TEAM);
+    let long = Call::new("delay-maps", &key, 9_000);
+    let address = cluster.entries[0].callers_address.clone();
+    let sent = long.clone();
+    let caller = thread::spawn(move || sent.send(&address));
+    cluster.wait_until("the work runs", |cluster| {
+        cluster.runs_of(&long.request_id) == 1
+    });
+    cancel(&cluster.entries[0].callers_address, &key, &long.request_id);
+    let reply = caller.join().expect("the caller ends");
+    assert_eq!(reply.ran, "outcome_unknown", "{reply:?}");
+    let reply = cluster.entries[1].call(&Call::new("delay-maps", &key, 1).deadline_ms(5_000));
+    assert!(reply.is_done(), "{reply:?}");
+    assert_eq!(cluster.peak_running_of(TEAM), 1);
+}
+
+#[test]
+fn the_part_of_a_killed_engine_is_used_again_only_after_all_leases() {
+    let mut engines = Engines::open_with(
+        3,
+        |lists| set_limit(lists, 1),
+        |settings| {
+            settings.seat_lease_ms = 4_000;
+            settings.seat_renew_ms = 500;
+        },
+    );
+    let key = engines.grant(TEAM);
+    let mut request = engines.request(&key, true);
+    request.deadline_ms = 55_000;
+    engines.call(0, &request);
+    engines.advance_until(1_000, |engines| !engines.nodes[0].attempts.is_empty());
+    let (_, attempt) = engines.nodes[0].attempts[0].clone();
+    let started_ms = engines.now_ms;
+    engines.kill(0);
+    let mut request = engines.request(&key, true);
+    request.deadline_ms = 200_000;
+    engines.call(0, &request);
+    engines.advance_until(100_000, |engines| !engines.nodes[0].attempts.is_empty());
+    let took_ms = engines.now_ms - started_ms;
+    assert!(took_ms > attempt.lease_ms, "{took_ms} {}", attempt.lease_ms);
+}
+
+#[test]
+fn a_paused_engine_keeps_its_part_and_uses_it_no_more() {
+    let mut engines = Engines::open_with(
+        3,
+        |lists| set_limit(lists, 1),
+        |settings| {
+            settings.seat_lease_ms = 4_000;
+            settings.seat_renew_ms = 500;
+        },
+    );
+    let key = engines.grant(TEAM);
+    let mut first = engines.request(&key, true);
+    first.deadline_ms = 200_000;
+    engines.call(0, &first);
+    engines.advance_until(1_000, |engines| !engines.nodes[0].attempts.is_empty());
+    // A second waits for the part of the first when the pause begins.
+    let mut second = engines.request(&key, true);
+    second.deadline_ms = 200_000;
+    engines.call(0, &second);
+    engines.nodes[0].is_paused = true;
+    engines.advance(6_000);
+    // The end of the first reaches it before it has read that its seat has lapsed.
+    engines.end_attempt(0, ran());
+    engines.step(0, Event::Tick);
+    assert!(
+        engines.nodes[0].attempts.is_empty(),
+        "it started under a lapsed lease"
+    );
+    engines.nodes[0].is_paused = false;
+    engines.advance(10_000);
+    let running: usize = engines.nodes.iter().map(|node| node.attempts.len()).sum();
+    assert_eq!(
+        running, 0,
+        "the part is not free before all leases have ended"
+    );
+    engines.advance_until(90_000, |engines| {
+        engines.nodes.iter().any(|node| !node.attempts.is_empty())
+    });
+}
