--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,14 +1,13 @@
 //! From an admitted call to its answer: claims, the queue, attempts on workers and retries. Each act
 //! that a promise hangs on is checked again right before it is done.
 
-use std::{collections::HashMap, str::FromStr, sync::Arc};
+use std::{collections::HashMap, sync::Arc};
 
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 use uuid::Uuid;
 
 use crate::{
-    adapters::worker_answer::Loss,
     callers::{CallId, CallerAnswer, CallerRequest, Cancel, RanOn},
     entry::{
         admission::{self, Admitted, Standing},
@@ -37,6 +36,9 @@
 /// Time beyond a request's deadline for which its task's lease runs, in milliseconds.
 const LEASE_SLACK_MS: u64 = 100;
 
+/// Times that a request was turned away after which its back-off grows no more.
+const TURNED_AWAY_BACKOFF_MAX_COUNT: u32 = 5;
+
 /// Attempts started in one step at most, so that one step stays short.
 const STARTS_MAX_COUNT: usize = 256;
 
@@ -117,6 +119,7 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            turned_away_count: 0,
             is_announced: true,
             may_have_run: false,
         };
@@ -456,8 +459,6 @@
         };
         self.observe(&attempt, &outcome);
         match &outcome {
-            // The worker stopped the task, which frees its permit, but does not say how far it came.
-            WorkerOutcome::Unknown(reason) if is_end(reason) => self.release(&attempt),
             // The task may still run, so it keeps its permit until its lease has ended.
             WorkerOutcome::Unknown(_) => self.requests.haunt(key, attempt.clone()),
             WorkerOutcome::Ran { .. }
@@ -490,7 +491,11 @@
                 self.placement.refused_busy(now_ms, attempt.worker);
                 return;
             }
-            WorkerOutcome::NotStarted(NotStarted::Draining | NotStarted::WrongIncarnation) => {
+            WorkerOutcome::NotStarted(NotStarted::Draining) => {
+                self.take_draining(&attempt.instance);
+                return;
+            }
+            WorkerOutcome::NotStarted(NotStarted::WrongIncarnation) => {
                 self.hold_worker(&attempt.instance);
                 return;
             }
@@ -537,6 +542,9 @@
                     false => self.finish_failed(key, attempt, body),
                 }
             }
+            WorkerOutcome::NotStarted(
+                reason @ (NotStarted::Busy | NotStarted::Draining | NotStarted::WrongIncarnation),
+            ) => self.place_again(key, retry_reason(reason)),
             WorkerOutcome::NotStarted(reason) => {
                 if !self.retry_later(key, retry_reason(reason)) {
                     let kind = match reason {
@@ -562,6 +570,22 @@
             .is_some_and(|request| request.is_idempotent)
     }
 
+    /// Lets a request that a sound worker turned away wait for another place. Entries do not see
+    /// each other's attempts, so this is common on a full pool and says nothing about the request:
+    /// it costs neither the request's attempts nor the budget of retries.
+    fn place_again(&mut self, key: RequestKey, reason: RetryReason) {
+        let now_ms = self.now.mono_ms;
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.attempts_count = request.attempts_count.saturating_sub(1);
+        request.turned_away_count += 1;
+        let count = request.turned_away_count.min(TURNED_AWAY_BACKOFF_MAX_COUNT);
+        let delay_ms = self.retry.turned_away(reason, count, &mut self.rng);
+        request.stage = Stage::BackingOff;
+        self.requests.back_off(key, now_ms + delay_ms);
+    }
+
     /// Plans another attempt, if one is allowed; returns whether it is.
     fn retry_later(&mut self, key: RequestKey, reason: RetryReason) -> bool {
         let now_ms = self.now.mono_ms;
@@ -852,6 +876,7 @@
             lists_version: self.ledger.lists_version,
             is_ready: self.is_serving(),
             is_draining: self.is_draining,
+            is_list_stale: self.is_list_stale(),
             withdrawn: self.withdrawn.iter().cloned().collect(),
             demand: self.escrow.demand(self.now.mono_ms),
             pools: self.pool_loads(),
@@ -881,10 +906,6 @@
     WorkKey(u64::from_le_bytes(bytes))
 }
 
-fn is_end(reason: &str) -> bool {
-    Loss::from_str(reason).is_ok_and(Loss::is_end)
-}
-
 fn retry_reason(reason: NotStarted) -> RetryReason {
     match reason {
         NotStarted::Busy => RetryReason::WorkerBusy,
--- a/src/ledger/instances.rs
+++ b/src/ledger/instances.rs
@@ -6,7 +6,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
     fleet::{InstanceName, InstanceRow, Offset, PoolName, RackName, Standing, UnixMs, ZoneName},
@@ -226,7 +226,7 @@
     /// Notes an instance of the instance list; returns whether that had an effect.
     pub(crate) fn see(&mut self, row: &InstanceRow, at_unix_ms: UnixMs) -> bool {
         let past = match self.entries.get(&row.name) {
-            Some(entry) if entry.row.incarnation == row.incarnation => return false,
+            Some(entry) if entry.row.incarnation == row.incarnation => return self.see_again(row),
             Some(entry) if entry.past_incarnations.contains(&row.incarnation) => return false,
             Some(entry) => Some(entry.clone()),
             None => None,
@@ -252,6 +252,22 @@
         true
     }
 
+    /// Notes that a known incarnation is leaving, or is listed again after it seemed to be gone.
+    ///
+    /// One that is listed again counts as doubtful until it answers, since the list may lag. The
+    /// time of its standing stays, so that a member of a wave that went bad still counts as such.
+    fn see_again(&mut self, row: &InstanceRow) -> bool {
+        match self.entries.get(&row.name) {
+            Some(entry) if row.leaving && !entry.row.leaving => {
+                self.update(&row.name, |entry| entry.row.leaving = true)
+            }
+            Some(entry) if entry.standing == Standing::Down && !row.leaving => {
+                self.update(&row.name, |entry| entry.standing = Standing::Doubtful)
+            }
+            Some(_) | None => false,
+        }
+    }
+
     /// Notes that an incarnation left the instance list; returns whether that had an effect.
     pub(crate) fn lose(&mut self, name: &str, incarnation: &str, at_unix_ms: UnixMs) -> bool {
         match self.entries.get(name) {
@@ -429,7 +445,9 @@
         };
         let (pool, _) = self.pools.insert_full(entry.row.pool.clone());
         let (zone, _) = self.zones.insert_full(entry.row.zone.clone());
-        let (rack, _) = self.racks.insert_full(entry.row.rack.clone());
+        // The names of racks may be unique within their zone only.
+        let rack = format_smolstr!("{}/{}", entry.row.zone, entry.row.rack);
+        let (rack, _) = self.racks.insert_full(rack);
         let member = Member {
             pool: PoolKey(pool as u16),
             zone: ZoneKey(zone as u16),
