--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -151,6 +151,11 @@
             "FILE",
             "Write the distribution of the latency to this file, as SVG",
         ),
+        one(
+            "report",
+            "FILE",
+            "Write the whole result to this file, as JSON",
+        ),
         one("output", "FORMAT", "How to print")
             .value_parser(["text", "json"])
             .default_value("text"),
@@ -277,10 +282,8 @@
             leaving: &injected.leaving,
             withdrawn: &injected.withdrawn,
         });
-        let Injected {
-            done_count, failed, ..
-        } = injected;
-        report.faults_count = done_count;
+        let Injected { done, failed, .. } = injected;
+        report.faults = done;
         report.faults_failed = failed;
         Ok(())
     }
@@ -307,11 +310,14 @@
             .change_context(CmdError::Unavailable)
             .attach_with(|| format!("cannot write {path}"))?;
     }
+    let json = serde_json::to_string_pretty(report).change_context(CmdError::Fault)?;
+    if let Some(path) = text(matches, "report") {
+        fs::write(path, &json)
+            .change_context(CmdError::Unavailable)
+            .attach_with(|| format!("cannot write {path}"))?;
+    }
     match text(matches, "output") {
-        Some("json") => {
-            let json = serde_json::to_string_pretty(report).change_context(CmdError::Fault)?;
-            say(&json)
-        }
+        Some("json") => say(&json),
         _ => report.lines().iter().try_for_each(|line| say(line)),
     }
 }
--- a/src/load/live/account.rs
+++ b/src/load/live/account.rs
@@ -154,7 +154,13 @@
             .map(|run| format!("{}@{}:{:?}", run.attempt_id, run.worker, run.ending))
             .collect();
         let end = outcome.end.name();
-        format!("request_id={} end={end} runs={runs:?}", outcome.request_id)
+        format!(
+            "request_id={} is_for_later={} has_twin={} end={end} retried_after={:?} runs={runs:?}",
+            outcome.request_id,
+            shot.is_for_later,
+            shot.twin_entry.is_some(),
+            outcome.retried_after,
+        )
     };
     match runs.len() {
         0 | 1 => {}
--- a/src/load/live/caller.rs
+++ b/src/load/live/caller.rs
@@ -258,13 +258,7 @@
             match self.send(errand, entry, request).await {
                 Ok(reply) if reply.status == 202 => {}
                 Ok(reply) if is_about_the_entry(&reply) => {}
-                Ok(reply) => {
-                    // The work was accepted: only its own end can tell whether it ran.
-                    return Answered {
-                        retry_after: None,
-                        ..read(errand, &reply)
-                    };
-                }
+                Ok(reply) => return read_fetched(errand, &reply),
                 Err(_) => {}
             }
         }
@@ -325,6 +319,20 @@
     }
 }
 
+/// Reads the end of accepted work. A refusal for the key speaks of the fetch alone.
+fn read_fetched(errand: &Errand, reply: &Reply) -> Answered {
+    let answered = read(errand, reply);
+    let is_about_the_key = answered.end.name().starts_with("key_");
+    Answered {
+        retry_after: None,
+        ran: match is_about_the_key {
+            true => RunState::OutcomeUnknown,
+            false => answered.ran,
+        },
+        ..answered
+    }
+}
+
 fn is_about_the_entry(reply: &Reply) -> bool {
     let kind = reply.header("x-kind").unwrap_or_default();
     FETCH_AGAIN_KINDS.contains(&kind)
--- a/src/load/live/injector.rs
+++ b/src/load/live/injector.rs
@@ -32,8 +32,8 @@
     pub leaving: Vec<Leaving>,
     /// Keys that were withdrawn.
     pub withdrawn: Vec<Withdrawn>,
-    /// Steps carried out.
-    pub done_count: u64,
+    /// Steps carried out, each with its time.
+    pub done: Vec<SmolStr>,
     /// Steps that failed.
     pub failed: Vec<SmolStr>,
 }
@@ -62,7 +62,10 @@
                 step.fault
             );
             match result {
-                Ok(()) => injected.done_count += 1,
+                Ok(()) => {
+                    let step = format!("at_ms={} fault={:?}", step.at_ms, step.fault);
+                    injected.done.push(step.into());
+                }
                 Err(error) => injected
                     .failed
                     .push(format!("{:?}: {error}", step.fault).into()),
--- a/src/load/live/report.rs
+++ b/src/load/live/report.rs
@@ -20,6 +20,7 @@
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
 const PERMILLE: u64 = 1_000;
+const US_PER_S: u64 = 1_000_000;
 
 /// Where the parts of a deployment are.
 #[derive(Clone, Debug, Default)]
@@ -96,6 +97,9 @@
     pub ends: IndexMap<SmolStr, u64>,
     /// Calls that the callers repeated, by what they were told before.
     pub retried_after: IndexMap<SmolStr, u64>,
+    /// Servable requests that were not on time, by the second of their planned sending, and by
+    /// queue and end.
+    pub missed_by_s: IndexMap<u64, IndexMap<SmolStr, u64>>,
     /// Quantiles of the latency, in microseconds, for the plot.
     #[serde(skip)]
     pub latency: Option<Histogram<u64>>,
@@ -135,8 +139,8 @@
     pub accounts: Accounts,
     /// Runs that journals dropped for lack of room; the accounts hold only while this is 0.
     pub journal_dropped_count: u64,
-    /// Steps of the script of faults that were carried out.
-    pub faults_count: u64,
+    /// Steps of the script of faults that were carried out, each with its time.
+    pub faults: Vec<SmolStr>,
     /// Steps that failed.
     pub faults_failed: Vec<SmolStr>,
 }
@@ -222,6 +226,14 @@
                 let tally = groups.entry(name).or_insert_with(Tally::new);
                 tally.add(shot, outcome, runs);
             }
+            if !outcome.is_on_time(shot.deadline_ms) && is_servable(shot, outcome, runs) {
+                let second = figures
+                    .missed_by_s
+                    .entry(shot.at_us / US_PER_S)
+                    .or_default();
+                let name = format_smolstr!("{}:{}", shot.queue, outcome.end.name());
+                *second.entry(name).or_default() += 1;
+            }
             *figures.ends.entry(outcome.end.name().into()).or_default() += 1;
             for reason in &outcome.retried_after {
                 *figures.retried_after.entry(reason.clone()).or_default() += 1;
@@ -296,7 +308,7 @@
             self.appended_bytes,
             self.accounts.runs_count,
             self.journal_dropped_count,
-            self.faults_count,
+            self.faults.len(),
             self.faults_failed
         ));
         lines.extend(self.violation_lines());
