--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -28,13 +28,18 @@
 use crate::fleet::{MonoMs, Resources};
 use crate::policy::allot::Divider;
 use crate::policy::estimate::RunTimes;
+use crate::policy::forecast::Forecast;
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, QueueKey, RequestKey};
 use crate::policy::lane::Waiting;
 use crate::policy::lanes::{LaneKey, Lanes};
+use crate::policy::pacing::{Pacing, PoolPace};
+use crate::policy::ranking::{index_of_lowest, Candidate, Rank};
 use crate::policy::refusal::{GivenUp, Refusal, RefusalReason};
-use crate::policy::settings::{QueueSettings, Sharing};
-use crate::policy::share::{TeamSlot, UsageRow, UsageView};
+use crate::policy::share::UsageView;
+use crate::policy::usage::{TeamSlot, UsageRow};
+
+pub use crate::policy::settings::{QueueSettings, Sharing};
 
 /// Least time between two searches for requests to give up.
 pub const EXPIRE_PERIOD_MS: u64 = 20;
@@ -42,12 +47,6 @@
 /// Starts over which the part of urgent work is smoothed.
 const URGENT_WINDOW_STARTS: f64 = 64.0;
 
-/// What decides between lanes: class, level and deadline; the lowest is served first.
-type Rank = (u8, f64, MonoMs);
-
-/// The head of a lane that may be started.
-type Candidate = (Rank, LaneKey, RequestKey);
-
 /// The waiting requests of one entry.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
@@ -55,8 +54,9 @@
     lanes: Lanes,
     largest_worker: KeyMap<PoolKey, Resources>,
     urgent_part: KeyMap<PoolKey, f64>,
-    run_times: RunTimes,
+    forecast: Forecast,
     divider: Divider,
+    pacing: Pacing,
     next_expire_ms: MonoMs,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
@@ -70,8 +70,9 @@
             lanes: Lanes::default(),
             largest_worker: KeyMap::default(),
             urgent_part: KeyMap::default(),
-            run_times: RunTimes::default(),
+            forecast: Forecast::default(),
             divider: Divider::default(),
+            pacing: Pacing::default(),
             next_expire_ms: 0,
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -85,12 +86,13 @@
 
     /// Takes in how long a request ran.
     pub fn observe_run(&mut self, team: TeamSlot, queue: QueueKey, run_ms: u64) {
-        self.run_times.observe(team, queue, run_ms);
+        let pool = self.lanes.pool_of(team, queue);
+        self.forecast.observe_run(team, queue, pool, run_ms);
     }
 
     /// Returns the observed run times.
     pub fn run_times(&self) -> &RunTimes {
-        &self.run_times
+        self.forecast.run_times()
     }
 
     /// Returns how many requests wait.
@@ -125,11 +127,14 @@
         if let Some(reason) = self.never_runs(&waiting, size_max) {
             return Err(self.refuse(reason, None));
         }
-        let lane_key = self.lanes.lane_for(now_ms, &waiting);
-        let latest_start_ms = self.latest_start_ms(&waiting);
+        let lane_key = self.lanes.lane_for(&waiting);
+        let deviations = self.settings.run_deviations;
+        let latest_start_ms = self.forecast.latest_start_ms(&waiting, deviations);
+        self.forecast
+            .count_backlog(now_ms, &self.lanes, waiting.pools[0], view);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
             Some(reason) => {
-                let retry_after_ms = self.book_return_ms(now_ms, lane_key);
+                let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
                 Err(self.refuse(reason, Some(retry_after_ms)))
             }
             None => {
@@ -146,8 +151,10 @@
         if self.lanes.holds(waiting.key) {
             return;
         }
-        let lane_key = self.lanes.lane_for(now_ms, &waiting);
-        let latest_start_ms = self.latest_start_ms(&waiting);
+        self.lanes.uncount_start(waiting.pools[0]);
+        let lane_key = self.lanes.lane_for(&waiting);
+        let deviations = self.settings.run_deviations;
+        let latest_start_ms = self.forecast.latest_start_ms(&waiting, deviations);
         self.lanes
             .insert(now_ms, lane_key, waiting, latest_start_ms);
     }
@@ -167,7 +174,7 @@
         self.yield_to_others(now_ms, pool, view, &mut candidates);
         while !candidates.is_empty() {
             let best = index_of_lowest(&candidates);
-            let (_, lane_key, key) = candidates.swap_remove(best);
+            let Candidate { lane_key, key, .. } = candidates.swap_remove(best);
             let head = self.lanes.get(lane_key).head(now_ms)?;
             if can_start(head) {
                 self.divider.started(head.team, pool, view);
@@ -206,10 +213,12 @@
         self.next_expire_ms = now_ms + EXPIRE_PERIOD_MS;
         let mut given_up = Vec::new();
         for lane_key in self.lanes.busy() {
+            let pool = self.lanes.get(lane_key).pools[0];
+            self.forecast.count_backlog(now_ms, &self.lanes, pool, view);
             for key in self.unreachable(now_ms, lane_key, view) {
                 self.lanes.remove(now_ms, key);
                 self.refuse(RefusalReason::GivenUp, None);
-                let retry_after_ms = self.book_return_ms(now_ms, lane_key);
+                let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
                 given_up.push(GivenUp {
                     key,
                     retry_after_ms,
@@ -251,13 +260,14 @@
     }
 
     fn cannot_take(
-        &mut self,
+        &self,
         now_ms: MonoMs,
         lane_key: LaneKey,
         latest_start_ms: MonoMs,
         view: &UsageView,
     ) -> Option<RefusalReason> {
         let lane = self.lanes.get(lane_key);
+        let drain_ms = self.forecast.drain_ms(&self.lanes, lane, view);
         let left_ms = latest_start_ms.saturating_sub(now_ms) as f64;
         let of_team = self.lanes.waiting_of(lane.team);
         let free = self
@@ -271,31 +281,18 @@
             () if latest_start_ms < now_ms => Some(RefusalReason::DeadlinePassed),
             () if free == 0 => Some(RefusalReason::QueueFull),
             () if of_team >= team_max.max(1) => Some(RefusalReason::TeamQueueFull),
-            () if self.drain_ms(lane_key, view).is_some_and(|ms| ms > left_ms) => {
+            () if drain_ms.is_some_and(|drain_ms| drain_ms > left_ms) => {
                 Some(RefusalReason::DeadlineUnreachable)
             }
             () => None,
         }
     }
 
-    /// Returns how long the lane takes to drain. The rate is what this entry starts in the pool
-    /// while work waits; where starts are too rare to tell, it is what runs over its run time.
-    fn drain_ms(&self, lane_key: LaneKey, view: &UsageView) -> Option<f64> {
-        let lane = self.lanes.get(lane_key);
-        let pool = lane.pools[0];
-        let run_ms = self.run_times.reserve_ms(lane.team, lane.queue, 0.0).max(1);
-        let by_running = view.own_running_in(pool) as f64 / run_ms as f64;
-        let per_ms = self.lanes.drain_per_ms(pool)?.max(by_running);
-        match self.lanes.ahead_count(lane_key, view) {
-            0.0 => Some(0.0),
-            ahead_count => Some(ahead_count / per_ms),
-        }
-    }
-
     fn unreachable(&self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> Vec<RequestKey> {
         let lane = self.lanes.get(lane_key);
         let per_ms = self
-            .drain_ms(lane_key, view)
+            .forecast
+            .drain_ms(&self.lanes, lane, view)
             .map(|drain_ms| lane.len() as f64 / drain_ms.max(1.0));
         lane.unreachable(now_ms, per_ms, self.settings.give_up_slack)
     }
@@ -308,20 +305,16 @@
         }
     }
 
-    fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey) -> u64 {
+    fn book_return_ms(&mut self, now_ms: MonoMs, lane_key: LaneKey, view: &UsageView) -> u64 {
+        let lane = self.lanes.get(lane_key);
+        let pool = lane.pools[0];
+        let pace = PoolPace {
+            pool,
+            per_ms: self.forecast.own_per_ms(&self.lanes, lane, view),
+            waiting_count: self.lanes.waiting_for(pool).values().sum(),
+        };
         let limits = self.settings.retry_after;
-        self.lanes
-            .get_mut(lane_key)
-            .book_return_ms(now_ms, limits, &mut self.rng)
-    }
-
-    /// Returns the last moment at which a start still leaves the observed run time.
-    fn latest_start_ms(&self, waiting: &Waiting) -> MonoMs {
-        let deviations = self.settings.run_deviations;
-        let run_ms = self
-            .run_times
-            .reserve_ms(waiting.team, waiting.queue, deviations);
-        waiting.deadline_ms.saturating_sub(run_ms)
+        self.pacing.book_ms(now_ms, pace, limits, &mut self.rng)
     }
 
     fn candidates(&self, now_ms: MonoMs, pool: PoolKey, view: &UsageView) -> Vec<Candidate> {
@@ -333,13 +326,21 @@
             .filter_map(|lane_key| {
                 let lane = self.lanes.get(lane_key);
                 let head = lane.head(now_ms)?;
-                let rank = lane.pools.iter().position(|known| *known == pool)? as u64;
+                let choice = lane.pools.iter().position(|known| *known == pool)? as u64;
                 let waited_ms = now_ms.saturating_sub(head.enqueued_ms);
-                let may_spill = waited_ms >= rank * self.settings.spill_after_ms;
+                let may_spill = waited_ms >= choice * self.settings.spill_after_ms;
                 let class = u8::from(!lane.is_urgent || is_urgent_bounded);
                 let level = view.level(now_ms, lane.team, pool);
-                let rank = (class, level, head.deadline_ms);
-                may_spill.then_some((rank, lane_key, head.key))
+                let rank = Rank {
+                    class,
+                    level,
+                    deadline_ms: head.deadline_ms,
+                };
+                may_spill.then_some(Candidate {
+                    rank,
+                    lane_key,
+                    key: head.key,
+                })
             })
             .collect()
     }
@@ -358,7 +359,7 @@
         self.divide_if_due(now_ms, pool, view);
         let (lanes, divider) = (&self.lanes, &self.divider);
         let may_start = |candidate: &Candidate| {
-            let lane = lanes.get(candidate.1);
+            let lane = lanes.get(candidate.lane_key);
             lane.is_urgent || divider.may_start(lane.team, pool, view)
         };
         let allowed: Vec<Candidate> = candidates.iter().copied().filter(may_start).collect();
@@ -384,18 +385,3 @@
         Some(waiting)
     }
 }
-
-fn index_of_lowest(candidates: &[Candidate]) -> usize {
-    let compare = |left: &Rank, right: &Rank| {
-        left.0
-            .cmp(&right.0)
-            .then(left.1.total_cmp(&right.1))
-            .then(left.2.cmp(&right.2))
-    };
-    (1..candidates.len()).fold(0, |best, index| {
-        match compare(&candidates[index].0, &candidates[best].0) {
-            std::cmp::Ordering::Less => index,
-            _ => best,
-        }
-    })
-}
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -9,8 +9,7 @@
 use crate::policy::hash::KeyMap;
 use crate::policy::keys::{PeerKey, PoolKey, TeamKey};
 
-/// Team of a request; `None` stands for all work from queues open to all together.
-pub type TeamSlot = Option<TeamKey>;
+pub use crate::policy::usage::{Load, TeamSlot, UsageRow};
 
 /// Over what a team's level is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
@@ -49,87 +48,6 @@
     }
 }
 
-/// What one peer reports of one team in one pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UsageRow {
-    /// Team, or `None` for work from queues open to all.
-    pub team: TeamSlot,
-    /// Pool.
-    pub pool: PoolKey,
-    /// Sum of the sizes that the peer has running.
-    pub running: Resources,
-    /// Requests that the peer has running.
-    pub running_count: u32,
-    /// Requests that wait at the peer with this pool as the preferred one.
-    pub waiting_count: u32,
-}
-
-impl UsageRow {
-    /// Returns a row with nothing running and nothing waiting.
-    pub fn idle(team: TeamSlot, pool: PoolKey) -> Self {
-        Self {
-            team,
-            pool,
-            running: Resources::default(),
-            running_count: 0,
-            waiting_count: 0,
-        }
-    }
-}
-
-/// What requests take together: their sizes, and a slot of a worker each.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Sum of the sizes.
-    pub size: Resources,
-    /// Requests, each of which holds one slot.
-    pub slots_count: u64,
-}
-
-impl Load {
-    /// Returns the load of one request.
-    pub fn of_request(size: &Resources) -> Self {
-        Self {
-            size: *size,
-            slots_count: 1,
-        }
-    }
-
-    pub(crate) fn of_row(row: &UsageRow) -> Self {
-        Self {
-            size: row.running,
-            slots_count: u64::from(row.running_count),
-        }
-    }
-
-    /// Returns the sum of both.
-    pub fn plus(&self, other: &Self) -> Self {
-        Self {
-            size: self.size.plus(&other.size),
-            slots_count: self.slots_count + other.slots_count,
-        }
-    }
-
-    /// Returns the difference, at least zero in each part.
-    pub fn minus(&self, other: &Self) -> Self {
-        Self {
-            size: self.size.minus(&other.size),
-            slots_count: self.slots_count.saturating_sub(other.slots_count),
-        }
-    }
-
-    /// Returns the dominant share of `capacity`, slots counted as one more resource: they are what
-    /// workers run out of first, and a declared size far too small cannot hide them.
-    pub fn dominant_share(&self, capacity: &Self) -> f64 {
-        let of_slots = match (self.slots_count, capacity.slots_count) {
-            (0, _) => 0.0,
-            (_, 0) => f64::INFINITY,
-            (part, whole) => part as f64 / whole as f64,
-        };
-        of_slots.max(self.size.dominant_share(&capacity.size))
-    }
-}
-
 /// Usage of one team within one scope, integrated over time as it changes.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
@@ -176,6 +94,7 @@
     fleet_capacity: Load,
     usage: KeyMap<UsageKey, Usage>,
     own_running: KeyMap<PoolKey, u64>,
+    peers_running: KeyMap<PoolKey, u64>,
     running_teams: IndexMap<PoolKey, IndexSet<TeamSlot>>,
     waiting_at_peers: IndexMap<PoolKey, IndexMap<TeamSlot, u32>>,
     reports: IndexMap<PeerKey, (MonoMs, Vec<UsageRow>)>,
@@ -191,6 +110,7 @@
             fleet_capacity: Load::default(),
             usage: KeyMap::default(),
             own_running: KeyMap::default(),
+            peers_running: KeyMap::default(),
             running_teams: IndexMap::new(),
             waiting_at_peers: IndexMap::new(),
             reports: IndexMap::new(),
@@ -214,16 +134,19 @@
     /// Counts an attempt of this entry that starts.
     pub fn started(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
         let load = Load::of_request(size);
+        *self.own_running.entry(pool).or_insert(0) += 1;
         self.change(now_ms, team, pool, |usage| {
-            usage.own = usage.own.plus(&load)
+            usage.own = usage.own.plus(&load);
         });
     }
 
     /// Counts an attempt of this entry that ended, whatever its outcome.
     pub fn ended(&mut self, now_ms: MonoMs, team: TeamSlot, pool: PoolKey, size: &Resources) {
         let load = Load::of_request(size);
+        let count = self.own_running.entry(pool).or_insert(0);
+        *count = count.saturating_sub(1);
         self.change(now_ms, team, pool, |usage| {
-            usage.own = usage.own.minus(&load)
+            usage.own = usage.own.minus(&load);
         });
     }
 
@@ -235,6 +158,7 @@
             self.change(now_ms, row.team, row.pool, |usage| {
                 usage.peers = usage.peers.plus(&Load::of_row(row));
             });
+            *self.peers_running.entry(row.pool).or_insert(0) += u64::from(row.running_count);
             self.count_waiting_at_peers(row);
         }
         self.reports.insert(peer, (now_ms, rows));
@@ -265,6 +189,8 @@
             self.change(now_ms, row.team, row.pool, |usage| {
                 usage.peers = usage.peers.minus(&Load::of_row(row));
             });
+            let running = self.peers_running.entry(row.pool).or_insert(0);
+            *running = running.saturating_sub(u64::from(row.running_count));
             self.uncount_waiting_at_peers(row);
         }
     }
@@ -317,6 +243,17 @@
         self.own_running.get(&pool).copied().unwrap_or(0)
     }
 
+    /// Returns how many requests run in `pool`, own and gossiped.
+    pub fn running_in(&self, pool: PoolKey) -> u64 {
+        self.own_running_in(pool) + self.peers_running.get(&pool).copied().unwrap_or(0)
+    }
+
+    /// Returns how many requests wait for `pool` at peers, by team.
+    pub fn waiting_at_peers(&self, pool: PoolKey) -> impl Iterator<Item = (TeamSlot, u32)> + '_ {
+        let teams = self.waiting_at_peers.get(&pool).into_iter().flatten();
+        teams.map(|(team, count)| (*team, *count))
+    }
+
     /// Returns the slots that the workers of `pool` offer together.
     pub fn slots_count(&self, pool: PoolKey) -> u64 {
         self.capacity_of(Some(pool)).slots_count
