--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use clap::{value_parser, Arg, ArgMatches, Command};
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use error_stack::Report;
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
@@ -50,6 +50,12 @@
                         .value_parser(value_parser!(u64).range(1..))
                         .default_value("100")
                         .help("Time between two reports of an entry to its peers"),
+                )
+                .arg(
+                    Arg::new("untold")
+                        .long("without-slot-hints")
+                        .action(ArgAction::SetTrue)
+                        .help("Do not tell the entry whose turn it is of a slot left free"),
                 ),
         )
         .subcommand(
@@ -114,6 +120,7 @@
         entries_count: usize::from(*args.get_one::<u16>("entries").unwrap_or(&9)),
         duration_ms: number(args, "duration"),
         gossip_period_ms: number(args, "gossip"),
+        tells_free_slots: !args.get_flag("untold"),
         ..ShareConfig::default()
     };
     if let Some(workers_count) = args.get_one::<u32>("workers") {
--- a/src/load/overload.rs
+++ b/src/load/overload.rs
@@ -194,6 +194,7 @@
         weights: config.weights.clone(),
         queue: QueueSettings::default(),
         share: ShareSettings::default(),
+        tells_free_slots: true,
         gossip_period_ms: 100,
         hop_ms: 1,
         returns_max_count: config.returns_max_count,
--- a/src/load/share.rs
+++ b/src/load/share.rs
@@ -31,6 +31,8 @@
     pub turn_ms: u64,
     /// Demand for urgent work in each pool, as a part of what the pool holds.
     pub urgent_demand: f64,
+    /// Whether an entry tells the peer whose turn it is of a slot that it leaves free.
+    pub tells_free_slots: bool,
     /// Time between two reports of an entry to its peers.
     pub gossip_period_ms: u64,
     /// When one entry is lost, if at all.
@@ -50,6 +52,7 @@
             turn_demand: 2.0,
             turn_ms: 6_000,
             urgent_demand: 0.05,
+            tells_free_slots: true,
             gossip_period_ms: 100,
             lost_entry_at_ms: Some(100_000),
             duration_ms: 150_000,
@@ -198,6 +201,7 @@
         weights: config.weights.clone(),
         queue: QueueSettings::default(),
         share: ShareSettings::default(),
+        tells_free_slots: config.tells_free_slots,
         gossip_period_ms: config.gossip_period_ms,
         hop_ms: 1,
         returns_max_count: 0,
--- a/src/load/world/attempts.rs
+++ b/src/load/world/attempts.rs
@@ -107,8 +107,11 @@
         self.hint(entry, worker, running_count);
     }
 
-    /// Tells peers of a slot that this entry saw free and does not use itself.
+    /// Tells the peer whose turn it is of a slot that this entry saw free and does not use itself.
     pub(super) fn hint(&mut self, entry: usize, worker: WorkerKey, running_count: u32) {
+        if !self.spec.tells_free_slots {
+            return;
+        }
         let pool = PoolKey(self.workers[worker.0 as usize].pool as u16);
         let peer = self.entries[entry].whose_turn(self.now_ms, pool, worker);
         if let Some(PeerKey(to)) = peer {
--- a/src/load/world/spec.rs
+++ b/src/load/world/spec.rs
@@ -59,6 +59,8 @@
     pub queue: QueueSettings,
     /// Settings of the shares.
     pub share: ShareSettings,
+    /// Whether an entry tells the peer whose turn it is of a slot that it leaves free.
+    pub tells_free_slots: bool,
     /// Time between two reports of an entry to its peers.
     pub gossip_period_ms: u64,
     /// One-way time of any message.
