--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod drain;
 pub mod drive;
+pub mod evidence;
 pub mod keys;
 pub mod maintenance;
 pub mod moves;
@@ -15,7 +16,8 @@
 mod wave;
 
 pub use budget::{
-    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetView, PoolBudget,
+    can_assign, can_release, judge_stop, strictest_budget, BudgetBreach, BudgetBreachKind,
+    BudgetView, PoolBudget,
 };
 pub use counts::{FleetCounts, Member};
 pub use keys::{InstanceKey, PoolKey, RackKey, ZoneKey};
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -2,14 +2,18 @@
 //! and a fault-injecting proxy on each link between an entry and the log, the instance list and its
 //! peers.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use std::{fs, thread};
 
 use attohttpc::{Method, RequestBuilder};
 use hawthornladder::entry::EntryStatus;
+use hawthornladder::examples::LAHORE;
+use hawthornladder::platform::journal::peak_running_by_team;
+use hawthornladder::ports::InstancePage;
 use serde_json::Value;
 use uuid::Uuid;
 
@@ -19,6 +23,14 @@
 /// Longest time that a test waits for a condition.
 pub(crate) const WAIT_MAX: Duration = Duration::from_secs(20);
 
+/// Settings of entries whose seats lapse soon.
+pub(crate) const SHORT_LEASE: &str =
+    r#""seat_lease_ms": 1500, "seat_renew_ms": 150, "clock_skew_max_ms": 100"#;
+
+/// Settings of entries that soon notice that they hear nobody.
+pub(crate) const SOON_STALE: &str =
+    r#""config_stale_max_ms": 600, "peer_gossip_ms": 50, "log_read_wait_ms": 200"#;
+
 const WAIT_STEP: Duration = Duration::from_millis(20);
 
 /// What a cluster is made of.
@@ -28,9 +40,29 @@
     fleet: Option<String>,
     settings: String,
     log_args: Vec<&'static str>,
+    has_worker_links: bool,
 }
 
 impl ClusterBuilder {
+    /// Uses the fleet of the Lahore example with four workers in the first pool and one in each
+    /// other.
+    pub(crate) fn small_fleet(self) -> Self {
+        let sizes = [("12", "4"), ("10", "1"), ("8", "1")];
+        let text = sizes
+            .iter()
+            .fold(LAHORE.fleet.to_owned(), |text, (old, new)| {
+                let field = "\"instances_count\":";
+                text.replace(&format!("{field} {old},"), &format!("{field} {new},"))
+            });
+        self.fleet(&text)
+    }
+
+    /// Puts a fault-injecting proxy in front of each worker.
+    pub(crate) fn worker_links(mut self) -> Self {
+        self.has_worker_links = true;
+        self
+    }
+
     /// Sets how many entries there are.
     pub(crate) fn entries(mut self, entries_count: usize) -> Self {
         self.entries_count = entries_count;
@@ -98,8 +130,13 @@
         };
         let fleet = fleet.to_str().expect("paths are text").to_owned();
         let stand_ins = StandIns::spawn(&fleet, &self.log_args);
+        let worker_links = match self.has_worker_links {
+            true => link_workers(&stand_ins),
+            false => Vec::new(),
+        };
         let mut cluster = Cluster {
             stand_ins,
+            worker_links,
             entries: Vec::new(),
             directory,
             example,
@@ -167,6 +204,8 @@
 pub(crate) struct Cluster {
     /// The platform.
     pub(crate) stand_ins: StandIns,
+    /// Links to the workers, if the cluster was built with them.
+    pub(crate) worker_links: Vec<Proxy>,
     /// The entries.
     pub(crate) entries: Vec<EntryProcess>,
     directory: PathBuf,
@@ -183,6 +222,7 @@
             fleet: None,
             settings: String::new(),
             log_args: Vec::new(),
+            has_worker_links: false,
         }
     }
 
@@ -255,6 +295,41 @@
         assert!(lines[0].contains("event=published"), "{lines:?}");
     }
 
+    /// Publishes the example's lists from version `from` with an upper limit for `team` alone, and
+    /// waits until it is in force everywhere.
+    pub(crate) fn limit(&mut self, from: u64, team: &str, limit_requests: u32) {
+        let old = format!("{{ \"name\": \"{team}\", \"plan\":");
+        let new = format!(
+            "{{ \"name\": \"{team}\", \"running_max_requests\": {limit_requests}, \"plan\":"
+        );
+        self.publish(from, |_, text| text.replace(&old, &new));
+        self.wait_until("the limit is in force", |cluster| {
+            cluster.entries.iter().all(|entry| {
+                let status = entry.try_status();
+                status.is_none_or(|status| status.teams[team].limit_requests == limit_requests)
+            })
+        });
+    }
+
+    /// Returns the most requests that `team` had running at one instant, by the workers' journals.
+    pub(crate) fn peak_running_of(&self, team: &str) -> u32 {
+        let peaks = peak_running_by_team(&self.stand_ins.runs());
+        peaks.get(team).copied().unwrap_or(0)
+    }
+
+    /// Starts an operator's publication of whole lists from version `from` and doesn't wait for it.
+    pub(crate) fn start_publish(&self, from: u64, name: &str, lists: [&str; 2]) -> Process {
+        let paths = lists.map(|text| {
+            let file = format!("{name}-{}.jsonc", blake3::hash(text.as_bytes()).to_hex());
+            let path = self.directory.join(file);
+            fs::write(&path, text).expect("the directory is writable");
+            path.to_str().expect("paths are text").to_owned()
+        });
+        let (from, log) = (from.to_string(), &self.stand_ins.log_address);
+        let args = ["lists", "publish", &paths[0], &paths[1], "--from", &from];
+        Process::spawn(name, &[&args[..], &["--log", log]].concat())
+    }
+
     /// Grants a key to `team`; returns its id and its whole text.
     pub(crate) fn grant(&self, team: &str) -> (String, String) {
         let lines = self.operate(&["keys", "grant", team, "--output", "json"]);
@@ -334,6 +409,8 @@
     pub(crate) is_for_later: bool,
     /// Body.
     pub(crate) body: Vec<u8>,
+    /// Further headers.
+    pub(crate) headers: Vec<(&'static str, String)>,
 }
 
 impl Call {
@@ -347,6 +424,7 @@
             is_idempotent: true,
             is_for_later: false,
             body: format!("{{\"run_ms\":{run_ms}}}").into_bytes(),
+            headers: Vec::new(),
         }
     }
 
@@ -362,6 +440,18 @@
         self
     }
 
+    /// Replaces the body.
+    pub(crate) fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub(crate) fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
     /// Sets the deadline.
     pub(crate) fn deadline_ms(mut self, deadline_ms: u64) -> Self {
         self.deadline_ms = deadline_ms;
@@ -370,6 +460,11 @@
 
     /// Sends the call to an entry.
     pub(crate) fn send(&self, callers_address: &str) -> Reply {
+        Reply::of(self.try_send(callers_address).ok())
+    }
+
+    /// Sends the call to an entry, and tells why no whole answer came.
+    pub(crate) fn try_send(&self, callers_address: &str) -> Result<Answer, Unanswered> {
         let what = match self.is_for_later {
             true => "jobs",
             false => "call",
@@ -379,10 +474,23 @@
             .header("x-request-id", self.request_id.as_str())
             .header("x-deadline-ms", self.deadline_ms)
             .header("x-idempotent", self.is_idempotent.to_string());
-        Reply::of(send(request, &self.body))
+        let add = |request: RequestBuilder, (name, value): &(&'static str, String)| {
+            request.header(*name, value.as_str())
+        };
+        let request = self.headers.iter().fold(request, add);
+        try_send(request, &self.body)
     }
 }
 
+/// Why no whole answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unanswered {
+    /// No connection could be made, so nothing was sent.
+    NotConnected,
+    /// The connection broke after something may have been sent.
+    Lost,
+}
+
 /// Fetches a job.
 pub(crate) fn fetch_job(callers_address: &str, key: &str, request_id: &str) -> Reply {
     let path = format!("/v1/jobs/{request_id}");
@@ -400,7 +508,7 @@
 }
 
 /// What a caller received.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Reply {
     /// HTTP status, or 0 if no whole answer came.
     pub(crate) status: u16,
@@ -415,7 +523,8 @@
 }
 
 impl Reply {
-    fn of(answer: Option<Answer>) -> Self {
+    /// Reads an answer.
+    pub(crate) fn of(answer: Option<Answer>) -> Self {
         let Some(answer) = answer else {
             return Self {
                 status: 0,
@@ -467,16 +576,47 @@
 }
 
 fn send(request: RequestBuilder, body: &[u8]) -> Option<Answer> {
-    let response = request.bytes(body.to_vec()).send().ok()?;
+    try_send(request, body).ok()
+}
+
+fn try_send(request: RequestBuilder, body: &[u8]) -> Result<Answer, Unanswered> {
+    let sent = request.bytes(body.to_vec()).send();
+    let response = sent.map_err(|error| match error.kind() {
+        attohttpc::ErrorKind::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            Unanswered::NotConnected
+        }
+        _ => Unanswered::Lost,
+    })?;
     let ran = response.headers().get("x-ran");
     let ran = ran.and_then(|ran| ran.to_str().ok()).unwrap_or_default();
-    Some(Answer {
+    Ok(Answer {
         status: response.status().as_u16(),
         ran: ran.to_owned(),
-        body: response.bytes().ok()?,
+        body: response.bytes().map_err(|_| Unanswered::Lost)?,
     })
 }
 
+/// Puts a proxy in front of each worker and lists the workers at the proxies' addresses.
+fn link_workers(stand_ins: &StandIns) -> Vec<Proxy> {
+    let list = &stand_ins.instances_address;
+    let page = admin_call(list, Method::GET, "/instances", &());
+    let mut page: InstancePage = serde_json::from_slice(&page).expect("the list is whole");
+    let mut links = Vec::new();
+    for row in &mut page.rows {
+        let link = Proxy::spawn(&row.address);
+        row.address = link.address().into();
+        links.push(link);
+    }
+    admin_call(list, Method::POST, "/instances", &page.rows);
+    links
+}
+
+/// Returns the time since the Unix epoch in microseconds.
+pub(crate) fn unix_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is past 1970").as_micros() as u64
+}
+
 /// Returns an address that nothing else is given: ports of `127.0.0.1` may be taken by a connection
 /// between the moment at which they were found free and the start of the entry.
 fn free_address() -> SocketAddr {
