--- a/tests/testsuite/engines.rs
+++ b/tests/testsuite/engines.rs
@@ -1,6 +1,7 @@
 //! Several engines over one log, with time, faults and the ends of tasks in the hands of the test:
 //! waits of minutes pass in a moment, and every run is the same.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use hawthornladder::callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch};
@@ -38,7 +39,6 @@
     pub(crate) is_cut_from_peers: bool,
     /// It hears gossip, but fetches of records and ledgers fail.
     pub(crate) is_fetch_failing: bool,
-    pub(crate) answers: Vec<(CallId, CallerAnswer)>,
     /// Attempts that are out.
     pub(crate) attempts: Vec<(AttemptKey, WorkerRequest)>,
     pub(crate) is_drained: bool,
@@ -54,6 +54,8 @@
     pub(crate) stale_ms: u64,
     /// No engine reaches the log.
     pub(crate) is_log_down: bool,
+    /// All answers so far, those of ended engines included.
+    answers: HashMap<CallId, CallerAnswer>,
     edit_settings: fn(&mut EngineSettings),
     opened_count: usize,
     calls_count: u64,
@@ -78,6 +80,7 @@
             records: Vec::new(),
             stale_ms: 0,
             is_log_down: false,
+            answers: HashMap::new(),
             edit_settings,
             opened_count: 0,
             calls_count: 0,
@@ -187,8 +190,7 @@
 
     /// Returns the answer to a call, if it came.
     pub(crate) fn answer(&self, call_id: CallId) -> Option<&CallerAnswer> {
-        let mut answers = self.nodes.iter().flat_map(|node| &node.answers);
-        answers.find(|(id, _)| *id == call_id).map(|row| &row.1)
+        self.answers.get(&call_id)
     }
 
     /// Returns why a call was refused and what its answer says of the run.
@@ -325,7 +327,8 @@
                 self.step(index, Event::SnapshotAppended { is_done });
             }
             Action::Answer { call_id, answer } => {
-                self.nodes[index].answers.push((call_id, answer));
+                let earlier = self.answers.insert(call_id, answer);
+                assert!(earlier.is_none(), "call {call_id} was answered twice");
             }
             Action::Run {
                 attempt, request, ..
@@ -386,6 +389,11 @@
     WorkerOutcome::NotStarted(NotStarted::Busy)
 }
 
+/// Returns the wall-clock time at a monotonic one.
+pub(crate) fn unix_ms(now_ms: u64) -> u64 {
+    UNIX_START_MS + now_ms
+}
+
 fn new_node(number: usize, edit_settings: fn(&mut EngineSettings)) -> Node {
     let name = format_smolstr!("engine-{number}");
     let text = examples::LAHORE.entry;
@@ -405,7 +413,6 @@
         is_cut_from_log: false,
         is_cut_from_peers: false,
         is_fetch_failing: false,
-        answers: Vec::new(),
         attempts: Vec::new(),
         is_drained: false,
         name,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod promises_keys;
 mod promises_limits;
 mod promises_membership;
+mod promises_random;
 mod promises_recovery;
 mod promises_single_run;
 mod proxy;
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -20,7 +20,8 @@
     Engines::open_with(count, |lists| set_limit(lists, limit_requests), |_| {})
 }
 
-fn set_limit(lists: &mut Lists, limit_requests: u32) {
+/// Sets the upper limit of the team of the tests.
+pub(crate) fn set_limit(lists: &mut Lists, limit_requests: u32) {
     let mut teams = lists.plans.teams.iter_mut();
     let team = teams.find(|team| team.name == TEAM);
     team.expect("the example has it").running_max_requests = Some(limit_requests);
--- /dev/null
+++ b/tests/testsuite/promises_random.rs
@@ -0,0 +1,225 @@
+//! Random interleavings of faults over several engines and one log, at fixed seeds: upper limits,
+//! single runs and truth of "not run" hold at every instant.
+
+use std::collections::{HashMap, HashSet};
+
+use hawthornladder::callers::{CallId, CallerRequest};
+use hawthornladder::error::RunState;
+use hawthornladder::keys::NewKey;
+use hawthornladder::ports::WorkerRequest;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::engines::{busy, lost, ran, unix_ms, Engines};
+use crate::promises_limits::set_limit;
+
+const LIMIT_REQUESTS: usize = 3;
+const STEPS_COUNT: usize = 900;
+const SEEDS: std::ops::Range<u64> = 0..8;
+
+/// What the workers and the callers know.
+struct Account {
+    engines: Engines,
+    key: NewKey,
+    rng: ChaCha8Rng,
+    requests: Vec<CallerRequest>,
+    calls: Vec<(CallId, usize)>,
+    /// Tasks that nobody waits for any more, until the time when their lease has ended.
+    forgotten: Vec<(u64, WorkerRequest)>,
+    /// Attempts that workers refused.
+    refused: HashSet<String>,
+    /// Attempts that started, by request.
+    started: HashMap<String, HashSet<String>>,
+    done_count: usize,
+}
+
+impl Account {
+    fn open(seed: u64) -> Self {
+        let mut engines = Engines::open_with(
+            4,
+            |lists| set_limit(lists, LIMIT_REQUESTS as u32),
+            |settings| {
+                settings.seat_lease_ms = 4_000;
+                settings.seat_renew_ms = 500;
+            },
+        );
+        let key = engines.grant("ionosphere-desk");
+        Self {
+            engines,
+            key,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            requests: Vec::new(),
+            calls: Vec::new(),
+            forgotten: Vec::new(),
+            refused: HashSet::new(),
+            started: HashMap::new(),
+            done_count: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        for _ in 0..self.rng.random_range(0..3) {
+            self.call();
+        }
+        if self.rng.random_bool(0.5) {
+            self.end_one();
+        }
+        if self.rng.random_bool(0.05) {
+            self.inject();
+        }
+        if self.rng.random_bool(0.002) {
+            self.kill_one();
+        }
+        let time_ms = 20 * self.rng.random_range(1..10);
+        self.engines.advance(time_ms);
+        self.check();
+    }
+
+    fn call(&mut self) {
+        let index = self.rng.random_range(0..self.engines.nodes.len());
+        if self.engines.nodes[index].is_paused {
+            return;
+        }
+        let repeats = !self.requests.is_empty() && self.rng.random_bool(0.3);
+        let number = match repeats {
+            true => {
+                let recent = self.requests.len().saturating_sub(20);
+                self.rng.random_range(recent..self.requests.len())
+            }
+            false => {
+                let is_idempotent = self.rng.random_bool(0.4);
+                let mut request = self.engines.request(&self.key, is_idempotent);
+                request.deadline_ms = self.rng.random_range(200..8_000);
+                self.requests.push(request);
+                self.requests.len() - 1
+            }
+        };
+        let request = self.requests[number].clone();
+        let call = self.engines.call(index, &request);
+        self.calls.push((call, number));
+    }
+
+    fn end_one(&mut self) {
+        let index = self.rng.random_range(0..self.engines.nodes.len());
+        let node = &self.engines.nodes[index];
+        let Some((_, request)) = node.attempts.first().filter(|_| !node.is_paused) else {
+            return;
+        };
+        let request = request.clone();
+        match self.rng.random_range(0..10) {
+            0 => {
+                self.refused.insert(request.attempt_id.to_string());
+                self.engines.end_attempt(index, busy());
+            }
+            1 => {
+                self.forget(request);
+                self.engines.end_attempt(index, lost());
+            }
+            _ => {
+                self.done_count += 1;
+                self.engines.end_attempt(index, ran());
+            }
+        }
+        self.check();
+    }
+
+    fn forget(&mut self, request: WorkerRequest) {
+        let ends_unix_ms = request.start_before_unix_ms + request.lease_ms;
+        self.forgotten.push((ends_unix_ms, request));
+    }
+
+    fn inject(&mut self) {
+        let index = self.rng.random_range(0..self.engines.nodes.len());
+        let node = &mut self.engines.nodes[index];
+        match self.rng.random_range(0..9) {
+            0 => node.is_cut_from_log = self.rng.random_bool(0.5),
+            1 => node.is_cut_from_peers = self.rng.random_bool(0.5),
+            2 => node.is_fetch_failing = self.rng.random_bool(0.5),
+            3 => node.is_paused = self.rng.random_bool(0.5),
+            4 => self.engines.is_log_down = self.rng.random_bool(0.3),
+            5 => self.engines.stale_ms = self.rng.random_range(0..3) * 300,
+            _ => self.heal(),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.engines.is_log_down = false;
+        self.engines.stale_ms = 0;
+        for node in &mut self.engines.nodes {
+            node.is_cut_from_log = false;
+            node.is_cut_from_peers = false;
+            node.is_fetch_failing = false;
+            node.is_paused = false;
+        }
+    }
+
+    fn kill_one(&mut self) {
+        let index = self.rng.random_range(0..self.engines.nodes.len());
+        let attempts = std::mem::take(&mut self.engines.nodes[index].attempts);
+        for (_, request) in attempts {
+            self.note_start(&request);
+            self.forget(request);
+        }
+        self.engines.kill(index);
+        self.engines.add();
+    }
+
+    fn note_start(&mut self, request: &WorkerRequest) {
+        let attempts = self.started.entry(request.request_id.to_string());
+        attempts.or_default().insert(request.attempt_id.to_string());
+    }
+
+    fn check(&mut self) {
+        let now_unix_ms = unix_ms(self.engines.now_ms);
+        self.forgotten.retain(|(ends_ms, _)| *ends_ms > now_unix_ms);
+        let nodes = self.engines.nodes.iter();
+        let out: Vec<WorkerRequest> = nodes
+            .flat_map(|node| node.attempts.iter().map(|(_, request)| request.clone()))
+            .collect();
+        for request in &out {
+            self.note_start(request);
+        }
+        let is_running = |request: &&WorkerRequest| {
+            request.start_before_unix_ms + request.lease_ms > now_unix_ms
+        };
+        let running_count = out.iter().filter(is_running).count() + self.forgotten.len();
+        assert!(running_count <= LIMIT_REQUESTS, "{running_count} run");
+    }
+
+    fn runs_of(&self, request_id: &str) -> usize {
+        let attempts = self.started.get(request_id).into_iter().flatten();
+        attempts.filter(|id| !self.refused.contains(*id)).count()
+    }
+
+    /// Checks what the callers were told against what the workers started.
+    fn check_answers(&self) {
+        for (number, request) in self.requests.iter().enumerate() {
+            let runs_count = self.runs_of(&request.request_id);
+            assert!(request.is_idempotent || runs_count <= 1, "{request:?}");
+            let calls = self.calls.iter().filter(|(_, of)| *of == number);
+            let answers: Vec<_> = calls.map(|(call, _)| self.engines.answer(*call)).collect();
+            let says_not_run = answers
+                .iter()
+                .all(|answer| answer.is_some_and(|answer| answer.ran == RunState::NotRun));
+            assert!(!says_not_run || runs_count == 0, "{request:?} {answers:?}");
+        }
+    }
+}
+
+#[test]
+fn limits_and_single_runs_hold_under_random_faults() {
+    for seed in SEEDS {
+        let mut account = Account::open(seed);
+        for _ in 0..STEPS_COUNT {
+            account.step();
+        }
+        account.check_answers();
+        assert!(account.done_count > 0);
+        // After all faults everybody serves again.
+        account.heal();
+        account.engines.advance(10_000);
+        let nodes = &account.engines.nodes;
+        let is_serving = nodes.iter().all(|node| node.engine.is_serving());
+        assert!(is_serving, "seed {seed}");
+    }
+}
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -412,3 +412,43 @@
     assert_eq!(cluster.runs_of(&later.request_id), 0);
     assert_nothing_lost(&cluster, &key, &withdrawn, &call);
 }
+
+#[test]
+fn an_outage_of_minutes_costs_no_seat_and_no_job() {
+    let mut engines = Engines::open(3);
+    let key = engines.grant("ionosphere-desk");
+    let seats: Vec<_> = engines
+        .ledger(0)
+        .seats
+        .iter_live()
+        .map(|(seat, _)| seat.clone())
+        .collect();
+    // The owner of the job does not get to start it before the outage.
+    let mut job = engines.request(&key, false);
+    job.is_for_later = true;
+    job.deadline_ms = 600_000;
+    let call = engines.call(0, &job);
+    engines.advance_until(1_000, |engines| engines.answer(call).is_some());
+    engines.is_log_down = true;
+    engines.advance(180_000);
+    let request = engines.request(&key, true);
+    let refused = engines.call(0, &request);
+    assert_eq!(
+        engines.refusal(refused),
+        Some((ErrorKind::SeatLapsed, RunState::NotRun))
+    );
+    engines.is_log_down = false;
+    engines.advance_until(5_000, |engines| !engines.nodes[0].attempts.is_empty());
+    engines.end_attempt(0, ran());
+    engines.advance(1_000);
+    let live: Vec<_> = engines
+        .ledger(0)
+        .seats
+        .iter_live()
+        .map(|(seat, _)| seat.clone())
+        .collect();
+    assert_eq!(live, seats);
+    let fetched = engines.fetch(2, &key, &job);
+    let answer = engines.answer(fetched).expect("the job is known");
+    assert_eq!(&*answer.body, b"done");
+}
--- a/tests/testsuite/promises_single_run.rs
+++ b/tests/testsuite/promises_single_run.rs
@@ -357,3 +357,35 @@
         assert!(!is_never_run || count == 0, "{call:?} ran {count} times");
     }
 }
+
+#[test]
+fn a_task_whose_lease_lapses_late_does_not_run_again() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (_, key) = cluster.grant("ionosphere-desk");
+    let call = Call::new("delay-maps", &key, 100).once().deadline_ms(500);
+    let freeze = |is_frozen: bool| {
+        for address in &cluster.stand_ins.worker_addresses {
+            let faults = json!({ "is_frozen": is_frozen });
+            admin_call(address, Method::POST, "/faults", &faults);
+        }
+    };
+    let first = send_and_wait_for_start(&cluster, &call, 0);
+    freeze(true);
+    let reply = first.join().expect("the caller ends");
+    assert_eq!(reply.ran, "outcome_unknown", "{reply:?}");
+    thread::sleep(Duration::from_millis(1_000));
+    for reply in repeat(&cluster, &call, &[0, 1, 2]) {
+        assert!(reply.kind.starts_with("duplicate_"), "{reply:?}");
+    }
+    freeze(false);
+    cluster.wait_until("the outcome is on record", |cluster| {
+        let replies = repeat(cluster, &call, &[0, 1, 2]);
+        replies
+            .iter()
+            .all(|reply| reply.kind != "duplicate_in_flight")
+    });
+    for reply in repeat(&cluster, &call, &[0, 1, 2]) {
+        assert!(reply.kind.starts_with("duplicate_"), "{reply:?}");
+    }
+    assert_eq!(cluster.runs_of(&call.request_id), 1);
+}
