Answer nothing to a key while a withdrawal could not be known

Cause, seen failing in an_entry_that_is_cut_off_stops_taking_a_withdrawn_key: an entry that heard nobody refused work but still gave out jobs and took cancels for a withdrawn key, for as long as it was cut off. Fetches and cancels with a key now need a configuration that is fresh.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -11,7 +11,7 @@
     adapters::worker_answer::Loss,
     callers::{CallId, CallerAnswer, CallerRequest, Cancel, RanOn},
     entry::{
-        admission::{self, Admitted, Standing},
+        admission::{self, Admitted, Refused, Standing},
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
         gossip::{Gossip, GossipUsage, PoolLoad},
@@ -70,6 +70,20 @@
         }
     }
 
+    /// Returns the team of a key that comes without work; empty without a key.
+    ///
+    /// An entry that cannot know of a withdrawal answers nothing to a key.
+    pub(crate) fn team_of(&self, key: Option<&str>) -> Result<TeamName, Refused> {
+        match key {
+            None => Ok(TeamName::default()),
+            Some(_) if !self.is_ready() => Err((ErrorKind::EntryNotReady, SmolStr::default())),
+            Some(_) if !self.standing().is_config_fresh => {
+                Err((ErrorKind::ConfigurationStale, SmolStr::default()))
+            }
+            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
+        }
+    }
+
     pub(crate) fn standing(&self) -> Standing {
         let now_ms = self.now.mono_ms;
         let max_age_ms = self.settings.config_stale_max_ms;
@@ -704,11 +718,7 @@
 
     /// Cancels on a caller's behalf, here or at whichever peer has the request.
     pub(crate) fn cancel_for(&mut self, call_id: CallId, cancel: &Cancel) {
-        let team = match &cancel.key {
-            None => Ok(TeamName::default()),
-            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
-        };
-        let team = match team {
+        let team = match self.team_of(cancel.key.as_deref()) {
             Ok(team) => team,
             Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
         };
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -253,11 +253,7 @@
 
     /// Reports on a job.
     pub(crate) fn fetch(&mut self, call_id: CallId, fetch: &Fetch) {
-        let team = match &fetch.key {
-            None => Ok(TeamName::default()),
-            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
-        };
-        let team = match team {
+        let team = match self.team_of(fetch.key.as_deref()) {
             Ok(team) => team,
             Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
         };
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -17,7 +17,7 @@
 use uuid::Uuid;
 
 use crate::processes::{admin_call, Process, StandIns};
-use crate::proxy::Proxy;
+use crate::proxy::{own_ip, Proxy};
 
 /// Longest time that a test waits for a condition.
 pub(crate) const WAIT_MAX: Duration = Duration::from_secs(20);
@@ -240,10 +240,10 @@
     }
 
     fn start_entry(&self, name: &str) -> EntryProcess {
-        let peers_port = free_port();
+        let peers_address = free_address();
         let log_link = Proxy::spawn(&self.stand_ins.log_address);
         let instances_link = Proxy::spawn(&self.stand_ins.instances_address);
-        let peers_link = Proxy::spawn(&format!("127.0.0.1:{peers_port}"));
+        let peers_link = Proxy::spawn(&peers_address);
         let peers: Vec<String> = self
             .entries
             .iter()
@@ -253,7 +253,7 @@
             r#"{{
     "zone": "lahore-a", "region": "punjab",
     "callers_address": "127.0.0.1:0", "operators_address": "127.0.0.1:0",
-    "peers_address": "127.0.0.1:{peers_port}", "peers_advertised_address": "{}",
+    "peers_address": "{peers_address}", "peers_advertised_address": "{}",
     "peer_addresses": [{}],
     "log_addresses": ["{}"], "instance_list_address": "{}"{}
 }}"#,
@@ -565,8 +565,10 @@
     now.expect("the clock is past 1970").as_micros() as u64
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+/// Returns an address that stays free until it is bound: nobody else uses its IP number.
+fn free_address() -> String {
+    let listener = TcpListener::bind((own_ip(), 0)).expect("a loopback port is free");
     let address = listener.local_addr();
-    address.expect("a bound listener has an address").port()
+    let address = address.expect("a bound listener has an address");
+    address.to_string()
 }
--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -10,7 +10,7 @@
 use hawthornladder::error::ErrorKind;
 use serde_json::json;
 
-use crate::cluster::{Call, Cluster, EntryProcess};
+use crate::cluster::{cancel, fetch_job, Call, Cluster, EntryProcess};
 use crate::engines::Engines;
 use crate::processes::admin_call;
 use crate::proxy::ProxyFaults;
@@ -97,6 +97,12 @@
     let (key_id, key) = cluster.grant(TEAM);
     let cut = &cluster.entries[2];
     assert!(cut.call(&Call::new("delay-maps", &key, 1)).is_done());
+    let job = Call::new("delay-maps", &key, 1).for_later();
+    assert_eq!(cluster.entries[0].call(&job).status, 202);
+    let address = &cut.callers_address;
+    cluster.wait_until("the job is done", |_| {
+        fetch_job(address, &key, &job.request_id).is_done()
+    });
     let is_refusing = ProxyFaults {
         is_refusing: true,
         ..ProxyFaults::default()
@@ -109,6 +115,11 @@
     let withdrawn = Instant::now();
     cluster.operate(&["keys", "withdraw", &key_id]);
     assert_refused_in_time(&cluster, &key, withdrawn);
+    // Neither does the key open anything else there.
+    let reply = fetch_job(address, &key, &job.request_id);
+    assert_eq!(reply.kind, "configuration_stale", "{reply:?}");
+    let reply = cancel(address, &key, &job.request_id);
+    assert_eq!(reply.kind, "configuration_stale", "{reply:?}");
 }
 
 #[test]
--- a/tests/testsuite/proxy.rs
+++ b/tests/testsuite/proxy.rs
@@ -141,8 +141,8 @@
     }
 }
 
-/// Returns a loopback address that no other proxy of this process, or of one nearby, uses.
-fn own_ip() -> Ipv4Addr {
+/// Returns a loopback address that nobody else in this process, or in one nearby, uses.
+pub(crate) fn own_ip() -> Ipv4Addr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = u8::try_from(std::process::id() % 200).expect("less than 200") + 1;
