Keep a batch within what the log takes in one append

Cause, seen failing in a_burst_of_large_jobs_is_accepted: batches of up to 1 MiB were built, and one that the log refused for its size was sent again for ever, so that a burst of 16 jobs of 60 kB ended the entry: no claim, no renewal, no answer. Ruled out: the rate limit of the log (the same batch was refused alone). A large batch that was only ever refused is now sent in halves, and the default of append_batch_max_bytes is 196608.

--- a/src/entry/proposer.rs
+++ b/src/entry/proposer.rs
@@ -1,6 +1,6 @@
 //! The proposer batches this seat's changes into numbered records, one append in flight at a time.
 //! An append whose answer was lost is sent again under the same number: the fold takes the first
-//! that lands and voids the others.
+//! that lands and voids the others. A large batch that was only ever refused is sent in parts.
 
 use std::collections::VecDeque;
 
@@ -17,9 +17,12 @@
 #[derive(Clone, Debug)]
 struct Flight {
     seq: u64,
+    changes: Vec<SeatChange>,
     payload: String,
     first_sent_ms: MonoMs,
     resend_at_ms: Option<MonoMs>,
+    /// Whether the answer to one of the sendings was lost, so that its content is fixed for good.
+    may_have_landed: bool,
 }
 
 /// Bounds of the proposals.
@@ -106,8 +109,29 @@
             return;
         };
         match result {
-            Ok(_) => self.land(),
-            Err(_) => flight.resend_at_ms = Some(now_ms + RESEND_AFTER_MS),
+            Ok(_) => return self.land(),
+            Err(PortError::AnswerLost(_)) => flight.may_have_landed = true,
+            Err(_) => {}
+        }
+        flight.resend_at_ms = Some(now_ms + RESEND_AFTER_MS);
+        if matches!(result, Err(PortError::Refused(_))) {
+            self.split_flight();
+        }
+    }
+
+    /// Takes the later half of a large batch back, as the log may refuse it for its size.
+    fn split_flight(&mut self) {
+        let is_large = |flight: &&mut Flight| {
+            flight.payload.len() > SPLIT_ABOVE_BYTES && flight.changes.len() > 1
+        };
+        let flight = self.flight.as_mut().filter(is_large);
+        let Some(flight) = flight.filter(|flight| !flight.may_have_landed) else {
+            return;
+        };
+        let later = flight.changes.split_off(flight.changes.len() / 2);
+        flight.payload = payload_of(&self.seat, flight.seq, &flight.changes);
+        for change in later.into_iter().rev() {
+            self.waiting.push_front(change);
         }
     }
 
@@ -145,24 +169,34 @@
     fn send_next(&mut self, now_ms: MonoMs) -> Outgoing {
         let count = self.next_count();
         let seq = self.next_seq;
-        let record = Record::Seat(SeatBatch {
-            seat: self.seat.clone(),
-            seq,
-            changes: self.waiting.drain(..count).collect(),
-        });
-        let payload = serde_json::to_string(&record).unwrap_or_default();
+        let changes: Vec<SeatChange> = self.waiting.drain(..count).collect();
+        let payload = payload_of(&self.seat, seq, &changes);
         self.next_seq += 1;
         self.last_sent_ms = Some(now_ms);
         self.flight = Some(Flight {
             seq,
+            changes,
             payload: payload.clone(),
             first_sent_ms: now_ms,
             resend_at_ms: None,
+            may_have_landed: false,
         });
         Outgoing { seq, payload }
     }
 }
 
+/// Bytes of a batch above which a refusal may be for its size.
+const SPLIT_ABOVE_BYTES: usize = 64 * 1024;
+
+fn payload_of(seat: &SeatId, seq: u64, changes: &[SeatChange]) -> String {
+    let record = Record::Seat(SeatBatch {
+        seat: seat.clone(),
+        seq,
+        changes: changes.to_vec(),
+    });
+    serde_json::to_string(&record).unwrap_or_default()
+}
+
 /// Bytes that any change takes beside what it carries of a job.
 const CHANGE_BYTES: usize = 512;
 
--- a/src/settings/numbers.rs
+++ b/src/settings/numbers.rs
@@ -50,12 +50,9 @@
     number("append_batch_max_records", 500, 1..=10_000, |s| {
         &mut s.append_batch_max_records
     }),
-    number(
-        "append_batch_max_bytes",
-        1_048_576,
-        4_096..=16_777_216,
-        |s| &mut s.append_batch_max_bytes,
-    ),
+    number("append_batch_max_bytes", 196_608, 4_096..=16_777_216, |s| {
+        &mut s.append_batch_max_bytes
+    }),
     number("log_timeout_ms", 2_000, 50..=60_000, |s| {
         &mut s.log_timeout_ms
     }),
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -239,9 +239,13 @@
     cluster.wait_until("retention has passed twice", |cluster| {
         cluster.entries[0].status().next_offset > start_offset + 300
     });
-    cluster.add_entry();
-    cluster.entries[1].process.kill();
-    cluster.replace_entry(1);
+    // Nobody is left to learn from but the log.
+    for entry in &mut cluster.entries {
+        entry.process.kill();
+    }
+    for index in 0..3 {
+        cluster.replace_entry(index);
+    }
     cluster.wait_serving();
     assert_nothing_lost(&cluster, &key, &withdrawn, &call);
 }
@@ -452,3 +456,23 @@
     let answer = engines.answer(fetched).expect("the job is known");
     assert_eq!(&*answer.body, b"done");
 }
+
+#[test]
+fn a_burst_of_large_jobs_is_accepted() {
+    let cluster = Cluster::builder().small_fleet().spawn();
+    let (_, key) = cluster.grant("ionosphere-desk");
+    let callers: Vec<_> = (0..16)
+        .map(|_| {
+            let mut job = Call::new("delay-maps", &key, 0).once().for_later();
+            job.body = vec![b'x'; 60_000];
+            let address = cluster.entries[0].callers_address.clone();
+            thread::spawn(move || job.send(&address))
+        })
+        .collect();
+    for caller in callers {
+        let reply = caller.join().expect("the caller ends");
+        assert_eq!(reply.status, 202, "{reply:?}");
+    }
+    let reply = cluster.entries[0].call(&Call::new("delay-maps", &key, 1).once());
+    assert!(reply.is_done(), "{reply:?}");
+}
