--- a/tests/testsuite/engines.rs
+++ b/tests/testsuite/engines.rs
@@ -52,6 +52,8 @@
     pub(crate) records: Vec<LogRecord>,
     /// Reads show the log as it was this long ago.
     pub(crate) stale_ms: u64,
+    /// Each append lands twice.
+    pub(crate) is_doubling: bool,
     /// No engine reaches the log.
     pub(crate) is_log_down: bool,
     /// All answers so far, those of ended engines included.
@@ -79,6 +81,7 @@
             nodes: Vec::new(),
             records: Vec::new(),
             stale_ms: 0,
+            is_doubling: false,
             is_log_down: false,
             answers: HashMap::new(),
             edit_settings,
@@ -317,6 +320,9 @@
                     true => Ok(self.append(&payload)),
                     false => Err(PortError::NotSent(SmolStr::new_static("down"))),
                 };
+                if result.is_ok() && self.is_doubling {
+                    self.append(&payload);
+                }
                 self.step(index, Event::Appended { seq, result });
             }
             Action::AppendSnapshot { payloads } => {
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -10,6 +10,7 @@
 use hawthornladder::lists::Lists;
 use hawthornladder::platform::journal::{peak_running_by_team, Run};
 
+use serde_json::json;
 use uuid::Uuid;
 
 use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
@@ -273,3 +274,16 @@
         engines.nodes.iter().any(|node| !node.attempts.is_empty())
     });
 }
+
+#[test]
+fn a_limit_holds_though_appends_land_twice() {
+    let mut cluster = Cluster::builder().small_fleet().spawn();
+    cluster.limit(1, TEAM, 3);
+    let (_, key) = cluster.grant(TEAM);
+    cluster.set_log_faults(&json!({ "doubled_count": 10_000 }));
+    let call = Call::new("delay-maps", &key, 100).deadline_ms(20_000);
+    let replies = call_everywhere(&addresses(&cluster), &[20, 20, 20], &call);
+    let done_count = replies.iter().filter(|reply| reply.is_done()).count();
+    assert!(done_count > 0);
+    assert!(cluster.peak_running_of(TEAM) <= 3);
+}
--- a/tests/testsuite/promises_random.rs
+++ b/tests/testsuite/promises_random.rs
@@ -131,13 +131,14 @@
     fn inject(&mut self) {
         let index = self.rng.random_range(0..self.engines.nodes.len());
         let node = &mut self.engines.nodes[index];
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             0 => node.is_cut_from_log = self.rng.random_bool(0.5),
             1 => node.is_cut_from_peers = self.rng.random_bool(0.5),
             2 => node.is_fetch_failing = self.rng.random_bool(0.5),
             3 => node.is_paused = self.rng.random_bool(0.5),
             4 => self.engines.is_log_down = self.rng.random_bool(0.3),
             5 => self.engines.stale_ms = self.rng.random_range(0..3) * 300,
+            6 => self.engines.is_doubling = self.rng.random_bool(0.5),
             _ => self.heal(),
         }
     }
