--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod promises_limits;
 mod promises_membership;
 mod promises_pools;
+mod promises_random;
 mod promises_recovery;
 mod promises_single_run;
 mod promises_small;
