Never say 'not run' of a request that was tried; let no cut-off entry speak for all workers

What the earlier attempts did now goes into the last word; the same for adopted jobs (by reading). - An entry that reached no worker put all 8 of a pool on record as doubtful, for all entries (promises_engine::an_entry_that_reaches_no_worker_says_nothing_of_them). It now says so of a worker only once another worker has answered it.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -14,7 +14,7 @@
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
         gossip::{Gossip, GossipUsage, PoolLoad},
-        requests::{Attempt, Origin, Request, Stage},
+        requests::{Attempt, Origin, Past, Request, Stage},
     },
     error::ErrorKind,
     fleet::{PoolName, TeamName, UnixMs},
@@ -121,6 +121,7 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            past: Past::default(),
             turned_away_count: 0,
             is_announced: true,
         };
@@ -478,6 +479,14 @@
 
     fn observe(&mut self, attempt: &Attempt, outcome: &WorkerOutcome) {
         let now_ms = self.now.mono_ms;
+        // Both may come about without a word from the worker.
+        let is_own_word = matches!(
+            outcome,
+            WorkerOutcome::NotStarted(NotStarted::Unreachable | NotStarted::Late)
+        );
+        if outcome.has_ended() && !is_own_word {
+            self.heard_worker(&attempt.instance);
+        }
         let seen = match outcome {
             WorkerOutcome::Ran {
                 is_success: true, ..
@@ -600,6 +609,7 @@
         };
         match self.retry.decide(now_ms, &failed, &mut self.rng) {
             RetryDecision::After { delay_ms } => {
+                request.past = request.past.max(past_of(reason));
                 request.stage = Stage::BackingOff;
                 self.requests.back_off(key, now_ms + delay_ms);
                 true
@@ -655,12 +665,21 @@
         self.finish(key, answer, ClaimState::Ran);
     }
 
-    /// Ends a request that is proved not to have started.
+    /// Ends a request that has no attempt out, as not run unless an earlier attempt did run.
     pub(crate) fn finish_not_run(&mut self, key: RequestKey, kind: ErrorKind, retry_after_ms: u64) {
         self.wait.cancel(self.now.mono_ms, key);
         let entry = self.settings.entry.clone();
-        let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
-        self.finish(key, answer, ClaimState::NotRun);
+        match self.requests.get(key).map(|request| request.past) {
+            Some(Past::Unknown) => self.finish_unknown(key, unknown_kind(kind)),
+            Some(Past::Failed) => {
+                let answer = CallerAnswer::failed(entry, ErrorKind::TaskFailed, 0);
+                self.finish(key, answer, ClaimState::Ran);
+            }
+            Some(Past::NotRun) | None => {
+                let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
+                self.finish(key, answer, ClaimState::NotRun);
+            }
+        }
     }
 
     /// Ends a request whose claim is somebody else's.
@@ -893,6 +912,23 @@
     }
 }
 
+fn past_of(reason: RetryReason) -> Past {
+    match reason {
+        RetryReason::OutcomeUnknown => Past::Unknown,
+        RetryReason::TaskFailed => Past::Failed,
+        _ => Past::NotRun,
+    }
+}
+
+/// Returns what to tell in place of `kind`, which says "not run", if an earlier attempt may have run.
+fn unknown_kind(kind: ErrorKind) -> ErrorKind {
+    match kind {
+        ErrorKind::DeadlinePassed => ErrorKind::DeadlinePassedWhileRunning,
+        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
+        _ => ErrorKind::WorkerLost,
+    }
+}
+
 fn kind_of(reason: RefusalReason) -> ErrorKind {
     match reason {
         RefusalReason::QueueFull | RefusalReason::TeamQueueFull => ErrorKind::QueueFull,
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -20,6 +20,7 @@
         event::{Action, Event, Now, Source},
         gossip::Gossip,
         proposer::{Proposer, ProposerLimits},
+        reach::Reach,
         reader::{Reader, SnapshotWriter},
         requests::Requests,
         roll_out::Observed,
@@ -91,6 +92,7 @@
     pub(crate) usage: UsageView,
     pub(crate) placement: Placement,
     pub(crate) health: Health,
+    pub(crate) reach: Reach,
     pub(crate) retry: RetryBudget,
     pub(crate) upkeep: Upkeep,
     pub(crate) observed: Observed,
@@ -157,6 +159,7 @@
                 ..PlacementSettings::in_zone(zone)
             }),
             health: Health::new(settings.health),
+            reach: Reach::default(),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
             observed: Observed::default(),
@@ -390,7 +393,7 @@
                     team, request_id, ..
                 },
                 Verdict::Accepted,
-            ) if is_own => self.enqueue_job(team, request_id),
+            ) if is_own => self.enqueue_job(team, request_id, true),
             (SeatChange::JobStart { team, request_id }, verdict) if is_own => {
                 self.take_job_start(team, request_id, verdict);
             }
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -13,7 +13,7 @@
         admission::{self, Admitted},
         dispatch::deadline_unix_ms,
         engine::Engine,
-        requests::{Origin, Request, Stage},
+        requests::{Origin, Past, Request, Stage},
     },
     error::{ErrorKind, RunState},
     fleet::{Resources, TeamName},
@@ -67,7 +67,7 @@
                     let answer = CallerAnswer::accepted(self.settings.entry.clone());
                     self.answer(call_id, answer);
                 }
-                self.enqueue_job(&job.team, &job.request_id);
+                self.enqueue_job(&job.team, &job.request_id, false);
             }
             (_, Some(call_id)) => {
                 let kind = admission::claimed(&self.ledger, &job.team, &job.request_id)
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Queues a job that this seat owns.
-    pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid) {
+    /// Queues a job that this seat owns, by its submission or adopted from an ended seat.
+    pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid, is_adopted: bool) {
         let Some(entry) = self.ledger.jobs.get(team, request_id).cloned() else {
             return;
         };
@@ -90,7 +90,11 @@
         if self.requests.find(team, &text).is_some() {
             return;
         }
-        let request = self.job_request(text, &entry);
+        let mut request = self.job_request(text, &entry);
+        // Attempts of idempotent jobs are not on record, so the earlier owner may have made some.
+        if is_adopted && request.is_idempotent {
+            request.past = Past::Unknown;
+        }
         let key = request.waiting.key;
         self.requests.insert(key, request);
         self.push_waiting(key);
@@ -138,6 +142,7 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            past: Past::default(),
             turned_away_count: 0,
             // A second run of an idempotent job does no harm, so its start need not be on record.
             is_announced: row.is_idempotent,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod gossip;
 mod jobs;
 mod proposer;
+mod reach;
 mod reader;
 mod requests;
 mod roll_out;
--- /dev/null
+++ b/src/entry/reach.rs
@@ -0,0 +1,90 @@
+//! Which workers are out of reach, for all entries. An entry that reaches no worker at all is itself
+//! cut off: it says of a worker that it does not answer only once another worker has.
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::{
+    entry::engine::Engine,
+    fleet::{InstanceName, MonoMs, Standing},
+    ledger::SeatChange,
+};
+
+/// Time for which a probe without an answer waits for another worker's answer, in milliseconds.
+const SUSPECT_MAX_MS: u64 = 3_000;
+
+/// Workers that did not answer a probe.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Reach {
+    suspects: IndexMap<InstanceName, Suspect>,
+    compared_ms: MonoMs,
+}
+
+#[derive(Clone, Debug)]
+struct Suspect {
+    incarnation: SmolStr,
+    probed_ms: MonoMs,
+}
+
+impl Engine {
+    /// Takes in whether a worker answered a probe.
+    pub(crate) fn take_probe(&mut self, name: &str, incarnation: &str, is_reachable: bool) {
+        if is_reachable {
+            self.propose_standing(name, incarnation, Standing::Serving);
+            self.heard_worker(name);
+            return;
+        }
+        let suspect = Suspect {
+            incarnation: incarnation.into(),
+            probed_ms: self.now.mono_ms,
+        };
+        self.reach.suspects.insert(name.into(), suspect);
+        self.probe_another();
+    }
+
+    /// Takes in that a worker answered, so that this entry is not cut off from all of them.
+    pub(crate) fn heard_worker(&mut self, name: &str) {
+        if self.reach.suspects.is_empty() {
+            return;
+        }
+        let mut suspects = std::mem::take(&mut self.reach.suspects);
+        suspects.shift_remove(name);
+        let now_ms = self.now.mono_ms;
+        for (name, suspect) in suspects {
+            if now_ms <= suspect.probed_ms + SUSPECT_MAX_MS {
+                self.propose_standing(&name, &suspect.incarnation, Standing::Doubtful);
+            }
+        }
+    }
+
+    /// Asks a worker that is not suspected, in case no answer of one is due anyway.
+    fn probe_another(&mut self) {
+        let now_ms = self.now.mono_ms;
+        if now_ms < self.reach.compared_ms + self.settings.probe_every_ms {
+            return;
+        }
+        self.reach.compared_ms = now_ms;
+        let workers = self.workers.iter().map(|(name, _)| name);
+        let others = workers.filter(|name| !self.reach.suspects.contains_key(*name));
+        let other = rand::seq::IteratorRandom::choose(others, &mut self.rng).cloned();
+        if let Some(other) = other {
+            self.probe(&other);
+        }
+    }
+
+    fn propose_standing(&mut self, name: &str, incarnation: &str, standing: Standing) {
+        let entry = self.ledger.instances.get(name);
+        let is_news = entry.is_some_and(|entry| {
+            entry.row.incarnation == incarnation
+                && entry.standing != standing
+                && matches!(entry.standing, Standing::Serving | Standing::Doubtful)
+        });
+        if is_news {
+            self.propose(SeatChange::Standing {
+                name: name.into(),
+                incarnation: incarnation.into(),
+                standing,
+            });
+        }
+    }
+}
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -61,6 +61,8 @@
     pub(crate) waiting: Waiting,
     pub(crate) stage: Stage,
     pub(crate) attempts_count: u32,
+    /// What earlier attempts did, for a request that is tried again.
+    pub(crate) past: Past,
     /// Times that a sound worker turned it away; such attempts are not among the others.
     pub(crate) turned_away_count: u32,
     /// Whether the start of a job is on record.
@@ -106,6 +108,18 @@
     next_attempt: u64,
 }
 
+/// What the earlier attempts of a request did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Past {
+    /// None started.
+    #[default]
+    NotRun,
+    /// One ran and failed.
+    Failed,
+    /// One may have run, or may still run.
+    Unknown,
+}
+
 impl Requests {
     /// Returns the key of the next request.
     pub(crate) fn next_key(&mut self) -> RequestKey {
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -9,7 +9,7 @@
 use crate::{
     entry::{engine::Engine, event::Action},
     fleet::{InstanceName, InstanceRow, MonoMs, Resources, Standing, ZoneName},
-    ledger::{InstanceEntry, SeatChange},
+    ledger::InstanceEntry,
     policy::{
         health::Access,
         keys::{PoolKey, WorkerKey, ZoneKey},
@@ -320,27 +320,6 @@
         }
     }
 
-    /// Takes in whether a worker answered a probe.
-    pub(crate) fn take_probe(&mut self, name: &str, incarnation: &str, is_reachable: bool) {
-        let standing = match is_reachable {
-            true => Standing::Serving,
-            false => Standing::Doubtful,
-        };
-        let entry = self.ledger.instances.get(name);
-        let is_news = entry.is_some_and(|entry| {
-            entry.row.incarnation == incarnation
-                && entry.standing != standing
-                && matches!(entry.standing, Standing::Serving | Standing::Doubtful)
-        });
-        if is_news {
-            self.propose(SeatChange::Standing {
-                name: name.into(),
-                incarnation: incarnation.into(),
-                standing,
-            });
-        }
-    }
-
     /// Asks a worker how it is, unless it was asked recently.
     pub(crate) fn probe(&mut self, name: &InstanceName) {
         let now_ms = self.now.mono_ms;
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -45,7 +45,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        drop(SLOTS.0.send(()));
+        let _ = SLOTS.0.send(());
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod promises_answers;
 mod promises_bad_workers;
 mod promises_drain;
+mod promises_engine;
 mod promises_instances;
 mod promises_ledger;
 mod promises_small;
--- a/tests/testsuite/promises_answers.rs
+++ b/tests/testsuite/promises_answers.rs
@@ -121,6 +121,12 @@
         let done_count = rows.iter().filter(|(_, reply, _)| reply.is_done()).count();
         assert!((1..40).contains(&done_count), "{fault}: {done_count}");
     }
+    for fault in ["crossed", "truncated", "doubled", "endless"] {
+        set_pool_faults(&cluster, "maps", &json!({ "answer": fault }));
+        let rows = call_all(&cluster, mixed(&key, 10, 2_000, 12));
+        assert_all_honest(&cluster, &rows);
+        assert!(rows.iter().all(|(_, reply, _)| !reply.is_done()), "{fault}");
+    }
     clear_pool_faults(&cluster, "maps");
     cluster.wait_until("the pool is sound again", |cluster| {
         let rows = call_all(cluster, mixed(&key, 10, 5_000, 10));
--- /dev/null
+++ b/tests/testsuite/promises_engine.rs
@@ -0,0 +1,153 @@
+//! One entry's engine against a log of the test's own, with the time set by the test: what an entry
+//! that is out of touch with the workers may say of them.
+
+use hawthornladder::config_files::ConfigSource;
+use hawthornladder::entry::{Action, Engine, EntrySettings, Event, Now, Source};
+use hawthornladder::examples::LAHORE;
+use hawthornladder::fleet::{InstanceRow, Standing};
+use hawthornladder::ledger::{ListsPatch, OperatorChange, OperatorProposal, Record};
+use hawthornladder::lists::{check_texts, Lists};
+use hawthornladder::ports::{InstancePage, LogPage, LogRecord};
+use hawthornladder::settings;
+use uuid::Uuid;
+
+use crate::promises_ledger::row;
+use crate::promises_small::{lists_with_min, MAPS_COUNT};
+
+/// Steps of the clock.
+const STEP_MS: u64 = 50;
+
+struct Bench {
+    engine: Engine,
+    log: Vec<LogRecord>,
+    now: Now,
+}
+
+impl Bench {
+    /// Opens an engine that knows the lists and eight instances, and drives their upkeep.
+    fn open() -> Self {
+        let Ok((settings, _)) = settings::check_text("entry", LAHORE.entry) else {
+            panic!("the example is valid");
+        };
+        let settings = EntrySettings::from_settings(&settings, "entry").engine;
+        let mut bench = Self {
+            engine: Engine::open(settings, "seat"),
+            log: Vec::new(),
+            now: Now {
+                mono_ms: 1_000,
+                unix_ms: 1_000_000,
+            },
+        };
+        bench.publish();
+        bench.run_for(1_000);
+        let page = InstancePage {
+            version: 1,
+            rows: (0..MAPS_COUNT).map(row).collect(),
+        };
+        let sent_ms = bench.now.mono_ms;
+        bench.step(Event::Instances { sent_ms, page });
+        bench.run_for(2_000);
+        assert_eq!(bench.doubtful_count(), 0);
+        bench
+    }
+
+    fn publish(&mut self) {
+        let [plans, entitlements] = lists_with_min(4);
+        let sources = [("plans", &plans), ("entitlements", &entitlements)];
+        let sources = sources.map(|(file, text)| ConfigSource { file, text });
+        let Ok((lists, _)) = check_texts(&sources) else {
+            panic!("the lists are valid");
+        };
+        let record = Record::Operator(OperatorProposal {
+            proposal_id: Uuid::nil(),
+            operator: "operator".into(),
+            change: OperatorChange::Publish {
+                base_version: 0,
+                patch: Box::new(ListsPatch::between(&Lists::default(), &lists)),
+            },
+        });
+        let text = serde_json::to_string(&record).expect("records encode");
+        self.append(&text);
+    }
+
+    fn append(&mut self, text: &str) -> u64 {
+        let offset = self.log.len() as u64;
+        self.log.push(LogRecord {
+            offset,
+            at_unix_ms: self.now.unix_ms,
+            payload: text.into(),
+        });
+        offset
+    }
+
+    /// Lets time pass, the log being read at each step.
+    fn run_for(&mut self, time_ms: u64) {
+        for _ in 0..time_ms / STEP_MS {
+            self.now.mono_ms += STEP_MS;
+            self.now.unix_ms += STEP_MS;
+            self.step(Event::Tick);
+            let from_offset = self.engine.wanted_offset();
+            let records = self.log[from_offset as usize..].to_vec();
+            let page = LogPage {
+                records,
+                head_offset: self.log.len() as u64,
+                oldest_offset: 0,
+            };
+            self.step(Event::LogPage {
+                sent_ms: self.now.mono_ms,
+                from_offset,
+                page,
+                source: Source::Log,
+            });
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        for action in self.engine.step(self.now, event) {
+            if let Action::Append { seq, payload } = action {
+                let result = Ok(self.append(&payload));
+                self.step(Event::Appended { seq, result });
+            }
+        }
+    }
+
+    fn probed(&mut self, index: usize, is_reachable: bool) {
+        let InstanceRow {
+            name, incarnation, ..
+        } = row(index);
+        self.step(Event::Probed {
+            name,
+            incarnation,
+            is_reachable,
+        });
+        self.run_for(200);
+    }
+
+    fn doubtful_count(&self) -> usize {
+        let instances = &self.engine.ledger().instances;
+        assert_eq!(instances.iter().count(), MAPS_COUNT);
+        let doubtful = instances.iter();
+        doubtful
+            .filter(|entry| entry.standing == Standing::Doubtful)
+            .count()
+    }
+}
+
+#[test]
+fn an_entry_that_reaches_no_worker_says_nothing_of_them() {
+    let mut bench = Bench::open();
+    for index in (0..MAPS_COUNT).chain(0..MAPS_COUNT) {
+        bench.probed(index, false);
+    }
+    assert_eq!(bench.doubtful_count(), 0);
+}
+
+#[test]
+fn a_worker_that_alone_does_not_answer_is_doubtful_until_it_does() {
+    let mut bench = Bench::open();
+    bench.probed(0, false);
+    bench.probed(1, true);
+    assert_eq!(bench.doubtful_count(), 1);
+    bench.probed(0, true);
+    assert_eq!(bench.doubtful_count(), 0);
+}
--- a/tests/testsuite/promises_ledger.rs
+++ b/tests/testsuite/promises_ledger.rs
@@ -143,7 +143,7 @@
     format!("maps-{index}").into()
 }
 
-fn row(index: usize) -> InstanceRow {
+pub(crate) fn row(index: usize) -> InstanceRow {
     InstanceRow {
         name: name(index),
         incarnation: format!("maps-{index}.1").into(),
