--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -14,7 +14,7 @@
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
         gossip::{Gossip, GossipUsage, PoolLoad},
-        requests::{Attempt, Origin, Request, Stage},
+        requests::{Attempt, Origin, Past, Request, Stage},
     },
     error::ErrorKind,
     fleet::{PoolName, TeamName, UnixMs},
@@ -130,8 +130,8 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            past: Past::default(),
             is_announced: true,
-            may_have_run: false,
         };
         self.admit_request(key, request);
     }
@@ -487,6 +487,14 @@
 
     fn observe(&mut self, attempt: &Attempt, outcome: &WorkerOutcome) {
         let now_ms = self.now.mono_ms;
+        // Both may come about without a word from the worker.
+        let is_own_word = matches!(
+            outcome,
+            WorkerOutcome::NotStarted(NotStarted::Unreachable | NotStarted::Late)
+        );
+        if outcome.has_ended() && !is_own_word {
+            self.heard_worker(&attempt.instance);
+        }
         let seen = match outcome {
             WorkerOutcome::Ran {
                 is_success: true, ..
@@ -536,9 +544,6 @@
     /// Ends or retries the request that an attempt was for.
     fn settle(&mut self, attempt: &Attempt, outcome: WorkerOutcome) {
         let key = attempt.request;
-        if let Some(request) = self.requests.get_mut(key) {
-            request.may_have_run |= !matches!(outcome, WorkerOutcome::NotStarted(_));
-        }
         match outcome {
             WorkerOutcome::Ran {
                 is_success: true,
@@ -610,6 +615,7 @@
         };
         match self.retry.decide(now_ms, &failed, &mut self.rng) {
             RetryDecision::After { delay_ms } => {
+                request.past = request.past.max(past_of(reason));
                 request.stage = Stage::BackingOff;
                 self.requests.back_off(key, now_ms + delay_ms);
                 true
@@ -665,17 +671,21 @@
         self.finish(key, answer, ClaimState::Ran);
     }
 
-    /// Ends a request of which no attempt is out. Its answer says "not run" only if no attempt of
-    /// it may have run.
+    /// Ends a request that has no attempt out, as not run unless an earlier attempt did run.
     pub(crate) fn finish_not_run(&mut self, key: RequestKey, kind: ErrorKind, retry_after_ms: u64) {
         self.wait.cancel(self.now.mono_ms, key);
-        let request = self.requests.get(key);
-        if request.is_some_and(|request| request.may_have_run) {
-            return self.finish_unknown(key, kind_if_run(kind));
-        }
         let entry = self.settings.entry.clone();
-        let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
-        self.finish(key, answer, ClaimState::NotRun);
+        match self.requests.get(key).map(|request| request.past) {
+            Some(Past::Unknown) => self.finish_unknown(key, unknown_kind(kind)),
+            Some(Past::Failed) => {
+                let answer = CallerAnswer::failed(entry, ErrorKind::TaskFailed, 0);
+                self.finish(key, answer, ClaimState::Ran);
+            }
+            Some(Past::NotRun) | None => {
+                let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
+                self.finish(key, answer, ClaimState::NotRun);
+            }
+        }
     }
 
     /// Ends a request whose claim is somebody else's.
@@ -922,11 +932,19 @@
     }
 }
 
-/// Returns what a refusal becomes if the work may have run before.
-fn kind_if_run(kind: ErrorKind) -> ErrorKind {
+fn past_of(reason: RetryReason) -> Past {
+    match reason {
+        RetryReason::OutcomeUnknown => Past::Unknown,
+        RetryReason::TaskFailed => Past::Failed,
+        _ => Past::NotRun,
+    }
+}
+
+/// Returns what to tell in place of `kind`, which says "not run", if an earlier attempt may have run.
+fn unknown_kind(kind: ErrorKind) -> ErrorKind {
     match kind {
-        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
         ErrorKind::DeadlinePassed => ErrorKind::DeadlinePassedWhileRunning,
+        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
         _ => ErrorKind::WorkerLost,
     }
 }
