Let no attempt of a team start after the end of the lease

Cause: the start window (2 s) of an attempt decided just before the end of a lease went beyond it; seen once on an overloaded machine in a_paused_holder_starts_nothing_under_its_lapsed_seat (3 starts after the others had declared a lease of 1.5 s lapsed), and always in an_attempt_must_start_before_the_end_of_the_lease. Ruled out: a limit passed, as the part of a lapsed seat stays with it for the longest run. The window now ends with the lease. After: both pass.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -377,7 +377,16 @@
         }
         let now_ms = self.now.mono_ms;
         let left_ms = request.waiting.deadline_ms.saturating_sub(now_ms);
-        let start_window_ms = self.settings.start_window_ms.min(left_ms);
+        // Nothing guarded by the lease starts after its end, however long the process was paused.
+        let lease_left_ms = match request.team.is_empty() {
+            true => u64::MAX,
+            false => self.lease.left_ms(now_ms),
+        };
+        let start_window_ms = self
+            .settings
+            .start_window_ms
+            .min(left_ms)
+            .min(lease_left_ms);
         let lease_max_ms = self.lease_max_ms();
         let lease_ms = (left_ms + LEASE_SLACK_MS).min(lease_max_ms);
         let over_ms = now_ms + start_window_ms + lease_ms + self.settings.clock_skew_max_ms;
