--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -8,6 +8,7 @@
 use attohttpc::Method;
 use hawthornladder::entry::Event;
 use hawthornladder::error::ErrorKind;
+use hawthornladder::ledger::OperatorChange;
 use serde_json::json;
 
 use crate::cluster::{cancel, fetch_job, Call, Cluster, EntryProcess};
@@ -232,3 +233,18 @@
         assert_eq!(reply.kind, "key_withdrawn", "{reply:?}");
     }
 }
+
+#[test]
+fn a_grant_that_lands_again_after_the_withdrawal_has_no_effect() {
+    let mut engines = Engines::open(1);
+    let key = engines.grant(TEAM);
+    let granted = engines.records.last().expect("it is on record").clone();
+    let key_id = key.key_id.clone();
+    engines.operate(OperatorChange::WithdrawKey { key_id });
+    engines.append(&granted.payload);
+    engines.advance(100);
+    let request = engines.request(&key, true);
+    let call = engines.call(0, &request);
+    let refusal = engines.refusal(call).map(|row| row.0);
+    assert_eq!(refusal, Some(ErrorKind::KeyWithdrawn));
+}
