--- a/tests/testsuite/promises_ledger.rs
+++ b/tests/testsuite/promises_ledger.rs
@@ -233,6 +233,23 @@
     assert_eq!(entry.row.pool, "gauges");
 }
 
+#[test]
+fn a_claim_decided_before_a_reboot_does_not_stop_the_instance_again() {
+    let mut log = Log::open();
+    let version = log.version(0);
+    assert!(log.claim(0, 0, version));
+    (0..2).for_each(|seat| log.renew(seat));
+    assert!(log.proceed(0, 0));
+    let reborn = InstanceRow {
+        incarnation: "maps-0.2".into(),
+        ..row(0)
+    };
+    assert!(log.append(0, SeatChange::InstanceSeen { row: reborn }));
+    // The append of the other driver's claim was slow.
+    assert!(!log.claim(1, 0, version));
+    assert_eq!(log.unavailable_count(), 0);
+}
+
 #[test]
 fn a_list_that_falls_back_brings_no_old_incarnation_back() {
     let mut log = Log::open();
