--- a/src/cmd/upkeep_experiment.rs
+++ b/src/cmd/upkeep_experiment.rs
@@ -31,6 +31,15 @@
     "breaches_count",
 ];
 
+/// Columns of the table for buffers.
+const BUFFER_COLUMNS: &[&str] = &[
+    "spare_planned_count",
+    "spare_instance_hours",
+    "moves_per_hour",
+    "missed_permille",
+    "distance_mean_permille",
+];
+
 /// Columns of the table for weights.
 const WEIGHT_COLUMNS: &[&str] = &[
     "rollout_ms",
@@ -72,6 +81,7 @@
         .subcommand(
             Command::new("moves").about("Moves: demand by turns, a long shift, the loss of a rack"),
         )
+        .subcommand(Command::new("buffers").about("Buffers for the loss of a rack and of a zone"))
         .subcommand(
             Command::new("weights").about("The same script under several weights of the measures"),
         )
@@ -92,6 +102,7 @@
             is_json,
         ),
         Some("moves") => print(&experiments::moves(seed, with_large), MOVE_COLUMNS, is_json),
+        Some("buffers") => print(&experiments::buffers(seed), BUFFER_COLUMNS, is_json),
         Some("weights") => print(&experiments::weights(seed), WEIGHT_COLUMNS, is_json),
         _ => print_cost(&cost::measure(), is_json),
     }
--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -5,10 +5,13 @@
 use super::deployment::Deployment;
 use super::figures::Figures;
 use super::run::run;
-use super::scenario::{BadImage, BadKind, MovePolicy, RackLoss, RolloutPolicy, Scenario, Shift};
+use super::scenario::{
+    BadImage, BadKind, Domain, Loss, MovePolicy, RolloutPolicy, Scenario, Shift,
+};
 use crate::lists::MeasureWeights;
 use crate::upkeep::budget::{rack_rule, RackRule};
-use crate::upkeep::keys::RackKey;
+use crate::upkeep::buffers::SurvivedFailure;
+use crate::upkeep::keys::{RackKey, ZoneKey};
 use crate::upkeep::rollout::RolloutSettings;
 
 const MINUTE_MS: u64 = 60_000;
@@ -111,8 +114,8 @@
         (
             "rack_loss",
             Scenario {
-                rack_loss: Some(RackLoss {
-                    rack: RackKey(6),
+                loss: Some(Loss {
+                    domain: Domain::Rack(RackKey(6)),
                     at_ms: 15 * MINUTE_MS,
                 }),
                 ..healthy.clone()
@@ -252,8 +255,8 @@
         (
             "rack_loss",
             Scenario {
-                rack_loss: Some(RackLoss {
-                    rack: RackKey(0),
+                loss: Some(Loss {
+                    domain: Domain::Rack(RackKey(0)),
                     at_ms: 2 * HOUR_MS,
                 }),
                 ..turns
@@ -262,6 +265,39 @@
     ]
 }
 
+/// Buffers: those for the loss of a rack and of a zone, with and without that loss.
+pub fn buffers(seed: u64) -> Vec<Row> {
+    let losses = [
+        ("turns", None),
+        ("rack_loss", Some(Domain::Rack(RackKey(0)))),
+        ("zone_loss", Some(Domain::Zone(ZoneKey(0)))),
+    ];
+    let mut rows = Vec::new();
+    for deployment in [Deployment::lahore(), Deployment::denmark()] {
+        let (_, turns) = move_scripts(&deployment).swap_remove(0);
+        for (script, domain) in losses {
+            for survived_failure in [SurvivedFailure::Rack, SurvivedFailure::Zone] {
+                let scenario = Scenario {
+                    loss: domain.map(|domain| Loss {
+                        domain,
+                        at_ms: 5 * HOUR_MS,
+                    }),
+                    move_policy: MovePolicy::MarginalWorth,
+                    survived_failure,
+                    ..turns.clone()
+                };
+                rows.push(Row {
+                    deployment: deployment.name,
+                    script,
+                    candidate: survived_failure.to_string(),
+                    figures: run(&deployment, &scenario, seed),
+                });
+            }
+        }
+    }
+    rows
+}
+
 /// Weights: the same script under even weights and under those of each deployment.
 pub fn weights(seed: u64) -> Vec<Row> {
     let (lahore, denmark) = (Deployment::lahore(), Deployment::denmark());
--- a/src/load/upkeep_model/figures.rs
+++ b/src/load/upkeep_model/figures.rs
@@ -47,6 +47,8 @@
     pub moves_per_hour: f64,
     /// Time of instances in the spare pool.
     pub spare_instance_hours: f64,
+    /// Spare instances that the buffer called for at the end of the run.
+    pub spare_planned_count: u32,
     /// Part of the work that started late or was given up.
     pub missed_permille: f64,
     /// Mean distance from share over windows of 10 s.
@@ -80,6 +82,7 @@
         moves_count: tally.moves_at_ms.len() as u64,
         moves_per_hour: tally.moves_at_ms.len() as f64 / hours,
         spare_instance_hours: run.spare_instance_ms as f64 / HOUR_MS,
+        spare_planned_count: run.buffers.spare_count,
         missed_permille: ratio(demand.missed_milli, demand.arrived_milli),
         distance_mean_permille: demand.distance_sum_permille as f64
             / demand.windows_count.max(1) as f64,
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -4,7 +4,7 @@
 use super::demand::DemandModel;
 use super::deployment::Deployment;
 use super::figures::{figures, Figures};
-use super::scenario::{MovePolicy, RolloutPolicy, Scenario};
+use super::scenario::{Domain, MovePolicy, RolloutPolicy, Scenario};
 use super::world::{Record, World, EPOCH_MS};
 use crate::upkeep::buffers::{plan_buffers, BufferPlan, BufferView};
 use crate::upkeep::demand::{DemandSample, DemandWindow, PoolState};
@@ -42,7 +42,7 @@
     pub(super) demand: DemandModel,
     pools: Vec<PoolState>,
     evidence: MoveEvidence,
-    buffers: BufferPlan,
+    pub(super) buffers: BufferPlan,
     recent: Vec<Vec<u32>>,
     seats: Vec<(String, Option<u64>)>,
     pub(super) spare_instance_ms: u64,
@@ -122,13 +122,20 @@
         if self.scenario.driver_lost_at_ms.is_some_and(is_now) {
             self.lose_driver();
         }
-        if let Some(loss) = self.scenario.rack_loss.filter(|loss| is_now(loss.at_ms)) {
-            let members = self.world.counts.members();
-            let lost = members.filter(|(_, member)| member.rack == loss.rack);
-            let lost: Vec<InstanceKey> = lost.map(|(key, _)| key).collect();
-            for key in lost {
-                self.world.workers.fail(key.index(), self.world.now_ms);
-            }
+        if let Some(loss) = self.scenario.loss.filter(|loss| is_now(loss.at_ms)) {
+            self.lose(loss.domain);
+        }
+    }
+
+    fn lose(&mut self, domain: Domain) {
+        let members = self.world.counts.members();
+        let lost = members.filter(|(_, member)| match domain {
+            Domain::Rack(rack) => member.rack == rack,
+            Domain::Zone(zone) => member.zone == zone,
+        });
+        let lost: Vec<InstanceKey> = lost.map(|(key, _)| key).collect();
+        for key in lost {
+            self.world.workers.fail(key.index(), self.world.now_ms);
         }
     }
 
--- a/src/load/upkeep_model/scenario.rs
+++ b/src/load/upkeep_model/scenario.rs
@@ -3,7 +3,7 @@
 use crate::lists::MeasureWeights;
 use crate::upkeep::budget::RackRule;
 use crate::upkeep::buffers::SurvivedFailure;
-use crate::upkeep::keys::RackKey;
+use crate::upkeep::keys::{RackKey, ZoneKey};
 use crate::upkeep::moves::MoveSettings;
 use crate::upkeep::rollout::RolloutSettings;
 
@@ -68,11 +68,20 @@
     pub factor_permille: u32,
 }
 
-/// The loss of one rack.
+/// What is lost at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Domain {
+    /// One rack.
+    Rack(RackKey),
+    /// One availability zone.
+    Zone(ZoneKey),
+}
+
+/// The loss of a failure domain.
 #[derive(Clone, Copy, Debug)]
-pub struct RackLoss {
-    /// The rack.
-    pub rack: RackKey,
+pub struct Loss {
+    /// The domain.
+    pub domain: Domain,
     /// Time of the loss.
     pub at_ms: u64,
 }
@@ -94,8 +103,8 @@
     pub drivers_count: u32,
     /// Failures of single instances, in thousandths of the fleet a day.
     pub failures_permille_per_day: u32,
-    /// Loss of a rack.
-    pub rack_loss: Option<RackLoss>,
+    /// Loss of a rack or a zone.
+    pub loss: Option<Loss>,
     /// Whether work arrives; without, only roll-outs are of interest.
     pub has_demand: bool,
     /// Long changes of demand.
@@ -126,7 +135,7 @@
             driver_lost_at_ms: None,
             drivers_count: 1,
             failures_permille_per_day: 0,
-            rack_loss: None,
+            loss: None,
             has_demand: false,
             shifts: Vec::new(),
             racks: RackRule::default(),
--- a/tests/testsuite/upkeep_rollout.rs
+++ b/tests/testsuite/upkeep_rollout.rs
@@ -7,7 +7,7 @@
 use hawthornladder::load::upkeep_model::figures::Figures;
 use hawthornladder::load::upkeep_model::run::run;
 use hawthornladder::load::upkeep_model::scenario::{
-    BadImage, BadKind, RackLoss, RolloutPolicy, Scenario,
+    BadImage, BadKind, Domain, Loss, RolloutPolicy, Scenario,
 };
 use hawthornladder::load::upkeep_model::world::EPOCH_MS;
 use hawthornladder::upkeep::budget::{judge_stop, rack_rule, BudgetView, PoolBudget, RackRule};
@@ -76,8 +76,8 @@
 fn a_roll_out_ends_while_instances_and_a_rack_fail() {
     let change = |scenario: &mut Scenario| {
         scenario.failures_permille_per_day = 2000;
-        scenario.rack_loss = Some(RackLoss {
-            rack: RackKey(3),
+        scenario.loss = Some(Loss {
+            domain: Domain::Rack(RackKey(3)),
             at_ms: 10 * MINUTE_MS,
         });
     };
