Fill the buffer only from what a pool does not need itself

Cause: the buffer for the loss of a zone is 20 instances in Lahore and 27 in Denmark, more than the 10 spare ones; the moves to fill it emptied pools that were late.

--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -216,16 +216,19 @@
 }
 
 /// Returns whether the pool can do with one instance less: it keeps its minimum, and, but for a
-/// refill, also an instance that may be stopped for maintenance.
+/// refill, also an instance that may be stopped for maintenance. For the buffer it gives only what
+/// it does not need itself.
 fn can_give(view: &MoveView<'_>, from: PoolKey, reason: MoveReason) -> bool {
     let left_count = lasting_count(view, from).saturating_sub(1);
     let budget = view.budget.budget(from);
     let permille = budget.availability.pool_unavailable_max_permille;
+    let can_be_maintained =
+        left_count > budget.instances_min_count && allowed_count(left_count, permille) > 0;
+    let need_count = view.buffers.needs.get(from.index()).copied();
     match reason {
         MoveReason::Refill => left_count >= budget.instances_min_count,
-        MoveReason::Demand | MoveReason::Buffer => {
-            left_count > budget.instances_min_count && allowed_count(left_count, permille) > 0
-        }
+        MoveReason::Demand => can_be_maintained,
+        MoveReason::Buffer => can_be_maintained && left_count >= need_count.unwrap_or_default(),
     }
 }
 
