--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -14,7 +14,7 @@
   1  refused: a file is faulty, or a promise that the command checks does not hold
   2  the command line is wrong
   3  a race was lost: somebody else's change came first, and nothing of yours was done
-  4  a file or address that the command needs cannot be read or reached; nothing was done
+  4  a file or address that the command needs cannot be read or reached; nothing was changed
   5  the outcome is unknown: an answer was lost and could not be settled by reading
   70 a fault of the program";
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -83,6 +83,25 @@
     },
 ];
 
+/// The program in a few lines, for those who have nothing but its help.
+const LONG_ABOUT: &str = "\
+Manages the capacity and the maintenance of a shared fleet.
+
+Callers send requests to any of several entries; an entry checks the team's key, runs the request once \
+on a worker of a pool that the team's plan may use, and returns its whole answer. Operators drive it by \
+two lists and by the teams' keys.
+
+  try it             standalone, standalone --requests 1000
+  run it             entry, one process on each instance of the system
+  change the lists   check, lists diff, lists publish --from VERSION
+  keys               keys grant, keys withdraw, keys list
+  find out           status: what is in force, and every refusal with its count
+                     explain: why something would be refused or delayed now
+  trials             stand-in, load, experiment, experiment-upkeep
+
+Every command has a guide: hawthornladder COMMAND --help. Where a script would read the output, \
+--output json prints it as JSON.";
+
 /// Prints one line to the standard output at once.
 pub(crate) fn say(line: &str) -> Result<(), Report<CmdError>> {
     let mut out = io::stdout().lock();
@@ -112,6 +131,7 @@
     Command::new("hawthornladder")
         .version(clap::crate_version!())
         .about("Manages the capacity and the maintenance of a shared fleet")
+        .long_about(LONG_ABOUT)
         .after_help(exit::HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
