--- a/src/load/live/report.rs
+++ b/src/load/live/report.rs
@@ -98,7 +98,7 @@
     /// Calls that the callers repeated, by what they were told before.
     pub retried_after: IndexMap<SmolStr, u64>,
     /// Servable requests that were not on time, by the second of their planned sending, and by
-    /// queue and end.
+    /// queue, mode and end.
     pub missed_by_s: IndexMap<u64, IndexMap<SmolStr, u64>>,
     /// Quantiles of the latency, in microseconds, for the plot.
     #[serde(skip)]
@@ -231,7 +231,8 @@
                     .missed_by_s
                     .entry(shot.at_us / US_PER_S)
                     .or_default();
-                let name = format_smolstr!("{}:{}", shot.queue, outcome.end.name());
+                let mode = mode_name(shot);
+                let name = format_smolstr!("{}:{mode}:{}", shot.queue, outcome.end.name());
                 *second.entry(name).or_default() += 1;
             }
             *figures.ends.entry(outcome.end.name().into()).or_default() += 1;
@@ -252,17 +253,20 @@
 
 fn group_names(shot: &Shot) -> [SmolStr; 2] {
     let team = shot.team.as_deref().unwrap_or("-");
-    let mode = match (shot.is_idempotent, shot.is_for_later) {
-        (true, false) => "idempotent",
-        (false, false) => "not_idempotent",
-        (_, true) => "for_later",
-    };
     [
         format_smolstr!("queue={} team={team}", shot.queue),
-        format_smolstr!("mode={mode}"),
+        format_smolstr!("mode={}", mode_name(shot)),
     ]
 }
 
+fn mode_name(shot: &Shot) -> &'static str {
+    match (shot.is_idempotent, shot.is_for_later) {
+        (true, false) => "idempotent",
+        (false, false) => "not_idempotent",
+        (_, true) => "for_later",
+    }
+}
+
 impl Report {
     /// Sets the latency that the entries add to the baseline.
     pub fn compare(&mut self) {
