--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use smol_str::{format_smolstr, SmolStr};
+use smol_str::SmolStr;
 use uuid::Uuid;
 
 use crate::{
@@ -17,7 +17,7 @@
         counts::Counts,
         dispatch::OrphanClaims,
         escrow::EscrowKeeper,
-        event::{Action, Event, Now, Source},
+        event::{Action, Event, Now},
         gossip::Gossip,
         proposer::{Proposer, ProposerLimits},
         reach::Reach,
@@ -31,20 +31,19 @@
     },
     error::ErrorKind,
     fleet::{InstanceName, MonoMs, Offset, QueueName, TeamName},
-    ledger::{Effect, KeyId, Ledger, SeatChange, SeatId, Verdict},
+    ledger::{KeyId, Ledger, SeatChange, SeatId},
     policy::{
         health::Health,
-        keys::{PeerKey, PoolKey, TeamKey},
+        keys::{PeerKey, PoolKey},
         placement::{Placement, PlacementSettings},
         queue::WaitQueue,
         retry::RetryBudget,
         share::UsageView,
     },
-    ports::LogPage,
 };
 
 /// Withdrawals that are kept until they are read from the log.
-const WITHDRAWN_MAX_COUNT: usize = 4_096;
+pub(crate) const WITHDRAWN_MAX_COUNT: usize = 4_096;
 
 /// What a peer told last.
 #[derive(Clone, Debug)]
@@ -60,34 +59,34 @@
     pub(crate) now: Now,
     pub(crate) incarnation: SmolStr,
     pub(crate) seat: SeatId,
-    seats_opened_count: u32,
+    pub(crate) seats_opened_count: u32,
     /// Whether the opening of the seat was folded.
-    is_seated: bool,
+    pub(crate) is_seated: bool,
     /// Whether the opening of any seat was folded: only this proves that what is read of the log is
     /// not from before the start of this process.
-    was_seated: bool,
+    pub(crate) was_seated: bool,
     /// Whether the latest read of the log was answered.
-    is_log_reached: bool,
+    pub(crate) is_log_reached: bool,
     /// When the head of the log was first reached.
-    first_head_ms: Option<MonoMs>,
+    pub(crate) first_head_ms: Option<MonoMs>,
     /// Whether withdrawals that only peers know would have been heard.
-    is_introduced: bool,
+    pub(crate) is_introduced: bool,
     pub(crate) ledger: Ledger,
     pub(crate) reader: Reader,
-    snapshots: SnapshotWriter,
-    oldest_offset: Offset,
+    pub(crate) snapshots: SnapshotWriter,
+    pub(crate) oldest_offset: Offset,
     pub(crate) proposer: Proposer,
     pub(crate) lease: Lease,
-    watch: Watch,
+    pub(crate) watch: Watch,
     pub(crate) contact: Contact,
     pub(crate) escrow: EscrowKeeper,
     pub(crate) withdrawn: IndexSet<KeyId>,
     pub(crate) peers: IndexMap<SeatId, PeerHint>,
-    next_peer: u32,
-    pulled_ms: MonoMs,
+    pub(crate) next_peer: u32,
+    pub(crate) pulled_ms: MonoMs,
     pub(crate) teams: IndexSet<TeamName>,
     pub(crate) queues: IndexSet<QueueName>,
-    lists_version: u64,
+    pub(crate) lists_version: u64,
     pub(crate) workers: Workers,
     pub(crate) workers_of_pool_changed: IndexSet<PoolKey>,
     /// Workers that are left alone until the time named.
@@ -108,20 +107,14 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) counts: Counts,
     pub(crate) is_draining: bool,
-    is_closing: bool,
-    is_drained_told: bool,
-    escrow_polled_ms: MonoMs,
+    pub(crate) is_closing: bool,
+    pub(crate) is_drained_told: bool,
+    pub(crate) escrow_polled_ms: MonoMs,
     pub(crate) actions: Vec<Action>,
 }
 
 /// Time between two looks at the escrow, in milliseconds.
-const ESCROW_EVERY_MS: u64 = 20;
-
-/// Time between two attempts to fetch from a peer what the log does not give, in milliseconds.
-const PULL_EVERY_MS: u64 = 200;
-
-/// Age of the last word from the log after which records are fetched from peers, in milliseconds.
-const PULL_AFTER_MS: u64 = 1_000;
+pub(crate) const ESCROW_EVERY_MS: u64 = 20;
 
 /// Age after which a peer's demand counts no more, in milliseconds.
 pub(crate) const PEER_MAX_AGE_MS: u64 = 3_000;
@@ -276,7 +269,7 @@
                 .is_config_fresh(now_ms, max_age_ms, &self.ledger, &self.seat)
     }
 
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         let now_ms = self.now.mono_ms;
         self.poll_introduction();
         self.poll_seat();
@@ -292,280 +285,6 @@
         self.poll_drain();
     }
 
-    /// Notes once withdrawals that are not in the log yet would have been heard.
-    ///
-    /// Whoever knows of one and reaches the log has put it on record before the configuration of
-    /// everybody else has become stale; more than half of the seats know of it before that.
-    fn poll_introduction(&mut self) {
-        let now_ms = self.now.mono_ms;
-        let max_age_ms = self.settings.config_stale_max_ms;
-        let Some(first_head_ms) = self.first_head_ms.filter(|_| !self.is_introduced) else {
-            return;
-        };
-        let hears_majority =
-            self.contact
-                .hears_majority(now_ms, max_age_ms, &self.ledger, &self.seat);
-        self.is_introduced = hears_majority || now_ms >= first_head_ms + max_age_ms;
-    }
-
-    // The log.
-
-    fn read_page(&mut self, sent_ms: MonoMs, from_offset: Offset, page: &LogPage, source: &Source) {
-        let was_silent = !self
-            .contact
-            .is_log_fresh(self.now.mono_ms, self.settings.config_stale_max_ms);
-        if *source == Source::Log {
-            self.is_log_reached = true;
-            self.contact.log_answered(sent_ms);
-            self.oldest_offset = self.oldest_offset.max(page.oldest_offset);
-        }
-        let first = self.ledger.next_offset;
-        let progress = self.reader.read(&mut self.ledger, from_offset, page);
-        if progress.is_replaced {
-            self.adopt_ledger();
-        }
-        for (effect, offset) in progress.effects.iter().zip(first..) {
-            let bytes = payload_bytes(page, offset);
-            self.snapshots.folded(effect, bytes);
-            self.take_effect(effect);
-        }
-        self.contact
-            .caught_up(self.now.mono_ms, self.ledger.next_offset);
-        let is_at_head = progress.is_at_head && *source == Source::Log;
-        if is_at_head {
-            self.open_seat_if_none();
-        }
-        if is_at_head && self.was_seated && self.contact.may_be_head(self.ledger.next_offset) {
-            if was_silent {
-                self.watch.start_afresh();
-            }
-            self.contact.heard_log(sent_ms);
-            self.first_head_ms.get_or_insert(self.now.mono_ms);
-        }
-        self.sync_lists();
-    }
-
-    fn take_peer_ledger(&mut self, text: &str) {
-        let Ok(ledger) = Ledger::from_snapshot(text) else {
-            return;
-        };
-        if ledger.next_offset > self.ledger.next_offset {
-            self.ledger = ledger;
-            self.reader.follow();
-            self.contact
-                .caught_up(self.now.mono_ms, self.ledger.next_offset);
-            self.adopt_ledger();
-            self.sync_lists();
-        }
-    }
-
-    /// Derives everything anew after the ledger was replaced.
-    fn adopt_ledger(&mut self) {
-        self.lists_version = 0;
-        self.sync_lists();
-        self.sync_all_workers();
-        // What this seat had on the way may be inside the new state, unseen.
-        if self.seats_opened_count > 0 {
-            self.counts.seats_lost_count += 1;
-            self.drop_claims_of_lost_seat();
-            self.open_seat();
-        }
-    }
-
-    fn sync_lists(&mut self) {
-        if self.lists_version == self.ledger.lists_version {
-            return;
-        }
-        self.lists_version = self.ledger.lists_version;
-        let lists = self.ledger.lists.clone();
-        for team in &lists.plans.teams {
-            let (index, _) = self.teams.insert_full(team.name.clone());
-            let weight = lists.share_weight(team);
-            self.usage.set_weight(TeamKey(index as u32), weight);
-        }
-        for queue in &lists.entitlements.queues {
-            self.queues.insert(queue.name.clone());
-        }
-        self.sync_pools();
-        tell!(self, "lists_in_force", version = self.lists_version);
-    }
-
-    fn take_effect(&mut self, effect: &Effect) {
-        match effect {
-            Effect::Batch { batch, verdicts } => {
-                let is_own = batch.seat == self.seat;
-                if is_own {
-                    self.fold_own_batch(batch.seq, &batch.changes);
-                }
-                for (change, verdict) in batch.changes.iter().zip(verdicts) {
-                    self.take_change(is_own, change, verdict);
-                }
-            }
-            Effect::BatchVoid { seat, seq } if *seat == self.seat => {
-                self.proposer.folded(*seq);
-                self.lose_seat_if_ended();
-            }
-            Effect::Operator { proposal, verdict } => {
-                tell!(
-                    self,
-                    "operator_change",
-                    proposal = proposal.proposal_id,
-                    is_accepted = *verdict == Verdict::Accepted
-                );
-            }
-            Effect::BatchVoid { .. } | Effect::Snapshot(_) | Effect::Unreadable => {}
-        }
-    }
-
-    fn fold_own_batch(&mut self, seq: u64, changes: &[SeatChange]) {
-        let sent_ms = self.proposer.folded(seq);
-        self.is_seated = true;
-        self.was_seated = true;
-        let is_renewal = |change: &SeatChange| {
-            matches!(change, SeatChange::Open { .. } | SeatChange::Renew { .. })
-        };
-        if let Some(sent_ms) = sent_ms.filter(|_| changes.iter().any(is_renewal)) {
-            self.lease.renewed(sent_ms);
-        }
-        for change in changes {
-            self.escrow.folded(change);
-        }
-    }
-
-    fn take_change(&mut self, is_own: bool, change: &SeatChange, verdict: &Verdict) {
-        match (change, verdict) {
-            (SeatChange::Claim { team, request_id }, verdict) if is_own => {
-                self.take_claim(team, request_id, verdict);
-            }
-            (SeatChange::JobSubmit { job }, verdict) if is_own => {
-                self.take_submission(job, verdict);
-            }
-            (
-                SeatChange::JobAdopt {
-                    team, request_id, ..
-                },
-                Verdict::Accepted,
-            ) if is_own => self.enqueue_job(team, request_id, true),
-            (SeatChange::JobStart { team, request_id }, verdict) if is_own => {
-                self.take_job_start(team, request_id, verdict);
-            }
-            (SeatChange::ExpireSeat { target, .. }, Verdict::Accepted) => {
-                tell!(self, "seat_expired", seat = target);
-                self.lose_seat_if_ended();
-            }
-            (SeatChange::InstanceSeen { row }, Verdict::Accepted) => self.sync_worker(&row.name),
-            (
-                SeatChange::InstanceGone { name, .. }
-                | SeatChange::Standing { name, .. }
-                | SeatChange::StopClaim { name, .. }
-                | SeatChange::StopProceed { name, .. }
-                | SeatChange::StopCancel { name, .. }
-                | SeatChange::PoolRelease { name, .. }
-                | SeatChange::PoolAssign { name, .. }
-                | SeatChange::MarkBad { name, .. },
-                verdict,
-            ) => {
-                self.note_instance_change(change, verdict);
-                self.sync_worker(name);
-            }
-            _ => {}
-        }
-    }
-
-    // The seat.
-
-    fn open_seat_if_none(&mut self) {
-        if self.seats_opened_count == 0 && !self.is_draining {
-            self.open_seat();
-        }
-    }
-
-    fn open_seat(&mut self) {
-        self.seats_opened_count += 1;
-        self.is_seated = false;
-        self.seat = match self.seats_opened_count {
-            1 => self.incarnation.clone(),
-            count => format_smolstr!("{}.{count}", self.incarnation),
-        };
-        self.proposer = new_proposer(&self.settings, &self.seat);
-        self.lease = Lease::new(self.settings.seat_lease_ms, self.settings.seat_renew_ms);
-        self.escrow = EscrowKeeper::new(self.settings.escrow_idle_ms);
-        self.propose(SeatChange::Open {
-            peers_address: self.settings.peers_address.clone(),
-            zone: self.settings.zone.clone(),
-            lease_ms: self.settings.seat_lease_ms,
-        });
-        let withdrawn: Vec<KeyId> = self.withdrawn.iter().cloned().collect();
-        for key_id in withdrawn {
-            self.propose(SeatChange::WithdrawKey { key_id });
-        }
-        tell!(self, "seat_opening", seat = self.seat);
-    }
-
-    /// Takes a new seat if the others have declared this one lapsed.
-    fn lose_seat_if_ended(&mut self) {
-        if self.is_closing {
-            return;
-        }
-        if !self.is_seated || self.ledger.seats.live(&self.seat).is_some() {
-            return;
-        }
-        self.counts.seats_lost_count += 1;
-        tell!(self, "seat_lost", seat = self.seat);
-        self.drop_claims_of_lost_seat();
-        self.open_seat();
-    }
-
-    fn poll_seat(&mut self) {
-        let now_ms = self.now.mono_ms;
-        if self.ledger.seats.live(&self.seat).is_none() || self.is_closing {
-            return;
-        }
-        self.rank_among_seats();
-        let is_stop_pending = self.workers.has_stop_pending();
-        if self.lease.is_renewal_due(now_ms, is_stop_pending) {
-            let clean_offset = self.clean_offset();
-            self.propose(SeatChange::Renew { clean_offset });
-        }
-        let max_age_ms = self.settings.config_stale_max_ms;
-        if self.contact.is_log_fresh(now_ms, max_age_ms) {
-            let run_max_ms = crate::ledger::RUN_MAX_MS;
-            let changes = self
-                .watch
-                .poll(now_ms, &self.ledger, &self.seat, run_max_ms);
-            for change in changes {
-                self.propose(change);
-            }
-        }
-        self.contact.forget_ended(&self.ledger);
-    }
-
-    /// Gives the placement this entry's rank among the live seats, so that each entry begins with
-    /// other workers.
-    fn rank_among_seats(&mut self) {
-        let seats = &self.ledger.seats;
-        let before = seats.iter_live().filter(|(seat, _)| **seat < self.seat);
-        let rank = before.count() as u32;
-        let count = seats.iter_live().count() as u32;
-        self.placement.set_rank(rank, count);
-    }
-
-    /// Returns the offset below which every decision of this seat is over.
-    ///
-    /// An attempt holds it back only while its instance is being stopped or moved.
-    fn clean_offset(&self) -> Offset {
-        let held_back = |instance: &str, decided_offset: Offset| {
-            let entry = self.ledger.instances.get(instance)?;
-            let is_held = entry.stop.is_some() && decided_offset <= entry.stop_offset;
-            is_held.then_some(entry.stop_offset)
-        };
-        self.requests
-            .may_run()
-            .filter_map(|attempt| held_back(&attempt.instance, attempt.decided_offset))
-            .min()
-            .unwrap_or(self.ledger.next_offset)
-    }
-
     pub(crate) fn propose(&mut self, change: SeatChange) -> bool {
         let is_taken = self.proposer.propose(change);
         if !is_taken {
@@ -574,7 +293,7 @@
         is_taken
     }
 
-    fn poll_proposer(&mut self) {
+    pub(crate) fn poll_proposer(&mut self) {
         if self.seats_opened_count == 0 {
             return;
         }
@@ -587,7 +306,7 @@
         }
     }
 
-    fn poll_escrow(&mut self) {
+    pub(crate) fn poll_escrow(&mut self) {
         if !self.lease.is_valid(self.now.mono_ms) {
             return;
         }
@@ -630,82 +349,7 @@
         }
     }
 
-    // Peers.
-
-    fn take_gossip(&mut self, sent_ms: MonoMs, gossip: Gossip) {
-        if gossip.seat == self.seat {
-            return;
-        }
-        for key_id in &gossip.withdrawn {
-            self.withdraw(key_id.clone());
-        }
-        let (peer_offset, folded_offset) = (gossip.next_offset, self.ledger.next_offset);
-        self.contact
-            .heard_peer(&gossip.seat, sent_ms, peer_offset, folded_offset);
-        self.take_hint(gossip);
-    }
-
-    /// Takes the hints of a peer that called, which proves nothing about now.
-    fn take_hint(&mut self, gossip: Gossip) {
-        if gossip.seat == self.seat || gossip.seat.is_empty() {
-            return;
-        }
-        for key_id in &gossip.withdrawn {
-            self.withdraw(key_id.clone());
-        }
-        let heard_ms = self.now.mono_ms;
-        self.contact
-            .prove_head(heard_ms, gossip.next_offset, self.ledger.next_offset);
-        let key = match self.peers.get(&gossip.seat) {
-            Some(hint) => hint.key,
-            None => {
-                self.next_peer += 1;
-                PeerKey(self.next_peer)
-            }
-        };
-        self.take_peer_usage(key, &gossip);
-        let hint = PeerHint {
-            key,
-            heard_ms,
-            gossip,
-        };
-        self.peers.insert(hint.gossip.seat.clone(), hint);
-    }
-
-    fn poll_peers(&mut self) {
-        let now_ms = self.now.mono_ms;
-        let is_recent =
-            |hint: &PeerHint| now_ms.saturating_sub(hint.heard_ms) <= PEER_MAX_AGE_MS * 10;
-        self.peers.retain(|_, hint| is_recent(hint));
-        self.usage.expire_peers(now_ms);
-        let is_log_silent = !self.contact.is_log_fresh(now_ms, PULL_AFTER_MS);
-        if !is_log_silent || now_ms < self.pulled_ms + PULL_EVERY_MS {
-            return;
-        }
-        let ahead: Vec<&PeerHint> = self
-            .peers
-            .values()
-            .filter(|hint| hint.gossip.next_offset > self.ledger.next_offset)
-            .collect();
-        // Any of them: one may not have the records that another has.
-        let Some(hint) = rand::seq::IndexedRandom::choose(&ahead[..], &mut self.rng) else {
-            return;
-        };
-        self.pulled_ms = now_ms;
-        let peers_address = hint.gossip.peers_address.clone();
-        let from_offset = self.ledger.next_offset;
-        self.actions.push(match self.reader.is_following() {
-            true => Action::PullTail {
-                peers_address,
-                from_offset,
-            },
-            false => Action::PullLedger { peers_address },
-        });
-    }
-
-    // Keys.
-
-    fn withdraw(&mut self, key_id: KeyId) {
+    pub(crate) fn withdraw(&mut self, key_id: KeyId) {
         let is_known = self
             .ledger
             .keys
@@ -722,7 +366,7 @@
         self.propose(SeatChange::WithdrawKey { key_id });
     }
 
-    fn forget_logged_withdrawals(&mut self) {
+    pub(crate) fn forget_logged_withdrawals(&mut self) {
         let ledger = &self.ledger;
         let is_logged = |key_id: &KeyId| {
             let row = ledger.keys.get(key_id);
@@ -731,9 +375,7 @@
         self.withdrawn.retain(|key_id| !is_logged(key_id));
     }
 
-    // Snapshots and the end.
-
-    fn poll_snapshot(&mut self) {
+    pub(crate) fn poll_snapshot(&mut self) {
         self.forget_logged_withdrawals();
         let is_writer = self.ledger.seats.choose("snapshot") == Some(&self.seat);
         if !is_writer || !self.lease.is_valid(self.now.mono_ms) {
@@ -757,7 +399,7 @@
         }
     }
 
-    fn poll_drain(&mut self) {
+    pub(crate) fn poll_drain(&mut self) {
         if !self.is_draining || self.is_drained_told {
             return;
         }
@@ -800,7 +442,7 @@
     }
 }
 
-fn new_proposer(settings: &EngineSettings, seat: &SeatId) -> Proposer {
+pub(crate) fn new_proposer(settings: &EngineSettings, seat: &SeatId) -> Proposer {
     let limits = ProposerLimits {
         waiting_max_count: settings.changes_max_count,
         batch_max_count: settings.append_batch_max_count,
@@ -809,11 +451,3 @@
     };
     Proposer::open(seat.clone(), limits)
 }
-
-fn payload_bytes(page: &LogPage, offset: Offset) -> u64 {
-    let first = page.records.first().map_or(0, |record| record.offset);
-    let index = offset.saturating_sub(first) as usize;
-    page.records
-        .get(index)
-        .map_or(0, |record| record.payload.len() as u64)
-}
--- /dev/null
+++ b/src/entry/exchange.rs
@@ -0,0 +1,88 @@
+//! Exchanges with peers: what is heard from them, and what is fetched while the log is out of reach.
+
+use crate::entry::engine::{Engine, PeerHint, PEER_MAX_AGE_MS};
+
+use crate::{
+    entry::{event::Action, gossip::Gossip},
+    fleet::MonoMs,
+    policy::keys::PeerKey,
+};
+
+/// Age of the last word from the log after which records are fetched from peers, in milliseconds.
+const PULL_AFTER_MS: u64 = 1_000;
+
+/// Time between two attempts to fetch from a peer what the log does not give, in milliseconds.
+const PULL_EVERY_MS: u64 = 200;
+
+impl Engine {
+    pub(crate) fn take_gossip(&mut self, sent_ms: MonoMs, gossip: Gossip) {
+        if gossip.seat == self.seat {
+            return;
+        }
+        for key_id in &gossip.withdrawn {
+            self.withdraw(key_id.clone());
+        }
+        let (peer_offset, folded_offset) = (gossip.next_offset, self.ledger.next_offset);
+        self.contact
+            .heard_peer(&gossip.seat, sent_ms, peer_offset, folded_offset);
+        self.take_hint(gossip);
+    }
+
+    /// Takes the hints of a peer that called, which proves nothing about now.
+    pub(crate) fn take_hint(&mut self, gossip: Gossip) {
+        if gossip.seat == self.seat || gossip.seat.is_empty() {
+            return;
+        }
+        for key_id in &gossip.withdrawn {
+            self.withdraw(key_id.clone());
+        }
+        let heard_ms = self.now.mono_ms;
+        self.contact
+            .prove_head(heard_ms, gossip.next_offset, self.ledger.next_offset);
+        let key = match self.peers.get(&gossip.seat) {
+            Some(hint) => hint.key,
+            None => {
+                self.next_peer += 1;
+                PeerKey(self.next_peer)
+            }
+        };
+        self.take_peer_usage(key, &gossip);
+        let hint = PeerHint {
+            key,
+            heard_ms,
+            gossip,
+        };
+        self.peers.insert(hint.gossip.seat.clone(), hint);
+    }
+
+    pub(crate) fn poll_peers(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let is_recent =
+            |hint: &PeerHint| now_ms.saturating_sub(hint.heard_ms) <= PEER_MAX_AGE_MS * 10;
+        self.peers.retain(|_, hint| is_recent(hint));
+        self.usage.expire_peers(now_ms);
+        let is_log_silent = !self.contact.is_log_fresh(now_ms, PULL_AFTER_MS);
+        if !is_log_silent || now_ms < self.pulled_ms + PULL_EVERY_MS {
+            return;
+        }
+        let ahead: Vec<&PeerHint> = self
+            .peers
+            .values()
+            .filter(|hint| hint.gossip.next_offset > self.ledger.next_offset)
+            .collect();
+        // Any of them: one may not have the records that another has.
+        let Some(hint) = rand::seq::IndexedRandom::choose(&ahead[..], &mut self.rng) else {
+            return;
+        };
+        self.pulled_ms = now_ms;
+        let peers_address = hint.gossip.peers_address.clone();
+        let from_offset = self.ledger.next_offset;
+        self.actions.push(match self.reader.is_following() {
+            true => Action::PullTail {
+                peers_address,
+                from_offset,
+            },
+            false => Action::PullLedger { peers_address },
+        });
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,16 +11,23 @@
 }
 
 mod admission;
+mod calls;
 mod contact;
 mod counts;
 mod daemon;
 mod dispatch;
+mod endings;
 mod engine;
 mod escrow;
 mod event;
+mod exchange;
 mod explain;
+mod folding;
 mod gossip;
+mod hints;
 mod jobs;
+mod outcomes;
+mod own_seat;
 mod proposer;
 mod reach;
 mod reader;
--- /dev/null
+++ b/src/entry/own_seat.rs
@@ -0,0 +1,121 @@
+//! The seat of this entry: opened once the head of the log is known, renewed, lost and taken anew.
+
+use crate::entry::engine::{new_proposer, Engine};
+
+use smol_str::format_smolstr;
+
+use crate::{
+    entry::{escrow::EscrowKeeper, seat::Lease},
+    fleet::Offset,
+    ledger::{KeyId, SeatChange},
+};
+
+impl Engine {
+    pub(crate) fn open_seat_if_none(&mut self) {
+        if self.seats_opened_count == 0 && !self.is_draining {
+            self.open_seat();
+        }
+    }
+
+    pub(crate) fn open_seat(&mut self) {
+        self.seats_opened_count += 1;
+        self.is_seated = false;
+        self.seat = match self.seats_opened_count {
+            1 => self.incarnation.clone(),
+            count => format_smolstr!("{}.{count}", self.incarnation),
+        };
+        self.proposer = new_proposer(&self.settings, &self.seat);
+        self.lease = Lease::new(self.settings.seat_lease_ms, self.settings.seat_renew_ms);
+        self.escrow = EscrowKeeper::new(self.settings.escrow_idle_ms);
+        self.propose(SeatChange::Open {
+            peers_address: self.settings.peers_address.clone(),
+            zone: self.settings.zone.clone(),
+            lease_ms: self.settings.seat_lease_ms,
+        });
+        let withdrawn: Vec<KeyId> = self.withdrawn.iter().cloned().collect();
+        for key_id in withdrawn {
+            self.propose(SeatChange::WithdrawKey { key_id });
+        }
+        tell!(self, "seat_opening", seat = self.seat);
+    }
+
+    /// Takes a new seat if the others have declared this one lapsed.
+    pub(crate) fn lose_seat_if_ended(&mut self) {
+        if self.is_closing {
+            return;
+        }
+        if !self.is_seated || self.ledger.seats.live(&self.seat).is_some() {
+            return;
+        }
+        self.counts.seats_lost_count += 1;
+        tell!(self, "seat_lost", seat = self.seat);
+        self.drop_claims_of_lost_seat();
+        self.open_seat();
+    }
+
+    pub(crate) fn poll_seat(&mut self) {
+        let now_ms = self.now.mono_ms;
+        if self.ledger.seats.live(&self.seat).is_none() || self.is_closing {
+            return;
+        }
+        self.rank_among_seats();
+        let is_stop_pending = self.workers.has_stop_pending();
+        if self.lease.is_renewal_due(now_ms, is_stop_pending) {
+            let clean_offset = self.clean_offset();
+            self.propose(SeatChange::Renew { clean_offset });
+        }
+        let max_age_ms = self.settings.config_stale_max_ms;
+        if self.contact.is_log_fresh(now_ms, max_age_ms) {
+            let run_max_ms = crate::ledger::RUN_MAX_MS;
+            let changes = self
+                .watch
+                .poll(now_ms, &self.ledger, &self.seat, run_max_ms);
+            for change in changes {
+                self.propose(change);
+            }
+        }
+        self.contact.forget_ended(&self.ledger);
+    }
+
+    /// Gives the placement this entry's rank among the live seats, so that each entry begins with
+    /// other workers.
+    pub(crate) fn rank_among_seats(&mut self) {
+        let seats = &self.ledger.seats;
+        let before = seats.iter_live().filter(|(seat, _)| **seat < self.seat);
+        let rank = before.count() as u32;
+        let count = seats.iter_live().count() as u32;
+        self.placement.set_rank(rank, count);
+    }
+
+    /// Returns the offset below which every decision of this seat is over.
+    ///
+    /// An attempt holds it back only while its instance is being stopped or moved.
+    pub(crate) fn clean_offset(&self) -> Offset {
+        let held_back = |instance: &str, decided_offset: Offset| {
+            let entry = self.ledger.instances.get(instance)?;
+            let is_held = entry.stop.is_some() && decided_offset <= entry.stop_offset;
+            is_held.then_some(entry.stop_offset)
+        };
+        self.requests
+            .may_run()
+            .filter_map(|attempt| held_back(&attempt.instance, attempt.decided_offset))
+            .min()
+            .unwrap_or(self.ledger.next_offset)
+    }
+
+    /// Notes once withdrawals that are not in the log yet would have been heard.
+    ///
+    /// Whoever knows of one and reaches the log has put it on record before the configuration of
+    /// everybody else has become stale; more than half of the seats know of it before that.
+    pub(crate) fn poll_introduction(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let max_age_ms = self.settings.config_stale_max_ms;
+        let Some(first_head_ms) = self.first_head_ms.filter(|_| !self.is_introduced) else {
+            return;
+        };
+        let hears_majority =
+            self.contact
+                .hears_majority(now_ms, max_age_ms, &self.ledger, &self.seat);
+        self.is_introduced = hears_majority || now_ms >= first_head_ms + max_age_ms;
+    }
+}
