--- a/src/upkeep/rollout.rs
+++ b/src/upkeep/rollout.rs
@@ -71,7 +71,7 @@
     pub upkeep: &'a [InstanceUpkeep],
     /// The roll-out.
     pub rollout: Rollout,
-    /// Whether work waits for the pool, indexed by [`PoolKey`]; a pool left out has none waiting.
+    /// Whether work waits for the pool, indexed by [`super::keys::PoolKey`]; a pool left out has none waiting.
     pub is_under_pressure: &'a [bool],
     /// Time of the call.
     pub now_unix_ms: UnixMs,
