Keep half of the even share of each limit at idle seats

A seat returned its whole part of a team's limit after some idle time, and nothing can be taken while the log is down: a burst that began during an outage found seats with next to nothing, and its work waited for the log although the workers were free.

Ruled out: the claims (idempotent work makes none) and the workers (their slots were free). What is kept is still given to a peer in need.

--- a/src/entry/escrow.rs
+++ b/src/entry/escrow.rs
@@ -9,6 +9,13 @@
     ledger::{Ledger, SeatChange, SeatId, TeamEscrow},
 };
 
+/// Part of its even share of a limit that a seat keeps while it is idle, as a divisor.
+///
+/// Nothing can be taken from the ledger while the log is down, so a seat that returned all would
+/// start nothing in a burst that begins during an outage. The other half stays free for whoever
+/// needs more than that; a peer in need is still given what is kept.
+const KEPT_DIVISOR: u32 = 2;
+
 /// What this seat does with one team's limit.
 #[derive(Clone, Debug, Default)]
 struct Hold {
@@ -133,6 +140,7 @@
             }
             return changes;
         }
+        let seats_count = ledger.seats.iter_live().count().max(1) as u32;
         for (team, escrow) in ledger.escrow.iter() {
             let hold = match self.holds.get_mut(team) {
                 Some(hold) => hold,
@@ -148,6 +156,7 @@
             hold.poll(
                 now_ms,
                 self.idle_ms,
+                seats_count,
                 team,
                 escrow,
                 seat,
@@ -178,6 +187,7 @@
         &mut self,
         now_ms: MonoMs,
         idle_ms: u64,
+        seats_count: u32,
         team: &TeamName,
         escrow: &TeamEscrow,
         seat: &SeatId,
@@ -210,7 +220,11 @@
                     wanted_requests: wanted,
                 });
             }
-            _ => self.return_idle(now_ms, idle_ms, team, spare, changes),
+            _ => {
+                let kept = escrow.limit_requests / (seats_count * KEPT_DIVISOR);
+                let surplus = spare.min(held.saturating_sub(kept));
+                self.return_idle(now_ms, idle_ms, team, surplus, changes);
+            }
         }
     }
 
@@ -219,15 +233,15 @@
         now_ms: MonoMs,
         idle_ms: u64,
         team: &TeamName,
-        spare: u32,
+        surplus: u32,
         changes: &mut Vec<SeatChange>,
     ) {
         match self.idle_since_ms {
-            _ if spare == 0 || self.waiting_requests > 0 => self.idle_since_ms = None,
+            _ if surplus == 0 || self.waiting_requests > 0 => self.idle_since_ms = None,
             None => self.idle_since_ms = Some(now_ms),
             Some(since_ms) if now_ms >= since_ms + idle_ms => {
                 self.idle_since_ms = None;
-                self.give(team, None, spare, changes);
+                self.give(team, None, surplus, changes);
             }
             Some(_) => {}
         }
