--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -20,6 +20,7 @@
         event::{Action, Event, Now, Source},
         gossip::Gossip,
         proposer::{Proposer, ProposerLimits},
+        reach::Reach,
         reader::{Reader, SnapshotWriter},
         requests::Requests,
         roll_out::Observed,
@@ -100,6 +101,7 @@
     pub(crate) usage: UsageView,
     pub(crate) placement: Placement,
     pub(crate) health: Health,
+    pub(crate) reach: Reach,
     pub(crate) retry: RetryBudget,
     pub(crate) upkeep: Upkeep,
     pub(crate) observed: Observed,
@@ -170,6 +172,7 @@
                 ..PlacementSettings::in_zone(zone)
             }),
             health: Health::new(settings.health),
+            reach: Reach::default(),
             retry: RetryBudget::new(settings.retry),
             upkeep: Upkeep::default(),
             observed: Observed::default(),
