Answer every caller that submits a job

Cause, seen failing: a second submission of the same id at the same entry took the first caller's place, which got no answer before its deadline and a grace, and callers whose record was on its way when the seat was lost were never answered by the engine. The second is refused as a duplicate in flight, and a lost seat answers them as unknown. Ruled out on the way: work without a body is not run again after a lost answer.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -32,7 +32,7 @@
 };
 
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Time beyond a request's deadline for which its task's lease runs, in milliseconds.
 const LEASE_SLACK_MS: u64 = 100;
@@ -246,6 +246,7 @@
         for key in keys {
             self.finish_not_run(key, ErrorKind::SeatLapsed, RETRY_AFTER_MS);
         }
+        self.drop_submissions_of_lost_seat();
     }
 
     /// Puts a request into the queue, or answers it at once if it cannot be served.
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -11,7 +11,7 @@
     callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch, RanOn},
     entry::{
         admission::{self, Admitted},
-        dispatch::deadline_unix_ms,
+        dispatch::{deadline_unix_ms, RETRY_AFTER_MS},
         engine::Engine,
         requests::{Origin, Request, Stage},
     },
@@ -49,6 +49,10 @@
             body_base64: BASE64.encode(&request.body),
         };
         let id = (admitted.team.clone(), request_id);
+        if self.submissions.contains_key(&id) {
+            let retry_after_ms = self.jittered_ms(RETRY_AFTER_MS);
+            return self.refuse(call_id, ErrorKind::DuplicateInFlight, retry_after_ms, "");
+        }
         match self.propose(SeatChange::JobSubmit { job }) {
             true => {
                 self.submissions.insert(id, call_id);
@@ -57,6 +61,15 @@
         }
     }
 
+    /// Answers the callers whose job's record was on its way under a seat that is lost: it may have
+    /// been taken before.
+    pub(crate) fn drop_submissions_of_lost_seat(&mut self) {
+        let detail = "the seat lapsed while the record of the job was on its way";
+        for (_, call_id) in std::mem::take(&mut self.submissions) {
+            self.refuse(call_id, ErrorKind::Internal, 0, detail);
+        }
+    }
+
     /// Takes in the verdict on a submission.
     pub(crate) fn take_submission(&mut self, job: &JobRow, verdict: &Verdict) {
         let id = (job.team.clone(), job.request_id);
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -480,3 +480,39 @@
     let reply = cluster.entries[0].call(&Call::new("delay-maps", &key, 1).once());
     assert!(reply.is_done(), "{reply:?}");
 }
+
+#[test]
+fn a_job_that_is_submitted_twice_at_once_is_answered_twice() {
+    let mut engines = Engines::open(1);
+    let key = engines.grant("ionosphere-desk");
+    let mut job = engines.request(&key, false);
+    job.is_for_later = true;
+    let calls = [engines.call(0, &job), engines.call(0, &job)];
+    engines.advance(1_000);
+    for call in calls {
+        assert!(engines.answer(call).is_some(), "nobody answers the caller");
+    }
+}
+
+#[test]
+fn a_submission_under_a_seat_that_is_lost_is_answered_as_unknown() {
+    let mut engines = Engines::open_with(
+        3,
+        |_| {},
+        |settings| {
+            settings.seat_lease_ms = 4_000;
+            settings.seat_renew_ms = 500;
+        },
+    );
+    let key = engines.grant("ionosphere-desk");
+    engines.nodes[0].is_cut_from_log = true;
+    let mut job = engines.request(&key, false);
+    job.is_for_later = true;
+    job.deadline_ms = 60_000;
+    let call = engines.call(0, &job);
+    engines.advance(6_000);
+    engines.nodes[0].is_cut_from_log = false;
+    engines.advance(1_000);
+    let refusal = engines.refusal(call).map(|row| row.1);
+    assert_eq!(refusal, Some(RunState::OutcomeUnknown));
+}
--- a/tests/testsuite/promises_single_run.rs
+++ b/tests/testsuite/promises_single_run.rs
@@ -392,3 +392,32 @@
     }
     assert_eq!(cluster.runs_of(&call.request_id), 1);
 }
+
+#[test]
+fn work_without_a_body_is_not_run_again_after_a_lost_answer() {
+    let cluster = Cluster::builder().small_fleet().worker_links().spawn();
+    let (_, key) = cluster.grant("ionosphere-desk");
+    let ends = [
+        (Some(0), None),
+        (None, Some(0)),
+        (Some(20), None),
+        (None, Some(20)),
+    ];
+    for (close_at_byte, reset_at_byte) in ends {
+        for link in &cluster.worker_links {
+            link.set(ProxyFaults {
+                to_client: DirectionFaults {
+                    close_at_byte,
+                    reset_at_byte,
+                    ..DirectionFaults::default()
+                },
+                ..ProxyFaults::default()
+            });
+        }
+        let mut call = Call::new("delay-maps", &key, 0).once().deadline_ms(3_000);
+        call.body = Vec::new();
+        let reply = cluster.entries[0].call(&call);
+        assert_eq!(reply.ran, "outcome_unknown", "{reply:?}");
+        assert!(cluster.runs_of(&call.request_id) <= 1);
+    }
+}
