--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -200,6 +200,7 @@
         for key in keys {
             self.finish_not_run(key, ErrorKind::SeatLapsed, RETRY_AFTER_MS);
         }
+        self.drop_submissions_of_lost_seat();
     }
 
     /// Puts a request into the queue, or answers it at once if it cannot be served.
