--- a/src/load/state_cost.rs
+++ b/src/load/state_cost.rs
@@ -69,6 +69,8 @@
     pub request_ns: u64,
     /// Time to take in an instance list in which one row changed.
     pub list_change_us: u64,
+    /// Bytes of the gossip of an engine that holds nothing.
+    pub gossip_idle_bytes: u64,
     /// Bytes of the gossip of an engine that holds one waiting request of each team.
     pub gossip_bytes: u64,
 }
@@ -81,11 +83,11 @@
 /// Returns the rows as a table.
 pub fn state_table(rows: &[StateCostRow]) -> String {
     let mut table = String::from(
-        "workers pools teams | snap_kB parts write_us read_us ledger_kB | publish_us publish_B renew_us claim_us | tick_ns request_ns list_us gossip_B\n",
+        "workers pools teams | snap_kB parts write_us read_us ledger_kB | publish_us publish_B renew_us claim_us | tick_ns request_ns list_us idle_gossip_B gossip_B\n",
     );
     for row in rows {
         table.push_str(&format!(
-            "{:>7} {:>5} {:>5} | {:>7} {:>5} {:>8} {:>7} {:>9} | {:>10} {:>9} {:>8} {:>8} | {:>7} {:>10} {:>7} {:>8}\n",
+            "{:>7} {:>5} {:>5} | {:>7} {:>5} {:>8} {:>7} {:>9} | {:>10} {:>9} {:>8} {:>8} | {:>7} {:>10} {:>7} {:>13} {:>8}\n",
             row.size.workers_count,
             row.size.pools_count,
             row.size.teams_count,
@@ -101,6 +103,7 @@
             row.tick_ns,
             row.request_ns,
             row.list_change_us,
+            row.gossip_idle_bytes,
             row.gossip_bytes,
         ));
     }
@@ -144,6 +147,7 @@
         tick_ns: engine.time_ticks(),
         request_ns: engine.time_requests(),
         list_change_us: engine.time_list_changes(),
+        gossip_idle_bytes: engine.gossip_idle_bytes(),
         gossip_bytes: engine.gossip_bytes(),
     }
 }
@@ -542,6 +546,13 @@
         total_ns / CHANGES_COUNT / NS_PER_US
     }
 
+    /// Returns the bytes of a gossip once nothing is held any more.
+    fn gossip_idle_bytes(&mut self) -> u64 {
+        self.settle();
+        let gossip = self.engine.gossip();
+        serde_json::to_vec(&gossip).unwrap_or_default().len() as u64
+    }
+
     /// Returns the bytes of a gossip with a row of demand and of usage for every team.
     fn gossip_bytes(&mut self) -> u64 {
         let mut gossip = self.engine.gossip();
