--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -49,7 +49,7 @@
 const BUSY_HOLD_MS: u64 = 10;
 
 /// Time after which half of what a worker was reported to run for others is taken to have ended.
-const REPORT_HALF_LIFE_MS: u64 = 1000;
+const REPORT_HALF_LIFE_MS: u64 = 250;
 
 /// The workers of one pool.
 #[derive(Clone, Debug, Default)]
@@ -156,9 +156,13 @@
         });
     }
 
-    /// Takes in that a worker refused for want of a slot: it is left alone for a moment.
+    /// Takes in that a worker refused for want of a slot: it counts as full, until that fades.
     pub fn refused_busy(&mut self, now_ms: MonoMs, key: WorkerKey) {
         self.change(key, |worker| worker.busy_until_ms = now_ms + BUSY_HOLD_MS);
+        if let Some(worker) = self.workers.get(&key) {
+            let slots_count = worker.facts.slots_count;
+            self.report(now_ms, key, slots_count);
+        }
     }
 
     /// Takes in how many requests a worker runs in total, by its own or a peer's report.
--- a/tests/testsuite/policy_health.rs
+++ b/tests/testsuite/policy_health.rs
@@ -209,3 +209,17 @@
     }
     assert!(chosen.values().all(|count| *count <= 2));
 }
+
+#[test]
+fn a_busy_worker_counts_as_full_until_the_report_fades() {
+    let mut placement = Placement::new(PlacementSettings::in_zone(ZoneKey(0)));
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    placement.set_worker(WorkerKey(0), facts(0));
+    let size = Resources::default();
+    placement.refused_busy(1_000, WorkerKey(0));
+    placement.tick(1_050);
+    assert_eq!(placement.choose(1_050, POOL, &size, &mut rng), None);
+    placement.tick(2_000);
+    let chosen = placement.choose(2_000, POOL, &size, &mut rng);
+    assert_eq!(chosen, Some(WorkerKey(0)));
+}
