--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -11,9 +11,10 @@
     callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch, RanOn},
     entry::{
         admission::{self, Admitted},
+        calls::RETRY_AFTER_MS,
         dispatch::deadline_unix_ms,
         engine::Engine,
-        requests::{Origin, Request, Stage},
+        requests::{Origin, Past, Request, Stage},
     },
     error::{ErrorKind, RunState},
     fleet::{Resources, TeamName},
@@ -49,6 +50,10 @@
             body_base64: BASE64.encode(&request.body),
         };
         let id = (admitted.team.clone(), request_id);
+        if self.submissions.contains_key(&id) {
+            let retry_after_ms = self.jittered_ms(RETRY_AFTER_MS);
+            return self.refuse(call_id, ErrorKind::DuplicateInFlight, retry_after_ms, "");
+        }
         match self.propose(SeatChange::JobSubmit { job }) {
             true => {
                 self.submissions.insert(id, call_id);
@@ -57,6 +62,15 @@
         }
     }
 
+    /// Answers the callers whose job's record was on its way under a seat that is lost: it may have
+    /// been taken before.
+    pub(crate) fn drop_submissions_of_lost_seat(&mut self) {
+        let detail = "the seat lapsed while the record of the job was on its way";
+        for (_, call_id) in std::mem::take(&mut self.submissions) {
+            self.refuse(call_id, ErrorKind::Internal, 0, detail);
+        }
+    }
+
     /// Takes in the verdict on a submission.
     pub(crate) fn take_submission(&mut self, job: &JobRow, verdict: &Verdict) {
         let id = (job.team.clone(), job.request_id);
@@ -78,7 +92,7 @@
         }
     }
 
-    /// Queues a job that this seat owns, and may have adopted.
+    /// Queues a job that this seat owns, by its submission or adopted from an ended seat.
     pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid, is_adopted: bool) {
         let Some(entry) = self.ledger.jobs.get(team, request_id).cloned() else {
             return;
@@ -91,8 +105,10 @@
             return;
         }
         let mut request = self.job_request(text, &entry);
-        // The former owner started it without an announcement if it is idempotent.
-        request.may_have_run = is_adopted && request.is_idempotent;
+        // Attempts of idempotent jobs are not on record, so the earlier owner may have made some.
+        if is_adopted && request.is_idempotent {
+            request.past = Past::Unknown;
+        }
         let key = request.waiting.key;
         self.requests.insert(key, request);
         self.push_waiting(key);
@@ -140,10 +156,9 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
-            turned_away_count: 0,
+            past: Past::default(),
             // A second run of an idempotent job does no harm, so its start need not be on record.
             is_announced: row.is_idempotent,
-            may_have_run: false,
         }
     }
 
@@ -267,11 +282,7 @@
 
     /// Reports on a job.
     pub(crate) fn fetch(&mut self, call_id: CallId, fetch: &Fetch) {
-        let team = match &fetch.key {
-            None => Ok(TeamName::default()),
-            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
-        };
-        let team = match team {
+        let team = match self.team_of(fetch.key.as_deref()) {
             Ok(team) => team,
             Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
         };
