--- a/tests/testsuite/promises_random.rs
+++ b/tests/testsuite/promises_random.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use hawthornladder::callers::{CallId, CallerRequest};
+use hawthornladder::callers::{CallId, CallerOutcome, CallerRequest};
 use hawthornladder::error::RunState;
 use hawthornladder::keys::NewKey;
 use hawthornladder::ports::WorkerRequest;
@@ -15,6 +15,7 @@
 
 const LIMIT_REQUESTS: usize = 3;
 const STEPS_COUNT: usize = 900;
+const JOB_DEADLINE_MS: u64 = 600_000;
 const SEEDS: std::ops::Range<u64> = 0..8;
 
 /// What the workers and the callers know.
@@ -31,10 +32,11 @@
     /// Attempts that started, by request.
     started: HashMap<String, HashSet<String>>,
     done_count: usize,
+    jobs_permille: u32,
 }
 
 impl Account {
-    fn open(seed: u64) -> Self {
+    fn open(seed: u64, jobs_permille: u32) -> Self {
         let mut engines = Engines::open_with(
             4,
             |lists| set_limit(lists, LIMIT_REQUESTS as u32),
@@ -54,6 +56,7 @@
             refused: HashSet::new(),
             started: HashMap::new(),
             done_count: 0,
+            jobs_permille,
         }
     }
 
@@ -90,6 +93,10 @@
                 let is_idempotent = self.rng.random_bool(0.4);
                 let mut request = self.engines.request(&self.key, is_idempotent);
                 request.deadline_ms = self.rng.random_range(200..8_000);
+                if self.rng.random_range(0..1_000) < self.jobs_permille {
+                    request.is_for_later = true;
+                    request.deadline_ms = JOB_DEADLINE_MS;
+                }
                 self.requests.push(request);
                 self.requests.len() - 1
             }
@@ -192,6 +199,37 @@
         attempts.filter(|id| !self.refused.contains(*id)).count()
     }
 
+    /// Checks that each accepted job has ended, as the workers say.
+    fn check_jobs(&mut self, seed: u64) {
+        let mut accepted_count = 0;
+        for (call, number) in self.calls.clone() {
+            let request = self.requests[number].clone();
+            let answer = self.engines.answer(call);
+            let is_accepted =
+                answer.is_some_and(|answer| answer.outcome == CallerOutcome::Accepted);
+            if !is_accepted {
+                continue;
+            }
+            accepted_count += 1;
+            let fetched = self.engines.fetch(0, &self.key.clone(), &request);
+            let answer = self.engines.answer(fetched).expect("fetches are answered");
+            let runs_count = self.runs_of(&request.request_id);
+            let is_told_right = match answer.ran {
+                RunState::Ran => runs_count >= 1,
+                RunState::NotRun => false,
+                RunState::OutcomeUnknown => {
+                    answer.outcome != CallerOutcome::Accepted && !request.is_idempotent
+                }
+            };
+            assert!(
+                is_told_right,
+                "seed {seed}: {answer:?} {request:?} ran {runs_count} times"
+            );
+            assert!(request.is_idempotent || runs_count <= 1, "{request:?}");
+        }
+        assert!(accepted_count > 0);
+    }
+
     /// Checks what the callers were told against what the workers started.
     fn check_answers(&self) {
         for (number, request) in self.requests.iter().enumerate() {
@@ -210,7 +248,7 @@
 #[test]
 fn limits_and_single_runs_hold_under_random_faults() {
     for seed in SEEDS {
-        let mut account = Account::open(seed);
+        let mut account = Account::open(seed, 0);
         for _ in 0..STEPS_COUNT {
             account.step();
         }
@@ -224,3 +262,26 @@
         assert!(is_serving, "seed {seed}");
     }
 }
+
+#[test]
+fn accepted_jobs_end_whatever_becomes_of_their_owners() {
+    for seed in 0..4 {
+        let mut account = Account::open(seed, 100);
+        for _ in 0..STEPS_COUNT / 2 {
+            account.step();
+        }
+        account.heal();
+        // Long enough for the reclaim of every seat that has ended.
+        for _ in 0..300 {
+            account.engines.advance(300);
+            account.check();
+            for index in 0..account.engines.nodes.len() {
+                while !account.engines.nodes[index].attempts.is_empty() {
+                    account.engines.end_attempt(index, ran());
+                    account.check();
+                }
+            }
+        }
+        account.check_jobs(seed);
+    }
+}
