--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod policy_retry;
 mod policy_share;
 mod processes;
+mod promises_jobs;
 mod promises_keys;
 mod promises_limits;
 mod promises_membership;
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -3,14 +3,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hawthornladder::entry::Event;
 use hawthornladder::error::{ErrorKind, RunState};
 use hawthornladder::ledger::OperatorChange;
 
 use serde_json::{json, Value};
 
 use crate::cluster::{fetch_job, Call, Cluster, SHORT_LEASE};
-use crate::engines::{busy, lost, ran, Engines};
+use crate::engines::{ran, Engines};
 
 #[test]
 fn a_fresh_engine_does_not_trust_an_older_head() {
@@ -80,118 +79,6 @@
     engines.advance_until(500, |engines| !engines.nodes[0].attempts.is_empty());
 }
 
-#[test]
-fn a_job_survives_the_engine_that_took_it() {
-    let mut engines = Engines::open_with(
-        3,
-        |_| {},
-        |settings| {
-            settings.seat_lease_ms = 4_000;
-            settings.seat_renew_ms = 500;
-        },
-    );
-    let key = engines.grant("ionosphere-desk");
-    // The first has no free part of the limit, so that the job still waits when it is killed.
-    let mut job = engines.request(&key, false);
-    job.is_for_later = true;
-    job.deadline_ms = 300_000;
-    let call = engines.call(0, &job);
-    engines.advance_until(1_000, |engines| engines.answer(call).is_some());
-    assert!(engines.refusal(call).is_none());
-    let was_started = !engines.nodes[0].attempts.is_empty();
-    assert!(!was_started);
-    engines.kill(0);
-    let took_ms = engines.advance_until(90_000, |engines| {
-        engines.nodes.iter().any(|node| !node.attempts.is_empty())
-    });
-    // Lease, margin, longest run and its margin.
-    assert!(took_ms >= 60_000, "{took_ms}");
-    let index = usize::from(engines.nodes[0].attempts.is_empty());
-    engines.end_attempt(index, ran());
-    engines.advance(500);
-    let fetched = engines.fetch(1 - index, &key, &job);
-    let answer = engines.answer(fetched).expect("the job is known");
-    assert_eq!(&*answer.body, b"done");
-}
-
-#[test]
-fn a_job_that_may_have_run_is_not_run_again() {
-    let mut engines = Engines::open_with(
-        3,
-        |_| {},
-        |settings| {
-            settings.seat_lease_ms = 4_000;
-            settings.seat_renew_ms = 500;
-        },
-    );
-    let key = engines.grant("ionosphere-desk");
-    let mut job = engines.request(&key, false);
-    job.is_for_later = true;
-    job.deadline_ms = 300_000;
-    engines.call(0, &job);
-    engines.advance_until(2_000, |engines| !engines.nodes[0].attempts.is_empty());
-    engines.kill(0);
-    engines.advance(100_000);
-    assert!(engines.nodes.iter().all(|node| node.attempts.is_empty()));
-    let fetched = engines.fetch(0, &key, &job);
-    let refusal = engines.refusal(fetched);
-    assert_eq!(
-        refusal,
-        Some((ErrorKind::DuplicateOutcomeUnknown, RunState::OutcomeUnknown))
-    );
-}
-
-#[test]
-fn an_adopted_job_is_not_said_to_have_never_run() {
-    let mut engines = Engines::open_with(
-        2,
-        |_| {},
-        |settings| {
-            settings.seat_lease_ms = 4_000;
-            settings.seat_renew_ms = 500;
-        },
-    );
-    let key = engines.grant("ionosphere-desk");
-    let mut job = engines.request(&key, true);
-    job.is_for_later = true;
-    job.deadline_ms = 120_000;
-    engines.call(0, &job);
-    engines.advance_until(2_000, |engines| !engines.nodes[0].attempts.is_empty());
-    engines.kill(0);
-    // The adopter never gets the job started in time.
-    engines.advance_until(100_000, |engines| !engines.nodes[0].attempts.is_empty());
-    engines.now_ms += 60_000;
-    engines.end_attempt(0, busy());
-    engines.advance(1_000);
-    let fetched = engines.fetch(0, &key, &job);
-    let refusal = engines.refusal(fetched).expect("the job has ended");
-    assert_eq!(refusal.1, RunState::OutcomeUnknown, "{refusal:?}");
-}
-
-#[test]
-fn a_stopping_engine_loses_no_job_that_it_announced() {
-    let mut engines = Engines::open_with(2, |_| {}, |settings| settings.append_interval_ms = 200);
-    let key = engines.grant("ionosphere-desk");
-    // It holds a part of the limit, so that the job may start at once.
-    let request = engines.request(&key, true);
-    engines.call(0, &request);
-    engines.advance_until(1_000, |engines| !engines.nodes[0].attempts.is_empty());
-    engines.end_attempt(0, ran());
-    let mut job = engines.request(&key, false);
-    job.is_for_later = true;
-    job.deadline_ms = 60_000;
-    let call = engines.call(0, &job);
-    engines.advance_until(3_000, |engines| engines.answer(call).is_some());
-    // The announcement waits for its append when the order to stop comes.
-    assert!(engines.nodes[0].attempts.is_empty());
-    engines.step(0, Event::Drain);
-    engines.advance(5_000);
-    assert_eq!(engines.nodes[0].attempts.len(), 0, "it was dispatched");
-    assert!(engines.nodes[0].is_drained);
-    assert_eq!(engines.nodes[1].attempts.len(), 1, "the job was lost");
-    engines.end_attempt(1, lost());
-}
-
 /// Returns whether each entry knows the version and refuses or takes the keys as it should.
 fn assert_nothing_lost(cluster: &Cluster, key: &str, withdrawn: &str, ran: &Call) {
     for entry in &cluster.entries {
@@ -304,36 +191,6 @@
     assert_nothing_lost(&cluster, &key, &withdrawn, &call);
 }
 
-#[test]
-fn a_waiting_job_outlives_the_entry_that_stops() {
-    let mut cluster = Cluster::builder().small_fleet().spawn();
-    cluster.limit(1, "ionosphere-desk", 1);
-    let (_, key) = cluster.grant("ionosphere-desk");
-    let long = Call::new("delay-maps", &key, 1_500);
-    let address = cluster.entries[0].callers_address.clone();
-    let sent = long.clone();
-    let caller = thread::spawn(move || sent.send(&address));
-    cluster.wait_until("the limit is used up", |cluster| {
-        cluster.runs_of(&long.request_id) == 1
-    });
-    let job = Call::new("delay-maps", &key, 5)
-        .once()
-        .for_later()
-        .deadline_ms(60_000);
-    assert_eq!(cluster.entries[0].call(&job).status, 202);
-    let exit = cluster.entries[0].process.terminate();
-    assert!(exit.success(), "{exit}");
-    assert!(
-        caller.join().expect("the caller ends").is_done(),
-        "a stop cuts nothing"
-    );
-    let address = &cluster.entries[1].callers_address;
-    cluster.wait_until("the job is done", |_| {
-        fetch_job(address, &key, &job.request_id).is_done()
-    });
-    assert_eq!(cluster.runs_of(&job.request_id), 1);
-}
-
 /// Runs calls and a publication while the log misbehaves in one way, and checks the accounts.
 fn check_under(faults: Value) {
     let mut cluster = Cluster::builder().small_fleet().spawn();
@@ -460,59 +317,3 @@
     let answer = engines.answer(fetched).expect("the job is known");
     assert_eq!(&*answer.body, b"done");
 }
-
-#[test]
-fn a_burst_of_large_jobs_is_accepted() {
-    let cluster = Cluster::builder().small_fleet().spawn();
-    let (_, key) = cluster.grant("ionosphere-desk");
-    let callers: Vec<_> = (0..16)
-        .map(|_| {
-            let mut job = Call::new("delay-maps", &key, 0).once().for_later();
-            job.body = vec![b'x'; 60_000];
-            let address = cluster.entries[0].callers_address.clone();
-            thread::spawn(move || job.send(&address))
-        })
-        .collect();
-    for caller in callers {
-        let reply = caller.join().expect("the caller ends");
-        assert_eq!(reply.status, 202, "{reply:?}");
-    }
-    let reply = cluster.entries[0].call(&Call::new("delay-maps", &key, 1).once());
-    assert!(reply.is_done(), "{reply:?}");
-}
-
-#[test]
-fn a_job_that_is_submitted_twice_at_once_is_answered_twice() {
-    let mut engines = Engines::open(1);
-    let key = engines.grant("ionosphere-desk");
-    let mut job = engines.request(&key, false);
-    job.is_for_later = true;
-    let calls = [engines.call(0, &job), engines.call(0, &job)];
-    engines.advance(1_000);
-    for call in calls {
-        assert!(engines.answer(call).is_some(), "nobody answers the caller");
-    }
-}
-
-#[test]
-fn a_submission_under_a_seat_that_is_lost_is_answered_as_unknown() {
-    let mut engines = Engines::open_with(
-        3,
-        |_| {},
-        |settings| {
-            settings.seat_lease_ms = 4_000;
-            settings.seat_renew_ms = 500;
-        },
-    );
-    let key = engines.grant("ionosphere-desk");
-    engines.nodes[0].is_cut_from_log = true;
-    let mut job = engines.request(&key, false);
-    job.is_for_later = true;
-    job.deadline_ms = 60_000;
-    let call = engines.call(0, &job);
-    engines.advance(6_000);
-    engines.nodes[0].is_cut_from_log = false;
-    engines.advance(1_000);
-    let refusal = engines.refusal(call).map(|row| row.1);
-    assert_eq!(refusal, Some(RunState::OutcomeUnknown));
-}
