--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -146,7 +146,10 @@
         *oldest = (*oldest).max(page.oldest_offset);
         let first = *next;
         for record in page.records.iter().filter(|record| record.offset >= first) {
-            if let Some(newer) = snapshot_in(parts, record) {
+            let whole = snapshot_in(parts, record);
+            // Two writers may have been at work, and the older state may have landed last.
+            let found_offset = found.as_ref().map(|state| state.next_offset);
+            if let Some(newer) = whole.filter(|state| Some(state.next_offset) > found_offset) {
                 *found = Some(newer);
             }
             *next = record.offset + 1;
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -4,9 +4,13 @@
 use std::time::{Duration, Instant};
 
 use hawthornladder::error::{ErrorKind, RunState};
-use hawthornladder::ledger::OperatorChange;
+use hawthornladder::ledger::{OperatorChange, OperatorProposal, Record};
+use hawthornladder::operator::LedgerReader;
+use hawthornladder::platform::log::{LogLimits, MemoryLog};
+use hawthornladder::ports::LogPort;
 
 use serde_json::{json, Value};
+use uuid::Uuid;
 
 use crate::cluster::{fetch_job, Call, Cluster, SHORT_LEASE};
 use crate::engines::{ran, Engines};
@@ -317,3 +321,38 @@
     let answer = engines.answer(fetched).expect("the job is known");
     assert_eq!(&*answer.body, b"done");
 }
+
+#[test]
+fn an_older_snapshot_that_lands_late_does_not_hide_a_newer_one() {
+    let log = MemoryLog::open(LogLimits {
+        appends_per_s: 10_000,
+        ..LogLimits::default()
+    });
+    let append = |record: &Record| {
+        let payload = serde_json::to_string(record).expect("records encode");
+        log.append(&[payload]).expect("the log is up");
+    };
+    let timeout = Duration::from_secs(2);
+    let read = || LedgerReader::open(&log, timeout).map(|reader| reader.ledger().clone());
+    let grant = |number: usize| {
+        append(&Record::Operator(OperatorProposal {
+            proposal_id: Uuid::from_u128(number as u128),
+            operator: "test".into(),
+            change: OperatorChange::WithdrawKey {
+                key_id: format!("key-{number}").into(),
+            },
+        }));
+    };
+    (0..5).for_each(grant);
+    let older = read().expect("the log is whole");
+    (5..10).for_each(grant);
+    let newer = read().expect("the log is whole");
+    for (number, state) in [(1, &newer), (2, &older)] {
+        for chunk in state.to_chunks(Uuid::from_u128(number)) {
+            append(&Record::Snapshot(chunk));
+        }
+    }
+    log.trim_before(10);
+    let learnt = read().expect("the newer snapshot is whole");
+    assert_eq!(learnt.keys, newer.keys);
+}
