--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod promises_drain;
 mod promises_engine;
 mod promises_instances;
+mod promises_jobs;
 mod promises_keys;
 mod promises_ledger;
 mod promises_limits;
