Keep of an answer no more than it declares

Cause: an answer without a length of its own was read and kept up to answer_max_bytes, whatever length the worker declared for it. 24 endless answers at once took an entry to 359 MB (bound 128 MB, promises_answers::endless_answers_take_no_more_memory_than_they_declare, seen failing first).

--- a/src/adapters/http_client.rs
+++ b/src/adapters/http_client.rs
@@ -37,6 +37,9 @@
     pub timeout_ms: u64,
     /// Most bytes of the answer's body.
     pub answer_max_bytes: u64,
+    /// Header of the answer that declares how long its body is, if the protocol has one; no more is
+    /// kept than that.
+    pub length_header: Option<&'static str>,
 }
 
 /// An answer whose body is as long as its headers say.
@@ -96,14 +99,14 @@
     /// Makes the call and reads the whole answer.
     pub fn send(self) -> Result<HttpAnswer, HttpFailure> {
         let deadline = Instant::now() + Duration::from_millis(self.timeout_ms);
-        let answer_max_bytes = self.answer_max_bytes;
+        let (answer_max_bytes, length_header) = (self.answer_max_bytes, self.length_header);
         let was_asked_for = Arc::new(AtomicBool::new(false));
         let sent = self
             .builder(Arc::clone(&was_asked_for))
             .map_err(HttpFailure::NotSent)?
             .send();
         match sent {
-            Ok(response) => read_answer(response, answer_max_bytes, deadline),
+            Ok(response) => read_answer(response, answer_max_bytes, length_header, deadline),
             Err(error) if !was_asked_for.load(Ordering::Relaxed) => {
                 Err(HttpFailure::NotSent(not_sent_reason(&error)))
             }
@@ -146,23 +149,31 @@
 fn read_answer(
     response: Response,
     answer_max_bytes: u64,
+    length_header: Option<&'static str>,
     deadline: Instant,
 ) -> Result<HttpAnswer, HttpFailure> {
     let (status, headers, reader) = response.split();
-    let declared_bytes = headers
-        .get(attohttpc::header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let number = |name: &HeaderName| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
+    let declared_bytes = number(&attohttpc::header::CONTENT_LENGTH);
+    let whole_bytes = length_header.and_then(|name| number(&HeaderName::from_static(name)));
     if declared_bytes.is_some_and(|bytes| bytes > answer_max_bytes) {
         return Err(HttpFailure::Lost(Loss::TooLarge));
     }
+    let kept_max_bytes = whole_bytes.unwrap_or(u64::MAX).min(answer_max_bytes);
+    let mut reader = reader.take(answer_max_bytes.saturating_add(1));
     let mut body = Vec::new();
-    let read = reader
-        .take(answer_max_bytes.saturating_add(1))
-        .read_to_end(&mut body);
+    let read = (&mut reader)
+        .take(kept_max_bytes)
+        .read_to_end(&mut body)
+        // What is too much is counted and not kept.
+        .and_then(|_| io::copy(&mut reader, &mut io::sink()));
     let came_bytes = body.len() as u64;
     match read {
         Err(error) => Err(HttpFailure::Lost(loss_of_io(&error, deadline))),
-        Ok(_) if came_bytes > answer_max_bytes => Err(HttpFailure::Lost(Loss::TooLarge)),
+        Ok(rest_bytes) if came_bytes + rest_bytes > answer_max_bytes => {
+            Err(HttpFailure::Lost(Loss::TooLarge))
+        }
+        Ok(rest_bytes) if rest_bytes > 0 => Err(HttpFailure::Lost(Loss::NotWhole)),
         Ok(_) if declared_bytes.is_some_and(|bytes| bytes != came_bytes) => {
             Err(HttpFailure::Lost(Loss::ClosedEarly))
         }
--- a/src/adapters/log_http.rs
+++ b/src/adapters/log_http.rs
@@ -128,6 +128,7 @@
         connect_timeout_ms: timeouts.connect_ms,
         timeout_ms: timeouts.call_ms,
         answer_max_bytes: ACK_MAX_BYTES,
+        length_header: None,
     }
 }
 
--- a/src/adapters/workers_http.rs
+++ b/src/adapters/workers_http.rs
@@ -87,6 +87,7 @@
             body: Arc::clone(&request.body),
             timeout_ms,
             answer_max_bytes,
+            length_header: Some(X_ANSWER_BYTES),
             ..service_call(address, self.timeouts, Method::POST, "/run".into())
         }
         .send();
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -139,6 +139,15 @@
         self.signal(libc::SIGCONT);
     }
 
+    /// Returns the most memory that the process had resident at one time, in megabytes.
+    pub(crate) fn resident_peak_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the child runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        number.expect("the kernel tells it") / 1_024
+    }
+
     /// Kills the process without warning and reaps it.
     pub(crate) fn kill(&mut self) {
         drop(self.child.kill());
--- a/tests/testsuite/promises_answers.rs
+++ b/tests/testsuite/promises_answers.rs
@@ -22,6 +22,9 @@
 /// Most that a request on a sound connection may take beyond its run.
 pub(crate) const SOUND_MAX: Duration = Duration::from_millis(1_600);
 
+/// Memory of an entry whose requests and answers are all small.
+const RESIDENT_MAX_MB: u64 = 128;
+
 /// Answer of 24 MB.
 const LARGE_BYTES: usize = 24 * 1_024 * 1_024;
 
@@ -134,6 +137,20 @@
     });
 }
 
+#[test]
+fn endless_answers_take_no_more_memory_than_they_declare() {
+    let cluster = spawn(1, QUIET);
+    let (_, key) = cluster.grant("desk");
+    set_pool_faults(&cluster, "maps", &json!({ "answer": "endless" }));
+    let call = |_| Call::new("maps", &key, 10).once().deadline_ms(10_000);
+    let rows = call_all(&cluster, (0..24).map(call).collect());
+    assert!(rows
+        .iter()
+        .all(|(_, reply, _)| reply.ran == "outcome_unknown"));
+    let peak_mb = cluster.entries[0].process.resident_peak_mb();
+    assert!(peak_mb < RESIDENT_MAX_MB, "{peak_mb} MB");
+}
+
 #[test]
 fn a_late_answer_is_told_as_unknown_at_the_deadline() {
     let cluster = spawn(2, QUIET);
