Let no attempt start after the lease, also for queues open to all and around a pause

Cause: the time after which a worker must refuse was bounded by the lease for teams' work only, although a planned stop too trusts that nothing starts under a lapsed seat. Before: the new test saw a start allowed 1,500 ms after the end of the lease; after: it passes. Also read the wall clock before the monotonic one: a pause between the two readings allowed a start that was late by the length of the pause. This second part was found by reading and has no test.

--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -188,10 +188,11 @@
     /// Reads both clocks.
     pub(crate) fn now(&self) -> Now {
         let clock = self.platform.clock();
-        Now {
-            mono_ms: clock.mono_ms(),
-            unix_ms: clock.unix_ms(),
-        }
+        // In this order: a pause in between must make times on the wall clock, after which workers
+        // refuse, too early rather than too late for the lease on the monotonic one.
+        let unix_ms = clock.unix_ms();
+        let mono_ms = clock.mono_ms();
+        Now { mono_ms, unix_ms }
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -125,11 +125,9 @@
         }
         let now_ms = self.now.mono_ms;
         let left_ms = request.waiting.deadline_ms.saturating_sub(now_ms);
-        // Nothing guarded by the lease starts after its end, however long the process was paused.
-        let lease_left_ms = match request.team.is_empty() {
-            true => u64::MAX,
-            false => self.lease.left_ms(now_ms),
-        };
+        // Nothing starts after the lease, however long the process was paused: others no longer keep
+        // the team's part nor wait with the stop of the instance.
+        let lease_left_ms = self.lease.left_ms(now_ms);
         let start_window_ms = self
             .settings
             .start_window_ms
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod standalone;
 mod standalone_account;
+mod start_window;
 mod support;
 mod upkeep_budget;
 mod upkeep_moves;
