--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod settings;
 mod standalone;
 mod standalone_account;
+mod start_window;
 mod support;
 mod upkeep_budget;
 mod upkeep_moves;
