--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -10,11 +10,11 @@
 use crate::{
     callers::{CallId, CallerAnswer, CallerRequest, Cancel, RanOn},
     entry::{
-        admission::{self, Admitted, Standing},
+        admission::{self, Admitted, Refused, Standing},
         engine::Engine,
         event::{attempt_id, Action, AttemptKey},
         gossip::{Gossip, GossipUsage, PoolLoad},
-        requests::{Attempt, Origin, Request, Stage},
+        requests::{Attempt, Origin, Past, Request, Stage},
     },
     error::ErrorKind,
     fleet::{PoolName, TeamName, UnixMs},
@@ -69,6 +69,20 @@
         }
     }
 
+    /// Returns the team of a key that comes without work; empty without a key.
+    ///
+    /// An entry that cannot know of a withdrawal answers nothing to a key.
+    pub(crate) fn team_of(&self, key: Option<&str>) -> Result<TeamName, Refused> {
+        match key {
+            None => Ok(TeamName::default()),
+            Some(_) if !self.is_ready() => Err((ErrorKind::EntryNotReady, SmolStr::default())),
+            Some(_) if !self.standing().is_config_fresh => {
+                Err((ErrorKind::ConfigurationStale, SmolStr::default()))
+            }
+            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
+        }
+    }
+
     pub(crate) fn standing(&self) -> Standing {
         let now_ms = self.now.mono_ms;
         let max_age_ms = self.settings.config_stale_max_ms;
@@ -116,8 +130,8 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            past: Past::default(),
             is_announced: true,
-            may_have_run: false,
         };
         self.admit_request(key, request);
     }
@@ -363,7 +377,16 @@
         }
         let now_ms = self.now.mono_ms;
         let left_ms = request.waiting.deadline_ms.saturating_sub(now_ms);
-        let start_window_ms = self.settings.start_window_ms.min(left_ms);
+        // Nothing guarded by the lease starts after its end, however long the process was paused.
+        let lease_left_ms = match request.team.is_empty() {
+            true => u64::MAX,
+            false => self.lease.left_ms(now_ms),
+        };
+        let start_window_ms = self
+            .settings
+            .start_window_ms
+            .min(left_ms)
+            .min(lease_left_ms);
         let lease_max_ms = self.lease_max_ms();
         let lease_ms = (left_ms + LEASE_SLACK_MS).min(lease_max_ms);
         let over_ms = now_ms + start_window_ms + lease_ms + self.settings.clock_skew_max_ms;
@@ -473,6 +496,14 @@
 
     fn observe(&mut self, attempt: &Attempt, outcome: &WorkerOutcome) {
         let now_ms = self.now.mono_ms;
+        // Both may come about without a word from the worker.
+        let is_own_word = matches!(
+            outcome,
+            WorkerOutcome::NotStarted(NotStarted::Unreachable | NotStarted::Late)
+        );
+        if outcome.has_ended() && !is_own_word {
+            self.heard_worker(&attempt.instance);
+        }
         let seen = match outcome {
             WorkerOutcome::Ran {
                 is_success: true, ..
@@ -522,9 +553,6 @@
     /// Ends or retries the request that an attempt was for.
     fn settle(&mut self, attempt: &Attempt, outcome: WorkerOutcome) {
         let key = attempt.request;
-        if let Some(request) = self.requests.get_mut(key) {
-            request.may_have_run |= !matches!(outcome, WorkerOutcome::NotStarted(_));
-        }
         match outcome {
             WorkerOutcome::Ran {
                 is_success: true,
@@ -596,6 +624,7 @@
         };
         match self.retry.decide(now_ms, &failed, &mut self.rng) {
             RetryDecision::After { delay_ms } => {
+                request.past = request.past.max(past_of(reason));
                 request.stage = Stage::BackingOff;
                 self.requests.back_off(key, now_ms + delay_ms);
                 true
@@ -651,17 +680,21 @@
         self.finish(key, answer, ClaimState::Ran);
     }
 
-    /// Ends a request of which no attempt is out. Its answer says "not run" only if no attempt of
-    /// it may have run.
+    /// Ends a request that has no attempt out, as not run unless an earlier attempt did run.
     pub(crate) fn finish_not_run(&mut self, key: RequestKey, kind: ErrorKind, retry_after_ms: u64) {
         self.wait.cancel(self.now.mono_ms, key);
-        let request = self.requests.get(key);
-        if request.is_some_and(|request| request.may_have_run) {
-            return self.finish_unknown(key, kind_if_run(kind));
-        }
         let entry = self.settings.entry.clone();
-        let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
-        self.finish(key, answer, ClaimState::NotRun);
+        match self.requests.get(key).map(|request| request.past) {
+            Some(Past::Unknown) => self.finish_unknown(key, unknown_kind(kind)),
+            Some(Past::Failed) => {
+                let answer = CallerAnswer::failed(entry, ErrorKind::TaskFailed, 0);
+                self.finish(key, answer, ClaimState::Ran);
+            }
+            Some(Past::NotRun) | None => {
+                let answer = CallerAnswer::failed(entry, kind, retry_after_ms);
+                self.finish(key, answer, ClaimState::NotRun);
+            }
+        }
     }
 
     /// Ends a request whose claim is somebody else's.
@@ -729,11 +762,7 @@
 
     /// Cancels on a caller's behalf, here or at whichever peer has the request.
     pub(crate) fn cancel_for(&mut self, call_id: CallId, cancel: &Cancel) {
-        let team = match &cancel.key {
-            None => Ok(TeamName::default()),
-            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
-        };
-        let team = match team {
+        let team = match self.team_of(cancel.key.as_deref()) {
             Ok(team) => team,
             Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
         };
@@ -912,11 +941,19 @@
     }
 }
 
-/// Returns what a refusal becomes if the work may have run before.
-fn kind_if_run(kind: ErrorKind) -> ErrorKind {
+fn past_of(reason: RetryReason) -> Past {
+    match reason {
+        RetryReason::OutcomeUnknown => Past::Unknown,
+        RetryReason::TaskFailed => Past::Failed,
+        _ => Past::NotRun,
+    }
+}
+
+/// Returns what to tell in place of `kind`, which says "not run", if an earlier attempt may have run.
+fn unknown_kind(kind: ErrorKind) -> ErrorKind {
     match kind {
-        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
         ErrorKind::DeadlinePassed => ErrorKind::DeadlinePassedWhileRunning,
+        ErrorKind::CancelledNotRun => ErrorKind::CancelledWhileRunning,
         _ => ErrorKind::WorkerLost,
     }
 }
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -13,7 +13,7 @@
         admission::{self, Admitted},
         dispatch::deadline_unix_ms,
         engine::Engine,
-        requests::{Origin, Request, Stage},
+        requests::{Origin, Past, Request, Stage},
     },
     error::{ErrorKind, RunState},
     fleet::{Resources, TeamName},
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Queues a job that this seat owns, and may have adopted.
+    /// Queues a job that this seat owns, by its submission or adopted from an ended seat.
     pub(crate) fn enqueue_job(&mut self, team: &TeamName, request_id: &Uuid, is_adopted: bool) {
         let Some(entry) = self.ledger.jobs.get(team, request_id).cloned() else {
             return;
@@ -91,8 +91,10 @@
             return;
         }
         let mut request = self.job_request(text, &entry);
-        // The former owner started it without an announcement if it is idempotent.
-        request.may_have_run = is_adopted && request.is_idempotent;
+        // Attempts of idempotent jobs are not on record, so the earlier owner may have made some.
+        if is_adopted && request.is_idempotent {
+            request.past = Past::Unknown;
+        }
         let key = request.waiting.key;
         self.requests.insert(key, request);
         self.push_waiting(key);
@@ -140,9 +142,9 @@
             waiting,
             stage: Stage::Claiming,
             attempts_count: 0,
+            past: Past::default(),
             // A second run of an idempotent job does no harm, so its start need not be on record.
             is_announced: row.is_idempotent,
-            may_have_run: false,
         }
     }
 
@@ -266,11 +268,7 @@
 
     /// Reports on a job.
     pub(crate) fn fetch(&mut self, call_id: CallId, fetch: &Fetch) {
-        let team = match &fetch.key {
-            None => Ok(TeamName::default()),
-            Some(key) => admission::team_of_key(&self.ledger, &self.withdrawn, key),
-        };
-        let team = match team {
+        let team = match self.team_of(fetch.key.as_deref()) {
             Ok(team) => team,
             Err((kind, detail)) => return self.refuse(call_id, kind, 0, &detail),
         };
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -116,6 +116,13 @@
     Unknown(SmolStr),
 }
 
+impl WorkerOutcome {
+    /// Returns whether the task is proved not to run any more, whatever it did.
+    pub fn has_ended(&self) -> bool {
+        !matches!(self, Self::Unknown(_))
+    }
+}
+
 /// Why a worker stopped a task before its end.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString, strum::EnumIter,
--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -8,9 +8,10 @@
 use attohttpc::Method;
 use hawthornladder::entry::Event;
 use hawthornladder::error::ErrorKind;
+use hawthornladder::ledger::OperatorChange;
 use serde_json::json;
 
-use crate::cluster::{Call, Cluster, EntryProcess};
+use crate::cluster::{cancel, fetch_job, Call, Cluster, EntryProcess};
 use crate::engines::Engines;
 use crate::processes::admin_call;
 use crate::proxy::ProxyFaults;
@@ -97,6 +98,12 @@
     let (key_id, key) = cluster.grant(TEAM);
     let cut = &cluster.entries[2];
     assert!(cut.call(&Call::new("delay-maps", &key, 1)).is_done());
+    let job = Call::new("delay-maps", &key, 1).for_later();
+    assert_eq!(cluster.entries[0].call(&job).status, 202);
+    let address = &cut.callers_address;
+    cluster.wait_until("the job is done", |_| {
+        fetch_job(address, &key, &job.request_id).is_done()
+    });
     let is_refusing = ProxyFaults {
         is_refusing: true,
         ..ProxyFaults::default()
@@ -109,6 +116,11 @@
     let withdrawn = Instant::now();
     cluster.operate(&["keys", "withdraw", &key_id]);
     assert_refused_in_time(&cluster, &key, withdrawn);
+    // Neither does the key open anything else there.
+    let reply = fetch_job(address, &key, &job.request_id);
+    assert_eq!(reply.kind, "configuration_stale", "{reply:?}");
+    let reply = cancel(address, &key, &job.request_id);
+    assert_eq!(reply.kind, "configuration_stale", "{reply:?}");
 }
 
 #[test]
@@ -221,3 +233,18 @@
         assert_eq!(reply.kind, "key_withdrawn", "{reply:?}");
     }
 }
+
+#[test]
+fn a_grant_that_lands_again_after_the_withdrawal_has_no_effect() {
+    let mut engines = Engines::open(1);
+    let key = engines.grant(TEAM);
+    let granted = engines.records.last().expect("it is on record").clone();
+    let key_id = key.key_id.clone();
+    engines.operate(OperatorChange::WithdrawKey { key_id });
+    engines.append(&granted.payload);
+    engines.advance(100);
+    let request = engines.request(&key, true);
+    let call = engines.call(0, &request);
+    let refusal = engines.refusal(call).map(|row| row.0);
+    assert_eq!(refusal, Some(ErrorKind::KeyWithdrawn));
+}
