--- a/src/load/upkeep_model/experiments.rs
+++ b/src/load/upkeep_model/experiments.rs
@@ -210,7 +210,7 @@
             for move_policy in [
                 MovePolicy::Never,
                 MovePolicy::FollowDemand,
-                MovePolicy::MarginalWorth,
+                MovePolicy::Evidence,
             ] {
                 let scenario = Scenario {
                     move_policy,
@@ -282,7 +282,7 @@
                         domain,
                         at_ms: 5 * HOUR_MS,
                     }),
-                    move_policy: MovePolicy::MarginalWorth,
+                    move_policy: MovePolicy::Evidence,
                     survived_failure,
                     ..turns.clone()
                 };
@@ -319,7 +319,7 @@
         for (name, weights) in settings {
             let scenario = Scenario {
                 rollout_at_ms: Some(HOUR_MS),
-                move_policy: MovePolicy::MarginalWorth,
+                move_policy: MovePolicy::Evidence,
                 weights,
                 racks: rack_rule(&weights),
                 ..shift.clone()
--- a/src/load/upkeep_model/run.rs
+++ b/src/load/upkeep_model/run.rs
@@ -310,7 +310,7 @@
         let chosen = match self.scenario.move_policy {
             MovePolicy::Never => None,
             MovePolicy::FollowDemand => follow_demand(&view, &self.recent_means()),
-            MovePolicy::MarginalWorth => {
+            MovePolicy::Evidence => {
                 decide_move(&view, &self.evidence, settings, &self.scenario.weights)
                     .ok()
                     .map(|proposal| (proposal.instance, proposal.to))
--- a/src/load/upkeep_model/scenario.rs
+++ b/src/load/upkeep_model/scenario.rs
@@ -30,7 +30,7 @@
     /// Instances follow the demand of the last seconds.
     FollowDemand,
     /// The decision of [`crate::upkeep::moves`].
-    MarginalWorth,
+    Evidence,
 }
 
 /// How a bad image shows itself.
--- a/tests/testsuite/upkeep_moves.rs
+++ b/tests/testsuite/upkeep_moves.rs
@@ -311,7 +311,7 @@
         };
         run(&deployment, &scenario, 1)
     };
-    let ours = figures(MovePolicy::MarginalWorth);
+    let ours = figures(MovePolicy::Evidence);
     assert!(ours.missed_permille < figures(MovePolicy::Never).missed_permille);
     assert!(ours.moves_per_hour < figures(MovePolicy::FollowDemand).moves_per_hour);
     assert_eq!(ours.breaches_count, 0);
