--- a/src/cmd/load.rs
+++ b/src/cmd/load/mod.rs
@@ -1,18 +1,17 @@
 //! `load`: an open-loop load run against running entries, with baseline, faults and accounts.
 
-use std::collections::HashSet;
+mod args;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use clap::ArgMatches;
 use error_stack::{Report as ErrorReport, ResultExt};
-use hawthornladder::adapters::http_client::HttpCall;
 use hawthornladder::adapters::instances_http::HttpInstances;
-use hawthornladder::adapters::log_http::{service_call, ServiceTimeouts};
-use hawthornladder::entry::EntryStatus;
+use hawthornladder::adapters::log_http::ServiceTimeouts;
 use hawthornladder::examples;
 use hawthornladder::fleet::{InstanceName, InstanceRow, TeamName};
 use hawthornladder::fleet_file::{self, FleetFile};
@@ -21,170 +20,28 @@
 use hawthornladder::load::live::faults::{self, MixedSettings, Step};
 use hawthornladder::load::live::injector::{Injected, Injector};
 use hawthornladder::load::live::plot;
-use hawthornladder::load::live::process::{read_pid, read_usage, Usage};
-use hawthornladder::load::live::report::{EntryUsage, Figures, Report, Site};
+use hawthornladder::load::live::report::{Figures, Report};
 use hawthornladder::load::live::schedule::{self, Arrivals, Mix, ScheduleSettings, Shot};
+use hawthornladder::load::live::site::{
+    journals, log_counts, team_limits, usage_between, usages, Site,
+};
 use hawthornladder::load::live::targets::{CallerSettings, Targets, TeamKeys};
-use hawthornladder::platform::journal::{Journal, Run};
-use hawthornladder::platform::log::LogCounts;
 use hawthornladder::ports::InstancePort;
 use indexmap::IndexMap;
-use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
 use crate::cmd::{say, CmdError, CmdResult, Exit};
 
+pub(crate) use args::make_command;
+use args::{count, optional, small, text};
+
 const TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
     connect_ms: 1_000,
     call_ms: 10_000,
 };
-/// Largest journal or status that is read.
-const ANSWER_MAX_BYTES: u64 = 256 << 20;
 /// Pause between the end of the load and the reading of the journals.
 const SETTLE: Duration = Duration::from_millis(500);
 
-/// Makes the command line of `load`.
-pub(crate) fn make_command() -> Command {
-    Command::new("load")
-        .about("Send a load to running entries and account for it at the workers")
-        .long_about(
-            "Send a load to running entries and account for it at the workers.\n\n\
-             The requests follow the demand of a fleet file at a fixed seed, whatever becomes of \
-             them on the way (an open loop); latency counts from the time at which a request was \
-             to be sent. With `--direct` the same schedule goes straight to the workers first, so \
-             that the difference is what the entries add. Faults are done to stand-ins and to the \
-             processes named by `--entry-pid-file`; the command starts no process. The exit code \
-             is 1 if a promise was broken.",
-        )
-        .args(target_args())
-        .args(schedule_args())
-        .args(fault_and_output_args())
-}
-
-fn target_args() -> Vec<Arg> {
-    vec![
-        many("entry", "IP:PORT", "Callers' address of an entry"),
-        many(
-            "operators",
-            "IP:PORT",
-            "Operators' address of an entry, in the same order",
-        ),
-        many(
-            "entry-pid-file",
-            "FILE",
-            "File with the process id of an entry, in the same order",
-        ),
-        one("log", "IP:PORT", "Address of the stand-in log"),
-        one("instances", "IP:PORT", "Address of the instance list").required(true),
-        one(
-            "keys",
-            "FILE",
-            "JSON file with a list of keys for each team",
-        ),
-        one(
-            "fleet",
-            "FILE",
-            "Fleet file whose demand is played [default: the Lahore example]",
-        ),
-    ]
-}
-
-fn schedule_args() -> Vec<Arg> {
-    vec![
-        number("seed", "1", "Seed of the schedule"),
-        number("seconds", "20", "Length of the load"),
-        optional_number(
-            "rate",
-            "Requests a second, constant, in place of the turns of demand",
-        ),
-        number(
-            "scale-permille",
-            "1000",
-            "Factor of the demand in turns, in thousandths",
-        ),
-        optional_number(
-            "run-ms",
-            "Run time of every request [default: the stream's]",
-        ),
-        optional_number("body-bytes", "Length of every body [default: the stream's]"),
-        optional_number(
-            "idempotent-permille",
-            "Part of idempotent requests [default: the stream's]",
-        ),
-        number(
-            "later-permille",
-            "0",
-            "Part of the requests submitted for later",
-        ),
-        number(
-            "cancel-permille",
-            "0",
-            "Part of the requests that are cancelled on the way",
-        ),
-        number(
-            "twin-permille",
-            "0",
-            "Part of the requests sent to two entries at once",
-        ),
-        flag("skewed", "Let each team favour some entries"),
-        flag(
-            "obey",
-            "Let callers come back when a refusal says so, and elsewhere after a loss",
-        ),
-        number("in-flight-max-count", "20000", "Requests in flight at most"),
-        number("threads", "2", "Threads of the callers"),
-        flag(
-            "direct",
-            "Send the same schedule straight to the workers first",
-        ),
-    ]
-}
-
-fn fault_and_output_args() -> Vec<Arg> {
-    vec![
-        one("faults", "FILE", "Script of faults, in JSON with comments"),
-        one("fault-script", "NAME", "Built-in script of faults")
-            .value_parser(["mixed"])
-            .conflicts_with("faults"),
-        one(
-            "plot",
-            "FILE",
-            "Write the distribution of the latency to this file, as SVG",
-        ),
-        one(
-            "report",
-            "FILE",
-            "Write the whole result to this file, as JSON",
-        ),
-        one("output", "FORMAT", "How to print")
-            .value_parser(["text", "json"])
-            .default_value("text"),
-    ]
-}
-
-fn one(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).value_name(value).help(help)
-}
-
-fn many(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    one(name, value, help).action(ArgAction::Append)
-}
-
-fn flag(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .help(help)
-        .action(ArgAction::SetTrue)
-}
-
-fn optional_number(name: &'static str, help: &'static str) -> Arg {
-    one(name, "N", help).value_parser(value_parser!(u64))
-}
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    optional_number(name, help).default_value(default)
-}
-
 /// Carries out `load`.
 pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
     let entries = addresses(matches)?;
@@ -444,83 +301,3 @@
         .map(|row| (row.name.clone(), row.address.clone()))
         .collect()
 }
-
-/// Reads a JSON document; `None` if it cannot be had.
-fn get<T: DeserializeOwned>(address: &str, path: &str) -> Option<T> {
-    let call = HttpCall {
-        answer_max_bytes: ANSWER_MAX_BYTES,
-        ..service_call(address, TIMEOUTS, attohttpc::Method::GET, path.to_owned())
-    };
-    let answer = call.send().ok().filter(|answer| answer.status == 200)?;
-    serde_json::from_slice(&answer.body).ok()
-}
-
-fn team_limits(site: &Site) -> IndexMap<TeamName, u32> {
-    let mut statuses = site.operators.iter();
-    let status = statuses.find_map(|address| get::<EntryStatus>(address, "/v1/status"));
-    let teams = status.unwrap_or_default().teams.into_iter();
-    teams
-        .map(|(team, row)| (team, row.limit_requests))
-        .collect()
-}
-
-fn log_counts(site: &Site) -> LogCounts {
-    get(&site.log, "/counts").unwrap_or_default()
-}
-
-/// Reads the journals of all workers; returns the runs and how many were dropped.
-fn journals(rows: &[InstanceRow]) -> (Vec<Run>, u64) {
-    let addresses: HashSet<&SmolStr> = rows.iter().map(|row| &row.address).collect();
-    let mut runs = Vec::new();
-    let mut dropped_count = 0;
-    for address in addresses {
-        match get::<Journal>(address, "/journal") {
-            Some(journal) => {
-                dropped_count += journal.dropped_count;
-                runs.extend(journal.runs);
-            }
-            None => eprintln!("event=journal_missing worker={address}"),
-        }
-    }
-    (runs, dropped_count)
-}
-
-fn usages(site: &Site) -> Vec<Usage> {
-    let read = |path: &PathBuf| read_usage(read_pid(path).ok()?);
-    let files = site.entry_pid_files.iter();
-    files.map(|path| read(path).unwrap_or_default()).collect()
-}
-
-/// Returns what was used between two readings; a process that began in between counts whole.
-fn usage_between(before: &[Usage], after: &[Usage], elapsed: Duration) -> Vec<EntryUsage> {
-    let elapsed_ms = u64::try_from(elapsed.as_millis())
-        .unwrap_or(u64::MAX)
-        .max(1);
-    let between = |(before, usage): (&Usage, &Usage)| {
-        let before_ms = match before.pid == usage.pid {
-            true => before.cpu_ms,
-            false => 0,
-        };
-        EntryUsage {
-            usage: *usage,
-            cpu_permille: usage.cpu_ms.saturating_sub(before_ms) * 1_000 / elapsed_ms,
-        }
-    };
-    before.iter().zip(after).map(between).collect()
-}
-
-fn text<'m>(matches: &'m ArgMatches, name: &str) -> Option<&'m str> {
-    matches.get_one::<String>(name).map(String::as_str)
-}
-
-fn optional(matches: &ArgMatches, name: &str) -> Option<u64> {
-    matches.get_one::<u64>(name).copied()
-}
-
-fn count(matches: &ArgMatches, name: &str) -> u64 {
-    optional(matches, name).unwrap_or(0)
-}
-
-fn small(number: u64) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
--- a/src/load/live/injector.rs
+++ b/src/load/live/injector.rs
@@ -13,7 +13,7 @@
 use super::account::{Leaving, Withdrawn};
 use super::faults::{Fault, InstanceOrder, Signal, Step};
 use super::process;
-use super::report::Site;
+use super::site::Site;
 use super::targets::TeamKeys;
 use crate::adapters::http_client::{percent_encode, HttpCall};
 use crate::adapters::log_http::{service_call, ServiceTimeouts};
--- a/src/load/live/mod.rs
+++ b/src/load/live/mod.rs
@@ -15,4 +15,6 @@
 pub mod process;
 pub mod report;
 pub mod schedule;
+pub mod site;
+mod table;
 pub mod targets;
