--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,6 +3,8 @@
 # processor time and memory of idle entries, and the time from an accepted publication until it is in
 # force on all entries.
 #
+# The first load run takes further arguments, for example `--plot FILE`.
+#
 #   RATE=1000 SECONDS_COUNT=20 IDLE_SECONDS=20 scripts/bench.sh [arguments of load]
 set -u
 . "$(dirname "$0")/lib.sh"
@@ -68,10 +70,14 @@
 publish_lists 0
 grant_keys 1
 start_entries
-echo "== idle, $ENTRIES_COUNT entries, fleet $FLEET"
+echo "== idle, $ENTRIES_COUNT entries, fleet $FLEET, $(nproc) cores; load average $(cut -d' ' -f1-3 /proc/loadavg)"
 measure_idle
 echo "== publication"
 measure_publish
-echo "== load, $RATE requests/s for $SECONDS_COUNT s"
+echo "== load, $RATE requests/s for $SECONDS_COUNT s, all idempotent; load average $(cut -d' ' -f1-3 /proc/loadavg)"
+# shellcheck disable=SC2046
+"$PROGRAM" load $(load_args) --rate "$RATE" --seconds "$SECONDS_COUNT" --run-ms 5 --direct \
+    --idempotent-permille 1000 "$@"
+echo "== load, $RATE requests/s for $SECONDS_COUNT s, the example's mix; load average $(cut -d' ' -f1-3 /proc/loadavg)"
 # shellcheck disable=SC2046
-"$PROGRAM" load $(load_args) --rate "$RATE" --seconds "$SECONDS_COUNT" --run-ms 5 --direct "$@"
+"$PROGRAM" load $(load_args) --rate "$RATE" --seconds "$SECONDS_COUNT" --run-ms 5 --direct
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -31,5 +31,11 @@
     --scale-permille "$SCALE_PERMILLE" --later-permille 50 --cancel-permille 20 \
     --twin-permille 50 --skewed --obey --fault-script mixed "$@"
 exit_code=$?
+# What each entry holds after the load; nothing should be left waiting or running.
+for index in $(seq 0 $((ENTRIES_COUNT - 1))); do
+    echo "status entry=$index $(curl -s -m 2 "http://127.0.0.1:$((PORT_BASE + index * 3 + 2))/v1/status" |
+        grep -oE '"(requests_count|waiting_count|running_count|next_offset|lists_version)":[0-9]+|"instances":[^}]*}' |
+        tr '\n' ' ')"
+done
 echo "exit_code=$exit_code dir=$DIR"
 exit "$exit_code"
