--- a/src/load/live/caller.rs
+++ b/src/load/live/caller.rs
@@ -54,6 +54,7 @@
 /// How one chain of calls ended.
 struct Chase {
     end: End,
+    entry: SmolStr,
     ran: RunState,
     is_proved_not_run: bool,
     is_own_answer: bool,
@@ -64,6 +65,7 @@
 /// One answer, read.
 struct Answered {
     end: End,
+    entry: SmolStr,
     ran: RunState,
     is_own_answer: bool,
     retry_after: Option<Duration>,
@@ -91,6 +93,7 @@
         Outcome {
             shot: self.index,
             request_id: self.request_id.clone(),
+            entry: SmolStr::default(),
             key: 0,
             sent_unix_us: self.sent_unix_us,
             latency_us: u64::try_from(self.due.elapsed().as_micros()).unwrap_or(u64::MAX),
@@ -143,6 +146,7 @@
             second => (first, second),
         };
         Outcome {
+            entry: chase.entry,
             key: key.as_ref().map_or(0, |(place, _)| *place),
             is_proved_not_run: chase.is_proved_not_run
                 && other.as_ref().is_none_or(|other| other.is_proved_not_run),
@@ -167,6 +171,7 @@
         let mut entry = entry;
         let mut chase = Chase {
             end: End::Done,
+            entry: SmolStr::default(),
             ran: RunState::NotRun,
             is_proved_not_run: true,
             is_own_answer: true,
@@ -187,6 +192,7 @@
                 }
                 _ => {
                     chase.end = answered.end;
+                    chase.entry = answered.entry;
                     chase.ran = answered.ran;
                     return chase;
                 }
@@ -293,11 +299,13 @@
         Some("ran") => RunState::Ran,
         _ => RunState::OutcomeUnknown,
     };
+    let entry = SmolStr::new(reply.header("x-entry").unwrap_or_default());
     if reply.status == 200 {
         let answer = TaskAnswer::decode(&reply.body);
         let is_own = answer.is_some_and(|row| row.is_for(&errand.request_id, &errand.body));
         return Answered {
             end: End::Done,
+            entry,
             ran,
             is_own_answer: is_own,
             retry_after: None,
@@ -311,6 +319,7 @@
     let retry_after = body["retry_after_ms"].as_u64();
     Answered {
         end: End::Failed { kind },
+        entry,
         ran,
         is_own_answer: true,
         retry_after: retry_after
@@ -343,6 +352,7 @@
         end: End::Lost {
             reason: SmolStr::new_static(reason),
         },
+        entry: SmolStr::default(),
         ran,
         is_own_answer: true,
         retry_after: None,
--- a/src/load/live/outcome.rs
+++ b/src/load/live/outcome.rs
@@ -41,6 +41,8 @@
     pub shot: usize,
     /// Caller's id.
     pub request_id: SmolStr,
+    /// Entry that gave the last answer, if one did.
+    pub entry: SmolStr,
     /// Key that it carried, by its place among the team's keys.
     pub key: usize,
     /// When it was to be sent.
--- a/src/load/live/report.rs
+++ b/src/load/live/report.rs
@@ -84,7 +84,7 @@
     /// Calls that the callers repeated, by what they were told before.
     pub retried_after: IndexMap<SmolStr, u64>,
     /// Servable requests that were not on time, by the second of their planned sending, and by
-    /// queue, mode and end.
+    /// queue, mode, end and entry.
     pub missed_by_s: IndexMap<u64, IndexMap<SmolStr, u64>>,
     /// Quantiles of the latency, in microseconds, for the plot.
     #[serde(skip)]
@@ -218,7 +218,8 @@
                     .entry(shot.at_us / US_PER_S)
                     .or_default();
                 let mode = mode_name(shot);
-                let name = format_smolstr!("{}:{mode}:{}", shot.queue, outcome.end.name());
+                let end = outcome.end.name();
+                let name = format_smolstr!("{}:{mode}:{end}:{}", shot.queue, outcome.entry);
                 *second.entry(name).or_default() += 1;
             }
             *figures.ends.entry(outcome.end.name().into()).or_default() += 1;
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -135,6 +135,7 @@
         let outcome = Outcome {
             shot: 0,
             request_id: "request".into(),
+            entry: "entry-0".into(),
             key: 0,
             sent_unix_us: START_UNIX_US,
             latency_us: 10,
