--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -138,8 +138,7 @@
     pub eject_max_permille: u64,
     /// Time over which use is averaged for the shares, in milliseconds.
     pub share_window_ms: u64,
-    /// Time for which a pool must have been short before an instance is moved to it, in milliseconds;
-    /// shorter bursts are waited out.
+    /// Window over which a pool's demand is observed for the buffers that it needs, in milliseconds.
     pub move_wait_ms: u64,
     /// Shortest time between two moves of one instance, in milliseconds.
     pub move_rest_ms: u64,
