Let a probe through where run times that were observed leave no room

Cause: under faults a few runs of seconds raised the run time observed of delay maps at an entry above their deadline of 4 s. From then on the entry refused each request of the queue at once (deadline_passed with nothing waiting, sampled every 2 s over a soak), so no run could ever show that run times were short again: 391 such refusals in 300 s, growing at three of eight entries. Ruled out: limits of the team (allowance unused), claims, ejected workers and placement (explain says that a request would be let through). The test was seen failing (no request taken in 10 s). Now the first request after 250 ms of refusals is taken as a probe, and then one in each 250 ms, until estimates are short again.

--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -41,6 +41,10 @@
 
 pub use crate::policy::settings::{QueueSettings, Sharing};
 
+/// Time between two requests of a team and a queue that are taken although the run times observed
+/// last leave no room for them.
+const PROBE_EVERY_MS: u64 = 250;
+
 /// Least time between two searches for requests to give up.
 pub const EXPIRE_PERIOD_MS: u64 = 20;
 
@@ -58,6 +62,8 @@
     divider: Divider,
     pacing: Pacing,
     next_expire_ms: MonoMs,
+    /// When the last probe of each team and queue was taken.
+    probed_ms: KeyMap<(TeamSlot, QueueKey), MonoMs>,
     refused: IndexMap<RefusalReason, u64>,
     rng: ChaCha8Rng,
 }
@@ -74,6 +80,7 @@
             divider: Divider::default(),
             pacing: Pacing::default(),
             next_expire_ms: 0,
+            probed_ms: KeyMap::default(),
             refused: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -133,6 +140,12 @@
         self.forecast
             .count_backlog(now_ms, &self.lanes, waiting.pools[0], view);
         match self.cannot_take(now_ms, lane_key, latest_start_ms, view) {
+            // Only work that runs can show that run times are short again.
+            Some(RefusalReason::DeadlinePassed) if self.is_probe_due(now_ms, &waiting) => {
+                let deadline_ms = waiting.deadline_ms;
+                self.lanes.insert(now_ms, lane_key, waiting, deadline_ms);
+                Ok(())
+            }
             Some(reason) => {
                 let retry_after_ms = self.book_return_ms(now_ms, lane_key, view);
                 Err(self.refuse(reason, Some(retry_after_ms)))
@@ -145,6 +158,19 @@
         }
     }
 
+    /// Returns whether a request that observed run times leave no room for is taken all the same, as
+    /// a probe: the first one once such requests were refused for a while, and then one in each
+    /// period.
+    fn is_probe_due(&mut self, now_ms: MonoMs, waiting: &Waiting) -> bool {
+        let key = (waiting.team, waiting.queue);
+        let probed_ms = *self.probed_ms.entry(key).or_insert(now_ms);
+        let is_due = waiting.deadline_ms > now_ms && now_ms >= probed_ms + PROBE_EVERY_MS;
+        if is_due {
+            self.probed_ms.insert(key, now_ms);
+        }
+        is_due
+    }
+
     /// Returns a request that was handed out and is proved not started. It keeps its deadline and
     /// is not refused for lack of room, as its place was given to it before.
     pub fn put_back(&mut self, now_ms: MonoMs, waiting: Waiting) {
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -312,3 +312,29 @@
     assert_eq!(view.running(Some(TeamKey(0)), POOL), Load::default());
     assert_eq!(view.waiting_at_peers_count(POOL), 0);
 }
+
+#[test]
+fn run_times_that_were_long_for_a_while_do_not_shut_a_queue_for_good() {
+    const DEADLINE_MS: u64 = 1_000;
+    let (mut queue, view) = (queue(), view(&[1]));
+    let team = Some(TeamKey(0));
+    for _ in 0..20 {
+        queue.observe_run(team, QueueKey(0), 4_000);
+    }
+    let mut taken_ms = Vec::new();
+    for key in 0..200 {
+        let now_ms = key * 50;
+        let request = waiting(key, 0, now_ms, now_ms + DEADLINE_MS);
+        if queue.push(now_ms, request, &times(4), &view).is_err() {
+            continue;
+        }
+        taken_ms.push(now_ms);
+        assert!(queue.next(now_ms, POOL, &view, &mut |_| true).is_some());
+        queue.observe_run(team, QueueKey(0), 20);
+    }
+    // A few are let through at a time, until what they show lets all through.
+    let first_second = taken_ms.iter().filter(|at_ms| **at_ms < 1_000).count();
+    assert!((1..=5).contains(&first_second), "{taken_ms:?}");
+    let last_second = taken_ms.iter().filter(|at_ms| **at_ms >= 9_000).count();
+    assert_eq!(last_second, 20, "{taken_ms:?}");
+}
