--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -32,7 +32,7 @@
         self.observe(&attempt, &outcome);
         match &outcome {
             // The task may still run, so it keeps its permit until its lease has ended.
-            WorkerOutcome::Unknown(_) => self.requests.haunt(key, attempt.clone()),
+            WorkerOutcome::Unknown(_) => self.requests.keep_unresolved(key, attempt.clone()),
             WorkerOutcome::Ran { .. }
             | WorkerOutcome::NotStarted(_)
             | WorkerOutcome::Stopped(_) => self.release(&attempt),
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -100,8 +100,8 @@
     backoffs: BTreeSet<(MonoMs, RequestKey)>,
     attempts: HashMap<AttemptKey, Attempt>,
     /// Attempts whose outcome is unknown and whose task may still run.
-    ghosts: BTreeSet<(MonoMs, AttemptKey)>,
-    ghost_rows: HashMap<AttemptKey, Attempt>,
+    unresolved: BTreeSet<(MonoMs, AttemptKey)>,
+    unresolved_rows: HashMap<AttemptKey, Attempt>,
     next_request: u64,
     next_attempt: u64,
 }
@@ -205,25 +205,25 @@
 
     /// Attempts that may be running, those of unknown outcome included.
     pub(crate) fn may_run(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.values().chain(self.ghost_rows.values())
+        self.attempts.values().chain(self.unresolved_rows.values())
     }
 
     /// Keeps an attempt of unknown outcome in mind until its task's lease has ended.
-    pub(crate) fn haunt(&mut self, key: AttemptKey, attempt: Attempt) {
-        self.ghosts.insert((attempt.over_ms, key));
-        self.ghost_rows.insert(key, attempt);
+    pub(crate) fn keep_unresolved(&mut self, key: AttemptKey, attempt: Attempt) {
+        self.unresolved.insert((attempt.over_ms, key));
+        self.unresolved_rows.insert(key, attempt);
     }
 
     /// Takes out the attempts of unknown outcome that are over by now.
     pub(crate) fn over(&mut self, now_ms: MonoMs) -> Vec<Attempt> {
-        pop_due(&mut self.ghosts, now_ms)
+        pop_due(&mut self.unresolved, now_ms)
             .into_iter()
-            .filter_map(|key| self.ghost_rows.remove(&key))
+            .filter_map(|key| self.unresolved_rows.remove(&key))
             .collect()
     }
 
     pub(crate) fn is_idle(&self) -> bool {
-        self.rows.is_empty() && self.attempts.is_empty() && self.ghosts.is_empty()
+        self.rows.is_empty() && self.attempts.is_empty() && self.unresolved.is_empty()
     }
 }
 
