--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -24,10 +24,10 @@
 const TICK: Duration = Duration::from_millis(5);
 
 /// Time between two ticks of an engine that holds no request and proposes nothing.
-const IDLE_TICK: Duration = Duration::from_millis(25);
+const IDLE_TICK: Duration = Duration::from_millis(50);
 
 /// Time between two publications of status and metrics.
-const PUBLISH: Duration = Duration::from_millis(100);
+const PUBLISH: Duration = Duration::from_millis(200);
 
 /// Time between two renewals of what peers are told.
 const GOSSIP: Duration = Duration::from_millis(50);
