--- a/tests/testsuite/cancellation.rs
+++ b/tests/testsuite/cancellation.rs
@@ -4,7 +4,8 @@
 
 use hawthornladder::entry::EntryStatus;
 
-use crate::cluster::{cancel, Call, Cluster};
+use crate::calling::{cancel, Call};
+use crate::cluster::Cluster;
 
 /// Longer than a test waits for anything.
 const RUN_MS: u64 = 55_000;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration tests, one module per topic.
 
 mod callers;
+mod calling;
 mod cancellation;
 mod check_command;
 mod cluster;
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -10,7 +10,8 @@
 use hawthornladder::entry::EntryStatus;
 use serde_json::{json, Value};
 
-use crate::cluster::{http, Call, Cluster};
+use crate::calling::{http, Call};
+use crate::cluster::Cluster;
 use crate::processes::{admin_call, Process};
 
 /// What a command ended with.
--- a/tests/testsuite/promises_answers.rs
+++ b/tests/testsuite/promises_answers.rs
@@ -10,7 +10,8 @@
 use hawthornladder::platform::task::TaskAnswer;
 use serde_json::json;
 
-use crate::cluster::{Call, Cluster, Reply};
+use crate::calling::{Call, Reply};
+use crate::cluster::Cluster;
 use crate::promises_small::{
     assert_all_done, callers, clear_pool_faults, first_of_maps, order, put_rows, rows,
     set_pool_faults, spawn, Load,
--- a/tests/testsuite/promises_bad_workers.rs
+++ b/tests/testsuite/promises_bad_workers.rs
@@ -13,7 +13,8 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use serde_json::json;
 
-use crate::cluster::{cancel, Call, Cluster, Reply};
+use crate::calling::{cancel, Call, Reply};
+use crate::cluster::Cluster;
 use crate::promises_answers::{assert_all_honest, call_all, call_at, SOUND_MAX};
 use crate::promises_small::{
     assert_all_done, callers, clear_pool_faults, first_of_maps, set_pool_faults, set_worker_faults,
--- a/tests/testsuite/promises_drain.rs
+++ b/tests/testsuite/promises_drain.rs
@@ -8,7 +8,8 @@
 
 use serde_json::json;
 
-use crate::cluster::{fetch_job, Call, Cluster, Reply, Unanswered};
+use crate::calling::{fetch_job, Call, Reply, Unanswered};
+use crate::cluster::Cluster;
 use crate::promises_small::{callers, set_pool_faults, spawn};
 
 const QUIET: &str = r#""moves_max_per_hour_count": 0"#;
--- a/tests/testsuite/promises_instances.rs
+++ b/tests/testsuite/promises_instances.rs
@@ -11,7 +11,8 @@
 use hawthornladder::platform::journal::Ending;
 use serde_json::json;
 
-use crate::cluster::{Call, Cluster};
+use crate::calling::Call;
+use crate::cluster::Cluster;
 use crate::processes::admin_call;
 use crate::promises_answers::call_all;
 use crate::promises_small::{
--- a/tests/testsuite/promises_jobs.rs
+++ b/tests/testsuite/promises_jobs.rs
@@ -5,7 +5,8 @@
 use hawthornladder::entry::Event;
 use hawthornladder::error::{ErrorKind, RunState};
 
-use crate::cluster::{fetch_job, Call, Cluster};
+use crate::calling::{fetch_job, Call};
+use crate::cluster::Cluster;
 use crate::engines::{busy, lost, ran, Engines};
 
 /// Returns engines whose seats are soon declared lapsed.
--- a/tests/testsuite/promises_keys.rs
+++ b/tests/testsuite/promises_keys.rs
@@ -11,7 +11,8 @@
 use hawthornladder::ledger::OperatorChange;
 use serde_json::json;
 
-use crate::cluster::{cancel, fetch_job, Call, Cluster, EntryProcess};
+use crate::calling::{cancel, fetch_job, Call};
+use crate::cluster::{Cluster, EntryProcess};
 use crate::engines::Engines;
 use crate::processes::admin_call;
 use crate::proxy::ProxyFaults;
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -13,7 +13,8 @@
 use serde_json::json;
 use uuid::Uuid;
 
-use crate::cluster::{cancel, unix_us, Call, Cluster, Reply, SHORT_LEASE};
+use crate::calling::{cancel, Call, Reply};
+use crate::cluster::{unix_us, Cluster, SHORT_LEASE};
 use crate::engines::{ran, Engines};
 
 /// Returns the engines with a limit of `limit_requests` for the team of the tests.
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -8,9 +8,8 @@
 use serde_json::json;
 use uuid::Uuid;
 
-use crate::cluster::{
-    cancel, unix_us, Call, Cluster, EntryProcess, Reply, SHORT_LEASE, SOON_STALE,
-};
+use crate::calling::{cancel, Call, Reply};
+use crate::cluster::{unix_us, Cluster, EntryProcess, SHORT_LEASE, SOON_STALE};
 use crate::engines::{ran, unix_ms, Engines};
 use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
 
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -12,7 +12,8 @@
 use serde_json::{json, Value};
 use uuid::Uuid;
 
-use crate::cluster::{fetch_job, Call, Cluster, SHORT_LEASE};
+use crate::calling::{fetch_job, Call};
+use crate::cluster::{Cluster, SHORT_LEASE};
 use crate::engines::{ran, Engines};
 
 #[test]
--- a/tests/testsuite/promises_single_run.rs
+++ b/tests/testsuite/promises_single_run.rs
@@ -14,7 +14,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
-use crate::cluster::{cancel, Call, Cluster, Reply, SHORT_LEASE, SOON_STALE};
+use crate::calling::{cancel, Call, Reply};
+use crate::cluster::{Cluster, SHORT_LEASE, SOON_STALE};
 use crate::engines::{busy, lost, Engines};
 use crate::processes::admin_call;
 use crate::proxy::{DirectionFaults, ProxyFaults};
--- a/tests/testsuite/promises_small.rs
+++ b/tests/testsuite/promises_small.rs
@@ -12,7 +12,8 @@
 use hawthornladder::ports::InstancePage;
 use serde_json::{json, Value};
 
-use crate::cluster::{Call, Cluster, EntryProcess, Reply};
+use crate::calling::{Call, Reply};
+use crate::cluster::{Cluster, EntryProcess};
 use crate::processes::admin_call;
 
 /// Instances of the pool `maps`.
--- a/tests/testsuite/whole_path.rs
+++ b/tests/testsuite/whole_path.rs
@@ -1,7 +1,8 @@
 //! The whole path as separate processes: configuration through the log, workers through the instance
 //! list, a request at any entry.
 
-use crate::cluster::{fetch_job, Call, Cluster};
+use crate::calling::{fetch_job, Call};
+use crate::cluster::Cluster;
 
 #[test]
 fn a_request_is_served_at_any_entry() {
