Drop a call that never did anything and a wrapper of one addition

settle() ended the claim of an attempt that finish_unknown had already ended: the attempt is taken out before, so the claim is never among those kept for later. deadline_unix_ms() was one saturating addition.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -12,7 +12,7 @@
         event::{attempt_id, Action},
         requests::{Attempt, Request, Stage},
     },
-    fleet::{TeamName, UnixMs},
+    fleet::TeamName,
     policy::{
         health::WorkKey,
         keys::{PoolKey, QueueKey, TeamKey, WorkerKey},
@@ -229,8 +229,3 @@
     hasher.finalize_xof().fill(&mut bytes);
     WorkKey(u64::from_le_bytes(bytes))
 }
-
-/// Returns the wall-clock deadline of work accepted for later.
-pub(crate) fn deadline_unix_ms(now_unix_ms: UnixMs, deadline_ms: u64) -> UnixMs {
-    now_unix_ms.saturating_add(deadline_ms)
-}
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -12,7 +12,6 @@
     entry::{
         admission::{self, Admitted},
         calls::RETRY_AFTER_MS,
-        dispatch::deadline_unix_ms,
         engine::Engine,
         requests::{Origin, Past, Request, Stage},
     },
@@ -43,7 +42,7 @@
             request_id,
             team: admitted.team.clone(),
             queue: request.queue.clone(),
-            deadline_unix_ms: deadline_unix_ms(self.now.unix_ms, request.deadline_ms),
+            deadline_unix_ms: self.now.unix_ms.saturating_add(request.deadline_ms),
             is_idempotent: request.is_idempotent,
             size: request.size,
             declared_run_ms: request.declared_run_ms,
--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -135,7 +135,6 @@
             WorkerOutcome::Stopped(_) | WorkerOutcome::Unknown(_) => {
                 if !self.retry_later(key, RetryReason::OutcomeUnknown) {
                     self.finish_unknown(key, ErrorKind::WorkerLost);
-                    self.end_orphan_claim(attempt, key, ClaimState::Unknown);
                 }
             }
         }
@@ -204,17 +203,6 @@
         }
     }
 
-    pub(crate) fn end_orphan_claim(
-        &mut self,
-        attempt: &Attempt,
-        _key: RequestKey,
-        state: ClaimState,
-    ) {
-        if let Some((team, request_id)) = self.orphan_claims.remove(&attempt.attempt_id) {
-            self.end_claim(&team, &request_id, state);
-        }
-    }
-
     pub(crate) fn end_claim(&mut self, team: &TeamName, request_id: &Uuid, state: ClaimState) {
         self.propose(SeatChange::ClaimEnd {
             team: team.clone(),
