--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod lists;
 mod load;
 mod log_access;
+mod node;
 mod stand_in;
 mod standalone;
 mod status;
@@ -45,6 +46,10 @@
         make: entry::make_command,
         execute: entry::execute,
     },
+    Subcommand {
+        make: node::make_command,
+        execute: node::execute,
+    },
     Subcommand {
         make: lists::make_command,
         execute: lists::execute,
@@ -93,6 +98,7 @@
 
   try it             standalone, standalone --requests 1000
   run it             entry, one process on each instance of the system
+                     node, the same on the users' platform
   change the lists   check, lists diff, lists publish --from VERSION
   keys               keys grant, keys withdraw, keys list
   find out           status: what is in force, and every refusal with its count
--- /dev/null
+++ b/src/jobs/answers.rs
@@ -0,0 +1,118 @@
+//! Answers of workers to starts and stops.
+
+use crate::jobs::engine::Engine;
+use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::orders::{OrderFailure, StartOrder, StopOrder};
+use crate::jobs::worker::{LookState, SlotState};
+use crate::logging::Event;
+
+/// Time for which a worker that has no room gets no task, in milliseconds.
+const NO_ROOM_AVOID_MS: u64 = 120;
+/// Time for which a worker that refused a start as unhealthy gets no task, in milliseconds.
+const UNHEALTHY_AVOID_MS: u64 = 800;
+
+impl Engine {
+    /// Takes in that a worker took a start.
+    pub fn start_accepted(&mut self, order: &StartOrder, clock_ms: Option<u64>, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(order.target.worker);
+        if let Some(clock_ms) = clock_ms {
+            worker.read_clock(clock_ms, now_ms);
+        }
+        if let Some(slot) = worker.slots.get_mut(&order.run) {
+            if matches!(slot.state, SlotState::Sent) {
+                slot.state = SlotState::Placed { since_ms: now_ms };
+            }
+        }
+        self.want_look(order.target.worker);
+    }
+
+    /// Takes in that a start failed.
+    pub fn start_failed(&mut self, order: &StartOrder, failure: OrderFailure, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let now_ms = self.now_ms;
+        let key = order.target.worker;
+        Event::new("start_failed")
+            .with("task", order.name)
+            .with("run", order.run.run)
+            .with("worker", &order.target.id)
+            .with("failure", failure)
+            .info();
+        self.note_failure(key, failure);
+        if !failure.is_not_run() {
+            let worker = self.worker_mut(key);
+            worker.avoided_until_ms = worker.avoided_until_ms.max(now_ms + NO_ROOM_AVOID_MS);
+            if let Some(slot) = worker.slots.get_mut(&order.run) {
+                slot.state = SlotState::Doubtful { since_ms: now_ms };
+            }
+            self.want_look(key);
+            return;
+        }
+        self.avoid_after(key, failure);
+        if failure == OrderFailure::NoTicket {
+            self.tickets.drop_worker(order.run.task, &order.target.id);
+        }
+        self.unplace(key, order.run);
+    }
+
+    fn avoid_after(&mut self, key: WorkerKey, failure: OrderFailure) {
+        let avoid_ms = match failure {
+            OrderFailure::NoRoom | OrderFailure::Late | OrderFailure::NotSent => NO_ROOM_AVOID_MS,
+            OrderFailure::Unhealthy | OrderFailure::Invalid => UNHEALTHY_AVOID_MS,
+            _ => 0,
+        };
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.avoided_until_ms = worker.avoided_until_ms.max(now_ms + avoid_ms);
+        if failure == OrderFailure::Late {
+            // The reading of the clock cannot be right; the next look brings another.
+            worker.clock = None;
+            worker.is_fenced = false;
+        }
+        self.want_look(key);
+    }
+
+    fn unplace(&mut self, key: WorkerKey, run: RunKey) {
+        self.drop_slot(key, run);
+        self.change_task(run.task, |task| {
+            task.runs.retain(|known| *known != (key, run.run));
+        });
+        self.needs_dispatch = true;
+    }
+
+    /// Takes in that a worker acknowledged a stop.
+    pub fn stop_accepted(&mut self, order: &StopOrder, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let now_ms = self.now_ms;
+        let Some(run) = order.run else {
+            return;
+        };
+        let worker = self.worker_mut(order.target.worker);
+        if let Some(slot) = worker.slots.get_mut(&run) {
+            if matches!(slot.state, SlotState::Doubtful { .. }) {
+                slot.state = SlotState::Barred { since_ms: now_ms };
+            }
+        }
+    }
+
+    /// Takes in that a stop failed; it is sent again in time.
+    pub fn stop_failed(&mut self, order: &StopOrder, failure: OrderFailure, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        Event::new("stop_failed")
+            .with("task", order.name)
+            .with("run", order.run_number)
+            .with("worker", &order.target.id)
+            .with("failure", failure)
+            .info();
+        self.note_failure(order.target.worker, failure);
+    }
+
+    /// Makes a look due at once, if none is on its way.
+    pub(crate) fn want_look(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        if let LookState::Rest { until_ms } = &mut self.worker_mut(key).look {
+            *until_ms = (*until_ms).min(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/capacity.rs
@@ -0,0 +1,257 @@
+//! Capacity that follows demand: instances go from pools that have more than they need, and from
+//! standby, to pools that have less; idle ones stand by.
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::instances::InstanceState;
+use crate::jobs::keys::WorkerKey;
+use crate::jobs::orders::InstanceOrder;
+use crate::jobs::spec::Size;
+
+/// Time between two reviews, in milliseconds.
+const REVIEW_MS: u64 = 200;
+/// Part of an instance's room that tasks of mixed sizes can fill, in thousandths.
+const FILLABLE_PERMILLE: u64 = 880;
+/// Time after which an idle instance stands by, in milliseconds.
+const PARK_AFTER_MS: u64 = 3_000;
+/// Instances that a pool keeps beyond those with endless tasks.
+const KEPT_COUNT: usize = 2;
+
+/// When and what was last decided.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CapacityPolicy {
+    /// Instances on their way, by the pool that they join, and the time of arrival.
+    coming: IndexMap<SmolStr, (SmolStr, u64)>,
+}
+
+/// What one pool has and needs.
+#[derive(Clone, Debug, Default)]
+struct PoolNeed {
+    needed: Size,
+    have: Size,
+    usable_count: usize,
+    endless_hosts_count: usize,
+}
+
+impl Engine {
+    /// Reviews pace, waves and capacity from time to time.
+    pub(crate) fn review(&mut self) {
+        if self.now_ms < self.next_review_ms {
+            return;
+        }
+        self.next_review_ms = self.now_ms + REVIEW_MS;
+        self.review_pace();
+        if self.may_order_instances() {
+            self.repeat_instance_orders();
+            self.review_waves();
+            self.review_capacity();
+        }
+        // Copies and jobs that turn late depend on time alone.
+        self.needs_dispatch = true;
+    }
+
+    fn review_capacity(&mut self) {
+        let now_ms = self.now_ms;
+        self.capacity
+            .coming
+            .retain(|_, (_, arrives_ms)| *arrives_ms > now_ms);
+        let needs = self.pool_needs();
+        let mut short: Vec<(SmolStr, usize)> = Vec::new();
+        let mut donors: Vec<WorkerKey> = Vec::new();
+        for (pool, need) in &needs {
+            let size = self.instance_size(pool);
+            let have_count = need.usable_count;
+            let wanted_count = instances_for(&need.needed, &size);
+            let kept_count = wanted_count
+                .max(need.endless_hosts_count + KEPT_COUNT)
+                .min(have_count.max(wanted_count));
+            if wanted_count > have_count {
+                short.push((pool.clone(), wanted_count - have_count));
+            } else if have_count > kept_count {
+                donors.extend(
+                    self.idle_workers(pool)
+                        .into_iter()
+                        .take(have_count - kept_count),
+                );
+            }
+        }
+        short.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        for (pool, count) in short {
+            for _ in 0..count {
+                if !self.bring_instance(&pool, &mut donors) {
+                    break;
+                }
+            }
+        }
+        self.park_idle(&donors);
+    }
+
+    /// Moves one instance to `pool`, from a donor or from standby; returns whether there was one.
+    fn bring_instance(&mut self, pool: &SmolStr, donors: &mut Vec<WorkerKey>) -> bool {
+        while let Some(key) = donors.pop() {
+            if self.move_worker(key, pool) {
+                return true;
+            }
+        }
+        let Some(standby) = self.catalog.standby_pool().cloned() else {
+            return false;
+        };
+        let stands_by = |name: &&SmolStr| {
+            self.instances.rows[*name].sheet.pool == standby && self.is_orderable(name)
+        };
+        let Some(name) = self.instances.rows.keys().find(stands_by).cloned() else {
+            return false;
+        };
+        self.move_instance(name, pool);
+        true
+    }
+
+    fn move_worker(&mut self, key: WorkerKey, pool: &SmolStr) -> bool {
+        let Some(name) = self.instance_of(key) else {
+            return false;
+        };
+        if !self.is_orderable(&name) {
+            return false;
+        }
+        self.worker_mut(key).is_reserved = true;
+        self.move_instance(name, pool);
+        true
+    }
+
+    fn move_instance(&mut self, instance: SmolStr, pool: &SmolStr) {
+        let arrives_ms = self.now_ms + self.settings.move_ms + ARRIVAL_RESERVE_MS;
+        self.capacity
+            .coming
+            .insert(instance.clone(), (pool.clone(), arrives_ms));
+        self.order_instance(InstanceOrder::Move {
+            instance,
+            pool: pool.clone(),
+        });
+    }
+
+    fn park_idle(&mut self, donors: &[WorkerKey]) {
+        let Some(standby) = self.catalog.standby_pool().cloned() else {
+            return;
+        };
+        for key in donors {
+            let worker = self.worker(*key);
+            let is_long_idle = worker.slots.is_empty()
+                && !worker.is_reserved
+                && worker.idle_since_ms + PARK_AFTER_MS < self.now_ms;
+            if is_long_idle {
+                self.move_worker(*key, &standby);
+            }
+        }
+    }
+
+    /// Returns the workers of a pool that run nothing and may leave it, the longest idle last.
+    fn idle_workers(&self, pool: &SmolStr) -> Vec<WorkerKey> {
+        let mut idle: Vec<WorkerKey> = self
+            .all_workers()
+            .filter(|key| {
+                let worker = self.worker(*key);
+                worker.sheet.pool == *pool
+                    && worker.slots.is_empty()
+                    && worker.settles_with.is_none()
+                    && worker.takes_tasks(self.now_ms)
+            })
+            .collect();
+        idle.sort_by_key(|key| std::cmp::Reverse(self.worker(*key).idle_since_ms));
+        idle
+    }
+
+    fn instance_size(&self, pool: &SmolStr) -> Size {
+        let of_pool = |worker: &&crate::jobs::worker::Worker| worker.sheet.pool == *pool;
+        let worker = self.workers.iter().find(of_pool);
+        let first = || self.instances.rows.values().next();
+        worker
+            .map(|worker| worker.sheet.capacity)
+            .or_else(|| first().map(|row| row.sheet.capacity))
+            .unwrap_or_default()
+    }
+
+    /// Works out what each pool that is not on standby needs now, and what it has or will have.
+    fn pool_needs(&self) -> IndexMap<SmolStr, PoolNeed> {
+        let mut needs: IndexMap<SmolStr, PoolNeed> = IndexMap::new();
+        for (name, pool) in &self.catalog.pools {
+            if !pool.is_standby {
+                needs.insert(name.clone(), PoolNeed::default());
+            }
+        }
+        for worker in &self.workers {
+            let Some(need) = needs.get_mut(&worker.sheet.pool) else {
+                continue;
+            };
+            need.needed.add(&worker.used);
+            if worker.is_listed && !worker.sheet.is_draining && !worker.is_reserved {
+                need.have.add(&worker.sheet.capacity);
+                need.usable_count += 1;
+                need.endless_hosts_count += usize::from(worker.endless_count() > 0);
+            }
+        }
+        for (pool, _) in self.capacity.coming.values() {
+            if let Some(need) = needs.get_mut(pool) {
+                need.usable_count += 1;
+            }
+        }
+        for row in self.instances.rows.values() {
+            let is_coming = row.sheet.state != InstanceState::Up
+                && row.sheet.state != InstanceState::Down
+                && !self.capacity.coming.contains_key(&row.sheet.name);
+            if let (true, Some(need)) = (is_coming, needs.get_mut(&row.sheet.pool)) {
+                need.usable_count += 1;
+            }
+        }
+        for key in &self.live {
+            let job = self.job(*key);
+            if let Some(need) = needs.get_mut(&job.pool) {
+                need.needed.add(&waiting_size(job));
+            }
+        }
+        needs
+    }
+}
+
+/// Time by which an instance may arrive later than a move takes, in milliseconds.
+const ARRIVAL_RESERVE_MS: u64 = 600;
+
+/// Returns the room of the tasks that could start now, and of those that wait only for running ones.
+fn waiting_size(job: &crate::jobs::job::Job) -> Size {
+    let mut all = Size::default();
+    for round in &job.rounds {
+        for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
+            let is_next = spec.after.iter().all(|earlier| {
+                let earlier = &round.steps[usize::from(*earlier)];
+                earlier.waiting_count == 0
+            });
+            if !is_next {
+                continue;
+            }
+            let room = spec.room();
+            let count = u64::from(step.waiting_count);
+            all.add(&Size {
+                cpu_millis: room.cpu_millis * count,
+                memory_mb: room.memory_mb * count,
+                gpu_count: room.gpu_count * count,
+            });
+        }
+    }
+    all
+}
+
+/// Returns how many instances of `size` hold `needed`.
+fn instances_for(needed: &Size, size: &Size) -> usize {
+    let share = |needed: u64, size: u64| {
+        let fillable = size * FILLABLE_PERMILLE / 1_000;
+        match fillable {
+            0 => 0,
+            fillable => needed.div_ceil(fillable),
+        }
+    };
+    let count = share(needed.cpu_millis, size.cpu_millis)
+        .max(share(needed.memory_mb, size.memory_mb))
+        .max(share(needed.gpu_count, size.gpu_count));
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/src/jobs/engine.rs
@@ -0,0 +1,526 @@
+//! The job engine of the leader: a deterministic state machine. Events and the time go in; orders to
+//! workers, records to keep and answers to callers come out. It reads no clock and calls nobody.
+//!
+//! What lasts is only what a later leader cannot find out from the workers: accepted jobs, ends that
+//! were acknowledged, cancels, and the workers that tasks may run on. Starts are not recorded: a new
+//! leader raises its fence at each worker and reads there what runs.
+
+use std::collections::{HashMap, VecDeque};
+
+use indexmap::IndexSet;
+use smol_str::SmolStr;
+
+use crate::jobs::capacity::CapacityPolicy;
+use crate::jobs::catalog::Catalog;
+use crate::jobs::instances::Instances;
+use crate::jobs::job::{Job, JobState, Round, Task};
+use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+use crate::jobs::orders::{Action, StopOrder, Target};
+use crate::jobs::record::{JobRecord, ProgressRecord, Record, WorkerRecord};
+use crate::jobs::run_times::RunTimes;
+use crate::jobs::spec::Size;
+use crate::jobs::tickets::Tickets;
+use crate::jobs::worker::{LookState, Slot, Worker};
+use crate::logging::Event;
+
+/// Settings of the engine, from the deployment.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Fence of this leader; it rises with each leader.
+    pub fence: u64,
+    /// Lease given to the runs of a worker with each look and start, in milliseconds.
+    pub run_lease_ms: u64,
+    /// Longest wait of a look for an end, in milliseconds.
+    pub look_wait_ms: u64,
+    /// Time that a stop may take at a worker, in milliseconds.
+    pub stop_ms: u64,
+    /// Time from the start of this leader after which no run that an earlier one let is left at a
+    /// worker that cannot be reached, in milliseconds.
+    pub inherited_clear_ms: u64,
+    /// Time for which an ended job can still be asked for, in milliseconds.
+    pub keep_ended_ms: u64,
+    /// Time that a move of an instance takes, in milliseconds.
+    pub move_ms: u64,
+    /// Time that the maintenance of an instance takes, in milliseconds.
+    pub maintain_ms: u64,
+    /// Time after which a task that is not at work counts as away for its step's budget, in
+    /// milliseconds.
+    pub away_notice_ms: u64,
+    /// Time in which two leaders may not both give orders to one instance, in milliseconds.
+    pub instance_lease_ms: u64,
+}
+
+/// What a batch of records, once kept, settles for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The job is accepted.
+    Accepted(JobId),
+    /// The job's cancel is on record.
+    Cancelled(JobId),
+}
+
+/// Records on their way to the store.
+#[derive(Debug, Default)]
+struct Batch {
+    number: u64,
+    accepted: Vec<JobKey>,
+    progressed: Vec<(JobKey, JobState)>,
+    workers: Vec<WorkerKey>,
+}
+
+/// The engine.
+pub struct Engine {
+    pub(crate) settings: EngineSettings,
+    pub(crate) now_ms: u64,
+    pub(crate) unix_ms: u64,
+    pub(crate) opened_ms: u64,
+    pub(crate) catalog: Catalog,
+    pub(crate) jobs: Vec<Job>,
+    pub(crate) job_keys: HashMap<JobId, JobKey>,
+    pub(crate) live: IndexSet<JobKey>,
+    pub(crate) ended: VecDeque<JobKey>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
+    pub(crate) team_used: HashMap<SmolStr, Size>,
+    pub(crate) run_times: RunTimes,
+    pub(crate) tickets: Tickets,
+    pub(crate) instances: Instances,
+    pub(crate) capacity: CapacityPolicy,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) needs_dispatch: bool,
+    pub(crate) next_review_ms: u64,
+    /// Set once a worker or the store has shown a higher fence.
+    pub(crate) is_deposed: bool,
+    is_paused: bool,
+    new_jobs: Vec<JobKey>,
+    pub(crate) dirty_jobs: IndexSet<JobKey>,
+    new_workers: Vec<WorkerKey>,
+    others: Vec<Record>,
+    next_batch: u64,
+    in_flight: Option<Batch>,
+}
+
+impl Engine {
+    /// Opens an engine that knows nothing yet.
+    pub fn open(settings: EngineSettings, catalog: Catalog, now_ms: u64, unix_ms: u64) -> Self {
+        Self {
+            settings,
+            now_ms,
+            unix_ms,
+            opened_ms: now_ms,
+            catalog,
+            jobs: Vec::new(),
+            job_keys: HashMap::new(),
+            live: IndexSet::new(),
+            ended: VecDeque::new(),
+            workers: Vec::new(),
+            worker_keys: HashMap::new(),
+            team_used: HashMap::new(),
+            run_times: RunTimes::default(),
+            tickets: Tickets::default(),
+            instances: Instances::default(),
+            capacity: CapacityPolicy::default(),
+            actions: Vec::new(),
+            needs_dispatch: true,
+            next_review_ms: now_ms,
+            is_deposed: false,
+            is_paused: false,
+            new_jobs: Vec::new(),
+            dirty_jobs: IndexSet::new(),
+            new_workers: Vec::new(),
+            others: Vec::new(),
+            next_batch: 1,
+            in_flight: None,
+        }
+    }
+
+    /// Returns whether another leader has been seen to be in charge.
+    pub fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// Returns the fence.
+    pub fn fence(&self) -> u64 {
+        self.settings.fence
+    }
+
+    /// Returns the version of the lists in force.
+    pub fn catalog_version(&self) -> u64 {
+        self.catalog.version
+    }
+
+    /// Brings newer lists into force.
+    pub fn set_catalog(&mut self, catalog: Catalog) {
+        if catalog.version <= self.catalog.version {
+            return;
+        }
+        for job in self.live.iter().copied() {
+            let job = job_mut(&mut self.jobs, job);
+            if let Some(queue) = catalog.queues.get(&job.queue) {
+                job.pool = queue.pool.clone();
+            }
+        }
+        self.catalog = catalog;
+        self.needs_dispatch = true;
+    }
+
+    /// Sets the time and does everything that is due by it.
+    pub fn advance(&mut self, now_ms: u64, unix_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        self.unix_ms = unix_ms;
+        if self.is_deposed {
+            return;
+        }
+        self.open_due_rounds();
+        self.lapse_silent_workers();
+        self.resend_stops();
+        if !self.is_paused {
+            self.dispatch();
+            self.review();
+        }
+        self.send_due_looks();
+    }
+
+    /// Takes the orders that came up.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Stops starting tasks and giving orders to instances; what is to be recorded still is.
+    pub fn pause(&mut self) {
+        self.is_paused = true;
+    }
+
+    /// Returns whether there is anything to put on record.
+    pub fn has_records(&self) -> bool {
+        !self.new_jobs.is_empty()
+            || !self.dirty_jobs.is_empty()
+            || !self.new_workers.is_empty()
+            || !self.others.is_empty()
+    }
+
+    /// Takes the records that came up, if none are on their way.
+    pub fn take_records(&mut self) -> Option<Vec<Record>> {
+        if self.in_flight.is_some() || !self.has_records() {
+            return None;
+        }
+        let mut records = std::mem::take(&mut self.others);
+        let mut batch = Batch {
+            number: self.next_batch,
+            accepted: std::mem::take(&mut self.new_jobs),
+            progressed: Vec::new(),
+            workers: std::mem::take(&mut self.new_workers),
+        };
+        self.next_batch += 1;
+        for key in &batch.accepted {
+            let job = &self.jobs[index(key.0)];
+            records.push(Record::Job(job.id, job_record(job)));
+        }
+        for key in std::mem::take(&mut self.dirty_jobs) {
+            let job = job_mut(&mut self.jobs, key);
+            job.is_dirty = false;
+            batch.progressed.push((key, job.state));
+            records.push(Record::Progress(job.id, ProgressRecord::of(job)));
+        }
+        for key in &batch.workers {
+            let sheet = &self.workers[index(key.0)].sheet;
+            records.push(Record::Worker(sheet.id.clone(), worker_record(sheet)));
+        }
+        self.in_flight = Some(batch);
+        Some(records)
+    }
+
+    /// Takes in that the records taken last are kept, and returns what that settles.
+    pub fn records_kept(&mut self) -> Vec<Settled> {
+        let Some(batch) = self.in_flight.take() else {
+            return Vec::new();
+        };
+        let mut settled = Vec::new();
+        for key in batch.accepted {
+            let job = job_mut(&mut self.jobs, key);
+            job.is_recorded = true;
+            settled.push(Settled::Accepted(job.id));
+        }
+        for (key, state) in batch.progressed {
+            let job = job_mut(&mut self.jobs, key);
+            job.recorded_state = state;
+            let id = job.id;
+            match state {
+                JobState::Cancelled => settled.push(Settled::Cancelled(id)),
+                JobState::Complete | JobState::Failed => {
+                    Event::new("job_over")
+                        .with("job", id)
+                        .with("state", state)
+                        .info();
+                }
+                JobState::Queued | JobState::Active => {}
+            }
+        }
+        for key in batch.workers {
+            worker_mut(&mut self.workers, key).is_recorded = true;
+        }
+        for worker in &mut self.workers {
+            if worker
+                .settles_with
+                .is_some_and(|number| number <= batch.number)
+            {
+                worker.settles_with = None;
+                worker.settled_through = worker.seen_through;
+                if let LookState::Rest { until_ms } = &mut worker.look {
+                    *until_ms = 0;
+                }
+            }
+        }
+        self.needs_dispatch = true;
+        settled
+    }
+
+    /// Returns the number of the batch that will hold what comes up now.
+    pub(crate) fn coming_batch(&self) -> u64 {
+        self.next_batch
+    }
+
+    /// Notes a job that was just accepted, to be put on record.
+    pub(crate) fn keep_new_job(&mut self, key: JobKey) {
+        self.new_jobs.push(key);
+    }
+
+    /// Notes a worker that tasks may be started on once it is on record.
+    pub(crate) fn keep_worker(&mut self, key: WorkerKey) {
+        self.new_workers.push(key);
+    }
+
+    /// Notes a record to be put away with the next batch.
+    pub(crate) fn keep(&mut self, record: Record) {
+        self.others.push(record);
+    }
+
+    /// Notes that the progress of a job has to be put on record.
+    pub(crate) fn mark_dirty(&mut self, key: JobKey) {
+        job_mut(&mut self.jobs, key).is_dirty = true;
+        self.dirty_jobs.insert(key);
+    }
+
+    pub(crate) fn job(&self, key: JobKey) -> &Job {
+        &self.jobs[index(key.0)]
+    }
+
+    pub(crate) fn job_mut(&mut self, key: JobKey) -> &mut Job {
+        job_mut(&mut self.jobs, key)
+    }
+
+    pub(crate) fn worker(&self, key: WorkerKey) -> &Worker {
+        &self.workers[index(key.0)]
+    }
+
+    pub(crate) fn worker_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        worker_mut(&mut self.workers, key)
+    }
+
+    /// Returns the keys of all workers.
+    pub(crate) fn all_workers(&self) -> impl Iterator<Item = WorkerKey> {
+        (0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX)).map(WorkerKey)
+    }
+
+    pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
+        let round = self.job(key.job).rounds.get(index(key.round))?;
+        let step = round.steps.get(usize::from(key.step))?;
+        step.tasks.get(index(key.index))
+    }
+
+    /// Changes a task and counts its step anew where the change matters there.
+    pub(crate) fn change_task<T>(
+        &mut self,
+        key: TaskKey,
+        change: impl FnOnce(&mut Task) -> T,
+    ) -> Option<T> {
+        let round = self
+            .job_mut(key.job)
+            .rounds
+            .get_mut(usize::try_from(key.round).ok()?)?;
+        let step = round.steps.get_mut(usize::from(key.step))?;
+        let task = step.tasks.get_mut(index(key.index))?;
+        let before = (task.is_done, task.is_waiting());
+        let result = change(task);
+        let after = (task.is_done, task.is_waiting());
+        step.done_count += u32::from(after.0 && !before.0);
+        step.waiting_count += u32::from(after.1 && !before.1);
+        step.waiting_count -= u32::from(!after.1 && before.1);
+        Some(result)
+    }
+
+    pub(crate) fn task_name(&self, key: TaskKey) -> TaskName {
+        TaskName {
+            job: self.job(key.job).id,
+            round: key.round,
+            step: key.step,
+            index: key.index,
+        }
+    }
+
+    /// Finds the task of a name, if its job is known and has such a task.
+    pub(crate) fn task_key(&self, name: &TaskName) -> Option<TaskKey> {
+        let job = *self.job_keys.get(&name.job)?;
+        let spec = &self.job(job).spec;
+        let step = spec.steps.get(usize::from(name.step))?;
+        let is_there = name.index < step.tasks_count && name.round < spec.rounds_count();
+        is_there.then_some(TaskKey {
+            job,
+            round: name.round,
+            step: name.step,
+            index: name.index,
+        })
+    }
+
+    pub(crate) fn target(&self, key: WorkerKey) -> Target {
+        let sheet = &self.worker(key).sheet;
+        Target {
+            worker: key,
+            address: sheet.address,
+            id: sheet.id.clone(),
+            fence: self.settings.fence,
+        }
+    }
+
+    /// Takes a slot from its worker and gives its room and its team's share back.
+    pub(crate) fn drop_slot(&mut self, worker: WorkerKey, run: RunKey) -> Option<Slot> {
+        let now_ms = self.now_ms;
+        let team = self.job(run.task.job).team.clone();
+        let holder = self.worker_mut(worker);
+        let slot = holder.slots.swap_remove(&run)?;
+        holder.used.remove(&slot.room);
+        if holder.slots.is_empty() {
+            holder.idle_since_ms = now_ms;
+        }
+        if let Some(used) = self.team_used.get_mut(&team) {
+            used.remove(&slot.size);
+        }
+        self.needs_dispatch = true;
+        Some(slot)
+    }
+
+    /// Puts a slot on a worker and counts its room and its team's share.
+    pub(crate) fn put_slot(&mut self, worker: WorkerKey, run: RunKey, slot: Slot) {
+        let team = self.job(run.task.job).team.clone();
+        let used = self.team_used.entry(team).or_default();
+        used.add(&slot.size);
+        let holder = self.worker_mut(worker);
+        holder.used.add(&slot.room);
+        holder.slots.insert(run, slot);
+    }
+
+    /// Orders the stop of a run.
+    pub(crate) fn stop_run(&mut self, worker: WorkerKey, run: RunKey, reason: &'static str) {
+        let now_ms = self.now_ms;
+        let Some(slot) = self.worker_mut(worker).slots.get_mut(&run) else {
+            return;
+        };
+        slot.is_stopping = true;
+        slot.stop_sent_ms = now_ms;
+        let order = StopOrder {
+            target: self.target(worker),
+            run: Some(run),
+            name: self.task_name(run.task),
+            run_number: run.run,
+        };
+        Event::new("stop_sent")
+            .with("task", order.name)
+            .with("run", run.run)
+            .with("worker", &order.target.id)
+            .with("reason", reason)
+            .info();
+        self.actions.push(Action::Stop(order));
+    }
+
+    /// Orders the stop of every run of a job.
+    pub(crate) fn stop_job(&mut self, key: JobKey, reason: &'static str) {
+        let mut runs = Vec::new();
+        for worker in self.all_workers() {
+            let of_job = |run: &&RunKey| run.task.job == key;
+            let found = self.worker(worker).slots.keys().filter(of_job);
+            runs.extend(found.map(|run| (worker, *run)));
+        }
+        for (worker, run) in runs {
+            self.stop_run(worker, run, reason);
+        }
+    }
+
+    /// Ends a job in `state`: nothing of it is started any more, and what runs is stopped.
+    pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, reason: &'static str) {
+        let now_ms = self.now_ms;
+        self.stop_job(key, reason);
+        let job = self.job_mut(key);
+        job.state = state;
+        job.ended_ms = now_ms;
+        job.rounds = Vec::new();
+        self.live.swap_remove(&key);
+        self.ended.push_back(key);
+        self.tickets.forget(key);
+        self.mark_dirty(key);
+        self.needs_dispatch = true;
+    }
+
+    /// Opens the occurrences that are due, and forgets jobs that ended long ago.
+    fn open_due_rounds(&mut self) {
+        let mut is_any = false;
+        for key in &self.live {
+            let job = job_mut(&mut self.jobs, *key);
+            let Some(recurrence) = job.spec.recurrence else {
+                continue;
+            };
+            let opened_count = u32::try_from(job.rounds.len()).unwrap_or(u32::MAX);
+            let is_due = opened_count < recurrence.times.max(1)
+                && self.unix_ms >= recurrence.due_unix_ms(opened_count);
+            if is_due {
+                job.rounds.push(Round::open(&job.spec));
+                is_any = true;
+            }
+        }
+        self.needs_dispatch |= is_any;
+        while let Some(key) = self.ended.front().copied() {
+            let job = self.job(key);
+            let is_over = job.recorded_state.is_final()
+                && self.now_ms >= job.ended_ms + self.settings.keep_ended_ms;
+            if !is_over {
+                break;
+            }
+            let id = job.id;
+            self.ended.pop_front();
+            self.job_keys.remove(&id);
+            self.keep(Record::ForgetJob(id));
+        }
+    }
+}
+
+fn job_record(job: &Job) -> JobRecord {
+    JobRecord {
+        spec: (*job.spec).clone(),
+        queue: job.queue.clone(),
+        pool: job.pool.clone(),
+        team: job.team.clone(),
+        accepted_unix_ms: job.accepted_unix_ms,
+    }
+}
+
+fn worker_record(sheet: &crate::jobs::worker::WorkerSheet) -> WorkerRecord {
+    WorkerRecord {
+        address: smol_str::format_smolstr!("{}", sheet.address),
+        pool: sheet.pool.clone(),
+        zone: sheet.zone.clone(),
+        labels: sheet.labels.clone(),
+        capacity: sheet.capacity,
+    }
+}
+
+/// Turns a key into an index; 32 bits fit every machine that runs this.
+pub(crate) fn index(key: u32) -> usize {
+    usize::try_from(key).unwrap_or(usize::MAX)
+}
+
+fn job_mut(jobs: &mut [Job], key: JobKey) -> &mut Job {
+    &mut jobs[index(key.0)]
+}
+
+fn worker_mut(workers: &mut [Worker], key: WorkerKey) -> &mut Worker {
+    &mut workers[index(key.0)]
+}
--- /dev/null
+++ b/src/jobs/instances.rs
@@ -0,0 +1,325 @@
+//! Instances: the platform's list of them, and orders to move or maintain one.
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::orders::{Action, InstanceOrder};
+use crate::jobs::spec::Size;
+use crate::jobs::waves::Wave;
+use crate::jobs::worker::SlotState;
+use crate::logging::Event;
+
+/// Time after which an order without an answer is given again, in milliseconds.
+const ORDER_AGAIN_MS: u64 = 1_500;
+/// Time after which a refused order may be given again, in milliseconds.
+const REFUSED_AGAIN_MS: u64 = 600;
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum InstanceState {
+    /// It serves its pool, or stands by.
+    Up,
+    /// It goes to another pool.
+    Moving,
+    /// It is being maintained.
+    Maintained,
+    /// It is down.
+    Down,
+}
+
+/// One row of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InstanceSheet {
+    /// Name.
+    pub name: SmolStr,
+    /// Pool.
+    pub pool: SmolStr,
+    /// State.
+    pub state: InstanceState,
+    /// Labels, its rack among them.
+    pub labels: Vec<SmolStr>,
+    /// Room.
+    pub capacity: Size,
+    /// Id of its worker, if it has one.
+    pub worker: Option<SmolStr>,
+}
+
+/// Why an order to an instance was not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum InstanceFailure {
+    /// Another leader is in charge.
+    Fenced,
+    /// It is not up, or leaves.
+    Busy,
+    /// It is not part of the wave.
+    NotOfWave,
+    /// There is no such instance, or it may not join the pool.
+    Unknown,
+    /// The platform does not take more calls now.
+    Refused,
+    /// No answer came.
+    Lost,
+}
+
+/// One instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Instance {
+    /// What the list shows, with what orders have changed since.
+    pub(crate) sheet: InstanceSheet,
+    /// Order given last, if it is not known to be carried out or refused.
+    pub(crate) order: Option<(InstanceOrder, u64)>,
+    /// Time up to which the instance is expected to be away, from the last order carried out.
+    pub(crate) away_until_ms: u64,
+    /// No order before this time.
+    pub(crate) rests_until_ms: u64,
+}
+
+/// All instances and waves.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Instances {
+    pub(crate) rows: IndexMap<SmolStr, Instance>,
+    pub(crate) waves: IndexMap<u64, Wave>,
+    /// Whether the list was read since this leader began.
+    pub(crate) is_known: bool,
+}
+
+impl Engine {
+    /// Takes in the list of instances, read by a call that was sent at `sent_ms`.
+    pub fn instances_listed(&mut self, sheets: Vec<InstanceSheet>, sent_ms: u64, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let known = std::mem::take(&mut self.instances.rows);
+        for sheet in sheets {
+            let before = known.get(&sheet.name);
+            let mut row = Instance {
+                sheet,
+                order: before.and_then(|row| row.order.clone()),
+                away_until_ms: before.map_or(0, |row| row.away_until_ms),
+                rests_until_ms: before.map_or(0, |row| row.rests_until_ms),
+            };
+            // A list that was asked for before the order says nothing of its outcome.
+            let is_answered = row.order.as_ref().is_some_and(|(order, given_ms)| {
+                *given_ms < sent_ms && is_under_way(order, &row.sheet)
+            });
+            if is_answered {
+                row.order = None;
+            }
+            if let (Some(before), true) = (before, row.away_until_ms > sent_ms) {
+                row.sheet.pool = before.sheet.pool.clone();
+                row.sheet.state = before.sheet.state;
+            }
+            self.instances.rows.insert(row.sheet.name.clone(), row);
+        }
+        self.instances.is_known = true;
+    }
+
+    /// Returns the instance of a worker.
+    pub(crate) fn instance_of(&self, key: WorkerKey) -> Option<SmolStr> {
+        let sheet = &self.worker(key).sheet;
+        if let Some(instance) = &sheet.instance {
+            return Some(instance.clone());
+        }
+        let rows = self.instances.rows.values();
+        let mut of_worker = rows.filter(|row| row.sheet.worker.as_ref() == Some(&sheet.id));
+        of_worker.next().map(|row| row.sheet.name.clone())
+    }
+
+    /// Returns the worker of an instance, if the list of workers has one.
+    pub(crate) fn worker_of(&self, name: &SmolStr) -> Option<WorkerKey> {
+        let by_sheet = |key: &WorkerKey| {
+            let worker = self.worker(*key);
+            worker.is_listed && worker.sheet.instance.as_ref() == Some(name)
+        };
+        let found = self.all_workers().find(by_sheet);
+        found.or_else(|| {
+            let id = self.instances.rows.get(name)?.sheet.worker.as_ref()?;
+            self.worker_keys.get(id).copied()
+        })
+    }
+
+    /// Returns whether this leader may give orders to instances yet.
+    pub(crate) fn may_order_instances(&self) -> bool {
+        self.instances.is_known && self.now_ms >= self.opened_ms + self.settings.instance_lease_ms
+    }
+
+    /// Returns whether an order may be given to an instance now.
+    pub(crate) fn is_orderable(&self, name: &SmolStr) -> bool {
+        self.instances.rows.get(name).is_some_and(|row| {
+            row.order.is_none()
+                && row.sheet.state == InstanceState::Up
+                && self.now_ms >= row.rests_until_ms
+                && self.now_ms >= row.away_until_ms
+        })
+    }
+
+    /// Gives an order to an instance.
+    pub(crate) fn order_instance(&mut self, order: InstanceOrder) {
+        let now_ms = self.now_ms;
+        let Some(row) = self.instances.rows.get_mut(order.instance()) else {
+            return;
+        };
+        row.order = Some((order.clone(), now_ms));
+        let event = Event::new("instance_ordered").with("instance", order.instance());
+        match &order {
+            InstanceOrder::Move { pool, .. } => {
+                event.with("from", &row.sheet.pool).with("to", pool)
+            }
+            InstanceOrder::Maintain { wave, .. } => event.with("wave", wave),
+        }
+        .info();
+        self.actions.push(Action::Instance(order));
+    }
+
+    /// Gives orders again whose answers did not come.
+    pub(crate) fn repeat_instance_orders(&mut self) {
+        let now_ms = self.now_ms;
+        let mut again = Vec::new();
+        for row in self.instances.rows.values_mut() {
+            if let Some((order, given_ms)) = &mut row.order {
+                if *given_ms + ORDER_AGAIN_MS < now_ms {
+                    *given_ms = now_ms;
+                    again.push(order.clone());
+                }
+            }
+        }
+        self.actions.extend(again.into_iter().map(Action::Instance));
+    }
+
+    /// Takes in the answer to an order.
+    pub fn instance_answered(
+        &mut self,
+        order: &InstanceOrder,
+        answer: Result<(), InstanceFailure>,
+        now_ms: u64,
+    ) {
+        self.now_ms = now_ms.max(self.now_ms);
+        match answer {
+            Ok(()) => self.instance_ordered_done(order),
+            Err(InstanceFailure::Lost) => {}
+            Err(failure) => self.instance_refused(order, failure),
+        }
+    }
+
+    fn instance_ordered_done(&mut self, order: &InstanceOrder) {
+        let now_ms = self.now_ms;
+        let away_ms = match order {
+            InstanceOrder::Move { .. } => self.settings.move_ms,
+            InstanceOrder::Maintain { .. } => self.settings.maintain_ms,
+        };
+        let worker = self.worker_of(order.instance());
+        if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            row.order = None;
+            row.away_until_ms = now_ms + away_ms;
+            if let InstanceOrder::Move { pool, .. } = order {
+                row.sheet.pool = pool.clone();
+            }
+            row.sheet.worker = None;
+        }
+        if let Some(key) = worker {
+            let worker = self.worker_mut(key);
+            worker.is_listed = false;
+            worker.unlisted_since_ms = now_ms;
+            let lost: Vec<RunKey> = worker.slots.keys().copied().collect();
+            for run in lost {
+                self.drop_slot(key, run);
+                self.run_is_gone(key, run, "instance_ordered");
+            }
+        }
+        if let InstanceOrder::Maintain { instance, wave } = order {
+            self.wave_member_done(*wave, instance);
+        }
+        Event::new("instance_order_done")
+            .with("instance", order.instance())
+            .info();
+    }
+
+    fn instance_refused(&mut self, order: &InstanceOrder, failure: InstanceFailure) {
+        let now_ms = self.now_ms;
+        Event::new("instance_order_refused")
+            .with("instance", order.instance())
+            .with("failure", failure)
+            .warn();
+        if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            row.order = None;
+            row.rests_until_ms = now_ms + REFUSED_AGAIN_MS;
+        }
+        if let Some(key) = self.worker_of(order.instance()) {
+            self.worker_mut(key).is_reserved = false;
+            self.needs_dispatch = true;
+        }
+        match (failure, order) {
+            (InstanceFailure::Fenced, _) => self.depose("instances"),
+            (
+                InstanceFailure::NotOfWave | InstanceFailure::Unknown,
+                InstanceOrder::Maintain { instance, wave },
+            ) => self.wave_member_refused(*wave, instance),
+            _ => {}
+        }
+    }
+
+    /// Returns whether the planned stop of a run keeps the budget of its step: how many other tasks of
+    /// the step are not at work.
+    pub(crate) fn may_stop(&self, run: &RunKey) -> bool {
+        let job = self.job(run.task.job);
+        let step = &job.spec.steps[usize::from(run.task.step)];
+        if !step.is_endless || job.state.is_final() {
+            return true;
+        }
+        let Some(away_max) = step.away_max else {
+            return true;
+        };
+        let Some(round) = job.rounds.get(crate::jobs::engine::index(run.task.round)) else {
+            return true;
+        };
+        let tasks = &round.steps[usize::from(run.task.step)].tasks;
+        let away_count = (0u32..)
+            .zip(tasks)
+            .filter(|(index, task)| {
+                *index != run.task.index && !self.is_at_work(*run, *index, task)
+            })
+            .count();
+        u32::try_from(away_count).is_ok_and(|count| count < away_max)
+    }
+
+    fn is_at_work(&self, of: RunKey, index: u32, task: &crate::jobs::job::Task) -> bool {
+        let key = crate::jobs::keys::TaskKey { index, ..of.task };
+        task.runs.iter().any(|(worker, run)| {
+            let run = RunKey {
+                task: key,
+                run: *run,
+            };
+            self.worker(*worker).slots.get(&run).is_some_and(|slot| {
+                matches!(slot.state, SlotState::Placed { .. })
+                    && !slot.is_stopping
+                    && slot.percent >= 100
+            })
+        })
+    }
+
+    /// Stops endless runs of a worker that is to be freed, as far as budgets allow; returns whether it
+    /// is free.
+    pub(crate) fn free_worker(&mut self, key: WorkerKey) -> bool {
+        let runs: Vec<RunKey> = self.worker(key).slots.keys().copied().collect();
+        for run in &runs {
+            let slot = &self.worker(key).slots[run];
+            let is_stoppable = slot.is_endless
+                && !slot.is_stopping
+                && matches!(slot.state, SlotState::Placed { .. });
+            if is_stoppable && self.may_stop(run) {
+                self.stop_run(key, *run, "planned_stop");
+            }
+        }
+        runs.is_empty()
+    }
+}
+
+/// Returns whether the list shows an order as carried out, or under way.
+fn is_under_way(order: &InstanceOrder, sheet: &InstanceSheet) -> bool {
+    match order {
+        InstanceOrder::Move { pool, .. } => sheet.pool == *pool,
+        InstanceOrder::Maintain { .. } => sheet.state == InstanceState::Maintained,
+    }
+}
--- /dev/null
+++ b/src/jobs/intake.rs
@@ -0,0 +1,201 @@
+//! What callers ask of the engine: handing in, asking for, cancelling and counting jobs.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use crate::jobs::engine::{index, Engine};
+use crate::jobs::job::{Job, JobState, Round};
+use crate::jobs::keys::{JobId, JobKey};
+use crate::jobs::spec::{JobSpec, SpecFault};
+use crate::logging::Event;
+
+/// A job as it comes in.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Id that the caller chose.
+    pub id: JobId,
+    /// Queue.
+    pub queue: SmolStr,
+    /// Team whose key came with it; empty for an open queue.
+    pub team: SmolStr,
+    /// What is handed in.
+    pub spec: JobSpec,
+}
+
+/// What becomes of a job that came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake {
+    /// It is accepted, and was before or has just been put on record.
+    Accepted,
+    /// It is accepted as soon as its record is kept.
+    Pending,
+    /// It cannot be taken.
+    Faulty(SpecFault),
+    /// The queue is not there.
+    NoQueue,
+}
+
+/// What becomes of a cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancel {
+    /// No such job is known.
+    Unknown,
+    /// The job is over.
+    Over,
+    /// The cancel holds as soon as its record is kept.
+    Pending,
+}
+
+impl Engine {
+    /// Takes a job in.
+    pub fn submit(&mut self, submission: Submission) -> Intake {
+        if let Some(key) = self.job_keys.get(&submission.id) {
+            return match self.job(*key).is_recorded {
+                true => Intake::Accepted,
+                false => Intake::Pending,
+            };
+        }
+        if let Err(fault) = submission.spec.check() {
+            return Intake::Faulty(fault);
+        }
+        let Some(queue) = self.catalog.queues.get(&submission.queue) else {
+            return Intake::NoQueue;
+        };
+        let pool = queue.pool.clone();
+        let key = self.add_job(submission, pool, self.unix_ms);
+        let job = self.job(key);
+        Event::new("job_taken")
+            .with("job", job.id)
+            .with("queue", &job.queue)
+            .with("team", &job.team)
+            .with("steps_count", job.spec.steps.len())
+            .with("chain_ms", job.chain_ms())
+            .with("target_in_ms", job.target_ms.saturating_sub(self.now_ms))
+            .with("lists_version", self.catalog.version)
+            .info();
+        self.keep_new_job(key);
+        Intake::Pending
+    }
+
+    /// Adds a job that was accepted at `accepted_unix_ms`.
+    pub(crate) fn add_job(
+        &mut self,
+        submission: Submission,
+        pool: SmolStr,
+        accepted_unix_ms: u64,
+    ) -> JobKey {
+        let Submission {
+            id,
+            queue,
+            team,
+            spec,
+        } = submission;
+        let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
+        let accepted_ms = self.now_ms.saturating_sub(age_ms);
+        let chains_ms = spec.chains_ms(|step| self.run_times.expected_ms(&queue, step));
+        let rounds = match spec.recurrence {
+            None => vec![Round::open(&spec)],
+            Some(_) => Vec::new(),
+        };
+        let key = JobKey(u32::try_from(self.jobs.len()).unwrap_or(u32::MAX));
+        let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+        let target_ms = accepted_ms + self.target_after_ms(&queue, chain_ms);
+        self.jobs.push(Job {
+            id,
+            queue,
+            pool,
+            team,
+            spec: Arc::new(spec),
+            accepted_unix_ms,
+            accepted_ms,
+            is_inherited: false,
+            is_recorded: false,
+            state: JobState::Queued,
+            recorded_state: JobState::Queued,
+            is_dirty: false,
+            rounds,
+            chains_ms,
+            target_ms,
+            ended_ms: 0,
+        });
+        self.job_keys.insert(id, key);
+        self.live.insert(key);
+        self.needs_dispatch = true;
+        key
+    }
+
+    /// Returns how long after its acceptance a job of `queue` should be complete.
+    fn target_after_ms(&self, queue: &SmolStr, chain_ms: u64) -> u64 {
+        let Some(queue) = self.catalog.queues.get(queue) else {
+            return chain_ms;
+        };
+        queue.target_latency_ms + scaled_ms(chain_ms, queue.slack_factor)
+    }
+
+    /// Returns the recorded state of a job; none if no such job is on record.
+    pub fn job_state(&self, id: JobId) -> Option<JobState> {
+        let job = self.job(*self.job_keys.get(&id)?);
+        let shown = match (job.recorded_state, job.state) {
+            (JobState::Queued, JobState::Active) => JobState::Active,
+            (recorded, _) => recorded,
+        };
+        job.is_recorded.then_some(shown)
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: JobId) -> Cancel {
+        let Some(key) = self.job_keys.get(&id).copied() else {
+            return Cancel::Unknown;
+        };
+        let job = self.job(key);
+        match job.state {
+            JobState::Cancelled if job.recorded_state != JobState::Cancelled => Cancel::Pending,
+            state if state.is_final() => Cancel::Over,
+            state => {
+                Event::new("job_cancelled")
+                    .with("job", id)
+                    .with("state", state)
+                    .info();
+                self.end_job(key, JobState::Cancelled, "cancelled");
+                Cancel::Pending
+            }
+        }
+    }
+
+    /// Returns how many accepted jobs of a queue have not begun.
+    pub fn pending_count(&self, queue: &SmolStr) -> u64 {
+        let is_pending = |key: &&JobKey| {
+            let job = self.job(**key);
+            job.queue == *queue && job.is_recorded && job.state == JobState::Queued
+        };
+        u64::try_from(self.live.iter().filter(is_pending).count()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the number of jobs that are not over.
+    pub fn live_count(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns the number of runs that are at workers, or may be.
+    pub fn runs_count(&self) -> usize {
+        self.workers.iter().map(|worker| worker.slots.len()).sum()
+    }
+
+    /// Describes each live job, for debugging tests.
+    pub fn describe_job(&self, id: JobId) -> Option<String> {
+        let key = self.job_keys.get(&id)?;
+        Some(format!("{:?}", self.jobs[index(key.0)]))
+    }
+}
+
+// Times of jobs are far below the 2^52 ms that a float holds exactly.
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::as_conversions
+)]
+pub(crate) fn scaled_ms(time_ms: u64, factor: f64) -> u64 {
+    (time_ms as f64 * factor) as u64
+}
--- /dev/null
+++ b/src/jobs/job.rs
@@ -0,0 +1,190 @@
+//! One job and the progress of its tasks.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use crate::jobs::keys::{JobId, WorkerKey};
+use crate::jobs::spec::{JobSpec, StepSpec};
+
+/// Where a job stands.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum JobState {
+    /// No task has begun.
+    Queued,
+    /// Some task has begun, and not all are done.
+    Active,
+    /// All tasks are done.
+    Complete,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether nothing of the job is left to run.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Complete | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    /// All its work is done.
+    pub(crate) is_done: bool,
+    /// Runs that ended as failed, by their numbers.
+    pub(crate) failed_runs: Vec<u64>,
+    /// Runs that may be there, with their workers.
+    pub(crate) runs: Vec<(WorkerKey, u64)>,
+    /// Runs numbered so far by this leader.
+    pub(crate) numbered_count: u64,
+    /// Newest checkpoint; empty for none.
+    pub(crate) checkpoint: SmolStr,
+    /// Time at which its newest run was ordered.
+    pub(crate) started_ms: u64,
+}
+
+impl Task {
+    /// Returns whether a start of it is due, as far as the task itself goes.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.is_done && self.runs.is_empty()
+    }
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepProgress {
+    /// Its tasks.
+    pub(crate) tasks: Vec<Task>,
+    /// Tasks that are done.
+    pub(crate) done_count: u32,
+    /// Tasks neither done nor with a run.
+    pub(crate) waiting_count: u32,
+}
+
+impl StepProgress {
+    fn open(spec: &StepSpec) -> Self {
+        Self {
+            tasks: vec![Task::default(); usize::try_from(spec.tasks_count).unwrap_or(0)],
+            done_count: 0,
+            waiting_count: spec.tasks_count,
+        }
+    }
+
+    /// Returns whether all tasks are done.
+    pub(crate) fn is_done(&self) -> bool {
+        usize::try_from(self.done_count).is_ok_and(|count| count == self.tasks.len())
+    }
+
+    /// Counts the tasks anew after their fields were set.
+    pub(crate) fn recount(&mut self) {
+        let count = |test: fn(&Task) -> bool, tasks: &[Task]| {
+            u32::try_from(tasks.iter().filter(|task| test(task)).count()).unwrap_or(u32::MAX)
+        };
+        self.done_count = count(|task| task.is_done, &self.tasks);
+        self.waiting_count = count(Task::is_waiting, &self.tasks);
+    }
+}
+
+/// One occurrence.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    /// Its steps.
+    pub(crate) steps: Vec<StepProgress>,
+}
+
+impl Round {
+    pub(crate) fn open(spec: &JobSpec) -> Self {
+        Self {
+            steps: spec.steps.iter().map(StepProgress::open).collect(),
+        }
+    }
+
+    /// Returns whether all steps are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.iter().all(StepProgress::is_done)
+    }
+
+    /// Returns whether the steps that `step` waits for are done.
+    pub(crate) fn is_ready(&self, spec: &StepSpec) -> bool {
+        let is_done = |earlier: &u16| self.steps[usize::from(*earlier)].is_done();
+        spec.after.iter().all(is_done)
+    }
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// Id that the caller chose.
+    pub(crate) id: JobId,
+    /// Queue that it was handed to.
+    pub(crate) queue: SmolStr,
+    /// Pool that the queue named last.
+    pub(crate) pool: SmolStr,
+    /// Team whose key came with it; empty for an open queue.
+    pub(crate) team: SmolStr,
+    /// What was handed in.
+    pub(crate) spec: Arc<JobSpec>,
+    /// Time of acceptance, in Unix milliseconds.
+    pub(crate) accepted_unix_ms: u64,
+    /// Time of acceptance on the own clock, in milliseconds.
+    pub(crate) accepted_ms: u64,
+    /// Whether an earlier leader may have started tasks of it.
+    pub(crate) is_inherited: bool,
+    /// Whether its acceptance is on record.
+    pub(crate) is_recorded: bool,
+    /// State by all that is known.
+    pub(crate) state: JobState,
+    /// State by what is on record, which is what callers are told.
+    pub(crate) recorded_state: JobState,
+    /// Whether its progress differs from what was last put on record.
+    pub(crate) is_dirty: bool,
+    /// Occurrences that were opened, in order; emptied when the job is over.
+    pub(crate) rounds: Vec<Round>,
+    /// Longest chain of expected run times from each step on, in milliseconds.
+    pub(crate) chains_ms: Vec<u64>,
+    /// Time by which it should be complete, on the own clock.
+    pub(crate) target_ms: u64,
+    /// Time at which it was over, on the own clock.
+    pub(crate) ended_ms: u64,
+}
+
+impl Job {
+    /// Returns the longest chain of expected run times of the whole job, in milliseconds.
+    pub(crate) fn chain_ms(&self) -> u64 {
+        self.chains_ms.iter().copied().max().unwrap_or(0)
+    }
+
+    /// Returns the number of waiting tasks whose step may run.
+    pub(crate) fn startable_count(&self) -> u32 {
+        let mut count = 0;
+        for round in &self.rounds {
+            for (step, spec) in round.steps.iter().zip(&self.spec.steps) {
+                if step.waiting_count > 0 && round.is_ready(spec) {
+                    count += step.waiting_count;
+                }
+            }
+        }
+        count
+    }
+
+    /// Returns whether every occurrence was opened and is done.
+    pub(crate) fn is_all_done(&self) -> bool {
+        let rounds_count = usize::try_from(self.spec.rounds_count()).unwrap_or(usize::MAX);
+        self.rounds.len() >= rounds_count && self.rounds.iter().all(Round::is_done)
+    }
+}
--- /dev/null
+++ b/src/jobs/looks.rs
@@ -0,0 +1,553 @@
+//! Looks at workers: when they are due, and what their answers change.
+
+use indexmap::IndexSet;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::job::{JobState, Round};
+use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
+use crate::jobs::orders::{
+    Action, EndKind, Look, LookOrder, OrderFailure, RunEnd, RunRow, StopOrder,
+};
+use crate::jobs::record::Record;
+use crate::jobs::worker::{LookState, Slot, SlotState};
+use crate::logging::Event;
+
+/// Time to the next look at a worker whose ends are not on record yet, in milliseconds.
+const UNSETTLED_LOOK_MS: u64 = 600;
+/// Time to the next look after one without an answer, in milliseconds.
+const SILENT_LOOK_MS: u64 = 350;
+/// Time after which a stop without effect is sent again, beyond the time that stops take, in
+/// milliseconds.
+const STOP_AGAIN_MS: u64 = 300;
+/// Failed runs in a row after which a worker gets only single tasks.
+const FAILED_STREAK_MAX: u32 = 3;
+/// Time for which such a worker gets no task, in milliseconds.
+const FAILED_AVOID_MS: u64 = 1_500;
+/// Time after which a worker that the list lost and that runs nothing is forgotten, in milliseconds.
+const UNLISTED_FORGET_MS: u64 = 30_000;
+
+impl Engine {
+    /// Sends the looks that are due.
+    pub(crate) fn send_due_looks(&mut self) {
+        for key in self.all_workers().collect::<Vec<_>>() {
+            let worker = self.worker(key);
+            let is_due =
+                matches!(worker.look, LookState::Rest { until_ms } if until_ms <= self.now_ms);
+            let is_inherited = worker.is_recorded && self.now_ms < self.inherited_clear_at_ms();
+            let wants_fence = !worker.is_fenced && (worker.is_listed || is_inherited);
+            let has_news = worker.settles_with.is_none() && worker.settled_through > 0;
+            let wants_ack = has_news && worker.seen_through == worker.settled_through;
+            if !is_due || !(wants_fence || !worker.slots.is_empty() || wants_ack) {
+                continue;
+            }
+            self.send_look(key);
+        }
+    }
+
+    fn send_look(&mut self, key: WorkerKey) {
+        let (now_ms, wait_ms) = (self.now_ms, self.settings.look_wait_ms);
+        let lease_ms = self.settings.run_lease_ms;
+        let target = self.target(key);
+        let worker = self.worker_mut(key);
+        let is_settled = worker.settles_with.is_none();
+        let has_runs = !worker.slots.is_empty();
+        let until_worker_ms = worker
+            .worker_time_ms(now_ms)
+            .map(|time_ms| time_ms + lease_ms)
+            .filter(|_| has_runs);
+        if let Some(until_ms) = until_worker_ms {
+            worker.let_until_worker_ms = worker.let_until_worker_ms.max(until_ms);
+        }
+        worker.look = LookState::Sent { sent_ms: now_ms };
+        let order = LookOrder {
+            target,
+            until_worker_ms,
+            settled_through: worker.settled_through,
+            wait_ms: match is_settled && has_runs && worker.is_fenced {
+                true => wait_ms,
+                false => 0,
+            },
+            sent_ms: now_ms,
+        };
+        self.actions.push(Action::Look(order));
+    }
+
+    /// Takes in the answer to a look.
+    pub fn look_answered(&mut self, order: &LookOrder, look: Look, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let now_ms = self.now_ms;
+        let key = order.target.worker;
+        let is_new_life = {
+            let worker = self.worker(key);
+            worker.sheet.born_unix_ms != 0
+                && look.born_unix_ms != 0
+                && worker.sheet.born_unix_ms != look.born_unix_ms
+        };
+        if is_new_life {
+            self.begin_life(key, look.born_unix_ms);
+        }
+        let worker = self.worker_mut(key);
+        if worker.sheet.born_unix_ms == 0 {
+            worker.sheet.born_unix_ms = look.born_unix_ms;
+        }
+        if worker.silent_count > 0 {
+            Event::new("worker_answers")
+                .with("worker", &worker.sheet.id)
+                .with("silent_count", worker.silent_count)
+                .info();
+        }
+        worker.silent_count = 0;
+        worker.read_clock(look.clock_ms, now_ms);
+        if !worker.is_fenced {
+            worker.is_fenced = true;
+            self.needs_dispatch = true;
+            Event::new("worker_fenced")
+                .with("worker", &order.target.id)
+                .with("fence", order.target.fence)
+                .with("running_count", look.running.len())
+                .with("ended_count", look.ended.len())
+                .info();
+        }
+        for end in &look.ended {
+            self.take_end(key, end);
+        }
+        let mut listed = IndexSet::new();
+        for row in &look.running {
+            listed.extend(self.take_row(key, row, order.sent_ms));
+        }
+        self.judge_unlisted_runs(key, &listed, order.sent_ms);
+        self.rest_after_look(key, order);
+    }
+
+    fn rest_after_look(&mut self, key: WorkerKey, order: &LookOrder) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        if worker.settles_with.is_none() {
+            worker.settled_through = worker.seen_through;
+        }
+        let is_idle = worker.slots.is_empty() && order.settled_through == worker.settled_through;
+        let until_ms = match worker.settles_with {
+            Some(_) => now_ms + UNSETTLED_LOOK_MS,
+            None if is_idle => u64::MAX,
+            None => now_ms,
+        };
+        worker.look = LookState::Rest { until_ms };
+    }
+
+    /// Takes in that a look failed.
+    pub fn look_failed(&mut self, order: &LookOrder, failure: OrderFailure, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(order.target.worker);
+        worker.silent_count += 1;
+        worker.look = LookState::Rest {
+            until_ms: now_ms + SILENT_LOOK_MS,
+        };
+        if worker.silent_count == 1 {
+            Event::new("worker_silent")
+                .with("worker", &order.target.id)
+                .with("failure", failure)
+                .with("runs_count", worker.slots.len())
+                .with("lapse_in_ms", worker.lapse_ms().saturating_sub(now_ms))
+                .warn();
+        }
+        self.note_failure(order.target.worker, failure);
+    }
+
+    /// Takes in what a failed call says of the worker or of this leader.
+    pub(crate) fn note_failure(&mut self, key: WorkerKey, failure: OrderFailure) {
+        match failure {
+            OrderFailure::Fenced => self.depose("worker"),
+            OrderFailure::OtherLife => {
+                let now_ms = self.now_ms;
+                let worker = self.worker_mut(key);
+                worker.is_listed = false;
+                worker.unlisted_since_ms = now_ms;
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that another leader is in charge.
+    pub fn depose(&mut self, source: &'static str) {
+        if !self.is_deposed {
+            self.is_deposed = true;
+            Event::new("leader_deposed")
+                .with("fence", self.settings.fence)
+                .with("source", source)
+                .warn();
+        }
+    }
+
+    fn begin_life(&mut self, key: WorkerKey, born_unix_ms: u64) {
+        let worker = self.worker_mut(key);
+        let lost = worker.begin_life(born_unix_ms);
+        Event::new("worker_reborn")
+            .with("worker", &worker.sheet.id)
+            .with("born_unix_ms", born_unix_ms)
+            .with("lost_count", lost.len())
+            .warn();
+        for run in lost {
+            let doubtful = self.drop_slot(key, run).is_some_and(|slot| {
+                matches!(slot.state, SlotState::Sent | SlotState::Doubtful { .. })
+            });
+            if doubtful {
+                self.bar_late_start(key, run);
+            }
+            self.run_is_gone(key, run, "reborn");
+        }
+    }
+
+    /// Makes sure that an order whose answer was lost does not start the run in a later life.
+    fn bar_late_start(&mut self, key: WorkerKey, run: RunKey) {
+        let order = StopOrder {
+            target: self.target(key),
+            run: None,
+            name: self.task_name(run.task),
+            run_number: run.run,
+        };
+        self.actions.push(Action::Stop(order));
+    }
+
+    fn take_end(&mut self, key: WorkerKey, end: &RunEnd) {
+        let worker = self.worker_mut(key);
+        if end.number <= worker.seen_through {
+            return;
+        }
+        worker.seen_through = end.number;
+        let Some(task) = self.task_key(&end.name) else {
+            return;
+        };
+        let run = RunKey {
+            task,
+            run: end.run_number,
+        };
+        let slot = self.drop_slot(key, run);
+        let is_live = !self.job(task.job).state.is_final();
+        Event::new("run_ended")
+            .with("task", end.name)
+            .with("run", end.run_number)
+            .with("worker", &self.worker(key).sheet.id)
+            .with("end", end.kind)
+            .with(
+                "ran_ms",
+                slot.as_ref()
+                    .map_or(0, |slot| self.now_ms.saturating_sub(slot.since_ms)),
+            )
+            .info();
+        self.note_outcome(key, end.kind, slot.as_ref(), task);
+        if !is_live {
+            return;
+        }
+        self.open_round(task);
+        self.change_task(task, |state| {
+            state.runs.retain(|known| *known != (key, end.run_number));
+            if !end.checkpoint.is_empty() {
+                state.checkpoint = end.checkpoint.clone();
+            }
+        });
+        match end.kind {
+            EndKind::Done => self.task_done(key, task),
+            EndKind::Failed => self.task_failed(key, run),
+            _ => {}
+        }
+        self.needs_dispatch = true;
+    }
+
+    /// Opens the occurrences up to the one of a task that a worker knows.
+    fn open_round(&mut self, task: TaskKey) {
+        let job = self.job_mut(task.job);
+        while job.rounds.len() <= crate::jobs::engine::index(task.round) {
+            job.rounds.push(Round::open(&job.spec));
+        }
+        if job.state == JobState::Queued {
+            job.state = JobState::Active;
+        }
+    }
+
+    /// Judges the worker and the estimates by how a run ended.
+    fn note_outcome(&mut self, key: WorkerKey, kind: EndKind, slot: Option<&Slot>, task: TaskKey) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        match kind {
+            EndKind::Done => worker.failed_streak_count = 0,
+            EndKind::Failed => {
+                worker.failed_streak_count += 1;
+                if worker.failed_streak_count >= FAILED_STREAK_MAX {
+                    worker.avoided_until_ms = now_ms + FAILED_AVOID_MS;
+                    Event::new("worker_avoided")
+                        .with("worker", &worker.sheet.id)
+                        .with("failed_streak_count", worker.failed_streak_count)
+                        .with("for_ms", FAILED_AVOID_MS)
+                        .warn();
+                }
+            }
+            _ => {}
+        }
+        let ran = slot.filter(|slot| kind == EndKind::Done && !slot.is_endless);
+        if let Some(slot) = ran {
+            let ran_ms = now_ms.saturating_sub(slot.since_ms);
+            let job = self.job(task.job);
+            let (queue, spec) = (job.queue.clone(), job.spec.clone());
+            let step = &spec.steps[usize::from(task.step)];
+            self.run_times.observe(&queue, step, ran_ms);
+        }
+    }
+
+    fn task_done(&mut self, key: WorkerKey, task: TaskKey) {
+        let spec = self.job(task.job).spec.clone();
+        let is_gang = spec.steps[usize::from(task.step)].is_gang;
+        let members = match is_gang {
+            true => 0..spec.steps[usize::from(task.step)].tasks_count,
+            false => task.index..task.index + 1,
+        };
+        let mut is_news = false;
+        for index in members {
+            let member = TaskKey { index, ..task };
+            let was_done =
+                self.change_task(member, |state| std::mem::replace(&mut state.is_done, true));
+            is_news |= was_done == Some(false);
+        }
+        if !is_news {
+            return;
+        }
+        self.stop_copies(task);
+        if self.job(task.job).is_all_done() {
+            self.complete_job(task);
+        } else {
+            self.mark_dirty(task.job);
+        }
+        self.settle_with_coming(key);
+    }
+
+    fn stop_copies(&mut self, task: TaskKey) {
+        let runs = self.task(task).map(|state| state.runs.clone());
+        for (worker, run) in runs.unwrap_or_default() {
+            self.stop_run(worker, RunKey { task, run }, "copy_done");
+        }
+    }
+
+    fn complete_job(&mut self, task: TaskKey) {
+        let job = self.job(task.job);
+        let (now_ms, target_ms) = (self.now_ms, job.target_ms);
+        Event::new("job_done")
+            .with("job", job.id)
+            .with("queue", &job.queue)
+            .with("took_ms", now_ms.saturating_sub(job.accepted_ms))
+            .with("late_ms", now_ms.saturating_sub(target_ms))
+            .info();
+        self.end_job(task.job, JobState::Complete, "complete");
+    }
+
+    fn task_failed(&mut self, key: WorkerKey, run: RunKey) {
+        let job = self.job(run.task.job);
+        let attempts_max = self
+            .catalog
+            .queues
+            .get(&job.queue)
+            .map_or(1, |queue| queue.attempts_max);
+        let is_endless = job.spec.steps[usize::from(run.task.step)].is_endless;
+        if is_endless {
+            return;
+        }
+        let failed_count = self.change_task(run.task, |state| {
+            if !state.failed_runs.contains(&run.run) {
+                state.failed_runs.push(run.run);
+            }
+            state.failed_runs.len()
+        });
+        let is_spent = failed_count
+            .is_some_and(|count| u32::try_from(count).is_ok_and(|count| count >= attempts_max));
+        match is_spent {
+            true => self.end_job(run.task.job, JobState::Failed, "attempts_spent"),
+            false => self.mark_dirty(run.task.job),
+        }
+        self.settle_with_coming(key);
+    }
+
+    /// Lets the worker's ends be acknowledged only after the records that come up now are kept.
+    fn settle_with_coming(&mut self, key: WorkerKey) {
+        let batch = self.coming_batch();
+        self.worker_mut(key).settles_with = Some(batch);
+    }
+
+    /// Takes in one run that the worker lists, and returns it if the engine keeps it.
+    fn take_row(&mut self, key: WorkerKey, row: &RunRow, sent_ms: u64) -> Option<RunKey> {
+        let now_ms = self.now_ms;
+        let run = self.task_key(&row.name).map(|task| RunKey {
+            task,
+            run: row.run_number,
+        });
+        let known = run.filter(|run| self.worker(key).slots.contains_key(run));
+        let adopted = known.or_else(|| run.filter(|run| self.adopt(key, *run)));
+        let Some(run) = adopted else {
+            self.stop_stray(key, row);
+            return None;
+        };
+        let worker = self.worker_mut(key);
+        if let Some(slot) = worker.slots.get_mut(&run) {
+            if !matches!(slot.state, SlotState::Placed { .. }) {
+                slot.state = SlotState::Placed { since_ms: sent_ms };
+            }
+            slot.percent = row.percent;
+            slot.figure = row.figure;
+            slot.stop_sent_ms = slot.stop_sent_ms.min(now_ms);
+        }
+        if !row.checkpoint.is_empty() && !self.job(run.task.job).state.is_final() {
+            let checkpoint = row.checkpoint.clone();
+            self.change_task(run.task, |state| state.checkpoint = checkpoint);
+        }
+        Some(run)
+    }
+
+    /// Takes a run over that an earlier leader started, or an order carried out late, if its task may
+    /// have it.
+    fn adopt(&mut self, key: WorkerKey, run: RunKey) -> bool {
+        if self.job(run.task.job).state.is_final() {
+            return false;
+        }
+        self.open_round(run.task);
+        let spec = self.job(run.task.job).spec.clone();
+        let step = &spec.steps[usize::from(run.task.step)];
+        let is_free = self
+            .task(run.task)
+            .is_some_and(|task| task.is_waiting() || (step.allows_copies && !task.is_done));
+        if !is_free {
+            return false;
+        }
+        let now_ms = self.now_ms;
+        self.change_task(run.task, |task| {
+            task.runs.push((key, run.run));
+            task.started_ms = now_ms;
+        });
+        self.put_slot(
+            key,
+            run,
+            new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms),
+        );
+        Event::new("run_adopted")
+            .with("task", self.task_name(run.task))
+            .with("run", run.run)
+            .with("worker", &self.worker(key).sheet.id)
+            .info();
+        true
+    }
+
+    /// Stops a run that no task of a live job has.
+    fn stop_stray(&mut self, key: WorkerKey, row: &RunRow) {
+        let order = StopOrder {
+            target: self.target(key),
+            run: None,
+            name: row.name,
+            run_number: row.run_number,
+        };
+        Event::new("stray_stopped")
+            .with("task", row.name)
+            .with("run", row.run_number)
+            .with("worker", &order.target.id)
+            .warn();
+        self.actions.push(Action::Stop(order));
+    }
+
+    /// Decides on the runs that the engine keeps and the worker does not list.
+    fn judge_unlisted_runs(&mut self, key: WorkerKey, listed: &IndexSet<RunKey>, sent_ms: u64) {
+        let mut gone = Vec::new();
+        let mut doubtful = Vec::new();
+        for (run, slot) in &self.worker(key).slots {
+            match slot.state {
+                _ if listed.contains(run) => {}
+                SlotState::Placed { since_ms } | SlotState::Barred { since_ms }
+                    if since_ms < sent_ms =>
+                {
+                    gone.push(*run);
+                }
+                SlotState::Doubtful { since_ms }
+                    if since_ms < sent_ms && slot.stop_sent_ms + STOP_AGAIN_MS < self.now_ms =>
+                {
+                    doubtful.push(*run);
+                }
+                _ => {}
+            }
+        }
+        for run in gone {
+            self.drop_slot(key, run);
+            self.run_is_gone(key, run, "not_listed");
+        }
+        for run in doubtful {
+            self.stop_run(key, run, "outcome_unknown");
+        }
+    }
+
+    /// Takes in that a run is at no worker any more and did not end by itself.
+    pub(crate) fn run_is_gone(&mut self, key: WorkerKey, run: RunKey, reason: &'static str) {
+        Event::new("run_gone")
+            .with("task", self.task_name(run.task))
+            .with("run", run.run)
+            .with("worker", &self.worker(key).sheet.id)
+            .with("reason", reason)
+            .info();
+        self.change_task(run.task, |task| {
+            task.runs.retain(|known| *known != (key, run.run));
+        });
+        self.needs_dispatch = true;
+    }
+
+    /// Gives up the runs of workers whose leases are over.
+    pub(crate) fn lapse_silent_workers(&mut self) {
+        let now_ms = self.now_ms;
+        for key in self.all_workers().collect::<Vec<_>>() {
+            let worker = self.worker(key);
+            if !worker.slots.is_empty() && now_ms >= worker.lapse_ms() {
+                let runs: Vec<RunKey> = worker.slots.keys().copied().collect();
+                for run in runs {
+                    self.drop_slot(key, run);
+                    self.run_is_gone(key, run, "lease_over");
+                }
+            }
+            let worker = self.worker(key);
+            let is_forgotten = worker.is_recorded
+                && !worker.is_listed
+                && worker.slots.is_empty()
+                && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
+            if is_forgotten {
+                let id = worker.sheet.id.clone();
+                self.worker_mut(key).is_recorded = false;
+                self.keep(Record::ForgetWorker(id));
+            }
+        }
+    }
+
+    /// Sends stops again that had no effect yet.
+    pub(crate) fn resend_stops(&mut self) {
+        let again_ms = self.settings.stop_ms + STOP_AGAIN_MS;
+        let mut again = Vec::new();
+        for key in self.all_workers() {
+            let worker = self.worker(key);
+            let is_due =
+                |slot: &Slot| slot.is_stopping && slot.stop_sent_ms + again_ms < self.now_ms;
+            let due = worker.slots.iter().filter(|(_, slot)| is_due(slot));
+            again.extend(due.map(|(run, _)| (key, *run)));
+        }
+        for (key, run) in again {
+            self.stop_run(key, run, "again");
+        }
+    }
+}
+
+/// Returns a slot for a task of `step`.
+pub(crate) fn new_slot(step: &crate::jobs::spec::StepSpec, state: SlotState, now_ms: u64) -> Slot {
+    Slot {
+        room: step.room(),
+        size: step.size,
+        state,
+        since_ms: now_ms,
+        is_stopping: false,
+        stop_sent_ms: 0,
+        is_endless: step.is_endless,
+        is_filler: step.is_filler,
+        percent: 0,
+        figure: 0,
+        pace_percent: 100,
+        tail_target_ms: step.tail_target_ms,
+    }
+}
--- /dev/null
+++ b/src/jobs/pacing.rs
@@ -0,0 +1,88 @@
+//! Pace of filling tasks: slowed before the tail latency of the endless tasks beside them reaches its
+//! bound, and let go again with hysteresis.
+
+use crate::jobs::engine::Engine;
+use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::orders::{Action, PaceOrder};
+use crate::jobs::worker::{SlotState, Worker};
+use crate::logging::Event;
+
+/// Share of the bound from which filling tasks are slowed, in thousandths.
+const SLOW_FROM_PERMILLE: u64 = 800;
+/// Share of the bound up to which they are let go again, in thousandths.
+const FREE_UP_TO_PERMILLE: u64 = 550;
+/// Share of the bound from which they stop altogether, in thousandths.
+const HALT_FROM_PERMILLE: u64 = 950;
+/// Step by which they are let go, in percent.
+const FREE_STEP_PERCENT: u64 = 20;
+
+/// Returns the pace for the filling tasks of a worker, if it should change.
+fn next_pace(worker: &Worker) -> Option<u64> {
+    let served = worker
+        .slots
+        .values()
+        .filter(|slot| slot.tail_target_ms > 0 && slot.is_endless && !slot.is_filler);
+    let worst_permille = served
+        .map(|slot| slot.figure * 1_000 / slot.tail_target_ms)
+        .max();
+    let mut fillers = worker.slots.values().filter(|slot| slot.is_filler);
+    let pace = fillers.next()?.pace_percent;
+    let next = match worst_permille {
+        None => 100,
+        Some(worst) if worst >= HALT_FROM_PERMILLE => 0,
+        Some(worst) if worst >= SLOW_FROM_PERMILLE => pace / 2,
+        Some(worst) if worst <= FREE_UP_TO_PERMILLE => (pace + FREE_STEP_PERCENT).min(100),
+        Some(_) => pace,
+    };
+    Some(next)
+}
+
+impl Engine {
+    /// Sets the pace of all filling tasks.
+    pub(crate) fn review_pace(&mut self) {
+        for key in self.all_workers().collect::<Vec<_>>() {
+            let Some(percent) = next_pace(self.worker(key)) else {
+                continue;
+            };
+            let changed: Vec<RunKey> = self
+                .worker(key)
+                .slots
+                .iter()
+                .filter(|(_, slot)| slot.is_filler && slot.pace_percent != percent)
+                .filter(|(_, slot)| matches!(slot.state, SlotState::Placed { .. }))
+                .map(|(run, _)| *run)
+                .collect();
+            for run in changed {
+                self.set_pace(key, run, percent);
+            }
+        }
+    }
+
+    fn set_pace(&mut self, key: WorkerKey, run: RunKey, percent: u64) {
+        let order = PaceOrder {
+            target: self.target(key),
+            run,
+            name: self.task_name(run.task),
+            percent,
+        };
+        if let Some(slot) = self.worker_mut(key).slots.get_mut(&run) {
+            Event::new("pace_set")
+                .with("task", order.name)
+                .with("worker", &order.target.id)
+                .with("before_percent", slot.pace_percent)
+                .with("percent", percent)
+                .info();
+            slot.pace_percent = percent;
+        }
+        self.actions.push(Action::Pace(order));
+    }
+
+    /// Takes in that the pace of a run could not be set; it is set again with the next review.
+    pub fn pace_failed(&mut self, order: &PaceOrder, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let worker = self.worker_mut(order.target.worker);
+        if let Some(slot) = worker.slots.get_mut(&order.run) {
+            slot.pace_percent = u64::MAX;
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/placement.rs
@@ -0,0 +1,70 @@
+//! The choice of a worker for one task.
+
+use smol_str::SmolStr;
+
+use crate::jobs::engine::{index, Engine};
+use crate::jobs::keys::{TaskKey, WorkerKey};
+use crate::jobs::spec::StepSpec;
+
+/// A task that looks for a worker.
+pub(crate) struct Wish<'s> {
+    /// Task.
+    pub(crate) task: TaskKey,
+    /// Its step.
+    pub(crate) step: &'s StepSpec,
+    /// Rack in which it runs fastest.
+    pub(crate) rack: Option<&'s SmolStr>,
+}
+
+/// Chooses the worker that is best for `wish` among those of `workers` that have room: one in its
+/// rack, then for endless tasks one that already has such, then the one with the least room left, so
+/// that whole instances stay free for moves.
+pub(crate) fn choose(engine: &Engine, workers: &[WorkerKey], wish: &Wish<'_>) -> Option<WorkerKey> {
+    let fitting = workers
+        .iter()
+        .copied()
+        .filter(|key| fits(engine, *key, wish));
+    fitting.min_by_key(|key| {
+        let worker = engine.worker(*key);
+        let is_far = wish.rack.is_some_and(|rack| *rack != worker.rack);
+        let endless_count = match wish.step.is_endless {
+            true => worker.endless_count(),
+            false => usize::from(worker.endless_count() > 0),
+        };
+        let free_millis = worker
+            .sheet
+            .capacity
+            .cpu_millis
+            .saturating_sub(worker.used.cpu_millis);
+        let is_slow = worker.slowness_permille > SLOW_PERMILLE;
+        (
+            is_far,
+            is_slow,
+            std::cmp::Reverse(endless_count),
+            free_millis,
+            *key,
+        )
+    })
+}
+
+/// Slowness from which a worker is taken last, in thousandths.
+const SLOW_PERMILLE: u64 = 1_600;
+
+fn fits(engine: &Engine, key: WorkerKey, wish: &Wish<'_>) -> bool {
+    let worker = engine.worker(key);
+    let step = wish.step;
+    let has_label = step
+        .label
+        .as_ref()
+        .is_none_or(|label| worker.sheet.labels.contains(label));
+    has_label
+        && worker.used.fits_with(&step.room(), &worker.sheet.capacity)
+        && (step.per_worker_max == 0 || here_count(engine, key, wish.task) < step.per_worker_max)
+}
+
+/// Returns how many tasks of the same step and occurrence are at a worker.
+fn here_count(engine: &Engine, key: WorkerKey, task: TaskKey) -> u32 {
+    let progress = &engine.job(task.job).rounds[index(task.round)].steps[usize::from(task.step)];
+    let runs = progress.tasks.iter().flat_map(|task| &task.runs);
+    u32::try_from(runs.filter(|(worker, _)| *worker == key).count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/jobs/ranking.rs
@@ -0,0 +1,66 @@
+//! The order in which jobs get room: tasks that serve users first, then jobs that can still meet
+//! their targets by least slack, then those that are late.
+
+use crate::jobs::job::Job;
+
+/// Where a job stands in the order; smaller goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    tier: Tier,
+    /// Latest start that meets the target, or the time of acceptance for late jobs.
+    by_ms: u64,
+}
+
+/// Groups of jobs, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    /// Some task runs until the job is cancelled.
+    Endless,
+    /// The target can still be met.
+    InTime,
+    /// The target cannot be met any more.
+    Late,
+}
+
+/// Reserve for what the estimate of a chain misses, in thousandths of the chain.
+const CHAIN_GRACE_PERMILLE: u64 = 250;
+
+/// Returns the rank of a job; none if it has nothing to start.
+pub(crate) fn rank(job: &Job, now_ms: u64) -> Option<Rank> {
+    if job.startable_count() == 0 {
+        return None;
+    }
+    if job.spec.is_endless() {
+        return Some(Rank {
+            tier: Tier::Endless,
+            by_ms: job.accepted_ms,
+        });
+    }
+    let left_ms = remaining_chain_ms(job);
+    let by_ms = job.target_ms.saturating_sub(left_ms);
+    let grace_ms = left_ms * CHAIN_GRACE_PERMILLE / 1_000;
+    let rank = match now_ms > by_ms + grace_ms {
+        true => Rank {
+            tier: Tier::Late,
+            by_ms: job.accepted_ms,
+        },
+        false => Rank {
+            tier: Tier::InTime,
+            by_ms,
+        },
+    };
+    Some(rank)
+}
+
+/// Returns the longest chain of expected run times through steps that are not done, in milliseconds.
+pub(crate) fn remaining_chain_ms(job: &Job) -> u64 {
+    let of_round = |round: &crate::jobs::job::Round| {
+        let open = round
+            .steps
+            .iter()
+            .zip(&job.chains_ms)
+            .filter(|(step, _)| !step.is_done());
+        open.map(|(_, chain_ms)| *chain_ms).max().unwrap_or(0)
+    };
+    job.rounds.iter().map(of_round).max().unwrap_or(0)
+}
--- /dev/null
+++ b/src/jobs/recovery.rs
@@ -0,0 +1,159 @@
+//! Taking over: reading back what earlier leaders put on record, and the list of workers.
+
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::intake::Submission;
+use crate::jobs::keys::{JobId, WorkerKey};
+use crate::jobs::record::{ProgressRecord, Record, WorkerRecord};
+use crate::jobs::worker::{LookState, Worker, WorkerSheet};
+use crate::logging::Event;
+
+impl Engine {
+    /// Takes in all that is on record; records may come in any order.
+    pub fn restore(&mut self, records: Vec<Record>) {
+        let mut progress: Vec<(JobId, ProgressRecord)> = Vec::new();
+        for record in records {
+            match record {
+                Record::Job(id, record) => {
+                    if self.job_keys.contains_key(&id) {
+                        continue;
+                    }
+                    let submission = Submission {
+                        id,
+                        queue: record.queue,
+                        team: record.team,
+                        spec: record.spec,
+                    };
+                    let key = self.add_job(submission, record.pool, record.accepted_unix_ms);
+                    let job = self.job_mut(key);
+                    job.is_recorded = true;
+                    job.is_inherited = true;
+                }
+                Record::Progress(id, record) => progress.push((id, record)),
+                Record::Worker(id, record) => self.restore_worker(id, record),
+                Record::Wave(number, record) => self.restore_wave(number, record),
+                Record::ForgetJob(_) | Record::ForgetWorker(_) => {}
+            }
+        }
+        for (id, record) in progress {
+            let Some(key) = self.job_keys.get(&id).copied() else {
+                continue;
+            };
+            let now_ms = self.now_ms;
+            let job = self.job_mut(key);
+            record.apply(job);
+            if job.state.is_final() {
+                job.ended_ms = now_ms;
+                self.live.swap_remove(&key);
+                self.ended.push_back(key);
+            }
+        }
+        Event::new("state_restored")
+            .with("fence", self.settings.fence)
+            .with("jobs_count", self.jobs.len())
+            .with("live_count", self.live.len())
+            .with("workers_count", self.workers.len())
+            .info();
+        self.needs_dispatch = true;
+    }
+
+    fn restore_worker(&mut self, id: SmolStr, record: WorkerRecord) {
+        let Ok(address) = record.address.parse() else {
+            Event::new("record_unreadable")
+                .with("worker", &id)
+                .with("address", &record.address)
+                .warn();
+            return;
+        };
+        let sheet = WorkerSheet {
+            id,
+            born_unix_ms: 0,
+            address,
+            pool: record.pool,
+            zone: record.zone,
+            labels: record.labels,
+            capacity: record.capacity,
+            is_draining: false,
+            instance: None,
+        };
+        let key = self.add_worker(sheet);
+        self.worker_mut(key).is_recorded = true;
+    }
+
+    fn add_worker(&mut self, sheet: WorkerSheet) -> WorkerKey {
+        if let Some(key) = self.worker_keys.get(&sheet.id) {
+            return *key;
+        }
+        let key = WorkerKey(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
+        self.worker_keys.insert(sheet.id.clone(), key);
+        self.workers.push(Worker::open(sheet, self.now_ms));
+        key
+    }
+
+    /// Takes in what the list says of a worker.
+    pub fn worker_listed(&mut self, sheet: WorkerSheet, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let known = self.worker_keys.get(&sheet.id).copied();
+        let key = known.unwrap_or_else(|| self.add_worker(sheet.clone()));
+        let worker = self.worker(key);
+        let born_unix_ms = worker.sheet.born_unix_ms;
+        let is_new_life =
+            worker.sheet.born_unix_ms != 0 && sheet.born_unix_ms > worker.sheet.born_unix_ms;
+        let is_change = !worker.is_listed
+            || worker.sheet.is_draining != sheet.is_draining
+            || worker.sheet.pool != sheet.pool
+            || worker.sheet.address != sheet.address;
+        let needs_record = !worker.is_recorded && !worker.is_listed;
+        let needs_new_record = worker.is_recorded
+            && (worker.sheet.address != sheet.address || worker.sheet.pool != sheet.pool);
+        if is_change || is_new_life {
+            Event::new("worker_listed")
+                .with("worker", &sheet.id)
+                .with("pool", &sheet.pool)
+                .with("address", sheet.address)
+                .with("is_draining", sheet.is_draining)
+                .with("is_new_life", is_new_life)
+                .info();
+            self.needs_dispatch = true;
+        }
+        let worker = self.worker_mut(key);
+        worker.is_listed = true;
+        worker.sheet = sheet;
+        worker.sheet.born_unix_ms = worker.sheet.born_unix_ms.max(born_unix_ms);
+        if is_new_life {
+            // The look of the new life shows what is gone.
+            worker.sheet.born_unix_ms = born_unix_ms;
+            worker.is_fenced = false;
+            if let LookState::Rest { until_ms } = &mut worker.look {
+                *until_ms = 0;
+            }
+        } else if !worker.is_fenced {
+            if let LookState::Rest { until_ms: u64::MAX } = worker.look {
+                worker.look = LookState::Rest { until_ms: 0 };
+            }
+        }
+        if needs_record || needs_new_record {
+            self.keep_worker(key);
+        }
+    }
+
+    /// Takes in that the list has lost a worker.
+    pub fn worker_unlisted(&mut self, id: &SmolStr, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let Some(key) = self.worker_keys.get(id).copied() else {
+            return;
+        };
+        let worker = self.worker_mut(key);
+        if !worker.is_listed {
+            return;
+        }
+        worker.is_listed = false;
+        worker.unlisted_since_ms = now_ms;
+        Event::new("worker_unlisted")
+            .with("worker", id)
+            .with("runs_count", worker.slots.len())
+            .with("lapse_in_ms", worker.lapse_ms().saturating_sub(now_ms))
+            .info();
+    }
+}
--- /dev/null
+++ b/src/jobs/tickets.rs
@@ -0,0 +1,130 @@
+//! Tickets of the eligibility service: which workers may run a step, asked once for each step.
+
+use std::collections::HashMap;
+
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::keys::{JobKey, TaskKey, WorkerKey};
+use crate::jobs::orders::{Action, TicketQuestion};
+use crate::logging::Event;
+
+/// Most workers of one question.
+const ASKED_MAX: usize = 30;
+/// Time after which a question without an answer is asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 1_500;
+/// Reserve before the end of a ticket, in milliseconds.
+const EXPIRY_RESERVE_MS: u64 = 300;
+
+type StepKey = (JobKey, u32, u16);
+
+/// What is known for one step.
+#[derive(Clone, Debug, Default)]
+struct StepTickets {
+    asked_ms: Option<u64>,
+    valid_until_ms: u64,
+    tickets: HashMap<SmolStr, SmolStr>,
+}
+
+/// Tickets by step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tickets {
+    steps: HashMap<StepKey, StepTickets>,
+}
+
+fn step_key(task: TaskKey) -> StepKey {
+    (task.job, task.round, task.step)
+}
+
+impl Tickets {
+    /// Returns the ticket for a task on a worker.
+    pub(crate) fn of(&self, task: TaskKey, worker: &SmolStr) -> Option<SmolStr> {
+        self.steps
+            .get(&step_key(task))?
+            .tickets
+            .get(worker)
+            .cloned()
+    }
+
+    /// Forgets a ticket that a worker refused.
+    pub(crate) fn drop_worker(&mut self, task: TaskKey, worker: &SmolStr) {
+        if let Some(step) = self.steps.get_mut(&step_key(task)) {
+            step.tickets.remove(worker);
+            step.valid_until_ms = 0;
+        }
+    }
+
+    /// Forgets all tickets of a job.
+    pub(crate) fn forget(&mut self, job: JobKey) {
+        self.steps.retain(|(of, _, _), _| *of != job);
+    }
+}
+
+impl Engine {
+    /// Returns the workers with a valid ticket for the task's step; asks, and returns none, where
+    /// there is no valid answer.
+    pub(crate) fn with_tickets(
+        &mut self,
+        task: TaskKey,
+        workers: &[WorkerKey],
+    ) -> Option<Vec<WorkerKey>> {
+        let now_ms = self.now_ms;
+        let step = self.tickets.steps.entry(step_key(task)).or_default();
+        if now_ms < step.valid_until_ms {
+            let tickets = &step.tickets;
+            let has_ticket = |key: &&WorkerKey| {
+                tickets.contains_key(&self.workers[crate::jobs::engine::index(key.0)].sheet.id)
+            };
+            return Some(workers.iter().filter(has_ticket).copied().collect());
+        }
+        let is_asking = step
+            .asked_ms
+            .is_some_and(|asked_ms| now_ms < asked_ms + ASK_AGAIN_MS);
+        if is_asking || workers.is_empty() {
+            return None;
+        }
+        step.asked_ms = Some(now_ms);
+        let mut asked: Vec<WorkerKey> = workers.to_vec();
+        asked.sort_by_key(|key| self.worker(*key).used.cpu_millis);
+        let ids = asked.iter().map(|key| self.worker(*key).sheet.id.clone());
+        let question = TicketQuestion {
+            job: self.job(task.job).id,
+            round: task.round,
+            step: task.step,
+            workers: ids.take(ASKED_MAX).collect(),
+        };
+        self.actions.push(Action::AskTickets(question));
+        None
+    }
+
+    /// Takes in the answer to a question; none if there was no answer.
+    pub fn tickets_answered(
+        &mut self,
+        question: &TicketQuestion,
+        answer: Option<(Vec<(SmolStr, SmolStr)>, u64)>,
+        now_ms: u64,
+    ) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let Some(job) = self.job_keys.get(&question.job).copied() else {
+            return;
+        };
+        let key = (job, question.round, question.step);
+        let Some(step) = self.tickets.steps.get_mut(&key) else {
+            return;
+        };
+        let (tickets, valid_ms) = answer.unwrap_or_default();
+        Event::new("tickets")
+            .with("job", question.job)
+            .with("step", question.step)
+            .with("asked_count", question.workers.len())
+            .with("eligible_count", tickets.len())
+            .with("valid_ms", valid_ms)
+            .info();
+        if valid_ms > 0 {
+            step.asked_ms = None;
+        }
+        step.valid_until_ms = now_ms + valid_ms.saturating_sub(EXPIRY_RESERVE_MS);
+        step.tickets = tickets.into_iter().collect();
+        self.needs_dispatch = true;
+    }
+}
--- /dev/null
+++ b/src/jobs/waves.rs
@@ -0,0 +1,209 @@
+//! Waves of maintenance: each named instance once, only so many at a time, within the budgets of
+//! endless steps.
+
+use indexmap::IndexSet;
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::instances::InstanceState;
+use crate::jobs::orders::{Action, InstanceOrder};
+use crate::jobs::record::{Record, WaveRecord};
+use crate::logging::Event;
+
+/// Instances of a wave that are emptied beyond those that may be down.
+const AHEAD_COUNT: usize = 1;
+/// Time between two reports that a wave goes on, in milliseconds.
+const TELL_AGAIN_MS: u64 = 4_000;
+
+/// A wave as operators ask for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WaveSheet {
+    /// Number.
+    pub number: u64,
+    /// Instances.
+    pub instances: Vec<SmolStr>,
+    /// Time in which it should be over, in milliseconds.
+    pub duration_ms: u64,
+    /// Most instances down for it at once.
+    pub at_once_max: usize,
+}
+
+/// A wave under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Wave {
+    pub(crate) sheet: WaveSheet,
+    /// Instances that were maintained, or are not part of the wave.
+    pub(crate) done: IndexSet<SmolStr>,
+    /// Time at which it was last told how the wave stands; 0 for never.
+    told_ms: u64,
+    /// Whether its end was told.
+    is_complete: bool,
+}
+
+impl Engine {
+    /// Takes in a wave that operators ask for.
+    pub fn wave_asked(&mut self, sheet: WaveSheet) {
+        let number = sheet.number;
+        match self.instances.waves.get_mut(&number) {
+            Some(wave) => wave.sheet = sheet,
+            None => {
+                Event::new("wave_asked")
+                    .with("wave", number)
+                    .with("instances_count", sheet.instances.len())
+                    .with("at_once_max", sheet.at_once_max)
+                    .with("duration_ms", sheet.duration_ms)
+                    .info();
+                let wave = Wave {
+                    sheet,
+                    done: IndexSet::new(),
+                    told_ms: 0,
+                    is_complete: false,
+                };
+                self.instances.waves.insert(number, wave);
+            }
+        }
+    }
+
+    /// Sets which instances of a wave were maintained under earlier leaders.
+    pub(crate) fn restore_wave(&mut self, number: u64, record: WaveRecord) {
+        let wave = self.instances.waves.entry(number).or_insert_with(|| Wave {
+            sheet: WaveSheet {
+                number,
+                instances: Vec::new(),
+                duration_ms: 0,
+                at_once_max: 0,
+            },
+            done: IndexSet::new(),
+            told_ms: 0,
+            is_complete: false,
+        });
+        wave.done.extend(record.done);
+    }
+
+    pub(crate) fn wave_member_done(&mut self, number: u64, instance: &SmolStr) {
+        if let Some(wave) = self.instances.waves.get_mut(&number) {
+            wave.done.insert(instance.clone());
+            let record = WaveRecord {
+                done: wave.done.iter().cloned().collect(),
+            };
+            self.keep(Record::Wave(number, record));
+        }
+    }
+
+    pub(crate) fn wave_member_refused(&mut self, number: u64, instance: &SmolStr) {
+        if let Some(wave) = self.instances.waves.get_mut(&number) {
+            wave.done.insert(instance.clone());
+        }
+    }
+
+    /// Returns whether an instance waits for its maintenance in some wave.
+    pub(crate) fn is_in_wave(&self, name: &SmolStr) -> bool {
+        self.instances
+            .waves
+            .values()
+            .any(|wave| wave.sheet.instances.contains(name) && !wave.done.contains(name))
+    }
+
+    /// Goes on with all waves.
+    pub(crate) fn review_waves(&mut self) {
+        let numbers: Vec<u64> = self.instances.waves.keys().copied().collect();
+        for number in numbers {
+            self.review_wave(number);
+        }
+    }
+
+    fn review_wave(&mut self, number: u64) {
+        let wave = &self.instances.waves[&number];
+        if wave.is_complete || wave.sheet.instances.is_empty() {
+            return;
+        }
+        let rows = &self.instances.rows;
+        let open: Vec<SmolStr> = wave
+            .sheet
+            .instances
+            .iter()
+            .filter(|name| !wave.done.contains(*name))
+            .filter(|name| rows.contains_key(*name))
+            .cloned()
+            .collect();
+        self.tell_wave(number, open.is_empty());
+        let wave = &self.instances.waves[&number];
+        let is_down = |name: &&SmolStr| {
+            let row = self.instances.rows.get(*name);
+            row.is_some_and(|row| {
+                let is_ordered = matches!(&row.order, Some((InstanceOrder::Maintain { .. }, _)));
+                is_ordered
+                    || row.sheet.state == InstanceState::Maintained
+                    || (wave.done.contains(*name) && row.away_until_ms > self.now_ms)
+            })
+        };
+        let down_count = wave.sheet.instances.iter().filter(is_down).count();
+        let at_once_max = wave.sheet.at_once_max.max(1);
+        let mut free_count = at_once_max.saturating_sub(down_count);
+        let mut emptied_count = at_once_max + AHEAD_COUNT;
+        for name in self.in_order_of_load(open) {
+            if emptied_count == 0 {
+                break;
+            }
+            if !self.is_orderable(&name) {
+                continue;
+            }
+            emptied_count -= 1;
+            if self.empty_instance(&name) && free_count > 0 {
+                free_count -= 1;
+                self.order_instance(InstanceOrder::Maintain {
+                    instance: name,
+                    wave: number,
+                });
+            }
+        }
+    }
+
+    /// Sorts instances so that those with the least to stop come first; those being emptied lead.
+    fn in_order_of_load(&self, mut names: Vec<SmolStr>) -> Vec<SmolStr> {
+        names.sort_by_cached_key(|name| match self.worker_of(name) {
+            None => (false, 0, 0),
+            Some(key) => {
+                let worker = self.worker(key);
+                (
+                    !worker.is_reserved,
+                    worker.endless_count(),
+                    worker.slots.len(),
+                )
+            }
+        });
+        names
+    }
+
+    /// Keeps new tasks off an instance and frees it; returns whether it is free.
+    fn empty_instance(&mut self, name: &SmolStr) -> bool {
+        let Some(key) = self.worker_of(name) else {
+            return true;
+        };
+        self.worker_mut(key).is_reserved = true;
+        self.free_worker(key)
+    }
+
+    fn tell_wave(&mut self, number: u64, is_complete: bool) {
+        let now_ms = self.now_ms;
+        let Some(wave) = self.instances.waves.get_mut(&number) else {
+            return;
+        };
+        let is_due = is_complete || wave.told_ms == 0 || now_ms > wave.told_ms + TELL_AGAIN_MS;
+        if !is_due {
+            return;
+        }
+        wave.told_ms = now_ms;
+        wave.is_complete = is_complete;
+        Event::new("wave_told")
+            .with("wave", number)
+            .with("is_complete", is_complete)
+            .with("done_count", wave.done.len())
+            .with("instances_count", wave.sheet.instances.len())
+            .info();
+        self.actions.push(Action::TellWave {
+            wave: number,
+            is_complete,
+        });
+    }
+}
--- a/src/load/live/account.rs
+++ b/src/load/live/account.rs
@@ -8,7 +8,7 @@
 use super::outcome::{End, Outcome};
 use super::schedule::Shot;
 use crate::fleet::{InstanceName, TeamName};
-use crate::platform::journal::{peak_running_by_team, Run};
+use crate::stand_in::journal::{peak_running_by_team, Run};
 
 /// Time after which a leaving instance may be given nothing new, in microseconds.
 const LEAVING_GRACE_US: u64 = 3_000_000;
--- a/src/load/live/caller.rs
+++ b/src/load/live/caller.rs
@@ -16,7 +16,7 @@
 use super::schedule::Shot;
 use super::targets::{CallerSettings, TeamKeys};
 use crate::error::RunState;
-use crate::platform::task::{TaskAnswer, TaskOrder};
+use crate::stand_in::task::{TaskAnswer, TaskOrder};
 
 /// Pause before a lost call is repeated elsewhere.
 const LOST_PAUSE: Duration = Duration::from_millis(20);
--- a/src/load/live/direct.rs
+++ b/src/load/live/direct.rs
@@ -18,7 +18,7 @@
 };
 use crate::error::RunState;
 use crate::fleet::InstanceRow;
-use crate::platform::task::TaskAnswer;
+use crate::stand_in::task::TaskAnswer;
 
 /// Lease of the tasks beyond their run time, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 60_000;
--- a/src/load/live/driver.rs
+++ b/src/load/live/driver.rs
@@ -16,7 +16,7 @@
 use super::schedule::Shot;
 use super::targets::{CallerSettings, Targets};
 use crate::error::RunState;
-use crate::platform::worker::now_unix_us;
+use crate::stand_in::worker::now_unix_us;
 
 /// Pause before the first request, in which the balancer sees which entries are ready.
 const WARM_UP: Duration = Duration::from_millis(500);
--- a/src/load/live/faults.rs
+++ b/src/load/live/faults.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{InstanceName, InstanceRow, TeamName};
-use crate::platform::instances::InstanceFaults;
-use crate::platform::log::LogFaults;
-use crate::platform::worker_state::{AnswerFault, WorkerFaults};
+use crate::stand_in::instances::InstanceFaults;
+use crate::stand_in::log::LogFaults;
+use crate::stand_in::worker_state::{AnswerFault, WorkerFaults};
 
 /// Mean time between two faults of the mixed script, in milliseconds.
 const MIXED_GAP_MS: u64 = 4_000;
--- a/src/load/live/injector.rs
+++ b/src/load/live/injector.rs
@@ -18,7 +18,7 @@
 use crate::adapters::http_client::{percent_encode, HttpCall};
 use crate::adapters::log_http::{service_call, ServiceTimeouts};
 use crate::fleet::InstanceName;
-use crate::platform::worker::now_unix_us;
+use crate::stand_in::worker::now_unix_us;
 
 const TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
     connect_ms: 500,
--- a/src/load/live/report.rs
+++ b/src/load/live/report.rs
@@ -12,7 +12,7 @@
 use super::outcome::{End, Outcome};
 use super::process::Usage;
 use super::schedule::Shot;
-use crate::platform::journal::{Ending, Run};
+use crate::stand_in::journal::{Ending, Run};
 
 /// Longest time that the histograms hold, in microseconds.
 const TIME_MAX_US: u64 = 3_600_000_000;
--- a/src/load/live/site.rs
+++ b/src/load/live/site.rs
@@ -14,8 +14,8 @@
 use crate::adapters::log_http::{service_call, ServiceTimeouts};
 use crate::entry::EntryStatus;
 use crate::fleet::{InstanceRow, TeamName};
-use crate::platform::journal::{Journal, Run};
-use crate::platform::log::LogCounts;
+use crate::stand_in::journal::{Journal, Run};
+use crate::stand_in::log::LogCounts;
 
 const TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
     connect_ms: 1_000,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,8 +1,11 @@
 //! Logs: one line of key=value pairs for each event, to the standard error or to a file.
 
 use std::fmt::{Display, Write};
-use std::io;
+use std::io::{self, Write as _};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
 
+use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FileSpec, FlexiLoggerError, Logger, LoggerHandle};
 use log::{Level, Record};
 
@@ -26,6 +29,104 @@
     logger.start()
 }
 
+/// Most bytes of log lines that wait for the next flush.
+const BUFFER_MAX_BYTES: usize = 192 * 1_024;
+/// Flushed buffers that may wait for the standard output.
+const CHUNKS_MAX: usize = 8;
+
+/// Lines that wait for the next flush, and how many were dropped.
+#[derive(Default)]
+struct Lines {
+    text: Vec<u8>,
+    dropped_count: u64,
+}
+
+/// Keeps lines until they are flushed; beyond its bound it drops and counts them.
+#[derive(Clone, Default)]
+struct LineBuffer {
+    lines: Arc<Mutex<Lines>>,
+}
+
+impl LogWriter for LineBuffer {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.text.len() >= BUFFER_MAX_BYTES {
+            lines.dropped_count += 1;
+            return Ok(());
+        }
+        write_line(&mut lines.text, now, record)?;
+        lines.text.push(b'\n');
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Log lines on the standard output that never make their writer wait.
+pub struct BufferedLog {
+    _logger: LoggerHandle,
+    buffer: LineBuffer,
+    chunks: flume::Sender<Vec<u8>>,
+    writer: thread::JoinHandle<()>,
+}
+
+impl BufferedLog {
+    /// Starts logging at `level`; lines go out with [`flush`](Self::flush).
+    pub fn open(level: &str) -> Result<Self, FlexiLoggerError> {
+        let buffer = LineBuffer::default();
+        let logger = Logger::try_with_str(level)?
+            .use_utc()
+            .log_to_writer(Box::new(buffer.clone()))
+            .start()?;
+        let (chunks, received) = flume::bounded::<Vec<u8>>(CHUNKS_MAX);
+        let writer = thread::spawn(move || {
+            for chunk in received {
+                let mut out = io::stdout().lock();
+                // Nobody is left to tell when the standard output is closed.
+                let _ = out.write_all(&chunk).and_then(|()| out.flush());
+            }
+        });
+        Ok(Self {
+            _logger: logger,
+            buffer,
+            chunks,
+            writer,
+        })
+    }
+
+    /// Writes out what was flushed, and ends.
+    pub fn close(self) {
+        drop(self.chunks);
+        // A writer that panicked has nothing left to write.
+        let _ = self.writer.join();
+    }
+
+    /// Hands the lines so far to the thread that writes them; drops and counts them if it is behind.
+    pub fn flush(&self) {
+        let mut lines = self
+            .buffer
+            .lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if lines.text.is_empty() {
+            return;
+        }
+        let mut text = std::mem::take(&mut lines.text);
+        if lines.dropped_count > 0 {
+            let event = Event::new("log_lines_dropped").with("count", lines.dropped_count);
+            text.extend(event.line().as_bytes());
+            text.push(b'\n');
+        }
+        let lines_count = text.iter().filter(|byte| **byte == b'\n').count();
+        match self.chunks.try_send(text) {
+            Ok(()) => lines.dropped_count = 0,
+            Err(_) => lines.dropped_count += u64::try_from(lines_count).unwrap_or(u64::MAX),
+        }
+    }
+}
+
 /// One event, as a line of key=value pairs.
 ///
 /// ```
--- /dev/null
+++ b/src/net/client.rs
@@ -0,0 +1,173 @@
+//! Calls over reused connections. A call that fails after its connection stood may have been carried
+//! out; one for which no connection came about was not.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// Most idle connections that are kept to one address.
+const IDLE_MAX: usize = 8;
+/// Age from which an idle connection is not used again.
+const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
+/// Longest time for a connection to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers beside those of every call.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Bytes,
+    /// Longest time for the whole call, in milliseconds.
+    pub timeout_ms: u64,
+    /// Most bytes of the answer's body.
+    pub answer_max_bytes: usize,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Why a call gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum CallFailure {
+    /// No connection came about: nothing was sent.
+    NotSent,
+    /// The call may have been carried out, or may still be.
+    Lost,
+}
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// The client of this process.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+impl Client {
+    /// Makes a call on a connection that is idle, or on a new one.
+    pub async fn call(&self, call: Call) -> Result<Reply, CallFailure> {
+        let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
+        let mut sender = match self.take_idle(call.address) {
+            Some(sender) => sender,
+            None => connect(call.address, deadline).await?,
+        };
+        let address = call.address;
+        let exchanged = timeout_at(deadline, exchange(&mut sender, call)).await;
+        match exchanged {
+            Ok(Ok(reply)) => {
+                self.keep_idle(address, sender);
+                Ok(reply)
+            }
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => Err(CallFailure::Lost),
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(Idle { sender, since }) = kept.pop() {
+            if !sender.is_closed() && sender.is_ready() && since.elapsed() < IDLE_AGE_MAX {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep_idle(&self, address: SocketAddr, sender: Sender) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if !sender.is_closed() && kept.len() < IDLE_MAX {
+            kept.push(Idle {
+                sender,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+}
+
+async fn connect(address: SocketAddr, deadline: Instant) -> Result<Sender, CallFailure> {
+    let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let stream = match timeout_at(until, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) | Err(_) => return Err(CallFailure::NotSent),
+    };
+    // Without this option small calls wait for acknowledgements; a failure costs only time.
+    let _ = stream.set_nodelay(true);
+    let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| CallFailure::NotSent)?;
+    tokio::task::spawn_local(async move {
+        // The call on the connection sees the same error.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+async fn exchange(sender: &mut Sender, call: Call) -> Result<Reply, CallFailure> {
+    let answer_max_bytes = call.answer_max_bytes;
+    let request = request_of(call).ok_or(CallFailure::NotSent)?;
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        // The library hands back a request that it has not begun to write.
+        Err(error) if error.message().is_some() => return Err(CallFailure::NotSent),
+        Err(_) => return Err(CallFailure::Lost),
+    };
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), answer_max_bytes)
+        .collect()
+        .await
+        .map_err(|_| CallFailure::Lost)?
+        .to_bytes();
+    Ok(Reply { status, body })
+}
+
+fn request_of(call: Call) -> Option<Request<Full<Bytes>>> {
+    let host = HeaderValue::from_str(&call.address.to_string()).ok()?;
+    let mut builder = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(HOST, host);
+    if !call.body.is_empty() {
+        builder = builder.header(CONTENT_TYPE, "application/json");
+    }
+    for (name, value) in call.headers {
+        builder = builder.header(name, value);
+    }
+    builder.body(Full::new(call.body)).ok()
+}
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,221 @@
+//! Calls from outside: callers of the queues, the readiness probe, and the metrics.
+
+use std::io;
+use std::rc::Rc;
+
+use hyper::body::Bytes;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+
+use crate::jobs::{Catalog, Denial, JobId, Queue};
+use crate::logging::Event;
+use crate::net::{self, Answer, Asked, ServerSettings, ServerStop};
+use crate::node::leader::to_f64;
+use crate::node::{peers, CallAnswer, CallKind, Node, PeerCall, Refusal};
+use crate::platform::callers;
+
+/// Most bytes of a body that is read; the lists may set less.
+const BODY_MAX_BYTES: usize = 1 << 20;
+/// Part of the descriptors that callers' connections may take, in thousandths.
+const CONNECTIONS_PERMILLE: usize = 600;
+/// Most connections for the readiness probe and the metrics.
+const PROBE_CONNECTIONS_MAX: usize = 32;
+/// Reserve before the end of a caller's wait, in milliseconds.
+const ANSWER_RESERVE_MS: u64 = 150;
+/// Longest time that a call is passed on for, in milliseconds.
+const CALL_MAX_MS: u64 = 2_600;
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the readiness probe.
+pub(crate) async fn serve_ready(node: &Rc<Node>) -> io::Result<ServerStop> {
+    let address = node.settings.ready_address;
+    let node = Rc::clone(node);
+    let answer = move |asked: Asked| {
+        let status = match asked.path == callers::READY_PATH {
+            true if node.is_ready() => 200,
+            true => 503,
+            false => 404,
+        };
+        std::future::ready(Answer::status(status))
+    };
+    net::serve(address, probe_settings(), answer).await
+}
+
+/// Serves the metrics.
+pub(crate) async fn serve_metrics(node: &Rc<Node>) -> io::Result<ServerStop> {
+    let address = node.settings.metrics_address;
+    let node = Rc::clone(node);
+    let answer = move |asked: Asked| {
+        node.metrics
+            .lists_age_ms
+            .set(node.lists_age_ms().unwrap_or(0));
+        let answer = match asked.path == METRICS_PATH {
+            true => Answer {
+                status: 200,
+                headers: vec![(
+                    CONTENT_TYPE,
+                    HeaderValue::from_static("application/openmetrics-text; version=1.0.0"),
+                )],
+                body: Bytes::from(node.metrics.encode()),
+            },
+            false => Answer::status(404),
+        };
+        std::future::ready(answer)
+    };
+    net::serve(address, probe_settings(), answer).await
+}
+
+fn probe_settings() -> ServerSettings {
+    ServerSettings {
+        body_max_bytes: 1_024,
+        connections_max: PROBE_CONNECTIONS_MAX,
+    }
+}
+
+/// Serves the callers.
+pub(crate) async fn serve_callers(node: &Rc<Node>) -> io::Result<ServerStop> {
+    let settings = ServerSettings {
+        body_max_bytes: BODY_MAX_BYTES,
+        connections_max: node.settings.descriptors_count * CONNECTIONS_PERMILLE / 1_000,
+    };
+    let address = node.settings.callers_address;
+    let node = Rc::clone(node);
+    let answer = move |asked| answer_caller(Rc::clone(&node), asked);
+    net::serve(address, settings, answer).await
+}
+
+async fn answer_caller(node: Rc<Node>, asked: Asked) -> Answer {
+    let begun_ms = node.now_ms();
+    let (kind, answer) = match judge(&node, &asked) {
+        Ok(admitted) => {
+            let kind = admitted.kind;
+            (Some(kind), pass(&node, admitted).await)
+        }
+        Err((kind, refusal)) => (kind, CallAnswer::Refused(refusal)),
+    };
+    let took_ms = node.now_ms().saturating_sub(begun_ms);
+    node.metrics.call_ms.observe(to_f64(took_ms));
+    node.metrics.count_call(word(kind), answer.word());
+    log_call(&node, kind, &answer, took_ms);
+    let mut given = callers::answer_of(&answer);
+    if node.is_stopping.get() {
+        given
+            .headers
+            .push((CONNECTION, HeaderValue::from_static("close")));
+    }
+    given
+}
+
+fn word(kind: Option<CallKind>) -> &'static str {
+    match kind {
+        Some(CallKind::Submit(_)) => "submit",
+        Some(CallKind::State(_)) => "state",
+        Some(CallKind::Cancel(_)) => "cancel",
+        Some(CallKind::Count) => "count",
+        None => "other",
+    }
+}
+
+/// Logs what touches a request: everything but plain answers to questions.
+fn log_call(node: &Rc<Node>, kind: Option<CallKind>, answer: &CallAnswer, took_ms: u64) {
+    let is_plain = matches!(answer, CallAnswer::State(_) | CallAnswer::Count(_));
+    if is_plain {
+        return;
+    }
+    let id = match kind {
+        Some(CallKind::Submit(id) | CallKind::State(id) | CallKind::Cancel(id)) => Some(id),
+        _ => None,
+    };
+    let event = Event::new("call_answered").with("call", word(kind));
+    let event = match id {
+        Some(id) => event.with("job", id),
+        None => event,
+    };
+    let version = node
+        .catalog
+        .borrow()
+        .as_ref()
+        .map_or(0, |lists| lists.version);
+    event
+        .with("answer", answer.word())
+        .with("took_ms", took_ms)
+        .with("lists_version", version)
+        .with("lists_age_ms", node.lists_age_ms().unwrap_or(0))
+        .info();
+}
+
+/// A call that may be passed to the leader.
+struct Admitted {
+    kind: CallKind,
+    call: PeerCall,
+    timeout_ms: u64,
+}
+
+/// Judges a call by the lists in force.
+fn judge(node: &Rc<Node>, asked: &Asked) -> Result<Admitted, (Option<CallKind>, Refusal)> {
+    let lists = node.catalog.borrow().clone();
+    let Some(lists) = lists else {
+        return Err((None, Refusal::NoLists));
+    };
+    let head = callers::head_of(asked);
+    let Some(queue) = lists.route(head.host, head.path) else {
+        return Err((None, Refusal::NoQueue));
+    };
+    let rest = &head.path[queue.path_prefix.len()..];
+    let Some(kind) = callers::kind_of(&asked.method, rest) else {
+        return Err((None, Refusal::BadCall));
+    };
+    let refuse = |refusal| (Some(kind), refusal);
+    if !queue.is_open && !node.may_judge_keys() {
+        return Err(refuse(Refusal::NoLists));
+    }
+    let team = lists
+        .team_of(queue, head.key)
+        .map_err(|denial| match denial {
+            Denial::BadKey => refuse(Refusal::BadKey),
+            Denial::NoQueue => refuse(Refusal::NoQueue),
+        })?;
+    let call = peer_call(kind, &lists, queue, team, asked).map_err(refuse)?;
+    let timeout_ms = head
+        .deadline_ms
+        .saturating_sub(ANSWER_RESERVE_MS)
+        .min(CALL_MAX_MS);
+    Ok(Admitted {
+        kind,
+        call,
+        timeout_ms,
+    })
+}
+
+fn peer_call(
+    kind: CallKind,
+    lists: &Catalog,
+    queue: &Queue,
+    team: smol_str::SmolStr,
+    asked: &Asked,
+) -> Result<PeerCall, Refusal> {
+    match kind {
+        CallKind::Submit(JobId(id)) => {
+            let body = asked.body.as_ref().ok_or(Refusal::TooLarge)?;
+            if body.len() > lists.body_max_bytes {
+                return Err(Refusal::TooLarge);
+            }
+            let spec = callers::job_spec(body).map_err(|_| Refusal::BadCall)?;
+            Ok(PeerCall::Submit {
+                id,
+                queue: queue.name.clone(),
+                team,
+                spec,
+            })
+        }
+        CallKind::State(JobId(id)) => Ok(PeerCall::State { id }),
+        CallKind::Cancel(JobId(id)) => Ok(PeerCall::Cancel { id }),
+        CallKind::Count => Ok(PeerCall::Count {
+            queue: queue.name.clone(),
+        }),
+    }
+}
+
+async fn pass(node: &Rc<Node>, admitted: Admitted) -> CallAnswer {
+    peers::ask_leader(node, admitted.call, admitted.timeout_ms).await
+}
--- /dev/null
+++ b/src/node/fleet_lists.rs
@@ -0,0 +1,183 @@
+//! What the leader follows beside its own records: the list of workers and the list of instances.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use smol_str::SmolStr;
+
+use crate::logging::Event;
+use crate::node::{KeyedRecord, Node, StoreFailure};
+use crate::platform::store::Topic;
+use crate::platform::{instances, lists};
+
+/// Time between two reads of the list of workers, in milliseconds.
+const WORKERS_READ_MS: u64 = 350;
+/// Time that a read may take, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 1_200;
+/// Time for which entries that went while the store was away may come back after its return, in
+/// milliseconds.
+const RETURN_MS: u64 = 2_300;
+/// Time between two reads of the list of instances, in milliseconds.
+const INSTANCES_READ_MS: u64 = 1_000;
+
+/// Follows the list of workers for as long as this node leads under `fence`.
+pub(crate) async fn follow_workers(node: Rc<Node>, fence: u64) {
+    let mut follower = WorkersFollower::default();
+    while node.with_leading(fence, |_| ()).is_some() {
+        follower.read(&node).await;
+        follower.take_due(&node);
+        node.pump();
+        tokio::time::sleep(Duration::from_millis(WORKERS_READ_MS)).await;
+    }
+}
+
+#[derive(Default)]
+struct WorkersFollower {
+    next_offset: Option<u64>,
+    listed: IndexSet<SmolStr>,
+    /// Workers whose entries went, with the time at which that is believed.
+    going: HashMap<SmolStr, u64>,
+    is_away: bool,
+    believed_from_ms: u64,
+}
+
+impl WorkersFollower {
+    async fn read(&mut self, node: &Rc<Node>) {
+        let read = match self.next_offset {
+            None => self.read_newest(node).await,
+            Some(offset) => node
+                .store
+                .read(Topic::Workers, offset, 0, READ_TIMEOUT_MS)
+                .await
+                .map(|page| (page.records, page.next_offset)),
+        };
+        let now_ms = node.now_ms();
+        match read {
+            Ok((records, next_offset)) => {
+                if self.is_away {
+                    self.is_away = false;
+                    self.believed_from_ms = now_ms + RETURN_MS;
+                    Event::new("store_back").with("topic", "workers").info();
+                }
+                for record in records {
+                    self.take(node, &record, now_ms);
+                }
+                self.next_offset = Some(next_offset);
+            }
+            Err(StoreFailure::Trimmed { .. }) => self.next_offset = None,
+            Err(failure) => {
+                if !self.is_away {
+                    Event::new("store_away")
+                        .with("topic", "workers")
+                        .with("failure", failure)
+                        .warn();
+                }
+                self.is_away = true;
+            }
+        }
+    }
+
+    async fn read_newest(
+        &mut self,
+        node: &Rc<Node>,
+    ) -> Result<(Vec<KeyedRecord>, u64), StoreFailure> {
+        let mut all = Vec::new();
+        let mut end_offset = None;
+        let mut after = None;
+        loop {
+            let page = node
+                .store
+                .newest(Topic::Workers, after.as_deref(), READ_TIMEOUT_MS)
+                .await?;
+            let end = *end_offset.get_or_insert(page.end_offset);
+            after = page.records.last().map(|record| record.key.clone());
+            all.extend(page.records);
+            if page.has_more && after.is_some() {
+                continue;
+            }
+            let found: IndexSet<&SmolStr> = all.iter().map(|record| &record.key).collect();
+            let due_ms = self.believed_from_ms.max(node.now_ms());
+            for id in &self.listed {
+                if !found.contains(id) {
+                    self.going.entry(id.clone()).or_insert(due_ms);
+                }
+            }
+            return Ok((all, end));
+        }
+    }
+
+    fn take(&mut self, node: &Rc<Node>, record: &KeyedRecord, now_ms: u64) {
+        let id = &record.key;
+        if id.is_empty() {
+            return;
+        }
+        match &record.value {
+            None => {
+                let due_ms = self.believed_from_ms.max(now_ms);
+                self.going.entry(id.clone()).or_insert(due_ms);
+            }
+            Some(value) => match lists::worker_sheet(id, value) {
+                Some(sheet) => {
+                    self.going.remove(id);
+                    self.listed.insert(id.clone());
+                    node.with_engine(|engine, _| engine.worker_listed(sheet, now_ms));
+                }
+                None => {
+                    Event::new("entry_unusable")
+                        .with("worker", id)
+                        .with("offset", record.offset)
+                        .warn();
+                    self.going.entry(id.clone()).or_insert(now_ms);
+                }
+            },
+        }
+    }
+
+    fn take_due(&mut self, node: &Rc<Node>) {
+        let now_ms = node.now_ms();
+        let due: Vec<SmolStr> = self
+            .going
+            .iter()
+            .filter(|(_, due_ms)| **due_ms <= now_ms && !self.is_away)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.going.remove(&id);
+            self.listed.swap_remove(&id);
+            node.with_engine(|engine, _| engine.worker_unlisted(&id, now_ms));
+        }
+    }
+}
+
+/// Follows the list of instances for as long as this node leads under `fence`.
+pub(crate) async fn follow_instances(node: Rc<Node>, fence: u64) {
+    let Some(address) = node.settings.instances_address else {
+        return;
+    };
+    let mut is_away = false;
+    while node.with_leading(fence, |_| ()).is_some() {
+        let sent_ms = node.now_ms();
+        let listed = instances::list(&node.client, address).await;
+        let now_ms = node.now_ms();
+        match listed {
+            Ok(sheets) => {
+                if is_away {
+                    Event::new("instances_back").info();
+                }
+                is_away = false;
+                node.with_leading(fence, |leading| {
+                    leading.engine.instances_listed(sheets, sent_ms, now_ms);
+                });
+            }
+            Err(failure) => {
+                if !is_away {
+                    Event::new("instances_away").with("failure", failure).warn();
+                }
+                is_away = true;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(INSTANCES_READ_MS)).await;
+    }
+}
--- /dev/null
+++ b/src/node/leader.rs
@@ -0,0 +1,466 @@
+//! Leading: taking over, driving the engine, and carrying out what it asks for.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::jobs::{
+    Action, Catalog, Engine, EngineSettings, InstanceOrder, JobId, LookOrder, PaceOrder, Record,
+    Settled, StartOrder, StopOrder, TicketQuestion,
+};
+use crate::logging::Event;
+use crate::node::journal::{self, Journal};
+use crate::node::{fleet_lists, CallAnswer, Node, Role, StoreFailure};
+use crate::platform::{advice, instances, status, store::Topic, workers};
+
+/// Lease given to the runs of a worker, in milliseconds, where the platform lets it be as long.
+const RUN_LEASE_MS: u64 = 4_000;
+/// Longest wait of a look for an end, in milliseconds.
+const LOOK_WAIT_MS: u64 = 800;
+/// Time for which a leader that cannot renew its lease goes on with accepted work, in milliseconds. A
+/// successor raises its fence first wherever it can, and waits this long where it cannot.
+const HOLDOVER_MS: u64 = 6_000;
+/// Time between two steps of the engine without any event, in milliseconds.
+const TICK_MS: u64 = 100;
+/// Time that a read of the records may take, in milliseconds.
+const RESTORE_TIMEOUT_MS: u64 = 2_000;
+/// Pause before a failed take-over step is tried again, in milliseconds.
+const RESTORE_PAUSE_MS: u64 = 100;
+/// Time that the report on a wave may take, in milliseconds.
+const STATUS_TIMEOUT_MS: u64 = 1_500;
+/// Tries of the report on a wave.
+const STATUS_TRIES: usize = 40;
+/// Longest wait for the journal before leadership is handed over, in milliseconds.
+const HAND_OVER_MS: u64 = 600;
+/// Time between two looks whether the hand-over is done, in milliseconds.
+const HAND_OVER_POLL_MS: u64 = 20;
+
+/// Callers that wait for a record to be kept.
+type Waiters = HashMap<JobId, Vec<oneshot::Sender<CallAnswer>>>;
+
+/// What a leader has beside what every node has.
+pub(crate) struct Leading {
+    pub(crate) engine: Engine,
+    pub(crate) journal: Journal,
+    pub(crate) waiters: Waiters,
+    /// Whether all records were read.
+    pub(crate) is_restored: bool,
+}
+
+impl Node {
+    /// Lets `act` change the engine, if this node leads and has read all records.
+    pub(crate) fn with_engine(&self, act: impl FnOnce(&mut Engine, &Catalog)) {
+        let catalog = self.catalog.borrow().clone();
+        let mut leading = self.leading.borrow_mut();
+        if let (Some(leading), Some(catalog)) = (leading.as_mut(), catalog) {
+            act(&mut leading.engine, &catalog);
+        }
+    }
+
+    /// Lets `act` change what belongs to the leader of `fence`, if this node still is that leader.
+    pub(crate) fn with_leading<T>(
+        &self,
+        fence: u64,
+        act: impl FnOnce(&mut Leading) -> T,
+    ) -> Option<T> {
+        let mut leading = self.leading.borrow_mut();
+        leading
+            .as_mut()
+            .filter(|leading| leading.engine.fence() == fence)
+            .map(act)
+    }
+
+    /// Takes in that another leader is in charge.
+    pub(crate) fn depose(self: &Rc<Self>, fence: u64, source: &'static str) {
+        self.with_leading(fence, |leading| leading.engine.depose(source));
+        self.pump();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn note_store_call<T>(
+        &self,
+        kind: &'static str,
+        result: &Result<T, StoreFailure>,
+        sent_ms: u64,
+    ) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(_) => "failed",
+        };
+        self.metrics.count_store_call(kind, outcome);
+        self.metrics
+            .store_ms
+            .observe(to_f64(self.now_ms().saturating_sub(sent_ms)));
+    }
+
+    /// Takes in that the records taken last are kept, and answers who waited for them.
+    pub(crate) fn records_kept(self: &Rc<Self>, fence: u64) {
+        self.with_leading(fence, |leading| {
+            for settled in leading.engine.records_kept() {
+                let (id, answer) = match settled {
+                    Settled::Accepted(id) => (id, CallAnswer::Accepted),
+                    Settled::Cancelled(id) => (id, CallAnswer::Cancelled),
+                };
+                for waiter in leading.waiters.remove(&id).unwrap_or_default() {
+                    // A caller that broke off is gone; its job is accepted all the same.
+                    let _ = waiter.send(answer);
+                }
+            }
+        });
+        self.pump();
+    }
+
+    /// Returns whether the leader may still act at workers: its lease holds, or is not over for long.
+    fn may_act(&self) -> bool {
+        let now_ms = self.now_ms();
+        now_ms < self.leadership.borrow().valid_until_ms() + HOLDOVER_MS
+    }
+
+    /// Lets the engine do what is due and carries out what it asks for.
+    pub(crate) fn pump(self: &Rc<Self>) {
+        let actions = {
+            let mut leading = self.leading.borrow_mut();
+            let Some(leading) = leading.as_mut() else {
+                return;
+            };
+            if !leading.is_restored || !self.may_act() {
+                return;
+            }
+            leading.engine.advance(self.now_ms(), self.unix_ms());
+            leading.engine.take_actions()
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        journal::wake(self);
+        let is_deposed = self
+            .leading
+            .borrow()
+            .as_ref()
+            .is_some_and(|leading| leading.engine.is_deposed());
+        if is_deposed {
+            step_down(self, "deposed");
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        let node = Rc::clone(self);
+        match action {
+            Action::Start(order) => spawn(start(node, order)),
+            Action::Stop(order) => spawn(stop(node, order)),
+            Action::Pace(order) => spawn(pace(node, order)),
+            Action::Look(order) => spawn(look(node, order)),
+            Action::AskTickets(question) => spawn(ask_tickets(node, question)),
+            Action::Instance(order) => spawn(order_instance(node, order)),
+            Action::TellWave { wave, is_complete } => spawn(tell_wave(node, wave, is_complete)),
+        }
+    }
+
+    fn note_order(&self, kind: &'static str, outcome: &'static str, sent_ms: u64) {
+        self.metrics.count_order(kind, outcome);
+        self.metrics
+            .order_ms
+            .observe(to_f64(self.now_ms().saturating_sub(sent_ms)));
+    }
+}
+
+fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
+    tokio::task::spawn_local(task);
+}
+
+// Times of calls are far below the 2^52 ms that a float holds exactly.
+#[allow(clippy::cast_precision_loss, clippy::as_conversions)]
+pub(crate) fn to_f64(time_ms: u64) -> f64 {
+    time_ms as f64
+}
+
+async fn start(node: Rc<Node>, order: StartOrder) {
+    let sent_ms = node.now_ms();
+    let answer = workers::start(&node.client, &order).await;
+    let now_ms = node.now_ms();
+    node.note_order("start", answer.map_or_else(Into::into, |_| "ok"), sent_ms);
+    node.with_leading(order.target.fence, |leading| match answer {
+        Ok(clock_ms) => leading.engine.start_accepted(&order, clock_ms, now_ms),
+        Err(failure) => leading.engine.start_failed(&order, failure, now_ms),
+    });
+    node.pump();
+}
+
+async fn stop(node: Rc<Node>, order: StopOrder) {
+    let sent_ms = node.now_ms();
+    let answer = workers::stop(&node.client, &order).await;
+    let now_ms = node.now_ms();
+    node.note_order("stop", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
+    node.with_leading(order.target.fence, |leading| match answer {
+        Ok(()) => leading.engine.stop_accepted(&order, now_ms),
+        Err(failure) => leading.engine.stop_failed(&order, failure, now_ms),
+    });
+    node.pump();
+}
+
+async fn pace(node: Rc<Node>, order: PaceOrder) {
+    let sent_ms = node.now_ms();
+    let answer = workers::pace(&node.client, &order).await;
+    let now_ms = node.now_ms();
+    node.note_order("pace", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
+    if answer.is_err() {
+        node.with_leading(order.target.fence, |leading| {
+            leading.engine.pace_failed(&order, now_ms);
+        });
+    }
+}
+
+async fn look(node: Rc<Node>, order: LookOrder) {
+    let sent_ms = node.now_ms();
+    let answer = workers::look(&node.client, &order).await;
+    let now_ms = node.now_ms();
+    let outcome = answer
+        .as_ref()
+        .map_or_else(|failure| (*failure).into(), |_| "ok");
+    node.note_order("look", outcome, sent_ms);
+    node.with_leading(order.target.fence, |leading| match answer {
+        Ok(look) => leading.engine.look_answered(&order, look, now_ms),
+        Err(failure) => leading.engine.look_failed(&order, failure, now_ms),
+    });
+    node.pump();
+}
+
+async fn ask_tickets(node: Rc<Node>, question: TicketQuestion) {
+    let answer = match node.settings.tickets_address {
+        Some(address) => advice::ask(&node.client, address, &question).await,
+        None => None,
+    };
+    let now_ms = node.now_ms();
+    node.with_engine(|engine, _| engine.tickets_answered(&question, answer, now_ms));
+    node.pump();
+}
+
+async fn order_instance(node: Rc<Node>, order: InstanceOrder) {
+    let Some(address) = node.settings.instances_address else {
+        return;
+    };
+    let role = node.leadership.borrow().role(node.now_ms());
+    let Role::Leader {
+        fence,
+        is_valid: true,
+    } = role
+    else {
+        return;
+    };
+    let sent_ms = node.now_ms();
+    let holder = &node.settings.name;
+    let answer = instances::order(&node.client, address, &order, holder, fence).await;
+    let now_ms = node.now_ms();
+    let outcome = match answer {
+        Ok(()) => "ok",
+        Err(_) => "failed",
+    };
+    node.note_order("instance", outcome, sent_ms);
+    node.with_leading(fence, |leading| {
+        leading.engine.instance_answered(&order, answer, now_ms);
+    });
+    node.pump();
+}
+
+async fn tell_wave(node: Rc<Node>, wave: u64, is_complete: bool) {
+    let record = [status::wave_record(wave, is_complete)];
+    for _ in 0..STATUS_TRIES {
+        let sent_ms = node.now_ms();
+        let told = node
+            .store
+            .append(Topic::Status, &record, None, None, STATUS_TIMEOUT_MS)
+            .await;
+        node.note_store_call("status", &told, sent_ms);
+        match told {
+            Ok(_) => return,
+            Err(failure) => {
+                Event::new("wave_untold")
+                    .with("wave", wave)
+                    .with("failure", failure)
+                    .warn();
+                tokio::time::sleep(Duration::from_millis(RESTORE_PAUSE_MS * 3)).await;
+            }
+        }
+        if node.leading.borrow().is_none() {
+            return;
+        }
+    }
+}
+
+/// Begins or ends leading, as the lease says.
+pub(crate) fn follow_role(node: &Rc<Node>) {
+    let role = node.leadership.borrow().role(node.now_ms());
+    let leading_fence = node
+        .leading
+        .borrow()
+        .as_ref()
+        .map(|leading| leading.engine.fence());
+    match (role, leading_fence) {
+        (Role::Leader { fence, .. }, Some(known)) if fence == known => {}
+        (Role::Leader { fence, .. }, _) => begin(node, fence),
+        (Role::Follower { .. }, Some(_)) => step_down(node, "lease_lost"),
+        (Role::Follower { .. }, None) => {}
+    }
+}
+
+fn step_down(node: &Rc<Node>, reason: &'static str) {
+    // Callers that wait learn from the end of their channels that the outcome is not known.
+    if let Some(leading) = node.leading.borrow_mut().take() {
+        Event::new("leading_ended")
+            .with("fence", leading.engine.fence())
+            .with("reason", reason)
+            .with("waiters_count", leading.waiters.len())
+            .info();
+        node.metrics.leading_fence.set(0);
+    }
+}
+
+fn begin(node: &Rc<Node>, fence: u64) {
+    let Some(catalog) = node.catalog.borrow().clone() else {
+        // Without lists there is nothing to decide yet; the next renewal tries again.
+        return;
+    };
+    let bounds = &node.settings.bounds;
+    let run_lease_ms = RUN_LEASE_MS.min(bounds.run_lease_max_ms);
+    let settings = EngineSettings {
+        fence,
+        run_lease_ms,
+        look_wait_ms: LOOK_WAIT_MS,
+        stop_ms: bounds.run_stop_ms,
+        inherited_clear_ms: match fence {
+            1 => 0,
+            _ => HOLDOVER_MS + run_lease_ms * 21 / 20,
+        },
+        keep_ended_ms: bounds.keep_ended_ms,
+        move_ms: bounds.move_ms,
+        maintain_ms: bounds.maintain_ms,
+        away_notice_ms: bounds.away_notice_ms,
+        instance_lease_ms: match fence {
+            1 => 0,
+            _ => bounds.instance_lease_ms + TICK_MS,
+        },
+    };
+    Event::new("leading_begun").with("fence", fence).info();
+    let engine = Engine::open(settings, (*catalog).clone(), node.now_ms(), node.unix_ms());
+    *node.leading.borrow_mut() = Some(Leading {
+        engine,
+        journal: Journal::default(),
+        waiters: HashMap::new(),
+        is_restored: false,
+    });
+    node.metrics.leading_fence.set(fence);
+    spawn(take_over(Rc::clone(node), fence));
+}
+
+/// Raises the fence, reads all records, and then leads.
+async fn take_over(node: Rc<Node>, fence: u64) {
+    let Some(records) = read_all(&node, fence).await else {
+        return;
+    };
+    let waves = node.waves.borrow().clone();
+    node.with_leading(fence, |leading| {
+        leading.engine.restore(records);
+        for wave in waves {
+            leading.engine.wave_asked(wave);
+        }
+        leading.is_restored = true;
+    });
+    spawn(fleet_lists::follow_workers(Rc::clone(&node), fence));
+    spawn(fleet_lists::follow_instances(Rc::clone(&node), fence));
+    spawn(tick(node, fence));
+}
+
+async fn read_all(node: &Rc<Node>, fence: u64) -> Option<Vec<Record>> {
+    loop {
+        node.with_leading(fence, |_| ())?;
+        match read_records(node, fence).await {
+            Ok(records) => return Some(records),
+            Err(StoreFailure::Fenced) => {
+                node.depose(fence, "store");
+                step_down(node, "deposed");
+                return None;
+            }
+            Err(failure) => {
+                Event::new("restore_delayed")
+                    .with("fence", fence)
+                    .with("failure", failure)
+                    .warn();
+                tokio::time::sleep(Duration::from_millis(RESTORE_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn read_records(node: &Rc<Node>, fence: u64) -> Result<Vec<Record>, StoreFailure> {
+    journal::raise_fence(node, fence).await?;
+    let mut records = Vec::new();
+    let mut after = None;
+    loop {
+        let page = node
+            .store
+            .newest(Topic::Jobs, after.as_deref(), RESTORE_TIMEOUT_MS)
+            .await?;
+        after = page.records.last().map(|record| record.key.clone());
+        for kept in &page.records {
+            let value = kept.value.as_deref().unwrap_or(&[]);
+            match Record::decode(&kept.key, value) {
+                Some(record) => records.push(record),
+                None => Event::new("record_unreadable")
+                    .with("topic", "jobs")
+                    .with("key", &kept.key)
+                    .with("offset", kept.offset)
+                    .error(),
+            }
+        }
+        if !page.has_more || after.is_none() {
+            return Ok(records);
+        }
+    }
+}
+
+/// Lets the engine do what is due by time alone.
+async fn tick(node: Rc<Node>, fence: u64) {
+    while node.with_leading(fence, |_| ()).is_some() {
+        node.pump();
+        node.publish();
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+impl Node {
+    fn publish(&self) {
+        if let Some(leading) = self.leading.borrow().as_ref() {
+            let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+            self.metrics
+                .live_jobs_count
+                .set(count(leading.engine.live_count()));
+            self.metrics
+                .runs_count
+                .set(count(leading.engine.runs_count()));
+        }
+    }
+}
+
+/// Gives leadership back, after the records under way are kept.
+pub(crate) async fn hand_over(node: &Rc<Node>) {
+    let until_ms = node.now_ms() + HAND_OVER_MS;
+    let is_writing = || {
+        node.leading
+            .borrow()
+            .as_ref()
+            .is_some_and(|leading| leading.journal.is_writing)
+    };
+    node.with_engine(|engine, _| engine.pause());
+    while is_writing() && node.now_ms() < until_ms {
+        tokio::time::sleep(Duration::from_millis(HAND_OVER_POLL_MS)).await;
+    }
+    node.leadership.borrow_mut().release();
+    node.lease_changed.notify_one();
+    let until_ms = node.now_ms() + HAND_OVER_MS;
+    while !node.leadership.borrow().is_released() && node.now_ms() < until_ms {
+        tokio::time::sleep(Duration::from_millis(HAND_OVER_POLL_MS)).await;
+    }
+    step_down(node, "handed_over");
+}
--- /dev/null
+++ b/src/node/leadership.rs
@@ -0,0 +1,292 @@
+//! Who leads: a lease in the store. Each renewal and each claim is a record that takes effect only if
+//! the topic ends where its writer last saw it end, so that of several writers one wins. A pure state
+//! machine: readings and outcomes go in, the next write comes out.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::logging::Event;
+
+/// Time for which a renewal holds, counted by the holder from its sending, in milliseconds.
+const LEASE_MS: u64 = 1_500;
+/// Time between two renewals, in milliseconds.
+const RENEW_MS: u64 = 500;
+/// Silence of the leader after which another claims, counted by each reader from when it read the last
+/// record and while it reaches the store, in milliseconds.
+const CLAIM_AFTER_MS: u64 = 1_750;
+/// Time after which a write of unknown outcome is given up, in milliseconds.
+const WRITE_GIVEN_UP_MS: u64 = 8_000;
+
+/// One record of the topic.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadRecord {
+    /// Fence of the holder; it rises with each holder.
+    pub fence: u64,
+    /// Name of the holder.
+    pub holder: SmolStr,
+    /// What tells apart two processes of one name.
+    pub incarnation: SmolStr,
+    /// Where the holder takes calls of its peers.
+    pub peers_address: SocketAddr,
+    /// Whether the holder has given the lease back.
+    pub is_released: bool,
+}
+
+/// A record to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeadWrite {
+    /// Record.
+    pub record: LeadRecord,
+    /// Offset at which the topic has to end.
+    pub at_offset: u64,
+    /// Time of sending on the own clock.
+    pub sent_ms: u64,
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It is kept, and the topic ends at the offset given.
+    Kept {
+        /// Offset after the record.
+        end_offset: u64,
+    },
+    /// It was not kept and never will be.
+    NotKept,
+    /// It may be kept, or may still be.
+    Unknown,
+}
+
+/// What this process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It leads.
+    Leader {
+        /// Its fence.
+        fence: u64,
+        /// Whether its lease holds now.
+        is_valid: bool,
+    },
+    /// Another process leads, or none.
+    Follower {
+        /// Where the leader takes calls, if there is one.
+        leader: Option<SocketAddr>,
+    },
+}
+
+/// The state machine.
+#[derive(Clone, Debug)]
+pub struct Leadership {
+    own: LeadRecord,
+    claim_delay_ms: u64,
+    newest: Option<LeadRecord>,
+    end_offset: u64,
+    is_in_contact: bool,
+    silent_since_ms: u64,
+    lease_from_ms: u64,
+    pending: Option<LeadWrite>,
+    wants_release: bool,
+}
+
+impl Leadership {
+    /// Opens the state machine of a process that has read nothing yet. Of several that could claim,
+    /// the one with the smallest delay does.
+    pub fn open(
+        holder: SmolStr,
+        incarnation: SmolStr,
+        peers_address: SocketAddr,
+        claim_delay_ms: u64,
+    ) -> Self {
+        Self {
+            own: LeadRecord {
+                fence: 0,
+                holder,
+                incarnation,
+                peers_address,
+                is_released: false,
+            },
+            claim_delay_ms,
+            newest: None,
+            end_offset: 0,
+            is_in_contact: false,
+            silent_since_ms: 0,
+            lease_from_ms: 0,
+            pending: None,
+            wants_release: false,
+        }
+    }
+
+    /// Returns the offset from which to read on.
+    pub fn end_offset(&self) -> u64 {
+        self.end_offset
+    }
+
+    /// Returns the newest record.
+    pub fn newest(&self) -> Option<&LeadRecord> {
+        self.newest.as_ref()
+    }
+
+    fn is_own(&self, record: &LeadRecord) -> bool {
+        record.holder == self.own.holder && record.incarnation == self.own.incarnation
+    }
+
+    /// Takes in that the topic was read up to `next_offset`, its records being the ones given.
+    pub fn read(&mut self, records: Vec<LeadRecord>, next_offset: u64, now_ms: u64) {
+        if !self.is_in_contact {
+            self.is_in_contact = true;
+            self.silent_since_ms = now_ms;
+        }
+        let is_news = next_offset > self.end_offset;
+        self.end_offset = self.end_offset.max(next_offset);
+        for record in records {
+            self.note(record, now_ms);
+        }
+        if is_news {
+            self.silent_since_ms = now_ms;
+        }
+    }
+
+    /// Takes in that the topic could not be read.
+    pub fn contact_lost(&mut self) {
+        self.is_in_contact = false;
+    }
+
+    fn note(&mut self, record: LeadRecord, now_ms: u64) {
+        let known_fence = self.newest.as_ref().map_or(0, |newest| newest.fence);
+        if record.fence < known_fence {
+            return;
+        }
+        if record.fence > known_fence {
+            Event::new("leader_seen")
+                .with("holder", &record.holder)
+                .with("fence", record.fence)
+                .with("is_own", self.is_own(&record))
+                .with("silent_ms", now_ms.saturating_sub(self.silent_since_ms))
+                .info();
+        }
+        // A write whose answer was lost shows up here; its lease counts from when it was sent.
+        let is_pending = self
+            .pending
+            .as_ref()
+            .is_some_and(|write| write.record == record);
+        if let (true, Some(write)) = (is_pending, self.pending.take()) {
+            self.lease_from_ms = self.lease_from_ms.max(write.sent_ms);
+        }
+        self.newest = Some(record);
+    }
+
+    /// Asks for the lease to be given back with the next write.
+    pub fn release(&mut self) {
+        self.wants_release = true;
+    }
+
+    /// Returns whether the lease was given back, or was never held.
+    pub fn is_released(&self) -> bool {
+        match &self.newest {
+            Some(newest) => !self.is_own(newest) || newest.is_released,
+            None => true,
+        }
+    }
+
+    /// Returns what this process is at `now_ms`.
+    pub fn role(&self, now_ms: u64) -> Role {
+        match &self.newest {
+            Some(newest) if self.is_own(newest) && !newest.is_released => Role::Leader {
+                fence: newest.fence,
+                is_valid: now_ms < self.lease_from_ms + LEASE_MS,
+            },
+            Some(newest) if !newest.is_released => Role::Follower {
+                leader: Some(newest.peers_address),
+            },
+            _ => Role::Follower { leader: None },
+        }
+    }
+
+    /// Returns the time until which the lease holds.
+    pub fn valid_until_ms(&self) -> u64 {
+        self.lease_from_ms + LEASE_MS
+    }
+
+    /// Returns the write that is due, and takes it as sent.
+    pub fn next_write(&mut self, now_ms: u64) -> Option<LeadWrite> {
+        let is_waiting = self
+            .pending
+            .as_ref()
+            .is_some_and(|write| now_ms < write.sent_ms + WRITE_GIVEN_UP_MS);
+        if is_waiting || !self.is_in_contact {
+            return None;
+        }
+        let record = self.due_record(now_ms)?;
+        let write = LeadWrite {
+            record,
+            at_offset: self.end_offset,
+            sent_ms: now_ms,
+        };
+        self.pending = Some(write.clone());
+        Some(write)
+    }
+
+    fn due_record(&self, now_ms: u64) -> Option<LeadRecord> {
+        let silent_ms = now_ms.saturating_sub(self.silent_since_ms);
+        match &self.newest {
+            Some(newest) if self.is_own(newest) && !newest.is_released => {
+                let is_due = self.wants_release || now_ms >= self.lease_from_ms + RENEW_MS;
+                is_due.then(|| LeadRecord {
+                    is_released: self.wants_release,
+                    ..newest.clone()
+                })
+            }
+            _ if self.wants_release => None,
+            newest => {
+                let wait_ms = match newest {
+                    Some(newest) if !newest.is_released => CLAIM_AFTER_MS,
+                    _ => 0,
+                };
+                let fence = newest.as_ref().map_or(0, |newest| newest.fence) + 1;
+                (silent_ms >= wait_ms + self.claim_delay_ms).then(|| LeadRecord {
+                    fence,
+                    ..self.own.clone()
+                })
+            }
+        }
+    }
+
+    /// Returns the time at which [`next_write`](Self::next_write) may have something.
+    pub fn next_due_ms(&self, now_ms: u64) -> u64 {
+        match &self.newest {
+            Some(newest) if self.is_own(newest) && !newest.is_released => {
+                (self.lease_from_ms + RENEW_MS).max(now_ms + 1)
+            }
+            Some(newest) if !newest.is_released => {
+                self.silent_since_ms + CLAIM_AFTER_MS + self.claim_delay_ms
+            }
+            _ => self.silent_since_ms + self.claim_delay_ms,
+        }
+    }
+
+    /// Takes in how a write ended.
+    pub fn written(&mut self, write: &LeadWrite, outcome: WriteOutcome, now_ms: u64) {
+        let is_pending = self.pending.as_ref() == Some(write);
+        match outcome {
+            WriteOutcome::Kept { end_offset } => {
+                if is_pending {
+                    self.pending = None;
+                }
+                self.lease_from_ms = self.lease_from_ms.max(write.sent_ms);
+                if end_offset > self.end_offset {
+                    self.end_offset = end_offset;
+                    self.silent_since_ms = now_ms;
+                    self.note(write.record.clone(), now_ms);
+                }
+            }
+            WriteOutcome::NotKept => {
+                if is_pending {
+                    self.pending = None;
+                }
+            }
+            WriteOutcome::Unknown => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/node/lease.rs
@@ -0,0 +1,137 @@
+//! The lease on leadership: following its topic, and writing to it when a renewal or a claim is due.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::logging::Event;
+use crate::node::{
+    leader, KeyedRecord, LeadRecord, LeadWrite, Node, Role, StoreFailure, WriteOutcome,
+};
+use crate::platform::store::Topic;
+
+/// Key of the one record.
+const KEY: &str = "lead";
+/// Longest wait of one read, in milliseconds.
+const READ_WAIT_MS: u64 = 2_000;
+/// Time that a read may take beyond its wait, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 700;
+/// Time that a write may take, in milliseconds.
+const WRITE_TIMEOUT_MS: u64 = 700;
+/// Pause after a failed read or write, in milliseconds.
+const PAUSE_MS: u64 = 100;
+/// Longest sleep of the writer, in milliseconds.
+const SLEEP_MAX_MS: u64 = 500;
+
+fn decode(records: &[KeyedRecord]) -> Vec<LeadRecord> {
+    let mut found = Vec::new();
+    for record in records {
+        let Some(value) = &record.value else {
+            continue;
+        };
+        match serde_json::from_slice(value) {
+            Ok(record) => found.push(record),
+            Err(error) => Event::new("record_unreadable")
+                .with("topic", "lead")
+                .with("offset", record.offset)
+                .with("error", error)
+                .warn(),
+        }
+    }
+    found
+}
+
+/// Follows the topic for as long as the process runs.
+pub(crate) async fn follow(node: Rc<Node>) {
+    let mut must_read_newest = true;
+    loop {
+        let offset = node.leadership.borrow().end_offset();
+        let read = match must_read_newest {
+            true => node
+                .store
+                .newest(Topic::Lead, None, READ_TIMEOUT_MS)
+                .await
+                .map(|page| (page.records, page.end_offset)),
+            false => {
+                let timeout_ms = READ_WAIT_MS + READ_TIMEOUT_MS;
+                node.store
+                    .read(Topic::Lead, offset, READ_WAIT_MS, timeout_ms)
+                    .await
+                    .map(|page| (page.records, page.next_offset))
+            }
+        };
+        match read {
+            Ok((records, next_offset)) => {
+                must_read_newest = false;
+                let now_ms = node.now_ms();
+                node.leadership
+                    .borrow_mut()
+                    .read(decode(&records), next_offset, now_ms);
+                leader::follow_role(&node);
+                node.lease_changed.notify_one();
+            }
+            Err(StoreFailure::Trimmed { .. }) => must_read_newest = true,
+            Err(failure) => {
+                Event::new("lease_unread").with("failure", failure).warn();
+                node.leadership.borrow_mut().contact_lost();
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+/// Writes renewals and claims for as long as the process runs.
+pub(crate) async fn write(node: Rc<Node>) {
+    loop {
+        let now_ms = node.now_ms();
+        let due = node.leadership.borrow_mut().next_write(now_ms);
+        match due {
+            Some(write) => write_one(&node, write).await,
+            None => {
+                let due_ms = node.leadership.borrow().next_due_ms(now_ms);
+                let sleep_ms = due_ms.saturating_sub(now_ms).clamp(PAUSE_MS, SLEEP_MAX_MS);
+                // A change of the lease may make a write due earlier.
+                let _ = tokio::time::timeout(
+                    Duration::from_millis(sleep_ms),
+                    node.lease_changed.notified(),
+                )
+                .await;
+            }
+        }
+    }
+}
+
+async fn write_one(node: &Rc<Node>, write: LeadWrite) {
+    let value = serde_json::to_vec(&write.record).unwrap_or_default();
+    let records = [(KEY.into(), Some(value))];
+    let appended = node
+        .store
+        .append(
+            Topic::Lead,
+            &records,
+            Some(write.at_offset),
+            None,
+            WRITE_TIMEOUT_MS,
+        )
+        .await;
+    let outcome = match appended {
+        Ok(end_offset) => WriteOutcome::Kept { end_offset },
+        Err(StoreFailure::Lost | StoreFailure::Unreadable) => WriteOutcome::Unknown,
+        Err(_) => WriteOutcome::NotKept,
+    };
+    if let Err(failure) = appended {
+        Event::new("lease_unwritten")
+            .with("fence", write.record.fence)
+            .with("at_offset", write.at_offset)
+            .with("failure", failure)
+            .warn();
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+    let now_ms = node.now_ms();
+    node.leadership
+        .borrow_mut()
+        .written(&write, outcome, now_ms);
+    leader::follow_role(node);
+    if let Role::Leader { .. } = node.leadership.borrow().role(now_ms) {
+        node.metrics.leading_fence.set(write.record.fence);
+    }
+}
--- /dev/null
+++ b/src/node/lists.rs
@@ -0,0 +1,138 @@
+//! The operators' lists: one long read of their topic, from which each node keeps the newest version
+//! and the proof of how new it is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::logging::Event;
+use crate::node::{KeyedRecord, Node, StoreFailure};
+use crate::platform::lists::{operator_record, OperatorRecord};
+use crate::platform::store::Topic;
+
+/// Longest wait of one read, in milliseconds. The proof of newness is as old as this at most, as long
+/// as the store answers.
+const READ_WAIT_MS: u64 = 800;
+/// Time that a read may take beyond its wait, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 900;
+/// Pause after a failed read, in milliseconds.
+const PAUSE_MS: u64 = 120;
+
+/// Follows the lists for as long as the process runs.
+pub(crate) async fn follow(node: Rc<Node>) {
+    let mut next_offset = None;
+    let mut is_away = false;
+    loop {
+        let sent_ms = node.now_ms();
+        let read = match next_offset {
+            None => read_newest(&node).await,
+            Some(offset) => read_on(&node, offset).await,
+        };
+        match read {
+            Ok((records, offset, is_head)) => {
+                for record in &records {
+                    take_record(&node, record);
+                }
+                next_offset = Some(offset);
+                if is_head {
+                    node.lists_proved_ms.set(sent_ms);
+                }
+                if is_away {
+                    is_away = false;
+                    Event::new("store_back").with("topic", "operators").info();
+                }
+            }
+            Err(StoreFailure::Trimmed { first_offset }) => {
+                Event::new("history_trimmed")
+                    .with("topic", "operators")
+                    .with("first_offset", first_offset)
+                    .info();
+                next_offset = None;
+            }
+            Err(failure) => {
+                if !is_away {
+                    is_away = true;
+                    Event::new("store_away")
+                        .with("topic", "operators")
+                        .with("failure", failure)
+                        .with("lists_age_ms", node.lists_age_ms().unwrap_or(0))
+                        .warn();
+                }
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+type Read = (Vec<KeyedRecord>, u64, bool);
+
+async fn read_newest(node: &Rc<Node>) -> Result<Read, StoreFailure> {
+    let mut all = Vec::new();
+    let mut end_offset = None;
+    let mut after = None;
+    loop {
+        let page = node
+            .store
+            .newest(Topic::Operators, after.as_deref(), READ_TIMEOUT_MS)
+            .await?;
+        // Pages are no snapshot; what changed since the first one is read again from its end on.
+        let end = *end_offset.get_or_insert(page.end_offset);
+        after = page.records.last().map(|record| record.key.clone());
+        all.extend(page.records);
+        if !page.has_more || after.is_none() {
+            return Ok((all, end, true));
+        }
+    }
+}
+
+async fn read_on(node: &Rc<Node>, offset: u64) -> Result<Read, StoreFailure> {
+    let timeout_ms = READ_WAIT_MS + READ_TIMEOUT_MS;
+    let page = node
+        .store
+        .read(Topic::Operators, offset, READ_WAIT_MS, timeout_ms)
+        .await?;
+    let is_head = page.next_offset >= page.end_offset;
+    Ok((page.records, page.next_offset, is_head))
+}
+
+fn take_record(node: &Rc<Node>, record: &KeyedRecord) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match operator_record(&record.key, value) {
+        Ok(OperatorRecord::Lists(catalog)) => {
+            let known = node
+                .catalog
+                .borrow()
+                .as_ref()
+                .map_or(0, |known| known.version);
+            if catalog.version <= known {
+                return;
+            }
+            Event::new("lists_in_force")
+                .with("version", catalog.version)
+                .with("before", known)
+                .with("queues_count", catalog.queues.len())
+                .with("teams_count", catalog.teams.len())
+                .with("keys_count", catalog.keys.len())
+                .with("offset", record.offset)
+                .info();
+            node.metrics.lists_version.set(catalog.version);
+            *node.catalog.borrow_mut() = Some(Rc::new(*catalog));
+            node.with_engine(|engine, catalog| engine.set_catalog(catalog.clone()));
+            node.pump();
+        }
+        Ok(OperatorRecord::Wave(wave)) => {
+            node.waves.borrow_mut().push(wave.clone());
+            node.with_engine(|engine, _| engine.wave_asked(wave));
+        }
+        Ok(OperatorRecord::Other) => {}
+        Err(error) => {
+            Event::new("record_unreadable")
+                .with("topic", "operators")
+                .with("key", &record.key)
+                .with("offset", record.offset)
+                .with("error", error)
+                .warn();
+        }
+    }
+}
--- /dev/null
+++ b/src/node/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters and latency histograms of one node, in the OpenMetrics text format.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+
+/// Prefix of each metric's name.
+const PREFIX: &str = "hawthornladder_node";
+/// Lowest bound of the histograms of time, in milliseconds.
+const BUCKET_FIRST_MS: f64 = 0.5;
+/// Each bound of a histogram is this many times the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Bounds of a histogram; the last one is 16 s.
+const BUCKETS_COUNT: u16 = 16;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    answer: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+/// The metrics of one node.
+pub struct NodeMetrics {
+    registry: Registry,
+    calls: Family<CallLabels, Counter>,
+    orders: Family<KindLabels, Counter>,
+    store_calls: Family<KindLabels, Counter>,
+    /// Time to the answer of a call, in milliseconds.
+    pub call_ms: Histogram,
+    /// Time of a call to the store, but for its wait, in milliseconds.
+    pub store_ms: Histogram,
+    /// Time of an order to a worker, in milliseconds.
+    pub order_ms: Histogram,
+    /// Fence under which this node leads; 0 if it does not.
+    pub leading_fence: Gauge<u64, AtomicU64>,
+    /// Jobs that are not over, at the leader.
+    pub live_jobs_count: Gauge<u64, AtomicU64>,
+    /// Runs at workers, at the leader.
+    pub runs_count: Gauge<u64, AtomicU64>,
+    /// Age of the proof that the lists in force are the newest, in milliseconds.
+    pub lists_age_ms: Gauge<u64, AtomicU64>,
+    /// Version of the lists in force.
+    pub lists_version: Gauge<u64, AtomicU64>,
+}
+
+fn histogram_ms() -> Histogram {
+    Histogram::new(exponential_buckets(
+        BUCKET_FIRST_MS,
+        BUCKET_FACTOR,
+        BUCKETS_COUNT,
+    ))
+}
+
+impl NodeMetrics {
+    /// Opens a registry in which everything stands at 0.
+    pub fn open() -> Self {
+        let metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            calls: Family::default(),
+            orders: Family::default(),
+            store_calls: Family::default(),
+            call_ms: histogram_ms(),
+            store_ms: histogram_ms(),
+            order_ms: histogram_ms(),
+            leading_fence: Gauge::default(),
+            live_jobs_count: Gauge::default(),
+            runs_count: Gauge::default(),
+            lists_age_ms: Gauge::default(),
+            lists_version: Gauge::default(),
+        };
+        metrics.registered()
+    }
+
+    fn registered(mut self) -> Self {
+        let into = &mut self.registry;
+        into.register("calls", "Calls by kind and answer.", self.calls.clone());
+        into.register(
+            "orders",
+            "Orders to workers and instances.",
+            self.orders.clone(),
+        );
+        into.register(
+            "store_calls",
+            "Calls to the store.",
+            self.store_calls.clone(),
+        );
+        into.register("call_ms", "Time to an answer.", self.call_ms.clone());
+        into.register("store_ms", "Time of a store call.", self.store_ms.clone());
+        into.register("order_ms", "Time of an order.", self.order_ms.clone());
+        into.register(
+            "leading_fence",
+            "Fence of the leader, here only.",
+            self.leading_fence.clone(),
+        );
+        into.register(
+            "live_jobs_count",
+            "Jobs not over.",
+            self.live_jobs_count.clone(),
+        );
+        into.register("runs_count", "Runs at workers.", self.runs_count.clone());
+        into.register(
+            "lists_age_ms",
+            "Age of the lists.",
+            self.lists_age_ms.clone(),
+        );
+        into.register(
+            "lists_version",
+            "Version of the lists.",
+            self.lists_version.clone(),
+        );
+        self
+    }
+
+    /// Counts a call and its answer.
+    pub fn count_call(&self, call: &'static str, answer: &'static str) {
+        self.calls.get_or_create(&CallLabels { call, answer }).inc();
+    }
+
+    /// Counts an order and its outcome.
+    pub fn count_order(&self, kind: &'static str, outcome: &'static str) {
+        self.orders
+            .get_or_create(&KindLabels { kind, outcome })
+            .inc();
+    }
+
+    /// Counts a call to the store and its outcome.
+    pub fn count_store_call(&self, kind: &'static str, outcome: &'static str) {
+        self.store_calls
+            .get_or_create(&KindLabels { kind, outcome })
+            .inc();
+    }
+
+    /// Returns all metrics as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,220 @@
+//! The node: the process that runs on each instance of the system on the users' platform. Every node
+//! takes calls; one of them leads and makes all decisions about jobs, workers and instances. A node
+//! keeps nothing: what lasts is in the store, and any node takes over.
+//!
+//! All of it runs on one thread. Each duty is a task of its own: the lists, the lease on leadership,
+//! callers, peers, and for the leader the journal, the list of workers and the list of instances.
+
+mod calls;
+mod fleet_lists;
+mod journal;
+mod leader;
+mod leadership;
+mod lease;
+mod lists;
+mod metrics;
+mod peers;
+mod types;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::{format_smolstr, SmolStr};
+use tokio::sync::Notify;
+
+use crate::adapters::clock::SystemClock;
+use crate::jobs::{Catalog, WaveSheet};
+use crate::logging::{BufferedLog, Event};
+use crate::net::{Client, ServerStop};
+use crate::platform::store::Store;
+use crate::ports::Clock;
+
+pub use leadership::{LeadRecord, LeadWrite, Leadership, Role, WriteOutcome};
+pub use metrics::NodeMetrics;
+pub use types::{
+    CallAnswer, CallKind, Fence, KeyedPage, KeyedRecord, LogPage, NodeBounds, NodeSettings,
+    PeerCall, Refusal, StoreFailure, StoreLimits,
+};
+
+use leader::Leading;
+
+/// Time between two flushes of the log, in milliseconds.
+const FLUSH_MS: u64 = 250;
+/// Part of the bound on withdrawn keys after which a node without newer proof refuses keyed calls, in
+/// thousandths.
+const LISTS_AGE_PERMILLE: u64 = 550;
+/// Time for which a node that stops goes on taking calls, so that the balancer sees that it is not
+/// ready, in milliseconds.
+const STOP_SERVE_MS: u64 = 2_500;
+/// Reserve before the end of the time given to stop, in milliseconds.
+const STOP_RESERVE_MS: u64 = 700;
+/// Time between two looks whether the stop is done, in milliseconds.
+const STOP_POLL_MS: u64 = 100;
+/// Delay before a claim of leadership on a whole core, in milliseconds; smaller machines wait longer,
+/// so that the one that can carry most claims first.
+const CLAIM_DELAY_CORE_MS: f64 = 25.0;
+/// Most delay by the size of the machine, in milliseconds.
+const CLAIM_DELAY_MAX_MS: u64 = 400;
+/// Most random part of that delay, in milliseconds.
+const CLAIM_JITTER_MS: u64 = 60;
+
+/// One node.
+pub(crate) struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) client: Client,
+    pub(crate) store: Store,
+    pub(crate) metrics: NodeMetrics,
+    /// Lists in force.
+    pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Waves of maintenance that operators ask for.
+    pub(crate) waves: RefCell<Vec<WaveSheet>>,
+    /// Time of sending of the last read that proved the lists to be the newest; 0 for none.
+    pub(crate) lists_proved_ms: Cell<u64>,
+    pub(crate) leadership: RefCell<Leadership>,
+    /// Wakes the task that writes the lease.
+    pub(crate) lease_changed: Notify,
+    /// The engine and what belongs to it, while this node leads.
+    pub(crate) leading: RefCell<Option<Leading>>,
+    pub(crate) is_stopping: Cell<bool>,
+}
+
+impl Node {
+    pub(crate) fn now_ms(&self) -> u64 {
+        SystemClock.mono_ms()
+    }
+
+    pub(crate) fn unix_ms(&self) -> u64 {
+        SystemClock.unix_ms()
+    }
+
+    /// Returns the age of the proof that the lists are the newest, in milliseconds; none without any.
+    pub(crate) fn lists_age_ms(&self) -> Option<u64> {
+        match self.lists_proved_ms.get() {
+            0 => None,
+            proved_ms => Some(self.now_ms().saturating_sub(proved_ms)),
+        }
+    }
+
+    /// Returns whether keys can be judged: the lists are proved to be new enough.
+    pub(crate) fn may_judge_keys(&self) -> bool {
+        let bounds = &self.settings.bounds;
+        let age_max_ms = bounds.key_withdrawal_ms * LISTS_AGE_PERMILLE / 1_000;
+        self.lists_age_ms()
+            .is_some_and(|age_ms| age_ms <= age_max_ms || !bounds.withdraws_strictly)
+    }
+
+    /// Returns whether the node can serve.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.catalog.borrow().is_some() && self.may_judge_keys()
+    }
+}
+
+/// A running node.
+pub struct NodeHandle {
+    node: Rc<Node>,
+    callers: ServerStop,
+    peers: ServerStop,
+}
+
+impl NodeHandle {
+    /// Binds the addresses of `settings` and starts all duties.
+    pub async fn spawn(settings: NodeSettings) -> io::Result<Self> {
+        let client = Client::default();
+        let store = Store::open(client.clone(), settings.store_address);
+        let unix_ms = SystemClock.unix_ms();
+        let incarnation = format_smolstr!("{unix_ms:x}");
+        let leadership = Leadership::open(
+            settings.name.clone(),
+            incarnation.clone(),
+            settings.peers_address,
+            claim_delay_ms(&settings.name, &incarnation, settings.cpu_share),
+        );
+        let node = Rc::new(Node {
+            client,
+            store,
+            metrics: NodeMetrics::open(),
+            catalog: RefCell::new(None),
+            waves: RefCell::new(Vec::new()),
+            lists_proved_ms: Cell::new(0),
+            leadership: RefCell::new(leadership),
+            lease_changed: Notify::new(),
+            leading: RefCell::new(None),
+            is_stopping: Cell::new(false),
+            settings,
+        });
+        Event::new("started")
+            .with("node", &node.settings.name)
+            .with("zone", &node.settings.zone)
+            .with("incarnation", &incarnation)
+            .with("version", env!("CARGO_PKG_VERSION"))
+            .info();
+        calls::serve_ready(&node).await?;
+        calls::serve_metrics(&node).await?;
+        let peers = peers::serve(&node).await?;
+        let callers = calls::serve_callers(&node).await?;
+        tokio::task::spawn_local(lists::follow(Rc::clone(&node)));
+        tokio::task::spawn_local(lease::follow(Rc::clone(&node)));
+        tokio::task::spawn_local(lease::write(Rc::clone(&node)));
+        Ok(Self {
+            node,
+            callers,
+            peers,
+        })
+    }
+
+    /// Stops gracefully: it tells the balancer, hands leadership over, goes on answering, and returns
+    /// when all connections are closed or the time is over.
+    pub async fn stop(&self) {
+        let node = &self.node;
+        let begun_ms = node.now_ms();
+        let until_ms = begun_ms
+            + node
+                .settings
+                .bounds
+                .stop_grace_ms
+                .saturating_sub(STOP_RESERVE_MS);
+        node.is_stopping.set(true);
+        Event::new("stopping")
+            .with("node", &node.settings.name)
+            .with("connections_count", self.callers.connections_count())
+            .info();
+        leader::hand_over(node).await;
+        let serve_until_ms = until_ms.min(begun_ms + STOP_SERVE_MS);
+        while node.now_ms() < serve_until_ms {
+            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+        }
+        self.callers.stop();
+        while node.now_ms() < until_ms && self.callers.connections_count() > 0 {
+            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+        }
+        self.peers.stop();
+        Event::new("stopped")
+            .with("node", &node.settings.name)
+            .with("cut_count", self.callers.connections_count())
+            .info();
+    }
+
+    /// Writes the log lines of this node out, again and again.
+    pub async fn flush_log(&self, log: &BufferedLog) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
+            log.flush();
+        }
+    }
+}
+
+/// Returns how long a node waits before it claims, by its size and a part that differs by process.
+// The share of a core is a small positive number.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::as_conversions
+)]
+fn claim_delay_ms(name: &SmolStr, incarnation: &SmolStr, cpu_share: f64) -> u64 {
+    let by_size_ms = (CLAIM_DELAY_CORE_MS / cpu_share.max(0.01)) as u64;
+    let hash = blake3::hash(format!("{name}/{incarnation}").as_bytes());
+    let random = u64::from(hash.as_bytes()[0]) % CLAIM_JITTER_MS;
+    by_size_ms.min(CLAIM_DELAY_MAX_MS) + random
+}
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,175 @@
+//! Calls between nodes: any node passes a call to the leader, which answers it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use hyper::Method;
+use tokio::sync::oneshot;
+
+use crate::jobs::{Cancel, Intake, JobId, Submission};
+use crate::logging::Event;
+use crate::net::{self, Answer, Asked, Call, CallFailure, ServerSettings, ServerStop};
+use crate::node::leader::Leading;
+use crate::node::{CallAnswer, Node, PeerCall, Refusal, Role};
+
+/// Path of calls between nodes.
+const PATH: &str = "/v1/calls";
+/// Most bytes of a call; a job's body is bounded by the lists.
+const BODY_MAX_BYTES: usize = 2 << 20;
+/// Most bytes of an answer.
+const ANSWER_MAX_BYTES: usize = 4_096;
+/// Most connections of peers.
+const CONNECTIONS_MAX: usize = 512;
+/// Longest time that the leader lets a call wait for its record, in milliseconds.
+const RECORD_WAIT_MS: u64 = 2_400;
+
+/// Serves the peers of a node.
+pub(crate) async fn serve(node: &Rc<Node>) -> io::Result<ServerStop> {
+    let settings = ServerSettings {
+        body_max_bytes: BODY_MAX_BYTES,
+        connections_max: CONNECTIONS_MAX,
+    };
+    let address = node.settings.peers_address;
+    let node = Rc::clone(node);
+    let answer = move |asked| answer_peer(Rc::clone(&node), asked);
+    net::serve(address, settings, answer).await
+}
+
+async fn answer_peer(node: Rc<Node>, asked: Asked) -> Answer {
+    let body = asked.body.filter(|_| asked.path == PATH);
+    let call = body.and_then(|body| serde_json::from_slice::<PeerCall>(&body).ok());
+    let Some(call) = call else {
+        return Answer::status(400);
+    };
+    let answer = answer_as_leader(&node, call).await;
+    Answer {
+        status: 200,
+        body: Bytes::from(serde_json::to_vec(&answer).unwrap_or_default()),
+        ..Answer::default()
+    }
+}
+
+/// Answers a call if this node leads; refuses it if not.
+async fn answer_as_leader(node: &Rc<Node>, call: PeerCall) -> CallAnswer {
+    let now_ms = node.now_ms();
+    let role = node.leadership.borrow().role(now_ms);
+    let is_valid = matches!(role, Role::Leader { is_valid: true, .. });
+    let begun = {
+        let mut leading = node.leading.borrow_mut();
+        match leading.as_mut() {
+            Some(leading) if leading.is_restored && is_valid => begin_call(leading, call),
+            // Without a lease that holds, another leader may know of more.
+            _ => return CallAnswer::Refused(Refusal::NoLeader),
+        }
+    };
+    let waiting = match begun {
+        Begun::Answered(answer) => return answer,
+        Begun::Waiting(waiting) => waiting,
+    };
+    node.pump();
+    match tokio::time::timeout(Duration::from_millis(RECORD_WAIT_MS), waiting).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) | Err(_) => CallAnswer::OutcomeUnknown,
+    }
+}
+
+/// What a call has come to at once.
+enum Begun {
+    Answered(CallAnswer),
+    Waiting(oneshot::Receiver<CallAnswer>),
+}
+
+fn begin_call(leading: &mut Leading, call: PeerCall) -> Begun {
+    match call {
+        PeerCall::Submit {
+            id,
+            queue,
+            team,
+            spec,
+        } => {
+            let id = JobId(id);
+            let submission = Submission {
+                id,
+                queue,
+                team,
+                spec,
+            };
+            match leading.engine.submit(submission) {
+                Intake::Accepted => Begun::Answered(CallAnswer::Accepted),
+                Intake::Pending => wait_for(leading, id),
+                Intake::Faulty(fault) => {
+                    Event::new("job_faulty")
+                        .with("job", id)
+                        .with("fault", fault)
+                        .info();
+                    Begun::Answered(CallAnswer::Refused(Refusal::BadCall))
+                }
+                Intake::NoQueue => Begun::Answered(CallAnswer::Refused(Refusal::NoQueue)),
+            }
+        }
+        PeerCall::State { id } => Begun::Answered(match leading.engine.job_state(JobId(id)) {
+            Some(state) => CallAnswer::State(state),
+            None => CallAnswer::Unknown,
+        }),
+        PeerCall::Cancel { id } => match leading.engine.cancel(JobId(id)) {
+            Cancel::Unknown => Begun::Answered(CallAnswer::Unknown),
+            Cancel::Over => Begun::Answered(CallAnswer::Cancelled),
+            Cancel::Pending => wait_for(leading, JobId(id)),
+        },
+        PeerCall::Count { queue } => {
+            Begun::Answered(CallAnswer::Count(leading.engine.pending_count(&queue)))
+        }
+    }
+}
+
+fn wait_for(leading: &mut Leading, id: JobId) -> Begun {
+    let (sender, receiver) = oneshot::channel();
+    leading.waiters.entry(id).or_default().push(sender);
+    Begun::Waiting(receiver)
+}
+
+/// Has a call answered by the leader, be it this node or another, within `timeout_ms`.
+pub(crate) async fn ask_leader(node: &Rc<Node>, call: PeerCall, timeout_ms: u64) -> CallAnswer {
+    let role = node.leadership.borrow().role(node.now_ms());
+    match role {
+        Role::Leader { .. } => {
+            let answered = answer_as_leader(node, call);
+            match tokio::time::timeout(Duration::from_millis(timeout_ms), answered).await {
+                Ok(answer) => answer,
+                Err(_) => CallAnswer::OutcomeUnknown,
+            }
+        }
+        Role::Follower {
+            leader: Some(address),
+        } => pass_on(node, address, &call, timeout_ms).await,
+        Role::Follower { leader: None } => CallAnswer::Refused(Refusal::NoLeader),
+    }
+}
+
+async fn pass_on(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    call: &PeerCall,
+    timeout_ms: u64,
+) -> CallAnswer {
+    let sent = Call {
+        address,
+        method: Method::POST,
+        path: PATH.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from(serde_json::to_vec(call).unwrap_or_default()),
+        timeout_ms,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    match node.client.call(sent).await {
+        Ok(reply) if reply.status == 200 => {
+            serde_json::from_slice(&reply.body).unwrap_or(CallAnswer::OutcomeUnknown)
+        }
+        Ok(_) => CallAnswer::OutcomeUnknown,
+        Err(CallFailure::NotSent) => CallAnswer::Refused(Refusal::NoLeader),
+        Err(CallFailure::Lost) => CallAnswer::OutcomeUnknown,
+    }
+}
--- /dev/null
+++ b/src/platform/advice.rs
@@ -0,0 +1,65 @@
+//! The service that says which workers may run a step. The wire calls its answer advice.
+
+use std::net::SocketAddr;
+
+use hyper::body::Bytes;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::jobs::TicketQuestion;
+use crate::net::{Call, Client};
+
+/// Time that a question may take, in milliseconds; the service answers one at a time.
+const TIMEOUT_MS: u64 = 5_000;
+/// Most bytes of an answer.
+const ANSWER_MAX_BYTES: usize = 1 << 18;
+
+#[derive(Serialize)]
+struct QuestionWire<'q> {
+    step: String,
+    workers: &'q [SmolStr],
+}
+
+#[derive(Deserialize)]
+struct AnswerWire {
+    #[serde(default)]
+    eligible: Vec<(SmolStr, SmolStr)>,
+    valid_ms: u64,
+}
+
+/// Workers with their tickets, and how long these hold, in milliseconds.
+pub type TicketAnswer = (Vec<(SmolStr, SmolStr)>, u64);
+
+/// Asks which workers may run a step; none if there was no answer.
+pub async fn ask(
+    client: &Client,
+    address: SocketAddr,
+    question: &TicketQuestion,
+) -> Option<TicketAnswer> {
+    let TicketQuestion {
+        job,
+        round,
+        step,
+        workers,
+    } = question;
+    let wire = QuestionWire {
+        step: format!("{job}.{round}.{step}"),
+        workers,
+    };
+    let call = Call {
+        address,
+        method: Method::POST,
+        path: "/hawthornladder/advise".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from(serde_json::to_vec(&wire).ok()?),
+        timeout_ms: TIMEOUT_MS,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let reply = client.call(call).await.ok()?;
+    if reply.status != 200 {
+        return None;
+    }
+    let answer: AnswerWire = serde_json::from_slice(&reply.body).ok()?;
+    Some((answer.eligible, answer.valid_ms))
+}
