--- /dev/null
+++ b/src/platform/callers.rs
@@ -0,0 +1,189 @@
+//! Calls of clients to the queues, and what they are answered. The wire calls steps phases.
+
+use hyper::body::Bytes;
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::Method;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::sizes::SizeWire;
+use crate::jobs::{JobId, JobSpec, JobState, Recurrence, StepSpec};
+use crate::net::{Answer, Asked};
+use crate::node::{CallAnswer, CallKind, Refusal};
+
+/// Path of the readiness probe.
+pub const READY_PATH: &str = "/hawthornladder/readiness";
+/// Header that carries the key.
+const KEY_HEADER: &str = "api-key";
+/// Header that tells how long the client waits, in milliseconds.
+const DEADLINE_HEADER: &str = "x-hawthornladder-deadline-ms";
+/// How long a client is taken to wait where it does not say.
+const DEADLINE_DEFAULT_MS: u64 = 3_000;
+
+#[derive(Deserialize)]
+struct JobWire {
+    #[serde(default)]
+    spec: String,
+    phases: Vec<PhaseWire>,
+    #[serde(default)]
+    repetitions: u32,
+    #[serde(default)]
+    first_ms: u64,
+    #[serde(default)]
+    interval_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct PhaseWire {
+    count: u32,
+    #[serde(flatten)]
+    size: SizeWire,
+    #[serde(default)]
+    estimated_ms: u64,
+    #[serde(default)]
+    after: Vec<u16>,
+    #[serde(default)]
+    checkpointing: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    rack_local: bool,
+    #[serde(default)]
+    requirements: Option<SmolStr>,
+    #[serde(default)]
+    affinity: Option<SmolStr>,
+    #[serde(default)]
+    anti_affinity: u32,
+    #[serde(default)]
+    speculative: bool,
+    #[serde(default)]
+    long_running: bool,
+    #[serde(default)]
+    image: SmolStr,
+    #[serde(default)]
+    target_ms: u64,
+    #[serde(default)]
+    fills: bool,
+    #[serde(default)]
+    may_miss: Option<u32>,
+}
+
+fn step_of(wire: PhaseWire) -> StepSpec {
+    StepSpec {
+        tasks_count: wire.count,
+        size: wire.size.into(),
+        estimate_ms: wire.estimated_ms,
+        after: wire.after,
+        has_checkpoints: wire.checkpointing,
+        is_gang: wire.gang,
+        in_one_rack: wire.rack_local,
+        label: wire.requirements.filter(|label| !label.is_empty()),
+        near_rack: wire.affinity.filter(|rack| !rack.is_empty()),
+        per_worker_max: wire.anti_affinity,
+        allows_copies: wire.speculative,
+        is_endless: wire.long_running,
+        image: wire.image,
+        tail_target_ms: wire.target_ms,
+        is_filler: wire.fills,
+        away_max: wire.may_miss.filter(|count| *count > 0),
+    }
+}
+
+/// Reads the body of a job.
+pub fn job_spec(body: &[u8]) -> Result<JobSpec, serde_json::Error> {
+    let wire: JobWire = serde_json::from_slice(body)?;
+    Ok(JobSpec {
+        payload: wire.spec,
+        steps: wire.phases.into_iter().map(step_of).collect(),
+        recurrence: (wire.repetitions > 0).then_some(Recurrence {
+            times: wire.repetitions,
+            first_unix_ms: wire.first_ms,
+            interval_ms: wire.interval_ms,
+        }),
+    })
+}
+
+/// What the head of a call says.
+pub struct CallHead<'a> {
+    /// Host, without its port.
+    pub host: &'a str,
+    /// Path.
+    pub path: &'a str,
+    /// Key, if there is one.
+    pub key: Option<&'a str>,
+    /// How long the client waits, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// Reads the head of a call.
+pub fn head_of(asked: &Asked) -> CallHead<'_> {
+    let host = asked.header("host").unwrap_or("");
+    CallHead {
+        host: host.split(':').next().unwrap_or(""),
+        path: &asked.path,
+        key: asked.header(KEY_HEADER),
+        deadline_ms: asked
+            .header(DEADLINE_HEADER)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(DEADLINE_DEFAULT_MS),
+    }
+}
+
+/// Reads what a call asks for, `rest` being its path after the prefix of the queue.
+pub fn kind_of(method: &Method, rest: &str) -> Option<CallKind> {
+    let id = JobId::parse(rest);
+    match (method, id) {
+        (&Method::GET, None) if rest.is_empty() => Some(CallKind::Count),
+        (&Method::POST, Some(id)) => Some(CallKind::Submit(id)),
+        (&Method::GET, Some(id)) => Some(CallKind::State(id)),
+        (&Method::DELETE, Some(id)) => Some(CallKind::Cancel(id)),
+        _ => None,
+    }
+}
+
+fn json(status: u16, body: String) -> Answer {
+    Answer {
+        status,
+        headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
+        body: Bytes::from(body),
+    }
+}
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Active => "active",
+        JobState::Complete => "complete",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
+
+/// Writes an answer.
+pub fn answer_of(answer: &CallAnswer) -> Answer {
+    match answer {
+        CallAnswer::Accepted | CallAnswer::Cancelled => json(200, "{}".to_owned()),
+        CallAnswer::State(state) => json(200, format!("{{\"state\":\"{}\"}}", state_name(*state))),
+        CallAnswer::Count(count) => json(200, format!("{{\"pending\":{count}}}")),
+        CallAnswer::Unknown => Answer::status(410),
+        CallAnswer::OutcomeUnknown => Answer::status(504),
+        CallAnswer::Refused(refusal) => refused(*refusal),
+    }
+}
+
+fn refused(refusal: Refusal) -> Answer {
+    let status = match refusal {
+        Refusal::NoQueue => 404,
+        Refusal::BadKey => 401,
+        Refusal::BadCall => 400,
+        Refusal::TooLarge => 413,
+        Refusal::Overloaded { .. } => 429,
+        Refusal::NoLists | Refusal::NoLeader | Refusal::StoreAway | Refusal::Stopping => 503,
+    };
+    let mut answer = Answer::status(status);
+    if let Some(retry_after_s) = refusal.retry_after_s() {
+        let header: (HeaderName, HeaderValue) = (RETRY_AFTER, HeaderValue::from(retry_after_s));
+        answer.headers.push(header);
+    }
+    answer
+}
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -1,319 +1,165 @@
-//! The instance list in memory: rows that change under a rising version, readers that see an older
-//! state, and reboots that give an instance a new incarnation.
+//! The service that lists, moves and maintains instances. The wire calls an instance a machine.
 
-use std::collections::VecDeque;
-use std::fmt;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::thread;
-use std::time::Duration;
+use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use hyper::body::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::Method;
 use serde::{Deserialize, Serialize};
-use smol_str::{format_smolstr, SmolStr};
-
-use crate::adapters::clock::SystemClock;
-use crate::fleet::{InstanceName, InstanceRow, MonoMs};
-use crate::ports::{Clock, InstancePage, InstancePort, PortError};
-
-/// Longest time that a reader waits for a change.
-pub const LIST_WAIT_MAX_MS: u64 = 30_000;
-/// How often a waiting reader looks at a lagging list, which changes by the passing of time alone.
-const LAG_STEP_MS: u64 = 10;
-/// Past states that are kept for lagging readers.
-const HISTORY_MAX_COUNT: usize = 256;
-
-/// Faults of the instance list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct InstanceFaults {
-    /// Every call fails without effect.
-    pub is_down: bool,
-    /// Every call takes this much longer.
-    pub delay_ms: u64,
-    /// Readers see the list of this long ago.
-    pub lag_ms: u64,
-    /// Orders that take effect and lose their answer.
-    pub answer_lost_count: u32,
-    /// How long a rebooting instance is absent from the list.
-    pub reboot_ms: u64,
+use smol_str::SmolStr;
+
+use super::sizes::SizeWire;
+use crate::jobs::{InstanceFailure, InstanceOrder, InstanceSheet, InstanceState};
+use crate::net::{Call, CallFailure, Client};
+
+/// Most bytes of a page.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+/// Time that a call may take, in milliseconds.
+const TIMEOUT_MS: u64 = 1_000;
+/// Most pages of the list.
+const PAGES_MAX: usize = 200;
+/// Header that names who gives an order.
+static HOLDER_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-lease-holder");
+/// Header that carries the fence.
+static FENCE_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-fencing-token");
+
+#[derive(Deserialize)]
+struct PageWire {
+    machines: Vec<MachineWire>,
+    #[serde(default)]
+    next_token: Option<String>,
 }
 
-/// What an instance's worker is told when the list changes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum InstanceEvent {
-    /// The boot with this row ended at once, with all that it ran.
-    Ended(InstanceRow),
-    /// A boot with this row began.
-    Began(InstanceRow),
-    /// The platform announced that it takes this instance away.
-    Leaving(InstanceRow),
+#[derive(Deserialize)]
+struct MachineWire {
+    machine: SmolStr,
+    pool: SmolStr,
+    state: String,
+    #[serde(default)]
+    labels: Vec<SmolStr>,
+    #[serde(default)]
+    capacity: SizeWire,
+    #[serde(default)]
+    id: Option<SmolStr>,
 }
 
-/// Called after each change, outside every lock of the list.
-pub type OnInstanceEvent = Arc<dyn Fn(&InstanceEvent) + Send + Sync>;
-
-struct State {
-    faults: InstanceFaults,
-    rows: IndexMap<InstanceName, InstanceRow>,
-    version: u64,
-    history: VecDeque<(MonoMs, Arc<InstancePage>)>,
-    last_boot_number: u64,
-    reboots_count: u64,
+#[derive(Serialize)]
+#[serde(untagged)]
+enum OrderWire<'o> {
+    Move { machine: &'o str, pool: &'o str },
+    Upkeep { machine: &'o str, wave: u64 },
 }
 
-struct Shared {
-    state: Mutex<State>,
-    changed: Condvar,
-    on_event: OnInstanceEvent,
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RefusalWire {
+    reason: String,
 }
 
-/// The instance list in memory; clones share one list.
-#[derive(Clone)]
-pub struct MemoryInstances {
-    shared: Arc<Shared>,
-}
-
-impl fmt::Debug for MemoryInstances {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("MemoryInstances")
-            .field("version", &self.lock().version)
-            .finish_non_exhaustive()
+fn sheet_of(wire: MachineWire) -> InstanceSheet {
+    let state = match wire.state.as_str() {
+        "up" => InstanceState::Up,
+        "moving" => InstanceState::Moving,
+        "upkeep" => InstanceState::Maintained,
+        _ => InstanceState::Down,
+    };
+    InstanceSheet {
+        name: wire.machine,
+        pool: wire.pool,
+        state,
+        labels: wire.labels,
+        capacity: wire.capacity.into(),
+        worker: wire.id.filter(|id| !id.is_empty()),
     }
 }
 
-impl MemoryInstances {
-    /// Opens a list of `rows` that reports its later changes to `on_event`.
-    pub fn open(rows: Vec<InstanceRow>, on_event: OnInstanceEvent) -> Self {
-        let state = State {
-            faults: InstanceFaults::default(),
-            last_boot_number: 0,
-            rows: rows
-                .into_iter()
-                .map(|row| (row.name.clone(), row))
-                .collect(),
-            version: 0,
-            history: VecDeque::new(),
-            reboots_count: 0,
+/// Lists all instances.
+pub async fn list(
+    client: &Client,
+    address: SocketAddr,
+) -> Result<Vec<InstanceSheet>, InstanceFailure> {
+    let mut sheets = Vec::new();
+    let mut token: Option<String> = None;
+    for _ in 0..PAGES_MAX {
+        let path = match &token {
+            None => "/hawthornladder/machines".to_owned(),
+            Some(token) => format!("/hawthornladder/machines?page_token={token}"),
         };
-        let list = Self {
-            shared: Arc::new(Shared {
-                state: Mutex::new(state),
-                changed: Condvar::new(),
-                on_event,
-            }),
+        let call = Call {
+            address,
+            method: Method::GET,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout_ms: TIMEOUT_MS,
+            answer_max_bytes: ANSWER_MAX_BYTES,
         };
-        list.lock().publish();
-        list
-    }
-
-    /// Replaces the faults.
-    pub fn set_faults(&self, faults: InstanceFaults) {
-        self.lock().faults = faults;
-        self.shared.changed.notify_all();
-    }
-
-    /// Returns the faults in force.
-    pub fn faults(&self) -> InstanceFaults {
-        self.lock().faults
-    }
-
-    /// Returns the rows as they are, without lag.
-    pub fn rows(&self) -> Vec<InstanceRow> {
-        self.lock().rows.values().cloned().collect()
-    }
-
-    /// Returns how many boots were ended by an order to reboot.
-    pub fn reboots_count(&self) -> u64 {
-        self.lock().reboots_count
-    }
-
-    /// Adds or replaces rows as they are given, all under one new version.
-    pub fn put(&self, rows: Vec<InstanceRow>) {
-        self.change(|state| {
-            let mut events = Vec::new();
-            for row in rows {
-                let old = state.rows.insert(row.name.clone(), row.clone());
-                if old.is_none_or(|old| old.incarnation != row.incarnation) {
-                    events.push(InstanceEvent::Began(row));
-                }
-            }
-            Some(events)
-        });
-    }
-
-    /// Announces that the platform takes `name` away; returns whether it was listed.
-    pub fn leave(&self, name: &str) -> bool {
-        self.change(|state| {
-            let row = state.rows.get_mut(name)?;
-            row.leaving = true;
-            Some(vec![InstanceEvent::Leaving(row.clone())])
-        })
-    }
-
-    /// Takes `name` off the list and ends its boot; returns whether it was listed.
-    pub fn remove(&self, name: &str) -> bool {
-        self.change(|state| {
-            let row = state.rows.shift_remove(name)?;
-            Some(vec![InstanceEvent::Ended(row)])
-        })
-    }
-
-    /// Puts a new boot of `name` on the list, at `address` if given and else at the same one;
-    /// returns whether it was listed.
-    pub fn replace(&self, name: &str, address: Option<&str>) -> bool {
-        let Some(old) = self.lock().rows.get(name).cloned() else {
-            return false;
-        };
-        self.remove(name);
-        self.begin(old, address);
-        true
-    }
-
-    fn begin(&self, mut row: InstanceRow, address: Option<&str>) {
-        row.incarnation = self.lock().next_incarnation(&row.name);
-        row.leaving = false;
-        row.address = address.map_or(row.address, SmolStr::new);
-        self.put(vec![row]);
-    }
-
-    /// Edits the rows and publishes them, unless the edit finds nothing to do; returns whether it did.
-    fn change(&self, edit: impl FnOnce(&mut State) -> Option<Vec<InstanceEvent>>) -> bool {
-        let mut state = self.lock();
-        let Some(events) = edit(&mut state) else {
-            return false;
-        };
-        state.publish();
-        drop(state);
-        self.shared.changed.notify_all();
-        events
-            .iter()
-            .for_each(|event| (self.shared.on_event)(event));
-        true
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.shared
-            .state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn delay_or_fail(&self) -> Result<(), PortError> {
-        let faults = self.faults();
-        if faults.delay_ms > 0 {
-            thread::sleep(Duration::from_millis(faults.delay_ms));
-        }
-        match faults.is_down {
-            true => Err(PortError::NotSent("down".into())),
-            false => Ok(()),
-        }
-    }
-
-    /// Ends the boot of `name` if it still is `incarnation`, and returns its row.
-    fn end_boot(&self, name: &str, incarnation: &str) -> Option<InstanceRow> {
-        let mut ended = None;
-        self.change(|state| {
-            state
-                .rows
-                .get(name)
-                .filter(|row| row.incarnation == incarnation)?;
-            let row = state.rows.shift_remove(name)?;
-            state.reboots_count += 1;
-            ended = Some(row.clone());
-            Some(vec![InstanceEvent::Ended(row)])
-        });
-        ended
-    }
-
-    fn begin_after(&self, row: InstanceRow, reboot_ms: u64) {
-        let list = self.clone();
-        let begin = move || {
-            thread::sleep(Duration::from_millis(reboot_ms));
-            list.begin(row, None);
-        };
-        match reboot_ms {
-            0 => begin(),
-            _ => {
-                thread::spawn(begin);
-            }
-        }
-    }
-}
-
-impl InstancePort for MemoryInstances {
-    fn list(&self, known_version: u64, wait_ms: u64) -> Result<InstancePage, PortError> {
-        self.delay_or_fail()?;
-        let deadline_ms = SystemClock.mono_ms() + wait_ms.min(LIST_WAIT_MAX_MS);
-        let mut state = self.lock();
-        loop {
-            let now_ms = SystemClock.mono_ms();
-            let page = state.visible(now_ms);
-            let left_ms = deadline_ms.saturating_sub(now_ms);
-            match () {
-                () if state.faults.is_down => return Err(PortError::NotSent("down".into())),
-                () if page.version != known_version => return Ok(InstancePage::clone(&page)),
-                () if left_ms == 0 => return Ok(InstancePage::unchanged(known_version)),
-                () => {}
-            }
-            let step_ms = match state.faults.lag_ms {
-                0 => left_ms,
-                _ => left_ms.min(LAG_STEP_MS),
-            };
-            state = self
-                .shared
-                .changed
-                .wait_timeout(state, Duration::from_millis(step_ms))
-                .unwrap_or_else(PoisonError::into_inner)
-                .0;
+        let reply = client.call(call).await.map_err(|_| InstanceFailure::Lost)?;
+        if reply.status != 200 {
+            return Err(InstanceFailure::Refused);
         }
-    }
-
-    fn reboot(&self, name: &str, incarnation: &str) -> Result<(), PortError> {
-        self.delay_or_fail()?;
-        // Nothing is done if the boot that the order is for ended already.
-        if let Some(row) = self.end_boot(name, incarnation) {
-            self.begin_after(row, self.faults().reboot_ms);
-        }
-        let faults = &mut self.lock().faults;
-        match faults.answer_lost_count {
-            0 => Ok(()),
-            count => {
-                faults.answer_lost_count = count - 1;
-                Err(PortError::AnswerLost("answer_lost".into()))
-            }
+        let page: PageWire =
+            serde_json::from_slice(&reply.body).map_err(|_| InstanceFailure::Lost)?;
+        sheets.extend(page.machines.into_iter().map(sheet_of));
+        token = page.next_token.filter(|token| !token.is_empty());
+        if token.is_none() {
+            return Ok(sheets);
         }
     }
+    Err(InstanceFailure::Lost)
 }
 
-impl State {
-    /// Makes the present rows the newest version.
-    fn publish(&mut self) {
-        self.version += 1;
-        let page = InstancePage {
-            version: self.version,
-            rows: self.rows.values().cloned().collect(),
-        };
-        self.history
-            .push_back((SystemClock.mono_ms(), Arc::new(page)));
-        while self.history.len() > HISTORY_MAX_COUNT {
-            self.history.pop_front();
-        }
-    }
-
-    fn visible(&self, now_ms: MonoMs) -> Arc<InstancePage> {
-        let seen_until_ms = now_ms.saturating_sub(self.faults.lag_ms);
-        let newest_seen = self
-            .history
-            .iter()
-            .rev()
-            .find(|(at_ms, _)| *at_ms <= seen_until_ms)
-            .or(self.history.front());
-        newest_seen.map_or_else(Arc::default, |(_, page)| Arc::clone(page))
-    }
-
-    fn next_incarnation(&mut self, name: &str) -> SmolStr {
-        // The wall clock keeps boots apart from those that registered by themselves.
-        self.last_boot_number = SystemClock.unix_ms().max(self.last_boot_number + 1);
-        format_smolstr!("{name}.{}", self.last_boot_number)
-    }
+/// Gives an order to an instance, as `holder` under `fence`.
+pub async fn order(
+    client: &Client,
+    address: SocketAddr,
+    order: &InstanceOrder,
+    holder: &str,
+    fence: u64,
+) -> Result<(), InstanceFailure> {
+    let (path, body) = match order {
+        InstanceOrder::Move { instance, pool } => (
+            "/hawthornladder/machine-move",
+            OrderWire::Move {
+                machine: instance,
+                pool,
+            },
+        ),
+        InstanceOrder::Maintain { instance, wave } => (
+            "/hawthornladder/machine-upkeep",
+            OrderWire::Upkeep {
+                machine: instance,
+                wave: *wave,
+            },
+        ),
+    };
+    let holder = HeaderValue::from_str(holder).map_err(|_| InstanceFailure::Refused)?;
+    let body = serde_json::to_vec(&body).map_err(|_| InstanceFailure::Refused)?;
+    let call = Call {
+        address,
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: vec![
+            (HOLDER_HEADER.clone(), holder),
+            (FENCE_HEADER.clone(), HeaderValue::from(fence)),
+        ],
+        body: Bytes::from(body),
+        timeout_ms: TIMEOUT_MS,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let reply = client.call(call).await.map_err(|failure| match failure {
+        CallFailure::NotSent => InstanceFailure::Refused,
+        CallFailure::Lost => InstanceFailure::Lost,
+    })?;
+    if reply.status == 200 {
+        return Ok(());
+    }
+    let refusal: RefusalWire = serde_json::from_slice(&reply.body).unwrap_or_default();
+    Err(match (reply.status, refusal.reason.as_str()) {
+        (409, "fence") => InstanceFailure::Fenced,
+        (409, "busy") => InstanceFailure::Busy,
+        (409, "wave") => InstanceFailure::NotOfWave,
+        (400, _) => InstanceFailure::Unknown,
+        _ => InstanceFailure::Refused,
+    })
 }
--- /dev/null
+++ b/src/platform/lists.rs
@@ -0,0 +1,199 @@
+//! What operators and workers write into the store. The wire calls the operators' lists a manifest,
+//! its queues routes, its pools services and its teams tenants.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::sizes::SizeWire;
+use crate::jobs::{Catalog, Pool, Queue, Team, WaveSheet, WorkerSheet};
+
+/// Largest body that is taken where the lists name no bound.
+const BODY_DEFAULT_BYTES: usize = 262_144;
+/// Key of the operators' lists.
+const LISTS_KEY: &str = "config";
+/// Start of the key of a wave.
+const WAVE_PREFIX: &str = "wave/";
+
+#[derive(Deserialize)]
+struct ManifestWire {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteWire>,
+    #[serde(default)]
+    services: Vec<ServiceWire>,
+    #[serde(default)]
+    limits: LimitsWire,
+    #[serde(default)]
+    tenants: Vec<TenantWire>,
+}
+
+#[derive(Deserialize)]
+struct RouteWire {
+    name: SmolStr,
+    host: SmolStr,
+    path_prefix: SmolStr,
+    service: SmolStr,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    max_attempts: u32,
+    #[serde(default)]
+    slack_factor: f64,
+    #[serde(default)]
+    target_latency_ms: u64,
+    #[serde(default)]
+    public: bool,
+    /// Its fields tell how slow the service is that says which workers may run a step.
+    #[serde(default)]
+    recommendation: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct ServiceWire {
+    name: SmolStr,
+    #[serde(default)]
+    enforces_capacity: bool,
+    #[serde(default)]
+    standby: bool,
+}
+
+#[derive(Default, Deserialize)]
+struct LimitsWire {
+    max_body_bytes: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct TenantWire {
+    name: SmolStr,
+    #[serde(default)]
+    api_keys: Vec<SmolStr>,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    maximum: SizeWire,
+}
+
+#[derive(Deserialize)]
+struct WaveWire {
+    wave: u64,
+    #[serde(default)]
+    machines: Vec<SmolStr>,
+    #[serde(default)]
+    duration_s: f64,
+    #[serde(default)]
+    maximum: usize,
+}
+
+#[derive(Deserialize)]
+struct BeatWire {
+    service: SmolStr,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: SmolStr,
+    state: SmolStr,
+    #[serde(default)]
+    capacity: SizeWire,
+    #[serde(default)]
+    labels: Vec<SmolStr>,
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    machine: Option<SmolStr>,
+}
+
+/// What a record of the operators says.
+pub enum OperatorRecord {
+    /// The lists.
+    Lists(Box<Catalog>),
+    /// A wave of maintenance.
+    Wave(WaveSheet),
+    /// Something else.
+    Other,
+}
+
+/// Reads a record of the operators.
+pub fn operator_record(key: &str, value: &[u8]) -> Result<OperatorRecord, serde_json::Error> {
+    if key == LISTS_KEY {
+        let wire: ManifestWire = serde_json::from_slice(value)?;
+        return Ok(OperatorRecord::Lists(Box::new(catalog_of(wire))));
+    }
+    if key.starts_with(WAVE_PREFIX) {
+        let wire: WaveWire = serde_json::from_slice(value)?;
+        return Ok(OperatorRecord::Wave(WaveSheet {
+            number: wire.wave,
+            instances: wire.machines,
+            duration_ms: super::settings::to_ms(wire.duration_s),
+            at_once_max: wire.maximum,
+        }));
+    }
+    Ok(OperatorRecord::Other)
+}
+
+fn catalog_of(wire: ManifestWire) -> Catalog {
+    let queue_of = |route: RouteWire| {
+        let queue = Queue {
+            name: route.name.clone(),
+            host: route.host,
+            path_prefix: route.path_prefix,
+            pool: route.service,
+            priority: route.priority,
+            attempts_max: route.max_attempts.max(1),
+            slack_factor: route.slack_factor,
+            target_latency_ms: route.target_latency_ms,
+            is_open: route.public,
+            needs_tickets: route
+                .recommendation
+                .is_some_and(|settings| !settings.is_null()),
+        };
+        (route.name, queue)
+    };
+    let pool_of = |service: ServiceWire| {
+        let pool = Pool {
+            guards_room: service.enforces_capacity,
+            is_standby: service.standby,
+        };
+        (service.name, pool)
+    };
+    let mut catalog = Catalog {
+        version: wire.version,
+        queues: wire.routes.into_iter().map(queue_of).collect(),
+        pools: wire.services.into_iter().map(pool_of).collect(),
+        body_max_bytes: wire.limits.max_body_bytes.unwrap_or(BODY_DEFAULT_BYTES),
+        ..Catalog::default()
+    };
+    for tenant in wire.tenants {
+        for key in tenant.api_keys {
+            catalog.keys.insert(key, tenant.name.clone());
+        }
+        let team = Team {
+            name: tenant.name.clone(),
+            weight: tenant.weight,
+            limit: tenant.maximum.into(),
+        };
+        catalog.teams.insert(tenant.name, team);
+    }
+    catalog
+}
+
+/// Reads what a worker says of itself; none if it names no worker to use.
+pub fn worker_sheet(id: &str, value: &[u8]) -> Option<WorkerSheet> {
+    let wire: BeatWire = serde_json::from_slice(value).ok()?;
+    let is_draining = match wire.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        _ => return None,
+    };
+    Some(WorkerSheet {
+        id: id.into(),
+        born_unix_ms: wire.born,
+        address: wire.address,
+        pool: wire.service,
+        zone: wire.zone,
+        labels: wire.labels,
+        capacity: wire.capacity.into(),
+        is_draining,
+        instance: wire.machine,
+    })
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,14 +1,13 @@
-//! Small stand-ins of the platform: log service, instance list and workers, in memory and over HTTP.
+//! The users' platform: everything whose only job is to translate between its wire and the product.
+//! Nothing outside this folder knows the platform's names.
 
-pub mod http;
+pub mod advice;
+pub mod callers;
 pub mod instances;
-pub mod instances_server;
-pub mod journal;
-pub mod local;
-pub mod log;
-pub mod log_server;
-pub mod task;
-pub mod worker;
-pub mod worker_server;
-pub mod worker_state;
+pub mod lists;
+pub mod settings;
+pub mod status;
+pub mod store;
 pub mod workers;
+
+mod sizes;
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,212 @@
+//! The settings file that the platform lays for each process.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::node::{NodeBounds, NodeSettings, StoreLimits};
+
+/// Variable that holds the path of the settings file.
+const PATH_VARIABLE: &str = "HAWTHORNLADDER_CONFIG";
+/// Place of the settings file if the variable is not set.
+const PATH_DEFAULT: &str = "/etc/hawthornladder/local.toml";
+/// Default time between two reports of a worker about itself, in milliseconds.
+const REPORT_DEFAULT_MS: u64 = 1_500;
+
+/// Why the settings cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+pub enum SettingsError {
+    /// The file is not there or cannot be read.
+    #[strum(serialize = "cannot read the settings file")]
+    Unreadable,
+    /// The text is not TOML with the fields that are needed.
+    #[strum(serialize = "the settings file is faulty")]
+    Faulty,
+}
+
+impl std::error::Error for SettingsError {}
+
+#[derive(Debug, Deserialize)]
+struct SettingsWire {
+    node_name: SmolStr,
+    #[serde(default)]
+    zone: SmolStr,
+    #[serde(default)]
+    internal_ports: Vec<u16>,
+    ip: std::net::IpAddr,
+    listen: ListenWire,
+    limits: LimitsWire,
+    #[serde(default)]
+    bounds: BoundsWire,
+    platform: PlatformWire,
+    #[serde(default)]
+    cloud: Option<CloudWire>,
+    #[serde(default)]
+    recommendation: Option<String>,
+    #[serde(default = "report_default_ms")]
+    heartbeat_ms: u64,
+}
+
+fn report_default_ms() -> u64 {
+    REPORT_DEFAULT_MS
+}
+
+#[derive(Debug, Deserialize)]
+struct ListenWire {
+    frontend_address: SocketAddr,
+    ready: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(default)]
+struct LimitsWire {
+    cpu_share: f64,
+    memory_mb: u64,
+    file_descriptors: usize,
+}
+
+impl Default for LimitsWire {
+    fn default() -> Self {
+        Self {
+            cpu_share: 0.25,
+            memory_mb: 256,
+            file_descriptors: 1_024,
+        }
+    }
+}
+
+/// Bounds, of which only those are read that decide something.
+#[derive(Debug, Deserialize)]
+#[serde(default)]
+struct BoundsWire {
+    revoke_ms: u64,
+    strict_revoke: bool,
+    grace_s: f64,
+    drain_ms: u64,
+    hold_max_ms: u64,
+    stop_ms: u64,
+    status_s: f64,
+    migration_s: f64,
+    maintenance_s: f64,
+    notice_ms: u64,
+    lease_ms: u64,
+    remote_factor: f64,
+}
+
+impl Default for BoundsWire {
+    fn default() -> Self {
+        Self {
+            revoke_ms: 5_000,
+            strict_revoke: true,
+            grace_s: 6.0,
+            drain_ms: 2_000,
+            hold_max_ms: 6_000,
+            stop_ms: 1_000,
+            status_s: 120.0,
+            migration_s: 1.5,
+            maintenance_s: 2.0,
+            notice_ms: 4_500,
+            lease_ms: 3_000,
+            remote_factor: 2.0,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct PlatformWire {
+    address: SocketAddr,
+    #[serde(default = "call_default_bytes")]
+    call_bytes: usize,
+    #[serde(default = "record_default_bytes")]
+    record_bytes: usize,
+}
+
+fn call_default_bytes() -> usize {
+    1 << 20
+}
+
+fn record_default_bytes() -> usize {
+    1 << 18
+}
+
+/// The service that lists, moves and maintains instances; here it is called `cloud`.
+#[derive(Debug, Deserialize)]
+struct CloudWire {
+    address: SocketAddr,
+}
+
+/// Reads the settings of this process.
+pub fn read() -> Result<NodeSettings, Report<SettingsError>> {
+    let path = env::var(PATH_VARIABLE).unwrap_or_else(|_| PATH_DEFAULT.to_owned());
+    let text = fs::read_to_string(&path)
+        .change_context(SettingsError::Unreadable)
+        .attach_with(|| path.clone())?;
+    parse(&text).attach_with(|| path)
+}
+
+/// Reads settings from their text; fields that it does not know are ignored.
+pub fn parse(text: &str) -> Result<NodeSettings, Report<SettingsError>> {
+    let wire: SettingsWire = toml::from_str(text).change_context(SettingsError::Faulty)?;
+    let first_port = wire.internal_ports.first().copied().unwrap_or(0);
+    let last_port = wire.internal_ports.get(1).copied().unwrap_or(first_port);
+    if first_port == 0 || last_port <= first_port {
+        return Err(Report::new(SettingsError::Faulty)
+            .attach("internal_ports needs two ports, the first below the second"));
+    }
+    let tickets_address = match wire.recommendation.as_deref() {
+        None | Some("") => None,
+        Some(text) => Some(
+            text.parse()
+                .change_context(SettingsError::Faulty)
+                .attach("recommendation is no address")?,
+        ),
+    };
+    let bounds = wire.bounds;
+    Ok(NodeSettings {
+        name: wire.node_name,
+        zone: wire.zone,
+        callers_address: wire.listen.frontend_address,
+        ready_address: wire.listen.ready,
+        peers_address: SocketAddr::new(wire.ip, first_port),
+        metrics_address: SocketAddr::new(wire.ip, first_port + 1),
+        store_address: wire.platform.address,
+        instances_address: wire.cloud.map(|cloud| cloud.address),
+        tickets_address,
+        cpu_share: wire.limits.cpu_share,
+        memory_mb: wire.limits.memory_mb,
+        descriptors_count: wire.limits.file_descriptors,
+        worker_report_ms: wire.heartbeat_ms,
+        store: StoreLimits {
+            call_bytes: wire.platform.call_bytes,
+            record_bytes: wire.platform.record_bytes,
+        },
+        bounds: NodeBounds {
+            key_withdrawal_ms: bounds.revoke_ms,
+            withdraws_strictly: bounds.strict_revoke,
+            stop_grace_ms: to_ms(bounds.grace_s),
+            drain_ms: bounds.drain_ms,
+            run_lease_max_ms: bounds.hold_max_ms,
+            run_stop_ms: bounds.stop_ms,
+            keep_ended_ms: to_ms(bounds.status_s),
+            move_ms: to_ms(bounds.migration_s),
+            maintain_ms: to_ms(bounds.maintenance_s),
+            away_notice_ms: bounds.notice_ms,
+            instance_lease_ms: bounds.lease_ms,
+            far_factor: bounds.remote_factor,
+        },
+    })
+}
+
+// Bounds are a few seconds.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::as_conversions
+)]
+pub(super) fn to_ms(time_s: f64) -> u64 {
+    (time_s * 1_000.0) as u64
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,292 @@
+//! The platform's store: a log of topics with partitions, of which this product uses one each.
+
+use std::net::SocketAddr;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use hyper::body::Bytes;
+use hyper::Method;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::net::{Call, CallFailure, Client, Reply};
+use crate::node::{Fence, KeyedPage, KeyedRecord, LogPage, StoreFailure};
+
+/// Bytes before each record: its length.
+const LENGTH_BYTES: usize = 4;
+/// Bytes before the records of a read: the end and the first offset that is kept.
+const READ_HEAD_BYTES: usize = 16;
+/// Most bytes of an answer; a page has at most 1 MB, which base64 makes a third longer.
+const ANSWER_MAX_BYTES: usize = 4 << 20;
+/// Most kilobytes asked for with one read.
+const READ_MAX_KB: usize = 512;
+
+/// The topics in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+pub enum Topic {
+    /// What operators write: lists and waves.
+    #[strum(serialize = "keyed.op")]
+    Operators,
+    /// What workers write of themselves.
+    #[strum(serialize = "keyed.servers")]
+    Workers,
+    /// What operators read.
+    #[strum(serialize = "keyed.status")]
+    Status,
+    /// Who leads.
+    #[strum(serialize = "keyed.lead")]
+    Lead,
+    /// Jobs, their progress, and workers that tasks may run on.
+    #[strum(serialize = "keyed.jobs")]
+    Jobs,
+}
+
+impl Topic {
+    fn name(self) -> &'static str {
+        self.into()
+    }
+}
+
+/// A client of the store.
+#[derive(Clone)]
+pub struct Store {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct AppendedWire {
+    end: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+#[derive(Default)]
+struct RefusalWire {
+    reason: String,
+    end: u64,
+    first: u64,
+    /// The next number that is expected of the writer.
+    sequence: Option<u64>,
+    expected: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct NewestWire {
+    items: Vec<ItemWire>,
+    has_more: bool,
+    end: u64,
+}
+
+#[derive(Deserialize)]
+struct ItemWire {
+    key: SmolStr,
+    #[serde(default)]
+    value: String,
+    offset: u64,
+}
+
+impl Store {
+    /// Opens a client of the store at `address`.
+    pub fn open(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Appends records to a topic, all or none, and returns the offset after them. With `at_offset`,
+    /// only if the topic ends there. With a fence, only if no higher one was used, and a repeat of the
+    /// same number has no further effect.
+    pub async fn append(
+        &self,
+        topic: Topic,
+        records: &[(SmolStr, Option<Vec<u8>>)],
+        at_offset: Option<u64>,
+        fence: Option<&Fence>,
+        timeout_ms: u64,
+    ) -> Result<u64, StoreFailure> {
+        let mut path = format!("/hawthornladder/log-append?topic={}&part=0", topic.name());
+        if let Some(offset) = at_offset {
+            path.push_str(&format!("&as_of={offset}"));
+        }
+        if let Some(Fence {
+            writer,
+            fence,
+            number,
+        }) = fence
+        {
+            path.push_str(&format!(
+                "&producer={writer}&epoch={fence}&sequence={number}"
+            ));
+        }
+        let body = encode_records(records);
+        let reply = self.call(Method::POST, path, body, timeout_ms).await?;
+        match reply.status {
+            200 => {
+                let appended: AppendedWire =
+                    serde_json::from_slice(&reply.body).unwrap_or(AppendedWire { end: 0 });
+                Ok(appended.end)
+            }
+            status => Err(refusal_of(status, &reply.body)),
+        }
+    }
+
+    /// Reads the records of a topic from an offset on, waiting up to `wait_ms` for one.
+    pub async fn read(
+        &self,
+        topic: Topic,
+        from_offset: u64,
+        wait_ms: u64,
+        timeout_ms: u64,
+    ) -> Result<LogPage, StoreFailure> {
+        let path = format!(
+            "/hawthornladder/log-read?topic={}&part=0&from={from_offset}&wait_ms={wait_ms}&max_kb={READ_MAX_KB}",
+            topic.name()
+        );
+        let reply = self
+            .call(Method::GET, path, Bytes::new(), timeout_ms)
+            .await?;
+        match reply.status {
+            200 => decode_page(&reply.body, from_offset).ok_or(StoreFailure::Unreadable),
+            status => Err(refusal_of(status, &reply.body)),
+        }
+    }
+
+    /// Reads one page of the newest records of all keys.
+    pub async fn newest(
+        &self,
+        topic: Topic,
+        after_key: Option<&str>,
+        timeout_ms: u64,
+    ) -> Result<KeyedPage, StoreFailure> {
+        let mut path = format!("/hawthornladder/log-newest?topic={}&part=0", topic.name());
+        if let Some(key) = after_key {
+            path.push_str(&format!("&after={key}"));
+        }
+        let reply = self
+            .call(Method::GET, path, Bytes::new(), timeout_ms)
+            .await?;
+        if reply.status == 404 {
+            return Ok(KeyedPage::default());
+        }
+        if reply.status != 200 {
+            return Err(refusal_of(reply.status, &reply.body));
+        }
+        let wire: NewestWire =
+            serde_json::from_slice(&reply.body).map_err(|_| StoreFailure::Unreadable)?;
+        let records = wire.items.into_iter().map(|item| KeyedRecord {
+            offset: item.offset,
+            value: BASE64_STANDARD.decode(&item.value).ok(),
+            key: item.key,
+        });
+        Ok(KeyedPage {
+            records: records.collect(),
+            has_more: wire.has_more,
+            end_offset: wire.end,
+        })
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Reply, StoreFailure> {
+        let call = Call {
+            address: self.address,
+            method,
+            path,
+            headers: Vec::new(),
+            body,
+            timeout_ms,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        };
+        self.client
+            .call(call)
+            .await
+            .map_err(|failure| match failure {
+                CallFailure::NotSent => StoreFailure::NotSent,
+                CallFailure::Lost => StoreFailure::Lost,
+            })
+    }
+}
+
+fn refusal_of(status: u16, body: &[u8]) -> StoreFailure {
+    let wire: RefusalWire = serde_json::from_slice(body).unwrap_or_default();
+    match (status, wire.reason.as_str()) {
+        (409, "seq") => StoreFailure::Number {
+            expected: wire.sequence.or(wire.expected),
+        },
+        (409, _) => StoreFailure::Fenced,
+        (412, _) => StoreFailure::Moved {
+            end_offset: wire.end,
+        },
+        (410, _) => StoreFailure::Trimmed {
+            first_offset: wire.first,
+        },
+        (507, _) => StoreFailure::Full,
+        _ => StoreFailure::Refused { status },
+    }
+}
+
+fn encode_records(records: &[(SmolStr, Option<Vec<u8>>)]) -> Bytes {
+    let mut body = Vec::new();
+    for (key, value) in records {
+        let value = value.as_deref().unwrap_or(&[]);
+        let length = 1 + key.len() + value.len();
+        body.extend(u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes());
+        body.push(u8::try_from(key.len()).unwrap_or(u8::MAX));
+        body.extend(key.as_bytes());
+        body.extend(value);
+    }
+    body.into()
+}
+
+fn decode_page(body: &[u8], from_offset: u64) -> Option<LogPage> {
+    let mut head = body.get(..READ_HEAD_BYTES)?.chunks_exact(8).map(be_u64);
+    let end_offset = head.next()?;
+    let mut rest = &body[READ_HEAD_BYTES..];
+    let mut records = Vec::new();
+    let mut offset = from_offset;
+    while rest.len() >= LENGTH_BYTES {
+        let length = rest[..LENGTH_BYTES]
+            .iter()
+            .fold(0, |length, byte| length << 8 | usize::from(*byte));
+        let Some(record) = rest.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
+            break;
+        };
+        records.push(decode_record(offset, record));
+        offset += 1;
+        rest = &rest[LENGTH_BYTES + length..];
+    }
+    Some(LogPage {
+        records,
+        next_offset: offset,
+        end_offset,
+    })
+}
+
+fn be_u64(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
+
+/// Reads a record of a topic with keys; one that cannot be read gets an empty key.
+fn decode_record(offset: u64, record: &[u8]) -> KeyedRecord {
+    let key_and_value = record.split_first().and_then(|(key_length, rest)| {
+        let key = rest.get(..usize::from(*key_length))?;
+        let value = &rest[usize::from(*key_length)..];
+        Some((std::str::from_utf8(key).ok()?, value))
+    });
+    match key_and_value {
+        None => KeyedRecord {
+            key: SmolStr::default(),
+            value: None,
+            offset,
+        },
+        Some((key, value)) => KeyedRecord {
+            key: key.into(),
+            value: (!value.is_empty()).then(|| value.to_vec()),
+            offset,
+        },
+    }
+}
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,192 +1,221 @@
-//! All stand-in workers of an in-memory fleet behind the [`WorkerPort`], and the whole in-memory
-//! platform.
+//! Orders to workers, and what they answer.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
-
-use indexmap::IndexMap;
+use hyper::body::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::Method;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::adapters::worker_answer::{Loss, RawAnswer};
-use crate::fleet::InstanceRow;
-use crate::platform::instances::{InstanceEvent, MemoryInstances};
-use crate::platform::journal::{Journal, Run};
-use crate::platform::log::{LogLimits, MemoryLog};
-use crate::platform::worker::{Attempt, MemoryWorker};
-use crate::platform::worker_state::{AnswerFault, Refusal, WorkerSettings};
-use crate::ports::{NotStarted, PortError, WorkerOutcome, WorkerPort, WorkerRequest, WorkerStatus};
-
-/// Runs that the journal of each worker keeps.
-pub const JOURNAL_MAX_COUNT: usize = 100_000;
-
-/// Stand-in workers by address; clones share them.
-#[derive(Clone, Debug, Default)]
-pub struct MemoryWorkers {
-    by_address: Arc<Mutex<IndexMap<SmolStr, Arc<MemoryWorker>>>>,
-    retired: Arc<Mutex<Journal>>,
-}
-
-impl MemoryWorkers {
-    /// Opens a worker for each row.
-    pub fn open(rows: &[InstanceRow]) -> Self {
-        let workers = Self::default();
-        rows.iter().for_each(|row| workers.begin(row));
-        workers
-    }
-
-    /// Returns the worker at `address`.
-    pub fn at(&self, address: &str) -> Option<Arc<MemoryWorker>> {
-        self.lock().get(address).cloned()
-    }
-
-    /// Returns every run that any worker, present or gone, still has in its journal.
-    pub fn runs(&self) -> Vec<Run> {
-        let present: Vec<_> = self.lock().values().cloned().collect();
-        let retired = self.lock_retired().runs.clone();
-        retired
-            .into_iter()
-            .chain(present.iter().flat_map(|worker| worker.journal().runs))
-            .collect()
-    }
+use crate::jobs::{
+    Look, LookOrder, OrderFailure, PaceOrder, RunEnd, RunRow, StartOrder, StopOrder, Target,
+    TaskName,
+};
+use crate::net::{Call, CallFailure, Client, Reply};
+
+/// Most bytes of an answer: 500 ends and all runs of a worker.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+/// Time that an order to a worker may take, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 700;
+/// Time that a look may take beyond its wait, in milliseconds.
+const LOOK_TIMEOUT_MS: u64 = 600;
+/// Header that names the worker that a call is meant for.
+static INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-expected-instance");
+
+#[derive(Serialize)]
+struct StartWire<'o> {
+    task: String,
+    run: u64,
+    spec: &'o str,
+    until_ms: u64,
+    fencing_token: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    checkpoint: &'o str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'o SmolStr>,
+}
 
-    /// Follows a change of the instance list.
-    pub fn follow(&self, event: &InstanceEvent) {
-        match event {
-            InstanceEvent::Ended(row) => self.end(row),
-            InstanceEvent::Began(row) => self.begin(row),
-            InstanceEvent::Leaving(_) => {}
-        }
-    }
+#[derive(Serialize)]
+struct StopWire {
+    task: String,
+    run: u64,
+    fencing_token: u64,
+}
 
-    fn begin(&self, row: &InstanceRow) {
-        let worker = Arc::new(MemoryWorker::open(worker_settings(row)));
-        let replaced = self.lock().insert(row.address.clone(), worker);
-        self.retire(replaced);
-    }
+#[derive(Serialize)]
+struct PaceWire {
+    task: String,
+    run: u64,
+    percent: u64,
+    fencing_token: u64,
+}
 
-    fn end(&self, row: &InstanceRow) {
-        let ended = self.lock().shift_remove(&row.address);
-        self.retire(ended);
-    }
+#[derive(Serialize)]
+struct HoldWire {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    until_ms: Option<u64>,
+    fencing_token: u64,
+    acked_through: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    wait_ms: u64,
+}
 
-    /// Kills what an instance that is gone still ran, and keeps its journal.
-    fn retire(&self, worker: Option<Arc<MemoryWorker>>) {
-        let Some(worker) = worker else { return };
-        worker.end_boot();
-        let mut retired = self.lock_retired();
-        for run in worker.journal().runs {
-            retired.push(run, JOURNAL_MAX_COUNT);
-        }
-    }
+// The signature is what the serializer asks for.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<SmolStr, Arc<MemoryWorker>>> {
-        self.by_address
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct AnswerWire {
+    clock_ms: Option<u64>,
+    reason: String,
+}
 
-    fn lock_retired(&self) -> MutexGuard<'_, Journal> {
-        self.retired.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+#[derive(Deserialize)]
+struct ListsWire {
+    clock_ms: u64,
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    running: Vec<serde_json::Value>,
+    #[serde(default)]
+    finished: Vec<serde_json::Value>,
+}
 
-    fn reach(&self, address: &str) -> Result<Arc<MemoryWorker>, PortError> {
-        self.at(address)
-            .ok_or_else(|| PortError::NotSent("unreachable".into()))
+async fn call(
+    client: &Client,
+    target: &Target,
+    path: &'static str,
+    body: &impl Serialize,
+    timeout_ms: u64,
+) -> Result<Reply, OrderFailure> {
+    let id = HeaderValue::from_str(&target.id).map_err(|_| OrderFailure::NotSent)?;
+    let body = serde_json::to_vec(body).map_err(|_| OrderFailure::NotSent)?;
+    let call = Call {
+        address: target.address,
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: vec![(INSTANCE_HEADER.clone(), id)],
+        body: Bytes::from(body),
+        timeout_ms,
+        answer_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let reply = client.call(call).await.map_err(|failure| match failure {
+        CallFailure::NotSent => OrderFailure::NotSent,
+        CallFailure::Lost => OrderFailure::Lost,
+    })?;
+    match reply.status {
+        200 => Ok(reply),
+        status => Err(failure_of(status, &reply.body)),
     }
 }
 
-impl WorkerPort for MemoryWorkers {
-    fn run(
-        &self,
-        address: &str,
-        request: &WorkerRequest,
-        timeout_ms: u64,
-        answer_max_bytes: u64,
-    ) -> WorkerOutcome {
-        let Some(worker) = self.at(address) else {
-            return WorkerOutcome::NotStarted(NotStarted::Unreachable);
-        };
-        let deadline = Instant::now() + Duration::from_millis(timeout_ms);
-        let (answer, fault) = match worker.run(request, deadline) {
-            Attempt::Answered(answer, fault) => (answer, fault),
-            Attempt::Refused(Refusal::NotStarted(reason)) => {
-                return WorkerOutcome::NotStarted(reason)
-            }
-            Attempt::Refused(Refusal::Unproved(loss)) | Attempt::Stopped(loss) => {
-                return loss.outcome()
-            }
-            Attempt::StillRunning => return Loss::TimedOut.outcome(),
-        };
-        if fault == AnswerFault::Silent {
-            worker.wait_for_sound(&request.attempt_id, deadline);
-            return Loss::TimedOut.outcome();
-        }
-        strike(answer, fault, answer_max_bytes).check(&request.attempt_id, answer_max_bytes)
+fn failure_of(status: u16, body: &[u8]) -> OrderFailure {
+    let wire: AnswerWire = serde_json::from_slice(body).unwrap_or_default();
+    match (status, wire.reason.as_str()) {
+        (409, "fence") => OrderFailure::Fenced,
+        (409, "old") => OrderFailure::Outdated,
+        (409, "late") => OrderFailure::Late,
+        (409, "room") => OrderFailure::NoRoom,
+        (409, "ticket") => OrderFailure::NoTicket,
+        (421, _) => OrderFailure::OtherLife,
+        (429 | 503, _) => OrderFailure::Unhealthy,
+        (400..=499, _) => OrderFailure::Invalid,
+        _ => OrderFailure::Lost,
     }
+}
 
-    fn cancel(&self, address: &str, attempt_id: &str) -> Result<bool, PortError> {
-        Ok(self.reach(address)?.cancel(attempt_id))
-    }
+fn clock_of(reply: &Reply) -> Option<u64> {
+    let wire: AnswerWire = serde_json::from_slice(&reply.body).unwrap_or_default();
+    wire.clock_ms
+}
 
-    fn status(&self, address: &str) -> Result<WorkerStatus, PortError> {
-        Ok(self.reach(address)?.status())
-    }
+/// Starts a task, and returns the worker's clock.
+pub async fn start(client: &Client, order: &StartOrder) -> Result<Option<u64>, OrderFailure> {
+    let body = StartWire {
+        task: order.name.to_string(),
+        run: order.run.run,
+        spec: &order.spec.payload,
+        until_ms: order.until_worker_ms,
+        fencing_token: order.target.fence,
+        checkpoint: &order.checkpoint,
+        ticket: order.ticket.as_ref(),
+    };
+    let path = "/hawthornladder/run-start";
+    let reply = call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    Ok(clock_of(&reply))
+}
 
-    fn drain(&self, address: &str, is_draining: bool) -> Result<(), PortError> {
-        self.reach(address)?.set_draining(is_draining);
-        Ok(())
-    }
+/// Stops a run.
+pub async fn stop(client: &Client, order: &StopOrder) -> Result<(), OrderFailure> {
+    let body = StopWire {
+        task: order.name.to_string(),
+        run: order.run_number,
+        fencing_token: order.target.fence,
+    };
+    let path = "/hawthornladder/run-stop";
+    call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    Ok(())
 }
 
-/// Does to an answer in memory what `fault` does to one on a connection.
-fn strike(mut answer: RawAnswer, fault: AnswerFault, answer_max_bytes: u64) -> RawAnswer {
-    match fault {
-        AnswerFault::None | AnswerFault::Silent => {}
-        AnswerFault::Crossed => answer.attempt_id = crossed_attempt_id(&answer.attempt_id),
-        AnswerFault::Truncated => answer.body = Arc::from(&answer.body[..answer.body.len() / 2]),
-        AnswerFault::Doubled => answer.body = Arc::from([&*answer.body, &*answer.body].concat()),
-        AnswerFault::Endless => answer.declared_bytes = answer_max_bytes.saturating_add(1),
-    }
-    answer
+/// Sets the pace of a run.
+pub async fn pace(client: &Client, order: &PaceOrder) -> Result<(), OrderFailure> {
+    let body = PaceWire {
+        task: order.name.to_string(),
+        run: order.run.run,
+        percent: order.percent,
+        fencing_token: order.target.fence,
+    };
+    let path = "/hawthornladder/pace";
+    call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    Ok(())
 }
 
-/// Returns an id of an attempt that is not `attempt_id`.
-pub(crate) fn crossed_attempt_id(attempt_id: &str) -> SmolStr {
-    SmolStr::new(format!("{attempt_id}-crossed"))
+/// Looks at a worker. The wire calls this a hold: it renews the lease of all runs there.
+pub async fn look(client: &Client, order: &LookOrder) -> Result<Look, OrderFailure> {
+    let body = HoldWire {
+        until_ms: order.until_worker_ms,
+        fencing_token: order.target.fence,
+        acked_through: order.settled_through,
+        wait_ms: order.wait_ms,
+    };
+    let path = "/hawthornladder/hold";
+    let timeout_ms = order.wait_ms + LOOK_TIMEOUT_MS;
+    let reply = call(client, &order.target, path, &body, timeout_ms).await?;
+    let lists: ListsWire =
+        serde_json::from_slice(&reply.body).map_err(|_| OrderFailure::Invalid)?;
+    Ok(Look {
+        clock_ms: lists.clock_ms,
+        born_unix_ms: lists.born,
+        running: lists.running.iter().filter_map(row_of).collect(),
+        ended: lists.finished.iter().filter_map(end_of).collect(),
+    })
 }
 
-/// Returns the settings of the worker that `row` lists.
-pub fn worker_settings(row: &InstanceRow) -> WorkerSettings {
-    WorkerSettings {
-        name: row.name.clone(),
-        incarnation: row.incarnation.clone(),
-        capacity: row.capacity,
-        slots_count: row.slots_count,
-        journal_max_count: JOURNAL_MAX_COUNT,
-    }
+/// Reads `[task, run, saved, percent]` and, if it is there, a rough figure.
+fn row_of(row: &serde_json::Value) -> Option<RunRow> {
+    let number = |at: usize| row.get(at).and_then(serde_json::Value::as_u64);
+    Some(RunRow {
+        name: TaskName::parse(row.get(0)?.as_str()?)?,
+        run_number: number(1)?,
+        checkpoint: row.get(2)?.as_str()?.into(),
+        percent: number(3).unwrap_or(0),
+        figure: number(4).unwrap_or(0),
+    })
 }
 
-/// The whole platform in memory.
-#[derive(Clone, Debug)]
-pub struct MemoryPlatform {
-    /// The log service.
-    pub log: MemoryLog,
-    /// The instance list.
-    pub instances: MemoryInstances,
-    /// The workers that the list names.
-    pub workers: MemoryWorkers,
-}
-
-impl MemoryPlatform {
-    /// Opens an empty log and a fleet of `rows` with a worker for each.
-    pub fn open(rows: Vec<InstanceRow>, limits: LogLimits) -> Self {
-        let workers = MemoryWorkers::open(&rows);
-        let followers = workers.clone();
-        let on_event = Arc::new(move |event: &InstanceEvent| followers.follow(event));
-        Self {
-            log: MemoryLog::open(limits),
-            instances: MemoryInstances::open(rows, on_event),
-            workers,
-        }
-    }
+/// Reads `[N, task, run, how, saved]`.
+fn end_of(row: &serde_json::Value) -> Option<RunEnd> {
+    Some(RunEnd {
+        number: row.get(0)?.as_u64()?,
+        name: TaskName::parse(row.get(1)?.as_str()?)?,
+        run_number: row.get(2)?.as_u64()?,
+        kind: row.get(3)?.as_str()?.parse().ok()?,
+        checkpoint: row
+            .get(4)
+            .and_then(serde_json::Value::as_str)
+            .unwrap_or("")
+            .into(),
+    })
 }
--- a/src/platform/instances_server.rs
+++ b/src/stand_in/instances_server.rs
@@ -9,11 +9,11 @@
 use crate::adapters::http_client::HttpCall;
 use crate::adapters::log_http::{service_call, ServiceTimeouts};
 use crate::fleet::InstanceRow;
-use crate::platform::http::{
+use crate::ports::InstancePort;
+use crate::stand_in::http::{
     done, either, failed, no_such_call, query_number, read_json, refused, RunningServer,
 };
-use crate::platform::instances::{InstanceEvent, MemoryInstances, OnInstanceEvent};
-use crate::ports::InstancePort;
+use crate::stand_in::instances::{InstanceEvent, MemoryInstances, OnInstanceEvent};
 
 /// Longest time that a worker may take to hear of a change.
 const WORKER_TIMEOUTS: ServiceTimeouts = ServiceTimeouts {
--- a/src/platform/local.rs
+++ b/src/stand_in/local.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     adapters::clock::SystemClock,
-    platform::{
+    ports::Platform,
+    stand_in::{
         instances::MemoryInstances,
         log::MemoryLog,
         workers::{MemoryPlatform, MemoryWorkers},
     },
-    ports::Platform,
 };
 
 /// A platform in memory with the clocks of the machine.
--- a/src/platform/log_server.rs
+++ b/src/stand_in/log_server.rs
@@ -5,11 +5,11 @@
 use rouille::{Request, Response};
 
 use crate::adapters::log_http::AppendAck;
-use crate::platform::http::{
+use crate::ports::LogPort;
+use crate::stand_in::http::{
     done, either, failed, no_such_call, query_number, read_json, RunningServer,
 };
-use crate::platform::log::MemoryLog;
-use crate::ports::LogPort;
+use crate::stand_in::log::MemoryLog;
 
 /// Serves `log` at `address`.
 pub fn serve_log(address: &str, log: MemoryLog) -> io::Result<RunningServer> {
--- a/src/platform/worker.rs
+++ b/src/stand_in/worker.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::adapters::worker_answer::{digest, Loss, RawAnswer};
-use crate::platform::journal::{Ending, Journal, UnixUs};
-use crate::platform::task::{TaskAnswer, TaskOrder};
-use crate::platform::worker_state::{
+use crate::ports::{WorkerRequest, WorkerStatus};
+use crate::stand_in::journal::{Ending, Journal, UnixUs};
+use crate::stand_in::task::{TaskAnswer, TaskOrder};
+use crate::stand_in::worker_state::{
     AnswerFault, Refusal, WorkerFaults, WorkerSettings, WorkerState,
 };
-use crate::ports::{WorkerRequest, WorkerStatus};
 
 /// Longest time that a wait goes on without looking at the state again.
 const WAIT_STEP_MAX: Duration = Duration::from_millis(500);
--- a/src/platform/worker_server.rs
+++ b/src/stand_in/worker_server.rs
@@ -14,13 +14,13 @@
     X_START_BEFORE_MS, X_SUCCESS, X_TEAM,
 };
 use crate::fleet::{InstanceRow, Resources};
-use crate::platform::http::{
+use crate::ports::{NotStarted, WorkerRequest};
+use crate::stand_in::http::{
     done, either, no_such_call, query_number, read_body, read_json, refused, RunningServer,
 };
-use crate::platform::worker::{Attempt, MemoryWorker};
-use crate::platform::worker_state::{AnswerFault, Refusal};
-use crate::platform::workers::{crossed_attempt_id, worker_settings};
-use crate::ports::{NotStarted, WorkerRequest};
+use crate::stand_in::worker::{Attempt, MemoryWorker};
+use crate::stand_in::worker_state::{AnswerFault, Refusal};
+use crate::stand_in::workers::{crossed_attempt_id, worker_settings};
 
 /// Largest body of a request.
 pub const BODY_MAX_BYTES: u64 = 64 * 1_024 * 1_024;
--- a/src/platform/worker_state.rs
+++ b/src/stand_in/worker_state.rs
@@ -9,9 +9,9 @@
 
 use crate::adapters::worker_answer::Loss;
 use crate::fleet::{Resources, UnixMs};
-use crate::platform::journal::{Ending, Journal, Run, UnixUs};
-use crate::platform::task::TaskOrder;
 use crate::ports::{NotStarted, WorkerRequest, WorkerStatus};
+use crate::stand_in::journal::{Ending, Journal, Run, UnixUs};
+use crate::stand_in::task::TaskOrder;
 
 /// Microseconds in a millisecond.
 pub(crate) const US_PER_MS: u64 = 1_000;
--- a/src/standalone/account.rs
+++ b/src/standalone/account.rs
@@ -6,7 +6,7 @@
 use crate::{
     adapters::callers_client::{ReceivedAnswer, STATUS_DONE},
     error::RunState,
-    platform::{
+    stand_in::{
         journal::{Ending, Run},
         task::TaskAnswer,
     },
--- a/src/standalone/mod.rs
+++ b/src/standalone/mod.rs
@@ -27,12 +27,12 @@
     ledger::{KeyRow, ListsPatch, OperatorChange},
     lists::Lists,
     operator::{LedgerReader, Settled},
-    platform::{
+    ports::{Clock, Platform},
+    settings,
+    stand_in::{
         http::RunningServer, local::LocalPlatform, log::LogLimits, log_server::serve_log,
         workers::MemoryPlatform,
     },
-    ports::{Clock, Platform},
-    settings,
     standalone::{
         account::Account,
         plan::{ExampleRequest, PlanInput},
--- a/src/standalone/plan.rs
+++ b/src/standalone/plan.rs
@@ -12,7 +12,7 @@
     fleet::{Resources, TeamName, UnixMs},
     fleet_file::{DemandStream, FleetFile},
     lists::Lists,
-    platform::task::TaskOrder,
+    stand_in::task::TaskOrder,
 };
 
 /// Deadline of each request, in milliseconds.
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -12,8 +12,8 @@
 use attohttpc::Method;
 use hawthornladder::entry::EntryStatus;
 use hawthornladder::examples::LAHORE;
-use hawthornladder::platform::journal::peak_running_by_team;
 use hawthornladder::ports::InstancePage;
+use hawthornladder::stand_in::journal::peak_running_by_team;
 use serde_json::Value;
 
 use crate::calling::{http, Call, Reply};
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -9,7 +9,7 @@
 use hawthornladder::load::live::faults::{self, Fault, MixedSettings};
 use hawthornladder::load::live::outcome::{End, Outcome};
 use hawthornladder::load::live::schedule::{self, Arrivals, Mix, ScheduleSettings, Shot};
-use hawthornladder::platform::journal::{Ending, Run};
+use hawthornladder::stand_in::journal::{Ending, Run};
 use indexmap::IndexMap;
 use serde_json::Value;
 
--- a/tests/testsuite/platform_instances.rs
+++ b/tests/testsuite/platform_instances.rs
@@ -9,16 +9,16 @@
 use hawthornladder::adapters::log_http::ServiceTimeouts;
 use hawthornladder::adapters::workers_http::HttpWorkers;
 use hawthornladder::fleet::{InstanceRow, Resources};
-use hawthornladder::platform::instances::{InstanceFaults, MemoryInstances};
-use hawthornladder::platform::instances_server::{serve_instances, tell_workers};
-use hawthornladder::platform::journal::Ending;
-use hawthornladder::platform::log::LogLimits;
-use hawthornladder::platform::worker::MemoryWorker;
-use hawthornladder::platform::worker_server::serve_worker;
-use hawthornladder::platform::workers::{worker_settings, MemoryPlatform};
 use hawthornladder::ports::{
     InstancePort, NotStarted, PortError, TaskStop, WorkerOutcome, WorkerPort, WorkerRequest,
 };
+use hawthornladder::stand_in::instances::{InstanceFaults, MemoryInstances};
+use hawthornladder::stand_in::instances_server::{serve_instances, tell_workers};
+use hawthornladder::stand_in::journal::Ending;
+use hawthornladder::stand_in::log::LogLimits;
+use hawthornladder::stand_in::worker::MemoryWorker;
+use hawthornladder::stand_in::worker_server::serve_worker;
+use hawthornladder::stand_in::workers::{worker_settings, MemoryPlatform};
 
 use crate::platform_workers::attempt;
 
@@ -156,7 +156,7 @@
     list: &MemoryInstances,
     port: impl WorkerPort + Clone + 'static,
     address: &str,
-    runs: &dyn Fn() -> Vec<hawthornladder::platform::journal::Run>,
+    runs: &dyn Fn() -> Vec<hawthornladder::stand_in::journal::Run>,
 ) {
     let order = br#"{"run_ms":10000}"#;
     let task = start_long_task(port.clone(), address, attempt("a1", order));
--- a/tests/testsuite/platform_links.rs
+++ b/tests/testsuite/platform_links.rs
@@ -11,16 +11,16 @@
 use hawthornladder::adapters::instances_http::HttpInstances;
 use hawthornladder::adapters::log_http::{HttpLog, ServiceTimeouts};
 use hawthornladder::adapters::workers_http::HttpWorkers;
-use hawthornladder::platform::http::RunningServer;
-use hawthornladder::platform::log::LogFaults;
-use hawthornladder::platform::task::TaskAnswer;
-use hawthornladder::platform::worker::MemoryWorker;
-use hawthornladder::platform::worker_server::serve_worker;
-use hawthornladder::platform::workers::worker_settings;
 use hawthornladder::ports::{
     InstancePort, LogPort, NotStarted, PortError, TaskStop, WorkerOutcome, WorkerPort,
     WorkerRequest,
 };
+use hawthornladder::stand_in::http::RunningServer;
+use hawthornladder::stand_in::log::LogFaults;
+use hawthornladder::stand_in::task::TaskAnswer;
+use hawthornladder::stand_in::worker::MemoryWorker;
+use hawthornladder::stand_in::worker_server::serve_worker;
+use hawthornladder::stand_in::workers::worker_settings;
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 
--- a/tests/testsuite/platform_log.rs
+++ b/tests/testsuite/platform_log.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use hawthornladder::adapters::log_http::{HttpLog, ServiceTimeouts};
-use hawthornladder::platform::http::RunningServer;
-use hawthornladder::platform::log::{LogFaults, LogLimits, MemoryLog, APPEND_MAX_BYTES};
-use hawthornladder::platform::log_server::serve_log;
 use hawthornladder::ports::{LogPort, PortError};
+use hawthornladder::stand_in::http::RunningServer;
+use hawthornladder::stand_in::log::{LogFaults, LogLimits, MemoryLog, APPEND_MAX_BYTES};
+use hawthornladder::stand_in::log_server::serve_log;
 
 use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
 
--- a/tests/testsuite/platform_worker_state.rs
+++ b/tests/testsuite/platform_worker_state.rs
@@ -1,9 +1,9 @@
 //! Properties of the stand-in worker's state machine over random orders of attempts, cancellations,
 //! freezes and reboots.
 
-use hawthornladder::platform::journal::peak_running_by_team;
-use hawthornladder::platform::worker_state::{WorkerFaults, WorkerState};
-use hawthornladder::platform::workers::worker_settings;
+use hawthornladder::stand_in::journal::peak_running_by_team;
+use hawthornladder::stand_in::worker_state::{WorkerFaults, WorkerState};
+use hawthornladder::stand_in::workers::worker_settings;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/tests/testsuite/platform_workers.rs
+++ b/tests/testsuite/platform_workers.rs
@@ -8,16 +8,16 @@
 use hawthornladder::adapters::clock::SystemClock;
 use hawthornladder::adapters::workers_http::HttpWorkers;
 use hawthornladder::fleet::Resources;
-use hawthornladder::platform::http::RunningServer;
-use hawthornladder::platform::journal::{runs_by_request, Ending};
-use hawthornladder::platform::task::TaskAnswer;
-use hawthornladder::platform::worker::MemoryWorker;
-use hawthornladder::platform::worker_server::serve_worker;
-use hawthornladder::platform::worker_state::{AnswerFault, WorkerFaults};
-use hawthornladder::platform::workers::{worker_settings, MemoryWorkers};
 use hawthornladder::ports::{
     Clock, NotStarted, TaskStop, WorkerOutcome, WorkerPort, WorkerRequest,
 };
+use hawthornladder::stand_in::http::RunningServer;
+use hawthornladder::stand_in::journal::{runs_by_request, Ending};
+use hawthornladder::stand_in::task::TaskAnswer;
+use hawthornladder::stand_in::worker::MemoryWorker;
+use hawthornladder::stand_in::worker_server::serve_worker;
+use hawthornladder::stand_in::worker_state::{AnswerFault, WorkerFaults};
+use hawthornladder::stand_in::workers::{worker_settings, MemoryWorkers};
 
 use crate::platform_instances::row;
 
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -14,7 +14,7 @@
 use attohttpc::Method;
 use hawthornladder::adapters::http_client::HttpCall;
 use hawthornladder::adapters::log_http::{service_call, ServiceTimeouts};
-use hawthornladder::platform::journal::{Journal, Run};
+use hawthornladder::stand_in::journal::{Journal, Run};
 use serde::Serialize;
 
 /// Longest time that a process may take to start or to end.
--- a/tests/testsuite/promises_answers.rs
+++ b/tests/testsuite/promises_answers.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornladder::fleet::InstanceRow;
-use hawthornladder::platform::task::TaskAnswer;
+use hawthornladder::stand_in::task::TaskAnswer;
 use serde_json::json;
 
 use crate::calling::{Call, Reply};
--- a/tests/testsuite/promises_instances.rs
+++ b/tests/testsuite/promises_instances.rs
@@ -8,7 +8,7 @@
 
 use attohttpc::Method;
 use hawthornladder::fleet::InstanceRow;
-use hawthornladder::platform::journal::Ending;
+use hawthornladder::stand_in::journal::Ending;
 use serde_json::json;
 
 use crate::calling::Call;
--- a/tests/testsuite/promises_limits.rs
+++ b/tests/testsuite/promises_limits.rs
@@ -8,7 +8,7 @@
 
 use hawthornladder::entry::Event;
 use hawthornladder::lists::Lists;
-use hawthornladder::platform::journal::{peak_running_by_team, Run};
+use hawthornladder::stand_in::journal::{peak_running_by_team, Run};
 
 use serde_json::json;
 use uuid::Uuid;
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hawthornladder::error::{ErrorKind, RunState};
-use hawthornladder::platform::journal::Run;
+use hawthornladder::stand_in::journal::Run;
 use serde_json::json;
 use uuid::Uuid;
 
--- a/tests/testsuite/promises_recovery.rs
+++ b/tests/testsuite/promises_recovery.rs
@@ -6,8 +6,8 @@
 use hawthornladder::error::{ErrorKind, RunState};
 use hawthornladder::ledger::{OperatorChange, OperatorProposal, Record};
 use hawthornladder::operator::LedgerReader;
-use hawthornladder::platform::log::{LogLimits, MemoryLog};
 use hawthornladder::ports::LogPort;
+use hawthornladder::stand_in::log::{LogLimits, MemoryLog};
 
 use serde_json::{json, Value};
 use uuid::Uuid;
--- a/tests/testsuite/promises_single_run.rs
+++ b/tests/testsuite/promises_single_run.rs
@@ -8,8 +8,8 @@
 
 use attohttpc::Method;
 use hawthornladder::error::RunState;
-use hawthornladder::platform::journal::runs_by_request;
-use hawthornladder::platform::task::TaskAnswer;
+use hawthornladder::stand_in::journal::runs_by_request;
+use hawthornladder::stand_in::task::TaskAnswer;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
--- a/tests/testsuite/promises_small.rs
+++ b/tests/testsuite/promises_small.rs
@@ -8,8 +8,8 @@
 
 use attohttpc::Method;
 use hawthornladder::fleet::InstanceRow;
-use hawthornladder::platform::journal::{Ending, Run};
 use hawthornladder::ports::InstancePage;
+use hawthornladder::stand_in::journal::{Ending, Run};
 use serde_json::{json, Value};
 
 use crate::calling::{Call, Reply};
