--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -74,8 +74,9 @@
     pub connections_max: usize,
 }
 
-/// Ends a server.
+/// Ends a server. The server also ends when the last of these is dropped.
 #[derive(Clone)]
+#[must_use = "the server ends when this is dropped"]
 pub struct ServerStop {
     sender: Rc<watch::Sender<bool>>,
     connections_count: Rc<Cell<usize>>,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -116,6 +116,8 @@
     node: Rc<Node>,
     callers: ServerStop,
     peers: ServerStop,
+    /// Servers of the readiness probe and the metrics, which end with the process.
+    _probes: [ServerStop; 2],
 }
 
 impl NodeHandle {
@@ -150,8 +152,10 @@
             .with("incarnation", &incarnation)
             .with("version", env!("CARGO_PKG_VERSION"))
             .info();
-        calls::serve_ready(&node).await?;
-        calls::serve_metrics(&node).await?;
+        let probes = [
+            calls::serve_ready(&node).await?,
+            calls::serve_metrics(&node).await?,
+        ];
         let peers = peers::serve(&node).await?;
         let callers = calls::serve_callers(&node).await?;
         tokio::task::spawn_local(lists::follow(Rc::clone(&node)));
@@ -161,6 +165,7 @@
             node,
             callers,
             peers,
+            _probes: probes,
         })
     }
 
