Let the leases of silent workers lapse, and keep those of adopted runs

A job whose end was not on record was shown as queued (found by the new tests). Ruled out: the list of workers, the fence, late orders. Tests: tests/testsuite/jobs. Also: calls of unknown outcome are asked again of the next leader, since all are idempotent by id; log lines go out in pieces that a pipe takes whole.

--- a/src/jobs/intake.rs
+++ b/src/jobs/intake.rs
@@ -137,7 +137,9 @@
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
         let job = self.job(*self.job_keys.get(&id)?);
         let shown = match (job.recorded_state, job.state) {
-            (JobState::Queued, JobState::Active) => JobState::Active,
+            (JobState::Queued, JobState::Active | JobState::Complete | JobState::Failed) => {
+                JobState::Active
+            }
             (recorded, _) => recorded,
         };
         job.is_recorded.then_some(shown)
--- a/src/jobs/looks.rs
+++ b/src/jobs/looks.rs
@@ -51,10 +51,12 @@
         let worker = self.worker_mut(key);
         let is_settled = worker.settles_with.is_none();
         let has_runs = !worker.slots.is_empty();
+        // A worker that does not answer may still hear; its leases have to lapse in the end.
+        let is_renewal = has_runs && worker.silent_count == 0;
         let until_worker_ms = worker
             .worker_time_ms(now_ms)
             .map(|time_ms| time_ms + lease_ms)
-            .filter(|_| has_runs);
+            .filter(|_| is_renewal);
         if let Some(until_ms) = until_worker_ms {
             worker.let_until_worker_ms = worker.let_until_worker_ms.max(until_ms);
         }
@@ -420,11 +422,13 @@
             task.runs.push((key, run.run));
             task.started_ms = now_ms;
         });
-        self.put_slot(
-            key,
-            run,
-            new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms),
-        );
+        let lease_ms = self.settings.run_lease_ms;
+        let worker = self.worker_mut(key);
+        // Who started it may have let it run for this long.
+        let until_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
+        worker.let_until_worker_ms = worker.let_until_worker_ms.max(until_worker_ms);
+        let slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
+        self.put_slot(key, run, slot);
         Event::new("run_adopted")
             .with("task", self.task_name(run.task))
             .with("run", run.run)
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -31,6 +31,8 @@
 
 /// Most bytes of log lines that wait for the next flush.
 const BUFFER_MAX_BYTES: usize = 192 * 1_024;
+/// Bytes of one write to the standard output, which a pipe takes whole.
+const PIECE_BYTES: usize = 4_096;
 /// Flushed buffers that may wait for the standard output.
 const CHUNKS_MAX: usize = 8;
 
@@ -84,8 +86,10 @@
         let writer = thread::spawn(move || {
             for chunk in received {
                 let mut out = io::stdout().lock();
-                // Nobody is left to tell when the standard output is closed.
-                let _ = out.write_all(&chunk).and_then(|()| out.flush());
+                for piece in chunk.chunks(PIECE_BYTES) {
+                    // Nobody is left to tell when the standard output is closed.
+                    let _ = out.write_all(piece).and_then(|()| out.flush());
+                }
             }
         });
         Ok(Self {
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -43,6 +43,7 @@
 /// Follows the topic for as long as the process runs.
 pub(crate) async fn follow(node: Rc<Node>) {
     let mut must_read_newest = true;
+    let mut is_away = false;
     loop {
         let offset = node.leadership.borrow().end_offset();
         let read = match must_read_newest {
@@ -62,6 +63,10 @@
         match read {
             Ok((records, next_offset)) => {
                 must_read_newest = false;
+                if is_away {
+                    is_away = false;
+                    Event::new("store_back").with("topic", "lead").info();
+                }
                 let now_ms = node.now_ms();
                 node.leadership
                     .borrow_mut()
@@ -71,7 +76,13 @@
             }
             Err(StoreFailure::Trimmed { .. }) => must_read_newest = true,
             Err(failure) => {
-                Event::new("lease_unread").with("failure", failure).warn();
+                if !is_away {
+                    is_away = true;
+                    Event::new("store_away")
+                        .with("topic", "lead")
+                        .with("failure", failure)
+                        .warn();
+                }
                 node.leadership.borrow_mut().contact_lost();
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -41,7 +41,7 @@
 use leader::Leading;
 
 /// Time between two flushes of the log, in milliseconds.
-const FLUSH_MS: u64 = 250;
+const FLUSH_MS: u64 = 100;
 /// Part of the bound on withdrawn keys after which a node without newer proof refuses keyed calls, in
 /// thousandths.
 const LISTS_AGE_PERMILLE: u64 = 550;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -23,6 +23,8 @@
 const ANSWER_MAX_BYTES: usize = 4_096;
 /// Most connections of peers.
 const CONNECTIONS_MAX: usize = 512;
+/// Time after which a call of unknown outcome is asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 150;
 /// Longest time that the leader lets a call wait for its record, in milliseconds.
 const RECORD_WAIT_MS: u64 = 2_400;
 
@@ -131,8 +133,33 @@
     Begun::Waiting(receiver)
 }
 
-/// Has a call answered by the leader, be it this node or another, within `timeout_ms`.
+/// Has a call answered by the leader, be it this node or another, within `timeout_ms`. Every call is
+/// idempotent by the id of its job, so that one of unknown outcome is asked again, of the next leader
+/// if need be.
 pub(crate) async fn ask_leader(node: &Rc<Node>, call: PeerCall, timeout_ms: u64) -> CallAnswer {
+    let until_ms = node.now_ms() + timeout_ms;
+    let mut is_doubtful = false;
+    loop {
+        let left_ms = until_ms.saturating_sub(node.now_ms());
+        let answer = ask_once(node, call.clone(), left_ms).await;
+        is_doubtful |= answer == CallAnswer::OutcomeUnknown;
+        let is_settled = match answer {
+            CallAnswer::OutcomeUnknown => false,
+            // Once a try is of unknown outcome, a refusal of another does not say that nothing ran.
+            CallAnswer::Refused(_) => !is_doubtful,
+            _ => true,
+        };
+        if is_settled {
+            return answer;
+        }
+        if node.now_ms() + ASK_AGAIN_MS >= until_ms {
+            return CallAnswer::OutcomeUnknown;
+        }
+        tokio::time::sleep(Duration::from_millis(ASK_AGAIN_MS)).await;
+    }
+}
+
+async fn ask_once(node: &Rc<Node>, call: PeerCall, timeout_ms: u64) -> CallAnswer {
     let role = node.leadership.borrow().role(node.now_ms());
     match role {
         Role::Leader { .. } => {
--- /dev/null
+++ b/tests/testsuite/jobs/plant.rs
@@ -0,0 +1,644 @@
+//! An engine with workers in memory, in virtual time. Workers run what they are told, list it, and end
+//! it; each can be silenced, crashed or reborn. After every step the plant checks what must always
+//! hold: no task runs twice, no worker holds more than it has room for, no team has more than its
+//! limit, no step starts before those it waits for.
+
+use std::collections::{HashMap, HashSet};
+
+use hawthornladder::jobs::{
+    Action, Catalog, EndKind, Engine, EngineSettings, InstanceOrder, InstanceSheet, InstanceState,
+    Intake, JobId, JobSpec, JobState, Look, LookOrder, OrderFailure, Pool, Queue, Record, RunEnd,
+    RunRow, Settled, Size, StartOrder, StepSpec, StopOrder, Submission, TaskName, Team,
+    WorkerSheet,
+};
+use indexmap::IndexMap;
+use smol_str::{format_smolstr, SmolStr};
+
+/// Length of a step of virtual time, in milliseconds.
+pub(crate) const STEP_MS: u64 = 10;
+/// Unix time at which the plant begins, in milliseconds.
+pub(crate) const UNIX_MS: u64 = 1_700_000_000_000;
+/// Time that a stop takes at a worker, in milliseconds.
+const STOP_MS: u64 = 100;
+/// Time that records take to be kept, in milliseconds.
+const KEEP_MS: u64 = 10;
+
+/// What a worker runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) room: Size,
+    pub(crate) team: SmolStr,
+    pub(crate) ends_ms: u64,
+    pub(crate) end: EndKind,
+}
+
+/// One worker in memory.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) sheet: WorkerSheet,
+    pub(crate) running: IndexMap<(TaskName, u64), Running>,
+    pub(crate) ended: Vec<RunEnd>,
+    pub(crate) barred: HashSet<(TaskName, u64)>,
+    pub(crate) fence: u64,
+    pub(crate) next_number: u64,
+    pub(crate) until_ms: u64,
+    /// It neither hears nor answers.
+    pub(crate) is_cut: bool,
+    /// It hears, and its answers are lost.
+    pub(crate) is_mute: bool,
+    /// It is gone for good.
+    pub(crate) is_dead: bool,
+}
+
+impl FakeWorker {
+    fn end(&mut self, key: (TaskName, u64), kind: EndKind) {
+        self.running.swap_remove(&key);
+        self.next_number += 1;
+        self.barred.insert(key);
+        self.ended.push(RunEnd {
+            number: self.next_number,
+            name: key.0,
+            run_number: key.1,
+            kind,
+            checkpoint: SmolStr::default(),
+        });
+    }
+
+    /// Begins a new life under the same id.
+    pub(crate) fn reborn(&mut self, born_unix_ms: u64) {
+        self.running.clear();
+        self.ended.clear();
+        self.barred.clear();
+        self.fence = 0;
+        self.next_number = 0;
+        self.until_ms = 0;
+        self.sheet.born_unix_ms = born_unix_ms;
+        self.is_cut = false;
+        self.is_dead = false;
+    }
+}
+
+/// The engine with its workers, its store and its time.
+pub(crate) struct Plant {
+    pub(crate) engine: Engine,
+    pub(crate) now_ms: u64,
+    pub(crate) workers: IndexMap<SmolStr, FakeWorker>,
+    pub(crate) instances: IndexMap<SmolStr, InstanceSheet>,
+    pub(crate) catalog: Catalog,
+    /// Records that are kept, by key.
+    pub(crate) kept: IndexMap<SmolStr, Vec<u8>>,
+    pub(crate) is_store_away: bool,
+    pub(crate) accepted: Vec<JobId>,
+    pub(crate) orders: Vec<InstanceOrder>,
+    pub(crate) paces: Vec<(TaskName, u64)>,
+    /// Tails that endless tasks show at each worker, in milliseconds.
+    pub(crate) tails_ms: HashMap<SmolStr, u64>,
+    /// Run time by task, where it differs from the estimate.
+    pub(crate) run_ms: HashMap<TaskName, u64>,
+    /// How runs end, where it is not as done.
+    pub(crate) fails: HashSet<TaskName>,
+    pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
+    looks: Vec<(LookOrder, u64)>,
+    keeping: Option<(Vec<Record>, u64)>,
+    arrivals: Vec<(u64, WorkerSheet)>,
+    done: HashSet<TaskName>,
+    specs: HashMap<JobId, (JobSpec, SmolStr)>,
+}
+
+/// Returns a size of processors and memory.
+pub(crate) fn size(cpu_millis: u64, memory_mb: u64) -> Size {
+    Size {
+        cpu_millis,
+        memory_mb,
+        gpu_count: 0,
+    }
+}
+
+/// Returns a step of `tasks_count` plain tasks.
+pub(crate) fn step(tasks_count: u32, cpu_millis: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks_count,
+        size: size(cpu_millis, 100),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a step of tasks that run until the job is cancelled.
+pub(crate) fn endless(tasks_count: u32, cpu_millis: u64) -> StepSpec {
+    StepSpec {
+        is_endless: true,
+        ..step(tasks_count, cpu_millis, 100)
+    }
+}
+
+/// Returns a job of steps.
+pub(crate) fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        payload: "work".to_owned(),
+        steps,
+        recurrence: None,
+    }
+}
+
+/// Returns lists with one queue and pool for each name, and a standby pool.
+pub(crate) fn catalog(pools: &[&str]) -> Catalog {
+    let mut catalog = Catalog {
+        version: 1,
+        ..Catalog::default()
+    };
+    for pool in pools {
+        let name: SmolStr = (*pool).into();
+        let queue = Queue {
+            name: name.clone(),
+            pool: name.clone(),
+            attempts_max: 3,
+            slack_factor: 1.6,
+            target_latency_ms: 600,
+            ..Queue::default()
+        };
+        catalog.queues.insert(name.clone(), queue);
+        catalog.pools.insert(name, Pool::default());
+    }
+    let standby = Pool {
+        is_standby: true,
+        ..Pool::default()
+    };
+    catalog.pools.insert("standby".into(), standby);
+    catalog.teams.insert(
+        "team".into(),
+        Team {
+            name: "team".into(),
+            weight: 1.0,
+            limit: Size::default(),
+        },
+    );
+    catalog
+}
+
+/// Returns the settings of a leader.
+pub(crate) fn settings(fence: u64) -> EngineSettings {
+    EngineSettings {
+        fence,
+        run_lease_ms: 4_000,
+        look_wait_ms: 800,
+        stop_ms: 200,
+        inherited_clear_ms: if fence == 1 { 0 } else { 10_200 },
+        keep_ended_ms: 120_000,
+        move_ms: 1_500,
+        maintain_ms: 2_000,
+        away_notice_ms: 4_500,
+        instance_lease_ms: if fence == 1 { 0 } else { 3_000 },
+    }
+}
+
+impl Plant {
+    /// Opens a plant with `count` workers of 32 cores in each pool.
+    pub(crate) fn open(pools: &[&str], count: usize) -> Self {
+        let catalog = catalog(pools);
+        let mut plant = Self {
+            engine: Engine::open(settings(1), catalog.clone(), 1_000, UNIX_MS),
+            now_ms: 1_000,
+            workers: IndexMap::new(),
+            instances: IndexMap::new(),
+            catalog,
+            kept: IndexMap::new(),
+            is_store_away: false,
+            accepted: Vec::new(),
+            orders: Vec::new(),
+            paces: Vec::new(),
+            tails_ms: HashMap::new(),
+            run_ms: HashMap::new(),
+            fails: HashSet::new(),
+            starts: Vec::new(),
+            looks: Vec::new(),
+            keeping: None,
+            arrivals: Vec::new(),
+            done: HashSet::new(),
+            specs: HashMap::new(),
+        };
+        for pool in pools {
+            for number in 0..count {
+                plant.add_instance(&format_smolstr!("{pool}-{number}"), pool);
+            }
+        }
+        plant.list_all();
+        plant.advance(200);
+        plant
+    }
+
+    /// Adds an instance, with a worker unless its pool stands by.
+    pub(crate) fn add_instance(&mut self, name: &SmolStr, pool: &str) {
+        let rack: SmolStr = format_smolstr!("r1-{}", self.instances.len() / 4);
+        let sheet = InstanceSheet {
+            name: name.clone(),
+            pool: pool.into(),
+            state: InstanceState::Up,
+            labels: vec!["a".into(), rack],
+            capacity: size(32_000, 128_000),
+            worker: None,
+        };
+        self.instances.insert(name.clone(), sheet);
+        let is_standby = self
+            .catalog
+            .pools
+            .get(pool)
+            .is_some_and(|pool| pool.is_standby);
+        if !is_standby {
+            self.add_worker(name, pool, 0);
+        }
+    }
+
+    fn add_worker(&mut self, instance: &SmolStr, pool: &str, life: u64) {
+        let id = format_smolstr!("w-{instance}-{life}");
+        let row = &mut self.instances[instance];
+        row.worker = Some(id.clone());
+        let sheet = WorkerSheet {
+            id: id.clone(),
+            born_unix_ms: UNIX_MS + self.now_ms,
+            address: ([10, 0, 0, 1], 8_000).into(),
+            pool: pool.into(),
+            zone: "a".into(),
+            labels: row.labels.clone(),
+            capacity: row.capacity,
+            is_draining: false,
+            instance: Some(instance.clone()),
+        };
+        let worker = FakeWorker {
+            sheet,
+            running: IndexMap::new(),
+            ended: Vec::new(),
+            barred: HashSet::new(),
+            fence: 0,
+            next_number: 0,
+            until_ms: 0,
+            is_cut: false,
+            is_mute: false,
+            is_dead: false,
+        };
+        self.workers.insert(id, worker);
+    }
+
+    /// Lists all workers and instances to the engine.
+    pub(crate) fn list_all(&mut self) {
+        for worker in self.workers.values().filter(|worker| !worker.is_dead) {
+            self.engine.worker_listed(worker.sheet.clone(), self.now_ms);
+        }
+        let sheets = self.instances.values().cloned().collect();
+        self.engine
+            .instances_listed(sheets, self.now_ms, self.now_ms);
+    }
+
+    /// Hands a job of the team in and returns its id.
+    pub(crate) fn submit(&mut self, queue: &str, spec: JobSpec) -> JobId {
+        let id = JobId(u64::try_from(self.specs.len()).expect("small") + 1);
+        self.specs.insert(id, (spec.clone(), "team".into()));
+        let intake = self.engine.submit(Submission {
+            id,
+            queue: queue.into(),
+            team: "team".into(),
+            spec,
+        });
+        assert_eq!(intake, Intake::Pending);
+        id
+    }
+
+    pub(crate) fn state(&self, id: JobId) -> Option<JobState> {
+        self.engine.job_state(id)
+    }
+
+    /// Returns all runs of a job, with the ids of their workers.
+    pub(crate) fn runs_of(&self, id: JobId) -> Vec<(SmolStr, TaskName, u64)> {
+        let mut runs = Vec::new();
+        for (worker, state) in &self.workers {
+            let of_job = state.running.keys().filter(|(name, _)| name.job == id);
+            runs.extend(of_job.map(|(name, run)| (worker.clone(), *name, *run)));
+        }
+        runs
+    }
+
+    /// Replaces the engine by that of another leader, who knows only what was kept.
+    pub(crate) fn take_over(&mut self, fence: u64) {
+        let unix_ms = UNIX_MS + self.now_ms;
+        self.engine = Engine::open(settings(fence), self.catalog.clone(), self.now_ms, unix_ms);
+        self.looks.clear();
+        self.keeping = None;
+        let records = self
+            .kept
+            .iter()
+            .filter_map(|(key, value)| Record::decode(key, value))
+            .collect();
+        self.engine.restore(records);
+        self.list_all();
+    }
+
+    /// Lets time pass.
+    pub(crate) fn advance(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            self.step();
+        }
+    }
+
+    /// Lets time pass until `is_met`, and fails after `within_ms`.
+    pub(crate) fn advance_until(&mut self, within_ms: u64, is_met: impl Fn(&Self) -> bool) {
+        let until_ms = self.now_ms + within_ms;
+        while !is_met(self) {
+            assert!(self.now_ms < until_ms, "not met within {within_ms} ms");
+            self.advance(STEP_MS);
+        }
+    }
+
+    fn step(&mut self) {
+        self.end_runs();
+        self.bring_arrivals();
+        self.answer_looks();
+        self.keep_records();
+        self.engine.advance(self.now_ms, UNIX_MS + self.now_ms);
+        for action in self.engine.take_actions() {
+            self.carry_out(action);
+        }
+        self.check();
+    }
+
+    fn end_runs(&mut self) {
+        let now_ms = self.now_ms;
+        for worker in self.workers.values_mut() {
+            let has_lapsed = now_ms >= worker.until_ms;
+            let due: Vec<_> = worker
+                .running
+                .iter()
+                .filter(|(_, run)| has_lapsed || now_ms >= run.ends_ms)
+                .map(|(key, run)| (*key, run.end))
+                .collect();
+            for (key, end) in due {
+                let kind = if has_lapsed { EndKind::Lapsed } else { end };
+                worker.end(key, kind);
+                if kind == EndKind::Done {
+                    self.done.insert(key.0);
+                }
+            }
+        }
+    }
+
+    fn bring_arrivals(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<WorkerSheet> = self
+            .arrivals
+            .iter()
+            .filter(|(at_ms, _)| *at_ms <= now_ms)
+            .map(|(_, sheet)| sheet.clone())
+            .collect();
+        self.arrivals.retain(|(at_ms, _)| *at_ms > now_ms);
+        for sheet in due {
+            let instance = sheet.instance.clone().expect("set below");
+            let pool = sheet.pool.clone();
+            self.instances[&instance].state = InstanceState::Up;
+            self.add_worker(&instance, &pool, now_ms);
+            self.list_all();
+        }
+    }
+
+    fn answer_looks(&mut self) {
+        let now_ms = self.now_ms;
+        for (order, due_ms) in std::mem::take(&mut self.looks) {
+            let worker = &self.workers[&order.target.id];
+            let has_news = worker
+                .ended
+                .iter()
+                .any(|end| end.number > order.settled_through);
+            match () {
+                () if worker.is_cut || worker.is_dead || worker.is_mute => {
+                    if now_ms >= due_ms {
+                        let failure = OrderFailure::Lost;
+                        self.engine.look_failed(&order, failure, now_ms);
+                    } else {
+                        self.looks.push((order, due_ms));
+                    }
+                }
+                () if has_news || now_ms >= due_ms => {
+                    let look = self.look_at(&order);
+                    self.engine.look_answered(&order, look, now_ms);
+                }
+                () => self.looks.push((order, due_ms)),
+            }
+        }
+    }
+
+    fn look_at(&self, order: &LookOrder) -> Look {
+        let worker = &self.workers[&order.target.id];
+        let tail_ms = self.tails_ms.get(&order.target.id).copied().unwrap_or(0);
+        Look {
+            clock_ms: self.now_ms,
+            born_unix_ms: worker.sheet.born_unix_ms,
+            running: worker
+                .running
+                .keys()
+                .map(|(name, run_number)| RunRow {
+                    name: *name,
+                    run_number: *run_number,
+                    checkpoint: SmolStr::default(),
+                    percent: 100,
+                    figure: tail_ms,
+                })
+                .collect(),
+            ended: worker
+                .ended
+                .iter()
+                .filter(|end| end.number > order.settled_through)
+                .cloned()
+                .collect(),
+        }
+    }
+
+    fn keep_records(&mut self) {
+        if self.is_store_away {
+            return;
+        }
+        if let Some((records, due_ms)) = self.keeping.take() {
+            if self.now_ms < due_ms {
+                self.keeping = Some((records, due_ms));
+                return;
+            }
+            for (key, value) in records.iter().flat_map(Record::encode) {
+                match value {
+                    Some(value) => self.kept.insert(key, value),
+                    None => self.kept.shift_remove(&key),
+                };
+            }
+            for settled in self.engine.records_kept() {
+                if let Settled::Accepted(id) = settled {
+                    self.accepted.push(id);
+                }
+            }
+        }
+        if let Some(records) = self.engine.take_records() {
+            self.keeping = Some((records, self.now_ms + KEEP_MS));
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Start(order) => self.start(&order),
+            Action::Stop(order) => self.stop(&order),
+            Action::Pace(order) => self.paces.push((order.name, order.percent)),
+            Action::Look(order) => self.look(order),
+            Action::Instance(order) => self.instance(order),
+            Action::AskTickets(_) | Action::TellWave { .. } => {}
+        }
+    }
+
+    fn look(&mut self, order: LookOrder) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[&order.target.id];
+        if !worker.is_cut && !worker.is_dead {
+            if order.target.fence < worker.fence {
+                self.engine
+                    .look_failed(&order, OrderFailure::Fenced, now_ms);
+                return;
+            }
+            worker.fence = order.target.fence;
+            let until_ms = order.until_worker_ms.unwrap_or(0);
+            worker.until_ms = worker.until_ms.max(until_ms);
+            let settled_through = order.settled_through;
+            worker.ended.retain(|end| end.number > settled_through);
+        }
+        let due_ms = now_ms + order.wait_ms + STEP_MS;
+        self.looks.push((order, due_ms));
+    }
+
+    fn start(&mut self, order: &StartOrder) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[&order.target.id];
+        if worker.is_cut || worker.is_dead {
+            self.engine.start_failed(order, OrderFailure::Lost, now_ms);
+            return;
+        }
+        let key = (order.name, order.run.run);
+        let failure = match () {
+            () if order.target.fence < worker.fence => Some(OrderFailure::Fenced),
+            () if worker.barred.contains(&key) => Some(OrderFailure::Outdated),
+            () => None,
+        };
+        if let Some(failure) = failure {
+            self.engine.start_failed(order, failure, now_ms);
+            return;
+        }
+        let step = &order.spec.steps[usize::from(order.name.step)];
+        let is_failing = self.fails.contains(&order.name);
+        let run_ms = self.run_ms.get(&order.name).copied();
+        let run = Running {
+            room: step.room(),
+            team: self.specs[&order.name.job].1.clone(),
+            ends_ms: match step.is_endless {
+                true => u64::MAX,
+                false => now_ms + run_ms.unwrap_or(step.estimate_ms),
+            },
+            end: if is_failing {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            },
+        };
+        worker.until_ms = worker.until_ms.max(order.until_worker_ms);
+        worker.running.insert(key, run);
+        self.starts
+            .push((now_ms, order.target.id.clone(), order.name));
+        let is_mute = worker.is_mute;
+        self.check_order(order);
+        match is_mute {
+            true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
+            false => self.engine.start_accepted(order, Some(now_ms), now_ms),
+        }
+    }
+
+    fn check_order(&self, order: &StartOrder) {
+        for earlier in &order.spec.steps[usize::from(order.name.step)].after {
+            for index in 0..order.spec.steps[usize::from(*earlier)].tasks_count {
+                let name = TaskName {
+                    step: *earlier,
+                    index,
+                    ..order.name
+                };
+                assert!(self.done.contains(&name), "{} before {name}", order.name);
+            }
+        }
+    }
+
+    fn stop(&mut self, order: &StopOrder) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[&order.target.id];
+        if worker.is_cut || worker.is_dead {
+            self.engine.stop_failed(order, OrderFailure::Lost, now_ms);
+            return;
+        }
+        let key = (order.name, order.run_number);
+        worker.barred.insert(key);
+        if let Some(run) = worker.running.get_mut(&key) {
+            run.ends_ms = run.ends_ms.min(now_ms + STOP_MS);
+            run.end = EndKind::Stopped;
+        }
+        if !worker.is_mute {
+            self.engine.stop_accepted(order, now_ms);
+        }
+    }
+
+    fn instance(&mut self, order: InstanceOrder) {
+        let now_ms = self.now_ms;
+        let row = &mut self.instances[order.instance()];
+        let (pool, state, takes_ms) = match &order {
+            InstanceOrder::Move { pool, .. } => (pool.clone(), InstanceState::Moving, 1_500),
+            InstanceOrder::Maintain { .. } => (row.pool.clone(), InstanceState::Maintained, 2_000),
+        };
+        row.pool = pool.clone();
+        row.state = state;
+        let old = row.worker.take();
+        if let Some(worker) = old.and_then(|id| self.workers.get_mut(&id)) {
+            worker.running.clear();
+            worker.is_dead = true;
+        }
+        let is_standby = self.catalog.pools[&pool].is_standby;
+        if is_standby {
+            row.state = InstanceState::Up;
+        } else {
+            let mut sheet = self.workers[0].sheet.clone();
+            sheet.instance = Some(order.instance().clone());
+            sheet.pool = pool;
+            self.arrivals.push((now_ms + takes_ms, sheet));
+        }
+        self.engine.instance_answered(&order, Ok(()), now_ms);
+        self.orders.push(order);
+    }
+
+    fn check(&self) {
+        let mut seen: HashMap<TaskName, SmolStr> = HashMap::new();
+        let mut teams: HashMap<SmolStr, Size> = HashMap::new();
+        for (id, worker) in &self.workers {
+            let mut used = Size::default();
+            for ((name, _), run) in &worker.running {
+                used.add(&run.room);
+                teams.entry(run.team.clone()).or_default().add(&run.room);
+                let spec = &self.specs[&name.job].0.steps[usize::from(name.step)];
+                let twin = seen.insert(*name, id.clone());
+                assert!(
+                    twin.is_none() || spec.allows_copies,
+                    "{name} runs on {id} and on {twin:?} at {}",
+                    self.now_ms
+                );
+            }
+            let capacity = worker.sheet.capacity;
+            assert!(
+                used.fits_with(&Size::default(), &capacity),
+                "{id} holds {used:?}"
+            );
+        }
+        for (team, used) in teams {
+            let limit = self.catalog.teams[&team].limit.cpu_millis;
+            assert!(
+                limit == 0 || used.cpu_millis <= limit,
+                "{team} has {used:?}"
+            );
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod documentation;
 mod engines;
 mod error_table;
+mod jobs;
 mod ledger_fold;
 mod lists;
 mod load;
