Forget workers as soon as nothing can run there; forecast turns; settle stops of predecessors

They are now forgotten once their runs are known to be over, and the platform's list of instances ends the lives of workers that no instance has. The forecast takes rates over at least 8 jobs; over 0.6 s single large jobs wanted 85 instances.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -20,6 +20,13 @@
 /// Instances that a pool keeps beyond those with endless tasks.
 const KEPT_COUNT: usize = 2;
 
+/// Share of the room that arrivals keep busy which a pool should have, in thousandths.
+const RATE_PERMILLE: u64 = 1_100;
+/// Share of the room of a coming turn which a pool should have as it begins, in thousandths.
+const AHEAD_PERMILLE: u64 = 900;
+/// Time before a turn, beyond that of a move, from which its pool is prepared, in milliseconds.
+const AHEAD_MS: u64 = 500;
+
 /// When and what was last decided.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CapacityPolicy {
@@ -36,6 +43,19 @@
     have: Size,
     usable_count: usize,
     endless_hosts_count: usize,
+    /// Part of what is needed that endless tasks take.
+    endless: Size,
+}
+
+impl PoolNeed {
+    /// Raises what is needed to a share of `demand` beside the endless tasks.
+    fn raise(&mut self, demand: &Size, share_permille: u64) {
+        let with = |demand: u64, endless: u64| demand * share_permille / 1_000 + endless;
+        let cpu_millis = with(demand.cpu_millis, self.endless.cpu_millis);
+        let memory_mb = with(demand.memory_mb, self.endless.memory_mb);
+        self.needed.cpu_millis = self.needed.cpu_millis.max(cpu_millis);
+        self.needed.memory_mb = self.needed.memory_mb.max(memory_mb);
+    }
 }
 
 impl Engine {
@@ -46,6 +66,7 @@
         }
         self.next_review_ms = self.now_ms + REVIEW_MS;
         self.review_pace();
+        self.turns.advance(self.now_ms);
         if self.instances.is_known {
             self.repeat_instance_orders();
             self.review_waves();
@@ -71,7 +92,8 @@
         self.capacity.coming.retain(|instance, (_, arrives_ms)| {
             *arrives_ms > now_ms && !arrived.contains(instance)
         });
-        let needs = self.pool_needs();
+        let mut needs = self.pool_needs();
+        self.add_forecast(&mut needs);
         let mut short: Vec<(SmolStr, usize)> = Vec::new();
         let mut donors: Vec<WorkerKey> = Vec::new();
         for (pool, need) in &needs {
@@ -113,6 +135,24 @@
         self.park_idle(&donors);
     }
 
+    /// Raises what pools need to what their arrivals will keep busy, and to what the pool asks for whose
+    /// turn is about to come.
+    fn add_forecast(&self, needs: &mut IndexMap<SmolStr, PoolNeed>) {
+        let now_ms = self.now_ms;
+        for (pool, need) in needs.iter_mut() {
+            let rate = self.turns.rate(pool, now_ms);
+            need.raise(&rate, RATE_PERMILLE);
+        }
+        let ahead_ms = self.settings.move_ms + AHEAD_MS;
+        let next = self.turns.expected(now_ms);
+        let due = next.filter(|next| now_ms + ahead_ms >= next.start_ms);
+        if let Some(next) = due {
+            if let Some(need) = needs.get_mut(&next.pool) {
+                need.raise(&next.demand, AHEAD_PERMILLE);
+            }
+        }
+    }
+
     /// Moves one instance to `pool`, from a donor or from standby; returns whether there was one.
     fn bring_instance(&mut self, pool: &SmolStr, donors: &mut Vec<WorkerKey>) -> bool {
         while let Some(key) = donors.pop() {
@@ -210,6 +250,9 @@
                 continue;
             };
             need.needed.add(&worker.used);
+            for slot in worker.slots.values().filter(|slot| slot.is_endless) {
+                need.endless.add(&slot.room);
+            }
             if worker.is_listed && !worker.sheet.is_draining && !worker.is_reserved {
                 need.have.add(&worker.sheet.capacity);
                 need.usable_count += 1;
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -20,6 +20,7 @@
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
 use crate::jobs::tickets::Tickets;
+use crate::jobs::turns::Turns;
 use crate::jobs::worker::{LookState, Slot, Worker};
 use crate::logging::Event;
 
@@ -86,6 +87,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) instances: Instances,
     pub(crate) capacity: CapacityPolicy,
+    pub(crate) turns: Turns,
     pub(crate) actions: Vec<Action>,
     pub(crate) needs_dispatch: bool,
     pub(crate) next_review_ms: u64,
@@ -120,6 +122,7 @@
             tickets: Tickets::default(),
             instances: Instances::default(),
             capacity: CapacityPolicy::default(),
+            turns: Turns::default(),
             actions: Vec::new(),
             needs_dispatch: true,
             next_review_ms: now_ms,
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -1,5 +1,7 @@
 //! Instances: the platform's list of them, and orders to move or maintain one.
 
+use std::collections::HashSet;
+
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
@@ -16,6 +18,10 @@
 /// Time after which a refused order may be given again, in milliseconds.
 const REFUSED_AGAIN_MS: u64 = 600;
 
+/// Time after a take-over, beyond that of a stop, in which no endless task is stopped, in
+/// milliseconds.
+const STOPS_SETTLE_MS: u64 = 1_000;
+
 /// What an instance does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -114,6 +120,49 @@
             self.instances.rows.insert(row.sheet.name.clone(), row);
         }
         self.instances.is_known = true;
+        self.end_lives_by_list(sent_ms);
+    }
+
+    /// Ends the lives of workers that do not answer and that no instance has any more.
+    fn end_lives_by_list(&mut self, sent_ms: u64) {
+        let rows = self.instances.rows.values();
+        let alive: HashSet<SmolStr> = rows
+            .filter(|row| row.sheet.state == InstanceState::Up)
+            .filter_map(|row| row.sheet.worker.clone())
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        for key in self.all_workers().collect::<Vec<_>>() {
+            let worker = self.worker(key);
+            let is_unknown = worker.is_recorded && !worker.is_listed && !worker.is_fenced;
+            let is_silent = worker.silent_count > 0 && !worker.slots.is_empty();
+            let is_over = (is_unknown || is_silent)
+                && worker.listed_ms < sent_ms
+                && !alive.contains(&worker.sheet.id);
+            if is_over {
+                self.end_life(key, "no_instance_has_it");
+            }
+        }
+    }
+
+    /// Takes in that a worker is no more: nothing runs there, and nothing will.
+    fn end_life(&mut self, key: WorkerKey, reason: &'static str) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.is_listed = false;
+        worker.unlisted_since_ms = now_ms;
+        worker.is_fenced = true;
+        let lost: Vec<RunKey> = worker.slots.keys().copied().collect();
+        Event::new("worker_over")
+            .with("worker", &worker.sheet.id)
+            .with("reason", reason)
+            .with("lost_count", lost.len())
+            .info();
+        for run in lost {
+            self.drop_slot(key, run);
+            self.run_is_gone(key, run, reason);
+        }
     }
 
     /// Returns the instance of a worker.
@@ -230,14 +279,7 @@
             row.sheet.worker = None;
         }
         if let Some(key) = worker {
-            let worker = self.worker_mut(key);
-            worker.is_listed = false;
-            worker.unlisted_since_ms = now_ms;
-            let lost: Vec<RunKey> = worker.slots.keys().copied().collect();
-            for run in lost {
-                self.drop_slot(key, run);
-                self.run_is_gone(key, run, "instance_ordered");
-            }
+            self.end_life(key, "instance_ordered");
         }
         if let InstanceOrder::Maintain { instance, wave } = order {
             self.wave_member_done(*wave, instance);
@@ -282,6 +324,11 @@
         let Some(away_max) = step.away_max else {
             return true;
         };
+        // What an earlier leader told to stop may still seem to be at work.
+        let is_settled_ms = self.opened_ms + self.settings.stop_ms + STOPS_SETTLE_MS;
+        if self.settings.fence > 1 && self.now_ms < is_settled_ms {
+            return false;
+        }
         let Some(round) = job.rounds.get(crate::jobs::engine::index(run.task.round)) else {
             return true;
         };
--- a/src/jobs/intake.rs
+++ b/src/jobs/intake.rs
@@ -123,11 +123,24 @@
             ended_ms: 0,
         });
         self.job_keys.insert(id, key);
+        self.note_arrival(key);
         self.live.insert(key);
         self.needs_dispatch = true;
         key
     }
 
+    /// Lets the forecast know of a job. Endless work is no part of it.
+    fn note_arrival(&mut self, key: JobKey) {
+        let job = &self.jobs[index(key.0)];
+        if job.spec.is_endless() || job.spec.recurrence.is_some() {
+            return;
+        }
+        let run_ms =
+            |step: &crate::jobs::spec::StepSpec| self.run_times.expected_ms(&job.queue, step);
+        let work = job.spec.work_ms(run_ms);
+        self.turns.arrived(&job.pool, work, job.accepted_ms);
+    }
+
     /// Returns how long after its acceptance a job of `queue` should be complete.
     fn target_after_ms(&self, queue: &SmolStr, chain_ms: u64) -> u64 {
         let Some(queue) = self.catalog.queues.get(queue) else {
--- a/src/jobs/looks.rs
+++ b/src/jobs/looks.rs
@@ -24,7 +24,7 @@
 /// Time for which such a worker gets no task, in milliseconds.
 const FAILED_AVOID_MS: u64 = 1_500;
 /// Time after which a worker that the list lost and that runs nothing is forgotten, in milliseconds.
-const UNLISTED_FORGET_MS: u64 = 30_000;
+const UNLISTED_FORGET_MS: u64 = 300;
 
 impl Engine {
     /// Sends the looks that are due.
@@ -39,8 +39,7 @@
                 .pools
                 .get(&worker.sheet.pool)
                 .is_some_and(|pool| pool.is_standby);
-            let wants_fence =
-                !worker.is_fenced && !stands_by && (worker.is_listed || is_inherited);
+            let wants_fence = !worker.is_fenced && !stands_by && (worker.is_listed || is_inherited);
             let has_news = worker.settles_with.is_none() && worker.settled_through > 0;
             let wants_ack = has_news && worker.seen_through == worker.settled_through;
             if !is_due || !(wants_fence || !worker.slots.is_empty() || wants_ack) {
@@ -515,9 +514,12 @@
                 }
             }
             let worker = self.worker(key);
+            // Without entry and runs, and with this leader's fence, nothing is or will be there.
+            let is_known = worker.is_fenced || now_ms >= self.inherited_clear_at_ms();
             let is_forgotten = worker.is_recorded
                 && !worker.is_listed
                 && worker.slots.is_empty()
+                && is_known
                 && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
             if is_forgotten {
                 let id = worker.sheet.id.clone();
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 mod run_times;
 mod spec;
 mod tickets;
+mod turns;
 mod waves;
 mod worker;
 
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -13,6 +13,12 @@
     /// Takes in all that is on record; records may come in any order.
     pub fn restore(&mut self, records: Vec<Record>) {
         let mut progress: Vec<(JobId, ProgressRecord)> = Vec::new();
+        let mut records = records;
+        // The forecast learns from arrivals in their order.
+        records.sort_by_key(|record| match record {
+            Record::Job(_, record) => record.accepted_unix_ms,
+            _ => 0,
+        });
         for record in records {
             match record {
                 Record::Job(id, record) => {
@@ -26,6 +32,8 @@
                         spec: record.spec,
                     };
                     let key = self.add_job(submission, record.pool, record.accepted_unix_ms);
+                    let accepted_ms = self.job(key).accepted_ms;
+                    self.turns.advance(accepted_ms);
                     let job = self.job_mut(key);
                     job.is_recorded = true;
                     job.is_inherited = true;
@@ -119,6 +127,7 @@
         }
         let worker = self.worker_mut(key);
         worker.is_listed = true;
+        worker.listed_ms = now_ms;
         worker.sheet = sheet;
         worker.sheet.born_unix_ms = worker.sheet.born_unix_ms.max(born_unix_ms);
         if is_new_life {
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -194,6 +194,19 @@
         self.steps.iter().map(of_step).sum()
     }
 
+    /// Returns the sums of processor room and of memory times run time of one occurrence, in
+    /// thousandths of cores and megabytes times milliseconds.
+    pub fn work_ms(&self, run_ms: impl Fn(&StepSpec) -> u64) -> (u64, u64) {
+        self.steps.iter().fold((0, 0), |(cpu, memory), step| {
+            let time_ms = u64::from(step.tasks_count) * run_ms(step);
+            let room = step.room();
+            (
+                cpu + room.cpu_millis * time_ms,
+                memory + room.memory_mb * time_ms,
+            )
+        })
+    }
+
     /// Returns the number of tasks of one occurrence.
     pub fn tasks_count(&self) -> u64 {
         let counts = self.steps.iter().map(|step| u64::from(step.tasks_count));
--- /dev/null
+++ b/src/jobs/turns.rs
@@ -0,0 +1,239 @@
+//! Demand that goes round: pools take turns, each with several times its mean for some seconds and
+//! next to nothing in between. From the work that jobs bring in, this tells the present rate of each
+//! pool, which pool has its turn, how long turns last, and which pool comes next.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::jobs::spec::Size;
+use crate::logging::Event;
+
+/// Length of a bin of arrivals, in milliseconds.
+const BIN_MS: u64 = 200;
+/// Fewest and most bins over which a rate is taken; it goes back until it has enough jobs.
+const RATE_BINS: (u64, u64) = (3, 10);
+/// Jobs that make a rate.
+const RATE_JOBS: u64 = 8;
+/// Bins that are kept.
+const KEPT_BINS: usize = 16;
+/// A pool has its turn if its rate is this many times that of any other.
+const LEAD_FACTOR: u64 = 2;
+/// Least rate of a turn, in thousandths of a core.
+const TURN_MIN_CPU_MILLIS: u64 = 40_000;
+/// Shortest and longest turn that is believed, in milliseconds.
+const TURN_BOUNDS_MS: (u64, u64) = (1_500, 20_000);
+/// Turns that are kept.
+const KEPT_TURNS: usize = 32;
+/// Time by which a turn may begin late before it is not expected any more, in turns.
+const OVERDUE_TURNS: u64 = 1;
+
+/// Room multiplied by time, in units of a millisecond.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    cpu: u64,
+    memory: u64,
+    jobs_count: u64,
+}
+
+/// Arrivals of one pool.
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    /// Work by bin, the newest last.
+    bins: VecDeque<(u64, Work)>,
+    /// Highest rate in the pool's last turn.
+    peak: Size,
+}
+
+/// One turn.
+#[derive(Clone, Debug, PartialEq)]
+struct Turn {
+    pool: SmolStr,
+    start_ms: u64,
+}
+
+/// What is known of the turns.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Turns {
+    flows: IndexMap<SmolStr, Flow>,
+    turns: VecDeque<Turn>,
+    /// Pool that has seemed to begin its turn since some time.
+    rising: Option<SmolStr>,
+}
+
+/// Demand that is expected.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Expected {
+    /// Pool.
+    pub(crate) pool: SmolStr,
+    /// When its turn begins, in milliseconds of the own clock.
+    pub(crate) start_ms: u64,
+    /// Room that it will ask for.
+    pub(crate) demand: Size,
+}
+
+impl Turns {
+    /// Takes in that a job of `pool` arrived, with the sum of room times run time of its tasks.
+    pub(crate) fn arrived(&mut self, pool: &SmolStr, work: (u64, u64), at_ms: u64) {
+        let bin = at_ms / BIN_MS;
+        let flow = self.flows.entry(pool.clone()).or_default();
+        let is_new = flow.bins.back().is_none_or(|(newest, _)| *newest < bin);
+        if is_new {
+            flow.bins.push_back((bin, Work::default()));
+            if flow.bins.len() > KEPT_BINS {
+                flow.bins.pop_front();
+            }
+        }
+        if let Some((_, sum)) = flow.bins.back_mut() {
+            sum.cpu += work.0;
+            sum.memory += work.1;
+            sum.jobs_count += 1;
+        }
+    }
+
+    /// Returns the room that a pool's arrivals of the last bins keep busy.
+    pub(crate) fn rate(&self, pool: &SmolStr, now_ms: u64) -> Size {
+        let Some(flow) = self.flows.get(pool) else {
+            return Size::default();
+        };
+        let bin = now_ms / BIN_MS;
+        let mut sum = Work::default();
+        let mut bins_count = 0;
+        for back in 0..=RATE_BINS.1 {
+            let at = bin.saturating_sub(back);
+            if let Some((_, work)) = flow.bins.iter().rev().find(|(known, _)| *known == at) {
+                sum.cpu += work.cpu;
+                sum.memory += work.memory;
+                sum.jobs_count += work.jobs_count;
+            }
+            bins_count = back;
+            if back >= RATE_BINS.0 && sum.jobs_count >= RATE_JOBS {
+                break;
+            }
+        }
+        let span_ms = bins_count * BIN_MS + now_ms % BIN_MS;
+        Size {
+            cpu_millis: sum.cpu / span_ms.max(1),
+            memory_mb: sum.memory / span_ms.max(1),
+            gpu_count: 0,
+        }
+    }
+
+    /// Finds out whose turn it is.
+    pub(crate) fn advance(&mut self, now_ms: u64) {
+        let mut rates: Vec<(u64, SmolStr)> = self
+            .flows
+            .keys()
+            .map(|pool| (self.rate(pool, now_ms).cpu_millis, pool.clone()))
+            .collect();
+        rates.sort_unstable_by_key(|(rate, _)| std::cmp::Reverse(*rate));
+        let Some((rate, pool)) = rates.first().cloned() else {
+            return;
+        };
+        let second = rates.get(1).map_or(0, |(rate, _)| *rate);
+        let is_turn = rate >= TURN_MIN_CPU_MILLIS && rate >= second * LEAD_FACTOR;
+        if !is_turn {
+            return;
+        }
+        let is_known = self.turns.back().is_some_and(|turn| turn.pool == pool);
+        if is_known {
+            let peak = self.rate(&pool, now_ms);
+            if let Some(flow) = self.flows.get_mut(&pool) {
+                flow.peak.cpu_millis = flow.peak.cpu_millis.max(peak.cpu_millis);
+                flow.peak.memory_mb = flow.peak.memory_mb.max(peak.memory_mb);
+            }
+            return;
+        }
+        if self.rising.as_ref() != Some(&pool) {
+            self.rising = Some(pool);
+            return;
+        }
+        self.begin_turn(pool, now_ms);
+    }
+
+    fn begin_turn(&mut self, pool: SmolStr, now_ms: u64) {
+        let start_ms = self.rise_ms(&pool, now_ms);
+        let peak = self.rate(&pool, now_ms);
+        if let Some(flow) = self.flows.get_mut(&pool) {
+            flow.peak = peak;
+        }
+        self.rising = None;
+        self.turns.push_back(Turn {
+            pool: pool.clone(),
+            start_ms,
+        });
+        if self.turns.len() > KEPT_TURNS {
+            self.turns.pop_front();
+        }
+        let next = self.expected(now_ms);
+        Event::new("turn_begun")
+            .with("pool", &pool)
+            .with("since_ms", now_ms.saturating_sub(start_ms))
+            .with("rate_cpu_millis", peak.cpu_millis)
+            .with("length_ms", self.length_ms().unwrap_or(0))
+            .with("next", next.as_ref().map_or("", |next| next.pool.as_str()))
+            .info();
+    }
+
+    /// Returns when the arrivals of a pool rose to half of what they are.
+    fn rise_ms(&self, pool: &SmolStr, now_ms: u64) -> u64 {
+        let half = self.rate(pool, now_ms).cpu_millis / 2;
+        let bins = &self.flows[pool].bins;
+        let recent = bins
+            .iter()
+            .filter(|(at, _)| (at + 1 + RATE_BINS.1) * BIN_MS >= now_ms);
+        let mut risen = recent.filter(|(_, work)| work.cpu / BIN_MS >= half);
+        risen.next().map_or(now_ms, |(at, _)| at * BIN_MS)
+    }
+
+    /// Returns the length of a turn.
+    fn length_ms(&self) -> Option<u64> {
+        let starts = self.turns.iter().map(|turn| turn.start_ms);
+        let mut lengths: Vec<u64> = starts
+            .clone()
+            .zip(starts.skip(1))
+            .map(|(start_ms, next_ms)| next_ms.saturating_sub(start_ms))
+            .filter(|length_ms| (TURN_BOUNDS_MS.0..=TURN_BOUNDS_MS.1).contains(length_ms))
+            .collect();
+        lengths.sort_unstable();
+        lengths.get(lengths.len().saturating_sub(1) / 2).copied()
+    }
+
+    /// Returns the pool that comes after `pool`: the one that did last time or, if all others but one
+    /// have had their turn since, that one.
+    fn successor(&self, pool: &SmolStr) -> Option<&SmolStr> {
+        let turns: Vec<&Turn> = self.turns.iter().collect();
+        let mut pairs = turns.windows(2).rev();
+        let known = pairs.find(|pair| pair[0].pool == *pool);
+        known.map(|pair| &pair[1].pool).or_else(|| {
+            let had_turn = |pool: &&SmolStr| self.turns.iter().any(|turn| turn.pool == **pool);
+            let mut others = self.flows.keys().filter(|pool| !had_turn(pool));
+            match (others.next(), others.next()) {
+                (Some(only), None) => Some(only),
+                (None, _) => self.turns.front().map(|turn| &turn.pool),
+                _ => None,
+            }
+        })
+    }
+
+    /// Returns the demand of the pool whose turn comes next.
+    pub(crate) fn expected(&self, now_ms: u64) -> Option<Expected> {
+        let current = self.turns.back()?;
+        let length_ms = self.length_ms()?;
+        let next = self.successor(&current.pool)?;
+        let start_ms = current.start_ms + length_ms;
+        if *next == current.pool || now_ms > start_ms + length_ms * OVERDUE_TURNS {
+            return None;
+        }
+        let own = self.flows.get(next).map(|flow| flow.peak);
+        let demand = own
+            .filter(|peak| peak.cpu_millis > 0)
+            .unwrap_or(self.flows[&current.pool].peak);
+        Some(Expected {
+            pool: next.clone(),
+            start_ms,
+            demand,
+        })
+    }
+}
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -150,6 +150,8 @@
     pub(crate) failed_streak_count: u32,
     /// Time since which nothing was there to run.
     pub(crate) idle_since_ms: u64,
+    /// Time at which the list showed it last.
+    pub(crate) listed_ms: u64,
     /// Time at which the list lost it, if it did.
     pub(crate) unlisted_since_ms: u64,
     /// Run times here against those elsewhere, smoothed, in thousandths.
@@ -177,7 +179,8 @@
             avoided_until_ms: 0,
             failed_streak_count: 0,
             idle_since_ms: now_ms,
-            unlisted_since_ms: 0,
+            listed_ms: 0,
+            unlisted_since_ms: now_ms,
             slowness_permille: 1_000,
         }
     }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -141,6 +141,9 @@
             .as_ref()
             .is_some_and(|leading| leading.engine.is_deposed());
         if is_deposed {
+            if let Some(leading) = self.leading.borrow().as_ref() {
+                self.deposed_fence.set(leading.engine.fence());
+            }
             step_down(self, "deposed");
         }
     }
@@ -299,6 +302,7 @@
         .map(|leading| leading.engine.fence());
     match (role, leading_fence) {
         (Role::Leader { fence, .. }, Some(known)) if fence == known => {}
+        (Role::Leader { fence, .. }, _) if fence <= node.deposed_fence.get() => {}
         (Role::Leader { fence, .. }, _) => begin(node, fence),
         (Role::Follower { .. }, Some(_)) => step_down(node, "lease_lost"),
         (Role::Follower { .. }, None) => {}
@@ -378,7 +382,7 @@
         match read_records(node, fence).await {
             Ok(records) => return Some(records),
             Err(StoreFailure::Fenced) => {
-                node.depose(fence, "store");
+                node.deposed_fence.set(fence);
                 step_down(node, "deposed");
                 return None;
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -77,6 +77,8 @@
     pub(crate) lease_changed: Notify,
     /// The engine and what belongs to it, while this node leads.
     pub(crate) leading: RefCell<Option<Leading>>,
+    /// Highest fence under which this node led and found another leader in charge.
+    pub(crate) deposed_fence: Cell<u64>,
     pub(crate) is_stopping: Cell<bool>,
 }
 
@@ -143,6 +145,7 @@
             leadership: RefCell::new(leadership),
             lease_changed: Notify::new(),
             leading: RefCell::new(None),
+            deposed_fence: Cell::new(0),
             is_stopping: Cell::new(false),
             settings,
         });
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -166,3 +166,40 @@
     assert!(plant.starts.iter().all(|(_, worker, _)| *worker != id));
     assert_eq!(plant.starts.len(), 6);
 }
+
+#[test]
+fn a_successor_remembers_workers_that_the_list_does_not_show_yet() {
+    let mut plant = Plant::open(&["maps"], 2);
+    plant.advance(60_000);
+    let id = plant.submit("maps", job(vec![endless(2, 20_000)]));
+    plant.advance(300);
+    plant.take_over_blind(2);
+    plant.advance(500);
+    plant.take_over_blind(3);
+    plant.advance(500);
+    assert_eq!(plant.runs_of(id).len(), 2);
+    assert_eq!(plant.starts.len(), 2, "it found what runs");
+}
+
+#[test]
+fn a_successor_waits_for_stops_under_way_before_it_stops_more_of_a_step() {
+    let mut plant = Plant::open(&["maps"], 3);
+    let step = StepSpec {
+        away_max: Some(1),
+        per_worker_max: 1,
+        ..endless(3, 1_000)
+    };
+    let id = plant.submit("maps", job(vec![step]));
+    plant.advance(300);
+    let instances: Vec<_> = plant.instances.keys().cloned().collect();
+    plant.ask_wave(1, &instances[..2], 2);
+    plant.advance_until(1_000, |plant| plant.stops.len() == 1);
+    plant.take_over(2);
+    plant.ask_wave(1, &instances[..2], 2);
+    // The stop goes on while the successor sees the task at work.
+    plant.advance(150);
+    assert_eq!(plant.stops.len(), 1);
+    plant.advance_until(20_000, |plant| plant.orders.len() == 2);
+    plant.advance(3_000);
+    assert_eq!(plant.runs_of(id).len(), 3);
+}
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -8,7 +8,7 @@
 use hawthornladder::jobs::{
     Action, Catalog, EndKind, Engine, EngineSettings, InstanceOrder, InstanceSheet, InstanceState,
     Intake, JobId, JobSpec, JobState, Look, LookOrder, OrderFailure, Pool, Queue, Record, RunEnd,
-    RunRow, Settled, Size, StartOrder, StepSpec, StopOrder, Submission, TaskName, Team,
+    RunRow, Settled, Size, StartOrder, StepSpec, StopOrder, Submission, TaskName, Team, WaveSheet,
     WorkerSheet,
 };
 use indexmap::IndexMap;
@@ -90,6 +90,8 @@
     pub(crate) is_store_away: bool,
     pub(crate) accepted: Vec<JobId>,
     pub(crate) orders: Vec<InstanceOrder>,
+    /// Stops given, by time.
+    pub(crate) stops: Vec<(u64, TaskName)>,
     pub(crate) paces: Vec<(TaskName, u64)>,
     /// Tails that endless tasks show at each worker, in milliseconds.
     pub(crate) tails_ms: HashMap<SmolStr, u64>,
@@ -206,6 +208,7 @@
             is_store_away: false,
             accepted: Vec::new(),
             orders: Vec::new(),
+            stops: Vec::new(),
             paces: Vec::new(),
             tails_ms: HashMap::new(),
             run_ms: HashMap::new(),
@@ -303,6 +306,16 @@
         id
     }
 
+    /// Asks for the maintenance of instances, so many at once.
+    pub(crate) fn ask_wave(&mut self, number: u64, instances: &[SmolStr], at_once_max: usize) {
+        self.engine.wave_asked(WaveSheet {
+            number,
+            instances: instances.to_vec(),
+            duration_ms: 20_000,
+            at_once_max,
+        });
+    }
+
     pub(crate) fn state(&self, id: JobId) -> Option<JobState> {
         self.engine.job_state(id)
     }
@@ -317,8 +330,9 @@
         runs
     }
 
-    /// Replaces the engine by that of another leader, who knows only what was kept.
-    pub(crate) fn take_over(&mut self, fence: u64) {
+    /// Replaces the engine by that of another leader, who knows only what was kept and has read no
+    /// list yet.
+    pub(crate) fn take_over_blind(&mut self, fence: u64) {
         let unix_ms = UNIX_MS + self.now_ms;
         self.engine = Engine::open(settings(fence), self.catalog.clone(), self.now_ms, unix_ms);
         self.looks.clear();
@@ -329,6 +343,11 @@
             .filter_map(|(key, value)| Record::decode(key, value))
             .collect();
         self.engine.restore(records);
+    }
+
+    /// The same, with the lists read at once.
+    pub(crate) fn take_over(&mut self, fence: u64) {
+        self.take_over_blind(fence);
         self.list_all();
     }
 
@@ -568,6 +587,7 @@
 
     fn stop(&mut self, order: &StopOrder) {
         let now_ms = self.now_ms;
+        self.stops.push((now_ms, order.name));
         let worker = &mut self.workers[&order.target.id];
         if worker.is_cut || worker.is_dead {
             self.engine.stop_failed(order, OrderFailure::Lost, now_ms);
