Stand ready in pools whose turn may come, and take idle instances first in waves

Cause: the first seconds of a turn are late, since a pool holds 4 of the 17 instances that it then needs and a move takes 1.5 s; and waves emptied 9 to 12 working instances at once during a turn.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -17,6 +17,8 @@
 const FILLABLE_PERMILLE: u64 = 880;
 /// Time after which an idle instance stands by, in milliseconds.
 const PARK_AFTER_MS: u64 = 3_000;
+/// Share of all instances that stand ready in the pools whose turn may come next, in hundredths.
+const PREPARED_PERCENT: usize = 60;
 /// Instances that a pool keeps beyond those with endless tasks.
 const KEPT_COUNT: usize = 2;
 
@@ -43,6 +45,8 @@
     have: Size,
     usable_count: usize,
     endless_hosts_count: usize,
+    /// Instances to have because the pool's turn may come next.
+    prepared_count: usize,
     /// Part of what is needed that endless tasks take.
     endless: Size,
 }
@@ -99,7 +103,7 @@
         for (pool, need) in &needs {
             let size = self.instance_size(pool);
             let have_count = need.usable_count;
-            let wanted_count = instances_for(&need.needed, &size);
+            let wanted_count = instances_for(&need.needed, &size).max(need.prepared_count);
             let kept_count = wanted_count
                 .max(need.endless_hosts_count + KEPT_COUNT)
                 .min(have_count.max(wanted_count));
@@ -139,11 +143,23 @@
     /// turn is about to come.
     fn add_forecast(&self, needs: &mut IndexMap<SmolStr, PoolNeed>) {
         let now_ms = self.now_ms;
+        let fleet_count = self.instances.rows.len();
         for (pool, need) in needs.iter_mut() {
             let rate = self.turns.rate(pool, now_ms);
             need.raise(&rate, RATE_PERMILLE);
         }
         let ahead_ms = self.settings.move_ms + AHEAD_MS;
+        let candidates = self.turns.candidates(now_ms, ahead_ms);
+        let candidates_count = needs
+            .keys()
+            .filter(|pool| candidates.contains(pool))
+            .count();
+        for (pool, need) in needs.iter_mut() {
+            if candidates.contains(pool) {
+                need.prepared_count =
+                    (PREPARED_PERCENT * fleet_count / 100) / candidates_count.max(1);
+            }
+        }
         let next = self.turns.expected(now_ms);
         let due = next.filter(|next| now_ms + ahead_ms >= next.start_ms);
         if let Some(next) = due {
--- a/src/jobs/turns.rs
+++ b/src/jobs/turns.rs
@@ -73,6 +73,21 @@
     pub(crate) demand: Size,
 }
 
+/// Pools whose turn may come next.
+pub(crate) struct Candidates<'t> {
+    /// Pools that have had their turn.
+    seen: Vec<&'t SmolStr>,
+    /// Whether a turn may begin soon.
+    is_due: bool,
+}
+
+impl Candidates<'_> {
+    /// Returns whether the turn of `pool` may begin soon.
+    pub(crate) fn contains(&self, pool: &SmolStr) -> bool {
+        self.is_due && !self.seen.contains(&pool)
+    }
+}
+
 impl Turns {
     /// Takes in that a job of `pool` arrived, with the sum of room times run time of its tasks.
     pub(crate) fn arrived(&mut self, pool: &SmolStr, work: (u64, u64), at_ms: u64) {
@@ -217,6 +232,18 @@
         })
     }
 
+    /// Returns the pools whose turn may come next: all but those that have had theirs since each had
+    /// one, once a turn is about to end by `ahead_ms`, or before any is known.
+    pub(crate) fn candidates(&self, now_ms: u64, ahead_ms: u64) -> Candidates<'_> {
+        let seen = self.turns.iter().map(|turn| &turn.pool).collect();
+        let is_due = match (self.turns.back(), self.length_ms()) {
+            (Some(current), Some(length_ms)) => now_ms + ahead_ms >= current.start_ms + length_ms,
+            (Some(current), None) => now_ms >= current.start_ms + TURN_BOUNDS_MS.0,
+            (None, _) => true,
+        };
+        Candidates { seen, is_due }
+    }
+
     /// Returns the demand of the pool whose turn comes next.
     pub(crate) fn expected(&self, now_ms: u64) -> Option<Expected> {
         let current = self.turns.back()?;
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -12,6 +12,12 @@
 
 /// Instances of a wave that are emptied beyond those that may be down.
 const AHEAD_COUNT: usize = 1;
+/// Time that it takes to empty an instance that works, in milliseconds.
+const EMPTYING_MS: u64 = 2_500;
+/// Reserve for the end of a wave, as a multiple of the time that it needs, in thousandths.
+const PRESSING_PERMILLE: u64 = 1_400;
+/// Time for which an instance has to be idle to be taken, in milliseconds.
+const IDLE_MS: u64 = 400;
 /// Time between two reports that a wave goes on, in milliseconds.
 const TELL_AGAIN_MS: u64 = 4_000;
 
@@ -34,6 +40,8 @@
     pub(crate) sheet: WaveSheet,
     /// Instances that were maintained, or are not part of the wave.
     pub(crate) done: IndexSet<SmolStr>,
+    /// Time at which this leader learned of it.
+    asked_ms: u64,
     /// Time at which it was last told how the wave stands; 0 for never.
     told_ms: u64,
     /// Whether its end was told.
@@ -44,6 +52,7 @@
     /// Takes in a wave that operators ask for.
     pub fn wave_asked(&mut self, sheet: WaveSheet) {
         let number = sheet.number;
+        let now_ms = self.now_ms;
         match self.instances.waves.get_mut(&number) {
             Some(wave) => wave.sheet = sheet,
             None => {
@@ -56,6 +65,7 @@
                 let wave = Wave {
                     sheet,
                     done: IndexSet::new(),
+                    asked_ms: now_ms,
                     told_ms: 0,
                     is_complete: false,
                 };
@@ -66,6 +76,7 @@
 
     /// Sets which instances of a wave were maintained under earlier leaders.
     pub(crate) fn restore_wave(&mut self, number: u64, record: WaveRecord) {
+        let now_ms = self.now_ms;
         let wave = self.instances.waves.entry(number).or_insert_with(|| Wave {
             sheet: WaveSheet {
                 number,
@@ -74,6 +85,7 @@
                 at_once_max: 0,
             },
             done: IndexSet::new(),
+            asked_ms: now_ms,
             told_ms: 0,
             is_complete: false,
         });
@@ -96,14 +108,6 @@
         }
     }
 
-    /// Returns whether an instance waits for its maintenance in some wave.
-    pub(crate) fn is_in_wave(&self, name: &SmolStr) -> bool {
-        self.instances
-            .waves
-            .values()
-            .any(|wave| wave.sheet.instances.contains(name) && !wave.done.contains(name))
-    }
-
     /// Goes on with all waves.
     pub(crate) fn review_waves(&mut self) {
         let numbers: Vec<u64> = self.instances.waves.keys().copied().collect();
@@ -141,6 +145,7 @@
         let at_once_max = wave.sheet.at_once_max.max(1);
         let mut free_count = at_once_max.saturating_sub(down_count);
         let mut emptied_count = at_once_max + AHEAD_COUNT;
+        let is_pressing = self.is_pressing(number, open.len(), at_once_max);
         for name in self.in_order_of_load(open) {
             if emptied_count == 0 {
                 break;
@@ -148,6 +153,9 @@
             if !self.is_orderable(&name) {
                 continue;
             }
+            if !is_pressing && !self.is_cheap_to_empty(&name) {
+                continue;
+            }
             emptied_count -= 1;
             if self.empty_instance(&name) && free_count > 0 {
                 free_count -= 1;
@@ -159,6 +167,29 @@
         }
     }
 
+    /// Returns whether the wave has to take instances that work, to be over in time.
+    fn is_pressing(&self, number: u64, open_count: usize, at_once_max: usize) -> bool {
+        let wave = &self.instances.waves[&number];
+        let rounds_count = u64::try_from(open_count.div_ceil(at_once_max)).unwrap_or(u64::MAX);
+        let round_ms = self.settings.maintain_ms + EMPTYING_MS;
+        let needed_ms = rounds_count.saturating_mul(round_ms);
+        let ends_ms = wave.asked_ms + wave.sheet.duration_ms;
+        self.now_ms + needed_ms * PRESSING_PERMILLE / 1_000 >= ends_ms
+    }
+
+    /// Returns whether an instance runs nothing that would be missed now: nothing at all for a while,
+    /// or only endless tasks, which take long to move.
+    fn is_cheap_to_empty(&self, name: &SmolStr) -> bool {
+        let Some(key) = self.worker_of(name) else {
+            return true;
+        };
+        let worker = self.worker(key);
+        let is_idle = worker.slots.is_empty()
+            && (worker.is_reserved || worker.idle_since_ms + IDLE_MS <= self.now_ms);
+        let is_serving = !worker.slots.is_empty() && worker.endless_count() == worker.slots.len();
+        is_idle || is_serving
+    }
+
     /// Sorts instances so that those with the least to stop come first; those being emptied lead.
     fn in_order_of_load(&self, mut names: Vec<SmolStr>) -> Vec<SmolStr> {
         names.sort_by_cached_key(|name| match self.worker_of(name) {
