--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -90,6 +90,8 @@
     pub(crate) is_store_away: bool,
     pub(crate) accepted: Vec<JobId>,
     pub(crate) orders: Vec<InstanceOrder>,
+    /// Times of the orders, in milliseconds.
+    pub(crate) order_times_ms: Vec<u64>,
     /// Stops given, by time.
     pub(crate) stops: Vec<(u64, TaskName)>,
     pub(crate) paces: Vec<(TaskName, u64)>,
@@ -208,6 +210,7 @@
             is_store_away: false,
             accepted: Vec::new(),
             orders: Vec::new(),
+            order_times_ms: Vec::new(),
             stops: Vec::new(),
             paces: Vec::new(),
             tails_ms: HashMap::new(),
@@ -629,6 +632,7 @@
         }
         self.engine.instance_answered(&order, Ok(()), now_ms);
         self.orders.push(order);
+        self.order_times_ms.push(now_ms);
     }
 
     fn check(&self) {
--- /dev/null
+++ b/tests/testsuite/node_leadership.rs
@@ -0,0 +1,170 @@
+//! The lease on leadership, as a state machine with a topic in memory.
+
+use hawthornladder::node::{LeadRecord, LeadWrite, Leadership, Role, WriteOutcome};
+
+/// A renewal holds for this long, in milliseconds.
+const LEASE_MS: u64 = 1_500;
+/// After this long without a record another may claim, in milliseconds.
+const CLAIM_MS: u64 = 1_800;
+
+/// The topic: its records in order.
+#[derive(Default)]
+struct Topic {
+    records: Vec<LeadRecord>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        u64::try_from(self.records.len()).expect("small")
+    }
+
+    /// Appends if the topic ends where the write says.
+    fn append(&mut self, write: &LeadWrite) -> WriteOutcome {
+        if write.at_offset != self.end() {
+            return WriteOutcome::NotKept;
+        }
+        self.records.push(write.record.clone());
+        WriteOutcome::Kept {
+            end_offset: self.end(),
+        }
+    }
+
+    fn read(&self, node: &mut Leadership, now_ms: u64) {
+        let from = usize::try_from(node.end_offset()).expect("small");
+        node.read(self.records[from..].to_vec(), self.end(), now_ms);
+    }
+
+    fn write(&mut self, node: &mut Leadership, now_ms: u64) -> Option<WriteOutcome> {
+        let write = node.next_write(now_ms)?;
+        let outcome = self.append(&write);
+        node.written(&write, outcome, now_ms);
+        Some(outcome)
+    }
+}
+
+fn node(name: &str) -> Leadership {
+    Leadership::open(name.into(), "1".into(), ([10, 0, 0, 1], 7_000).into(), 10)
+}
+
+fn is_valid_leader(node: &Leadership, now_ms: u64) -> bool {
+    matches!(node.role(now_ms), Role::Leader { is_valid: true, .. })
+}
+
+/// Returns a topic with a leader, and a follower that has read it, at 1,020 ms.
+fn leader_and_follower() -> (Topic, Leadership, Leadership) {
+    let mut topic = Topic::default();
+    let (mut first, mut second) = (node("first"), node("second"));
+    topic.read(&mut first, 1_000);
+    topic.read(&mut second, 1_000);
+    assert!(topic.write(&mut first, 1_020).is_some());
+    topic.read(&mut second, 1_020);
+    assert!(is_valid_leader(&first, 1_020));
+    (topic, first, second)
+}
+
+#[test]
+fn of_two_that_claim_at_once_one_leads() {
+    let mut topic = Topic::default();
+    let (mut first, mut second) = (node("first"), node("second"));
+    topic.read(&mut first, 1_000);
+    topic.read(&mut second, 1_000);
+    let claims = [
+        first.next_write(1_020).expect("due"),
+        second.next_write(1_020).expect("due"),
+    ];
+    for (node, write) in [&mut first, &mut second].into_iter().zip(&claims) {
+        let outcome = topic.append(write);
+        node.written(write, outcome, 1_020);
+    }
+    topic.read(&mut second, 1_030);
+    assert!(is_valid_leader(&first, 1_030));
+    assert!(matches!(
+        second.role(1_030),
+        Role::Follower { leader: Some(_) }
+    ));
+}
+
+#[test]
+fn a_leader_renews_without_having_read_its_topic() {
+    let (mut topic, mut first, _) = leader_and_follower();
+    first.contact_lost();
+    let renewed = topic.write(&mut first, 1_520);
+    assert!(matches!(renewed, Some(WriteOutcome::Kept { .. })));
+    assert!(is_valid_leader(&first, 1_520 + LEASE_MS - 1));
+    assert!(!is_valid_leader(&first, 1_520 + LEASE_MS));
+}
+
+#[test]
+fn nobody_claims_while_the_leader_renews_or_the_store_is_out_of_reach() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    for now_ms in (1_100..8_000).step_by(100) {
+        topic.write(&mut first, now_ms);
+        topic.read(&mut second, now_ms);
+        assert!(second.next_write(now_ms).is_none());
+    }
+    second.contact_lost();
+    assert!(second.next_write(20_000).is_none());
+    // The silence counts from when the store is in reach again.
+    topic.read(&mut second, 20_000);
+    assert!(second.next_write(20_000 + CLAIM_MS - 100).is_none());
+    assert!(second.next_write(20_000 + CLAIM_MS).is_some());
+}
+
+#[test]
+fn a_claim_comes_after_the_lease_is_over_and_fences_the_holder_off() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    assert!(second.next_write(1_020 + LEASE_MS).is_none());
+    assert!(topic.write(&mut second, 1_020 + CLAIM_MS).is_some());
+    assert!(is_valid_leader(&second, 1_020 + CLAIM_MS));
+    assert!(!is_valid_leader(&first, 1_020 + CLAIM_MS));
+    assert_eq!(
+        topic.write(&mut first, 3_000),
+        Some(WriteOutcome::NotKept),
+        "its renewal does not fit the topic any more"
+    );
+    topic.read(&mut first, 3_000);
+    assert!(matches!(
+        first.role(3_000),
+        Role::Follower { leader: Some(_) }
+    ));
+}
+
+#[test]
+fn a_lease_given_back_is_taken_at_once() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    first.release();
+    assert!(topic.write(&mut first, 1_100).is_some());
+    assert!(first.is_released());
+    assert!(first.next_write(1_200).is_none(), "it does not claim again");
+    topic.read(&mut second, 1_110);
+    assert!(topic.write(&mut second, 1_130).is_some());
+    assert!(is_valid_leader(&second, 1_130));
+}
+
+#[test]
+fn a_write_of_unknown_outcome_counts_from_its_sending_once_it_is_read() {
+    let (mut topic, mut first, _) = leader_and_follower();
+    let write = first.next_write(1_600).expect("due");
+    first.written(&write, WriteOutcome::Unknown, 2_300);
+    assert!(first.next_write(2_400).is_none(), "one at a time");
+    assert!(matches!(topic.append(&write), WriteOutcome::Kept { .. }));
+    topic.read(&mut first, 2_500);
+    assert!(is_valid_leader(&first, 1_600 + LEASE_MS - 1));
+    assert!(!is_valid_leader(&first, 1_600 + LEASE_MS));
+}
+
+#[test]
+fn a_process_that_starts_again_does_not_take_its_old_lease_for_its_own() {
+    let (topic, _, _) = leader_and_follower();
+    let mut reborn = Leadership::open(
+        "first".into(),
+        "2".into(),
+        ([10, 0, 0, 1], 7_000).into(),
+        10,
+    );
+    topic.read(&mut reborn, 1_100);
+    assert!(matches!(
+        reborn.role(1_100),
+        Role::Follower { leader: Some(_) }
+    ));
+}
--- /dev/null
+++ b/tests/testsuite/platform_adapter.rs
@@ -0,0 +1,213 @@
+//! The adapter of the users' platform: what it reads, what it refuses, and what it asks of the store.
+
+use hawthornladder::jobs::JobId;
+use hawthornladder::net::{self, Answer, Asked, Client, ServerSettings};
+use hawthornladder::node::{CallKind, Fence, StoreFailure};
+use hawthornladder::platform::lists::{operator_record, worker_sheet, OperatorRecord};
+use hawthornladder::platform::store::{Store, Topic};
+use hawthornladder::platform::{callers, settings};
+use hyper::Method;
+
+/// Settings with the least that is needed, and a field that nobody knows.
+const SETTINGS: &str = r#"
+node_name = "n1"
+ip = "10.1.0.23"
+zone = "z1"
+internal_ports = [7000, 7015]
+a_new_field = { of = "later" }
+[listen]
+frontend_address = "10.1.0.23:8340"
+ready = "10.1.0.23:8343"
+[limits]
+cpu_share = 0.25
+[platform]
+address = "10.200.1.7:8344"
+"#;
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let read = settings::parse(SETTINGS).expect("valid");
+    assert_eq!(read.name, "n1");
+    assert_eq!(read.peers_address.to_string(), "10.1.0.23:7000");
+    assert_eq!(read.metrics_address.to_string(), "10.1.0.23:7001");
+    assert_eq!(read.bounds.key_withdrawal_ms, 5_000);
+    assert!(read.tickets_address.is_none());
+}
+
+#[test]
+fn faulty_settings_name_what_is_wrong() {
+    let without_ports = SETTINGS.replace("internal_ports = [7000, 7015]", "");
+    let report = settings::parse(&without_ports).expect_err("no ports");
+    assert!(format!("{report:?}").contains("internal_ports"));
+    let without_store = SETTINGS.replace("address = \"10.200.1.7:8344\"", "");
+    assert!(settings::parse(&without_store).is_err());
+    assert!(settings::parse("not toml [").is_err());
+}
+
+#[test]
+fn lists_are_read_and_the_longest_prefix_wins() {
+    let text = br#"{"version":7,"routes":[
+        {"name":"r1","host":"a.example","path_prefix":"/x/","service":"p1","public":true},
+        {"name":"r2","host":"a.example","path_prefix":"/x/y/","service":"p2","max_attempts":4,
+         "recommendation":{"decision_ms":5}}],
+        "services":[{"name":"p1"},{"name":"p2","standby":true}],
+        "tenants":[{"name":"t","api_keys":["k1"],"maximum":{"cpu":5000}}],"more":1}"#;
+    let Ok(OperatorRecord::Lists(lists)) = operator_record("config", text) else {
+        panic!("the lists can be read");
+    };
+    let queue = lists.route("A.example", "/x/y/0123").expect("a queue");
+    assert_eq!(queue.name, "r2");
+    assert!(queue.needs_tickets);
+    assert!(lists.team_of(queue, Some("k1")).is_ok());
+    assert!(lists.team_of(queue, Some("k2")).is_err());
+    let open = lists.route("a.example", "/x/0123").expect("a queue");
+    assert!(lists.team_of(open, None).is_ok());
+    assert!(lists.route("b.example", "/x/0123").is_none());
+    assert_eq!(lists.standby_pool().map(|name| name.as_str()), Some("p2"));
+    assert!(operator_record("config", b"{").is_err());
+}
+
+#[test]
+fn entries_of_other_writers_name_no_worker() {
+    let good = br#"{"service":"p","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":1}}"#;
+    assert!(worker_sheet("i-1", good).is_some());
+    let faulty: [&[u8]; 5] = [
+        b"\xff\xfe",
+        b"{}",
+        br#"{"service":1,"address":"10.0.0.1:80","state":"ready"}"#,
+        br#"{"service":"p","address":"nowhere","state":"ready"}"#,
+        br#"{"service":"p","address":"10.0.0.1:80","state":"dreaming"}"#,
+    ];
+    for value in faulty {
+        assert!(worker_sheet("i-1", value).is_none(), "{value:?}");
+    }
+}
+
+#[test]
+fn jobs_and_calls_are_read() {
+    let body = br#"{"spec":"s","phases":[{"count":2,"cpu":500,"memory_request_mb":10},
+        {"count":1,"after":[0],"long_running":true,"may_miss":0,"fills":true}]}"#;
+    let spec = callers::job_spec(body).expect("valid");
+    assert_eq!(spec.steps[0].size.cpu_millis, 500);
+    assert!(spec.steps[1].is_endless && spec.steps[1].is_filler);
+    assert_eq!(spec.steps[1].away_max, None);
+    assert!(spec.check().is_ok());
+    assert!(callers::job_spec(b"[]").is_err());
+    let id = JobId::parse("00000000000000ff").expect("an id");
+    let kind = |method, rest| callers::kind_of(&method, rest);
+    assert_eq!(
+        kind(Method::POST, "00000000000000ff"),
+        Some(CallKind::Submit(id))
+    );
+    assert_eq!(kind(Method::GET, ""), Some(CallKind::Count));
+    assert_eq!(kind(Method::GET, "ff"), None);
+    assert_eq!(kind(Method::PUT, "00000000000000ff"), None);
+}
+
+/// Runs `test` with a store that answers every call with `status` and `body`.
+fn with_store<T: std::future::Future<Output = ()>>(
+    status: u16,
+    body: &'static [u8],
+    test: impl FnOnce(Store) -> T,
+) {
+    let address = {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        free.local_addr().expect("an address")
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let settings = ServerSettings {
+            body_max_bytes: 1 << 20,
+            connections_max: 8,
+        };
+        let answer = move |_: Asked| {
+            std::future::ready(Answer {
+                status,
+                headers: Vec::new(),
+                body: hyper::body::Bytes::from_static(body),
+            })
+        };
+        let _server = net::serve(address, settings, answer).await.expect("bound");
+        test(Store::open(Client::default(), address)).await;
+    });
+}
+
+fn fence() -> Fence {
+    Fence {
+        writer: "leader",
+        fence: 3,
+        number: 1,
+    }
+}
+
+async fn append(store: Store) -> Result<u64, StoreFailure> {
+    let records = [("k".into(), Some(b"v".to_vec()))];
+    store
+        .append(Topic::Jobs, &records, None, Some(&fence()), 1_000)
+        .await
+}
+
+#[test]
+fn answers_of_the_store_are_told_apart() {
+    let cases: [(u16, &'static [u8], Result<u64, StoreFailure>); 7] = [
+        (200, br#"{"offset":4,"end":5}"#, Ok(5)),
+        (409, br#"{"reason":"fenced"}"#, Err(StoreFailure::Fenced)),
+        (
+            409,
+            br#"{"reason":"seq","sequence":9}"#,
+            Err(StoreFailure::Number { expected: Some(9) }),
+        ),
+        (
+            412,
+            br#"{"end":8}"#,
+            Err(StoreFailure::Moved { end_offset: 8 }),
+        ),
+        (
+            410,
+            br#"{"first":2}"#,
+            Err(StoreFailure::Trimmed { first_offset: 2 }),
+        ),
+        (503, b"", Err(StoreFailure::Refused { status: 503 })),
+        (507, b"", Err(StoreFailure::Full)),
+    ];
+    for (status, body, expected) in cases {
+        with_store(status, body, |store| async move {
+            assert_eq!(append(store).await, expected, "{status}");
+        });
+    }
+}
+
+#[test]
+fn records_of_a_read_are_cut_apart_and_unreadable_ones_are_named_so() {
+    // End 7, first kept 0; a record of key "ab" and value "c", a removal of "k", and one too short.
+    let body: &[u8] = b"\0\0\0\0\0\0\0\x07\0\0\0\0\0\0\0\0\
+        \0\0\0\x04\x02abc\0\0\0\x02\x01k\0\0\0\x01\x09";
+    with_store(200, body, |store| async move {
+        let page = store.read(Topic::Lead, 4, 0, 1_000).await.expect("read");
+        assert_eq!((page.next_offset, page.end_offset), (7, 7));
+        assert_eq!(page.records[0].key, "ab");
+        assert_eq!(page.records[0].value.as_deref(), Some(&b"c"[..]));
+        assert_eq!(page.records[1].key, "k");
+        assert_eq!(page.records[1].value, None);
+        assert_eq!(page.records[2].key, "");
+    });
+}
+
+#[test]
+fn a_store_that_is_not_there_was_not_called() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let address = {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        free.local_addr().expect("an address")
+    };
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let store = Store::open(Client::default(), address);
+        assert_eq!(append(store).await, Err(StoreFailure::NotSent));
+    });
+}
