Take a refused late start and a lagging list for no more than they say

Cause: one start refused as late made the engine drop its reading of the worker's clock, by which all runs there counted as lapsed and were started again; and a list of instances that did not yet have a new worker ended that worker's life after one look without an answer. Ruled out: lapse by time (4 s), a lost answer (it is barred first), a new life.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -65,11 +65,6 @@
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         worker.avoided_until_ms = worker.avoided_until_ms.max(now_ms + avoid_ms);
-        if failure == OrderFailure::Late {
-            // The reading of the clock cannot be right; the next look brings another.
-            worker.clock = None;
-            worker.is_fenced = false;
-        }
         self.want_look(key);
     }
 
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -18,6 +18,10 @@
 /// Time after which a refused order may be given again, in milliseconds.
 const REFUSED_AGAIN_MS: u64 = 600;
 
+/// Time by which the list of instances may lag behind, in milliseconds.
+const LIST_LAG_MS: u64 = 3_000;
+/// Looks without an answer after which the list decides whether a worker is still there.
+const SILENT_MIN: u32 = 2;
 /// Time after a take-over, beyond that of a stop, in which no endless task is stopped, in
 /// milliseconds.
 const STOPS_SETTLE_MS: u64 = 1_000;
@@ -136,10 +140,10 @@
         for key in self.all_workers().collect::<Vec<_>>() {
             let worker = self.worker(key);
             let is_unknown = worker.is_recorded && !worker.is_listed && !worker.is_fenced;
-            let is_silent = worker.silent_count > 0 && !worker.slots.is_empty();
-            let is_over = (is_unknown || is_silent)
-                && worker.listed_ms < sent_ms
-                && !alive.contains(&worker.sheet.id);
+            // The list lags; a worker that is new may not be in it yet.
+            let is_old = worker.listed_ms + LIST_LAG_MS < sent_ms;
+            let is_silent = worker.silent_count >= SILENT_MIN && !worker.slots.is_empty() && is_old;
+            let is_over = (is_unknown || is_silent) && !alive.contains(&worker.sheet.id);
             if is_over {
                 self.end_life(key, "no_instance_has_it");
             }
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -127,7 +127,9 @@
         }
         let worker = self.worker_mut(key);
         worker.is_listed = true;
-        worker.listed_ms = now_ms;
+        if worker.listed_ms == 0 {
+            worker.listed_ms = now_ms;
+        }
         worker.sheet = sheet;
         worker.sheet.born_unix_ms = worker.sheet.born_unix_ms.max(born_unix_ms);
         if is_new_life {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -150,7 +150,7 @@
     pub(crate) failed_streak_count: u32,
     /// Time since which nothing was there to run.
     pub(crate) idle_since_ms: u64,
-    /// Time at which the list showed it last.
+    /// Time at which the list showed it first under this leader; 0 for never.
     pub(crate) listed_ms: u64,
     /// Time at which the list lost it, if it did.
     pub(crate) unlisted_since_ms: u64,
@@ -194,7 +194,8 @@
     /// Returns the time on the own clock at which all that was let has lapsed for sure.
     pub(crate) fn lapse_ms(&self) -> u64 {
         match self.clock {
-            None => 0,
+            // Nothing was let yet, or it is not known until when; a look will tell.
+            None => u64::MAX,
             Some(clock) => {
                 let left_ms = self.let_until_worker_ms.saturating_sub(clock.worker_ms);
                 let drift_ms = left_ms * CLOCK_DRIFT_PERMILLE / 1_000;
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -203,3 +203,65 @@
     plant.advance(3_000);
     assert_eq!(plant.runs_of(id).len(), 3);
 }
+
+#[test]
+fn a_start_refused_as_late_says_nothing_of_other_runs() {
+    let mut plant = Plant::open(&["maps"], 2);
+    let id = plant.submit("maps", job(vec![endless(2, 1_000)]));
+    plant.advance(300);
+    for worker in plant.workers.values_mut() {
+        worker.refuses_as_late = true;
+    }
+    plant.submit("maps", job(vec![step(2, 1_000, 300)]));
+    plant.advance(1_000);
+    for worker in plant.workers.values_mut() {
+        worker.refuses_as_late = false;
+    }
+    plant.advance(1_000);
+    assert_eq!(plant.runs_of(id).len(), 2);
+    assert_eq!(plant.starts.len(), 4, "nothing was started again");
+}
+
+#[test]
+fn a_list_of_instances_that_lags_ends_no_new_worker() {
+    let mut plant = Plant::open(&["maps"], 2);
+    let id = plant.submit("maps", job(vec![endless(2, 1_000)]));
+    plant.advance(300);
+    let first = plant.runs_of(id)[0].0.clone();
+    plant.workers[&first].is_mute = true;
+    plant.advance(1_400);
+    let mut sheets: Vec<_> = plant.instances.values().cloned().collect();
+    for sheet in &mut sheets {
+        if sheet.worker.as_ref() == Some(&first) {
+            sheet.worker = None;
+        }
+    }
+    plant
+        .engine
+        .instances_listed(sheets, plant.now_ms, plant.now_ms);
+    plant.advance(300);
+    assert_eq!(plant.runs_of(id).len(), 2, "it runs on where it is");
+}
+
+#[test]
+fn a_worker_that_no_instance_has_any_more_is_replaced_at_once() {
+    let mut plant = Plant::open(&["maps"], 2);
+    let id = plant.submit("maps", job(vec![endless(2, 1_000)]));
+    plant.advance(4_000);
+    let first = plant.runs_of(id)[0].0.clone();
+    plant.workers[&first].is_dead = true;
+    plant.workers[&first].running.clear();
+    plant.advance(1_700);
+    let mut sheets: Vec<_> = plant.instances.values().cloned().collect();
+    for sheet in &mut sheets {
+        if sheet.worker.as_ref() == Some(&first) {
+            sheet.worker = None;
+            sheet.state = hawthornladder::jobs::InstanceState::Down;
+        }
+    }
+    plant
+        .engine
+        .instances_listed(sheets, plant.now_ms, plant.now_ms);
+    plant.advance(200);
+    assert_eq!(plant.runs_of(id).len(), 2, "before the lease is over");
+}
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -48,6 +48,8 @@
     pub(crate) is_mute: bool,
     /// It is gone for good.
     pub(crate) is_dead: bool,
+    /// It refuses starts as too late.
+    pub(crate) refuses_as_late: bool,
 }
 
 impl FakeWorker {
@@ -281,6 +283,7 @@
             is_cut: false,
             is_mute: false,
             is_dead: false,
+            refuses_as_late: false,
         };
         self.workers.insert(id, worker);
     }
@@ -540,6 +543,7 @@
         let key = (order.name, order.run.run);
         let failure = match () {
             () if order.target.fence < worker.fence => Some(OrderFailure::Fenced),
+            () if worker.refuses_as_late => Some(OrderFailure::Late),
             () if worker.barred.contains(&key) => Some(OrderFailure::Outdated),
             () => None,
         };
