--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -29,6 +29,9 @@
 /// Time before a turn, beyond that of a move, from which its pool is prepared, in milliseconds.
 const AHEAD_MS: u64 = 500;
 
+/// Time by which an instance may arrive later than a move takes, in milliseconds.
+const ARRIVAL_RESERVE_MS: u64 = 600;
+
 /// When and what was last decided.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CapacityPolicy {
@@ -42,7 +45,6 @@
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
     needed: Size,
-    have: Size,
     usable_count: usize,
     endless_hosts_count: usize,
     /// Instances to have because the pool's turn may come next.
@@ -81,51 +83,22 @@
     }
 
     fn review_capacity(&mut self) {
-        let now_ms = self.now_ms;
-        let arrived: Vec<SmolStr> = self
-            .workers
-            .iter()
-            .filter(|worker| worker.is_listed)
-            .filter_map(|worker| Some((worker.sheet.instance.clone()?, &worker.sheet.pool)))
-            .filter(|(instance, pool)| {
-                let coming = self.capacity.coming.get(instance);
-                coming.is_some_and(|(to, _)| to == *pool)
-            })
-            .map(|(instance, _)| instance)
-            .collect();
-        self.capacity.coming.retain(|instance, (_, arrives_ms)| {
-            *arrives_ms > now_ms && !arrived.contains(instance)
-        });
+        self.forget_arrived();
         let mut needs = self.pool_needs();
         self.add_forecast(&mut needs);
         let mut short: Vec<(SmolStr, usize)> = Vec::new();
         let mut donors: Vec<WorkerKey> = Vec::new();
         for (pool, need) in &needs {
-            let size = self.instance_size(pool);
             let have_count = need.usable_count;
-            let wanted_count = instances_for(&need.needed, &size).max(need.prepared_count);
-            let kept_count = wanted_count
-                .max(need.endless_hosts_count + KEPT_COUNT)
-                .min(have_count.max(wanted_count));
-            let told = (wanted_count, have_count);
-            if self.capacity.told.insert(pool.clone(), told) != Some(told) {
-                Event::new("capacity")
-                    .with("pool", pool)
-                    .with("wanted_count", wanted_count)
-                    .with("have_count", have_count)
-                    .with("endless_hosts_count", need.endless_hosts_count)
-                    .with("needed_cpu_millis", need.needed.cpu_millis)
-                    .with("needed_memory_mb", need.needed.memory_mb)
-                    .info();
-            }
+            let wanted_count =
+                instances_for(&need.needed, &self.instance_size(pool)).max(need.prepared_count);
+            self.tell_capacity(pool, need, wanted_count);
+            let kept_count = wanted_count.max(need.endless_hosts_count + KEPT_COUNT);
             if wanted_count > have_count {
                 short.push((pool.clone(), wanted_count - have_count));
             } else if have_count > kept_count {
-                donors.extend(
-                    self.idle_workers(pool)
-                        .into_iter()
-                        .take(have_count - kept_count),
-                );
+                let idle = self.idle_workers(pool).into_iter();
+                donors.extend(idle.take(have_count - kept_count));
             }
         }
         short.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
@@ -139,6 +112,40 @@
         self.park_idle(&donors);
     }
 
+    /// Counts instances as on their way no longer than until their workers are listed.
+    fn forget_arrived(&mut self) {
+        let now_ms = self.now_ms;
+        let coming = &mut self.capacity.coming;
+        for worker in self.workers.iter().filter(|worker| worker.is_listed) {
+            let Some(instance) = &worker.sheet.instance else {
+                continue;
+            };
+            let is_there = coming
+                .get(instance)
+                .is_some_and(|(pool, _)| *pool == worker.sheet.pool);
+            if is_there {
+                coming.swap_remove(instance);
+            }
+        }
+        coming.retain(|_, (_, arrives_ms)| *arrives_ms > now_ms);
+    }
+
+    /// Logs what a pool needs and has, where it has changed.
+    fn tell_capacity(&mut self, pool: &SmolStr, need: &PoolNeed, wanted_count: usize) {
+        let told = (wanted_count, need.usable_count);
+        if self.capacity.told.insert(pool.clone(), told) == Some(told) {
+            return;
+        }
+        Event::new("capacity")
+            .with("pool", pool)
+            .with("wanted_count", wanted_count)
+            .with("have_count", need.usable_count)
+            .with("endless_hosts_count", need.endless_hosts_count)
+            .with("needed_cpu_millis", need.needed.cpu_millis)
+            .with("needed_memory_mb", need.needed.memory_mb)
+            .info();
+    }
+
     /// Raises what pools need to what their arrivals will keep busy, and to what the pool asks for whose
     /// turn is about to come.
     fn add_forecast(&self, needs: &mut IndexMap<SmolStr, PoolNeed>) {
@@ -270,7 +277,6 @@
                 need.endless.add(&slot.room);
             }
             if worker.is_listed && !worker.sheet.is_draining && !worker.is_reserved {
-                need.have.add(&worker.sheet.capacity);
                 need.usable_count += 1;
                 need.endless_hosts_count += usize::from(worker.endless_count() > 0);
             }
@@ -298,9 +304,6 @@
     }
 }
 
-/// Time by which an instance may arrive later than a move takes, in milliseconds.
-const ARRIVAL_RESERVE_MS: u64 = 600;
-
 /// Returns the room of the tasks that could start now, and of those that wait only for running ones.
 fn waiting_size(job: &crate::jobs::job::Job) -> Size {
     let mut all = Size::default();
--- a/src/jobs/catalog.rs
+++ b/src/jobs/catalog.rs
@@ -23,7 +23,7 @@
     /// Failed runs after which a task is not run again.
     pub attempts_max: u32,
     /// Part of a job's target, as a multiple of its longest chain.
-    pub slack_factor: f64,
+    pub target_chain_factor: f64,
     /// Part of a job's target that does not depend on its size, in milliseconds.
     pub target_latency_ms: u64,
     /// Whether calls need no key.
--- a/src/jobs/intake.rs
+++ b/src/jobs/intake.rs
@@ -146,7 +146,7 @@
         let Some(queue) = self.catalog.queues.get(queue) else {
             return chain_ms;
         };
-        queue.target_latency_ms + scaled_ms(chain_ms, queue.slack_factor)
+        queue.target_latency_ms + scaled_ms(chain_ms, queue.target_chain_factor)
     }
 
     /// Returns the recorded state of a job; none if no such job is on record.
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -140,7 +140,7 @@
             pool: route.service,
             priority: route.priority,
             attempts_max: route.max_attempts.max(1),
-            slack_factor: route.slack_factor,
+            target_chain_factor: route.slack_factor,
             target_latency_ms: route.target_latency_ms,
             is_open: route.public,
             needs_tickets: route
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -159,7 +159,7 @@
             name: name.clone(),
             pool: name.clone(),
             attempts_max: 3,
-            slack_factor: 1.6,
+            target_chain_factor: 1.6,
             target_latency_ms: 600,
             ..Queue::default()
         };
