Look at every worker on record before anything of a predecessor is started again

A life ended by the list is now a state of its own, believed only 3 s after the take-over and undone by an entry. Ruled out: the record of the end (the take-over reads after its fence), paging. Test: fails without the change.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -90,9 +90,10 @@
         }
         job.is_inherited
             && self.now_ms < self.inherited_clear_at_ms()
-            && self.workers.iter().any(|worker| {
-                worker.is_recorded && !worker.is_fenced && worker.sheet.pool == job.pool
-            })
+            && self
+                .workers
+                .iter()
+                .any(|worker| worker.is_unseen() && worker.sheet.pool == job.pool)
     }
 
     /// Returns the time at which no run of an earlier leader is left at a worker out of reach.
@@ -264,8 +265,7 @@
         let mut used = self.team_used.get(team).copied().unwrap_or_default();
         if self.now_ms < self.inherited_clear_at_ms() {
             // What an earlier leader started on a worker out of reach may be this team's.
-            let unseen =
-                |worker: &&crate::jobs::worker::Worker| worker.is_recorded && !worker.is_fenced;
+            let unseen = |worker: &&crate::jobs::worker::Worker| worker.is_unseen();
             for worker in self.workers.iter().filter(unseen) {
                 used.add(&worker.sheet.capacity);
             }
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -139,7 +139,8 @@
         }
         for key in self.all_workers().collect::<Vec<_>>() {
             let worker = self.worker(key);
-            let is_unknown = worker.is_recorded && !worker.is_listed && !worker.is_fenced;
+            let is_settled = self.opened_ms + LIST_LAG_MS < sent_ms;
+            let is_unknown = worker.is_unseen() && !worker.is_listed && is_settled;
             // The list lags; a worker that is new may not be in it yet.
             let is_old = worker.listed_ms + LIST_LAG_MS < sent_ms;
             let is_silent = worker.silent_count >= SILENT_MIN && !worker.slots.is_empty() && is_old;
@@ -156,7 +157,7 @@
         let worker = self.worker_mut(key);
         worker.is_listed = false;
         worker.unlisted_since_ms = now_ms;
-        worker.is_fenced = true;
+        worker.is_over = true;
         let lost: Vec<RunKey> = worker.slots.keys().copied().collect();
         Event::new("worker_over")
             .with("worker", &worker.sheet.id)
--- a/src/jobs/looks.rs
+++ b/src/jobs/looks.rs
@@ -33,7 +33,7 @@
             let worker = self.worker(key);
             let is_due =
                 matches!(worker.look, LookState::Rest { until_ms } if until_ms <= self.now_ms);
-            let is_inherited = worker.is_recorded && self.now_ms < self.inherited_clear_at_ms();
+            let is_inherited = worker.is_unseen() && self.now_ms < self.inherited_clear_at_ms();
             let stands_by = self
                 .catalog
                 .pools
@@ -515,7 +515,7 @@
             }
             let worker = self.worker(key);
             // Without entry and runs, and with this leader's fence, nothing is or will be there.
-            let is_known = worker.is_fenced || now_ms >= self.inherited_clear_at_ms();
+            let is_known = !worker.is_unseen() || now_ms >= self.inherited_clear_at_ms();
             let is_forgotten = worker.is_recorded
                 && !worker.is_listed
                 && worker.slots.is_empty()
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -127,6 +127,7 @@
         }
         let worker = self.worker_mut(key);
         worker.is_listed = true;
+        worker.is_over = false;
         if worker.listed_ms == 0 {
             worker.listed_ms = now_ms;
         }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -124,6 +124,8 @@
     pub(crate) is_recorded: bool,
     /// Whether this leader's fence was raised there in this life.
     pub(crate) is_fenced: bool,
+    /// Whether its life is known to be over: nothing runs there, and nothing will.
+    pub(crate) is_over: bool,
     /// Whether it is kept free of new starts for a planned stop.
     pub(crate) is_reserved: bool,
     /// Runs that are there, or may be.
@@ -166,6 +168,7 @@
             is_listed: false,
             is_recorded: false,
             is_fenced: false,
+            is_over: false,
             is_reserved: false,
             slots: IndexMap::new(),
             used: Size::default(),
@@ -215,6 +218,11 @@
         }
     }
 
+    /// Returns whether an earlier leader's runs may be there that this one has not seen.
+    pub(crate) fn is_unseen(&self) -> bool {
+        self.is_recorded && !self.is_fenced && !self.is_over
+    }
+
     /// Returns whether new tasks may go there.
     pub(crate) fn takes_tasks(&self, now_ms: u64) -> bool {
         self.is_listed
--- /dev/null
+++ b/tests/testsuite/jobs/builders.rs
@@ -0,0 +1,91 @@
+//! Jobs, lists and settings that the tests of the engine use.
+
+use hawthornladder::jobs::{Catalog, EngineSettings, JobSpec, Pool, Queue, Size, StepSpec, Team};
+use smol_str::SmolStr;
+
+/// Returns a size of processors and memory.
+pub(crate) fn size(cpu_millis: u64, memory_mb: u64) -> Size {
+    Size {
+        cpu_millis,
+        memory_mb,
+        gpu_count: 0,
+    }
+}
+
+/// Returns a step of `tasks_count` plain tasks.
+pub(crate) fn step(tasks_count: u32, cpu_millis: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks_count,
+        size: size(cpu_millis, 100),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a step of tasks that run until the job is cancelled.
+pub(crate) fn endless(tasks_count: u32, cpu_millis: u64) -> StepSpec {
+    StepSpec {
+        is_endless: true,
+        ..step(tasks_count, cpu_millis, 100)
+    }
+}
+
+/// Returns a job of steps.
+pub(crate) fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        payload: "work".to_owned(),
+        steps,
+        recurrence: None,
+    }
+}
+
+/// Returns lists with one queue and pool for each name, and a standby pool.
+pub(crate) fn catalog(pools: &[&str]) -> Catalog {
+    let mut catalog = Catalog {
+        version: 1,
+        ..Catalog::default()
+    };
+    for pool in pools {
+        let name: SmolStr = (*pool).into();
+        let queue = Queue {
+            name: name.clone(),
+            pool: name.clone(),
+            attempts_max: 3,
+            target_chain_factor: 1.6,
+            target_latency_ms: 600,
+            ..Queue::default()
+        };
+        catalog.queues.insert(name.clone(), queue);
+        catalog.pools.insert(name, Pool::default());
+    }
+    let standby = Pool {
+        is_standby: true,
+        ..Pool::default()
+    };
+    catalog.pools.insert("standby".into(), standby);
+    catalog.teams.insert(
+        "team".into(),
+        Team {
+            name: "team".into(),
+            weight: 1.0,
+            limit: Size::default(),
+        },
+    );
+    catalog
+}
+
+/// Returns the settings of a leader.
+pub(crate) fn settings(fence: u64) -> EngineSettings {
+    EngineSettings {
+        fence,
+        run_lease_ms: 4_000,
+        look_wait_ms: 800,
+        stop_ms: 200,
+        inherited_clear_ms: if fence == 1 { 0 } else { 10_200 },
+        keep_ended_ms: 120_000,
+        move_ms: 1_500,
+        maintain_ms: 2_000,
+        away_notice_ms: 4_500,
+        instance_lease_ms: if fence == 1 { 0 } else { 3_000 },
+    }
+}
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -265,3 +265,28 @@
     plant.advance(200);
     assert_eq!(plant.runs_of(id).len(), 2, "before the lease is over");
 }
+
+#[test]
+fn a_successor_looks_at_a_worker_that_a_lagging_list_of_instances_does_not_show() {
+    let mut plant = Plant::open(&["maps"], 2);
+    let id = plant.submit(
+        "maps",
+        job(vec![step(2, 1_000, 300), step(1, 1_000, 3_000)]),
+    );
+    plant.advance(200);
+    // The ends come in while the store is away, so that they are on record nowhere.
+    plant.is_store_away = true;
+    plant.advance(400);
+    plant.is_store_away = false;
+    plant.take_over_blind(2);
+    let mut sheets: Vec<_> = plant.instances.values().cloned().collect();
+    for sheet in &mut sheets {
+        sheet.worker = Some("of-before".into());
+    }
+    plant
+        .engine
+        .instances_listed(sheets, plant.now_ms, plant.now_ms);
+    plant.list_all();
+    plant.advance_until(6_000, |plant| plant.state(id) == Some(JobState::Complete));
+    assert_eq!(plant.starts.len(), 3, "no task was started again");
+}
