--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -82,6 +82,8 @@
     pub(crate) sheet: InstanceSheet,
     /// Order given last, if it is not known to be carried out or refused.
     pub(crate) order: Option<(InstanceOrder, u64)>,
+    /// Worker that the instance had when the order was first given; a later one is not touched by it.
+    pub(crate) ordered_worker: Option<WorkerKey>,
     /// Time up to which the instance is expected to be away, from the last order carried out.
     pub(crate) away_until_ms: u64,
     /// No order before this time.
@@ -107,6 +109,7 @@
             let mut row = Instance {
                 sheet,
                 order: before.and_then(|row| row.order.clone()),
+                ordered_worker: before.and_then(|row| row.ordered_worker),
                 away_until_ms: before.map_or(0, |row| row.away_until_ms),
                 rests_until_ms: before.map_or(0, |row| row.rests_until_ms),
             };
@@ -223,9 +226,11 @@
     /// Gives an order to an instance.
     pub(crate) fn order_instance(&mut self, order: InstanceOrder) {
         let now_ms = self.now_ms;
+        let worker = self.worker_of(order.instance());
         let Some(row) = self.instances.rows.get_mut(order.instance()) else {
             return;
         };
+        row.ordered_worker = worker;
         row.order = Some((order.clone(), now_ms));
         let event = Event::new("instance_ordered").with("instance", order.instance());
         match &order {
@@ -274,8 +279,9 @@
             InstanceOrder::Move { .. } => self.settings.move_ms,
             InstanceOrder::Maintain { .. } => self.settings.maintain_ms,
         };
-        let worker = self.worker_of(order.instance());
+        let mut worker = None;
         if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            worker = row.ordered_worker.take();
             row.order = None;
             row.away_until_ms = now_ms + away_ms;
             if let InstanceOrder::Move { pool, .. } = order {
@@ -300,11 +306,13 @@
             .with("instance", order.instance())
             .with("failure", failure)
             .warn();
+        let mut worker = None;
         if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            worker = row.ordered_worker.take();
             row.order = None;
             row.rests_until_ms = now_ms + REFUSED_AGAIN_MS;
         }
-        if let Some(key) = self.worker_of(order.instance()) {
+        if let Some(key) = worker {
             self.worker_mut(key).is_reserved = false;
             self.needs_dispatch = true;
         }
--- a/tests/testsuite/jobs/capacity.rs
+++ b/tests/testsuite/jobs/capacity.rs
@@ -121,3 +121,17 @@
         assert!(!lately, "{order:?}");
     }
 }
+
+#[test]
+fn the_repeat_of_a_move_says_nothing_of_the_worker_that_came_of_it() {
+    let mut plant = Plant::open(&["a", "b"], 2);
+    plant.add_instance(&SmolStr::from("spare-0"), "standby");
+    plant.list_all();
+    plant.loses_first_answers = true;
+    let id = plant.submit("a", job(vec![step(10, 8_000, 6_000)]));
+    plant.advance_until(3_000, |plant| plant.runs_of(id).len() == 10);
+    let starts = plant.starts.len();
+    // The order is repeated until its answer comes.
+    plant.advance(3_000);
+    assert_eq!(plant.starts.len(), starts, "nothing was started again");
+}
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -6,9 +6,9 @@
 use std::collections::{HashMap, HashSet};
 
 use hawthornladder::jobs::{
-    Action, Catalog, EndKind, Engine, InstanceOrder, InstanceSheet, InstanceState, Intake, JobId,
-    JobSpec, JobState, Look, LookOrder, OrderFailure, Record, RunEnd, RunRow, Settled, Size,
-    StartOrder, StopOrder, Submission, TaskName, WaveSheet, WorkerSheet,
+    Action, Catalog, EndKind, Engine, InstanceFailure, InstanceOrder, InstanceSheet, InstanceState,
+    Intake, JobId, JobSpec, JobState, Look, LookOrder, OrderFailure, Record, RunEnd, RunRow,
+    Settled, Size, StartOrder, StopOrder, Submission, TaskName, WaveSheet, WorkerSheet,
 };
 use indexmap::IndexMap;
 use smol_str::{format_smolstr, SmolStr};
@@ -93,6 +93,8 @@
     pub(crate) is_store_away: bool,
     pub(crate) accepted: Vec<JobId>,
     pub(crate) orders: Vec<InstanceOrder>,
+    /// Orders to instances are carried out and their first answers lost.
+    pub(crate) loses_first_answers: bool,
     /// Times of the orders, in milliseconds.
     pub(crate) order_times_ms: Vec<u64>,
     /// Stops given, by time.
@@ -126,6 +128,7 @@
             is_store_away: false,
             accepted: Vec::new(),
             orders: Vec::new(),
+            loses_first_answers: false,
             order_times_ms: Vec::new(),
             stops: Vec::new(),
             paces: Vec::new(),
@@ -204,9 +207,17 @@
 
     /// Lists all workers and instances to the engine.
     pub(crate) fn list_all(&mut self) {
+        self.list_workers();
+        self.list_instances();
+    }
+
+    fn list_workers(&mut self) {
         for worker in self.workers.values().filter(|worker| !worker.is_dead) {
             self.engine.worker_listed(worker.sheet.clone(), self.now_ms);
         }
+    }
+
+    fn list_instances(&mut self) {
         let sheets = self.instances.values().cloned().collect();
         self.engine
             .instances_listed(sheets, self.now_ms, self.now_ms);
@@ -335,7 +346,10 @@
             let pool = sheet.pool.clone();
             self.instances[&instance].state = InstanceState::Up;
             self.add_worker(&instance, &pool, now_ms);
-            self.list_all();
+            self.list_workers();
+            if !self.loses_first_answers {
+                self.list_instances();
+            }
         }
     }
 
@@ -527,6 +541,11 @@
 
     fn instance(&mut self, order: InstanceOrder) {
         let now_ms = self.now_ms;
+        let is_repeat = self.orders.last() == Some(&order);
+        if is_repeat && self.loses_first_answers {
+            self.engine.instance_answered(&order, Ok(()), now_ms);
+            return;
+        }
         let row = &mut self.instances[order.instance()];
         let (pool, state, takes_ms) = match &order {
             InstanceOrder::Move { pool, .. } => (pool.clone(), InstanceState::Moving, 1_500),
@@ -548,7 +567,11 @@
             sheet.pool = pool;
             self.arrivals.push((now_ms + takes_ms, sheet));
         }
-        self.engine.instance_answered(&order, Ok(()), now_ms);
+        let answer = match self.loses_first_answers {
+            true => Err(InstanceFailure::Lost),
+            false => Ok(()),
+        };
+        self.engine.instance_answered(&order, answer, now_ms);
         self.orders.push(order);
         self.order_times_ms.push(now_ms);
     }
