Read newest records in one place, keep only workers and jobs that matter in memory, test racks and tickets

Cause: the reader of newest records was written three times, each paging by itself; the engine walked every worker life since the leader began at each step, and kept a place for every job ever taken (a leader that lives for long would have grown by some 300 bytes for each job). Tickets, racks and gangs in one rack had product code without a test, and the test of the repeated move passed without its mend, because the plant took a repeat that was not its last order for a new one. Now: Store::newest serves lists, workers, lease and records; present holds the workers that are listed, on record or have runs; places of forgotten jobs are used again; leases and stops are searched each 20 ms, not at each step. Settings that decide nothing are gone. Seen: the test of the repeated move fails with its mend taken out (8 known runs, 10 expected) and passes with it; 40 tests of jobs:: pass.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-use crate::jobs::engine::Engine;
+use crate::jobs::engine::{index, Engine};
 use crate::jobs::instances::InstanceState;
 use crate::jobs::keys::WorkerKey;
 use crate::jobs::orders::InstanceOrder;
@@ -116,7 +116,12 @@
     fn forget_arrived(&mut self) {
         let now_ms = self.now_ms;
         let coming = &mut self.capacity.coming;
-        for worker in self.workers.iter().filter(|worker| worker.is_listed) {
+        for worker in self
+            .present
+            .iter()
+            .map(|key| &self.workers[index(key.0)])
+            .filter(|worker| worker.is_listed)
+        {
             let Some(instance) = &worker.sheet.instance else {
                 continue;
             };
@@ -237,7 +242,7 @@
     /// Returns the workers of a pool that run nothing and may leave it, the longest idle last.
     fn idle_workers(&self, pool: &SmolStr) -> Vec<WorkerKey> {
         let mut idle: Vec<WorkerKey> = self
-            .all_workers()
+            .present_keys()
             .filter(|key| {
                 let worker = self.worker(*key);
                 worker.sheet.pool == *pool
@@ -252,7 +257,7 @@
 
     fn instance_size(&self, pool: &SmolStr) -> Size {
         let of_pool = |worker: &&crate::jobs::worker::Worker| worker.sheet.pool == *pool;
-        let worker = self.workers.iter().find(of_pool);
+        let worker = self.present_workers().find(of_pool);
         let first = || self.instances.rows.values().next();
         worker
             .map(|worker| worker.sheet.capacity)
@@ -268,7 +273,7 @@
                 needs.insert(name.clone(), PoolNeed::default());
             }
         }
-        for worker in &self.workers {
+        for worker in self.present_workers() {
             let Some(need) = needs.get_mut(&worker.sheet.pool) else {
                 continue;
             };
--- a/src/jobs/catalog.rs
+++ b/src/jobs/catalog.rs
@@ -35,8 +35,6 @@
 /// A pool of workers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
-    /// Its workers refuse what does not fit.
-    pub guards_room: bool,
     /// Its instances are off.
     pub is_standby: bool,
 }
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -76,7 +76,7 @@
         };
         pools.push(Candidates {
             pool: pool.clone(),
-            workers: self.all_workers().filter(takes).collect(),
+            workers: self.present_keys().filter(takes).collect(),
             refused: Vec::new(),
         });
         pools.len() - 1
@@ -91,8 +91,7 @@
         job.is_inherited
             && self.now_ms < self.inherited_clear_at_ms()
             && self
-                .workers
-                .iter()
+                .present_workers()
                 .any(|worker| worker.is_unseen() && worker.sheet.pool == job.pool)
     }
 
@@ -266,7 +265,7 @@
         if self.now_ms < self.inherited_clear_at_ms() {
             // What an earlier leader started on a worker out of reach may be this team's.
             let unseen = |worker: &&crate::jobs::worker::Worker| worker.is_unseen();
-            for worker in self.workers.iter().filter(unseen) {
+            for worker in self.present_workers().filter(unseen) {
                 used.add(&worker.sheet.capacity);
             }
         }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -24,6 +24,9 @@
 use crate::jobs::worker::{LookState, Slot, Worker};
 use crate::logging::Event;
 
+/// Time between two searches for leases that are over and stops without effect, in milliseconds.
+const SWEEP_MS: u64 = 20;
+
 /// Settings of the engine, from the deployment.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -44,9 +47,6 @@
     pub move_ms: u64,
     /// Time that the maintenance of an instance takes, in milliseconds.
     pub maintain_ms: u64,
-    /// Time after which a task that is not at work counts as away for its step's budget, in
-    /// milliseconds.
-    pub away_notice_ms: u64,
     /// Time in which two leaders may not both give orders to one instance, in milliseconds.
     pub instance_lease_ms: u64,
 }
@@ -77,11 +77,15 @@
     pub(crate) opened_ms: u64,
     pub(crate) catalog: Catalog,
     pub(crate) jobs: Vec<Job>,
+    /// Places of forgotten jobs, for new ones.
+    pub(crate) free_jobs: Vec<JobKey>,
     pub(crate) job_keys: HashMap<JobId, JobKey>,
     pub(crate) live: IndexSet<JobKey>,
     pub(crate) ended: VecDeque<JobKey>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
+    /// Workers that are listed, on record, or have runs; all others are of the past.
+    pub(crate) present: IndexSet<WorkerKey>,
     pub(crate) team_used: HashMap<SmolStr, Size>,
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
@@ -91,6 +95,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) needs_dispatch: bool,
     pub(crate) next_review_ms: u64,
+    next_sweep_ms: u64,
     /// Set once a worker or the store has shown a higher fence.
     pub(crate) is_deposed: bool,
     is_paused: bool,
@@ -112,11 +117,13 @@
             opened_ms: now_ms,
             catalog,
             jobs: Vec::new(),
+            free_jobs: Vec::new(),
             job_keys: HashMap::new(),
             live: IndexSet::new(),
             ended: VecDeque::new(),
             workers: Vec::new(),
             worker_keys: HashMap::new(),
+            present: IndexSet::new(),
             team_used: HashMap::new(),
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
@@ -126,6 +133,7 @@
             actions: Vec::new(),
             needs_dispatch: true,
             next_review_ms: now_ms,
+            next_sweep_ms: now_ms,
             is_deposed: false,
             is_paused: false,
             new_jobs: Vec::new(),
@@ -175,8 +183,11 @@
             return;
         }
         self.open_due_rounds();
-        self.lapse_silent_workers();
-        self.resend_stops();
+        if self.now_ms >= self.next_sweep_ms {
+            self.next_sweep_ms = self.now_ms + SWEEP_MS;
+            self.lapse_silent_workers();
+            self.resend_stops();
+        }
         if !self.is_paused {
             self.dispatch();
             self.review();
@@ -261,8 +272,10 @@
         }
         for key in batch.workers {
             worker_mut(&mut self.workers, key).is_recorded = true;
+            self.present.insert(key);
         }
-        for worker in &mut self.workers {
+        for key in &self.present {
+            let worker = worker_mut(&mut self.workers, *key);
             if worker
                 .settles_with
                 .is_some_and(|number| number <= batch.number)
@@ -320,9 +333,14 @@
         worker_mut(&mut self.workers, key)
     }
 
-    /// Returns the keys of all workers.
-    pub(crate) fn all_workers(&self) -> impl Iterator<Item = WorkerKey> {
-        (0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX)).map(WorkerKey)
+    /// Returns the keys of the workers that matter.
+    pub(crate) fn present_keys(&self) -> impl Iterator<Item = WorkerKey> + '_ {
+        self.present.iter().copied()
+    }
+
+    /// Returns the workers that matter.
+    pub(crate) fn present_workers(&self) -> impl Iterator<Item = &Worker> {
+        self.present.iter().map(|key| self.worker(*key))
     }
 
     pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
@@ -410,6 +428,7 @@
         let holder = self.worker_mut(worker);
         holder.used.add(&slot.room);
         holder.slots.insert(run, slot);
+        self.present.insert(worker);
     }
 
     /// Orders the stop of a run.
@@ -438,7 +457,7 @@
     /// Orders the stop of every run of a job.
     pub(crate) fn stop_job(&mut self, key: JobKey, reason: &'static str) {
         let mut runs = Vec::new();
-        for worker in self.all_workers() {
+        for worker in self.present_keys() {
             let of_job = |run: &&RunKey| run.task.job == key;
             let found = self.worker(worker).slots.keys().filter(of_job);
             runs.extend(found.map(|run| (worker, *run)));
@@ -484,15 +503,29 @@
             let job = self.job(key);
             let is_over = job.recorded_state.is_final()
                 && self.now_ms >= job.ended_ms + self.settings.keep_ended_ms;
-            if !is_over {
+            if !is_over || self.is_referred_to(key) {
                 break;
             }
             let id = job.id;
             self.ended.pop_front();
             self.job_keys.remove(&id);
+            self.free_jobs.push(key);
             self.keep(Record::ForgetJob(id));
         }
     }
+
+    /// Returns whether a run or a record on its way belongs to a job.
+    fn is_referred_to(&self, key: JobKey) -> bool {
+        let in_flight = self.in_flight.as_ref();
+        let is_on_its_way = in_flight.is_some_and(|batch| {
+            batch
+                .progressed
+                .iter()
+                .any(|(progressed, _)| *progressed == key)
+        });
+        let has_runs = |worker: &Worker| worker.slots.keys().any(|run| run.task.job == key);
+        is_on_its_way || self.job(key).is_dirty || self.present_workers().any(has_runs)
+    }
 }
 
 fn job_record(job: &Job) -> JobRecord {
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -140,7 +140,7 @@
         if alive.is_empty() {
             return;
         }
-        for key in self.all_workers().collect::<Vec<_>>() {
+        for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
             let is_settled = self.opened_ms + LIST_LAG_MS < sent_ms;
             let is_unknown = worker.is_unseen() && !worker.is_listed && is_settled;
@@ -190,7 +190,7 @@
             let worker = self.worker(*key);
             worker.is_listed && worker.sheet.instance.as_ref() == Some(name)
         };
-        let found = self.all_workers().find(by_sheet);
+        let found = self.present_keys().find(by_sheet);
         found.or_else(|| {
             let id = self.instances.rows.get(name)?.sheet.worker.as_ref()?;
             self.worker_keys.get(id).copied()
--- a/src/jobs/intake.rs
+++ b/src/jobs/intake.rs
@@ -101,10 +101,9 @@
             None => vec![Round::open(&spec)],
             Some(_) => Vec::new(),
         };
-        let key = JobKey(u32::try_from(self.jobs.len()).unwrap_or(u32::MAX));
         let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
         let target_ms = accepted_ms + self.target_after_ms(&queue, chain_ms);
-        self.jobs.push(Job {
+        let job = Job {
             id,
             queue,
             pool,
@@ -121,7 +120,8 @@
             chains_ms,
             target_ms,
             ended_ms: 0,
-        });
+        };
+        let key = self.place_job(job);
         self.job_keys.insert(id, key);
         self.note_arrival(key);
         self.live.insert(key);
@@ -129,6 +129,20 @@
         key
     }
 
+    /// Puts a job in the place of a forgotten one, or in a new place.
+    fn place_job(&mut self, job: Job) -> JobKey {
+        match self.free_jobs.pop() {
+            Some(key) => {
+                *self.job_mut(key) = job;
+                key
+            }
+            None => {
+                self.jobs.push(job);
+                JobKey(u32::try_from(self.jobs.len() - 1).unwrap_or(u32::MAX))
+            }
+        }
+    }
+
     /// Lets the forecast know of a job. Endless work is no part of it.
     fn note_arrival(&mut self, key: JobKey) {
         let job = &self.jobs[index(key.0)];
@@ -195,15 +209,16 @@
         self.live.len()
     }
 
-    /// Returns the number of runs that are at workers, or may be.
-    pub fn runs_count(&self) -> usize {
-        self.workers.iter().map(|worker| worker.slots.len()).sum()
+    /// Returns the number of jobs in memory, with those that can still be asked for.
+    pub fn kept_count(&self) -> usize {
+        self.jobs.len() - self.free_jobs.len()
     }
 
-    /// Describes each live job, for debugging tests.
-    pub fn describe_job(&self, id: JobId) -> Option<String> {
-        let key = self.job_keys.get(&id)?;
-        Some(format!("{:?}", self.jobs[index(key.0)]))
+    /// Returns the number of runs that are at workers, or may be.
+    pub fn runs_count(&self) -> usize {
+        self.present_workers()
+            .map(|worker| worker.slots.len())
+            .sum()
     }
 }
 
--- a/src/jobs/looks.rs
+++ b/src/jobs/looks.rs
@@ -29,7 +29,7 @@
 impl Engine {
     /// Sends the looks that are due.
     pub(crate) fn send_due_looks(&mut self) {
-        for key in self.all_workers().collect::<Vec<_>>() {
+        for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
             let is_due =
                 matches!(worker.look, LookState::Rest { until_ms } if until_ms <= self.now_ms);
@@ -504,7 +504,7 @@
     /// Gives up the runs of workers whose leases are over.
     pub(crate) fn lapse_silent_workers(&mut self) {
         let now_ms = self.now_ms;
-        for key in self.all_workers().collect::<Vec<_>>() {
+        for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
             if !worker.slots.is_empty() && now_ms >= worker.lapse_ms() {
                 let runs: Vec<RunKey> = worker.slots.keys().copied().collect();
@@ -516,15 +516,21 @@
             let worker = self.worker(key);
             // Without entry and runs, and with this leader's fence, nothing is or will be there.
             let is_known = !worker.is_unseen() || now_ms >= self.inherited_clear_at_ms();
-            let is_forgotten = worker.is_recorded
-                && !worker.is_listed
+            let is_past = !worker.is_listed
                 && worker.slots.is_empty()
                 && is_known
                 && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
-            if is_forgotten {
-                let id = worker.sheet.id.clone();
-                self.worker_mut(key).is_recorded = false;
-                self.keep(Record::ForgetWorker(id));
+            match (is_past, worker.is_recorded) {
+                (true, true) => {
+                    let id = worker.sheet.id.clone();
+                    self.worker_mut(key).is_recorded = false;
+                    self.keep(Record::ForgetWorker(id));
+                }
+                // Its record is gone, or was never kept; what it has not acknowledged is of no use.
+                (true, false) if worker.settles_with.is_none() => {
+                    self.present.swap_remove(&key);
+                }
+                _ => {}
             }
         }
     }
@@ -533,7 +539,7 @@
     pub(crate) fn resend_stops(&mut self) {
         let again_ms = self.settings.stop_ms + STOP_AGAIN_MS;
         let mut again = Vec::new();
-        for key in self.all_workers() {
+        for key in self.present_keys() {
             let worker = self.worker(key);
             let is_due =
                 |slot: &Slot| slot.is_stopping && slot.stop_sent_ms + again_ms < self.now_ms;
--- a/src/jobs/pacing.rs
+++ b/src/jobs/pacing.rs
@@ -40,7 +40,7 @@
 impl Engine {
     /// Sets the pace of all filling tasks.
     pub(crate) fn review_pace(&mut self) {
-        for key in self.all_workers().collect::<Vec<_>>() {
+        for key in self.present_keys().collect::<Vec<_>>() {
             let Some(percent) = next_pace(self.worker(key)) else {
                 continue;
             };
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -61,7 +61,7 @@
             .with("fence", self.settings.fence)
             .with("jobs_count", self.jobs.len())
             .with("live_count", self.live.len())
-            .with("workers_count", self.workers.len())
+            .with("workers_count", self.present.len())
             .info();
         self.needs_dispatch = true;
     }
@@ -96,6 +96,7 @@
         let key = WorkerKey(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
         self.worker_keys.insert(sheet.id.clone(), key);
         self.workers.push(Worker::open(sheet, self.now_ms));
+        self.present.insert(key);
         key
     }
 
@@ -125,6 +126,7 @@
                 .info();
             self.needs_dispatch = true;
         }
+        self.present.insert(key);
         let worker = self.worker_mut(key);
         worker.is_listed = true;
         worker.is_over = false;
--- a/src/node/fleet_lists.rs
+++ b/src/node/fleet_lists.rs
@@ -83,29 +83,15 @@
         &mut self,
         node: &Rc<Node>,
     ) -> Result<(Vec<KeyedRecord>, u64), StoreFailure> {
-        let mut all = Vec::new();
-        let mut end_offset = None;
-        let mut after = None;
-        loop {
-            let page = node
-                .store
-                .newest(Topic::Workers, after.as_deref(), READ_TIMEOUT_MS)
-                .await?;
-            let end = *end_offset.get_or_insert(page.end_offset);
-            after = page.records.last().map(|record| record.key.clone());
-            all.extend(page.records);
-            if page.has_more && after.is_some() {
-                continue;
-            }
-            let found: IndexSet<&SmolStr> = all.iter().map(|record| &record.key).collect();
-            let due_ms = self.believed_from_ms.max(node.now_ms());
-            for id in &self.listed {
-                if !found.contains(id) {
-                    self.going.entry(id.clone()).or_insert(due_ms);
-                }
+        let (all, end_offset) = node.store.newest(Topic::Workers, READ_TIMEOUT_MS).await?;
+        let found: IndexSet<&SmolStr> = all.iter().map(|record| &record.key).collect();
+        let due_ms = self.believed_from_ms.max(node.now_ms());
+        for id in &self.listed {
+            if !found.contains(id) {
+                self.going.entry(id.clone()).or_insert(due_ms);
             }
-            return Ok((all, end));
         }
+        Ok((all, end_offset))
     }
 
     fn take(&mut self, node: &Rc<Node>, record: &KeyedRecord, now_ms: u64) {
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -340,7 +340,6 @@
         keep_ended_ms: bounds.keep_ended_ms,
         move_ms: bounds.move_ms,
         maintain_ms: bounds.maintain_ms,
-        away_notice_ms: bounds.away_notice_ms,
         instance_lease_ms: match fence {
             1 => 0,
             _ => bounds.instance_lease_ms + TICK_MS,
@@ -399,29 +398,20 @@
 
 async fn read_records(node: &Rc<Node>, fence: u64) -> Result<Vec<Record>, StoreFailure> {
     journal::raise_fence(node, fence).await?;
+    let (kept, _) = node.store.newest(Topic::Jobs, RESTORE_TIMEOUT_MS).await?;
     let mut records = Vec::new();
-    let mut after = None;
-    loop {
-        let page = node
-            .store
-            .newest(Topic::Jobs, after.as_deref(), RESTORE_TIMEOUT_MS)
-            .await?;
-        after = page.records.last().map(|record| record.key.clone());
-        for kept in &page.records {
-            let value = kept.value.as_deref().unwrap_or(&[]);
-            match Record::decode(&kept.key, value) {
-                Some(record) => records.push(record),
-                None => Event::new("record_unreadable")
-                    .with("topic", "jobs")
-                    .with("key", &kept.key)
-                    .with("offset", kept.offset)
-                    .error(),
-            }
-        }
-        if !page.has_more || after.is_none() {
-            return Ok(records);
+    for kept in &kept {
+        let value = kept.value.as_deref().unwrap_or(&[]);
+        match Record::decode(&kept.key, value) {
+            Some(record) => records.push(record),
+            None => Event::new("record_unreadable")
+                .with("topic", "jobs")
+                .with("key", &kept.key)
+                .with("offset", kept.offset)
+                .error(),
         }
     }
+    Ok(records)
 }
 
 /// Lets the engine do what is due by time alone.
@@ -440,6 +430,9 @@
             self.metrics
                 .live_jobs_count
                 .set(count(leading.engine.live_count()));
+            self.metrics
+                .kept_jobs_count
+                .set(count(leading.engine.kept_count()));
             self.metrics
                 .runs_count
                 .set(count(leading.engine.runs_count()));
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -47,11 +47,7 @@
     loop {
         let offset = node.leadership.borrow().end_offset();
         let read = match must_read_newest {
-            true => node
-                .store
-                .newest(Topic::Lead, None, READ_TIMEOUT_MS)
-                .await
-                .map(|page| (page.records, page.end_offset)),
+            true => node.store.newest(Topic::Lead, READ_TIMEOUT_MS).await,
             false => {
                 // After an outage the first read answers at once, so that contact is known again.
                 let wait_ms = if is_away { 0 } else { READ_WAIT_MS };
--- a/src/node/lists.rs
+++ b/src/node/lists.rs
@@ -24,7 +24,11 @@
     loop {
         let sent_ms = node.now_ms();
         let read = match next_offset {
-            None => read_newest(&node).await,
+            None => node
+                .store
+                .newest(Topic::Operators, READ_TIMEOUT_MS)
+                .await
+                .map(|(records, offset)| (records, offset, true)),
             // After an outage the first read answers at once, which proves the lists again.
             Some(offset) if is_away => read_on(&node, offset, 0).await,
             Some(offset) => read_on(&node, offset, READ_WAIT_MS).await,
@@ -67,25 +71,6 @@
 
 type Read = (Vec<KeyedRecord>, u64, bool);
 
-async fn read_newest(node: &Rc<Node>) -> Result<Read, StoreFailure> {
-    let mut all = Vec::new();
-    let mut end_offset = None;
-    let mut after = None;
-    loop {
-        let page = node
-            .store
-            .newest(Topic::Operators, after.as_deref(), READ_TIMEOUT_MS)
-            .await?;
-        // Pages are no snapshot; what changed since the first one is read again from its end on.
-        let end = *end_offset.get_or_insert(page.end_offset);
-        after = page.records.last().map(|record| record.key.clone());
-        all.extend(page.records);
-        if !page.has_more || after.is_none() {
-            return Ok((all, end, true));
-        }
-    }
-}
-
 async fn read_on(node: &Rc<Node>, offset: u64, wait_ms: u64) -> Result<Read, StoreFailure> {
     let timeout_ms = wait_ms + READ_TIMEOUT_MS;
     let page = node
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -47,6 +47,8 @@
     pub leading_fence: Gauge<u64, AtomicU64>,
     /// Jobs that are not over, at the leader.
     pub live_jobs_count: Gauge<u64, AtomicU64>,
+    /// Jobs in memory, with those that are over and can still be asked for.
+    pub kept_jobs_count: Gauge<u64, AtomicU64>,
     /// Runs at workers, at the leader.
     pub runs_count: Gauge<u64, AtomicU64>,
     /// Age of the proof that the lists in force are the newest, in milliseconds.
@@ -76,6 +78,7 @@
             order_ms: histogram_ms(),
             leading_fence: Gauge::default(),
             live_jobs_count: Gauge::default(),
+            kept_jobs_count: Gauge::default(),
             runs_count: Gauge::default(),
             lists_age_ms: Gauge::default(),
             lists_version: Gauge::default(),
@@ -109,6 +112,11 @@
             "Jobs not over.",
             self.live_jobs_count.clone(),
         );
+        into.register(
+            "kept_jobs_count",
+            "Jobs in memory.",
+            self.kept_jobs_count.clone(),
+        );
         into.register("runs_count", "Runs at workers.", self.runs_count.clone());
         into.register(
             "lists_age_ms",
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -16,8 +16,6 @@
     pub withdraws_strictly: bool,
     /// Time from the request to stop to the kill, in milliseconds.
     pub stop_grace_ms: u64,
-    /// Time after which a leaving worker gets no more tasks, in milliseconds.
-    pub drain_ms: u64,
     /// Longest lease that workers give to runs, in milliseconds.
     pub run_lease_max_ms: u64,
     /// Time that the stop of a run may take, in milliseconds.
@@ -28,12 +26,8 @@
     pub move_ms: u64,
     /// Time that the maintenance of an instance takes, in milliseconds.
     pub maintain_ms: u64,
-    /// Time after which a task that is not at work counts as away, in milliseconds.
-    pub away_notice_ms: u64,
     /// Time in which two leaders may not both give orders to one instance, in milliseconds.
     pub instance_lease_ms: u64,
-    /// Factor by which tasks run longer away from their rack.
-    pub far_factor: f64,
 }
 
 /// Limits of calls to the store.
@@ -68,12 +62,8 @@
     pub tickets_address: Option<SocketAddr>,
     /// Share of a core that the machine has.
     pub cpu_share: f64,
-    /// Memory of the machine in megabytes.
-    pub memory_mb: u64,
     /// Descriptors that the process may have.
     pub descriptors_count: usize,
-    /// Time between two reports of a worker about itself, in milliseconds.
-    pub worker_report_ms: u64,
     /// Limits of calls to the store.
     pub store: StoreLimits,
     /// Bounds.
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -54,8 +54,6 @@
 struct ServiceWire {
     name: SmolStr,
     #[serde(default)]
-    enforces_capacity: bool,
-    #[serde(default)]
     standby: bool,
 }
 
@@ -151,7 +149,6 @@
     };
     let pool_of = |service: ServiceWire| {
         let pool = Pool {
-            guards_room: service.enforces_capacity,
             is_standby: service.standby,
         };
         (service.name, pool)
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,8 +14,6 @@
 const PATH_VARIABLE: &str = "HAWTHORNLADDER_CONFIG";
 /// Place of the settings file if the variable is not set.
 const PATH_DEFAULT: &str = "/etc/hawthornladder/local.toml";
-/// Default time between two reports of a worker about itself, in milliseconds.
-const REPORT_DEFAULT_MS: u64 = 1_500;
 
 /// Why the settings cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -47,12 +45,6 @@
     cloud: Option<CloudWire>,
     #[serde(default)]
     recommendation: Option<String>,
-    #[serde(default = "report_default_ms")]
-    heartbeat_ms: u64,
-}
-
-fn report_default_ms() -> u64 {
-    REPORT_DEFAULT_MS
 }
 
 #[derive(Debug, Deserialize)]
@@ -65,7 +57,6 @@
 #[serde(default)]
 struct LimitsWire {
     cpu_share: f64,
-    memory_mb: u64,
     file_descriptors: usize,
 }
 
@@ -73,7 +64,6 @@
     fn default() -> Self {
         Self {
             cpu_share: 0.25,
-            memory_mb: 256,
             file_descriptors: 1_024,
         }
     }
@@ -86,15 +76,12 @@
     revoke_ms: u64,
     strict_revoke: bool,
     grace_s: f64,
-    drain_ms: u64,
     hold_max_ms: u64,
     stop_ms: u64,
     status_s: f64,
     migration_s: f64,
     maintenance_s: f64,
-    notice_ms: u64,
     lease_ms: u64,
-    remote_factor: f64,
 }
 
 impl Default for BoundsWire {
@@ -103,15 +90,12 @@
             revoke_ms: 5_000,
             strict_revoke: true,
             grace_s: 6.0,
-            drain_ms: 2_000,
             hold_max_ms: 6_000,
             stop_ms: 1_000,
             status_s: 120.0,
             migration_s: 1.5,
             maintenance_s: 2.0,
-            notice_ms: 4_500,
             lease_ms: 3_000,
-            remote_factor: 2.0,
         }
     }
 }
@@ -177,9 +161,7 @@
         instances_address: wire.cloud.map(|cloud| cloud.address),
         tickets_address,
         cpu_share: wire.limits.cpu_share,
-        memory_mb: wire.limits.memory_mb,
         descriptors_count: wire.limits.file_descriptors,
-        worker_report_ms: wire.heartbeat_ms,
         store: StoreLimits {
             call_bytes: wire.platform.call_bytes,
             record_bytes: wire.platform.record_bytes,
@@ -188,15 +170,12 @@
             key_withdrawal_ms: bounds.revoke_ms,
             withdraws_strictly: bounds.strict_revoke,
             stop_grace_ms: to_ms(bounds.grace_s),
-            drain_ms: bounds.drain_ms,
             run_lease_max_ms: bounds.hold_max_ms,
             run_stop_ms: bounds.stop_ms,
             keep_ended_ms: to_ms(bounds.status_s),
             move_ms: to_ms(bounds.migration_s),
             maintain_ms: to_ms(bounds.maintenance_s),
-            away_notice_ms: bounds.notice_ms,
             instance_lease_ms: bounds.lease_ms,
-            far_factor: bounds.remote_factor,
         },
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -149,8 +149,28 @@
         }
     }
 
-    /// Reads one page of the newest records of all keys.
+    /// Reads the newest records of all keys, and returns the offset from which what changed meanwhile
+    /// can be read: pages are no snapshot.
     pub async fn newest(
+        &self,
+        topic: Topic,
+        timeout_ms: u64,
+    ) -> Result<(Vec<KeyedRecord>, u64), StoreFailure> {
+        let mut page = self.newest_page(topic, None, timeout_ms).await?;
+        let first_end_offset = page.end_offset;
+        let mut all = page.records;
+        while page.has_more && !all.is_empty() {
+            let after = all.last().map(|record| record.key.clone());
+            page = self
+                .newest_page(topic, after.as_deref(), timeout_ms)
+                .await?;
+            page.has_more &= !page.records.is_empty();
+            all.append(&mut page.records);
+        }
+        Ok((all, first_end_offset))
+    }
+
+    async fn newest_page(
         &self,
         topic: Topic,
         after_key: Option<&str>,
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -58,10 +58,7 @@
         catalog.queues.insert(name.clone(), queue);
         catalog.pools.insert(name, Pool::default());
     }
-    let standby = Pool {
-        is_standby: true,
-        ..Pool::default()
-    };
+    let standby = Pool { is_standby: true };
     catalog.pools.insert("standby".into(), standby);
     catalog.teams.insert(
         "team".into(),
@@ -85,7 +82,6 @@
         keep_ended_ms: 120_000,
         move_ms: 1_500,
         maintain_ms: 2_000,
-        away_notice_ms: 4_500,
         instance_lease_ms: if fence == 1 { 0 } else { 3_000 },
     }
 }
--- a/tests/testsuite/jobs/capacity.rs
+++ b/tests/testsuite/jobs/capacity.rs
@@ -131,6 +131,8 @@
     let id = plant.submit("a", job(vec![step(10, 8_000, 6_000)]));
     plant.advance_until(3_000, |plant| plant.runs_of(id).len() == 10);
     // The order is repeated until its answer comes.
-    plant.advance(3_000);
-    assert_eq!(plant.engine.runs_count(), 10, "all runs are still known");
+    for _ in 0..60 {
+        plant.advance(50);
+        assert_eq!(plant.engine.runs_count(), 10, "all runs are still known");
+    }
 }
--- /dev/null
+++ b/tests/testsuite/jobs/checks.rs
@@ -0,0 +1,61 @@
+//! What must hold in the plant after each step and each start.
+
+use std::collections::HashMap;
+
+use hawthornladder::jobs::{Size, StartOrder, TaskName};
+use smol_str::{format_smolstr, SmolStr};
+
+use super::plant::Plant;
+
+impl Plant {
+    pub(crate) fn check_order(&self, order: &StartOrder) {
+        for earlier in &order.spec.steps[usize::from(order.name.step)].after {
+            for index in 0..order.spec.steps[usize::from(*earlier)].tasks_count {
+                let name = TaskName {
+                    step: *earlier,
+                    index,
+                    ..order.name
+                };
+                assert!(self.done.contains(&name), "{} before {name}", order.name);
+            }
+        }
+    }
+
+    pub(crate) fn check_ticket(&self, order: &StartOrder) {
+        let job = &self.handed_in[&order.name.job];
+        let needs_ticket = self.catalog.queues[&job.queue].needs_tickets;
+        let ticket = needs_ticket.then(|| format_smolstr!("ticket-{}", order.target.id));
+        assert_eq!(order.ticket, ticket, "{}", order.name);
+    }
+
+    pub(crate) fn check(&self) {
+        let mut seen: HashMap<TaskName, SmolStr> = HashMap::new();
+        let mut teams: HashMap<SmolStr, Size> = HashMap::new();
+        for (id, worker) in &self.workers {
+            let mut used = Size::default();
+            for ((name, _), run) in &worker.running {
+                used.add(&run.room);
+                teams.entry(run.team.clone()).or_default().add(&run.room);
+                let spec = &self.handed_in[&name.job].spec.steps[usize::from(name.step)];
+                let twin = seen.insert(*name, id.clone());
+                assert!(
+                    twin.is_none() || spec.allows_copies,
+                    "{name} runs on {id} and on {twin:?} at {}",
+                    self.now_ms
+                );
+            }
+            let capacity = worker.sheet.capacity;
+            assert!(
+                used.fits_with(&Size::default(), &capacity),
+                "{id} holds {used:?}"
+            );
+        }
+        for (team, used) in teams {
+            let limit = self.catalog.teams[&team].limit.cpu_millis;
+            assert!(
+                limit == 0 || used.cpu_millis <= limit,
+                "{team} has {used:?}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -0,0 +1,64 @@
+//! A worker in memory.
+
+use std::collections::HashSet;
+
+use hawthornladder::jobs::{EndKind, RunEnd, Size, TaskName, WorkerSheet};
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+/// What a worker runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) room: Size,
+    pub(crate) team: SmolStr,
+    pub(crate) ends_ms: u64,
+    pub(crate) end: EndKind,
+}
+
+/// One worker in memory.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) sheet: WorkerSheet,
+    pub(crate) running: IndexMap<(TaskName, u64), Running>,
+    pub(crate) ended: Vec<RunEnd>,
+    pub(crate) barred: HashSet<(TaskName, u64)>,
+    pub(crate) fence: u64,
+    pub(crate) next_number: u64,
+    pub(crate) until_ms: u64,
+    /// It neither hears nor answers.
+    pub(crate) is_cut: bool,
+    /// It hears, and its answers are lost.
+    pub(crate) is_mute: bool,
+    /// It is gone for good.
+    pub(crate) is_dead: bool,
+    /// It refuses starts as too late.
+    pub(crate) refuses_as_late: bool,
+}
+
+impl FakeWorker {
+    pub(crate) fn end(&mut self, key: (TaskName, u64), kind: EndKind) {
+        self.running.swap_remove(&key);
+        self.next_number += 1;
+        self.barred.insert(key);
+        self.ended.push(RunEnd {
+            number: self.next_number,
+            name: key.0,
+            run_number: key.1,
+            kind,
+            checkpoint: SmolStr::default(),
+        });
+    }
+
+    /// Begins a new life under the same id.
+    pub(crate) fn reborn(&mut self, born_unix_ms: u64) {
+        self.running.clear();
+        self.ended.clear();
+        self.barred.clear();
+        self.fence = 0;
+        self.next_number = 0;
+        self.until_ms = 0;
+        self.sheet.born_unix_ms = born_unix_ms;
+        self.is_cut = false;
+        self.is_dead = false;
+    }
+}
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -3,5 +3,8 @@
 mod basics;
 mod builders;
 mod capacity;
+mod checks;
+mod constraints;
+mod fake_worker;
 mod faults;
 mod plant;
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -7,12 +7,14 @@
 
 use hawthornladder::jobs::{
     Action, Catalog, EndKind, Engine, InstanceFailure, InstanceOrder, InstanceSheet, InstanceState,
-    Intake, JobId, JobSpec, JobState, Look, LookOrder, OrderFailure, Record, RunEnd, RunRow,
-    Settled, Size, StartOrder, StopOrder, Submission, TaskName, WaveSheet, WorkerSheet,
+    Intake, JobId, JobSpec, JobState, Look, LookOrder, OrderFailure, Record, RunRow, Settled,
+    StartOrder, StopOrder, Submission, TaskName, TicketQuestion, WaveSheet, WorkerSheet,
 };
 use indexmap::IndexMap;
 use smol_str::{format_smolstr, SmolStr};
 
+pub(crate) use super::fake_worker::{FakeWorker, Running};
+
 pub(crate) use super::builders::{catalog, endless, job, settings, size, step};
 
 /// Length of a step of virtual time, in milliseconds.
@@ -23,62 +25,15 @@
 const STOP_MS: u64 = 100;
 /// Time that records take to be kept, in milliseconds.
 const KEEP_MS: u64 = 10;
+/// Time for which tickets are valid, in milliseconds.
+const TICKETS_VALID_MS: u64 = 3_000;
 
-/// What a worker runs.
+/// A job as it was handed in.
 #[derive(Clone, Debug)]
-pub(crate) struct Running {
-    pub(crate) room: Size,
+pub(crate) struct HandedIn {
+    pub(crate) spec: JobSpec,
     pub(crate) team: SmolStr,
-    pub(crate) ends_ms: u64,
-    pub(crate) end: EndKind,
-}
-
-/// One worker in memory.
-#[derive(Clone, Debug)]
-pub(crate) struct FakeWorker {
-    pub(crate) sheet: WorkerSheet,
-    pub(crate) running: IndexMap<(TaskName, u64), Running>,
-    pub(crate) ended: Vec<RunEnd>,
-    pub(crate) barred: HashSet<(TaskName, u64)>,
-    pub(crate) fence: u64,
-    pub(crate) next_number: u64,
-    pub(crate) until_ms: u64,
-    /// It neither hears nor answers.
-    pub(crate) is_cut: bool,
-    /// It hears, and its answers are lost.
-    pub(crate) is_mute: bool,
-    /// It is gone for good.
-    pub(crate) is_dead: bool,
-    /// It refuses starts as too late.
-    pub(crate) refuses_as_late: bool,
-}
-
-impl FakeWorker {
-    fn end(&mut self, key: (TaskName, u64), kind: EndKind) {
-        self.running.swap_remove(&key);
-        self.next_number += 1;
-        self.barred.insert(key);
-        self.ended.push(RunEnd {
-            number: self.next_number,
-            name: key.0,
-            run_number: key.1,
-            kind,
-            checkpoint: SmolStr::default(),
-        });
-    }
-
-    /// Begins a new life under the same id.
-    pub(crate) fn reborn(&mut self, born_unix_ms: u64) {
-        self.running.clear();
-        self.ended.clear();
-        self.barred.clear();
-        self.fence = 0;
-        self.next_number = 0;
-        self.until_ms = 0;
-        self.sheet.born_unix_ms = born_unix_ms;
-        self.is_cut = false;
-        self.is_dead = false;
-    }
+    pub(crate) queue: SmolStr,
 }
 
 /// The engine with its workers, its store and its time.
@@ -93,6 +48,10 @@
     pub(crate) is_store_away: bool,
     pub(crate) accepted: Vec<JobId>,
     pub(crate) orders: Vec<InstanceOrder>,
+    /// Workers that the eligibility service lets run everything.
+    pub(crate) eligible: Vec<SmolStr>,
+    /// Questions that the eligibility service was asked.
+    pub(crate) questions: Vec<TicketQuestion>,
     /// Orders to instances are carried out and their first answers lost.
     pub(crate) loses_first_answers: bool,
     /// Times of the orders, in milliseconds.
@@ -110,8 +69,8 @@
     looks: Vec<(LookOrder, u64)>,
     keeping: Option<(Vec<Record>, u64)>,
     arrivals: Vec<(u64, WorkerSheet)>,
-    done: HashSet<TaskName>,
-    specs: HashMap<JobId, (JobSpec, SmolStr)>,
+    pub(crate) done: HashSet<TaskName>,
+    pub(crate) handed_in: HashMap<JobId, HandedIn>,
 }
 
 impl Plant {
@@ -128,6 +87,8 @@
             is_store_away: false,
             accepted: Vec::new(),
             orders: Vec::new(),
+            eligible: Vec::new(),
+            questions: Vec::new(),
             loses_first_answers: false,
             order_times_ms: Vec::new(),
             stops: Vec::new(),
@@ -140,7 +101,7 @@
             keeping: None,
             arrivals: Vec::new(),
             done: HashSet::new(),
-            specs: HashMap::new(),
+            handed_in: HashMap::new(),
         };
         for pool in pools {
             for number in 0..count {
@@ -225,8 +186,13 @@
 
     /// Hands a job of the team in and returns its id.
     pub(crate) fn submit(&mut self, queue: &str, spec: JobSpec) -> JobId {
-        let id = JobId(u64::try_from(self.specs.len()).expect("small") + 1);
-        self.specs.insert(id, (spec.clone(), "team".into()));
+        let id = JobId(u64::try_from(self.handed_in.len()).expect("small") + 1);
+        let handed_in = HandedIn {
+            spec: spec.clone(),
+            team: "team".into(),
+            queue: queue.into(),
+        };
+        self.handed_in.insert(id, handed_in);
         let intake = self.engine.submit(Submission {
             id,
             queue: queue.into(),
@@ -438,10 +404,20 @@
             Action::Pace(order) => self.paces.push((order.name, order.percent)),
             Action::Look(order) => self.look(order),
             Action::Instance(order) => self.instance(order),
-            Action::AskTickets(_) | Action::TellWave { .. } => {}
+            Action::AskTickets(question) => self.answer_tickets(question),
+            Action::TellWave { .. } => {}
         }
     }
 
+    fn answer_tickets(&mut self, question: TicketQuestion) {
+        let is_eligible = |id: &&SmolStr| self.eligible.contains(*id);
+        let tickets = question.workers.iter().filter(is_eligible);
+        let tickets = tickets.map(|id| (id.clone(), format_smolstr!("ticket-{id}")));
+        let answer = Some((tickets.collect(), TICKETS_VALID_MS));
+        self.engine.tickets_answered(&question, answer, self.now_ms);
+        self.questions.push(question);
+    }
+
     fn look(&mut self, order: LookOrder) {
         let now_ms = self.now_ms;
         let worker = &mut self.workers[&order.target.id];
@@ -484,7 +460,7 @@
         let run_ms = self.run_ms.get(&order.name).copied();
         let run = Running {
             room: step.room(),
-            team: self.specs[&order.name.job].1.clone(),
+            team: self.handed_in[&order.name.job].team.clone(),
             ends_ms: match step.is_endless {
                 true => u64::MAX,
                 false => now_ms + run_ms.unwrap_or(step.estimate_ms),
@@ -501,25 +477,13 @@
             .push((now_ms, order.target.id.clone(), order.name));
         let is_mute = worker.is_mute;
         self.check_order(order);
+        self.check_ticket(order);
         match is_mute {
             true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
             false => self.engine.start_accepted(order, Some(now_ms), now_ms),
         }
     }
 
-    fn check_order(&self, order: &StartOrder) {
-        for earlier in &order.spec.steps[usize::from(order.name.step)].after {
-            for index in 0..order.spec.steps[usize::from(*earlier)].tasks_count {
-                let name = TaskName {
-                    step: *earlier,
-                    index,
-                    ..order.name
-                };
-                assert!(self.done.contains(&name), "{} before {name}", order.name);
-            }
-        }
-    }
-
     fn stop(&mut self, order: &StopOrder) {
         let now_ms = self.now_ms;
         self.stops.push((now_ms, order.name));
@@ -541,7 +505,7 @@
 
     fn instance(&mut self, order: InstanceOrder) {
         let now_ms = self.now_ms;
-        let is_repeat = self.orders.last() == Some(&order);
+        let is_repeat = self.orders.contains(&order);
         if is_repeat && self.loses_first_answers {
             self.engine.instance_answered(&order, Ok(()), now_ms);
             return;
@@ -575,35 +539,4 @@
         self.orders.push(order);
         self.order_times_ms.push(now_ms);
     }
-
-    fn check(&self) {
-        let mut seen: HashMap<TaskName, SmolStr> = HashMap::new();
-        let mut teams: HashMap<SmolStr, Size> = HashMap::new();
-        for (id, worker) in &self.workers {
-            let mut used = Size::default();
-            for ((name, _), run) in &worker.running {
-                used.add(&run.room);
-                teams.entry(run.team.clone()).or_default().add(&run.room);
-                let spec = &self.specs[&name.job].0.steps[usize::from(name.step)];
-                let twin = seen.insert(*name, id.clone());
-                assert!(
-                    twin.is_none() || spec.allows_copies,
-                    "{name} runs on {id} and on {twin:?} at {}",
-                    self.now_ms
-                );
-            }
-            let capacity = worker.sheet.capacity;
-            assert!(
-                used.fits_with(&Size::default(), &capacity),
-                "{id} holds {used:?}"
-            );
-        }
-        for (team, used) in teams {
-            let limit = self.catalog.teams[&team].limit.cpu_millis;
-            assert!(
-                limit == 0 || used.cpu_millis <= limit,
-                "{team} has {used:?}"
-            );
-        }
-    }
 }
