Put back the jobs that keep others from their targets when a pool is full

Cause: jobs with the least slack went first. Now: every 100 ms the rule of Moore and Hodgson says which jobs of a pool can be in time together; what is put back is the largest job of a team above its share by weight. In the two tests at least 30 of 60 and 9 of 10.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -41,6 +41,13 @@
     told: IndexMap<SmolStr, (usize, usize)>,
 }
 
+impl CapacityPolicy {
+    /// Returns how many instances are on their way to a pool.
+    pub(crate) fn coming_count(&self, pool: &SmolStr) -> usize {
+        self.coming.values().filter(|(to, _)| to == pool).count()
+    }
+}
+
 /// What one pool has and needs.
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
@@ -255,7 +262,7 @@
         idle
     }
 
-    fn instance_size(&self, pool: &SmolStr) -> Size {
+    pub(crate) fn instance_size(&self, pool: &SmolStr) -> Size {
         let of_pool = |worker: &&crate::jobs::worker::Worker| worker.sheet.pool == *pool;
         let worker = self.present_workers().find(of_pool);
         let first = || self.instances.rows.values().next();
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -95,6 +95,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) needs_dispatch: bool,
     pub(crate) next_review_ms: u64,
+    pub(crate) next_plan_ms: u64,
     next_sweep_ms: u64,
     /// Set once a worker or the store has shown a higher fence.
     pub(crate) is_deposed: bool,
@@ -133,6 +134,7 @@
             actions: Vec::new(),
             needs_dispatch: true,
             next_review_ms: now_ms,
+            next_plan_ms: now_ms,
             next_sweep_ms: now_ms,
             is_deposed: false,
             is_paused: false,
@@ -189,6 +191,7 @@
             self.resend_stops();
         }
         if !self.is_paused {
+            self.plan_order();
             self.dispatch();
             self.review();
         }
--- /dev/null
+++ b/src/jobs/feasibility.rs
@@ -0,0 +1,198 @@
+//! Which jobs of a full pool can meet their targets together. Jobs are taken in the order of their
+//! targets; whenever the work taken so far cannot be done by the target of the last one, a job is put
+//! back: the largest of the teams that have more than their share of the work. With one team this is
+//! the rule of Moore and Hodgson (1968), which leaves the fewest jobs late on one machine; a pool
+//! counts as one machine that works at the rate of its room.
+
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::jobs::engine::Engine;
+use crate::jobs::job::Job;
+use crate::jobs::keys::JobKey;
+use crate::jobs::ranking::{chain_grace_ms, is_in_time, remaining_chain_ms};
+use crate::jobs::spec::Size;
+use crate::logging::Event;
+
+/// Time between two plans, in milliseconds.
+const PLAN_MS: u64 = 100;
+/// Part of a pool's room that tasks of mixed sizes can fill, in thousandths.
+const FILLABLE_PERMILLE: u64 = 880;
+/// Least part of its expected run time that a running task is taken to need still, in hundredths.
+const LEAST_LEFT_PERCENT: u64 = 20;
+
+/// What one job asks of its pool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    /// Job.
+    pub job: JobKey,
+    /// Index of its team.
+    pub team: usize,
+    /// Work that is not started yet, in thousandths of a core times milliseconds.
+    pub work: u64,
+    /// Time by which the work has to be done, in milliseconds.
+    pub due_ms: u64,
+}
+
+/// Returns the jobs to put back, so that all others meet their targets in a pool that does `rate`
+/// thousandths of a core of work and is busy until `free_ms`. `weights` holds the weight of each team.
+pub fn jobs_to_postpone(
+    mut claims: Vec<Claim>,
+    weights: &[f64],
+    rate: u64,
+    free_ms: u64,
+) -> Vec<JobKey> {
+    claims.sort_by_key(|claim| (claim.due_ms, claim.job));
+    let mut taken: Vec<Claim> = Vec::new();
+    let mut postponed = Vec::new();
+    let mut by_team = vec![0; weights.len()];
+    let mut work = 0;
+    for claim in claims {
+        let due_ms = claim.due_ms;
+        work += claim.work;
+        by_team[claim.team] += claim.work;
+        taken.push(claim);
+        while free_ms + work / rate.max(1) > due_ms {
+            let Some(at) = largest_over_share(&taken, &by_team, weights) else {
+                break;
+            };
+            let put_back = taken.swap_remove(at);
+            work -= put_back.work;
+            by_team[put_back.team] -= put_back.work;
+            postponed.push(put_back.job);
+        }
+    }
+    postponed
+}
+
+/// Finds the largest of the jobs whose teams have at least the mean work by weight.
+// Sums of work are compared with each other only; their last digits do not matter.
+#[allow(clippy::cast_precision_loss, clippy::as_conversions)]
+fn largest_over_share(taken: &[Claim], by_team: &[u64], weights: &[f64]) -> Option<usize> {
+    let active = by_team.iter().zip(weights).filter(|(work, _)| **work > 0);
+    let (work, weight) = active.fold((0.0, 0.0), |(work, weight), (of_team, its_weight)| {
+        (work + *of_team as f64, weight + its_weight)
+    });
+    let is_over = |team: usize| by_team[team] as f64 * weight >= work * weights[team] * 0.999;
+    let over_share = (0..taken.len()).filter(|at| is_over(taken[*at].team));
+    over_share.max_by_key(|at| (taken[*at].work, taken[*at].due_ms))
+}
+
+/// What the pools have to offer and what is asked of them.
+#[derive(Debug, Default)]
+struct PoolPlan {
+    rate: u64,
+    backlog: u64,
+    claims: Vec<Claim>,
+}
+
+impl Engine {
+    /// Finds the jobs that have to wait for others to meet their targets, from time to time.
+    pub(crate) fn plan_order(&mut self) {
+        if self.now_ms < self.next_plan_ms {
+            return;
+        }
+        self.next_plan_ms = self.now_ms + PLAN_MS;
+        let mut teams: IndexMap<SmolStr, f64> = IndexMap::new();
+        let mut plans: IndexMap<SmolStr, PoolPlan> = IndexMap::new();
+        for key in self.live.iter().copied() {
+            let job = self.job(key);
+            let work = self.waiting_work(job);
+            if work == 0 || !is_in_time(job, self.now_ms) {
+                continue;
+            }
+            let weight = self.catalog.teams.get(&job.team).map(|team| team.weight);
+            let weight = weight.filter(|weight| *weight > 0.0).unwrap_or(1.0);
+            let team = teams.insert_full(job.team.clone(), weight).0;
+            let claim = Claim {
+                job: key,
+                team,
+                work,
+                due_ms: job.target_ms + chain_grace_ms(remaining_chain_ms(job)),
+            };
+            plans
+                .entry(job.pool.clone())
+                .or_default()
+                .claims
+                .push(claim);
+        }
+        self.add_room(&mut plans);
+        let weights: Vec<f64> = teams.values().copied().collect();
+        let mut postponed = HashSet::new();
+        for plan in plans.into_values() {
+            let free_ms = self.now_ms + plan.backlog / plan.rate.max(1);
+            postponed.extend(jobs_to_postpone(plan.claims, &weights, plan.rate, free_ms));
+        }
+        self.postpone(&postponed);
+    }
+
+    /// Returns the work of a job's tasks that are not started, in thousandths of a core times
+    /// milliseconds; none for jobs without a target.
+    fn waiting_work(&self, job: &Job) -> u64 {
+        if job.spec.is_endless() || job.spec.recurrence.is_some() || !job.is_recorded {
+            return 0;
+        }
+        let mut work = 0;
+        for round in &job.rounds {
+            for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
+                let time_ms = self.run_times.expected_ms(&job.queue, spec);
+                work += u64::from(step.waiting_count) * spec.room().cpu_millis * time_ms;
+            }
+        }
+        work
+    }
+
+    /// Adds what the workers of the pools can do, and what they have to do still.
+    fn add_room(&self, plans: &mut IndexMap<SmolStr, PoolPlan>) {
+        for worker in self.present_workers() {
+            let Some(plan) = plans.get_mut(&worker.sheet.pool) else {
+                continue;
+            };
+            let mut room: Size = worker.sheet.capacity;
+            for (run, slot) in &worker.slots {
+                if slot.is_endless {
+                    room.remove(&slot.room);
+                    continue;
+                }
+                let job = self.job(run.task.job);
+                let step = &job.spec.steps[usize::from(run.task.step)];
+                let whole_ms = self.run_times.expected_ms(&job.queue, step);
+                let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
+                let left_ms = whole_ms
+                    .saturating_sub(ran_ms)
+                    .max(whole_ms * LEAST_LEFT_PERCENT / 100);
+                plan.backlog += slot.room.cpu_millis * left_ms;
+            }
+            if worker.is_listed && !worker.sheet.is_draining && !worker.is_reserved {
+                plan.rate += room.cpu_millis * FILLABLE_PERMILLE / 1_000;
+            }
+        }
+        for (pool, plan) in plans.iter_mut() {
+            let coming_count = u64::try_from(self.capacity.coming_count(pool)).unwrap_or(0);
+            let room_cpu_millis = self.instance_size(pool).cpu_millis;
+            plan.rate += coming_count * room_cpu_millis * FILLABLE_PERMILLE / 1_000;
+        }
+    }
+
+    fn postpone(&mut self, postponed: &HashSet<JobKey>) {
+        for key in self.live.clone() {
+            let now_ms = self.now_ms;
+            let is_postponed = postponed.contains(&key);
+            let job = self.job_mut(key);
+            if job.is_postponed == is_postponed {
+                continue;
+            }
+            job.is_postponed = is_postponed;
+            Event::new("job_order_changed")
+                .with("job", job.id)
+                .with("pool", &job.pool)
+                .with("team", &job.team)
+                .with("is_postponed", is_postponed)
+                .with("target_in_ms", job.target_ms.saturating_sub(now_ms))
+                .info();
+            self.needs_dispatch = true;
+        }
+    }
+}
--- a/src/jobs/intake.rs
+++ b/src/jobs/intake.rs
@@ -119,6 +119,7 @@
             rounds,
             chains_ms,
             target_ms,
+            is_postponed: false,
             ended_ms: 0,
         };
         let key = self.place_job(job);
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -159,6 +159,8 @@
     pub(crate) chains_ms: Vec<u64>,
     /// Time by which it should be complete, on the own clock.
     pub(crate) target_ms: u64,
+    /// Whether others go first, as not all can meet their targets.
+    pub(crate) is_postponed: bool,
     /// Time at which it was over, on the own clock.
     pub(crate) ended_ms: u64,
 }
--- a/src/jobs/keys.rs
+++ b/src/jobs/keys.rs
@@ -5,7 +5,7 @@
 
 /// A job of the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct JobKey(pub(crate) u32);
+pub struct JobKey(pub u32);
 
 /// A worker of the engine: one life of one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod dispatch;
 mod engine;
+mod feasibility;
 mod instances;
 mod intake;
 mod job;
@@ -26,6 +27,7 @@
 
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
 pub use engine::{Engine, EngineSettings, Settled};
+pub use feasibility::{jobs_to_postpone, Claim};
 pub use instances::{InstanceFailure, InstanceSheet, InstanceState};
 pub use intake::{Cancel, Intake, Submission};
 pub use job::JobState;
--- a/src/jobs/ranking.rs
+++ b/src/jobs/ranking.rs
@@ -1,5 +1,6 @@
 //! The order in which jobs get room: tasks that serve users first, then jobs that can still meet
-//! their targets by least slack, then those that are late.
+//! their targets by least slack, then those that have to wait for others (see
+//! [`feasibility`](crate::jobs::feasibility)), then those that are late.
 
 use crate::jobs::job::Job;
 
@@ -18,6 +19,8 @@
     Endless,
     /// The target can still be met.
     InTime,
+    /// The target could be met, but not beside those of all others.
+    Postponed,
     /// The target cannot be met any more.
     Late,
 }
@@ -36,20 +39,31 @@
             by_ms: job.accepted_ms,
         });
     }
-    let left_ms = remaining_chain_ms(job);
-    let by_ms = job.target_ms.saturating_sub(left_ms);
-    let grace_ms = left_ms * CHAIN_GRACE_PERMILLE / 1_000;
-    let rank = match now_ms > by_ms + grace_ms {
-        true => Rank {
-            tier: Tier::Late,
-            by_ms: job.accepted_ms,
-        },
-        false => Rank {
-            tier: Tier::InTime,
-            by_ms,
-        },
+    let by_ms = match is_in_time(job, now_ms) {
+        true => latest_start_ms(job),
+        false => job.accepted_ms,
+    };
+    let tier = match (is_in_time(job, now_ms), job.is_postponed) {
+        (true, false) => Tier::InTime,
+        (true, true) => Tier::Postponed,
+        (false, _) => Tier::Late,
     };
-    Some(rank)
+    Some(Rank { tier, by_ms })
+}
+
+/// Returns the latest start that meets the target, by the expected run times.
+fn latest_start_ms(job: &Job) -> u64 {
+    job.target_ms.saturating_sub(remaining_chain_ms(job))
+}
+
+/// Returns the reserve for what the estimate of a chain misses, in milliseconds.
+pub(crate) fn chain_grace_ms(chain_ms: u64) -> u64 {
+    chain_ms * CHAIN_GRACE_PERMILLE / 1_000
+}
+
+/// Returns whether the target of a job can still be met.
+pub(crate) fn is_in_time(job: &Job, now_ms: u64) -> bool {
+    now_ms <= latest_start_ms(job) + chain_grace_ms(remaining_chain_ms(job))
 }
 
 /// Returns the longest chain of expected run times through steps that are not done, in milliseconds.
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -60,14 +60,14 @@
     }
     let standby = Pool { is_standby: true };
     catalog.pools.insert("standby".into(), standby);
-    catalog.teams.insert(
-        "team".into(),
-        Team {
-            name: "team".into(),
+    for name in ["team", "other"] {
+        let team = Team {
+            name: name.into(),
             weight: 1.0,
             limit: Size::default(),
-        },
-    );
+        };
+        catalog.teams.insert(name.into(), team);
+    }
     catalog
 }
 
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -7,4 +7,5 @@
 mod constraints;
 mod fake_worker;
 mod faults;
+mod overload;
 mod plant;
--- /dev/null
+++ b/tests/testsuite/jobs/overload.rs
@@ -0,0 +1,161 @@
+//! More work than a pool has room for: who goes first, and who has to wait.
+
+use hawthornladder::jobs::{jobs_to_postpone, Claim, JobId, JobKey, JobState};
+use proptest::prelude::*;
+
+use super::plant::{job, step, Plant};
+
+/// Rate of the pool in the tests of the rule alone, in thousandths of a core.
+const RATE: u64 = 1_000;
+
+fn claim(job: u32, team: usize, work: u64, due_ms: u64) -> Claim {
+    Claim {
+        job: JobKey(job),
+        team,
+        work: work * RATE,
+        due_ms,
+    }
+}
+
+/// Returns whether all of `claims` meet their targets one after the other.
+fn is_feasible(claims: &[Claim]) -> bool {
+    let mut sorted = claims.to_vec();
+    sorted.sort_by_key(|claim| claim.due_ms);
+    let mut work = 0;
+    sorted.iter().all(|claim| {
+        work += claim.work;
+        work / RATE <= claim.due_ms
+    })
+}
+
+/// Returns the size of the largest set of `claims` that is feasible, by trying all.
+fn most_feasible(claims: &[Claim]) -> usize {
+    let sets = 0_u32..1 << claims.len();
+    let chosen = |set: u32| -> Vec<Claim> {
+        let is_in = |(at, _): &(usize, &Claim)| set >> at & 1 == 1;
+        let chosen = claims.iter().enumerate().filter(is_in);
+        chosen.map(|(_, claim)| claim.clone()).collect()
+    };
+    let feasible = sets.map(chosen).filter(|set| is_feasible(set));
+    feasible.map(|set| set.len()).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn of_one_team_as_many_jobs_as_can_be_meet_their_targets(
+        jobs in prop::collection::vec((1u64..400, 50u64..1_000), 1..9)
+    ) {
+        let claims: Vec<Claim> = (0u32..)
+            .zip(&jobs)
+            .map(|(job, (work, due_ms))| claim(job, 0, *work, *due_ms))
+            .collect();
+        let postponed = jobs_to_postpone(claims.clone(), &[1.0], RATE, 0);
+        let kept: Vec<Claim> = claims
+            .iter()
+            .filter(|claim| !postponed.contains(&claim.job))
+            .cloned()
+            .collect();
+        prop_assert!(is_feasible(&kept));
+        prop_assert_eq!(kept.len(), most_feasible(&claims));
+    }
+}
+
+#[test]
+fn a_team_within_its_share_is_not_put_back_for_one_above_it() {
+    let mut claims: Vec<Claim> = (0..20).map(|job| claim(job, 0, 100, 900)).collect();
+    // The other team's jobs are larger, but few.
+    claims.extend((20..22).map(|job| claim(job, 1, 200, 900)));
+    let postponed = jobs_to_postpone(claims, &[1.0, 1.0], RATE, 0);
+    assert!(postponed.iter().all(|job| job.0 < 20), "{postponed:?}");
+    assert_eq!(postponed.len(), 15);
+}
+
+#[test]
+fn a_team_with_more_weight_keeps_more() {
+    let claims: Vec<Claim> = (0u32..40)
+        .map(|job| claim(job, usize::from(job >= 20), 100, 1_000))
+        .collect();
+    let postponed = jobs_to_postpone(claims, &[1.0, 4.0], RATE, 0);
+    let kept_of_second = 20 - postponed.iter().filter(|job| job.0 >= 20).count();
+    assert_eq!(postponed.len(), 30);
+    assert_eq!(kept_of_second, 8);
+}
+
+/// Time after its arrival by which each job of these tests should be complete, in milliseconds.
+const TARGET_MS: u64 = 600 * 16 / 10 + 600;
+
+/// A job that was handed in, and when it was complete.
+struct Watched {
+    id: JobId,
+    at_ms: u64,
+    done_ms: Option<u64>,
+}
+
+impl Watched {
+    fn new(plant: &Plant, id: JobId) -> Self {
+        Self {
+            id,
+            at_ms: plant.now_ms,
+            done_ms: None,
+        }
+    }
+
+    fn is_in_time(&self) -> bool {
+        let in_time = |done_ms| done_ms <= self.at_ms + TARGET_MS;
+        self.done_ms.is_some_and(in_time)
+    }
+}
+
+/// Lets time pass and notes which jobs become complete.
+fn watch(plant: &mut Plant, for_ms: u64, jobs: &mut [Watched]) {
+    let until_ms = plant.now_ms + for_ms;
+    while plant.now_ms < until_ms {
+        plant.advance(10);
+        for job in jobs.iter_mut().filter(|job| job.done_ms.is_none()) {
+            let is_done = plant.state(job.id) == Some(JobState::Complete);
+            job.done_ms = is_done.then_some(plant.now_ms);
+        }
+    }
+}
+
+/// Jobs that arrive over 3 s at about three times the rate that the pool can do. The oldest of them
+/// are always the most urgent, and served first they are late one after the other.
+#[test]
+fn a_lasting_overload_does_not_make_everybody_late() {
+    let mut plant = Plant::open(&["maps"], 4);
+    let mut jobs = Vec::new();
+    for round in 0..60 {
+        // A third of the jobs are six times as large as the others.
+        let tasks_count = if round % 3 == 0 { 24 } else { 4 };
+        let id = plant.submit("maps", job(vec![step(tasks_count, 4_000, 600)]));
+        jobs.push(Watched::new(&plant, id));
+        watch(&mut plant, 50, &mut jobs);
+    }
+    watch(&mut plant, 15_000, &mut jobs);
+    let in_time = jobs.iter().filter(|job| job.is_in_time()).count();
+    assert!(in_time >= 30, "{in_time} in time of 60");
+    let is_done = |job: &Watched| job.done_ms.is_some();
+    assert!(jobs.iter().all(is_done), "what was accepted is done");
+}
+
+/// One team asks for ten times what the pool holds, another for a tenth of it.
+#[test]
+fn the_flood_of_one_team_leaves_the_other_in_time() {
+    let mut plant = Plant::open(&["maps"], 4);
+    let mut others = Vec::new();
+    for round in 0..60 {
+        for _ in 0..4 {
+            plant.submit("maps", job(vec![step(16, 4_000, 600)]));
+        }
+        if round % 6 == 0 {
+            let id = plant.submit_for("other", "maps", job(vec![step(6, 4_000, 600)]));
+            others.push(Watched::new(&plant, id));
+        }
+        watch(&mut plant, 50, &mut others);
+    }
+    watch(&mut plant, TARGET_MS, &mut others);
+    let in_time = others.iter().filter(|job| job.is_in_time()).count();
+    assert!(in_time >= 9, "{in_time} of {}", others.len());
+}
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -186,17 +186,22 @@
 
     /// Hands a job of the team in and returns its id.
     pub(crate) fn submit(&mut self, queue: &str, spec: JobSpec) -> JobId {
+        self.submit_for("team", queue, spec)
+    }
+
+    /// The same for any team.
+    pub(crate) fn submit_for(&mut self, team: &str, queue: &str, spec: JobSpec) -> JobId {
         let id = JobId(u64::try_from(self.handed_in.len()).expect("small") + 1);
         let handed_in = HandedIn {
             spec: spec.clone(),
-            team: "team".into(),
+            team: team.into(),
             queue: queue.into(),
         };
         self.handed_in.insert(id, handed_in);
         let intake = self.engine.submit(Submission {
             id,
             queue: queue.into(),
-            team: "team".into(),
+            team: team.into(),
             spec,
         });
         assert_eq!(intake, Intake::Pending);
