Expect a turn's mean demand and for a third of a turn only; late jobs bring few instances

Cause: the forecast took the highest rate over 600 ms for the demand of a turn (seen: 5,963 cores expected where the fleet has 3,136), so that all instances stood in pools for 4 s before and after turns; an expected turn that did not come was prepared for as long as a whole turn; and jobs that could not be in time any more called for instances as if they could.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -8,6 +8,7 @@
 use crate::jobs::instances::InstanceState;
 use crate::jobs::keys::WorkerKey;
 use crate::jobs::orders::InstanceOrder;
+use crate::jobs::ranking::is_in_time;
 use crate::jobs::spec::Size;
 use crate::logging::Event;
 
@@ -29,6 +30,9 @@
 /// Time before a turn, beyond that of a move, from which its pool is prepared, in milliseconds.
 const AHEAD_MS: u64 = 500;
 
+/// Share of the room that late jobs wait for which counts as needed, in thousandths.
+const LATE_PERMILLE: u64 = 250;
+
 /// Time by which an instance may arrive later than a move takes, in milliseconds.
 const ARRIVAL_RESERVE_MS: u64 = 600;
 
@@ -309,7 +313,12 @@
         for key in &self.live {
             let job = self.job(*key);
             if let Some(need) = needs.get_mut(&job.pool) {
-                need.needed.add(&waiting_size(job));
+                let mut waiting = waiting_size(job);
+                if !job.spec.is_endless() && !is_in_time(job, self.now_ms) {
+                    waiting.cpu_millis = waiting.cpu_millis * LATE_PERMILLE / 1_000;
+                    waiting.memory_mb = waiting.memory_mb * LATE_PERMILLE / 1_000;
+                }
+                need.needed.add(&waiting);
             }
         }
         needs
--- a/src/jobs/turns.rs
+++ b/src/jobs/turns.rs
@@ -24,10 +24,12 @@
 const TURN_MIN_CPU_MILLIS: u64 = 40_000;
 /// Shortest and longest turn that is believed, in milliseconds.
 const TURN_BOUNDS_MS: (u64, u64) = (1_500, 20_000);
+/// Least span over which the mean rate of a turn is taken, in milliseconds.
+const MEAN_SPAN_MIN_MS: u64 = 1_000;
 /// Turns that are kept.
 const KEPT_TURNS: usize = 32;
-/// Time by which a turn may begin late before it is not expected any more, in turns.
-const OVERDUE_TURNS: u64 = 1;
+/// Time by which a turn may begin late before it is not expected any more, in hundredths of a turn.
+const OVERDUE_PERCENT: u64 = 35;
 
 /// Room multiplied by time, in units of a millisecond.
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,8 +44,27 @@
 struct Flow {
     /// Work by bin, the newest last.
     bins: VecDeque<(u64, Work)>,
-    /// Highest rate in the pool's last turn.
-    peak: Size,
+    /// Work since the pool's last turn began.
+    in_turn: Work,
+    /// Mean rate in the pool's last turn.
+    mean: Size,
+}
+
+impl Work {
+    fn add(&mut self, more: Self) {
+        self.cpu += more.cpu;
+        self.memory += more.memory;
+        self.jobs_count += more.jobs_count;
+    }
+
+    /// Returns the room that the work keeps busy if it comes in over `span_ms`.
+    fn over(&self, span_ms: u64) -> Size {
+        Size {
+            cpu_millis: self.cpu / span_ms.max(1),
+            memory_mb: self.memory / span_ms.max(1),
+            gpu_count: 0,
+        }
+    }
 }
 
 /// One turn.
@@ -100,10 +121,14 @@
                 flow.bins.pop_front();
             }
         }
+        let work = Work {
+            cpu: work.0,
+            memory: work.1,
+            jobs_count: 1,
+        };
+        flow.in_turn.add(work);
         if let Some((_, sum)) = flow.bins.back_mut() {
-            sum.cpu += work.0;
-            sum.memory += work.1;
-            sum.jobs_count += 1;
+            sum.add(work);
         }
     }
 
@@ -118,21 +143,14 @@
         for back in 0..=RATE_BINS.1 {
             let at = bin.saturating_sub(back);
             if let Some((_, work)) = flow.bins.iter().rev().find(|(known, _)| *known == at) {
-                sum.cpu += work.cpu;
-                sum.memory += work.memory;
-                sum.jobs_count += work.jobs_count;
+                sum.add(*work);
             }
             bins_count = back;
             if back >= RATE_BINS.0 && sum.jobs_count >= RATE_JOBS {
                 break;
             }
         }
-        let span_ms = bins_count * BIN_MS + now_ms % BIN_MS;
-        Size {
-            cpu_millis: sum.cpu / span_ms.max(1),
-            memory_mb: sum.memory / span_ms.max(1),
-            gpu_count: 0,
-        }
+        sum.over(bins_count * BIN_MS + now_ms % BIN_MS)
     }
 
     /// Finds out whose turn it is.
@@ -151,12 +169,11 @@
         if !is_turn {
             return;
         }
-        let is_known = self.turns.back().is_some_and(|turn| turn.pool == pool);
-        if is_known {
-            let peak = self.rate(&pool, now_ms);
+        let current = self.turns.back().filter(|turn| turn.pool == pool);
+        if let Some(turn) = current {
             if let Some(flow) = self.flows.get_mut(&pool) {
-                flow.peak.cpu_millis = flow.peak.cpu_millis.max(peak.cpu_millis);
-                flow.peak.memory_mb = flow.peak.memory_mb.max(peak.memory_mb);
+                let span_ms = now_ms.saturating_sub(turn.start_ms);
+                flow.mean = flow.in_turn.over(span_ms.max(MEAN_SPAN_MIN_MS));
             }
             return;
         }
@@ -169,9 +186,13 @@
 
     fn begin_turn(&mut self, pool: SmolStr, now_ms: u64) {
         let start_ms = self.rise_ms(&pool, now_ms);
-        let peak = self.rate(&pool, now_ms);
+        let rate = self.rate(&pool, now_ms);
         if let Some(flow) = self.flows.get_mut(&pool) {
-            flow.peak = peak;
+            let of_turn = flow.bins.iter().filter(|(at, _)| at * BIN_MS >= start_ms);
+            let mut in_turn = Work::default();
+            of_turn.for_each(|(_, work)| in_turn.add(*work));
+            flow.in_turn = in_turn;
+            flow.mean = rate;
         }
         self.rising = None;
         self.turns.push_back(Turn {
@@ -185,7 +206,7 @@
         Event::new("turn_begun")
             .with("pool", &pool)
             .with("since_ms", now_ms.saturating_sub(start_ms))
-            .with("rate_cpu_millis", peak.cpu_millis)
+            .with("rate_cpu_millis", rate.cpu_millis)
             .with("length_ms", self.length_ms().unwrap_or(0))
             .with("next", next.as_ref().map_or("", |next| next.pool.as_str()))
             .info();
@@ -250,13 +271,13 @@
         let length_ms = self.length_ms()?;
         let next = self.successor(&current.pool)?;
         let start_ms = current.start_ms + length_ms;
-        if *next == current.pool || now_ms > start_ms + length_ms * OVERDUE_TURNS {
+        if *next == current.pool || now_ms > start_ms + length_ms * OVERDUE_PERCENT / 100 {
             return None;
         }
-        let own = self.flows.get(next).map(|flow| flow.peak);
+        let own = self.flows.get(next).map(|flow| flow.mean);
         let demand = own
-            .filter(|peak| peak.cpu_millis > 0)
-            .unwrap_or(self.flows[&current.pool].peak);
+            .filter(|mean| mean.cpu_millis > 0)
+            .unwrap_or(self.flows[&current.pool].mean);
         Some(Expected {
             pool: next.clone(),
             start_ms,
