--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -17,14 +17,14 @@
 /// Part of an instance's room that tasks of mixed sizes can fill, in thousandths.
 const FILLABLE_PERMILLE: u64 = 880;
 /// Time after which an idle instance stands by, in milliseconds.
-const PARK_AFTER_MS: u64 = 3_000;
+const PARK_AFTER_MS: u64 = 1_500;
 /// Share of all instances that stand ready in the pools whose turn may come next, in hundredths.
-const PREPARED_PERCENT: usize = 60;
+const PREPARED_PERCENT: usize = 45;
 /// Instances that a pool keeps beyond those with endless tasks.
 const KEPT_COUNT: usize = 2;
 
 /// Share of the room that arrivals keep busy which a pool should have, in thousandths.
-const RATE_PERMILLE: u64 = 1_100;
+const RATE_PERMILLE: u64 = 900;
 /// Share of the room of a coming turn which a pool should have as it begins, in thousandths.
 const AHEAD_PERMILLE: u64 = 900;
 /// Time before a turn, beyond that of a move, from which its pool is prepared, in milliseconds.
