Give a slow store longer leases, and take the outcome of a write from reading

Now: a lease lasts four times as long as the last write took, 1,500 to 5,000 ms, and says so in its record; a write ends when reading shows its outcome; a stopping process begins nothing and leads on until its release is on record, up to 2.5 s.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -34,6 +34,8 @@
 const STATUS_TRIES: usize = 40;
 /// Longest wait for the journal before leadership is handed over, in milliseconds.
 const HAND_OVER_MS: u64 = 600;
+/// Longest wait for the record that gives the lease back, in milliseconds.
+const RELEASE_MS: u64 = 2_500;
 /// Time between two looks whether the hand-over is done, in milliseconds.
 const HAND_OVER_POLL_MS: u64 = 20;
 
@@ -303,6 +305,7 @@
     match (role, leading_fence) {
         (Role::Leader { fence, .. }, Some(known)) if fence == known => {}
         (Role::Leader { fence, .. }, _) if fence <= node.deposed_fence.get() => {}
+        (Role::Leader { .. }, None) if node.is_stopping.get() => {}
         (Role::Leader { fence, .. }, _) => begin(node, fence),
         (Role::Follower { .. }, Some(_)) => step_down(node, "lease_lost"),
         (Role::Follower { .. }, None) => {}
@@ -455,7 +458,7 @@
     }
     node.leadership.borrow_mut().release();
     node.lease_changed.notify_one();
-    let until_ms = node.now_ms() + HAND_OVER_MS;
+    let until_ms = node.now_ms() + RELEASE_MS;
     while !node.leadership.borrow().is_released() && node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from_millis(HAND_OVER_POLL_MS)).await;
     }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -9,13 +9,18 @@
 
 use crate::logging::Event;
 
-/// Time for which a renewal holds, counted by the holder from its sending, in milliseconds.
-const LEASE_MS: u64 = 1_200;
+/// Least and longest time for which a renewal holds, counted by the holder from its sending, in
+/// milliseconds.
+const LEASE_BOUNDS_MS: (u64, u64) = (1_500, 5_000);
+/// Part of a lease that the last write took, at most: a slow store gets longer leases.
+const LEASE_WRITES: u64 = 4;
 /// Time between two renewals, in milliseconds.
 const RENEW_MS: u64 = 300;
-/// Silence of the leader after which another claims, counted by each reader from when it read the last
-/// record and while it reaches the store, in milliseconds.
-const CLAIM_AFTER_MS: u64 = 1_450;
+/// Silence of the leader beyond its lease after which another claims, in milliseconds; each reader
+/// counts from when it read the last record, and while it reaches the store.
+const CLAIM_RESERVE_MS: u64 = 200;
+/// Share by which clocks may differ in speed, in thousandths, with some reserve.
+const CLOCK_DRIFT_PERMILLE: u64 = 30;
 /// The same where no process listens at the leader's address any more. A leader that still renews is
 /// not replaced, so that a bad link between two nodes moves nothing.
 const CLAIM_REFUSED_MS: u64 = 500;
@@ -36,6 +41,13 @@
     pub peers_address: SocketAddr,
     /// Whether the holder has given the lease back.
     pub is_released: bool,
+    /// Time for which the lease holds from the sending of the record, in milliseconds.
+    #[serde(default = "least_lease_ms")]
+    pub lease_ms: u64,
+}
+
+fn least_lease_ms() -> u64 {
+    LEASE_BOUNDS_MS.0
 }
 
 /// A record to be written.
@@ -90,6 +102,10 @@
     is_in_contact: bool,
     silent_since_ms: u64,
     lease_from_ms: u64,
+    /// Length of the lease that counts from `lease_from_ms`.
+    lease_ms: u64,
+    /// Time that the last write of this process took.
+    write_ms: u64,
     pending: Option<LeadWrite>,
     /// Time of the last sending of `pending`.
     pending_again_ms: u64,
@@ -114,6 +130,7 @@
                 incarnation,
                 peers_address,
                 is_released: false,
+                lease_ms: LEASE_BOUNDS_MS.0,
             },
             claim_delay_ms,
             newest: None,
@@ -121,6 +138,8 @@
             is_in_contact: false,
             silent_since_ms: 0,
             lease_from_ms: 0,
+            lease_ms: 0,
+            write_ms: 0,
             pending: None,
             pending_again_ms: 0,
             refused: None,
@@ -200,11 +219,24 @@
             .as_ref()
             .is_some_and(|write| write.record == record);
         if let (true, Some(write)) = (is_pending, self.pending.take()) {
-            self.lease_from_ms = self.lease_from_ms.max(write.sent_ms);
+            self.write_took_effect(&write, now_ms);
         }
         self.newest = Some(record);
     }
 
+    fn write_took_effect(&mut self, write: &LeadWrite, now_ms: u64) {
+        self.write_ms = now_ms.saturating_sub(write.sent_ms);
+        if write.sent_ms >= self.lease_from_ms {
+            self.lease_from_ms = write.sent_ms;
+            self.lease_ms = write.record.lease_ms;
+        }
+    }
+
+    /// Returns whether a write is on its way, or its outcome is not known.
+    pub fn is_writing(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Asks for the lease to be given back with the next write.
     pub fn release(&mut self) {
         self.wants_release = true;
@@ -223,7 +255,7 @@
         match &self.newest {
             Some(newest) if self.is_own(newest) && !newest.is_released => Role::Leader {
                 fence: newest.fence,
-                is_valid: now_ms < self.lease_from_ms + LEASE_MS,
+                is_valid: now_ms < self.valid_until_ms(),
             },
             Some(newest) if !newest.is_released => Role::Follower {
                 leader: Some(newest.peers_address),
@@ -234,7 +266,7 @@
 
     /// Returns the time until which the lease holds.
     pub fn valid_until_ms(&self) -> u64 {
-        self.lease_from_ms + LEASE_MS
+        self.lease_from_ms + self.lease_ms
     }
 
     /// Returns the write that is due, and takes it as sent.
@@ -262,12 +294,14 @@
     }
 
     fn due_record(&self, now_ms: u64) -> Option<LeadRecord> {
+        let lease_ms = (self.write_ms * LEASE_WRITES).clamp(LEASE_BOUNDS_MS.0, LEASE_BOUNDS_MS.1);
         let silent_ms = now_ms.saturating_sub(self.silent_since_ms);
         match &self.newest {
             Some(newest) if self.is_own(newest) && !newest.is_released => {
                 let is_due = self.wants_release || now_ms >= self.lease_from_ms + RENEW_MS;
                 is_due.then(|| LeadRecord {
                     is_released: self.wants_release,
+                    lease_ms,
                     ..newest.clone()
                 })
             }
@@ -280,6 +314,7 @@
                 let fence = newest.as_ref().map_or(0, |newest| newest.fence) + 1;
                 (silent_ms >= wait_ms + self.claim_delay_ms).then(|| LeadRecord {
                     fence,
+                    lease_ms,
                     ..self.own.clone()
                 })
             }
@@ -293,7 +328,10 @@
             // This process listens where its predecessor of the same name did, who is gone.
             () if newest.holder == self.own.holder => 0,
             () if self.refused == Some(newest.peers_address) => CLAIM_REFUSED_MS,
-            () => CLAIM_AFTER_MS,
+            () => {
+                let drift_ms = newest.lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
+                newest.lease_ms + drift_ms + CLAIM_RESERVE_MS
+            }
         }
     }
 
@@ -322,7 +360,7 @@
                 if is_pending {
                     self.pending = None;
                 }
-                self.lease_from_ms = self.lease_from_ms.max(write.sent_ms);
+                self.write_took_effect(write, now_ms);
                 if end_offset > self.end_offset {
                     self.end_offset = end_offset;
                     self.silent_since_ms = now_ms;
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -16,7 +16,7 @@
 /// Time that a read may take beyond its wait, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 700;
 /// Time that a write may take, in milliseconds.
-const WRITE_TIMEOUT_MS: u64 = 500;
+const WRITE_TIMEOUT_MS: u64 = 2_000;
 /// Pause after a failed read or write, in milliseconds.
 const PAUSE_MS: u64 = 100;
 /// Longest sleep of the writer, in milliseconds.
@@ -109,19 +109,28 @@
     }
 }
 
+/// Returns once the outcome of the write under way was read from the topic, its answer being lost or
+/// late.
+async fn settled_by_reading(node: &Rc<Node>) {
+    while node.leadership.borrow().is_writing() {
+        node.lease_changed.notified().await;
+    }
+}
+
 async fn write_one(node: &Rc<Node>, write: LeadWrite) {
     let value = serde_json::to_vec(&write.record).unwrap_or_default();
     let records = [(KEY.into(), Some(value))];
-    let appended = node
-        .store
-        .append(
-            Topic::Lead,
-            &records,
-            Some(write.at_offset),
-            None,
-            WRITE_TIMEOUT_MS,
-        )
-        .await;
+    let append = node.store.append(
+        Topic::Lead,
+        &records,
+        Some(write.at_offset),
+        None,
+        WRITE_TIMEOUT_MS,
+    );
+    let appended = tokio::select! {
+        appended = append => appended,
+        () = settled_by_reading(node) => return,
+    };
     let outcome = match appended {
         Ok(end_offset) => WriteOutcome::Kept { end_offset },
         Err(StoreFailure::Lost | StoreFailure::Unreadable) => WriteOutcome::Unknown,
