Start tasks until a release is on record, and read a moved topic at once

Cause: a leader that was told to stop started nothing while it waited for its release to be kept (1.4 s at a slow store), and after a write that found its topic moved both leader and claimers wrote again at the old offset, each 100 ms, until the long read came round (seen: 1.6 s). Ruled out: ending the wait for the release (nobody else leads before it).

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -99,7 +99,7 @@
     next_sweep_ms: u64,
     /// Set once a worker or the store has shown a higher fence.
     pub(crate) is_deposed: bool,
-    is_paused: bool,
+    leaves_instances: bool,
     new_jobs: Vec<JobKey>,
     pub(crate) dirty_jobs: IndexSet<JobKey>,
     new_workers: Vec<WorkerKey>,
@@ -137,7 +137,7 @@
             next_plan_ms: now_ms,
             next_sweep_ms: now_ms,
             is_deposed: false,
-            is_paused: false,
+            leaves_instances: false,
             new_jobs: Vec::new(),
             dirty_jobs: IndexSet::new(),
             new_workers: Vec::new(),
@@ -190,9 +190,9 @@
             self.lapse_silent_workers();
             self.resend_stops();
         }
-        if !self.is_paused {
-            self.plan_order();
-            self.dispatch();
+        self.plan_order();
+        self.dispatch();
+        if !self.leaves_instances {
             self.review();
         }
         self.send_due_looks();
@@ -203,9 +203,9 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Stops starting tasks and giving orders to instances; what is to be recorded still is.
-    pub fn pause(&mut self) {
-        self.is_paused = true;
+    /// Gives no more orders to instances, so that the next leader may at once.
+    pub fn leave_instances(&mut self) {
+        self.leaves_instances = true;
     }
 
     /// Returns whether there is anything to put on record.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -452,12 +452,14 @@
             .as_ref()
             .is_some_and(|leading| leading.journal.is_writing)
     };
-    node.with_engine(|engine, _| engine.pause());
+    node.with_engine(|engine, _| engine.leave_instances());
     while is_writing() && node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from_millis(HAND_OVER_POLL_MS)).await;
     }
     node.leadership.borrow_mut().release();
     node.lease_changed.notify_one();
+    // Until the release is on record nobody else leads. What is started meanwhile is found by the next
+    // leader when it raises its fence.
     let until_ms = node.now_ms() + RELEASE_MS;
     while !node.leadership.borrow().is_released() && node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from_millis(HAND_OVER_POLL_MS)).await;
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -12,7 +12,7 @@
 /// Key of the one record.
 const KEY: &str = "lead";
 /// Longest wait of one read, in milliseconds.
-const READ_WAIT_MS: u64 = 2_000;
+const READ_WAIT_MS: u64 = 1_000;
 /// Time that a read may take beyond its wait, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 700;
 /// Time that a write may take, in milliseconds.
@@ -109,6 +109,21 @@
     }
 }
 
+/// Reads what has moved the end of the topic, at once; the long read may tell it only later.
+async fn read_on(node: &Rc<Node>) {
+    let offset = node.leadership.borrow().end_offset();
+    let read = node.store.read(Topic::Lead, offset, 0, READ_TIMEOUT_MS);
+    match read.await {
+        Ok(page) => {
+            let now_ms = node.now_ms();
+            node.leadership
+                .borrow_mut()
+                .read(decode(&page.records), page.next_offset, now_ms);
+        }
+        Err(failure) => Event::new("lease_unread").with("failure", failure).warn(),
+    }
+}
+
 /// Returns once the outcome of the write under way was read from the topic, its answer being lost or
 /// late.
 async fn settled_by_reading(node: &Rc<Node>) {
@@ -144,6 +159,9 @@
             .warn();
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
+    if let Err(StoreFailure::Moved { .. }) = appended {
+        read_on(node).await;
+    }
     let now_ms = node.now_ms();
     node.leadership
         .borrow_mut()
