--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -24,6 +24,9 @@
 const HOLDOVER_MS: u64 = 6_000;
 /// Time between two steps of the engine without any event, in milliseconds.
 const TICK_MS: u64 = 100;
+/// Least time between two steps of the engine, in milliseconds. A step looks at all workers and at all
+/// jobs that wait; at 1,000 starts a second one for each answer would take a whole core.
+const STEP_PAUSE_MS: u64 = 4;
 /// Time that a read of the records may take, in milliseconds.
 const RESTORE_TIMEOUT_MS: u64 = 2_000;
 /// Pause before a failed take-over step is tried again, in milliseconds.
@@ -120,8 +123,13 @@
         now_ms < self.leadership.borrow().valid_until_ms() + HOLDOVER_MS
     }
 
+    /// Asks for a step of the engine. Events that come close together share one.
+    pub(crate) fn pump(&self) {
+        self.step_due.notify_one();
+    }
+
     /// Lets the engine do what is due and carries out what it asks for.
-    pub(crate) fn pump(self: &Rc<Self>) {
+    fn step(self: &Rc<Self>) {
         let actions = {
             let mut leading = self.leading.borrow_mut();
             let Some(leading) = leading.as_mut() else {
@@ -417,6 +425,15 @@
     Ok(records)
 }
 
+/// Takes the steps that are asked for, for as long as the process runs.
+pub(crate) async fn drive(node: Rc<Node>) {
+    loop {
+        node.step_due.notified().await;
+        node.step();
+        tokio::time::sleep(Duration::from_millis(STEP_PAUSE_MS)).await;
+    }
+}
+
 /// Lets the engine do what is due by time alone.
 async fn tick(node: Rc<Node>, fence: u64) {
     while node.with_leading(fence, |_| ()).is_some() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -73,6 +73,8 @@
     /// Time of sending of the last read that proved the lists to be the newest; 0 for none.
     pub(crate) lists_proved_ms: Cell<u64>,
     pub(crate) leadership: RefCell<Leadership>,
+    /// Wakes the task that takes the steps of the engine.
+    pub(crate) step_due: Notify,
     /// Wakes the task that writes the lease.
     pub(crate) lease_changed: Notify,
     /// The engine and what belongs to it, while this node leads.
@@ -143,6 +145,7 @@
             waves: RefCell::new(Vec::new()),
             lists_proved_ms: Cell::new(0),
             leadership: RefCell::new(leadership),
+            step_due: Notify::new(),
             lease_changed: Notify::new(),
             leading: RefCell::new(None),
             deposed_fence: Cell::new(0),
@@ -161,6 +164,7 @@
         ];
         let peers = peers::serve(&node).await?;
         let callers = calls::serve_callers(&node).await?;
+        tokio::task::spawn_local(leader::drive(Rc::clone(&node)));
         tokio::task::spawn_local(lists::follow(Rc::clone(&node)));
         tokio::task::spawn_local(lease::follow(Rc::clone(&node)));
         tokio::task::spawn_local(lease::write(Rc::clone(&node)));
