Bound the failures of a bad worker by count, not by the half of a load

Cause: the test wanted the second half of all replies done. Each entry ejects a worker by its own outcomes, after up to eight failures, and entries do not tell each other; an entry that meets the worker seldom, or a machine at a load of 50 (63 replies in 3 s, traced there), ejects it later. Now: at most 8 failures for each entry and those in flight, 32 of about 1,000, where the old check let any number pass in the first half.

--- a/tests/testsuite/promises_bad_workers.rs
+++ b/tests/testsuite/promises_bad_workers.rs
@@ -26,6 +26,13 @@
 /// Part of a pool that may be ejected at once by default.
 const EJECT_MAX_PERMILLE: usize = 300;
 
+/// Callers of work that may run only once, beside a worker that fails everything.
+const ONCE_CALLERS_COUNT: usize = 16;
+
+/// Failures in a row that each entry needs to eject a worker: the smoothed part of failures passes a
+/// half after eight, with the blame for work that is not known from other workers.
+const EJECT_AFTER_MAX: usize = 8;
+
 /// Time within which a wave of cancellations is carried out.
 const CANCELLED_MAX: Duration = Duration::from_secs(5);
 
@@ -56,7 +63,7 @@
     let bad = first_of_maps(&cluster);
     set_worker_faults(&bad, &json!({ "is_failing_all": true }));
     let once_key = key.clone();
-    let once = Load::spawn(&callers(&cluster), 16, move || {
+    let once = Load::spawn(&callers(&cluster), ONCE_CALLERS_COUNT, move || {
         Call::new("maps", &once_key, 20).once()
     });
     thread::sleep(Duration::from_millis(1_500));
@@ -64,12 +71,9 @@
     thread::sleep(Duration::from_millis(1_500));
     assert_all_done(&idempotent.stop());
     let replies = once.stop();
-    let is_failed = |reply: &Reply| !reply.is_done();
-    let failed_count = replies
-        .iter()
-        .filter(|(_, reply, _)| is_failed(reply))
-        .count();
-    for (_, reply, _) in replies.iter().filter(|(_, reply, _)| is_failed(reply)) {
+    let mut failed_count = 0;
+    for (_, reply, _) in replies.iter().filter(|(_, reply, _)| !reply.is_done()) {
+        failed_count += 1;
         assert_eq!(
             (reply.status, reply.ran.as_str()),
             (422, "ran"),
@@ -77,8 +81,12 @@
         );
     }
     assert!(failed_count > 0, "nothing reached the bad worker");
-    let late = &replies[replies.len() / 2..];
-    assert_all_done(late);
+    let allowed_count = cluster.entries.len() * EJECT_AFTER_MAX + ONCE_CALLERS_COUNT;
+    assert!(
+        failed_count <= allowed_count,
+        "{failed_count} of {}",
+        replies.len()
+    );
 }
 
 #[test]
