Soak the engine with random faults in virtual time, and mend gangs that wait for ever

Random series of nine kinds of fault, alone and overlapping (workers cut, mute, crashed, late with starts, drained, lost by the list, the store away, leaders one after the other, cancels), against the engine and workers in memory; 30 s of faults take some 60 ms.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -6,10 +6,11 @@
 
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::instances::InstanceState;
+use crate::jobs::job::Job;
 use crate::jobs::keys::WorkerKey;
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::ranking::is_in_time;
-use crate::jobs::spec::Size;
+use crate::jobs::spec::{Size, StepSpec};
 use crate::logging::Event;
 
 /// Time between two reviews, in milliseconds.
@@ -58,6 +59,8 @@
     needed: Size,
     usable_count: usize,
     endless_hosts_count: usize,
+    /// Instances without which a step cannot start whole.
+    whole_count: usize,
     /// Instances to have because the pool's turn may come next.
     prepared_count: usize,
     /// Part of what is needed that endless tasks take.
@@ -101,8 +104,9 @@
         let mut donors: Vec<WorkerKey> = Vec::new();
         for (pool, need) in &needs {
             let have_count = need.usable_count;
-            let wanted_count =
-                instances_for(&need.needed, &self.instance_size(pool)).max(need.prepared_count);
+            let wanted_count = instances_for(&need.needed, &self.instance_size(pool))
+                .max(need.prepared_count)
+                .max(need.whole_count);
             self.tell_capacity(pool, need, wanted_count);
             let kept_count = wanted_count.max(need.endless_hosts_count + KEPT_COUNT);
             if wanted_count > have_count {
@@ -310,6 +314,10 @@
                 need.usable_count += 1;
             }
         }
+        let sizes: IndexMap<SmolStr, Size> = needs
+            .keys()
+            .map(|pool| (pool.clone(), self.instance_size(pool)))
+            .collect();
         for key in &self.live {
             let job = self.job(*key);
             if let Some(need) = needs.get_mut(&job.pool) {
@@ -319,6 +327,11 @@
                     waiting.memory_mb = waiting.memory_mb * LATE_PERMILLE / 1_000;
                 }
                 need.needed.add(&waiting);
+                let size = sizes.get(&job.pool).copied().unwrap_or_default();
+                let whole_count = instances_for_whole(job, &size);
+                if whole_count > 0 {
+                    need.whole_count = need.whole_count.max(need.endless_hosts_count + whole_count);
+                }
             }
         }
         needs
@@ -326,7 +339,7 @@
 }
 
 /// Returns the room of the tasks that could start now, and of those that wait only for running ones.
-fn waiting_size(job: &crate::jobs::job::Job) -> Size {
+fn waiting_size(job: &Job) -> Size {
     let mut all = Size::default();
     for round in &job.rounds {
         for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
@@ -349,6 +362,37 @@
     all
 }
 
+/// Returns how many instances of `size` a job's waiting steps take that start whole or not at all, or
+/// that last and are spread: the room of fewer may be enough in sum and yet never be found.
+fn instances_for_whole(job: &Job, size: &Size) -> usize {
+    let mut most_count = 0;
+    for round in &job.rounds {
+        for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
+            let is_spread = spec.is_endless && spec.per_worker_max > 0;
+            if step.waiting_count == 0 || !(spec.is_gang || is_spread) || !round.is_ready(spec) {
+                continue;
+            }
+            let per_instance = tasks_per_instance(spec, size).max(1);
+            most_count = most_count.max(step.waiting_count.div_ceil(per_instance));
+        }
+    }
+    index(most_count)
+}
+
+/// Returns how many tasks of a step an empty instance of `size` may run at once.
+fn tasks_per_instance(spec: &StepSpec, size: &Size) -> u32 {
+    let room = spec.room();
+    let by = |room: u64, size: u64| size.checked_div(room).unwrap_or(u64::MAX);
+    let count = by(room.cpu_millis, size.cpu_millis)
+        .min(by(room.memory_mb, size.memory_mb))
+        .min(by(room.gpu_count, size.gpu_count));
+    let spread = match spec.per_worker_max {
+        0 => u32::MAX,
+        max => max,
+    };
+    u32::try_from(count).unwrap_or(u32::MAX).min(spread)
+}
+
 /// Returns how many instances of `size` hold `needed`.
 fn instances_for(needed: &Size, size: &Size) -> usize {
     let share = |needed: u64, size: u64| {
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -343,7 +343,7 @@
                     let active_count = step.tasks_count
                         - progress.done_count.min(step.tasks_count)
                         - progress.waiting_count.min(step.tasks_count);
-                    if !step.allows_copies || active_count == 0 {
+                    if !step.may_have_copies() || active_count == 0 {
                         continue;
                     }
                     let expected_ms = self.run_times.expected_ms(&job.queue, step);
--- a/src/jobs/looks.rs
+++ b/src/jobs/looks.rs
@@ -418,7 +418,7 @@
         let step = &spec.steps[usize::from(run.task.step)];
         let is_free = self
             .task(run.task)
-            .is_some_and(|task| task.is_waiting() || (step.allows_copies && !task.is_done));
+            .is_some_and(|task| task.is_waiting() || (step.may_have_copies() && !task.is_done));
         if !is_free {
             return false;
         }
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -101,6 +101,12 @@
             false => self.size,
         }
     }
+
+    /// Returns whether a second run of one task may be started beside the first. A member of a gang
+    /// works only beside all others of its run, so that a copy of one would wait for nothing.
+    pub fn may_have_copies(&self) -> bool {
+        self.allows_copies && !self.is_gang
+    }
 }
 
 /// The times at which the steps of a recurring job run.
--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -11,6 +11,7 @@
 pub(crate) struct Running {
     pub(crate) room: Size,
     pub(crate) team: SmolStr,
+    pub(crate) begun_ms: u64,
     pub(crate) ends_ms: u64,
     pub(crate) end: EndKind,
 }
@@ -31,6 +32,8 @@
     pub(crate) is_mute: bool,
     /// It is gone for good.
     pub(crate) is_dead: bool,
+    /// It leaves starts unanswered and carries them out after this time, in milliseconds; 0 for not.
+    pub(crate) starts_late_ms: u64,
     /// It refuses starts as too late.
     pub(crate) refuses_as_late: bool,
 }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -9,3 +9,4 @@
 mod faults;
 mod overload;
 mod plant;
+mod soak;
--- a/tests/testsuite/jobs/plant.rs
+++ b/tests/testsuite/jobs/plant.rs
@@ -25,6 +25,8 @@
 const STOP_MS: u64 = 100;
 /// Time that records take to be kept, in milliseconds.
 const KEEP_MS: u64 = 10;
+/// Time for which a member of a gang waits for the others, in milliseconds.
+const GANG_MS: u64 = 3_000;
 /// Time for which tickets are valid, in milliseconds.
 const TICKETS_VALID_MS: u64 = 3_000;
 
@@ -69,6 +71,8 @@
     looks: Vec<(LookOrder, u64)>,
     keeping: Option<(Vec<Record>, u64)>,
     arrivals: Vec<(u64, WorkerSheet)>,
+    /// Starts that workers carry out later, with the life of the worker that they were meant for.
+    late_starts: Vec<(u64, u64, StartOrder)>,
     pub(crate) done: HashSet<TaskName>,
     pub(crate) handed_in: HashMap<JobId, HandedIn>,
 }
@@ -100,6 +104,7 @@
             looks: Vec::new(),
             keeping: None,
             arrivals: Vec::new(),
+            late_starts: Vec::new(),
             done: HashSet::new(),
             handed_in: HashMap::new(),
         };
@@ -161,6 +166,7 @@
             is_cut: false,
             is_mute: false,
             is_dead: false,
+            starts_late_ms: 0,
             refuses_as_late: false,
         };
         self.workers.insert(id, worker);
@@ -273,6 +279,7 @@
 
     fn step(&mut self) {
         self.end_runs();
+        self.begin_late_starts();
         self.bring_arrivals();
         self.answer_looks();
         self.keep_records();
@@ -285,24 +292,61 @@
 
     fn end_runs(&mut self) {
         let now_ms = self.now_ms;
+        let waiting = self.waiting_members();
         for worker in self.workers.values_mut() {
             let has_lapsed = now_ms >= worker.until_ms;
             let due: Vec<_> = worker
                 .running
                 .iter()
-                .filter(|(_, run)| has_lapsed || now_ms >= run.ends_ms)
-                .map(|(key, run)| (*key, run.end))
+                .filter(|(key, run)| {
+                    let is_waiting = waiting.contains(*key);
+                    let is_alone = is_waiting && now_ms >= run.begun_ms + GANG_MS;
+                    let is_over = now_ms >= run.ends_ms;
+                    let may_end = run.end != EndKind::Done || !is_waiting;
+                    has_lapsed || is_alone || is_over && may_end
+                })
+                .map(
+                    |(key, run)| match waiting.contains(key) && run.end == EndKind::Done {
+                        true => (*key, EndKind::Alone),
+                        false => (*key, run.end),
+                    },
+                )
                 .collect();
             for (key, end) in due {
                 let kind = if has_lapsed { EndKind::Lapsed } else { end };
                 worker.end(key, kind);
                 if kind == EndKind::Done {
-                    self.done.insert(key.0);
+                    let step = &self.handed_in[&key.0.job].spec.steps[usize::from(key.0.step)];
+                    let all = (0..step.tasks_count).map(|index| TaskName { index, ..key.0 });
+                    let ended = all.filter(|name| step.is_gang || *name == key.0);
+                    self.done.extend(ended);
                 }
             }
         }
     }
 
+    /// Returns the members of gangs that cannot end yet, as not all of them run.
+    fn waiting_members(&self) -> HashSet<(TaskName, u64)> {
+        let mut members: HashMap<(TaskName, u64), Vec<(TaskName, u64)>> = HashMap::new();
+        for (name, run) in self
+            .workers
+            .values()
+            .flat_map(|worker| worker.running.keys())
+        {
+            let step = &self.handed_in[&name.job].spec.steps[usize::from(name.step)];
+            if step.is_gang {
+                let gang = (TaskName { index: 0, ..*name }, *run);
+                members.entry(gang).or_default().push((*name, *run));
+            }
+        }
+        let is_whole = |gang: &TaskName, count: usize| {
+            let step = &self.handed_in[&gang.job].spec.steps[usize::from(gang.step)];
+            u32::try_from(count) == Ok(step.tasks_count)
+        };
+        members.retain(|(gang, _), here| !is_whole(gang, here.len()));
+        members.into_values().flatten().collect()
+    }
+
     fn bring_arrivals(&mut self) {
         let now_ms = self.now_ms;
         let due: Vec<WorkerSheet> = self
@@ -449,6 +493,13 @@
             self.engine.start_failed(order, OrderFailure::Lost, now_ms);
             return;
         }
+        if worker.starts_late_ms > 0 {
+            let due_ms = now_ms + worker.starts_late_ms;
+            let life = worker.sheet.born_unix_ms;
+            self.late_starts.push((due_ms, life, order.clone()));
+            self.engine.start_failed(order, OrderFailure::Lost, now_ms);
+            return;
+        }
         let key = (order.name, order.run.run);
         let failure = match () {
             () if order.target.fence < worker.fence => Some(OrderFailure::Fenced),
@@ -460,12 +511,47 @@
             self.engine.start_failed(order, failure, now_ms);
             return;
         }
+        self.begin(order);
+        let worker = &self.workers[&order.target.id];
+        match worker.is_mute {
+            true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
+            false => self.engine.start_accepted(order, Some(now_ms), now_ms),
+        }
+    }
+
+    /// Carries out starts that were left for later, as far as they still hold.
+    fn begin_late_starts(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.late_starts)
+            .into_iter()
+            .partition(|(due_ms, _, _)| *due_ms <= now_ms);
+        self.late_starts = later;
+        let due: Vec<(u64, u64, StartOrder)> = due;
+        for (_, life, order) in due {
+            let worker = &self.workers[&order.target.id];
+            let is_void = worker.is_dead
+                || worker.sheet.born_unix_ms != life
+                || order.target.fence < worker.fence
+                || order.until_worker_ms <= now_ms
+                || worker.barred.contains(&(order.name, order.run.run));
+            if !is_void {
+                self.begin(&order);
+            }
+        }
+    }
+
+    /// Begins a run at its worker.
+    fn begin(&mut self, order: &StartOrder) {
+        let now_ms = self.now_ms;
+        let key = (order.name, order.run.run);
+        let worker = &mut self.workers[&order.target.id];
         let step = &order.spec.steps[usize::from(order.name.step)];
         let is_failing = self.fails.contains(&order.name);
         let run_ms = self.run_ms.get(&order.name).copied();
         let run = Running {
             room: step.room(),
             team: self.handed_in[&order.name.job].team.clone(),
+            begun_ms: now_ms,
             ends_ms: match step.is_endless {
                 true => u64::MAX,
                 false => now_ms + run_ms.unwrap_or(step.estimate_ms),
@@ -480,13 +566,8 @@
         worker.running.insert(key, run);
         self.starts
             .push((now_ms, order.target.id.clone(), order.name));
-        let is_mute = worker.is_mute;
         self.check_order(order);
         self.check_ticket(order);
-        match is_mute {
-            true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
-            false => self.engine.start_accepted(order, Some(now_ms), now_ms),
-        }
     }
 
     fn stop(&mut self, order: &StopOrder) {
