Maintain no instance before its worker was looked at after a take-over

Moves ask for a fenced worker, waves did not. Ruled out: planned stops (none are sent in that time). The new test fails without the change: one instance ordered, none expected.

--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -211,6 +211,10 @@
         let Some(key) = self.worker_of(name) else {
             return true;
         };
+        // What an earlier leader let run there is not known yet.
+        if self.worker(key).is_unseen() && self.now_ms < self.inherited_clear_at_ms() {
+            return false;
+        }
         self.worker_mut(key).is_reserved = true;
         self.free_worker(key)
     }
--- a/tests/testsuite/jobs/capacity.rs
+++ b/tests/testsuite/jobs/capacity.rs
@@ -136,3 +136,29 @@
         assert_eq!(plant.engine.runs_count(), 10, "all runs are still known");
     }
 }
+
+#[test]
+fn a_successor_maintains_no_instance_before_it_has_looked_at_its_worker() {
+    let mut plant = Plant::open(&["a"], 6);
+    let spread = StepSpec {
+        away_max: Some(1),
+        per_worker_max: 1,
+        ..endless(4, 2_000)
+    };
+    let id = plant.submit("a", job(vec![spread]));
+    plant.advance(4_000);
+    let unseen: Vec<SmolStr> = plant.runs_of(id).into_iter().map(|run| run.0).collect();
+    for worker in &unseen {
+        plant.workers[worker].is_cut = true;
+    }
+    plant.take_over(2);
+    let all: Vec<SmolStr> = plant.instances.keys().cloned().collect();
+    plant.ask_wave(1, &all, 6);
+    plant.advance(3_000);
+    let of_unseen = |order: &&InstanceOrder| {
+        let worker = &plant.workers[&unseen[0]];
+        unseen.len() == 4 && worker.sheet.instance.as_ref() == Some(order.instance())
+    };
+    assert_eq!(plant.orders.iter().filter(of_unseen).count(), 0);
+    assert_eq!(plant.runs_of(id).len(), 4, "nothing was taken down");
+}
