Claim by silence only, not by a refused connection

A refusal does not prove that the leader's process is gone. Cut off alive, it may act at workers for its lease and 6 s more, which is up to 4.5 s longer than its successor waits for workers out of reach, and answer from what it knows until its lease is over. Ruled out: a longer wait of every successor (it delays all inherited work). What stays: the next process of the leader's own name claims at once; it listens where its predecessor did, who is gone. Its test stays; the test of claims by refusal goes with what it tested.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,7 +3,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,8 +59,6 @@
 pub enum CallFailure {
     /// No connection came about: nothing was sent.
     NotSent,
-    /// The connection was refused: nothing was sent, and no process listens there.
-    NobodyListens,
     /// The call may have been carried out, or may still be.
     Lost,
 }
@@ -129,9 +126,6 @@
     let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = match timeout_at(until, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Err(CallFailure::NobodyListens)
-        }
         Ok(Err(_)) | Err(_) => return Err(CallFailure::NotSent),
     };
     // Without this option small calls wait for acknowledgements; a failure costs only time.
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -12,7 +12,7 @@
 /// Least and longest time for which a renewal holds, counted by the holder from its sending, in
 /// milliseconds.
 const LEASE_BOUNDS_MS: (u64, u64) = (1_500, 5_000);
-/// Part of a lease that the last write took, at most: a slow store gets longer leases.
+/// A lease lasts this many times as long as the last write took, within its bounds.
 const LEASE_WRITES: u64 = 4;
 /// Time between two renewals, in milliseconds.
 const RENEW_MS: u64 = 300;
@@ -21,9 +21,6 @@
 const CLAIM_RESERVE_MS: u64 = 200;
 /// Share by which clocks may differ in speed, in thousandths, with some reserve.
 const CLOCK_DRIFT_PERMILLE: u64 = 30;
-/// The same where no process listens at the leader's address any more. A leader that still renews is
-/// not replaced, so that a bad link between two nodes moves nothing.
-const CLAIM_REFUSED_MS: u64 = 500;
 /// Time after which a write of unknown outcome is sent again, in milliseconds. Both are conditional on
 /// one offset, so that one of them takes effect at most.
 const WRITE_AGAIN_MS: u64 = 400;
@@ -109,8 +106,6 @@
     pending: Option<LeadWrite>,
     /// Time of the last sending of `pending`.
     pending_again_ms: u64,
-    /// Address of a leader at which no process listened.
-    refused: Option<SocketAddr>,
     wants_release: bool,
 }
 
@@ -142,7 +137,6 @@
             write_ms: 0,
             pending: None,
             pending_again_ms: 0,
-            refused: None,
             wants_release: false,
         }
     }
@@ -174,7 +168,6 @@
         }
         if is_news {
             self.silent_since_ms = now_ms;
-            self.refused = None;
         }
         // What did not take effect at its offset never will.
         let end_offset = self.end_offset;
@@ -184,17 +177,6 @@
             .filter(|write| write.at_offset >= end_offset);
     }
 
-    /// Takes in that no process listened at the address of the leader.
-    pub fn leader_refused(&mut self, address: SocketAddr, now_ms: u64) {
-        if self.refused != Some(address) {
-            Event::new("leader_refused")
-                .with("address", address)
-                .with("silent_ms", now_ms.saturating_sub(self.silent_since_ms))
-                .warn();
-        }
-        self.refused = Some(address);
-    }
-
     /// Takes in that the topic could not be read.
     pub fn contact_lost(&mut self) {
         self.is_in_contact = false;
@@ -327,7 +309,6 @@
             () if newest.is_released => 0,
             // This process listens where its predecessor of the same name did, who is gone.
             () if newest.holder == self.own.holder => 0,
-            () if self.refused == Some(newest.peers_address) => CLAIM_REFUSED_MS,
             () => {
                 let drift_ms = newest.lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
                 newest.lease_ms + drift_ms + CLAIM_RESERVE_MS
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -196,12 +196,6 @@
             serde_json::from_slice(&reply.body).unwrap_or(CallAnswer::OutcomeUnknown)
         }
         Ok(_) => CallAnswer::OutcomeUnknown,
-        Err(CallFailure::NobodyListens) => {
-            let now_ms = node.now_ms();
-            node.leadership.borrow_mut().leader_refused(address, now_ms);
-            node.lease_changed.notify_one();
-            CallAnswer::Refused(Refusal::NoLeader)
-        }
         Err(CallFailure::NotSent) => CallAnswer::Refused(Refusal::NoLeader),
         Err(CallFailure::Lost) => CallAnswer::OutcomeUnknown,
     }
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -148,7 +148,7 @@
         answer_max_bytes: ANSWER_MAX_BYTES,
     };
     let reply = client.call(call).await.map_err(|failure| match failure {
-        CallFailure::NotSent | CallFailure::NobodyListens => InstanceFailure::Refused,
+        CallFailure::NotSent => InstanceFailure::Refused,
         CallFailure::Lost => InstanceFailure::Lost,
     })?;
     if reply.status == 200 {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -223,7 +223,7 @@
             .call(call)
             .await
             .map_err(|failure| match failure {
-                CallFailure::NotSent | CallFailure::NobodyListens => StoreFailure::NotSent,
+                CallFailure::NotSent => StoreFailure::NotSent,
                 CallFailure::Lost => StoreFailure::Lost,
             })
     }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -102,7 +102,7 @@
         answer_max_bytes: ANSWER_MAX_BYTES,
     };
     let reply = client.call(call).await.map_err(|failure| match failure {
-        CallFailure::NotSent | CallFailure::NobodyListens => OrderFailure::NotSent,
+        CallFailure::NotSent => OrderFailure::NotSent,
         CallFailure::Lost => OrderFailure::Lost,
     })?;
     match reply.status {
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -199,23 +199,6 @@
     assert_eq!(second.newest().map(|newest| newest.fence), Some(2));
 }
 
-#[test]
-fn a_leader_whose_address_refuses_is_replaced_unless_it_renews() {
-    let (mut topic, mut first, mut second) = leader_and_follower();
-    let address = ([10, 0, 0, 1], 7_000).into();
-    // Only the link between the two is bad: the leader renews.
-    for now_ms in (1_100..4_000).step_by(100) {
-        topic.write(&mut first, now_ms);
-        topic.read(&mut second, now_ms);
-        second.leader_refused(address, now_ms);
-        assert!(second.next_write(now_ms).is_none());
-    }
-    second.leader_refused(address, 4_100);
-    assert!(second.next_write(4_200).is_none());
-    assert!(topic.write(&mut second, 4_500).is_some());
-    assert!(is_valid_leader(&second, 4_500));
-}
-
 #[test]
 fn a_slow_store_gets_longer_leases_and_later_claims() {
     let (mut topic, mut first, mut second) = leader_and_follower();
