Share one constant and one test step, and lend workers instead of copying them

The part of a pool's room that mixed tasks can fill stood in capacity and in feasibility; every try to start a task copied its pool's list of workers, though only tickets narrow it; the rank of a job asked twice whether its target can be met; one loop of capacity was a chain where a plain loop does; two tests built the same step. Ruled out: the pairs of places that are alike by shape only (errors, types, metrics), whose logic differs; the split of plant.rs, which is no small mend. Behaviour and assertions are as before.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -16,7 +16,7 @@
 /// Time between two reviews, in milliseconds.
 const REVIEW_MS: u64 = 200;
 /// Part of an instance's room that tasks of mixed sizes can fill, in thousandths.
-const FILLABLE_PERMILLE: u64 = 880;
+pub(crate) const FILLABLE_PERMILLE: u64 = 880;
 /// Time after which an idle instance stands by, in milliseconds.
 const PARK_AFTER_MS: u64 = 1_500;
 /// Share of all instances that stand ready in the pools whose turn may come next, in hundredths.
@@ -131,12 +131,11 @@
     fn forget_arrived(&mut self) {
         let now_ms = self.now_ms;
         let coming = &mut self.capacity.coming;
-        for worker in self
-            .present
-            .iter()
-            .map(|key| &self.workers[index(key.0)])
-            .filter(|worker| worker.is_listed)
-        {
+        for key in &self.present {
+            let worker = &self.workers[index(key.0)];
+            if !worker.is_listed {
+                continue;
+            }
             let Some(instance) = &worker.sheet.instance else {
                 continue;
             };
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -1,6 +1,8 @@
 //! Starting of tasks: jobs in the order of [`ranking`](crate::jobs::ranking), each task on the worker
 //! that [`placement`](crate::jobs::placement) chooses.
 
+use std::borrow::Cow;
+
 use smol_str::SmolStr;
 
 use crate::jobs::engine::Engine;
@@ -184,7 +186,7 @@
         };
         let mut groups: Vec<Vec<WorkerKey>> = Vec::new();
         if step.in_one_rack {
-            for worker in &eligible {
+            for worker in eligible.iter() {
                 let rack = &self.worker(*worker).rack;
                 let same = |group: &&mut Vec<WorkerKey>| self.worker(group[0]).rack == *rack;
                 match groups.iter_mut().find(same) {
@@ -193,7 +195,7 @@
                 }
             }
         }
-        groups.push(eligible);
+        groups.push(eligible.into_owned());
         let Some(places) = groups.iter().find_map(|group| self.place_gang(group, step)) else {
             candidates.refused.push(all);
             return;
@@ -244,16 +246,20 @@
     }
 
     /// Returns the workers that may run the task's step, or none while that is not known.
-    fn eligible(&mut self, task: TaskKey, workers: &[WorkerKey]) -> Option<Vec<WorkerKey>> {
+    fn eligible<'w>(
+        &mut self,
+        task: TaskKey,
+        workers: &'w [WorkerKey],
+    ) -> Option<Cow<'w, [WorkerKey]>> {
         let needs_tickets = self
             .catalog
             .queues
             .get(&self.job(task.job).queue)
             .is_some_and(|queue| queue.needs_tickets);
         if !needs_tickets {
-            return Some(workers.to_vec());
+            return Some(Cow::Borrowed(workers));
         }
-        self.with_tickets(task, workers)
+        self.with_tickets(task, workers).map(Cow::Owned)
     }
 
     fn team_has_room(&self, key: JobKey, more: &Size) -> bool {
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::jobs::capacity::FILLABLE_PERMILLE;
 use crate::jobs::engine::Engine;
 use crate::jobs::job::Job;
 use crate::jobs::keys::JobKey;
@@ -18,8 +19,6 @@
 
 /// Time between two plans, in milliseconds.
 const PLAN_MS: u64 = 100;
-/// Part of a pool's room that tasks of mixed sizes can fill, in thousandths.
-const FILLABLE_PERMILLE: u64 = 880;
 /// Least part of its expected run time that a running task is taken to need still, in hundredths.
 const LEAST_LEFT_PERCENT: u64 = 20;
 
--- a/src/jobs/ranking.rs
+++ b/src/jobs/ranking.rs
@@ -39,14 +39,10 @@
             by_ms: job.accepted_ms,
         });
     }
-    let by_ms = match is_in_time(job, now_ms) {
-        true => latest_start_ms(job),
-        false => job.accepted_ms,
-    };
-    let tier = match (is_in_time(job, now_ms), job.is_postponed) {
-        (true, false) => Tier::InTime,
-        (true, true) => Tier::Postponed,
-        (false, _) => Tier::Late,
+    let (tier, by_ms) = match (is_in_time(job, now_ms), job.is_postponed) {
+        (true, false) => (Tier::InTime, latest_start_ms(job)),
+        (true, true) => (Tier::Postponed, latest_start_ms(job)),
+        (false, _) => (Tier::Late, job.accepted_ms),
     };
     Some(Rank { tier, by_ms })
 }
--- a/tests/testsuite/jobs/capacity.rs
+++ b/tests/testsuite/jobs/capacity.rs
@@ -15,6 +15,15 @@
     plant.orders.iter().filter(is_move).count()
 }
 
+/// Returns a step of four endless tasks, each on a worker of its own, of which one may be away.
+fn spread_endless() -> StepSpec {
+    StepSpec {
+        away_max: Some(1),
+        per_worker_max: 1,
+        ..endless(4, 2_000)
+    }
+}
+
 /// Hands in jobs of `pool` for one turn: about 190 cores, where an instance has 32.
 fn play_turn(plant: &mut Plant, pool: &str) {
     for _ in 0..TURN_MS / JOB_EVERY_MS {
@@ -70,12 +79,7 @@
 #[test]
 fn a_wave_keeps_its_bound_and_the_budgets_of_endless_steps() {
     let mut plant = Plant::open(&["a"], 6);
-    let spread = StepSpec {
-        away_max: Some(1),
-        per_worker_max: 1,
-        ..endless(4, 2_000)
-    };
-    let id = plant.submit("a", job(vec![spread]));
+    let id = plant.submit("a", job(vec![spread_endless()]));
     plant.advance(500);
     let all: Vec<SmolStr> = plant.instances.keys().cloned().collect();
     plant.ask_wave(1, &all, 2);
@@ -140,12 +144,7 @@
 #[test]
 fn a_successor_maintains_no_instance_before_it_has_looked_at_its_worker() {
     let mut plant = Plant::open(&["a"], 6);
-    let spread = StepSpec {
-        away_max: Some(1),
-        per_worker_max: 1,
-        ..endless(4, 2_000)
-    };
-    let id = plant.submit("a", job(vec![spread]));
+    let id = plant.submit("a", job(vec![spread_endless()]));
     plant.advance(4_000);
     let unseen: Vec<SmolStr> = plant.runs_of(id).into_iter().map(|run| run.0).collect();
     for worker in &unseen {
