Keep what waits, what is free and what is due up to date with each change

Also, a step that waited for another reason than its size (a limit for each worker, a label, a ticket) kept all larger tasks of its pool from being tried. Change: free_capacity.rs holds the workers that accept tasks by pool and free processor time, waiting.rs the waiting jobs by pool and rank; both follow the jobs and workers that changed. Polls, copies, occurrences and acknowledgements have timers or sets of their own; the runs of a job are found by its tasks. Slow workers are now recognised and used last. Ruled out: one leader's engine as the only bound; the calls to workers remain.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -305,7 +305,7 @@
             }
             if worker.is_listed && !worker.info.is_draining && !worker.is_cordoned {
                 need.usable_count += 1;
-                need.long_running_hosts_count += usize::from(worker.long_running_count() > 0);
+                need.long_running_hosts_count += usize::from(worker.long_running_count > 0);
             }
         }
         for (pool, _) in self.capacity.arriving.values() {
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -1,16 +1,15 @@
 //! Starts tasks: jobs in the order of [`ranking`](crate::jobs::ranking), each task on the worker
 //! that [`placement`](crate::jobs::placement) chooses.
 
-use std::borrow::Cow;
+use std::collections::HashMap;
 
 use smol_str::SmolStr;
 
-use crate::jobs::engine::Engine;
+use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{Action, StartOrder};
 use crate::jobs::placement::{choose, PlacementRequest};
 use crate::jobs::polls::new_slot;
-use crate::jobs::ranking::rank;
 use crate::jobs::spec::{Size, StepSpec};
 use crate::jobs::worker::SlotState;
 use crate::logging::Event;
@@ -23,65 +22,65 @@
 /// Shortest run time after which a task gets a copy, in milliseconds.
 const COPY_AFTER_MIN_MS: u64 = 250;
 
-/// Workers of one pool that accept tasks, and the reservations that did not fit in this pass.
-struct Candidates {
-    pool: SmolStr,
-    workers: Vec<WorkerKey>,
-    refused: Vec<Size>,
+/// Pause before a copy that found no capacity is tried again, in milliseconds.
+const COPY_RETRY_MS: u64 = 20;
+
+/// Reservations that did not fit in a pool in this pass; none of them is as large as another.
+#[derive(Default)]
+struct Refused {
+    by_pool: HashMap<SmolStr, Vec<Size>>,
 }
 
-impl Candidates {
-    /// Returns whether a reservation that is no larger has already failed to fit in this pass.
-    fn cannot_fit(&self, step: &StepSpec) -> bool {
-        let reservation = step.reservation();
-        let is_plain = step.label.is_none() && step.per_worker_max == 0;
-        is_plain
-            && self
-                .refused
-                .iter()
-                .any(|refused| refused.fits_with(&Size::default(), &reservation))
+impl Refused {
+    /// Returns whether a reservation that is no larger has already failed to fit.
+    fn covers(&self, pool: &SmolStr, reservation: &Size) -> bool {
+        let refused = self.by_pool.get(pool);
+        refused.is_some_and(|refused| refused.iter().any(|size| is_within(size, reservation)))
+    }
+
+    fn add(&mut self, pool: &SmolStr, reservation: Size) {
+        let refused = self.by_pool.entry(pool.clone()).or_default();
+        refused.retain(|size| !is_within(&reservation, size));
+        refused.push(reservation);
     }
 }
 
+fn is_within(size: &Size, limit: &Size) -> bool {
+    size.fits_with(&Size::default(), limit)
+}
+
+/// Returns whether only the size of a step decides on which workers of its pool it may run.
+fn is_plain(step: &StepSpec) -> bool {
+    step.label.is_none() && step.per_worker_max == 0
+}
+
 impl Engine {
-    /// Starts all tasks that can be started now.
+    /// Starts all tasks that can be started now. A pass visits the waiting jobs of pools with free
+    /// capacity; a job with nothing that fits costs O(log n) for n workers.
     pub(crate) fn dispatch(&mut self) {
-        if !self.needs_dispatch {
+        let is_copy_due = self
+            .copies_due
+            .first()
+            .is_some_and(|(due_ms, _)| *due_ms <= self.now_ms);
+        if !self.needs_dispatch && !is_copy_due {
             return;
         }
         self.needs_dispatch = false;
-        let mut waiting: Vec<_> = self
-            .live
-            .iter()
-            .filter_map(|key| Some((rank(self.job(*key), self.now_ms)?, *key)))
-            .collect();
-        waiting.sort_unstable();
-        let mut pools: Vec<Candidates> = Vec::new();
-        for (_, key) in waiting {
-            if self.is_held_back(key) {
-                continue;
+        self.refresh_workers();
+        self.refresh_waiting_jobs();
+        let mut refused = Refused::default();
+        for key in self.jobs_that_may_start() {
+            if !self.is_held_back(key) {
+                self.start_tasks_of(key, &mut refused);
             }
-            let at = self.candidates_at(&mut pools, key);
-            self.start_tasks_of(key, &mut pools[at]);
         }
-        self.start_copies(&mut pools);
+        self.start_copies();
     }
 
-    fn candidates_at(&self, pools: &mut Vec<Candidates>, key: JobKey) -> usize {
-        let pool = &self.job(key).pool;
-        if let Some(at) = pools.iter().position(|known| known.pool == *pool) {
-            return at;
-        }
-        let takes = |worker: &WorkerKey| {
-            let worker = self.worker(*worker);
-            worker.info.pool == *pool && worker.takes_tasks(self.now_ms)
-        };
-        pools.push(Candidates {
-            pool: pool.clone(),
-            workers: self.present_keys().filter(takes).collect(),
-            refused: Vec::new(),
-        });
-        pools.len() - 1
+    /// Returns the workers of a pool that accept tasks.
+    pub(crate) fn accepting_workers(&self, pool: &SmolStr) -> Vec<WorkerKey> {
+        let pool = self.free_capacity.pool(pool);
+        pool.map(|pool| pool.accepting()).unwrap_or_default()
     }
 
     /// Returns whether runs of an earlier leader may still be at workers that have not been polled.
@@ -90,11 +89,10 @@
         if !job.is_persisted {
             return true;
         }
+        let pool = self.free_capacity.pool(&job.pool);
         job.is_inherited
             && self.now_ms < self.inherited_runs_end_at_ms()
-            && self
-                .present_workers()
-                .any(|worker| worker.may_have_unseen_runs() && worker.info.pool == job.pool)
+            && pool.is_some_and(|pool| pool.has_unseen_runs())
     }
 
     /// Returns the time from which no run of an earlier leader can be left at an unreachable
@@ -103,14 +101,15 @@
         self.opened_ms + self.settings.inherited_runs_max_ms
     }
 
-    fn start_tasks_of(&mut self, key: JobKey, candidates: &mut Candidates) {
+    fn start_tasks_of(&mut self, key: JobKey, refused: &mut Refused) {
         let spec = self.job(key).spec.clone();
         for round in (0u32..).take(self.job(key).rounds.len()) {
             for (step, number) in spec.steps.iter().zip(0u16..) {
-                let progress = &self.job(key).rounds[crate::jobs::engine::index(round)];
+                let job = self.job(key);
+                let progress = &job.rounds[index(round)];
                 let is_due = progress.steps[usize::from(number)].waiting_count > 0
                     && progress.is_ready(step)
-                    && !candidates.cannot_fit(step);
+                    && !(is_plain(step) && refused.covers(&job.pool, &step.reservation()));
                 if !is_due {
                     continue;
                 }
@@ -121,56 +120,64 @@
                     index: 0,
                 };
                 match step.is_gang {
-                    true => self.start_gang(at, step, candidates),
-                    false => self.start_step(at, step, candidates),
+                    true => self.start_gang(at, step),
+                    false => self.start_step(at, step, refused),
                 }
             }
         }
     }
 
-    fn start_step(&mut self, at: TaskKey, step: &StepSpec, candidates: &mut Candidates) {
+    fn start_step(&mut self, at: TaskKey, step: &StepSpec, refused: &mut Refused) {
+        let needs_tickets = self.needs_tickets(at.job);
         for index in 0..step.tasks_count {
             let task = TaskKey { index, ..at };
             let is_waiting = self.task(task).is_some_and(|task| task.is_waiting());
             if !is_waiting {
                 continue;
             }
-            if !self.try_start(task, step, candidates) {
-                return;
+            if self.try_start(task, step, None) {
+                continue;
+            }
+            // Another reason than the size says nothing about larger tasks of other steps.
+            if is_plain(step) && !needs_tickets && self.team_has_capacity(at.job, &step.size) {
+                let pool = self.job(at.job).pool.clone();
+                refused.add(&pool, step.reservation());
             }
+            return;
         }
     }
 
-    /// Starts a task if a worker has free capacity and the team's limit allows it; returns whether
-    /// it did.
-    fn try_start(&mut self, task: TaskKey, step: &StepSpec, candidates: &mut Candidates) -> bool {
+    /// Starts a task if a worker other than `except` has free capacity and the team's limit allows
+    /// it; returns whether it did.
+    fn try_start(&mut self, task: TaskKey, step: &StepSpec, except: Option<WorkerKey>) -> bool {
         if !self.team_has_capacity(task.job, &step.size) {
             return false;
         }
-        let Some(eligible) = self.eligible(task, &candidates.workers) else {
-            return false;
+        let eligible = match self.needs_tickets(task.job) {
+            false => None,
+            true => match self.with_tickets(task) {
+                None => return false,
+                with_tickets => with_tickets,
+            },
         };
         let request = PlacementRequest {
             task,
             step,
             rack: step.near_rack.as_ref(),
+            eligible: eligible.as_deref(),
+            except,
         };
-        match choose(self, &eligible, &request) {
-            Some(worker) => {
-                let number = self.next_run_number(task);
-                self.order_start(worker, task, number, step);
-                true
-            }
-            None => {
-                candidates.refused.push(step.reservation());
-                false
-            }
-        }
+        let Some(worker) = choose(self, &request) else {
+            return false;
+        };
+        let number = self.next_run_number(task);
+        self.order_start(worker, task, number, step);
+        true
     }
 
     /// Starts all members of a gang together, in one rack where the step asks for it and a rack has
     /// the capacity.
-    fn start_gang(&mut self, at: TaskKey, step: &StepSpec, candidates: &mut Candidates) {
+    fn start_gang(&mut self, at: TaskKey, step: &StepSpec) {
         let members: Vec<TaskKey> = (0..step.tasks_count)
             .map(|index| TaskKey { index, ..at })
             .collect();
@@ -184,8 +191,12 @@
         if !are_all_waiting || !self.team_has_capacity(at.job, &all) {
             return;
         }
-        let Some(eligible) = self.eligible(at, &candidates.workers) else {
-            return;
+        let eligible = match self.needs_tickets(at.job) {
+            false => self.accepting_workers(&self.job(at.job).pool),
+            true => match self.with_tickets(at) {
+                None => return,
+                Some(with_tickets) => with_tickets,
+            },
         };
         let mut groups: Vec<Vec<WorkerKey>> = Vec::new();
         if step.in_one_rack {
@@ -198,9 +209,8 @@
                 }
             }
         }
-        groups.push(eligible.into_owned());
+        groups.push(eligible);
         let Some(places) = groups.iter().find_map(|group| self.place_gang(group, step)) else {
-            candidates.refused.push(all);
             return;
         };
         let number = members
@@ -236,7 +246,7 @@
             let mut used = worker_state.used;
             let mut here_count = 0;
             while is_fit
-                && places.len() < crate::jobs::engine::index(step.tasks_count)
+                && places.len() < index(step.tasks_count)
                 && used.fits_with(&reservation, &worker_state.info.capacity)
                 && (step.per_worker_max == 0 || here_count < step.per_worker_max)
             {
@@ -245,24 +255,12 @@
                 places.push(*worker);
             }
         }
-        (places.len() == crate::jobs::engine::index(step.tasks_count)).then_some(places)
+        (places.len() == index(step.tasks_count)).then_some(places)
     }
 
-    /// Returns the workers that may run the task's step, or `None` while that is unknown.
-    fn eligible<'w>(
-        &mut self,
-        task: TaskKey,
-        workers: &'w [WorkerKey],
-    ) -> Option<Cow<'w, [WorkerKey]>> {
-        let needs_tickets = self
-            .catalog
-            .queues
-            .get(&self.job(task.job).queue)
-            .is_some_and(|queue| queue.needs_tickets);
-        if !needs_tickets {
-            return Some(Cow::Borrowed(workers));
-        }
-        self.with_tickets(task, workers).map(Cow::Owned)
+    fn needs_tickets(&self, key: JobKey) -> bool {
+        let queue = self.catalog.queues.get(&self.job(key).queue);
+        queue.is_some_and(|queue| queue.needs_tickets)
     }
 
     fn team_has_capacity(&self, key: JobKey, more: &Size) -> bool {
@@ -273,10 +271,7 @@
         let mut used = self.team_used.get(team).copied().unwrap_or_default();
         if self.now_ms < self.inherited_runs_end_at_ms() {
             // Runs of an earlier leader on an unreachable worker may belong to this team.
-            let unseen = |worker: &&crate::jobs::worker::Worker| worker.may_have_unseen_runs();
-            for worker in self.present_workers().filter(unseen) {
-                used.add(&worker.info.capacity);
-            }
+            used.add(self.free_capacity.unseen());
         }
         let unlimited = Size {
             cpu_millis: u64::MAX,
@@ -310,11 +305,13 @@
         let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
         worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
         self.put_slot(key, run, new_slot(step, SlotState::Sent, now_ms));
+        self.refresh_worker(key);
         let checkpoint = self.change_task(task, |state| {
             state.runs.push((key, number));
             state.started_ms = now_ms;
             state.checkpoint.clone()
         });
+        self.schedule_copy(task, step);
         let job = self.job_mut(task.job);
         if job.state == crate::jobs::job::JobState::Queued {
             job.state = crate::jobs::job::JobState::Active;
@@ -341,60 +338,52 @@
         self.actions.push(Action::Start(order));
     }
 
+    /// Schedules a copy of a task that has just started, where its step allows copies.
+    pub(crate) fn schedule_copy(&mut self, task: TaskKey, step: &StepSpec) {
+        if step.may_have_copies() {
+            let due_ms = self.now_ms + self.copy_after_ms(task.job, step);
+            self.copies_due.insert((due_ms, task));
+        }
+    }
+
+    /// Returns the run time from which a task of `step` gets a copy, in milliseconds.
+    fn copy_after_ms(&self, job: JobKey, step: &StepSpec) -> u64 {
+        let expected_ms = self.run_times.expected_ms(&self.job(job).queue, step);
+        (expected_ms * COPY_AFTER_PERMILLE / 1_000).max(COPY_AFTER_MIN_MS)
+    }
+
     /// Starts a second run of each task that takes too long, where its step allows copies.
-    fn start_copies(&mut self, pools: &mut Vec<Candidates>) {
-        let mut slow = Vec::new();
-        for key in &self.live {
-            let job = self.job(*key);
-            for (round, round_number) in job.rounds.iter().zip(0u32..) {
-                for (number, step) in job.spec.steps.iter().enumerate() {
-                    let progress = &round.steps[number];
-                    let active_count = step.tasks_count
-                        - progress.done_count.min(step.tasks_count)
-                        - progress.waiting_count.min(step.tasks_count);
-                    if !step.may_have_copies() || active_count == 0 {
-                        continue;
-                    }
-                    let expected_ms = self.run_times.expected_ms(&job.queue, step);
-                    let after_ms =
-                        (expected_ms * COPY_AFTER_PERMILLE / 1_000).max(COPY_AFTER_MIN_MS);
-                    for (task, index) in progress.tasks.iter().zip(0u32..) {
-                        let is_slow = !task.is_done
-                            && task.runs.len() == 1
-                            && task.started_ms + after_ms < self.now_ms;
-                        if is_slow {
-                            let step = u16::try_from(number).unwrap_or(u16::MAX);
-                            slow.push(TaskKey {
-                                job: *key,
-                                round: round_number,
-                                step,
-                                index,
-                            });
-                        }
-                    }
-                }
+    fn start_copies(&mut self) {
+        let now_ms = self.now_ms;
+        while let Some((due_ms, task)) = self.copies_due.first().copied() {
+            if due_ms > now_ms {
+                return;
             }
-        }
-        for task in slow {
+            self.copies_due.pop_first();
+            let Some(state) = self.task(task) else {
+                continue;
+            };
+            if state.is_done || state.runs.len() != 1 {
+                continue;
+            }
+            let (started_ms, current) = (state.started_ms, state.runs[0].0);
             let spec = self.job(task.job).spec.clone();
             let step = &spec.steps[usize::from(task.step)];
-            let at = self.candidates_at(pools, task.job);
-            let current = self
-                .task(task)
-                .and_then(|task| task.runs.first().map(|(worker, _)| *worker));
-            let others = pools[at].workers.iter().copied();
-            let mut elsewhere = Candidates {
-                pool: pools[at].pool.clone(),
-                workers: others.filter(|worker| Some(*worker) != current).collect(),
-                refused: Vec::new(),
-            };
-            if self.is_held_back(task.job) {
+            if !step.may_have_copies() {
+                // The key of an ended job was reused.
+                continue;
+            }
+            let slow_ms = started_ms + self.copy_after_ms(task.job, step);
+            if slow_ms >= now_ms {
+                self.copies_due.insert((slow_ms + 1, task));
                 continue;
             }
-            if self.try_start(task, step, &mut elsewhere) {
+            if !self.is_held_back(task.job) && self.try_start(task, step, Some(current)) {
                 Event::new("copy_started")
                     .with("task", self.task_name(task))
                     .info();
+            } else {
+                self.copies_due.insert((now_ms + COPY_RETRY_MS, task));
             }
         }
     }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -6,7 +6,7 @@
 //! ends of runs, cancels, and the workers on which tasks may run. Starts are not persisted: a new
 //! leader raises its fence at each worker and reads there which runs exist.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use indexmap::IndexSet;
 use smol_str::SmolStr;
@@ -14,6 +14,7 @@
 use crate::jobs::capacity::CapacityPolicy;
 use crate::jobs::catalog::Catalog;
 use crate::jobs::demand::DemandCycle;
+use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, JobState, Round, Task};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
@@ -22,6 +23,7 @@
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
 use crate::jobs::tickets::Tickets;
+use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::worker::{PollState, Slot, Worker};
 use crate::logging::Event;
 
@@ -82,8 +84,24 @@
     pub(crate) free_jobs: Vec<JobKey>,
     pub(crate) job_keys: HashMap<JobId, JobKey>,
     pub(crate) live: IndexSet<JobKey>,
+    /// Live jobs with occurrences at set times.
+    pub(crate) recurring: IndexSet<JobKey>,
+    pub(crate) waiting_jobs: WaitingJobs,
+    /// Jobs that have changed since their places among the waiting jobs were brought up to date.
+    pub(crate) touched_jobs: Vec<JobKey>,
+    /// Tasks that get a copy unless they are done by the time.
+    pub(crate) copies_due: BTreeSet<(u64, TaskKey)>,
     pub(crate) ended: VecDeque<JobKey>,
     pub(crate) workers: Vec<Worker>,
+    pub(crate) free_capacity: FreeCapacity,
+    /// Workers that have changed since `free_capacity` was brought up to date.
+    touched_workers: Vec<WorkerKey>,
+    /// Workers that have changed since it was last checked whether they have to be polled.
+    pub(crate) poll_checks: Vec<WorkerKey>,
+    /// Times at which something about a worker becomes due without any event.
+    worker_timers: BTreeSet<(u64, WorkerKey)>,
+    /// Workers whose ends are acknowledged once a batch of records is persisted.
+    awaiting_workers: IndexSet<WorkerKey>,
     pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
     /// Workers that are listed, persisted or have runs; all others are ignored.
     pub(crate) present: IndexSet<WorkerKey>,
@@ -122,8 +140,17 @@
             free_jobs: Vec::new(),
             job_keys: HashMap::new(),
             live: IndexSet::new(),
+            recurring: IndexSet::new(),
+            waiting_jobs: WaitingJobs::default(),
+            touched_jobs: Vec::new(),
+            copies_due: BTreeSet::new(),
             ended: VecDeque::new(),
             workers: Vec::new(),
+            free_capacity: FreeCapacity::default(),
+            touched_workers: Vec::new(),
+            poll_checks: Vec::new(),
+            worker_timers: BTreeSet::new(),
+            awaiting_workers: IndexSet::new(),
             worker_keys: HashMap::new(),
             present: IndexSet::new(),
             team_used: HashMap::new(),
@@ -168,13 +195,16 @@
         if catalog.version <= self.catalog.version {
             return;
         }
-        for job in self.live.iter().copied() {
-            let job = job_mut(&mut self.jobs, job);
+        for key in self.live.clone() {
+            let job = self.job_mut(key);
             if let Some(queue) = catalog.queues.get(&job.queue) {
                 job.pool = queue.pool.clone();
             }
         }
         self.catalog = catalog;
+        for key in self.present.clone() {
+            self.touch_worker(key);
+        }
         self.needs_dispatch = true;
     }
 
@@ -256,7 +286,7 @@
         };
         let mut settled = Vec::new();
         for key in batch.accepted {
-            let job = job_mut(&mut self.jobs, key);
+            let job = self.job_mut(key);
             job.is_persisted = true;
             settled.push(Settled::Accepted(job.id));
         }
@@ -276,29 +306,39 @@
             }
         }
         for key in batch.workers {
-            worker_mut(&mut self.workers, key).is_persisted = true;
+            self.worker_mut(key).is_persisted = true;
             self.present.insert(key);
         }
-        for key in &self.present {
-            let worker = worker_mut(&mut self.workers, *key);
-            if worker
-                .awaited_batch
-                .is_some_and(|number| number <= batch.number)
-            {
-                worker.awaited_batch = None;
-                worker.persisted_through = worker.seen_through;
-                if let PollState::Idle { due_ms } = &mut worker.poll {
-                    *due_ms = 0;
+        self.acknowledge_ends(batch.number);
+        self.needs_dispatch = true;
+        settled
+    }
+
+    /// Allows the acknowledgement of the ends whose records are in the batches up to `number`.
+    fn acknowledge_ends(&mut self, number: u64) {
+        for key in std::mem::take(&mut self.awaiting_workers) {
+            let worker = self.worker_mut(key);
+            match worker.awaited_batch {
+                Some(awaited) if awaited <= number => {
+                    worker.awaited_batch = None;
+                    worker.persisted_through = worker.seen_through;
+                    if let PollState::Idle { due_ms } = &mut worker.poll {
+                        *due_ms = 0;
+                    }
+                }
+                Some(_) => {
+                    self.awaiting_workers.insert(key);
                 }
+                None => {}
             }
         }
-        self.needs_dispatch = true;
-        settled
     }
 
-    /// Returns the number of the batch that will hold the records added now.
-    pub(crate) fn next_batch_number(&self) -> u64 {
-        self.next_batch
+    /// Delays the acknowledgement of a worker's ends until the records added now are persisted.
+    pub(crate) fn persist_before_ack(&mut self, key: WorkerKey) {
+        let batch = self.next_batch;
+        self.worker_mut(key).awaited_batch = Some(batch);
+        self.awaiting_workers.insert(key);
     }
 
     /// Queues the record of an accepted job.
@@ -327,15 +367,83 @@
     }
 
     pub(crate) fn job_mut(&mut self, key: JobKey) -> &mut Job {
+        self.touch_job(key);
         job_mut(&mut self.jobs, key)
     }
 
+    /// Marks that the place of a job among the waiting jobs may have changed.
+    pub(crate) fn touch_job(&mut self, key: JobKey) {
+        let job = job_mut(&mut self.jobs, key);
+        if !std::mem::replace(&mut job.is_touched, true) {
+            self.touched_jobs.push(key);
+        }
+    }
+
     pub(crate) fn worker(&self, key: WorkerKey) -> &Worker {
         &self.workers[index(key.0)]
     }
 
     pub(crate) fn worker_mut(&mut self, key: WorkerKey) -> &mut Worker {
-        worker_mut(&mut self.workers, key)
+        self.touch_worker(key);
+        &mut self.workers[index(key.0)]
+    }
+
+    /// Marks that the free capacity of a worker, or the time of its next poll, may have changed.
+    fn touch_worker(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[index(key.0)];
+        if !std::mem::replace(&mut worker.is_touched, true) {
+            self.touched_workers.push(key);
+        }
+    }
+
+    /// Brings the free capacity of all workers that have changed up to date.
+    pub(crate) fn refresh_workers(&mut self) {
+        while let Some((due_ms, key)) = self.worker_timers.first().copied() {
+            if due_ms > self.now_ms {
+                break;
+            }
+            self.worker_timers.pop_first();
+            self.touch_worker(key);
+        }
+        for key in std::mem::take(&mut self.touched_workers) {
+            self.workers[index(key.0)].is_touched = false;
+            self.refresh_worker(key);
+            self.poll_checks.push(key);
+        }
+    }
+
+    /// Brings the free capacity of one worker up to date, and sets the timers for what changes
+    /// without any event.
+    pub(crate) fn refresh_worker(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let worker = &self.workers[index(key.0)];
+        let free_cpu_millis = worker
+            .info
+            .capacity
+            .cpu_millis
+            .saturating_sub(worker.used.cpu_millis);
+        let position = Position {
+            is_slow: worker.is_slow(),
+            is_without_long_running: worker.long_running_count == 0,
+            free_cpu_millis,
+            worker: key,
+        };
+        let entry = WorkerEntry {
+            pool: worker.info.pool.clone(),
+            rack: worker.rack.clone(),
+            position: worker.takes_tasks(now_ms).then_some(position),
+            unseen: worker.may_have_unseen_runs().then_some(worker.info.capacity),
+        };
+        if worker.avoided_until_ms > now_ms {
+            self.worker_timers.insert((worker.avoided_until_ms, key));
+        }
+        match worker.poll {
+            PollState::Idle { due_ms } if due_ms > now_ms && due_ms < u64::MAX => {
+                self.worker_timers.insert((due_ms, key));
+            }
+            _ => {}
+        }
+        self.free_capacity.update(key, entry);
     }
 
     /// Returns the keys of the workers in [`present`](Self::present).
@@ -416,12 +524,14 @@
         let holder = self.worker_mut(worker);
         let slot = holder.slots.swap_remove(&run)?;
         holder.used.remove(&slot.reservation);
+        holder.long_running_count -= usize::from(slot.is_long_running);
         if holder.slots.is_empty() {
             holder.idle_since_ms = now_ms;
         }
         if let Some(used) = self.team_used.get_mut(&team) {
             used.remove(&slot.size);
         }
+        self.job_mut(run.task.job).runs_count -= 1;
         self.needs_dispatch = true;
         Some(slot)
     }
@@ -433,7 +543,9 @@
         used.add(&slot.size);
         let holder = self.worker_mut(worker);
         holder.used.add(&slot.reservation);
+        holder.long_running_count += usize::from(slot.is_long_running);
         holder.slots.insert(run, slot);
+        self.job_mut(run.task.job).runs_count += 1;
         self.present.insert(worker);
     }
 
@@ -460,15 +572,10 @@
         self.actions.push(Action::Stop(order));
     }
 
-    /// Orders the stop of every run of a job.
+    /// Orders the stop of every run of a job's tasks. Other runs of the job are being stopped
+    /// already.
     pub(crate) fn stop_job(&mut self, key: JobKey, reason: &'static str) {
-        let mut runs = Vec::new();
-        for worker in self.present_keys() {
-            let of_job = |run: &&RunKey| run.task.job == key;
-            let found = self.worker(worker).slots.keys().filter(of_job);
-            runs.extend(found.map(|run| (worker, *run)));
-        }
-        for (worker, run) in runs {
+        for (worker, run) in self.job(key).runs(key) {
             self.stop_run(worker, run, reason);
         }
     }
@@ -482,6 +589,7 @@
         job.ended_ms = now_ms;
         job.rounds = Vec::new();
         self.live.swap_remove(&key);
+        self.recurring.swap_remove(&key);
         self.ended.push_back(key);
         self.tickets.forget(key);
         self.mark_dirty(key);
@@ -490,21 +598,21 @@
 
     /// Opens the occurrences that are due, and drops jobs whose retention time has passed.
     fn open_due_rounds(&mut self) {
-        let mut is_any = false;
-        for key in &self.live {
-            let job = job_mut(&mut self.jobs, *key);
+        let unix_ms = self.unix_ms;
+        for key in self.recurring.iter().copied().collect::<Vec<_>>() {
+            let job = self.job(key);
             let Some(recurrence) = job.spec.recurrence else {
                 continue;
             };
             let opened_count = u32::try_from(job.rounds.len()).unwrap_or(u32::MAX);
             let is_due = opened_count < recurrence.times.max(1)
-                && self.unix_ms >= recurrence.due_unix_ms(opened_count);
+                && unix_ms >= recurrence.due_unix_ms(opened_count);
             if is_due {
+                let job = self.job_mut(key);
                 job.rounds.push(Round::open(&job.spec));
-                is_any = true;
+                self.needs_dispatch = true;
             }
         }
-        self.needs_dispatch |= is_any;
         while let Some(key) = self.ended.front().copied() {
             let job = self.job(key);
             let is_expired = job.persisted_state.is_final()
@@ -529,8 +637,8 @@
                 .iter()
                 .any(|(progressed, _)| *progressed == key)
         });
-        let has_runs = |worker: &Worker| worker.slots.keys().any(|run| run.task.job == key);
-        is_in_flight || self.job(key).is_dirty || self.present_workers().any(has_runs)
+        let job = self.job(key);
+        is_in_flight || job.is_dirty || job.runs_count > 0
     }
 }
 
@@ -564,6 +672,3 @@
     &mut jobs[index(key.0)]
 }
 
-fn worker_mut(workers: &mut [Worker], key: WorkerKey) -> &mut Worker {
-    &mut workers[index(key.0)]
-}
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -182,10 +182,10 @@
         for key in self.live.clone() {
             let now_ms = self.now_ms;
             let is_postponed = postponed.contains(&key);
-            let job = self.job_mut(key);
-            if job.is_postponed == is_postponed {
+            if self.job(key).is_postponed == is_postponed {
                 continue;
             }
+            let job = self.job_mut(key);
             job.is_postponed = is_postponed;
             Event::new("job_order_changed")
                 .with("job", job.id)
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -4,8 +4,9 @@
 
 use smol_str::SmolStr;
 
-use crate::jobs::keys::{JobId, WorkerKey};
+use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::spec::{JobSpec, StepSpec};
+use crate::jobs::waiting::Place;
 
 /// State of a job.
 #[derive(
@@ -163,6 +164,12 @@
     pub(crate) is_postponed: bool,
     /// Time at which it ended, on the local monotonic clock, in milliseconds.
     pub(crate) ended_ms: u64,
+    /// Number of runs of its tasks that are, or may be, at workers.
+    pub(crate) runs_count: usize,
+    /// Its place among the waiting jobs, if it is one.
+    pub(crate) place: Option<Place>,
+    /// Whether it has changed since its place was brought up to date.
+    pub(crate) is_touched: bool,
 }
 
 impl Job {
@@ -171,17 +178,51 @@
         self.chains_ms.iter().copied().max().unwrap_or(0)
     }
 
-    /// Returns the number of waiting tasks whose step may run.
-    pub(crate) fn startable_count(&self) -> u32 {
-        let mut count = 0;
-        for round in &self.rounds {
-            for (step, spec) in round.steps.iter().zip(&self.spec.steps) {
-                if step.waiting_count > 0 && round.is_ready(spec) {
-                    count += step.waiting_count;
+    /// Returns the steps with waiting tasks that may run.
+    fn startable_steps(&self) -> impl Iterator<Item = &StepSpec> {
+        self.rounds.iter().flat_map(|round| {
+            let steps = round.steps.iter().zip(&self.spec.steps);
+            let startable =
+                steps.filter(|(step, spec)| step.waiting_count > 0 && round.is_ready(spec));
+            startable.map(|(_, spec)| spec)
+        })
+    }
+
+    /// Returns whether some waiting task may run.
+    pub(crate) fn has_startable_task(&self) -> bool {
+        self.startable_steps().next().is_some()
+    }
+
+    /// Returns the least processor time that a waiting task which may run needs, in thousandths of
+    /// a core.
+    pub(crate) fn least_startable_cpu_millis(&self) -> Option<u64> {
+        let steps = self.startable_steps();
+        steps.map(|step| step.reservation().cpu_millis).min()
+    }
+
+    /// Returns the runs that may exist, with the keys of their workers.
+    pub(crate) fn runs(&self, key: JobKey) -> Vec<(WorkerKey, RunKey)> {
+        let mut runs = Vec::new();
+        for (round, round_number) in self.rounds.iter().zip(0u32..) {
+            for (step, step_number) in round.steps.iter().zip(0u16..) {
+                for (task, index) in step.tasks.iter().zip(0u32..) {
+                    let of_task = TaskKey {
+                        job: key,
+                        round: round_number,
+                        step: step_number,
+                        index,
+                    };
+                    runs.extend(task.runs.iter().map(|(worker, run)| {
+                        let run = RunKey {
+                            task: of_task,
+                            run: *run,
+                        };
+                        (*worker, run)
+                    }));
                 }
             }
         }
-        count
+        runs
     }
 
     /// Returns whether all occurrences have been opened and are done.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod engine;
 mod feasibility;
+mod free_capacity;
 mod instances;
 mod job;
 mod keys;
@@ -23,6 +24,7 @@
 mod run_times;
 mod spec;
 mod tickets;
+mod waiting;
 mod waves;
 mod worker;
 
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -14,47 +14,71 @@
     pub(crate) step: &'s StepSpec,
     /// Rack in which it runs fastest.
     pub(crate) rack: Option<&'s SmolStr>,
+    /// Workers that may run it; none if all of its pool may.
+    pub(crate) eligible: Option<&'s [WorkerKey]>,
+    /// Worker that may not run it, because another run of the task is there.
+    pub(crate) except: Option<WorkerKey>,
 }
 
-/// Chooses the best worker for `request` among those of `workers` that have the capacity. In this
-/// order, it prefers workers in the requested rack, those that are not slow, those that already
-/// have long-running tasks, and those with the least free capacity. The last two leave whole
-/// instances free to be moved.
-pub(crate) fn choose(
+/// Chooses the best worker for `request` among those of the job's pool that accept tasks and have
+/// the capacity. In this order, it prefers workers in the requested rack, those that are not slow,
+/// those that already have long-running tasks, and those with the least free processor time.
+///
+/// A plain task costs O(log n) for a pool of n workers, and one step for each worker that has the
+/// processor time but not the memory, the label or the accelerators. A long-running task visits all
+/// workers with enough processor time.
+pub(crate) fn choose(engine: &Engine, request: &PlacementRequest<'_>) -> Option<WorkerKey> {
+    let may_run = |key: &WorkerKey| {
+        request.except != Some(*key) && fits(engine, *key, request)
+    };
+    if let Some(eligible) = request.eligible {
+        let fitting = eligible.iter().copied().filter(may_run);
+        return fitting.min_by_key(|key| preference(engine, *key, request));
+    }
+    let pool = engine
+        .free_capacity
+        .pool(&engine.job(request.task.job).pool)?;
+    let by_preference = |key: &WorkerKey| preference(engine, *key, request);
+    let near = request.rack.and_then(|rack| {
+        let fitting = pool.in_rack(rack).filter(may_run);
+        fitting.min_by_key(by_preference)
+    });
+    if near.is_some() {
+        return near;
+    }
+    let cpu_millis = request.step.reservation().cpu_millis;
+    let mut fitting = pool.with_free_cpu(cpu_millis).filter(may_run);
+    match request.step.is_long_running {
+        true => fitting.min_by_key(by_preference),
+        false => fitting.next(),
+    }
+}
+
+/// Returns the position of a worker among those that fit; smaller is preferred.
+fn preference(
     engine: &Engine,
-    workers: &[WorkerKey],
+    key: WorkerKey,
     request: &PlacementRequest<'_>,
-) -> Option<WorkerKey> {
-    let fitting = workers
-        .iter()
-        .copied()
-        .filter(|key| fits(engine, *key, request));
-    fitting.min_by_key(|key| {
-        let worker = engine.worker(*key);
-        let is_far = request.rack.is_some_and(|rack| *rack != worker.rack);
-        let long_running_count = match request.step.is_long_running {
-            true => worker.long_running_count(),
-            false => usize::from(worker.long_running_count() > 0),
-        };
-        let free_millis = worker
-            .info
-            .capacity
-            .cpu_millis
-            .saturating_sub(worker.used.cpu_millis);
-        let is_slow = worker.slowness_permille > SLOW_PERMILLE;
-        (
-            is_far,
-            is_slow,
-            std::cmp::Reverse(long_running_count),
-            free_millis,
-            *key,
-        )
-    })
+) -> (bool, bool, std::cmp::Reverse<usize>, u64, WorkerKey) {
+    let worker = engine.worker(key);
+    let long_running_count = match request.step.is_long_running {
+        true => worker.long_running_count,
+        false => usize::from(worker.long_running_count > 0),
+    };
+    let free_cpu_millis = worker
+        .info
+        .capacity
+        .cpu_millis
+        .saturating_sub(worker.used.cpu_millis);
+    (
+        request.rack.is_some_and(|rack| *rack != worker.rack),
+        worker.is_slow(),
+        std::cmp::Reverse(long_running_count),
+        free_cpu_millis,
+        key,
+    )
 }
 
-/// Slowness above which other workers are preferred, in thousandths.
-const SLOW_PERMILLE: u64 = 1_600;
-
 fn fits(engine: &Engine, key: WorkerKey, request: &PlacementRequest<'_>) -> bool {
     let worker = engine.worker(key);
     let step = request.step;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -28,29 +28,36 @@
 const UNLISTED_FORGET_MS: u64 = 300;
 
 impl Engine {
-    /// Sends the polls that are due.
+    /// Sends the polls that are due. Only workers that have changed, or whose time has come, are
+    /// checked.
     pub(crate) fn send_due_polls(&mut self) {
-        for key in self.present_keys().collect::<Vec<_>>() {
-            let worker = self.worker(key);
-            let is_due = matches!(worker.poll, PollState::Idle { due_ms } if due_ms <= self.now_ms);
-            let is_inherited =
-                worker.may_have_unseen_runs() && self.now_ms < self.inherited_runs_end_at_ms();
-            let is_standby = self
-                .catalog
-                .pools
-                .get(&worker.info.pool)
-                .is_some_and(|pool| pool.is_standby);
-            let needs_fence =
-                !worker.is_fenced && !is_standby && (worker.is_listed || is_inherited);
-            let has_persisted_ends = worker.awaited_batch.is_none() && worker.persisted_through > 0;
-            let needs_ack = has_persisted_ends && worker.seen_through == worker.persisted_through;
-            if !is_due || !(needs_fence || !worker.slots.is_empty() || needs_ack) {
-                continue;
+        self.refresh_workers();
+        for key in std::mem::take(&mut self.poll_checks) {
+            if self.is_poll_due(key) {
+                self.send_poll(key);
             }
-            self.send_poll(key);
         }
     }
 
+    fn is_poll_due(&self, key: WorkerKey) -> bool {
+        let worker = self.worker(key);
+        let is_due = matches!(worker.poll, PollState::Idle { due_ms } if due_ms <= self.now_ms);
+        if !is_due || !self.present.contains(&key) {
+            return false;
+        }
+        let is_inherited =
+            worker.may_have_unseen_runs() && self.now_ms < self.inherited_runs_end_at_ms();
+        let is_standby = self
+            .catalog
+            .pools
+            .get(&worker.info.pool)
+            .is_some_and(|pool| pool.is_standby);
+        let needs_fence = !worker.is_fenced && !is_standby && (worker.is_listed || is_inherited);
+        let has_persisted_ends = worker.awaited_batch.is_none() && worker.persisted_through > 0;
+        let needs_ack = has_persisted_ends && worker.seen_through == worker.persisted_through;
+        needs_fence || !worker.slots.is_empty() || needs_ack
+    }
+
     fn send_poll(&mut self, key: WorkerKey) {
         let (now_ms, wait_ms) = (self.now_ms, self.settings.poll_wait_ms);
         let lease_ms = self.settings.run_lease_ms;
@@ -313,6 +320,13 @@
             let job = self.job(task.job);
             let (queue, spec) = (job.queue.clone(), job.spec.clone());
             let step = &spec.steps[usize::from(task.step)];
+            let expected_ms = self.run_times.expected_ms(&queue, step);
+            let worker = self.worker_mut(key);
+            // Far from its rack a task takes longer on any worker.
+            let is_near = step.near_rack.as_ref().is_none_or(|rack| *rack == worker.rack);
+            if is_near && expected_ms > 0 {
+                worker.observe_run(ran_ms, expected_ms);
+            }
             self.run_times.observe(&queue, step, ran_ms);
         }
     }
@@ -388,12 +402,6 @@
         self.persist_before_ack(key);
     }
 
-    /// Delays the acknowledgement of the worker's ends until the records added now are persisted.
-    fn persist_before_ack(&mut self, key: WorkerKey) {
-        let batch = self.next_batch_number();
-        self.worker_mut(key).awaited_batch = Some(batch);
-    }
-
     /// Applies one run that the worker lists; returns its key if the engine tracks it.
     fn apply_row(&mut self, key: WorkerKey, row: &RunRow, sent_ms: u64) -> Option<RunKey> {
         let now_ms = self.now_ms;
@@ -447,6 +455,7 @@
             task.runs.push((key, run.run));
             task.started_ms = now_ms;
         });
+        self.schedule_copy(run.task, step);
         let lease_ms = self.settings.run_lease_ms;
         let worker = self.worker_mut(key);
         // The order that started the run may have given it a lease of this length.
--- a/src/jobs/ranking.rs
+++ b/src/jobs/ranking.rs
@@ -31,7 +31,7 @@
 
 /// Returns the rank of a job, or `None` if it has no task to start.
 pub(crate) fn rank(job: &Job, now_ms: u64) -> Option<Rank> {
-    if job.startable_count() == 0 {
+    if !job.has_startable_task() {
         return None;
     }
     if job.spec.is_long_running() {
@@ -60,7 +60,13 @@
 
 /// Returns whether the target of a job can still be met.
 pub(crate) fn is_in_time(job: &Job, now_ms: u64) -> bool {
-    now_ms <= latest_start_ms(job) + chain_grace_ms(remaining_chain_ms(job))
+    now_ms <= in_time_until_ms(job)
+}
+
+/// Returns the time until which the target of a job can still be met, in milliseconds.
+pub(crate) fn in_time_until_ms(job: &Job) -> u64 {
+    let chain_ms = remaining_chain_ms(job);
+    job.target_ms.saturating_sub(chain_ms) + chain_grace_ms(chain_ms)
 }
 
 /// Returns the longest chain of expected run times through steps that are not done, in
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -55,6 +55,7 @@
             if job.state.is_final() {
                 job.ended_ms = now_ms;
                 self.live.swap_remove(&key);
+                self.recurring.swap_remove(&key);
                 self.ended.push_back(key);
             }
         }
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -121,11 +121,18 @@
             target_ms,
             is_postponed: false,
             ended_ms: 0,
+            runs_count: 0,
+            place: None,
+            is_touched: false,
         };
         let key = self.insert_job(job);
         self.job_keys.insert(id, key);
         self.record_arrival(key);
         self.live.insert(key);
+        if self.job(key).spec.recurrence.is_some() {
+            self.recurring.insert(key);
+        }
+        self.touch_job(key);
         self.needs_dispatch = true;
         key
     }
--- a/src/jobs/tickets.rs
+++ b/src/jobs/tickets.rs
@@ -62,30 +62,33 @@
 }
 
 impl Engine {
-    /// Returns the workers with a valid ticket for the task's step. Without valid tickets it
-    /// requests some and returns `None`.
-    pub(crate) fn with_tickets(
-        &mut self,
-        task: TaskKey,
-        workers: &[WorkerKey],
-    ) -> Option<Vec<WorkerKey>> {
+    /// Returns the workers that accept tasks and have a valid ticket for the task's step. Without
+    /// valid tickets it requests some and returns `None`.
+    pub(crate) fn with_tickets(&mut self, task: TaskKey) -> Option<Vec<WorkerKey>> {
         let now_ms = self.now_ms;
+        let pool = self.job(task.job).pool.clone();
         let step = self.tickets.steps.entry(step_key(task)).or_default();
         if now_ms < step.valid_until_ms {
-            let tickets = &step.tickets;
-            let has_ticket = |key: &&WorkerKey| {
-                tickets.contains_key(&self.workers[crate::jobs::engine::index(key.0)].info.id)
-            };
-            return Some(workers.iter().filter(has_ticket).copied().collect());
+            let ids = step.tickets.keys();
+            let mut keys: Vec<WorkerKey> = ids
+                .filter_map(|id| self.worker_keys.get(id).copied())
+                .collect();
+            keys.retain(|key| {
+                let worker = self.worker(*key);
+                worker.info.pool == pool && worker.takes_tasks(now_ms)
+            });
+            return Some(keys);
         }
         let is_in_flight = step
             .requested_ms
             .is_some_and(|requested_ms| now_ms < requested_ms + REQUEST_RETRY_MS);
-        if is_in_flight || workers.is_empty() {
+        let mut by_load = self.accepting_workers(&pool);
+        if is_in_flight || by_load.is_empty() {
             return None;
         }
-        step.requested_ms = Some(now_ms);
-        let mut by_load: Vec<WorkerKey> = workers.to_vec();
+        if let Some(step) = self.tickets.steps.get_mut(&step_key(task)) {
+            step.requested_ms = Some(now_ms);
+        }
         by_load.sort_by_key(|key| self.worker(*key).used.cpu_millis);
         let ids = by_load.iter().map(|key| self.worker(*key).info.id.clone());
         let request = TicketRequest {
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -188,7 +188,7 @@
         let is_idle = worker.slots.is_empty()
             && (worker.is_cordoned || worker.idle_since_ms + IDLE_MS <= self.now_ms);
         let is_serving =
-            !worker.slots.is_empty() && worker.long_running_count() == worker.slots.len();
+            !worker.slots.is_empty() && worker.long_running_count == worker.slots.len();
         is_idle || is_serving
     }
 
@@ -200,7 +200,7 @@
                 let worker = self.worker(key);
                 (
                     !worker.is_cordoned,
-                    worker.long_running_count(),
+                    worker.long_running_count,
                     worker.slots.len(),
                 )
             }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -13,6 +13,13 @@
 /// Reserve added to the computed end of a lease, in milliseconds.
 const LEASE_EXPIRY_RESERVE_MS: u64 = 60;
 
+/// Slowness above which other workers are preferred, in thousandths.
+const SLOW_PERMILLE: u64 = 1_600;
+/// Bound of one observation of slowness, in thousandths, so that a straggler does not decide alone.
+const SLOWNESS_MAX_PERMILLE: u64 = 4_000;
+/// Number of runs over which slowness is smoothed.
+const SLOWNESS_SMOOTHING: u64 = 6;
+
 /// A worker as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerInfo {
@@ -134,6 +141,8 @@
     pub(crate) slots: IndexMap<RunKey, Slot>,
     /// Sum of the reservations of the slots.
     pub(crate) used: Size,
+    /// Number of slots of long-running tasks.
+    pub(crate) long_running_count: usize,
     /// Last reading of its clock.
     pub(crate) clock: Option<ClockReading>,
     /// Latest end of the leases given to its runs, on its clock, in milliseconds.
@@ -158,9 +167,10 @@
     pub(crate) listed_ms: u64,
     /// Time since which it has not been listed; has no meaning while it is listed.
     pub(crate) unlisted_since_ms: u64,
-    /// Smoothed run times on this worker relative to those on others, in thousandths; nothing
-    /// updates it at present, so it stays 1,000.
+    /// Smoothed run times on this worker relative to those expected, in thousandths.
     pub(crate) slowness_permille: u64,
+    /// Whether it has changed since its free capacity was brought up to date.
+    pub(crate) is_touched: bool,
 }
 
 impl Worker {
@@ -175,6 +185,7 @@
             is_cordoned: false,
             slots: IndexMap::new(),
             used: Size::default(),
+            long_running_count: 0,
             clock: None,
             leased_until_worker_ms: 0,
             seen_through: 0,
@@ -188,6 +199,7 @@
             listed_ms: 0,
             unlisted_since_ms: now_ms,
             slowness_permille: 1_000,
+            is_touched: false,
         }
     }
 
@@ -239,12 +251,17 @@
             && now_ms >= self.avoided_until_ms
     }
 
-    /// Returns the number of long-running tasks there.
-    pub(crate) fn long_running_count(&self) -> usize {
-        self.slots
-            .values()
-            .filter(|slot| slot.is_long_running)
-            .count()
+    /// Returns whether other workers are preferred because tasks take long there.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.slowness_permille > SLOW_PERMILLE
+    }
+
+    /// Records that a task ran for `ran_ms` where `expected_ms` was expected.
+    pub(crate) fn observe_run(&mut self, ran_ms: u64, expected_ms: u64) {
+        let ratio_permille = ran_ms * 1_000 / expected_ms.max(1);
+        let observed = ratio_permille.min(SLOWNESS_MAX_PERMILLE);
+        let weighted = self.slowness_permille * (SLOWNESS_SMOOTHING - 1) + observed;
+        self.slowness_permille = weighted / SLOWNESS_SMOOTHING;
     }
 
     /// Resets the state that belongs to the previous incarnation, and returns the runs that were
@@ -258,6 +275,7 @@
         self.awaited_batch = None;
         self.is_fenced = false;
         self.failed_streak_count = 0;
+        self.slowness_permille = 1_000;
         self.slots.keys().copied().collect()
     }
 }
