--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -432,7 +432,9 @@
             pool: worker.info.pool.clone(),
             rack: worker.rack.clone(),
             position: worker.takes_tasks(now_ms).then_some(position),
-            unseen: worker.may_have_unseen_runs().then_some(worker.info.capacity),
+            unseen: worker
+                .may_have_unseen_runs()
+                .then_some(worker.info.capacity),
         };
         if worker.avoided_until_ms > now_ms {
             self.worker_timers.insert((worker.avoided_until_ms, key));
@@ -671,4 +673,3 @@
 fn job_mut(jobs: &mut [Job], key: JobKey) -> &mut Job {
     &mut jobs[index(key.0)]
 }
-
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -28,9 +28,7 @@
 /// processor time but not the memory, the label or the accelerators. A long-running task visits all
 /// workers with enough processor time.
 pub(crate) fn choose(engine: &Engine, request: &PlacementRequest<'_>) -> Option<WorkerKey> {
-    let may_run = |key: &WorkerKey| {
-        request.except != Some(*key) && fits(engine, *key, request)
-    };
+    let may_run = |key: &WorkerKey| request.except != Some(*key) && fits(engine, *key, request);
     if let Some(eligible) = request.eligible {
         let fitting = eligible.iter().copied().filter(may_run);
         return fitting.min_by_key(|key| preference(engine, *key, request));
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -323,7 +323,10 @@
             let expected_ms = self.run_times.expected_ms(&queue, step);
             let worker = self.worker_mut(key);
             // Far from its rack a task takes longer on any worker.
-            let is_near = step.near_rack.as_ref().is_none_or(|rack| *rack == worker.rack);
+            let is_near = step
+                .near_rack
+                .as_ref()
+                .is_none_or(|rack| *rack == worker.rack);
             if is_near && expected_ms > 0 {
                 worker.observe_run(ran_ms, expected_ms);
             }
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -78,6 +78,10 @@
 /// Progress of a wave of maintenance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WaveRecord {
+    /// Time at which a leader first received the wave, in Unix milliseconds; 0 in records of
+    /// earlier versions.
+    #[serde(default)]
+    pub requested_unix_ms: u64,
     /// Instances that have been maintained.
     pub done: Vec<SmolStr>,
 }
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -32,7 +32,10 @@
                         team: record.team,
                         spec: record.spec,
                     };
-                    let key = self.add_job(submission, record.pool, record.accepted_unix_ms);
+                    // Newer lists may have moved the queue since.
+                    let queue = self.catalog.queues.get(&submission.queue);
+                    let pool = queue.map_or(record.pool, |queue| queue.pool.clone());
+                    let key = self.add_job(submission, pool, record.accepted_unix_ms);
                     let accepted_ms = self.job(key).accepted_ms;
                     self.demand_cycle.advance(accepted_ms);
                     let job = self.job_mut(key);
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -16,6 +16,9 @@
 const DRAIN_MS: u64 = 2_500;
 /// Time reserved for the rest of a wave, relative to the time that it needs, in thousandths.
 const URGENT_PERMILLE: u64 = 1_400;
+/// Time reserved for the last instances of a wave, in milliseconds: a long task may run there, or
+/// the leader may change.
+const TAIL_MS: u64 = 6_000;
 /// Time for which an instance has to be idle to be drained while the wave is not urgent, in
 /// milliseconds.
 const IDLE_MS: u64 = 400;
@@ -41,8 +44,8 @@
     pub(crate) spec: WaveSpec,
     /// Instances that have been maintained, or that the platform says are not part of the wave.
     pub(crate) done: IndexSet<SmolStr>,
-    /// Time at which this leader first received the wave.
-    requested_ms: u64,
+    /// Time at which a leader first received the wave, in Unix milliseconds.
+    requested_unix_ms: u64,
     /// Time of the last report on its state; 0 for never.
     reported_ms: u64,
     /// Whether its completion has been reported.
@@ -53,7 +56,7 @@
     /// Applies a wave that operators request.
     pub fn wave_requested(&mut self, spec: WaveSpec) {
         let number = spec.number;
-        let now_ms = self.now_ms;
+        let unix_ms = self.unix_ms;
         match self.instances.waves.get_mut(&number) {
             Some(wave) => wave.spec = spec,
             None => {
@@ -66,18 +69,22 @@
                 let wave = Wave {
                     spec,
                     done: IndexSet::new(),
-                    requested_ms: now_ms,
+                    requested_unix_ms: unix_ms,
                     reported_ms: 0,
                     is_complete: false,
                 };
                 self.instances.waves.insert(number, wave);
+                self.persist_wave(number);
             }
         }
     }
 
     /// Restores which instances of a wave were maintained under earlier leaders.
     pub(crate) fn restore_wave(&mut self, number: u64, record: WaveRecord) {
-        let now_ms = self.now_ms;
+        let requested_unix_ms = match record.requested_unix_ms {
+            0 => self.unix_ms,
+            requested_unix_ms => requested_unix_ms,
+        };
         let wave = self.instances.waves.entry(number).or_insert_with(|| Wave {
             spec: WaveSpec {
                 number,
@@ -86,23 +93,30 @@
                 at_once_max: 0,
             },
             done: IndexSet::new(),
-            requested_ms: now_ms,
+            requested_unix_ms,
             reported_ms: 0,
             is_complete: false,
         });
+        wave.requested_unix_ms = wave.requested_unix_ms.min(requested_unix_ms);
         wave.done.extend(record.done);
     }
 
     pub(crate) fn wave_member_done(&mut self, number: u64, instance: &SmolStr) {
         if let Some(wave) = self.instances.waves.get_mut(&number) {
             wave.done.insert(instance.clone());
-            let record = WaveRecord {
-                done: wave.done.iter().cloned().collect(),
-            };
-            self.persist(Record::Wave(number, record));
+            self.persist_wave(number);
         }
     }
 
+    fn persist_wave(&mut self, number: u64) {
+        let wave = &self.instances.waves[&number];
+        let record = WaveRecord {
+            requested_unix_ms: wave.requested_unix_ms,
+            done: wave.done.iter().cloned().collect(),
+        };
+        self.persist(Record::Wave(number, record));
+    }
+
     pub(crate) fn wave_member_refused(&mut self, number: u64, instance: &SmolStr) {
         if let Some(wave) = self.instances.waves.get_mut(&number) {
             wave.done.insert(instance.clone());
@@ -174,8 +188,8 @@
         let batches_count = u64::try_from(open_count.div_ceil(at_once_max)).unwrap_or(u64::MAX);
         let batch_ms = self.settings.maintain_ms + DRAIN_MS;
         let needed_ms = batches_count.saturating_mul(batch_ms);
-        let ends_ms = wave.requested_ms + wave.spec.duration_ms;
-        self.now_ms + needed_ms * URGENT_PERMILLE / 1_000 >= ends_ms
+        let ends_unix_ms = wave.requested_unix_ms + wave.spec.duration_ms;
+        self.unix_ms + needed_ms * URGENT_PERMILLE / 1_000 + TAIL_MS >= ends_unix_ms
     }
 
     /// Returns whether draining an instance interrupts no short task: it has been idle for some
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -73,16 +73,21 @@
 }
 
 #[derive(Deserialize)]
-struct HoldAnswerWire {
+struct HoldAnswerWire<R, E> {
     clock_ms: u64,
     #[serde(default)]
     born: u64,
-    #[serde(default)]
-    running: Vec<serde_json::Value>,
-    #[serde(default)]
-    finished: Vec<serde_json::Value>,
+    #[serde(default = "Vec::new")]
+    running: Vec<R>,
+    #[serde(default = "Vec::new")]
+    finished: Vec<E>,
 }
 
+/// An active run: task, run, checkpoint, percent and metric.
+type RunningWire<'a> = (&'a str, u64, &'a str, u64, u64);
+/// An ended run: number, task, run, kind and checkpoint.
+type FinishedWire<'a> = (u64, &'a str, u64, &'a str, &'a str);
+
 async fn call(
     client: &Client,
     target: &Target,
@@ -184,13 +189,55 @@
     let path = "/hawthornladder/hold";
     let timeout_ms = order.wait_ms + POLL_TIMEOUT_MARGIN_MS;
     let reply = call(client, &order.target, path, &body, timeout_ms).await?;
-    let answer: HoldAnswerWire =
-        serde_json::from_slice(&reply.body).map_err(|_| OrderFailure::Invalid)?;
-    Ok(PollReply {
+    parse_poll_reply(&reply.body).ok_or(OrderFailure::Invalid)
+}
+
+/// Parses the answer to a poll. An answer in the usual form takes no allocation for each value;
+/// others are parsed value by value, and rows of unknown form are left out.
+pub fn parse_poll_reply(body: &[u8]) -> Option<PollReply> {
+    type UsualWire<'a> = HoldAnswerWire<RunningWire<'a>, FinishedWire<'a>>;
+    let usual: Option<PollReply> = serde_json::from_slice::<UsualWire<'_>>(body)
+        .ok()
+        .and_then(reply_of);
+    usual.or_else(|| {
+        let answer: HoldAnswerWire<serde_json::Value, serde_json::Value> =
+            serde_json::from_slice(body).ok()?;
+        Some(PollReply {
+            clock_ms: answer.clock_ms,
+            started_unix_ms: answer.born,
+            running: answer.running.iter().filter_map(row_of).collect(),
+            ended: answer.finished.iter().filter_map(end_of).collect(),
+        })
+    })
+}
+
+/// Converts an answer in the usual form; returns `None` if a value in it is not valid.
+fn reply_of(answer: HoldAnswerWire<RunningWire<'_>, FinishedWire<'_>>) -> Option<PollReply> {
+    let running = answer.running.into_iter().map(|row| {
+        let (task, run_number, checkpoint, percent, metric) = row;
+        Some(RunRow {
+            name: TaskName::parse(task)?,
+            run_number,
+            checkpoint: checkpoint.into(),
+            percent,
+            metric,
+        })
+    });
+    let ended = answer.finished.into_iter().map(|row| {
+        let (number, task, run_number, kind, checkpoint) = row;
+        Some(RunEnd {
+            number,
+            name: TaskName::parse(task)?,
+            run_number,
+            kind: kind.parse().ok()?,
+            checkpoint: checkpoint.into(),
+        })
+    });
+    Some(PollReply {
         clock_ms: answer.clock_ms,
         started_unix_ms: answer.born,
-        running: answer.running.iter().filter_map(row_of).collect(),
-        ended: answer.finished.iter().filter_map(end_of).collect(),
+        running: running.collect::<Option<_>>()?,
+        ended: ended.collect::<Option<_>>()?,
     })
 }
 
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -8,5 +8,7 @@
 mod fake_worker;
 mod faults;
 mod overload;
+mod peaks;
 mod simulation;
 mod soak;
+mod waves;
--- /dev/null
+++ b/tests/testsuite/jobs/waves.rs
@@ -0,0 +1,40 @@
+//! Waves of maintenance near their end, and across a change of leader.
+
+use hawthornladder::jobs::InstanceOrder;
+use smol_str::SmolStr;
+
+use super::simulation::{job, step, Simulation};
+
+/// Length of a wave, as the simulation requests it, in milliseconds.
+const WAVE_MS: u64 = 20_000;
+
+fn maintained_count(simulation: &Simulation) -> usize {
+    let is_maintained = |order: &&InstanceOrder| matches!(order, InstanceOrder::Maintain { .. });
+    simulation.orders.iter().filter(is_maintained).count()
+}
+
+/// Submits a job that keeps every instance busy for a moment.
+fn submit_load(simulation: &mut Simulation) {
+    simulation.submit("a", job(vec![step(12, 16_000, 1_000)]));
+    simulation.advance(500);
+}
+
+#[test]
+fn a_wave_on_busy_instances_ends_in_time_although_the_leader_changes() {
+    let mut simulation = Simulation::open(&["a"], 6);
+    for _ in 0..4 {
+        submit_load(&mut simulation);
+    }
+    let started_ms = simulation.now_ms;
+    let all: Vec<SmolStr> = simulation.instances.keys().cloned().collect();
+    simulation.request_wave(1, &all, 3);
+    while simulation.now_ms < started_ms + WAVE_MS / 2 {
+        submit_load(&mut simulation);
+    }
+    simulation.fail_over(2);
+    simulation.request_wave(1, &all, 3);
+    while simulation.now_ms < started_ms + WAVE_MS {
+        submit_load(&mut simulation);
+    }
+    assert_eq!(maintained_count(&simulation), 6);
+}
