Mend faults of the engine, the client and the forecast, each with its test

A report on a wave has its own pause. - The list of workers is read every 100 ms in place of 350, so that a moved instance gets work sooner. Ruled out: peaks that prepare pools in the first cycle only are as meant, since later the forecast names the pool.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -14,7 +14,7 @@
 use crate::logging::Event;
 
 /// Interval between reviews, in milliseconds.
-const REVIEW_MS: u64 = 200;
+pub(crate) const REVIEW_MS: u64 = 200;
 /// Share of an instance's capacity that tasks of mixed sizes can fill, in thousandths.
 pub(crate) const FILLABLE_PERMILLE: u64 = 880;
 /// Time after which an idle instance moves to standby, in milliseconds.
--- a/src/jobs/demand.rs
+++ b/src/jobs/demand.rs
@@ -21,12 +21,16 @@
 const BINS_MAX_COUNT: usize = 16;
 /// A pool has a peak if its rate is at least this many times that of any other pool.
 const LEAD_FACTOR: u64 = 2;
+/// A peak starts anew when its rate is at least this many times its mean.
+const RESTART_FACTOR: u64 = 3;
 /// Least rate of a peak, in thousandths of a core.
 const PEAK_MIN_CPU_MILLIS: u64 = 40_000;
 /// Shortest and longest plausible length of a peak, in milliseconds.
 const PEAK_LENGTH_BOUNDS_MS: (u64, u64) = (1_500, 20_000);
 /// Shortest time over which the mean rate of a peak is computed, in milliseconds.
 const MEAN_SPAN_MIN_MS: u64 = 1_000;
+/// Longest time without arrivals that is caught up with, in milliseconds; after it all rates are 0.
+const CATCH_UP_MAX_MS: u64 = 4_000;
 /// Most peaks stored.
 const PEAKS_MAX_COUNT: usize = 32;
 /// Time by which an expected peak may be overdue before the forecast drops it, in percent of its
@@ -156,6 +160,17 @@
         sum.over(bins_count * BIN_MS + now_ms % BIN_MS)
     }
 
+    /// Compares the rates of the pools at every review since `from_ms`, for arrivals that were
+    /// recorded later than they came.
+    pub(crate) fn catch_up(&mut self, from_ms: u64, to_ms: u64, interval_ms: u64) {
+        let first_ms = from_ms.max(to_ms.saturating_sub(CATCH_UP_MAX_MS));
+        let mut at_ms = first_ms;
+        while at_ms + interval_ms <= to_ms {
+            at_ms += interval_ms;
+            self.advance(at_ms);
+        }
+    }
+
     /// Compares the rates of the pools: records the start of a new peak, or updates the mean rate
     /// of the present one.
     pub(crate) fn advance(&mut self, now_ms: u64) {
@@ -174,10 +189,16 @@
             return;
         }
         let current = self.peaks.back().filter(|peak| peak.pool == pool);
-        if let Some(peak) = current {
+        if let Some(start_ms) = current.map(|peak| peak.start_ms) {
+            let span_ms = now_ms.saturating_sub(start_ms).max(MEAN_SPAN_MIN_MS);
             if let Some(arrivals) = self.arrivals.get_mut(&pool) {
-                let span_ms = now_ms.saturating_sub(peak.start_ms);
-                arrivals.mean = arrivals.in_peak.over(span_ms.max(MEAN_SPAN_MIN_MS));
+                arrivals.mean = arrivals.in_peak.over(span_ms);
+                // A few early jobs were no peak. This is its start.
+                let mean = arrivals.mean.cpu_millis;
+                if rate >= mean * RESTART_FACTOR && span_ms > MEAN_SPAN_MIN_MS {
+                    self.peaks.pop_back();
+                    self.start_peak(pool, now_ms);
+                }
             }
             return;
         }
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -374,13 +374,16 @@
         })
     }
 
-    /// Stops long-running runs of a worker that has to be drained, as far as their budgets allow;
-    /// returns whether the worker has no runs left.
+    /// Stops the runs of a worker that has to be drained: long-running ones as far as their budgets
+    /// allow, and those that save a checkpoint when they stop. The others are left to end. Returns
+    /// whether the worker has no runs left.
     pub(crate) fn drain_worker(&mut self, key: WorkerKey) -> bool {
         let runs: Vec<RunKey> = self.worker(key).slots.keys().copied().collect();
         for run in &runs {
             let slot = &self.worker(key).slots[run];
-            let is_stoppable = slot.is_long_running
+            let step = &self.job(run.task.job).spec.steps[usize::from(run.task.step)];
+            let keeps_work = step.has_checkpoints && !step.is_gang;
+            let is_stoppable = (slot.is_long_running || keeps_work)
                 && !slot.is_stopping
                 && matches!(slot.state, SlotState::Placed { .. });
             if is_stoppable && self.may_stop(run) {
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -162,15 +162,11 @@
             due_ms: now_ms + FAILED_POLL_RETRY_MS,
         };
         if worker.failed_polls_count == 1 {
-            Event::new("worker_unresponsive")
+            let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
                 .with("failure", failure)
-                .with("runs_count", worker.slots.len())
-                .with(
-                    "lapse_in_ms",
-                    worker.leases_expired_at_ms().saturating_sub(now_ms),
-                )
-                .warn();
+                .with("runs_count", worker.slots.len());
+            worker.with_lease_left(event, now_ms).warn();
         }
         self.apply_failure(order.target.worker, failure);
     }
@@ -407,7 +403,6 @@
 
     /// Applies one run that the worker lists; returns its key if the engine tracks it.
     fn apply_row(&mut self, key: WorkerKey, row: &RunRow, sent_ms: u64) -> Option<RunKey> {
-        let now_ms = self.now_ms;
         let run = self.task_key(&row.name).map(|task| RunKey {
             task,
             run: row.run_number,
@@ -429,7 +424,6 @@
             }
             slot.percent = row.percent;
             slot.metric = row.metric;
-            slot.stop_sent_ms = slot.stop_sent_ms.min(now_ms);
         }
         if !row.checkpoint.is_empty() && !self.job(run.task.job).state.is_final() {
             let checkpoint = row.checkpoint.clone();
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -3,6 +3,7 @@
 
 use smol_str::SmolStr;
 
+use crate::jobs::capacity::REVIEW_MS;
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{JobId, WorkerKey};
 use crate::jobs::record::{ProgressRecord, Record, WorkerRecord};
@@ -20,6 +21,7 @@
             Record::Job(_, record) => record.accepted_unix_ms,
             _ => 0,
         });
+        let mut reviewed_ms = 0;
         for record in records {
             match record {
                 Record::Job(id, record) => {
@@ -35,9 +37,13 @@
                     // Newer lists may have moved the queue since.
                     let queue = self.catalog.queues.get(&submission.queue);
                     let pool = queue.map_or(record.pool, |queue| queue.pool.clone());
+                    let age_ms = self.unix_ms.saturating_sub(record.accepted_unix_ms);
+                    let accepted_ms = self.now_ms.saturating_sub(age_ms);
+                    self.demand_cycle
+                        .catch_up(reviewed_ms, accepted_ms, REVIEW_MS);
+                    let steps_count = accepted_ms.saturating_sub(reviewed_ms) / REVIEW_MS;
+                    reviewed_ms += steps_count * REVIEW_MS;
                     let key = self.add_job(submission, pool, record.accepted_unix_ms);
-                    let accepted_ms = self.job(key).accepted_ms;
-                    self.demand_cycle.advance(accepted_ms);
                     let job = self.job_mut(key);
                     job.is_persisted = true;
                     job.is_inherited = true;
@@ -62,6 +68,8 @@
                 self.ended.push_back(key);
             }
         }
+        self.demand_cycle
+            .catch_up(reviewed_ms, self.now_ms, REVIEW_MS);
         Event::new("state_restored")
             .with("fence", self.settings.fence)
             .with("jobs_count", self.jobs.len())
@@ -169,13 +177,9 @@
         }
         worker.is_listed = false;
         worker.unlisted_since_ms = now_ms;
-        Event::new("worker_unlisted")
+        let event = Event::new("worker_unlisted")
             .with("worker", id)
-            .with("runs_count", worker.slots.len())
-            .with(
-                "lapse_in_ms",
-                worker.leases_expired_at_ms().saturating_sub(now_ms),
-            )
-            .info();
+            .with("runs_count", worker.slots.len());
+        worker.with_lease_left(event, now_ms).info();
     }
 }
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -18,7 +18,7 @@
 const URGENT_PERMILLE: u64 = 1_400;
 /// Time reserved for the last instances of a wave, in milliseconds: a long task may run there, or
 /// the leader may change.
-const TAIL_MS: u64 = 6_000;
+const TAIL_MS: u64 = 9_000;
 /// Time for which an instance has to be idle to be drained while the wave is not urgent, in
 /// milliseconds.
 const IDLE_MS: u64 = 400;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::keys::RunKey;
 use crate::jobs::spec::Size;
+use crate::logging::Event;
 
 /// Allowance for a worker's clock that runs slow, in thousandths; includes a reserve.
 const CLOCK_DRIFT_PERMILLE: u64 = 30;
@@ -224,6 +225,14 @@
         }
     }
 
+    /// Adds the time until all leases of the worker have expired, if it has any, to a log event.
+    pub(crate) fn with_lease_left(&self, event: Event, now_ms: u64) -> Event {
+        match self.leases_expired_at_ms() {
+            u64::MAX => event,
+            expired_ms => event.with("lapse_in_ms", expired_ms.saturating_sub(now_ms)),
+        }
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn read_clock(&mut self, worker_ms: u64, now_ms: u64) {
         let is_newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,10 +1,9 @@
 //! HTTP client that reuses connections. A call that fails after its connection was established may
 //! have taken effect; a call for which no connection was established has not.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,10 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
+use crate::net::idle::IdleConnections;
+
 /// Most idle connections to one address.
-const IDLE_MAX_COUNT: usize = 8;
-/// Idle time after which a connection is no longer reused.
-const IDLE_AGE_MAX: Duration = Duration::from_secs(10);
+const IDLE_PER_ADDRESS_MAX_COUNT: usize = 8;
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -63,18 +62,40 @@
     Lost,
 }
 
-struct Idle {
-    sender: Sender,
-    since: Instant,
+/// Limits of the idle connections of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientSettings {
+    /// Most idle connections to all addresses.
+    pub idle_max_count: usize,
+    /// Time without use after which a connection is closed, in milliseconds.
+    pub idle_age_max_ms: u64,
 }
 
 /// An HTTP client with a pool of idle connections, shared by its clones.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+    pool: Rc<Pool>,
+}
+
+struct Pool {
+    idle: RefCell<IdleConnections<Sender>>,
+    /// Whether a task runs that closes the connections idle for too long.
+    has_closer: Cell<bool>,
 }
 
 impl Client {
+    /// Creates a client without connections.
+    pub fn open(settings: ClientSettings) -> Self {
+        let age_max = Duration::from_millis(settings.idle_age_max_ms);
+        let pool = Pool {
+            idle: RefCell::new(IdleConnections::new(settings.idle_max_count, age_max)),
+            has_closer: Cell::new(false),
+        };
+        Self {
+            pool: Rc::new(pool),
+        }
+    }
+
     /// Makes a call on an idle connection, or on a new one if there is none.
     pub async fn call(&self, call: Call) -> Result<Reply, CallFailure> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
@@ -95,30 +116,44 @@
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
-        while let Some(Idle { sender, since }) = connections.pop() {
-            if !sender.is_closed() && sender.is_ready() && since.elapsed() < IDLE_AGE_MAX {
-                return Some(sender);
+        let mut idle = self.pool.idle.borrow_mut();
+        while idle.count_to(address) > 0 {
+            let sender = idle.take(address);
+            let usable = sender.filter(|sender| !sender.is_closed() && sender.is_ready());
+            if usable.is_some() {
+                return usable;
             }
         }
         None
     }
 
     fn put_idle(&self, address: SocketAddr, sender: Sender) {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(address).or_default();
-        if !sender.is_closed() && connections.len() < IDLE_MAX_COUNT {
-            connections.push(Idle {
-                sender,
-                since: Instant::now(),
-            });
+        let mut idle = self.pool.idle.borrow_mut();
+        if sender.is_closed() || idle.count_to(address) >= IDLE_PER_ADDRESS_MAX_COUNT {
+            return;
+        }
+        idle.put(address, sender);
+        if !self.pool.has_closer.replace(true) {
+            tokio::task::spawn_local(close_expired(Rc::downgrade(&self.pool)));
         }
     }
+}
 
-    /// Closes the idle connections to an address.
-    pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+/// Closes idle connections when their time is over, until there are none.
+async fn close_expired(pool: Weak<Pool>) {
+    loop {
+        let next = match pool.upgrade() {
+            None => return,
+            Some(pool) => {
+                let next = pool.idle.borrow_mut().close_expired();
+                pool.has_closer.set(next.is_some());
+                next
+            }
+        };
+        match next {
+            None => return,
+            Some(at) => tokio::time::sleep_until(at).await,
+        }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,8 @@
 //! sent, and a server that answers the requests it has read before it stops.
 
 mod client;
+mod idle;
 mod server;
 
-pub use client::{Call, CallFailure, Client, Reply};
+pub use client::{Call, CallFailure, Client, ClientSettings, Reply};
 pub use server::{serve, Answer, IncomingRequest, ServerHandle, ServerSettings};
--- a/src/node/fleet_lists.rs
+++ b/src/node/fleet_lists.rs
@@ -13,7 +13,7 @@
 use crate::platform::{instances, lists};
 
 /// Interval between reads of the list of workers, in milliseconds.
-const WORKERS_READ_MS: u64 = 350;
+const WORKERS_READ_MS: u64 = 100;
 /// Timeout of a read, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_200;
 /// Time after an outage of the store in which removals of workers are not applied yet, in
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -30,9 +30,10 @@
 const STEP_PAUSE_MS: u64 = 4;
 /// Timeout of reading the job records, in milliseconds.
 const RESTORE_TIMEOUT_MS: u64 = 2_000;
-/// Pause before a failed restore is retried, in milliseconds; a failed report on a wave is retried
-/// after three times as long.
+/// Pause before a failed restore is retried, in milliseconds.
 const RESTORE_RETRY_MS: u64 = 100;
+/// Pause before a failed report on a wave is retried, in milliseconds.
+const WAVE_REPORT_RETRY_MS: u64 = 300;
 /// Timeout of a report on a wave, in milliseconds.
 const WAVE_REPORT_TIMEOUT_MS: u64 = 1_500;
 /// Most attempts to report on a wave.
@@ -299,7 +300,7 @@
                     .with("wave", wave)
                     .with("failure", failure)
                     .warn();
-                tokio::time::sleep(Duration::from_millis(RESTORE_RETRY_MS * 3)).await;
+                tokio::time::sleep(Duration::from_millis(WAVE_REPORT_RETRY_MS)).await;
             }
         }
         if node.leader_state.borrow().is_none() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,7 +29,7 @@
 use crate::adapters::clock::SystemClock;
 use crate::jobs::{Catalog, WaveSpec};
 use crate::logging::{BufferedLog, Event};
-use crate::net::{Client, ServerHandle};
+use crate::net::{Client, ClientSettings, ServerHandle};
 use crate::platform::store::Store;
 use crate::ports::Clock;
 
@@ -57,6 +57,10 @@
 /// Delay before a claim of leadership on an instance with one whole core, in milliseconds. Smaller
 /// instances wait longer, so that the one with the most capacity claims first.
 const CLAIM_DELAY_CORE_MS: f64 = 25.0;
+/// Share of the file descriptors that idle connections may use, in thousandths.
+const IDLE_CONNECTIONS_PERMILLE: usize = 250;
+/// Time without use after which a connection to another process is closed, in milliseconds.
+const IDLE_AGE_MAX_MS: u64 = 10_000;
 /// Longest such delay, in milliseconds.
 const CLAIM_DELAY_MAX_MS: u64 = 400;
 /// Upper bound of the jitter added to that delay, in milliseconds.
@@ -132,7 +136,10 @@
 impl NodeHandle {
     /// Binds the addresses of `settings` and starts all tasks.
     pub async fn spawn(settings: NodeSettings) -> io::Result<Self> {
-        let client = Client::default();
+        let client = Client::open(ClientSettings {
+            idle_max_count: settings.descriptors_count * IDLE_CONNECTIONS_PERMILLE / 1_000,
+            idle_age_max_ms: IDLE_AGE_MAX_MS,
+        });
         let store = Store::open(client.clone(), settings.store_address);
         let unix_ms = SystemClock.unix_ms();
         let incarnation = format_smolstr!("{unix_ms:x}");
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -224,21 +224,10 @@
     BadCall,
     /// The body exceeds the limit.
     TooLarge,
-    /// The job would end too late to be useful.
-    Overloaded {
-        /// Time after which to retry, in seconds.
-        retry_after_s: u64,
-    },
     /// The lists have not been read yet, or too long ago to verify the key with them.
     NoLists,
     /// No leader is known, or it cannot be reached.
     NoLeader,
-    /// The store does not accept the record of the job.
-    #[serde(rename = "store_away")]
-    #[strum(serialize = "store_away")]
-    StoreUnavailable,
-    /// The process is stopping.
-    Stopping,
 }
 
 impl Refusal {
@@ -246,8 +235,7 @@
     pub fn retry_after_s(self) -> Option<u64> {
         match self {
             Self::NoQueue | Self::BadKey | Self::BadCall | Self::TooLarge => None,
-            Self::Overloaded { retry_after_s } => Some(retry_after_s),
-            Self::NoLists | Self::NoLeader | Self::StoreUnavailable | Self::Stopping => Some(1),
+            Self::NoLists | Self::NoLeader => Some(1),
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -123,8 +123,8 @@
         let reply = self.call(Method::POST, path, body, timeout_ms).await?;
         match reply.status {
             200 => {
-                let appended: AppendedWire =
-                    serde_json::from_slice(&reply.body).unwrap_or(AppendedWire { end: 0 });
+                let appended: Result<AppendedWire, _> = serde_json::from_slice(&reply.body);
+                let appended = appended.map_err(|_| StoreFailure::Unreadable)?;
                 Ok(appended.end)
             }
             status => Err(refusal_of(status, &reply.body)),
--- a/tests/testsuite/jobs/capacity.rs
+++ b/tests/testsuite/jobs/capacity.rs
@@ -174,3 +174,28 @@
     assert_eq!(simulation.orders.iter().filter(of_unseen).count(), 0);
     assert_eq!(simulation.runs_of(id).len(), 4, "a run was stopped");
 }
+
+#[test]
+fn the_instances_that_are_idle_for_the_longest_leave_first() {
+    let mut simulation = Simulation::open(&["a", "b"], 6);
+    let id = simulation.submit("a", job(vec![step(6, 16_000, 500)]));
+    simulation.advance(200);
+    let used: Vec<SmolStr> = simulation
+        .runs_of(id)
+        .into_iter()
+        .map(|run| run.0)
+        .collect();
+    // The three others have been idle for long enough, the used ones have not.
+    simulation.advance(1_700);
+    let used_count = used.iter().collect::<std::collections::HashSet<_>>().len();
+    assert_eq!(used_count, 3);
+    assert!(moves_from_a(&simulation) >= 3, "{:?}", simulation.orders);
+}
+
+fn moves_from_a(simulation: &Simulation) -> usize {
+    let of_a = simulation
+        .orders
+        .iter()
+        .filter(|order| order.instance().starts_with("a-"));
+    of_a.count()
+}
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -330,3 +330,50 @@
     });
     assert_eq!(simulation.starts.len(), 3, "a task was started again");
 }
+
+#[test]
+fn a_slow_worker_gets_no_task_while_others_have_capacity() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let slow = simulation.workers.keys().next().expect("a worker").clone();
+    simulation.slow_workers.insert(slow.clone(), 4);
+    for _ in 0..12 {
+        simulation.submit("maps", job(vec![step(1, 4_000, 200)]));
+        simulation.advance(1_000);
+    }
+    let starts_before_count = simulation.starts.len();
+    for _ in 0..10 {
+        simulation.submit("maps", job(vec![step(1, 4_000, 200)]));
+        simulation.advance(300);
+    }
+    let later = &simulation.starts[starts_before_count..];
+    assert_eq!(later.len(), 10);
+    assert!(later.iter().all(|(_, worker, _)| *worker != slow));
+    // All of its capacity is used once the others are full.
+    let id = simulation.submit("maps", job(vec![step(8, 8_000, 200)]));
+    simulation.advance(50);
+    assert_eq!(simulation.runs_of(id).len(), 8);
+}
+
+#[test]
+fn a_new_leader_restores_jobs_to_the_pools_of_the_newest_lists() {
+    let mut simulation = Simulation::open(&["maps", "grids"], 1);
+    simulation
+        .workers
+        .values_mut()
+        .for_each(|worker| worker.refuses_as_late = true);
+    let id = simulation.submit("maps", job(vec![step(1, 4_000, 200)]));
+    simulation.advance(500);
+    simulation
+        .workers
+        .values_mut()
+        .for_each(|worker| worker.refuses_as_late = false);
+    // The lists changed while nobody led.
+    simulation.catalog.version = 2;
+    simulation.catalog.queues[0].pool = "grids".into();
+    simulation.fail_over(2);
+    simulation.advance_until(12_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    let last = simulation.starts.last().expect("a start");
+    assert!(last.1.starts_with("w-grids"), "{last:?}");
+}
--- a/tests/testsuite/jobs/peaks.rs
+++ b/tests/testsuite/jobs/peaks.rs
@@ -57,3 +57,39 @@
     let counts = pools.map(|pool| count_in(&simulation, pool));
     assert!(counts[0] >= 34 - 3 * 2, "instances by pool: {counts:?}");
 }
+
+/// Length of a demand peak, in milliseconds.
+const PEAK_MS: u64 = 6_000;
+
+/// Submits jobs to a pool for some time: about 190 cores, where an instance has 32.
+fn submit_peak(simulation: &mut Simulation, pool: &str, for_ms: u64) {
+    for _ in 0..for_ms / 50 {
+        simulation.submit(pool, job(vec![step(6, 2_000, 800)]));
+        simulation.advance(50);
+    }
+}
+
+/// A new leader knows from the records which pool has the next peak, and how large it will be,
+/// although some jobs came to all pools long before the first peak.
+#[test]
+fn the_forecast_survives_a_change_of_leader() {
+    let pools = ["a", "b", "c"];
+    let mut simulation = Simulation::open(&pools, 2);
+    for number in 0..14 {
+        simulation.add_instance(&SmolStr::from(format!("spare-{number}")), "standby");
+    }
+    simulation.list_all();
+    for pool in ["a", "a", "b", "b", "c", "c"] {
+        simulation.submit(pool, job(vec![step(30, 2_000, 800)]));
+    }
+    simulation.advance(14_000);
+    submit_peak(&mut simulation, "a", PEAK_MS);
+    submit_peak(&mut simulation, "b", PEAK_MS);
+    simulation.fail_over(2);
+    submit_peak(&mut simulation, "c", PEAK_MS);
+    let count = count_in(&simulation, "a");
+    assert!(
+        count >= 6,
+        "only {count} instances are in the pool with the next peak"
+    );
+}
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -67,6 +67,8 @@
     pub(crate) tails_ms: HashMap<SmolStr, u64>,
     /// Run time by task, where it differs from the estimate.
     pub(crate) run_ms: HashMap<TaskName, u64>,
+    /// Factor by which tasks run longer on a worker.
+    pub(crate) slow_workers: HashMap<SmolStr, u64>,
     /// Tasks whose runs fail.
     pub(crate) failing: HashSet<TaskName>,
     pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
@@ -102,6 +104,7 @@
             paces: Vec::new(),
             tails_ms: HashMap::new(),
             run_ms: HashMap::new(),
+            slow_workers: HashMap::new(),
             failing: HashSet::new(),
             starts: Vec::new(),
             polls: Vec::new(),
@@ -559,14 +562,16 @@
         let worker = &mut self.workers[&order.target.id];
         let step = &order.spec.steps[usize::from(order.name.step)];
         let is_failing = self.failing.contains(&order.name);
+        let slow_factor = self.slow_workers.get(&order.target.id).copied();
         let run_ms = self.run_ms.get(&order.name).copied();
+        let run_ms = run_ms.unwrap_or(step.estimate_ms) * slow_factor.unwrap_or(1);
         let run = Running {
             reservation: step.reservation(),
             team: self.submitted[&order.name.job].team.clone(),
             started_ms: now_ms,
             ends_ms: match step.is_long_running {
                 true => u64::MAX,
-                false => now_ms + run_ms.unwrap_or(step.estimate_ms),
+                false => now_ms + run_ms,
             },
             end: if is_failing {
                 EndKind::Failed
--- a/tests/testsuite/jobs/waves.rs
+++ b/tests/testsuite/jobs/waves.rs
@@ -1,6 +1,6 @@
 //! Waves of maintenance near their end, and across a change of leader.
 
-use hawthornladder::jobs::InstanceOrder;
+use hawthornladder::jobs::{InstanceOrder, StepSpec};
 use smol_str::SmolStr;
 
 use super::simulation::{job, step, Simulation};
@@ -38,3 +38,22 @@
     }
     assert_eq!(maintained_count(&simulation), 6);
 }
+
+#[test]
+fn a_drained_instance_hands_on_long_tasks_that_save_checkpoints() {
+    let mut simulation = Simulation::open(&["a"], 3);
+    let saving = StepSpec {
+        has_checkpoints: true,
+        ..step(3, 20_000, 30_000)
+    };
+    let id = simulation.submit("a", job(vec![saving]));
+    simulation.advance(500);
+    assert_eq!(simulation.runs_of(id).len(), 3);
+    let started_ms = simulation.now_ms;
+    let all: Vec<SmolStr> = simulation.instances.keys().cloned().collect();
+    simulation.request_wave(1, &all, 1);
+    simulation.advance_until(WAVE_MS, |simulation| maintained_count(simulation) == 3);
+    assert!(simulation.now_ms < started_ms + WAVE_MS);
+    simulation.advance(3_000);
+    assert_eq!(simulation.runs_of(id).len(), 3, "the tasks run elsewhere");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod load;
 mod load_experiments;
 mod model;
+mod net_client;
 mod node_leadership;
 mod operator_commands;
 mod peers;
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -1,10 +1,11 @@
 //! The adapter of the users' platform: what it parses, what it refuses, and its calls to the store.
 
 use hawthornladder::jobs::JobId;
-use hawthornladder::net::{self, Answer, Client, IncomingRequest, ServerSettings};
+use hawthornladder::net::{self, Answer, Client, ClientSettings, IncomingRequest, ServerSettings};
 use hawthornladder::node::{CallKind, Fence, StoreFailure};
 use hawthornladder::platform::lists::{parse_operator_record, parse_worker_info, OperatorRecord};
 use hawthornladder::platform::store::{Store, Topic};
+use hawthornladder::platform::workers::parse_poll_reply;
 use hawthornladder::platform::{callers, settings};
 use hyper::Method;
 
@@ -133,10 +134,17 @@
         let _server = net::serve(address, settings, answer)
             .await
             .expect("the server starts");
-        test(Store::open(Client::default(), address)).await;
+        test(Store::open(client(), address)).await;
     });
 }
 
+fn client() -> Client {
+    Client::open(ClientSettings {
+        idle_max_count: 8,
+        idle_age_max_ms: 1_000,
+    })
+}
+
 fn fence() -> Fence {
     Fence {
         writer: "leader",
@@ -154,8 +162,10 @@
 
 #[test]
 fn answers_of_the_store_map_to_distinct_failures() {
-    let cases: [(u16, &'static [u8], Result<u64, StoreFailure>); 7] = [
+    let cases: [(u16, &'static [u8], Result<u64, StoreFailure>); 8] = [
         (200, br#"{"offset":4,"end":5}"#, Ok(5)),
+        // An answer without the end proves nothing.
+        (200, b"{", Err(StoreFailure::Unreadable)),
         (409, br#"{"reason":"fenced"}"#, Err(StoreFailure::Fenced)),
         (
             409,
@@ -213,7 +223,30 @@
         free.local_addr().expect("an address")
     };
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let store = Store::open(Client::default(), address);
+        let store = Store::open(client(), address);
         assert_eq!(append(store).await, Err(StoreFailure::NotSent));
     });
 }
+
+#[test]
+fn the_answer_to_a_poll_is_read_in_the_usual_form_and_in_others() {
+    let usual = br#"{"clock_ms":9,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c1",41,3]],
+        "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#;
+    let reply = parse_poll_reply(usual).expect("valid");
+    assert_eq!((reply.clock_ms, reply.started_unix_ms), (9, 7));
+    assert_eq!((reply.running[0].percent, reply.running[0].metric), (41, 3));
+    assert_eq!((reply.ended[0].number, reply.ended[0].run_number), (58, 1));
+    // Without the metric, with an escaped text, and with rows that cannot be read.
+    let other = br#"{"clock_ms":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c1",41],["x",1,"",0],7],
+        "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done","a\u0062"],[59,"?",1,"done",""]]}"#;
+    let reply = parse_poll_reply(other).expect("valid");
+    assert_eq!((reply.running.len(), reply.running[0].metric), (1, 0));
+    assert_eq!(
+        (reply.ended.len(), reply.ended[0].checkpoint.as_str()),
+        (1, "ab")
+    );
+    assert!(
+        parse_poll_reply(b"{}").is_none(),
+        "an answer without a clock"
+    );
+}
