Let a new leader order instances at once, and refuse jobs that a silent store cannot record

Cause: (1) a new leader gave no order for 3.1 s to any instance in standby, or with a young worker, since an earlier leader might have given one. Change: each order to an instance has a number that is persisted before it is sent; the leader persists up to which number all are older than the lease, by its own clock. A new leader waits only for those after it, and for all if its predecessor wrote no such record. A submission is refused as store_unavailable once an append has had no effect for 900 ms. Ruled out: unix times of two machines, since their clocks may jump. Tests: jobs::peaks::a_new_leader_*, the second of which fails when settled orders are not told apart; node_journal.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -96,6 +96,7 @@
         self.demand_cycle.advance(self.now_ms);
         if self.instances.is_list_read {
             self.retry_instance_orders();
+            self.review_order_numbers();
             self.review_waves();
             self.review_capacity();
         }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -18,6 +18,7 @@
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, JobState, Round, Task};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
 use crate::jobs::record::{JobRecord, ProgressRecord, Record, WorkerRecord};
 use crate::jobs::run_times::RunTimes;
@@ -50,8 +51,12 @@
     pub move_ms: u64,
     /// Time that the maintenance of an instance takes, in milliseconds.
     pub maintain_ms: u64,
-    /// Time that has to pass between the orders of two leaders to one instance, in milliseconds.
+    /// Time after which an order to an instance is old enough for one of another leader, in
+    /// milliseconds.
     pub instance_lease_ms: u64,
+    /// Time for which this leader waits for orders of earlier ones, in milliseconds; 0 for the first
+    /// leader.
+    pub earlier_orders_wait_ms: u64,
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
@@ -109,6 +114,7 @@
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
     pub(crate) instances: Instances,
+    pub(crate) order_numbers: OrderNumbers,
     pub(crate) capacity: CapacityPolicy,
     pub(crate) demand_cycle: DemandCycle,
     pub(crate) actions: Vec<Action>,
@@ -157,6 +163,7 @@
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
             instances: Instances::default(),
+            order_numbers: OrderNumbers::default(),
             capacity: CapacityPolicy::default(),
             demand_cycle: DemandCycle::default(),
             actions: Vec::new(),
@@ -310,6 +317,7 @@
             self.present.insert(key);
         }
         self.acknowledge_ends(batch.number);
+        self.send_held_orders(batch.number);
         self.needs_dispatch = true;
         settled
     }
@@ -334,6 +342,11 @@
         }
     }
 
+    /// Returns the number of the batch that will hold the records added now.
+    pub(crate) fn next_batch_number(&self) -> u64 {
+        self.next_batch
+    }
+
     /// Delays the acknowledgement of a worker's ends until the records added now are persisted.
     pub(crate) fn persist_before_ack(&mut self, key: WorkerKey) {
         let batch = self.next_batch;
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -15,6 +15,8 @@
 
 /// Time after which an unanswered order is sent again, in milliseconds.
 const ORDER_RETRY_MS: u64 = 1_500;
+/// Time of sending of an order that is not sent yet.
+const UNSENT_MS: u64 = u64::MAX;
 /// Time after which a refused order may be given again, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 600;
 
@@ -128,6 +130,7 @@
             self.instances.rows.insert(row.info.name.clone(), row);
         }
         self.instances.is_list_read = true;
+        self.forget_orders_of_removed_instances();
         self.remove_workers_without_instance(sent_ms);
     }
 
@@ -205,8 +208,10 @@
     /// this leader has to wait. An instance that is up with a worker older than that has had no
     /// such order.
     fn may_have_earlier_order(&self, name: &SmolStr) -> bool {
-        let lease_ms = self.settings.instance_lease_ms;
-        if self.now_ms >= self.opened_ms + lease_ms {
+        let lease_ms = self.settings.earlier_orders_wait_ms;
+        if self.now_ms >= self.opened_ms + lease_ms
+            || self.order_numbers.is_settled(name, self.settings.fence)
+        {
             return false;
         }
         let open_for_ms = self.now_ms - self.opened_ms;
@@ -230,20 +235,20 @@
 
     /// Gives an order to an instance.
     pub(crate) fn order_instance(&mut self, order: InstanceOrder) {
-        let now_ms = self.now_ms;
         let worker = self.worker_of(order.instance());
         let Some(row) = self.instances.rows.get_mut(order.instance()) else {
             return;
         };
         row.ordered_worker = worker;
-        row.order = Some((order.clone(), now_ms));
+        // The time is set when the order is sent.
+        row.order = Some((order.clone(), UNSENT_MS));
         let event = Event::new("instance_ordered").with("instance", order.instance());
         match &order {
             InstanceOrder::Move { pool, .. } => event.with("from", &row.info.pool).with("to", pool),
             InstanceOrder::Maintain { wave, .. } => event.with("wave", wave),
         }
         .info();
-        self.actions.push(Action::Instance(order));
+        self.hold_instance_order(order);
     }
 
     /// Sends orders again that were not answered.
@@ -252,14 +257,16 @@
         let mut unanswered = Vec::new();
         for row in self.instances.rows.values_mut() {
             if let Some((order, given_ms)) = &mut row.order {
-                if *given_ms + ORDER_RETRY_MS < now_ms {
+                if given_ms.saturating_add(ORDER_RETRY_MS) < now_ms {
                     *given_ms = now_ms;
                     unanswered.push(order.clone());
                 }
             }
         }
-        self.actions
-            .extend(unanswered.into_iter().map(Action::Instance));
+        for order in unanswered {
+            self.record_order_sending(&order);
+            self.actions.push(Action::Instance(order));
+        }
     }
 
     /// Handles the answer to an order.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod instances;
 mod job;
 mod keys;
+mod order_numbers;
 mod orders;
 mod pacing;
 mod placement;
@@ -39,7 +40,8 @@
     StartOrder, StopOrder, Target, TicketRequest,
 };
 pub use record::{
-    JobRecord, ProgressRecord, Record, StoredRecord, TaskRecord, WaveRecord, WorkerRecord,
+    JobRecord, OrdersRecord, ProgressRecord, Record, StoredRecord, TaskRecord, WaveRecord,
+    WorkerRecord,
 };
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -16,6 +16,10 @@
 const WORKER_PREFIX: char = 'w';
 /// First letter of the key of a wave of maintenance.
 const WAVE_PREFIX: char = 'm';
+/// First letter of the key of the last order to an instance.
+const ORDER_PREFIX: char = 'o';
+/// Key of the settled orders to instances.
+const ORDERS_KEY: &str = "s";
 
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -86,6 +90,17 @@
     pub done: Vec<SmolStr>,
 }
 
+/// Which orders to instances are older than the lease of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrdersRecord {
+    /// Fencing token of the leader that wrote the record.
+    pub fence: u64,
+    /// Number up to which all orders are that old.
+    pub settled: u64,
+    /// Whether the numbers of all orders that are not that old are persisted.
+    pub is_complete: bool,
+}
+
 /// One record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -97,6 +112,12 @@
     Worker(SmolStr, WorkerRecord),
     /// The progress of a wave of maintenance.
     Wave(u64, WaveRecord),
+    /// An order with this number may have been given to an instance.
+    Order(SmolStr, u64),
+    /// Which orders to instances are settled.
+    Orders(OrdersRecord),
+    /// The instance is no longer listed: the record of its last order is deleted.
+    ForgetOrder(SmolStr),
     /// The job is no longer needed: both its records are deleted.
     ForgetJob(JobId),
     /// No task runs on this worker any more: its record is deleted.
@@ -127,6 +148,13 @@
             Self::Wave(number, record) => {
                 vec![(format_smolstr!("{WAVE_PREFIX}{number}"), to_text(record))]
             }
+            Self::Order(instance, number) => {
+                vec![(format_smolstr!("{ORDER_PREFIX}{instance}"), to_text(number))]
+            }
+            Self::Orders(record) => vec![(SmolStr::new_static(ORDERS_KEY), to_text(record))],
+            Self::ForgetOrder(instance) => {
+                vec![(format_smolstr!("{ORDER_PREFIX}{instance}"), None)]
+            }
             Self::ForgetJob(id) => vec![
                 (job_key(JOB_PREFIX, *id), None),
                 (job_key(PROGRESS_PREFIX, *id), None),
@@ -137,6 +165,9 @@
 
     /// Parses a stored record; returns `None` if the key or the value is not valid.
     pub fn decode(key: &str, text: &[u8]) -> Option<Self> {
+        if key == ORDERS_KEY {
+            return serde_json::from_slice(text).ok().map(Self::Orders);
+        }
         let prefix = key.chars().next()?;
         let rest = &key[prefix.len_utf8()..];
         match prefix {
@@ -152,6 +183,7 @@
                 rest.into(),
                 serde_json::from_slice(text).ok()?,
             )),
+            ORDER_PREFIX => Some(Self::Order(rest.into(), serde_json::from_slice(text).ok()?)),
             WAVE_PREFIX => Some(Self::Wave(
                 rest.parse().ok()?,
                 serde_json::from_slice(text).ok()?,
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -51,7 +51,11 @@
                 Record::Progress(id, record) => progress.push((id, record)),
                 Record::Worker(id, record) => self.restore_worker(id, record),
                 Record::Wave(number, record) => self.restore_wave(number, record),
-                Record::ForgetJob(_) | Record::ForgetWorker(_) => {}
+                Record::Order(instance, number) => {
+                    self.order_numbers.restore_last(instance, number);
+                }
+                Record::Orders(record) => self.order_numbers.restore_settled(record),
+                Record::ForgetJob(_) | Record::ForgetWorker(_) | Record::ForgetOrder(_) => {}
             }
         }
         for (id, record) in progress {
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -185,6 +185,11 @@
         job.is_persisted.then_some(shown)
     }
 
+    /// Returns whether a job was submitted under this id, persisted or not.
+    pub fn knows(&self, id: JobId) -> bool {
+        self.job_keys.contains_key(&id)
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, id: JobId) -> CancelOutcome {
         let Some(key) = self.job_keys.get(&id).copied() else {
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -21,13 +21,38 @@
 /// Bytes that a record takes in an append beside its key and value.
 const RECORD_OVERHEAD_BYTES: usize = 16;
 
+/// Time from which an append without an answer means that the store accepts no records, in
+/// milliseconds. It is longer than an append to a slow store takes.
+const STALLED_AFTER_MS: u64 = 900;
+
 /// Progress of this leader's writes.
 #[derive(Debug, Default)]
-pub(crate) struct Journal {
+pub struct Journal {
     /// Sequence number of the last append; 0 before the first.
     last_sequence: u64,
     /// Whether the writer task runs.
     pub(crate) is_writing: bool,
+    /// Time of the first sending of the append in flight, in milliseconds.
+    sent_ms: Option<u64>,
+}
+
+impl Journal {
+    /// Records that an append is sent, for the first time or again.
+    pub fn append_sent(&mut self, now_ms: u64) {
+        self.sent_ms.get_or_insert(now_ms);
+    }
+
+    /// Records that the append in flight is persisted.
+    pub fn append_persisted(&mut self) {
+        self.sent_ms = None;
+    }
+
+    /// Returns whether the store has left an append without effect for so long that the record of a
+    /// new job would come too late.
+    pub fn is_stalled(&self, now_ms: u64) -> bool {
+        self.sent_ms
+            .is_some_and(|sent_ms| now_ms >= sent_ms + STALLED_AFTER_MS)
+    }
 }
 
 /// Raises the fence of the jobs topic. No earlier leader can write there afterwards.
@@ -120,20 +145,28 @@
             sequence,
         };
         let sent_ms = node.now_ms();
+        node.with_leader(fence, |leader| leader.journal.append_sent(sent_ms));
         let appended = node
             .store
             .append(Topic::Jobs, chunk, None, Some(&fenced), APPEND_TIMEOUT_MS)
             .await;
         node.record_store_call("append", &appended, sent_ms);
+        let is_persisted = match &appended {
+            Ok(_) => true,
+            // The append took effect, and its answer was lost.
+            Err(StoreFailure::OutOfSequence { expected }) => *expected == Some(sequence + 1),
+            Err(_) => false,
+        };
+        if is_persisted {
+            node.with_leader(fence, |leader| leader.journal.append_persisted());
+            return true;
+        }
         match appended {
-            Ok(_) => return true,
             Err(StoreFailure::Fenced) => {
                 node.lose_leadership(fence, "store");
                 return false;
             }
             Err(StoreFailure::OutOfSequence { expected }) => match expected {
-                // The append took effect, and its answer was lost.
-                Some(expected) if expected == sequence + 1 => return true,
                 Some(expected) if sequence == 1 => {
                     sequence = expected;
                     node.with_leader(fence, |leader| leader.journal.last_sequence = expected);
@@ -147,6 +180,7 @@
                     return false;
                 }
             },
+            Ok(_) => {}
             Err(failure) => {
                 Event::new("journal_delayed")
                     .with("number", sequence)
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -358,7 +358,8 @@
         ended_retention_ms: bounds.ended_retention_ms,
         move_ms: bounds.move_ms,
         maintain_ms: bounds.maintain_ms,
-        instance_lease_ms: match fence {
+        instance_lease_ms: bounds.instance_lease_ms + TICK_MS,
+        earlier_orders_wait_ms: match fence {
             1 => 0,
             _ => bounds.instance_lease_ms + TICK_MS,
         },
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -33,6 +33,7 @@
 use crate::platform::store::Store;
 use crate::ports::Clock;
 
+pub use journal::Journal;
 pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
 pub use metrics::NodeMetrics;
 pub use types::{
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -62,7 +62,7 @@
     let progress = {
         let mut leader = node.leader_state.borrow_mut();
         match leader.as_mut() {
-            Some(leader) if leader.is_restored && is_valid => start_call(leader, call),
+            Some(leader) if leader.is_restored && is_valid => start_call(leader, call, now_ms),
             // Without a valid lease, another leader may have newer state.
             _ => return CallAnswer::Refused(Refusal::NoLeader),
         }
@@ -84,8 +84,14 @@
     Waiting(oneshot::Receiver<CallAnswer>),
 }
 
-fn start_call(leader: &mut LeaderState, call: PeerCall) -> CallProgress {
+fn start_call(leader: &mut LeaderState, call: PeerCall, now_ms: u64) -> CallProgress {
     match call {
+        // Whoever waits for the record of an earlier submission of the job goes on waiting.
+        PeerCall::Submit { id, .. }
+            if leader.journal.is_stalled(now_ms) && !leader.engine.knows(JobId(id)) =>
+        {
+            CallProgress::Answered(CallAnswer::Refused(Refusal::StoreUnavailable))
+        }
         PeerCall::Submit {
             id,
             queue,
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -228,6 +228,8 @@
     NoLists,
     /// No leader is known, or it cannot be reached.
     NoLeader,
+    /// The store does not accept the record of the job.
+    StoreUnavailable,
 }
 
 impl Refusal {
@@ -235,7 +237,7 @@
     pub fn retry_after_s(self) -> Option<u64> {
         match self {
             Self::NoQueue | Self::BadKey | Self::BadCall | Self::TooLarge => None,
-            Self::NoLists | Self::NoLeader => Some(1),
+            Self::NoLists | Self::NoLeader | Self::StoreUnavailable => Some(1),
         }
     }
 }
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -82,6 +82,7 @@
         ended_retention_ms: 120_000,
         move_ms: 1_500,
         maintain_ms: 2_000,
-        instance_lease_ms: if fence == 1 { 0 } else { 3_000 },
+        instance_lease_ms: 3_000,
+        earlier_orders_wait_ms: if fence == 1 { 0 } else { 3_000 },
     }
 }
--- a/tests/testsuite/jobs/peaks.rs
+++ b/tests/testsuite/jobs/peaks.rs
@@ -93,3 +93,52 @@
         "only {count} instances are in the pool with the next peak"
     );
 }
+
+/// A leader that takes over at the start of a peak uses the instances in standby at once, if the
+/// earlier leader had given them no order for some time.
+#[test]
+fn a_new_leader_brings_instances_from_standby_without_delay() {
+    let mut simulation = Simulation::open(&["a"], 1);
+    for number in 0..8 {
+        simulation.add_instance(&SmolStr::from(format!("spare-{number}")), "standby");
+    }
+    simulation.list_all();
+    simulation.advance(6_000);
+    simulation.fail_over(2);
+    simulation.submit("a", job(vec![step(16, 16_000, 3_000)]));
+    simulation.advance(600);
+    let count = count_in(&simulation, "a");
+    assert!(
+        count >= 8,
+        "only {count} instances are in the pool with the peak"
+    );
+}
+
+/// Whatever has a recent order, or may have one that was not persisted, gets none from a new leader.
+#[test]
+fn a_new_leader_gives_no_order_after_a_recent_one_of_another() {
+    let mut simulation = Simulation::open(&["a"], 1);
+    for number in 0..4 {
+        simulation.add_instance(&SmolStr::from(format!("spare-{number}")), "standby");
+    }
+    simulation.list_all();
+    simulation.advance(6_000);
+    for fence in 2..5 {
+        simulation.submit("a", job(vec![step(16, 16_000, 400)]));
+        simulation.advance(700);
+        let earlier_count = simulation.orders.len();
+        simulation.fail_over(fence);
+        simulation.advance(2_600);
+        for (at, order) in simulation.orders.iter().enumerate().skip(earlier_count) {
+            let earlier = simulation.orders[..earlier_count]
+                .iter()
+                .rposition(|known| known.instance() == order.instance());
+            let gap_ms = earlier
+                .map(|earlier| simulation.order_times_ms[at] - simulation.order_times_ms[earlier]);
+            assert!(
+                gap_ms.is_none_or(|gap_ms| gap_ms >= 3_000),
+                "{order:?}: {gap_ms:?}"
+            );
+        }
+    }
+}
