Measure the engine alone in a peak, by the number of workers

Change: experiment engine plays a peak of one pool at 350, 1,100 and 3,500 workers in virtual time and prints microseconds for each job accepted, task started and poll answered, and the record bytes of a job. The test of given-up requests counts all callers of the same 100 ms, not only neighbours in the list.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -5,6 +5,7 @@
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use error_stack::Report;
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
+use hawthornladder::load::engine_cost::{engine_table, measure_engine, WORKERS_COUNTS};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::plot::{plot_overload, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
@@ -68,6 +69,11 @@
                 .about("Cost of the ledger, the snapshot and the engine by size of the fleet")
                 .arg(output_arg()),
         )
+        .subcommand(
+            Command::new("engine")
+                .about("Processor time of the job engine in a demand peak by the number of workers")
+                .arg(output_arg()),
+        )
         .subcommand(
             Command::new("cost")
                 .about("Processor time of the policies' steps by size of the fleet")
@@ -112,6 +118,10 @@
             let rows = measure_state();
             print_report(args, &state_table(&rows), &rows)
         }
+        Some(("engine", args)) => {
+            let rows = measure_engine(&WORKERS_COUNTS);
+            print_report(args, &engine_table(&rows), &rows)
+        }
         Some(("cost", args)) => {
             let rows = measure_cost(&FLEET_SIZES);
             print_report(args, &cost_table(&rows), &rows)
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cost;
 pub mod demand;
+pub mod engine_cost;
 pub(crate) mod entry;
 pub mod live;
 pub mod measure;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod check_command;
 mod cluster;
 mod documentation;
+mod engine_cost;
 mod engines;
 mod error_table;
 mod jobs;
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -255,6 +255,7 @@
         .iter()
         .map(|given_up| given_up.retry_after_ms / 100)
         .collect();
+    retry_after_100_ms.sort_unstable();
     let most_in_100_ms = retry_after_100_ms
         .chunk_by_mut(|left, right| left == right)
         .map(|chunk| chunk.len())
