Take back that shortages go before preparation

The reserve of a wave made all of it urgent from its start, and took 10 of 48 instances out in a peak. Change: as before, pools are served by the number that they lack, preparation included. A wave has at least 12 s reserved for its rest, in place of 9 s on top.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -109,57 +109,31 @@
         let mut needs = self.pool_needs();
         self.add_forecast(&mut needs);
         let mut short: Vec<(SmolStr, usize)> = Vec::new();
-        let mut unprepared: Vec<(SmolStr, usize)> = Vec::new();
         let mut donors: Vec<WorkerKey> = Vec::new();
-        let mut prepared: Vec<WorkerKey> = Vec::new();
         for (pool, need) in &needs {
             let have_count = need.usable_count;
-            let needed_count =
-                instances_for(&need.needed, &self.instance_size(pool)).max(need.all_at_once_count);
-            let wanted_count = needed_count.max(need.prepared_count);
+            let wanted_count = instances_for(&need.needed, &self.instance_size(pool))
+                .max(need.prepared_count)
+                .max(need.all_at_once_count);
             self.log_capacity(pool, need, wanted_count);
-            let least_count = need.long_running_hosts_count + SPARE_COUNT;
-            if needed_count > have_count {
-                short.push((pool.clone(), needed_count - have_count));
+            let retained_count = wanted_count.max(need.long_running_hosts_count + SPARE_COUNT);
+            if wanted_count > have_count {
+                short.push((pool.clone(), wanted_count - have_count));
+            } else if have_count > retained_count {
+                let mut idle = self.idle_workers(pool);
+                let kept_count = idle.len().saturating_sub(have_count - retained_count);
+                donors.extend(idle.split_off(kept_count));
             }
-            if wanted_count > have_count.max(needed_count) {
-                let count = wanted_count - have_count.max(needed_count);
-                unprepared.push((pool.clone(), count));
-            }
-            let mut idle = match have_count > needed_count.max(least_count) {
-                true => self.idle_workers(pool),
-                false => Vec::new(),
-            };
-            let spare_count = have_count.saturating_sub(wanted_count.max(least_count));
-            donors.extend(idle.split_off(idle.len().saturating_sub(spare_count)));
-            let unused_count = have_count.saturating_sub(needed_count.max(least_count));
-            let prepared_count = unused_count.saturating_sub(spare_count);
-            prepared.extend(idle.split_off(idle.len().saturating_sub(prepared_count)));
         }
-        // A shortage is real, while a peak that a pool is prepared for may start elsewhere.
-        self.request_instances(short, &mut [&mut donors, &mut prepared]);
-        self.request_instances(unprepared, &mut [&mut donors]);
-        self.move_idle_to_standby(&donors);
-    }
-
-    /// Moves instances to the pools, as many as each lacks: from the first donors, from standby,
-    /// then from the other donors.
-    fn request_instances(
-        &mut self,
-        mut pools: Vec<(SmolStr, usize)>,
-        donors: &mut [&mut Vec<WorkerKey>],
-    ) {
-        pools.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-        for (pool, count) in pools {
+        short.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        for (pool, count) in short {
             for _ in 0..count {
-                let is_moved = donors
-                    .iter_mut()
-                    .any(|donors| self.request_instance(&pool, donors));
-                if !is_moved {
+                if !self.request_instance(&pool, &mut donors) {
                     break;
                 }
             }
         }
+        self.move_idle_to_standby(&donors);
     }
 
     /// Stops counting instances as moving once their workers are listed or their time has passed.
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -16,9 +16,9 @@
 const DRAIN_MS: u64 = 2_500;
 /// Time reserved for the rest of a wave, relative to the time that it needs, in thousandths.
 const URGENT_PERMILLE: u64 = 1_400;
-/// Time reserved for the last instances of a wave, in milliseconds: a long task may run there, or
-/// the leader may change.
-const TAIL_MS: u64 = 9_000;
+/// Least time reserved for the rest of a wave, in milliseconds: a long task may run on its last
+/// instances, or the leader may change.
+const RESERVED_MIN_MS: u64 = 12_000;
 /// Time for which an instance has to be idle to be drained while the wave is not urgent, in
 /// milliseconds.
 const IDLE_MS: u64 = 400;
@@ -189,7 +189,8 @@
         let batch_ms = self.settings.maintain_ms + DRAIN_MS;
         let needed_ms = batches_count.saturating_mul(batch_ms);
         let ends_unix_ms = wave.requested_unix_ms + wave.spec.duration_ms;
-        self.unix_ms + needed_ms * URGENT_PERMILLE / 1_000 + TAIL_MS >= ends_unix_ms
+        let reserved_ms = (needed_ms * URGENT_PERMILLE / 1_000).max(RESERVED_MIN_MS);
+        self.unix_ms + reserved_ms >= ends_unix_ms
     }
 
     /// Returns whether draining an instance interrupts no short task: it has been idle for some
