Take back that a peak starts anew when its rate rises

Cause: with few jobs a second, one large job triples the rate. The replay of records at the times of reviews mends the forecast of a new leader by itself; its test holds without the restart.

--- a/src/jobs/demand.rs
+++ b/src/jobs/demand.rs
@@ -21,8 +21,6 @@
 const BINS_MAX_COUNT: usize = 16;
 /// A pool has a peak if its rate is at least this many times that of any other pool.
 const LEAD_FACTOR: u64 = 2;
-/// A peak starts anew when its rate is at least this many times its mean.
-const RESTART_FACTOR: u64 = 3;
 /// Least rate of a peak, in thousandths of a core.
 const PEAK_MIN_CPU_MILLIS: u64 = 40_000;
 /// Shortest and longest plausible length of a peak, in milliseconds.
@@ -189,16 +187,10 @@
             return;
         }
         let current = self.peaks.back().filter(|peak| peak.pool == pool);
-        if let Some(start_ms) = current.map(|peak| peak.start_ms) {
-            let span_ms = now_ms.saturating_sub(start_ms).max(MEAN_SPAN_MIN_MS);
+        if let Some(peak) = current {
             if let Some(arrivals) = self.arrivals.get_mut(&pool) {
-                arrivals.mean = arrivals.in_peak.over(span_ms);
-                // A few early jobs were no peak. This is its start.
-                let mean = arrivals.mean.cpu_millis;
-                if rate >= mean * RESTART_FACTOR && span_ms > MEAN_SPAN_MIN_MS {
-                    self.peaks.pop_back();
-                    self.start_peak(pool, now_ms);
-                }
+                let span_ms = now_ms.saturating_sub(peak.start_ms);
+                arrivals.mean = arrivals.in_peak.over(span_ms.max(MEAN_SPAN_MIN_MS));
             }
             return;
         }
