Repeat no order to an instance that has got work since

Change: whenever an order is sent, for the first time or again, it is dropped if the instance's worker has runs; a worker that was listed between the decision and the first sending is cordoned. Test: jobs::waves::a_repeated_order_does_not_end_work_that_has_started_since, which fails without the change.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -7,7 +7,7 @@
 
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{RunKey, WorkerKey};
-use crate::jobs::orders::{Action, InstanceOrder};
+use crate::jobs::orders::InstanceOrder;
 use crate::jobs::spec::Size;
 use crate::jobs::waves::Wave;
 use crate::jobs::worker::SlotState;
@@ -264,8 +264,7 @@
             }
         }
         for order in unanswered {
-            self.record_order_sending(&order);
-            self.actions.push(Action::Instance(order));
+            self.send_order(order);
         }
     }
 
--- a/src/jobs/order_numbers.rs
+++ b/src/jobs/order_numbers.rs
@@ -10,6 +10,7 @@
 use crate::jobs::engine::Engine;
 use crate::jobs::orders::{Action, InstanceOrder};
 use crate::jobs::record::{OrdersRecord, Record};
+use crate::logging::Event;
 
 /// Shortest time between two records of the settled orders, in milliseconds.
 const SETTLED_RECORD_MS: u64 = 1_000;
@@ -104,13 +105,47 @@
         self.order_numbers.held = later;
         let due: Vec<(u64, InstanceOrder)> = due;
         for (_, order) in due {
-            self.record_order_sending(&order);
+            self.cordon_for(&order);
+            self.send_order(order);
+        }
+    }
+
+    /// Keeps tasks off the worker of an order's instance, which may have been listed since the order
+    /// was decided.
+    fn cordon_for(&mut self, order: &InstanceOrder) {
+        let Some(key) = self.worker_of(order.instance()) else {
+            return;
+        };
+        if !self.worker(key).slots.is_empty() {
+            return;
+        }
+        self.worker_mut(key).is_cordoned = true;
+        if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            row.ordered_worker = Some(key);
+        }
+    }
+
+    /// Sends an order, for the first time or again, unless its instance has work by now: a worker
+    /// that was not listed when the order was decided may have got tasks since.
+    pub(crate) fn send_order(&mut self, order: InstanceOrder) {
+        let worker = self.worker_of(order.instance());
+        let is_busy = worker.is_some_and(|key| !self.worker(key).slots.is_empty());
+        self.record_order_sending(&order);
+        if !is_busy {
             self.actions.push(Action::Instance(order));
+            return;
+        }
+        Event::new("instance_order_dropped")
+            .with("instance", order.instance())
+            .info();
+        if let Some(row) = self.instances.rows.get_mut(order.instance()) {
+            row.order = None;
+            row.ordered_worker = None;
         }
     }
 
     /// Records that an order is sent, for the first time or again.
-    pub(crate) fn record_order_sending(&mut self, order: &InstanceOrder) {
+    fn record_order_sending(&mut self, order: &InstanceOrder) {
         let now_ms = self.now_ms;
         self.order_numbers.record_sending(order.instance(), now_ms);
         if let Some(row) = self.instances.rows.get_mut(order.instance()) {
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -56,6 +56,8 @@
     pub(crate) eligible: Vec<SmolStr>,
     /// Requests that the eligibility service has received.
     pub(crate) ticket_requests: Vec<TicketRequest>,
+    /// Orders to instances are lost on their way.
+    pub(crate) loses_orders: bool,
     /// Orders to instances are carried out, but their first answers are lost.
     pub(crate) loses_first_answers: bool,
     /// Times of `orders`, in milliseconds.
@@ -98,6 +100,7 @@
             orders: Vec::new(),
             eligible: Vec::new(),
             ticket_requests: Vec::new(),
+            loses_orders: false,
             loses_first_answers: false,
             order_times_ms: Vec::new(),
             stops: Vec::new(),
@@ -190,7 +193,8 @@
         }
     }
 
-    fn list_instances(&mut self) {
+    /// Sends the list of instances to the engine.
+    pub(crate) fn list_instances(&mut self) {
         let infos = self.instances.values().cloned().collect();
         self.engine
             .instances_listed(infos, self.now_ms, self.now_ms);
@@ -608,6 +612,11 @@
 
     fn order_instance(&mut self, order: InstanceOrder) {
         let now_ms = self.now_ms;
+        if self.loses_orders {
+            let answer = Err(InstanceFailure::Lost);
+            self.engine.instance_answered(&order, answer, now_ms);
+            return;
+        }
         let is_repeat = self.orders.contains(&order);
         if is_repeat && self.loses_first_answers {
             self.engine.instance_answered(&order, Ok(()), now_ms);
--- a/tests/testsuite/jobs/waves.rs
+++ b/tests/testsuite/jobs/waves.rs
@@ -3,7 +3,7 @@
 use hawthornladder::jobs::{InstanceOrder, StepSpec};
 use smol_str::SmolStr;
 
-use super::simulation::{job, step, Simulation};
+use super::simulation::{job, long_running, step, Simulation};
 
 /// Length of a wave, as the simulation requests it, in milliseconds.
 const WAVE_MS: u64 = 20_000;
@@ -57,3 +57,32 @@
     simulation.advance(3_000);
     assert_eq!(simulation.runs_of(id).len(), 3, "the tasks run elsewhere");
 }
+
+/// An order that was lost is not repeated once the instance has work, although it had no worker when
+/// the order was decided.
+#[test]
+fn a_repeated_order_does_not_end_work_that_has_started_since() {
+    let mut simulation = Simulation::open(&["a"], 1);
+    let late = SmolStr::from("late");
+    simulation.add_instance(&late, "a");
+    // The list of instances shows it before the list of workers does.
+    simulation.list_instances();
+    simulation.loses_orders = true;
+    simulation.request_wave(1, std::slice::from_ref(&late), 1);
+    simulation.advance(500);
+    simulation.list_all();
+    simulation.advance(200);
+    let spread = StepSpec {
+        per_worker_max: 1,
+        unavailable_max: Some(0),
+        ..long_running(2, 2_000)
+    };
+    let id = simulation.submit("a", job(vec![spread]));
+    simulation.advance(300);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.loses_orders = false;
+    for _ in 0..400 {
+        simulation.advance(10);
+        assert_eq!(simulation.runs_of(id).len(), 2, "an order ended a run");
+    }
+}
