Acknowledge no end of a job whose cancel is not persisted

Cause: a leader cut off from the store cancelled a job in memory; a task of it ended as done, and since the job was over the end was acknowledged at once. Ruled out: the acknowledgements by batch, which are as before; lost appends. Change: such an end waits for the next batch, like one that has a record of its own. Test: jobs::faults::an_end_after_a_cancel_that_is_not_persisted_is_not_forgotten, which fails without the change.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -257,6 +257,10 @@
             .info();
         self.record_outcome(key, end.kind, slot.as_ref(), task);
         if !is_live {
+            // Until the end of the job is persisted, a later leader still needs this end.
+            if !self.job(task.job).persisted_state.is_final() {
+                self.persist_before_ack(key);
+            }
             return;
         }
         self.open_round(task);
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -377,3 +377,37 @@
     let last = simulation.starts.last().expect("a start");
     assert!(last.1.starts_with("w-grids"), "{last:?}");
 }
+
+/// A leader without the store cancels a job, and a task ends as done before its stop. The next
+/// leader knows nothing of the cancel, and must not run the task again.
+#[test]
+fn an_end_after_a_cancel_that_is_not_persisted_is_not_forgotten() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let id = simulation.submit("maps", job(vec![step(2, 4_000, 600)]));
+    let longer = simulation.submit("maps", job(vec![step(1, 4_000, 6_000)]));
+    simulation.advance(580);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.is_store_unavailable = true;
+    // The stops are lost, so that the tasks end by themselves.
+    simulation.workers[0].is_disconnected = true;
+    simulation.engine.cancel(id);
+    simulation.advance(100);
+    simulation.workers[0].is_disconnected = false;
+    simulation.advance(1_500);
+    let starts_count = |simulation: &Simulation| {
+        let starts = simulation.starts.iter();
+        starts.filter(|(_, _, task)| task.job == id).count()
+    };
+    assert_eq!(starts_count(&simulation), 2);
+    assert!(simulation.done.iter().any(|task| task.job == id));
+    simulation.fail_over(2);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(9_000, |simulation| {
+        simulation.state(longer) == Some(JobState::Complete)
+    });
+    assert_eq!(
+        starts_count(&simulation),
+        2,
+        "a task that was done ran again"
+    );
+}
