--- a/src/jobs/order_numbers.rs
+++ b/src/jobs/order_numbers.rs
@@ -15,6 +15,15 @@
 /// Shortest time between two records of the settled orders, in milliseconds.
 const SETTLED_RECORD_MS: u64 = 1_000;
 
+/// An order that is sent once its number is persisted.
+#[derive(Debug)]
+struct HeldOrder {
+    number: u64,
+    /// Batch of records that holds the number.
+    batch: u64,
+    order: InstanceOrder,
+}
+
 /// Numbers of orders.
 #[derive(Debug, Default)]
 pub(crate) struct OrderNumbers {
@@ -29,8 +38,8 @@
     restored: Option<OrdersRecord>,
     recorded: Option<OrdersRecord>,
     next_record_ms: u64,
-    /// Orders whose numbers are not persisted yet, with the batch that holds them.
-    held: Vec<(u64, InstanceOrder)>,
+    /// Orders whose numbers are not persisted yet.
+    held: Vec<HeldOrder>,
 }
 
 impl OrderNumbers {
@@ -66,7 +75,11 @@
         self.newest += 1;
         self.last.insert(order.instance().clone(), self.newest);
         self.sent.insert(self.newest, u64::MAX);
-        self.held.push((batch, order));
+        self.held.push(HeldOrder {
+            number: self.newest,
+            batch,
+            order,
+        });
         self.newest
     }
 
@@ -100,13 +113,15 @@
 
     /// Sends the orders whose numbers are persisted with the batches up to `batch`.
     pub(crate) fn send_held_orders(&mut self, batch: u64) {
+        let now_ms = self.now_ms;
         let held = std::mem::take(&mut self.order_numbers.held);
-        let (due, later) = held.into_iter().partition(|(needed, _)| *needed <= batch);
+        let (due, later): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| held.batch <= batch);
         self.order_numbers.held = later;
-        let due: Vec<(u64, InstanceOrder)> = due;
-        for (_, order) in due {
-            self.cordon_for(&order);
-            self.send_order(order);
+        for held in due {
+            // The instance may be gone from the list, and its last number with it.
+            self.order_numbers.sent.insert(held.number, now_ms);
+            self.cordon_for(&held.order);
+            self.send_order(held.order);
         }
     }
 
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -5,7 +5,7 @@
 //! how they grow with the fleet.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
@@ -86,7 +86,7 @@
 /// A simulated worker.
 #[derive(Default)]
 struct PlayedWorker {
-    running: HashMap<(TaskName, u64), ()>,
+    running: HashSet<(TaskName, u64)>,
     ended: Vec<RunEnd>,
     next_number: u64,
     /// Poll that waits for an end, and the time at which it is answered in any case.
@@ -229,7 +229,7 @@
                 let number = u64::try_from(self.started.len()).unwrap_or(u64::MAX);
                 self.ends.push(Reverse((self.now_ms + TASK_MS, number)));
                 let worker = self.workers.entry(order.target.worker).or_default();
-                worker.running.insert((order.name, order.run.run), ());
+                worker.running.insert((order.name, order.run.run));
                 let started = Instant::now();
                 self.engine
                     .start_accepted(&order, Some(self.now_ms), self.now_ms);
@@ -282,7 +282,7 @@
             let reply = PollReply {
                 clock_ms: self.now_ms,
                 started_unix_ms: UNIX_MS,
-                running: worker.running.keys().map(running_row).collect(),
+                running: worker.running.iter().map(running_row).collect(),
                 ended: worker.ended.clone(),
             };
             let started = Instant::now();
