--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -25,8 +25,8 @@
 const LEASE_GRACE_MS: u64 = 6_000;
 /// Interval between steps of the engine when no event occurs, in milliseconds.
 const TICK_MS: u64 = 100;
-/// Shortest time between two steps of the engine, in milliseconds. A step visits all workers and
-/// all waiting jobs; one step per answer would take a whole core at 1,000 starts per second.
+/// Shortest time between two steps of the engine, in milliseconds. Answers that arrive within it
+/// share one step.
 const STEP_PAUSE_MS: u64 = 4;
 /// Timeout of reading the job records, in milliseconds.
 const RESTORE_TIMEOUT_MS: u64 = 2_000;
