--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -15,7 +15,7 @@
 
 /// Time after which an unanswered order is sent again, in milliseconds.
 const ORDER_RETRY_MS: u64 = 1_500;
-/// Time of sending of an order that is not sent yet.
+/// Time of sending of an order that is not sent yet, in milliseconds; later than any other.
 const UNSENT_MS: u64 = u64::MAX;
 /// Time after which a refused order may be given again, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 600;
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -32,6 +32,10 @@
 const TASKS_COUNT: u32 = 8;
 /// Run time of a task, in milliseconds.
 const TASK_MS: u64 = 640;
+/// Mean size of a task, in thousandths of a core.
+const TASK_CPU_MILLIS: u64 = 4_500;
+/// Memory of a task and of a worker, in megabytes.
+const MEMORY_MB: (u64, u64) = (4_600, 65_536);
 /// Unix time at virtual time 0, in milliseconds.
 const UNIX_MS: u64 = 1_700_000_000_000;
 /// Name of the pool and of its queue.
@@ -96,7 +100,6 @@
 /// One peak.
 struct PeakPlay {
     engine: Engine,
-    workers_count: u32,
     workers: HashMap<WorkerKey, PlayedWorker>,
     ends: BinaryHeap<Reverse<(u64, u64)>>,
     started: Vec<StartOrder>,
@@ -129,7 +132,6 @@
         }
         Self {
             engine,
-            workers_count,
             workers: HashMap::new(),
             ends: BinaryHeap::new(),
             started: Vec::new(),
@@ -159,8 +161,9 @@
         }
         (self.spent_on_steps, self.spent_on_polls) = (Duration::ZERO, Duration::ZERO);
         (self.cost.polls_count, self.record_bytes) = (0, 0);
-        let starts_per_s =
-            u64::from(self.workers_count) * WORKER_CPU_MILLIS / 4_500 * 1_000 / TASK_MS;
+        let starts_per_s = u64::from(self.cost.workers_count) * WORKER_CPU_MILLIS / TASK_CPU_MILLIS
+            * 1_000
+            / TASK_MS;
         let jobs_per_s = starts_per_s * DEMAND_PERCENT / 100 / u64::from(TASKS_COUNT);
         let peak_start_ms = self.now_ms;
         while self.now_ms < peak_start_ms + PEAK_MS {
@@ -176,12 +179,12 @@
     fn submit(&mut self) {
         self.next_job += 1;
         // Sizes between half and one and a half times the mean.
-        let cpu_millis = 2_250 + self.next_job * 617 % 4_500;
+        let cpu_millis = TASK_CPU_MILLIS / 2 + self.next_job * 617 % TASK_CPU_MILLIS;
         let step = StepSpec {
             tasks_count: TASKS_COUNT,
             size: Size {
                 cpu_millis,
-                memory_mb: 4_600,
+                memory_mb: MEMORY_MB.0,
                 gpu_count: 0,
             },
             estimate_ms: TASK_MS,
@@ -341,7 +344,7 @@
         labels: vec![format_smolstr!("r-{}", number / 8)],
         capacity: Size {
             cpu_millis: WORKER_CPU_MILLIS,
-            memory_mb: 65_536,
+            memory_mb: MEMORY_MB.1,
             gpu_count: 0,
         },
         is_draining: false,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -58,14 +58,14 @@
 /// Delay before a claim of leadership on an instance with one whole core, in milliseconds. Smaller
 /// instances wait longer, so that the one with the most capacity claims first.
 const CLAIM_DELAY_CORE_MS: f64 = 25.0;
-/// Share of the file descriptors that idle connections may use, in thousandths.
-const IDLE_CONNECTIONS_PERMILLE: usize = 250;
-/// Time without use after which a connection to another process is closed, in milliseconds.
-const IDLE_AGE_MAX_MS: u64 = 10_000;
 /// Longest such delay, in milliseconds.
 const CLAIM_DELAY_MAX_MS: u64 = 400;
 /// Upper bound of the jitter added to that delay, in milliseconds.
 const CLAIM_JITTER_MS: u64 = 60;
+/// Share of the file descriptors that idle connections may use, in thousandths.
+const IDLE_CONNECTIONS_PERMILLE: usize = 250;
+/// Time without use after which a connection to another process is closed, in milliseconds.
+const IDLE_AGE_MAX_MS: u64 = 10_000;
 
 /// One node.
 pub(crate) struct Node {
