Give the batches of records a module of their own

Change: Batch, take_records, records_persisted and what goes with them moved to batches.rs as they were; six fields and one function are pub(crate) for it.

--- /dev/null
+++ b/src/jobs/batches.rs
@@ -0,0 +1,163 @@
+//! Batches of records: what has changed is collected until the store has persisted the batch before.
+//! Callers are answered, and ends and orders acknowledged or sent, once their batch is persisted.
+
+use crate::jobs::engine::{index, job_mut, Engine, Settled};
+use crate::jobs::job::{Job, JobState};
+use crate::jobs::keys::{JobKey, WorkerKey};
+use crate::jobs::record::{JobRecord, ProgressRecord, Record, WorkerRecord};
+use crate::jobs::worker::PollState;
+use crate::logging::Event;
+
+/// Records in flight to the store.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    number: u64,
+    accepted: Vec<JobKey>,
+    pub(crate) progressed: Vec<(JobKey, JobState)>,
+    workers: Vec<WorkerKey>,
+}
+
+impl Engine {
+    /// Returns whether there are records to persist.
+    pub fn has_records(&self) -> bool {
+        !self.new_jobs.is_empty()
+            || !self.dirty_jobs.is_empty()
+            || !self.new_workers.is_empty()
+            || !self.other_records.is_empty()
+    }
+
+    /// Takes the pending records, unless an earlier batch is still in flight.
+    pub fn take_records(&mut self) -> Option<Vec<Record>> {
+        if self.in_flight.is_some() || !self.has_records() {
+            return None;
+        }
+        let mut records = std::mem::take(&mut self.other_records);
+        let mut batch = Batch {
+            number: self.next_batch,
+            accepted: std::mem::take(&mut self.new_jobs),
+            progressed: Vec::new(),
+            workers: std::mem::take(&mut self.new_workers),
+        };
+        self.next_batch += 1;
+        for key in &batch.accepted {
+            let job = &self.jobs[index(key.0)];
+            records.push(Record::Job(job.id, job_record(job)));
+        }
+        for key in std::mem::take(&mut self.dirty_jobs) {
+            let job = job_mut(&mut self.jobs, key);
+            job.is_dirty = false;
+            batch.progressed.push((key, job.state));
+            records.push(Record::Progress(job.id, ProgressRecord::of(job)));
+        }
+        for key in &batch.workers {
+            let info = &self.workers[index(key.0)].info;
+            records.push(Record::Worker(info.id.clone(), worker_record(info)));
+        }
+        self.in_flight = Some(batch);
+        Some(records)
+    }
+
+    /// Marks the batch in flight as persisted, and returns the results that this confirms for
+    /// callers.
+    pub fn records_persisted(&mut self) -> Vec<Settled> {
+        let Some(batch) = self.in_flight.take() else {
+            return Vec::new();
+        };
+        let mut settled = Vec::new();
+        for key in batch.accepted {
+            let job = self.job_mut(key);
+            job.is_persisted = true;
+            settled.push(Settled::Accepted(job.id));
+        }
+        for (key, state) in batch.progressed {
+            let job = job_mut(&mut self.jobs, key);
+            job.persisted_state = state;
+            let id = job.id;
+            match state {
+                JobState::Cancelled => settled.push(Settled::Cancelled(id)),
+                JobState::Complete | JobState::Failed => {
+                    Event::new("job_ended")
+                        .with("job", id)
+                        .with("state", state)
+                        .info();
+                }
+                JobState::Queued | JobState::Active => {}
+            }
+        }
+        for key in batch.workers {
+            self.worker_mut(key).is_persisted = true;
+            self.present.insert(key);
+        }
+        self.acknowledge_ends(batch.number);
+        self.send_held_orders(batch.number);
+        self.needs_dispatch = true;
+        settled
+    }
+
+    /// Allows the acknowledgement of the ends whose records are in the batches up to `number`.
+    fn acknowledge_ends(&mut self, number: u64) {
+        for key in std::mem::take(&mut self.awaiting_workers) {
+            let worker = self.worker_mut(key);
+            match worker.awaited_batch {
+                Some(awaited) if awaited <= number => {
+                    worker.awaited_batch = None;
+                    worker.persisted_through = worker.seen_through;
+                    if let PollState::Idle { due_ms } = &mut worker.poll {
+                        *due_ms = 0;
+                    }
+                }
+                Some(_) => {
+                    self.awaiting_workers.insert(key);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the number of the batch that will hold the records added now.
+    pub(crate) fn next_batch_number(&self) -> u64 {
+        self.next_batch
+    }
+
+    /// Delays the acknowledgement of a worker's ends until the records added now are persisted.
+    pub(crate) fn persist_before_ack(&mut self, key: WorkerKey) {
+        let batch = self.next_batch;
+        self.worker_mut(key).awaited_batch = Some(batch);
+        self.awaiting_workers.insert(key);
+    }
+
+    /// Queues the record of an accepted job.
+    pub(crate) fn persist_new_job(&mut self, key: JobKey) {
+        self.new_jobs.push(key);
+    }
+
+    /// Queues the record of a worker; tasks are started on the worker once it is persisted.
+    pub(crate) fn persist_worker(&mut self, key: WorkerKey) {
+        self.new_workers.push(key);
+    }
+
+    /// Queues a record for the next batch.
+    pub(crate) fn persist(&mut self, record: Record) {
+        self.other_records.push(record);
+    }
+}
+
+fn job_record(job: &Job) -> JobRecord {
+    JobRecord {
+        spec: (*job.spec).clone(),
+        queue: job.queue.clone(),
+        pool: job.pool.clone(),
+        team: job.team.clone(),
+        accepted_unix_ms: job.accepted_unix_ms,
+    }
+}
+
+fn worker_record(info: &crate::jobs::worker::WorkerInfo) -> WorkerRecord {
+    WorkerRecord {
+        address: smol_str::format_smolstr!("{}", info.address),
+        pool: info.pool.clone(),
+        zone: info.zone.clone(),
+        labels: info.labels.clone(),
+        capacity: info.capacity,
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! other module holds one part of its logic.
 
 mod answers;
+mod batches;
 mod capacity;
 mod catalog;
 mod demand;
