Record a worker once it has answered, and delete its record before its instance is ordered

Cause: after a change of leader all accepted jobs of a pool still waited for 3 s if one recorded worker was gone. Change: the record is written when the worker has been fenced. The deletion of the record goes with the number of the order, before the order is sent: the worker is idle and closed to tasks by then. If the order is refused, the worker is recorded again before it gets tasks. Tests: a_new_leader_waits_for_no_worker_that_never_answered, ..._of_an_instance_with_an_order_in_flight; both failed before.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -136,6 +136,15 @@
         self.new_workers.push(key);
     }
 
+    /// Queues the deletion of a worker's record. Nothing may run on the worker, and no task is
+    /// started there until it is recorded again.
+    pub(crate) fn forget_worker(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        worker.is_persisted = false;
+        let id = worker.info.id.clone();
+        self.persist(Record::ForgetWorker(id));
+    }
+
     /// Queues a record for the next batch.
     pub(crate) fn persist(&mut self, record: Record) {
         self.other_records.push(record);
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -323,8 +323,7 @@
             row.no_order_until_ms = now_ms + REFUSED_RETRY_MS;
         }
         if let Some(key) = worker {
-            self.worker_mut(key).is_cordoned = false;
-            self.needs_dispatch = true;
+            self.reopen_worker(key);
         }
         match (failure, order) {
             (InstanceFailure::Fenced, _) => self.lose_leadership("instances"),
@@ -336,6 +335,16 @@
         }
     }
 
+    /// Lets tasks start again on a worker whose instance got no order after all.
+    fn reopen_worker(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        worker.is_cordoned = false;
+        if worker.is_listed && worker.is_fenced && !worker.is_persisted {
+            self.persist_worker(key);
+        }
+        self.needs_dispatch = true;
+    }
+
     /// Returns whether a planned stop of a run stays within the budget of its step, which limits
     /// how many tasks of the step may be unavailable at once.
     pub(crate) fn may_stop(&self, run: &RunKey) -> bool {
--- a/src/jobs/order_numbers.rs
+++ b/src/jobs/order_numbers.rs
@@ -103,9 +103,16 @@
 }
 
 impl Engine {
-    /// Persists the number of an order; the order is sent afterwards.
+    /// Persists the number of an order, and that nothing runs on the instance's worker; the order
+    /// is sent afterwards. A later leader then need not wait for that worker.
     pub(crate) fn hold_instance_order(&mut self, order: InstanceOrder) {
         let instance = order.instance().clone();
+        if let Some(key) = self.worker_of(&instance) {
+            let worker = self.worker(key);
+            if worker.is_persisted && worker.is_cordoned && worker.slots.is_empty() {
+                self.forget_worker(key);
+            }
+        }
         let batch = self.next_batch_number();
         let number = self.order_numbers.hold(order, batch);
         self.persist(Record::Order(instance, number));
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -8,7 +8,6 @@
 use crate::jobs::orders::{
     Action, EndKind, OrderFailure, PollOrder, PollReply, RunEnd, RunRow, StopOrder,
 };
-use crate::jobs::record::Record;
 use crate::jobs::worker::{PollState, Slot, SlotState};
 use crate::logging::Event;
 
@@ -124,6 +123,11 @@
                 .with("running_count", reply.running.len())
                 .with("ended_count", reply.ended.len())
                 .info();
+            // Listed workers that never answer are not recorded, so that no later leader waits for
+            // them.
+            if !self.worker(key).is_persisted && self.worker(key).is_listed {
+                self.persist_worker(key);
+            }
         }
         for end in &reply.ended {
             self.apply_end(key, end);
@@ -566,11 +570,7 @@
                 && is_known
                 && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
             match (is_gone, worker.is_persisted) {
-                (true, true) => {
-                    let id = worker.info.id.clone();
-                    self.worker_mut(key).is_persisted = false;
-                    self.persist(Record::ForgetWorker(id));
-                }
+                (true, true) => self.forget_worker(key),
                 // Its record is deleted or was never written. Ends of this worker that are not
                 // acknowledged yet no longer matter.
                 (true, false) if worker.awaited_batch.is_none() => {
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -166,7 +166,7 @@
                 worker.poll = PollState::Idle { due_ms: 0 };
             }
         }
-        if needs_record || needs_new_record {
+        if needs_new_record || (needs_record && self.worker(key).is_fenced) {
             self.persist_worker(key);
         }
     }
--- a/tests/testsuite/jobs/peaks.rs
+++ b/tests/testsuite/jobs/peaks.rs
@@ -1,7 +1,7 @@
 //! Loads of the first seconds of a demand peak: what must not keep a pool from working, and what a
 //! new leader knows and does at once.
 
-use hawthornladder::jobs::{JobState, StepSpec};
+use hawthornladder::jobs::{JobId, JobSpec, JobState, StepSpec, WorkerInfo};
 use smol_str::SmolStr;
 
 use super::simulation::{job, long_running, step, Simulation};
@@ -112,30 +112,80 @@
     }
 }
 
-/// Instances move all the time in a peak, and the workers that they had stay listed for some
-/// seconds. A new leader does not wait for those: no record says that tasks were started there.
-#[test]
-fn a_new_leader_waits_for_no_worker_of_an_instance_that_has_moved() {
-    let mut simulation = Simulation::open(&["a", "b"], 4);
-    simulation.submit("b", job(vec![step(16, 16_000, 4_000)]));
-    simulation.advance(4_000);
-    let gone: Vec<_> = simulation
-        .workers
-        .values()
-        .filter(|worker| worker.is_dead && worker.info.pool == "a")
-        .map(|worker| worker.info.clone())
-        .collect();
-    assert!(!gone.is_empty(), "no instance has moved");
+/// Returns a job with a second step, which a leader has to start after the end of the first one.
+fn job_of_two_steps() -> JobSpec {
     let second = StepSpec {
         after: vec![0],
         ..step(2, 2_000, 400)
     };
-    let waiting = simulation.submit("a", job(vec![step(2, 2_000, 400), second]));
-    simulation.advance(50);
+    job(vec![step(2, 2_000, 400), second])
+}
+
+/// Returns the workers of a pool that are gone; the platform lists them for some time yet.
+fn gone_workers(simulation: &Simulation, pool: &str) -> Vec<WorkerInfo> {
+    let gone = simulation.workers.values();
+    gone.filter(|worker| worker.is_dead && worker.info.pool == pool)
+        .map(|worker| worker.info.clone())
+        .collect()
+}
+
+/// Replaces the leader while the list still has workers that are gone, and checks that it finishes
+/// a job without waiting for them.
+fn assert_goes_on_without(simulation: &mut Simulation, gone: &[WorkerInfo], waiting: JobId) {
     simulation.fail_over(2);
     for info in gone {
-        simulation.engine.worker_listed(info, simulation.now_ms);
+        simulation
+            .engine
+            .worker_listed(info.clone(), simulation.now_ms);
     }
     simulation.advance(1_500);
     assert_eq!(simulation.state(waiting), Some(JobState::Complete));
 }
+
+/// Instances move all the time in a peak, and the workers that they had stay listed for some
+/// seconds. A new leader does not wait for those: no record says that tasks were started there.
+#[test]
+fn a_new_leader_waits_for_no_worker_of_an_instance_that_has_moved() {
+    let mut simulation = Simulation::open(&["a", "b"], 4);
+    simulation.submit("b", job(vec![step(16, 16_000, 4_000)]));
+    simulation.advance(4_000);
+    let gone = gone_workers(&simulation, "a");
+    assert!(!gone.is_empty(), "no instance has moved");
+    let waiting = simulation.submit("a", job_of_two_steps());
+    simulation.advance(50);
+    assert_goes_on_without(&mut simulation, &gone, waiting);
+}
+
+/// A leader that ends right after it has ordered moves leaves no worker for which the next one
+/// waits: what is known before an order is sent is persisted with its number.
+#[test]
+fn a_new_leader_waits_for_no_worker_of_an_instance_with_an_order_in_flight() {
+    let mut simulation = Simulation::open(&["a", "b"], 4);
+    simulation.submit("b", job(vec![step(16, 16_000, 4_000)]));
+    let waiting = simulation.submit("a", job_of_two_steps());
+    simulation.advance_until(3_000, |simulation| {
+        !gone_workers(simulation, "a").is_empty()
+    });
+    let gone = gone_workers(&simulation, "a");
+    assert_goes_on_without(&mut simulation, &gone, waiting);
+}
+
+/// A worker that was listed and never answered has no tasks, and a new leader does not wait for it.
+#[test]
+fn a_new_leader_waits_for_no_worker_that_never_answered() {
+    let mut simulation = Simulation::open(&["a"], 4);
+    let mut silent = simulation.workers[0].info.clone();
+    silent.id = "silent".into();
+    silent.instance = None;
+    let mut worker = simulation.workers[0].clone();
+    worker.info = silent.clone();
+    worker.is_dead = true;
+    simulation.workers.insert(silent.id.clone(), worker);
+    simulation
+        .engine
+        .worker_listed(silent.clone(), simulation.now_ms);
+    simulation.advance(500);
+    let waiting = simulation.submit("a", job_of_two_steps());
+    simulation.advance(50);
+    assert_goes_on_without(&mut simulation, &[silent], waiting);
+}
