Ignore the entry of a worker whose instance has been moved or maintained

Cause: the list repeats an entry shortly after the order was carried out; the leader took the worker for one that is back and recorded it, so that the next leader waited for it (found by following each worker that a new leader had not seen). Change: an entry with the start time of the incarnation that ended with the order is ignored. Test: an_entry_of_a_worker_that_was_moved_away_is_ignored; failed before.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -301,6 +301,7 @@
         }
         if let Some(key) = worker {
             self.remove_worker(key, "instance_ordered");
+            self.worker_mut(key).has_ended = true;
         }
         if let InstanceOrder::Maintain { instance, wave } = order {
             self.wave_member_done(*wave, instance);
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -125,6 +125,9 @@
         let known = self.worker_keys.get(&info.id).copied();
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
         let worker = self.worker(key);
+        if worker.is_outdated_entry(&info) {
+            return;
+        }
         let started_unix_ms = worker.info.started_unix_ms;
         let is_restarted =
             worker.info.started_unix_ms != 0 && info.started_unix_ms > worker.info.started_unix_ms;
@@ -149,6 +152,7 @@
         let worker = self.worker_mut(key);
         worker.is_listed = true;
         worker.is_removed = false;
+        worker.has_ended = false;
         if worker.listed_ms == 0 {
             worker.listed_ms = now_ms;
         }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -138,6 +138,9 @@
     pub(crate) is_fenced: bool,
     /// Whether the worker is known to be gone: nothing runs there, and nothing will.
     pub(crate) is_removed: bool,
+    /// Whether this incarnation has ended with an order to its instance. The list may still have
+    /// it for some time.
+    pub(crate) has_ended: bool,
     /// Whether no new tasks are started on it, because of a planned stop.
     pub(crate) is_cordoned: bool,
     /// Runs that are, or may be, at the worker.
@@ -186,6 +189,7 @@
             is_inherited: false,
             is_fenced: false,
             is_removed: false,
+            has_ended: false,
             is_cordoned: false,
             slots: IndexMap::new(),
             used: Size::default(),
@@ -247,6 +251,12 @@
         }
     }
 
+    /// Returns whether `info` is an entry of the incarnation that has ended.
+    pub(crate) fn is_outdated_entry(&self, info: &WorkerInfo) -> bool {
+        let is_same = info.started_unix_ms == self.info.started_unix_ms;
+        self.has_ended && is_same && info.started_unix_ms != 0
+    }
+
     /// Returns whether runs of an earlier leader may be there that this leader has not seen. A
     /// worker without a record of an earlier leader has none: tasks are started only where a record
     /// is persisted.
@@ -282,6 +292,7 @@
     /// there.
     pub(crate) fn start_incarnation(&mut self, started_unix_ms: u64) -> Vec<RunKey> {
         self.info.started_unix_ms = started_unix_ms;
+        self.has_ended = false;
         self.clock = None;
         self.leased_until_worker_ms = 0;
         self.seen_through = 0;
--- a/tests/testsuite/jobs/peaks.rs
+++ b/tests/testsuite/jobs/peaks.rs
@@ -189,3 +189,23 @@
     simulation.advance(50);
     assert_goes_on_without(&mut simulation, &[silent], waiting);
 }
+
+/// The list repeats the entry of a worker after its instance was moved. It is not taken for a
+/// worker that is back, neither by this leader nor, through a record, by the next one.
+#[test]
+fn an_entry_of_a_worker_that_was_moved_away_is_ignored() {
+    let mut simulation = Simulation::open(&["a", "b"], 4);
+    simulation.submit("b", job(vec![step(16, 16_000, 4_000)]));
+    simulation.advance(3_000);
+    let gone = gone_workers(&simulation, "a");
+    assert!(!gone.is_empty(), "no instance has moved");
+    for info in &gone {
+        simulation
+            .engine
+            .worker_listed(info.clone(), simulation.now_ms);
+    }
+    simulation.advance(100);
+    let waiting = simulation.submit("a", job_of_two_steps());
+    simulation.advance(50);
+    assert_goes_on_without(&mut simulation, &gone, waiting);
+}
