Retry a request on another worker than the one on which it failed

Cause: a worker that fails all it starts looks idle, so that the least loaded worker is the one on which the request has just failed. Change: a waiting request remembers where its last attempt failed; the placement takes any other worker with capacity first. Test: a_retry_goes_to_another_worker_than_the_one_on_which_the_request_failed; the placement before gave that worker.

--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -151,6 +151,7 @@
             deadline_ms: now_ms + call.deadline_ms,
             is_urgent: admitted.is_urgent,
             declared_run_ms: call.declared_run_ms,
+            failed_on: None,
         }
     }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -105,7 +105,7 @@
                     .is_some_and(|team| escrow.can_start(ledger, seat, team)),
             };
             chosen = match has_permit {
-                true => placement.choose(now_ms, pool, &waiting.size, rng),
+                true => placement.choose(now_ms, pool, &waiting.size, waiting.failed_on, rng),
                 false => None,
             };
             chosen.is_some()
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -136,6 +136,7 @@
             deadline_ms: now_ms + left_ms,
             is_urgent,
             declared_run_ms: row.declared_run_ms,
+            failed_on: None,
         };
         let body = BASE64.decode(&row.body_base64).unwrap_or_default();
         Request {
--- a/src/entry/outcomes.rs
+++ b/src/entry/outcomes.rs
@@ -106,6 +106,7 @@
     /// Ends or retries the request of an attempt.
     pub(crate) fn end_or_retry(&mut self, attempt: &Attempt, outcome: WorkerOutcome) {
         let key = attempt.request;
+        self.avoid_worker_of(attempt);
         match outcome {
             WorkerOutcome::Ran {
                 is_success: true,
@@ -163,6 +164,13 @@
         self.wait.put_back(now_ms, waiting);
     }
 
+    /// Keeps the retry of a request off the worker on which it failed, while there are others.
+    fn avoid_worker_of(&mut self, attempt: &Attempt) {
+        if let Some(request) = self.requests.get_mut(attempt.request) {
+            request.waiting.failed_on = Some(attempt.worker);
+        }
+    }
+
     /// Schedules another attempt after a backoff, if one is allowed; returns whether it is.
     pub(crate) fn schedule_retry(&mut self, key: RequestKey, reason: RetryReason) -> bool {
         let now_ms = self.now.mono_ms;
--- a/src/load/cost.rs
+++ b/src/load/cost.rs
@@ -220,6 +220,7 @@
         deadline_ms: 3_600_000,
         is_urgent: false,
         declared_run_ms: 0,
+        failed_on: None,
     }
 }
 
@@ -236,7 +237,7 @@
     let mut running = Vec::new();
     let mut step = |index: u32| {
         let pool = PoolKey((index % u32::from(size.pools_count)) as u16);
-        if let Some(worker) = placement.choose(0, pool, &REQUEST_SIZE, &mut rng) {
+        if let Some(worker) = placement.choose(0, pool, &REQUEST_SIZE, None, &mut rng) {
             placement.started(worker, &REQUEST_SIZE);
             running.push(worker);
         }
--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -223,7 +223,7 @@
         let (placement, rng) = (&mut self.placement, &mut self.rng);
         let mut chosen = None;
         let mut can_start = |waiting: &WaitingRequest| {
-            chosen = placement.choose(now_ms, pool, &waiting.size, rng);
+            chosen = placement.choose(now_ms, pool, &waiting.size, waiting.failed_on, rng);
             chosen.is_some()
         };
         let waiting = self
--- a/src/load/world/callers.rs
+++ b/src/load/world/callers.rs
@@ -104,6 +104,7 @@
             deadline_ms: state.deadline_ms,
             is_urgent: self.spec.queues[arrival.queue].is_urgent,
             declared_run_ms: arrival.declared_run_ms,
+            failed_on: None,
         }
     }
 
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::fleet::{MonoMs, Resources};
-use crate::policy::keys::{PoolKey, QueueKey, RequestKey};
+use crate::policy::keys::{PoolKey, QueueKey, RequestKey, WorkerKey};
 use crate::policy::usage::TeamOrOpen;
 
 /// A request that waits for its start.
@@ -28,6 +28,8 @@
     pub is_urgent: bool,
     /// Declared run time. It is reported but plays no part in decisions.
     pub declared_run_ms: u64,
+    /// Worker on which its last attempt failed; a retry prefers any other.
+    pub failed_on: Option<WorkerKey>,
 }
 
 /// A waiting request with the latest time at which it is worth starting.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -229,12 +229,14 @@
     }
 
     /// Chooses a worker of `pool` with capacity for a request of `size`. Returns `None` if none of
-    /// the workers tried had capacity; the request then keeps waiting.
+    /// the workers tried had capacity; the request then keeps waiting. The worker `failed_on`, on
+    /// which the request has failed, is chosen only if no other was found.
     pub fn choose<R: Rng>(
         &mut self,
         now_ms: MonoMs,
         pool: PoolKey,
         size: &Resources,
+        failed_on: Option<WorkerKey>,
         rng: &mut R,
     ) -> Option<WorkerKey> {
         self.refresh_preferred(pool);
@@ -244,13 +246,13 @@
         // slot.
         while start < end {
             let range = &workers.preferred[start..end];
-            let chosen = self.choose_from(now_ms, range, size, rng);
-            if chosen.is_some() {
+            let chosen = self.choose_from(now_ms, range, size, failed_on, rng);
+            if chosen.is_some() && chosen != failed_on {
                 return chosen;
             }
             (start, end) = (end, (end * 2).min(workers.preferred.len()));
         }
-        self.choose_from(now_ms, &workers.free, size, rng)
+        self.choose_from(now_ms, &workers.free, size, failed_on, rng)
     }
 
     /// Returns the least loaded worker with capacity: of the whole range if it is short, else of
@@ -260,14 +262,17 @@
         now_ms: MonoMs,
         range: &[WorkerKey],
         size: &Resources,
+        failed_on: Option<WorkerKey>,
         rng: &mut R,
     ) -> Option<WorkerKey> {
         match range.len() {
             0 => None,
-            len if len <= COMPARE_ALL_MAX_COUNT => self.least_loaded(now_ms, range, size),
+            len if len <= COMPARE_ALL_MAX_COUNT => {
+                self.least_loaded(now_ms, range, size, failed_on)
+            }
             len => (0..self.settings.tries_max_count).find_map(|_| {
                 let pair = [(); 2].map(|()| range[rng.random_range(0..len)]);
-                self.least_loaded(now_ms, &pair, size)
+                self.least_loaded(now_ms, &pair, size, failed_on)
             }),
         }
     }
@@ -277,6 +282,7 @@
         now_ms: MonoMs,
         keys: &[WorkerKey],
         size: &Resources,
+        failed_on: Option<WorkerKey>,
     ) -> Option<WorkerKey> {
         let load = |key: &WorkerKey| self.workers[key].load();
         keys.iter()
@@ -284,7 +290,11 @@
                 let worker = &self.workers[*key];
                 worker.free_index.is_some() && worker.has_capacity(now_ms, size)
             })
-            .min_by(|left, right| load(left).total_cmp(&load(right)))
+            .min_by(|left, right| {
+                let has_failed = |key: &WorkerKey| failed_on == Some(*key);
+                let by_load = load(left).total_cmp(&load(right));
+                has_failed(left).cmp(&has_failed(right)).then(by_load)
+            })
             .copied()
     }
 
--- a/tests/testsuite/policy_health.rs
+++ b/tests/testsuite/policy_health.rs
@@ -98,7 +98,7 @@
             let worker = WorkerKey(worker);
             match kind {
                 0..=2 => {
-                    if let Some(chosen) = placement.choose(0, POOL, &size, &mut rng) {
+                    if let Some(chosen) = placement.choose(0, POOL, &size, None, &mut rng) {
                         prop_assert!(!unusable.get(&chosen).copied().unwrap_or(false));
                         placement.started(chosen, &size);
                         *running.entry(chosen).or_insert(0) += 1;
@@ -201,7 +201,7 @@
         ..Resources::default()
     };
     let mut chosen: HashMap<WorkerKey, u32> = HashMap::new();
-    while let Some(worker) = placement.choose(0, POOL, &size, &mut rng) {
+    while let Some(worker) = placement.choose(0, POOL, &size, None, &mut rng) {
         placement.started(worker, &size);
         *chosen.entry(worker).or_insert(0) += 1;
         let count: u32 = chosen.values().sum();
@@ -221,8 +221,32 @@
     let size = Resources::default();
     placement.refused_busy(1_000, WorkerKey(0));
     placement.tick(1_050);
-    assert_eq!(placement.choose(1_050, POOL, &size, &mut rng), None);
+    assert_eq!(placement.choose(1_050, POOL, &size, None, &mut rng), None);
     placement.tick(2_000);
-    let chosen = placement.choose(2_000, POOL, &size, &mut rng);
+    let chosen = placement.choose(2_000, POOL, &size, None, &mut rng);
     assert_eq!(chosen, Some(WorkerKey(0)));
 }
+
+/// A worker that fails everything looks idle, so that the least loaded worker is the one on which
+/// the request has just failed.
+#[test]
+fn a_retry_goes_to_another_worker_than_the_one_on_which_the_request_failed() {
+    let mut placement = Placement::new(PlacementSettings::in_zone(ZoneKey(0)));
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let size = Resources::default();
+    let failed_on = WorkerKey(0);
+    placement.set_worker(failed_on, facts(0));
+    let alone = placement.choose(0, POOL, &size, Some(failed_on), &mut rng);
+    assert_eq!(alone, Some(failed_on), "the only worker is not tried again");
+    for worker in 1..12 {
+        placement.set_worker(WorkerKey(worker), facts(0));
+        for _ in 0..4 {
+            placement.started(WorkerKey(worker), &size);
+        }
+        let chosen = placement.choose(0, POOL, &size, Some(failed_on), &mut rng);
+        assert!(
+            chosen.is_some_and(|chosen| chosen != failed_on),
+            "{chosen:?}"
+        );
+    }
+}
--- a/tests/testsuite/policy_share.rs
+++ b/tests/testsuite/policy_share.rs
@@ -50,6 +50,7 @@
         deadline_ms,
         is_urgent: false,
         declared_run_ms: 1,
+        failed_on: None,
     }
 }
 
