Shorten the lease of leadership to 1 s at a fast store, and send nothing on a lease that has ended

An order to an instance checked the lease before it connected, so that a process paused in between would have sent it later. A report that a wave is in progress, held up by an outage of the store, was retried after the report that it is complete, and by a node that no longer led. Change: the lease lasts 1 s at least and is renewed every 250 ms; it still grows with the store's answers. Orders to instances check the lease once the connection stands. A newer report on a wave ends the retries of older ones, and so does the end of leadership. New log lines pool_recovering and pool_recovered tell which pools wait for workers after a change of leader.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -92,6 +92,7 @@
             return;
         }
         self.next_review_ms = self.now_ms + REVIEW_MS;
+        self.log_recovering_pools();
         self.review_pace();
         self.demand_cycle.advance(self.now_ms);
         if self.instances.is_list_read {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -102,6 +102,8 @@
     pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
     /// Workers that are listed, persisted or have runs; all others are ignored.
     pub(crate) present: IndexSet<WorkerKey>,
+    /// Pools in which jobs of earlier leaders wait for workers that have not answered this leader.
+    pub(crate) recovering_pools: IndexSet<SmolStr>,
     pub(crate) team_used: HashMap<SmolStr, Size>,
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
@@ -151,6 +153,7 @@
             awaiting_workers: IndexSet::new(),
             worker_keys: HashMap::new(),
             present: IndexSet::new(),
+            recovering_pools: IndexSet::new(),
             team_used: HashMap::new(),
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
--- a/src/jobs/free_capacity.rs
+++ b/src/jobs/free_capacity.rs
@@ -115,6 +115,12 @@
         self.unseen_count > 0
     }
 
+    /// Returns the number of workers where runs of an earlier leader may be that this leader has not
+    /// seen.
+    pub(crate) fn unseen_count(&self) -> usize {
+        self.unseen_count
+    }
+
     /// Returns the most free processor time of a worker that accepts tasks, in thousandths of a
     /// core, or `None` if no worker does.
     pub(crate) fn most_free_cpu_millis(&self) -> Option<u64> {
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -83,6 +83,37 @@
         self.needs_dispatch = true;
     }
 
+    /// Logs for which pools the jobs of earlier leaders start to wait, or no longer wait, for workers
+    /// that have not answered this leader.
+    pub(crate) fn log_recovering_pools(&mut self) {
+        let now_ms = self.now_ms;
+        let is_over = now_ms >= self.inherited_runs_end_at_ms();
+        for name in self.catalog.pools.keys() {
+            let unseen_count = match self.free_capacity.pool(name) {
+                Some(pool) if !is_over => pool.unseen_count(),
+                _ => 0,
+            };
+            let is_known = self.recovering_pools.contains(name);
+            match (unseen_count > 0, is_known) {
+                (true, false) => {
+                    self.recovering_pools.insert(name.clone());
+                    Event::new("pool_recovering")
+                        .with("pool", name)
+                        .with("unseen_workers_count", unseen_count)
+                        .info();
+                }
+                (false, true) => {
+                    self.recovering_pools.swap_remove(name);
+                    Event::new("pool_recovered")
+                        .with("pool", name)
+                        .with("after_ms", now_ms.saturating_sub(self.opened_ms))
+                        .info();
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn restore_worker(&mut self, id: SmolStr, record: WorkerRecord) {
         let Ok(address) = record.address.parse() else {
             Event::new("record_unreadable")
@@ -103,9 +134,7 @@
             instance: None,
         };
         let key = self.add_worker(info);
-        let worker = self.worker_mut(key);
-        worker.is_persisted = true;
-        worker.is_inherited = true;
+        self.worker_mut(key).is_persisted = true;
     }
 
     fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -132,8 +132,6 @@
     pub(crate) is_listed: bool,
     /// Whether the store has a record that tasks may have been started on it.
     pub(crate) is_persisted: bool,
-    /// Whether an earlier leader recorded it, and so may have started tasks on it.
-    pub(crate) is_inherited: bool,
     /// Whether this leader has raised its fence at this incarnation.
     pub(crate) is_fenced: bool,
     /// Whether the worker is known to be gone: nothing runs there, and nothing will.
@@ -186,7 +184,6 @@
             info,
             is_listed: false,
             is_persisted: false,
-            is_inherited: false,
             is_fenced: false,
             is_removed: false,
             has_ended: false,
@@ -258,10 +255,9 @@
     }
 
     /// Returns whether runs of an earlier leader may be there that this leader has not seen. A
-    /// worker without a record of an earlier leader has none: tasks are started only where a record
-    /// is persisted.
+    /// worker that this leader records has answered it before.
     pub(crate) fn may_have_unseen_runs(&self) -> bool {
-        self.is_inherited && self.is_persisted && !self.is_fenced && !self.is_removed
+        self.is_persisted && !self.is_fenced && !self.is_removed
     }
 
     /// Returns whether new tasks may be started there.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -98,12 +98,26 @@
 
     /// Makes a call on an idle connection, or on a new one if there is none.
     pub async fn call(&self, call: Call) -> Result<Reply, CallFailure> {
+        self.call_if(call, || true).await
+    }
+
+    /// Makes a call, but sends nothing unless `may_send` holds once there is a connection. To
+    /// connect takes time, and the process may be paused meanwhile, in which a lease may end.
+    pub async fn call_if(
+        &self,
+        call: Call,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Reply, CallFailure> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
-        let mut sender = match self.take_idle(call.address) {
+        let address = call.address;
+        let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(call.address, deadline).await?,
+            None => connect(address, deadline).await?,
         };
-        let address = call.address;
+        if !may_send() {
+            self.put_idle(address, sender);
+            return Err(CallFailure::NotSent);
+        }
         let result = timeout_at(deadline, exchange(&mut sender, call)).await;
         match result {
             Ok(Ok(reply)) => {
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -12,7 +12,7 @@
 };
 use crate::logging::Event;
 use crate::node::journal::{self, Journal};
-use crate::node::{fleet_lists, CallAnswer, Node, Role, StoreFailure};
+use crate::node::{fleet_lists, CallAnswer, Node, Role, StoreFailure, WaveReports};
 use crate::platform::{advice, instances, status, store::Topic, workers};
 
 /// Lease granted to the runs of a worker, in milliseconds, unless the platform's limit is lower.
@@ -53,6 +53,7 @@
     pub(crate) engine: Engine,
     pub(crate) journal: Journal,
     pub(crate) waiters: Waiters,
+    pub(crate) wave_reports: WaveReports,
     /// Whether all job records have been read.
     pub(crate) is_restored: bool,
 }
@@ -261,17 +262,20 @@
     let Some(address) = node.settings.instances_address else {
         return;
     };
-    let role = node.leadership.borrow().role(node.now_ms());
-    let Role::Leader {
-        fence,
-        is_valid: true,
-    } = role
-    else {
+    let valid_fence = || match node.leadership.borrow().role(node.now_ms()) {
+        Role::Leader {
+            fence,
+            is_valid: true,
+        } => Some(fence),
+        _ => None,
+    };
+    let Some(fence) = valid_fence() else {
         return;
     };
     let sent_ms = node.now_ms();
-    let holder = &node.settings.name;
-    let answer = instances::order(&node.client, address, &order, holder, fence).await;
+    let sender = (node.settings.name.as_str(), fence);
+    let may_send = || valid_fence() == Some(fence);
+    let answer = instances::order(&node.client, address, &order, sender, may_send).await;
     let now_ms = node.now_ms();
     let outcome = match answer {
         Ok(()) => "ok",
@@ -284,9 +288,23 @@
     node.request_step();
 }
 
+/// Writes a report on a wave, until the store has taken it, a newer one follows, or this node no
+/// longer leads.
 async fn report_wave(node: Rc<Node>, wave: u64, is_complete: bool) {
+    let added = node.leader_state.borrow_mut().as_mut().map(|leader| {
+        let fence = leader.engine.fence();
+        (fence, leader.wave_reports.add(wave))
+    });
+    let Some((fence, number)) = added else {
+        return;
+    };
     let record = [status::wave_record(wave, is_complete)];
     for _ in 0..WAVE_REPORT_ATTEMPTS_MAX {
+        let is_newest =
+            node.with_leader(fence, |leader| leader.wave_reports.is_newest(wave, number));
+        if is_newest != Some(true) {
+            return;
+        }
         let sent_ms = node.now_ms();
         let reported = node
             .store
@@ -303,9 +321,6 @@
                 tokio::time::sleep(Duration::from_millis(WAVE_REPORT_RETRY_MS)).await;
             }
         }
-        if node.leader_state.borrow().is_none() {
-            return;
-        }
     }
 }
 
@@ -372,6 +387,7 @@
         engine,
         journal: Journal::default(),
         waiters: HashMap::new(),
+        wave_reports: WaveReports::default(),
         is_restored: false,
     });
     node.metrics.leading_fence.set(fence);
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -12,11 +12,11 @@
 
 /// Shortest and longest lease, in milliseconds. The holder counts it from the sending of the
 /// renewal.
-const LEASE_BOUNDS_MS: (u64, u64) = (1_500, 5_000);
+const LEASE_BOUNDS_MS: (u64, u64) = (1_000, 5_000);
 /// A lease lasts this many times as long as the last write took, within `LEASE_BOUNDS_MS`.
 const LEASE_WRITE_FACTOR: u64 = 4;
 /// Time between two renewals, in milliseconds.
-const RENEW_MS: u64 = 300;
+const RENEW_MS: u64 = 250;
 /// Time without a new record, beyond the lease, after which another process may claim, in
 /// milliseconds. Each process counts it from its own last read of a new record, and only while it
 /// can reach the store.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod peers;
 mod types;
+mod wave_reports;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -40,6 +41,7 @@
     CallAnswer, CallKind, Fence, KeyedPage, KeyedRecord, LogPage, NodeBounds, NodeSettings,
     PeerCall, Refusal, StoreFailure, StoreLimits,
 };
+pub use wave_reports::WaveReports;
 
 use leader::LeaderState;
 
--- /dev/null
+++ b/src/node/wave_reports.rs
@@ -0,0 +1,25 @@
+//! Which reports on the progress of waves are still worth writing. A report that the store has not
+//! taken is retried; it must not replace a newer one on the same wave.
+
+use std::collections::HashMap;
+
+/// The newest report on each wave.
+#[derive(Clone, Debug, Default)]
+pub struct WaveReports {
+    newest: HashMap<u64, u64>,
+    last_number: u64,
+}
+
+impl WaveReports {
+    /// Adds a report on a wave and returns its number.
+    pub fn add(&mut self, wave: u64) -> u64 {
+        self.last_number += 1;
+        self.newest.insert(wave, self.last_number);
+        self.last_number
+    }
+
+    /// Returns whether no newer report on the wave was added.
+    pub fn is_newest(&self, wave: u64, number: u64) -> bool {
+        self.newest.get(&wave) == Some(&number)
+    }
+}
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -110,13 +110,14 @@
     Err(InstanceFailure::Lost)
 }
 
-/// Gives an order to an instance, as the node `holder` that leads under `fence`.
+/// Gives an order to an instance, as the node `holder` that leads under `fence`. Nothing is sent
+/// unless `may_send` holds right before.
 pub async fn order(
     client: &Client,
     address: SocketAddr,
     order: &InstanceOrder,
-    holder: &str,
-    fence: u64,
+    (holder, fence): (&str, u64),
+    may_send: impl Fn() -> bool,
 ) -> Result<(), InstanceFailure> {
     let (path, body) = match order {
         InstanceOrder::Move { instance, pool } => (
@@ -148,10 +149,13 @@
         timeout_ms: TIMEOUT_MS,
         answer_max_bytes: ANSWER_MAX_BYTES,
     };
-    let reply = client.call(call).await.map_err(|failure| match failure {
-        CallFailure::NotSent => InstanceFailure::Refused,
-        CallFailure::Lost => InstanceFailure::Lost,
-    })?;
+    let reply = client
+        .call_if(call, may_send)
+        .await
+        .map_err(|failure| match failure {
+            CallFailure::NotSent => InstanceFailure::Refused,
+            CallFailure::Lost => InstanceFailure::Lost,
+        })?;
     if reply.status == 200 {
         return Ok(());
     }
