--- /dev/null
+++ b/src/jobs/expiry.rs
@@ -0,0 +1,61 @@
+//! What becomes due by time alone: leases that have expired, workers that are gone, and stops that
+//! have had no effect.
+
+use crate::jobs::engine::Engine;
+use crate::jobs::keys::RunKey;
+use crate::jobs::polls::STOP_RETRY_MS;
+use crate::jobs::worker::Slot;
+
+/// Time after which an unlisted worker without runs is dropped, in milliseconds.
+const UNLISTED_FORGET_MS: u64 = 300;
+
+impl Engine {
+    /// Drops the runs of workers whose leases have expired, and the workers that are gone.
+    pub(crate) fn expire_leases(&mut self) {
+        let now_ms = self.now_ms;
+        for key in self.present_keys().collect::<Vec<_>>() {
+            let worker = self.worker(key);
+            if !worker.slots.is_empty() && now_ms >= worker.leases_expired_at_ms() {
+                let runs: Vec<RunKey> = worker.slots.keys().copied().collect();
+                for run in runs {
+                    self.drop_slot(key, run);
+                    self.record_lost_run(key, run, "lease_over");
+                }
+            }
+            let worker = self.worker(key);
+            // Without a list entry and without runs, and with this leader's fence raised, nothing
+            // runs there or can start.
+            let is_known =
+                !worker.may_have_unseen_runs() || now_ms >= self.inherited_runs_end_at_ms();
+            let is_gone = !worker.is_listed
+                && worker.slots.is_empty()
+                && is_known
+                && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
+            match (is_gone, worker.is_persisted) {
+                (true, true) => self.forget_worker(key),
+                // Its record is deleted or was never written. Ends of this worker that are not
+                // acknowledged yet no longer matter.
+                (true, false) if worker.awaited_batch.is_none() => {
+                    self.present.swap_remove(&key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Sends stops again that have had no effect yet.
+    pub(crate) fn resend_stops(&mut self) {
+        let retry_ms = self.settings.stop_ms + STOP_RETRY_MS;
+        let mut due = Vec::new();
+        for key in self.present_keys() {
+            let worker = self.worker(key);
+            let is_due =
+                |slot: &Slot| slot.is_stopping && slot.stop_sent_ms + retry_ms < self.now_ms;
+            let of_worker = worker.slots.iter().filter(|(_, slot)| is_due(slot));
+            due.extend(of_worker.map(|(run, _)| (key, *run)));
+        }
+        for (key, run) in due {
+            self.stop_run(key, run, "again");
+        }
+    }
+}
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -1,13 +1,10 @@
-//! Polls of workers: when they are due, and how their replies are applied.
+//! Polls of workers: when they are due, and how the runs that they list are applied.
 
 use indexmap::IndexSet;
 
 use crate::jobs::engine::Engine;
-use crate::jobs::job::{JobState, Round};
-use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
-use crate::jobs::orders::{
-    Action, EndKind, OrderFailure, PollOrder, PollReply, RunEnd, RunRow, StopOrder,
-};
+use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::orders::{Action, OrderFailure, PollOrder, PollReply, RunRow, StopOrder};
 use crate::jobs::worker::{PollState, Slot, SlotState};
 use crate::logging::Event;
 
@@ -17,14 +14,7 @@
 const FAILED_POLL_RETRY_MS: u64 = 350;
 /// Time after which a stop without effect is sent again, beyond the time that a stop may take, in
 /// milliseconds.
-const STOP_RETRY_MS: u64 = 300;
-/// Number of failed runs in a row from which each failure keeps new tasks off the worker for
-/// [`FAILED_AVOID_MS`].
-const FAILED_STREAK_MAX: u32 = 3;
-/// Time for which a worker with repeated failures gets no task, in milliseconds.
-const FAILED_AVOID_MS: u64 = 1_500;
-/// Time after which an unlisted worker without runs is dropped, in milliseconds.
-const UNLISTED_FORGET_MS: u64 = 300;
+pub(crate) const STOP_RETRY_MS: u64 = 300;
 
 impl Engine {
     /// Sends the polls that are due. Only workers that have changed, or whose time has come, are
@@ -233,182 +223,6 @@
         self.actions.push(Action::Stop(order));
     }
 
-    fn apply_end(&mut self, key: WorkerKey, end: &RunEnd) {
-        let worker = self.worker_mut(key);
-        if end.number <= worker.seen_through {
-            return;
-        }
-        worker.seen_through = end.number;
-        let Some(task) = self.task_key(&end.name) else {
-            return;
-        };
-        let run = RunKey {
-            task,
-            run: end.run_number,
-        };
-        let slot = self.drop_slot(key, run);
-        let is_live = !self.job(task.job).state.is_final();
-        Event::new("run_ended")
-            .with("task", end.name)
-            .with("run", end.run_number)
-            .with("worker", &self.worker(key).info.id)
-            .with("end", end.kind)
-            .with(
-                "ran_ms",
-                slot.as_ref()
-                    .map_or(0, |slot| self.now_ms.saturating_sub(slot.since_ms)),
-            )
-            .info();
-        self.record_outcome(key, end.kind, slot.as_ref(), task);
-        if !is_live {
-            // Until the end of the job is persisted, a later leader still needs this end.
-            if !self.job(task.job).persisted_state.is_final() {
-                self.persist_before_ack(key);
-            }
-            return;
-        }
-        self.open_round(task);
-        self.change_task(task, |state| {
-            state.runs.retain(|known| *known != (key, end.run_number));
-            if !end.checkpoint.is_empty() {
-                state.checkpoint = end.checkpoint.clone();
-            }
-        });
-        match end.kind {
-            EndKind::Done => self.task_done(key, task),
-            EndKind::Failed => self.task_failed(key, run),
-            _ => {}
-        }
-        self.needs_dispatch = true;
-    }
-
-    /// Opens the occurrences up to the one of a task that a worker reports.
-    fn open_round(&mut self, task: TaskKey) {
-        let job = self.job_mut(task.job);
-        while job.rounds.len() <= crate::jobs::engine::index(task.round) {
-            job.rounds.push(Round::open(&job.spec));
-        }
-        if job.state == JobState::Queued {
-            job.state = JobState::Active;
-        }
-    }
-
-    /// Updates the worker's failure streak and the run-time estimates after a run has ended.
-    fn record_outcome(
-        &mut self,
-        key: WorkerKey,
-        kind: EndKind,
-        slot: Option<&Slot>,
-        task: TaskKey,
-    ) {
-        let now_ms = self.now_ms;
-        let worker = self.worker_mut(key);
-        match kind {
-            EndKind::Done => worker.failed_streak_count = 0,
-            EndKind::Failed => {
-                worker.failed_streak_count += 1;
-                if worker.failed_streak_count >= FAILED_STREAK_MAX {
-                    worker.avoided_until_ms = now_ms + FAILED_AVOID_MS;
-                    Event::new("worker_avoided")
-                        .with("worker", &worker.info.id)
-                        .with("failed_streak_count", worker.failed_streak_count)
-                        .with("for_ms", FAILED_AVOID_MS)
-                        .warn();
-                }
-            }
-            _ => {}
-        }
-        let ran = slot.filter(|slot| kind == EndKind::Done && !slot.is_long_running);
-        if let Some(slot) = ran {
-            let ran_ms = now_ms.saturating_sub(slot.since_ms);
-            let job = self.job(task.job);
-            let (queue, spec) = (job.queue.clone(), job.spec.clone());
-            let step = &spec.steps[usize::from(task.step)];
-            let expected_ms = self.run_times.expected_ms(&queue, step);
-            let worker = self.worker_mut(key);
-            // Far from its rack a task takes longer on any worker.
-            let is_near = step
-                .near_rack
-                .as_ref()
-                .is_none_or(|rack| *rack == worker.rack);
-            if is_near && expected_ms > 0 {
-                worker.observe_run(ran_ms, expected_ms);
-            }
-            self.run_times.observe(&queue, step, ran_ms);
-        }
-    }
-
-    fn task_done(&mut self, key: WorkerKey, task: TaskKey) {
-        let spec = self.job(task.job).spec.clone();
-        let is_gang = spec.steps[usize::from(task.step)].is_gang;
-        let members = match is_gang {
-            true => 0..spec.steps[usize::from(task.step)].tasks_count,
-            false => task.index..task.index + 1,
-        };
-        let mut is_first = false;
-        for index in members {
-            let member = TaskKey { index, ..task };
-            let was_done =
-                self.change_task(member, |state| std::mem::replace(&mut state.is_done, true));
-            is_first |= was_done == Some(false);
-        }
-        if !is_first {
-            return;
-        }
-        self.stop_copies(task);
-        if self.job(task.job).is_all_done() {
-            self.complete_job(task);
-        } else {
-            self.mark_dirty(task.job);
-        }
-        self.persist_before_ack(key);
-    }
-
-    fn stop_copies(&mut self, task: TaskKey) {
-        let runs = self.task(task).map(|state| state.runs.clone());
-        for (worker, run) in runs.unwrap_or_default() {
-            self.stop_run(worker, RunKey { task, run }, "copy_done");
-        }
-    }
-
-    fn complete_job(&mut self, task: TaskKey) {
-        let job = self.job(task.job);
-        let (now_ms, target_ms) = (self.now_ms, job.target_ms);
-        Event::new("job_done")
-            .with("job", job.id)
-            .with("queue", &job.queue)
-            .with("took_ms", now_ms.saturating_sub(job.accepted_ms))
-            .with("late_ms", now_ms.saturating_sub(target_ms))
-            .info();
-        self.end_job(task.job, JobState::Complete, "complete");
-    }
-
-    fn task_failed(&mut self, key: WorkerKey, run: RunKey) {
-        let job = self.job(run.task.job);
-        let attempts_max = self
-            .catalog
-            .queues
-            .get(&job.queue)
-            .map_or(1, |queue| queue.attempts_max);
-        let is_long_running = job.spec.steps[usize::from(run.task.step)].is_long_running;
-        if is_long_running {
-            return;
-        }
-        let failed_count = self.change_task(run.task, |state| {
-            if !state.failed_runs.contains(&run.run) {
-                state.failed_runs.push(run.run);
-            }
-            state.failed_runs.len()
-        });
-        let is_spent = failed_count
-            .is_some_and(|count| u32::try_from(count).is_ok_and(|count| count >= attempts_max));
-        match is_spent {
-            true => self.end_job(run.task.job, JobState::Failed, "attempts_spent"),
-            false => self.mark_dirty(run.task.job),
-        }
-        self.persist_before_ack(key);
-    }
-
     /// Applies one run that the worker lists; returns its key if the engine tracks it.
     fn apply_row(&mut self, key: WorkerKey, row: &RunRow, sent_ms: u64) -> Option<RunKey> {
         let run = self.task_key(&row.name).map(|task| RunKey {
@@ -547,55 +361,6 @@
         });
         self.needs_dispatch = true;
     }
-
-    /// Drops the runs of workers whose leases have expired, and the workers that are gone.
-    pub(crate) fn expire_leases(&mut self) {
-        let now_ms = self.now_ms;
-        for key in self.present_keys().collect::<Vec<_>>() {
-            let worker = self.worker(key);
-            if !worker.slots.is_empty() && now_ms >= worker.leases_expired_at_ms() {
-                let runs: Vec<RunKey> = worker.slots.keys().copied().collect();
-                for run in runs {
-                    self.drop_slot(key, run);
-                    self.record_lost_run(key, run, "lease_over");
-                }
-            }
-            let worker = self.worker(key);
-            // Without a list entry and without runs, and with this leader's fence raised, nothing
-            // runs there or can start.
-            let is_known =
-                !worker.may_have_unseen_runs() || now_ms >= self.inherited_runs_end_at_ms();
-            let is_gone = !worker.is_listed
-                && worker.slots.is_empty()
-                && is_known
-                && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
-            match (is_gone, worker.is_persisted) {
-                (true, true) => self.forget_worker(key),
-                // Its record is deleted or was never written. Ends of this worker that are not
-                // acknowledged yet no longer matter.
-                (true, false) if worker.awaited_batch.is_none() => {
-                    self.present.swap_remove(&key);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Sends stops again that have had no effect yet.
-    pub(crate) fn resend_stops(&mut self) {
-        let retry_ms = self.settings.stop_ms + STOP_RETRY_MS;
-        let mut due = Vec::new();
-        for key in self.present_keys() {
-            let worker = self.worker(key);
-            let is_due =
-                |slot: &Slot| slot.is_stopping && slot.stop_sent_ms + retry_ms < self.now_ms;
-            let of_worker = worker.slots.iter().filter(|(_, slot)| is_due(slot));
-            due.extend(of_worker.map(|(run, _)| (key, *run)));
-        }
-        for (key, run) in due {
-            self.stop_run(key, run, "again");
-        }
-    }
 }
 
 /// Returns a slot for a task of `step`.
