Open a worker again whose instance's order is dropped

Cause: an order that is dropped because the instance has work by then left the worker that it was meant for closed to tasks and, since the record goes before the order, without a record (found by reading). Change: it is opened and recorded again, as after a refusal. Test: a_worker_whose_instance_was_refused_an_order_is_recorded_before_it_gets_tasks guards the refusal; it fails where the record is not written again. The dropped order itself has no test.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -337,7 +337,7 @@
     }
 
     /// Lets tasks start again on a worker whose instance got no order after all.
-    fn reopen_worker(&mut self, key: WorkerKey) {
+    pub(crate) fn reopen_worker(&mut self, key: WorkerKey) {
         let worker = self.worker_mut(key);
         worker.is_cordoned = false;
         if worker.is_listed && worker.is_fenced && !worker.is_persisted {
--- a/src/jobs/order_numbers.rs
+++ b/src/jobs/order_numbers.rs
@@ -160,9 +160,12 @@
         Event::new("instance_order_dropped")
             .with("instance", order.instance())
             .info();
-        if let Some(row) = self.instances.rows.get_mut(order.instance()) {
-            row.order = None;
-            row.ordered_worker = None;
+        let Some(row) = self.instances.rows.get_mut(order.instance()) else {
+            return;
+        };
+        row.order = None;
+        if let Some(key) = row.ordered_worker.take() {
+            self.reopen_worker(key);
         }
     }
 
--- a/tests/testsuite/jobs/peaks.rs
+++ b/tests/testsuite/jobs/peaks.rs
@@ -209,3 +209,23 @@
     simulation.advance(50);
     assert_goes_on_without(&mut simulation, &gone, waiting);
 }
+
+/// A worker whose instance was refused an order gets tasks again, and only once it is recorded again:
+/// the next leader waits for it while it does not answer.
+#[test]
+fn a_worker_whose_instance_was_refused_an_order_is_recorded_before_it_gets_tasks() {
+    let mut simulation = Simulation::open(&["a"], 5);
+    simulation.refuses_orders = true;
+    simulation.advance(4_000);
+    let id = simulation.submit("a", job(vec![step(10, 16_000, 6_000)]));
+    simulation.advance_until(3_000, |simulation| simulation.runs_of(id).len() == 10);
+    for worker in simulation.workers.values_mut() {
+        worker.is_disconnected = true;
+    }
+    simulation.fail_over(2);
+    simulation.add_instance(&SmolStr::from("a-new"), "a");
+    simulation.list_all();
+    // The simulation fails if a task runs twice.
+    simulation.advance(2_000);
+    assert_eq!(simulation.runs_of(id).len(), 10);
+}
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -58,6 +58,8 @@
     pub(crate) ticket_requests: Vec<TicketRequest>,
     /// Orders to instances are lost on their way.
     pub(crate) loses_orders: bool,
+    /// Orders to instances are refused, as the instances are busy.
+    pub(crate) refuses_orders: bool,
     /// Orders to instances are carried out, but their first answers are lost.
     pub(crate) loses_first_answers: bool,
     /// Times of `orders`, in milliseconds.
@@ -101,6 +103,7 @@
             eligible: Vec::new(),
             ticket_requests: Vec::new(),
             loses_orders: false,
+            refuses_orders: false,
             loses_first_answers: false,
             order_times_ms: Vec::new(),
             stops: Vec::new(),
@@ -617,6 +620,11 @@
             self.engine.instance_answered(&order, answer, now_ms);
             return;
         }
+        if self.refuses_orders {
+            let answer = Err(InstanceFailure::Busy);
+            self.engine.instance_answered(&order, answer, now_ms);
+            return;
+        }
         let is_repeat = self.orders.contains(&order);
         if is_repeat && self.loses_first_answers {
             self.engine.instance_answered(&order, Ok(()), now_ms);
