Evacuate availability zones on the operators' request

Cause: operators can ask for a zone to be emptied (record `evacuate/ZONE`), and nothing in the node knew of it: tasks were started there until it was taken back.

Change: every node folds the operators' records into the evacuated zones (`node/evacuations.rs`); a removal that the store has forgotten is found in the newest records. The leader's engine keeps new tasks off the workers of these zones (`jobs/evacuation.rs`): starts, copies, gangs and resumed runs all go through `takes_tasks`. The zone's capacity counts as absent, its standby instances are not brought in, its idle instances go to standby; runs there go on. With all zones evacuated, new jobs are refused at once. Workers that are still cold are used last, at the rate that their pool allows.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -94,6 +94,7 @@
         self.next_review_ms = self.now_ms + REVIEW_MS;
         self.log_recovering_pools();
         self.review_pace();
+        self.review_evacuations();
         self.demand_cycle.advance(self.now_ms);
         if self.instances.is_list_read {
             self.retry_instance_orders();
@@ -135,6 +136,7 @@
             }
         }
         self.move_idle_to_standby(&donors);
+        self.move_evacuated_to_standby();
     }
 
     /// Stops counting instances as moving once their workers are listed or their time has passed.
@@ -217,7 +219,9 @@
             return false;
         };
         let in_standby = |name: &&SmolStr| {
-            self.instances.rows[*name].info.pool == standby && self.is_orderable(name)
+            self.instances.rows[*name].info.pool == standby
+                && self.is_orderable(name)
+                && !self.is_instance_evacuated(name)
         };
         let Some(name) = self.instances.rows.keys().find(in_standby).cloned() else {
             return false;
@@ -249,7 +253,7 @@
         });
     }
 
-    fn move_idle_to_standby(&mut self, donors: &[WorkerKey]) {
+    pub(crate) fn move_idle_to_standby(&mut self, donors: &[WorkerKey]) {
         let Some(standby) = self.catalog.standby_pool().cloned() else {
             return;
         };
@@ -306,12 +310,15 @@
             for slot in worker.slots.values().filter(|slot| slot.is_long_running) {
                 need.long_running.add(&slot.reservation);
             }
-            if worker.is_listed && !worker.info.is_draining && !worker.is_cordoned {
+            if worker.is_usable() {
                 need.usable_count += 1;
                 need.long_running_hosts_count += usize::from(worker.long_running_count > 0);
             }
         }
-        for (pool, _) in self.capacity.arriving.values() {
+        for (name, (pool, _)) in &self.capacity.arriving {
+            if self.is_instance_evacuated(name) {
+                continue;
+            }
             if let Some(need) = needs.get_mut(pool) {
                 need.usable_count += 1;
             }
@@ -319,6 +326,7 @@
         for row in self.instances.rows.values() {
             let is_arriving = row.info.state != InstanceState::Up
                 && row.info.state != InstanceState::Down
+                && !self.evacuated_zones.contains(&row.info.zone)
                 && !self.capacity.arriving.contains_key(&row.info.name);
             if let (true, Some(need)) = (is_arriving, needs.get_mut(&row.info.pool)) {
                 need.usable_count += 1;
--- a/src/jobs/catalog.rs
+++ b/src/jobs/catalog.rs
@@ -37,6 +37,8 @@
 pub struct Pool {
     /// Whether its instances are switched off, in standby.
     pub is_standby: bool,
+    /// Most starts a second on a worker that is still slow after its own start; 0 for no limit.
+    pub cold_starts_per_s: f64,
 }
 
 /// A team and its limits.
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -301,7 +301,10 @@
         let run = RunKey { task, run: number };
         let lease_ms = self.settings.run_lease_ms;
         let ticket = self.tickets.of(task, &self.worker(key).info.id);
+        let pool = self.catalog.pools.get(&self.worker(key).info.pool);
+        let cold_starts_per_s = pool.map_or(0.0, |pool| pool.cold_starts_per_s);
         let worker = self.worker_mut(key);
+        worker.pace_cold_starts(cold_starts_per_s, now_ms);
         let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
         worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
         self.put_slot(key, run, new_slot(step, SlotState::Sent, now_ms));
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -15,6 +15,7 @@
 use crate::jobs::capacity::CapacityPolicy;
 use crate::jobs::catalog::Catalog;
 use crate::jobs::demand::DemandCycle;
+use crate::jobs::evacuation::EvacuatedZones;
 use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, JobState, Round, Task};
@@ -108,6 +109,7 @@
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
     pub(crate) instances: Instances,
+    pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) order_numbers: OrderNumbers,
     pub(crate) capacity: CapacityPolicy,
     pub(crate) demand_cycle: DemandCycle,
@@ -158,6 +160,7 @@
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
             instances: Instances::default(),
+            evacuated_zones: EvacuatedZones::default(),
             order_numbers: OrderNumbers::default(),
             capacity: CapacityPolicy::default(),
             demand_cycle: DemandCycle::default(),
@@ -308,7 +311,7 @@
             .cpu_millis
             .saturating_sub(worker.used.cpu_millis);
         let position = Position {
-            is_slow: worker.is_slow(),
+            is_slow: worker.is_slow() || worker.is_cold(now_ms),
             is_without_long_running: worker.long_running_count == 0,
             free_cpu_millis,
             worker: key,
@@ -321,8 +324,14 @@
                 .may_have_unseen_runs()
                 .then_some(worker.info.capacity),
         };
-        if worker.avoided_until_ms > now_ms {
-            self.worker_timers.insert((worker.avoided_until_ms, key));
+        for due_ms in [
+            worker.avoided_until_ms,
+            worker.cold_until_ms,
+            worker.next_start_ms,
+        ] {
+            if due_ms > now_ms {
+                self.worker_timers.insert((due_ms, key));
+            }
         }
         match worker.poll {
             PollState::Idle { due_ms } if due_ms > now_ms && due_ms < u64::MAX => {
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -167,7 +167,7 @@
                     .max(whole_ms * REMAINING_MIN_PERCENT / 100);
                 plan.backlog += slot.reservation.cpu_millis * left_ms;
             }
-            if worker.is_listed && !worker.info.is_draining && !worker.is_cordoned {
+            if worker.is_usable() {
                 plan.rate += free.cpu_millis * FILLABLE_PERMILLE / 1_000;
             }
         }
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -52,6 +52,8 @@
     pub pool: SmolStr,
     /// State.
     pub state: InstanceState,
+    /// Availability zone.
+    pub zone: SmolStr,
     /// Labels, including its rack.
     pub labels: Vec<SmolStr>,
     /// Total capacity.
@@ -131,6 +133,9 @@
         }
         self.instances.is_list_read = true;
         self.forget_orders_of_removed_instances();
+        for key in self.present.clone() {
+            self.apply_evacuation(key);
+        }
         self.remove_workers_without_instance(sent_ms);
     }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod ends;
 mod engine;
+mod evacuation;
 mod expiry;
 mod feasibility;
 mod free_capacity;
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -131,10 +131,12 @@
             labels: record.labels,
             capacity: record.capacity,
             is_draining: false,
+            cold_ms: 0,
             instance: None,
         };
         let key = self.add_worker(info);
         self.worker_mut(key).is_persisted = true;
+        self.apply_evacuation(key);
     }
 
     fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
@@ -185,6 +187,9 @@
         if worker.listed_ms == 0 {
             worker.listed_ms = now_ms;
         }
+        if info.cold_ms > 0 {
+            worker.cold_until_ms = now_ms + info.cold_ms;
+        }
         worker.info = info;
         worker.info.started_unix_ms = worker.info.started_unix_ms.max(started_unix_ms);
         if is_restarted {
@@ -199,6 +204,7 @@
                 worker.poll = PollState::Idle { due_ms: 0 };
             }
         }
+        self.apply_evacuation(key);
         if needs_new_record || (needs_record && self.worker(key).is_fenced) {
             self.persist_worker(key);
         }
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -34,6 +34,8 @@
     Invalid(SpecError),
     /// There is no such queue.
     NoQueue,
+    /// Every zone is evacuated, so that no task could start.
+    ZonesEvacuated,
 }
 
 /// Result of a cancel.
@@ -63,6 +65,9 @@
             return SubmitOutcome::NoQueue;
         };
         let pool = queue.pool.clone();
+        if self.are_all_zones_evacuated() {
+            return SubmitOutcome::ZonesEvacuated;
+        }
         let key = self.add_job(submission, pool, self.unix_ms);
         let job = self.job(key);
         Event::new("job_accepted")
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -40,6 +40,8 @@
     pub capacity: Size,
     /// Whether it is about to leave.
     pub is_draining: bool,
+    /// Time for which it is still slow after its start, in milliseconds.
+    pub cold_ms: u64,
     /// Instance on which it runs, if it reports one.
     pub instance: Option<SmolStr>,
 }
@@ -141,6 +143,8 @@
     pub(crate) has_ended: bool,
     /// Whether no new tasks are started on it, because of a planned stop.
     pub(crate) is_cordoned: bool,
+    /// Whether no new tasks are started on it, because its zone is evacuated.
+    pub(crate) is_evacuated: bool,
     /// Runs that are, or may be, at the worker.
     pub(crate) slots: IndexMap<RunKey, Slot>,
     /// Sum of the reservations of the slots.
@@ -163,6 +167,10 @@
     pub(crate) failed_polls_count: u32,
     /// Time before which no task is started there.
     pub(crate) avoided_until_ms: u64,
+    /// Time until which it is slow after its start.
+    pub(crate) cold_until_ms: u64,
+    /// Time before which no task is started there while it is cold.
+    pub(crate) next_start_ms: u64,
     /// Number of runs in a row that failed there.
     pub(crate) failed_streak_count: u32,
     /// Time since which it has had no runs.
@@ -188,6 +196,7 @@
             is_removed: false,
             has_ended: false,
             is_cordoned: false,
+            is_evacuated: false,
             slots: IndexMap::new(),
             used: Size::default(),
             long_running_count: 0,
@@ -199,6 +208,8 @@
             poll: PollState::Idle { due_ms: 0 },
             failed_polls_count: 0,
             avoided_until_ms: 0,
+            cold_until_ms: 0,
+            next_start_ms: 0,
             failed_streak_count: 0,
             idle_since_ms: now_ms,
             listed_ms: 0,
@@ -262,13 +273,37 @@
 
     /// Returns whether new tasks may be started there.
     pub(crate) fn takes_tasks(&self, now_ms: u64) -> bool {
-        self.is_listed
+        self.is_usable()
             && self.is_persisted
             && self.is_fenced
-            && !self.info.is_draining
-            && !self.is_cordoned
             && self.failed_polls_count == 0
             && now_ms >= self.avoided_until_ms
+            && now_ms >= self.next_start_ms
+    }
+
+    /// Returns whether its capacity counts for its pool: it is listed, and neither leaves nor is
+    /// kept free of new tasks.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_listed && !self.info.is_draining && !self.is_cordoned && !self.is_evacuated
+    }
+
+    /// Returns whether it is still slow after its start.
+    pub(crate) fn is_cold(&self, now_ms: u64) -> bool {
+        now_ms < self.cold_until_ms
+    }
+
+    /// Sets the time of the next start on a cold worker that takes `starts_per_s` starts a second;
+    /// 0 for no limit.
+    // Rates are small positive numbers, and the interval is far below the limits of the type.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::as_conversions
+    )]
+    pub(crate) fn pace_cold_starts(&mut self, starts_per_s: f64, now_ms: u64) {
+        if self.is_cold(now_ms) && starts_per_s > 0.0 {
+            self.next_start_ms = now_ms + (1_000.0 / starts_per_s).ceil() as u64;
+        }
     }
 
     /// Returns whether other workers are preferred because tasks take long there.
@@ -297,6 +332,7 @@
         self.is_fenced = false;
         self.failed_streak_count = 0;
         self.slowness_permille = 1_000;
+        self.next_start_ms = 0;
         self.slots.keys().copied().collect()
     }
 }
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -348,6 +348,7 @@
             gpu_count: 0,
         },
         is_draining: false,
+        cold_ms: 0,
         instance: None,
     }
 }
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -49,6 +49,8 @@
         node.metrics
             .lists_age_ms
             .set(node.lists_age_ms().unwrap_or(0));
+        let evacuation_age_ms = node.evacuations.borrow().age_ms(node.now_ms());
+        node.metrics.evacuation_age_ms.set(evacuation_age_ms);
         let answer = match request.path == METRICS_PATH {
             true => Answer {
                 status: 200,
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -400,8 +400,10 @@
         return;
     };
     let waves = node.waves.borrow().clone();
+    let zones = node.evacuations.borrow().zones();
     node.with_leader(fence, |leader| {
         leader.engine.restore(records);
+        leader.engine.set_evacuated_zones(&zones);
         for wave in waves {
             leader.engine.wave_requested(wave);
         }
@@ -485,6 +487,9 @@
             self.metrics
                 .runs_count
                 .set(count(leader.engine.runs_count()));
+            self.metrics
+                .evacuated_zone_runs
+                .set(count(leader.engine.evacuated_runs_count()));
         }
     }
 }
--- a/src/node/lists.rs
+++ b/src/node/lists.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::logging::Event;
 use crate::node::{KeyedRecord, Node, StoreFailure};
-use crate::platform::lists::{parse_operator_record, OperatorRecord};
+use crate::platform::lists::{evacuated_zone, parse_operator_record, OperatorRecord};
 use crate::platform::store::Topic;
 
 /// Longest time that the store may hold a read that finds nothing new, in milliseconds. While the
@@ -24,11 +26,7 @@
     loop {
         let sent_ms = node.now_ms();
         let read = match next_offset {
-            None => node
-                .store
-                .read_newest(Topic::Operators, READ_TIMEOUT_MS)
-                .await
-                .map(|(records, offset)| (records, offset, true)),
+            None => read_newest(&node).await,
             // After an outage the first read does not wait for a record, so that the lists are
             // confirmed at once.
             Some(offset) if is_unavailable => read_newer(&node, offset, 0).await,
@@ -75,6 +73,26 @@
 /// Records, the offset after them, and whether that is the end of the topic.
 type Read = (Vec<KeyedRecord>, u64, bool);
 
+/// Reads the newest record of each key. A zone without a record is not evacuated any more; its
+/// removal may be among the records that the store no longer has.
+async fn read_newest(node: &Rc<Node>) -> Result<Read, StoreFailure> {
+    let (records, offset) = node
+        .store
+        .read_newest(Topic::Operators, READ_TIMEOUT_MS)
+        .await?;
+    let keys = records.iter().map(|record| &record.key);
+    let requested: IndexSet<_> = keys.filter_map(|key| evacuated_zone(key)).collect();
+    let now_ms = node.now_ms();
+    let is_changed = node
+        .evacuations
+        .borrow_mut()
+        .withdraw_all_but(&requested, offset, now_ms);
+    if is_changed {
+        apply_evacuations(node);
+    }
+    Ok((records, offset, true))
+}
+
 async fn read_newer(node: &Rc<Node>, offset: u64, wait_ms: u64) -> Result<Read, StoreFailure> {
     let timeout_ms = wait_ms + READ_TIMEOUT_MS;
     let page = node
@@ -87,6 +105,7 @@
 
 fn apply_record(node: &Rc<Node>, record: &KeyedRecord) {
     let Some(value) = &record.value else {
+        withdraw_evacuation(node, record);
         return;
     };
     match parse_operator_record(&record.key, value) {
@@ -116,6 +135,16 @@
             node.waves.borrow_mut().push(wave.clone());
             node.with_engine(|engine, _| engine.wave_requested(wave));
         }
+        Ok(OperatorRecord::Evacuation(zone)) => {
+            let now_ms = node.now_ms();
+            let is_new = node
+                .evacuations
+                .borrow_mut()
+                .request(&zone, record.offset, now_ms);
+            if is_new {
+                apply_evacuations(node);
+            }
+        }
         Ok(OperatorRecord::Other) => {}
         Err(error) => {
             Event::new("record_unreadable")
@@ -127,3 +156,27 @@
         }
     }
 }
+
+/// Applies the removal of a record, if the record evacuates a zone.
+fn withdraw_evacuation(node: &Rc<Node>, record: &KeyedRecord) {
+    let Some(zone) = evacuated_zone(&record.key) else {
+        return;
+    };
+    let now_ms = node.now_ms();
+    let is_changed = node
+        .evacuations
+        .borrow_mut()
+        .withdraw(&zone, record.offset, now_ms);
+    if is_changed {
+        apply_evacuations(node);
+    }
+}
+
+/// Passes the evacuated zones on to the engine, if this node leads, and to the metrics.
+fn apply_evacuations(node: &Rc<Node>) {
+    let zones = node.evacuations.borrow().zones();
+    let zones_count = u64::try_from(zones.len()).unwrap_or(u64::MAX);
+    node.metrics.zones_evacuated.set(zones_count);
+    node.with_engine(|engine, _| engine.set_evacuated_zones(&zones));
+    node.request_step();
+}
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -49,6 +49,12 @@
     pub live_jobs_count: Gauge<u64, AtomicU64>,
     /// Jobs in memory, including ended ones whose state can still be queried; set on the leader.
     pub kept_jobs_count: Gauge<u64, AtomicU64>,
+    /// Zones that operators have evacuated.
+    pub zones_evacuated: Gauge<u64, AtomicU64>,
+    /// Time since this node learned of the oldest evacuation in force, in milliseconds.
+    pub evacuation_age_ms: Gauge<u64, AtomicU64>,
+    /// Runs on workers of evacuated zones; set on the leader.
+    pub evacuated_zone_runs: Gauge<u64, AtomicU64>,
     /// Runs on workers; set on the leader.
     pub runs_count: Gauge<u64, AtomicU64>,
     /// Time since the lists in force were confirmed to be the newest, in milliseconds.
@@ -80,6 +86,9 @@
             live_jobs_count: Gauge::default(),
             kept_jobs_count: Gauge::default(),
             runs_count: Gauge::default(),
+            zones_evacuated: Gauge::default(),
+            evacuation_age_ms: Gauge::default(),
+            evacuated_zone_runs: Gauge::default(),
             lists_age_ms: Gauge::default(),
             lists_version: Gauge::default(),
         };
@@ -118,6 +127,21 @@
             self.kept_jobs_count.clone(),
         );
         registry.register("runs_count", "Runs at workers.", self.runs_count.clone());
+        registry.register(
+            "zones_evacuated",
+            "Evacuated zones.",
+            self.zones_evacuated.clone(),
+        );
+        registry.register(
+            "evacuation_age_ms",
+            "Age of the oldest evacuation.",
+            self.evacuation_age_ms.clone(),
+        );
+        registry.register(
+            "evacuated_zone_runs",
+            "Runs in evacuated zones.",
+            self.evacuated_zone_runs.clone(),
+        );
         registry.register(
             "lists_age_ms",
             "Age of the lists.",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! instances.
 
 mod calls;
+mod evacuations;
 mod fleet_lists;
 mod journal;
 mod leader;
@@ -34,6 +35,7 @@
 use crate::platform::store::Store;
 use crate::ports::Clock;
 
+pub use evacuations::Evacuations;
 pub use journal::Journal;
 pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
 pub use metrics::NodeMetrics;
@@ -77,6 +79,8 @@
     pub(crate) metrics: NodeMetrics,
     /// The operators' lists in force; none before the first read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Zones whose evacuation operators requested.
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Maintenance waves that operators requested.
     pub(crate) waves: RefCell<Vec<WaveSpec>>,
     /// Time of sending of the last read that confirmed that the lists are the newest, in
@@ -157,6 +161,7 @@
             store,
             metrics: NodeMetrics::open(),
             catalog: RefCell::new(None),
+            evacuations: RefCell::new(Evacuations::default()),
             waves: RefCell::new(Vec::new()),
             lists_confirmed_ms: Cell::new(0),
             leadership: RefCell::new(leadership),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -115,6 +115,9 @@
                         .info();
                     CallProgress::Answered(CallAnswer::Refused(Refusal::BadCall))
                 }
+                SubmitOutcome::ZonesEvacuated => {
+                    CallProgress::Answered(CallAnswer::Refused(Refusal::ZonesEvacuated))
+                }
                 SubmitOutcome::NoQueue => {
                     CallProgress::Answered(CallAnswer::Refused(Refusal::NoQueue))
                 }
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -230,6 +230,8 @@
     NoLeader,
     /// The store does not accept the record of the job.
     StoreUnavailable,
+    /// Operators have evacuated every zone.
+    ZonesEvacuated,
 }
 
 impl Refusal {
@@ -237,7 +239,9 @@
     pub fn retry_after_s(self) -> Option<u64> {
         match self {
             Self::NoQueue | Self::BadKey | Self::BadCall | Self::TooLarge => None,
-            Self::NoLists | Self::NoLeader | Self::StoreUnavailable => Some(1),
+            Self::NoLists | Self::NoLeader | Self::StoreUnavailable | Self::ZonesEvacuated => {
+                Some(1)
+            }
         }
     }
 }
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -178,7 +178,10 @@
         Refusal::BadKey => 401,
         Refusal::BadCall => 400,
         Refusal::TooLarge => 413,
-        Refusal::NoLists | Refusal::NoLeader | Refusal::StoreUnavailable => 503,
+        Refusal::NoLists
+        | Refusal::NoLeader
+        | Refusal::StoreUnavailable
+        | Refusal::ZonesEvacuated => 503,
     };
     let mut answer = Answer::status(status);
     if let Some(retry_after_s) = refusal.retry_after_s() {
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -37,6 +37,8 @@
     pool: SmolStr,
     state: String,
     #[serde(default)]
+    zone: SmolStr,
+    #[serde(default)]
     labels: Vec<SmolStr>,
     #[serde(default)]
     capacity: SizeWire,
@@ -68,6 +70,7 @@
         name: wire.machine,
         pool: wire.pool,
         state,
+        zone: wire.zone,
         labels: wire.labels,
         capacity: wire.capacity.into(),
         worker: wire.id.filter(|id| !id.is_empty()),
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -13,6 +13,8 @@
 const BODY_DEFAULT_BYTES: usize = 262_144;
 /// Key of the record with the operators' lists.
 const LISTS_KEY: &str = "config";
+/// Prefix of the keys of records that evacuate a zone.
+const EVACUATION_PREFIX: &str = "evacuate/";
 /// Prefix of the keys of wave records.
 const WAVE_PREFIX: &str = "wave/";
 
@@ -55,6 +57,8 @@
     name: SmolStr,
     #[serde(default)]
     standby: bool,
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -92,6 +96,8 @@
     zone: SmolStr,
     state: SmolStr,
     #[serde(default)]
+    cold_remaining_ms: f64,
+    #[serde(default)]
     capacity: SizeWire,
     #[serde(default)]
     labels: Vec<SmolStr>,
@@ -107,6 +113,8 @@
     Lists(Box<Catalog>),
     /// A maintenance wave.
     Wave(WaveSpec),
+    /// The evacuation of a zone.
+    Evacuation(SmolStr),
     /// A record that the node does not use.
     Other,
 }
@@ -126,9 +134,18 @@
             at_once_max: wire.maximum,
         }));
     }
+    if let Some(zone) = evacuated_zone(key) {
+        return Ok(OperatorRecord::Evacuation(zone));
+    }
     Ok(OperatorRecord::Other)
 }
 
+/// Returns the zone that a record with this key evacuates until the record is removed.
+pub fn evacuated_zone(key: &str) -> Option<SmolStr> {
+    let zone = key.strip_prefix(EVACUATION_PREFIX)?;
+    (!zone.is_empty()).then(|| zone.into())
+}
+
 fn catalog_of(wire: ManifestWire) -> Catalog {
     let queue_of = |route: RouteWire| {
         let queue = Queue {
@@ -150,6 +167,7 @@
     let pool_of = |service: ServiceWire| {
         let pool = Pool {
             is_standby: service.standby,
+            cold_starts_per_s: service.cold_per_s,
         };
         (service.name, pool)
     };
@@ -192,6 +210,8 @@
         labels: wire.labels,
         capacity: wire.capacity.into(),
         is_draining,
+        // Sub-millisecond parts do not matter.
+        cold_ms: super::settings::to_ms(wire.cold_remaining_ms / 1_000.0),
         instance: wire.machine,
     })
 }
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -58,7 +58,10 @@
         catalog.queues.insert(name.clone(), queue);
         catalog.pools.insert(name, Pool::default());
     }
-    let standby = Pool { is_standby: true };
+    let standby = Pool {
+        is_standby: true,
+        ..Pool::default()
+    };
     catalog.pools.insert("standby".into(), standby);
     for name in ["team", "other"] {
         let team = Team {
--- a/tests/testsuite/jobs/checks.rs
+++ b/tests/testsuite/jobs/checks.rs
@@ -32,6 +32,15 @@
         assert_eq!(order.ticket, ticket, "wrong ticket for {}", order.name);
     }
 
+    pub(crate) fn check_zone(&self, order: &StartOrder) {
+        let zone = &self.workers[&order.target.id].info.zone;
+        assert!(
+            !self.evacuated.contains(zone),
+            "{} was sent to the evacuated {zone}",
+            order.name
+        );
+    }
+
     pub(crate) fn check(&self) {
         let mut seen: HashMap<TaskName, SmolStr> = HashMap::new();
         let mut teams: HashMap<SmolStr, Size> = HashMap::new();
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod checks;
 mod constraints;
+mod evacuation;
 mod fake_worker;
 mod faults;
 mod overload;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -12,7 +12,7 @@
     StartOrder, StopOrder, Submission, SubmitOutcome, TaskName, TicketRequest, WaveSpec,
     WorkerInfo,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use smol_str::{format_smolstr, SmolStr};
 
 pub(crate) use super::fake_worker::{FakeWorker, Running};
@@ -32,6 +32,13 @@
 /// Time for which tickets are valid, in milliseconds.
 const TICKETS_VALID_MS: u64 = 3_000;
 
+/// Availability zones; racks of four instances are in them by turns.
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+fn zone_of(number: usize) -> &'static str {
+    ZONES[number / 4 % ZONES.len()]
+}
+
 /// A submitted job.
 #[derive(Clone, Debug)]
 pub(crate) struct SubmittedJob {
@@ -47,6 +54,8 @@
     pub(crate) workers: IndexMap<SmolStr, FakeWorker>,
     pub(crate) instances: IndexMap<SmolStr, InstanceInfo>,
     pub(crate) catalog: Catalog,
+    /// Zones that operators have evacuated.
+    pub(crate) evacuated: IndexSet<SmolStr>,
     /// Records in the store, by key.
     pub(crate) stored: IndexMap<SmolStr, Vec<u8>>,
     pub(crate) is_store_unavailable: bool,
@@ -96,6 +105,7 @@
             workers: IndexMap::new(),
             instances: IndexMap::new(),
             catalog,
+            evacuated: IndexSet::new(),
             stored: IndexMap::new(),
             is_store_unavailable: false,
             accepted: Vec::new(),
@@ -137,6 +147,7 @@
             name: name.clone(),
             pool: pool.into(),
             state: InstanceState::Up,
+            zone: zone_of(self.instances.len()).into(),
             labels: vec!["a".into(), rack],
             capacity: size(32_000, 128_000),
             worker: None,
@@ -161,10 +172,11 @@
             started_unix_ms: UNIX_MS + self.now_ms,
             address: ([10, 0, 0, 1], 8_000).into(),
             pool: pool.into(),
-            zone: "a".into(),
+            zone: row.zone.clone(),
             labels: row.labels.clone(),
             capacity: row.capacity,
             is_draining: false,
+            cold_ms: 0,
             instance: Some(instance.clone()),
         };
         let worker = FakeWorker {
@@ -227,6 +239,12 @@
         id
     }
 
+    /// Evacuates exactly these zones.
+    pub(crate) fn evacuate(&mut self, zones: &[&str]) {
+        self.evacuated = zones.iter().map(|zone| SmolStr::from(*zone)).collect();
+        self.engine.set_evacuated_zones(&self.evacuated);
+    }
+
     /// Requests the maintenance of instances, at most `at_once_max` at a time.
     pub(crate) fn request_wave(&mut self, number: u64, instances: &[SmolStr], at_once_max: usize) {
         self.engine.wave_requested(WaveSpec {
@@ -264,6 +282,7 @@
             .filter_map(|(key, value)| Record::decode(key, value))
             .collect();
         self.engine.restore(records);
+        self.engine.set_evacuated_zones(&self.evacuated);
     }
 
     /// Replaces the engine by one of a new leader, which has restored the records and read the
@@ -508,6 +527,7 @@
     }
 
     fn start(&mut self, order: &StartOrder) {
+        self.check_zone(order);
         let now_ms = self.now_ms;
         let worker = &mut self.workers[&order.target.id];
         if worker.is_disconnected || worker.is_dead {
@@ -649,6 +669,7 @@
             let mut info = self.workers[0].info.clone();
             info.instance = Some(order.instance().clone());
             info.pool = pool;
+            info.zone = row.zone.clone();
             self.arrivals.push((now_ms + takes_ms, info));
         }
         let answer = match self.loses_first_answers {
--- a/tests/testsuite/jobs/soak.rs
+++ b/tests/testsuite/jobs/soak.rs
@@ -51,6 +51,9 @@
     faults: Vec<(u64, Fault)>,
     cancelled: Vec<(JobId, u64)>,
     jobs: Vec<(JobId, bool)>,
+    /// Source of random evacuations, apart from `rng`, so that these leave the faults of a seed as
+    /// they are; none for a run without evacuations.
+    evacuations: Option<ChaCha8Rng>,
 }
 
 impl Soak {
@@ -67,9 +70,15 @@
             faults: Vec::new(),
             cancelled: Vec::new(),
             jobs: Vec::new(),
+            evacuations: None,
         }
     }
 
+    fn with_evacuations(mut self, seed: u64) -> Self {
+        self.evacuations = Some(ChaCha8Rng::seed_from_u64(!seed));
+        self
+    }
+
     fn run(&mut self) {
         let end_ms = self.simulation.now_ms + FAULTS_MS;
         let (mut next_job_ms, mut next_fault_ms) = (0, self.simulation.now_ms + 1_000);
@@ -83,13 +92,30 @@
                 next_fault_ms = self.simulation.now_ms + self.rng.random_range(100..1_500);
             }
             self.repair_due(self.simulation.now_ms);
+            self.change_evacuations();
             self.simulation.advance(10);
         }
+        self.simulation.evacuate(&[]);
         self.repair_due(u64::MAX);
         self.simulation.advance(SETTLE_MS);
         self.check_end();
     }
 
+    /// Evacuates and takes back zones at random, about one a second.
+    fn change_evacuations(&mut self) {
+        let Some(rng) = &mut self.evacuations else {
+            return;
+        };
+        if !rng.random_ratio(1, 100) {
+            return;
+        }
+        // One zone is always left: without any, jobs are refused.
+        let mut evacuated = vec!["zone-a", "zone-b", "zone-c"];
+        evacuated.remove(rng.random_range(0..3));
+        evacuated.retain(|_| rng.random_bool(0.4));
+        self.simulation.evacuate(&evacuated);
+    }
+
     fn random_step(&mut self) -> StepSpec {
         let rng = &mut self.rng;
         let tasks_count = rng.random_range(1..10);
@@ -302,14 +328,24 @@
     }
 }
 
-#[test]
-fn random_faults_neither_duplicate_nor_lose_work() {
+fn run_seeds(open: impl Fn(u64) -> Soak + std::panic::RefUnwindSafe) {
     let mut failed = Vec::new();
     for seed in seeds() {
-        let outcome = std::panic::catch_unwind(|| Soak::open(seed).run());
+        let outcome = std::panic::catch_unwind(|| open(seed).run());
         if outcome.is_err() {
             failed.push(seed);
         }
     }
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
+
+#[test]
+fn random_faults_neither_duplicate_nor_lose_work() {
+    run_seeds(Soak::open);
+}
+
+/// Guards against an evacuation that a failover, a lost answer or a crash undoes or makes endless.
+#[test]
+fn random_faults_beside_evacuations_neither_duplicate_nor_lose_work() {
+    run_seeds(|seed| Soak::open(seed).with_evacuations(seed));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod load_experiments;
 mod model;
 mod net_client;
+mod node_evacuations;
 mod node_journal;
 mod node_leadership;
 mod operator_commands;
