Divide the fleet among the pools by their needs

Cause: pools kept 45 per cent of the fleet for peaks that may come while one pool needed several times what it had. Change: a plan in the order of needs (held, in time, expected peak, postponed, late, possible peak); workers of pools above their part are reclaimed for pools that lack instances.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -1,16 +1,21 @@
-//! Capacity that follows demand. Instances move to pools that lack capacity, from pools that have
-//! more than they need and from standby; idle instances move to standby.
+//! Capacity that follows demand. Each review divides the fleet by the needs of the pools (see
+//! [`capacity_plan`](crate::jobs::capacity_plan)). Instances move to pools that lack capacity, from
+//! pools that have more than their part and from standby; idle instances move to standby. While no
+//! other instance is left, a pool above its part stops starting tasks on some of its instances, which
+//! move once they are idle.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
+use crate::jobs::capacity_plan::{allot, Allotment, Need, Needs};
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::instances::InstanceState;
 use crate::jobs::job::Job;
-use crate::jobs::keys::WorkerKey;
+use crate::jobs::keys::{RunKey, WorkerKey};
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::ranking::is_in_time;
 use crate::jobs::spec::{Size, StepSpec};
+use crate::jobs::worker::Slot;
 use crate::logging::Event;
 
 /// Interval between reviews, in milliseconds.
@@ -38,6 +43,9 @@
 /// Share of the demand of late jobs that counts as needed, in thousandths.
 const LATE_DEMAND_PERMILLE: u64 = 250;
 
+/// Longest time for which the runs of a worker may go on after it is reclaimed, in milliseconds.
+const RECLAIM_BUSY_MAX_MS: u64 = 1_000;
+
 /// Time by which an instance may arrive later than a move takes, in milliseconds.
 const ARRIVAL_RESERVE_MS: u64 = 600;
 
@@ -46,8 +54,10 @@
 pub(crate) struct CapacityPolicy {
     /// Instances that are moving, with the pool that they join and the latest time of arrival.
     arriving: IndexMap<SmolStr, (SmolStr, u64)>,
-    /// Last logged counts of each pool: instances wanted and available.
-    logged: IndexMap<SmolStr, (usize, usize)>,
+    /// Last logged counts of each pool: instances wanted, allotted and available.
+    logged: IndexMap<SmolStr, (usize, usize, usize)>,
+    /// Workers that get no more tasks, so that their instances can move to pools that lack capacity.
+    reclaimed: IndexSet<WorkerKey>,
 }
 
 impl CapacityPolicy {
@@ -60,7 +70,15 @@
 /// What one pool has and needs.
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
+    /// Capacity for running tasks and for waiting work that can still meet its targets, without that
+    /// of postponed jobs.
     needed: Size,
+    /// Capacity for the waiting work of postponed jobs, in addition.
+    postponed: Size,
+    /// Capacity for work that can no longer meet its targets, in addition.
+    late: Size,
+    /// Capacity for a demand peak that is about to start, with all that is needed now.
+    at_peak: Size,
     /// Instances that the pool can use now, and those that are joining it.
     usable_count: usize,
     /// Instances, among those usable now, that have long-running tasks.
@@ -75,13 +93,37 @@
 }
 
 impl PoolNeed {
-    /// Raises `needed` to a share of `demand` plus the size of the long-running tasks.
-    fn raise(&mut self, demand: &Size, share_permille: u64) {
+    /// Returns `needed`, raised to a share of `demand` plus the size of the long-running tasks.
+    fn raised(&self, demand: &Size, share_permille: u64) -> Size {
         let with = |demand: u64, long_running: u64| demand * share_permille / 1_000 + long_running;
         let cpu_millis = with(demand.cpu_millis, self.long_running.cpu_millis);
         let memory_mb = with(demand.memory_mb, self.long_running.memory_mb);
-        self.needed.cpu_millis = self.needed.cpu_millis.max(cpu_millis);
-        self.needed.memory_mb = self.needed.memory_mb.max(memory_mb);
+        Size {
+            cpu_millis: self.needed.cpu_millis.max(cpu_millis),
+            memory_mb: self.needed.memory_mb.max(memory_mb),
+            ..self.needed
+        }
+    }
+
+    /// Returns the numbers of instances of `size` that the pool needs.
+    fn counts(&self, size: &Size) -> Needs {
+        let held_count = self.all_at_once_count.max(self.long_running_hosts_count);
+        let in_time_count = instances_for(&self.needed, size).max(held_count);
+        let at_peak_count = instances_for(&self.at_peak, size).max(in_time_count);
+        let mut all = self.needed;
+        all.add(&self.postponed);
+        let with_postponed_count = instances_for(&all, size).max(at_peak_count);
+        all.add(&self.late);
+        let with_late_count = instances_for(&all, size).max(with_postponed_count);
+        let prepared_count = self.prepared_count.max(with_late_count);
+        [
+            held_count,
+            in_time_count,
+            at_peak_count,
+            with_postponed_count,
+            with_late_count,
+            prepared_count,
+        ]
     }
 }
 
@@ -110,17 +152,20 @@
         self.drop_arrived();
         let mut needs = self.pool_needs();
         self.add_forecast(&mut needs);
+        let counts: IndexMap<SmolStr, Needs> = needs
+            .iter()
+            .map(|(pool, need)| (pool.clone(), need.counts(&self.instance_size(pool))))
+            .collect();
+        let plan = allot(&counts, self.available_count(&needs));
         let mut short: Vec<(SmolStr, usize)> = Vec::new();
-        let mut donors: Vec<WorkerKey> = Vec::new();
+        let mut donors = self.idle_reclaimed();
         for (pool, need) in &needs {
             let have_count = need.usable_count;
-            let wanted_count = instances_for(&need.needed, &self.instance_size(pool))
-                .max(need.prepared_count)
-                .max(need.all_at_once_count);
-            self.log_capacity(pool, need, wanted_count);
-            let retained_count = wanted_count.max(need.long_running_hosts_count + SPARE_COUNT);
-            if wanted_count > have_count {
-                short.push((pool.clone(), wanted_count - have_count));
+            let allotted_count = plan[pool].count;
+            self.log_capacity(pool, need, &counts[pool], &plan[pool]);
+            let retained_count = allotted_count.max(need.long_running_hosts_count + SPARE_COUNT);
+            if allotted_count > have_count {
+                short.push((pool.clone(), allotted_count - have_count));
             } else if have_count > retained_count {
                 let mut idle = self.idle_workers(pool);
                 let kept_count = idle.len().saturating_sub(have_count - retained_count);
@@ -128,17 +173,101 @@
             }
         }
         short.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let mut missing_count = 0;
         for (pool, count) in short {
-            for _ in 0..count {
-                if !self.request_instance(&pool, &mut donors) {
-                    break;
-                }
-            }
+            let is_moved = |_: &usize| self.request_instance(&pool, &mut donors);
+            missing_count += count - (0..count).take_while(is_moved).count();
         }
+        self.reclaim(missing_count, &needs, &plan);
         self.move_idle_to_standby(&donors);
         self.move_evacuated_to_standby();
     }
 
+    /// Returns how many instances the pools have, or can get from standby.
+    fn available_count(&self, needs: &IndexMap<SmolStr, PoolNeed>) -> usize {
+        let in_pools_count: usize = needs.values().map(|need| need.usable_count).sum();
+        let standby = self.catalog.standby_pool();
+        let rows = self.instances.rows.values();
+        let in_standby = rows.filter(|row| {
+            Some(&row.info.pool) == standby
+                && row.info.state == InstanceState::Up
+                && row.order.is_none()
+                && !self.evacuated_zones.contains(&row.info.zone)
+        });
+        in_pools_count + in_standby.count() + self.capacity.reclaimed.len()
+    }
+
+    /// Returns the reclaimed workers that are idle by now, and forgets those that have left.
+    fn idle_reclaimed(&mut self) -> Vec<WorkerKey> {
+        let mut reclaimed = std::mem::take(&mut self.capacity.reclaimed);
+        reclaimed.retain(|key| self.worker(*key).is_listed && self.worker(*key).is_cordoned);
+        let is_idle = |key: &&WorkerKey| {
+            let worker = self.worker(**key);
+            worker.slots.is_empty() && worker.awaited_batch.is_none()
+        };
+        let idle = reclaimed.iter().filter(is_idle).copied().collect();
+        self.capacity.reclaimed = reclaimed;
+        idle
+    }
+
+    /// Stops starting tasks on as many workers as other pools miss, in pools that have more than
+    /// their part, and opens workers again that no pool misses any more.
+    fn reclaim(
+        &mut self,
+        missing_count: usize,
+        needs: &IndexMap<SmolStr, PoolNeed>,
+        plan: &IndexMap<SmolStr, Allotment>,
+    ) {
+        while self.capacity.reclaimed.len() > missing_count {
+            if let Some(key) = self.capacity.reclaimed.pop() {
+                self.reopen_worker(key);
+            }
+        }
+        let mut open_count = missing_count - self.capacity.reclaimed.len();
+        for (pool, need) in needs {
+            let retained_count = plan[pool].count.max(need.long_running_hosts_count);
+            let surplus_count = need.usable_count.saturating_sub(retained_count);
+            for key in self.reclaimable(pool, surplus_count.min(open_count)) {
+                self.worker_mut(key).is_cordoned = true;
+                self.capacity.reclaimed.insert(key);
+                open_count -= 1;
+            }
+        }
+    }
+
+    /// Returns up to `count` workers of a pool whose runs are expected to end soonest.
+    fn reclaimable(&self, pool: &SmolStr, count: usize) -> Vec<WorkerKey> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut workers: Vec<(u64, WorkerKey)> = self
+            .present_keys()
+            .filter(|key| {
+                let worker = self.worker(*key);
+                worker.info.pool == *pool
+                    && worker.long_running_count == 0
+                    && worker.takes_tasks(self.now_ms)
+            })
+            .map(|key| (self.busy_for_ms(key), key))
+            .filter(|(busy_ms, _)| *busy_ms <= RECLAIM_BUSY_MAX_MS)
+            .collect();
+        workers.sort_unstable();
+        workers.truncate(count);
+        workers.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Returns the time after which all runs of a worker are expected to have ended.
+    fn busy_for_ms(&self, key: WorkerKey) -> u64 {
+        let left_ms = |(run, slot): (&RunKey, &Slot)| {
+            let job = self.job(run.task.job);
+            let step = &job.spec.steps[usize::from(run.task.step)];
+            let expected_ms = self.run_times.expected_ms(&job.queue, step);
+            expected_ms.saturating_sub(self.now_ms.saturating_sub(slot.since_ms))
+        };
+        let slots = self.worker(key).slots.iter();
+        slots.map(left_ms).max().unwrap_or(0)
+    }
+
     /// Stops counting instances as moving once their workers are listed or their time has passed.
     fn drop_arrived(&mut self) {
         let now_ms = self.now_ms;
@@ -162,14 +291,23 @@
     }
 
     /// Logs what a pool needs and has, if that has changed.
-    fn log_capacity(&mut self, pool: &SmolStr, need: &PoolNeed, wanted_count: usize) {
-        let logged = (wanted_count, need.usable_count);
+    fn log_capacity(
+        &mut self,
+        pool: &SmolStr,
+        need: &PoolNeed,
+        counts: &Needs,
+        allotment: &Allotment,
+    ) {
+        let wanted_count = counts.last().copied().unwrap_or(0);
+        let logged = (wanted_count, allotment.count, need.usable_count);
         if self.capacity.logged.insert(pool.clone(), logged) == Some(logged) {
             return;
         }
         Event::new("capacity")
             .with("pool", pool)
             .with("wanted_count", wanted_count)
+            .with("allotted_count", allotment.count)
+            .with("unmet", allotment.unmet.map_or("", Need::into))
             .with("have_count", need.usable_count)
             .with("endless_hosts_count", need.long_running_hosts_count)
             .with("needed_cpu_millis", need.needed.cpu_millis)
@@ -184,7 +322,8 @@
         let fleet_count = self.instances.rows.len();
         for (pool, need) in needs.iter_mut() {
             let rate = self.demand_cycle.rate(pool, now_ms);
-            need.raise(&rate, ARRIVAL_RATE_PERMILLE);
+            need.needed = need.raised(&rate, ARRIVAL_RATE_PERMILLE);
+            need.at_peak = need.needed;
         }
         let ahead_ms = self.settings.move_ms + PREPARE_AHEAD_MS;
         let candidates = self.demand_cycle.candidates(now_ms, ahead_ms);
@@ -202,7 +341,7 @@
         let due = next.filter(|next| now_ms + ahead_ms >= next.start_ms);
         if let Some(next) = due {
             if let Some(need) = needs.get_mut(&next.pool) {
-                need.raise(&next.demand, EXPECTED_DEMAND_PERMILLE);
+                need.at_peak = need.raised(&next.demand, EXPECTED_DEMAND_PERMILLE);
             }
         }
     }
@@ -238,6 +377,7 @@
             return false;
         }
         self.worker_mut(key).is_cordoned = true;
+        self.capacity.reclaimed.swap_remove(&key);
         self.move_instance(name, pool);
         true
     }
@@ -339,12 +479,17 @@
         for key in &self.live {
             let job = self.job(*key);
             if let Some(need) = needs.get_mut(&job.pool) {
-                let mut waiting = waiting_size(job);
-                if !job.spec.is_long_running() && !is_in_time(job, self.now_ms) {
-                    waiting.cpu_millis = waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000;
-                    waiting.memory_mb = waiting.memory_mb * LATE_DEMAND_PERMILLE / 1_000;
+                let waiting = waiting_size(job);
+                let is_in_time = job.spec.is_long_running() || is_in_time(job, self.now_ms);
+                match is_in_time {
+                    true if job.is_postponed => need.postponed.add(&waiting),
+                    true => need.needed.add(&waiting),
+                    false => need.late.add(&Size {
+                        cpu_millis: waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000,
+                        memory_mb: waiting.memory_mb * LATE_DEMAND_PERMILLE / 1_000,
+                        gpu_count: waiting.gpu_count,
+                    }),
                 }
-                need.needed.add(&waiting);
                 let size = sizes.get(&job.pool).copied().unwrap_or_default();
                 let all_at_once_count = instances_for_all_at_once(job, &size);
                 if all_at_once_count > 0 {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod batches;
 mod capacity;
+mod capacity_plan;
 mod catalog;
 mod demand;
 mod dispatch;
@@ -33,6 +34,7 @@
 mod waves;
 mod worker;
 
+pub use capacity_plan::{allot, Allotment, Need, Needs};
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
 pub use engine::{Engine, EngineSettings, Settled};
 pub use feasibility::{jobs_to_postpone, Claim};
