--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -70,11 +70,8 @@
 /// What one pool has and needs.
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
-    /// Capacity for running tasks and for waiting work that can still meet its targets, without that
-    /// of postponed jobs.
+    /// Capacity for running tasks and for waiting work that can still meet its targets.
     needed: Size,
-    /// Capacity for the waiting work of postponed jobs, in addition.
-    postponed: Size,
     /// Capacity for work that can no longer meet its targets, in addition.
     late: Size,
     /// Capacity for a demand peak that is about to start, with all that is needed now.
@@ -110,17 +107,14 @@
         let held_count = self.all_at_once_count.max(self.long_running_hosts_count);
         let in_time_count = instances_for(&self.needed, size).max(held_count);
         let at_peak_count = instances_for(&self.at_peak, size).max(in_time_count);
-        let mut all = self.needed;
-        all.add(&self.postponed);
-        let with_postponed_count = instances_for(&all, size).max(at_peak_count);
-        all.add(&self.late);
-        let with_late_count = instances_for(&all, size).max(with_postponed_count);
+        let mut with_late = self.needed;
+        with_late.add(&self.late);
+        let with_late_count = instances_for(&with_late, size).max(at_peak_count);
         let prepared_count = self.prepared_count.max(with_late_count);
         [
             held_count,
             in_time_count,
             at_peak_count,
-            with_postponed_count,
             with_late_count,
             prepared_count,
         ]
@@ -482,7 +476,6 @@
                 let waiting = waiting_size(job);
                 let is_in_time = job.spec.is_long_running() || is_in_time(job, self.now_ms);
                 match is_in_time {
-                    true if job.is_postponed => need.postponed.add(&waiting),
                     true => need.needed.add(&waiting),
                     false => need.late.add(&Size {
                         cpu_millis: waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000,
--- a/src/jobs/capacity_plan.rs
+++ b/src/jobs/capacity_plan.rs
@@ -26,8 +26,6 @@
     InTime,
     /// A demand peak that is about to start.
     ExpectedPeak,
-    /// Work that cannot meet its targets together with that of [`InTime`](Self::InTime).
-    Postponed,
     /// Work that can no longer meet its targets.
     Late,
     /// A demand peak that may start in this pool or in another one.
