Prepare 12 per cent of the fleet for possible peaks

Cause: the part that is prepared is held by several pools at once, and only one of them has the next peak. Change: PREPARED_PERCENT 45 to 12.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -26,7 +26,7 @@
 const STANDBY_AFTER_IDLE_MS: u64 = 1_500;
 /// Share of all instances that are prepared for the next demand peak, divided equally among the
 /// pools that may have it, in percent.
-const PREPARED_PERCENT: usize = 45;
+const PREPARED_PERCENT: usize = 12;
 /// Number of instances that a pool keeps beyond those with long-running tasks.
 const SPARE_COUNT: usize = 2;
 
