Keep spare instances in a pool that gives up workers

Cause: instances that were moved in the same review counted as present, and so did listed workers that had not answered, so that a pool lost its last workers (4 tests failed). Change: only workers that accept tasks count as surplus; each pool keeps two beyond those with long-running tasks.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -15,7 +15,7 @@
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::ranking::is_in_time;
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::Slot;
+use crate::jobs::worker::{Slot, Worker};
 use crate::logging::Event;
 
 /// Interval between reviews, in milliseconds.
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Returns the number of instances that the pool keeps.
+    fn retained_count(&self, allotment: &Allotment) -> usize {
+        let spare_count = self.long_running_hosts_count + SPARE_COUNT;
+        allotment.count.max(spare_count)
+    }
+
     /// Returns the numbers of instances of `size` that the pool needs.
     fn counts(&self, size: &Size) -> Needs {
         let held_count = self.all_at_once_count.max(self.long_running_hosts_count);
@@ -157,12 +163,12 @@
             let have_count = need.usable_count;
             let allotted_count = plan[pool].count;
             self.log_capacity(pool, need, &counts[pool], &plan[pool]);
-            let retained_count = allotted_count.max(need.long_running_hosts_count + SPARE_COUNT);
+            let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
             if allotted_count > have_count {
                 short.push((pool.clone(), allotted_count - have_count));
-            } else if have_count > retained_count {
+            } else if surplus_count > 0 {
                 let mut idle = self.idle_workers(pool);
-                let kept_count = idle.len().saturating_sub(have_count - retained_count);
+                let kept_count = idle.len().saturating_sub(surplus_count);
                 donors.extend(idle.split_off(kept_count));
             }
         }
@@ -177,6 +183,15 @@
         self.move_evacuated_to_standby();
     }
 
+    /// Returns how many workers of a pool accept tasks beyond those that it keeps. Listed workers that
+    /// have not answered may be gone, and instances that are joining the pool may be late.
+    fn surplus_count(&self, pool: &SmolStr, retained_count: usize) -> usize {
+        let accepts =
+            |worker: &&Worker| worker.info.pool == *pool && worker.takes_tasks(self.now_ms);
+        let accepting_count = self.present_workers().filter(accepts).count();
+        accepting_count.saturating_sub(retained_count)
+    }
+
     /// Returns how many instances the pools have, or can get from standby.
     fn available_count(&self, needs: &IndexMap<SmolStr, PoolNeed>) -> usize {
         let in_pools_count: usize = needs.values().map(|need| need.usable_count).sum();
@@ -219,8 +234,7 @@
         }
         let mut open_count = missing_count - self.capacity.reclaimed.len();
         for (pool, need) in needs {
-            let retained_count = plan[pool].count.max(need.long_running_hosts_count);
-            let surplus_count = need.usable_count.saturating_sub(retained_count);
+            let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
             for key in self.reclaimable(pool, surplus_count.min(open_count)) {
                 self.worker_mut(key).is_cordoned = true;
                 self.capacity.reclaimed.insert(key);
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod basics;
 mod builders;
 mod capacity;
+mod capacity_plan;
 mod checks;
 mod constraints;
 mod evacuation;
