Keep the distribution of run times of each kind of work

Cause: one smoothed ratio stood for all runs of a kind. It follows single stragglers (one run in thirty takes seven times the mean), and says nothing of how long a run that is already late will still take.

Change: for each kind, two histograms of the ratio of run time to estimate. The weight of the older one decreases to 0 until the newer one has 512 runs and takes its place; 16 jobs in a row on one side of the median start the kind anew. From 32 runs, `expected_ms` is the mean of both; `remaining_ms` and `quantile_ms` read a summary that is computed after every 16 runs. Below 32 runs the smoothed ratio decides as before. Runs that were adopted from an earlier leader count only in the smoothed ratio, since their starts are not known. At most 512 kinds of less than 20 KiB each are known; before, their number had no bound.

--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -4,6 +4,7 @@
 use crate::jobs::job::{JobState, Round};
 use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{EndKind, RunEnd};
+use crate::jobs::run_times::FinishedRun;
 use crate::jobs::worker::Slot;
 use crate::logging::Event;
 
@@ -116,7 +117,12 @@
             if is_near && expected_ms > 0 {
                 worker.observe_run(ran_ms, expected_ms);
             }
-            self.run_times.observe(&queue, step, ran_ms);
+            let run = FinishedRun {
+                job: task.job,
+                ran_ms,
+                is_adopted: slot.is_adopted,
+            };
+            self.run_times.observe(&queue, step, &run);
         }
     }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -26,6 +26,8 @@
 mod record;
 mod recovery;
 mod requests;
+mod run_distribution;
+mod run_shift;
 mod run_times;
 mod spec;
 mod tickets;
@@ -48,6 +50,8 @@
     WorkerRecord,
 };
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
+pub use run_distribution::RunVerdict;
+pub use run_times::{FinishedRun, RunTimes};
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
 pub use waves::WaveSpec;
 pub use worker::WorkerInfo;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -368,6 +368,7 @@
     Slot {
         reservation: step.reservation(),
         size: step.size,
+        is_adopted: state != SlotState::Sent,
         state,
         since_ms: now_ms,
         is_stopping: false,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -83,6 +83,8 @@
     pub(crate) is_stopping: bool,
     /// Time of the last stop order; 0 for none.
     pub(crate) stop_sent_ms: u64,
+    /// Whether the run was first seen in a poll, so that the time of its start is not known.
+    pub(crate) is_adopted: bool,
     /// Whether the task runs until its job is cancelled.
     pub(crate) is_long_running: bool,
     /// Whether the task uses only processor time that other tasks leave unused.
--- /dev/null
+++ b/tests/testsuite/jobs/run_times.rs
@@ -0,0 +1,157 @@
+//! Run times by kind: expected and remaining times, copies, and slow workers.
+
+use hawthornladder::jobs::{FinishedRun, JobKey, RunTimes, StepSpec};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
+
+use super::simulation::step;
+
+/// Estimate of the steps in the tests of `RunTimes` alone, in milliseconds.
+const ESTIMATE_MS: u64 = 1_000;
+
+fn queue() -> SmolStr {
+    "maps".into()
+}
+
+/// Returns a run of a job of its own.
+fn run(job: u32, ran_ms: u64) -> FinishedRun {
+    FinishedRun {
+        job: JobKey(job),
+        ran_ms,
+        is_adopted: false,
+    }
+}
+
+/// Returns a run time of `base_ms` to one and a half times that, or for one run in thirty, seven
+/// times the mean of these.
+fn heavy_tailed_ms(rng: &mut ChaCha8Rng, base_ms: u64) -> u64 {
+    match rng.random_range(0..30) {
+        0 => base_ms * 5 / 4 * 7,
+        _ => base_ms + rng.random_range(0..=base_ms / 2),
+    }
+}
+
+/// Returns run times that have seen `count` runs of the queue, drawn by `run_ms`.
+fn after(count: u32, mut run_ms: impl FnMut(u32) -> u64) -> RunTimes {
+    let mut run_times = RunTimes::default();
+    let task = step(1, 1_000, ESTIMATE_MS);
+    for job in 0..count {
+        run_times.observe(&queue(), &task, &run(job, run_ms(job)));
+    }
+    run_times
+}
+
+/// Fails if the difference exceeds a share of `wanted`, in percent.
+fn assert_near(found: u64, wanted: u64, percent: u64) {
+    let difference = found.abs_diff(wanted);
+    assert!(
+        difference * 100 <= wanted * percent,
+        "{found} is not within {percent} % of {wanted}"
+    );
+}
+
+#[test]
+fn one_straggler_in_thirty_neither_distorts_the_mean_nor_hides_in_the_remaining_time() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let run_times = after(1_500, |_| heavy_tailed_ms(&mut rng, 800));
+    let task = step(1, 1_000, ESTIMATE_MS);
+    // 29 runs of 1,000 ms on average, and one of 7,000 ms.
+    assert_near(run_times.expected_ms(&queue(), &task), 1_200, 8);
+    assert_near(run_times.remaining_ms(&queue(), &task, 1_500), 5_500, 2);
+    let p90_ms = run_times.quantile_ms(&queue(), &task, 0.9);
+    assert_near(p90_ms.expect("enough runs"), 1_170, 5);
+}
+
+#[test]
+fn estimates_off_by_two_and_a_half_are_corrected() {
+    for run_ms in [400, 2_500] {
+        let run_times = after(40, |_| run_ms);
+        let task = step(1, 1_000, ESTIMATE_MS);
+        assert_near(run_times.expected_ms(&queue(), &task), run_ms, 1);
+        assert_near(
+            run_times.remaining_ms(&queue(), &task, run_ms / 2),
+            run_ms / 2,
+            2,
+        );
+        let other = step(1, 1_000, 300);
+        assert_near(
+            run_times.expected_ms(&queue(), &other),
+            run_ms * 300 / 1_000,
+            1,
+        );
+    }
+}
+
+#[test]
+fn a_shift_of_the_run_times_is_followed_within_some_twenty_jobs() {
+    for (before_ms, after_ms) in [(1_000, 2_500), (2_500, 1_000)] {
+        let mut rng = ChaCha8Rng::seed_from_u64(2);
+        let run_times = after(640, |job| {
+            let run_ms = if job < 600 { before_ms } else { after_ms };
+            run_ms * rng.random_range(85..=115) / 100
+        });
+        let task = step(1, 1_000, ESTIMATE_MS);
+        assert_near(run_times.expected_ms(&queue(), &task), after_ms, 5);
+    }
+}
+
+#[test]
+fn one_job_with_a_wrong_estimate_is_no_shift() {
+    let mut run_times = after(400, |job| 900 + u64::from(job) % 200);
+    let task = step(1, 1_000, ESTIMATE_MS);
+    for _ in 0..60 {
+        run_times.observe(&queue(), &task, &run(1_000, 2_500));
+    }
+    // 60 of 460 runs.
+    assert_near(run_times.expected_ms(&queue(), &task), 1_196, 2);
+}
+
+#[test]
+fn with_few_runs_the_smoothed_ratio_decides_as_before() {
+    let run_times = after(31, |_| 2_000);
+    let task = step(1, 1_000, ESTIMATE_MS);
+    let smoothed_ms = run_times.smoothed_ms(&queue(), &task);
+    assert_near(smoothed_ms, 1_924, 1);
+    assert_eq!(run_times.expected_ms(&queue(), &task), smoothed_ms);
+    assert_eq!(
+        run_times.remaining_ms(&queue(), &task, 5_000),
+        smoothed_ms / 5
+    );
+    assert_eq!(run_times.quantile_ms(&queue(), &task, 0.9), None);
+    assert_eq!(run_times.verdict(&queue(), &task, 9_000), None);
+}
+
+#[test]
+fn adopted_runs_do_not_shorten_the_distribution() {
+    let mut run_times = after(100, |_| 1_000);
+    let task = step(1, 1_000, ESTIMATE_MS);
+    for job in 100..200 {
+        let adopted = FinishedRun {
+            is_adopted: true,
+            ..run(job, 100)
+        };
+        run_times.observe(&queue(), &task, &adopted);
+    }
+    assert_near(run_times.expected_ms(&queue(), &task), 1_000, 1);
+}
+
+#[test]
+fn the_number_of_kinds_is_bounded_and_kinds_in_use_are_retained() {
+    let mut run_times = after(40, |_| 2_000);
+    let task = step(1, 1_000, ESTIMATE_MS);
+    for number in 0..2_000 {
+        let image = StepSpec {
+            image: smol_str::format_smolstr!("image-{number}"),
+            ..task.clone()
+        };
+        run_times.observe(&queue(), &image, &run(number, 2_000));
+        run_times.observe(&queue(), &task, &run(number, 2_000));
+    }
+    let first = StepSpec {
+        image: "image-0".into(),
+        ..task.clone()
+    };
+    assert_eq!(run_times.expected_ms(&queue(), &first), ESTIMATE_MS);
+    assert_near(run_times.expected_ms(&queue(), &task), 2_000, 1);
+}
