Reckon the work that running tasks have left from their kind's distribution

Cause: the plan of a full pool took the estimate less the time passed, at least a fifth of the estimate, for what a run has left. A straggler of seven times the mean seemed nearly done for most of its time, so that the pool seemed free soon, and too few jobs were postponed.

Change: `remaining_ms` replaces this in `feasibility.rs`. The other place that could reckon the end of running work is the remaining chain of a job in `ranking.rs`, which counts a step as whole until all its tasks are done; it stays, since it is an upper bound by design and is computed for each waiting job in each pass.

--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -19,8 +19,6 @@
 
 /// Interval between plans, in milliseconds.
 const PLAN_MS: u64 = 100;
-/// Least share of its expected run time that a running task is assumed to have left, in percent.
-const REMAINING_MIN_PERCENT: u64 = 20;
 
 /// Demand of one job on its pool.
 #[derive(Clone, Debug, PartialEq)]
@@ -160,11 +158,8 @@
                 }
                 let job = self.job(run.task.job);
                 let step = &job.spec.steps[usize::from(run.task.step)];
-                let whole_ms = self.run_times.expected_ms(&job.queue, step);
                 let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
-                let left_ms = whole_ms
-                    .saturating_sub(ran_ms)
-                    .max(whole_ms * REMAINING_MIN_PERCENT / 100);
+                let left_ms = self.run_times.remaining_ms(&job.queue, step, ran_ms);
                 plan.backlog += slot.reservation.cpu_millis * left_ms;
             }
             if worker.is_usable() {
--- a/tests/testsuite/jobs/run_times.rs
+++ b/tests/testsuite/jobs/run_times.rs
@@ -1,11 +1,11 @@
 //! Run times by kind: expected and remaining times, copies, and slow workers.
 
-use hawthornladder::jobs::{FinishedRun, JobKey, RunTimes, StepSpec};
+use hawthornladder::jobs::{FinishedRun, JobId, JobKey, JobState, RunTimes, StepSpec, TaskName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 
-use super::simulation::step;
+use super::simulation::{job, step, Simulation};
 
 /// Estimate of the steps in the tests of `RunTimes` alone, in milliseconds.
 const ESTIMATE_MS: u64 = 1_000;
@@ -155,3 +155,52 @@
     assert_eq!(run_times.expected_ms(&queue(), &first), ESTIMATE_MS);
     assert_near(run_times.expected_ms(&queue(), &task), 2_000, 1);
 }
+
+/// Runs a job whose tasks take 400 ms as estimated, except for the last `long_count`, which take
+/// seven times that, to the end.
+fn learn(simulation: &mut Simulation, tasks: StepSpec, long_count: u32) {
+    let count = tasks.tasks_count;
+    let id = simulation.submit("maps", job(vec![tasks]));
+    set_run_ms(simulation, id, count - long_count..count, 2_800);
+    simulation.advance_until(20_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
+
+fn set_run_ms(simulation: &mut Simulation, id: JobId, tasks: std::ops::Range<u32>, run_ms: u64) {
+    for index in tasks {
+        let name = TaskName {
+            job: id,
+            round: 0,
+            step: 0,
+            index,
+        };
+        simulation.run_ms.insert(name, run_ms);
+    }
+}
+
+fn tail(tasks_count: u32, cpu_millis: u64) -> StepSpec {
+    StepSpec {
+        image: "tail".into(),
+        ..step(tasks_count, cpu_millis, 400)
+    }
+}
+
+/// Stragglers hold half of the pool for another second. If their work counted as nearly done, a
+/// large job would seem to meet its target together with four small ones, and would delay them.
+#[test]
+fn a_large_job_is_postponed_for_small_ones_while_stragglers_hold_half_of_the_pool() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    learn(&mut simulation, tail(36, 800), 3);
+    let stragglers = simulation.submit("maps", job(vec![tail(4, 4_000)]));
+    set_run_ms(&mut simulation, stragglers, 0..4, 2_800);
+    simulation.advance(1_800);
+    simulation.submit("maps", job(vec![step(12, 4_000, 400)]));
+    let small: Vec<JobId> = (0..4)
+        .map(|_| simulation.submit("maps", job(vec![step(1, 4_000, 400)])))
+        .collect();
+    simulation.advance_until(1_000, |simulation| {
+        let is_done = |id: &JobId| simulation.state(*id) == Some(JobState::Complete);
+        small.iter().all(is_done)
+    });
+}
