Start copies only of runs that a new run is expected to overtake

Cause: a copy was started once a run took 1.5 times the expected time. Where run times are merely spread out, such a run mostly ends before its copy, whose work is then lost.

Change: a copy is due after the 90th percentile of the kind, but not before 1.5 times the expected time, and only while a new run is expected to end before the current one by the runs of its kind that took longer (`copies.rs`). A run that no known run exceeds gets its copy, and on a slow worker the remaining time counts twice. Otherwise the check is repeated after a quarter of the expected time. Below 32 runs nothing changes. While a kind has few runs, its summary is computed more often than after 16 runs, so that it does not lag behind.

Result: 2 new tests, in the simulation.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use crate::jobs::copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{Action, StartOrder};
@@ -16,12 +17,6 @@
 
 /// Distance between the run numbers of two leaders. One leader starts a task fewer times than this.
 const RUNS_PER_FENCE: u64 = 10_000;
-/// Run time from which a task gets a copy where its step allows copies, in thousandths of the
-/// expected one.
-const COPY_AFTER_PERMILLE: u64 = 1_500;
-/// Shortest run time after which a task gets a copy, in milliseconds.
-const COPY_AFTER_MIN_MS: u64 = 250;
-
 /// Pause before a copy that found no capacity is tried again, in milliseconds.
 const COPY_RETRY_MS: u64 = 20;
 
@@ -344,17 +339,12 @@
     /// Schedules a copy of a task that has just started, where its step allows copies.
     pub(crate) fn schedule_copy(&mut self, task: TaskKey, step: &StepSpec) {
         if step.may_have_copies() {
-            let due_ms = self.now_ms + self.copy_after_ms(task.job, step);
+            let queue = &self.job(task.job).queue;
+            let due_ms = self.now_ms + copy_after_ms(&self.run_times, queue, step);
             self.copies_due.insert((due_ms, task));
         }
     }
 
-    /// Returns the run time from which a task of `step` gets a copy, in milliseconds.
-    fn copy_after_ms(&self, job: JobKey, step: &StepSpec) -> u64 {
-        let expected_ms = self.run_times.expected_ms(&self.job(job).queue, step);
-        (expected_ms * COPY_AFTER_PERMILLE / 1_000).max(COPY_AFTER_MIN_MS)
-    }
-
     /// Starts a second run of each task that takes too long, where its step allows copies.
     fn start_copies(&mut self) {
         let now_ms = self.now_ms;
@@ -376,11 +366,19 @@
                 // The key of an ended job was reused.
                 continue;
             }
-            let slow_ms = started_ms + self.copy_after_ms(task.job, step);
+            let queue = &self.job(task.job).queue;
+            let slow_ms = started_ms + copy_after_ms(&self.run_times, queue, step);
             if slow_ms >= now_ms {
                 self.copies_due.insert((slow_ms + 1, task));
                 continue;
             }
+            let is_on_slow_worker = self.worker(current).is_slow();
+            let ran_ms = now_ms.saturating_sub(started_ms);
+            if !is_copy_faster(&self.run_times, queue, step, ran_ms, is_on_slow_worker) {
+                let recheck_ms = copy_recheck_ms(&self.run_times, queue, step);
+                self.copies_due.insert((now_ms + recheck_ms, task));
+                continue;
+            }
             if !self.is_held_back(task.job) && self.try_start(task, step, Some(current)) {
                 Event::new("copy_started")
                     .with("task", self.task_name(task))
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod batches;
 mod capacity;
 mod catalog;
+mod copies;
 mod demand;
 mod dispatch;
 mod ends;
--- a/src/jobs/run_distribution.rs
+++ b/src/jobs/run_distribution.rs
@@ -16,8 +16,10 @@
 const RATIO_BOUNDS_PERMILLE: (u64, u64) = (1, 64_000);
 /// Significant digits of a ratio.
 const DIGITS: u8 = 2;
-/// Number of runs after which the summary is computed again.
-const SUMMARY_INTERVAL_COUNT: u64 = 16;
+/// Number of new runs, relative to all, after which the summary is computed again, and the most such
+/// runs.
+const SUMMARY_INTERVAL_DIVISOR: u64 = 32;
+const SUMMARY_INTERVAL_MAX_COUNT: u64 = 16;
 /// Run time from which a run is long, relative to the median.
 const LONG_FACTOR: u64 = 2;
 /// Number of runs over which the share of long runs is smoothed.
@@ -71,6 +73,8 @@
 pub(crate) struct RunDistribution {
     current: Ratios,
     previous: Option<Ratios>,
+    /// Runs since the summary was computed.
+    unsummarized_count: u64,
     /// Ratios in increasing order; empty until there are enough runs.
     points: Vec<Point>,
     /// Median of the summary, in thousandths; 0 without one.
@@ -87,6 +91,7 @@
         Self {
             current: Ratios::new(),
             previous: None,
+            unsummarized_count: 0,
             points: Vec::new(),
             median_permille: 0,
             long_share: 0.0,
@@ -121,17 +126,25 @@
 
     fn record(&mut self, ratio_permille: u64) {
         self.current.record(ratio_permille);
-        let count = self.current.histogram.len();
-        let is_first = count == RUNS_MIN_COUNT && self.previous.is_none();
-        if count == FULL_COUNT {
+        if self.current.histogram.len() == FULL_COUNT {
             let full = std::mem::replace(&mut self.current, Ratios::new());
             self.previous = Some(full);
         }
-        if is_first || self.is_known() && count % SUMMARY_INTERVAL_COUNT == 0 {
+        self.unsummarized_count += 1;
+        let count = self.count();
+        let interval_count = (count / SUMMARY_INTERVAL_DIVISOR).min(SUMMARY_INTERVAL_MAX_COUNT);
+        if count >= RUNS_MIN_COUNT && self.unsummarized_count >= interval_count {
             self.summarize();
+            self.unsummarized_count = 0;
         }
     }
 
+    /// Returns the number of runs in both histograms.
+    fn count(&self) -> u64 {
+        let previous = self.previous.as_ref();
+        self.current.histogram.len() + previous.map_or(0, |previous| previous.histogram.len())
+    }
+
     /// Returns whether there are enough runs.
     pub(crate) fn is_known(&self) -> bool {
         !self.points.is_empty()
@@ -196,7 +209,8 @@
         if let Some(previous) = &self.previous {
             ratios.extend(weighted_ratios(previous, previous_weight));
         }
-        ratios.sort_unstable();
+        // Both parts are sorted, which the stable sort makes use of.
+        ratios.sort();
         let total = ratios.iter().map(|(_, weight)| weight).sum::<u64>().max(1);
         self.points.clear();
         let (mut above, mut sum_permille) = (0, 0);
--- a/tests/testsuite/jobs/run_times.rs
+++ b/tests/testsuite/jobs/run_times.rs
@@ -204,3 +204,63 @@
         small.iter().all(is_done)
     });
 }
+
+/// Returns how many copies a task gets that runs for `run_ms`, by tasks of an image that `learn`
+/// has prepared.
+fn copies_of(simulation: &mut Simulation, tasks: StepSpec, run_ms: u64) -> usize {
+    let copied = StepSpec {
+        allows_copies: true,
+        ..tasks
+    };
+    let id = simulation.submit("maps", job(vec![copied]));
+    set_run_ms(simulation, id, 0..1, run_ms);
+    simulation.advance_until(9_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    let starts = simulation.starts.iter();
+    starts.filter(|(_, _, name)| name.job == id).count() - 1
+}
+
+/// A run past 1.5 times the mean of a kind with stragglers is one of them. Where run times are
+/// merely spread out, it ends before a copy would.
+#[test]
+fn a_copy_is_started_only_where_a_new_run_ends_earlier() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    learn(&mut simulation, tail(60, 800), 2);
+    assert_eq!(copies_of(&mut simulation, tail(1, 800), 2_800), 1);
+    assert_eq!(copies_of(&mut simulation, tail(1, 800), 400), 0);
+
+    let spread = |tasks_count| StepSpec {
+        image: "spread".into(),
+        ..step(tasks_count, 800, 1_000)
+    };
+    let id = simulation.submit("maps", job(vec![spread(60)]));
+    for index in 0..60 {
+        let run_ms = 400 + 35 * u64::from(index);
+        set_run_ms(&mut simulation, id, index..index + 1, run_ms);
+    }
+    simulation.advance(6_000);
+    assert_eq!(copies_of(&mut simulation, spread(1), 2_400), 0);
+    // It takes longer than any known run.
+    assert_eq!(copies_of(&mut simulation, spread(1), 4_000), 1);
+}
+
+/// The distribution is not persisted: a new leader copies by 1.5 times the estimate until it has
+/// seen 32 runs, and the part of an adopted run that it sees is no run time.
+#[test]
+fn a_new_leader_knows_the_estimates_until_runs_end_under_it() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    learn(&mut simulation, tail(60, 800), 0);
+    let spread_out = copies_of(&mut simulation, tail(1, 800), 590);
+    assert_eq!(spread_out, 0, "1.5 times the mean has not passed");
+    let adopted = simulation.submit("maps", job(vec![tail(40, 800)]));
+    set_run_ms(&mut simulation, adopted, 0..40, 1_600);
+    simulation.advance(1_400);
+    simulation.fail_over(2);
+    simulation.advance_until(12_000, |simulation| {
+        simulation.state(adopted) == Some(JobState::Complete)
+    });
+    learn(&mut simulation, tail(36, 800), 0);
+    // Had the 40 adopted runs counted as 200 ms long, a copy would be due after 450 ms.
+    assert_eq!(copies_of(&mut simulation, tail(1, 800), 500), 0);
+}
