Tell a slow worker from unlucky work by the distribution of its runs

Cause: a worker's slowness was the smoothed ratio of its run times to the expected ones, so that three stragglers in a row made a healthy worker count as slow for the next runs.

Change: a run is compared with its kind: it is long above twice the median, and the evidence against its worker is how much likelier such a run is on a slow worker than on a healthy one (`slowness.rs`, a CUSUM test). One run counts at most a fifth of what is needed. The share of long runs on healthy workers is that of the kind, or of the last runs if that is larger, so that a job with a wrong estimate or a shift is not held against the workers. Kinds below 32 runs count as before, until a run of a known kind that is not long lets that fade.

Result: 3 new tests. With the rule before, all three fail; without the share of the last runs, the one of the job with a wrong estimate.

--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -108,14 +108,17 @@
             let (queue, spec) = (job.queue.clone(), job.spec.clone());
             let step = &spec.steps[usize::from(task.step)];
             let expected_ms = self.run_times.expected_ms(&queue, step);
+            let verdict = self.run_times.verdict(&queue, step, ran_ms);
+            // Only a part of an adopted run is known, and it would seem short.
+            let is_comparable = verdict.is_none() || !slot.is_adopted;
             let worker = self.worker_mut(key);
             // Far from its rack a task takes longer on any worker.
             let is_near = step
                 .near_rack
                 .as_ref()
                 .is_none_or(|rack| *rack == worker.rack);
-            if is_near && expected_ms > 0 {
-                worker.observe_run(ran_ms, expected_ms);
+            if is_near && is_comparable && expected_ms > 0 {
+                worker.slowness.observe(ran_ms, expected_ms, verdict);
             }
             let run = FinishedRun {
                 job: task.job,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -30,6 +30,7 @@
 mod run_distribution;
 mod run_shift;
 mod run_times;
+mod slowness;
 mod spec;
 mod tickets;
 mod waiting;
@@ -53,6 +54,7 @@
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
 pub use run_distribution::RunVerdict;
 pub use run_times::{FinishedRun, RunTimes};
+pub use slowness::Slowness;
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
 pub use waves::WaveSpec;
 pub use worker::WorkerInfo;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::keys::RunKey;
+use crate::jobs::slowness::Slowness;
 use crate::jobs::spec::Size;
 use crate::logging::Event;
 
@@ -14,13 +15,6 @@
 /// Reserve added to the computed end of a lease, in milliseconds.
 const LEASE_EXPIRY_RESERVE_MS: u64 = 60;
 
-/// Slowness above which other workers are preferred, in thousandths.
-const SLOW_PERMILLE: u64 = 1_600;
-/// Bound of one observation of slowness, in thousandths, so that a straggler does not decide alone.
-const SLOWNESS_MAX_PERMILLE: u64 = 4_000;
-/// Number of runs over which slowness is smoothed.
-const SLOWNESS_SMOOTHING: u64 = 6;
-
 /// A worker as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerInfo {
@@ -181,8 +175,8 @@
     pub(crate) listed_ms: u64,
     /// Time since which it has not been listed; has no meaning while it is listed.
     pub(crate) unlisted_since_ms: u64,
-    /// Smoothed run times on this worker relative to those expected, in thousandths.
-    pub(crate) slowness_permille: u64,
+    /// Evidence of whether tasks take long there.
+    pub(crate) slowness: Slowness,
     /// Whether it has changed since its free capacity was brought up to date.
     pub(crate) is_touched: bool,
 }
@@ -216,7 +210,7 @@
             idle_since_ms: now_ms,
             listed_ms: 0,
             unlisted_since_ms: now_ms,
-            slowness_permille: 1_000,
+            slowness: Slowness::default(),
             is_touched: false,
         }
     }
@@ -310,15 +304,7 @@
 
     /// Returns whether other workers are preferred because tasks take long there.
     pub(crate) fn is_slow(&self) -> bool {
-        self.slowness_permille > SLOW_PERMILLE
-    }
-
-    /// Records that a task ran for `ran_ms` where `expected_ms` was expected.
-    pub(crate) fn observe_run(&mut self, ran_ms: u64, expected_ms: u64) {
-        let ratio_permille = ran_ms * 1_000 / expected_ms.max(1);
-        let observed = ratio_permille.min(SLOWNESS_MAX_PERMILLE);
-        let weighted = self.slowness_permille * (SLOWNESS_SMOOTHING - 1) + observed;
-        self.slowness_permille = weighted / SLOWNESS_SMOOTHING;
+        self.slowness.is_slow()
     }
 
     /// Resets the state that belongs to the previous incarnation, and returns the runs that were
@@ -333,7 +319,7 @@
         self.awaited_batch = None;
         self.is_fenced = false;
         self.failed_streak_count = 0;
-        self.slowness_permille = 1_000;
+        self.slowness = Slowness::default();
         self.next_start_ms = 0;
         self.slots.keys().copied().collect()
     }
--- a/tests/testsuite/jobs/run_times.rs
+++ b/tests/testsuite/jobs/run_times.rs
@@ -1,6 +1,8 @@
 //! Run times by kind: expected and remaining times, copies, and slow workers.
 
-use hawthornladder::jobs::{FinishedRun, JobId, JobKey, JobState, RunTimes, StepSpec, TaskName};
+use hawthornladder::jobs::{
+    FinishedRun, JobId, JobKey, JobState, RunTimes, Slowness, StepSpec, TaskName,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
@@ -264,3 +266,80 @@
     // Had the 40 adopted runs counted as 200 ms long, a copy would be due after 450 ms.
     assert_eq!(copies_of(&mut simulation, tail(1, 800), 500), 0);
 }
+
+/// Plays runs of jobs of their own on ten workers in turn, the first of which takes three times as
+/// long, and returns the number of its runs after which it was found, and how many others seemed
+/// slow at any time.
+fn play_workers(rounds_count: u32, mut run_ms: impl FnMut(u32) -> u64) -> (Option<u32>, usize) {
+    let task = step(1, 1_000, ESTIMATE_MS);
+    let mut run_times = after(64, &mut run_ms);
+    let mut workers = [Slowness::default(); 10];
+    let (mut found_after, mut seeming_slow) = (None, 0);
+    for number in 64..64 + rounds_count * 10 {
+        let at = usize::try_from(number % 10).expect("small");
+        let ran_ms = run_ms(number) * if at == 0 { 3 } else { 1 };
+        let expected_ms = run_times.expected_ms(&queue(), &task);
+        let verdict = run_times.verdict(&queue(), &task, ran_ms);
+        workers[at].observe(ran_ms, expected_ms, verdict);
+        run_times.observe(&queue(), &task, &run(number, ran_ms));
+        match (at, workers[at].is_slow()) {
+            (0, true) => found_after = found_after.or(Some((number - 64) / 10 + 1)),
+            (_, true) => seeming_slow += 1,
+            _ => {}
+        }
+    }
+    (found_after, seeming_slow)
+}
+
+#[test]
+fn a_slow_worker_is_found_within_ten_runs_and_no_healthy_one_seems_slow() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (found_after, seeming_slow) = play_workers(60, |_| heavy_tailed_ms(&mut rng, 800));
+        assert!(
+            found_after.is_some_and(|count| count <= 10),
+            "{found_after:?}, seed {seed}"
+        );
+        assert_eq!(seeming_slow, 0, "seed {seed}");
+    }
+}
+
+/// A worker that happens to get all tasks of a job whose estimate is too low is not slow.
+#[test]
+fn one_job_with_a_wrong_estimate_makes_no_worker_slow() {
+    let mut run_times = after(100, |job| 900 + u64::from(job) % 200);
+    let task = step(1, 1_000, ESTIMATE_MS);
+    let mut worker = Slowness::default();
+    for _ in 0..8 {
+        let verdict = run_times.verdict(&queue(), &task, 2_500);
+        worker.observe(2_500, 1_000, verdict);
+        run_times.observe(&queue(), &task, &run(1_000, 2_500));
+    }
+    assert!(!worker.is_slow());
+}
+
+/// Three stragglers on one worker do not make it slow, beside one that is.
+#[test]
+fn a_burst_avoids_the_slow_worker_and_uses_the_one_that_had_stragglers() {
+    let mut simulation = Simulation::open(&["maps"], 8);
+    let slow = simulation.workers.keys().next().expect("a worker").clone();
+    simulation.slow_workers.insert(slow.clone(), 3);
+    learn(&mut simulation, tail(64, 4_000), 0);
+    let id = simulation.submit("maps", job(vec![tail(64, 4_000)]));
+    simulation.advance(100);
+    let unlucky = simulation.workers.keys().last().expect("a worker").clone();
+    let stragglers = simulation.workers[&unlucky].running.values_mut().take(3);
+    stragglers.for_each(|run| run.ends_ms += 1_000);
+    simulation.advance_until(4_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    let burst = simulation.submit("maps", job(vec![tail(56, 4_000)]));
+    simulation.advance(100);
+    let used: std::collections::HashSet<_> = simulation
+        .runs_of(burst)
+        .into_iter()
+        .map(|run| run.0)
+        .collect();
+    assert_eq!(used.len(), 7);
+    assert!(!used.contains(&slow));
+}
