Measure the forecasts of run times in virtual time

Cause: there was no figure of how far the expected and remaining times are off, nor of copies and slow workers.

Change: `hawthornladder experiment run-times` plays eight loads on ten workers, and shows both rules on the same runs: errors of the expected time, of single remaining times and of the sum over all running tasks, copies and how many of them end first, healthy workers that seem slow, and the runs after which a slow worker is found.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -8,6 +8,7 @@
 use hawthornladder::load::engine_cost::{engine_table, measure_engine, WORKERS_COUNTS};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::plot::{plot_overload, plot_share};
+use hawthornladder::load::run_times::{measure_run_times, run_times_table};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
 use hawthornladder::load::state_cost::{measure_state, state_table};
 use serde::Serialize;
@@ -64,6 +65,12 @@
             with_common_args(Command::new("overload"))
                 .about("Goodput at half to ten times capacity, with bursts and a failing worker"),
         )
+        .subcommand(
+            Command::new("run-times")
+                .about("Errors of expected and remaining run times, copies and slow workers")
+                .arg(seed_arg())
+                .arg(output_arg()),
+        )
         .subcommand(
             Command::new("state-cost")
                 .about("Cost of the ledger, the snapshot and the engine by size of the fleet")
@@ -82,22 +89,21 @@
 }
 
 fn with_common_args(command: Command) -> Command {
-    command
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("N")
-                .value_parser(value_parser!(u64))
-                .default_value("1")
-                .help("Seed; the same seed gives the same figures"),
-        )
-        .arg(output_arg())
-        .arg(
-            Arg::new("plot")
-                .long("plot")
-                .value_name("FILE")
-                .help("Also write a plot as SVG to this file"),
-        )
+    command.arg(seed_arg()).arg(output_arg()).arg(
+        Arg::new("plot")
+            .long("plot")
+            .value_name("FILE")
+            .help("Also write a plot as SVG to this file"),
+    )
+}
+
+fn seed_arg() -> Arg {
+    Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .default_value("1")
+        .help("Seed; the same seed gives the same figures")
 }
 
 fn output_arg() -> Arg {
@@ -114,6 +120,10 @@
     let result = match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
+        Some(("run-times", args)) => {
+            let rows = measure_run_times(number(args, "seed"));
+            print_report(args, &run_times_table(&rows), &rows)
+        }
         Some(("state-cost", args)) => {
             let rows = measure_state();
             print_report(args, &state_table(&rows), &rows)
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -38,6 +38,7 @@
 mod worker;
 
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
+pub(crate) use copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
 pub use engine::{Engine, EngineSettings, Settled};
 pub use feasibility::{jobs_to_postpone, Claim};
 pub use instances::{InstanceFailure, InstanceInfo, InstanceState};
@@ -53,6 +54,7 @@
 };
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
 pub use run_distribution::RunVerdict;
+pub(crate) use run_times::remaining_of;
 pub use run_times::{FinishedRun, RunTimes};
 pub use slowness::Slowness;
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -12,6 +12,7 @@
 pub mod measure;
 pub mod overload;
 pub mod plot;
+pub mod run_times;
 pub mod share;
 pub mod state_cost;
 pub mod upkeep_model;
--- a/tests/testsuite/load_experiments.rs
+++ b/tests/testsuite/load_experiments.rs
@@ -1,6 +1,7 @@
 //! Short runs of the load experiments: their targets are met, and results depend only on the seed.
 
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig, Scenario};
+use hawthornladder::load::run_times::{measure_run_times, RunTimesLoad};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig, ShareRow};
 use hawthornladder::load::world::{SchedulingPolicy, URGENT_START_TARGET_MS};
 
@@ -88,3 +89,27 @@
         "fewer retries are served in time than in the baseline"
     );
 }
+
+#[test]
+fn distributions_forecast_work_better_than_smoothed_ratios_except_after_shifts() {
+    let rows = measure_run_times(2);
+    for pair in rows.chunks(2) {
+        let [smoothed, distribution] = pair else {
+            panic!("a load without a pair of rows");
+        };
+        if distribution.load == RunTimesLoad::Shift {
+            continue;
+        }
+        assert!(
+            distribution.expected_error_percent <= smoothed.expected_error_percent
+                && distribution.backlog_error_percent <= smoothed.backlog_error_percent,
+            "larger errors than with the smoothed ratio: {distribution:?}, {smoothed:?}"
+        );
+        assert!(
+            distribution
+                .found_after_count
+                .is_some_and(|count| count <= 10),
+            "a slow worker is not found: {distribution:?}"
+        );
+    }
+}
