--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod capacity_plan;
 mod catalog;
+mod copies;
 mod demand;
 mod dispatch;
 mod ends;
@@ -27,7 +28,10 @@
 mod record;
 mod recovery;
 mod requests;
+mod run_distribution;
+mod run_shift;
 mod run_times;
+mod slowness;
 mod spec;
 mod tickets;
 mod waiting;
@@ -36,6 +40,7 @@
 
 pub use capacity_plan::{allot, Allotment, Need, Needs};
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
+pub(crate) use copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
 pub use engine::{Engine, EngineSettings, Settled};
 pub use feasibility::{jobs_to_postpone, Claim};
 pub use instances::{InstanceFailure, InstanceInfo, InstanceState};
@@ -50,6 +55,10 @@
     WorkerRecord,
 };
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
+pub use run_distribution::RunVerdict;
+pub(crate) use run_times::remaining_of;
+pub use run_times::{FinishedRun, RunTimes};
+pub use slowness::Slowness;
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
 pub use waves::WaveSpec;
 pub use worker::WorkerInfo;
