Read the factor of run times outside the rack of the data

Cause: deployments say how much longer tasks with `near_rack` run on another rack (`remote_factor` under `[bounds]`), and nothing in the node read it.

Change: the factor, a whole number or a fraction, becomes `NodeBounds::remote_factor_permille` and is passed to `EngineSettings`. It defaults to 1. Values that are negative, not finite or above 100 make the settings invalid, since the engine multiplies times by the factor. Nothing uses it yet.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -59,6 +59,9 @@
     /// Time for which this leader waits for orders of earlier ones, in milliseconds; 0 for the first
     /// leader.
     pub earlier_orders_wait_ms: u64,
+    /// Run time of a task outside the rack of its data relative to that inside, in thousandths.
+    /// With 1,000 or less, no task waits for a rack.
+    pub remote_factor_permille: u64,
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -378,6 +378,7 @@
             1 => 0,
             _ => bounds.instance_lease_ms + TICK_MS,
         },
+        remote_factor_permille: bounds.remote_factor_permille,
     };
     Event::new("leadership_acquired")
         .with("fence", fence)
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -29,6 +29,8 @@
     pub maintain_ms: u64,
     /// Time within which at most one leader may give orders to an instance, in milliseconds.
     pub instance_lease_ms: u64,
+    /// Run time of a task outside the rack of its data relative to that inside, in thousandths.
+    pub remote_factor_permille: u64,
 }
 
 /// Limits of calls to the store.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,6 +14,8 @@
 const PATH_ENV: &str = "HAWTHORNLADDER_CONFIG";
 /// Path of the settings file if the variable is not set.
 const PATH_DEFAULT: &str = "/etc/hawthornladder/local.toml";
+/// Largest factor by which tasks may run longer far from their data; larger values are mistakes.
+const REMOTE_FACTOR_MAX: f64 = 100.0;
 
 /// Why the settings cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -82,6 +84,7 @@
     migration_s: f64,
     maintenance_s: f64,
     lease_ms: u64,
+    remote_factor: f64,
 }
 
 impl Default for BoundsWire {
@@ -96,6 +99,7 @@
             migration_s: 1.5,
             maintenance_s: 2.0,
             lease_ms: 3_000,
+            remote_factor: 1.0,
         }
     }
 }
@@ -150,6 +154,11 @@
         ),
     };
     let bounds = wire.bounds;
+    if !(0.0..=REMOTE_FACTOR_MAX).contains(&bounds.remote_factor) {
+        return Err(Report::new(SettingsError::Invalid).attach(format!(
+            "remote_factor must be from 0 to {REMOTE_FACTOR_MAX}"
+        )));
+    }
     Ok(NodeSettings {
         name: wire.node_name,
         zone: wire.zone,
@@ -176,10 +185,21 @@
             move_ms: to_ms(bounds.migration_s),
             maintain_ms: to_ms(bounds.maintenance_s),
             instance_lease_ms: bounds.lease_ms,
+            remote_factor_permille: to_permille(bounds.remote_factor),
         },
     })
 }
 
+// The value is at most `REMOTE_FACTOR_MAX`.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::as_conversions
+)]
+fn to_permille(factor: f64) -> u64 {
+    (factor * 1_000.0).round() as u64
+}
+
 // The values are seconds to minutes, far below the limits of the integer type.
 #[allow(
     clippy::cast_possible_truncation,
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -87,5 +87,6 @@
         maintain_ms: 2_000,
         instance_lease_ms: 3_000,
         earlier_orders_wait_ms: if fence == 1 { 0 } else { 3_000 },
+        remote_factor_permille: 1_000,
     }
 }
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -35,6 +35,23 @@
     assert!(read.tickets_address.is_none());
 }
 
+/// Guards against a factor that is dropped because it is written without a fraction, and against one
+/// that would overflow the estimates.
+#[test]
+fn the_remote_factor_may_be_whole_or_a_fraction() {
+    let with = |factor: &str| {
+        let text = format!("{SETTINGS}[bounds]\nremote_factor = {factor}\n");
+        settings::parse(&text).map(|read| read.bounds.remote_factor_permille)
+    };
+    let default = settings::parse(SETTINGS).expect("valid").bounds;
+    assert_eq!(default.remote_factor_permille, 1_000);
+    assert_eq!(with("3").expect("valid"), 3_000);
+    assert_eq!(with("1.25").expect("valid"), 1_250);
+    for factor in ["-1", "nan", "inf", "1000"] {
+        assert!(with(factor).is_err(), "{factor} was taken");
+    }
+}
+
 #[test]
 fn invalid_settings_are_refused_with_the_reason() {
     let without_ports = SETTINGS.replace("internal_ports = [7000, 7015]", "");
