Let tasks wait for a slot near their data where that is expected to be faster

Cause: a task with `near_rack` took any free slot at once, although it runs `remote_factor` times as long outside its rack; a gang with `in_one_rack` spanned racks although one would have been whole soon.

`rack_forecast.rs` forecasts when a task can start in a rack, from what runs there, the tasks ahead and the instances that arrive; `place_pass.rs` keeps the forecasts of one pass over the waiting jobs, made for a rack when its first task could start elsewhere but not there. `try_start` tells a task that waits from one that no worker can run, so that its size is not marked as one that does not fit. Only workers that accept tasks count for a rack. A pass is due when a worker begins or ceases to accept tasks while anything waits, at the end of a wait and every 200 ms. Long-running tasks and copies never wait. Slots say whether a run is far from its data, so that the ratios of run time to estimate describe runs near the data.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -55,6 +55,16 @@
     pub(crate) fn arriving_count(&self, pool: &SmolStr) -> usize {
         self.arriving.values().filter(|(to, _)| to == pool).count()
     }
+
+    /// Returns the names of the instances that are moving to a pool, with the latest times of
+    /// arrival.
+    pub(crate) fn arriving_at<'c>(
+        &'c self,
+        pool: &'c SmolStr,
+    ) -> impl Iterator<Item = (&'c SmolStr, u64)> {
+        let arriving = self.arriving.iter().filter(move |(_, (to, _))| to == pool);
+        arriving.map(|(name, (_, arrives_ms))| (name, *arrives_ms))
+    }
 }
 
 /// What one pool has and needs.
@@ -402,7 +412,7 @@
 }
 
 /// Returns how many tasks of a step an empty instance of `size` can run at once.
-fn tasks_per_instance(spec: &StepSpec, size: &Size) -> u32 {
+pub(crate) fn tasks_per_instance(spec: &StepSpec, size: &Size) -> u32 {
     let reservation = spec.reservation();
     let by = |reservation: u64, size: u64| size.checked_div(reservation).unwrap_or(u64::MAX);
     let count = by(reservation.cpu_millis, size.cpu_millis)
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -8,10 +8,12 @@
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{Action, StartOrder};
+use crate::jobs::place_pass::PlacePass;
+use crate::jobs::place_waits::WaitOutcome;
 use crate::jobs::placement::{choose, PlacementRequest};
 use crate::jobs::polls::new_slot;
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::SlotState;
+use crate::jobs::worker::{Slot, SlotState};
 use crate::logging::Event;
 
 /// Distance between the run numbers of two leaders. One leader starts a task fewer times than this.
@@ -25,6 +27,23 @@
 /// Pause before a copy that found no capacity is tried again, in milliseconds.
 const COPY_RETRY_MS: u64 = 20;
 
+/// What became of a task that could be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartOutcome {
+    Started,
+    /// It waits for a slot near its data.
+    Waits,
+    /// No worker may or can run it now.
+    NoWorker,
+}
+
+/// State of one pass over the waiting jobs.
+#[derive(Default)]
+struct Pass {
+    refused: Refused,
+    places: PlacePass,
+}
+
 /// Reservations that did not fit in a pool in this pass; none of them is as large as another.
 #[derive(Default)]
 struct Refused {
@@ -54,6 +73,13 @@
     step.label.is_none() && step.per_worker_max == 0
 }
 
+fn wait_outcome(is_remote: bool) -> WaitOutcome {
+    match is_remote {
+        true => WaitOutcome::Lost,
+        false => WaitOutcome::Won,
+    }
+}
+
 impl Engine {
     /// Starts all tasks that can be started now. A pass visits the waiting jobs of pools with free
     /// capacity; a job with nothing that fits costs O(log n) for n workers.
@@ -62,19 +88,21 @@
             .copies_due
             .first()
             .is_some_and(|(due_ms, _)| *due_ms <= self.now_ms);
-        if !self.needs_dispatch && !is_copy_due {
+        let is_wait_due = self.place_waits.is_check_due(self.now_ms);
+        if !self.needs_dispatch && !is_copy_due && !is_wait_due {
             return;
         }
         self.needs_dispatch = false;
         self.refresh_workers();
         self.refresh_waiting_jobs();
-        let mut refused = Refused::default();
+        self.place_waits.begin_pass();
+        let mut pass = Pass::default();
         for key in self.jobs_that_may_start() {
             if !self.is_held_back(key) {
-                self.start_tasks_of(key, &mut refused);
+                self.start_tasks_of(key, &mut pass);
             }
         }
-        self.start_copies();
+        self.start_copies(&mut pass);
     }
 
     /// Returns the workers of a pool that accept tasks.
@@ -101,7 +129,7 @@
         self.opened_ms + self.settings.inherited_runs_max_ms
     }
 
-    fn start_tasks_of(&mut self, key: JobKey, refused: &mut Refused) {
+    fn start_tasks_of(&mut self, key: JobKey, pass: &mut Pass) {
         let spec = self.job(key).spec.clone();
         for round in (0u32..).take(self.job(key).rounds.len()) {
             for (step, number) in spec.steps.iter().zip(0u16..) {
@@ -109,7 +137,7 @@
                 let progress = &job.rounds[index(round)];
                 let is_due = progress.steps[usize::from(number)].waiting_count > 0
                     && progress.is_ready(step)
-                    && !(is_plain(step) && refused.covers(&job.pool, &step.reservation()));
+                    && !(is_plain(step) && pass.refused.covers(&job.pool, &step.reservation()));
                 if !is_due {
                     continue;
                 }
@@ -120,14 +148,14 @@
                     index: 0,
                 };
                 match step.is_gang {
-                    true => self.start_gang(at, step),
-                    false => self.start_step(at, step, refused),
+                    true => self.start_gang(at, step, &mut pass.places),
+                    false => self.start_step(at, step, pass),
                 }
             }
         }
     }
 
-    fn start_step(&mut self, at: TaskKey, step: &StepSpec, refused: &mut Refused) {
+    fn start_step(&mut self, at: TaskKey, step: &StepSpec, pass: &mut Pass) {
         let needs_tickets = self.needs_tickets(at.job);
         for index in 0..step.tasks_count {
             let task = TaskKey { index, ..at };
@@ -135,28 +163,36 @@
             if !is_waiting {
                 continue;
             }
-            if self.try_start(task, step, None) {
-                continue;
+            match self.try_start(task, step, None, &mut pass.places) {
+                StartOutcome::Started | StartOutcome::Waits => continue,
+                StartOutcome::NoWorker => {}
             }
             // Another reason than the size says nothing about larger tasks of other steps.
             if is_plain(step) && !needs_tickets && self.team_has_capacity(at.job, &step.size) {
                 let pool = self.job(at.job).pool.clone();
-                refused.add(&pool, step.reservation());
+                pass.refused.add(&pool, step.reservation());
+                self.queue_near(at, step, &mut pass.places);
             }
             return;
         }
     }
 
-    /// Starts a task if a worker other than `except` has free capacity and the team's limit allows
-    /// it; returns whether it did.
-    fn try_start(&mut self, task: TaskKey, step: &StepSpec, except: Option<WorkerKey>) -> bool {
+    /// Starts a task if a worker other than `except` has free capacity, the team's limit allows it
+    /// and the task does not wait for its rack. A copy, which has such a worker, waits for none.
+    fn try_start(
+        &mut self,
+        task: TaskKey,
+        step: &StepSpec,
+        except: Option<WorkerKey>,
+        places: &mut PlacePass,
+    ) -> StartOutcome {
         if !self.team_has_capacity(task.job, &step.size) {
-            return false;
+            return StartOutcome::NoWorker;
         }
         let eligible = match self.needs_tickets(task.job) {
             false => None,
             true => match self.with_tickets(task) {
-                None => return false,
+                None => return StartOutcome::NoWorker,
                 with_tickets => with_tickets,
             },
         };
@@ -168,16 +204,29 @@
             except,
         };
         let Some(worker) = choose(self, &request) else {
-            return false;
+            return StartOutcome::NoWorker;
         };
+        let is_copy = except.is_some();
+        if !is_copy && self.waits_near(task, step, worker, eligible.as_deref(), places) {
+            return StartOutcome::Waits;
+        }
+        let is_remote = self.is_outside_rack(worker, step);
+        self.end_place_wait(task, wait_outcome(is_remote));
         let number = self.next_run_number(task);
-        self.order_start(worker, task, number, step);
-        true
+        let run = self.order_start(worker, task, number, step, is_remote);
+        self.note_start(worker, &run, places);
+        StartOutcome::Started
+    }
+
+    /// Returns whether a worker is outside the rack in which a task of `step` runs fastest.
+    pub(crate) fn is_outside_rack(&self, key: WorkerKey, step: &StepSpec) -> bool {
+        let rack = &self.worker(key).rack;
+        step.near_rack.as_ref().is_some_and(|near| near != rack)
     }
 
     /// Starts all members of a gang together, in one rack where the step asks for it and a rack has
-    /// the capacity.
-    fn start_gang(&mut self, at: TaskKey, step: &StepSpec) {
+    /// the capacity, or is expected to have it soon enough.
+    fn start_gang(&mut self, at: TaskKey, step: &StepSpec, places: &mut PlacePass) {
         let members: Vec<TaskKey> = (0..step.tasks_count)
             .map(|index| TaskKey { index, ..at })
             .collect();
@@ -188,7 +237,11 @@
         for _ in 1..step.tasks_count {
             all.add(&step.size);
         }
-        if !are_all_waiting || !self.team_has_capacity(at.job, &all) {
+        if !are_all_waiting {
+            self.end_place_wait(at, WaitOutcome::Dropped);
+            return;
+        }
+        if !self.team_has_capacity(at.job, &all) {
             return;
         }
         let eligible = match self.needs_tickets(at.job) {
@@ -209,10 +262,15 @@
                 }
             }
         }
-        groups.push(eligible);
-        let Some(places) = groups.iter().find_map(|group| self.place_gang(group, step)) else {
+        let in_rack = groups.iter().find_map(|group| self.place_gang(group, step));
+        let Some(workers) = in_rack.or_else(|| self.place_gang(&eligible, step)) else {
             return;
         };
+        let spans_racks = step.in_one_rack && self.has_remote_factor() && self.span_racks(&workers);
+        if spans_racks && self.gang_waits(at, step, &groups, places) {
+            return;
+        }
+        self.end_place_wait(at, wait_outcome(spans_racks));
         let number = members
             .iter()
             .map(|task| self.next_run_number(*task))
@@ -223,16 +281,25 @@
             .filter_map(|task| self.task(*task).map(|task| task.checkpoint.clone()))
             .max()
             .unwrap_or_default();
-        for (task, worker) in members.into_iter().zip(places) {
+        for (task, worker) in members.into_iter().zip(workers) {
             let gang_checkpoint = checkpoint.clone();
             self.change_task(task, |task| {
                 task.checkpoint = gang_checkpoint;
                 task.numbered_count = task.numbered_count.max(number % RUNS_PER_FENCE);
             });
-            self.order_start(worker, task, number, step);
+            let is_remote = spans_racks || self.is_outside_rack(worker, step);
+            let run = self.order_start(worker, task, number, step, is_remote);
+            self.note_start(worker, &run, places);
         }
     }
 
+    /// Returns whether workers are in more than one rack.
+    fn span_racks(&self, workers: &[WorkerKey]) -> bool {
+        let racks = workers.iter().map(|key| &self.worker(*key).rack);
+        let first = racks.clone().next();
+        racks.into_iter().any(|rack| Some(rack) != first)
+    }
+
     /// Finds a worker for each member of a gang among `group`.
     fn place_gang(&self, group: &[WorkerKey], step: &StepSpec) -> Option<Vec<WorkerKey>> {
         let reservation = step.reservation();
@@ -296,7 +363,14 @@
         base + count.unwrap_or(1)
     }
 
-    fn order_start(&mut self, key: WorkerKey, task: TaskKey, number: u64, step: &StepSpec) {
+    fn order_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u64,
+        step: &StepSpec,
+        is_remote: bool,
+    ) -> RunKey {
         let now_ms = self.now_ms;
         let run = RunKey { task, run: number };
         let lease_ms = self.settings.run_lease_ms;
@@ -307,7 +381,11 @@
         worker.pace_cold_starts(cold_starts_per_s, now_ms);
         let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
         worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
-        self.put_slot(key, run, new_slot(step, SlotState::Sent, now_ms));
+        let slot = Slot {
+            is_remote,
+            ..new_slot(step, SlotState::Sent, now_ms)
+        };
+        self.put_slot(key, run, slot);
         self.refresh_worker(key);
         let checkpoint = self.change_task(task, |state| {
             state.runs.push((key, number));
@@ -339,6 +417,7 @@
             .with("target_in_ms", target_ms.saturating_sub(now_ms))
             .info();
         self.actions.push(Action::Start(order));
+        run
     }
 
     /// Schedules a copy of a task that has just started, where its step allows copies.
@@ -356,7 +435,7 @@
     }
 
     /// Starts a second run of each task that takes too long, where its step allows copies.
-    fn start_copies(&mut self) {
+    fn start_copies(&mut self, pass: &mut Pass) {
         let now_ms = self.now_ms;
         while let Some((due_ms, task)) = self.copies_due.first().copied() {
             if due_ms > now_ms {
@@ -381,7 +460,10 @@
                 self.copies_due.insert((slow_ms + 1, task));
                 continue;
             }
-            if !self.is_held_back(task.job) && self.try_start(task, step, Some(current)) {
+            let is_started = !self.is_held_back(task.job)
+                && self.try_start(task, step, Some(current), &mut pass.places)
+                    == StartOutcome::Started;
+            if is_started {
                 Event::new("copy_started")
                     .with("task", self.task_name(task))
                     .info();
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -107,16 +107,12 @@
             let (queue, spec) = (job.queue.clone(), job.spec.clone());
             let step = &spec.steps[usize::from(task.step)];
             let expected_ms = self.run_times.expected_ms(&queue, step);
-            let worker = self.worker_mut(key);
             // Far from its rack a task takes longer on any worker.
-            let is_near = step
-                .near_rack
-                .as_ref()
-                .is_none_or(|rack| *rack == worker.rack);
-            if is_near && expected_ms > 0 {
-                worker.observe_run(ran_ms, expected_ms);
+            if !slot.is_remote && expected_ms > 0 {
+                self.worker_mut(key).observe_run(ran_ms, expected_ms);
             }
-            self.run_times.observe(&queue, step, ran_ms);
+            let near_ms = self.near_run_ms(slot, ran_ms);
+            self.run_times.observe(&queue, step, near_ms);
         }
     }
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -22,6 +22,7 @@
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
 use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
+use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
 use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
@@ -111,6 +112,7 @@
     pub(crate) team_used: HashMap<SmolStr, Size>,
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
+    pub(crate) place_waits: PlaceWaits,
     pub(crate) instances: Instances,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) order_numbers: OrderNumbers,
@@ -162,6 +164,7 @@
             team_used: HashMap::new(),
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
+            place_waits: PlaceWaits::default(),
             instances: Instances::default(),
             evacuated_zones: EvacuatedZones::default(),
             order_numbers: OrderNumbers::default(),
@@ -342,7 +345,9 @@
             }
             _ => {}
         }
-        self.free_capacity.update(key, entry);
+        let has_changed = self.free_capacity.update(key, entry);
+        // Tasks may wait for this worker, or for one that it can replace.
+        self.needs_dispatch |= has_changed && !self.place_waits.is_empty();
     }
 
     /// Returns the keys of the workers in [`present`](Self::present).
@@ -379,6 +384,9 @@
         step.done_count += u32::from(after.0 && !before.0);
         step.waiting_count += u32::from(after.1 && !before.1);
         step.waiting_count -= u32::from(!after.1 && before.1);
+        if before.1 && !after.1 && !self.place_waits.is_empty() {
+            self.end_place_wait(key, WaitOutcome::Dropped);
+        }
         Some(result)
     }
 
@@ -491,6 +499,7 @@
         self.recurring.swap_remove(&key);
         self.ended.push_back(key);
         self.tickets.forget(key);
+        self.drop_place_waits(key);
         self.mark_dirty(key);
         self.needs_dispatch = true;
     }
--- a/src/jobs/free_capacity.rs
+++ b/src/jobs/free_capacity.rs
@@ -53,20 +53,26 @@
 }
 
 impl FreeCapacity {
-    /// Replaces what is counted of a worker.
-    pub(crate) fn update(&mut self, worker: WorkerKey, entry: WorkerEntry) {
+    /// Replaces what is counted of a worker; returns whether it began or ceased to accept tasks.
+    pub(crate) fn update(&mut self, worker: WorkerKey, entry: WorkerEntry) -> bool {
         let at = index(worker.0);
         if self.entries.len() <= at {
             self.entries.resize(at + 1, None);
         }
         if self.entries[at].as_ref() == Some(&entry) {
-            return;
+            return false;
         }
-        if let Some(before) = self.entries[at].take() {
+        let before = self.entries[at].take();
+        let accepted = before
+            .as_ref()
+            .is_some_and(|before| before.position.is_some());
+        let accepts = entry.position.is_some();
+        if let Some(before) = before {
             self.remove(worker, &before);
         }
         self.add(worker, &entry);
         self.entries[at] = Some(entry);
+        accepted != accepts
     }
 
     fn add(&mut self, worker: WorkerKey, entry: &WorkerEntry) {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -20,8 +20,11 @@
 mod order_numbers;
 mod orders;
 mod pacing;
+mod place_pass;
+mod place_waits;
 mod placement;
 mod polls;
+mod rack_forecast;
 mod ranking;
 mod record;
 mod recovery;
@@ -43,6 +46,8 @@
     Action, EndKind, InstanceOrder, OrderFailure, PaceOrder, PollOrder, PollReply, RunEnd, RunRow,
     StartOrder, StopOrder, Target, TicketRequest,
 };
+pub use place_waits::{choose_place, PlaceChoice, PlaceVerdict, PlaceWaitCounts};
+pub use rack_forecast::{ExpectedRun, ExpectedStart, RackForecast, RackWorker, NEVER_MS};
 pub use record::{
     JobRecord, OrdersRecord, ProgressRecord, Record, StoredRecord, TaskRecord, WaveRecord,
     WorkerRecord,
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -80,15 +80,31 @@
 fn fits(engine: &Engine, key: WorkerKey, request: &PlacementRequest<'_>) -> bool {
     let worker = engine.worker(key);
     let step = request.step;
-    let has_label = step
-        .label
-        .as_ref()
-        .is_none_or(|label| worker.info.labels.contains(label));
-    has_label
+    engine.has_label(key, step)
         && worker
             .used
             .fits_with(&step.reservation(), &worker.info.capacity)
-        && (step.per_worker_max == 0 || here_count(engine, key, request.task) < step.per_worker_max)
+        && engine.is_below_worker_max(key, request.task, step)
+}
+
+impl Engine {
+    /// Returns whether a worker has the label that a step needs.
+    pub(crate) fn has_label(&self, key: WorkerKey, step: &StepSpec) -> bool {
+        let labels = &self.worker(key).info.labels;
+        step.label
+            .as_ref()
+            .is_none_or(|label| labels.contains(label))
+    }
+
+    /// Returns whether a worker may run one more task of a step.
+    pub(crate) fn is_below_worker_max(
+        &self,
+        key: WorkerKey,
+        task: TaskKey,
+        step: &StepSpec,
+    ) -> bool {
+        step.per_worker_max == 0 || here_count(self, key, task) < step.per_worker_max
+    }
 }
 
 /// Returns how many runs of the same step and occurrence are at a worker.
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -280,7 +280,8 @@
         // The order that started the run may have given it a lease of this length.
         let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
         worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
-        let slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
+        let mut slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
+        slot.is_remote = self.is_outside_rack(key, step);
         self.put_slot(key, run, slot);
         Event::new("run_adopted")
             .with("task", self.task_name(run.task))
@@ -378,5 +379,6 @@
         metric: 0,
         pace_percent: 100,
         tail_target_ms: step.tail_target_ms,
+        is_remote: false,
     }
 }
--- a/src/jobs/ranking.rs
+++ b/src/jobs/ranking.rs
@@ -49,7 +49,7 @@
 }
 
 /// Returns the latest start that meets the target, by the expected run times.
-fn latest_start_ms(job: &Job) -> u64 {
+pub(crate) fn latest_start_ms(job: &Job) -> u64 {
     job.target_ms.saturating_sub(remaining_chain_ms(job))
 }
 
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -97,6 +97,9 @@
     pub(crate) pace_percent: u64,
     /// Bound of its tail latency, in milliseconds; 0 for none.
     pub(crate) tail_target_ms: u64,
+    /// Whether it takes longer than near its data: it is in another rack, or it is a member of a
+    /// gang that spans racks although one would be faster.
+    pub(crate) is_remote: bool,
 }
 
 /// A reading of the worker's clock.
@@ -339,7 +342,7 @@
 
 /// Finds the rack among a worker's labels: the first that contains a hyphen, as racks are named by
 /// row and place, or else the last label.
-fn rack_of(labels: &[SmolStr]) -> SmolStr {
+pub(crate) fn rack_of(labels: &[SmolStr]) -> SmolStr {
     labels
         .iter()
         .find(|label| label.contains('-'))
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -74,8 +74,9 @@
     catalog
 }
 
-/// Returns the settings of the leader with this fence.
-pub(crate) fn settings(fence: u64) -> EngineSettings {
+/// Returns the settings of the leader with this fence, where tasks take `factor_permille` as long
+/// outside the rack of their data.
+pub(crate) fn settings_with_factor(fence: u64, factor_permille: u64) -> EngineSettings {
     EngineSettings {
         fence,
         run_lease_ms: 4_000,
@@ -87,6 +88,6 @@
         maintain_ms: 2_000,
         instance_lease_ms: 3_000,
         earlier_orders_wait_ms: if fence == 1 { 0 } else { 3_000 },
-        remote_factor_permille: 1_000,
+        remote_factor_permille: factor_permille,
     }
 }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod overload;
 mod peaks;
+mod places;
 mod simulation;
 mod soak;
 mod waves;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -17,7 +17,7 @@
 
 pub(crate) use super::fake_worker::{FakeWorker, Running};
 
-pub(crate) use super::builders::{catalog, job, long_running, settings, size, step};
+pub(crate) use super::builders::{catalog, job, long_running, settings_with_factor, size, step};
 
 /// Length of a step of virtual time, in milliseconds.
 pub(crate) const STEP_MS: u64 = 10;
@@ -50,6 +50,8 @@
 /// The engine with its simulated surroundings.
 pub(crate) struct Simulation {
     pub(crate) engine: Engine,
+    /// Run time outside the rack of a task's data relative to that inside, in thousandths.
+    pub(crate) remote_factor_permille: u64,
     pub(crate) now_ms: u64,
     pub(crate) workers: IndexMap<SmolStr, FakeWorker>,
     pub(crate) instances: IndexMap<SmolStr, InstanceInfo>,
@@ -98,9 +100,16 @@
 impl Simulation {
     /// Starts a simulation with `count` workers of 32 cores in each pool.
     pub(crate) fn open(pools: &[&str], count: usize) -> Self {
+        Self::open_with_factor(pools, count, 1_000)
+    }
+
+    /// Starts a simulation in which tasks run longer outside the rack of their data.
+    pub(crate) fn open_with_factor(pools: &[&str], count: usize, factor_permille: u64) -> Self {
         let catalog = catalog(pools);
+        let settings = settings_with_factor(1, factor_permille);
         let mut simulation = Self {
-            engine: Engine::open(settings(1), catalog.clone(), 1_000, UNIX_MS),
+            engine: Engine::open(settings, catalog.clone(), 1_000, UNIX_MS),
+            remote_factor_permille: factor_permille,
             now_ms: 1_000,
             workers: IndexMap::new(),
             instances: IndexMap::new(),
@@ -273,7 +282,8 @@
     /// not read the lists.
     pub(crate) fn fail_over_without_lists(&mut self, fence: u64) {
         let unix_ms = UNIX_MS + self.now_ms;
-        self.engine = Engine::open(settings(fence), self.catalog.clone(), self.now_ms, unix_ms);
+        let settings = settings_with_factor(fence, self.remote_factor_permille);
+        self.engine = Engine::open(settings, self.catalog.clone(), self.now_ms, unix_ms);
         self.polls.clear();
         self.persisting = None;
         let records = self
@@ -592,6 +602,14 @@
         let slow_factor = self.slow_workers.get(&order.target.id).copied();
         let run_ms = self.run_ms.get(&order.name).copied();
         let run_ms = run_ms.unwrap_or(step.estimate_ms) * slow_factor.unwrap_or(1);
+        let is_outside = step
+            .near_rack
+            .as_ref()
+            .is_some_and(|rack| !worker.info.labels.contains(rack));
+        let run_ms = match is_outside {
+            true => run_ms * self.remote_factor_permille / 1_000,
+            false => run_ms,
+        };
         let run = Running {
             reservation: step.reservation(),
             team: self.submitted[&order.name.job].team.clone(),
@@ -608,12 +626,40 @@
         };
         worker.leased_until_ms = worker.leased_until_ms.max(order.lease_end_worker_ms);
         worker.running.insert(key, run);
+        if step.in_one_rack && !step.is_long_running {
+            self.slow_spanning_gang(order);
+        }
         self.starts
             .push((now_ms, order.target.id.clone(), order.name));
         self.check_order(order);
         self.check_ticket(order);
     }
 
+    /// Makes the members of a gang that spans racks run longer.
+    fn slow_spanning_gang(&mut self, order: &StartOrder) {
+        let factor_permille = self.remote_factor_permille;
+        let run_ms = order.spec.steps[usize::from(order.name.step)].estimate_ms;
+        let is_member = |(name, run): &(TaskName, u64)| {
+            let gang = TaskName {
+                index: order.name.index,
+                ..*name
+            };
+            gang == order.name && *run == order.run.run
+        };
+        let workers = self.workers.values();
+        let hosts = workers.filter(|worker| worker.running.keys().any(is_member));
+        let racks: HashSet<SmolStr> = hosts.map(|worker| worker.info.labels[1].clone()).collect();
+        if racks.len() < 2 {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            let members = worker.running.iter_mut().filter(|(key, _)| is_member(key));
+            for (_, run) in members {
+                run.ends_ms = run.started_ms + run_ms * factor_permille / 1_000;
+            }
+        }
+    }
+
     fn stop(&mut self, order: &StopOrder) {
         let now_ms = self.now_ms;
         self.stops.push((now_ms, order.name));
