--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -42,9 +42,11 @@
             .get(&worker.info.pool)
             .is_some_and(|pool| pool.is_standby);
         let needs_fence = !worker.is_fenced && !is_standby && (worker.is_listed || is_inherited);
+        // It gets no task before it has answered, also if it has no runs left to ask for.
+        let must_answer = worker.failed_polls_count > 0 && worker.is_listed && !is_standby;
         let has_persisted_ends = worker.awaited_batch.is_none() && worker.persisted_through > 0;
         let needs_ack = has_persisted_ends && worker.seen_through == worker.persisted_through;
-        needs_fence || !worker.slots.is_empty() || needs_ack
+        needs_fence || must_answer || !worker.slots.is_empty() || needs_ack
     }
 
     fn send_poll(&mut self, key: WorkerKey) {
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -411,3 +411,18 @@
         "a task that was done ran again"
     );
 }
+
+/// Guards against a worker that is never polled again, and so gets no task, because it was silent
+/// before its first run had ended.
+#[test]
+fn a_worker_that_was_silent_gets_tasks_again() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, 1_000)]));
+    simulation.advance(100);
+    simulation.workers[0].is_disconnected = true;
+    simulation.advance(8_000);
+    simulation.workers[0].is_disconnected = false;
+    simulation.advance_until(3_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
