Play racks of the tasks' data and waits for them in the soak

Cause: the soak had no tasks near a rack, so that random faults never met a wait.

Change: a third soak gives steps a rack, and gangs the wish for one rack, beside evacuations, at a factor of 3. It has a generator of its own, so that the faults and jobs of all seeds stay as they were. At the end nothing may wait.

--- a/tests/testsuite/jobs/soak.rs
+++ b/tests/testsuite/jobs/soak.rs
@@ -23,7 +23,10 @@
 /// waited forever.
 /// Seeds 1167, 1367 and 2306: the capacity of orphan runs that were being stopped was given to
 /// other tasks.
-const REGRESSION_SEEDS: &[u64] = &[145, 211, 1167, 1367, 2306];
+/// Seed 5313, with racks: an idle worker that had been silent was never polled again.
+const REGRESSION_SEEDS: &[u64] = &[145, 211, 1167, 1367, 2306, 5313];
+/// Run time outside the rack of the data in runs with racks, in thousandths.
+const PLACES_FACTOR_PERMILLE: u64 = 3_000;
 /// Time during which faults occur, in milliseconds.
 const FAULTS_MS: u64 = 30_000;
 /// Time after the last fault by which all accepted work is done, in milliseconds: leases of earlier
@@ -54,23 +57,30 @@
     /// Source of random evacuations, apart from `rng`, so that these leave the faults of a seed as
     /// they are; none for a run without evacuations.
     evacuations: Option<ChaCha8Rng>,
+    /// Source of random racks of the tasks' data, likewise apart; none for a run without them.
+    places: Option<ChaCha8Rng>,
+}
+
+fn open_simulation(factor_permille: u64) -> Simulation {
+    let mut simulation = Simulation::open_with_factor(&["a", "b"], 5, factor_permille);
+    for number in 0..2 {
+        simulation.add_instance(&SmolStr::from(format!("spare-{number}")), "standby");
+    }
+    simulation.list_all();
+    simulation
 }
 
 impl Soak {
     fn open(seed: u64) -> Self {
-        let mut simulation = Simulation::open(&["a", "b"], 5);
-        for number in 0..2 {
-            simulation.add_instance(&SmolStr::from(format!("spare-{number}")), "standby");
-        }
-        simulation.list_all();
         Self {
-            simulation,
+            simulation: open_simulation(1_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
             fence: 1,
             faults: Vec::new(),
             cancelled: Vec::new(),
             jobs: Vec::new(),
             evacuations: None,
+            places: None,
         }
     }
 
@@ -79,6 +89,25 @@
         self
     }
 
+    fn with_places(mut self, seed: u64) -> Self {
+        self.simulation = open_simulation(PLACES_FACTOR_PERMILLE);
+        self.places = Some(ChaCha8Rng::seed_from_u64(seed.rotate_left(32)));
+        self
+    }
+
+    /// Gives a step a rack of its data, or members that run faster in one rack, at random.
+    fn place(&mut self, step: StepSpec) -> StepSpec {
+        let Some(rng) = &mut self.places else {
+            return step;
+        };
+        let rack = ["r1-0", "r1-1", "r1-2"][rng.random_range(0..3)];
+        StepSpec {
+            near_rack: rng.random_bool(0.6).then(|| rack.into()),
+            in_one_rack: rng.random_bool(0.7) && step.is_gang,
+            ..step
+        }
+    }
+
     fn run(&mut self) {
         let end_ms = self.simulation.now_ms + FAULTS_MS;
         let (mut next_job_ms, mut next_fault_ms) = (0, self.simulation.now_ms + 1_000);
@@ -121,12 +150,13 @@
         let tasks_count = rng.random_range(1..10);
         let cpu_millis = rng.random_range(1..12) * 1_000;
         let estimate_ms = rng.random_range(100..1_500);
-        StepSpec {
+        let step = StepSpec {
             allows_copies: rng.random_bool(0.2),
             is_gang: rng.random_bool(0.1),
             per_worker_max: u32::from(rng.random_bool(0.1)) * 2,
             ..step(tasks_count, cpu_millis, estimate_ms)
-        }
+        };
+        self.place(step)
     }
 
     fn random_job(&mut self) -> JobSpec {
@@ -300,6 +330,8 @@
                 );
             }
         }
+        let waits_count = self.simulation.engine.place_waits_count();
+        assert_eq!(waits_count, 0, "waits outlive their tasks");
         for (id, is_long_running) in &self.jobs {
             if !self.simulation.accepted.contains(id) || is_cancelled(id) {
                 continue;
@@ -349,3 +381,13 @@
 fn random_faults_beside_evacuations_neither_duplicate_nor_lose_work() {
     run_seeds(|seed| Soak::open(seed).with_evacuations(seed));
 }
+
+/// Guards against a wait for a rack that a fault makes endless, and against a start beside a run that
+/// a failed start left behind.
+#[test]
+fn random_faults_beside_waits_for_racks_neither_duplicate_nor_lose_work() {
+    run_seeds(|seed| {
+        let soak = Soak::open(seed).with_evacuations(seed);
+        soak.with_places(seed)
+    });
+}
