--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -108,21 +108,18 @@
             let (queue, spec) = (job.queue.clone(), job.spec.clone());
             let step = &spec.steps[usize::from(task.step)];
             let expected_ms = self.run_times.expected_ms(&queue, step);
-            let verdict = self.run_times.verdict(&queue, step, ran_ms);
+            let near_ms = self.near_run_ms(slot, ran_ms);
+            let verdict = self.run_times.verdict(&queue, step, near_ms);
             // Only a part of an adopted run is known, and it would seem short.
             let is_comparable = verdict.is_none() || !slot.is_adopted;
-            let worker = self.worker_mut(key);
             // Far from its rack a task takes longer on any worker.
-            let is_near = step
-                .near_rack
-                .as_ref()
-                .is_none_or(|rack| *rack == worker.rack);
-            if is_near && is_comparable && expected_ms > 0 {
+            if !slot.is_remote && is_comparable && expected_ms > 0 {
+                let worker = self.worker_mut(key);
                 worker.slowness.observe(ran_ms, expected_ms, verdict);
             }
             let run = FinishedRun {
                 job: task.job,
-                ran_ms,
+                ran_ms: near_ms,
                 is_adopted: slot.is_adopted,
             };
             self.run_times.observe(&queue, step, &run);
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -42,9 +42,11 @@
             .get(&worker.info.pool)
             .is_some_and(|pool| pool.is_standby);
         let needs_fence = !worker.is_fenced && !is_standby && (worker.is_listed || is_inherited);
+        // It gets no task before it has answered, also if it has no runs left to ask for.
+        let must_answer = worker.failed_polls_count > 0 && worker.is_listed && !is_standby;
         let has_persisted_ends = worker.awaited_batch.is_none() && worker.persisted_through > 0;
         let needs_ack = has_persisted_ends && worker.seen_through == worker.persisted_through;
-        needs_fence || !worker.slots.is_empty() || needs_ack
+        needs_fence || must_answer || !worker.slots.is_empty() || needs_ack
     }
 
     fn send_poll(&mut self, key: WorkerKey) {
@@ -280,7 +282,8 @@
         // The order that started the run may have given it a lease of this length.
         let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
         worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
-        let slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
+        let mut slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
+        slot.is_remote = self.is_outside_rack(key, step);
         self.put_slot(key, run, slot);
         Event::new("run_adopted")
             .with("task", self.task_name(run.task))
@@ -379,5 +382,6 @@
         metric: 0,
         pace_percent: 100,
         tail_target_ms: step.tail_target_ms,
+        is_remote: false,
     }
 }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod overload;
 mod peaks;
+mod places;
 mod run_times;
 mod simulation;
 mod soak;
