Give reclaimed workers a module of their own

Cause: capacity.rs had two duties. Change: jobs/reclaim.rs. As a trial, pools also give up a surplus that no other pool lacks.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -1,8 +1,8 @@
 //! Capacity that follows demand. Each review divides the fleet by the needs of the pools (see
 //! [`capacity_plan`](crate::jobs::capacity_plan)). Instances move to pools that lack capacity, from
-//! pools that have more than their part and from standby; idle instances move to standby. While no
-//! other instance is left, a pool above its part stops starting tasks on some of its instances, which
-//! move once they are idle.
+//! pools that have more than their part and from standby; idle instances move to standby. A pool above
+//! its part stops starting tasks on some of its instances, which move once they are idle (see
+//! [`reclaim`](crate::jobs::reclaim)).
 
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
@@ -11,11 +11,11 @@
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::instances::InstanceState;
 use crate::jobs::job::Job;
-use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::keys::WorkerKey;
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::ranking::is_in_time;
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::{Slot, Worker};
+use crate::jobs::worker::Worker;
 use crate::logging::Event;
 
 /// Interval between reviews, in milliseconds.
@@ -43,8 +43,9 @@
 /// Share of the demand of late jobs that counts as needed, in thousandths.
 const LATE_DEMAND_PERMILLE: u64 = 250;
 
-/// Longest time for which the runs of a worker may go on after it is reclaimed, in milliseconds.
-const RECLAIM_BUSY_MAX_MS: u64 = 1_000;
+/// Share of its instances that a pool may have beyond its needs while no other pool lacks instances,
+/// in thousandths.
+const SURPLUS_PERMILLE: usize = 100;
 
 /// Time by which an instance may arrive later than a move takes, in milliseconds.
 const ARRIVAL_RESERVE_MS: u64 = 600;
@@ -57,7 +58,7 @@
     /// Last logged counts of each pool: instances wanted, allotted and available.
     logged: IndexMap<SmolStr, (usize, usize, usize)>,
     /// Workers that get no more tasks, so that their instances can move to pools that lack capacity.
-    reclaimed: IndexSet<WorkerKey>,
+    pub(crate) reclaimed: IndexSet<WorkerKey>,
 }
 
 impl CapacityPolicy {
@@ -168,11 +169,13 @@
             .collect();
         let plan = allot(&counts, self.available_count(&needs));
         let mut short: Vec<(SmolStr, usize)> = Vec::new();
-        let mut donors = self.idle_reclaimed();
+        self.forget_reclaimed();
+        let mut donors = Vec::new();
         for (pool, need) in &needs {
-            let have_count = need.usable_count;
             let allotted_count = plan[pool].count;
             self.log_capacity(pool, need, &counts[pool], &plan[pool]);
+            let lacking_count = allotted_count.saturating_sub(need.usable_count);
+            let have_count = need.usable_count + self.reopen_reclaimed(pool, lacking_count);
             let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
             if allotted_count > have_count {
                 short.push((pool.clone(), allotted_count - have_count));
@@ -182,13 +185,22 @@
                 donors.extend(idle.split_off(kept_count));
             }
         }
+        donors.extend(self.idle_reclaimed());
         short.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
         let mut missing_count = 0;
         for (pool, count) in short {
             let is_moved = |_: &usize| self.request_instance(&pool, &mut donors);
             missing_count += count - (0..count).take_while(is_moved).count();
         }
-        self.reclaim(missing_count, &needs, &plan);
+        for (pool, need) in &needs {
+            let retained_count = need.retained_count(&plan[pool]);
+            let spare_count = match missing_count {
+                0 => retained_count * SURPLUS_PERMILLE / 1_000,
+                _ => 0,
+            };
+            let surplus_count = self.surplus_count(pool, retained_count + spare_count);
+            self.reclaim(pool, surplus_count);
+        }
         self.move_idle_to_standby(&donors);
         self.move_evacuated_to_standby();
     }
@@ -216,76 +228,6 @@
         in_pools_count + in_standby.count() + self.capacity.reclaimed.len()
     }
 
-    /// Returns the reclaimed workers that are idle by now, and forgets those that have left.
-    fn idle_reclaimed(&mut self) -> Vec<WorkerKey> {
-        let mut reclaimed = std::mem::take(&mut self.capacity.reclaimed);
-        reclaimed.retain(|key| self.worker(*key).is_listed && self.worker(*key).is_cordoned);
-        let is_idle = |key: &&WorkerKey| {
-            let worker = self.worker(**key);
-            worker.slots.is_empty() && worker.awaited_batch.is_none()
-        };
-        let idle = reclaimed.iter().filter(is_idle).copied().collect();
-        self.capacity.reclaimed = reclaimed;
-        idle
-    }
-
-    /// Stops starting tasks on as many workers as other pools miss, in pools that have more than
-    /// their part, and opens workers again that no pool misses any more.
-    fn reclaim(
-        &mut self,
-        missing_count: usize,
-        needs: &IndexMap<SmolStr, PoolNeed>,
-        plan: &IndexMap<SmolStr, Allotment>,
-    ) {
-        while self.capacity.reclaimed.len() > missing_count {
-            if let Some(key) = self.capacity.reclaimed.pop() {
-                self.reopen_worker(key);
-            }
-        }
-        let mut open_count = missing_count - self.capacity.reclaimed.len();
-        for (pool, need) in needs {
-            let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
-            for key in self.reclaimable(pool, surplus_count.min(open_count)) {
-                self.worker_mut(key).is_cordoned = true;
-                self.capacity.reclaimed.insert(key);
-                open_count -= 1;
-            }
-        }
-    }
-
-    /// Returns up to `count` workers of a pool whose runs are expected to end soonest.
-    fn reclaimable(&self, pool: &SmolStr, count: usize) -> Vec<WorkerKey> {
-        if count == 0 {
-            return Vec::new();
-        }
-        let mut workers: Vec<(u64, WorkerKey)> = self
-            .present_keys()
-            .filter(|key| {
-                let worker = self.worker(*key);
-                worker.info.pool == *pool
-                    && worker.long_running_count == 0
-                    && worker.takes_tasks(self.now_ms)
-            })
-            .map(|key| (self.busy_for_ms(key), key))
-            .filter(|(busy_ms, _)| *busy_ms <= RECLAIM_BUSY_MAX_MS)
-            .collect();
-        workers.sort_unstable();
-        workers.truncate(count);
-        workers.into_iter().map(|(_, key)| key).collect()
-    }
-
-    /// Returns the time after which all runs of a worker are expected to have ended.
-    fn busy_for_ms(&self, key: WorkerKey) -> u64 {
-        let left_ms = |(run, slot): (&RunKey, &Slot)| {
-            let job = self.job(run.task.job);
-            let step = &job.spec.steps[usize::from(run.task.step)];
-            let expected_ms = self.run_times.expected_ms(&job.queue, step);
-            expected_ms.saturating_sub(self.now_ms.saturating_sub(slot.since_ms))
-        };
-        let slots = self.worker(key).slots.iter();
-        slots.map(left_ms).max().unwrap_or(0)
-    }
-
     /// Stops counting instances as moving once their workers are listed or their time has passed.
     fn drop_arrived(&mut self) {
         let now_ms = self.now_ms;
@@ -418,7 +360,7 @@
         for key in donors {
             let worker = self.worker(*key);
             let is_long_idle = worker.slots.is_empty()
-                && !worker.is_cordoned
+                && (!worker.is_cordoned || self.is_reclaimed(*key))
                 && worker.idle_since_ms + STANDBY_AFTER_IDLE_MS < self.now_ms;
             if is_long_idle {
                 self.move_worker(*key, &standby);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -28,6 +28,7 @@
 mod polls;
 mod rack_forecast;
 mod ranking;
+mod reclaim;
 mod record;
 mod recovery;
 mod requests;
