Tell which jobs are over the rate of their team

Cause: the weight that the lists give a team is the number of jobs per second that it bought, and the engine used it only to share full pools. Nothing told the jobs of a team that sends several times its rate from those of the others.

Change: a token bucket for each team with a weight (`jobs/team_rates.rs`), in virtual time and whole units. Each job takes a token when it is added, in the order of acceptance, so that `restore` rebuilds the buckets from the records. Each job keeps whether it found one; `job_accepted` states it.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -25,6 +25,7 @@
 use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
+use crate::jobs::team_rates::TeamRates;
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::worker::{PollState, Slot, Worker};
@@ -106,6 +107,7 @@
     /// Pools in which jobs of earlier leaders wait for workers that have not answered this leader.
     pub(crate) recovering_pools: IndexSet<SmolStr>,
     pub(crate) team_used: HashMap<SmolStr, Size>,
+    pub(crate) team_rates: TeamRates,
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
     pub(crate) instances: Instances,
@@ -157,6 +159,7 @@
             present: IndexSet::new(),
             recovering_pools: IndexSet::new(),
             team_used: HashMap::new(),
+            team_rates: TeamRates::default(),
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
             instances: Instances::default(),
@@ -206,6 +209,7 @@
                 job.pool = queue.pool.clone();
             }
         }
+        self.team_rates.retain_teams(&catalog.teams);
         self.catalog = catalog;
         for key in self.present.clone() {
             self.touch_worker(key);
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -144,6 +144,8 @@
     pub(crate) accepted_unix_ms: u64,
     /// Time of acceptance on the local monotonic clock, in milliseconds.
     pub(crate) accepted_ms: u64,
+    /// Whether it found no token of its team when it was accepted.
+    pub(crate) is_over_rate: bool,
     /// Whether an earlier leader may have started tasks of it.
     pub(crate) is_inherited: bool,
     /// Whether its acceptance is persisted.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -28,6 +28,7 @@
 mod requests;
 mod run_times;
 mod spec;
+mod team_rates;
 mod tickets;
 mod waiting;
 mod waves;
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -78,6 +78,7 @@
             .with("tasks_count", job.spec.tasks_count())
             .with("work_millis_s", job.spec.work_millis_s())
             .with("is_endless", job.spec.is_long_running())
+            .with("is_over_rate", job.is_over_rate)
             .with("chain_ms", job.chain_ms())
             .with("target_in_ms", job.target_ms.saturating_sub(self.now_ms))
             .with("lists_version", self.catalog.version)
@@ -102,6 +103,7 @@
         let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
         let accepted_ms = self.now_ms.saturating_sub(age_ms);
         let chains_ms = spec.chains_ms(|step| self.run_times.expected_ms(&queue, step));
+        let is_over_rate = self.take_token(&team, &spec, accepted_unix_ms);
         let rounds = match spec.recurrence {
             None => vec![Round::open(&spec)],
             Some(_) => Vec::new(),
@@ -116,6 +118,7 @@
             spec: Arc::new(spec),
             accepted_unix_ms,
             accepted_ms,
+            is_over_rate,
             is_inherited: false,
             is_persisted: false,
             state: JobState::Queued,
@@ -217,6 +220,12 @@
         }
     }
 
+    /// Returns whether a job is over the rate of its team, or `None` if it is not known.
+    pub fn is_over_rate(&self, id: JobId) -> Option<bool> {
+        let key = self.job_keys.get(&id)?;
+        Some(self.job(*key).is_over_rate)
+    }
+
     /// Returns the number of accepted jobs of a queue that have not started.
     pub fn pending_count(&self, queue: &SmolStr) -> u64 {
         let is_pending = |key: &&JobKey| {
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -12,4 +12,5 @@
 mod peaks;
 mod simulation;
 mod soak;
+mod team_rates;
 mod waves;
