Order and plan jobs over the rate of their team after all others

Cause: a team that sends several times its rate made the jobs of all teams late, since the order and the plan of a full pool knew only targets and shares.

Change: jobs over the rate rank after all jobs within it, in the same order among themselves. The plan of a pool takes the jobs within the rate as if there were no others, and plans the others for the time after them. Their waiting work counts a quarter for capacity, like that of late jobs.

With the flag taken out of the rank, the test of the order fails; with one plan for all jobs, the test of the postponed job fails.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -35,7 +35,8 @@
 /// milliseconds.
 const PREPARE_AHEAD_MS: u64 = 500;
 
-/// Share of the demand of late jobs that counts as needed, in thousandths.
+/// Share of the demand of late jobs, and of jobs over the rate of their team, that counts as needed,
+/// in thousandths.
 const LATE_DEMAND_PERMILLE: u64 = 250;
 
 /// Time by which an instance may arrive later than a move takes, in milliseconds.
@@ -340,7 +341,8 @@
             let job = self.job(*key);
             if let Some(need) = needs.get_mut(&job.pool) {
                 let mut waiting = waiting_size(job);
-                if !job.spec.is_long_running() && !is_in_time(job, self.now_ms) {
+                let is_late = !job.spec.is_long_running() && !is_in_time(job, self.now_ms);
+                if is_late || job.is_over_rate {
                     waiting.cpu_millis = waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000;
                     waiting.memory_mb = waiting.memory_mb * LATE_DEMAND_PERMILLE / 1_000;
                 }
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -3,6 +3,9 @@
 //! one job is postponed: the largest one among the teams that have at least their share of the
 //! work. With one team this is the rule of Moore and Hodgson (1968), which minimizes the number of
 //! late jobs on one machine; a pool counts as one machine whose rate is its capacity.
+//!
+//! Jobs within the rate of their team are planned as if there were no others. Jobs over the rate are
+//! planned for the time after all of them, so that they never postpone a job within the rate.
 
 use std::collections::HashSet;
 
@@ -85,9 +88,32 @@
 struct PoolPlan {
     /// Capacity for tasks that are not long-running, in thousandths of a core.
     rate: u64,
-    /// Work that running tasks have left, in thousandths of a core times milliseconds.
-    backlog: u64,
-    claims: Vec<Claim>,
+    /// Work that running tasks of jobs within the rate of their team have left, in thousandths of a
+    /// core times milliseconds.
+    running_within_rate: u64,
+    /// The same for jobs over the rate.
+    running_over_rate: u64,
+    /// Work of jobs within the rate that has not started yet, late or not.
+    waiting_within_rate: u64,
+    /// Claims of jobs within the rate that can still meet their targets.
+    within_rate: Vec<Claim>,
+    /// Claims of jobs over the rate that can still meet their targets.
+    over_rate: Vec<Claim>,
+}
+
+impl PoolPlan {
+    /// Returns the jobs to postpone in a pool with these weights of the teams.
+    fn jobs_to_postpone(self, weights: &[f64], now_ms: u64) -> Vec<JobKey> {
+        let time_ms = |work: u64| work / self.rate.max(1);
+        let free_ms = now_ms + time_ms(self.running_within_rate);
+        let work_before =
+            self.running_within_rate + self.running_over_rate + self.waiting_within_rate;
+        let free_over_rate_ms = now_ms + time_ms(work_before);
+        let mut postponed = jobs_to_postpone(self.within_rate, weights, self.rate, free_ms);
+        let over_rate = jobs_to_postpone(self.over_rate, weights, self.rate, free_over_rate_ms);
+        postponed.extend(over_rate);
+        postponed
+    }
 }
 
 impl Engine {
@@ -102,7 +128,14 @@
         for key in self.live.iter().copied() {
             let job = self.job(key);
             let work = self.waiting_work(job);
-            if work == 0 || !is_in_time(job, self.now_ms) {
+            if work == 0 {
+                continue;
+            }
+            let plan = plans.entry(job.pool.clone()).or_default();
+            if !job.is_over_rate {
+                plan.waiting_within_rate += work;
+            }
+            if !is_in_time(job, self.now_ms) {
                 continue;
             }
             let weight = self.catalog.teams.get(&job.team).map(|team| team.weight);
@@ -114,18 +147,16 @@
                 work,
                 due_ms: job.target_ms + chain_grace_ms(remaining_chain_ms(job)),
             };
-            plans
-                .entry(job.pool.clone())
-                .or_default()
-                .claims
-                .push(claim);
+            match job.is_over_rate {
+                true => plan.over_rate.push(claim),
+                false => plan.within_rate.push(claim),
+            }
         }
         self.add_capacity(&mut plans);
         let weights: Vec<f64> = teams.values().copied().collect();
         let mut postponed = HashSet::new();
         for plan in plans.into_values() {
-            let free_ms = self.now_ms + plan.backlog / plan.rate.max(1);
-            postponed.extend(jobs_to_postpone(plan.claims, &weights, plan.rate, free_ms));
+            postponed.extend(plan.jobs_to_postpone(&weights, self.now_ms));
         }
         self.postpone(&postponed);
     }
@@ -165,7 +196,11 @@
                 let left_ms = whole_ms
                     .saturating_sub(ran_ms)
                     .max(whole_ms * REMAINING_MIN_PERCENT / 100);
-                plan.backlog += slot.reservation.cpu_millis * left_ms;
+                let work = slot.reservation.cpu_millis * left_ms;
+                match job.is_over_rate {
+                    true => plan.running_over_rate += work,
+                    false => plan.running_within_rate += work,
+                }
             }
             if worker.is_usable() {
                 plan.rate += free.cpu_millis * FILLABLE_PERMILLE / 1_000;
--- a/src/jobs/ranking.rs
+++ b/src/jobs/ranking.rs
@@ -1,12 +1,14 @@
 //! The order in which jobs get capacity: first those with long-running tasks, then jobs that can
 //! still meet their targets, by least slack, then postponed jobs (see
-//! [`feasibility`](crate::jobs::feasibility)), then late ones.
+//! [`feasibility`](crate::jobs::feasibility)), then late ones. Jobs over the rate of their team (see
+//! [`team_rates`](crate::jobs::team_rates)) go after all others, in the same order among themselves.
 
 use crate::jobs::job::Job;
 
 /// Position of a job in the order; smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
+    is_over_rate: bool,
     tier: Tier,
     /// Latest start that meets the target, or the time of acceptance for late jobs and for those
     /// with long-running tasks.
@@ -36,6 +38,7 @@
     }
     if job.spec.is_long_running() {
         return Some(Rank {
+            is_over_rate: false,
             tier: Tier::LongRunning,
             by_ms: job.accepted_ms,
         });
@@ -45,7 +48,11 @@
         (true, true) => (Tier::Postponed, latest_start_ms(job)),
         (false, _) => (Tier::Late, job.accepted_ms),
     };
-    Some(Rank { tier, by_ms })
+    Some(Rank {
+        is_over_rate: job.is_over_rate,
+        tier,
+        by_ms,
+    })
 }
 
 /// Returns the latest start that meets the target, by the expected run times.
--- a/tests/testsuite/jobs/team_rates.rs
+++ b/tests/testsuite/jobs/team_rates.rs
@@ -75,3 +75,83 @@
     simulation.advance(150);
     assert_eq!(over_rate_of(&mut simulation, "team", 2), 1);
 }
+
+/// Returns a job with half an instance for each of its tasks.
+fn wide_job(tasks_count: u32) -> JobSpec {
+    job(vec![step(tasks_count, 16_000, 400)])
+}
+
+/// Guards against a team far over its rate that keeps others waiting: what it sent before goes after
+/// the later job of a team within its rate, however much time that job has.
+#[test]
+fn a_job_within_its_rate_goes_before_earlier_jobs_over_theirs() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    // Targets so far away that no job is postponed.
+    simulation.catalog.queues["maps"].target_latency_ms = 60_000;
+    simulation.set_weights(&[("team", 1.0), ("other", 1.0)]);
+    let busy: Vec<JobId> = (0..8)
+        .map(|_| simulation.submit("maps", wide_job(1)))
+        .collect();
+    simulation.advance(100);
+    let other = simulation.submit_for("other", "maps", job(vec![step(1, 16_000, 4_000)]));
+    simulation.advance(6_000);
+    let started = |id: JobId| {
+        let mut starts = simulation.starts.iter();
+        starts.position(|(_, _, name)| name.job == id)
+    };
+    let earlier_count = busy.iter().filter(|id| started(**id) < started(other));
+    // The two that filled the pool before the job came.
+    assert_eq!(earlier_count.count(), 2);
+}
+
+/// Returns the tasks in the order of their starts, in a load of three teams with these weights.
+fn order_of_starts(weight: f64) -> Vec<hawthornladder::jobs::TaskName> {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    // Targets so far away that no job over the rate is refused.
+    simulation.catalog.queues["maps"].target_latency_ms = 60_000;
+    simulation.set_weights(&[("a", weight), ("b", weight), ("c", weight)]);
+    for team in ["a", "b", "c"] {
+        // The only token of the slow rate.
+        simulation.submit_for(team, "maps", small_job());
+    }
+    simulation.advance(200);
+    for round in 0..30 {
+        let team = ["a", "b", "c"][round % 3];
+        let tasks_count = 1 + u32::try_from(round * 7 % 5).expect("small");
+        simulation.submit_for(team, "maps", wide_job(tasks_count));
+        simulation.advance(30);
+    }
+    simulation.advance(20_000);
+    simulation.starts.iter().map(|start| start.2).collect()
+}
+
+/// Guards against another order than that of teams without rates where all waiting jobs are over
+/// the rate of their team.
+#[test]
+fn with_all_jobs_over_the_rate_the_order_is_that_without_rates() {
+    let without_rates = order_of_starts(0.0);
+    assert!(without_rates.len() > 80);
+    assert_eq!(order_of_starts(0.001), without_rates);
+}
+
+/// Guards against a plan in which the work of a team over its rate makes the large job of a team
+/// within its rate impossible, so that it goes after smaller jobs.
+#[test]
+fn work_over_the_rate_postpones_no_job_within_it() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    // By weight, the busy team has less than its share of the work.
+    simulation.set_weights(&[("team", 20.0), ("other", 2.0)]);
+    assert_eq!(over_rate_of(&mut simulation, "team", 20), 0);
+    simulation.advance(140);
+    for _ in 0..12 {
+        simulation.submit("maps", wide_job(1));
+    }
+    simulation.advance(50);
+    let large = simulation.submit_for("other", "maps", wide_job(4));
+    simulation.advance(50);
+    let small = simulation.submit_for("other", "maps", job(vec![step(1, 2_000, 400)]));
+    simulation.advance(1_500);
+    let mut starts = simulation.starts.iter().map(|start| start.2.job);
+    let first = starts.find(|id| [large, small].contains(id));
+    assert_eq!(first, Some(large));
+}
