Add the experiment on the rates of teams; learn from missed targets

Cause: there was no measure of what a busy team costs the others. The first runs of the experiment showed that jobs over the rate which miss their targets go to the end of the order, so that only the jobs in time reported their forecast errors, and the margin of the admission went below zero.

Change: `hawthornladder experiment teams` plays the engine with simulated workers in virtual time, one team at seven times its usual load, without weights and with them. A missed target counts as the greatest forecast error at once; the margin is the mean error alone and never below zero.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -7,9 +7,10 @@
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::engine_cost::{engine_table, measure_engine, WORKERS_COUNTS};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
-use hawthornladder::load::plot::{plot_overload, plot_share};
+use hawthornladder::load::plot::{plot_overload, plot_share, plot_teams};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
 use hawthornladder::load::state_cost::{measure_state, state_table};
+use hawthornladder::load::teams::{run_teams_experiment, TeamsConfig};
 use serde::Serialize;
 
 use crate::cmd::{CmdError, CmdResult, Exit};
@@ -64,6 +65,10 @@
             with_common_args(Command::new("overload"))
                 .about("Goodput at half to ten times capacity, with bursts and a failing worker"),
         )
+        .subcommand(
+            with_common_args(Command::new("teams"))
+                .about("Late jobs of each team beside one busy team, with and without rates"),
+        )
         .subcommand(
             Command::new("state-cost")
                 .about("Cost of the ledger, the snapshot and the engine by size of the fleet")
@@ -114,6 +119,7 @@
     let result = match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
+        Some(("teams", args)) => execute_teams(args),
         Some(("state-cost", args)) => {
             let rows = measure_state();
             print_report(args, &state_table(&rows), &rows)
@@ -167,6 +173,19 @@
     }
 }
 
+fn execute_teams(args: &ArgMatches) -> Result<(), String> {
+    let config = TeamsConfig {
+        seed: number(args, "seed"),
+        ..TeamsConfig::default()
+    };
+    let report = run_teams_experiment(&config);
+    print_report(args, &report.table(), &report)?;
+    match args.get_one::<String>("plot") {
+        Some(file) => plot_teams(&report, Path::new(file)),
+        None => Ok(()),
+    }
+}
+
 fn number(args: &ArgMatches, name: &str) -> u64 {
     args.get_one(name).copied().unwrap_or_default()
 }
--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -17,11 +17,9 @@
 
 /// Part of the difference to a new forecast error by which the mean error changes, as a divisor.
 const MEAN_DIVISOR: i64 = 8;
-/// The same for the mean deviation from the mean error.
-const DEVIATION_DIVISOR: i64 = 4;
 /// Bounds of one forecast error, in thousandths of the forecast, so that a straggler does not
 /// dominate the mean.
-const ERROR_BOUNDS_PERMILLE: (i64, i64) = (-500, 1_000);
+const ERROR_BOUNDS_PERMILLE: (i64, i64) = (-500, 500);
 /// Time without a new forecast error after which the margin halves, in milliseconds. A margin that
 /// refuses all jobs would get no further errors to learn from.
 const MARGIN_HALVES_MS: u64 = 2_000;
@@ -62,7 +60,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ForecastError {
     mean_permille: i64,
-    deviation_permille: i64,
     observed_ms: u64,
 }
 
@@ -72,18 +69,15 @@
         let late_ms = signed(took_ms) - signed(forecast_ms);
         let error_permille = late_ms * 1_000 / signed(forecast_ms).max(1);
         let error_permille = error_permille.clamp(ERROR_BOUNDS_PERMILLE.0, ERROR_BOUNDS_PERMILLE.1);
-        let difference = error_permille - self.mean_permille;
-        self.mean_permille += difference / MEAN_DIVISOR;
-        self.deviation_permille += (difference.abs() - self.deviation_permille) / DEVIATION_DIVISOR;
+        self.mean_permille += (error_permille - self.mean_permille) / MEAN_DIVISOR;
         self.observed_ms = now_ms;
     }
 
-    /// Returns the margin for a forecast, in milliseconds; below 0 if earlier forecasts were too
-    /// high.
-    fn margin_ms(&self, forecast_ms: u64, now_ms: u64) -> i64 {
+    /// Returns the margin for a forecast, in milliseconds; none if earlier forecasts were too high.
+    fn margin_ms(&self, forecast_ms: u64, now_ms: u64) -> u64 {
         let halvings = now_ms.saturating_sub(self.observed_ms) / MARGIN_HALVES_MS;
-        let permille = (self.mean_permille + self.deviation_permille) >> halvings.min(16);
-        i64::try_from(forecast_ms).unwrap_or(i64::MAX / 10_000) * permille / 1_000
+        let permille = u64::try_from(self.mean_permille).unwrap_or(0) >> halvings.min(16);
+        forecast_ms.saturating_mul(permille) / 1_000
     }
 }
 
@@ -181,7 +175,7 @@
         let end_ms = forecast.backlog_ms.saturating_add(forecast.chain_ms);
         let errors = self.admission.errors.get(pool).copied().unwrap_or_default();
         let margin_ms = errors.margin_ms(end_ms, self.now_ms);
-        if forecast.has_room || end_ms.saturating_add_signed(margin_ms) <= target_in_ms {
+        if forecast.has_room || end_ms.saturating_add(margin_ms) <= target_in_ms {
             return None;
         }
         let retry_after_s = retry_after_s(*id, forecast.backlog_ms);
@@ -254,14 +248,26 @@
 
     /// Compares the forecast of a job, if there is one, with its end.
     pub(crate) fn observe_forecast(&mut self, key: JobKey) {
-        let job = self.job(key);
-        let Some(forecast_ms) = job.forecast_ms else {
+        let took_ms = self.now_ms.saturating_sub(self.job(key).accepted_ms);
+        self.observe_took(key, took_ms);
+    }
+
+    /// Counts the forecast of a job that can no longer meet its target as the greatest error. Its
+    /// end is not known yet and may be far away, as late jobs go after the others; if only ends
+    /// counted, the jobs in time would hide those that are not.
+    pub(crate) fn observe_missed_forecast(&mut self, key: JobKey) {
+        self.observe_took(key, u64::MAX);
+    }
+
+    fn observe_took(&mut self, key: JobKey, took_ms: u64) {
+        let now_ms = self.now_ms;
+        let job = self.job_mut(key);
+        let Some(forecast_ms) = job.forecast_ms.take() else {
             return;
         };
-        let took_ms = self.now_ms.saturating_sub(job.accepted_ms);
         let pool = job.pool.clone();
         let errors = self.admission.errors.entry(pool).or_default();
-        errors.observe(forecast_ms, took_ms, self.now_ms);
+        errors.observe(forecast_ms, took_ms, now_ms);
     }
 
     /// Returns the number of jobs over the rate of their team that were accepted since the last
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -151,6 +151,7 @@
         self.next_plan_ms = self.now_ms + PLAN_MS;
         let mut teams: IndexMap<SmolStr, f64> = IndexMap::new();
         let mut plans = self.empty_plans();
+        let mut missed_forecasts = Vec::new();
         for key in self.live.iter().copied() {
             let job = self.job(key);
             let WaitingWork {
@@ -170,6 +171,9 @@
                 plan.waiting_within_rate += work;
             }
             if !is_in_time(job, self.now_ms) {
+                if job.forecast_ms.is_some() {
+                    missed_forecasts.push(key);
+                }
                 continue;
             }
             let weight = self.catalog.teams.get(&job.team).map(|team| team.weight);
@@ -187,6 +191,9 @@
             }
         }
         self.add_capacity(&mut plans);
+        for key in missed_forecasts {
+            self.observe_missed_forecast(key);
+        }
         let outlooks = plans
             .iter()
             .map(|(pool, plan)| (pool.clone(), plan.outlook()));
--- a/src/load/plot.rs
+++ b/src/load/plot.rs
@@ -7,6 +7,7 @@
 
 use crate::load::overload::{OverloadReport, Scenario};
 use crate::load::share::ShareReport;
+use crate::load::teams::{LateSeries, TeamsReport};
 use crate::load::world::SchedulingPolicy;
 
 /// Size of a plot in pixels.
@@ -17,7 +18,8 @@
 
 /// A named series of points.
 struct Series {
-    policy: SchedulingPolicy,
+    name: String,
+    colour: RGBColor,
     points: Vec<(f64, f64)>,
 }
 
@@ -27,7 +29,8 @@
         .rows
         .iter()
         .map(|row| Series {
-            policy: row.policy,
+            name: row.policy.to_string(),
+            colour: colour_of(row.policy),
             points: row
                 .misplaced_by_s
                 .iter()
@@ -44,7 +47,8 @@
 pub fn plot_overload(report: &OverloadReport, file: &Path) -> Result<(), String> {
     let policies = [SchedulingPolicy::Fifo, SchedulingPolicy::Divided];
     let series = policies.map(|policy| Series {
-        policy,
+        name: policy.to_string(),
+        colour: colour_of(policy),
         points: report
             .rows
             .iter()
@@ -56,6 +60,39 @@
     draw(file, title, &series).map_err(|error| error.to_string())
 }
 
+/// Draws the share of late jobs by the second of their arrival, for the busy team and for all
+/// others, with and without rates.
+pub fn plot_teams(report: &TeamsReport, file: &Path) -> Result<(), String> {
+    let series = report.series.iter().map(|one| {
+        let seconds = one.late_permille_by_s.iter().enumerate();
+        Series {
+            name: late_series_name(one),
+            colour: late_series_colour(one),
+            points: seconds
+                .map(|(second, permille)| (second as f64, *permille))
+                .collect(),
+        }
+    });
+    let series: Vec<Series> = series.collect();
+    let title = "Late jobs (permille of accepted jobs) over time of arrival (s)";
+    draw(file, title, &series).map_err(|error| error.to_string())
+}
+
+fn late_series_name(series: &LateSeries) -> String {
+    let team = if series.is_busy { "busy" } else { "others" };
+    let rates = if series.has_rates { "rates" } else { "none" };
+    format!("{team}, {rates}")
+}
+
+fn late_series_colour(series: &LateSeries) -> RGBColor {
+    match (series.has_rates, series.is_busy) {
+        (false, true) => RGBColor(200, 150, 30),
+        (false, false) => RGBColor(170, 60, 60),
+        (true, true) => RGBColor(30, 90, 180),
+        (true, false) => RGBColor(60, 140, 70),
+    }
+}
+
 type DrawError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
 
 fn draw<'a>(file: &'a Path, title: &str, series: &[Series]) -> Result<(), DrawError<'a>> {
@@ -72,7 +109,7 @@
         .build_cartesian_2d(0.0..x_max, 0.0..y_max * 1.05)?;
     chart.configure_mesh().light_line_style(WHITE).draw()?;
     for one in series {
-        let style = colour_of(one.policy).stroke_width(2);
+        let style = one.colour.stroke_width(2);
         chart.draw_series(LineSeries::new(one.points.iter().copied(), style))?;
     }
     draw_legend(&area, series)?;
@@ -87,15 +124,11 @@
     let left_px = SIZE_PX.0 as i32 - 130;
     for (index, one) in series.iter().enumerate() {
         let top_px = 48 + index as i32 * LEGEND_LINE_PX;
-        let style = colour_of(one.policy).stroke_width(3);
+        let style = one.colour.stroke_width(3);
         let line = vec![(left_px, top_px + 6), (left_px + 24, top_px + 6)];
         area.draw(&PathElement::new(line, style))?;
         let place = (left_px + 32, top_px);
-        area.draw(&Text::new(
-            one.policy.to_string(),
-            place,
-            ("sans-serif", 14),
-        ))?;
+        area.draw(&Text::new(one.name.clone(), place, ("sans-serif", 14)))?;
     }
     Ok(())
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -53,6 +53,7 @@
 mod standalone_account;
 mod start_window;
 mod support;
+mod teams_experiment;
 mod upkeep_budget;
 mod upkeep_moves;
 mod upkeep_rollout;
