--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -263,7 +263,7 @@
             let rate = free.cpu_millis * FILLABLE_PERMILLE / 1_000;
             if worker.is_usable() {
                 plan.rate += rate;
-            } else if worker.may_have_unseen_runs() && !worker.is_evacuated {
+            } else if !worker.is_listed && worker.may_have_unseen_runs() && !worker.is_evacuated {
                 plan.unseen_rate += rate;
             }
         }
