--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -40,7 +40,8 @@
 /// milliseconds.
 const PREPARE_AHEAD_MS: u64 = 500;
 
-/// Share of the demand of late jobs that counts as needed, in thousandths.
+/// Share of the demand of late jobs, and of jobs over the rate of their team, that counts as needed,
+/// in thousandths.
 const LATE_DEMAND_PERMILLE: u64 = 250;
 
 /// Share of its instances that a pool may have beyond its needs while no other pool lacks instances,
@@ -441,7 +442,7 @@
             if let Some(need) = needs.get_mut(&job.pool) {
                 let waiting = waiting_size(job);
                 let is_in_time = job.spec.is_long_running() || is_in_time(job, self.now_ms);
-                match is_in_time {
+                match is_in_time && !job.is_over_rate {
                     true => need.needed.add(&waiting),
                     false => need.late.add(&Size {
                         cpu_millis: waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000,
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexSet;
 use smol_str::SmolStr;
 
+use crate::jobs::admission::Admission;
 use crate::jobs::batches::Batch;
 use crate::jobs::capacity::CapacityPolicy;
 use crate::jobs::catalog::Catalog;
@@ -26,6 +27,7 @@
 use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
+use crate::jobs::team_rates::TeamRates;
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::worker::{PollState, Slot, Worker};
@@ -110,6 +112,8 @@
     /// Pools in which jobs of earlier leaders wait for workers that have not answered this leader.
     pub(crate) recovering_pools: IndexSet<SmolStr>,
     pub(crate) team_used: HashMap<SmolStr, Size>,
+    pub(crate) team_rates: TeamRates,
+    pub(crate) admission: Admission,
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
     pub(crate) place_waits: PlaceWaits,
@@ -162,6 +166,8 @@
             present: IndexSet::new(),
             recovering_pools: IndexSet::new(),
             team_used: HashMap::new(),
+            team_rates: TeamRates::default(),
+            admission: Admission::default(),
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
             place_waits: PlaceWaits::default(),
@@ -212,6 +218,7 @@
                 job.pool = queue.pool.clone();
             }
         }
+        self.team_rates.retain_teams(&catalog.teams);
         self.catalog = catalog;
         for key in self.present.clone() {
             self.touch_worker(key);
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -3,14 +3,19 @@
 //! one job is postponed: the largest one among the teams that have at least their share of the
 //! work. With one team this is the rule of Moore and Hodgson (1968), which minimizes the number of
 //! late jobs on one machine; a pool counts as one machine whose rate is its capacity.
+//!
+//! Jobs within the rate of their team are planned as if there were no others. Jobs over the rate are
+//! planned for the time after all of them, so that they never postpone a job within the rate.
 
 use std::collections::HashSet;
 
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::jobs::admission::PoolOutlook;
 use crate::jobs::capacity::FILLABLE_PERMILLE;
 use crate::jobs::engine::Engine;
+use crate::jobs::instances::{Instance, InstanceState};
 use crate::jobs::job::Job;
 use crate::jobs::keys::JobKey;
 use crate::jobs::ranking::{chain_grace_ms, is_in_time, remaining_chain_ms};
@@ -83,9 +88,56 @@
 struct PoolPlan {
     /// Capacity for tasks that are not long-running, in thousandths of a core.
     rate: u64,
-    /// Work that running tasks have left, in thousandths of a core times milliseconds.
-    backlog: u64,
-    claims: Vec<Claim>,
+    /// Work that running tasks of jobs within the rate of their team have left, in thousandths of a
+    /// core times milliseconds.
+    running_within_rate: u64,
+    /// The same for jobs over the rate.
+    running_over_rate: u64,
+    /// Work of jobs within the rate that has not started yet, late or not.
+    waiting_within_rate: u64,
+    /// Claims of jobs within the rate that can still meet their targets.
+    within_rate: Vec<Claim>,
+    /// Claims of jobs over the rate that can still meet their targets.
+    over_rate: Vec<Claim>,
+    /// All waiting work, including that of late jobs and of jobs not persisted yet.
+    waiting: WaitingWork,
+    /// Capacity that running tasks take, in thousandths of a core.
+    running_cpu_millis: u64,
+    /// Capacity that this leader has not seen itself yet, in thousandths of a core.
+    unseen_rate: u64,
+}
+
+/// Waiting work of jobs with a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingWork {
+    /// Work that has not started yet, in thousandths of a core times milliseconds.
+    work: u64,
+    /// Size of the tasks that could start, in thousandths of a core.
+    startable_cpu_millis: u64,
+}
+
+impl PoolPlan {
+    /// Returns what admission control has to know of the pool.
+    fn outlook(&self) -> PoolOutlook {
+        PoolOutlook {
+            rate: self.rate + self.unseen_rate,
+            work: self.running_within_rate + self.running_over_rate + self.waiting.work,
+            demand_cpu_millis: self.running_cpu_millis + self.waiting.startable_cpu_millis,
+        }
+    }
+
+    /// Returns the jobs to postpone in a pool with these weights of the teams.
+    fn jobs_to_postpone(self, weights: &[f64], now_ms: u64) -> Vec<JobKey> {
+        let time_ms = |work: u64| work / self.rate.max(1);
+        let free_ms = now_ms + time_ms(self.running_within_rate);
+        let work_before =
+            self.running_within_rate + self.running_over_rate + self.waiting_within_rate;
+        let free_over_rate_ms = now_ms + time_ms(work_before);
+        let mut postponed = jobs_to_postpone(self.within_rate, weights, self.rate, free_ms);
+        let over_rate = jobs_to_postpone(self.over_rate, weights, self.rate, free_over_rate_ms);
+        postponed.extend(over_rate);
+        postponed
+    }
 }
 
 impl Engine {
@@ -96,11 +148,30 @@
         }
         self.next_plan_ms = self.now_ms + PLAN_MS;
         let mut teams: IndexMap<SmolStr, f64> = IndexMap::new();
-        let mut plans: IndexMap<SmolStr, PoolPlan> = IndexMap::new();
+        let mut plans = self.empty_plans();
+        let mut missed_forecasts = Vec::new();
         for key in self.live.iter().copied() {
             let job = self.job(key);
-            let work = self.waiting_work(job);
-            if work == 0 || !is_in_time(job, self.now_ms) {
+            let WaitingWork {
+                work,
+                startable_cpu_millis,
+            } = self.waiting_work(job);
+            if work == 0 {
+                continue;
+            }
+            let plan = plans.entry(job.pool.clone()).or_default();
+            plan.waiting.work += work;
+            plan.waiting.startable_cpu_millis += startable_cpu_millis;
+            if !job.is_persisted {
+                continue;
+            }
+            if !job.is_over_rate {
+                plan.waiting_within_rate += work;
+            }
+            if !is_in_time(job, self.now_ms) {
+                if job.forecast_ms.is_some() {
+                    missed_forecasts.push(key);
+                }
                 continue;
             }
             let weight = self.catalog.teams.get(&job.team).map(|team| team.weight);
@@ -112,36 +183,53 @@
                 work,
                 due_ms: job.target_ms + chain_grace_ms(remaining_chain_ms(job)),
             };
-            plans
-                .entry(job.pool.clone())
-                .or_default()
-                .claims
-                .push(claim);
+            match job.is_over_rate {
+                true => plan.over_rate.push(claim),
+                false => plan.within_rate.push(claim),
+            }
         }
         self.add_capacity(&mut plans);
+        for key in missed_forecasts {
+            self.observe_missed_forecast(key);
+        }
+        let outlooks = plans
+            .iter()
+            .map(|(pool, plan)| (pool.clone(), plan.outlook()));
+        self.admission.planned(outlooks.collect(), self.now_ms);
         let weights: Vec<f64> = teams.values().copied().collect();
         let mut postponed = HashSet::new();
         for plan in plans.into_values() {
-            let free_ms = self.now_ms + plan.backlog / plan.rate.max(1);
-            postponed.extend(jobs_to_postpone(plan.claims, &weights, plan.rate, free_ms));
+            postponed.extend(plan.jobs_to_postpone(&weights, self.now_ms));
         }
         self.postpone(&postponed);
     }
 
-    /// Returns the work of a job's tasks that have not started, in thousandths of a core times
-    /// milliseconds; 0 for jobs without a target and for jobs not persisted yet.
-    fn waiting_work(&self, job: &Job) -> u64 {
-        if job.spec.is_long_running() || job.spec.recurrence.is_some() || !job.is_persisted {
-            return 0;
+    /// Returns a plan without work for each pool that can have some.
+    fn empty_plans(&self) -> IndexMap<SmolStr, PoolPlan> {
+        let pools = self.catalog.pools.iter();
+        let pools = pools.filter(|(_, pool)| !pool.is_standby);
+        pools
+            .map(|(name, _)| (name.clone(), PoolPlan::default()))
+            .collect()
+    }
+
+    /// Returns the work of a job's tasks that have not started; none for jobs without a target.
+    fn waiting_work(&self, job: &Job) -> WaitingWork {
+        let mut waiting = WaitingWork::default();
+        if job.spec.is_long_running() || job.spec.recurrence.is_some() {
+            return waiting;
         }
-        let mut work = 0;
         for round in &job.rounds {
             for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
                 let time_ms = self.run_times.expected_ms(&job.queue, spec);
-                work += u64::from(step.waiting_count) * spec.reservation().cpu_millis * time_ms;
+                let cpu_millis = u64::from(step.waiting_count) * spec.reservation().cpu_millis;
+                waiting.work += cpu_millis * time_ms;
+                if step.waiting_count > 0 && round.is_ready(spec) {
+                    waiting.startable_cpu_millis += cpu_millis;
+                }
             }
         }
-        work
+        waiting
     }
 
     /// Adds the rate of the pools' workers, and the work that they have left.
@@ -160,10 +248,18 @@
                 let step = &job.spec.steps[usize::from(run.task.step)];
                 let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
                 let left_ms = self.run_times.remaining_ms(&job.queue, step, ran_ms);
-                plan.backlog += slot.reservation.cpu_millis * left_ms;
+                plan.running_cpu_millis += slot.reservation.cpu_millis;
+                let work = slot.reservation.cpu_millis * left_ms;
+                match job.is_over_rate {
+                    true => plan.running_over_rate += work,
+                    false => plan.running_within_rate += work,
+                }
             }
+            let rate = free.cpu_millis * FILLABLE_PERMILLE / 1_000;
             if worker.is_usable() {
-                plan.rate += free.cpu_millis * FILLABLE_PERMILLE / 1_000;
+                plan.rate += rate;
+            } else if !worker.is_listed && worker.may_have_unseen_runs() && !worker.is_evacuated {
+                plan.unseen_rate += rate;
             }
         }
         for (pool, plan) in plans.iter_mut() {
@@ -171,6 +267,22 @@
             let instance_cpu_millis = self.instance_size(pool).cpu_millis;
             plan.rate += arriving_count * instance_cpu_millis * FILLABLE_PERMILLE / 1_000;
         }
+        for row in self.instances.rows.values() {
+            if let (true, Some(plan)) = (
+                self.was_moved_by_earlier_leader(row),
+                plans.get_mut(&row.info.pool),
+            ) {
+                plan.unseen_rate += row.info.capacity.cpu_millis * FILLABLE_PERMILLE / 1_000;
+            }
+        }
+    }
+
+    /// Returns whether an instance is on its way into its pool by an order of an earlier leader.
+    fn was_moved_by_earlier_leader(&self, row: &Instance) -> bool {
+        row.order.is_none()
+            && row.unavailable_until_ms == 0
+            && !matches!(row.info.state, InstanceState::Up | InstanceState::Down)
+            && !self.evacuated_zones.contains(&row.info.zone)
     }
 
     fn postpone(&mut self, postponed: &HashSet<JobKey>) {
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -71,7 +71,7 @@
         let run_ms = self.expected_run_ms(task.job, step);
         let reservation = step.reservation();
         let key = self.rack_key(task.job, rack);
-        let forecast = self.forecast(&key, pass);
+        let forecast = self.rack_forecast(&key, pass);
         let may_run = |worker: &RackWorker| self.may_run_near(worker, task, step, eligible);
         let start = forecast.earliest_start(&reservation, may_run);
         let start = start.filter(|_| forecast.added_count() < FORECAST_TASKS_MAX_COUNT);
@@ -102,7 +102,7 @@
         let mut best: Option<(u64, RackKey, RackForecast)> = None;
         for group in self.racks_for_gang(step, racks) {
             let key = self.rack_key(at.job, &self.worker(group[0]).rack);
-            let mut forecast = self.forecast(&key, pass).clone();
+            let mut forecast = self.rack_forecast(&key, pass).clone();
             let start_ms = add_gang(&mut forecast, step, run_ms, &group);
             let is_earlier = |start_ms: &u64| best.as_ref().is_none_or(|best| *start_ms < best.0);
             if let Some(start_ms) = start_ms.filter(is_earlier) {
@@ -197,7 +197,7 @@
     }
 
     /// Returns the forecast of a rack, and makes it first if this pass has none.
-    fn forecast<'p>(&self, key: &RackKey, pass: &'p mut PlacePass) -> &'p mut RackForecast {
+    fn rack_forecast<'p>(&self, key: &RackKey, pass: &'p mut PlacePass) -> &'p mut RackForecast {
         if !pass.forecasts.contains_key(key) {
             let mut forecast = RackForecast::new(self.rack_workers(key));
             for tasks in pass.queued.remove(key).unwrap_or_default() {
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the job engine with simulated workers, in virtual time.
 
+mod admission;
 mod basics;
 mod builders;
 mod capacity;
@@ -15,4 +16,5 @@
 mod run_times;
 mod simulation;
 mod soak;
+mod team_rates;
 mod waves;
--- a/tests/testsuite/jobs/soak.rs
+++ b/tests/testsuite/jobs/soak.rs
@@ -8,7 +8,7 @@
 
 use std::ops::Range;
 
-use hawthornladder::jobs::{CancelOutcome, JobId, JobSpec, JobState, StepSpec};
+use hawthornladder::jobs::{CancelOutcome, JobId, JobSpec, JobState, StepSpec, SubmitOutcome};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
@@ -59,6 +59,11 @@
     evacuations: Option<ChaCha8Rng>,
     /// Source of random racks of the tasks' data, likewise apart; none for a run without them.
     places: Option<ChaCha8Rng>,
+    /// Source of random weights of the teams and of retries, apart from `rng` as well; none for
+    /// teams without weights.
+    rates: Option<ChaCha8Rng>,
+    /// Jobs that were refused and not accepted since.
+    refused: Vec<JobId>,
 }
 
 fn open_simulation(factor_permille: u64) -> Simulation {
@@ -81,6 +86,8 @@
             jobs: Vec::new(),
             evacuations: None,
             places: None,
+            rates: None,
+            refused: Vec::new(),
         }
     }
 
@@ -108,6 +115,11 @@
         }
     }
 
+    fn with_rates(mut self, seed: u64) -> Self {
+        self.rates = Some(ChaCha8Rng::seed_from_u64(seed.rotate_left(32) + 1));
+        self
+    }
+
     fn run(&mut self) {
         let end_ms = self.simulation.now_ms + FAULTS_MS;
         let (mut next_job_ms, mut next_fault_ms) = (0, self.simulation.now_ms + 1_000);
@@ -122,6 +134,7 @@
             }
             self.repair_due(self.simulation.now_ms);
             self.change_evacuations();
+            self.change_rates();
             self.simulation.advance(10);
         }
         self.simulation.evacuate(&[]);
@@ -145,6 +158,33 @@
         self.simulation.evacuate(&evacuated);
     }
 
+    /// Changes the weights of the teams at random, about one a second, and lets refused callers
+    /// retry.
+    fn change_rates(&mut self) {
+        let Some(rng) = &mut self.rates else {
+            return;
+        };
+        if rng.random_ratio(1, 100) {
+            let weights = ["team", "other"].map(|team| (team, rng.random_range(0.0..2.0)));
+            self.simulation.set_weights(&weights);
+        }
+        if !self.refused.is_empty() && rng.random_ratio(1, 50) {
+            let at = rng.random_range(0..self.refused.len());
+            let id = self.refused.swap_remove(at);
+            let job = self.simulation.submitted[&id].clone();
+            self.submit(id, &job.team, &job.queue, job.spec);
+        }
+    }
+
+    fn submit(&mut self, id: JobId, team: &str, queue: &str, spec: JobSpec) {
+        let is_long_running = spec.is_long_running();
+        match self.simulation.try_submit(id, team, queue, spec) {
+            SubmitOutcome::Pending => self.jobs.push((id, is_long_running)),
+            SubmitOutcome::TeamOverRate { .. } if self.rates.is_some() => self.refused.push(id),
+            outcome => panic!("{id}: {outcome:?}"),
+        }
+    }
+
     fn random_step(&mut self) -> StepSpec {
         let rng = &mut self.rng;
         let tasks_count = rng.random_range(1..10);
@@ -176,15 +216,14 @@
 
     fn submit_random_job(&mut self) {
         let spec = self.random_job();
-        let is_long_running = spec.is_long_running();
         let queue = if self.rng.random_bool(0.5) { "a" } else { "b" };
         let team = if self.rng.random_bool(0.7) {
             "team"
         } else {
             "other"
         };
-        let id = self.simulation.submit_for(team, queue, spec);
-        self.jobs.push((id, is_long_running));
+        let id = self.simulation.next_id();
+        self.submit(id, team, queue, spec);
     }
 
     /// Chooses a worker that is not dead.
@@ -319,6 +358,9 @@
     }
 
     fn check_end(&mut self) {
+        let mut starts = self.simulation.starts.iter();
+        let refused = starts.find(|(_, _, name)| self.refused.contains(&name.job));
+        assert_eq!(refused, None, "a refused job ran");
         let late_ms = self.simulation.now_ms - CANCEL_MS;
         let is_cancelled = |id: &JobId| self.cancelled.iter().any(|(known, _)| known == id);
         for (id, at_ms) in &self.cancelled {
@@ -391,3 +433,10 @@
         soak.with_places(seed)
     });
 }
+
+/// Guards against rates, refusals and retries that lose accepted jobs or run refused ones, whatever
+/// else fails.
+#[test]
+fn random_faults_beside_rates_and_evacuations_neither_duplicate_nor_lose_work() {
+    run_seeds(|seed| Soak::open(seed).with_evacuations(seed).with_rates(seed));
+}
