Count the work of teams against their share of the fleet

Change: a second bucket of each team counts work by the dominant resource; workers are reclaimed only for pools that lack instances.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -44,10 +44,6 @@
 /// in thousandths.
 const LATE_DEMAND_PERMILLE: u64 = 250;
 
-/// Share of its instances that a pool may have beyond its needs while no other pool lacks instances,
-/// in thousandths.
-const SURPLUS_PERMILLE: usize = 100;
-
 /// Time by which an instance may arrive later than a move takes, in milliseconds.
 const ARRIVAL_RESERVE_MS: u64 = 600;
 
@@ -147,6 +143,7 @@
         }
         self.next_review_ms = self.now_ms + REVIEW_MS;
         self.log_recovering_pools();
+        self.refresh_fleet_size();
         self.review_pace();
         self.review_evacuations();
         self.demand_cycle.advance(self.now_ms);
@@ -193,14 +190,10 @@
             let is_moved = |_: &usize| self.request_instance(&pool, &mut donors);
             missing_count += count - (0..count).take_while(is_moved).count();
         }
+        missing_count = missing_count.saturating_sub(self.capacity.reclaimed.len());
         for (pool, need) in &needs {
-            let retained_count = need.retained_count(&plan[pool]);
-            let spare_count = match missing_count {
-                0 => retained_count * SURPLUS_PERMILLE / 1_000,
-                _ => 0,
-            };
-            let surplus_count = self.surplus_count(pool, retained_count + spare_count);
-            self.reclaim(pool, surplus_count);
+            let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
+            missing_count -= self.reclaim(pool, surplus_count.min(missing_count));
         }
         self.move_idle_to_standby(&donors);
         self.move_evacuated_to_standby();
--- a/src/jobs/reclaim.rs
+++ b/src/jobs/reclaim.rs
@@ -58,10 +58,10 @@
     }
 
     /// Stops starting tasks on up to `count` busy workers of a pool, those first whose runs are
-    /// expected to end soonest.
-    pub(crate) fn reclaim(&mut self, pool: &SmolStr, count: usize) {
+    /// expected to end soonest; returns their number.
+    pub(crate) fn reclaim(&mut self, pool: &SmolStr, count: usize) -> usize {
         if count == 0 {
-            return;
+            return 0;
         }
         let mut workers: Vec<(u64, WorkerKey)> = self
             .present_keys()
@@ -76,10 +76,12 @@
             .filter(|(busy_ms, _)| *busy_ms <= BUSY_MAX_MS)
             .collect();
         workers.sort_unstable();
-        for (_, key) in workers.into_iter().take(count) {
-            self.worker_mut(key).is_cordoned = true;
-            self.capacity.reclaimed.insert(key);
+        workers.truncate(count);
+        for (_, key) in &workers {
+            self.worker_mut(*key).is_cordoned = true;
+            self.capacity.reclaimed.insert(*key);
         }
+        workers.len()
     }
 
     /// Returns the time after which all runs of a worker are expected to have ended, in
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -53,7 +53,10 @@
                     job.is_inherited = true;
                 }
                 Record::Progress(id, record) => progress.push((id, record)),
-                Record::Worker(id, record) => self.restore_worker(id, record),
+                Record::Worker(id, record) => {
+                    self.restore_worker(id, record);
+                    self.refresh_fleet_size();
+                }
                 Record::Wave(number, record) => self.restore_wave(number, record),
                 Record::Order(instance, number) => {
                     self.order_numbers.restore_last(instance, number);
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -128,7 +128,7 @@
         let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
         let accepted_ms = self.now_ms.saturating_sub(age_ms);
         let chains_ms = spec.chains_ms(|step| self.run_times.expected_ms(&queue, step));
-        let is_over_rate = self.take_token(&team, &spec, accepted_unix_ms);
+        let is_over_rate = self.take_token(&team, &queue, &spec, accepted_unix_ms);
         let rounds = match spec.recurrence {
             None => vec![Round::open(&spec)],
             Some(_) => Vec::new(),
