Count the waits for racks in the node's metrics

Cause: on-call could see single waits in the log (`place_wait_started`, `place_wait_ended`), but not how many there are.

The counter was not read from a running node.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -477,7 +477,9 @@
 
 impl Node {
     fn update_gauges(&self) {
-        if let Some(leader) = self.leader_state.borrow().as_ref() {
+        if let Some(leader) = self.leader_state.borrow_mut().as_mut() {
+            let waits = leader.engine.take_place_wait_counts();
+            self.metrics.count_place_waits(&waits);
             let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
             self.metrics
                 .live_jobs_count
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
+use crate::jobs::PlaceWaitCounts;
+
 /// Prefix of all metric names.
 const PREFIX: &str = "hawthornladder_node";
 /// Lowest bucket bound of the histograms, in milliseconds.
@@ -31,12 +33,18 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    event: &'static str,
+}
+
 /// The metrics of one node.
 pub struct NodeMetrics {
     registry: Registry,
     calls: Family<CallLabels, Counter>,
     orders: Family<KindLabels, Counter>,
     store_calls: Family<KindLabels, Counter>,
+    place_waits: Family<WaitLabels, Counter>,
     /// Time from a caller's call to its answer, in milliseconds.
     pub call_ms: Histogram,
     /// Duration of a call to the store, without its wait, in milliseconds.
@@ -79,6 +87,7 @@
             calls: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
+            place_waits: Family::default(),
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
             order_ms: histogram_ms(),
@@ -108,6 +117,11 @@
             "Calls to the store.",
             self.store_calls.clone(),
         );
+        registry.register(
+            "place_waits",
+            "Waits of tasks for the rack of their data.",
+            self.place_waits.clone(),
+        );
         registry.register("call_ms", "Time to an answer.", self.call_ms.clone());
         registry.register("store_ms", "Time of a store call.", self.store_ms.clone());
         registry.register("order_ms", "Time of an order.", self.order_ms.clone());
@@ -174,6 +188,19 @@
             .inc();
     }
 
+    /// Adds to the counts of waits for racks.
+    pub fn count_place_waits(&self, counts: &PlaceWaitCounts) {
+        let events = [
+            ("started", counts.started_count),
+            ("won", counts.won_count),
+            ("lost", counts.lost_count),
+        ];
+        for (event, count) in events {
+            let counter = self.place_waits.get_or_create(&WaitLabels { event });
+            counter.inc_by(count);
+        }
+    }
+
     /// Returns all metrics as text.
     pub fn encode(&self) -> String {
         let mut text = String::new();
