Measure waits for racks against never and always waiting

Change: `experiment places` runs the engine on the same jobs in virtual time under three policies, with `--plot FILE`; the plots take named series with a colour.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -7,7 +7,8 @@
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::engine_cost::{engine_table, measure_engine, WORKERS_COUNTS};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
-use hawthornladder::load::plot::{plot_overload, plot_share};
+use hawthornladder::load::places::{run_places_experiment, PlacesConfig};
+use hawthornladder::load::plot::{plot_overload, plot_places, plot_share};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig};
 use hawthornladder::load::state_cost::{measure_state, state_table};
 use serde::Serialize;
@@ -64,6 +65,18 @@
             with_common_args(Command::new("overload"))
                 .about("Goodput at half to ten times capacity, with bursts and a failing worker"),
         )
+        .subcommand(
+            with_common_args(Command::new("places"))
+                .about("Mean completion time with and without waits for the rack of the data")
+                .arg(
+                    Arg::new("duration")
+                        .long("duration-ms")
+                        .value_name("MS")
+                        .value_parser(value_parser!(u64).range(1..))
+                        .default_value("60000")
+                        .help("Time for which jobs arrive, in virtual milliseconds"),
+                ),
+        )
         .subcommand(
             Command::new("state-cost")
                 .about("Cost of the ledger, the snapshot and the engine by size of the fleet")
@@ -114,6 +127,7 @@
     let result = match args.subcommand() {
         Some(("share", args)) => execute_share(args),
         Some(("overload", args)) => execute_overload(args),
+        Some(("places", args)) => execute_places(args),
         Some(("state-cost", args)) => {
             let rows = measure_state();
             print_report(args, &state_table(&rows), &rows)
@@ -167,6 +181,20 @@
     }
 }
 
+fn execute_places(args: &ArgMatches) -> Result<(), String> {
+    let config = PlacesConfig {
+        seed: number(args, "seed"),
+        duration_ms: number(args, "duration"),
+        ..PlacesConfig::default()
+    };
+    let report = run_places_experiment(&config);
+    print_report(args, &report.table(), &report)?;
+    match args.get_one::<String>("plot") {
+        Some(file) => plot_places(&report, Path::new(file)),
+        None => Ok(()),
+    }
+}
+
 fn number(args: &ArgMatches, name: &str) -> u64 {
     args.get_one(name).copied().unwrap_or_default()
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -11,6 +11,7 @@
 pub mod live;
 pub mod measure;
 pub mod overload;
+pub mod places;
 pub mod plot;
 pub mod share;
 pub mod state_cost;
--- a/tests/testsuite/load_experiments.rs
+++ b/tests/testsuite/load_experiments.rs
@@ -1,6 +1,7 @@
 //! Short runs of the load experiments: their targets are met, and results depend only on the seed.
 
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig, Scenario};
+use hawthornladder::load::places::{run_places_experiment, PlacePolicy, PlacesConfig};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig, ShareRow};
 use hawthornladder::load::world::{SchedulingPolicy, URGENT_START_TARGET_MS};
 
@@ -88,3 +89,43 @@
         "fewer retries are served in time than in the baseline"
     );
 }
+
+/// Guards against an experiment whose policies do not differ in where tasks run, or that leaves work
+/// undone at a load that the pool can carry.
+#[test]
+fn the_experiment_on_racks_plays_each_policy_on_the_same_jobs() {
+    let config = PlacesConfig {
+        loads_permille: vec![400],
+        factors_permille: vec![3_000],
+        duration_ms: 8_000,
+        ..PlacesConfig::default()
+    };
+    let report = run_places_experiment(&config);
+    let of = |policy| {
+        let mut rows = report.rows.iter();
+        let row = rows
+            .find(|row| row.policy == policy)
+            .expect("each has a row");
+        assert_eq!(row.unfinished_count, 0, "{row:?}");
+        *row
+    };
+    let [never, always, expected] = [
+        PlacePolicy::Never,
+        PlacePolicy::Always,
+        PlacePolicy::Expected,
+    ]
+    .map(of);
+    assert_eq!(never.jobs_count, expected.jobs_count);
+    assert_eq!(always.remote_permille, 0);
+    assert!(
+        expected.remote_permille < never.remote_permille,
+        "{report:?}"
+    );
+    // A full pool shows an order of events that the seed does not fix.
+    let full = PlacesConfig {
+        loads_permille: vec![900],
+        ..config
+    };
+    let [first, second] = [(), ()].map(|()| run_places_experiment(&full));
+    assert_eq!(first, second, "two runs with one seed differ");
+}
