Explain where a job would start, without submitting it

Cause: nobody could ask a node why a job of a queue and team would wait now, before it was submitted.

`jobs/explain.rs` answers from the functions that decide: the rank of the job among the waiting ones, the choice of a worker, the decision to wait, the checks of a submission and of the team's limit. For that, a job is made apart from being added, a placement names its pool, and a worker says why it takes no tasks; `takes_tasks` is that without a reason.

The path through running nodes was not run: the repository has no stand-in for the store of the users' platform.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod http_server;
 pub mod instances_http;
 pub mod log_http;
+pub mod node_client;
 pub mod operators_client;
 pub mod operators_http;
 pub mod peers_rpc;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -9,17 +9,19 @@
 };
 use smol_str::SmolStr;
 
-use crate::cmd::{entry_access, is_json, output_arg, print_line, CmdError, CmdResult, Exit};
+use crate::cmd::{
+    entry_access, explain_job, is_json, output_arg, print_line, CmdError, CmdResult, Exit,
+};
 
 /// Makes the command line of `explain`.
 pub(crate) fn make_command() -> Command {
     Command::new("explain")
-        .about("Explain why a request, a move or a stop would be refused or delayed now")
+        .about("Explain why a request, a move, a stop or a job would be refused or delayed now")
         .long_about(
             "Explain why a request, a move or a stop would be refused or delayed now.\n\n\
              Each entry answers from its present state; nothing is run, moved or stopped. Each \
              reason is one line that begins with its name; docs/operators.md has a section for \
-             each name.",
+             each name. A job is explained by a node of the users' platform.",
         )
         .after_help(
             "Exit codes:\n  0  it would be let through at once\n  1  it would be refused or \
@@ -32,6 +34,7 @@
         .subcommand(make_request_command())
         .subcommand(make_move_command())
         .subcommand(make_stop_command())
+        .subcommand(explain_job::make_command())
 }
 
 fn make_request_command() -> Command {
@@ -88,11 +91,11 @@
         .required(true)
 }
 
-fn text_arg(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+pub(crate) fn text_arg(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).value_name(value).help(help)
 }
 
-fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+pub(crate) fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
         .value_name("N")
@@ -118,6 +121,7 @@
             },
             matches,
         ),
+        Some(("job", matches)) => return explain_job::execute(matches),
         _ => return Err(Report::new(CmdError::Usage)),
     };
     let is_json = is_json(matches);
@@ -170,7 +174,7 @@
     Ok(())
 }
 
-fn text(matches: &ArgMatches, name: &str) -> SmolStr {
+pub(crate) fn text(matches: &ArgMatches, name: &str) -> SmolStr {
     matches
         .get_one::<String>(name)
         .map_or_else(SmolStr::default, SmolStr::new)
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod exit;
 mod experiment;
 mod explain;
+mod explain_job;
 mod keys;
 mod lists;
 mod load;
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -196,8 +196,10 @@
                 with_tickets => with_tickets,
             },
         };
+        let pool = self.job(task.job).pool.clone();
         let request = PlacementRequest {
             task,
+            pool: &pool,
             step,
             rack: step.near_rack.as_ref(),
             eligible: eligible.as_deref(),
@@ -326,12 +328,20 @@
     }
 
     fn needs_tickets(&self, key: JobKey) -> bool {
-        let queue = self.catalog.queues.get(&self.job(key).queue);
+        self.queue_needs_tickets(&self.job(key).queue)
+    }
+
+    pub(crate) fn queue_needs_tickets(&self, queue: &SmolStr) -> bool {
+        let queue = self.catalog.queues.get(queue);
         queue.is_some_and(|queue| queue.needs_tickets)
     }
 
     fn team_has_capacity(&self, key: JobKey, more: &Size) -> bool {
-        let team = &self.job(key).team;
+        self.team_has_room(&self.job(key).team, more)
+    }
+
+    /// Returns whether a team may have `more` running within its upper limit.
+    pub(crate) fn team_has_room(&self, team: &SmolStr, more: &Size) -> bool {
         let Some(limit) = self.catalog.teams.get(team).map(|team| team.limit) else {
             return true;
         };
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -178,13 +178,13 @@
         self.chains_ms.iter().copied().max().unwrap_or(0)
     }
 
-    /// Returns the steps with waiting tasks that may run.
-    fn startable_steps(&self) -> impl Iterator<Item = &StepSpec> {
+    /// Returns the steps with waiting tasks that may run, with the numbers of these tasks.
+    pub(crate) fn startable_steps(&self) -> impl Iterator<Item = (u32, &StepSpec)> {
         self.rounds.iter().flat_map(|round| {
             let steps = round.steps.iter().zip(&self.spec.steps);
             let startable =
                 steps.filter(|(step, spec)| step.waiting_count > 0 && round.is_ready(spec));
-            startable.map(|(_, spec)| spec)
+            startable.map(|(step, spec)| (step.waiting_count, spec))
         })
     }
 
@@ -197,7 +197,7 @@
     /// a core.
     pub(crate) fn least_startable_cpu_millis(&self) -> Option<u64> {
         let steps = self.startable_steps();
-        steps.map(|step| step.reservation().cpu_millis).min()
+        steps.map(|(_, step)| step.reservation().cpu_millis).min()
     }
 
     /// Returns the runs that may exist, with the keys of their workers.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod evacuation;
 mod expiry;
+mod explain;
 mod feasibility;
 mod free_capacity;
 mod instances;
@@ -38,6 +39,7 @@
 
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
 pub use engine::{Engine, EngineSettings, Settled};
+pub use explain::{JobExplanation, JobQuestion, JobRefusal, JobStart, StartReason};
 pub use feasibility::{jobs_to_postpone, Claim};
 pub use instances::{InstanceFailure, InstanceInfo, InstanceState};
 pub use job::JobState;
@@ -55,4 +57,4 @@
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
 pub use spec::{JobSpec, Recurrence, Size, SpecError, StepSpec};
 pub use waves::WaveSpec;
-pub use worker::WorkerInfo;
+pub use worker::{WorkerInfo, WorkerState};
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -208,6 +208,42 @@
         pass.forecasts.entry(key.clone()).or_default()
     }
 
+    /// Returns the forecast of a rack with all tasks that wait for it now.
+    pub(crate) fn forecast_with_waits<'p>(
+        &self,
+        pool: &SmolStr,
+        rack: &SmolStr,
+        pass: &'p mut PlacePass,
+    ) -> &'p mut RackForecast {
+        let key = RackKey {
+            pool: pool.clone(),
+            rack: rack.clone(),
+        };
+        let forecast = self.forecast(&key, pass);
+        for task in self.place_waits.for_rack(rack) {
+            let job = self.job(task.job);
+            let step = &job.spec.steps[usize::from(task.step)];
+            if job.pool == *pool {
+                let tasks = QueuedTasks {
+                    reservation: step.reservation(),
+                    run_ms: self.expected_run_ms(task.job, step),
+                    count: if step.is_gang { step.tasks_count } else { 1 },
+                };
+                add_queued(forecast, &tasks);
+            }
+        }
+        forecast
+    }
+
+    /// Returns the workers of a pool that accept tasks.
+    pub(crate) fn pool_workers(&self, pool: &SmolStr) -> Vec<RackWorker> {
+        let workers = self.accepting_workers(pool);
+        workers
+            .into_iter()
+            .map(|key| self.rack_worker(key))
+            .collect()
+    }
+
     /// Returns the workers of a rack that accept tasks, and the instances that arrive there.
     fn rack_workers(&self, key: &RackKey) -> Vec<RackWorker> {
         let pool = self.free_capacity.pool(&key.pool);
--- a/src/jobs/place_waits.rs
+++ b/src/jobs/place_waits.rs
@@ -128,6 +128,15 @@
 }
 
 impl PlaceWaits {
+    /// Returns the tasks that wait for a rack.
+    pub(crate) fn for_rack<'w>(&'w self, rack: &'w SmolStr) -> impl Iterator<Item = TaskKey> + 'w {
+        let waits = self
+            .waits
+            .iter()
+            .filter(move |(_, wait)| wait.rack == *rack);
+        waits.map(|(task, _)| *task)
+    }
+
     /// Returns whether nothing waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.waits.is_empty()
@@ -167,14 +176,25 @@
         run_ms: u64,
         near_start_ms: Option<u64>,
     ) -> PlaceVerdict {
-        let job = self.job(task.job);
         let wait = self.place_waits.waits.get(&task);
+        let since_ms = wait.map_or(self.now_ms, |wait| wait.since_ms);
+        self.verdict_for(self.job(task.job), since_ms, run_ms, near_start_ms)
+    }
+
+    /// Decides whether a task of `job` waits that was first decided on at `since_ms`.
+    pub(crate) fn verdict_for(
+        &self,
+        job: &Job,
+        since_ms: u64,
+        run_ms: u64,
+        near_start_ms: Option<u64>,
+    ) -> PlaceVerdict {
         choose_place(&PlaceChoice {
             now_ms: self.now_ms,
             run_ms,
             remote_factor_permille: self.settings.remote_factor_permille,
             near_start_ms,
-            since_ms: wait.map_or(self.now_ms, |wait| wait.since_ms),
+            since_ms,
             latest_start_ms: latest_start_of(job, self.now_ms),
             has_running: job.runs_count > 0,
         })
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -10,6 +10,8 @@
 pub(crate) struct PlacementRequest<'s> {
     /// Task.
     pub(crate) task: TaskKey,
+    /// Pool of its job.
+    pub(crate) pool: &'s SmolStr,
     /// Its step.
     pub(crate) step: &'s StepSpec,
     /// Rack in which it runs fastest.
@@ -33,9 +35,7 @@
         let fitting = eligible.iter().copied().filter(may_run);
         return fitting.min_by_key(|key| preference(engine, *key, request));
     }
-    let pool = engine
-        .free_capacity
-        .pool(&engine.job(request.task.job).pool)?;
+    let pool = engine.free_capacity.pool(request.pool)?;
     let by_preference = |key: &WorkerKey| preference(engine, *key, request);
     let near = request.rack.and_then(|rack| {
         let fitting = pool.in_rack(rack).filter(may_run);
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -86,13 +86,13 @@
         SubmitOutcome::Pending
     }
 
-    /// Adds a job that was accepted at `accepted_unix_ms`.
-    pub(crate) fn add_job(
-        &mut self,
+    /// Returns a job that was accepted at `accepted_unix_ms`.
+    pub(crate) fn new_job(
+        &self,
         submission: Submission,
         pool: SmolStr,
         accepted_unix_ms: u64,
-    ) -> JobKey {
+    ) -> Job {
         let Submission {
             id,
             queue,
@@ -108,7 +108,7 @@
         };
         let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
         let target_ms = accepted_ms + self.target_after_ms(&queue, chain_ms);
-        let job = Job {
+        Job {
             id,
             queue,
             pool,
@@ -129,7 +129,18 @@
             runs_count: 0,
             place: None,
             is_touched: false,
-        };
+        }
+    }
+
+    /// Adds a job that was accepted at `accepted_unix_ms`.
+    pub(crate) fn add_job(
+        &mut self,
+        submission: Submission,
+        pool: SmolStr,
+        accepted_unix_ms: u64,
+    ) -> JobKey {
+        let id = submission.id;
+        let job = self.new_job(submission, pool, accepted_unix_ms);
         let key = self.insert_job(job);
         self.job_keys.insert(id, key);
         self.record_arrival(key);
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -66,6 +66,22 @@
         }
     }
 
+    /// Returns the number of waiting jobs of a pool.
+    pub(crate) fn count(&self, pool: &SmolStr) -> usize {
+        self.pools.get(pool).map_or(0, BTreeMap::len)
+    }
+
+    /// Returns the waiting jobs of a pool that go before a job, in their order.
+    pub(crate) fn ahead(&self, pool: &SmolStr, rank: Rank, job: JobKey) -> Vec<JobKey> {
+        let pool = self.pools.get(pool);
+        let ahead = pool.map(|pool| pool.range(..(rank, job)));
+        ahead
+            .into_iter()
+            .flatten()
+            .map(|((_, job), _)| *job)
+            .collect()
+    }
+
     /// Takes a job whose rank has changed by time alone.
     fn take_changed(&mut self, now_ms: u64) -> Option<JobKey> {
         let (changes_ms, job) = self.changes.first().copied()?;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -46,6 +46,48 @@
     pub instance: Option<SmolStr>,
 }
 
+/// What a worker can do for a task now.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum WorkerState {
+    /// It has room.
+    Free,
+    /// Its runs leave no room.
+    Full,
+    /// The task exceeds its capacity.
+    TooSmall,
+    /// The platform does not list it.
+    Unlisted,
+    /// It is about to leave.
+    Draining,
+    /// Its instance is about to be moved or maintained.
+    Cordoned,
+    /// Its zone is evacuated.
+    Evacuated,
+    /// The store has no record of it yet.
+    NotPersisted,
+    /// It has not answered this leader yet.
+    NotFenced,
+    /// Its last poll failed.
+    Unresponsive,
+    /// Its last runs failed.
+    Avoided,
+    /// It is slow after its start, and has had a start just now.
+    ColdPaced,
+}
+
 /// How far the start of a run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SlotState {
@@ -276,12 +318,34 @@
 
     /// Returns whether new tasks may be started there.
     pub(crate) fn takes_tasks(&self, now_ms: u64) -> bool {
-        self.is_usable()
-            && self.is_persisted
-            && self.is_fenced
-            && self.failed_polls_count == 0
-            && now_ms >= self.avoided_until_ms
-            && now_ms >= self.next_start_ms
+        self.obstacle(now_ms).is_none()
+    }
+
+    /// Returns why no new tasks may be started there, if that is so.
+    fn obstacle(&self, now_ms: u64) -> Option<WorkerState> {
+        match () {
+            () if !self.is_listed => Some(WorkerState::Unlisted),
+            () if self.info.is_draining => Some(WorkerState::Draining),
+            () if self.is_cordoned => Some(WorkerState::Cordoned),
+            () if self.is_evacuated => Some(WorkerState::Evacuated),
+            () if !self.is_persisted => Some(WorkerState::NotPersisted),
+            () if !self.is_fenced => Some(WorkerState::NotFenced),
+            () if self.failed_polls_count > 0 => Some(WorkerState::Unresponsive),
+            () if now_ms < self.avoided_until_ms => Some(WorkerState::Avoided),
+            () if now_ms < self.next_start_ms => Some(WorkerState::ColdPaced),
+            () => None,
+        }
+    }
+
+    /// Returns what it can do for a task with this reservation.
+    pub(crate) fn state_for(&self, reservation: &Size, now_ms: u64) -> WorkerState {
+        let capacity = &self.info.capacity;
+        match self.obstacle(now_ms) {
+            Some(obstacle) => obstacle,
+            None if self.used.fits_with(reservation, capacity) => WorkerState::Free,
+            None if Size::default().fits_with(reservation, capacity) => WorkerState::Full,
+            None => WorkerState::TooSmall,
+        }
     }
 
     /// Returns whether its capacity counts for its pool: it is listed, and neither leaves nor is
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 
 mod calls;
 mod evacuations;
+mod explain;
 mod fleet_lists;
 mod journal;
 mod leader;
@@ -36,6 +37,7 @@
 use crate::ports::Clock;
 
 pub use evacuations::Evacuations;
+pub use explain::{ExplainAnswer, ExplainCall, EXPLAIN_PATH};
 pub use journal::Journal;
 pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
 pub use metrics::NodeMetrics;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -12,6 +12,7 @@
 use crate::jobs::{CancelOutcome, JobId, Submission, SubmitOutcome};
 use crate::logging::Event;
 use crate::net::{self, Answer, Call, CallFailure, IncomingRequest, ServerHandle, ServerSettings};
+use crate::node::explain;
 use crate::node::leader::LeaderState;
 use crate::node::{CallAnswer, Node, PeerCall, Refusal, Role};
 
@@ -41,6 +42,9 @@
 }
 
 async fn answer_peer(node: Rc<Node>, request: IncomingRequest) -> Answer {
+    if request.path == explain::EXPLAIN_PATH {
+        return explain::answer(&node, &request).await;
+    }
     let body = request.body.filter(|_| request.path == PATH);
     let call = body.and_then(|body| serde_json::from_slice::<PeerCall>(&body).ok());
     let Some(call) = call else {
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod checks;
 mod constraints;
 mod evacuation;
+mod explain;
 mod fake_worker;
 mod faults;
 mod overload;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod engine_cost;
 mod engines;
 mod error_table;
+mod explain_job;
 mod jobs;
 mod ledger_fold;
 mod lists;
