--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -150,6 +150,16 @@
     total_ms: u64,
 }
 
+/// Why a submission is refused.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OverRateRefusal {
+    forecast: Forecast,
+    margin_ms: u64,
+    target_in_ms: u64,
+    waited_ms: u64,
+    retry_after_s: u64,
+}
+
 impl Engine {
     /// Refuses a submission over the rate of its team that the pool cannot complete by its target;
     /// returns the time after which to retry, in seconds, if it is refused.
@@ -158,6 +168,36 @@
         submission: &Submission,
         pool: &SmolStr,
     ) -> Option<u64> {
+        let refusal = self.over_rate_refusal(submission, pool)?;
+        let Submission {
+            id, queue, team, ..
+        } = submission;
+        self.admission.refused.record(*id, self.unix_ms);
+        let backlog_age_ms = self.now_ms.saturating_sub(self.admission.planned_ms);
+        Event::new("job_refused")
+            .with("job", id)
+            .with("reason", "team_over_rate")
+            .with("queue", queue)
+            .with("pool", pool)
+            .with("team", team)
+            .with("weight", self.bought_rate(team).unwrap_or(0.0))
+            .with("backlog_ms", refusal.forecast.backlog_ms)
+            .with("backlog_age_ms", backlog_age_ms)
+            .with("margin_ms", refusal.margin_ms)
+            .with("chain_ms", refusal.forecast.chain_ms)
+            .with("target_in_ms", refusal.target_in_ms)
+            .with("waited_ms", refusal.waited_ms)
+            .with("retry_after_s", refusal.retry_after_s)
+            .info();
+        Some(refusal.retry_after_s)
+    }
+
+    /// Returns why a submission over the rate of its team would be refused now, if it would be.
+    pub(crate) fn over_rate_refusal(
+        &self,
+        submission: &Submission,
+        pool: &SmolStr,
+    ) -> Option<OverRateRefusal> {
         let Submission {
             id,
             queue,
@@ -175,34 +215,18 @@
         let end_ms = forecast.backlog_ms.saturating_add(forecast.chain_ms);
         let errors = self.admission.errors.get(pool).copied().unwrap_or_default();
         let margin_ms = errors.margin_ms(end_ms, self.now_ms);
-        if forecast.has_room || end_ms.saturating_add(margin_ms) <= target_in_ms {
-            return None;
-        }
-        let retry_after_s = retry_after_s(*id, forecast.backlog_ms);
-        self.admission.refused.record(*id, self.unix_ms);
-        Event::new("job_refused")
-            .with("job", id)
-            .with("reason", "team_over_rate")
-            .with("queue", queue)
-            .with("pool", pool)
-            .with("team", team)
-            .with("weight", self.bought_rate(team).unwrap_or(0.0))
-            .with("backlog_ms", forecast.backlog_ms)
-            .with(
-                "backlog_age_ms",
-                self.now_ms.saturating_sub(self.admission.planned_ms),
-            )
-            .with("margin_ms", margin_ms)
-            .with("chain_ms", forecast.chain_ms)
-            .with("target_in_ms", target_in_ms)
-            .with("waited_ms", waited_ms)
-            .with("retry_after_s", retry_after_s)
-            .info();
-        Some(retry_after_s)
+        let is_refused = !forecast.has_room && end_ms.saturating_add(margin_ms) > target_in_ms;
+        is_refused.then(|| OverRateRefusal {
+            forecast,
+            margin_ms,
+            target_in_ms,
+            waited_ms,
+            retry_after_s: retry_after_s(*id, forecast.backlog_ms),
+        })
     }
 
     /// Returns whether a job that is accepted now would be over the rate of its team.
-    fn would_be_over_rate(&self, team: &SmolStr, spec: &JobSpec) -> bool {
+    pub(crate) fn would_be_over_rate(&self, team: &SmolStr, spec: &JobSpec) -> bool {
         let rate = self.rate_for(team, spec);
         rate.is_some_and(|rate| !self.team_rates.has_token(team, rate, self.unix_ms))
     }
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -108,13 +108,14 @@
         SubmitOutcome::Pending
     }
 
-    /// Adds an accepted job.
-    pub(crate) fn add_job(
-        &mut self,
+    /// Returns a job that was accepted at these times. It is not known yet whether it is over the rate
+    /// of its team.
+    pub(crate) fn new_job(
+        &self,
         submission: Submission,
         pool: SmolStr,
         times: AcceptanceTimes,
-    ) -> JobKey {
+    ) -> Job {
         let Submission {
             id,
             queue,
@@ -128,7 +129,6 @@
         let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
         let accepted_ms = self.now_ms.saturating_sub(age_ms);
         let chains_ms = spec.chains_ms(|step| self.run_times.expected_ms(&queue, step));
-        let is_over_rate = self.take_token(&team, &queue, &spec, accepted_unix_ms);
         let rounds = match spec.recurrence {
             None => vec![Round::open(&spec)],
             Some(_) => Vec::new(),
@@ -137,7 +137,7 @@
         let refused_for_ms = accepted_unix_ms.saturating_sub(arrived_unix_ms);
         let arrived_ms = accepted_ms.saturating_sub(refused_for_ms);
         let target_ms = arrived_ms + self.target_after_ms(&queue, chain_ms);
-        let job = Job {
+        Job {
             id,
             queue,
             pool,
@@ -145,7 +145,7 @@
             spec: Arc::new(spec),
             accepted_unix_ms,
             accepted_ms,
-            is_over_rate,
+            is_over_rate: false,
             arrived_unix_ms,
             forecast_ms: None,
             is_inherited: false,
@@ -161,7 +161,20 @@
             runs_count: 0,
             place: None,
             is_touched: false,
-        };
+        }
+    }
+
+    /// Adds an accepted job.
+    pub(crate) fn add_job(
+        &mut self,
+        submission: Submission,
+        pool: SmolStr,
+        times: AcceptanceTimes,
+    ) -> JobKey {
+        let id = submission.id;
+        let mut job = self.new_job(submission, pool, times);
+        let spec = Arc::clone(&job.spec);
+        job.is_over_rate = self.take_token(&job.team, &job.queue, &spec, job.accepted_unix_ms);
         let key = self.insert_job(job);
         self.job_keys.insert(id, key);
         self.record_arrival(key);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -11,6 +11,7 @@
 pub mod live;
 pub mod measure;
 pub mod overload;
+pub mod places;
 pub(crate) mod played_pool;
 pub mod plot;
 pub mod run_times;
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod constraints;
 mod evacuation;
+mod explain;
 mod fake_worker;
 mod faults;
 mod overload;
