--- a/src/jobs/run_times.rs
+++ b/src/jobs/run_times.rs
@@ -12,6 +12,7 @@
 use crate::jobs::keys::JobKey;
 use crate::jobs::run_distribution::{as_permille, RunDistribution, RunVerdict};
 use crate::jobs::spec::StepSpec;
+use crate::logging::Event;
 
 /// Most kinds. Once half as many have had runs, the other half is forgotten.
 const KINDS_MAX_COUNT: usize = 512;
@@ -129,11 +130,16 @@
             return;
         }
         let ratio = ratio_of(run.ran_ms, step.estimate_ms);
-        let kind = self.kind_mut(kind_of(queue, step));
+        let name = kind_of(queue, step);
+        let kind = self.kind_mut(name);
         let bounded = ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
         kind.smoothed += (bounded - kind.smoothed) * SMOOTHING;
-        if !run.is_adopted {
-            kind.distribution.observe(run.job, as_permille(ratio));
+        let has_shifted = !run.is_adopted && kind.distribution.observe(run.job, as_permille(ratio));
+        if has_shifted {
+            Event::new("run_times_shifted")
+                .with("kind", name)
+                .with("smoothed_permille", as_permille(kind.smoothed))
+                .info();
         }
     }
 
--- a/src/load/run_times.rs
+++ b/src/load/run_times.rs
@@ -49,17 +49,17 @@
     Even,
     /// The same, but one run in thirty takes seven times the mean of the others.
     HeavyTail,
-    /// The heavy tail, with estimates too low by [`ERROR_FACTOR`].
+    /// The heavy tail, with estimates too low by `ERROR_FACTOR`.
     TooLow,
-    /// The heavy tail, with estimates too high by [`ERROR_FACTOR`].
+    /// The heavy tail, with estimates too high by `ERROR_FACTOR`.
     TooHigh,
-    /// Each estimate is off by up to [`ERROR_FACTOR`] either way.
+    /// Each estimate is off by up to `ERROR_FACTOR` either way.
     SpreadTasks,
     /// The same, but the tasks of a job share the error.
     SpreadJobs,
-    /// The run times change by [`ERROR_FACTOR`] after each [`SHIFT_RUNS_COUNT`] runs.
+    /// The run times change by `ERROR_FACTOR` after each `SHIFT_RUNS_COUNT` runs.
     Shift,
-    /// The heavy tail with [`FEW_RUNS_COUNT`] runs of each kind.
+    /// The heavy tail with `FEW_RUNS_COUNT` runs of each kind.
     FewRuns,
 }
 
