Record which jobs are over the rate of their team, and restore the buckets by it

Cause: the work that a team may bring depends on the size of the fleet, which a new leader does not know before it has read the list of instances: after a change of leader 12 of 20 jobs counted as over the rate in place of 4.

Change: the record of a job says whether it is over the rate; a new leader takes tokens for the others only.

--- a/src/jobs/explain.rs
+++ b/src/jobs/explain.rs
@@ -164,6 +164,7 @@
         let times = AcceptanceTimes {
             accepted_unix_ms: self.unix_ms,
             arrived_unix_ms: self.unix_ms,
+            is_over_rate: None,
         };
         let mut job = self.new_job(submission, pool.clone(), times);
         job.is_over_rate = self.would_be_over_rate(&job.team, &job.spec);
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -19,10 +19,6 @@
 const FORECAST_TASKS_MAX_COUNT: usize = 256;
 /// Most racks that are considered for one gang.
 const GANG_RACKS_MAX_COUNT: usize = 16;
-/// Least share of its expected run time that a run is assumed to have left, in percent, so that an
-/// overdue run does not look as if it ended at once.
-const REMAINING_MIN_PERCENT: u64 = 20;
-
 /// A rack of a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct RackKey {
@@ -45,13 +41,6 @@
     queued: HashMap<RackKey, Vec<QueuedTasks>>,
 }
 
-/// Returns the expected remaining time of a run of `step` that has taken `ran_ms`.
-fn remaining_ms(run_times: &RunTimes, queue: &SmolStr, step: &StepSpec, ran_ms: u64) -> u64 {
-    let whole_ms = run_times.expected_ms(queue, step);
-    let least_ms = whole_ms * REMAINING_MIN_PERCENT / 100;
-    whole_ms.saturating_sub(ran_ms).max(least_ms)
-}
-
 impl Engine {
     /// Decides whether a task that could start on `worker` waits for a slot in the rack of its data.
     pub(crate) fn waits_near(
@@ -285,7 +274,7 @@
         let step = &job.spec.steps[usize::from(run.task.step)];
         let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
         let near_ms = self.near_run_ms(slot, ran_ms);
-        let rest_ms = remaining_ms(&self.run_times, &job.queue, step, near_ms);
+        let rest_ms = self.run_times.remaining_ms(&job.queue, step, near_ms);
         match slot.is_remote {
             true => scaled(
                 rest_ms,
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -38,6 +38,9 @@
     /// accepted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub arrived_unix_ms: Option<u64>,
+    /// Whether it was over the rate of its team when it was accepted.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_over_rate: bool,
 }
 
 /// Persisted state of one task that is not done.
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -46,6 +46,7 @@
                     let times = AcceptanceTimes {
                         accepted_unix_ms: record.accepted_unix_ms,
                         arrived_unix_ms: record.arrived_unix_ms.unwrap_or(record.accepted_unix_ms),
+                        is_over_rate: Some(record.is_over_rate),
                     };
                     let key = self.add_job(submission, pool, times);
                     let job = self.job_mut(key);
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -43,12 +43,14 @@
     },
 }
 
-/// When a job came, in Unix milliseconds.
+/// When a job came, in Unix milliseconds, and what an earlier leader decided about it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AcceptanceTimes {
     pub(crate) accepted_unix_ms: u64,
     /// First arrival, from which the target counts.
     pub(crate) arrived_unix_ms: u64,
+    /// Whether it is over the rate of its team, if that is recorded.
+    pub(crate) is_over_rate: Option<bool>,
 }
 
 /// Result of a cancel.
@@ -87,6 +89,7 @@
         let times = AcceptanceTimes {
             accepted_unix_ms: self.unix_ms,
             arrived_unix_ms: self.admission.first_arrival(submission.id, self.unix_ms),
+            is_over_rate: None,
         };
         let key = self.add_job(submission, pool, times);
         self.job_admitted(key);
@@ -125,6 +128,7 @@
         let AcceptanceTimes {
             accepted_unix_ms,
             arrived_unix_ms,
+            ..
         } = times;
         let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
         let accepted_ms = self.now_ms.saturating_sub(age_ms);
@@ -174,7 +178,13 @@
         let id = submission.id;
         let mut job = self.new_job(submission, pool, times);
         let spec = Arc::clone(&job.spec);
-        job.is_over_rate = self.take_token(&job.team, &job.queue, &spec, job.accepted_unix_ms);
+        job.is_over_rate = match times.is_over_rate {
+            None => self.take_token(&job.team, &job.queue, &spec, job.accepted_unix_ms),
+            Some(is_over_rate) => {
+                self.restore_token(&job, is_over_rate);
+                is_over_rate
+            }
+        };
         let key = self.insert_job(job);
         self.job_keys.insert(id, key);
         self.record_arrival(key);
--- a/src/jobs/team_rates.rs
+++ b/src/jobs/team_rates.rs
@@ -13,6 +13,7 @@
 
 use crate::jobs::catalog::Team;
 use crate::jobs::engine::Engine;
+use crate::jobs::job::Job;
 use crate::jobs::keys::WorkerKey;
 use crate::jobs::spec::{JobSpec, Size, StepSpec};
 
@@ -85,14 +86,26 @@
     /// Takes the tokens for a job of `work`; returns whether there were any. The last tokens are
     /// enough for a job of any size, so that a small team can have large jobs.
     pub(crate) fn take(&mut self, team: &SmolStr, rate: Rate, work: u64, at_unix_ms: u64) -> bool {
+        let is_found = self.has_token(team, rate, at_unix_ms);
+        self.restore(team, rate, work, at_unix_ms, is_found);
+        is_found
+    }
+
+    /// Takes the tokens for a job of `work` that was within the rate, if it was.
+    fn restore(
+        &mut self,
+        team: &SmolStr,
+        rate: Rate,
+        work: u64,
+        at_unix_ms: u64,
+        is_within_rate: bool,
+    ) {
         let mut buckets = self.refilled(team, rate, at_unix_ms);
-        let is_found = buckets.has_token(rate);
-        if is_found {
-            buckets.jobs.tokens -= JOB_TOKEN;
+        if is_within_rate {
+            buckets.jobs.tokens = buckets.jobs.tokens.saturating_sub(JOB_TOKEN);
             buckets.work.tokens = buckets.work.tokens.saturating_sub(work);
         }
         self.buckets.insert(team.clone(), buckets);
-        is_found
     }
 
     fn refilled(&self, team: &SmolStr, rate: Rate, at_unix_ms: u64) -> Buckets {
@@ -184,6 +197,18 @@
         !self.team_rates.take(team, rate, work, accepted_unix_ms)
     }
 
+    /// Takes the tokens that an earlier leader took for a job. Its records tell which jobs were over
+    /// the rate, since this leader does not know how large the fleet was.
+    pub(crate) fn restore_token(&mut self, job: &Job, is_over_rate: bool) {
+        let Some(rate) = self.rate_for(&job.team, &job.spec) else {
+            return;
+        };
+        let work = self.dominant_work(&job.queue, &job.spec);
+        let at_unix_ms = job.accepted_unix_ms;
+        self.team_rates
+            .restore(&job.team, rate, work, at_unix_ms, !is_over_rate);
+    }
+
     /// Returns the work of a job in processor time, or its work in memory if that is the larger part
     /// of the fleet, in thousandths of a core times milliseconds.
     fn dominant_work(&self, queue: &SmolStr, spec: &JobSpec) -> u64 {
--- a/tests/testsuite/jobs/team_rates.rs
+++ b/tests/testsuite/jobs/team_rates.rs
@@ -36,6 +36,32 @@
     assert_eq!(over_rate_of(&mut simulation, "slow", 2), 1);
 }
 
+/// Guards against a team that stays within its number of jobs and fills the fleet with large ones: it
+/// has two seconds of its share of the work, and then as much as flows in.
+#[test]
+fn a_team_with_large_jobs_is_over_its_share_of_the_fleet() {
+    let mut simulation = Simulation::open(&["maps"], 4);
+    // Targets so far away that no job is refused.
+    simulation.catalog.queues["maps"].target_latency_ms = 60_000;
+    simulation.set_weights(&[("team", 500.0), ("other", 500.0)]);
+    simulation.advance(3_000);
+    // Half of 128 cores for 2 s are 16 of these jobs of 16 cores for 500 ms.
+    let large = || job(vec![step(4, 4_000, 500)]);
+    let ids: Vec<JobId> = (0..20)
+        .map(|_| simulation.submit_for("team", "maps", large()))
+        .collect();
+    let over_count = |simulation: &Simulation| {
+        let is_over = |id: &&JobId| simulation.engine.is_over_rate(**id) == Some(true);
+        ids.iter().filter(is_over).count()
+    };
+    assert_eq!(over_count(&simulation), 4);
+    simulation.advance(1_000);
+    simulation.fail_over(2);
+    assert_eq!(over_count(&simulation), 4, "a new leader knows it as well");
+    let whole_fleet = simulation.submit_for("other", "maps", job(vec![step(32, 4_000, 9_000)]));
+    assert_eq!(simulation.engine.is_over_rate(whole_fleet), Some(false));
+}
+
 /// Guards against holding back what has no rate: teams without a weight, calls without a team, and
 /// long-running and recurring jobs, which take no token either.
 #[test]
