Read the end of an answer's body only once

Cause: the connection of a truncated answer closes in time; the client reports the wrong loss. attohttpc ends its timer thread at the first read that returns nothing, and reports a later such read as a timeout if the thread is gone by then. read_answer() read again after the end, to count excess bytes. If the timer thread ran first, closed_early became timed_out, within 0.3 to 4 ms of the call and not after its 1,000 ms.

Change: the body is read by read_body(), which reads on only if the limit of the kept bytes was reached. the_end_of_an_answer_is_read_once guards it with a reader that fails at a second read of the end.

--- a/src/adapters/http_client.rs
+++ b/src/adapters/http_client.rs
@@ -1,7 +1,7 @@
 //! An HTTP call on its own connection, with bounds on its time and the length of the answer. A
 //! failure reports whether any part of the call may have been sent.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 use smol_str::{format_smolstr, SmolStr};
 
+use crate::adapters::answer_body::read_body;
 use crate::adapters::worker_answer::Loss;
 use crate::ports::PortError;
 
@@ -160,27 +161,20 @@
         return Err(HttpFailure::Lost(Loss::TooLarge));
     }
     let body_max_bytes = protocol_bytes.unwrap_or(u64::MAX).min(answer_max_bytes);
-    let mut reader = reader.take(answer_max_bytes.saturating_add(1));
-    let mut body = Vec::new();
-    let read = (&mut reader)
-        .take(body_max_bytes)
-        .read_to_end(&mut body)
-        // Bytes beyond the limit are counted and discarded.
-        .and_then(|_| io::copy(&mut reader, &mut io::sink()));
-    let body_bytes = body.len() as u64;
-    match read {
+    let read_max_bytes = answer_max_bytes.saturating_add(1);
+    match read_body(reader, body_max_bytes, read_max_bytes) {
         Err(error) => Err(HttpFailure::Lost(loss_of_io(&error, deadline))),
-        Ok(excess_bytes) if body_bytes + excess_bytes > answer_max_bytes => {
+        Ok(body) if body.bytes.len() as u64 + body.excess_bytes > answer_max_bytes => {
             Err(HttpFailure::Lost(Loss::TooLarge))
         }
-        Ok(excess_bytes) if excess_bytes > 0 => Err(HttpFailure::Lost(Loss::NotWhole)),
-        Ok(_) if declared_bytes.is_some_and(|bytes| bytes != body_bytes) => {
+        Ok(body) if body.excess_bytes > 0 => Err(HttpFailure::Lost(Loss::NotWhole)),
+        Ok(body) if declared_bytes.is_some_and(|bytes| bytes != body.bytes.len() as u64) => {
             Err(HttpFailure::Lost(Loss::ClosedEarly))
         }
-        Ok(_) => Ok(HttpAnswer {
+        Ok(body) => Ok(HttpAnswer {
             status: status.as_u16(),
             headers,
-            body,
+            body: body.bytes,
         }),
     }
 }
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,6 +1,7 @@
 //! Adapters that implement the ports over HTTP, the interfaces for callers, operators and peers,
 //! and the system clocks.
 
+pub mod answer_body;
 pub mod callers_client;
 pub mod callers_http;
 pub mod clock;
--- a/tests/testsuite/platform_links.rs
+++ b/tests/testsuite/platform_links.rs
@@ -1,13 +1,14 @@
 //! The adapter to workers behind a faulty network, and with stand-ins as real processes: no attempt
 //! that ran is reported as not started, and none runs twice.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use attohttpc::Method;
+use hawthornladder::adapters::answer_body::read_body;
 use hawthornladder::adapters::instances_http::HttpInstances;
 use hawthornladder::adapters::log_http::{HttpLog, ServiceTimeouts};
 use hawthornladder::adapters::workers_http::HttpWorkers;
@@ -359,3 +360,28 @@
     platform.instances.kill();
     assert!(matches!(list.list(0, 0), Err(PortError::NotSent(_))));
 }
+
+/// The end of a stream, which reports every read after the first as a timeout.
+struct EndOnce {
+    is_reached: bool,
+}
+
+impl Read for EndOnce {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        match std::mem::replace(&mut self.is_reached, true) {
+            true => Err(io::ErrorKind::TimedOut.into()),
+            false => Ok(0),
+        }
+    }
+}
+
+/// An answer that ends early must not be reported as one that timed out.
+#[test]
+fn the_end_of_an_answer_is_read_once() {
+    for kept_max_bytes in [2, 4, 5] {
+        let answer = b"half".chain(EndOnce { is_reached: false });
+        let body = read_body(answer, kept_max_bytes, 100).expect("the end is read once");
+        assert_eq!(body.bytes.len() as u64, kept_max_bytes.min(4));
+        assert_eq!(body.excess_bytes, 4 - kept_max_bytes.min(4));
+    }
+}
