Exchange gossip in time for the staleness that is set

Cause: while the log answers, gossip that does not change is exchanged every 2 s. In an outage, exchanges prove contact, but they became unconditional only 1,200 ms after the head of the log was seen, by an age published every 200 ms. With config_stale_max_ms of 1,200, as in the tests, an entry whose gossip had not changed for a while was stale until the next exchange. Records that only a peer had were fetched after 1,000 ms, by the same measure.

Change: both times are at most half of config_stale_max_ms. The start of the read that showed the head is published with the gossip, every 50 ms, instead of its age. GossipPacing decides without a clock of its own, and the engines of the tests exchange by it.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -119,6 +119,11 @@
         is_fresh(self.log_head_seen_ms, now_ms, max_age_ms)
     }
 
+    /// Returns the start of the latest read that showed the head of the log.
+    pub(crate) fn log_head_seen_ms(&self) -> Option<MonoMs> {
+        self.log_head_seen_ms
+    }
+
     /// Returns the time since the head of the log was seen, in milliseconds.
     pub(crate) fn log_age_ms(&self, now_ms: MonoMs) -> Option<u64> {
         self.log_head_seen_ms
--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -174,7 +174,9 @@
 
     fn publish_gossip(&mut self) {
         let gossip = self.engine.gossip();
-        lock(&self.shared.published).gossip = gossip;
+        let mut published = lock(&self.shared.published);
+        published.gossip = gossip;
+        published.log_head_seen_ms = self.engine.log_head_seen_ms();
     }
 
     fn publish_status(&mut self) {
--- a/src/entry/daemon/mod.rs
+++ b/src/entry/daemon/mod.rs
@@ -36,7 +36,7 @@
         status::EntryStatus,
     },
     error::ErrorKind,
-    fleet::Offset,
+    fleet::{MonoMs, Offset},
     ledger::SeatId,
     metrics::Metrics,
     ports::{Clock, LogRecord, Platform},
@@ -134,6 +134,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Published {
     pub(crate) gossip: Gossip,
+    /// Start of the latest read that showed the head of the log.
+    pub(crate) log_head_seen_ms: Option<MonoMs>,
     pub(crate) status: EntryStatus,
     pub(crate) peers: Vec<PeerAddress>,
 }
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -8,7 +8,7 @@
         Arc, OnceLock, Weak,
     },
     thread::JoinHandle,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use indexmap::{map::Entry, IndexMap};
@@ -25,7 +25,7 @@
             spawn_thread, PeerAddress, Shared,
         },
         event::{Event, Source},
-        gossip::Gossip,
+        gossip_pacing::GossipPacing,
     },
     error::{ErrorKind, RetryReason},
     fleet::Offset,
@@ -148,13 +148,6 @@
     }
 }
 
-/// Time between two exchanges while the gossip is unchanged.
-const UNCHANGED_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Time since the head of the log was seen from which exchanges are needed as proof of contact, in
-/// milliseconds.
-const LOG_UNRESPONSIVE_AFTER_MS: u64 = 1_200;
-
 /// Size of one chunk of a relayed ledger, in bytes.
 const CHUNK_BYTES: usize = 1024 * 1024;
 
@@ -249,34 +242,7 @@
 struct Link {
     client: Arc<PeerClient>,
     is_busy: Arc<AtomicBool>,
-    /// When gossip was last sent, and its content.
-    last_sent: Option<(Instant, Gossip)>,
-}
-
-impl Link {
-    /// Returns whether to exchange now; if so, records the gossip as sent.
-    ///
-    /// Unchanged gossip is sent less often. While the log is unavailable, an exchange also proves
-    /// contact, so none is left out.
-    fn is_due(&mut self, own: &Gossip, log_age_ms: Option<u64>) -> bool {
-        let content = Gossip {
-            // The offset changes with every renewal of any seat, which alone is not worth sending.
-            next_offset: 0,
-            ..own.clone()
-        };
-        let is_log_fresh = log_age_ms.is_some_and(|age_ms| age_ms < LOG_UNRESPONSIVE_AFTER_MS);
-        let is_needed = match &self.last_sent {
-            Some((sent_at, before)) => {
-                *before != content || sent_at.elapsed() >= UNCHANGED_INTERVAL
-            }
-            None => true,
-        };
-        let is_due = is_needed || !is_log_fresh;
-        if is_due {
-            self.last_sent = Some((Instant::now(), content));
-        }
-        is_due
-    }
+    pacing: GossipPacing,
 }
 
 fn gossip_all<P: Platform>(shared: &Arc<Shared<P>>) {
@@ -293,7 +259,7 @@
                         Ok(client) => entry.insert(Link {
                             client: Arc::new(client),
                             is_busy: Arc::new(AtomicBool::new(false)),
-                            last_sent: None,
+                            pacing: GossipPacing::default(),
                         }),
                         Err(_) => continue,
                     }
@@ -321,11 +287,16 @@
 /// Exchanges gossip over a link, unless the last exchange over it is still in flight or the gossip
 /// is unchanged.
 fn exchange<P: Platform>(shared: &Arc<Shared<P>>, link: &mut Link) {
-    let (own, log_age_ms) = {
+    let (own, log_head_seen_ms) = {
         let published = lock(&shared.published);
-        (published.gossip.clone(), published.status.log_age_ms)
+        (published.gossip.clone(), published.log_head_seen_ms)
     };
-    if !link.is_due(&own, log_age_ms) {
+    let now_ms = shared.platform.clock().mono_ms();
+    let stale_max_ms = shared.settings.engine.config_stale_max_ms;
+    if !link
+        .pacing
+        .is_due(now_ms, &own, log_head_seen_ms, stale_max_ms)
+    {
         return;
     }
     if link.is_busy.swap(true, Ordering::AcqRel) {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -252,6 +252,11 @@
         &self.ledger
     }
 
+    /// Returns the start of the latest read that showed the head of the log.
+    pub fn log_head_seen_ms(&self) -> Option<MonoMs> {
+        self.contact.log_head_seen_ms()
+    }
+
     /// Returns whether this entry has reached the head of the log at least once and also knows the
     /// withdrawals of keys that peers know beyond it.
     pub fn is_ready(&self) -> bool {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -9,9 +9,9 @@
     policy::keys::PeerKey,
 };
 
-/// Time since the head of the log was seen after which records are fetched from peers, in
+/// Longest time since the head of the log was seen after which records are fetched from peers, in
 /// milliseconds.
-const PULL_AFTER_MS: u64 = 1_000;
+const PULL_AFTER_MAX_MS: u64 = 1_000;
 
 /// Time between two fetches from peers, in milliseconds.
 const PULL_EVERY_MS: u64 = 200;
@@ -63,7 +63,10 @@
             |hint: &PeerHint| now_ms.saturating_sub(hint.received_ms) <= PEER_MAX_AGE_MS * 10;
         self.peers.retain(|_, hint| is_recent(hint));
         self.usage.expire_peers(now_ms);
-        let is_log_stale = !self.contact.is_log_fresh(now_ms, PULL_AFTER_MS);
+        // Contact with a peer counts only once its records are fetched, so the fetch must end before
+        // the configuration is stale.
+        let pull_after_ms = PULL_AFTER_MAX_MS.min(self.settings.config_stale_max_ms / 2);
+        let is_log_stale = !self.contact.is_log_fresh(now_ms, pull_after_ms);
         if !is_log_stale || now_ms < self.pulled_ms + PULL_EVERY_MS {
             return;
         }
--- a/tests/testsuite/engines.rs
+++ b/tests/testsuite/engines.rs
@@ -6,7 +6,7 @@
 
 use hawthornladder::callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch};
 use hawthornladder::entry::{
-    Action, AttemptKey, Engine, EngineSettings, EntrySettings, Event, Now, Source,
+    Action, AttemptKey, Engine, EngineSettings, EntrySettings, Event, GossipPacing, Now, Source,
 };
 use hawthornladder::error::{ErrorKind, RunState};
 use hawthornladder::examples;
@@ -42,9 +42,20 @@
     /// Attempts in flight.
     pub(crate) attempts: Vec<(AttemptKey, WorkerRequest)>,
     pub(crate) is_drained: bool,
+    /// Exchanges with each peer, by its name.
+    pacings: HashMap<SmolStr, GossipPacing>,
+    config_stale_max_ms: u64,
     name: SmolStr,
 }
 
+impl Node {
+    fn is_exchange_due(&mut self, now_ms: u64, peer: SmolStr) -> bool {
+        let (own, seen_ms) = (self.engine.gossip(), self.engine.log_head_seen_ms());
+        let pacing = self.pacings.entry(peer).or_default();
+        pacing.is_due(now_ms, &own, seen_ms, self.config_stale_max_ms)
+    }
+}
+
 /// The engines and their log.
 pub(crate) struct Engines {
     pub(crate) now_ms: u64,
@@ -311,11 +322,17 @@
         if self.now_ms % GOSSIP_EVERY_MS != 0 || self.nodes[index].is_cut_from_peers {
             return;
         }
+        let names: Vec<_> = self.nodes.iter().map(|node| node.name.clone()).collect();
+        let due: Vec<bool> = names
+            .into_iter()
+            .map(|name| self.nodes[index].is_exchange_due(self.now_ms, name))
+            .collect();
         let received: Vec<_> = self
             .nodes
             .iter()
             .enumerate()
             .filter(|(other, node)| *other != index && !node.is_paused && !node.is_cut_from_peers)
+            .filter(|(other, _)| due[*other])
             .map(|(_, node)| node.engine.gossip())
             .collect();
         for gossip in received {
@@ -420,6 +437,7 @@
     settings.peers_address = name.clone();
     settings.seed = number as u64;
     edit_settings(&mut settings);
+    let config_stale_max_ms = settings.config_stale_max_ms;
     let mut engine = Engine::open(settings, &name);
     let rows = (0..WORKERS_COUNT).map(instance).collect();
     let page = InstancePage { version: 1, rows };
@@ -433,6 +451,8 @@
         is_fetch_failing: false,
         attempts: Vec::new(),
         is_drained: false,
+        pacings: HashMap::new(),
+        config_stale_max_ms,
         name,
     }
 }
--- a/tests/testsuite/promises_membership.rs
+++ b/tests/testsuite/promises_membership.rs
@@ -300,6 +300,26 @@
     }
 }
 
+/// Unchanged gossip is sent less often while the log answers. The exchanges that prove contact in an
+/// outage must begin before the configuration is stale, however long ago the last one was.
+#[test]
+fn idle_entries_go_on_serving_in_an_outage_of_the_log() {
+    for idle_ms in (0..2_000).step_by(100) {
+        let mut engines =
+            Engines::open_with(3, |_| {}, |settings| settings.config_stale_max_ms = 1_200);
+        engines.advance(idle_ms);
+        engines.is_log_down = true;
+        for down_ms in (0..3_500).step_by(20) {
+            engines.advance(20);
+            let is_serving = engines.nodes.iter().all(|node| node.engine.is_serving());
+            assert!(
+                is_serving,
+                "stale {down_ms} ms into the outage, after {idle_ms} ms"
+            );
+        }
+    }
+}
+
 #[test]
 fn an_outage_that_hides_the_latest_append_stops_no_idempotent_work() {
     let mut engines = Engines::open(3);
