Repeat a relayed cancel whose answer is lost

Cause: an entry that does not hold a request answers its cancel at once and relays it to its peers. A relay that got no answer within peer_timeout_ms was dropped without a trace, and the task ran to its end. So did a_wave_of_cancellations_frees_the_pool_and_harms_nobody on a slow machine: the wave ended only with the tasks of 15 s, after 16 s of the 5 s allowed.

Change: a relay without an answer is queued again, at most four calls in all. Each goes to the end of the bounded queue, so a silent peer does not hold up the cancels to others. The last failure is logged.

Ruled out: that the engine delays a wave. On virtual time, a_wave_of_cancellations_is_carried_out_without_delay takes no time at all. Overflows of the listener's queue: the kernel counted none.

--- a/src/entry/daemon/core_loop.rs
+++ b/src/entry/daemon/core_loop.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    adapters::peers_rpc::{CancelAtPeer, PeerCall},
+    adapters::peers_rpc::CancelAtPeer,
     callers::{CallerAnswer, CallerCall, CallerOutcome},
     entry::{
         daemon::{lock, peers, Append, PeerAddress, Replies, Shared},
@@ -318,14 +318,11 @@
             Action::RelayCancel { team, request_id } => {
                 let addresses = lock(&self.shared.published).peers.clone();
                 for peer in addresses {
-                    let shared = Arc::clone(&self.shared);
-                    let call = PeerCall::Cancel(CancelAtPeer {
+                    let cancel = CancelAtPeer {
                         request_id: request_id.clone(),
                         team: team.clone(),
-                    });
-                    self.shared.cancels.run(move || {
-                        let _ = peers::call(&shared, &peer.address, &call);
-                    });
+                    };
+                    peers::relay_cancel(&self.shared, peer.address, cancel);
                 }
             }
             Action::PullTail {
--- a/src/entry/daemon/peers.rs
+++ b/src/entry/daemon/peers.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     adapters::peers_rpc::{
-        PeerAnswer, PeerCall, PeerClient, PeerHandler, SnapshotChunk, SnapshotRequest, TailRequest,
+        CancelAtPeer, PeerAnswer, PeerCall, PeerClient, PeerHandler, SnapshotChunk,
+        SnapshotRequest, TailRequest,
     },
     entry::{
         daemon::{
@@ -86,6 +87,42 @@
     PeerClient::open(address, shared.settings.peer_timeout_ms)?.call(call)
 }
 
+/// Maximum number of calls for one relayed cancel.
+const RELAY_TRIES_COUNT: u32 = 4;
+
+/// Relays a caller's cancel to a peer.
+///
+/// The caller has the answer already, so a relay whose answer is lost is repeated. A cancel that the
+/// peer has carried out has no effect the second time.
+pub(crate) fn relay_cancel<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    address: SmolStr,
+    cancel: CancelAtPeer,
+) {
+    try_relay_cancel(shared, address, cancel, RELAY_TRIES_COUNT);
+}
+
+/// Queues one call for a relayed cancel. The next one goes to the end of the queue, so that a silent
+/// peer does not hold up the cancels to others.
+fn try_relay_cancel<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    address: SmolStr,
+    cancel: CancelAtPeer,
+    tries_count: u32,
+) {
+    let relaying = Arc::clone(shared);
+    shared.cancels.run(move || {
+        let order = PeerCall::Cancel(cancel.clone());
+        match call(&relaying, &address, &order) {
+            Ok(_) => {}
+            Err(_) if tries_count > 1 => {
+                try_relay_cancel(&relaying, address, cancel, tries_count - 1);
+            }
+            Err(error) => log::warn!("event=cancel_not_relayed peer={address} error={error}"),
+        }
+    });
+}
+
 /// Answers a peer's call.
 fn answer<P: Platform>(shared: &Shared<P>, call: PeerCall) -> PeerAnswer {
     match call {
--- a/tests/testsuite/engines.rs
+++ b/tests/testsuite/engines.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use hawthornladder::callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Fetch};
+use hawthornladder::callers::{CallId, CallerAnswer, CallerOutcome, CallerRequest, Cancel, Fetch};
 use hawthornladder::entry::{
     Action, AttemptKey, Engine, EngineSettings, EntrySettings, Event, GossipPacing, Now, Source,
 };
@@ -17,7 +17,7 @@
 };
 use hawthornladder::lists::Lists;
 use hawthornladder::ports::{
-    InstancePage, LogPage, LogRecord, NotStarted, PortError, WorkerOutcome, WorkerRequest,
+    InstancePage, LogPage, LogRecord, NotStarted, PortError, TaskStop, WorkerOutcome, WorkerRequest,
 };
 use hawthornladder::settings;
 use smol_str::{format_smolstr, SmolStr};
@@ -41,6 +41,8 @@
     pub(crate) is_fetch_failing: bool,
     /// Attempts in flight.
     pub(crate) attempts: Vec<(AttemptKey, WorkerRequest)>,
+    /// Ids of the attempts that the engine cancelled.
+    pub(crate) cancelled: Vec<SmolStr>,
     pub(crate) is_drained: bool,
     /// Exchanges with each peer, by its name.
     pacings: HashMap<SmolStr, GossipPacing>,
@@ -206,6 +208,27 @@
         call_id
     }
 
+    /// Cancels a request at an engine, and ends the attempt if the engine cancels one.
+    pub(crate) fn cancel(&mut self, index: usize, key: &NewKey, request: &CallerRequest) {
+        self.calls_count += 1;
+        let call_id = self.calls_count;
+        let cancel = Cancel {
+            request_id: request.request_id.clone(),
+            key: Some(key.text.clone()),
+        };
+        self.step(index, Event::Cancel { call_id, cancel });
+        let node = &mut self.nodes[index];
+        let cancelled = std::mem::take(&mut node.cancelled);
+        let attempts = std::mem::take(&mut node.attempts);
+        let is_cancelled = |row: &(_, WorkerRequest)| cancelled.contains(&row.1.attempt_id);
+        let (ended, left): (Vec<_>, Vec<_>) = attempts.into_iter().partition(is_cancelled);
+        node.attempts = left;
+        for (attempt, _) in ended {
+            let outcome = WorkerOutcome::Stopped(TaskStop::Cancelled);
+            self.step(index, Event::AttemptEnded { attempt, outcome });
+        }
+    }
+
     /// Returns the answer to a call, if there is one yet.
     pub(crate) fn answer(&self, call_id: CallId) -> Option<&CallerAnswer> {
         self.answers.get(&call_id)
@@ -368,6 +391,9 @@
             Action::Run {
                 attempt, request, ..
             } => self.nodes[index].attempts.push((attempt, *request)),
+            Action::CancelAttempt { attempt_id, .. } => {
+                self.nodes[index].cancelled.push(attempt_id);
+            }
             Action::PullTail { peers_address, .. } | Action::PullLedger { peers_address } => {
                 self.fetch_ledger(index, &peers_address);
             }
@@ -450,6 +476,7 @@
         is_cut_from_peers: false,
         is_fetch_failing: false,
         attempts: Vec::new(),
+        cancelled: Vec::new(),
         is_drained: false,
         pacings: HashMap::new(),
         config_stale_max_ms,
