--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -11,7 +11,6 @@
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::place_waits::{scaled, PlaceVerdict, FACTOR_NONE_PERMILLE};
 use crate::jobs::rack_forecast::{ExpectedRun, RackForecast, RackWorker, NEVER_MS};
-use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::{Size, StepSpec};
 use crate::jobs::worker::{rack_of, Slot, SlotState};
 
