Keep reclaimed workers that are missing from the list, and mend what a reader of the change found

Cause: a reclaimed worker that was missing from one list of workers was forgotten and took no tasks when it came back; a request of an evacuation that was read again after its removal counted as a new one; sums of estimates and sizes of callers could overflow; a gang's wait kept the rack of its first decision; the size of the fleet was summed up for each restored worker; some pages described earlier states of the code.

Change: reclaimed workers are kept while they may come back; removals keep their offset; the sums saturate; waits follow the rack; the sum is made once; the remaining time of a run has a module of its own (`remaining.rs`).

--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -23,7 +23,7 @@
 /// Time without a new forecast error after which the margin halves, in milliseconds. A margin that
 /// refuses all jobs would get no further errors to learn from.
 const MARGIN_HALVES_MS: u64 = 2_000;
-/// Lowest value of `Retry-After` at which its jitter ends at the highest one, in seconds.
+/// Longest backlog that `Retry-After` states, in seconds; the jitter comes on top of it.
 const RETRY_BASE_MAX_S: u64 = 3;
 /// Number of seconds over which the retries of refused callers are spread.
 const RETRY_SPREAD_S: u64 = 3;
@@ -32,6 +32,9 @@
 /// Most refused ids that keep their first arrival.
 const REFUSED_MAX_COUNT: usize = 4_096;
 
+/// Bound of a time in the error of a forecast, in milliseconds, so that no product overflows.
+const TIME_MAX_MS: u64 = 1 << 50;
+
 /// What a pool can do and has to do.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PoolOutlook {
@@ -65,7 +68,7 @@
 
 impl ForecastError {
     fn observe(&mut self, forecast_ms: u64, took_ms: u64, now_ms: u64) {
-        let signed = |time_ms: u64| i64::try_from(time_ms).unwrap_or(i64::MAX / 1_000);
+        let signed = |time_ms: u64| i64::try_from(time_ms.min(TIME_MAX_MS)).unwrap_or(0);
         let late_ms = signed(took_ms) - signed(forecast_ms);
         let error_permille = late_ms * 1_000 / signed(forecast_ms).max(1);
         let error_permille = error_permille.clamp(ERROR_BOUNDS_PERMILLE.0, ERROR_BOUNDS_PERMILLE.1);
@@ -270,8 +273,9 @@
         let run_ms = |step: &StepSpec| self.run_times.expected_ms(&queue, step);
         let work = spec.work_ms(run_ms).0;
         if let Some(outlook) = self.admission.outlooks.get_mut(&pool) {
-            outlook.work += work;
-            outlook.demand_cpu_millis += first_cpu_millis(&spec);
+            outlook.work = outlook.work.saturating_add(work);
+            let first_cpu_millis = first_cpu_millis(&spec);
+            outlook.demand_cpu_millis = outlook.demand_cpu_millis.saturating_add(first_cpu_millis);
         }
     }
 
--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -190,7 +190,7 @@
             let is_moved = |_: &usize| self.request_instance(&pool, &mut donors);
             missing_count += count - (0..count).take_while(is_moved).count();
         }
-        missing_count = missing_count.saturating_sub(self.capacity.reclaimed.len());
+        missing_count = missing_count.saturating_sub(self.reclaimed_count());
         for (pool, need) in &needs {
             let surplus_count = self.surplus_count(pool, need.retained_count(&plan[pool]));
             missing_count -= self.reclaim(pool, surplus_count.min(missing_count));
@@ -219,7 +219,7 @@
                 && row.order.is_none()
                 && !self.evacuated_zones.contains(&row.info.zone)
         });
-        in_pools_count + in_standby.count() + self.capacity.reclaimed.len()
+        in_pools_count + in_standby.count() + self.reclaimed_count()
     }
 
     /// Stops counting instances as moving once their workers are listed or their time has passed.
--- a/src/jobs/explain.rs
+++ b/src/jobs/explain.rs
@@ -292,6 +292,9 @@
         let mut forecast = RackForecast::new(self.pool_workers(&job.pool));
         let mut left_count = FORECAST_MAX_COUNT;
         for key in ahead {
+            if left_count == 0 {
+                break;
+            }
             let ahead = self.job(*key);
             for (waiting_count, step) in ahead.startable_steps() {
                 let count = waiting_count.min(left_count);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -33,6 +33,7 @@
 mod reclaim;
 mod record;
 mod recovery;
+mod remaining;
 mod requests;
 mod run_distribution;
 mod run_shift;
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -9,7 +9,7 @@
 use crate::jobs::capacity::tasks_per_instance;
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
-use crate::jobs::place_waits::{scaled, PlaceVerdict, FACTOR_NONE_PERMILLE};
+use crate::jobs::place_waits::PlaceVerdict;
 use crate::jobs::rack_forecast::{ExpectedRun, RackForecast, RackWorker, NEVER_MS};
 use crate::jobs::spec::{Size, StepSpec};
 use crate::jobs::worker::{rack_of, Slot, SlotState};
@@ -18,6 +18,7 @@
 const FORECAST_TASKS_MAX_COUNT: usize = 256;
 /// Most racks that are considered for one gang.
 const GANG_RACKS_MAX_COUNT: usize = 16;
+
 /// A rack of a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct RackKey {
@@ -259,7 +260,9 @@
             SlotState::OutcomeUnknown { .. } | SlotState::StartBlocked { .. } => NEVER_MS,
             _ if slot.is_stopping => self.now_ms + self.settings.stop_ms,
             _ if slot.is_long_running => NEVER_MS,
-            SlotState::Sent | SlotState::Placed { .. } => self.now_ms + self.rest_ms(run, slot),
+            SlotState::Sent | SlotState::Placed { .. } => {
+                self.now_ms + self.remaining_run_ms(run, slot)
+            }
         };
         ExpectedRun {
             reservation: slot.reservation,
@@ -267,38 +270,6 @@
         }
     }
 
-    /// Returns the expected remaining time of a run, in milliseconds.
-    fn rest_ms(&self, run: &RunKey, slot: &Slot) -> u64 {
-        let job = self.job(run.task.job);
-        let step = &job.spec.steps[usize::from(run.task.step)];
-        let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
-        let near_ms = self.near_run_ms(slot, ran_ms);
-        let rest_ms = self.run_times.remaining_ms(&job.queue, step, near_ms);
-        match slot.is_remote {
-            true => scaled(
-                rest_ms,
-                self.settings
-                    .remote_factor_permille
-                    .max(FACTOR_NONE_PERMILLE),
-            ),
-            false => rest_ms,
-        }
-    }
-
-    /// Returns the time that a run of `ran_ms` would have taken near its data.
-    pub(crate) fn near_run_ms(&self, slot: &Slot, ran_ms: u64) -> u64 {
-        match slot.is_remote {
-            true => {
-                ran_ms * 1_000
-                    / self
-                        .settings
-                        .remote_factor_permille
-                        .max(FACTOR_NONE_PERMILLE)
-            }
-            false => ran_ms,
-        }
-    }
-
     fn may_run_near(
         &self,
         worker: &RackWorker,
--- a/src/jobs/place_waits.rs
+++ b/src/jobs/place_waits.rs
@@ -21,6 +21,7 @@
 const RECHECK_MS: u64 = 200;
 /// Most waits at once; beyond them, tasks start elsewhere.
 const WAITS_MAX_COUNT: usize = 4_096;
+
 /// What a decision depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlaceChoice {
@@ -210,7 +211,10 @@
     ) -> bool {
         let now_ms = self.now_ms;
         let waits = &mut self.place_waits;
-        if !waits.waits.contains_key(&task) {
+        if let Some(wait) = waits.waits.get_mut(&task) {
+            // A gang may find another rack better by now.
+            wait.rack = rack.clone();
+        } else {
             if waits.waits.len() >= WAITS_MAX_COUNT {
                 return false;
             }
--- a/src/jobs/reclaim.rs
+++ b/src/jobs/reclaim.rs
@@ -5,8 +5,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::engine::Engine;
-use crate::jobs::keys::{RunKey, WorkerKey};
-use crate::jobs::worker::Slot;
+use crate::jobs::keys::WorkerKey;
 
 /// Longest time for which the runs of a worker may be expected to go on when it is reclaimed, in
 /// milliseconds. Until they end, the rest of the worker is unused.
@@ -18,13 +17,14 @@
         self.capacity.reclaimed.contains(&key)
     }
 
-    /// Forgets the reclaimed workers that have left, were opened for another reason, or whose
-    /// instances have got an order, for a wave of maintenance for example.
+    /// Forgets the reclaimed workers that are gone, were opened for another reason, or whose instances
+    /// have got an order, for a wave of maintenance for example. One that is missing from the list
+    /// may come back, and stays.
     pub(crate) fn forget_reclaimed(&mut self) {
         let mut reclaimed = std::mem::take(&mut self.capacity.reclaimed);
         reclaimed.retain(|key| {
             let worker = self.worker(*key);
-            worker.is_listed && worker.is_cordoned && !self.has_instance_order(*key)
+            worker.is_cordoned && !worker.is_removed && !self.has_instance_order(*key)
         });
         self.capacity.reclaimed = reclaimed;
     }
@@ -35,11 +35,17 @@
         row.is_some_and(|row| row.order.is_some())
     }
 
+    /// Returns the number of listed reclaimed workers.
+    pub(crate) fn reclaimed_count(&self) -> usize {
+        let reclaimed = self.capacity.reclaimed.iter();
+        reclaimed.filter(|key| self.worker(**key).is_listed).count()
+    }
+
     /// Returns the reclaimed workers that are idle by now.
     pub(crate) fn idle_reclaimed(&self) -> Vec<WorkerKey> {
         let is_idle = |key: &WorkerKey| {
             let worker = self.worker(*key);
-            worker.slots.is_empty() && worker.awaited_batch.is_none()
+            worker.is_listed && worker.slots.is_empty() && worker.awaited_batch.is_none()
         };
         let reclaimed = self.capacity.reclaimed.iter().copied();
         reclaimed.filter(is_idle).collect()
@@ -48,7 +54,10 @@
     /// Lets tasks start again on up to `count` reclaimed workers of a pool; returns their number.
     pub(crate) fn reopen_reclaimed(&mut self, pool: &SmolStr, count: usize) -> usize {
         let reclaimed = self.capacity.reclaimed.iter().copied();
-        let of_pool = reclaimed.filter(|key| self.worker(*key).info.pool == *pool);
+        let of_pool = reclaimed.filter(|key| {
+            let worker = self.worker(*key);
+            worker.is_listed && worker.info.pool == *pool
+        });
         let reopened: Vec<WorkerKey> = of_pool.take(count).collect();
         for key in &reopened {
             self.capacity.reclaimed.swap_remove(key);
@@ -87,13 +96,8 @@
     /// Returns the time after which all runs of a worker are expected to have ended, in
     /// milliseconds.
     fn busy_for_ms(&self, key: WorkerKey) -> u64 {
-        let left_ms = |(run, slot): (&RunKey, &Slot)| {
-            let job = self.job(run.task.job);
-            let step = &job.spec.steps[usize::from(run.task.step)];
-            let ran_ms = self.now_ms.saturating_sub(slot.since_ms);
-            self.run_times.remaining_ms(&job.queue, step, ran_ms)
-        };
         let slots = self.worker(key).slots.iter();
-        slots.map(left_ms).max().unwrap_or(0)
+        let left_ms = slots.map(|(run, slot)| self.remaining_run_ms(run, slot));
+        left_ms.max().unwrap_or(0)
     }
 }
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -21,6 +21,8 @@
             Record::Job(_, record) => record.accepted_unix_ms,
             _ => 0,
         });
+        // The share of a team in the fleet counts from the first job on.
+        let mut is_fleet_known = false;
         let mut reviewed_ms = 0;
         for record in records {
             match record {
@@ -43,6 +45,9 @@
                         .catch_up(reviewed_ms, accepted_ms, REVIEW_MS);
                     let steps_count = accepted_ms.saturating_sub(reviewed_ms) / REVIEW_MS;
                     reviewed_ms += steps_count * REVIEW_MS;
+                    if !std::mem::replace(&mut is_fleet_known, true) {
+                        self.refresh_fleet_size();
+                    }
                     let times = AcceptanceTimes {
                         accepted_unix_ms: record.accepted_unix_ms,
                         arrived_unix_ms: record.arrived_unix_ms.unwrap_or(record.accepted_unix_ms),
@@ -54,10 +59,7 @@
                     job.is_inherited = true;
                 }
                 Record::Progress(id, record) => progress.push((id, record)),
-                Record::Worker(id, record) => {
-                    self.restore_worker(id, record);
-                    self.refresh_fleet_size();
-                }
+                Record::Worker(id, record) => self.restore_worker(id, record),
                 Record::Wave(number, record) => self.restore_wave(number, record),
                 Record::Order(instance, number) => {
                     self.order_numbers.restore_last(instance, number);
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -210,11 +210,13 @@
     /// of one occurrence: in thousandths of a core, and in megabytes, times milliseconds.
     pub fn work_ms(&self, run_ms: impl Fn(&StepSpec) -> u64) -> (u64, u64) {
         self.steps.iter().fold((0, 0), |(cpu, memory), step| {
-            let time_ms = u64::from(step.tasks_count) * run_ms(step);
+            // Estimates and sizes come from callers and have no bound.
+            let time_ms = u64::from(step.tasks_count).saturating_mul(run_ms(step));
             let reservation = step.reservation();
+            let work = |size: u64| size.saturating_mul(time_ms);
             (
-                cpu + reservation.cpu_millis * time_ms,
-                memory + reservation.memory_mb * time_ms,
+                u64::saturating_add(cpu, work(reservation.cpu_millis)),
+                u64::saturating_add(memory, work(reservation.memory_mb)),
             )
         })
     }
--- a/src/jobs/team_rates.rs
+++ b/src/jobs/team_rates.rs
@@ -143,7 +143,7 @@
     clippy::as_conversions
 )]
 fn job_refill_per_ms(weight: f64) -> u64 {
-    (weight * JOB_REFILL_PER_MS).round() as u64
+    ((weight * JOB_REFILL_PER_MS).round() as u64).max(1)
 }
 
 // The capacity of a fleet is far below the 2^52 that a float represents exactly.
--- a/src/node/evacuations.rs
+++ b/src/node/evacuations.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     zones: IndexMap<SmolStr, Requested>,
+    /// Offset of the newest removal that was applied; older requests have no effect.
+    withdrawn_offset: Option<u64>,
 }
 
 /// The record that requests an evacuation.
@@ -27,6 +29,9 @@
             known.offset = known.offset.max(offset);
             return false;
         }
+        if self.withdrawn_offset.is_some_and(|newest| offset <= newest) {
+            return false;
+        }
         let requested = Requested {
             offset,
             seen_ms: now_ms,
@@ -47,6 +52,7 @@
         if !self.zones.get(zone).is_some_and(is_newer) {
             return false;
         }
+        self.withdrawn_offset = self.withdrawn_offset.max(Some(offset));
         let Some(requested) = self.zones.shift_remove(zone) else {
             return false;
         };
--- a/tests/testsuite/jobs/capacity_plan.rs
+++ b/tests/testsuite/jobs/capacity_plan.rs
@@ -87,3 +87,35 @@
         Some(hawthornladder::jobs::JobState::Complete)
     );
 }
+
+/// Guards against a reclaimed worker that is missing from the list for a moment and then takes no
+/// tasks for good.
+#[test]
+fn reclaimed_workers_that_are_listed_again_take_tasks_again() {
+    let mut simulation = Simulation::open(&["a", "b"], 6);
+    for _ in 0..30 {
+        simulation.submit("a", job(vec![step(16, 8_000, 700)]));
+    }
+    simulation.advance(3_000);
+    let short = simulation.submit("b", job(vec![step(40, 16_000, 600)]));
+    simulation.advance(250);
+    let ids: Vec<SmolStr> = simulation.workers.keys().cloned().collect();
+    for id in &ids {
+        simulation.engine.worker_unlisted(id, simulation.now_ms);
+    }
+    simulation.advance(250);
+    simulation.list_all();
+    simulation.engine.cancel(short);
+    let from_ms = simulation.now_ms + 4_000;
+    for _ in 0..30 {
+        simulation.submit("a", job(vec![step(32, 16_000, 700)]));
+        simulation.advance(300);
+    }
+    let started = |id: &SmolStr| {
+        let mut starts = simulation.starts.iter();
+        starts.any(|(at_ms, worker, _)| *at_ms >= from_ms && worker == id)
+    };
+    let of_pool = simulation.workers.iter();
+    let mut alive = of_pool.filter(|(_, worker)| !worker.is_dead && worker.info.pool == "a");
+    assert!(alive.all(|(id, _)| started(id)), "a worker takes no tasks");
+}
--- a/tests/testsuite/node_evacuations.rs
+++ b/tests/testsuite/node_evacuations.rs
@@ -25,6 +25,8 @@
     assert!(evacuations.withdraw(&"a".into(), 10, 3_000));
     assert!(!evacuations.withdraw(&"a".into(), 10, 3_000));
     assert_eq!(evacuations.age_ms(4_000), 0);
+    assert!(!evacuations.request(&"a".into(), 9, 4_000), "read again");
+    assert!(evacuations.request(&"a".into(), 11, 4_000));
 }
 
 /// Guards against an evacuation that never ends because the store forgot the record that removed it.
