Log and count the runs that are lost with their workers

Cause: run_lost told neither how long a run was at its worker, nor how many others were there, nor whether its task had lost a worker before; a crash had no line of its own. The logs could not tell a task that crashes its workers from workers that crash by themselves.

Change: worker_crashed, with the instance, the runs and the time since the worker was last heard; ran_ms, beside_count and crashes_before_count in run_lost; the counters crashed_workers and lost_runs. What happens to lost runs moves from polls.rs to a module of its own, with the reasons as a type. No decision changes.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -21,6 +21,7 @@
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, JobState, Round, Task};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+use crate::jobs::lost_runs::LossCounts;
 use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
@@ -117,6 +118,7 @@
     pub(crate) run_times: RunTimes,
     pub(crate) tickets: Tickets,
     pub(crate) place_waits: PlaceWaits,
+    pub(crate) loss_counts: LossCounts,
     pub(crate) instances: Instances,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) order_numbers: OrderNumbers,
@@ -171,6 +173,7 @@
             run_times: RunTimes::default(),
             tickets: Tickets::default(),
             place_waits: PlaceWaits::default(),
+            loss_counts: LossCounts::default(),
             instances: Instances::default(),
             evacuated_zones: EvacuatedZones::default(),
             order_numbers: OrderNumbers::default(),
--- a/src/jobs/expiry.rs
+++ b/src/jobs/expiry.rs
@@ -2,7 +2,7 @@
 //! have had no effect.
 
 use crate::jobs::engine::Engine;
-use crate::jobs::keys::RunKey;
+use crate::jobs::lost_runs::LossReason;
 use crate::jobs::polls::STOP_RETRY_MS;
 use crate::jobs::worker::Slot;
 
@@ -16,11 +16,7 @@
         for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
             if !worker.slots.is_empty() && now_ms >= worker.leases_expired_at_ms() {
-                let runs: Vec<RunKey> = worker.slots.keys().copied().collect();
-                for run in runs {
-                    self.drop_slot(key, run);
-                    self.record_lost_run(key, run, "lease_over");
-                }
+                self.lose_all_runs(key, LossReason::LeaseExpired);
             }
             let worker = self.worker(key);
             // Without a list entry and without runs, and with this leader's fence raised, nothing
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::lost_runs::LossReason;
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::spec::Size;
 use crate::jobs::waves::Wave;
@@ -161,28 +162,24 @@
                 && is_old;
             let is_removed = (is_unknown || is_unresponsive) && !alive.contains(&worker.info.id);
             if is_removed {
-                self.remove_worker(key, "no_instance_has_it");
+                self.remove_worker(key, LossReason::WorkerRemoved);
             }
         }
     }
 
     /// Records that a worker is gone: its runs are lost, and nothing will run there.
-    fn remove_worker(&mut self, key: WorkerKey, reason: &'static str) {
+    fn remove_worker(&mut self, key: WorkerKey, reason: LossReason) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         worker.is_listed = false;
         worker.unlisted_since_ms = now_ms;
         worker.is_removed = true;
-        let lost: Vec<RunKey> = worker.slots.keys().copied().collect();
         Event::new("worker_removed")
             .with("worker", &worker.info.id)
             .with("reason", reason)
-            .with("lost_count", lost.len())
+            .with("lost_count", worker.slots.len())
             .info();
-        for run in lost {
-            self.drop_slot(key, run);
-            self.record_lost_run(key, run, reason);
-        }
+        self.lose_all_runs(key, reason);
     }
 
     /// Returns the instance of a worker.
@@ -305,7 +302,7 @@
             row.info.worker = None;
         }
         if let Some(key) = worker {
-            self.remove_worker(key, "instance_ordered");
+            self.remove_worker(key, LossReason::InstanceOrdered);
             self.worker_mut(key).has_ended = true;
         }
         if let InstanceOrder::Maintain { instance, wave } = order {
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -57,6 +57,8 @@
     pub(crate) checkpoint: SmolStr,
     /// Time of the newest start order, or of the adoption of a run.
     pub(crate) started_ms: u64,
+    /// Number of workers that crashed, or may have, while they had a run of the task.
+    pub(crate) crashes_count: usize,
 }
 
 impl Task {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 mod instances;
 mod job;
 mod keys;
+mod lost_runs;
 mod order_numbers;
 mod orders;
 mod pacing;
@@ -55,6 +56,7 @@
 pub use instances::{InstanceFailure, InstanceInfo, InstanceState};
 pub use job::JobState;
 pub use keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+pub use lost_runs::{LossCounts, LossReason};
 pub use orders::{
     Action, EndKind, InstanceOrder, OrderFailure, PaceOrder, PollOrder, PollReply, RunEnd, RunRow,
     StartOrder, StopOrder, Target, TicketRequest,
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -4,6 +4,7 @@
 
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{RunKey, WorkerKey};
+use crate::jobs::lost_runs::{LossReason, LostRun};
 use crate::jobs::orders::{Action, OrderFailure, PollOrder, PollReply, RunRow, StopOrder};
 use crate::jobs::worker::{PollState, Slot, SlotState};
 use crate::logging::Event;
@@ -98,6 +99,7 @@
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
+        worker.silent_since_ms = None;
         if worker.failed_polls_count > 0 {
             Event::new("worker_responsive")
                 .with("worker", &worker.info.id)
@@ -158,6 +160,7 @@
             due_ms: now_ms + FAILED_POLL_RETRY_MS,
         };
         if worker.failed_polls_count == 1 {
+            worker.silent_since_ms = Some(now_ms);
             let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
                 .with("failure", failure)
@@ -193,24 +196,22 @@
     }
 
     fn restart_worker(&mut self, key: WorkerKey, started_unix_ms: u64) {
-        let worker = self.worker_mut(key);
-        let lost = worker.start_incarnation(started_unix_ms);
+        let worker = self.worker(key);
         Event::new("worker_restarted")
             .with("worker", &worker.info.id)
             .with("born_unix_ms", started_unix_ms)
-            .with("lost_count", lost.len())
+            .with("lost_count", worker.slots.len())
             .warn();
-        for run in lost {
-            let may_start_late = self.drop_slot(key, run).is_some_and(|slot| {
-                matches!(
-                    slot.state,
-                    SlotState::Sent | SlotState::OutcomeUnknown { .. }
-                )
-            });
-            if may_start_late {
-                self.block_late_start(key, run);
-            }
-            self.record_lost_run(key, run, "reborn");
+        let lost = self.lose_all_runs(key, LossReason::WorkerRestarted);
+        self.worker_mut(key).start_incarnation(started_unix_ms);
+        let may_start_late = |lost: &&LostRun| {
+            matches!(
+                lost.slot.state,
+                SlotState::Sent | SlotState::OutcomeUnknown { .. }
+            )
+        };
+        for late in lost.iter().filter(may_start_late) {
+            self.block_late_start(key, late.run);
         }
     }
 
@@ -342,28 +343,11 @@
                 _ => {}
             }
         }
-        for run in lost {
-            self.drop_slot(key, run);
-            self.record_lost_run(key, run, "not_listed");
-        }
+        self.lose_runs(key, lost, LossReason::NotListed);
         for run in unknown {
             self.stop_run(key, run, "outcome_unknown");
         }
     }
-
-    /// Records that a run no longer exists although its end was not reported.
-    pub(crate) fn record_lost_run(&mut self, key: WorkerKey, run: RunKey, reason: &'static str) {
-        Event::new("run_lost")
-            .with("task", self.task_name(run.task))
-            .with("run", run.run)
-            .with("worker", &self.worker(key).info.id)
-            .with("reason", reason)
-            .info();
-        self.change_task(run.task, |task| {
-            task.runs.retain(|known| *known != (key, run.run));
-        });
-        self.needs_dispatch = true;
-    }
 }
 
 /// Returns a slot for a task of `step`.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -206,6 +206,8 @@
     pub(crate) poll: PollState,
     /// Number of polls in a row that failed.
     pub(crate) failed_polls_count: u32,
+    /// Time of the first of these; none if it answers.
+    pub(crate) silent_since_ms: Option<u64>,
     /// Time before which no task is started there.
     pub(crate) avoided_until_ms: u64,
     /// Time until which it is slow after its start.
@@ -248,6 +250,7 @@
             awaited_batch: None,
             poll: PollState::Idle { due_ms: 0 },
             failed_polls_count: 0,
+            silent_since_ms: None,
             avoided_until_ms: 0,
             cold_until_ms: 0,
             next_start_ms: 0,
@@ -289,6 +292,12 @@
         }
     }
 
+    /// Returns the time up to which it may have worked: that of the first failed poll if it does
+    /// not answer, or else `now_ms`.
+    pub(crate) fn last_heard_ms(&self, now_ms: u64) -> u64 {
+        self.silent_since_ms.unwrap_or(now_ms)
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn read_clock(&mut self, worker_ms: u64, now_ms: u64) {
         let is_newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
@@ -374,9 +383,8 @@
         self.slowness.is_slow()
     }
 
-    /// Resets the state that belongs to the previous incarnation, and returns the runs that were
-    /// there.
-    pub(crate) fn start_incarnation(&mut self, started_unix_ms: u64) -> Vec<RunKey> {
+    /// Resets the state that belongs to the previous incarnation, whose runs are lost.
+    pub(crate) fn start_incarnation(&mut self, started_unix_ms: u64) {
         self.info.started_unix_ms = started_unix_ms;
         self.has_ended = false;
         self.clock = None;
@@ -388,7 +396,6 @@
         self.failed_streak_count = 0;
         self.slowness = Slowness::default();
         self.next_start_ms = 0;
-        self.slots.keys().copied().collect()
     }
 }
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -480,6 +480,8 @@
         if let Some(leader) = self.leader_state.borrow_mut().as_mut() {
             let waits = leader.engine.take_place_wait_counts();
             self.metrics.count_place_waits(&waits);
+            let losses = leader.engine.take_loss_counts();
+            self.metrics.count_losses(&losses);
             let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
             self.metrics
                 .live_jobs_count
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
-use crate::jobs::PlaceWaitCounts;
+use crate::jobs::{LossCounts, PlaceWaitCounts};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "hawthornladder_node";
@@ -38,6 +38,11 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LossLabels {
+    reason: &'static str,
+}
+
 /// The metrics of one node.
 pub struct NodeMetrics {
     registry: Registry,
@@ -47,6 +52,8 @@
     /// Jobs over the rate of their team that this node accepted as the leader.
     pub over_rate_jobs: Counter,
     place_waits: Family<WaitLabels, Counter>,
+    crashed_workers: Counter,
+    lost_runs: Family<LossLabels, Counter>,
     /// Time from a caller's call to its answer, in milliseconds.
     pub call_ms: Histogram,
     /// Duration of a call to the store, without its wait, in milliseconds.
@@ -91,6 +98,8 @@
             store_calls: Family::default(),
             over_rate_jobs: Counter::default(),
             place_waits: Family::default(),
+            crashed_workers: Counter::default(),
+            lost_runs: Family::default(),
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
             order_ms: histogram_ms(),
@@ -130,6 +139,16 @@
             "Waits of tasks for the rack of their data.",
             self.place_waits.clone(),
         );
+        registry.register(
+            "crashed_workers",
+            "Workers that crashed, or may have, while they had runs.",
+            self.crashed_workers.clone(),
+        );
+        registry.register(
+            "lost_runs",
+            "Runs that ended without a report.",
+            self.lost_runs.clone(),
+        );
         registry.register("call_ms", "Time to an answer.", self.call_ms.clone());
         registry.register("store_ms", "Time of a store call.", self.store_ms.clone());
         registry.register("order_ms", "Time of an order.", self.order_ms.clone());
@@ -209,6 +228,16 @@
         }
     }
 
+    /// Adds to the counts of crashed workers and lost runs.
+    pub fn count_losses(&self, counts: &LossCounts) {
+        self.crashed_workers.inc_by(counts.crashed_workers_count);
+        for (reason, count) in &counts.lost_runs_counts {
+            let reason = (*reason).into();
+            let counter = self.lost_runs.get_or_create(&LossLabels { reason });
+            counter.inc_by(*count);
+        }
+    }
+
     /// Returns all metrics as text.
     pub fn encode(&self) -> String {
         let mut text = String::new();
