Add a test that fails on a task that crashes its workers

Change: in the simulation a task can crash each worker that starts it; the next worker of the instance comes 3 s later under another id.

--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -33,6 +33,8 @@
     pub(crate) loses_answers: bool,
     /// Its process has ended; [`restart`](Self::restart) starts it again.
     pub(crate) is_dead: bool,
+    /// Calls to it fail at once, as its process has crashed.
+    pub(crate) resets_connections: bool,
     /// Delay with which it carries out starts that it does not answer, in milliseconds; 0 to answer
     /// them at once.
     pub(crate) start_delay_ms: u64,
@@ -65,5 +67,14 @@
         self.info.started_unix_ms = started_unix_ms;
         self.is_disconnected = false;
         self.is_dead = false;
+        self.resets_connections = false;
+    }
+
+    /// Ends its process: all that ran there is gone, and so are the ends that it listed.
+    pub(crate) fn crash(&mut self) {
+        self.running.clear();
+        self.ended.clear();
+        self.is_dead = true;
+        self.resets_connections = true;
     }
 }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod capacity_plan;
 mod checks;
 mod constraints;
+mod crashes;
 mod evacuation;
 mod explain;
 mod fake_worker;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -29,6 +29,8 @@
 const STOP_MS: u64 = 100;
 /// Time that the store takes to persist records, in milliseconds.
 const PERSIST_MS: u64 = 10;
+/// Time from the crash of a worker to the start of the next one on its instance, in milliseconds.
+const CRASHED_MS: u64 = 3_000;
 /// Time for which a member of a gang waits for the others, in milliseconds.
 const GANG_MS: u64 = 3_000;
 /// Time for which tickets are valid, in milliseconds.
@@ -88,6 +90,8 @@
     pub(crate) slow_workers: HashMap<SmolStr, u64>,
     /// Tasks whose runs fail.
     pub(crate) failing: HashSet<TaskName>,
+    /// Tasks that crash each worker that starts them.
+    pub(crate) crashing: HashSet<TaskName>,
     pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
     polls: Vec<(PollOrder, u64)>,
     persisting: Option<(Vec<Record>, u64)>,
@@ -133,6 +137,7 @@
             run_ms: HashMap::new(),
             slow_workers: HashMap::new(),
             failing: HashSet::new(),
+            crashing: HashSet::new(),
             starts: Vec::new(),
             polls: Vec::new(),
             persisting: None,
@@ -201,6 +206,7 @@
             is_disconnected: false,
             loses_answers: false,
             is_dead: false,
+            resets_connections: false,
             start_delay_ms: 0,
             refuses_as_late: false,
         };
@@ -452,7 +458,7 @@
                 .any(|end| end.number > order.acknowledged_through);
             match () {
                 () if worker.is_disconnected || worker.is_dead || worker.loses_answers => {
-                    if now_ms >= due_ms {
+                    if now_ms >= due_ms || worker.resets_connections {
                         let failure = OrderFailure::Lost;
                         self.engine.poll_failed(&order, failure, now_ms);
                     } else {
@@ -593,6 +599,21 @@
             true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
             false => self.engine.start_accepted(order, Some(now_ms), now_ms),
         }
+        if self.crashing.contains(&order.name) {
+            self.crash(&order.target.id);
+        }
+    }
+
+    /// Crashes a worker. Another one starts on its instance some time later.
+    pub(crate) fn crash(&mut self, id: &SmolStr) {
+        let worker = &mut self.workers[id];
+        worker.crash();
+        let info = worker.info.clone();
+        let instance = info.instance.clone().expect("set by `add_worker`");
+        let row = &mut self.instances[&instance];
+        row.worker = None;
+        row.state = InstanceState::Down;
+        self.arrivals.push((self.now_ms + CRASHED_MS, info));
     }
 
     /// Carries out the delayed starts that are due, unless they have become invalid.
