Hold crashes of workers against the tasks that ran there, and give up the cause

Cause: only an end that a worker reports counts as an attempt. A task that crashes its worker leaves nobody to report, so that its attempts were unbounded; and runs that are lost together are started together on the next worker.

Change: a crash is held against the tasks that had runs on the worker (crashes.rs). A task that was started just before a crash, or that lost two workers, runs on a worker of its own (quarantine.rs), so that the next crash tells whether it is the cause and harms nobody else. Two such crashes end its job, and so do four with one of them, or five in any case for a task that ends; those that stood beside it are cleared of the crashes. Workers that fail together, instances that crashed before, and runs that have worked for long do not count. The crashes are part of the job's progress record, and the worker of a suspect is recorded before its start is sent, so that a new leader counts a crash that nobody noticed (watched_runs.rs). No copies for tasks that have lost a worker. Start orders move from dispatch.rs to a module of their own.

Why it works: a job is given up after at most two starts that follow the third crash; the isolated runs of others end.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -72,7 +72,7 @@
         self.request_poll(key);
     }
 
-    fn remove_run(&mut self, key: WorkerKey, run: RunKey) {
+    pub(crate) fn remove_run(&mut self, key: WorkerKey, run: RunKey) {
         self.drop_slot(key, run);
         self.change_task(run.task, |task| {
             task.runs.retain(|known| *known != (key, run.run));
--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -90,6 +90,7 @@
         }
         self.acknowledge_ends(batch.number);
         self.send_held_orders(batch.number);
+        self.send_held_starts(batch.number);
         self.needs_dispatch = true;
         settled
     }
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -8,17 +8,14 @@
 use crate::jobs::copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
-use crate::jobs::orders::{Action, StartOrder};
 use crate::jobs::place_pass::PlacePass;
 use crate::jobs::place_waits::WaitOutcome;
 use crate::jobs::placement::{choose, PlacementRequest};
-use crate::jobs::polls::new_slot;
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::{Slot, SlotState};
 use crate::logging::Event;
 
 /// Distance between the run numbers of two leaders. One leader starts a task fewer times than this.
-const RUNS_PER_FENCE: u64 = 10_000;
+pub(crate) const RUNS_PER_FENCE: u64 = 10_000;
 /// Pause before a copy that found no capacity is tried again, in milliseconds.
 const COPY_RETRY_MS: u64 = 20;
 
@@ -89,6 +86,7 @@
         }
         self.needs_dispatch = false;
         self.refresh_workers();
+        self.start_suspects();
         self.refresh_waiting_jobs();
         self.place_waits.begin_pass();
         let mut pass = Pass::default();
@@ -107,7 +105,7 @@
     }
 
     /// Returns whether runs of an earlier leader may still be at workers that have not been polled.
-    fn is_held_back(&self, key: JobKey) -> bool {
+    pub(crate) fn is_held_back(&self, key: JobKey) -> bool {
         let job = self.job(key);
         if !job.is_persisted {
             return true;
@@ -155,7 +153,7 @@
         for index in 0..step.tasks_count {
             let task = TaskKey { index, ..at };
             let is_waiting = self.task(task).is_some_and(|task| task.is_waiting());
-            if !is_waiting {
+            if !is_waiting || self.is_isolated(task) {
                 continue;
             }
             match self.try_start(task, step, None, &mut pass.places) {
@@ -224,21 +222,15 @@
     /// Starts all members of a gang together, in one rack where the step asks for it and a rack has
     /// the capacity, or is expected to have it soon enough.
     fn start_gang(&mut self, at: TaskKey, step: &StepSpec, places: &mut PlacePass) {
-        let members: Vec<TaskKey> = (0..step.tasks_count)
-            .map(|index| TaskKey { index, ..at })
-            .collect();
+        let members: Vec<TaskKey> = at.siblings(step.tasks_count).collect();
         let are_all_waiting = members
             .iter()
             .all(|task| self.task(*task).is_some_and(|task| task.is_waiting()));
-        let mut all = step.size;
-        for _ in 1..step.tasks_count {
-            all.add(&step.size);
-        }
         if !are_all_waiting {
             self.end_place_wait(at, WaitOutcome::Dropped);
             return;
         }
-        if !self.team_has_capacity(at.job, &all) {
+        if self.is_gang_isolated(&members) || !self.team_has_capacity(at.job, &step.size_of_all()) {
             return;
         }
         let eligible = match self.needs_tickets(at.job) {
@@ -268,37 +260,51 @@
             return;
         }
         self.end_place_wait(at, wait_outcome(spans_racks));
-        let number = members
-            .iter()
-            .map(|task| self.next_run_number(*task))
-            .max()
-            .unwrap_or(0);
-        let checkpoint = members
+        let runs = self.order_gang(&members, &workers, step, spans_racks);
+        for (run, worker) in runs.iter().zip(workers) {
+            self.note_start(worker, run, places);
+        }
+    }
+
+    /// Orders the members of a gang to start, each on its worker; returns their runs.
+    pub(crate) fn order_gang(
+        &mut self,
+        members: &[TaskKey],
+        workers: &[WorkerKey],
+        step: &StepSpec,
+        spans_racks: bool,
+    ) -> Vec<RunKey> {
+        let numbers = members.iter().map(|task| self.next_run_number(*task));
+        let number = numbers.max().unwrap_or(0);
+        let checkpoints = members
             .iter()
-            .filter_map(|task| self.task(*task).map(|task| task.checkpoint.clone()))
-            .max()
-            .unwrap_or_default();
-        for (task, worker) in members.into_iter().zip(workers) {
-            let gang_checkpoint = checkpoint.clone();
-            self.change_task(task, |task| {
-                task.checkpoint = gang_checkpoint;
+            .filter_map(|task| self.task(*task).map(|task| task.checkpoint.clone()));
+        let checkpoint = checkpoints.max().unwrap_or_default();
+        let mut runs = Vec::new();
+        for (task, worker) in members.iter().zip(workers) {
+            self.change_task(*task, |task| {
+                task.checkpoint = checkpoint.clone();
                 task.numbered_count = task.numbered_count.max(number % RUNS_PER_FENCE);
             });
-            let is_remote = spans_racks || self.is_outside_rack(worker, step);
-            let run = self.order_start(worker, task, number, step, is_remote);
-            self.note_start(worker, &run, places);
+            let is_remote = spans_racks || self.is_outside_rack(*worker, step);
+            runs.push(self.order_start(*worker, *task, number, step, is_remote));
         }
+        runs
     }
 
     /// Returns whether workers are in more than one rack.
-    fn span_racks(&self, workers: &[WorkerKey]) -> bool {
+    pub(crate) fn span_racks(&self, workers: &[WorkerKey]) -> bool {
         let racks = workers.iter().map(|key| &self.worker(*key).rack);
         let first = racks.clone().next();
         racks.into_iter().any(|rack| Some(rack) != first)
     }
 
     /// Finds a worker for each member of a gang among `group`.
-    fn place_gang(&self, group: &[WorkerKey], step: &StepSpec) -> Option<Vec<WorkerKey>> {
+    pub(crate) fn place_gang(
+        &self,
+        group: &[WorkerKey],
+        step: &StepSpec,
+    ) -> Option<Vec<WorkerKey>> {
         let reservation = step.reservation();
         let mut places = Vec::new();
         for worker in group {
@@ -322,7 +328,7 @@
         (places.len() == index(step.tasks_count)).then_some(places)
     }
 
-    fn needs_tickets(&self, key: JobKey) -> bool {
+    pub(crate) fn needs_tickets(&self, key: JobKey) -> bool {
         self.queue_needs_tickets(&self.job(key).queue)
     }
 
@@ -331,7 +337,7 @@
         queue.is_some_and(|queue| queue.needs_tickets)
     }
 
-    fn team_has_capacity(&self, key: JobKey, more: &Size) -> bool {
+    pub(crate) fn team_has_capacity(&self, key: JobKey, more: &Size) -> bool {
         self.team_has_room(&self.job(key).team, more)
     }
 
@@ -359,81 +365,6 @@
         used.fits_with(more, &limit)
     }
 
-    fn next_run_number(&mut self, task: TaskKey) -> u64 {
-        let base = self.settings.fence.saturating_sub(1) * RUNS_PER_FENCE;
-        let count = self.change_task(task, |task| {
-            task.numbered_count += 1;
-            task.numbered_count
-        });
-        base + count.unwrap_or(1)
-    }
-
-    fn order_start(
-        &mut self,
-        key: WorkerKey,
-        task: TaskKey,
-        number: u64,
-        step: &StepSpec,
-        is_remote: bool,
-    ) -> RunKey {
-        let now_ms = self.now_ms;
-        let run = RunKey { task, run: number };
-        let lease_ms = self.settings.run_lease_ms;
-        let ticket = self.tickets.of(task, &self.worker(key).info.id);
-        let pool = self.catalog.pools.get(&self.worker(key).info.pool);
-        let cold_starts_per_s = pool.map_or(0.0, |pool| pool.cold_starts_per_s);
-        let worker = self.worker_mut(key);
-        worker.pace_cold_starts(cold_starts_per_s, now_ms);
-        let lease_end_worker_ms = worker.worker_time_ms(now_ms).unwrap_or(0) + lease_ms;
-        worker.leased_until_worker_ms = worker.leased_until_worker_ms.max(lease_end_worker_ms);
-        let slot = Slot {
-            is_remote,
-            ..new_slot(step, SlotState::Sent, now_ms)
-        };
-        self.put_slot(key, run, slot);
-        self.refresh_worker(key);
-        let checkpoint = self.change_task(task, |state| {
-            state.runs.push((key, number));
-            state.started_ms = now_ms;
-            state.checkpoint.clone()
-        });
-        self.schedule_copy(task, step);
-        let job = self.job_mut(task.job);
-        if job.state == crate::jobs::job::JobState::Queued {
-            job.state = crate::jobs::job::JobState::Active;
-        }
-        let waited_ms = now_ms.saturating_sub(job.accepted_ms);
-        let (spec, target_ms) = (job.spec.clone(), job.target_ms);
-        let order = StartOrder {
-            target: self.target(key),
-            run,
-            name: self.task_name(task),
-            spec,
-            lease_end_worker_ms,
-            checkpoint: checkpoint.unwrap_or_default(),
-            ticket,
-        };
-        Event::new("start_sent")
-            .with("task", order.name)
-            .with("run", number)
-            .with("worker", &order.target.id)
-            .with("fence", order.target.fence)
-            .with("since_accepted_ms", waited_ms)
-            .with("target_in_ms", target_ms.saturating_sub(now_ms))
-            .info();
-        self.actions.push(Action::Start(order));
-        run
-    }
-
-    /// Schedules a copy of a task that has just started, where its step allows copies.
-    pub(crate) fn schedule_copy(&mut self, task: TaskKey, step: &StepSpec) {
-        if step.may_have_copies() {
-            let queue = &self.job(task.job).queue;
-            let due_ms = self.now_ms + copy_after_ms(&self.run_times, queue, step);
-            self.copies_due.insert((due_ms, task));
-        }
-    }
-
     /// Starts a second run of each task that takes too long, where its step allows copies.
     fn start_copies(&mut self, pass: &mut Pass) {
         let now_ms = self.now_ms;
@@ -445,7 +376,8 @@
             let Some(state) = self.task(task) else {
                 continue;
             };
-            if state.is_done || state.runs.len() != 1 {
+            // A copy of a task that crashes its workers would crash another one.
+            if state.is_done || state.runs.len() != 1 || !state.crashes.is_empty() {
                 continue;
             }
             let (started_ms, current) = (state.started_ms, state.runs[0].0);
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -25,12 +25,15 @@
 use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
+use crate::jobs::quarantine::Quarantine;
 use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
+use crate::jobs::start_orders::HeldStart;
 use crate::jobs::team_rates::TeamRates;
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
+use crate::jobs::watched_runs::InheritedRuns;
 use crate::jobs::worker::{PollState, Slot, Worker};
 use crate::logging::Event;
 
@@ -119,6 +122,9 @@
     pub(crate) tickets: Tickets,
     pub(crate) place_waits: PlaceWaits,
     pub(crate) loss_counts: LossCounts,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) held_starts: Vec<HeldStart>,
+    pub(crate) inherited_runs: InheritedRuns,
     pub(crate) instances: Instances,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) order_numbers: OrderNumbers,
@@ -174,6 +180,9 @@
             tickets: Tickets::default(),
             place_waits: PlaceWaits::default(),
             loss_counts: LossCounts::default(),
+            quarantine: Quarantine::default(),
+            held_starts: Vec::new(),
+            inherited_runs: InheritedRuns::default(),
             instances: Instances::default(),
             evacuated_zones: EvacuatedZones::default(),
             order_numbers: OrderNumbers::default(),
@@ -241,6 +250,7 @@
             self.next_sweep_ms = self.now_ms + SWEEP_MS;
             self.expire_leases();
             self.resend_stops();
+            self.review_quarantine();
         }
         self.plan_job_order();
         self.dispatch();
@@ -449,6 +459,7 @@
             used.remove(&slot.size);
         }
         self.job_mut(run.task.job).runs_count -= 1;
+        self.end_watch(run.task, worker);
         self.needs_dispatch = true;
         Some(slot)
     }
@@ -510,6 +521,7 @@
         self.ended.push_back(key);
         self.tickets.forget(key);
         self.drop_place_waits(key);
+        self.quarantine.forget_job(key);
         self.mark_dirty(key);
         self.needs_dispatch = true;
     }
--- a/src/jobs/expiry.rs
+++ b/src/jobs/expiry.rs
@@ -4,6 +4,7 @@
 use crate::jobs::engine::Engine;
 use crate::jobs::lost_runs::LossReason;
 use crate::jobs::polls::STOP_RETRY_MS;
+use crate::jobs::watched_runs::WorkerFate;
 use crate::jobs::worker::Slot;
 
 /// Time after which an unlisted worker without runs is dropped, in milliseconds.
@@ -27,11 +28,14 @@
                 && worker.slots.is_empty()
                 && is_known
                 && now_ms > worker.unlisted_since_ms + UNLISTED_FORGET_MS;
-            match (is_gone, worker.is_persisted) {
+            if is_gone {
+                self.settle_inherited_runs(key, WorkerFate::Silent);
+            }
+            match (is_gone, self.worker(key).is_persisted) {
                 (true, true) => self.forget_worker(key),
                 // Its record is deleted or was never written. Ends of this worker that are not
                 // acknowledged yet no longer matter.
-                (true, false) if worker.awaited_batch.is_none() => {
+                (true, false) if self.worker(key).awaited_batch.is_none() => {
                     self.present.swap_remove(&key);
                 }
                 _ => {}
--- a/src/jobs/free_capacity.rs
+++ b/src/jobs/free_capacity.rs
@@ -121,6 +121,11 @@
         self.unseen_count > 0
     }
 
+    /// Returns the number of workers that accept tasks.
+    pub(crate) fn accepting_count(&self) -> usize {
+        self.accepting.len()
+    }
+
     /// Returns the number of workers where runs of an earlier leader may be that this leader has not
     /// seen.
     pub(crate) fn unseen_count(&self) -> usize {
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -10,6 +10,7 @@
 use crate::jobs::lost_runs::LossReason;
 use crate::jobs::orders::InstanceOrder;
 use crate::jobs::spec::Size;
+use crate::jobs::watched_runs::WorkerFate;
 use crate::jobs::waves::Wave;
 use crate::jobs::worker::SlotState;
 use crate::logging::Event;
@@ -180,6 +181,7 @@
             .with("lost_count", worker.slots.len())
             .info();
         self.lose_all_runs(key, reason);
+        self.settle_inherited_runs(key, WorkerFate::Replaced);
     }
 
     /// Returns the instance of a worker.
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use crate::jobs::crashes::{CrashRecord, WatchedRun};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::spec::{JobSpec, StepSpec};
 use crate::jobs::waiting::Place;
@@ -57,11 +58,23 @@
     pub(crate) checkpoint: SmolStr,
     /// Time of the newest start order, or of the adoption of a run.
     pub(crate) started_ms: u64,
-    /// Number of workers that crashed, or may have, while they had a run of the task.
-    pub(crate) crashes_count: usize,
+    /// Crashes of workers that had a run of the task and of which it may be the cause.
+    pub(crate) crashes: Vec<CrashRecord>,
+    /// Its run, if it has lost a worker before; recorded for later leaders.
+    pub(crate) watched_run: Option<WatchedRun>,
+    /// Time until which it starts only alone, if it is suspected to crash its workers; none before
+    /// the first attempt.
+    pub(crate) isolated_until_ms: Option<u64>,
 }
 
 impl Task {
+    /// Returns whether more is known of it than that it is not done.
+    pub(crate) fn needs_record(&self) -> bool {
+        let has_attempts = !self.failed_runs.is_empty() || !self.checkpoint.is_empty();
+        let has_crashes = !self.crashes.is_empty() || self.watched_run.is_some();
+        !self.is_done && (has_attempts || has_crashes)
+    }
+
     /// Returns whether it is neither done nor has a run.
     pub(crate) fn is_waiting(&self) -> bool {
         !self.is_done && self.runs.is_empty()
@@ -210,6 +223,23 @@
         steps.map(|(_, step)| step.reservation().cpu_millis).min()
     }
 
+    /// Returns the keys of the tasks of all occurrences that have been opened.
+    pub(crate) fn task_keys(&self, key: JobKey) -> Vec<TaskKey> {
+        let mut keys = Vec::new();
+        for (round, round_number) in self.rounds.iter().zip(0u32..) {
+            for (step, step_number) in round.steps.iter().zip(0u16..) {
+                let indexes = (0u32..).zip(&step.tasks).map(|(index, _)| index);
+                keys.extend(indexes.map(|index| TaskKey {
+                    job: key,
+                    round: round_number,
+                    step: step_number,
+                    index,
+                }));
+            }
+        }
+        keys
+    }
+
     /// Returns the runs that may exist, with the keys of their workers.
     pub(crate) fn runs(&self, key: JobKey) -> Vec<(WorkerKey, RunKey)> {
         let mut runs = Vec::new();
--- a/src/jobs/keys.rs
+++ b/src/jobs/keys.rs
@@ -24,6 +24,13 @@
     pub index: u32,
 }
 
+impl TaskKey {
+    /// Returns the keys of the first `count` tasks of the same step.
+    pub(crate) fn siblings(self, count: u32) -> impl Iterator<Item = Self> {
+        (0..count).map(move |index| Self { index, ..self })
+    }
+}
+
 /// Key of one start of a task. The numbers of a task's runs only increase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RunKey {
--- a/src/jobs/lost_runs.rs
+++ b/src/jobs/lost_runs.rs
@@ -75,9 +75,10 @@
             .collect();
         for LostRun { run, slot } in &lost {
             self.record_lost_run(key, *run, slot, lost.len() - 1, reason);
-            if is_crash {
-                self.change_task(run.task, |task| task.crashes_count += 1);
-            }
+        }
+        if is_crash {
+            self.blame_runs(key, reason, &lost);
+            self.end_reservation(key);
         }
         lost
     }
@@ -92,7 +93,7 @@
     ) {
         let worker = self.worker(key);
         let heard_ms = worker.last_heard_ms(self.now_ms);
-        let crashes_count = self.task(run.task).map_or(0, |task| task.crashes_count);
+        let crashes_count = self.task(run.task).map_or(0, |task| task.crashes.len());
         Event::new("run_lost")
             .with("task", self.task_name(run.task))
             .with("run", run.run)
@@ -114,6 +115,8 @@
 pub struct LossCounts {
     /// Workers that crashed, or that may have, while they had runs.
     pub crashed_workers_count: u64,
+    /// Jobs that were given up because of a task that crashed its workers.
+    pub given_up_jobs_count: u64,
     /// Lost runs by reason.
     pub lost_runs_counts: indexmap::IndexMap<LossReason, u64>,
 }
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -260,7 +260,7 @@
             SlotState::OutcomeUnknown { .. } | SlotState::StartBlocked { .. } => NEVER_MS,
             _ if slot.is_stopping => self.now_ms + self.settings.stop_ms,
             _ if slot.is_long_running => NEVER_MS,
-            SlotState::Sent | SlotState::Placed { .. } => {
+            SlotState::Held | SlotState::Sent | SlotState::Placed { .. } => {
                 self.now_ms + self.remaining_run_ms(run, slot)
             }
         };
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -2,10 +2,11 @@
 
 use indexmap::IndexSet;
 
-use crate::jobs::engine::Engine;
+use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{RunKey, WorkerKey};
 use crate::jobs::lost_runs::{LossReason, LostRun};
 use crate::jobs::orders::{Action, OrderFailure, PollOrder, PollReply, RunRow, StopOrder};
+use crate::jobs::watched_runs::WorkerFate;
 use crate::jobs::worker::{PollState, Slot, SlotState};
 use crate::logging::Event;
 
@@ -131,6 +132,12 @@
             listed.extend(self.apply_row(key, row, order.sent_ms));
         }
         self.check_unlisted_runs(key, &listed, order.sent_ms);
+        self.settle_inherited_runs(
+            key,
+            WorkerFate::Answers {
+                started_unix_ms: reply.started_unix_ms,
+            },
+        );
         self.schedule_next_poll(key, order);
     }
 
@@ -161,6 +168,8 @@
         };
         if worker.failed_polls_count == 1 {
             worker.silent_since_ms = Some(now_ms);
+            self.quarantine.note_silence(order.target.worker, now_ms);
+            let worker = &self.workers[index(order.target.worker.0)];
             let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
                 .with("failure", failure)
@@ -355,7 +364,7 @@
     Slot {
         reservation: step.reservation(),
         size: step.size,
-        is_adopted: state != SlotState::Sent,
+        is_adopted: !matches!(state, SlotState::Held | SlotState::Sent),
         state,
         since_ms: now_ms,
         is_stopping: false,
--- /dev/null
+++ b/src/jobs/quarantine.rs
@@ -0,0 +1,387 @@
+//! Runs of suspected tasks (see [`crashes`](crate::jobs::crashes)). Each gets a worker of its own, so
+//! that a crash tells whether it is the cause and harms nobody else. A busy worker is reserved and
+//! gets no other task until its runs have ended. A suspect that gets no worker in time starts beside
+//! others.
+
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use indexmap::{IndexMap, IndexSet};
+use smol_str::SmolStr;
+
+use crate::jobs::crashes::{is_suspect, CrashRecord, Incarnation, SETTLED_LONG_RUN_MS};
+use crate::jobs::engine::{index, Engine};
+use crate::jobs::keys::{JobKey, TaskKey, WorkerKey};
+use crate::jobs::spec::{Size, StepSpec};
+use crate::jobs::worker::{SlotState, Worker};
+use crate::logging::Event;
+
+/// Longest wait of a suspect until a worker is reserved for it, in milliseconds.
+const RESERVATION_WAIT_MS: u64 = 2_000;
+/// Longest time for which a worker is reserved before its suspect starts, in milliseconds.
+const RESERVATION_MAX_MS: u64 = 4_000;
+/// Time after a crash for which another one of the same instance says little about a task, in
+/// milliseconds.
+const UNRELIABLE_MS: u64 = 30_000;
+/// Number of workers of a pool of which one may be reserved; each pool may have one.
+const WORKERS_PER_RESERVATION: usize = 4;
+
+/// A worker that takes only one task, or members of its gang.
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    task: TaskKey,
+    since_ms: u64,
+}
+
+/// The last crash of an instance.
+#[derive(Clone, Debug)]
+struct InstanceCrash {
+    incarnation: Incarnation,
+    at_ms: u64,
+    /// Whether the worker was reserved for a suspect, or a task had just been started there.
+    has_likely_cause: bool,
+}
+
+/// Suspected tasks, the workers that are reserved for them, and the latest crashes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Quarantine {
+    /// Tasks against which a crash is held, and some that have ended since.
+    tasks: IndexSet<TaskKey>,
+    reservations: IndexMap<WorkerKey, Reservation>,
+    crashes: IndexMap<SmolStr, InstanceCrash>,
+    /// Workers that stopped answering lately, by the times of their first failed polls.
+    silences: BTreeSet<(u64, WorkerKey)>,
+}
+
+/// Returns the name of a worker's instance, or else its id.
+fn instance_name(worker: &Worker) -> &SmolStr {
+    worker.info.instance.as_ref().unwrap_or(&worker.info.id)
+}
+
+impl Quarantine {
+    /// Adds a task against which a crash is held.
+    pub(crate) fn add_task(&mut self, task: TaskKey) {
+        self.tasks.insert(task);
+    }
+
+    /// Returns the tasks against which crashes are held.
+    pub(crate) fn tasks(&self) -> Vec<TaskKey> {
+        self.tasks.iter().copied().collect()
+    }
+
+    /// Forgets the tasks of a job that has ended.
+    pub(crate) fn forget_job(&mut self, job: JobKey) {
+        self.tasks.retain(|task| task.job != job);
+    }
+
+    /// Returns the task for which a worker is reserved.
+    pub(crate) fn task_of(&self, worker: WorkerKey) -> Option<TaskKey> {
+        let reservation = self.reservations.get(&worker);
+        reservation.map(|reservation| reservation.task)
+    }
+
+    /// Records that a worker has stopped answering.
+    pub(crate) fn note_silence(&mut self, worker: WorkerKey, now_ms: u64) {
+        let oldest_ms = now_ms.saturating_sub(UNRELIABLE_MS);
+        self.silences = self.silences.split_off(&(oldest_ms, WorkerKey(0)));
+        self.silences.insert((now_ms, worker));
+    }
+
+    /// Returns the workers that stopped answering within these times, with the times.
+    pub(crate) fn silences_in(
+        &self,
+        times_ms: RangeInclusive<u64>,
+    ) -> impl Iterator<Item = (u64, WorkerKey)> + '_ {
+        let first = (*times_ms.start(), WorkerKey(0));
+        let last = (*times_ms.end(), WorkerKey(u32::MAX));
+        self.silences.range(first..=last).copied()
+    }
+
+    /// Records the crash of a worker.
+    pub(crate) fn note_crash(
+        &mut self,
+        worker: &Worker,
+        key: WorkerKey,
+        has_likely_cause: bool,
+        now_ms: u64,
+    ) {
+        let crash = InstanceCrash {
+            incarnation: worker.incarnation(),
+            at_ms: now_ms,
+            has_likely_cause: has_likely_cause || self.reservations.contains_key(&key),
+        };
+        self.crashes
+            .retain(|_, crash| now_ms < crash.at_ms + UNRELIABLE_MS);
+        self.crashes.insert(instance_name(worker).clone(), crash);
+    }
+
+    /// Forgets crashes of which the cause is known.
+    pub(crate) fn forget_crashes(&mut self, explained: &[CrashRecord]) {
+        let is_explained = |crash: &InstanceCrash| {
+            let mut explained = explained.iter();
+            explained.any(|known| known.incarnation == crash.incarnation)
+        };
+        self.crashes.retain(|_, crash| !is_explained(crash));
+    }
+
+    /// Returns whether an earlier worker of the same instance has crashed lately.
+    pub(crate) fn is_unreliable(&self, worker: &Worker, now_ms: u64) -> bool {
+        let crash = self.crashes.get(instance_name(worker));
+        crash.is_some_and(|crash| {
+            now_ms < crash.at_ms + UNRELIABLE_MS && crash.incarnation != worker.incarnation()
+        })
+    }
+
+    /// Returns the time of the last crash of a worker's instance, in milliseconds; 0 for none.
+    fn last_crash_ms(&self, worker: &Worker) -> u64 {
+        let crash = self.crashes.get(instance_name(worker));
+        crash.map_or(0, |crash| crash.at_ms)
+    }
+
+    /// Returns whether a worker is reserved for a suspect, or crashed with a likely cause.
+    pub(crate) fn has_likely_cause(&self, key: WorkerKey, worker: &Worker) -> bool {
+        let crash = self.crashes.get(instance_name(worker));
+        let had_cause = crash.is_some_and(|crash| {
+            crash.has_likely_cause && crash.incarnation == worker.incarnation()
+        });
+        had_cause || self.reservations.contains_key(&key)
+    }
+}
+
+impl Engine {
+    /// Starts the suspects that may start and have a worker of their own, and gives up the jobs of
+    /// those that have crashed too many workers. The most suspected go first.
+    pub(crate) fn start_suspects(&mut self) {
+        self.drop_cleared_tasks();
+        let mut suspects: Vec<TaskKey> = self.quarantine.tasks();
+        suspects.retain(|task| self.is_waiting_suspect(*task));
+        suspects.sort_by_cached_key(|task| {
+            let crashes = self.task(*task).map_or(&[][..], |state| &state.crashes);
+            let strong = crashes.iter().filter(|crash| crash.is_strong());
+            std::cmp::Reverse((strong.count(), crashes.len()))
+        });
+        for task in suspects {
+            // Another one may have ended their job, or started its gang.
+            if self.is_waiting_suspect(task) && self.may_start(task) && !self.give_up_if_spent(task)
+            {
+                self.start_alone(task);
+            }
+        }
+    }
+
+    /// Forgets the tasks that are done, and those that have been cleared of all crashes.
+    fn drop_cleared_tasks(&mut self) {
+        let mut tasks = std::mem::take(&mut self.quarantine.tasks);
+        tasks.retain(|task| {
+            let state = self.task(*task);
+            state.is_some_and(|state| !state.is_done && !state.crashes.is_empty())
+        });
+        self.quarantine.tasks = tasks;
+    }
+
+    fn is_waiting_suspect(&self, task: TaskKey) -> bool {
+        let state = self.task(task);
+        state.is_some_and(|state| state.is_waiting() && is_suspect(&state.crashes))
+    }
+
+    /// Returns whether the job of a waiting task is due and no other rule holds it back.
+    fn may_start(&self, task: TaskKey) -> bool {
+        let job = self.job(task.job);
+        let step = &job.spec.steps[usize::from(task.step)];
+        let is_ready = job
+            .rounds
+            .get(index(task.round))
+            .is_some_and(|round| round.is_ready(step));
+        is_ready && !job.state.is_final() && !self.is_held_back(task.job)
+    }
+
+    /// Returns whether a waiting task starts only alone, for now.
+    pub(crate) fn is_isolated(&self, task: TaskKey) -> bool {
+        let until_ms = self.task(task).and_then(|state| state.isolated_until_ms);
+        self.is_waiting_suspect(task) && until_ms.is_none_or(|until_ms| self.now_ms < until_ms)
+    }
+
+    /// Returns whether some member of a gang starts only alone, for now.
+    pub(crate) fn is_gang_isolated(&self, members: &[TaskKey]) -> bool {
+        members.iter().any(|task| self.is_isolated(*task))
+    }
+
+    /// Starts a suspect on a worker of its own, or reserves one for it.
+    fn start_alone(&mut self, task: TaskKey) {
+        let now_ms = self.now_ms;
+        let until_ms = now_ms + RESERVATION_WAIT_MS;
+        self.change_task(task, |state| {
+            state.isolated_until_ms.get_or_insert(until_ms);
+        });
+        if !self.is_isolated(task) {
+            return;
+        }
+        let spec = self.job(task.job).spec.clone();
+        let step = &spec.steps[usize::from(task.step)];
+        let Some(eligible) = self.workers_for_suspect(task, step) else {
+            return;
+        };
+        match step.is_gang {
+            true => self.start_gang_alone(task, step, &eligible),
+            false => self.start_task_alone(task, step, &eligible),
+        }
+    }
+
+    /// Returns the workers on which a suspect may start alone: those that are reserved for it, and
+    /// those without tasks that have no end. Returns `None` while tickets are awaited.
+    fn workers_for_suspect(&mut self, task: TaskKey, step: &StepSpec) -> Option<Vec<WorkerKey>> {
+        let mut workers = match self.needs_tickets(task.job) {
+            false => self.accepting_workers(&self.job(task.job).pool),
+            true => self.with_tickets(task)?,
+        };
+        workers.extend(self.reserved_for(task));
+        let reservation = step.reservation();
+        workers.retain(|key| {
+            let worker = self.worker(*key);
+            let capacity = &worker.info.capacity;
+            worker.long_running_count == 0
+                && Size::default().fits_with(&reservation, capacity)
+                && self.has_label(*key, step)
+                && self.is_below_worker_max(*key, task, step)
+        });
+        Some(workers)
+    }
+
+    /// Returns the workers that are reserved for a task or its gang and are otherwise usable.
+    fn reserved_for(&self, task: TaskKey) -> Vec<WorkerKey> {
+        let reservations = self.quarantine.reservations.iter();
+        reservations
+            .filter(|(key, reservation)| {
+                self.belong_together(task, reservation.task)
+                    && self.worker(**key).takes_reserved_tasks(self.now_ms)
+            })
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    fn start_task_alone(&mut self, task: TaskKey, step: &StepSpec, eligible: &[WorkerKey]) {
+        if !self.team_has_capacity(task.job, &step.size) {
+            return;
+        }
+        let preferred = eligible.iter().min_by_key(|key| {
+            let worker = self.worker(**key);
+            (
+                self.quarantine.task_of(**key).is_none(),
+                self.quarantine.is_unreliable(worker, self.now_ms),
+                !worker.slots.is_empty(),
+                worker.is_slow(),
+                self.quarantine.last_crash_ms(worker),
+                self.busy_for_ms(**key),
+            )
+        });
+        let Some(worker) = preferred.copied() else {
+            return;
+        };
+        if !self.reserve(worker, task) || !self.worker(worker).slots.is_empty() {
+            return;
+        }
+        let number = self.next_run_number(task);
+        let is_remote = self.is_outside_rack(worker, step);
+        self.order_start(worker, task, number, step, is_remote);
+    }
+
+    /// Starts a gang on workers that run nothing else, if there are enough of them.
+    fn start_gang_alone(&mut self, task: TaskKey, step: &StepSpec, eligible: &[WorkerKey]) {
+        let idle = eligible.iter().copied();
+        let idle: Vec<WorkerKey> = idle
+            .filter(|key| self.worker(*key).slots.is_empty())
+            .collect();
+        let members: Vec<TaskKey> = task.siblings(step.tasks_count).collect();
+        let all = step.size_of_all();
+        let are_waiting = |task: &TaskKey| self.task(*task).is_some_and(|state| state.is_waiting());
+        if !members.iter().all(are_waiting) || !self.team_has_capacity(task.job, &all) {
+            return;
+        }
+        let Some(workers) = self.place_gang(&idle, step) else {
+            return;
+        };
+        for (worker, member) in workers.iter().zip(&members) {
+            self.reserve_beyond_limit(*worker, *member);
+        }
+        let spans_racks = step.in_one_rack && self.span_racks(&workers);
+        self.order_gang(&members, &workers, step, spans_racks);
+    }
+
+    /// Reserves a worker for a suspect, unless it is reserved already; returns whether it is.
+    fn reserve(&mut self, worker: WorkerKey, task: TaskKey) -> bool {
+        if self.quarantine.reservations.contains_key(&worker) {
+            return true;
+        }
+        let pool = self.worker(worker).info.pool.clone();
+        let reserved = self.quarantine.reservations.keys();
+        let reserved_count = reserved
+            .filter(|key| self.worker(**key).info.pool == pool)
+            .count();
+        let accepting_count = self
+            .free_capacity
+            .pool(&pool)
+            .map_or(0, |pool| pool.accepting_count());
+        let max_count = (accepting_count + reserved_count) / WORKERS_PER_RESERVATION;
+        if reserved_count >= max_count.max(1) {
+            return false;
+        }
+        self.reserve_beyond_limit(worker, task);
+        true
+    }
+
+    /// Reserves a worker for a suspect, however many are reserved.
+    pub(crate) fn reserve_beyond_limit(&mut self, worker: WorkerKey, task: TaskKey) {
+        let since_ms = self.now_ms;
+        let reservation = Reservation { task, since_ms };
+        self.quarantine.reservations.insert(worker, reservation);
+        let until_ms = since_ms + RESERVATION_MAX_MS;
+        self.change_task(task, |state| state.isolated_until_ms = Some(until_ms));
+        self.worker_mut(worker).is_reserved = true;
+        self.refresh_worker(worker);
+        Event::new("worker_reserved")
+            .with("worker", &self.worker(worker).info.id)
+            .with("task", self.task_name(task))
+            .with("runs_count", self.worker(worker).slots.len())
+            .info();
+    }
+
+    /// Ends the reservations that have served their purpose, and lets suspects try again.
+    pub(crate) fn review_quarantine(&mut self) {
+        let reservations = self.quarantine.reservations.clone();
+        for (key, reservation) in reservations {
+            if !self.is_reservation_needed(key, &reservation) {
+                self.end_reservation(key);
+            }
+        }
+        let mut tasks = self.quarantine.tasks.iter();
+        self.needs_dispatch |= tasks.any(|task| self.is_waiting_suspect(*task));
+    }
+
+    fn is_reservation_needed(&self, key: WorkerKey, reservation: &Reservation) -> bool {
+        let now_ms = self.now_ms;
+        let task = reservation.task;
+        let mut slots = self.worker(key).slots.iter();
+        match slots.find(|(run, _)| self.belong_together(task, run.task)) {
+            Some((_, slot)) => match slot.state {
+                SlotState::Placed { since_ms } if slot.is_long_running => {
+                    now_ms < since_ms + SETTLED_LONG_RUN_MS
+                }
+                _ => true,
+            },
+            None => {
+                now_ms < reservation.since_ms + RESERVATION_MAX_MS
+                    && !self.job(task.job).state.is_final()
+                    && self.is_waiting_suspect(task)
+                    && self.worker(key).takes_reserved_tasks(now_ms)
+            }
+        }
+    }
+
+    /// Lets other tasks start on a worker again.
+    pub(crate) fn end_reservation(&mut self, key: WorkerKey) {
+        if self.quarantine.reservations.swap_remove(&key).is_some() {
+            self.worker_mut(key).is_reserved = false;
+            self.needs_dispatch = true;
+        }
+    }
+}
--- a/src/jobs/reclaim.rs
+++ b/src/jobs/reclaim.rs
@@ -95,7 +95,7 @@
 
     /// Returns the time after which all runs of a worker are expected to have ended, in
     /// milliseconds.
-    fn busy_for_ms(&self, key: WorkerKey) -> u64 {
+    pub(crate) fn busy_for_ms(&self, key: WorkerKey) -> u64 {
         let slots = self.worker(key).slots.iter();
         let left_ms = slots.map(|(run, slot)| self.remaining_run_ms(run, slot));
         left_ms.max().unwrap_or(0)
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
 
+use crate::jobs::crashes::{CrashRecord, WatchedRun};
 use crate::jobs::job::{Job, JobState, Round};
 use crate::jobs::keys::JobId;
 use crate::jobs::spec::{JobSpec, Size};
@@ -57,6 +58,12 @@
     /// Newest checkpoint; empty for none.
     #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
     pub checkpoint: SmolStr,
+    /// Crashes of workers of which the task may be the cause.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashRecord>,
+    /// Its run, if it has lost a worker before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub watched_run: Option<WatchedRun>,
 }
 
 /// Progress of a job.
@@ -67,7 +74,7 @@
     /// For each occurrence and step, the tasks that are done, as hexadecimal digits of four tasks
     /// each; empty once the job has ended.
     pub done: Vec<Vec<String>>,
-    /// Tasks that are not done and have failed runs or a checkpoint.
+    /// Tasks that are not done and of which more than that is known.
     pub tasks: Vec<TaskRecord>,
 }
 
@@ -218,7 +225,7 @@
             for (step, step_number) in round.steps.iter().zip(0u16..) {
                 steps.push(digits_of(step.tasks.iter().map(|task| task.is_done)));
                 for (task, index) in step.tasks.iter().zip(0u32..) {
-                    if task.is_done || (task.failed_runs.is_empty() && task.checkpoint.is_empty()) {
+                    if !task.needs_record() {
                         continue;
                     }
                     tasks.push(TaskRecord {
@@ -227,6 +234,8 @@
                         index,
                         failed_runs: task.failed_runs.clone(),
                         checkpoint: task.checkpoint.clone(),
+                        crashes: task.crashes.clone(),
+                        watched_run: task.watched_run.clone(),
                     });
                 }
             }
@@ -235,6 +244,12 @@
         Self { state, done, tasks }
     }
 
+    /// Returns whether a task is suspected, or was watched, for crashes of its workers.
+    pub(crate) fn has_suspicions(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(|task| !task.crashes.is_empty() || task.watched_run.is_some())
+    }
+
     /// Sets the progress of `job` to the persisted one.
     pub(crate) fn apply(&self, job: &mut Job) {
         job.state = self.state;
@@ -262,6 +277,8 @@
             if let Some(task) = task {
                 task.failed_runs.clone_from(&persisted.failed_runs);
                 task.checkpoint = persisted.checkpoint.clone();
+                task.crashes.clone_from(&persisted.crashes);
+                task.watched_run.clone_from(&persisted.watched_run);
             }
         }
         for round in &mut job.rounds {
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -74,12 +74,15 @@
             };
             let now_ms = self.now_ms;
             let job = self.job_mut(key);
+            let has_suspicions = record.has_suspicions();
             record.apply(job);
             if job.state.is_final() {
                 job.ended_ms = now_ms;
                 self.live.swap_remove(&key);
                 self.recurring.swap_remove(&key);
                 self.ended.push_back(key);
+            } else if has_suspicions {
+                self.restore_suspicions(key);
             }
         }
         self.demand_cycle
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -107,6 +107,15 @@
         }
     }
 
+    /// Returns the size of all its tasks together.
+    pub(crate) fn size_of_all(&self) -> Size {
+        let mut all = self.size;
+        for _ in 1..self.tasks_count {
+            all.add(&self.size);
+        }
+        all
+    }
+
     /// Returns whether a second run of a task may be started beside the first. A member of a gang
     /// works only together with all members of its own run, so a copy of one member would never
     /// begin to work.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -80,11 +80,15 @@
     Avoided,
     /// It is slow after its start, and has had a start just now.
     ColdPaced,
+    /// It is kept for a task that is suspected to crash its workers.
+    Reserved,
 }
 
 /// How far the start of a run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SlotState {
+    /// The start order is sent once its record is persisted.
+    Held,
     /// The start order is in flight.
     Sent,
     /// The worker has accepted the start.
@@ -186,6 +190,8 @@
     pub(crate) is_cordoned: bool,
     /// Whether no new tasks are started on it, because its zone is evacuated.
     pub(crate) is_evacuated: bool,
+    /// Whether it takes only a task that is suspected to crash its workers.
+    pub(crate) is_reserved: bool,
     /// Runs that are, or may be, at the worker.
     pub(crate) slots: IndexMap<RunKey, Slot>,
     /// Sum of the reservations of the slots.
@@ -240,6 +246,7 @@
             has_ended: false,
             is_cordoned: false,
             is_evacuated: false,
+            is_reserved: false,
             slots: IndexMap::new(),
             used: Size::default(),
             long_running_count: 0,
@@ -326,6 +333,11 @@
         self.obstacle(now_ms).is_none()
     }
 
+    /// Returns whether the task for which it is reserved may be started there.
+    pub(crate) fn takes_reserved_tasks(&self, now_ms: u64) -> bool {
+        self.obstacle(now_ms) == Some(WorkerState::Reserved)
+    }
+
     /// Returns why no new tasks may be started there, if that is so.
     fn obstacle(&self, now_ms: u64) -> Option<WorkerState> {
         match () {
@@ -338,6 +350,7 @@
             () if self.failed_polls_count > 0 => Some(WorkerState::Unresponsive),
             () if now_ms < self.avoided_until_ms => Some(WorkerState::Avoided),
             () if now_ms < self.next_start_ms => Some(WorkerState::ColdPaced),
+            () if self.is_reserved => Some(WorkerState::Reserved),
             () => None,
         }
     }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -53,6 +53,7 @@
     pub over_rate_jobs: Counter,
     place_waits: Family<WaitLabels, Counter>,
     crashed_workers: Counter,
+    given_up_jobs: Counter,
     lost_runs: Family<LossLabels, Counter>,
     /// Time from a caller's call to its answer, in milliseconds.
     pub call_ms: Histogram,
@@ -99,6 +100,7 @@
             over_rate_jobs: Counter::default(),
             place_waits: Family::default(),
             crashed_workers: Counter::default(),
+            given_up_jobs: Counter::default(),
             lost_runs: Family::default(),
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
@@ -144,6 +146,11 @@
             "Workers that crashed, or may have, while they had runs.",
             self.crashed_workers.clone(),
         );
+        registry.register(
+            "given_up_jobs",
+            "Jobs with a task that crashed its workers.",
+            self.given_up_jobs.clone(),
+        );
         registry.register(
             "lost_runs",
             "Runs that ended without a report.",
@@ -231,6 +238,7 @@
     /// Adds to the counts of crashed workers and lost runs.
     pub fn count_losses(&self, counts: &LossCounts) {
         self.crashed_workers.inc_by(counts.crashed_workers_count);
+        self.given_up_jobs.inc_by(counts.given_up_jobs_count);
         for (reason, count) in &counts.lost_runs_counts {
             let reason = (*reason).into();
             let counter = self.lost_runs.get_or_create(&LossLabels { reason });
--- a/tests/testsuite/jobs/crashes.rs
+++ b/tests/testsuite/jobs/crashes.rs
@@ -70,3 +70,142 @@
     }
     assert_eq!(simulation.runs_of(service).len(), 6);
 }
+
+/// Guards against a crash that a new leader does not hold against the task.
+#[test]
+fn crashes_count_through_changes_of_leader() {
+    for delay_ms in [20, 300, 700, 1_300, 2_100] {
+        let mut simulation = open(8);
+        let crashing = submit_crashing(&mut simulation, step(1, 2_000, 600));
+        for fence in 2..8 {
+            simulation.advance(delay_ms);
+            simulation.fail_over(fence);
+            advance(&mut simulation, LIST_MS);
+        }
+        advance(&mut simulation, GIVE_UP_MS);
+        assert_given_up(&simulation, crashing);
+    }
+}
+
+/// Guards against a crash that nobody counts because the worker that crashed is gone when a leader
+/// starts from the records alone.
+#[test]
+fn a_crash_counts_that_happens_without_a_leader() {
+    let mut simulation = open(8);
+    let crashing = submit_crashing(&mut simulation, step(1, 2_000, 600));
+    let name = task(crashing, 0);
+    // The third run is the first one alone. Its leader is lost before it notices the crash.
+    simulation.advance_until(GIVE_UP_MS, |simulation| starts_count(simulation, name) == 2);
+    simulation.fail_over_without_lists(2);
+    advance(&mut simulation, GIVE_UP_MS);
+    assert_given_up(&simulation, crashing);
+    assert!(starts_count(&simulation, name) <= 4);
+}
+
+/// Guards against a gang that is started for ever, and against members that crash the workers of
+/// other jobs.
+#[test]
+fn a_gang_with_a_task_that_crashes_its_worker_is_given_up() {
+    let mut simulation = open(8);
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(3, 2_000, 600)
+    };
+    let beside = simulation.submit("maps", job(vec![step(20, 2_000, 900)]));
+    simulation.advance(100);
+    let crashing = submit_crashing(&mut simulation, gang);
+    advance(&mut simulation, 2 * GIVE_UP_MS);
+    assert_given_up(&simulation, crashing);
+    assert_eq!(simulation.state(beside), Some(JobState::Complete));
+}
+
+/// Guards against copies of a task that crash a second worker each time.
+#[test]
+fn a_task_that_has_crashed_its_worker_gets_no_copy() {
+    let mut simulation = open(8);
+    let copied = StepSpec {
+        allows_copies: true,
+        ..step(3, 2_000, 100)
+    };
+    let crashing = submit_crashing(&mut simulation, copied);
+    advance(&mut simulation, GIVE_UP_MS);
+    assert_given_up(&simulation, crashing);
+}
+
+/// Guards against a suspect that waits for ever in a pool whose workers all have tasks without an
+/// end.
+#[test]
+fn a_suspect_is_settled_although_no_worker_can_be_reserved() {
+    let mut simulation = open(3);
+    let service = simulation.submit("maps", job(vec![long_running(6, 2_000)]));
+    simulation.advance(300);
+    let crashing = submit_crashing(&mut simulation, step(1, 2_000, 600));
+    advance(&mut simulation, 2 * GIVE_UP_MS);
+    assert_given_up(&simulation, crashing);
+    assert_eq!(simulation.runs_of(service).len(), 6);
+    assert_eq!(simulation.state(service), Some(JobState::Active));
+}
+
+/// Guards against a task that is given up because workers crash by themselves while it runs.
+#[test]
+fn ordinary_crashes_give_up_no_job() {
+    for at_once_count in [1, 2, 4] {
+        let mut simulation = open(8);
+        let service = simulation.submit("maps", job(vec![long_running(8, 2_000)]));
+        let mut jobs = Vec::new();
+        for round in 0..12 {
+            jobs.push(simulation.submit("maps", job(vec![step(12, 3_000, 1_500)])));
+            simulation.advance(400);
+            let alive = simulation
+                .workers
+                .iter()
+                .filter(|(_, worker)| !worker.is_dead);
+            let alive: Vec<_> = alive.map(|(id, _)| id.clone()).collect();
+            for number in 0..at_once_count {
+                simulation.crash(&alive[(round * 3 + number) % alive.len()]);
+            }
+            advance(&mut simulation, 3_500);
+        }
+        advance(&mut simulation, GIVE_UP_MS);
+        for id in jobs {
+            assert_eq!(simulation.state(id), Some(JobState::Complete));
+        }
+        assert_eq!(simulation.runs_of(service).len(), 8);
+    }
+}
+
+/// Guards against a job that is given up because its worker could not be reached.
+#[test]
+fn silent_workers_give_up_no_job() {
+    let mut simulation = open(4);
+    let id = simulation.submit("maps", job(vec![step(1, 2_000, 9_000)]));
+    for _ in 0..3 {
+        simulation.advance_until(GIVE_UP_MS, |simulation| !simulation.runs_of(id).is_empty());
+        simulation.advance(300);
+        let worker = simulation.runs_of(id)[0].0.clone();
+        simulation.workers[&worker].is_disconnected = true;
+        advance(&mut simulation, 7_000);
+        simulation.workers[&worker].is_disconnected = false;
+    }
+    simulation.advance_until(GIVE_UP_MS, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
+
+/// Guards against a suspect that is started before later leaders can learn of it, and against one
+/// that is started after its job was cancelled.
+#[test]
+fn a_suspect_waits_for_its_record_and_a_cancelled_one_never_starts() {
+    let mut simulation = open(8);
+    let crashing = submit_crashing(&mut simulation, step(1, 2_000, 600));
+    let name = task(crashing, 0);
+    simulation.advance_until(GIVE_UP_MS, |simulation| starts_count(simulation, name) == 1);
+    simulation.is_store_unavailable = true;
+    advance(&mut simulation, 5_000);
+    assert_eq!(starts_count(&simulation, name), 1);
+    simulation.engine.cancel(crashing);
+    simulation.is_store_unavailable = false;
+    advance(&mut simulation, 5_000);
+    assert_eq!(starts_count(&simulation, name), 1);
+    assert_eq!(simulation.state(crashing), Some(JobState::Cancelled));
+}
