Keep suspects apart until it is their turn, and count a second cause of one crash

Change: suspects that end wait for their turn while a worker can be reserved; half of the idle and a quarter of the busy workers may be; a start just before a crash is not cleared with the others; instances that crashed under the task come last; four instances suffice to give a task up; task_blamed logs what is held against a task and why.

--- a/src/jobs/crashes.rs
+++ b/src/jobs/crashes.rs
@@ -4,6 +4,7 @@
 //! been the cause. A task that has crashed enough workers is given up, and the tasks that stood
 //! beside it are cleared of those crashes.
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -28,9 +29,9 @@
 const SUSPECT_CRASHES_COUNT: usize = 2;
 /// Number of crashes with nothing else on the worker from which a task is given up.
 const CONCLUSIVE_CRASHES_COUNT: usize = 2;
-/// Number of crashes from which a task is given up if one of them is conclusive.
-const SUPPORTED_CRASHES_COUNT: usize = 4;
-/// Number of crashes from which a task that ends is given up in any case.
+/// Number of instances whose workers crashed from which a task that ends is given up in any case.
+const CRASHED_INSTANCES_MAX_COUNT: usize = 4;
+/// Number of crashes, of any instances, from which a task that ends is given up in any case.
 const CRASHES_MAX_COUNT: usize = 5;
 
 /// One incarnation of a worker.
@@ -38,6 +39,8 @@
 pub struct Incarnation {
     /// Id of the worker.
     pub worker: SmolStr,
+    /// Its instance; empty if it reports none.
+    pub instance: SmolStr,
     /// Unix time at which it started, in milliseconds.
     pub started_unix_ms: u64,
 }
@@ -79,11 +82,13 @@
 /// whenever a worker crashes, only crashes that are conclusive count.
 pub(crate) fn is_crash_limit_reached(crashes: &[CrashRecord], is_long_running: bool) -> bool {
     let conclusive = crashes.iter().filter(|crash| crash.is_conclusive);
-    match (conclusive.count(), crashes.len()) {
-        (CONCLUSIVE_CRASHES_COUNT.., _) => true,
-        (1.., SUPPORTED_CRASHES_COUNT..) | (_, CRASHES_MAX_COUNT..) => !is_long_running,
-        _ => false,
-    }
+    let instances: IndexSet<&SmolStr> = crashes
+        .iter()
+        .map(|crash| &crash.incarnation.instance)
+        .collect();
+    let is_spent =
+        instances.len() >= CRASHED_INSTANCES_MAX_COUNT || crashes.len() >= CRASHES_MAX_COUNT;
+    conclusive.count() >= CONCLUSIVE_CRASHES_COUNT || (is_spent && !is_long_running)
 }
 
 /// Returns whether a run can have crashed a worker that was last heard at `heard_ms`.
@@ -108,6 +113,7 @@
     pub(crate) fn incarnation(&self) -> Incarnation {
         Incarnation {
             worker: self.info.id.clone(),
+            instance: self.info.instance.clone().unwrap_or_default(),
             started_unix_ms: self.info.started_unix_ms,
         }
     }
@@ -121,11 +127,11 @@
         let heard_ms = worker.last_heard_ms(self.now_ms);
         let incarnation = worker.incarnation();
         let has_failed_alone = !self.has_common_failure(key, heard_ms);
+        let has_likely_cause = lost.iter().any(|lost| is_early(&lost.slot, heard_ms));
         let is_conclusive = reason != LossReason::LeaseExpired
-            && has_failed_alone
+            && (has_failed_alone || has_likely_cause)
             && self.was_alone(key, lost)
             && !self.quarantine.is_unreliable(worker, self.now_ms);
-        let has_likely_cause = lost.iter().any(|lost| is_early(&lost.slot, heard_ms));
         let worker = &self.workers[index(key.0)];
         self.quarantine
             .note_crash(worker, key, has_likely_cause, self.now_ms);
@@ -165,21 +171,33 @@
         let mut failures = self.quarantine.silences_in(near_ms);
         failures.any(|(silent_since_ms, other)| {
             let state = self.worker(other);
-            let is_explained = state.slots.values().any(|slot| is_early(slot, heard_ms))
+            let mut slots = state.slots.values();
+            let is_explained = slots.any(|slot| is_early(slot, silent_since_ms))
                 || self.quarantine.has_likely_cause(other, state);
             other != key && state.silent_since_ms == Some(silent_since_ms) && !is_explained
         })
     }
 
-    /// Holds a crash against a task, unless it is known already.
-    pub(crate) fn blame_task(&mut self, task: TaskKey, crash: CrashRecord) {
+    /// Holds a crash against a task, unless it is known already. A second crash of one instance may
+    /// as well be its own fault, unless the task had just been started.
+    pub(crate) fn blame_task(&mut self, task: TaskKey, mut crash: CrashRecord) {
         let Some(state) = self.task(task).filter(|state| !state.is_done) else {
             return;
         };
-        let mut known = state.crashes.iter();
-        if known.any(|known| known.incarnation == crash.incarnation) {
+        let mut known = state.crashes.iter().map(|known| &known.incarnation);
+        if known.clone().any(|known| *known == crash.incarnation) {
             return;
         }
+        let instance = &crash.incarnation.instance;
+        crash.is_conclusive &= crash.is_early || !known.any(|known| known.instance == *instance);
+        Event::new("task_blamed")
+            .with("task", self.task_name(task))
+            .with("worker", &crash.incarnation.worker)
+            .with("instance", &crash.incarnation.instance)
+            .with("crashes_before_count", state.crashes.len())
+            .with("is_early", crash.is_early)
+            .with("is_conclusive", crash.is_conclusive)
+            .info();
         self.change_task(task, |state| {
             state.crashes.push(crash);
             state.isolated_until_ms = None;
@@ -209,11 +227,12 @@
         true
     }
 
-    /// Clears all other tasks, and the instances, of crashes of which the cause is known.
+    /// Clears all other tasks, and the instances, of crashes of which the cause is known. A task that
+    /// was started just before a crash may be a second cause.
     fn clear_of(&mut self, crashes: &[CrashRecord]) {
         let is_explained = |known: &CrashRecord| {
             let mut crashes = crashes.iter();
-            crashes.any(|crash| crash.incarnation == known.incarnation)
+            !known.is_early && crashes.any(|crash| crash.incarnation == known.incarnation)
         };
         self.quarantine.forget_crashes(crashes);
         for task in self.quarantine.tasks() {
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -16,15 +16,17 @@
 use crate::jobs::worker::{SlotState, Worker};
 use crate::logging::Event;
 
-/// Longest wait of a suspect until a worker is reserved for it, in milliseconds.
+/// Longest wait of a suspect in a pool where no worker can be reserved, or of one without an end, in
+/// milliseconds.
 const RESERVATION_WAIT_MS: u64 = 2_000;
 /// Longest time for which a worker is reserved before its suspect starts, in milliseconds.
 const RESERVATION_MAX_MS: u64 = 4_000;
-/// Time after a crash for which another one of the same instance says little about a task, in
-/// milliseconds.
-const UNRELIABLE_MS: u64 = 30_000;
-/// Number of workers of a pool of which one may be reserved; each pool may have one.
-const WORKERS_PER_RESERVATION: usize = 4;
+/// Time for which the crashes of instances and the silences of workers are kept, in milliseconds.
+const RECENT_MS: u64 = 30_000;
+/// Number of workers of a pool of which one may be reserved while it is busy; each pool may have one.
+const WORKERS_PER_BUSY_RESERVATION: usize = 4;
+/// The same for idle workers.
+const WORKERS_PER_IDLE_RESERVATION: usize = 2;
 
 /// A worker that takes only one task, or members of its gang.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +84,7 @@
 
     /// Records that a worker has stopped answering.
     pub(crate) fn note_silence(&mut self, worker: WorkerKey, now_ms: u64) {
-        let oldest_ms = now_ms.saturating_sub(UNRELIABLE_MS);
+        let oldest_ms = now_ms.saturating_sub(RECENT_MS);
         self.silences = self.silences.split_off(&(oldest_ms, WorkerKey(0)));
         self.silences.insert((now_ms, worker));
     }
@@ -111,7 +113,7 @@
             has_likely_cause: has_likely_cause || self.reservations.contains_key(&key),
         };
         self.crashes
-            .retain(|_, crash| now_ms < crash.at_ms + UNRELIABLE_MS);
+            .retain(|_, crash| now_ms < crash.at_ms + RECENT_MS);
         self.crashes.insert(instance_name(worker).clone(), crash);
     }
 
@@ -124,11 +126,13 @@
         self.crashes.retain(|_, crash| !is_explained(crash));
     }
 
-    /// Returns whether an earlier worker of the same instance has crashed lately.
+    /// Returns whether an earlier worker of the same instance has crashed lately for no reason that
+    /// is known.
     pub(crate) fn is_unreliable(&self, worker: &Worker, now_ms: u64) -> bool {
         let crash = self.crashes.get(instance_name(worker));
         crash.is_some_and(|crash| {
-            now_ms < crash.at_ms + UNRELIABLE_MS && crash.incarnation != worker.incarnation()
+            let is_recent = now_ms < crash.at_ms + RECENT_MS;
+            is_recent && !crash.has_likely_cause && crash.incarnation != worker.incarnation()
         })
     }
 
@@ -206,22 +210,25 @@
         members.iter().any(|task| self.is_isolated(*task))
     }
 
-    /// Starts a suspect on a worker of its own, or reserves one for it.
+    /// Starts a suspect on a worker of its own, or reserves one for it. As long as there are workers
+    /// that can be reserved, a task that ends waits for its turn.
     fn start_alone(&mut self, task: TaskKey) {
-        let now_ms = self.now_ms;
-        let until_ms = now_ms + RESERVATION_WAIT_MS;
-        self.change_task(task, |state| {
-            state.isolated_until_ms.get_or_insert(until_ms);
-        });
-        if !self.is_isolated(task) {
-            return;
-        }
         let spec = self.job(task.job).spec.clone();
         let step = &spec.steps[usize::from(task.step)];
         let Some(eligible) = self.workers_for_suspect(task, step) else {
             return;
         };
+        let now_ms = self.now_ms;
+        let has_turn = !eligible.is_empty() && !step.is_long_running && !step.is_gang;
+        self.change_task(task, |state| {
+            let until_ms = now_ms + RESERVATION_WAIT_MS;
+            match has_turn {
+                true => state.isolated_until_ms = Some(until_ms),
+                false => state.isolated_until_ms = state.isolated_until_ms.or(Some(until_ms)),
+            }
+        });
         match step.is_gang {
+            _ if !self.is_isolated(task) => {}
             true => self.start_gang_alone(task, step, &eligible),
             false => self.start_task_alone(task, step, &eligible),
         }
@@ -267,7 +274,8 @@
             let worker = self.worker(**key);
             (
                 self.quarantine.task_of(**key).is_none(),
-                self.quarantine.is_unreliable(worker, self.now_ms),
+                self.has_crashed_instance(task, worker)
+                    || self.quarantine.is_unreliable(worker, self.now_ms),
                 !worker.slots.is_empty(),
                 worker.is_slow(),
                 self.quarantine.last_crash_ms(worker),
@@ -285,6 +293,14 @@
         self.order_start(worker, task, number, step, is_remote);
     }
 
+    /// Returns whether a crash of the same instance is held against a task already.
+    fn has_crashed_instance(&self, task: TaskKey, worker: &Worker) -> bool {
+        let instance = worker.info.instance.as_deref().unwrap_or_default();
+        let crashes = self.task(task).map_or(&[][..], |state| &state.crashes);
+        let mut instances = crashes.iter().map(|crash| &crash.incarnation.instance);
+        instances.any(|known| known == instance)
+    }
+
     /// Starts a gang on workers that run nothing else, if there are enough of them.
     fn start_gang_alone(&mut self, task: TaskKey, step: &StepSpec, eligible: &[WorkerKey]) {
         let idle = eligible.iter().copied();
@@ -317,11 +333,13 @@
         let reserved_count = reserved
             .filter(|key| self.worker(**key).info.pool == pool)
             .count();
-        let accepting_count = self
-            .free_capacity
-            .pool(&pool)
-            .map_or(0, |pool| pool.accepting_count());
-        let max_count = (accepting_count + reserved_count) / WORKERS_PER_RESERVATION;
+        let accepting = self.free_capacity.pool(&pool);
+        let accepting_count = accepting.map_or(0, |pool| pool.accepting_count());
+        let workers_per_reservation = match self.worker(worker).slots.is_empty() {
+            true => WORKERS_PER_IDLE_RESERVATION,
+            false => WORKERS_PER_BUSY_RESERVATION,
+        };
+        let max_count = (accepting_count + reserved_count) / workers_per_reservation;
         if reserved_count >= max_count.max(1) {
             return false;
         }
