Start no task by a capacity that may have shrunk

Cause: found by tests that failed first, where workers start whatever they are told. A worker that restarted under its id was given tasks by the capacity of the incarnation before; a start that had waited for its record was sent although its worker had shrunk meanwhile, or took no tasks any more; a new leader took the present capacity of an unreachable worker for the most that a team may have running there; a leader whose list of workers was not read any more went on by old entries.

Change: known_capacity.rs decides whether a reported capacity is current; the pools say whether their workers enforce it, and where they do nothing changes. Held starts are checked again when they are sent. The record of a worker holds the largest capacity that it had. A change of capacity counts as a change of the entry, is logged, and lets tasks start. The size of a pool's instances is the largest of its workers, not the first.

The simulated pools enforce their capacity unless a test says otherwise, as those of the deployments do: an existing test restarts a worker without listing it again.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -5,7 +5,8 @@
 use crate::jobs::job::{Job, JobState};
 use crate::jobs::keys::{JobKey, WorkerKey};
 use crate::jobs::record::{JobRecord, ProgressRecord, Record, WorkerRecord};
-use crate::jobs::worker::PollState;
+use crate::jobs::spec::Size;
+use crate::jobs::worker::{PollState, WorkerInfo};
 use crate::logging::Event;
 
 /// Records in flight to the store.
@@ -50,8 +51,9 @@
             records.push(Record::Progress(job.id, ProgressRecord::of(job)));
         }
         for key in &batch.workers {
-            let info = &self.workers[index(key.0)].info;
-            records.push(Record::Worker(info.id.clone(), worker_record(info)));
+            let worker = &self.workers[index(key.0)];
+            let record = worker_record(&worker.info, worker.largest_capacity);
+            records.push(Record::Worker(worker.info.id.clone(), record));
         }
         self.in_flight = Some(batch);
         Some(records)
@@ -165,12 +167,12 @@
     }
 }
 
-fn worker_record(info: &crate::jobs::worker::WorkerInfo) -> WorkerRecord {
+fn worker_record(info: &WorkerInfo, capacity: Size) -> WorkerRecord {
     WorkerRecord {
         address: smol_str::format_smolstr!("{}", info.address),
         pool: info.pool.clone(),
         zone: info.zone.clone(),
         labels: info.labels.clone(),
-        capacity: info.capacity,
+        capacity,
     }
 }
--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -380,9 +380,11 @@
 
     pub(crate) fn instance_size(&self, pool: &SmolStr) -> Size {
         let of_pool = |worker: &&crate::jobs::worker::Worker| worker.info.pool == *pool;
-        let worker = self.present_workers().find(of_pool);
+        // The capacity of single workers may have shrunk.
+        let workers = self.present_workers().filter(of_pool);
+        let largest = workers.max_by_key(|worker| worker.info.capacity.cpu_millis);
         let first = || self.instances.rows.values().next();
-        worker
+        largest
             .map(|worker| worker.info.capacity)
             .or_else(|| first().map(|row| row.info.capacity))
             .unwrap_or_default()
--- a/src/jobs/catalog.rs
+++ b/src/jobs/catalog.rs
@@ -37,6 +37,8 @@
 pub struct Pool {
     /// Whether its instances are switched off, in standby.
     pub is_standby: bool,
+    /// Whether its workers refuse tasks that exceed their capacity.
+    pub enforces_capacity: bool,
     /// Most starts a second on a worker that is still slow after its own start; 0 for no limit.
     pub cold_starts_per_s: f64,
 }
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -21,6 +21,7 @@
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, JobState, Round, Task};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+use crate::jobs::known_capacity::WorkersList;
 use crate::jobs::lost_runs::LossCounts;
 use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
@@ -69,6 +70,9 @@
     /// Run time of a task outside the rack of its data relative to that inside, in thousandths.
     /// With 1,000 or less, no task waits for a rack.
     pub remote_factor_permille: u64,
+    /// Age of the list of workers from which no task is started by the capacities in it, where
+    /// workers do not enforce them, in milliseconds; 0 for no limit.
+    pub capacity_age_max_ms: u64,
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
@@ -125,6 +129,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) held_starts: Vec<HeldStart>,
     pub(crate) inherited_runs: InheritedRuns,
+    pub(crate) workers_list: WorkersList,
     pub(crate) instances: Instances,
     pub(crate) evacuated_zones: EvacuatedZones,
     pub(crate) order_numbers: OrderNumbers,
@@ -183,6 +188,7 @@
             quarantine: Quarantine::default(),
             held_starts: Vec::new(),
             inherited_runs: InheritedRuns::default(),
+            workers_list: WorkersList::default(),
             instances: Instances::default(),
             evacuated_zones: EvacuatedZones::default(),
             order_numbers: OrderNumbers::default(),
@@ -233,7 +239,7 @@
         self.team_rates.retain_teams(&catalog.teams);
         self.catalog = catalog;
         for key in self.present.clone() {
-            self.touch_worker(key);
+            self.update_known_capacity(key);
         }
         self.needs_dispatch = true;
     }
@@ -251,6 +257,7 @@
             self.expire_leases();
             self.resend_stops();
             self.review_quarantine();
+            self.review_workers_list();
         }
         self.plan_job_order();
         self.dispatch();
@@ -348,7 +355,7 @@
             position: worker.takes_tasks(now_ms).then_some(position),
             unseen: worker
                 .may_have_unseen_runs()
-                .then_some(worker.info.capacity),
+                .then_some(worker.largest_capacity),
         };
         for due_ms in [
             worker.avoided_until_ms,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod instances;
 mod job;
 mod keys;
+mod known_capacity;
 mod lost_runs;
 mod order_numbers;
 mod orders;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -213,6 +213,7 @@
             .warn();
         let lost = self.lose_all_runs(key, LossReason::WorkerRestarted);
         self.worker_mut(key).start_incarnation(started_unix_ms);
+        self.update_known_capacity(key);
         let may_start_late = |lost: &&LostRun| {
             matches!(
                 lost.slot.state,
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -89,7 +89,7 @@
     pub zone: SmolStr,
     /// Labels.
     pub labels: Vec<SmolStr>,
-    /// Total capacity.
+    /// Most capacity that it is known to have had.
     pub capacity: Size,
 }
 
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -178,16 +178,22 @@
         let is_change = !worker.is_listed
             || worker.info.is_draining != info.is_draining
             || worker.info.pool != info.pool
-            || worker.info.address != info.address;
+            || worker.info.address != info.address
+            || worker.info.capacity != info.capacity;
         let needs_record = !worker.is_persisted && !worker.is_listed;
+        let largest_capacity = worker.largest_capacity.max(&info.capacity);
         let needs_new_record = worker.is_persisted
-            && (worker.info.address != info.address || worker.info.pool != info.pool);
+            && (worker.info.address != info.address
+                || worker.info.pool != info.pool
+                || worker.largest_capacity != largest_capacity);
         if is_change || is_restarted {
             Event::new("worker_listed")
                 .with("worker", &info.id)
                 .with("pool", &info.pool)
                 .with("address", info.address)
                 .with("is_draining", info.is_draining)
+                .with("cpu_millis", info.capacity.cpu_millis)
+                .with("memory_mb", info.capacity.memory_mb)
                 .with("is_new_life", is_restarted)
                 .info();
             self.needs_dispatch = true;
@@ -203,6 +209,8 @@
         if info.cold_ms > 0 {
             worker.cold_until_ms = now_ms + info.cold_ms;
         }
+        worker.largest_capacity = largest_capacity;
+        worker.listed_started_unix_ms = info.started_unix_ms;
         worker.info = info;
         worker.info.started_unix_ms = worker.info.started_unix_ms.max(started_unix_ms);
         if is_restarted {
@@ -218,6 +226,7 @@
             }
         }
         self.apply_evacuation(key);
+        self.update_known_capacity(key);
         if needs_new_record || (needs_record && self.worker(key).is_fenced) {
             self.persist_worker(key);
         }
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -45,6 +45,15 @@
         self.gpu_count = self.gpu_count.saturating_sub(less.gpu_count);
     }
 
+    /// Returns the larger of the two values of each resource.
+    pub(crate) fn max(&self, other: &Size) -> Size {
+        Size {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpu_count: self.gpu_count.max(other.gpu_count),
+        }
+    }
+
     /// Returns the size without processor time.
     pub fn without_cpu(&self) -> Size {
         Size {
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -9,7 +9,7 @@
 use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{Action, StartOrder};
 use crate::jobs::polls::new_slot;
-use crate::jobs::spec::StepSpec;
+use crate::jobs::spec::{Size, StepSpec};
 use crate::jobs::worker::{Slot, SlotState};
 use crate::logging::Event;
 
@@ -155,15 +155,16 @@
     }
 
     /// Sends the start orders whose records are in the batches up to `batch`, unless they have been
-    /// stopped or their worker was lost meanwhile.
+    /// stopped meanwhile, or their worker was lost or takes no tasks any more.
     pub(crate) fn send_held_starts(&mut self, batch: u64) {
         let held = std::mem::take(&mut self.held_starts);
         let (due, later): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| held.batch <= batch);
         self.held_starts = later;
         for HeldStart { worker, run, .. } in due {
             let now_ms = self.now_ms;
+            let may_start = self.may_send_start(worker, run);
             match self.worker_mut(worker).slots.get_mut(&run) {
-                Some(slot) if slot.is_stopping => self.remove_run(worker, run),
+                Some(slot) if slot.is_stopping || !may_start => self.remove_run(worker, run),
                 Some(slot) => {
                     slot.state = SlotState::Sent;
                     slot.since_ms = now_ms;
@@ -174,6 +175,16 @@
         }
     }
 
+    /// Returns whether a worker still is one on which a run that has waited for its record may start.
+    fn may_send_start(&self, key: WorkerKey, run: RunKey) -> bool {
+        let worker = self.worker(key);
+        let is_usable = worker.takes_ordered_starts(self.now_ms);
+        let is_within_capacity = worker
+            .used
+            .fits_with(&Size::default(), &worker.info.capacity);
+        is_usable && is_within_capacity && worker.info.pool == self.job(run.task.job).pool
+    }
+
     /// Schedules a copy of a task that has just started, where its step allows copies.
     pub(crate) fn schedule_copy(&mut self, task: TaskKey, step: &StepSpec) {
         if step.may_have_copies() {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -80,6 +80,8 @@
     Avoided,
     /// It is slow after its start, and has had a start just now.
     ColdPaced,
+    /// It would start tasks beyond its capacity, and may have less than it last reported.
+    CapacityUnknown,
     /// It is kept for a task that is suspected to crash its workers.
     Reserved,
 }
@@ -190,6 +192,12 @@
     pub(crate) is_cordoned: bool,
     /// Whether no new tasks are started on it, because its zone is evacuated.
     pub(crate) is_evacuated: bool,
+    /// Unix time of the start of the incarnation that the list shows, in milliseconds; 0 for none.
+    pub(crate) listed_started_unix_ms: u64,
+    /// Whether its capacity may have changed and it would start tasks beyond it.
+    pub(crate) is_capacity_unknown: bool,
+    /// Most capacity that it is known to have had; runs that started then may still be there.
+    pub(crate) largest_capacity: Size,
     /// Whether it takes only a task that is suspected to crash its workers.
     pub(crate) is_reserved: bool,
     /// Runs that are, or may be, at the worker.
@@ -238,6 +246,7 @@
     pub(crate) fn open(info: WorkerInfo, now_ms: u64) -> Self {
         Self {
             rack: rack_of(&info.labels),
+            largest_capacity: info.capacity,
             info,
             is_listed: false,
             is_persisted: false,
@@ -246,6 +255,8 @@
             has_ended: false,
             is_cordoned: false,
             is_evacuated: false,
+            listed_started_unix_ms: 0,
+            is_capacity_unknown: false,
             is_reserved: false,
             slots: IndexMap::new(),
             used: Size::default(),
@@ -338,6 +349,13 @@
         self.obstacle(now_ms) == Some(WorkerState::Reserved)
     }
 
+    /// Returns whether a start that was ordered before may be sent there.
+    pub(crate) fn takes_ordered_starts(&self, now_ms: u64) -> bool {
+        let own = [WorkerState::Reserved, WorkerState::ColdPaced];
+        self.obstacle(now_ms)
+            .is_none_or(|state| own.contains(&state))
+    }
+
     /// Returns why no new tasks may be started there, if that is so.
     fn obstacle(&self, now_ms: u64) -> Option<WorkerState> {
         match () {
@@ -349,6 +367,7 @@
             () if !self.is_fenced => Some(WorkerState::NotFenced),
             () if self.failed_polls_count > 0 => Some(WorkerState::Unresponsive),
             () if now_ms < self.avoided_until_ms => Some(WorkerState::Avoided),
+            () if self.is_capacity_unknown => Some(WorkerState::CapacityUnknown),
             () if now_ms < self.next_start_ms => Some(WorkerState::ColdPaced),
             () if self.is_reserved => Some(WorkerState::Reserved),
             () => None,
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -125,6 +125,7 @@
             maintain_ms: 2_000,
             instance_lease_ms: 3_000,
             earlier_orders_wait_ms: 0,
+            capacity_age_max_ms: 0,
             remote_factor_permille: 1_000,
         };
         let mut engine = Engine::open(settings, catalog(), 0, UNIX_MS);
--- a/src/load/places.rs
+++ b/src/load/places.rs
@@ -209,6 +209,7 @@
             maintain_ms: 2_000,
             instance_lease_ms: 3_000,
             earlier_orders_wait_ms: 0,
+            capacity_age_max_ms: 0,
             remote_factor_permille: match policy {
                 PlacePolicy::Expected => factor_permille,
                 PlacePolicy::Never | PlacePolicy::Always => 1_000,
--- a/src/node/fleet_lists.rs
+++ b/src/node/fleet_lists.rs
@@ -46,6 +46,7 @@
 
 impl WorkersFollower {
     async fn read(&mut self, node: &Rc<Node>) {
+        let sent_ms = node.now_ms();
         let read = match self.next_offset {
             None => self.read_newest(node).await,
             Some(offset) => node
@@ -68,6 +69,7 @@
                     self.apply_record(node, &record, now_ms);
                 }
                 self.next_offset = Some(next_offset);
+                node.with_engine(|engine, _| engine.workers_list_read(sent_ms));
             }
             Err(StoreFailure::Trimmed { .. }) => self.next_offset = None,
             Err(failure) => {
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -379,6 +379,7 @@
             _ => bounds.instance_lease_ms + TICK_MS,
         },
         remote_factor_permille: bounds.remote_factor_permille,
+        capacity_age_max_ms: bounds.capacity_age_max_ms,
     };
     Event::new("leadership_acquired")
         .with("fence", fence)
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -31,6 +31,9 @@
     pub instance_lease_ms: u64,
     /// Run time of a task outside the rack of its data relative to that inside, in thousandths.
     pub remote_factor_permille: u64,
+    /// Age of the list of workers from which no task is started by the capacities in it, where
+    /// workers do not enforce them, in milliseconds.
+    pub capacity_age_max_ms: u64,
 }
 
 /// Limits of calls to the store.
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -59,6 +59,8 @@
     standby: bool,
     #[serde(default)]
     cold_per_s: f64,
+    #[serde(default)]
+    enforces_capacity: bool,
 }
 
 #[derive(Default, Deserialize)]
@@ -168,6 +170,7 @@
         let pool = Pool {
             is_standby: service.standby,
             cold_starts_per_s: service.cold_per_s,
+            enforces_capacity: service.enforces_capacity,
         };
         (service.name, pool)
     };
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -72,6 +72,10 @@
 }
 
 /// Time limits of the deployment; fields that the node does not use are not listed.
+/// Longest time from the decision to start a task until its worker has received the order, in
+/// milliseconds.
+const START_RESERVE_MS: u64 = 1_000;
+
 #[derive(Debug, Deserialize)]
 #[serde(default)]
 struct BoundsWire {
@@ -85,6 +89,7 @@
     maintenance_s: f64,
     lease_ms: u64,
     remote_factor: f64,
+    contact_ms: u64,
 }
 
 impl Default for BoundsWire {
@@ -100,6 +105,7 @@
             maintenance_s: 2.0,
             lease_ms: 3_000,
             remote_factor: 1.0,
+            contact_ms: 3_000,
         }
     }
 }
@@ -186,6 +192,7 @@
             maintain_ms: to_ms(bounds.maintenance_s),
             instance_lease_ms: bounds.lease_ms,
             remote_factor_permille: to_permille(bounds.remote_factor),
+            capacity_age_max_ms: bounds.contact_ms.saturating_sub(START_RESERVE_MS).max(1),
         },
     })
 }
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -3,6 +3,9 @@
 use hawthornladder::jobs::{Catalog, EngineSettings, JobSpec, Pool, Queue, Size, StepSpec, Team};
 use smol_str::SmolStr;
 
+/// Age of the list of workers from which its capacities are not used, in milliseconds.
+pub(crate) const CAPACITY_AGE_MAX_MS: u64 = 2_000;
+
 /// Returns a size with processor time and memory.
 pub(crate) fn size(cpu_millis: u64, memory_mb: u64) -> Size {
     Size {
@@ -56,7 +59,11 @@
             ..Queue::default()
         };
         catalog.queues.insert(name.clone(), queue);
-        catalog.pools.insert(name, Pool::default());
+        let pool = Pool {
+            enforces_capacity: true,
+            ..Pool::default()
+        };
+        catalog.pools.insert(name, pool);
     }
     let standby = Pool {
         is_standby: true,
@@ -105,5 +112,6 @@
         instance_lease_ms: 3_000,
         earlier_orders_wait_ms: if fence == 1 { 0 } else { 3_000 },
         remote_factor_permille: factor_permille,
+        capacity_age_max_ms: CAPACITY_AGE_MAX_MS,
     }
 }
--- a/tests/testsuite/jobs/checks.rs
+++ b/tests/testsuite/jobs/checks.rs
@@ -60,7 +60,7 @@
                     self.now_ms
                 );
             }
-            let capacity = worker.info.capacity;
+            let capacity = worker.capacity_before.unwrap_or(worker.info.capacity);
             assert!(
                 used.fits_with(&Size::default(), &capacity),
                 "{id} exceeds its capacity: {used:?}"
--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -33,6 +33,9 @@
     pub(crate) loses_answers: bool,
     /// Its process has ended; [`restart`](Self::restart) starts it again.
     pub(crate) is_dead: bool,
+    /// Capacity before it shrank, which the runs that it then had may still use; none if it has not
+    /// shrunk.
+    pub(crate) capacity_before: Option<Size>,
     /// Calls to it fail at once, as its process has crashed.
     pub(crate) resets_connections: bool,
     /// Delay with which it carries out starts that it does not answer, in milliseconds; 0 to answer
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod peaks;
 mod places;
 mod run_times;
+mod shrunk_capacity;
 mod simulation;
 mod soak;
 mod team_rates;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -8,7 +8,7 @@
 
 use hawthornladder::jobs::{
     Action, Catalog, EndKind, Engine, InstanceFailure, InstanceInfo, InstanceOrder, InstanceState,
-    JobId, JobSpec, JobState, OrderFailure, PollOrder, PollReply, Record, RunRow, Settled,
+    JobId, JobSpec, JobState, OrderFailure, PollOrder, PollReply, Record, RunRow, Settled, Size,
     StartOrder, StopOrder, Submission, SubmitOutcome, TaskName, TicketRequest, WaveSpec,
     WorkerInfo,
 };
@@ -206,6 +206,7 @@
             is_disconnected: false,
             loses_answers: false,
             is_dead: false,
+            capacity_before: None,
             resets_connections: false,
             start_delay_ms: 0,
             refuses_as_late: false,
@@ -604,6 +605,27 @@
         }
     }
 
+    /// Changes the capacity of a worker, which its next entry in the list shows.
+    pub(crate) fn resize(&mut self, id: &SmolStr, capacity: Size) {
+        let worker = &mut self.workers[id];
+        let before = worker.info.capacity;
+        worker.capacity_before.get_or_insert(before);
+        worker.info.capacity = capacity;
+    }
+
+    /// Checks that a worker has the capacity for one more run.
+    fn check_capacity(&self, id: &SmolStr, reservation: &Size) {
+        let worker = &self.workers[id];
+        let mut used = Size::default();
+        for run in worker.running.values() {
+            used.add(&run.reservation);
+        }
+        assert!(
+            used.fits_with(reservation, &worker.info.capacity),
+            "a start exceeds the capacity of {id}: {used:?} and {reservation:?}"
+        );
+    }
+
     /// Crashes a worker. Another one starts on its instance some time later.
     pub(crate) fn crash(&mut self, id: &SmolStr) {
         let worker = &mut self.workers[id];
@@ -670,7 +692,8 @@
             },
         };
         worker.leased_until_ms = worker.leased_until_ms.max(order.lease_end_worker_ms);
-        worker.running.insert(key, run);
+        self.check_capacity(&order.target.id, &run.reservation);
+        self.workers[&order.target.id].running.insert(key, run);
         if step.in_one_rack && !step.is_long_running {
             self.slow_spanning_gang(order);
         }
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -68,7 +68,7 @@
         {"name":"r1","host":"a.example","path_prefix":"/x/","service":"p1","public":true},
         {"name":"r2","host":"a.example","path_prefix":"/x/y/","service":"p2","max_attempts":4,
          "recommendation":{"decision_ms":5}}],
-        "services":[{"name":"p1"},{"name":"p2","standby":true}],
+        "services":[{"name":"p1"},{"name":"p2","standby":true,"enforces_capacity":true}],
         "tenants":[{"name":"t","api_keys":["k1"],"maximum":{"cpu":5000}}],"more":1}"#;
     let Ok(OperatorRecord::Lists(lists)) = parse_operator_record("config", text) else {
         panic!("the lists were not parsed");
@@ -82,6 +82,8 @@
     assert!(lists.team_of(open, None).is_ok());
     assert!(lists.route("b.example", "/x/0123").is_none());
     assert_eq!(lists.standby_pool().map(|name| name.as_str()), Some("p2"));
+    assert!(lists.pools["p2"].enforces_capacity);
+    assert!(!lists.pools["p1"].enforces_capacity);
     assert!(parse_operator_record("config", b"{").is_err());
 }
 
