Give suspects the idle workers that others leave, and their pool an instance for them

Change: what the other tasks of a pass leave idle is reserved for suspects too; the capacity plan counts an instance for each of up to four waiting suspects of a pool, besides those with tasks that have no end; a suspect waits 5 s for it; no copy of a run whose worker fell silent right after its start.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -432,6 +432,11 @@
             .keys()
             .map(|pool| (pool.clone(), self.instance_size(pool)))
             .collect();
+        for (pool, count) in self.suspect_instances() {
+            if let Some(need) = needs.get_mut(&pool) {
+                need.all_at_once_count = need.long_running_hosts_count + count;
+            }
+        }
         for key in &self.live {
             let job = self.job(*key);
             if let Some(need) = needs.get_mut(&job.pool) {
--- a/src/jobs/crashes.rs
+++ b/src/jobs/crashes.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Returns whether a worker has fallen silent right after the start order of a task.
+    pub(crate) fn may_have_crashed(&self, task: TaskKey, key: WorkerKey) -> bool {
+        let worker = self.worker(key);
+        let mut of_task = worker.slots.iter().filter(|(run, _)| run.task == task);
+        let silent_since_ms = worker.silent_since_ms;
+        silent_since_ms.is_some_and(|heard_ms| of_task.any(|(_, slot)| is_early(slot, heard_ms)))
+    }
+
     /// Returns whether a worker ran nothing but the task or the gang for which it was reserved.
     fn was_alone(&self, key: WorkerKey, lost: &[LostRun]) -> bool {
         let reserved = self.quarantine.task_of(key);
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::jobs::place_pass::PlacePass;
 use crate::jobs::place_waits::WaitOutcome;
 use crate::jobs::placement::{choose, PlacementRequest};
+use crate::jobs::quarantine::OtherTasks;
 use crate::jobs::spec::{Size, StepSpec};
 use crate::logging::Event;
 
@@ -86,7 +87,7 @@
         }
         self.needs_dispatch = false;
         self.refresh_workers();
-        self.start_suspects();
+        self.start_suspects(OtherTasks::MayStart);
         self.refresh_waiting_jobs();
         self.place_waits.begin_pass();
         let mut pass = Pass::default();
@@ -95,6 +96,7 @@
                 self.start_tasks_of(key, &mut pass);
             }
         }
+        self.start_suspects(OtherTasks::HaveStarted);
         self.start_copies(&mut pass);
     }
 
@@ -381,6 +383,10 @@
                 continue;
             }
             let (started_ms, current) = (state.started_ms, state.runs[0].0);
+            if self.may_have_crashed(task, current) {
+                self.copies_due.insert((now_ms + COPY_RETRY_MS, task));
+                continue;
+            }
             let spec = self.job(task.job).spec.clone();
             let step = &spec.steps[usize::from(task.step)];
             if !step.may_have_copies() {
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -18,15 +18,24 @@
 
 /// Longest wait of a suspect in a pool where no worker can be reserved, or of one without an end, in
 /// milliseconds.
-const RESERVATION_WAIT_MS: u64 = 2_000;
+const RESERVATION_WAIT_MS: u64 = 5_000;
 /// Longest time for which a worker is reserved before its suspect starts, in milliseconds.
 const RESERVATION_MAX_MS: u64 = 4_000;
 /// Time for which the crashes of instances and the silences of workers are kept, in milliseconds.
 const RECENT_MS: u64 = 30_000;
 /// Number of workers of a pool of which one may be reserved while it is busy; each pool may have one.
 const WORKERS_PER_BUSY_RESERVATION: usize = 4;
-/// The same for idle workers.
+/// The same for idle workers while other tasks may need them.
 const WORKERS_PER_IDLE_RESERVATION: usize = 2;
+/// Most instances that a pool gets for waiting suspects at a time.
+const SUSPECT_INSTANCES_MAX_COUNT: usize = 4;
+
+/// Whether other waiting tasks may still need the workers of a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OtherTasks {
+    MayStart,
+    HaveStarted,
+}
 
 /// A worker that takes only one task, or members of its gang.
 #[derive(Clone, Copy, Debug)]
@@ -155,7 +164,7 @@
 impl Engine {
     /// Starts the suspects that may start and have a worker of their own, and gives up the jobs of
     /// those that have crashed too many workers. The most suspected go first.
-    pub(crate) fn start_suspects(&mut self) {
+    pub(crate) fn start_suspects(&mut self, others: OtherTasks) {
         self.drop_cleared_tasks();
         let mut suspects: Vec<TaskKey> = self.quarantine.tasks();
         suspects.retain(|task| self.is_waiting_suspect(*task));
@@ -168,9 +177,26 @@
             // Another one may have ended their job, or started its gang.
             if self.is_waiting_suspect(task) && self.may_start(task) && !self.give_up_if_spent(task)
             {
-                self.start_alone(task);
+                self.start_alone(task, others);
+            }
+        }
+    }
+
+    /// Returns how many instances without other tasks each pool needs for its suspects.
+    pub(crate) fn suspect_instances(&self) -> IndexMap<SmolStr, usize> {
+        let mut counts = IndexMap::new();
+        for task in &self.quarantine.tasks {
+            if self.is_waiting_suspect(*task) && self.may_start(*task) {
+                let pool = self.job(task.job).pool.clone();
+                let count: &mut usize = counts.entry(pool).or_default();
+                *count = (*count + 1).min(SUSPECT_INSTANCES_MAX_COUNT);
             }
         }
+        for key in self.quarantine.reservations.keys() {
+            let pool = self.worker(*key).info.pool.clone();
+            *counts.entry(pool).or_default() += 1;
+        }
+        counts
     }
 
     /// Forgets the tasks that are done, and those that have been cleared of all crashes.
@@ -212,7 +238,7 @@
 
     /// Starts a suspect on a worker of its own, or reserves one for it. As long as there are workers
     /// that can be reserved, a task that ends waits for its turn.
-    fn start_alone(&mut self, task: TaskKey) {
+    fn start_alone(&mut self, task: TaskKey, others: OtherTasks) {
         let spec = self.job(task.job).spec.clone();
         let step = &spec.steps[usize::from(task.step)];
         let Some(eligible) = self.workers_for_suspect(task, step) else {
@@ -230,7 +256,7 @@
         match step.is_gang {
             _ if !self.is_isolated(task) => {}
             true => self.start_gang_alone(task, step, &eligible),
-            false => self.start_task_alone(task, step, &eligible),
+            false => self.start_task_alone(task, step, &eligible, others),
         }
     }
 
@@ -266,7 +292,13 @@
             .collect()
     }
 
-    fn start_task_alone(&mut self, task: TaskKey, step: &StepSpec, eligible: &[WorkerKey]) {
+    fn start_task_alone(
+        &mut self,
+        task: TaskKey,
+        step: &StepSpec,
+        eligible: &[WorkerKey],
+        others: OtherTasks,
+    ) {
         if !self.team_has_capacity(task.job, &step.size) {
             return;
         }
@@ -285,7 +317,7 @@
         let Some(worker) = preferred.copied() else {
             return;
         };
-        if !self.reserve(worker, task) || !self.worker(worker).slots.is_empty() {
+        if !self.reserve(worker, task, others) || !self.worker(worker).slots.is_empty() {
             return;
         }
         let number = self.next_run_number(task);
@@ -324,10 +356,11 @@
     }
 
     /// Reserves a worker for a suspect, unless it is reserved already; returns whether it is.
-    fn reserve(&mut self, worker: WorkerKey, task: TaskKey) -> bool {
+    fn reserve(&mut self, worker: WorkerKey, task: TaskKey, others: OtherTasks) -> bool {
         if self.quarantine.reservations.contains_key(&worker) {
             return true;
         }
+        let is_idle = self.worker(worker).slots.is_empty();
         let pool = self.worker(worker).info.pool.clone();
         let reserved = self.quarantine.reservations.keys();
         let reserved_count = reserved
@@ -335,9 +368,10 @@
             .count();
         let accepting = self.free_capacity.pool(&pool);
         let accepting_count = accepting.map_or(0, |pool| pool.accepting_count());
-        let workers_per_reservation = match self.worker(worker).slots.is_empty() {
-            true => WORKERS_PER_IDLE_RESERVATION,
-            false => WORKERS_PER_BUSY_RESERVATION,
+        let workers_per_reservation = match (is_idle, others) {
+            (true, OtherTasks::HaveStarted) => 1,
+            (true, OtherTasks::MayStart) => WORKERS_PER_IDLE_RESERVATION,
+            (false, _) => WORKERS_PER_BUSY_RESERVATION,
         };
         let max_count = (accepting_count + reserved_count) / workers_per_reservation;
         if reserved_count >= max_count.max(1) {
