--- a/src/jobs/crashes.rs
+++ b/src/jobs/crashes.rs
@@ -127,21 +127,21 @@
         let heard_ms = worker.last_heard_ms(self.now_ms);
         let incarnation = worker.incarnation();
         let has_failed_alone = !self.has_common_failure(key, heard_ms);
+        let is_reliable = !self.quarantine.is_unreliable(worker, self.now_ms);
+        let was_alone = reason != LossReason::LeaseExpired && self.was_alone(key, lost);
         let has_likely_cause = lost.iter().any(|lost| is_early(&lost.slot, heard_ms));
-        let is_conclusive = reason != LossReason::LeaseExpired
-            && (has_failed_alone || has_likely_cause)
-            && self.was_alone(key, lost)
-            && !self.quarantine.is_unreliable(worker, self.now_ms);
         let worker = &self.workers[index(key.0)];
         self.quarantine
             .note_crash(worker, key, has_likely_cause, self.now_ms);
         for LostRun { run, slot } in lost {
             let is_early = is_early(slot, heard_ms);
+            let is_new = !self.has_crashed_instance(run.task, &incarnation.instance);
+            let has_no_other_cause = has_failed_alone && is_reliable && is_new;
             if is_early || (has_failed_alone && may_be_cause(slot, heard_ms)) {
                 let crash = CrashRecord {
                     incarnation: incarnation.clone(),
                     is_early,
-                    is_conclusive,
+                    is_conclusive: was_alone && (is_early || has_no_other_cause),
                 };
                 self.blame_task(run.task, crash);
             }
@@ -186,18 +186,15 @@
         })
     }
 
-    /// Holds a crash against a task, unless it is known already. A second crash of one instance may
-    /// as well be its own fault, unless the task had just been started.
-    pub(crate) fn blame_task(&mut self, task: TaskKey, mut crash: CrashRecord) {
+    /// Holds a crash against a task, unless it is known already.
+    pub(crate) fn blame_task(&mut self, task: TaskKey, crash: CrashRecord) {
         let Some(state) = self.task(task).filter(|state| !state.is_done) else {
             return;
         };
-        let mut known = state.crashes.iter().map(|known| &known.incarnation);
-        if known.clone().any(|known| *known == crash.incarnation) {
+        let mut known = state.crashes.iter();
+        if known.any(|known| known.incarnation == crash.incarnation) {
             return;
         }
-        let instance = &crash.incarnation.instance;
-        crash.is_conclusive &= crash.is_early || !known.any(|known| known.instance == *instance);
         Event::new("task_blamed")
             .with("task", self.task_name(task))
             .with("worker", &crash.incarnation.worker)
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -306,7 +306,7 @@
             let worker = self.worker(**key);
             (
                 self.quarantine.task_of(**key).is_none(),
-                self.has_crashed_instance(task, worker)
+                self.has_crashed_instance(task, &worker.incarnation().instance)
                     || self.quarantine.is_unreliable(worker, self.now_ms),
                 !worker.slots.is_empty(),
                 worker.is_slow(),
@@ -326,11 +326,10 @@
     }
 
     /// Returns whether a crash of the same instance is held against a task already.
-    fn has_crashed_instance(&self, task: TaskKey, worker: &Worker) -> bool {
-        let instance = worker.info.instance.as_deref().unwrap_or_default();
+    pub(crate) fn has_crashed_instance(&self, task: TaskKey, instance: &SmolStr) -> bool {
         let crashes = self.task(task).map_or(&[][..], |state| &state.crashes);
         let mut instances = crashes.iter().map(|crash| &crash.incarnation.instance);
-        instances.any(|known| known == instance)
+        !instance.is_empty() && instances.any(|known| known == instance)
     }
 
     /// Starts a gang on workers that run nothing else, if there are enough of them.
