Ask for an instance for suspects only where none of the pool can be reserved

Cause: the capacity plan counted an instance for each waiting suspect, also where workers of the pool could be reserved and the suspects only waited for their turn.

Change: it counts them only in pools whose workers all have tasks without an end.

--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -182,23 +182,31 @@
         }
     }
 
-    /// Returns how many instances without other tasks each pool needs for its suspects.
+    /// Returns how many instances each pool needs for its suspects, if all that it has are kept by
+    /// tasks without an end.
     pub(crate) fn suspect_instances(&self) -> IndexMap<SmolStr, usize> {
         let mut counts = IndexMap::new();
         for task in &self.quarantine.tasks {
-            if self.is_waiting_suspect(*task) && self.may_start(*task) {
-                let pool = self.job(task.job).pool.clone();
+            let pool = &self.job(task.job).pool;
+            let is_due = self.is_waiting_suspect(*task) && self.may_start(*task);
+            if is_due && !self.has_reservable_worker(pool) {
+                let pool = pool.clone();
                 let count: &mut usize = counts.entry(pool).or_default();
                 *count = (*count + 1).min(SUSPECT_INSTANCES_MAX_COUNT);
             }
         }
-        for key in self.quarantine.reservations.keys() {
-            let pool = self.worker(*key).info.pool.clone();
-            *counts.entry(pool).or_default() += 1;
-        }
         counts
     }
 
+    /// Returns whether a pool has a worker that is, or could be, reserved.
+    fn has_reservable_worker(&self, pool: &SmolStr) -> bool {
+        let accepting = self.accepting_workers(pool);
+        let mut free = accepting.iter().map(|key| self.worker(*key));
+        let mut reserved = self.quarantine.reservations.keys();
+        free.any(|worker| worker.long_running_count == 0)
+            || reserved.any(|key| self.worker(*key).info.pool == *pool)
+    }
+
     /// Forgets the tasks that are done, and those that have been cleared of all crashes.
     fn drop_cleared_tasks(&mut self) {
         let mut tasks = std::mem::take(&mut self.quarantine.tasks);
