--- a/src/jobs/crashes.rs
+++ b/src/jobs/crashes.rs
@@ -127,12 +127,13 @@
         let heard_ms = worker.last_heard_ms(self.now_ms);
         let incarnation = worker.incarnation();
         let has_failed_alone = !self.has_common_failure(key, heard_ms);
-        let is_reliable = !self.quarantine.is_unreliable(worker, self.now_ms);
+        let is_reliable = !self.crash_history.is_unreliable(worker, self.now_ms);
         let was_alone = reason != LossReason::LeaseExpired && self.was_alone(key, lost);
-        let has_likely_cause = lost.iter().any(|lost| is_early(&lost.slot, heard_ms));
+        let has_early_run = lost.iter().any(|lost| is_early(&lost.slot, heard_ms));
+        let has_cause = has_early_run || self.quarantine.task_of(key).is_some();
         let worker = &self.workers[index(key.0)];
-        self.quarantine
-            .note_crash(worker, key, has_likely_cause, self.now_ms);
+        self.crash_history
+            .note_crash(worker, has_cause, self.now_ms);
         for LostRun { run, slot } in lost {
             let is_early = is_early(slot, heard_ms);
             let is_new = !self.has_crashed_instance(run.task, &incarnation.instance);
@@ -176,12 +177,13 @@
     /// of its own.
     fn has_common_failure(&self, key: WorkerKey, heard_ms: u64) -> bool {
         let near_ms = heard_ms.saturating_sub(SAME_FAILURE_MS)..=heard_ms + SAME_FAILURE_MS;
-        let mut failures = self.quarantine.silences_in(near_ms);
+        let mut failures = self.crash_history.silences_in(near_ms);
         failures.any(|(silent_since_ms, other)| {
             let state = self.worker(other);
             let mut slots = state.slots.values();
             let is_explained = slots.any(|slot| is_early(slot, silent_since_ms))
-                || self.quarantine.has_likely_cause(other, state);
+                || self.quarantine.task_of(other).is_some()
+                || self.crash_history.had_likely_cause(state);
             other != key && state.silent_since_ms == Some(silent_since_ms) && !is_explained
         })
     }
@@ -239,7 +241,7 @@
             let mut crashes = crashes.iter();
             !known.is_early && crashes.any(|crash| crash.incarnation == known.incarnation)
         };
-        self.quarantine.forget_crashes(crashes);
+        self.crash_history.forget_crashes(crashes);
         for task in self.quarantine.tasks() {
             let has_changed = self.change_task(task, |state| {
                 let before_count = state.crashes.len();
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -15,6 +15,7 @@
 use crate::jobs::batches::Batch;
 use crate::jobs::capacity::CapacityPolicy;
 use crate::jobs::catalog::Catalog;
+use crate::jobs::crash_history::CrashHistory;
 use crate::jobs::demand::DemandCycle;
 use crate::jobs::evacuation::EvacuatedZones;
 use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
@@ -126,6 +127,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) place_waits: PlaceWaits,
     pub(crate) loss_counts: LossCounts,
+    pub(crate) crash_history: CrashHistory,
     pub(crate) quarantine: Quarantine,
     pub(crate) held_starts: Vec<HeldStart>,
     pub(crate) inherited_runs: InheritedRuns,
@@ -185,6 +187,7 @@
             tickets: Tickets::default(),
             place_waits: PlaceWaits::default(),
             loss_counts: LossCounts::default(),
+            crash_history: CrashHistory::default(),
             quarantine: Quarantine::default(),
             held_starts: Vec::new(),
             inherited_runs: InheritedRuns::default(),
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod capacity_plan;
 mod catalog;
 mod copies;
+mod crash_history;
 mod crashes;
 mod demand;
 mod dispatch;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -168,7 +168,7 @@
         };
         if worker.failed_polls_count == 1 {
             worker.silent_since_ms = Some(now_ms);
-            self.quarantine.note_silence(order.target.worker, now_ms);
+            self.crash_history.note_silence(order.target.worker, now_ms);
             let worker = &self.workers[index(order.target.worker.0)];
             let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -3,17 +3,14 @@
 //! gets no other task until its runs have ended. A suspect that gets no worker in time starts beside
 //! others.
 
-use std::collections::BTreeSet;
-use std::ops::RangeInclusive;
-
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
-use crate::jobs::crashes::{is_suspect, CrashRecord, Incarnation, SETTLED_LONG_RUN_MS};
+use crate::jobs::crashes::{is_suspect, SETTLED_LONG_RUN_MS};
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, TaskKey, WorkerKey};
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::{SlotState, Worker};
+use crate::jobs::worker::SlotState;
 use crate::logging::Event;
 
 /// Longest wait of a suspect in a pool where no worker can be reserved, or of one without an end, in
@@ -21,8 +18,6 @@
 const RESERVATION_WAIT_MS: u64 = 5_000;
 /// Longest time for which a worker is reserved before its suspect starts, in milliseconds.
 const RESERVATION_MAX_MS: u64 = 4_000;
-/// Time for which the crashes of instances and the silences of workers are kept, in milliseconds.
-const RECENT_MS: u64 = 30_000;
 /// Number of workers of a pool of which one may be reserved while it is busy; each pool may have one.
 const WORKERS_PER_BUSY_RESERVATION: usize = 4;
 /// The same for idle workers while other tasks may need them.
@@ -44,29 +39,12 @@
     since_ms: u64,
 }
 
-/// The last crash of an instance.
-#[derive(Clone, Debug)]
-struct InstanceCrash {
-    incarnation: Incarnation,
-    at_ms: u64,
-    /// Whether the worker was reserved for a suspect, or a task had just been started there.
-    has_likely_cause: bool,
-}
-
-/// Suspected tasks, the workers that are reserved for them, and the latest crashes.
+/// Suspected tasks, and the workers that are reserved for them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Quarantine {
     /// Tasks against which a crash is held, and some that have ended since.
     tasks: IndexSet<TaskKey>,
     reservations: IndexMap<WorkerKey, Reservation>,
-    crashes: IndexMap<SmolStr, InstanceCrash>,
-    /// Workers that stopped answering lately, by the times of their first failed polls.
-    silences: BTreeSet<(u64, WorkerKey)>,
-}
-
-/// Returns the name of a worker's instance, or else its id.
-fn instance_name(worker: &Worker) -> &SmolStr {
-    worker.info.instance.as_ref().unwrap_or(&worker.info.id)
 }
 
 impl Quarantine {
@@ -90,75 +68,6 @@
         let reservation = self.reservations.get(&worker);
         reservation.map(|reservation| reservation.task)
     }
-
-    /// Records that a worker has stopped answering.
-    pub(crate) fn note_silence(&mut self, worker: WorkerKey, now_ms: u64) {
-        let oldest_ms = now_ms.saturating_sub(RECENT_MS);
-        self.silences = self.silences.split_off(&(oldest_ms, WorkerKey(0)));
-        self.silences.insert((now_ms, worker));
-    }
-
-    /// Returns the workers that stopped answering within these times, with the times.
-    pub(crate) fn silences_in(
-        &self,
-        times_ms: RangeInclusive<u64>,
-    ) -> impl Iterator<Item = (u64, WorkerKey)> + '_ {
-        let first = (*times_ms.start(), WorkerKey(0));
-        let last = (*times_ms.end(), WorkerKey(u32::MAX));
-        self.silences.range(first..=last).copied()
-    }
-
-    /// Records the crash of a worker.
-    pub(crate) fn note_crash(
-        &mut self,
-        worker: &Worker,
-        key: WorkerKey,
-        has_likely_cause: bool,
-        now_ms: u64,
-    ) {
-        let crash = InstanceCrash {
-            incarnation: worker.incarnation(),
-            at_ms: now_ms,
-            has_likely_cause: has_likely_cause || self.reservations.contains_key(&key),
-        };
-        self.crashes
-            .retain(|_, crash| now_ms < crash.at_ms + RECENT_MS);
-        self.crashes.insert(instance_name(worker).clone(), crash);
-    }
-
-    /// Forgets crashes of which the cause is known.
-    pub(crate) fn forget_crashes(&mut self, explained: &[CrashRecord]) {
-        let is_explained = |crash: &InstanceCrash| {
-            let mut explained = explained.iter();
-            explained.any(|known| known.incarnation == crash.incarnation)
-        };
-        self.crashes.retain(|_, crash| !is_explained(crash));
-    }
-
-    /// Returns whether an earlier worker of the same instance has crashed lately for no reason that
-    /// is known.
-    pub(crate) fn is_unreliable(&self, worker: &Worker, now_ms: u64) -> bool {
-        let crash = self.crashes.get(instance_name(worker));
-        crash.is_some_and(|crash| {
-            let is_recent = now_ms < crash.at_ms + RECENT_MS;
-            is_recent && !crash.has_likely_cause && crash.incarnation != worker.incarnation()
-        })
-    }
-
-    /// Returns the time of the last crash of a worker's instance, in milliseconds; 0 for none.
-    fn last_crash_ms(&self, worker: &Worker) -> u64 {
-        let crash = self.crashes.get(instance_name(worker));
-        crash.map_or(0, |crash| crash.at_ms)
-    }
-
-    /// Returns whether a worker is reserved for a suspect, or crashed with a likely cause.
-    pub(crate) fn has_likely_cause(&self, key: WorkerKey, worker: &Worker) -> bool {
-        let crash = self.crashes.get(instance_name(worker));
-        let had_cause = crash.is_some_and(|crash| {
-            crash.has_likely_cause && crash.incarnation == worker.incarnation()
-        });
-        had_cause || self.reservations.contains_key(&key)
-    }
 }
 
 impl Engine {
@@ -315,10 +224,10 @@
             (
                 self.quarantine.task_of(**key).is_none(),
                 self.has_crashed_instance(task, &worker.incarnation().instance)
-                    || self.quarantine.is_unreliable(worker, self.now_ms),
+                    || self.crash_history.is_unreliable(worker, self.now_ms),
                 !worker.slots.is_empty(),
                 worker.is_slow(),
-                self.quarantine.last_crash_ms(worker),
+                self.crash_history.last_crash_ms(worker),
                 self.busy_for_ms(**key),
             )
         });
--- a/src/jobs/watched_runs.rs
+++ b/src/jobs/watched_runs.rs
@@ -73,7 +73,9 @@
         };
         for task in tasks {
             let state = self.task(task);
-            let Some(run) = state.and_then(|state| state.watched_run.clone()) else {
+            let run = state.and_then(|state| state.watched_run.clone());
+            let id = &self.worker(key).info.id;
+            let Some(run) = run.filter(|run| run.incarnation.worker == *id) else {
                 continue;
             };
             let is_there = state.is_some_and(|state| state.runs.iter().any(|(at, _)| *at == key));
--- a/tests/testsuite/jobs/soak.rs
+++ b/tests/testsuite/jobs/soak.rs
@@ -122,7 +122,7 @@
         let Some(rng) = &mut self.crashes else {
             return;
         };
-        let is_list_due = self.simulation.now_ms.is_multiple_of(LIST_MS);
+        let is_list_due = self.simulation.now_ms % LIST_MS == 0;
         if rng.random_ratio(1, 100) {
             let workers = self.simulation.workers.values();
             let of_pool = workers.filter(|worker| worker.info.pool == "a");
