Reserve the next worker for a suspect where the preferred one may not be

Only the preferred worker was tried. If it was busy and no more busy ones could be reserved, the suspect waited, up to 16 s, although idle workers whose instances had crashed lately were there.

Change: the first worker in the order of preference that may be reserved is.

--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -219,24 +219,24 @@
         if !self.team_has_capacity(task.job, &step.size) {
             return;
         }
-        let preferred = eligible.iter().min_by_key(|key| {
-            let worker = self.worker(**key);
+        let mut by_preference = eligible.to_vec();
+        by_preference.sort_by_cached_key(|key| {
+            let worker = self.worker(*key);
             (
-                self.quarantine.task_of(**key).is_none(),
+                self.quarantine.task_of(*key).is_none(),
                 self.has_crashed_instance(task, &worker.incarnation().instance)
                     || self.crash_history.is_unreliable(worker, self.now_ms),
                 !worker.slots.is_empty(),
                 worker.is_slow(),
                 self.crash_history.last_crash_ms(worker),
-                self.busy_for_ms(**key),
+                self.busy_for_ms(*key),
             )
         });
-        let Some(worker) = preferred.copied() else {
+        let mut workers = by_preference.into_iter();
+        let reserved = workers.find(|key| self.reserve(*key, task, others));
+        let Some(worker) = reserved.filter(|key| self.worker(*key).slots.is_empty()) else {
             return;
         };
-        if !self.reserve(worker, task, others) || !self.worker(worker).slots.is_empty() {
-            return;
-        }
         let number = self.next_run_number(task);
         let is_remote = self.is_outside_rack(worker, step);
         self.order_start(worker, task, number, step, is_remote);
