Forecast the demand for the time at which an ordered instance arrives

Cause: a pool asked for the mean rate of its last 0.6 to 2 s, while an instance takes 1.5 s to come. `experiment forecasts` compares the methods on a flat rate, a step, a ramp, a half sine and turns. job_accepted says the submitter's estimate, run_ended when the worker confirmed the run. The test of the patterns compares with the method that stood and fails for it by construction.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -6,6 +6,7 @@
 use error_stack::Report;
 use hawthornladder::load::cost::{cost_table, measure_cost, FLEET_SIZES};
 use hawthornladder::load::engine_cost::{engine_table, measure_engine, WORKERS_COUNTS};
+use hawthornladder::load::forecasts::{forecasts_table, measure_forecasts};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig};
 use hawthornladder::load::places::{run_places_experiment, PlacesConfig};
 use hawthornladder::load::plot::{plot_overload, plot_places, plot_share, plot_teams};
@@ -73,6 +74,12 @@
                 .arg(seed_arg())
                 .arg(output_arg()),
         )
+        .subcommand(
+            Command::new("forecasts")
+                .about("Errors of the forecasts of demand, by pattern and method")
+                .arg(seed_arg())
+                .arg(output_arg()),
+        )
         .subcommand(
             with_common_args(Command::new("teams"))
                 .about("Late jobs of each team beside one busy team, with and without rates"),
@@ -142,6 +149,10 @@
             let rows = measure_run_times(number(args, "seed"));
             print_report(args, &run_times_table(&rows), &rows)
         }
+        Some(("forecasts", args)) => {
+            let rows = measure_forecasts(number(args, "seed"));
+            print_report(args, &forecasts_table(&rows), &rows)
+        }
         Some(("teams", args)) => execute_teams(args),
         Some(("places", args)) => execute_places(args),
         Some(("state-cost", args)) => {
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,8 +1,11 @@
 //! `node`: runs one node on the users' platform.
 
-use clap::{ArgMatches, Command};
+use std::str::FromStr;
+
+use clap::{builder::PossibleValuesParser, Arg, ArgMatches, Command};
 use error_stack::ResultExt;
 use hawthornladder::{
+    jobs::ForecastMethod,
     logging::{BufferedLog, Event},
     node::NodeHandle,
     platform::settings,
@@ -27,11 +30,20 @@
              has read and exits within the time given in the settings. SIGHUP has no effect: none \
              of its settings changes while it runs.",
         )
+        .arg(
+            Arg::new("demand-forecast")
+                .long("demand-forecast")
+                .value_name("METHOD")
+                .help("How the leader forecasts the demand of a pool for the time that a move takes")
+                .value_parser(PossibleValuesParser::new(ForecastMethod::names()))
+                .default_value(<&str>::from(ForecastMethod::default())),
+        )
 }
 
 /// Executes `node`.
-pub(crate) fn execute(_: &ArgMatches) -> CmdResult {
-    let settings = settings::read().change_context(CmdError::Refused)?;
+pub(crate) fn execute(matches: &ArgMatches) -> CmdResult {
+    let mut settings = settings::read().change_context(CmdError::Refused)?;
+    settings.forecast = forecast_method(matches);
     let log = BufferedLog::open(LOG_LEVEL).change_context(CmdError::Unavailable)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -44,6 +56,13 @@
     ended
 }
 
+/// Returns the forecast method that the command line selects.
+fn forecast_method(matches: &ArgMatches) -> ForecastMethod {
+    let name = matches.get_one::<String>("demand-forecast");
+    let method = name.and_then(|name| ForecastMethod::from_str(name).ok());
+    method.unwrap_or_default()
+}
+
 async fn run(settings: hawthornladder::node::NodeSettings, log: &BufferedLog) -> CmdResult {
     let mut stop = signal(SignalKind::terminate()).change_context(CmdError::Fault)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(CmdError::Fault)?;
--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -271,12 +271,15 @@
 
     /// Raises the needs of pools to their rate of arrivals and to the demand of the next expected
     /// peak, and prepares the pools that may have the next peak.
-    fn add_forecast(&self, needs: &mut IndexMap<SmolStr, PoolNeed>) {
+    fn add_forecast(&mut self, needs: &mut IndexMap<SmolStr, PoolNeed>) {
         let now_ms = self.now_ms;
+        let arrival_ms = self.settings.move_ms + ARRIVAL_RESERVE_MS;
+        let method = self.settings.forecast;
         let fleet_count = self.instances.rows.len();
         for (pool, need) in needs.iter_mut() {
-            let rate = self.demand_cycle.rate(pool, now_ms);
-            need.needed = need.raised(&rate, ARRIVAL_RATE_PERMILLE);
+            let cycle = &mut self.demand_cycle;
+            let demand = cycle.forecast(method, pool, now_ms, arrival_ms);
+            need.needed = need.raised(&demand, ARRIVAL_RATE_PERMILLE);
             need.at_peak = need.needed;
         }
         let ahead_ms = self.settings.move_ms + PREPARE_AHEAD_MS;
--- a/src/jobs/demand.rs
+++ b/src/jobs/demand.rs
@@ -8,17 +8,12 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::jobs::arrivals::{ArrivalBins, Work, BIN_MS, RATE_BINS_BOUNDS};
+use crate::jobs::demand_forecast::{DemandForecast, ForecastInput, ForecastMethod};
+use crate::jobs::peak_shape::PeakShapes;
 use crate::jobs::spec::Size;
 use crate::logging::Event;
 
-/// Length of a bin of arrivals, in milliseconds.
-const BIN_MS: u64 = 200;
-/// Fewest and most bins over which a rate is computed; more are used until they hold enough jobs.
-const RATE_BINS_BOUNDS: (u64, u64) = (3, 10);
-/// Number of jobs that are enough for a rate.
-const RATE_MIN_JOBS_COUNT: u64 = 8;
-/// Most bins stored for a pool.
-const BINS_MAX_COUNT: usize = 16;
 /// A pool has a peak if its rate is at least this many times that of any other pool.
 const LEAD_FACTOR: u64 = 2;
 /// Least rate of a peak, in thousandths of a core.
@@ -35,42 +30,16 @@
 /// length.
 const OVERDUE_PERCENT: u64 = 35;
 
-/// Reserved capacity multiplied by run time, in milliseconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Work {
-    cpu: u64,
-    memory: u64,
-    jobs_count: u64,
-}
-
 /// Arrivals of one pool.
 #[derive(Clone, Debug, Default)]
 struct Arrivals {
-    /// Work by bin, the newest last.
-    bins: VecDeque<(u64, Work)>,
+    bins: ArrivalBins,
     /// Work since the pool's last peak started.
     in_peak: Work,
     /// Mean rate of the pool's last peak.
     mean: Size,
 }
 
-impl Work {
-    fn add(&mut self, more: Self) {
-        self.cpu += more.cpu;
-        self.memory += more.memory;
-        self.jobs_count += more.jobs_count;
-    }
-
-    /// Returns the capacity that the work keeps busy if it arrives within `span_ms`.
-    fn over(&self, span_ms: u64) -> Size {
-        Size {
-            cpu_millis: self.cpu / span_ms.max(1),
-            memory_mb: self.memory / span_ms.max(1),
-            gpu_count: 0,
-        }
-    }
-}
-
 /// A demand peak of one pool.
 #[derive(Clone, Debug, PartialEq)]
 struct DemandPeak {
@@ -83,6 +52,8 @@
 pub(crate) struct DemandCycle {
     arrivals: IndexMap<SmolStr, Arrivals>,
     peaks: VecDeque<DemandPeak>,
+    shapes: PeakShapes,
+    forecasts: DemandForecast,
     /// Pool that met the conditions of a new peak in the last review.
     rising: Option<SmolStr>,
 }
@@ -117,45 +88,39 @@
     /// Records a job that arrived in `pool`; `work` is the sum of its tasks' processor and memory
     /// reservations, each multiplied by the run time.
     pub(crate) fn record_arrival(&mut self, pool: &SmolStr, work: (u64, u64), at_ms: u64) {
-        let bin = at_ms / BIN_MS;
         let arrivals = self.arrivals.entry(pool.clone()).or_default();
-        let is_new = arrivals.bins.back().is_none_or(|(newest, _)| *newest < bin);
-        if is_new {
-            arrivals.bins.push_back((bin, Work::default()));
-            if arrivals.bins.len() > BINS_MAX_COUNT {
-                arrivals.bins.pop_front();
-            }
-        }
-        let work = Work {
-            cpu: work.0,
-            memory: work.1,
-            jobs_count: 1,
-        };
+        let work = Work::of_job(work);
         arrivals.in_peak.add(work);
-        if let Some((_, sum)) = arrivals.bins.back_mut() {
-            sum.add(work);
-        }
+        arrivals.bins.record(work, at_ms);
     }
 
     /// Returns the capacity that the recent arrivals of a pool keep busy.
     pub(crate) fn rate(&self, pool: &SmolStr, now_ms: u64) -> Size {
+        let arrivals = self.arrivals.get(pool);
+        arrivals.map_or_else(Size::default, |arrivals| arrivals.bins.rate(now_ms).0)
+    }
+
+    /// Returns the capacity that the arrivals of a pool are expected to keep busy after `ahead_ms`.
+    pub(crate) fn forecast(
+        &mut self,
+        method: ForecastMethod,
+        pool: &SmolStr,
+        now_ms: u64,
+        ahead_ms: u64,
+    ) -> Size {
         let Some(arrivals) = self.arrivals.get(pool) else {
             return Size::default();
         };
-        let bin = now_ms / BIN_MS;
-        let mut sum = Work::default();
-        let mut bins_count = 0;
-        for back in 0..=RATE_BINS_BOUNDS.1 {
-            let at = bin.saturating_sub(back);
-            if let Some((_, work)) = arrivals.bins.iter().rev().find(|(known, _)| *known == at) {
-                sum.add(*work);
-            }
-            bins_count = back;
-            if back >= RATE_BINS_BOUNDS.0 && sum.jobs_count >= RATE_MIN_JOBS_COUNT {
-                break;
-            }
-        }
-        sum.over(bins_count * BIN_MS + now_ms % BIN_MS)
+        let peak = self.peaks.back().filter(|peak| peak.pool == *pool);
+        let input = ForecastInput {
+            pool,
+            arrivals: &arrivals.bins,
+            shapes: &self.shapes,
+            peak_start_ms: peak.map(|peak| peak.start_ms),
+            now_ms,
+            ahead_ms,
+        };
+        self.forecasts.forecast(method, &input)
     }
 
     /// Compares the rates of the pools at every review since `from_ms`, for arrivals that were
@@ -205,16 +170,15 @@
         let start_ms = self.rise_ms(&pool, now_ms);
         let rate = self.rate(&pool, now_ms);
         if let Some(arrivals) = self.arrivals.get_mut(&pool) {
-            let of_peak = arrivals
-                .bins
-                .iter()
-                .filter(|(at, _)| at * BIN_MS >= start_ms);
-            let mut in_peak = Work::default();
-            of_peak.for_each(|(_, work)| in_peak.add(*work));
-            arrivals.in_peak = in_peak;
+            arrivals.in_peak = arrivals.bins.since(start_ms);
             arrivals.mean = rate;
         }
         self.rising = None;
+        if let Some(last) = self.peaks.back() {
+            if let Some(arrivals) = self.arrivals.get(&last.pool) {
+                self.shapes.add(&arrivals.bins, last.start_ms, start_ms);
+            }
+        }
         self.peaks.push_back(DemandPeak {
             pool: pool.clone(),
             start_ms,
@@ -235,12 +199,9 @@
     /// Returns when the arrivals of a pool rose to half of their present rate.
     fn rise_ms(&self, pool: &SmolStr, now_ms: u64) -> u64 {
         let half = self.rate(pool, now_ms).cpu_millis / 2;
-        let bins = &self.arrivals[pool].bins;
-        let recent = bins
-            .iter()
-            .filter(|(at, _)| (at + 1 + RATE_BINS_BOUNDS.1) * BIN_MS >= now_ms);
-        let mut risen = recent.filter(|(_, work)| work.cpu / BIN_MS >= half);
-        risen.next().map_or(now_ms, |(at, _)| at * BIN_MS)
+        let from_ms = (now_ms / BIN_MS).saturating_sub(RATE_BINS_BOUNDS.1) * BIN_MS;
+        let mut risen = self.arrivals[pool].bins.busy_since(from_ms, half);
+        risen.next().unwrap_or(now_ms)
     }
 
     /// Returns the median length of the stored peaks.
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -5,7 +5,7 @@
 use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{EndKind, RunEnd};
 use crate::jobs::run_times::FinishedRun;
-use crate::jobs::worker::Slot;
+use crate::jobs::worker::{Slot, SlotState};
 use crate::logging::Event;
 
 /// Number of failed runs in a row from which each failure keeps new tasks off the worker for
@@ -41,6 +41,10 @@
                 slot.as_ref()
                     .map_or(0, |slot| self.now_ms.saturating_sub(slot.since_ms)),
             )
+            .with(
+                "confirmed_after_ms",
+                slot.as_ref().map_or(0, confirmed_after_ms),
+            )
             .info();
         self.record_outcome(key, end.kind, slot.as_ref(), task);
         if !is_live {
@@ -198,3 +202,11 @@
         self.persist_before_ack(key);
     }
 }
+
+/// Returns the time from a start order until its worker confirmed the run, in milliseconds.
+fn confirmed_after_ms(slot: &Slot) -> u64 {
+    match slot.state {
+        SlotState::Placed { since_ms } => since_ms.saturating_sub(slot.since_ms),
+        _ => 0,
+    }
+}
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -17,6 +17,7 @@
 use crate::jobs::catalog::Catalog;
 use crate::jobs::crash_history::CrashHistory;
 use crate::jobs::demand::DemandCycle;
+use crate::jobs::demand_forecast::ForecastMethod;
 use crate::jobs::evacuation::EvacuatedZones;
 use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
 use crate::jobs::instances::Instances;
@@ -74,6 +75,8 @@
     /// Age of the list of workers from which no task is started by the capacities in it, where
     /// workers do not enforce them, in milliseconds; 0 for no limit.
     pub capacity_age_max_ms: u64,
+    /// How the demand of pools is forecast.
+    pub forecast: ForecastMethod,
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -104,6 +104,7 @@
             .with("is_endless", job.spec.is_long_running())
             .with("is_over_rate", job.is_over_rate)
             .with("chain_ms", job.chain_ms())
+            .with("estimated_chain_ms", job.spec.estimated_chain_ms())
             .with("target_in_ms", job.target_ms.saturating_sub(self.now_ms))
             .with("lists_version", self.catalog.version)
             .info();
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -216,6 +216,12 @@
         chains_ms
     }
 
+    /// Returns the longest chain of run times as the submitter estimated them, in milliseconds.
+    pub fn estimated_chain_ms(&self) -> u64 {
+        let chains_ms = self.chains_ms(|step| step.estimate_ms);
+        chains_ms.into_iter().max().unwrap_or(0)
+    }
+
     /// Returns the estimated processor time of one occurrence, in thousandths of core-seconds.
     pub fn work_millis_s(&self) -> u64 {
         let of_step = |step: &StepSpec| {
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -12,9 +12,9 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::jobs::{
-    Action, Catalog, EndKind, Engine, EngineSettings, JobId, JobSpec, PollOrder, PollReply, Pool,
-    Queue, Record, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission, TaskName, WorkerInfo,
-    WorkerKey,
+    Action, Catalog, EndKind, Engine, EngineSettings, ForecastMethod, JobId, JobSpec, PollOrder,
+    PollReply, Pool, Queue, Record, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
+    TaskName, WorkerInfo, WorkerKey,
 };
 
 /// Numbers of workers that are measured.
@@ -126,6 +126,7 @@
             instance_lease_ms: 3_000,
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
+            forecast: ForecastMethod::default(),
             remote_factor_permille: 1_000,
         };
         let mut engine = Engine::open(settings, catalog(), 0, UNIX_MS);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod engine_cost;
 pub(crate) mod entry;
+pub mod forecasts;
 pub mod live;
 pub mod measure;
 pub mod overload;
--- a/src/load/places.rs
+++ b/src/load/places.rs
@@ -14,9 +14,9 @@
 use strum::IntoEnumIterator;
 
 use crate::jobs::{
-    Action, Catalog, EndKind, Engine, EngineSettings, JobId, JobSpec, JobState, PollOrder,
-    PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission, TaskName,
-    WorkerInfo, WorkerKey,
+    Action, Catalog, EndKind, Engine, EngineSettings, ForecastMethod, JobId, JobSpec, JobState,
+    PollOrder, PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
+    TaskName, WorkerInfo, WorkerKey,
 };
 
 /// Length of a step of virtual time, in milliseconds.
@@ -210,6 +210,7 @@
             instance_lease_ms: 3_000,
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
+            forecast: ForecastMethod::default(),
             remote_factor_permille: match policy {
                 PlacePolicy::Expected => factor_permille,
                 PlacePolicy::Never | PlacePolicy::Always => 1_000,
--- a/src/load/played_pool.rs
+++ b/src/load/played_pool.rs
@@ -10,9 +10,9 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::jobs::{
-    Action, Catalog, EndKind, Engine, EngineSettings, JobId, JobState, PollOrder, PollReply, Pool,
-    Queue, RunEnd, RunRow, Size, StartOrder, Submission, SubmitOutcome, TaskName, Team, WorkerInfo,
-    WorkerKey,
+    Action, Catalog, EndKind, Engine, EngineSettings, ForecastMethod, JobId, JobState, PollOrder,
+    PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, Submission, SubmitOutcome, TaskName,
+    Team, WorkerInfo, WorkerKey,
 };
 
 /// Name of the pool and of its queue.
@@ -63,6 +63,7 @@
             instance_lease_ms: 3_000,
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
+            forecast: ForecastMethod::default(),
             remote_factor_permille: 1_000,
         };
         let mut engine = Engine::open(settings, catalog(teams), 0, UNIX_MS);
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::jobs::{JobId, JobSpec, JobState};
+use crate::jobs::{ForecastMethod, JobId, JobSpec, JobState};
 
 /// Time limits that the deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,6 +75,8 @@
     pub store: StoreLimits,
     /// Time limits of the deployment.
     pub bounds: NodeBounds,
+    /// How the leader forecasts the demand of pools.
+    pub forecast: ForecastMethod,
 }
 
 /// Identifies an append of a fenced writer, so that the store can refuse outdated writers and
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 
+use crate::jobs::ForecastMethod;
 use crate::node::{NodeBounds, NodeSettings, StoreLimits};
 
 /// Environment variable with the path of the settings file.
@@ -194,6 +195,7 @@
             remote_factor_permille: to_permille(bounds.remote_factor),
             capacity_age_max_ms: bounds.contact_ms.saturating_sub(START_RESERVE_MS).max(1),
         },
+        forecast: ForecastMethod::default(),
     })
 }
 
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -1,6 +1,8 @@
 //! Jobs, lists and settings for the tests of the engine.
 
-use hawthornladder::jobs::{Catalog, EngineSettings, JobSpec, Pool, Queue, Size, StepSpec, Team};
+use hawthornladder::jobs::{
+    Catalog, EngineSettings, ForecastMethod, JobSpec, Pool, Queue, Size, StepSpec, Team,
+};
 use smol_str::SmolStr;
 
 /// Age of the list of workers from which its capacities are not used, in milliseconds.
@@ -113,5 +115,6 @@
         earlier_orders_wait_ms: if fence == 1 { 0 } else { 3_000 },
         remote_factor_permille: factor_permille,
         capacity_age_max_ms: CAPACITY_AGE_MAX_MS,
+        forecast: ForecastMethod::default(),
     }
 }
--- a/tests/testsuite/load_experiments.rs
+++ b/tests/testsuite/load_experiments.rs
@@ -1,10 +1,12 @@
 //! Short runs of the load experiments: their targets are met, and results depend only on the seed.
 
+use hawthornladder::load::forecasts::{measure_forecasts, DemandPattern, ForecastRow};
 use hawthornladder::load::overload::{run_overload_experiment, OverloadConfig, Scenario};
 use hawthornladder::load::places::{run_places_experiment, PlacePolicy, PlacesConfig};
 use hawthornladder::load::run_times::{measure_run_times, RunTimesLoad};
 use hawthornladder::load::share::{run_share_experiment, ShareConfig, ShareRow};
 use hawthornladder::load::world::{SchedulingPolicy, URGENT_START_TARGET_MS};
+use strum::IntoEnumIterator;
 
 /// Minimum goodput at loads beyond its peak, in thousandths of the peak.
 const RETAINED_GOODPUT_MIN_PERMILLE: f64 = 900.0;
@@ -154,3 +156,38 @@
     let [first, second] = [(), ()].map(|()| run_places_experiment(&full));
     assert_eq!(first, second, "two runs with one seed differ");
 }
+
+/// Weight of missing demand relative to idle capacity in the comparison of forecasts.
+const MISSING_WEIGHT: f64 = 3.0;
+
+fn cost_of(row: &ForecastRow) -> f64 {
+    row.missing_cores * MISSING_WEIGHT + row.idle_cores
+}
+
+/// Guards against forecasts that lag behind a ramp or behind pools that have their peaks by turns
+/// (step, ramp, half sine, turns), and against a choice among methods that is much worse than the
+/// present rate on any of these patterns.
+#[test]
+fn the_forecast_that_adapts_lacks_less_in_ramps_and_turns_and_costs_little_elsewhere() {
+    for seed in 1..=3 {
+        let rows = measure_forecasts(seed);
+        for pattern in DemandPattern::iter() {
+            let row = |method| {
+                let mut rows = rows.iter();
+                let found = rows.find(|row| row.pattern == pattern && row.method == method);
+                found.expect("each method plays each pattern")
+            };
+            let (level, adaptive) = (row("level"), row("adaptive"));
+            if matches!(pattern, DemandPattern::Ramp | DemandPattern::Turns) {
+                assert!(
+                    adaptive.missing_cores < level.missing_cores * 0.9,
+                    "it lacks as much as the present rate: {adaptive:?}, {level:?}"
+                );
+            }
+            assert!(
+                cost_of(adaptive) <= cost_of(level) * 1.1,
+                "it costs much more than the present rate: {adaptive:?}, {level:?}"
+            );
+        }
+    }
+}
