--- a/src/jobs/arrivals.rs
+++ b/src/jobs/arrivals.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Capacity that recent arrivals keep busy.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ArrivalRate {
+    /// Capacity.
+    pub(crate) size: Size,
+    /// Span of the arrivals, up to the present, in milliseconds.
+    pub(crate) span_ms: u64,
+}
+
 /// Work by bin, the newest last. Bins without arrivals are left out.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ArrivalBins {
@@ -107,9 +116,8 @@
         recent.map(|(bin, _)| bin * BIN_MS)
     }
 
-    /// Returns the capacity that the recent arrivals keep busy, and the span over which it was
-    /// computed, in milliseconds.
-    pub(crate) fn rate(&self, now_ms: u64) -> (Size, u64) {
+    /// Returns the present rate.
+    pub(crate) fn rate(&self, now_ms: u64) -> ArrivalRate {
         let bin = now_ms / BIN_MS;
         let mut sum = Work::default();
         let mut bins_count = 0;
@@ -121,7 +129,10 @@
             }
         }
         let span_ms = bins_count * BIN_MS + now_ms % BIN_MS;
-        (sum.over(span_ms), span_ms)
+        ArrivalRate {
+            size: sum.over(span_ms),
+            span_ms,
+        }
     }
 
     /// Returns by how many thousandths of a core the rate changes in a millisecond: the slope of the
@@ -146,6 +157,6 @@
 
 // Rates and times are far below the 2^52 that a float represents exactly.
 #[allow(clippy::cast_precision_loss, clippy::as_conversions)]
-fn as_float(value: u64) -> f64 {
+pub(crate) fn as_float(value: u64) -> f64 {
     value as f64
 }
--- a/src/jobs/demand.rs
+++ b/src/jobs/demand.rs
@@ -97,7 +97,7 @@
     /// Returns the capacity that the recent arrivals of a pool keep busy.
     pub(crate) fn rate(&self, pool: &SmolStr, now_ms: u64) -> Size {
         let arrivals = self.arrivals.get(pool);
-        arrivals.map_or_else(Size::default, |arrivals| arrivals.bins.rate(now_ms).0)
+        arrivals.map_or_else(Size::default, |arrivals| arrivals.bins.rate(now_ms).size)
     }
 
     /// Returns the capacity that the arrivals of a pool are expected to keep busy after `ahead_ms`.
--- a/src/jobs/demand_forecast.rs
+++ b/src/jobs/demand_forecast.rs
@@ -7,8 +7,9 @@
 use smol_str::SmolStr;
 use strum::IntoEnumIterator;
 
-use crate::jobs::arrivals::ArrivalBins;
+use crate::jobs::arrivals::{as_float, ArrivalBins, ArrivalRate};
 use crate::jobs::peak_shape::PeakShapes;
+use crate::jobs::run_distribution::as_permille;
 use crate::jobs::spec::Size;
 use crate::logging::Event;
 
@@ -91,8 +92,8 @@
 impl DemandForecast {
     /// Returns the demand of a pool after `ahead_ms`, and remembers it to be checked then.
     pub(crate) fn forecast(&mut self, method: ForecastMethod, input: &ForecastInput<'_>) -> Size {
-        let (rate, _) = input.arrivals.rate(input.now_ms);
-        self.check(input.pool, input.now_ms, rate.cpu_millis);
+        let rate = input.arrivals.rate(input.now_ms);
+        self.check(input.pool, input.now_ms, rate.size.cpu_millis);
         let of_candidates = CANDIDATES.map(|candidate| demand(candidate, input));
         let issued = self.issued.entry(input.pool.clone()).or_default();
         issued.push_back(Issued {
@@ -160,25 +161,25 @@
     missing * SHORTAGE_WEIGHT + idle
 }
 
-/// Returns the demand that a method forecasts.
-fn demand(method: ForecastMethod, input: &ForecastInput<'_>) -> Size {
-    let (rate, span_ms) = input.arrivals.rate(input.now_ms);
-    let by_trend = || trend_permille(&rate, span_ms, input);
-    let permille = match method {
+/// Returns the demand that a candidate forecasts.
+fn demand(candidate: ForecastMethod, input: &ForecastInput<'_>) -> Size {
+    let rate = input.arrivals.rate(input.now_ms);
+    let by_trend = || trend_permille(&rate, input);
+    let permille = match candidate {
         ForecastMethod::Level => 1_000,
-        ForecastMethod::Trend | ForecastMethod::Adaptive => by_trend(),
         ForecastMethod::Shape => shape_permille(input).unwrap_or_else(by_trend),
+        ForecastMethod::Trend | ForecastMethod::Adaptive => by_trend(),
     };
-    scaled(&rate, permille.min(GROWTH_MAX_PERMILLE))
+    scaled(&rate.size, permille.min(GROWTH_MAX_PERMILLE))
 }
 
 /// Returns the demand relative to the present rate if the rate goes on changing as it did, in
 /// thousandths.
-fn trend_permille(rate: &Size, span_ms: u64, input: &ForecastInput<'_>) -> u64 {
+fn trend_permille(rate: &ArrivalRate, input: &ForecastInput<'_>) -> u64 {
     // The rate is that of the middle of its span.
-    let over_ms = as_float(input.ahead_ms + span_ms / 2);
+    let over_ms = as_float(input.ahead_ms + rate.span_ms / 2);
     let change = input.arrivals.slope(input.now_ms) * over_ms;
-    let present = as_float(rate.cpu_millis).max(1.0);
+    let present = as_float(rate.size.cpu_millis).max(1.0);
     as_permille((present + change).max(0.0) / present)
 }
 
@@ -196,19 +197,3 @@
         gpu_count: size.gpu_count,
     }
 }
-
-// Rates are far below the 2^52 that a float represents exactly.
-#[allow(clippy::cast_precision_loss, clippy::as_conversions)]
-fn as_float(value: u64) -> f64 {
-    value as f64
-}
-
-/// Converts a ratio, which is not negative, to thousandths.
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::as_conversions
-)]
-fn as_permille(ratio: f64) -> u64 {
-    (ratio * 1_000.0).round() as u64
-}
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -13,11 +13,11 @@
 use smol_str::SmolStr;
 
 use crate::jobs::admission::PoolOutlook;
-use crate::jobs::capacity::FILLABLE_PERMILLE;
 use crate::jobs::engine::Engine;
 use crate::jobs::instances::{Instance, InstanceState};
 use crate::jobs::job::Job;
 use crate::jobs::keys::JobKey;
+use crate::jobs::pool_needs::FILLABLE_PERMILLE;
 use crate::jobs::ranking::{chain_grace_ms, is_in_time, remaining_chain_ms};
 use crate::jobs::spec::Size;
 use crate::logging::Event;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -35,6 +35,7 @@
 mod place_waits;
 mod placement;
 mod polls;
+mod pool_needs;
 mod quarantine;
 mod rack_forecast;
 mod ranking;
--- a/src/jobs/peak_shape.rs
+++ b/src/jobs/peak_shape.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use crate::jobs::arrivals::{ArrivalBins, BIN_MS};
+use crate::jobs::arrivals::{as_float, ArrivalBins, BIN_MS};
 
 /// Most shapes stored.
 const SHAPES_MAX_COUNT: usize = 4;
@@ -71,9 +71,3 @@
     let sum: u64 = (first..=last).map(|bin| arrivals.cpu_millis_in(bin)).sum();
     sum / (last - first + 1)
 }
-
-// Rates are far below the 2^52 that a float represents exactly.
-#[allow(clippy::cast_precision_loss, clippy::as_conversions)]
-fn as_float(value: u64) -> f64 {
-    value as f64
-}
--- a/src/jobs/place_pass.rs
+++ b/src/jobs/place_pass.rs
@@ -6,10 +6,10 @@
 
 use smol_str::SmolStr;
 
-use crate::jobs::capacity::tasks_per_instance;
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::place_waits::PlaceVerdict;
+use crate::jobs::pool_needs::tasks_per_instance;
 use crate::jobs::rack_forecast::{ExpectedRun, RackForecast, RackWorker, NEVER_MS};
 use crate::jobs::spec::{Size, StepSpec};
 use crate::jobs::worker::{rack_of, Slot, SlotState};
--- a/src/load/forecasts.rs
+++ b/src/load/forecasts.rs
@@ -89,7 +89,8 @@
 /// Plays all patterns with all methods.
 pub fn measure_forecasts(seed: u64) -> Vec<ForecastRow> {
     let patterns = DemandPattern::iter();
-    let pairs = patterns.flat_map(|pattern| ForecastMethod::iter().map(move |way| (pattern, way)));
+    let pairs =
+        patterns.flat_map(|pattern| ForecastMethod::iter().map(move |method| (pattern, method)));
     pairs
         .map(|(pattern, method)| measure(pattern, method, seed))
         .collect()
