--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -1,4 +1,4 @@
-//! The leader's work: restores the state from the store, runs the engine, and executes its actions.
+//! The leader's work: runs the engine, passes its actions on, and hands leadership off.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -6,14 +6,11 @@
 
 use tokio::sync::oneshot;
 
-use crate::jobs::{
-    Action, Catalog, Engine, EngineSettings, InstanceOrder, JobId, PaceOrder, PollOrder, Record,
-    Settled, StartOrder, StopOrder, TicketRequest,
-};
+use crate::jobs::{Catalog, Engine, EngineSettings, JobId, Settled};
 use crate::logging::Event;
 use crate::node::journal::{self, Journal};
-use crate::node::{fleet_lists, CallAnswer, Node, Role, StoreFailure, WaveReports};
-use crate::platform::{advice, instances, status, store::Topic, workers};
+use crate::node::restore::restore;
+use crate::node::{CallAnswer, Node, Role, StoreFailure, WaveReports};
 
 /// Lease granted to the runs of a worker, in milliseconds, unless the platform's limit is lower.
 const RUN_LEASE_MS: u64 = 4_000;
@@ -28,16 +25,6 @@
 /// Shortest time between two steps of the engine, in milliseconds. Answers that arrive within it
 /// share one step.
 const STEP_PAUSE_MS: u64 = 4;
-/// Timeout of reading the job records, in milliseconds.
-const RESTORE_TIMEOUT_MS: u64 = 2_000;
-/// Pause before a failed restore is retried, in milliseconds.
-const RESTORE_RETRY_MS: u64 = 100;
-/// Pause before a failed report on a wave is retried, in milliseconds.
-const WAVE_REPORT_RETRY_MS: u64 = 300;
-/// Timeout of a report on a wave, in milliseconds.
-const WAVE_REPORT_TIMEOUT_MS: u64 = 1_500;
-/// Most attempts to report on a wave.
-const WAVE_REPORT_ATTEMPTS_MAX: usize = 40;
 /// Longest wait for the journal before leadership is handed off, in milliseconds.
 const HAND_OFF_JOURNAL_WAIT_MS: u64 = 600;
 /// Longest wait for the record that releases the lease, in milliseconds.
@@ -165,29 +152,10 @@
             step_down(self, "deposed");
         }
     }
-
-    fn execute(self: &Rc<Self>, action: Action) {
-        let node = Rc::clone(self);
-        match action {
-            Action::Start(order) => spawn(start(node, order)),
-            Action::Stop(order) => spawn(stop(node, order)),
-            Action::Pace(order) => spawn(pace(node, order)),
-            Action::Poll(order) => spawn(poll(node, order)),
-            Action::RequestTickets(request) => spawn(request_tickets(node, request)),
-            Action::Instance(order) => spawn(order_instance(node, order)),
-            Action::ReportWave { wave, is_complete } => spawn(report_wave(node, wave, is_complete)),
-        }
-    }
-
-    fn record_order(&self, kind: &'static str, outcome: &'static str, sent_ms: u64) {
-        self.metrics.count_order(kind, outcome);
-        self.metrics
-            .order_ms
-            .observe(to_f64(self.now_ms().saturating_sub(sent_ms)));
-    }
 }
 
-fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
+/// Spawns a task on this thread.
+pub(crate) fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
     tokio::task::spawn_local(task);
 }
 
@@ -197,133 +165,6 @@
     time_ms as f64
 }
 
-async fn start(node: Rc<Node>, order: StartOrder) {
-    let sent_ms = node.now_ms();
-    let answer = workers::start(&node.client, &order).await;
-    let now_ms = node.now_ms();
-    node.record_order("start", answer.map_or_else(Into::into, |_| "ok"), sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
-        Ok(clock_ms) => leader.engine.start_accepted(&order, clock_ms, now_ms),
-        Err(failure) => leader.engine.start_failed(&order, failure, now_ms),
-    });
-    node.request_step();
-}
-
-async fn stop(node: Rc<Node>, order: StopOrder) {
-    let sent_ms = node.now_ms();
-    let answer = workers::stop(&node.client, &order).await;
-    let now_ms = node.now_ms();
-    node.record_order("stop", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
-        Ok(()) => leader.engine.stop_accepted(&order, now_ms),
-        Err(failure) => leader.engine.stop_failed(&order, failure, now_ms),
-    });
-    node.request_step();
-}
-
-async fn pace(node: Rc<Node>, order: PaceOrder) {
-    let sent_ms = node.now_ms();
-    let answer = workers::pace(&node.client, &order).await;
-    let now_ms = node.now_ms();
-    node.record_order("pace", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
-    if answer.is_err() {
-        node.with_leader(order.target.fence, |leader| {
-            leader.engine.pace_failed(&order, now_ms);
-        });
-    }
-}
-
-async fn poll(node: Rc<Node>, order: PollOrder) {
-    let sent_ms = node.now_ms();
-    let answer = workers::poll(&node.client, &order).await;
-    let now_ms = node.now_ms();
-    let outcome = answer
-        .as_ref()
-        .map_or_else(|failure| (*failure).into(), |_| "ok");
-    node.record_order("look", outcome, sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
-        Ok(reply) => leader.engine.poll_answered(&order, reply, now_ms),
-        Err(failure) => leader.engine.poll_failed(&order, failure, now_ms),
-    });
-    node.request_step();
-}
-
-async fn request_tickets(node: Rc<Node>, request: TicketRequest) {
-    let answer = match node.settings.tickets_address {
-        Some(address) => advice::request_tickets(&node.client, address, &request).await,
-        None => None,
-    };
-    let now_ms = node.now_ms();
-    node.with_engine(|engine, _| engine.tickets_answered(&request, answer, now_ms));
-    node.request_step();
-}
-
-async fn order_instance(node: Rc<Node>, order: InstanceOrder) {
-    let Some(address) = node.settings.instances_address else {
-        return;
-    };
-    let valid_fence = || match node.leadership.borrow().role(node.now_ms()) {
-        Role::Leader {
-            fence,
-            is_valid: true,
-        } => Some(fence),
-        _ => None,
-    };
-    let Some(fence) = valid_fence() else {
-        return;
-    };
-    let sent_ms = node.now_ms();
-    let sender = (node.settings.name.as_str(), fence);
-    let may_send = || valid_fence() == Some(fence);
-    let answer = instances::order(&node.client, address, &order, sender, may_send).await;
-    let now_ms = node.now_ms();
-    let outcome = match answer {
-        Ok(()) => "ok",
-        Err(_) => "failed",
-    };
-    node.record_order("instance", outcome, sent_ms);
-    node.with_leader(fence, |leader| {
-        leader.engine.instance_answered(&order, answer, now_ms);
-    });
-    node.request_step();
-}
-
-/// Writes a report on a wave, until the store has taken it, a newer one follows, or this node no
-/// longer leads.
-async fn report_wave(node: Rc<Node>, wave: u64, is_complete: bool) {
-    let added = node.leader_state.borrow_mut().as_mut().map(|leader| {
-        let fence = leader.engine.fence();
-        (fence, leader.wave_reports.add(wave))
-    });
-    let Some((fence, number)) = added else {
-        return;
-    };
-    let record = [status::wave_record(wave, is_complete)];
-    for _ in 0..WAVE_REPORT_ATTEMPTS_MAX {
-        let is_newest =
-            node.with_leader(fence, |leader| leader.wave_reports.is_newest(wave, number));
-        if is_newest != Some(true) {
-            return;
-        }
-        let sent_ms = node.now_ms();
-        let reported = node
-            .store
-            .append(Topic::Status, &record, None, None, WAVE_REPORT_TIMEOUT_MS)
-            .await;
-        node.record_store_call("status", &reported, sent_ms);
-        match reported {
-            Ok(_) => return,
-            Err(failure) => {
-                Event::new("wave_report_failed")
-                    .with("wave", wave)
-                    .with("failure", failure)
-                    .warn();
-                tokio::time::sleep(Duration::from_millis(WAVE_REPORT_RETRY_MS)).await;
-            }
-        }
-    }
-}
-
 /// Starts or ends leadership, as the lease says.
 pub(crate) fn apply_role(node: &Rc<Node>) {
     let role = node.leadership.borrow().role(node.now_ms());
@@ -342,7 +183,7 @@
     }
 }
 
-fn step_down(node: &Rc<Node>, reason: &'static str) {
+pub(crate) fn step_down(node: &Rc<Node>, reason: &'static str) {
     // Dropping the channels reports to the waiting callers that the outcome is not known.
     if let Some(leader) = node.leader_state.borrow_mut().take() {
         Event::new("leadership_ended")
@@ -397,68 +238,6 @@
     spawn(restore(Rc::clone(node), fence));
 }
 
-/// Raises the fence, restores the engine from all records, and starts the leader's tasks.
-async fn restore(node: Rc<Node>, fence: u64) {
-    let Some(records) = read_records_with_retries(&node, fence).await else {
-        return;
-    };
-    let waves = node.waves.borrow().clone();
-    let zones = node.evacuations.borrow().zones();
-    node.with_leader(fence, |leader| {
-        leader.engine.restore(records);
-        leader.engine.set_evacuated_zones(&zones);
-        for wave in waves {
-            leader.engine.wave_requested(wave);
-        }
-        leader.is_restored = true;
-    });
-    spawn(fleet_lists::follow_workers(Rc::clone(&node), fence));
-    spawn(fleet_lists::follow_instances(Rc::clone(&node), fence));
-    spawn(tick(node, fence));
-}
-
-async fn read_records_with_retries(node: &Rc<Node>, fence: u64) -> Option<Vec<Record>> {
-    loop {
-        node.with_leader(fence, |_| ())?;
-        match read_records(node, fence).await {
-            Ok(records) => return Some(records),
-            Err(StoreFailure::Fenced) => {
-                node.superseded_fence.set(fence);
-                step_down(node, "deposed");
-                return None;
-            }
-            Err(failure) => {
-                Event::new("restore_delayed")
-                    .with("fence", fence)
-                    .with("failure", failure)
-                    .warn();
-                tokio::time::sleep(Duration::from_millis(RESTORE_RETRY_MS)).await;
-            }
-        }
-    }
-}
-
-async fn read_records(node: &Rc<Node>, fence: u64) -> Result<Vec<Record>, StoreFailure> {
-    journal::raise_fence(node, fence).await?;
-    let (persisted, _) = node
-        .store
-        .read_newest(Topic::Jobs, RESTORE_TIMEOUT_MS)
-        .await?;
-    let mut records = Vec::new();
-    for persisted in &persisted {
-        let value = persisted.value.as_deref().unwrap_or(&[]);
-        match Record::decode(&persisted.key, value) {
-            Some(record) => records.push(record),
-            None => Event::new("record_unreadable")
-                .with("topic", "jobs")
-                .with("key", &persisted.key)
-                .with("offset", persisted.offset)
-                .error(),
-        }
-    }
-    Ok(records)
-}
-
 /// Runs a step of the engine whenever one is requested, for as long as the process runs.
 pub(crate) async fn run_steps(node: Rc<Node>) {
     loop {
@@ -469,7 +248,7 @@
 }
 
 /// Requests a step at a fixed interval, for what becomes due by time alone.
-async fn tick(node: Rc<Node>, fence: u64) {
+pub(crate) async fn tick(node: Rc<Node>, fence: u64) {
     while node.with_leader(fence, |_| ()).is_some() {
         node.request_step();
         node.update_gauges();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,7 +17,9 @@
 mod lease;
 mod lists;
 mod metrics;
+mod orders;
 mod peers;
+mod restore;
 mod types;
 mod wave_reports;
 
