Log and count how far the leader's event loop is behind

Change: leader_load once a second, with the delay of the event loop and the counts; metrics loop_delay_ms and peer_calls. Result: the test of the delay passes; no decision changes.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -136,6 +136,7 @@
             leader.engine.advance(self.now_ms(), self.unix_ms());
             leader.engine.take_actions()
         };
+        self.count_load(|load| load.steps_count += 1);
         for action in actions {
             self.execute(action);
         }
@@ -243,7 +244,10 @@
     loop {
         node.step_due.notified().await;
         node.step();
+        let slept_from_ms = node.now_ms();
         tokio::time::sleep(Duration::from_millis(STEP_PAUSE_MS)).await;
+        let slept_ms = node.now_ms().saturating_sub(slept_from_ms);
+        node.observe_loop_delay(STEP_PAUSE_MS, slept_ms);
     }
 }
 
@@ -252,6 +256,7 @@
     while node.with_leader(fence, |_| ()).is_some() {
         node.request_step();
         node.update_gauges();
+        node.log_load();
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -61,6 +61,10 @@
     pub store_ms: Histogram,
     /// Duration of an order to a worker or an instance, in milliseconds.
     pub order_ms: Histogram,
+    /// Time by which a step of the engine came later than planned, in milliseconds.
+    pub loop_delay_ms: Histogram,
+    /// Calls of peers that this node answered as the leader.
+    pub peer_calls: Counter,
     /// Fence under which this node leads; 0 if it does not lead.
     pub leading_fence: Gauge<u64, AtomicU64>,
     /// Jobs that have not ended; set on the leader.
@@ -105,6 +109,8 @@
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
             order_ms: histogram_ms(),
+            loop_delay_ms: histogram_ms(),
+            peer_calls: Counter::default(),
             leading_fence: Gauge::default(),
             live_jobs_count: Gauge::default(),
             kept_jobs_count: Gauge::default(),
@@ -159,6 +165,16 @@
         registry.register("call_ms", "Time to an answer.", self.call_ms.clone());
         registry.register("store_ms", "Time of a store call.", self.store_ms.clone());
         registry.register("order_ms", "Time of an order.", self.order_ms.clone());
+        registry.register(
+            "loop_delay_ms",
+            "Delay of a step of the engine.",
+            self.loop_delay_ms.clone(),
+        );
+        registry.register(
+            "peer_calls",
+            "Calls of peers to the leader.",
+            self.peer_calls.clone(),
+        );
         registry.register(
             "leading_fence",
             "Fence of the leader, here only.",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,9 +13,11 @@
 mod fleet_lists;
 mod journal;
 mod leader;
+mod leader_load;
 mod leadership;
 mod lease;
 mod lists;
+mod loop_delay;
 mod metrics;
 mod orders;
 mod peers;
@@ -42,6 +44,7 @@
 pub use explain::{ExplainAnswer, ExplainCall, EXPLAIN_PATH};
 pub use journal::Journal;
 pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
+pub use loop_delay::LoopDelay;
 pub use metrics::NodeMetrics;
 pub use types::{
     CallAnswer, CallKind, Fence, KeyedPage, KeyedRecord, LogPage, NodeBounds, NodeSettings,
@@ -50,6 +53,7 @@
 pub use wave_reports::WaveReports;
 
 use leader::LeaderState;
+use leader_load::LeaderLoad;
 
 /// Interval between flushes of the log, in milliseconds.
 const FLUSH_MS: u64 = 100;
@@ -91,6 +95,10 @@
     /// milliseconds; 0 for none.
     pub(crate) lists_confirmed_ms: Cell<u64>,
     pub(crate) leadership: RefCell<Leadership>,
+    /// Recent delays of the event loop, measured by the task that runs the engine.
+    pub(crate) loop_delay: Cell<LoopDelay>,
+    /// Work of this node as the leader since it was last logged.
+    pub(crate) leader_load: Cell<LeaderLoad>,
     /// Wakes the task that runs the engine.
     pub(crate) step_due: Notify,
     /// Wakes the task that writes the lease.
@@ -169,6 +177,8 @@
             waves: RefCell::new(Vec::new()),
             lists_confirmed_ms: Cell::new(0),
             leadership: RefCell::new(leadership),
+            loop_delay: Cell::new(LoopDelay::default()),
+            leader_load: Cell::new(LeaderLoad::default()),
             step_due: Notify::new(),
             lease_changed: Notify::new(),
             leader_state: RefCell::new(None),
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -43,6 +43,7 @@
 
 async fn start(node: Rc<Node>, order: StartOrder) {
     let sent_ms = node.now_ms();
+    node.count_load(|load| load.starts_count += 1);
     let answer = workers::start(&node.client, &order).await;
     let now_ms = node.now_ms();
     node.record_order("start", answer.map_or_else(Into::into, |_| "ok"), sent_ms);
@@ -79,6 +80,7 @@
 
 async fn poll(node: Rc<Node>, order: PollOrder) {
     let sent_ms = node.now_ms();
+    node.count_load(|load| load.polls_count += 1);
     let answer = workers::poll(&node.client, &order).await;
     let now_ms = node.now_ms();
     let outcome = answer
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -50,6 +50,8 @@
     let Some(call) = call else {
         return Answer::status(400);
     };
+    node.count_load(|load| load.peer_calls_count += 1);
+    node.metrics.peer_calls.inc();
     let answer = answer_as_leader(&node, call).await;
     Answer {
         status: 200,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod node_evacuations;
 mod node_journal;
 mod node_leadership;
+mod node_load;
 mod node_refusals;
 mod operator_commands;
 mod peers;
