Make the leader's work cheaper: allocator, hash function and build

Change: mimalloc as the allocator, foldhash for the tables that are looked up for each run, and a release build that is not incremental.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -6,11 +6,11 @@
 //! ends of runs, cancels, and the workers on which tasks may run. Starts are not persisted: a new
 //! leader raises its fence at each worker and reads there which runs exist.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
-use indexmap::IndexSet;
 use smol_str::SmolStr;
 
+use crate::collections::{HashMap, IndexSet};
 use crate::jobs::admission::Admission;
 use crate::jobs::batches::Batch;
 use crate::jobs::capacity::CapacityPolicy;
@@ -167,9 +167,9 @@
             catalog,
             jobs: Vec::new(),
             free_jobs: Vec::new(),
-            job_keys: HashMap::new(),
-            live: IndexSet::new(),
-            recurring: IndexSet::new(),
+            job_keys: HashMap::default(),
+            live: IndexSet::default(),
+            recurring: IndexSet::default(),
             waiting_jobs: WaitingJobs::default(),
             touched_jobs: Vec::new(),
             copies_due: BTreeSet::new(),
@@ -179,11 +179,11 @@
             touched_workers: Vec::new(),
             poll_checks: Vec::new(),
             worker_timers: BTreeSet::new(),
-            awaiting_workers: IndexSet::new(),
-            worker_keys: HashMap::new(),
-            present: IndexSet::new(),
-            recovering_pools: IndexSet::new(),
-            team_used: HashMap::new(),
+            awaiting_workers: IndexSet::default(),
+            worker_keys: HashMap::default(),
+            present: IndexSet::default(),
+            recovering_pools: IndexSet::default(),
+            team_used: HashMap::default(),
             team_rates: TeamRates::default(),
             admission: Admission::default(),
             run_times: RunTimes::default(),
@@ -208,7 +208,7 @@
             has_lost_leadership: false,
             has_stopped_instance_orders: false,
             new_jobs: Vec::new(),
-            dirty_jobs: IndexSet::new(),
+            dirty_jobs: IndexSet::default(),
             new_workers: Vec::new(),
             other_records: Vec::new(),
             next_batch: 1,
--- a/src/jobs/free_capacity.rs
+++ b/src/jobs/free_capacity.rs
@@ -2,10 +2,11 @@
 //! engine updates the entry of a worker whenever the worker changes, in O(log n), so that a
 //! placement visits only workers with enough free processor time, and none in a full pool.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
 
+use crate::collections::HashMap;
 use crate::jobs::engine::index;
 use crate::jobs::keys::WorkerKey;
 use crate::jobs::spec::Size;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -1,7 +1,6 @@
 //! Polls of workers: when they are due, and how the runs that they list are applied.
 
-use indexmap::IndexSet;
-
+use crate::collections::IndexSet;
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{RunKey, WorkerKey};
 use crate::jobs::lost_runs::{LossReason, LostRun};
@@ -127,7 +126,7 @@
         for end in &reply.ended {
             self.apply_end(key, end);
         }
-        let mut listed = IndexSet::new();
+        let mut listed = IndexSet::default();
         for row in &reply.running {
             listed.extend(self.apply_row(key, row, order.sent_ms));
         }
--- a/src/jobs/run_times.rs
+++ b/src/jobs/run_times.rs
@@ -5,10 +5,9 @@
 //! A kind takes less than 20 KiB: two histograms of 2.5 KiB and a summary of at most 1,024 ratios of
 //! 12 bytes. At most [`KINDS_MAX_COUNT`] kinds are known, so that all take less than 10 MiB.
 
-use std::collections::HashMap;
-
 use smol_str::SmolStr;
 
+use crate::collections::HashMap;
 use crate::jobs::keys::JobKey;
 use crate::jobs::run_distribution::{as_permille, RunDistribution, RunVerdict};
 use crate::jobs::spec::StepSpec;
--- a/src/jobs/waiting.rs
+++ b/src/jobs/waiting.rs
@@ -2,10 +2,11 @@
 //! engine updates the place of a job whenever the job changes, or becomes late by time alone, in
 //! O(log n), so that a pass over a pool visits only jobs with a task that might fit.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use smol_str::SmolStr;
 
+use crate::collections::HashMap;
 use crate::jobs::engine::Engine;
 use crate::jobs::job::Job;
 use crate::jobs::keys::JobKey;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::collections::IndexMap;
 use crate::jobs::keys::RunKey;
 use crate::jobs::slowness::Slowness;
 use crate::jobs::spec::Size;
@@ -258,7 +258,7 @@
             listed_started_unix_ms: 0,
             is_capacity_unknown: false,
             is_reserved: false,
-            slots: IndexMap::new(),
+            slots: IndexMap::default(),
             used: Size::default(),
             long_running_count: 0,
             clock: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod adapters;
 pub mod callers;
+mod collections;
 pub mod config_files;
 pub mod entry;
 pub mod error;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,11 @@
 
 use std::process::ExitCode;
 
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 fn main() -> ExitCode {
     cmd::configure_error_reports();
     let matches = cmd::make_command().get_matches();
--- a/src/net/idle.rs
+++ b/src/net/idle.rs
@@ -1,12 +1,14 @@
 //! Idle connections of a client, by address. Each is closed after some time without use, and their
 //! number has a bound, so that connections to servers that are no longer called do not stay open.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::collections::HashMap;
+
 /// A connection that is not in use.
 #[derive(Debug)]
 struct Idle<C> {
@@ -30,7 +32,7 @@
     /// Creates a pool of at most `max_count` connections, each idle for less than `age_max`.
     pub(crate) fn new(max_count: usize, age_max: Duration) -> Self {
         Self {
-            by_address: HashMap::new(),
+            by_address: HashMap::default(),
             by_age: BTreeMap::new(),
             next_number: 0,
             max_count,
