Keep starts that the leader cannot carry out in the engine, plan them, and pace polls

What callers saw: nearly all jobs of a peak late, calls that end 502 and 504. Cause: a step of the engine ordered all that fits at once. Beyond what the processor can do, orders waited in the event loop in the order in which they came, jobs in time behind late ones, and with them polls, calls of peers and the lease; the plan of jobs knew only the capacity of workers. Each end was answered by a poll of its own, however far the leader was behind. Change: a step orders at most 64 starts; a step that leaves some measures how many a second the process can carry out, and the plan postpones jobs by that rate as it does by the capacity of a pool; admission counts the backlog of starts. Polls pause while the leader is behind. Evidence: full_processor.rs, a process that carries out one task after the other.

--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -121,6 +121,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
     outlooks: IndexMap<SmolStr, PoolOutlook>,
+    /// Starts that this leader has to carry out, in thousandths; none if it keeps up with them.
+    starts: Option<PoolOutlook>,
     planned_ms: u64,
     errors: HashMap<SmolStr, ForecastError>,
     refused: RefusedIds,
@@ -129,8 +131,14 @@
 }
 
 impl Admission {
-    /// Replaces what is known of the pools by the results of a plan.
-    pub(crate) fn planned(&mut self, outlooks: IndexMap<SmolStr, PoolOutlook>, now_ms: u64) {
+    /// Replaces what is known of the pools, and of the leader's own work, by the results of a plan.
+    pub(crate) fn planned(
+        &mut self,
+        outlooks: IndexMap<SmolStr, PoolOutlook>,
+        starts: Option<PoolOutlook>,
+        now_ms: u64,
+    ) {
+        self.starts = starts;
         self.errors.retain(|pool, _| outlooks.contains_key(pool));
         self.outlooks = outlooks;
         self.planned_ms = now_ms;
@@ -244,10 +252,12 @@
         let outlook = self.admission.outlooks.get(pool)?;
         let run_ms = |step: &StepSpec| self.run_times.expected_ms(queue, step);
         let chain_ms = spec.chains_ms(run_ms).into_iter().max().unwrap_or(0);
-        let backlog_ms = outlook.time_ms(outlook.work);
+        let starts = self.admission.starts;
+        let starts_backlog_ms = starts.map_or(0, |starts| starts.time_ms(starts.work));
+        let backlog_ms = outlook.time_ms(outlook.work).max(starts_backlog_ms);
         let own_ms = outlook.time_ms(spec.work_ms(run_ms).0);
         Some(Forecast {
-            has_room: outlook.has_room(first_cpu_millis(spec)),
+            has_room: outlook.has_room(first_cpu_millis(spec)) && starts_backlog_ms == 0,
             backlog_ms,
             chain_ms,
             total_ms: backlog_ms.saturating_add(chain_ms.max(own_ms)),
@@ -277,6 +287,9 @@
             let first_cpu_millis = first_cpu_millis(&spec);
             outlook.demand_cpu_millis = outlook.demand_cpu_millis.saturating_add(first_cpu_millis);
         }
+        if let Some(starts) = &mut self.admission.starts {
+            starts.work += spec.tasks_count() * 1_000;
+        }
     }
 
     /// Compares the forecast of a job, if there is one, with its end.
--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -107,11 +107,13 @@
         self.apply_failure(order.target.worker, failure);
     }
 
-    /// Makes a poll due at once, unless one is in flight.
+    /// Makes a poll due as soon as the pause since the last one is over, unless one is in flight.
     pub(crate) fn request_poll(&mut self, key: WorkerKey) {
         let now_ms = self.now_ms;
-        if let PollState::Idle { due_ms } = &mut self.worker_mut(key).poll {
-            *due_ms = (*due_ms).min(now_ms);
+        let worker = self.worker_mut(key);
+        let soonest_ms = worker.next_poll_ms.max(now_ms);
+        if let PollState::Idle { due_ms } = &mut worker.poll {
+            *due_ms = (*due_ms).min(soonest_ms);
         }
     }
 }
--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -106,7 +106,7 @@
                     worker.awaited_batch = None;
                     worker.persisted_through = worker.seen_through;
                     if let PollState::Idle { due_ms } = &mut worker.poll {
-                        *due_ms = 0;
+                        *due_ms = worker.next_poll_ms;
                     }
                 }
                 Some(_) => {
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -92,12 +92,21 @@
         self.place_waits.begin_pass();
         let mut pass = Pass::default();
         for key in self.jobs_that_may_start() {
+            if self.starts_left == 0 {
+                self.needs_dispatch = true;
+                break;
+            }
             if !self.is_held_back(key) {
                 self.start_tasks_of(key, &mut pass);
             }
         }
         self.start_suspects(OtherTasks::HaveStarted);
         self.start_copies(&mut pass);
+        let starts_count = self.settings.starts_per_step_max - self.starts_left;
+        let starts_count = u64::try_from(starts_count).unwrap_or(u64::MAX);
+        let is_full = self.starts_left == 0;
+        self.start_rate
+            .observe_step(starts_count, is_full, self.now_ms);
     }
 
     /// Returns the workers of a pool that accept tasks.
@@ -158,6 +167,9 @@
             if !is_waiting || self.is_isolated(task) {
                 continue;
             }
+            if self.starts_left == 0 {
+                return;
+            }
             match self.try_start(task, step, None, &mut pass.places) {
                 StartOutcome::Started | StartOutcome::Waits => continue,
                 StartOutcome::NoWorker => {}
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -28,11 +28,13 @@
 use crate::jobs::order_numbers::OrderNumbers;
 use crate::jobs::orders::{Action, StopOrder, Target};
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
+use crate::jobs::poll_pace::PollPace;
 use crate::jobs::quarantine::Quarantine;
 use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
 use crate::jobs::start_orders::HeldStart;
+use crate::jobs::start_rate::StartRate;
 use crate::jobs::team_rates::TeamRates;
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
@@ -52,6 +54,9 @@
     pub run_lease_ms: u64,
     /// Longest time that a worker holds a poll while it waits for a run to end, in milliseconds.
     pub poll_wait_ms: u64,
+    /// Most starts that one step orders. What it leaves goes with the next step, in the order that
+    /// holds then.
+    pub starts_per_step_max: usize,
     /// Time that a worker may take to stop a run, in milliseconds.
     pub stop_ms: u64,
     /// Longest time, from the start of this leader, for which a run leased by an earlier leader can
@@ -142,6 +147,12 @@
     pub(crate) demand_cycle: DemandCycle,
     pub(crate) actions: Vec<Action>,
     pub(crate) needs_dispatch: bool,
+    /// Starts that the present step may still order.
+    pub(crate) starts_left: usize,
+    pub(crate) start_rate: StartRate,
+    pub(crate) poll_pace: PollPace,
+    /// Delay of the event loop of this process, in milliseconds.
+    loop_delay_ms: u64,
     pub(crate) next_review_ms: u64,
     pub(crate) next_plan_ms: u64,
     next_sweep_ms: u64,
@@ -160,6 +171,10 @@
     /// Creates an engine without jobs, workers or instances.
     pub fn open(settings: EngineSettings, catalog: Catalog, now_ms: u64, unix_ms: u64) -> Self {
         Self {
+            starts_left: settings.starts_per_step_max,
+            start_rate: StartRate::default(),
+            poll_pace: PollPace::default(),
+            loop_delay_ms: 0,
             settings,
             now_ms,
             unix_ms,
@@ -257,6 +272,7 @@
         if self.has_lost_leadership {
             return;
         }
+        self.starts_left = self.settings.starts_per_step_max;
         self.open_due_rounds();
         if self.now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = self.now_ms + SWEEP_MS;
@@ -267,12 +283,19 @@
         }
         self.plan_job_order();
         self.dispatch();
+        let is_full = self.starts_left == 0;
+        self.poll_pace.observe_step(is_full, self.loop_delay_ms);
         if !self.has_stopped_instance_orders {
             self.review();
         }
         self.send_due_polls();
     }
 
+    /// Sets how much later than planned the tasks of this process run now, in milliseconds.
+    pub fn set_loop_delay_ms(&mut self, delay_ms: u64) {
+        self.loop_delay_ms = delay_ms;
+    }
+
     /// Takes the pending orders.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -18,7 +18,7 @@
 use crate::jobs::job::Job;
 use crate::jobs::keys::JobKey;
 use crate::jobs::pool_needs::FILLABLE_PERMILLE;
-use crate::jobs::ranking::{chain_grace_ms, is_in_time, remaining_chain_ms};
+use crate::jobs::ranking::{chain_grace_ms, is_in_time, latest_start_ms, remaining_chain_ms};
 use crate::jobs::spec::Size;
 use crate::logging::Event;
 
@@ -107,6 +107,26 @@
     unseen_rate: u64,
 }
 
+/// The plans of all pools, and that of the leader's own work.
+#[derive(Debug, Default)]
+struct Plans {
+    pools: IndexMap<SmolStr, PoolPlan>,
+    /// The starts that this leader has to carry out, as a pool whose work is counted in thousandths
+    /// of a start; none if it keeps up with them.
+    starts: Option<PoolPlan>,
+    /// Weight of each team with claims.
+    teams: IndexMap<SmolStr, f64>,
+    /// Jobs with a forecast that can no longer meet their targets.
+    missed_forecasts: Vec<JobKey>,
+}
+
+impl Plans {
+    /// Returns the index of a job's team, which has this weight.
+    fn team_index(&mut self, job: &Job, weight: f64) -> usize {
+        self.teams.insert_full(job.team.clone(), weight).0
+    }
+}
+
 /// Waiting work of jobs with a target.
 #[derive(Clone, Copy, Debug, Default)]
 struct WaitingWork {
@@ -114,9 +134,40 @@
     work: u64,
     /// Size of the tasks that could start, in thousandths of a core.
     startable_cpu_millis: u64,
+    /// Number of tasks that have not started yet.
+    tasks_count: u64,
+}
+
+impl WaitingWork {
+    fn add(&mut self, more: &Self) {
+        self.work += more.work;
+        self.startable_cpu_millis += more.startable_cpu_millis;
+        self.tasks_count += more.tasks_count;
+    }
+
+    /// Returns the starts that the work takes, in thousandths.
+    fn starts(&self) -> u64 {
+        self.tasks_count * 1_000
+    }
 }
 
 impl PoolPlan {
+    /// Adds the claim of a job, unless the job is not persisted yet. One that is not in time any more
+    /// only takes time before the jobs over the rate.
+    fn add_claim(&mut self, claim: Claim, job: &Job, is_in_time: bool) {
+        if !job.is_persisted {
+            return;
+        }
+        if !job.is_over_rate {
+            self.waiting_within_rate += claim.work;
+        }
+        match job.is_over_rate {
+            _ if !is_in_time => {}
+            true => self.over_rate.push(claim),
+            false => self.within_rate.push(claim),
+        }
+    }
+
     /// Returns what admission control has to know of the pool.
     fn outlook(&self) -> PoolOutlook {
         PoolOutlook {
@@ -147,63 +198,81 @@
             return;
         }
         self.next_plan_ms = self.now_ms + PLAN_MS;
-        let mut teams: IndexMap<SmolStr, f64> = IndexMap::new();
-        let mut plans = self.empty_plans();
-        let mut missed_forecasts = Vec::new();
+        let mut plans = Plans {
+            pools: self.empty_plans(),
+            starts: self.empty_starts_plan(),
+            ..Plans::default()
+        };
         for key in self.live.iter().copied() {
-            let job = self.job(key);
-            let WaitingWork {
-                work,
-                startable_cpu_millis,
-            } = self.waiting_work(job);
-            if work == 0 {
-                continue;
-            }
-            let plan = plans.entry(job.pool.clone()).or_default();
-            plan.waiting.work += work;
-            plan.waiting.startable_cpu_millis += startable_cpu_millis;
-            if !job.is_persisted {
-                continue;
-            }
-            if !job.is_over_rate {
-                plan.waiting_within_rate += work;
-            }
-            if !is_in_time(job, self.now_ms) {
-                if job.forecast_ms.is_some() {
-                    missed_forecasts.push(key);
-                }
-                continue;
-            }
-            let weight = self.catalog.teams.get(&job.team).map(|team| team.weight);
-            let weight = weight.filter(|weight| *weight > 0.0).unwrap_or(1.0);
-            let team = teams.insert_full(job.team.clone(), weight).0;
-            let claim = Claim {
-                job: key,
-                team,
-                work,
-                due_ms: job.target_ms + chain_grace_ms(remaining_chain_ms(job)),
-            };
-            match job.is_over_rate {
-                true => plan.over_rate.push(claim),
-                false => plan.within_rate.push(claim),
-            }
+            self.add_waiting_job(key, &mut plans);
         }
-        self.add_capacity(&mut plans);
-        for key in missed_forecasts {
-            self.observe_missed_forecast(key);
+        self.add_capacity(&mut plans.pools);
+        for key in &plans.missed_forecasts {
+            self.observe_missed_forecast(*key);
         }
-        let outlooks = plans
-            .iter()
-            .map(|(pool, plan)| (pool.clone(), plan.outlook()));
-        self.admission.planned(outlooks.collect(), self.now_ms);
-        let weights: Vec<f64> = teams.values().copied().collect();
+        let outlooks = plans.pools.iter();
+        let outlooks = outlooks.map(|(pool, plan)| (pool.clone(), plan.outlook()));
+        let starts = plans.starts.as_ref().map(PoolPlan::outlook);
+        self.admission
+            .planned(outlooks.collect(), starts, self.now_ms);
+        let weights: Vec<f64> = plans.teams.values().copied().collect();
         let mut postponed = HashSet::new();
-        for plan in plans.into_values() {
+        for plan in plans.pools.into_values().chain(plans.starts) {
             postponed.extend(plan.jobs_to_postpone(&weights, self.now_ms));
         }
         self.postpone(&postponed);
     }
 
+    /// Adds a job to the plans if it has tasks that have not started.
+    fn add_waiting_job(&self, key: JobKey, plans: &mut Plans) {
+        let job = self.job(key);
+        let waiting = self.waiting_work(job);
+        if waiting.work == 0 {
+            return;
+        }
+        let is_in_time = is_in_time(job, self.now_ms);
+        let team = match job.is_persisted && is_in_time {
+            true => plans.team_index(job, self.weight_of(&job.team)),
+            false => 0,
+        };
+        let claim = Claim {
+            job: key,
+            team,
+            work: waiting.work,
+            due_ms: job.target_ms + chain_grace_ms(remaining_chain_ms(job)),
+        };
+        let start_claim = Claim {
+            work: waiting.starts(),
+            // The end of the last task is noticed up to a pause later.
+            due_ms: latest_start_ms(job).saturating_sub(self.poll_pace.pause_ms()),
+            ..claim
+        };
+        let pool = plans.pools.entry(job.pool.clone()).or_default();
+        pool.waiting.add(&waiting);
+        pool.add_claim(claim, job, is_in_time);
+        if let Some(starts) = &mut plans.starts {
+            starts.waiting.work += start_claim.work;
+            starts.add_claim(start_claim, job, is_in_time);
+        }
+        if job.is_persisted && !is_in_time && job.forecast_ms.is_some() {
+            plans.missed_forecasts.push(key);
+        }
+    }
+
+    fn weight_of(&self, team: &SmolStr) -> f64 {
+        let weight = self.catalog.teams.get(team).map(|team| team.weight);
+        weight.filter(|weight| *weight > 0.0).unwrap_or(1.0)
+    }
+
+    /// Returns a plan of the starts without any, if there are more than this leader can carry out.
+    fn empty_starts_plan(&self) -> Option<PoolPlan> {
+        let starts_per_s = self.start_rate.limit_per_s(self.now_ms)?;
+        Some(PoolPlan {
+            rate: starts_per_s,
+            ..PoolPlan::default()
+        })
+    }
+
     /// Returns a plan without work for each pool that can have some.
     fn empty_plans(&self) -> IndexMap<SmolStr, PoolPlan> {
         let pools = self.catalog.pools.iter();
@@ -224,6 +293,7 @@
                 let time_ms = self.run_times.expected_ms(&job.queue, spec);
                 let cpu_millis = u64::from(step.waiting_count) * spec.reservation().cpu_millis;
                 waiting.work += cpu_millis * time_ms;
+                waiting.tasks_count += u64::from(step.waiting_count);
                 if step.waiting_count > 0 && round.is_ready(spec) {
                     waiting.startable_cpu_millis += cpu_millis;
                 }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -141,8 +141,9 @@
     }
 
     fn schedule_next_poll(&mut self, key: WorkerKey, order: &PollOrder) {
-        let now_ms = self.now_ms;
+        let (now_ms, pause_ms) = (self.now_ms, self.poll_pace.pause_ms());
         let worker = self.worker_mut(key);
+        worker.next_poll_ms = now_ms + pause_ms;
         if worker.awaited_batch.is_none() {
             worker.persisted_through = worker.seen_through;
         }
@@ -151,7 +152,7 @@
         let due_ms = match worker.awaited_batch {
             Some(_) => now_ms + UNPERSISTED_POLL_MS,
             None if is_idle => u64::MAX,
-            None => now_ms,
+            None => worker.next_poll_ms,
         };
         worker.poll = PollState::Idle { due_ms };
     }
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -43,6 +43,7 @@
         is_remote: bool,
     ) -> RunKey {
         let now_ms = self.now_ms;
+        self.starts_left = self.starts_left.saturating_sub(1);
         let run = RunKey { task, run: number };
         let is_held = self.watch_run(key, task, step);
         self.pace_cold_starts(key);
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -218,6 +218,8 @@
     pub(crate) awaited_batch: Option<u64>,
     /// State of its polls.
     pub(crate) poll: PollState,
+    /// Time before which it is not polled again, in milliseconds.
+    pub(crate) next_poll_ms: u64,
     /// Number of polls in a row that failed.
     pub(crate) failed_polls_count: u32,
     /// Time of the first of these; none if it answers.
@@ -267,6 +269,7 @@
             persisted_through: 0,
             awaited_batch: None,
             poll: PollState::Idle { due_ms: 0 },
+            next_poll_ms: 0,
             failed_polls_count: 0,
             silent_since_ms: None,
             avoided_until_ms: 0,
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -118,6 +118,7 @@
             fence: 1,
             run_lease_ms: 4_000,
             poll_wait_ms: 800,
+            starts_per_step_max: usize::MAX,
             stop_ms: 200,
             inherited_runs_max_ms: 0,
             ended_retention_ms: 120_000,
--- a/src/load/played_pool.rs
+++ b/src/load/played_pool.rs
@@ -55,6 +55,7 @@
             fence: 1,
             run_lease_ms: 4_000,
             poll_wait_ms: 800,
+            starts_per_step_max: usize::MAX,
             stop_ms: 200,
             inherited_runs_max_ms: 0,
             ended_retention_ms: 120_000,
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -12,6 +12,9 @@
 use crate::node::restore::restore;
 use crate::node::{CallAnswer, Node, Role, StoreFailure, WaveReports};
 
+/// Most starts that a step of the engine orders. Further ones wait in the engine, in the order of
+/// their jobs, and not in this process, in the order in which they came.
+pub const STARTS_PER_STEP_MAX: usize = 64;
 /// Lease granted to the runs of a worker, in milliseconds, unless the platform's limit is lower.
 const RUN_LEASE_MS: u64 = 4_000;
 /// Longest time that a poll waits at the worker for a run to end, in milliseconds.
@@ -24,7 +27,7 @@
 const TICK_MS: u64 = 100;
 /// Shortest time between two steps of the engine, in milliseconds. Answers that arrive within it
 /// share one step.
-const STEP_PAUSE_MS: u64 = 4;
+pub const STEP_PAUSE_MS: u64 = 4;
 /// Longest wait for the journal before leadership is handed off, in milliseconds.
 const HAND_OFF_JOURNAL_WAIT_MS: u64 = 600;
 /// Longest wait for the record that releases the lease, in milliseconds.
@@ -133,6 +136,8 @@
             if !leader.is_restored || !self.may_act() {
                 return;
             }
+            let delay_ms = self.loop_delay.get().mean_ms();
+            leader.engine.set_loop_delay_ms(delay_ms);
             leader.engine.advance(self.now_ms(), self.unix_ms());
             leader.engine.take_actions()
         };
@@ -207,6 +212,7 @@
         fence,
         run_lease_ms,
         poll_wait_ms: POLL_WAIT_MS,
+        starts_per_step_max: STARTS_PER_STEP_MAX,
         stop_ms: bounds.run_stop_ms,
         inherited_runs_max_ms: match fence {
             1 => 0,
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -106,6 +106,7 @@
         fence,
         run_lease_ms: 4_000,
         poll_wait_ms: 800,
+        starts_per_step_max: usize::MAX,
         stop_ms: 200,
         inherited_runs_max_ms: if fence == 1 { 0 } else { 10_200 },
         ended_retention_ms: 120_000,
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod explain;
 mod fake_worker;
 mod faults;
+mod full_processor;
 mod overload;
 mod peaks;
 mod places;
