Refuse odd entries of workers, and read lists past odd keys

Reported by operators of similar systems: one odd entry among the workers' ended the machines that read the list, or they stopped following it. Cause here: figures of other writers reached the sums of the plan (cpu 2^64-1: a panic in a build that checks, a wrapped plan in the release); a port 0 and ids that no header can carry made workers that are polled for ever; the key after which a page continues went into the query unescaped, so that a key with a space, or one that is no text, stopped the reader of the list, and pages that repeat were read without end. Change: bounds at the adapter for entries, rows of instances, polls and jobs; sums of sizes saturate; a recorded capacity is bounded when it is restored; keys are percent-encoded, and a page continues after the last key that is text. The other tests were written with the change. Deep nesting was refused before, and an unknown nested field is used.

--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -327,8 +327,12 @@
 fn first_cpu_millis(spec: &JobSpec) -> u64 {
     let first = spec.steps.iter().filter(|step| step.after.is_empty());
     first
-        .map(|step| u64::from(step.tasks_count) * step.reservation().cpu_millis)
-        .sum()
+        .map(|step| {
+            step.reservation()
+                .times(u64::from(step.tasks_count))
+                .cpu_millis
+        })
+        .fold(0, u64::saturating_add)
 }
 
 /// Returns the time after which a refused caller should retry, in seconds: the time until the pool
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -140,8 +140,10 @@
 
 impl WaitingWork {
     fn add(&mut self, more: &Self) {
-        self.work += more.work;
-        self.startable_cpu_millis += more.startable_cpu_millis;
+        self.work = self.work.saturating_add(more.work);
+        self.startable_cpu_millis = self
+            .startable_cpu_millis
+            .saturating_add(more.startable_cpu_millis);
         self.tasks_count += more.tasks_count;
     }
 
@@ -291,11 +293,15 @@
         for round in &job.rounds {
             for (step, spec) in round.steps.iter().zip(&job.spec.steps) {
                 let time_ms = self.run_times.expected_ms(&job.queue, spec);
-                let cpu_millis = u64::from(step.waiting_count) * spec.reservation().cpu_millis;
-                waiting.work += cpu_millis * time_ms;
+                let size = spec.reservation().times(u64::from(step.waiting_count));
+                let cpu_millis = size.cpu_millis;
+                waiting.work = waiting
+                    .work
+                    .saturating_add(cpu_millis.saturating_mul(time_ms));
                 waiting.tasks_count += u64::from(step.waiting_count);
                 if step.waiting_count > 0 && round.is_ready(spec) {
-                    waiting.startable_cpu_millis += cpu_millis;
+                    waiting.startable_cpu_millis =
+                        waiting.startable_cpu_millis.saturating_add(cpu_millis);
                 }
             }
         }
--- a/src/jobs/pool_needs.rs
+++ b/src/jobs/pool_needs.rs
@@ -149,8 +149,8 @@
                 match is_in_time && !job.is_over_rate {
                     true => need.needed.add(&waiting),
                     false => need.late.add(&Size {
-                        cpu_millis: waiting.cpu_millis * LATE_DEMAND_PERMILLE / 1_000,
-                        memory_mb: waiting.memory_mb * LATE_DEMAND_PERMILLE / 1_000,
+                        cpu_millis: waiting.cpu_millis.saturating_mul(LATE_DEMAND_PERMILLE) / 1_000,
+                        memory_mb: waiting.memory_mb.saturating_mul(LATE_DEMAND_PERMILLE) / 1_000,
                         gpu_count: waiting.gpu_count,
                     }),
                 }
@@ -180,13 +180,7 @@
             if !is_next {
                 continue;
             }
-            let reservation = spec.reservation();
-            let count = u64::from(step.waiting_count);
-            all.add(&Size {
-                cpu_millis: reservation.cpu_millis * count,
-                memory_mb: reservation.memory_mb * count,
-                gpu_count: reservation.gpu_count * count,
-            });
+            all.add(&spec.reservation().times(u64::from(step.waiting_count)));
         }
     }
     all
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -142,7 +142,8 @@
             pool: record.pool,
             zone: record.zone,
             labels: record.labels,
-            capacity: record.capacity,
+            // A leader of an earlier version may have recorded any figure.
+            capacity: record.capacity.bounded(),
             is_draining: false,
             cold_ms: 0,
             instance: None,
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -8,6 +8,13 @@
 const STEPS_MAX_COUNT: usize = 256;
 /// Most tasks of one step.
 const TASKS_MAX_COUNT: u32 = 100_000;
+/// Most of one resource that a task or a worker can have, in the unit of the resource. With larger
+/// figures the sums and products of a plan would overflow.
+const AMOUNT_MAX: u64 = 1 << 32;
+/// Longest estimate of a run time, in milliseconds.
+const ESTIMATE_MAX_MS: u64 = 1 << 32;
+/// Most estimated work of one step, in thousandths of a core times milliseconds.
+const STEP_WORK_MAX: u128 = 1 << 50;
 
 /// An amount of resources, needed or available.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,16 +33,22 @@
 impl Size {
     /// Returns whether the sum of `self` and `more` is within `limit`.
     pub fn fits_with(&self, more: &Size, limit: &Size) -> bool {
-        self.cpu_millis + more.cpu_millis <= limit.cpu_millis
-            && self.memory_mb + more.memory_mb <= limit.memory_mb
-            && self.gpu_count + more.gpu_count <= limit.gpu_count
+        self.cpu_millis.saturating_add(more.cpu_millis) <= limit.cpu_millis
+            && self.memory_mb.saturating_add(more.memory_mb) <= limit.memory_mb
+            && self.gpu_count.saturating_add(more.gpu_count) <= limit.gpu_count
     }
 
-    /// Adds `more`.
+    /// Adds `more`, up to the largest value.
     pub fn add(&mut self, more: &Size) {
-        self.cpu_millis += more.cpu_millis;
-        self.memory_mb += more.memory_mb;
-        self.gpu_count += more.gpu_count;
+        self.cpu_millis = self.cpu_millis.saturating_add(more.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(more.memory_mb);
+        self.gpu_count = self.gpu_count.saturating_add(more.gpu_count);
+    }
+
+    /// Returns whether each value can be that of a real task or worker.
+    pub fn is_plausible(&self) -> bool {
+        let amounts = [self.cpu_millis, self.memory_mb, self.gpu_count];
+        amounts.into_iter().all(|amount| amount <= AMOUNT_MAX)
     }
 
     /// Subtracts `less`, down to zero.
@@ -54,6 +67,24 @@
         }
     }
 
+    /// Returns the size with each value reduced to the most that is plausible.
+    pub(crate) fn bounded(&self) -> Size {
+        Size {
+            cpu_millis: self.cpu_millis.min(AMOUNT_MAX),
+            memory_mb: self.memory_mb.min(AMOUNT_MAX),
+            gpu_count: self.gpu_count.min(AMOUNT_MAX),
+        }
+    }
+
+    /// Returns the size of `count` of these, up to the largest value.
+    pub(crate) fn times(&self, count: u64) -> Size {
+        Size {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpu_count: self.gpu_count.saturating_mul(count),
+        }
+    }
+
     /// Returns the size without processor time.
     pub fn without_cpu(&self) -> Size {
         Size {
@@ -118,11 +149,14 @@
 
     /// Returns the size of all its tasks together.
     pub(crate) fn size_of_all(&self) -> Size {
-        let mut all = self.size;
-        for _ in 1..self.tasks_count {
-            all.add(&self.size);
-        }
-        all
+        self.size.times(u64::from(self.tasks_count))
+    }
+
+    fn is_plausible(&self) -> bool {
+        let work = u128::from(self.tasks_count)
+            * u128::from(self.size.cpu_millis.max(self.size.memory_mb))
+            * u128::from(self.estimate_ms);
+        self.size.is_plausible() && self.estimate_ms <= ESTIMATE_MAX_MS && work <= STEP_WORK_MAX
     }
 
     /// Returns whether a second run of a task may be started beside the first. A member of a gang
@@ -147,7 +181,8 @@
 impl Recurrence {
     /// Returns the due time of an occurrence, in Unix milliseconds.
     pub fn due_unix_ms(&self, round: u32) -> u64 {
-        self.first_unix_ms + u64::from(round) * self.interval_ms
+        let after_ms = u64::from(round).saturating_mul(self.interval_ms);
+        self.first_unix_ms.saturating_add(after_ms)
     }
 }
 
@@ -173,6 +208,8 @@
     TasksCount,
     /// A step depends on one that does not precede it.
     Dependency,
+    /// The size or the estimated work of a step is larger than any fleet.
+    Size,
 }
 
 impl JobSpec {
@@ -192,6 +229,9 @@
             if step.after.iter().any(|earlier| usize::from(*earlier) >= at) {
                 return Err(SpecError::Dependency);
             }
+            if !step.is_plausible() {
+                return Err(SpecError::Size);
+            }
         }
         Ok(())
     }
@@ -225,7 +265,8 @@
     /// Returns the estimated processor time of one occurrence, in thousandths of core-seconds.
     pub fn work_millis_s(&self) -> u64 {
         let of_step = |step: &StepSpec| {
-            u64::from(step.tasks_count) * step.size.cpu_millis * step.estimate_ms / 1_000
+            let all = step.size_of_all();
+            all.cpu_millis.saturating_mul(step.estimate_ms) / 1_000
         };
         self.steps.iter().map(of_step).sum()
     }
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use super::sizes::SizeWire;
-use crate::jobs::{InstanceFailure, InstanceInfo, InstanceOrder, InstanceState};
+use crate::jobs::{InstanceFailure, InstanceInfo, InstanceOrder, InstanceState, Size};
 use crate::net::{Call, CallFailure, Client};
 
 /// Most bytes of an answer, such as a page of the list.
@@ -25,8 +25,8 @@
 static FENCE_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-fencing-token");
 
 #[derive(Deserialize)]
-struct PageWire {
-    machines: Vec<MachineWire>,
+struct PageWire<M> {
+    machines: Vec<M>,
     #[serde(default)]
     next_token: Option<String>,
 }
@@ -59,14 +59,18 @@
     reason: String,
 }
 
-fn instance_info(wire: MachineWire) -> InstanceInfo {
+/// Converts a row; returns `None` if it does not describe an instance.
+fn instance_info(wire: MachineWire) -> Option<InstanceInfo> {
+    if !Size::from(wire.capacity).is_plausible() {
+        return None;
+    }
     let state = match wire.state.as_str() {
         "up" => InstanceState::Up,
         "moving" => InstanceState::Moving,
         "upkeep" => InstanceState::Maintained,
         _ => InstanceState::Down,
     };
-    InstanceInfo {
+    Some(InstanceInfo {
         name: wire.machine,
         pool: wire.pool,
         state,
@@ -74,7 +78,21 @@
         labels: wire.labels,
         capacity: wire.capacity.into(),
         worker: wire.id.filter(|id| !id.is_empty()),
-    }
+    })
+}
+
+/// Parses a page of the list. A row that cannot be read does not make the others unusable.
+fn parse_page(body: &[u8]) -> Option<PageWire<MachineWire>> {
+    let usual: Option<PageWire<MachineWire>> = serde_json::from_slice(body).ok();
+    usual.or_else(|| {
+        let page: PageWire<serde_json::Value> = serde_json::from_slice(body).ok()?;
+        let machines = page.machines.into_iter();
+        let machines = machines.filter_map(|row| serde_json::from_value(row).ok());
+        Some(PageWire {
+            machines: machines.collect(),
+            next_token: page.next_token,
+        })
+    })
 }
 
 /// Lists all instances.
@@ -102,9 +120,8 @@
         if reply.status != 200 {
             return Err(InstanceFailure::Refused);
         }
-        let page: PageWire =
-            serde_json::from_slice(&reply.body).map_err(|_| InstanceFailure::Lost)?;
-        instances.extend(page.machines.into_iter().map(instance_info));
+        let page = parse_page(&reply.body).ok_or(InstanceFailure::Lost)?;
+        instances.extend(page.machines.into_iter().filter_map(instance_info));
         token = page.next_token.filter(|token| !token.is_empty());
         if token.is_none() {
             return Ok(instances);
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -7,10 +7,14 @@
 use smol_str::SmolStr;
 
 use super::sizes::SizeWire;
-use crate::jobs::{Catalog, Pool, Queue, Team, WaveSpec, WorkerInfo};
+use crate::jobs::{Catalog, Pool, Queue, Size, Team, WaveSpec, WorkerInfo};
 
 /// Largest accepted body if the lists set no limit, in bytes.
 const BODY_DEFAULT_BYTES: usize = 262_144;
+/// Longest time for which a worker can be slow after its start, in milliseconds.
+const COLD_MAX_MS: f64 = 86_400_000.0;
+/// Latest start of a worker, in Unix milliseconds; a larger figure is no time.
+const STARTED_MAX_UNIX_MS: u64 = 1 << 53;
 /// Key of the record with the operators' lists.
 const LISTS_KEY: &str = "config";
 /// Prefix of the keys of records that evacuate a zone.
@@ -195,10 +199,28 @@
     catalog
 }
 
+/// Returns whether a worker with this id and address can be called: the id goes into a header.
+fn is_callable(id: &str, address: SocketAddr) -> bool {
+    let is_header_value = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic());
+    is_header_value && address.port() != 0 && !address.ip().is_unspecified()
+}
+
+impl WorkerEntryWire {
+    /// Returns whether all figures can be those of a worker. Other writers may leave entries, too.
+    fn is_plausible(&self) -> bool {
+        Size::from(self.capacity).is_plausible()
+            && self.born <= STARTED_MAX_UNIX_MS
+            && self.cold_remaining_ms <= COLD_MAX_MS
+    }
+}
+
 /// Parses the entry that a worker writes about itself; none if it does not describe a usable
 /// worker.
 pub fn parse_worker_info(id: &str, value: &[u8]) -> Option<WorkerInfo> {
     let wire: WorkerEntryWire = serde_json::from_slice(value).ok()?;
+    if !is_callable(id, wire.address) || !wire.is_plausible() {
+        return None;
+    }
     let is_draining = match wire.state.as_str() {
         "ready" => false,
         "draining" => true,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -209,12 +209,15 @@
     (factor * 1_000.0).round() as u64
 }
 
-// The values are seconds to minutes, far below the limits of the integer type.
+/// Longest time that is read, in milliseconds, so that sums of times do not overflow.
+const TIME_MAX_MS: f64 = 1e12;
+
+// The value is bounded; `NaN` becomes 0.
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     clippy::as_conversions
 )]
 pub(super) fn to_ms(time_s: f64) -> u64 {
-    (time_s * 1_000.0) as u64
+    (time_s * 1_000.0).clamp(0.0, TIME_MAX_MS) as u64
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -162,15 +162,16 @@
     ) -> Result<(Vec<KeyedRecord>, u64), StoreFailure> {
         let mut page = self.read_newest_page(topic, None, timeout_ms).await?;
         let first_end_offset = page.end_offset;
-        let mut all = page.records;
-        while page.has_more && !all.is_empty() {
-            let after = all.last().map(|record| record.key.clone());
+        let mut all = Vec::new();
+        let mut after = SmolStr::default();
+        while page.has_more && !page.records.is_empty() {
+            after = next_page_start(&page.records, &after).ok_or(StoreFailure::Unreadable)?;
+            all.append(&mut page.records);
             page = self
-                .read_newest_page(topic, after.as_deref(), timeout_ms)
+                .read_newest_page(topic, Some(&after), timeout_ms)
                 .await?;
-            page.has_more &= !page.records.is_empty();
-            all.append(&mut page.records);
         }
+        all.append(&mut page.records);
         Ok((all, first_end_offset))
     }
 
@@ -182,7 +183,7 @@
     ) -> Result<KeyedPage, StoreFailure> {
         let mut path = format!("/hawthornladder/log-newest?topic={}&part=0", topic.name());
         if let Some(key) = after_key {
-            path.push_str(&format!("&after={key}"));
+            path.push_str(&format!("&after={}", percent_encoded(key)));
         }
         let reply = self
             .call(Method::GET, path, Bytes::new(), timeout_ms)
@@ -233,6 +234,27 @@
     }
 }
 
+/// Returns the key after which the page that follows `page` starts: the last one that is text. The
+/// store may then return some records once more. Returns `None` if there is no such key, or if it
+/// is the one after which `page` started: the pages would repeat for ever.
+fn next_page_start(page: &[KeyedRecord], after: &SmolStr) -> Option<SmolStr> {
+    let is_text = |key: &&SmolStr| !key.is_empty() && !key.contains(char::REPLACEMENT_CHARACTER);
+    let keys = page.iter().rev().map(|record| &record.key);
+    let last = keys.into_iter().find(is_text)?;
+    (last != after).then(|| last.clone())
+}
+
+/// Encodes a key for a query. Other writers may use any bytes.
+fn percent_encoded(key: &str) -> String {
+    let encode = |byte: u8| match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+            char::from(byte).to_string()
+        }
+        _ => format!("%{byte:02X}"),
+    };
+    key.bytes().map(encode).collect()
+}
+
 fn refusal_of(status: u16, body: &[u8]) -> StoreFailure {
     let wire: RefusalWire = serde_json::from_slice(body).unwrap_or_default();
     match (status, wire.reason.as_str()) {
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -18,6 +18,8 @@
 const ORDER_TIMEOUT_MS: u64 = 700;
 /// Timeout of a poll beyond its wait, in milliseconds.
 const POLL_TIMEOUT_MARGIN_MS: u64 = 600;
+/// Latest time on a worker's clock, in milliseconds; a larger figure is no time.
+const CLOCK_MAX_MS: u64 = 1 << 53;
 /// Header with the id of the worker that a call is meant for.
 static INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-expected-instance");
 
@@ -133,7 +135,7 @@
 
 fn clock_of(reply: &Reply) -> Option<u64> {
     let wire: AnswerWire = serde_json::from_slice(&reply.body).unwrap_or_default();
-    wire.clock_ms
+    wire.clock_ms.filter(|clock_ms| *clock_ms <= CLOCK_MAX_MS)
 }
 
 /// Starts a run of a task, and returns the worker's clock in milliseconds if the answer has it.
@@ -199,7 +201,7 @@
     let usual: Option<PollReply> = serde_json::from_slice::<UsualWire<'_>>(body)
         .ok()
         .and_then(reply_of);
-    usual.or_else(|| {
+    let reply = usual.or_else(|| {
         let answer: HoldAnswerWire<serde_json::Value, serde_json::Value> =
             serde_json::from_slice(body).ok()?;
         Some(PollReply {
@@ -208,7 +210,8 @@
             running: answer.running.iter().filter_map(row_of).collect(),
             ended: answer.finished.iter().filter_map(end_of).collect(),
         })
-    })
+    });
+    reply.filter(|reply| reply.clock_ms <= CLOCK_MAX_MS)
 }
 
 /// Converts an answer in the usual form; returns `None` if a value in it is not valid.
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod fake_worker;
 mod faults;
 mod full_processor;
+mod odd_figures;
 mod overload;
 mod peaks;
 mod places;
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -1,6 +1,8 @@
 //! The adapter of the users' platform: what it parses, what it refuses, and its calls to the store.
 
-use hawthornladder::jobs::JobId;
+use std::io::{Read, Write};
+
+use hawthornladder::jobs::{JobId, SpecError};
 use hawthornladder::net::{self, Answer, Client, ClientSettings, IncomingRequest, ServerSettings};
 use hawthornladder::node::{CallKind, Fence, StoreFailure};
 use hawthornladder::platform::lists::{parse_operator_record, parse_worker_info, OperatorRecord};
@@ -103,6 +105,78 @@
     }
 }
 
+/// Returns an entry of a worker with these fields beside the required ones.
+fn worker_entry(address: &str, more: &str) -> Vec<u8> {
+    format!(r#"{{"service":"p","address":"{address}","state":"ready"{more}}}"#).into_bytes()
+}
+
+/// Guards against an entry of another writer whose figures overflow the sums of the leader, or whose
+/// worker can never be called.
+#[test]
+fn entries_with_figures_that_no_worker_has_are_refused() {
+    let usual = worker_entry(
+        "10.0.0.1:80",
+        r#","capacity":{"cpu":256000,"memory_request_mb":4194304},"cold_remaining_ms":5e3"#,
+    );
+    assert!(parse_worker_info("i-1", &usual).is_some());
+    let nested = format!(
+        r#","labels":{}1{}"#,
+        "[".repeat(200_000),
+        "]".repeat(200_000)
+    );
+    for more in [
+        r#","capacity":{"cpu":18446744073709551615}"#,
+        r#","capacity":{"cpu":100000000000000000}"#,
+        r#","capacity":{"memory_request_mb":9223372036854775807}"#,
+        r#","capacity":{"gpu":18446744073709551615}"#,
+        r#","cold_remaining_ms":1e308"#,
+        r#","cold_remaining_ms":1e999"#,
+        r#","born":18446744073709551615"#,
+        nested.as_str(),
+    ] {
+        let entry = worker_entry("10.0.0.1:80", more);
+        let start: String = more.chars().take(60).collect();
+        assert!(parse_worker_info("i-1", &entry).is_none(), "{start}");
+    }
+    for address in ["10.0.0.1:0", "10.0.0.1:80000", "0.0.0.0:80"] {
+        let entry = worker_entry(address, "");
+        assert!(parse_worker_info("i-1", &entry).is_none(), "{address}");
+    }
+    for id in ["", "i 1", "i\n1", "i-\u{fffd}"] {
+        assert!(parse_worker_info(id, &usual).is_none(), "{id:?}");
+    }
+}
+
+/// An unknown field is ignored, however it is nested.
+#[test]
+fn a_worker_with_a_deeply_nested_unknown_field_is_used() {
+    let nested = format!(
+        r#","later":{}1{}"#,
+        "[".repeat(200_000),
+        "]".repeat(200_000)
+    );
+    let entry = worker_entry("10.0.0.1:80", &nested);
+    assert!(parse_worker_info("i-1", &entry).is_some());
+}
+
+/// Guards against sums of a plan that overflow by what one caller submits.
+#[test]
+fn jobs_larger_than_any_fleet_are_invalid() {
+    for step in [
+        r#"{"count":1,"cpu":18446744073709551615}"#,
+        r#"{"count":1,"memory_request_mb":18446744073709551615}"#,
+        r#"{"count":1,"estimated_ms":18446744073709551615}"#,
+        r#"{"count":100000,"cpu":4000000000,"estimated_ms":4000000000}"#,
+    ] {
+        let body = format!(r#"{{"phases":[{step}]}}"#);
+        let spec = callers::parse_job_spec(body.as_bytes()).expect("it can be read");
+        assert_eq!(spec.check(), Err(SpecError::Size), "{step}");
+    }
+    let hopeless = r#"{"phases":[{"count":100,"cpu":9000000,"estimated_ms":600000}]}"#;
+    let spec = callers::parse_job_spec(hopeless.as_bytes()).expect("it can be read");
+    assert_eq!(spec.check(), Ok(()));
+}
+
 #[test]
 fn jobs_and_calls_are_parsed() {
     let body = br#"{"spec":"s","phases":[{"count":2,"cpu":500,"memory_request_mb":10},
@@ -129,6 +203,15 @@
     status: u16,
     body: &'static [u8],
     test: impl FnOnce(Store) -> T,
+) {
+    let answer = move |_: &IncomingRequest| (status, body.to_vec());
+    with_answers(answer, test);
+}
+
+/// Runs `test` with a store that answers each call by `answer`: a status and a body.
+fn with_answers<T: std::future::Future<Output = ()>>(
+    answer: impl Fn(&IncomingRequest) -> (u16, Vec<u8>) + Clone + 'static,
+    test: impl FnOnce(Store) -> T,
 ) {
     let address = {
         let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -143,11 +226,12 @@
             body_max_bytes: 1 << 20,
             connections_max_count: 8,
         };
-        let answer = move |_: IncomingRequest| {
+        let answer = move |request: IncomingRequest| {
+            let (status, body) = answer(&request);
             std::future::ready(Answer {
                 status,
                 headers: Vec::new(),
-                body: hyper::body::Bytes::from_static(body),
+                body: body.into(),
             })
         };
         let _server = net::serve(address, settings, answer)
@@ -269,3 +353,66 @@
         "an answer without a clock"
     );
 }
+
+/// Serves `pages` one after the other and returns the paths of the requests for them, with queries.
+fn paths_of_pages(pages: &[&str]) -> (Vec<String>, Result<usize, StoreFailure>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let pages: Vec<String> = pages.iter().map(|page| (*page).to_owned()).collect();
+    let server = std::thread::spawn(move || {
+        let mut paths = Vec::new();
+        for page in pages {
+            let (mut stream, _) = listener.accept().expect("the adapter connects");
+            let mut head = [0; 4_096];
+            let length = stream.read(&mut head).expect("a request");
+            let head = String::from_utf8_lossy(&head[..length]).into_owned();
+            paths.push(head.split(' ').nth(1).unwrap_or_default().to_owned());
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{page}",
+                page.len()
+            );
+            stream.write_all(answer.as_bytes()).expect("it is read");
+        }
+        paths
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let read = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let store = Store::open(client(), address);
+        let read = store.read_newest(Topic::Workers, 1_000).await;
+        read.map(|(records, _)| records.len())
+    });
+    // A request that never comes would keep the thread waiting.
+    let _ = std::net::TcpStream::connect(address);
+    (server.join().expect("the server ends"), read)
+}
+
+/// Guards against a list that is not followed any more once a page of it ends with an odd key.
+#[test]
+fn the_newest_records_are_read_past_odd_keys() {
+    let first = r#"{"items":[{"key":"i-1","offset":1},{"key":"a b&c=#é","offset":2}],
+        "has_more":true,"end":9}"#;
+    let last = r#"{"items":[{"key":"i-9","offset":3}],"has_more":false,"end":9}"#;
+    let (paths, read) = paths_of_pages(&[first, last]);
+    assert_eq!(read, Ok(3));
+    assert!(
+        paths[1].ends_with("&after=a%20b%26c%3D%23%C3%A9"),
+        "{paths:?}"
+    );
+    // A key that is no text cannot be named; the store goes on after the last one that can.
+    let first = "{\"items\":[{\"key\":\"i-1\",\"offset\":1},{\"key\":\"\u{fffd}\",\"offset\":2}],
+        \"has_more\":true,\"end\":9}";
+    let (paths, read) = paths_of_pages(&[first, last]);
+    assert_eq!(read, Ok(3));
+    assert!(paths[1].ends_with("&after=i-1"), "{paths:?}");
+}
+
+/// Guards against pages that are read for ever.
+#[test]
+fn a_list_whose_pages_repeat_is_unreadable() {
+    let page = r#"{"items":[{"key":"i-1","offset":1}],"has_more":true,"end":9}"#;
+    let (_, read) = paths_of_pages(&[page, page]);
+    assert_eq!(read, Err(StoreFailure::Unreadable));
+}
