Count a crash that only a failed connection shows from the worker's last answer

Cause: the time of a failed poll was taken as the time until which the worker was heard. Change: after such a failure the worker was last heard when it last answered. The simulation's polls of crashed workers now fail as connections do, after 400 ms, which is stricter.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -19,6 +19,7 @@
         self.now_ms = now_ms.max(self.now_ms);
         let now_ms = self.now_ms;
         let worker = self.worker_mut(order.target.worker);
+        worker.answered_ms = now_ms;
         if let Some(clock_ms) = clock_ms {
             worker.read_clock(clock_ms, now_ms);
         }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -100,6 +100,7 @@
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
         worker.silent_since_ms = None;
+        worker.answered_ms = now_ms;
         if worker.failed_polls_count > 0 {
             Event::new("worker_responsive")
                 .with("worker", &worker.info.id)
@@ -167,8 +168,14 @@
             due_ms: now_ms + FAILED_POLL_RETRY_MS,
         };
         if worker.failed_polls_count == 1 {
-            worker.silent_since_ms = Some(now_ms);
-            self.crash_history.note_silence(order.target.worker, now_ms);
+            let silent_since_ms = match failure {
+                // Nothing accepted the connection: the worker was gone before the poll.
+                OrderFailure::NotSent if worker.answered_ms > 0 => worker.answered_ms,
+                _ => now_ms,
+            };
+            worker.silent_since_ms = Some(silent_since_ms);
+            self.crash_history
+                .note_silence(order.target.worker, silent_since_ms);
             let worker = &self.workers[index(order.target.worker.0)];
             let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -220,6 +220,8 @@
     pub(crate) poll: PollState,
     /// Time before which it is not polled again, in milliseconds.
     pub(crate) next_poll_ms: u64,
+    /// Time of its last answer to this leader, in milliseconds; 0 for none.
+    pub(crate) answered_ms: u64,
     /// Number of polls in a row that failed.
     pub(crate) failed_polls_count: u32,
     /// Time of the first of these; none if it answers.
@@ -270,6 +272,7 @@
             awaited_batch: None,
             poll: PollState::Idle { due_ms: 0 },
             next_poll_ms: 0,
+            answered_ms: 0,
             failed_polls_count: 0,
             silent_since_ms: None,
             avoided_until_ms: 0,
--- a/tests/testsuite/jobs/crashes.rs
+++ b/tests/testsuite/jobs/crashes.rs
@@ -71,6 +71,23 @@
     assert_eq!(simulation.runs_of(service).len(), 6);
 }
 
+/// Guards against crashes that are held against no task because a worker is known to be gone only
+/// once no connection is made, and many workers have crashed at the same time.
+#[test]
+fn crashes_of_many_workers_count_from_their_last_answers() {
+    let mut simulation = open(24);
+    let spec = || step(1, 2_000, 600);
+    let crashing: Vec<JobId> = (0..6)
+        .map(|_| submit_crashing(&mut simulation, spec()))
+        .collect();
+    advance(&mut simulation, GIVE_UP_MS);
+    for id in crashing {
+        assert_eq!(simulation.state(id), Some(JobState::Failed));
+        let count = starts_count(&simulation, task(id, 0));
+        assert!(count <= 3, "started {count} times");
+    }
+}
+
 /// Guards against a crash that a new leader does not hold against the task.
 #[test]
 fn crashes_count_through_changes_of_leader() {
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -23,6 +23,8 @@
 
 /// Length of a step of virtual time, in milliseconds.
 pub(crate) const STEP_MS: u64 = 10;
+/// Time after which a connection to a worker that is gone fails, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Unix time at virtual time 0, in milliseconds.
 pub(crate) const UNIX_MS: u64 = 1_700_000_000_000;
 /// Time that a worker takes to stop a run, in milliseconds.
@@ -101,6 +103,8 @@
     pub(crate) crashing: HashSet<TaskName>,
     pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
     polls: Vec<(PollOrder, u64)>,
+    /// Polls of crashed workers, with the times at which their connections time out.
+    connecting_polls: Vec<(PollOrder, u64)>,
     persisting: Option<(Vec<Record>, u64)>,
     arrivals: Vec<(u64, WorkerInfo)>,
     /// Delayed starts: due time, start time of the incarnation for which they were meant, and
@@ -147,6 +151,7 @@
             crashing: HashSet::new(),
             starts: Vec::new(),
             polls: Vec::new(),
+            connecting_polls: Vec::new(),
             persisting: None,
             arrivals: Vec::new(),
             delayed_starts: Vec::new(),
@@ -323,6 +328,7 @@
         let settings = settings_with_factor(fence, self.remote_factor_permille);
         self.engine = Engine::open(settings, self.catalog.clone(), self.now_ms, unix_ms);
         self.polls.clear();
+        self.connecting_polls.clear();
         self.persisting = None;
         let records = self
             .stored
@@ -458,6 +464,14 @@
 
     fn answer_polls(&mut self) {
         let now_ms = self.now_ms;
+        for (order, due_ms) in std::mem::take(&mut self.connecting_polls) {
+            match now_ms >= due_ms {
+                true => self
+                    .engine
+                    .poll_failed(&order, OrderFailure::NotSent, now_ms),
+                false => self.connecting_polls.push((order, due_ms)),
+            }
+        }
         for (order, due_ms) in std::mem::take(&mut self.polls) {
             let worker = &self.workers[&order.target.id];
             let has_new_ends = worker
@@ -570,6 +584,11 @@
             let settled_through = order.acknowledged_through;
             worker.ended.retain(|end| end.number > settled_through);
         }
+        if worker.is_dead && worker.resets_connections {
+            self.connecting_polls
+                .push((order, now_ms + CONNECT_TIMEOUT_MS));
+            return;
+        }
         let due_ms = now_ms + order.wait_ms + STEP_MS;
         self.polls.push((order, due_ms));
     }
