Bring instances for suspects that wait, and try no more of them once a pool is full

Cause: instances were ordered for suspects only where no worker could be reserved at all; with 4 to 8 workers and 100 suspects the plan wanted 3. Besides, each suspect sorted all workers of its pool in each step, so that steps took 27 ms. Change: an instance for each suspect that waits or runs alone, up to an eighth of the fleet (4 to 16); once no worker of a pool can be reserved, further suspects without conditions of their own wait without a look at the workers.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -62,7 +62,7 @@
 }
 
 /// Returns whether only the size of a step decides on which workers of its pool it may run.
-fn is_plain(step: &StepSpec) -> bool {
+pub(crate) fn is_plain(step: &StepSpec) -> bool {
     step.label.is_none() && step.per_worker_max == 0
 }
 
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::crashes::{is_suspect, SETTLED_LONG_RUN_MS};
+use crate::jobs::dispatch::is_plain;
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobKey, TaskKey, WorkerKey};
 use crate::jobs::spec::{Size, StepSpec};
@@ -22,8 +23,10 @@
 const WORKERS_PER_BUSY_RESERVATION: usize = 4;
 /// The same for idle workers while other tasks may need them.
 const WORKERS_PER_IDLE_RESERVATION: usize = 2;
-/// Most instances that a pool gets for waiting suspects at a time.
-const SUSPECT_INSTANCES_MAX_COUNT: usize = 4;
+/// One of this many instances of the fleet may be for the suspects of a pool.
+const INSTANCES_PER_SUSPECT_INSTANCE: usize = 8;
+/// Bounds of the number of these instances.
+const SUSPECT_INSTANCES_COUNTS: (usize, usize) = (4, 16);
 
 /// Whether other waiting tasks may still need the workers of a pass.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +35,15 @@
     HaveStarted,
 }
 
+/// What an attempt to reserve a worker shows about the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reserved {
+    /// No worker of the pool can be reserved now, whatever the task.
+    NoneOfPool,
+    /// Nothing about other tasks.
+    Other,
+}
+
 /// A worker that takes only one task, or members of its gang.
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
@@ -82,40 +94,56 @@
             let strong = crashes.iter().filter(|crash| crash.is_strong());
             std::cmp::Reverse((strong.count(), crashes.len()))
         });
+        let mut full_pools = IndexSet::new();
         for task in suspects {
             // Another one may have ended their job, or started its gang.
-            if self.is_waiting_suspect(task) && self.may_start(task) && !self.give_up_if_spent(task)
+            if !self.is_waiting_suspect(task)
+                || !self.may_start(task)
+                || self.give_up_if_spent(task)
             {
-                self.start_alone(task, others);
+                continue;
+            }
+            let pool = self.job(task.job).pool.clone();
+            if full_pools.contains(&pool) && self.reserved_for(task).is_empty() {
+                self.isolate_until_next_turn(task);
+                continue;
+            }
+            if self.start_alone(task, others) == Reserved::NoneOfPool {
+                full_pools.insert(pool);
             }
         }
     }
 
-    /// Returns how many instances each pool needs for its suspects, if all that it has are kept by
-    /// tasks without an end.
+    /// Lets a task that ends wait for its turn, where a pool has workers that can be reserved.
+    fn isolate_until_next_turn(&mut self, task: TaskKey) {
+        let step = &self.job(task.job).spec.steps[usize::from(task.step)];
+        if step.is_long_running || step.is_gang {
+            return;
+        }
+        let until_ms = self.now_ms + RESERVATION_WAIT_MS;
+        self.change_task(task, |state| state.isolated_until_ms = Some(until_ms));
+    }
+
+    /// Returns how many instances each pool needs for its suspects: one for each that waits or runs
+    /// alone, up to a part of the fleet.
     pub(crate) fn suspect_instances(&self) -> IndexMap<SmolStr, usize> {
         let mut counts = IndexMap::new();
-        for task in &self.quarantine.tasks {
-            let pool = &self.job(task.job).pool;
-            let is_due = self.is_waiting_suspect(*task) && self.may_start(*task);
-            if is_due && !self.has_reservable_worker(pool) {
-                let pool = pool.clone();
-                let count: &mut usize = counts.entry(pool).or_default();
-                *count = (*count + 1).min(SUSPECT_INSTANCES_MAX_COUNT);
-            }
+        let part = self.instances.rows.len() / INSTANCES_PER_SUSPECT_INSTANCE;
+        let (least_count, most_count) = SUSPECT_INSTANCES_COUNTS;
+        let max_count = part.clamp(least_count, most_count);
+        let tasks = self.quarantine.tasks.iter();
+        let waiting =
+            tasks.filter(|task| self.is_waiting_suspect(**task) && self.may_start(**task));
+        let waiting = waiting.map(|task| &self.job(task.job).pool);
+        let reserved = self.quarantine.reservations.keys();
+        let reserved = reserved.map(|worker| &self.worker(*worker).info.pool);
+        for pool in waiting.chain(reserved) {
+            let count: &mut usize = counts.entry(pool.clone()).or_default();
+            *count = (*count + 1).min(max_count);
         }
         counts
     }
 
-    /// Returns whether a pool has a worker that is, or could be, reserved.
-    fn has_reservable_worker(&self, pool: &SmolStr) -> bool {
-        let accepting = self.accepting_workers(pool);
-        let mut free = accepting.iter().map(|key| self.worker(*key));
-        let mut reserved = self.quarantine.reservations.keys();
-        free.any(|worker| worker.long_running_count == 0)
-            || reserved.any(|key| self.worker(*key).info.pool == *pool)
-    }
-
     /// Forgets the tasks that are done, and those that have been cleared of all crashes.
     fn drop_cleared_tasks(&mut self) {
         let mut tasks = std::mem::take(&mut self.quarantine.tasks);
@@ -155,11 +183,11 @@
 
     /// Starts a suspect on a worker of its own, or reserves one for it. As long as there are workers
     /// that can be reserved, a task that ends waits for its turn.
-    fn start_alone(&mut self, task: TaskKey, others: OtherTasks) {
+    fn start_alone(&mut self, task: TaskKey, others: OtherTasks) -> Reserved {
         let spec = self.job(task.job).spec.clone();
         let step = &spec.steps[usize::from(task.step)];
         let Some(eligible) = self.workers_for_suspect(task, step) else {
-            return;
+            return Reserved::Other;
         };
         let now_ms = self.now_ms;
         let has_turn = !eligible.is_empty() && !step.is_long_running && !step.is_gang;
@@ -171,8 +199,11 @@
             }
         });
         match step.is_gang {
-            _ if !self.is_isolated(task) => {}
-            true => self.start_gang_alone(task, step, &eligible),
+            _ if !self.is_isolated(task) => Reserved::Other,
+            true => {
+                self.start_gang_alone(task, step, &eligible);
+                Reserved::Other
+            }
             false => self.start_task_alone(task, step, &eligible, others),
         }
     }
@@ -215,9 +246,9 @@
         step: &StepSpec,
         eligible: &[WorkerKey],
         others: OtherTasks,
-    ) {
+    ) -> Reserved {
         if !self.team_has_capacity(task.job, &step.size) {
-            return;
+            return Reserved::Other;
         }
         let mut by_preference = eligible.to_vec();
         by_preference.sort_by_cached_key(|key| {
@@ -234,12 +265,21 @@
         });
         let mut workers = by_preference.into_iter();
         let reserved = workers.find(|key| self.reserve(*key, task, others));
+        if reserved.is_none() && !eligible.is_empty() && !self.has_own_conditions(task, step) {
+            return Reserved::NoneOfPool;
+        }
         let Some(worker) = reserved.filter(|key| self.worker(*key).slots.is_empty()) else {
-            return;
+            return Reserved::Other;
         };
         let number = self.next_run_number(task);
         let is_remote = self.is_outside_rack(worker, step);
         self.order_start(worker, task, number, step, is_remote);
+        Reserved::Other
+    }
+
+    /// Returns whether more than the size of a task decides on which workers it may run.
+    fn has_own_conditions(&self, task: TaskKey, step: &StepSpec) -> bool {
+        !is_plain(step) || step.is_long_running || self.needs_tickets(task.job)
     }
 
     /// Returns whether a crash of the same instance is held against a task already.
