Order what a full step leaves with the next step, also without an event

Cause: found on reading the diff: a step that reached its bound in the midst of its last job did not ask for another pass, so that the rest of the job waited for some other event; copies could go beyond the bound. Change: a full step always asks for the next pass, and starts no copies.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -93,7 +93,6 @@
         let mut pass = Pass::default();
         for key in self.jobs_that_may_start() {
             if self.starts_left == 0 {
-                self.needs_dispatch = true;
                 break;
             }
             if !self.is_held_back(key) {
@@ -101,10 +100,14 @@
             }
         }
         self.start_suspects(OtherTasks::HaveStarted);
-        self.start_copies(&mut pass);
+        if self.starts_left > 0 {
+            self.start_copies(&mut pass);
+        }
         let starts_count = self.settings.starts_per_step_max - self.starts_left;
         let starts_count = u64::try_from(starts_count).unwrap_or(u64::MAX);
         let is_full = self.starts_left == 0;
+        // No event may come before the next step.
+        self.needs_dispatch |= is_full;
         self.start_rate
             .observe_step(starts_count, is_full, self.now_ms);
     }
--- a/tests/testsuite/jobs/full_processor.rs
+++ b/tests/testsuite/jobs/full_processor.rs
@@ -339,3 +339,30 @@
         );
     }
 }
+
+/// Guards against tasks that wait for an event although only the bound of a step held them back.
+#[test]
+fn what_a_step_leaves_goes_with_the_next_step() {
+    let mut process = LeaderProcess::open();
+    process.run_until(2_000);
+    let tasks_count = u32::try_from(STARTS_PER_STEP_MAX).expect("it is small") * 2 + 2;
+    let submission = Submission {
+        id: JobId(1),
+        queue: "pool".into(),
+        team: "team".into(),
+        spec: job(vec![step(tasks_count, 1_000, TASK_MS)]),
+    };
+    process.engine.submit(submission);
+    assert!(process.engine.take_records().is_some());
+    process.engine.records_persisted();
+    let mut counts = Vec::new();
+    for now_ms in [2_010, 2_020, 2_030] {
+        process.engine.advance(now_ms, UNIX_MS + now_ms);
+        let actions = process.engine.take_actions();
+        let starts = actions
+            .iter()
+            .filter(|action| matches!(action, Action::Start(_)));
+        counts.push(starts.count());
+    }
+    assert_eq!(counts, [STARTS_PER_STEP_MAX, STARTS_PER_STEP_MAX, 2]);
+}
