Divide the progress of a job among records that the store accepts

Cause: the progress of a job was one record of any size.

Change: what does not fit in the first record of a job's progress goes into parts, each within the limit and each valid on its own, so that they need not be written all at once: that a task is done or a run has failed holds in whichever part it is found.

The same on related paths: a checkpoint of any length (not kept above a thirty-second of a record), a job whose own record does not fit or that has over 200,000 tasks, which would exhaust the memory of each leader (refused at once), the occurrences of a recurring job, the names of the maintained instances of a wave, a task's failed runs and crashes (divided).

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -4,7 +4,8 @@
 use crate::jobs::engine::{index, job_mut, Engine, Settled};
 use crate::jobs::job::{Job, JobState};
 use crate::jobs::keys::{JobKey, WorkerKey};
-use crate::jobs::record::{JobRecord, ProgressRecord, Record, WorkerRecord};
+use crate::jobs::progress::progress_records;
+use crate::jobs::record::{JobRecord, Record, WorkerRecord};
 use crate::jobs::spec::Size;
 use crate::jobs::worker::{PollState, WorkerInfo};
 use crate::logging::Event;
@@ -32,6 +33,7 @@
         if self.in_flight.is_some() || !self.has_records() {
             return None;
         }
+        let value_max_bytes = self.settings.value_max_bytes();
         let mut records = std::mem::take(&mut self.other_records);
         let mut batch = Batch {
             number: self.next_batch,
@@ -48,7 +50,9 @@
             let job = job_mut(&mut self.jobs, key);
             job.is_dirty = false;
             batch.progressed.push((key, job.state));
-            records.push(Record::Progress(job.id, ProgressRecord::of(job)));
+            let (progress, parts_count) = progress_records(job, value_max_bytes);
+            records.extend(progress);
+            job.stored_parts_count = parts_count;
         }
         for key in &batch.workers {
             let worker = &self.workers[index(key.0)];
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -1,5 +1,7 @@
 //! Ends of runs: what the end of a run means for its task, its job and its worker.
 
+use smol_str::SmolStr;
+
 use crate::jobs::engine::Engine;
 use crate::jobs::job::{JobState, Round};
 use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
@@ -55,10 +57,11 @@
             return;
         }
         self.open_round(task);
+        let checkpoint = self.usable_checkpoint(&end.checkpoint);
         self.change_task(task, |state| {
             state.runs.retain(|known| *known != (key, end.run_number));
-            if !end.checkpoint.is_empty() {
-                state.checkpoint = end.checkpoint.clone();
+            if let Some(checkpoint) = checkpoint {
+                state.checkpoint = checkpoint;
             }
         });
         match end.kind {
@@ -69,6 +72,13 @@
         self.needs_dispatch = true;
     }
 
+    /// Returns a checkpoint that a worker reports, unless it is empty or too large to be persisted.
+    pub(crate) fn usable_checkpoint(&self, checkpoint: &SmolStr) -> Option<SmolStr> {
+        let is_usable =
+            !checkpoint.is_empty() && checkpoint.len() <= self.settings.checkpoint_max_bytes();
+        is_usable.then(|| checkpoint.clone())
+    }
+
     /// Opens the occurrences up to the one of a task that a worker reports.
     pub(crate) fn open_round(&mut self, task: TaskKey) {
         let job = self.job_mut(task.job);
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -30,7 +30,7 @@
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
 use crate::jobs::poll_pace::PollPace;
 use crate::jobs::quarantine::Quarantine;
-use crate::jobs::record::Record;
+use crate::jobs::record::{Record, RECORD_OVERHEAD_BYTES};
 use crate::jobs::run_times::RunTimes;
 use crate::jobs::spec::Size;
 use crate::jobs::start_orders::HeldStart;
@@ -45,6 +45,9 @@
 /// Interval between checks for expired leases and for stops without effect, in milliseconds.
 const SWEEP_MS: u64 = 20;
 
+/// Part of a record that a checkpoint may take, as a divisor.
+const CHECKPOINT_DIVISOR: usize = 32;
+
 /// Settings of the engine, taken from the deployment.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -82,6 +85,20 @@
     pub capacity_age_max_ms: u64,
     /// How the demand of pools is forecast.
     pub forecast: ForecastMethod,
+    /// Most bytes of a record of the store.
+    pub record_max_bytes: usize,
+}
+
+impl EngineSettings {
+    /// Returns the most bytes of the value of a record.
+    pub(crate) fn value_max_bytes(&self) -> usize {
+        self.record_max_bytes.saturating_sub(RECORD_OVERHEAD_BYTES)
+    }
+
+    /// Returns the most bytes of a checkpoint. Each is persisted with the progress of its job.
+    pub(crate) fn checkpoint_max_bytes(&self) -> usize {
+        self.value_max_bytes() / CHECKPOINT_DIVISOR
+    }
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -175,6 +175,8 @@
     pub(crate) state: JobState,
     /// State that is persisted; callers are shown this one.
     pub(crate) persisted_state: JobState,
+    /// Number of the parts of its progress that the store has beside the first record.
+    pub(crate) stored_parts_count: u32,
     /// Whether its progress has changed since it was last taken into a batch of records.
     pub(crate) is_dirty: bool,
     /// Occurrences that have been opened, in order; empty once the job has ended.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -37,6 +37,8 @@
 mod poll_pace;
 mod polls;
 mod pool_needs;
+mod progress;
+mod progress_packing;
 mod quarantine;
 mod rack_forecast;
 mod ranking;
@@ -77,10 +79,10 @@
     StartOrder, StopOrder, Target, TicketRequest,
 };
 pub use place_waits::{choose_place, PlaceChoice, PlaceVerdict, PlaceWaitCounts};
+pub use progress::{DoneTasks, ProgressPart, ProgressRecord, TaskRecord};
 pub use rack_forecast::{ExpectedRun, ExpectedStart, RackForecast, RackWorker, NEVER_MS};
 pub use record::{
-    JobRecord, OrdersRecord, ProgressRecord, Record, StoredRecord, TaskRecord, WaveRecord,
-    WorkerRecord,
+    JobRecord, OrdersRecord, PartKey, Record, StoredRecord, WaveRecord, WorkerRecord,
 };
 pub use requests::{CancelOutcome, Submission, SubmitOutcome};
 pub use run_distribution::RunVerdict;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -267,9 +267,10 @@
             slot.percent = row.percent;
             slot.metric = row.metric;
         }
-        if !row.checkpoint.is_empty() && !self.job(run.task.job).state.is_final() {
-            let checkpoint = row.checkpoint.clone();
-            self.change_task(run.task, |state| state.checkpoint = checkpoint);
+        if let Some(checkpoint) = self.usable_checkpoint(&row.checkpoint) {
+            if !self.job(run.task.job).state.is_final() {
+                self.change_task(run.task, |state| state.checkpoint = checkpoint);
+            }
         }
         Some(run)
     }
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -1,18 +1,21 @@
 //! Persisted records: jobs, their progress, the workers on which tasks may run, and waves of
 //! maintenance. Each record has a key; the newest record of a key replaces the earlier ones.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
 
-use crate::jobs::crashes::{CrashRecord, WatchedRun};
-use crate::jobs::job::{Job, JobState, Round};
 use crate::jobs::keys::JobId;
+use crate::jobs::progress::{ProgressPart, ProgressRecord};
 use crate::jobs::spec::{JobSpec, Size};
 
 /// First letter of the key of an accepted job.
 const JOB_PREFIX: char = 'j';
 /// First letter of the key of a job's progress.
 const PROGRESS_PREFIX: char = 'p';
+/// First letter of the keys of the further parts of a job's progress.
+const PROGRESS_PART_PREFIX: char = 'q';
 /// First letter of the key of a worker.
 const WORKER_PREFIX: char = 'w';
 /// First letter of the key of a wave of maintenance.
@@ -21,6 +24,10 @@
 const ORDER_PREFIX: char = 'o';
 /// Key of the settled orders to instances.
 const ORDERS_KEY: &str = "s";
+/// Separates a key from the number of a further part of what it names.
+const PART_SEPARATOR: char = '.';
+/// Bytes of a stored record beside its value: its length, and the key with its own length.
+pub(crate) const RECORD_OVERHEAD_BYTES: usize = 4 + 1 + u8::MAX as usize;
 
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,40 +51,6 @@
     pub is_over_rate: bool,
 }
 
-/// Persisted state of one task that is not done.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct TaskRecord {
-    /// Occurrence, from 0.
-    pub round: u32,
-    /// Step, from 0.
-    pub step: u16,
-    /// Number within the step, from 0.
-    pub index: u32,
-    /// Numbers of the runs that failed.
-    pub failed_runs: Vec<u64>,
-    /// Newest checkpoint; empty for none.
-    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
-    pub checkpoint: SmolStr,
-    /// Crashes of workers of which the task may be the cause.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashRecord>,
-    /// Its run, if it has lost a worker before.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub watched_run: Option<WatchedRun>,
-}
-
-/// Progress of a job.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ProgressRecord {
-    /// State.
-    pub state: JobState,
-    /// For each occurrence and step, the tasks that are done, as hexadecimal digits of four tasks
-    /// each; empty once the job has ended.
-    pub done: Vec<Vec<String>>,
-    /// Tasks that are not done and of which more than that is known.
-    pub tasks: Vec<TaskRecord>,
-}
-
 /// A worker on which tasks may have been started.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -115,6 +88,30 @@
     pub is_complete: bool,
 }
 
+/// Key of a further part of what does not fit in one record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartKey<T> {
+    /// What the part belongs to.
+    pub of: T,
+    /// Number of the part, from 0.
+    pub number: u32,
+}
+
+impl<T: fmt::Display> PartKey<T> {
+    fn to_text(&self, prefix: char) -> SmolStr {
+        let Self { of, number } = self;
+        format_smolstr!("{prefix}{of}{PART_SEPARATOR}{number}")
+    }
+
+    fn parse(text: &str, parse_owner: impl Fn(&str) -> Option<T>) -> Option<Self> {
+        let (owner, number) = text.split_once(PART_SEPARATOR)?;
+        Some(Self {
+            of: parse_owner(owner)?,
+            number: number.parse().ok()?,
+        })
+    }
+}
+
 /// One record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -122,10 +119,14 @@
     Job(JobId, JobRecord),
     /// The progress of a job.
     Progress(JobId, ProgressRecord),
+    /// A further part of the progress of a job.
+    ProgressPart(PartKey<JobId>, ProgressPart),
     /// Tasks may be started on this worker from now on.
     Worker(SmolStr, WorkerRecord),
     /// The progress of a wave of maintenance.
     Wave(u64, WaveRecord),
+    /// A further part of the instances of a wave that have been maintained.
+    WavePart(PartKey<u64>, Vec<SmolStr>),
     /// An order with this number may have been given to an instance.
     Order(SmolStr, u64),
     /// Which orders to instances are settled.
@@ -134,6 +135,8 @@
     ForgetOrder(SmolStr),
     /// The job is no longer needed: both its records are deleted.
     ForgetJob(JobId),
+    /// This part of the progress of a job is no longer needed: its record is deleted.
+    ForgetProgressPart(PartKey<JobId>),
     /// No task runs on this worker any more: its record is deleted.
     ForgetWorker(SmolStr),
 }
@@ -156,12 +159,16 @@
         match self {
             Self::Job(id, record) => vec![(job_key(JOB_PREFIX, *id), to_text(record))],
             Self::Progress(id, record) => vec![(job_key(PROGRESS_PREFIX, *id), to_text(record))],
+            Self::ProgressPart(key, part) => {
+                vec![(key.to_text(PROGRESS_PART_PREFIX), to_text(part))]
+            }
             Self::Worker(id, record) => {
                 vec![(format_smolstr!("{WORKER_PREFIX}{id}"), to_text(record))]
             }
             Self::Wave(number, record) => {
                 vec![(format_smolstr!("{WAVE_PREFIX}{number}"), to_text(record))]
             }
+            Self::WavePart(key, done) => vec![(key.to_text(WAVE_PREFIX), to_text(done))],
             Self::Order(instance, number) => {
                 vec![(format_smolstr!("{ORDER_PREFIX}{instance}"), to_text(number))]
             }
@@ -173,6 +180,7 @@
                 (job_key(JOB_PREFIX, *id), None),
                 (job_key(PROGRESS_PREFIX, *id), None),
             ],
+            Self::ForgetProgressPart(key) => vec![(key.to_text(PROGRESS_PART_PREFIX), None)],
             Self::ForgetWorker(id) => vec![(format_smolstr!("{WORKER_PREFIX}{id}"), None)],
         }
     }
@@ -193,11 +201,19 @@
                 JobId::parse(rest)?,
                 serde_json::from_slice(text).ok()?,
             )),
+            PROGRESS_PART_PREFIX => Some(Self::ProgressPart(
+                PartKey::parse(rest, JobId::parse)?,
+                serde_json::from_slice(text).ok()?,
+            )),
             WORKER_PREFIX => Some(Self::Worker(
                 rest.into(),
                 serde_json::from_slice(text).ok()?,
             )),
             ORDER_PREFIX => Some(Self::Order(rest.into(), serde_json::from_slice(text).ok()?)),
+            WAVE_PREFIX if rest.contains(PART_SEPARATOR) => Some(Self::WavePart(
+                PartKey::parse(rest, |number| number.parse().ok())?,
+                serde_json::from_slice(text).ok()?,
+            )),
             WAVE_PREFIX => Some(Self::Wave(
                 rest.parse().ok()?,
                 serde_json::from_slice(text).ok()?,
@@ -207,106 +223,7 @@
     }
 }
 
-impl ProgressRecord {
-    /// Returns the progress of `job`.
-    pub(crate) fn of(job: &Job) -> Self {
-        let state = job.state;
-        if state.is_final() {
-            return Self {
-                state,
-                done: Vec::new(),
-                tasks: Vec::new(),
-            };
-        }
-        let mut tasks = Vec::new();
-        let mut done = Vec::new();
-        for (round, number) in job.rounds.iter().zip(0u32..) {
-            let mut steps = Vec::new();
-            for (step, step_number) in round.steps.iter().zip(0u16..) {
-                steps.push(digits_of(step.tasks.iter().map(|task| task.is_done)));
-                for (task, index) in step.tasks.iter().zip(0u32..) {
-                    if !task.needs_record() {
-                        continue;
-                    }
-                    tasks.push(TaskRecord {
-                        round: number,
-                        step: step_number,
-                        index,
-                        failed_runs: task.failed_runs.clone(),
-                        checkpoint: task.checkpoint.clone(),
-                        crashes: task.crashes.clone(),
-                        watched_run: task.watched_run.clone(),
-                    });
-                }
-            }
-            done.push(steps);
-        }
-        Self { state, done, tasks }
-    }
-
-    /// Returns whether a task is suspected, or was watched, for crashes of its workers.
-    pub(crate) fn has_suspicions(&self) -> bool {
-        let mut tasks = self.tasks.iter();
-        tasks.any(|task| !task.crashes.is_empty() || task.watched_run.is_some())
-    }
-
-    /// Sets the progress of `job` to the persisted one.
-    pub(crate) fn apply(&self, job: &mut Job) {
-        job.state = self.state;
-        job.persisted_state = self.state;
-        if self.state.is_final() {
-            job.rounds.clear();
-            return;
-        }
-        for (number, steps) in self.done.iter().enumerate() {
-            while job.rounds.len() <= number {
-                job.rounds.push(Round::open(&job.spec));
-            }
-            for (step, digits) in job.rounds[number].steps.iter_mut().zip(steps) {
-                for (task, is_done) in step.tasks.iter_mut().zip(flags_of(digits)) {
-                    task.is_done = is_done;
-                }
-            }
-        }
-        for persisted in &self.tasks {
-            let round = usize::try_from(persisted.round).ok();
-            let task = round
-                .and_then(|round| job.rounds.get_mut(round))
-                .and_then(|round| round.steps.get_mut(usize::from(persisted.step)))
-                .and_then(|step| step.tasks.get_mut(usize::try_from(persisted.index).ok()?));
-            if let Some(task) = task {
-                task.failed_runs.clone_from(&persisted.failed_runs);
-                task.checkpoint = persisted.checkpoint.clone();
-                task.crashes.clone_from(&persisted.crashes);
-                task.watched_run.clone_from(&persisted.watched_run);
-            }
-        }
-        for round in &mut job.rounds {
-            round.steps.iter_mut().for_each(|step| step.recount());
-        }
-    }
-}
-
-/// Encodes flags as hexadecimal digits, the first flag as the lowest bit of the first digit.
-fn digits_of(flags: impl Iterator<Item = bool>) -> String {
-    let mut digits = String::new();
-    let mut digit = 0;
-    let mut count = 0;
-    for flag in flags {
-        digit |= u32::from(flag) << (count % 4);
-        count += 1;
-        if count % 4 == 0 {
-            digits.extend(char::from_digit(digit, 16));
-            digit = 0;
-        }
-    }
-    if count % 4 != 0 {
-        digits.extend(char::from_digit(digit, 16));
-    }
-    digits
-}
-
-fn flags_of(digits: &str) -> impl Iterator<Item = bool> + '_ {
-    let values = digits.chars().map(|digit| digit.to_digit(16).unwrap_or(0));
-    values.flat_map(|digit| (0..4).map(move |bit| digit >> bit & 1 == 1))
+/// Returns the bytes of the stored form of a value.
+pub(crate) fn encoded_bytes(value: &impl Serialize) -> usize {
+    to_text(value).map_or(0, |text| text.len())
 }
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -3,10 +3,12 @@
 
 use smol_str::SmolStr;
 
+use crate::collections::IndexMap;
 use crate::jobs::capacity::REVIEW_MS;
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{JobId, WorkerKey};
-use crate::jobs::record::{ProgressRecord, Record, WorkerRecord};
+use crate::jobs::progress::StoredProgress;
+use crate::jobs::record::{Record, WorkerRecord};
 use crate::jobs::requests::{AcceptanceTimes, Submission};
 use crate::jobs::worker::{PollState, Worker, WorkerInfo};
 use crate::logging::Event;
@@ -14,11 +16,13 @@
 impl Engine {
     /// Restores the state from all persisted records, in any order.
     pub fn restore(&mut self, records: Vec<Record>) {
-        let mut progress: Vec<(JobId, ProgressRecord)> = Vec::new();
+        let mut progress: IndexMap<JobId, StoredProgress> = IndexMap::default();
         let mut records = records;
-        // The forecast and the rates of teams need arrivals in the order of time.
+        // The forecast and the rates of teams need arrivals in the order of time, and a wave its
+        // parts in their order.
         records.sort_by_key(|record| match record {
             Record::Job(_, record) => record.accepted_unix_ms,
+            Record::WavePart(key, _) => u64::from(key.number),
             _ => 0,
         });
         // The share of a team in the fleet counts from the first job on.
@@ -58,32 +62,28 @@
                     job.is_persisted = true;
                     job.is_inherited = true;
                 }
-                Record::Progress(id, record) => progress.push((id, record)),
+                Record::Progress(id, record) => progress.entry(id).or_default().set_first(record),
+                Record::ProgressPart(key, part) => {
+                    progress
+                        .entry(key.of)
+                        .or_default()
+                        .add_part(key.number, part);
+                }
                 Record::Worker(id, record) => self.restore_worker(id, record),
                 Record::Wave(number, record) => self.restore_wave(number, record),
+                Record::WavePart(key, done) => self.restore_wave_part(key.of, done),
                 Record::Order(instance, number) => {
                     self.order_numbers.restore_last(instance, number);
                 }
                 Record::Orders(record) => self.order_numbers.restore_settled(record),
-                Record::ForgetJob(_) | Record::ForgetWorker(_) | Record::ForgetOrder(_) => {}
+                Record::ForgetJob(_)
+                | Record::ForgetProgressPart(_)
+                | Record::ForgetWorker(_)
+                | Record::ForgetOrder(_) => {}
             }
         }
-        for (id, record) in progress {
-            let Some(key) = self.job_keys.get(&id).copied() else {
-                continue;
-            };
-            let now_ms = self.now_ms;
-            let job = self.job_mut(key);
-            let has_suspicions = record.has_suspicions();
-            record.apply(job);
-            if job.state.is_final() {
-                job.ended_ms = now_ms;
-                self.live.swap_remove(&key);
-                self.recurring.swap_remove(&key);
-                self.ended.push_back(key);
-            } else if has_suspicions {
-                self.restore_suspicions(key);
-            }
+        for (id, stored) in progress {
+            self.restore_progress(id, &stored);
         }
         self.demand_cycle
             .catch_up(reviewed_ms, self.now_ms, REVIEW_MS);
@@ -96,6 +96,33 @@
         self.needs_dispatch = true;
     }
 
+    fn restore_progress(&mut self, id: JobId, stored: &StoredProgress) {
+        let Some(key) = self.job_keys.get(&id).copied() else {
+            if !stored.has_first() {
+                // The records of the job were deleted, but not all parts of its progress.
+                stored
+                    .forget_parts(id)
+                    .for_each(|record| self.persist(record));
+            }
+            return;
+        };
+        let now_ms = self.now_ms;
+        let job = self.job_mut(key);
+        stored.apply(job);
+        if job.state.is_final() {
+            job.ended_ms = now_ms;
+            self.live.swap_remove(&key);
+            self.recurring.swap_remove(&key);
+            self.ended.push_back(key);
+            // The parts are no longer needed.
+            if self.job(key).stored_parts_count > 0 {
+                self.mark_dirty(key);
+            }
+        } else if stored.has_suspicions() {
+            self.restore_suspicions(key);
+        }
+    }
+
     /// Logs for which pools the jobs of earlier leaders start to wait, or no longer wait, for workers
     /// that have not answered this leader.
     pub(crate) fn log_recovering_pools(&mut self) {
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -7,9 +7,13 @@
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::job::{Job, JobState, Round};
 use crate::jobs::keys::{JobId, JobKey};
+use crate::jobs::record::encoded_bytes;
 use crate::jobs::spec::{JobSpec, SpecError};
 use crate::logging::Event;
 
+/// Most bytes of a job's record beside its specification, its queue and its team.
+const JOB_RECORD_HEAD_BYTES: usize = 1_024;
+
 /// A submitted job.
 #[derive(Clone, Debug)]
 pub struct Submission {
@@ -76,6 +80,9 @@
         if let Err(fault) = submission.spec.check() {
             return SubmitOutcome::Invalid(fault);
         }
+        if job_record_max_bytes(&submission) > self.settings.value_max_bytes() {
+            return SubmitOutcome::Invalid(SpecError::RecordSize);
+        }
         let Some(queue) = self.catalog.queues.get(&submission.queue) else {
             return SubmitOutcome::NoQueue;
         };
@@ -157,6 +164,7 @@
             is_persisted: false,
             state: JobState::Queued,
             persisted_state: JobState::Queued,
+            stored_parts_count: 0,
             is_dirty: false,
             rounds,
             chains_ms,
@@ -306,6 +314,13 @@
     }
 }
 
+/// Returns the most bytes of the record of a submitted job.
+fn job_record_max_bytes(submission: &Submission) -> usize {
+    let names = [&submission.queue, &submission.team];
+    let names_bytes: usize = names.into_iter().map(encoded_bytes).sum();
+    encoded_bytes(&submission.spec) + names_bytes + JOB_RECORD_HEAD_BYTES
+}
+
 // Times of jobs are far below the 2^52 ms that a float represents exactly.
 #[allow(
     clippy::cast_precision_loss,
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -8,6 +8,8 @@
 const STEPS_MAX_COUNT: usize = 256;
 /// Most tasks of one step.
 const TASKS_MAX_COUNT: u32 = 100_000;
+/// Most tasks of all steps. The leader keeps the state of each task in memory.
+const JOB_TASKS_MAX_COUNT: u64 = 200_000;
 /// Most of one resource that a task or a worker can have, in the unit of the resource. With larger
 /// figures the sums and products of a plan would overflow.
 const AMOUNT_MAX: u64 = 1 << 32;
@@ -204,8 +206,10 @@
 pub enum SpecError {
     /// It has no step, or too many.
     StepsCount,
-    /// A step has no task, or too many.
+    /// A step has no task, or a step or the job has too many.
     TasksCount,
+    /// Its record would be larger than the store accepts.
+    RecordSize,
     /// A step depends on one that does not precede it.
     Dependency,
     /// The size or the estimated work of a step is larger than any fleet.
@@ -233,7 +237,10 @@
                 return Err(SpecError::Size);
             }
         }
-        Ok(())
+        match self.tasks_count() {
+            count if count > JOB_TASKS_MAX_COUNT => Err(SpecError::TasksCount),
+            _ => Ok(()),
+        }
     }
 
     /// Returns the number of occurrences.
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -7,7 +7,7 @@
 use crate::jobs::engine::Engine;
 use crate::jobs::instances::InstanceState;
 use crate::jobs::orders::{Action, InstanceOrder};
-use crate::jobs::record::{Record, WaveRecord};
+use crate::jobs::record::{PartKey, Record, WaveRecord};
 use crate::logging::Event;
 
 /// Number of instances that are drained in advance, beyond those that may be down.
@@ -22,6 +22,8 @@
 /// Time for which an instance has to be idle to be drained while the wave is not urgent, in
 /// milliseconds.
 const IDLE_MS: u64 = 400;
+/// Number of maintained instances in one record of a wave.
+const WAVE_PART_COUNT: usize = 500;
 /// Interval between reports on a wave in progress, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 4_000;
 
@@ -101,6 +103,15 @@
         wave.done.extend(record.done);
     }
 
+    /// Restores further instances of a wave that were maintained under earlier leaders.
+    pub(crate) fn restore_wave_part(&mut self, number: u64, done: Vec<SmolStr>) {
+        let record = WaveRecord {
+            requested_unix_ms: 0,
+            done,
+        };
+        self.restore_wave(number, record);
+    }
+
     pub(crate) fn wave_member_done(&mut self, number: u64, instance: &SmolStr) {
         if let Some(wave) = self.instances.waves.get_mut(&number) {
             wave.done.insert(instance.clone());
@@ -108,13 +119,30 @@
         }
     }
 
+    /// Persists the newest part of a wave's maintained instances. The parts before it are full and
+    /// have been persisted.
     fn persist_wave(&mut self, number: u64) {
         let wave = &self.instances.waves[&number];
-        let record = WaveRecord {
-            requested_unix_ms: wave.requested_unix_ms,
-            done: wave.done.iter().cloned().collect(),
+        let part_at = wave.done.len().saturating_sub(1) / WAVE_PART_COUNT;
+        let done = wave.done.iter().skip(part_at * WAVE_PART_COUNT);
+        let done = done.cloned().collect();
+        let record = match u32::try_from(part_at) {
+            Ok(1..) => {
+                let key = PartKey {
+                    of: number,
+                    number: u32::try_from(part_at).unwrap_or(u32::MAX),
+                };
+                Record::WavePart(key, done)
+            }
+            _ => {
+                let record = WaveRecord {
+                    requested_unix_ms: wave.requested_unix_ms,
+                    done,
+                };
+                Record::Wave(number, record)
+            }
         };
-        self.persist(Record::Wave(number, record));
+        self.persist(record);
     }
 
     pub(crate) fn wave_member_refused(&mut self, number: u64, instance: &SmolStr) {
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -16,6 +16,7 @@
     PollReply, Pool, Queue, Record, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
     TaskName, WorkerInfo, WorkerKey,
 };
+use crate::load::RECORD_MAX_BYTES;
 
 /// Numbers of workers that are measured.
 pub const WORKERS_COUNTS: [u32; 3] = [350, 1_100, 3_500];
@@ -128,6 +129,7 @@
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
             forecast: ForecastMethod::default(),
+            record_max_bytes: RECORD_MAX_BYTES,
             remote_factor_permille: 1_000,
         };
         let mut engine = Engine::open(settings, catalog(), 0, UNIX_MS);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -21,3 +21,6 @@
 pub mod teams;
 pub mod upkeep_model;
 pub mod world;
+
+/// Most bytes of a record of the store that the experiments assume.
+pub(crate) const RECORD_MAX_BYTES: usize = 1 << 18;
--- a/src/load/places.rs
+++ b/src/load/places.rs
@@ -18,6 +18,7 @@
     PollOrder, PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
     TaskName, WorkerInfo, WorkerKey,
 };
+use crate::load::RECORD_MAX_BYTES;
 
 /// Length of a step of virtual time, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -212,6 +213,7 @@
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
             forecast: ForecastMethod::default(),
+            record_max_bytes: RECORD_MAX_BYTES,
             remote_factor_permille: match policy {
                 PlacePolicy::Expected => factor_permille,
                 PlacePolicy::Never | PlacePolicy::Always => 1_000,
--- a/src/load/played_pool.rs
+++ b/src/load/played_pool.rs
@@ -14,6 +14,7 @@
     PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, Submission, SubmitOutcome, TaskName,
     Team, WorkerInfo, WorkerKey,
 };
+use crate::load::RECORD_MAX_BYTES;
 
 /// Name of the pool and of its queue.
 pub(crate) const POOL: &str = "pool";
@@ -65,6 +66,7 @@
             earlier_orders_wait_ms: 0,
             capacity_age_max_ms: 0,
             forecast: ForecastMethod::default(),
+            record_max_bytes: RECORD_MAX_BYTES,
             remote_factor_permille: 1_000,
         };
         let mut engine = Engine::open(settings, catalog(teams), 0, UNIX_MS);
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -19,7 +19,7 @@
 /// Shortest and longest pause before an append is retried, in milliseconds.
 const RETRY_PAUSE_MS: (u64, u64) = (40, 400);
 /// Bytes that a record takes in an append beside its key and value.
-const RECORD_OVERHEAD_BYTES: usize = 16;
+const APPEND_OVERHEAD_BYTES: usize = 16;
 
 /// Time from which an append without an answer means that the store accepts no records, in
 /// milliseconds. It is longer than an append to a slow store takes.
@@ -103,17 +103,20 @@
     }
 }
 
-/// Splits records into appends within the limits of the store.
+/// Splits records into appends within the limits of the store. The engine keeps its records within
+/// them. One that is too large all the same is left out: the store would reject it, and all that
+/// wait behind it, for ever.
 fn chunks_of(records: &[Record], limits: StoreLimits) -> Vec<Vec<StoredRecord>> {
     let mut chunks = vec![Vec::new()];
     let mut bytes = 0;
     for (key, value) in records.iter().flat_map(Record::encode) {
-        let length = key.len() + value.as_ref().map_or(0, Vec::len) + RECORD_OVERHEAD_BYTES;
+        let length = key.len() + value.as_ref().map_or(0, Vec::len) + APPEND_OVERHEAD_BYTES;
         if length > limits.record_bytes {
             Event::new("record_too_large")
                 .with("key", &key)
                 .with("bytes", length)
                 .error();
+            continue;
         }
         if bytes + length > limits.call_bytes {
             chunks.push(Vec::new());
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -229,6 +229,7 @@
         remote_factor_permille: bounds.remote_factor_permille,
         capacity_age_max_ms: bounds.capacity_age_max_ms,
         forecast: node.settings.forecast,
+        record_max_bytes: node.settings.store.record_bytes,
     };
     Event::new("leadership_acquired")
         .with("fence", fence)
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -8,6 +8,9 @@
 /// Age of the list of workers from which its capacities are not used, in milliseconds.
 pub(crate) const CAPACITY_AGE_MAX_MS: u64 = 2_000;
 
+/// Most bytes of a record of the store.
+pub(crate) const RECORD_MAX_BYTES: usize = 1 << 18;
+
 /// Returns a size with processor time and memory.
 pub(crate) fn size(cpu_millis: u64, memory_mb: u64) -> Size {
     Size {
@@ -117,5 +120,6 @@
         remote_factor_permille: factor_permille,
         capacity_age_max_ms: CAPACITY_AGE_MAX_MS,
         forecast: ForecastMethod::default(),
+        record_max_bytes: RECORD_MAX_BYTES,
     }
 }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod peaks;
 mod places;
+mod record_sizes;
 mod run_times;
 mod shrunk_capacity;
 mod simulation;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -7,10 +7,10 @@
 use std::collections::{HashMap, HashSet};
 
 use hawthornladder::jobs::{
-    Action, Catalog, EndKind, Engine, InstanceFailure, InstanceInfo, InstanceOrder, InstanceState,
-    JobId, JobSpec, JobState, OrderFailure, PollOrder, PollReply, Record, RunRow, Settled, Size,
-    StartOrder, StopOrder, Submission, SubmitOutcome, TaskName, TicketRequest, WaveSpec,
-    WorkerInfo,
+    Action, Catalog, EndKind, Engine, EngineSettings, InstanceFailure, InstanceInfo, InstanceOrder,
+    InstanceState, JobId, JobSpec, JobState, OrderFailure, PollOrder, PollReply, Record, RunRow,
+    Settled, Size, StartOrder, StopOrder, Submission, SubmitOutcome, TaskName, TicketRequest,
+    WaveSpec, WorkerInfo,
 };
 use indexmap::{IndexMap, IndexSet};
 use smol_str::{format_smolstr, SmolStr};
@@ -18,7 +18,7 @@
 pub(crate) use super::fake_worker::{FakeWorker, Running};
 
 pub(crate) use super::builders::{
-    catalog, job, long_running, settings_with_factor, size, step, with_weights,
+    catalog, job, long_running, settings_with_factor, size, step, with_weights, RECORD_MAX_BYTES,
 };
 
 /// Length of a step of virtual time, in milliseconds.
@@ -74,6 +74,8 @@
     /// Records in the store, by key.
     pub(crate) stored: IndexMap<SmolStr, Vec<u8>>,
     pub(crate) is_store_unavailable: bool,
+    /// Most bytes of a record that the store accepts.
+    pub(crate) record_max_bytes: usize,
     pub(crate) accepted: Vec<JobId>,
     pub(crate) orders: Vec<InstanceOrder>,
     /// Workers that get a ticket for every step.
@@ -91,6 +93,8 @@
     /// Stop orders, with their times in milliseconds.
     pub(crate) stops: Vec<(u64, TaskName)>,
     pub(crate) paces: Vec<(TaskName, u64)>,
+    /// Checkpoint that the runs of all workers report.
+    pub(crate) checkpoint: SmolStr,
     /// Tail latency that the runs of each worker report, in milliseconds.
     pub(crate) tails_ms: HashMap<SmolStr, u64>,
     /// Run time by task, where it differs from the estimate.
@@ -134,6 +138,7 @@
             evacuated: IndexSet::new(),
             stored: IndexMap::new(),
             is_store_unavailable: false,
+            record_max_bytes: RECORD_MAX_BYTES,
             accepted: Vec::new(),
             orders: Vec::new(),
             eligible: Vec::new(),
@@ -144,6 +149,7 @@
             order_times_ms: Vec::new(),
             stops: Vec::new(),
             paces: Vec::new(),
+            checkpoint: SmolStr::default(),
             tails_ms: HashMap::new(),
             run_ms: HashMap::new(),
             slow_workers: HashMap::new(),
@@ -325,7 +331,10 @@
     /// not read the lists.
     pub(crate) fn fail_over_without_lists(&mut self, fence: u64) {
         let unix_ms = UNIX_MS + self.now_ms;
-        let settings = settings_with_factor(fence, self.remote_factor_permille);
+        let settings = EngineSettings {
+            record_max_bytes: self.record_max_bytes,
+            ..settings_with_factor(fence, self.remote_factor_permille)
+        };
         self.engine = Engine::open(settings, self.catalog.clone(), self.now_ms, unix_ms);
         self.polls.clear();
         self.connecting_polls.clear();
@@ -508,7 +517,7 @@
                 .map(|(name, run_number)| RunRow {
                     name: *name,
                     run_number: *run_number,
-                    checkpoint: SmolStr::default(),
+                    checkpoint: self.checkpoint.clone(),
                     percent: 100,
                     metric: tail_ms,
                 })
@@ -532,6 +541,9 @@
                 return;
             }
             for (key, value) in records.iter().flat_map(Record::encode) {
+                let bytes = key.len() + value.as_ref().map_or(0, Vec::len);
+                let max_bytes = self.record_max_bytes;
+                assert!(bytes < max_bytes, "a record of {bytes} bytes under {key}");
                 match value {
                     Some(value) => self.stored.insert(key, value),
                     None => self.stored.shift_remove(&key),
