Take no run for lost while its worker has not listed all ends

Cause: a worker lists 500 ends at a time and the others only once these are acknowledged. A run that was neither among the listed runs nor among the listed ends counted as lost (not_listed), and its task was started again.

Change: an answer to a poll says whether ends may be left out; as long as they may, no run at that worker is taken for lost.

The same on related paths: a new leader does not start tasks of inherited jobs in a pool in which a worker has not listed all ends, however long that takes; such a worker is not moved or maintained, nor its record deleted. The wait ends once the worker has been silent for longer than its leases. A listed run without a readable checkpoint is still a listed run.

--- a/src/jobs/capacity.rs
+++ b/src/jobs/capacity.rs
@@ -303,6 +303,7 @@
                 worker.info.pool == *pool
                     && worker.slots.is_empty()
                     && worker.awaited_batch.is_none()
+                    && !worker.has_more_ends
                     && worker.takes_tasks(self.now_ms)
             })
             .collect();
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -118,16 +118,27 @@
         pool.map(|pool| pool.accepting()).unwrap_or_default()
     }
 
-    /// Returns whether runs of an earlier leader may still be at workers that have not been polled.
+    /// Returns whether runs of an earlier leader may still be at workers that have not been polled, or
+    /// may have ended at workers that have not listed all ends.
     pub(crate) fn is_held_back(&self, key: JobKey) -> bool {
         let job = self.job(key);
         if !job.is_persisted {
             return true;
         }
+        let is_lease_left = self.now_ms < self.inherited_runs_end_at_ms();
         let pool = self.free_capacity.pool(&job.pool);
         job.is_inherited
-            && self.now_ms < self.inherited_runs_end_at_ms()
-            && pool.is_some_and(|pool| pool.has_unseen_runs())
+            && pool.is_some_and(|pool| {
+                pool.has_more_ends() || (is_lease_left && pool.has_unseen_runs())
+            })
+    }
+
+    /// Returns whether it is still unknown which runs an earlier leader left at a worker, or how they
+    /// ended.
+    pub(crate) fn may_have_unknown_runs(&self, key: WorkerKey) -> bool {
+        let worker = self.worker(key);
+        let is_lease_left = self.now_ms < self.inherited_runs_end_at_ms();
+        worker.has_more_ends || (is_lease_left && worker.may_have_unseen_runs())
     }
 
     /// Returns the time from which no run of an earlier leader can be left at an unreachable
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -402,6 +402,7 @@
             unseen: worker
                 .may_have_unseen_runs()
                 .then_some(worker.largest_capacity),
+            has_more_ends: worker.has_more_ends,
         };
         for due_ms in [
             worker.avoided_until_ms,
--- a/src/jobs/evacuation.rs
+++ b/src/jobs/evacuation.rs
@@ -170,6 +170,7 @@
                     && worker.is_listed
                     && worker.is_fenced
                     && worker.slots.is_empty()
+                    && !worker.has_more_ends
                     && worker.awaited_batch.is_none()
                     && !worker.info.is_draining
                     && worker.failed_polls_count == 0
--- a/src/jobs/expiry.rs
+++ b/src/jobs/expiry.rs
@@ -2,6 +2,7 @@
 //! have had no effect.
 
 use crate::jobs::engine::Engine;
+use crate::jobs::keys::WorkerKey;
 use crate::jobs::lost_runs::LossReason;
 use crate::jobs::polls::STOP_RETRY_MS;
 use crate::jobs::watched_runs::WorkerFate;
@@ -9,6 +10,9 @@
 
 /// Time after which an unlisted worker without runs is dropped, in milliseconds.
 const UNLISTED_FORGET_MS: u64 = 300;
+/// Time without an answer, in leases, after which the ends that a worker has not listed no longer
+/// matter.
+const SILENT_LEASES_COUNT: u64 = 2;
 
 impl Engine {
     /// Drops the runs of workers whose leases have expired, and the workers that are gone.
@@ -19,11 +23,11 @@
             if !worker.slots.is_empty() && now_ms >= worker.leases_expired_at_ms() {
                 self.lose_all_runs(key, LossReason::LeaseExpired);
             }
-            let worker = self.worker(key);
+            self.forget_ends_of_silent(key);
             // Without a list entry and without runs, and with this leader's fence raised, nothing
             // runs there or can start.
-            let is_known =
-                !worker.may_have_unseen_runs() || now_ms >= self.inherited_runs_end_at_ms();
+            let worker = self.worker(key);
+            let is_known = !self.may_have_unknown_runs(key);
             let is_gone = !worker.is_listed
                 && worker.slots.is_empty()
                 && is_known
@@ -43,6 +47,19 @@
         }
     }
 
+    /// Waits no longer for the ends at a worker that has not answered for so long that its leases have
+    /// expired.
+    fn forget_ends_of_silent(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        let wait_ms = self.settings.run_lease_ms * SILENT_LEASES_COUNT;
+        let is_over = worker
+            .silent_since_ms
+            .is_some_and(|since_ms| self.now_ms >= since_ms + wait_ms);
+        if worker.has_more_ends && is_over {
+            self.worker_mut(key).has_more_ends = false;
+        }
+    }
+
     /// Sends stops again that have had no effect yet.
     pub(crate) fn resend_stops(&mut self) {
         let retry_ms = self.settings.stop_ms + STOP_RETRY_MS;
--- a/src/jobs/free_capacity.rs
+++ b/src/jobs/free_capacity.rs
@@ -34,6 +34,8 @@
     pub(crate) position: Option<Position>,
     /// Its capacity, if runs of an earlier leader may be there that this leader has not seen.
     pub(crate) unseen: Option<Size>,
+    /// Whether runs may have ended there of whose ends this leader has not learned.
+    pub(crate) has_more_ends: bool,
 }
 
 /// Workers of one pool.
@@ -42,6 +44,7 @@
     accepting: BTreeSet<Position>,
     accepting_by_rack: HashMap<SmolStr, BTreeSet<WorkerKey>>,
     unseen_count: usize,
+    more_ends_count: usize,
 }
 
 /// The workers of all pools.
@@ -83,6 +86,7 @@
             let rack = pool.accepting_by_rack.entry(entry.rack.clone());
             rack.or_default().insert(worker);
         }
+        pool.more_ends_count += usize::from(entry.has_more_ends);
         if let Some(capacity) = entry.unseen {
             pool.unseen_count += 1;
             self.unseen.add(&capacity);
@@ -99,6 +103,7 @@
                 rack.remove(&worker);
             }
         }
+        pool.more_ends_count -= usize::from(entry.has_more_ends);
         if let Some(capacity) = entry.unseen {
             pool.unseen_count -= 1;
             self.unseen.remove(&capacity);
@@ -122,6 +127,11 @@
         self.unseen_count > 0
     }
 
+    /// Returns whether runs may have ended there of whose ends this leader has not learned.
+    pub(crate) fn has_more_ends(&self) -> bool {
+        self.more_ends_count > 0
+    }
+
     /// Returns the number of workers that accept tasks.
     pub(crate) fn accepting_count(&self) -> usize {
         self.accepting.len()
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -175,6 +175,7 @@
         worker.is_listed = false;
         worker.unlisted_since_ms = now_ms;
         worker.is_removed = true;
+        worker.has_more_ends = false;
         Event::new("worker_removed")
             .with("worker", &worker.info.id)
             .with("reason", reason)
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -246,6 +246,8 @@
     pub started_unix_ms: u64,
     /// All current runs.
     pub running: Vec<RunRow>,
-    /// Ended runs that are not acknowledged yet.
+    /// Ended runs that are not acknowledged yet, the earliest first.
     pub ended: Vec<RunEnd>,
+    /// Whether runs may have ended that are not listed: a worker lists a limited number at a time.
+    pub has_more_ends: bool,
 }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -99,6 +99,7 @@
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
+        worker.has_more_ends = reply.has_more_ends;
         worker.silent_since_ms = None;
         worker.answered_ms = now_ms;
         if worker.failed_polls_count > 0 {
@@ -131,7 +132,10 @@
         for row in &reply.running {
             listed.extend(self.apply_row(key, row, order.sent_ms));
         }
-        self.check_unlisted_runs(key, &listed, order.sent_ms);
+        // A run that is not listed may be among the ends that are not listed either.
+        if !reply.has_more_ends {
+            self.check_unlisted_runs(key, &listed, order.sent_ms);
+        }
         self.settle_inherited_runs(
             key,
             WorkerFate::Answers {
--- a/src/jobs/reclaim.rs
+++ b/src/jobs/reclaim.rs
@@ -45,7 +45,10 @@
     pub(crate) fn idle_reclaimed(&self) -> Vec<WorkerKey> {
         let is_idle = |key: &WorkerKey| {
             let worker = self.worker(*key);
-            worker.is_listed && worker.slots.is_empty() && worker.awaited_batch.is_none()
+            worker.is_listed
+                && worker.slots.is_empty()
+                && worker.awaited_batch.is_none()
+                && !worker.has_more_ends
         };
         let reclaimed = self.capacity.reclaimed.iter().copied();
         reclaimed.filter(is_idle).collect()
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -256,9 +256,7 @@
         let Some(key) = self.worker_of(name) else {
             return true;
         };
-        // It is still unknown which runs an earlier leader left there.
-        if self.worker(key).may_have_unseen_runs() && self.now_ms < self.inherited_runs_end_at_ms()
-        {
+        if self.may_have_unknown_runs(key) {
             return false;
         }
         self.worker_mut(key).is_cordoned = true;
--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -289,6 +289,7 @@
                 continue;
             };
             let reply = PollReply {
+                has_more_ends: false,
                 clock_ms: self.now_ms,
                 started_unix_ms: UNIX_MS,
                 running: worker.running.iter().map(running_row).collect(),
--- a/src/load/played_pool.rs
+++ b/src/load/played_pool.rs
@@ -184,6 +184,7 @@
             metric: 0,
         };
         PollReply {
+            has_more_ends: false,
             clock_ms: now_ms,
             started_unix_ms: UNIX_MS,
             running: self.running.iter().map(row).collect(),
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -12,6 +12,8 @@
 };
 use crate::net::{Call, CallFailure, Client, Reply};
 
+/// Most ends in one answer to a poll. The others follow once these are acknowledged.
+const ENDS_PER_ANSWER_COUNT: usize = 500;
 /// Most bytes of an answer: 500 ended runs and all active runs of a worker.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
 /// Timeout of an order to a worker, in milliseconds.
@@ -207,6 +209,7 @@
         Some(PollReply {
             clock_ms: answer.clock_ms,
             started_unix_ms: answer.born,
+            has_more_ends: answer.finished.len() >= ENDS_PER_ANSWER_COUNT,
             running: answer.running.iter().filter_map(row_of).collect(),
             ended: answer.finished.iter().filter_map(end_of).collect(),
         })
@@ -216,6 +219,7 @@
 
 /// Converts an answer in the usual form; returns `None` if a value in it is not valid.
 fn reply_of(answer: HoldAnswerWire<RunningWire<'_>, FinishedWire<'_>>) -> Option<PollReply> {
+    let has_more_ends = answer.finished.len() >= ENDS_PER_ANSWER_COUNT;
     let running = answer.running.into_iter().map(|row| {
         let (task, run_number, checkpoint, percent, metric) = row;
         Some(RunRow {
@@ -241,6 +245,7 @@
         started_unix_ms: answer.born,
         running: running.collect::<Option<_>>()?,
         ended: ended.collect::<Option<_>>()?,
+        has_more_ends,
     })
 }
 
@@ -250,7 +255,11 @@
     Some(RunRow {
         name: TaskName::parse(row.get(0)?.as_str()?)?,
         run_number: number(1)?,
-        checkpoint: row.get(2)?.as_str()?.into(),
+        checkpoint: row
+            .get(2)
+            .and_then(serde_json::Value::as_str)
+            .unwrap_or("")
+            .into(),
         percent: number(3).unwrap_or(0),
         metric: number(4).unwrap_or(0),
     })
--- a/tests/testsuite/jobs/full_processor.rs
+++ b/tests/testsuite/jobs/full_processor.rs
@@ -236,6 +236,7 @@
                 metric: 0,
             });
         let reply = PollReply {
+            has_more_ends: false,
             clock_ms: at_us / 1_000,
             started_unix_ms: UNIX_MS,
             running: running.collect(),
--- a/tests/testsuite/jobs/odd_figures.rs
+++ b/tests/testsuite/jobs/odd_figures.rs
@@ -25,6 +25,7 @@
     for action in engine.take_actions() {
         if let Action::Poll(order) = action {
             let reply = PollReply {
+                has_more_ends: false,
                 clock_ms: now_ms,
                 started_unix_ms: UNIX_MS,
                 ..PollReply::default()
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Unix time at virtual time 0, in milliseconds.
 pub(crate) const UNIX_MS: u64 = 1_700_000_000_000;
+/// Most ends in an answer to a poll.
+const ENDS_PER_ANSWER_COUNT: usize = 500;
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_MS: u64 = 100;
 /// Time that the store takes to persist records, in milliseconds.
@@ -526,8 +528,10 @@
                 .ended
                 .iter()
                 .filter(|end| end.number > order.acknowledged_through)
+                .take(ENDS_PER_ANSWER_COUNT)
                 .cloned()
                 .collect(),
+            has_more_ends: worker.ended.len() >= ENDS_PER_ANSWER_COUNT,
         }
     }
 
