Let a new leader wait for the workers of all pools that a queue had

Cause: a new leader holds inherited jobs back while workers of the job's pool have not answered it, and took for that the pool that the newest lists name. The runs may be in any pool that the queue has had since the job was accepted.

Change: a job keeps all these pools. The one of its acceptance is in its record; a later one is recorded with its progress before a task is started there. An inherited job waits for the workers of all of them. A job whose queue the newest lists do not have stays in the last known pool.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -10,12 +10,20 @@
 use crate::jobs::worker::{PollState, WorkerInfo};
 use crate::logging::Event;
 
+/// A job of which the progress is in flight to the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progressed {
+    pub(crate) job: JobKey,
+    state: JobState,
+    pools_count: usize,
+}
+
 /// Records in flight to the store.
 #[derive(Debug, Default)]
 pub(crate) struct Batch {
     number: u64,
     accepted: Vec<JobKey>,
-    pub(crate) progressed: Vec<(JobKey, JobState)>,
+    pub(crate) progressed: Vec<Progressed>,
     workers: Vec<WorkerKey>,
 }
 
@@ -49,7 +57,11 @@
         for key in std::mem::take(&mut self.dirty_jobs) {
             let job = job_mut(&mut self.jobs, key);
             job.is_dirty = false;
-            batch.progressed.push((key, job.state));
+            batch.progressed.push(Progressed {
+                job: key,
+                state: job.state,
+                pools_count: job.pools.len(),
+            });
             let (progress, parts_count) = progress_records(job, value_max_bytes);
             records.extend(progress);
             job.stored_parts_count = parts_count;
@@ -75,9 +87,11 @@
             job.is_persisted = true;
             settled.push(Settled::Accepted(job.id));
         }
-        for (key, state) in batch.progressed {
-            let job = job_mut(&mut self.jobs, key);
+        for progressed in batch.progressed {
+            let state = progressed.state;
+            let job = job_mut(&mut self.jobs, progressed.job);
             job.persisted_state = state;
+            job.persisted_pools_count = progressed.pools_count;
             let id = job.id;
             match state {
                 JobState::Cancelled => settled.push(Settled::Cancelled(id)),
@@ -162,7 +176,7 @@
     JobRecord {
         spec: (*job.spec).clone(),
         queue: job.queue.clone(),
-        pool: job.pool.clone(),
+        pool: job.pools.first().unwrap_or(&job.pool).clone(),
         team: job.team.clone(),
         accepted_unix_ms: job.accepted_unix_ms,
         arrived_unix_ms: (job.arrived_unix_ms != job.accepted_unix_ms)
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -122,14 +122,17 @@
     /// may have ended at workers that have not listed all ends.
     pub(crate) fn is_held_back(&self, key: JobKey) -> bool {
         let job = self.job(key);
-        if !job.is_persisted {
+        if !job.is_persisted || !job.is_pool_persisted() {
             return true;
         }
         let is_lease_left = self.now_ms < self.inherited_runs_end_at_ms();
-        let pool = self.free_capacity.pool(&job.pool);
+        let mut pools = job.pools.iter();
         job.is_inherited
-            && pool.is_some_and(|pool| {
-                pool.has_more_ends() || (is_lease_left && pool.has_unseen_runs())
+            && pools.any(|pool| {
+                let pool = self.free_capacity.pool(pool);
+                pool.is_some_and(|pool| {
+                    pool.has_more_ends() || (is_lease_left && pool.has_unseen_runs())
+                })
             })
     }
 
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -270,8 +270,9 @@
         }
         for key in self.live.clone() {
             let job = self.job_mut(key);
-            if let Some(queue) = catalog.queues.get(&job.queue) {
-                job.pool = queue.pool.clone();
+            let queue = catalog.queues.get(&job.queue);
+            if queue.is_some_and(|queue| job.move_to(&queue.pool)) {
+                self.mark_dirty(key);
             }
         }
         self.team_rates.retain_teams(&catalog.teams);
@@ -616,10 +617,8 @@
     fn is_referenced(&self, key: JobKey) -> bool {
         let in_flight = self.in_flight.as_ref();
         let is_in_flight = in_flight.is_some_and(|batch| {
-            batch
-                .progressed
-                .iter()
-                .any(|(progressed, _)| *progressed == key)
+            let mut progressed = batch.progressed.iter();
+            progressed.any(|progressed| progressed.job == key)
         });
         let job = self.job(key);
         is_in_flight || job.is_dirty || job.runs_count > 0
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -151,6 +151,11 @@
     pub(crate) queue: SmolStr,
     /// Pool of the queue in the newest lists that have it.
     pub(crate) pool: SmolStr,
+    /// Pools in which its tasks may have been started: those that its queue has had since the job was
+    /// accepted.
+    pub(crate) pools: Vec<SmolStr>,
+    /// Number of these, from the first on, of which the store has a record.
+    pub(crate) persisted_pools_count: usize,
     /// Team of the key in the request; empty for an open queue.
     pub(crate) team: SmolStr,
     /// Specification, as submitted.
@@ -198,6 +203,22 @@
 }
 
 impl Job {
+    /// Sets the pool in which its tasks are started from now on; returns whether it needs a record
+    /// first, so that a later leader waits for the workers there.
+    pub(crate) fn move_to(&mut self, pool: &SmolStr) -> bool {
+        self.pool = pool.clone();
+        if !self.pools.contains(pool) {
+            self.pools.push(pool.clone());
+        }
+        !self.is_pool_persisted()
+    }
+
+    /// Returns whether the store has a record that its tasks may be started in its pool.
+    pub(crate) fn is_pool_persisted(&self) -> bool {
+        let mut persisted = self.pools.iter().take(self.persisted_pools_count);
+        persisted.any(|pool| *pool == self.pool)
+    }
+
     /// Returns the longest chain of expected run times of the whole job, in milliseconds.
     pub(crate) fn chain_ms(&self) -> u64 {
         self.chains_ms.iter().copied().max().unwrap_or(0)
--- a/src/jobs/progress.rs
+++ b/src/jobs/progress.rs
@@ -45,6 +45,9 @@
     pub done: Vec<Vec<String>>,
     /// Tasks that are not done and of which more than that is known.
     pub tasks: Vec<TaskRecord>,
+    /// Pools that the queue has had after that of the job's acceptance, in the order of time.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub later_pools: Vec<SmolStr>,
     /// Number of the parts that hold the rest.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub parts_count: u32,
@@ -208,6 +211,8 @@
                 return;
             }
             parts_count = first.parts_count;
+            job.pools.extend(first.later_pools.iter().cloned());
+            job.persisted_pools_count = job.pools.len();
             first.apply(job);
         }
         for (number, part) in &self.parts {
--- a/src/jobs/progress_packing.rs
+++ b/src/jobs/progress_packing.rs
@@ -8,7 +8,7 @@
 use crate::jobs::progress::{DoneTasks, ProgressPart, ProgressRecord, TaskRecord};
 
 /// Most bytes of an encoded record without its lists.
-const RECORD_HEAD_BYTES: usize = 128;
+const RECORD_HEAD_BYTES: usize = 160;
 /// Most bytes of an encoded task without its lists and texts.
 const TASK_BYTES: usize = 128;
 /// Most bytes of the encoded number of a run.
@@ -19,8 +19,8 @@
 const CRASH_BYTES: usize = 64;
 /// Most bytes of encoded done tasks without their digits.
 const DONE_BYTES: usize = 96;
-/// Bytes with which digits in the first record are separated.
-const DIGITS_OVERHEAD_BYTES: usize = 8;
+/// Bytes with which texts in a list are separated.
+const TEXT_OVERHEAD_BYTES: usize = 8;
 /// Most bytes into which a byte of a text is encoded.
 const ESCAPED_BYTES: usize = 6;
 /// Tasks in one hexadecimal digit.
@@ -44,6 +44,9 @@
 impl Packing {
     /// Starts to pack the progress of `job` into records with values of up to `value_max_bytes`.
     pub(crate) fn open(job: &Job, value_max_bytes: usize) -> Self {
+        let later_pools = job.pools.get(1..).unwrap_or_default();
+        let bytes_of = |pool: &SmolStr| text_bytes(pool) + TEXT_OVERHEAD_BYTES;
+        let pools_bytes: usize = later_pools.iter().map(bytes_of).sum();
         Self {
             value_max_bytes,
             accepted_unix_ms: job.accepted_unix_ms,
@@ -51,9 +54,10 @@
                 state: job.state,
                 done: Vec::new(),
                 tasks: Vec::new(),
+                later_pools: later_pools.to_vec(),
                 parts_count: 0,
             },
-            first_bytes: RECORD_HEAD_BYTES,
+            first_bytes: RECORD_HEAD_BYTES + pools_bytes,
             is_first_open: true,
             parts: Vec::new(),
             part_bytes: 0,
@@ -62,7 +66,7 @@
 
     /// Adds which tasks of a step are done. Steps are added in order.
     pub(crate) fn add_done(&mut self, round: u32, step: u16, digits: String) {
-        let bytes = digits.len() + DIGITS_OVERHEAD_BYTES;
+        let bytes = digits.len() + TEXT_OVERHEAD_BYTES;
         self.is_first_open &= self.first_bytes + bytes <= self.value_max_bytes;
         if self.is_first_open {
             self.first_bytes += bytes;
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -5,7 +5,7 @@
 
 use crate::collections::IndexMap;
 use crate::jobs::capacity::REVIEW_MS;
-use crate::jobs::engine::Engine;
+use crate::jobs::engine::{index, Engine};
 use crate::jobs::keys::{JobId, WorkerKey};
 use crate::jobs::progress::StoredProgress;
 use crate::jobs::record::{Record, WorkerRecord};
@@ -42,7 +42,7 @@
                     };
                     // Newer lists may have moved the queue since.
                     let queue = self.catalog.queues.get(&submission.queue);
-                    let pool = queue.map_or(record.pool, |queue| queue.pool.clone());
+                    let pool = queue.map_or(&record.pool, |queue| &queue.pool).clone();
                     let age_ms = self.unix_ms.saturating_sub(record.accepted_unix_ms);
                     let accepted_ms = self.now_ms.saturating_sub(age_ms);
                     self.demand_cycle
@@ -59,6 +59,7 @@
                     };
                     let key = self.add_job(submission, pool, times);
                     let job = self.job_mut(key);
+                    job.pools = vec![record.pool];
                     job.is_persisted = true;
                     job.is_inherited = true;
                 }
@@ -85,6 +86,7 @@
         for (id, stored) in progress {
             self.restore_progress(id, &stored);
         }
+        self.restore_pools();
         self.demand_cycle
             .catch_up(reviewed_ms, self.now_ms, REVIEW_MS);
         Event::new("state_restored")
@@ -96,6 +98,20 @@
         self.needs_dispatch = true;
     }
 
+    /// Moves the restored jobs to the pools of the newest lists. Of a queue that these do not have, the
+    /// last known pool stays.
+    fn restore_pools(&mut self) {
+        for key in self.live.clone() {
+            let job = &mut self.jobs[index(key.0)];
+            let queue = self.catalog.queues.get(&job.queue);
+            let last = job.pools.last().unwrap_or(&job.pool).clone();
+            let pool = queue.map_or(last, |queue| queue.pool.clone());
+            if job.move_to(&pool) {
+                self.mark_dirty(key);
+            }
+        }
+    }
+
     fn restore_progress(&mut self, id: JobId, stored: &StoredProgress) {
         let Some(key) = self.job_keys.get(&id).copied() else {
             if !stored.has_first() {
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -152,6 +152,8 @@
         Job {
             id,
             queue,
+            pools: vec![pool.clone()],
+            persisted_pools_count: 1,
             pool,
             team,
             spec: Arc::new(spec),
--- a/tests/testsuite/jobs/checks.rs
+++ b/tests/testsuite/jobs/checks.rs
@@ -27,7 +27,8 @@
 
     pub(crate) fn check_ticket(&self, order: &StartOrder) {
         let job = &self.submitted[&order.name.job];
-        let needs_ticket = self.catalog.queues[&job.queue].needs_tickets;
+        let queue = self.catalog.queues.get(&job.queue);
+        let needs_ticket = queue.is_some_and(|queue| queue.needs_tickets);
         let ticket = needs_ticket.then(|| format_smolstr!("ticket-{}", order.target.id));
         assert_eq!(order.ticket, ticket, "wrong ticket for {}", order.name);
     }
