Keep the terms of its queue with an accepted job

Cause: the number of attempts was read from the queue in the newest lists at the time of the failure, and was 1 if they did not have the queue.

Change: a job keeps the terms that were agreed on when it was accepted: the number of attempts, its target time and whether it needs tickets. They are part of its record. A job that an earlier version accepted takes the terms of the first lists that have its queue; until then no number of failed runs ends it.

The same on related paths: a new leader computed the target of a job from the newest lists, or from its chain alone without the queue; a job whose queue is removed was started without tickets.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -182,6 +182,7 @@
         arrived_unix_ms: (job.arrived_unix_ms != job.accepted_unix_ms)
             .then_some(job.arrived_unix_ms),
         is_over_rate: job.is_over_rate,
+        terms: job.terms,
     }
 }
 
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
 use crate::jobs::engine::{index, Engine};
+use crate::jobs::job::Job;
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::place_pass::PlacePass;
 use crate::jobs::place_waits::WaitOutcome;
@@ -360,12 +361,17 @@
     }
 
     pub(crate) fn needs_tickets(&self, key: JobKey) -> bool {
-        self.queue_needs_tickets(&self.job(key).queue)
+        self.job_needs_tickets(self.job(key))
     }
 
-    pub(crate) fn queue_needs_tickets(&self, queue: &SmolStr) -> bool {
-        let queue = self.catalog.queues.get(queue);
-        queue.is_some_and(|queue| queue.needs_tickets)
+    /// Returns whether the newest lists ask for tickets for the steps of a job, or the terms of the job
+    /// if the lists do not have its queue.
+    pub(crate) fn job_needs_tickets(&self, job: &Job) -> bool {
+        match (self.catalog.queues.get(&job.queue), job.terms) {
+            (Some(queue), _) => queue.needs_tickets,
+            (None, Some(terms)) => terms.needs_tickets,
+            (None, None) => false,
+        }
     }
 
     pub(crate) fn team_has_capacity(&self, key: JobKey, more: &Size) -> bool {
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -188,11 +188,7 @@
 
     fn task_failed(&mut self, key: WorkerKey, run: RunKey) {
         let job = self.job(run.task.job);
-        let attempts_max = self
-            .catalog
-            .queues
-            .get(&job.queue)
-            .map_or(1, |queue| queue.attempts_max);
+        let attempts_max = job.terms.map_or(u32::MAX, |terms| terms.attempts_max);
         let is_long_running = job.spec.steps[usize::from(run.task.step)].is_long_running;
         if is_long_running {
             return;
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -36,6 +36,7 @@
 use crate::jobs::start_orders::HeldStart;
 use crate::jobs::start_rate::StartRate;
 use crate::jobs::team_rates::TeamRates;
+use crate::jobs::terms::JobTerms;
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::watched_runs::InheritedRuns;
@@ -270,8 +271,11 @@
         }
         for key in self.live.clone() {
             let job = self.job_mut(key);
-            let queue = catalog.queues.get(&job.queue);
-            if queue.is_some_and(|queue| job.move_to(&queue.pool)) {
+            let Some(queue) = catalog.queues.get(&job.queue) else {
+                continue;
+            };
+            job.terms.get_or_insert(JobTerms::of(queue));
+            if job.move_to(&queue.pool) {
                 self.mark_dirty(key);
             }
         }
--- a/src/jobs/explain.rs
+++ b/src/jobs/explain.rs
@@ -13,8 +13,9 @@
 use crate::jobs::placement::{choose, PlacementRequest};
 use crate::jobs::rack_forecast::RackForecast;
 use crate::jobs::ranking::rank;
-use crate::jobs::requests::{AcceptanceTimes, Submission};
+use crate::jobs::requests::{Acceptance, Submission};
 use crate::jobs::spec::{JobSpec, Size, StepSpec};
+use crate::jobs::terms::JobTerms;
 use crate::jobs::worker::WorkerState;
 
 /// Most tasks in the forecast of a pool, those ahead and those of the job; it bounds the time of an
@@ -161,12 +162,14 @@
         if self.over_rate_refusal(&submission, &pool).is_some() {
             return Err(JobRefusal::TeamOverRate);
         }
-        let times = AcceptanceTimes {
+        let queue = self.catalog.queues.get(&question.queue);
+        let acceptance = Acceptance {
             accepted_unix_ms: self.unix_ms,
             arrived_unix_ms: self.unix_ms,
             is_over_rate: None,
+            terms: queue.map(JobTerms::of),
         };
-        let mut job = self.new_job(submission, pool.clone(), times);
+        let mut job = self.new_job(submission, pool.clone(), acceptance);
         job.is_over_rate = self.would_be_over_rate(&job.team, &job.spec);
         let ahead = self.jobs_ahead(&job);
         let step = &job.spec.steps[0];
@@ -237,7 +240,7 @@
             _ if !self.team_has_room(&job.team, &step.size) => {
                 start = JobStart::unknown(StartReason::TeamLimit);
             }
-            _ if self.queue_needs_tickets(&job.queue) => {
+            _ if self.job_needs_tickets(job) => {
                 start = JobStart::unknown(StartReason::NeedsTickets);
             }
             None => start.reason = StartReason::NoFreeWorker,
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -7,6 +7,7 @@
 use crate::jobs::crashes::{CrashRecord, WatchedRun};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::spec::{JobSpec, StepSpec};
+use crate::jobs::terms::JobTerms;
 use crate::jobs::waiting::Place;
 
 /// State of a job.
@@ -156,6 +157,9 @@
     pub(crate) pools: Vec<SmolStr>,
     /// Number of these, from the first on, of which the store has a record.
     pub(crate) persisted_pools_count: usize,
+    /// Terms of its queue when it was accepted. None for a job that an earlier version accepted, as
+    /// long as no lists have had its queue.
+    pub(crate) terms: Option<JobTerms>,
     /// Team of the key in the request; empty for an open queue.
     pub(crate) team: SmolStr,
     /// Specification, as submitted.
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -9,6 +9,7 @@
 use crate::jobs::keys::JobId;
 use crate::jobs::progress::{ProgressPart, ProgressRecord};
 use crate::jobs::spec::{JobSpec, Size};
+use crate::jobs::terms::JobTerms;
 
 /// First letter of the key of an accepted job.
 const JOB_PREFIX: char = 'j';
@@ -49,6 +50,9 @@
     /// Whether it was over the rate of its team when it was accepted.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_over_rate: bool,
+    /// Terms of its queue when it was accepted; none in records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<JobTerms>,
 }
 
 /// A worker on which tasks may have been started.
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -9,7 +9,8 @@
 use crate::jobs::keys::{JobId, WorkerKey};
 use crate::jobs::progress::StoredProgress;
 use crate::jobs::record::{Record, WorkerRecord};
-use crate::jobs::requests::{AcceptanceTimes, Submission};
+use crate::jobs::requests::{Acceptance, Submission};
+use crate::jobs::terms::JobTerms;
 use crate::jobs::worker::{PollState, Worker, WorkerInfo};
 use crate::logging::Event;
 
@@ -43,6 +44,7 @@
                     // Newer lists may have moved the queue since.
                     let queue = self.catalog.queues.get(&submission.queue);
                     let pool = queue.map_or(&record.pool, |queue| &queue.pool).clone();
+                    let terms = record.terms.or_else(|| queue.map(JobTerms::of));
                     let age_ms = self.unix_ms.saturating_sub(record.accepted_unix_ms);
                     let accepted_ms = self.now_ms.saturating_sub(age_ms);
                     self.demand_cycle
@@ -52,12 +54,13 @@
                     if !std::mem::replace(&mut is_fleet_known, true) {
                         self.refresh_fleet_size();
                     }
-                    let times = AcceptanceTimes {
+                    let acceptance = Acceptance {
                         accepted_unix_ms: record.accepted_unix_ms,
                         arrived_unix_ms: record.arrived_unix_ms.unwrap_or(record.accepted_unix_ms),
                         is_over_rate: Some(record.is_over_rate),
+                        terms,
                     };
-                    let key = self.add_job(submission, pool, times);
+                    let key = self.add_job(submission, pool, acceptance);
                     let job = self.job_mut(key);
                     job.pools = vec![record.pool];
                     job.is_persisted = true;
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -9,6 +9,7 @@
 use crate::jobs::keys::{JobId, JobKey};
 use crate::jobs::record::encoded_bytes;
 use crate::jobs::spec::{JobSpec, SpecError};
+use crate::jobs::terms::JobTerms;
 use crate::logging::Event;
 
 /// Most bytes of a job's record beside its specification, its queue and its team.
@@ -47,14 +48,16 @@
     },
 }
 
-/// When a job came, in Unix milliseconds, and what an earlier leader decided about it.
+/// When a job came, in Unix milliseconds, and what was decided about it when it was accepted.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AcceptanceTimes {
+pub(crate) struct Acceptance {
     pub(crate) accepted_unix_ms: u64,
     /// First arrival, from which the target counts.
     pub(crate) arrived_unix_ms: u64,
     /// Whether it is over the rate of its team, if that is recorded.
     pub(crate) is_over_rate: Option<bool>,
+    /// Terms of its queue, if they are recorded or the lists have the queue.
+    pub(crate) terms: Option<JobTerms>,
 }
 
 /// Result of a cancel.
@@ -87,18 +90,20 @@
             return SubmitOutcome::NoQueue;
         };
         let pool = queue.pool.clone();
+        let terms = Some(JobTerms::of(queue));
         if self.are_all_zones_evacuated() {
             return SubmitOutcome::ZonesEvacuated;
         }
         if let Some(retry_after_s) = self.refuse_over_rate(&submission, &pool) {
             return SubmitOutcome::TeamOverRate { retry_after_s };
         }
-        let times = AcceptanceTimes {
+        let acceptance = Acceptance {
             accepted_unix_ms: self.unix_ms,
             arrived_unix_ms: self.admission.first_arrival(submission.id, self.unix_ms),
             is_over_rate: None,
+            terms,
         };
-        let key = self.add_job(submission, pool, times);
+        let key = self.add_job(submission, pool, acceptance);
         self.job_admitted(key);
         let job = self.job(key);
         Event::new("job_accepted")
@@ -125,7 +130,7 @@
         &self,
         submission: Submission,
         pool: SmolStr,
-        times: AcceptanceTimes,
+        acceptance: Acceptance,
     ) -> Job {
         let Submission {
             id,
@@ -133,11 +138,12 @@
             team,
             spec,
         } = submission;
-        let AcceptanceTimes {
+        let Acceptance {
             accepted_unix_ms,
             arrived_unix_ms,
+            terms,
             ..
-        } = times;
+        } = acceptance;
         let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
         let accepted_ms = self.now_ms.saturating_sub(age_ms);
         let chains_ms = spec.chains_ms(|step| self.run_times.expected_ms(&queue, step));
@@ -148,13 +154,15 @@
         let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
         let refused_for_ms = accepted_unix_ms.saturating_sub(arrived_unix_ms);
         let arrived_ms = accepted_ms.saturating_sub(refused_for_ms);
-        let target_ms = arrived_ms + self.target_after_ms(&queue, chain_ms);
+        let target_after_ms = terms.map_or(chain_ms, |terms| terms.target_after_ms(chain_ms));
+        let target_ms = arrived_ms + target_after_ms;
         Job {
             id,
             queue,
             pools: vec![pool.clone()],
             persisted_pools_count: 1,
             pool,
+            terms,
             team,
             spec: Arc::new(spec),
             accepted_unix_ms,
@@ -184,12 +192,12 @@
         &mut self,
         submission: Submission,
         pool: SmolStr,
-        times: AcceptanceTimes,
+        acceptance: Acceptance,
     ) -> JobKey {
         let id = submission.id;
-        let mut job = self.new_job(submission, pool, times);
+        let mut job = self.new_job(submission, pool, acceptance);
         let spec = Arc::clone(&job.spec);
-        job.is_over_rate = match times.is_over_rate {
+        job.is_over_rate = match acceptance.is_over_rate {
             None => self.take_token(&job.team, &job.queue, &spec, job.accepted_unix_ms),
             Some(is_over_rate) => {
                 self.restore_token(&job, is_over_rate);
@@ -237,10 +245,10 @@
 
     /// Returns the time after its arrival by which a job of `queue` should be complete.
     pub(crate) fn target_after_ms(&self, queue: &SmolStr, chain_ms: u64) -> u64 {
-        let Some(queue) = self.catalog.queues.get(queue) else {
-            return chain_ms;
-        };
-        queue.target_latency_ms + scaled_ms(chain_ms, queue.target_chain_factor)
+        let queue = self.catalog.queues.get(queue);
+        queue.map_or(chain_ms, |queue| {
+            JobTerms::of(queue).target_after_ms(chain_ms)
+        })
     }
 
     /// Returns the state of a job that is shown to callers, or `None` if its acceptance is not
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -1,6 +1,6 @@
 //! The engine when workers, the store or the leader fail.
 
-use hawthornladder::jobs::{JobState, StepSpec};
+use hawthornladder::jobs::{JobState, StepSpec, TaskName};
 
 use super::simulation::{job, long_running, step, Simulation};
 
@@ -535,3 +535,66 @@
     fail_over_after_moves(&["maps", "other"], Some("maps"));
     fail_over_after_moves(&["maps", "other"], None);
 }
+
+/// Returns the names of the tasks of the only step of a job.
+fn task_names(id: hawthornladder::jobs::JobId, count: u32) -> Vec<TaskName> {
+    let name = |index| TaskName {
+        job: id,
+        round: 0,
+        step: 0,
+        index,
+    };
+    (0..count).map(name).collect()
+}
+
+/// Guards against a job that fails after one failed run because its queue is not in the lists at that
+/// moment: the number of attempts was not kept with the job.
+#[test]
+fn a_job_keeps_its_number_of_attempts_while_its_queue_is_removed() {
+    let mut simulation = Simulation::open(&["maps", "other", "third"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 500)]));
+    let first = task_names(id, 1)[0];
+    simulation.failing.insert(first);
+    simulation.advance(200);
+    move_queue(&mut simulation, None);
+    simulation.advance(600);
+    simulation.failing.clear();
+    move_queue(&mut simulation, Some("maps"));
+    simulation.advance_until(3_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
+
+#[test]
+fn a_new_leader_knows_the_number_of_attempts_of_a_job_whose_queue_is_removed() {
+    let mut simulation = Simulation::open(&["maps", "other", "third"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 500)]));
+    simulation.failing.extend(task_names(id, 1));
+    simulation.advance(200);
+    move_queue(&mut simulation, None);
+    simulation.fail_over(2);
+    simulation.advance_until(5_000, |simulation| {
+        simulation.state(id) == Some(JobState::Failed)
+    });
+    // Three attempts of the failing task, and one of the other.
+    assert_eq!(simulation.starts.len(), 4);
+}
+
+/// The records of earlier versions hold no terms.
+#[test]
+fn a_job_of_an_earlier_version_does_not_fail_while_its_attempts_are_unknown() {
+    let mut simulation = Simulation::open(&["maps", "other", "third"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 500)]));
+    simulation.failing.extend(task_names(id, 1));
+    simulation.advance(200);
+    simulation.drop_from_records("terms");
+    move_queue(&mut simulation, None);
+    simulation.fail_over(2);
+    simulation.advance(400);
+    assert_eq!(simulation.state(id), Some(JobState::Active));
+    move_queue(&mut simulation, Some("maps"));
+    simulation.advance_until(5_000, |simulation| {
+        simulation.state(id) == Some(JobState::Failed)
+    });
+    assert_eq!(simulation.starts.len(), 4);
+}
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -350,6 +350,17 @@
         self.engine.set_evacuated_zones(&self.evacuated);
     }
 
+    /// Removes a field from all stored records, as if an earlier version had written them.
+    pub(crate) fn drop_from_records(&mut self, field: &str) {
+        for value in self.stored.values_mut() {
+            let mut record: serde_json::Value = serde_json::from_slice(value).expect("JSON");
+            if let Some(fields) = record.as_object_mut() {
+                fields.remove(field);
+            }
+            *value = serde_json::to_vec(&record).expect("JSON");
+        }
+    }
+
     /// Replaces the engine by one of a new leader, which has restored the records and read the
     /// lists.
     pub(crate) fn fail_over(&mut self, fence: u64) {
