Answer a cancel only once the end of its job is persisted

Cause: all callers that waited under the id of a job were answered by the record of its acceptance, also one that waited for its cancel, which goes into the next record.

Change: callers wait for what they asked for: that the job is accepted, or that its end is persisted. The same on a related path: a cancel of a job whose end was known but not yet persisted was acknowledged at once.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -93,15 +93,14 @@
             job.persisted_state = state;
             job.persisted_pools_count = progressed.pools_count;
             let id = job.id;
-            match state {
-                JobState::Cancelled => settled.push(Settled::Cancelled(id)),
-                JobState::Complete | JobState::Failed => {
-                    Event::new("job_ended")
-                        .with("job", id)
-                        .with("state", state)
-                        .info();
-                }
-                JobState::Queued | JobState::Active => {}
+            if state.is_final() {
+                settled.push(Settled::Ended(id));
+            }
+            if matches!(state, JobState::Complete | JobState::Failed) {
+                Event::new("job_ended")
+                    .with("job", id)
+                    .with("state", state)
+                    .info();
             }
         }
         for key in batch.workers {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -103,12 +103,12 @@
 }
 
 /// Result that a caller gets once the batch with its record is persisted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Settled {
     /// The job is accepted.
     Accepted(JobId),
-    /// The cancel of the job is persisted.
-    Cancelled(JobId),
+    /// The end of the job is persisted, such as that it was cancelled.
+    Ended(JobId),
 }
 
 /// The state machine of the leader.
--- a/src/jobs/requests.rs
+++ b/src/jobs/requests.rs
@@ -67,7 +67,7 @@
     Unknown,
     /// The job has already ended.
     Ended,
-    /// The job is cancelled once the record is persisted.
+    /// The job is cancelled, or has ended, once the record is persisted.
     Pending,
 }
 
@@ -276,9 +276,8 @@
         };
         let job = self.job(key);
         match job.state {
-            JobState::Cancelled if job.persisted_state != JobState::Cancelled => {
-                CancelOutcome::Pending
-            }
+            // A later leader does not know of an end that is not persisted.
+            state if state.is_final() && !job.persisted_state.is_final() => CancelOutcome::Pending,
             state if state.is_final() => CancelOutcome::Ended,
             state => {
                 Event::new("job_cancelled")
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -1,16 +1,13 @@
 //! The leader's work: runs the engine, passes its actions on, and hands leadership off.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
-
-use crate::jobs::{Catalog, Engine, EngineSettings, JobId, Settled};
+use crate::jobs::{Catalog, Engine, EngineSettings};
 use crate::logging::Event;
 use crate::node::journal::{self, Journal};
 use crate::node::restore::restore;
-use crate::node::{CallAnswer, Node, Role, StoreFailure, WaveReports};
+use crate::node::{Node, Role, StoreFailure, Waiters, WaveReports};
 
 /// Most starts that a step of the engine orders. Further ones wait in the engine, in the order of
 /// their jobs, and not in this process, in the order in which they came.
@@ -35,9 +32,6 @@
 /// Interval between checks whether the hand-off is done, in milliseconds.
 const HAND_OFF_POLL_MS: u64 = 20;
 
-/// Callers that wait until the record of a job is persisted.
-type Waiters = HashMap<JobId, Vec<oneshot::Sender<CallAnswer>>>;
-
 /// State that only the leader has.
 pub(crate) struct LeaderState {
     pub(crate) engine: Engine,
@@ -100,15 +94,7 @@
     pub(crate) fn records_persisted(self: &Rc<Self>, fence: u64) {
         self.with_leader(fence, |leader| {
             for settled in leader.engine.records_persisted() {
-                let (id, answer) = match settled {
-                    Settled::Accepted(id) => (id, CallAnswer::Accepted),
-                    Settled::Cancelled(id) => (id, CallAnswer::Cancelled),
-                };
-                for waiter in leader.waiters.remove(&id).unwrap_or_default() {
-                    // Sending fails if the caller has disconnected. Its job is accepted all the
-                    // same.
-                    let _ = waiter.send(answer);
-                }
+                leader.waiters.answer(settled);
             }
         });
         self.request_step();
@@ -195,7 +181,7 @@
         Event::new("leadership_ended")
             .with("fence", leader.engine.fence())
             .with("reason", reason)
-            .with("waiters_count", leader.waiters.len())
+            .with("waiters_count", leader.waiters.count())
             .info();
         node.metrics.leading_fence.set(0);
     }
@@ -238,7 +224,7 @@
     *node.leader_state.borrow_mut() = Some(LeaderState {
         engine,
         journal: Journal::default(),
-        waiters: HashMap::new(),
+        waiters: Waiters::default(),
         wave_reports: WaveReports::default(),
         is_restored: false,
     });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod restore;
 mod types;
+mod waiters;
 mod wave_reports;
 
 use std::cell::{Cell, RefCell};
@@ -51,6 +52,7 @@
     CallAnswer, CallKind, Fence, KeyedPage, KeyedRecord, LogPage, NodeBounds, NodeSettings,
     PeerCall, Refusal, Refused, StoreFailure, StoreLimits,
 };
+pub use waiters::Waiters;
 pub use wave_reports::WaveReports;
 
 use leader::LeaderState;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -9,7 +9,7 @@
 use hyper::Method;
 use tokio::sync::oneshot;
 
-use crate::jobs::{CancelOutcome, JobId, Submission, SubmitOutcome};
+use crate::jobs::{CancelOutcome, JobId, Settled, Submission, SubmitOutcome};
 use crate::logging::Event;
 use crate::net::{self, Answer, Call, CallFailure, IncomingRequest, ServerHandle, ServerSettings};
 use crate::node::explain;
@@ -113,7 +113,7 @@
             };
             match leader.engine.submit(submission) {
                 SubmitOutcome::Accepted => CallProgress::Answered(CallAnswer::Accepted),
-                SubmitOutcome::Pending => wait_for_record(leader, id),
+                SubmitOutcome::Pending => wait_for(leader, Settled::Accepted(id)),
                 SubmitOutcome::Invalid(fault) => {
                     Event::new("job_rejected")
                         .with("job", id)
@@ -142,7 +142,7 @@
         PeerCall::Cancel { id } => match leader.engine.cancel(JobId(id)) {
             CancelOutcome::Unknown => CallProgress::Answered(CallAnswer::UnknownJob),
             CancelOutcome::Ended => CallProgress::Answered(CallAnswer::Cancelled),
-            CancelOutcome::Pending => wait_for_record(leader, JobId(id)),
+            CancelOutcome::Pending => wait_for(leader, Settled::Ended(JobId(id))),
         },
         PeerCall::Count { queue } => {
             CallProgress::Answered(CallAnswer::Count(leader.engine.pending_count(&queue)))
@@ -150,10 +150,8 @@
     }
 }
 
-fn wait_for_record(leader: &mut LeaderState, id: JobId) -> CallProgress {
-    let (sender, receiver) = oneshot::channel();
-    leader.waiters.entry(id).or_default().push(sender);
-    CallProgress::Waiting(receiver)
+fn wait_for(leader: &mut LeaderState, settled: Settled) -> CallProgress {
+    CallProgress::Waiting(leader.waiters.add(settled))
 }
 
 /// Gets the answer of the leader, this node or another, within `timeout_ms`. All calls are
--- a/tests/testsuite/jobs/basics.rs
+++ b/tests/testsuite/jobs/basics.rs
@@ -192,3 +192,18 @@
         100
     );
 }
+
+/// Guards against a cancel that is acknowledged although the next leader runs the job: its end was
+/// not persisted yet.
+#[test]
+fn a_cancel_of_a_job_whose_end_is_not_persisted_waits_for_the_record() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, 200)]));
+    simulation.advance(100);
+    simulation.is_store_unavailable = true;
+    simulation.advance(1_000);
+    assert_eq!(simulation.engine.cancel(id), CancelOutcome::Pending);
+    simulation.is_store_unavailable = false;
+    simulation.advance(200);
+    assert_eq!(simulation.engine.cancel(id), CancelOutcome::Ended);
+}
