Take no worker for gone because the list of instances lacks its instance

Cause: a worker that left two polls unanswered counted as gone, and its tasks were started again at once, if no row of the list of instances had it. A row that cannot be read is left out of the list, and the pages of the list are read one after another, so that a worker that is only cut off may be missing too.

Change: the row of its own instance has to show that it is gone: the instance is not up, or has another worker. Without such a row its leases decide.

Evidence: the new test fails on the code before ("runs on w-maps-1-0 and on w-maps-0-0") and passes now.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -161,13 +161,27 @@
             let is_unresponsive = worker.failed_polls_count >= FAILED_POLLS_MIN_COUNT
                 && !worker.slots.is_empty()
                 && is_old;
-            let is_removed = (is_unknown || is_unresponsive) && !alive.contains(&worker.info.id);
+            let is_removed = (is_unknown || is_unresponsive) && self.is_shown_gone(key, &alive);
             if is_removed {
                 self.remove_worker(key, LossReason::WorkerRemoved);
             }
         }
     }
 
+    /// Returns whether the list of instances shows that a worker is gone: its instance is not up, or has
+    /// another worker. A list without a row of its instance does not show that, as rows that cannot be
+    /// read are left out, and instances may change while the list is read page by page.
+    fn is_shown_gone(&self, key: WorkerKey, alive: &HashSet<SmolStr>) -> bool {
+        let info = &self.worker(key).info;
+        let Some(instance) = &info.instance else {
+            return !alive.contains(&info.id);
+        };
+        let row = self.instances.rows.get(instance);
+        row.is_some_and(|row| {
+            row.info.state != InstanceState::Up || row.info.worker.as_ref() != Some(&info.id)
+        })
+    }
+
     /// Records that a worker is gone: its runs are lost, and nothing will run there.
     fn remove_worker(&mut self, key: WorkerKey, reason: LossReason) {
         let now_ms = self.now_ms;
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -2,7 +2,7 @@
 
 use hawthornladder::jobs::{JobState, StepSpec, TaskName};
 
-use super::simulation::{job, long_running, step, Simulation};
+use super::simulation::{job, long_running, size, step, Simulation};
 
 /// Time within which every lease of a worker has expired, in milliseconds: the lease itself, the
 /// drift of the worker's clock, and the time until the engine notices.
@@ -598,3 +598,27 @@
     });
     assert_eq!(simulation.starts.len(), 4);
 }
+
+/// Guards against runs that are started again beside the first ones because the list of instances, a
+/// page or a row of which cannot be read, lacks the instance of an unresponsive worker.
+#[test]
+fn an_instance_missing_from_the_list_is_no_sign_that_its_worker_is_gone() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 20_000)]));
+    simulation.advance(4_000);
+    let first = simulation.runs_of(id)[0].0.clone();
+    simulation.workers[&first].is_disconnected = true;
+    simulation.advance(1_900);
+    let has_first = |info: &&hawthornladder::jobs::InstanceInfo| info.worker != Some(first.clone());
+    let infos = simulation.instances.values().filter(has_first);
+    let infos = infos.cloned().collect();
+    simulation
+        .engine
+        .instances_listed(infos, simulation.now_ms, simulation.now_ms);
+    simulation.advance(1_000);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.workers[&first].is_disconnected = false;
+    simulation.advance_until(30_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
