Record a worker again whose record was deleted behind a newer one

Cause: the record of a worker is deleted when an order to its drained instance is decided. If a newer record of the worker was on its way to the store then, its arrival marked the worker as recorded, though the deletion followed. When the order was refused, tasks were started there without a record, and a later leader did not wait for the worker.

Change: the deletion takes the worker out of the batch in flight and of those to come.

Evidence: the new test fails on the code before ("w-maps-0-0 has no record") and passes now.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -162,6 +162,11 @@
         let worker = self.worker_mut(key);
         worker.is_persisted = false;
         let id = worker.info.id.clone();
+        // The deletion follows a record of the worker that is on its way.
+        self.new_workers.retain(|known| *known != key);
+        if let Some(batch) = &mut self.in_flight {
+            batch.workers.retain(|known| *known != key);
+        }
         self.persist(Record::ForgetWorker(id));
     }
 
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -622,3 +622,36 @@
         simulation.state(id) == Some(JobState::Complete)
     });
 }
+
+/// Guards against a worker without a record on which tasks are started, so that the next leader does
+/// not wait for it: its record was deleted, for an order to its instance that was refused later,
+/// while a newer record was on its way to the store.
+#[test]
+fn a_worker_forgotten_while_its_record_is_in_flight_is_recorded_before_it_gets_tasks() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let ids: Vec<_> = simulation.workers.keys().cloned().collect();
+    simulation.refuses_orders = true;
+    simulation.advance(100);
+    // Newer records, as the workers have more capacity.
+    for id in &ids {
+        simulation.resize(id, size(64_000, 256_000));
+    }
+    simulation.list_all();
+    simulation.advance(10);
+    simulation.is_store_unavailable = true;
+    simulation.request_wave(7, &["maps-0".into(), "maps-1".into()], 2);
+    simulation.advance(1_000);
+    simulation.is_store_unavailable = false;
+    simulation.advance(100);
+    let id = simulation.submit("maps", job(vec![step(2, 10_000, 20_000)]));
+    simulation.advance(400);
+    let runs = simulation.runs_of(id);
+    assert!(!runs.is_empty(), "no task was started");
+    for (worker, _, _) in runs {
+        let key = smol_str::format_smolstr!("w{worker}");
+        assert!(
+            simulation.stored.contains_key(&key),
+            "{worker} has no record"
+        );
+    }
+}
