Allow for workers that end runs later than their lease

Cause: a leader counted a lease as expired 60 ms, and 3 % for the drift of clocks, after its end. Where the worker's own timer comes later, the next run starts beside the first one.

--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -41,6 +41,8 @@
     /// Delay with which it carries out starts that it does not answer, in milliseconds; 0 to answer
     /// them at once.
     pub(crate) start_delay_ms: u64,
+    /// Delay with which it ends runs whose lease has expired, in milliseconds.
+    pub(crate) expiry_delay_ms: u64,
     /// It refuses starts as too late.
     pub(crate) refuses_as_late: bool,
 }
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -7,6 +7,8 @@
 /// Time within which every lease of a worker has expired, in milliseconds: the lease itself, the
 /// drift of the worker's clock, and the time until the engine notices.
 const LEASES_EXPIRED_MS: u64 = 6_000;
+/// Delay with which a busy worker ends runs whose lease has expired, in milliseconds.
+const EXPIRY_DELAY_MS: u64 = 400;
 
 #[test]
 fn an_unresponsive_worker_loses_its_runs_when_the_lease_expires() {
@@ -655,3 +657,23 @@
         );
     }
 }
+
+/// Guards against a task that is started while its first run goes on at a worker that is cut off: a
+/// worker of which the processor is busy ends runs later than their lease.
+#[test]
+fn a_worker_that_ends_expired_runs_late_does_not_run_them_beside_others() {
+    let mut simulation = Simulation::open(&["maps"], 3);
+    for worker in simulation.workers.values_mut() {
+        worker.expiry_delay_ms = EXPIRY_DELAY_MS;
+    }
+    let id = simulation.submit("maps", job(vec![step(6, 1_000, 20_000)]));
+    simulation.advance(1_000);
+    let first = simulation.runs_of(id)[0].0.clone();
+    simulation.workers[&first].is_disconnected = true;
+    simulation.advance(LEASES_EXPIRED_MS);
+    assert!(simulation.starts.len() > 6, "no task was started again");
+    simulation.workers[&first].is_disconnected = false;
+    simulation.advance_until(60_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -229,6 +229,7 @@
             capacity_before: None,
             resets_connections: false,
             start_delay_ms: 0,
+            expiry_delay_ms: 0,
             refuses_as_late: false,
         };
         self.workers.insert(id, worker);
@@ -406,7 +407,7 @@
         let now_ms = self.now_ms;
         let waiting = self.waiting_members();
         for worker in self.workers.values_mut() {
-            let is_lease_expired = now_ms >= worker.leased_until_ms;
+            let is_lease_expired = now_ms >= worker.leased_until_ms + worker.expiry_delay_ms;
             let due: Vec<_> = worker
                 .running
                 .iter()
