Refuse answers to polls without both lists, and keep followers to their fence

An answer to a poll in which one of the two lists was missing counted as one with an empty list, so that all runs of the worker were taken for lost. It is invalid now (the new test fails on the code before).

The task that follows the list of workers applied what it had read to whichever engine the process had when the answer came, so to one of a later leadership, too, if the process had lost and regained it in between. It now applies it only under its own fence. There is no test for that: the node has no test with a store that answers late.

--- a/src/node/fleet_lists.rs
+++ b/src/node/fleet_lists.rs
@@ -26,8 +26,8 @@
 pub(crate) async fn follow_workers(node: Rc<Node>, fence: u64) {
     let mut follower = WorkersFollower::default();
     while node.with_leader(fence, |_| ()).is_some() {
-        follower.read(&node).await;
-        follower.apply_due_removals(&node);
+        follower.read(&node, fence).await;
+        follower.apply_due_removals(&node, fence);
         node.request_step();
         tokio::time::sleep(Duration::from_millis(WORKERS_READ_MS)).await;
     }
@@ -45,7 +45,7 @@
 }
 
 impl WorkersFollower {
-    async fn read(&mut self, node: &Rc<Node>) {
+    async fn read(&mut self, node: &Rc<Node>, fence: u64) {
         let sent_ms = node.now_ms();
         let read = match self.next_offset {
             None => self.read_newest(node).await,
@@ -66,10 +66,10 @@
                         .info();
                 }
                 for record in records {
-                    self.apply_record(node, &record, now_ms);
+                    self.apply_record(node, fence, &record, now_ms);
                 }
                 self.next_offset = Some(next_offset);
-                node.with_engine(|engine, _| engine.workers_list_read(sent_ms));
+                node.with_leader(fence, |leader| leader.engine.workers_list_read(sent_ms));
             }
             Err(StoreFailure::Trimmed { .. }) => self.next_offset = None,
             Err(failure) => {
@@ -102,7 +102,7 @@
         Ok((all, end_offset))
     }
 
-    fn apply_record(&mut self, node: &Rc<Node>, record: &KeyedRecord, now_ms: u64) {
+    fn apply_record(&mut self, node: &Rc<Node>, fence: u64, record: &KeyedRecord, now_ms: u64) {
         let id = &record.key;
         if id.is_empty() {
             return;
@@ -116,7 +116,7 @@
                 Some(worker) => {
                     self.pending_removals.remove(id);
                     self.listed.insert(id.clone());
-                    node.with_engine(|engine, _| engine.worker_listed(worker, now_ms));
+                    node.with_leader(fence, |leader| leader.engine.worker_listed(worker, now_ms));
                 }
                 None => {
                     Event::new("entry_unusable")
@@ -129,7 +129,7 @@
         }
     }
 
-    fn apply_due_removals(&mut self, node: &Rc<Node>) {
+    fn apply_due_removals(&mut self, node: &Rc<Node>, fence: u64) {
         let now_ms = node.now_ms();
         let due: Vec<SmolStr> = self
             .pending_removals
@@ -140,7 +140,7 @@
         for id in due {
             self.pending_removals.remove(&id);
             self.listed.swap_remove(&id);
-            node.with_engine(|engine, _| engine.worker_unlisted(&id, now_ms));
+            node.with_leader(fence, |leader| leader.engine.worker_unlisted(&id, now_ms));
         }
     }
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -81,9 +81,7 @@
     clock_ms: u64,
     #[serde(default)]
     born: u64,
-    #[serde(default = "Vec::new")]
     running: Vec<R>,
-    #[serde(default = "Vec::new")]
     finished: Vec<E>,
 }
 
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -354,6 +354,38 @@
     );
 }
 
+/// Guards against runs that count as lost because a worker's answer does not list them all.
+#[test]
+fn an_answer_to_a_poll_tells_whether_its_lists_are_whole() {
+    let missing_lists = [
+        &br#"{"clock_ms":9,"finished":[]}"#[..],
+        br#"{"clock_ms":9,"running":[]}"#,
+    ];
+    for answer in missing_lists {
+        assert!(parse_poll_reply(answer).is_none(), "a list is missing");
+    }
+    let with_ends = |count: u32| {
+        let ends = (1..=count).map(|number| format!(r#"[{number},"?",1,"done",""]"#));
+        let ends: Vec<String> = ends.collect();
+        let answer = format!(
+            r#"{{"clock_ms":9,"running":[],"finished":[{}]}}"#,
+            ends.join(",")
+        );
+        parse_poll_reply(answer.as_bytes()).expect("valid")
+    };
+    assert!(!with_ends(499).has_more_ends);
+    // Ends that cannot be read take up room in the list, too.
+    assert!(with_ends(500).has_more_ends);
+    let without_checkpoint = br#"{"clock_ms":9,"finished":[],
+        "running":[["5c0e7a21d94b36f8.0.1.17",2,null,0]]}"#;
+    let reply = parse_poll_reply(without_checkpoint).expect("valid");
+    assert_eq!(
+        reply.running.len(),
+        1,
+        "a run without a checkpoint is a run"
+    );
+}
+
 /// Serves `pages` one after the other and returns the paths of the requests for them, with queries.
 fn paths_of_pages(pages: &[&str]) -> (Vec<String>, Result<usize, StoreFailure>) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
