Split the restore of jobs and the list of workers out of the failover module

No change of behaviour. recovery.rs held the restore of all records in one function of 80 lines, and the updates from the list of workers, which have nothing to do with a failover. The latter are in listed_workers.rs now, and a restored job and the replay of its arrival have functions of their own.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 mod job;
 mod keys;
 mod known_capacity;
+mod listed_workers;
 mod lost_runs;
 mod order_numbers;
 mod orders;
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -1,19 +1,28 @@
-//! Failover: restoring the state that earlier leaders persisted; and updates from the platform's
-//! list of workers.
+//! Failover: restoring the state that earlier leaders persisted.
 
 use smol_str::SmolStr;
 
 use crate::collections::IndexMap;
 use crate::jobs::capacity::REVIEW_MS;
 use crate::jobs::engine::{index, Engine};
-use crate::jobs::keys::{JobId, WorkerKey};
+use crate::jobs::keys::JobId;
 use crate::jobs::progress::StoredProgress;
-use crate::jobs::record::{Record, WorkerRecord};
+use crate::jobs::record::{JobRecord, Record, WorkerRecord};
 use crate::jobs::requests::{Acceptance, Submission};
 use crate::jobs::terms::JobTerms;
-use crate::jobs::worker::{PollState, Worker, WorkerInfo};
+use crate::jobs::worker::WorkerInfo;
 use crate::logging::Event;
 
+/// How far the arrivals of restored jobs have been replayed.
+#[derive(Default)]
+struct RestoredArrivals {
+    /// Whether the size of the fleet is known, in which the share of a team counts from the first job
+    /// on.
+    is_fleet_known: bool,
+    /// Time up to which the demand has been reviewed, in milliseconds.
+    reviewed_ms: u64,
+}
+
 impl Engine {
     /// Restores the state from all persisted records, in any order.
     pub fn restore(&mut self, records: Vec<Record>) {
@@ -26,46 +35,10 @@
             Record::WavePart(key, _) => u64::from(key.number),
             _ => 0,
         });
-        // The share of a team in the fleet counts from the first job on.
-        let mut is_fleet_known = false;
-        let mut reviewed_ms = 0;
+        let mut arrivals = RestoredArrivals::default();
         for record in records {
             match record {
-                Record::Job(id, record) => {
-                    if self.job_keys.contains_key(&id) {
-                        continue;
-                    }
-                    let submission = Submission {
-                        id,
-                        queue: record.queue,
-                        team: record.team,
-                        spec: record.spec,
-                    };
-                    // Newer lists may have moved the queue since.
-                    let queue = self.catalog.queues.get(&submission.queue);
-                    let pool = queue.map_or(&record.pool, |queue| &queue.pool).clone();
-                    let terms = record.terms.or_else(|| queue.map(JobTerms::of));
-                    let age_ms = self.unix_ms.saturating_sub(record.accepted_unix_ms);
-                    let accepted_ms = self.now_ms.saturating_sub(age_ms);
-                    self.demand_cycle
-                        .catch_up(reviewed_ms, accepted_ms, REVIEW_MS);
-                    let steps_count = accepted_ms.saturating_sub(reviewed_ms) / REVIEW_MS;
-                    reviewed_ms += steps_count * REVIEW_MS;
-                    if !std::mem::replace(&mut is_fleet_known, true) {
-                        self.refresh_fleet_size();
-                    }
-                    let acceptance = Acceptance {
-                        accepted_unix_ms: record.accepted_unix_ms,
-                        arrived_unix_ms: record.arrived_unix_ms.unwrap_or(record.accepted_unix_ms),
-                        is_over_rate: Some(record.is_over_rate),
-                        terms,
-                    };
-                    let key = self.add_job(submission, pool, acceptance);
-                    let job = self.job_mut(key);
-                    job.pools = vec![record.pool];
-                    job.is_persisted = true;
-                    job.is_inherited = true;
-                }
+                Record::Job(id, record) => self.restore_job(id, record, &mut arrivals),
                 Record::Progress(id, record) => progress.entry(id).or_default().set_first(record),
                 Record::ProgressPart(key, part) => {
                     progress
@@ -91,7 +64,7 @@
         }
         self.restore_pools();
         self.demand_cycle
-            .catch_up(reviewed_ms, self.now_ms, REVIEW_MS);
+            .catch_up(arrivals.reviewed_ms, self.now_ms, REVIEW_MS);
         Event::new("state_restored")
             .with("fence", self.settings.fence)
             .with("jobs_count", self.jobs.len())
@@ -101,6 +74,46 @@
         self.needs_dispatch = true;
     }
 
+    fn restore_job(&mut self, id: JobId, record: JobRecord, arrivals: &mut RestoredArrivals) {
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        let submission = Submission {
+            id,
+            queue: record.queue,
+            team: record.team,
+            spec: record.spec,
+        };
+        // Newer lists may have moved the queue since.
+        let queue = self.catalog.queues.get(&submission.queue);
+        let pool = queue.map_or(&record.pool, |queue| &queue.pool).clone();
+        let acceptance = Acceptance {
+            accepted_unix_ms: record.accepted_unix_ms,
+            arrived_unix_ms: record.arrived_unix_ms.unwrap_or(record.accepted_unix_ms),
+            is_over_rate: Some(record.is_over_rate),
+            terms: record.terms.or_else(|| queue.map(JobTerms::of)),
+        };
+        self.review_until(record.accepted_unix_ms, arrivals);
+        let key = self.add_job(submission, pool, acceptance);
+        let job = self.job_mut(key);
+        job.pools = vec![record.pool];
+        job.is_persisted = true;
+        job.is_inherited = true;
+    }
+
+    /// Brings the demand forecast up to the acceptance of the next restored job.
+    fn review_until(&mut self, accepted_unix_ms: u64, arrivals: &mut RestoredArrivals) {
+        let age_ms = self.unix_ms.saturating_sub(accepted_unix_ms);
+        let accepted_ms = self.now_ms.saturating_sub(age_ms);
+        self.demand_cycle
+            .catch_up(arrivals.reviewed_ms, accepted_ms, REVIEW_MS);
+        let steps_count = accepted_ms.saturating_sub(arrivals.reviewed_ms) / REVIEW_MS;
+        arrivals.reviewed_ms += steps_count * REVIEW_MS;
+        if !std::mem::replace(&mut arrivals.is_fleet_known, true) {
+            self.refresh_fleet_size();
+        }
+    }
+
     /// Moves the restored jobs to the pools of the newest lists. Of a queue that these do not have, the
     /// last known pool stays.
     fn restore_pools(&mut self) {
@@ -198,102 +211,4 @@
         self.worker_mut(key).is_persisted = true;
         self.apply_evacuation(key);
     }
-
-    fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
-        if let Some(key) = self.worker_keys.get(&info.id) {
-            return *key;
-        }
-        let key = WorkerKey(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
-        self.worker_keys.insert(info.id.clone(), key);
-        self.workers.push(Worker::open(info, self.now_ms));
-        self.present.insert(key);
-        key
-    }
-
-    /// Applies a worker's entry in the platform's list.
-    pub fn worker_listed(&mut self, info: WorkerInfo, now_ms: u64) {
-        self.now_ms = now_ms.max(self.now_ms);
-        let known = self.worker_keys.get(&info.id).copied();
-        let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
-        let worker = self.worker(key);
-        if worker.is_outdated_entry(&info) {
-            return;
-        }
-        let started_unix_ms = worker.info.started_unix_ms;
-        let is_restarted =
-            worker.info.started_unix_ms != 0 && info.started_unix_ms > worker.info.started_unix_ms;
-        let is_change = !worker.is_listed
-            || worker.info.is_draining != info.is_draining
-            || worker.info.pool != info.pool
-            || worker.info.address != info.address
-            || worker.info.capacity != info.capacity;
-        let needs_record = !worker.is_persisted && !worker.is_listed;
-        let largest_capacity = worker.largest_capacity.max(&info.capacity);
-        let needs_new_record = worker.is_persisted
-            && (worker.info.address != info.address
-                || worker.info.pool != info.pool
-                || worker.largest_capacity != largest_capacity);
-        if is_change || is_restarted {
-            Event::new("worker_listed")
-                .with("worker", &info.id)
-                .with("pool", &info.pool)
-                .with("address", info.address)
-                .with("is_draining", info.is_draining)
-                .with("cpu_millis", info.capacity.cpu_millis)
-                .with("memory_mb", info.capacity.memory_mb)
-                .with("is_new_life", is_restarted)
-                .info();
-            self.needs_dispatch = true;
-        }
-        self.present.insert(key);
-        let worker = self.worker_mut(key);
-        worker.is_listed = true;
-        worker.is_removed = false;
-        worker.has_ended = false;
-        if worker.listed_ms == 0 {
-            worker.listed_ms = now_ms;
-        }
-        if info.cold_ms > 0 {
-            worker.cold_until_ms = now_ms + info.cold_ms;
-        }
-        worker.largest_capacity = largest_capacity;
-        worker.listed_started_unix_ms = info.started_unix_ms;
-        worker.info = info;
-        worker.info.started_unix_ms = worker.info.started_unix_ms.max(started_unix_ms);
-        if is_restarted {
-            // The first poll of the new incarnation shows which runs are lost.
-            worker.info.started_unix_ms = started_unix_ms;
-            worker.is_fenced = false;
-            if let PollState::Idle { due_ms } = &mut worker.poll {
-                *due_ms = 0;
-            }
-        } else if !worker.is_fenced {
-            if let PollState::Idle { due_ms: u64::MAX } = worker.poll {
-                worker.poll = PollState::Idle { due_ms: 0 };
-            }
-        }
-        self.apply_evacuation(key);
-        self.update_known_capacity(key);
-        if needs_new_record || (needs_record && self.worker(key).is_fenced) {
-            self.persist_worker(key);
-        }
-    }
-
-    /// Handles the removal of a worker from the platform's list.
-    pub fn worker_unlisted(&mut self, id: &SmolStr, now_ms: u64) {
-        self.now_ms = now_ms.max(self.now_ms);
-        let Some(key) = self.worker_keys.get(id).copied() else {
-            return;
-        };
-        let worker = self.worker_mut(key);
-        if !worker.is_listed {
-            return;
-        }
-        worker.is_listed = false;
-        worker.unlisted_since_ms = now_ms;
-        let event = Event::new("worker_unlisted")
-            .with("worker", id)
-            .with("runs_count", worker.slots.len());
-        worker.with_lease_left(event, now_ms).info();
-    }
 }
