--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -14,7 +14,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Progressed {
     pub(crate) job: JobKey,
+    /// State that its record holds.
     state: JobState,
+    /// Number of pools that its records hold.
     pools_count: usize,
 }
 
--- a/src/jobs/progress.rs
+++ b/src/jobs/progress.rs
@@ -100,6 +100,7 @@
     (records, parts_count)
 }
 
+/// Returns the first record of the progress of `job`, and the parts that hold the rest.
 fn packed(job: &Job, value_max_bytes: usize) -> (ProgressRecord, Vec<ProgressPart>) {
     let mut packing = Packing::open(job, value_max_bytes);
     for (round, number) in job.rounds.iter().zip(0u32..) {
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -27,8 +27,8 @@
 const ORDERS_KEY: &str = "s";
 /// Separates a key from the number of a further part of what it names.
 const PART_SEPARATOR: char = '.';
-/// Bytes of a stored record beside its value: its length, and the key with its own length.
-pub(crate) const RECORD_OVERHEAD_BYTES: usize = 4 + 1 + u8::MAX as usize;
+/// Most bytes of a stored record beside its value: its length, and the key with its own length.
+pub(crate) const RECORD_OVERHEAD_BYTES: usize = 260;
 
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -126,21 +126,21 @@
         let part_at = wave.done.len().saturating_sub(1) / WAVE_PART_COUNT;
         let done = wave.done.iter().skip(part_at * WAVE_PART_COUNT);
         let done = done.cloned().collect();
-        let record = match u32::try_from(part_at) {
-            Ok(1..) => {
-                let key = PartKey {
-                    of: number,
-                    number: u32::try_from(part_at).unwrap_or(u32::MAX),
-                };
-                Record::WavePart(key, done)
-            }
-            _ => {
-                let record = WaveRecord {
+        let record = match u32::try_from(part_at).unwrap_or(u32::MAX) {
+            0 => Record::Wave(
+                number,
+                WaveRecord {
                     requested_unix_ms: wave.requested_unix_ms,
                     done,
-                };
-                Record::Wave(number, record)
-            }
+                },
+            ),
+            part => Record::WavePart(
+                PartKey {
+                    of: number,
+                    number: part,
+                },
+                done,
+            ),
         };
         self.persist(record);
     }
