--- /dev/null
+++ b/tests/testsuite/jobs/unlisted_ends.rs
@@ -0,0 +1,55 @@
+//! Ends of runs that a worker has not listed yet, as it lists 500 at a time.
+
+use hawthornladder::jobs::{JobId, JobState};
+
+use super::simulation::{job, step, Simulation};
+
+/// Submits jobs with 1,200 short tasks in all, whose ends one worker cannot list at a time.
+fn submit_many_short_tasks(simulation: &mut Simulation) -> Vec<JobId> {
+    let spec = || job(vec![step(40, 200, 300)]);
+    (0..30).map(|_| simulation.submit("maps", spec())).collect()
+}
+
+/// Guards against tasks that are started again though they are done, because a worker lists 500 ends
+/// at a time and the store accepts no records for so long that there are more.
+#[test]
+fn ends_beyond_those_that_a_worker_lists_are_not_taken_for_lost_runs() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let ids = submit_many_short_tasks(&mut simulation);
+    simulation.advance(50);
+    simulation.is_store_unavailable = true;
+    simulation.advance(5_000);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(10_000, |simulation| {
+        let mut states = ids.iter().map(|id| simulation.state(*id));
+        states.all(|state| state == Some(JobState::Complete))
+    });
+    assert_eq!(simulation.starts.len(), 1_200, "a task was started twice");
+}
+
+/// Guards against a new leader that starts tasks again whose ends their worker lists only after the
+/// first 500.
+#[test]
+fn a_new_leader_waits_for_ends_beyond_those_that_a_worker_lists() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let ids = submit_many_short_tasks(&mut simulation);
+    simulation.advance(50);
+    simulation.is_store_unavailable = true;
+    simulation.advance(3_000);
+    assert!(
+        simulation
+            .workers
+            .values()
+            .all(|worker| worker.ended.len() > 500),
+        "the workers list all ends"
+    );
+    simulation.fail_over(2);
+    // Longer than any run of the earlier leader can last.
+    simulation.advance(12_000);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(10_000, |simulation| {
+        let mut states = ids.iter().map(|id| simulation.state(*id));
+        states.all(|state| state == Some(JobState::Complete))
+    });
+    assert_eq!(simulation.starts.len(), 1_200, "a task was started twice");
+}
