--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -94,8 +94,8 @@
         let Some(Some(records)) = records else {
             return;
         };
-        for chunk in chunks_of(&records, node.settings.store) {
-            if !write_chunk(&node, fence, &chunk).await {
+        for append in appends_of(&records, node.settings.store) {
+            if !write_append(&node, fence, &append).await {
                 return;
             }
         }
@@ -103,11 +103,12 @@
     }
 }
 
-/// Splits records into appends within the limits of the store. The engine keeps its records within
+/// Divides records among appends within the limits of the store, none of which is empty: the store
+/// does not count an empty one in the sequence of the writer. The engine keeps its records within
 /// them. One that is too large all the same is left out: the store would reject it, and all that
 /// wait behind it, for ever.
-fn chunks_of(records: &[Record], limits: StoreLimits) -> Vec<Vec<StoredRecord>> {
-    let mut chunks = vec![Vec::new()];
+pub fn appends_of(records: &[Record], limits: StoreLimits) -> Vec<Vec<StoredRecord>> {
+    let mut appends: Vec<Vec<StoredRecord>> = Vec::new();
     let mut bytes = 0;
     for (key, value) in records.iter().flat_map(Record::encode) {
         let length = key.len() + value.as_ref().map_or(0, Vec::len) + APPEND_OVERHEAD_BYTES;
@@ -118,21 +119,22 @@
                 .error();
             continue;
         }
-        if bytes + length > limits.call_bytes {
-            chunks.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += length;
-        if let Some(chunk) = chunks.last_mut() {
-            chunk.push((key, value));
+        match appends.last_mut() {
+            Some(append) if bytes + length <= limits.call_bytes => {
+                append.push((key, value));
+                bytes += length;
+            }
+            _ => {
+                appends.push(vec![(key, value)]);
+                bytes = length;
+            }
         }
     }
-    chunks
+    appends
 }
 
-/// Appends one chunk and returns whether it is persisted. It is not if this node has lost
-/// leadership.
-async fn write_chunk(node: &Rc<Node>, fence: u64, chunk: &[StoredRecord]) -> bool {
+/// Makes one append and returns whether it is persisted. It is not if this node has lost leadership.
+async fn write_append(node: &Rc<Node>, fence: u64, records: &[StoredRecord]) -> bool {
     let Some(sequence) = node.with_leader(fence, |leader| {
         leader.journal.last_sequence += 1;
         leader.journal.last_sequence
@@ -151,7 +153,7 @@
         node.with_leader(fence, |leader| leader.journal.append_sent(sent_ms));
         let appended = node
             .store
-            .append(Topic::Jobs, chunk, None, Some(&fenced), APPEND_TIMEOUT_MS)
+            .append(Topic::Jobs, records, None, Some(&fenced), APPEND_TIMEOUT_MS)
             .await;
         node.record_store_call("append", &appended, sent_ms);
         let is_persisted = match &appended {
@@ -187,7 +189,7 @@
             Err(failure) => {
                 Event::new("journal_delayed")
                     .with("number", sequence)
-                    .with("records_count", chunk.len())
+                    .with("records_count", records.len())
                     .with("failure", failure)
                     .with("took_ms", node.now_ms().saturating_sub(sent_ms))
                     .warn();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -43,7 +43,7 @@
 
 pub use evacuations::Evacuations;
 pub use explain::{ExplainAnswer, ExplainCall, EXPLAIN_PATH};
-pub use journal::Journal;
+pub use journal::{appends_of, Journal};
 pub use leader::{STARTS_PER_STEP_MAX, STEP_PAUSE_MS};
 pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
 pub use loop_delay::LoopDelay;
