Refuse entries of workers and instances whose names no record holds

Change: an entry with over 4,096 bytes of texts, or an id or a name of over 200 bytes, is not that of a usable worker or instance.

Evidence: the new cases of entries_with_figures_that_no_worker_has_are_refused fail on the code before and pass now. The names of instances have no test.

--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::lists::NAME_MAX_BYTES;
 use super::sizes::SizeWire;
 use crate::jobs::{InstanceFailure, InstanceInfo, InstanceOrder, InstanceState, Size};
 use crate::net::{Call, CallFailure, Client};
@@ -61,7 +62,8 @@
 
 /// Converts a row; returns `None` if it does not describe an instance.
 fn instance_info(wire: MachineWire) -> Option<InstanceInfo> {
-    if !Size::from(wire.capacity).is_plausible() {
+    let is_name = (1..=NAME_MAX_BYTES).contains(&wire.machine.len());
+    if !is_name || !Size::from(wire.capacity).is_plausible() {
         return None;
     }
     let state = match wire.state.as_str() {
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -15,6 +15,10 @@
 const COLD_MAX_MS: f64 = 86_400_000.0;
 /// Latest start of a worker, in Unix milliseconds; a larger figure is no time.
 const STARTED_MAX_UNIX_MS: u64 = 1 << 53;
+/// Most bytes of all texts of a worker's entry.
+const TEXTS_MAX_BYTES: usize = 4_096;
+/// Most bytes of a name that is part of the key of a record. The length of a key is one byte.
+pub(super) const NAME_MAX_BYTES: usize = 200;
 /// Key of the record with the operators' lists.
 const LISTS_KEY: &str = "config";
 /// Prefix of the keys of records that evacuate a zone.
@@ -199,18 +203,28 @@
     catalog
 }
 
-/// Returns whether a worker with this id and address can be called: the id goes into a header.
+/// Returns whether a worker with this id and address can be called and recorded: the id goes into a
+/// header and into a key.
 fn is_callable(id: &str, address: SocketAddr) -> bool {
-    let is_header_value = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic());
+    let is_header_value =
+        (1..=NAME_MAX_BYTES).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic());
     is_header_value && address.port() != 0 && !address.ip().is_unspecified()
 }
 
 impl WorkerEntryWire {
+    /// Returns the bytes of its texts, which are persisted with the worker and its crashes.
+    fn texts_bytes(&self) -> usize {
+        let texts = [&self.service, &self.zone].into_iter();
+        let texts = texts.chain(&self.machine).chain(&self.labels);
+        texts.map(|text| text.len()).sum()
+    }
+
     /// Returns whether all figures can be those of a worker. Other writers may leave entries, too.
     fn is_plausible(&self) -> bool {
         Size::from(self.capacity).is_plausible()
             && self.born <= STARTED_MAX_UNIX_MS
             && self.cold_remaining_ms <= COLD_MAX_MS
+            && self.texts_bytes() <= TEXTS_MAX_BYTES
     }
 }
 
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -124,6 +124,8 @@
         "[".repeat(200_000),
         "]".repeat(200_000)
     );
+    // No record could hold them.
+    let long_texts = format!(r#","labels":["{}"]"#, "a".repeat(300_000));
     for more in [
         r#","capacity":{"cpu":18446744073709551615}"#,
         r#","capacity":{"cpu":100000000000000000}"#,
@@ -133,6 +135,7 @@
         r#","cold_remaining_ms":1e999"#,
         r#","born":18446744073709551615"#,
         nested.as_str(),
+        long_texts.as_str(),
     ] {
         let entry = worker_entry("10.0.0.1:80", more);
         let start: String = more.chars().take(60).collect();
@@ -142,7 +145,8 @@
         let entry = worker_entry(address, "");
         assert!(parse_worker_info("i-1", &entry).is_none(), "{address}");
     }
-    for id in ["", "i 1", "i\n1", "i-\u{fffd}"] {
+    let long_id = "i".repeat(250);
+    for id in ["", long_id.as_str(), "i 1", "i\n1", "i-\u{fffd}"] {
         assert!(parse_worker_info(id, &usual).is_none(), "{id:?}");
     }
 }
