Allow for late workers also in the leases of an earlier leader

The reserve of 500 ms after the end of a lease held only for leases of the present leader. A new one started the task of an unreachable worker 10.2 s after it had opened, without any reserve for a worker that ends runs late.

Change: the same reserve is added to the wait for inherited runs.

Evidence: the new test fails on the code before ("runs on w-maps-1-0 and on w-maps-0-0 at 11920") and passes now.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::jobs::placement::{choose, PlacementRequest};
 use crate::jobs::quarantine::OtherTasks;
 use crate::jobs::spec::{Size, StepSpec};
+use crate::jobs::worker::LEASE_EXPIRY_RESERVE_MS;
 use crate::logging::Event;
 
 /// Distance between the run numbers of two leaders. One leader starts a task fewer times than this.
@@ -148,7 +149,10 @@
     /// Returns the time from which no run of an earlier leader can be left at an unreachable
     /// worker.
     pub(crate) fn inherited_runs_end_at_ms(&self) -> u64 {
-        self.opened_ms + self.settings.inherited_runs_max_ms
+        match self.settings.inherited_runs_max_ms {
+            0 => self.opened_ms,
+            max_ms => self.opened_ms + max_ms + LEASE_EXPIRY_RESERVE_MS,
+        }
     }
 
     fn start_tasks_of(&mut self, key: JobKey, pass: &mut Pass) {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -14,7 +14,7 @@
 const CLOCK_DRIFT_PERMILLE: u64 = 30;
 /// Reserve added to the computed end of a lease, in milliseconds: a worker may notice late that a lease
 /// has expired.
-const LEASE_EXPIRY_RESERVE_MS: u64 = 500;
+pub(crate) const LEASE_EXPIRY_RESERVE_MS: u64 = 500;
 
 /// A worker as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -9,6 +9,8 @@
 const LEASES_EXPIRED_MS: u64 = 6_000;
 /// Delay with which a busy worker ends runs whose lease has expired, in milliseconds.
 const EXPIRY_DELAY_MS: u64 = 400;
+/// Longest time for which a run leased by an earlier leader can last, in milliseconds.
+const INHERITED_RUNS_MAX_MS: u64 = 10_200;
 
 #[test]
 fn an_unresponsive_worker_loses_its_runs_when_the_lease_expires() {
@@ -505,3 +507,25 @@
         simulation.state(id) == Some(JobState::Complete)
     });
 }
+
+/// Guards against a new leader that starts a task beside its run at a worker that is cut off and ends
+/// expired runs late.
+#[test]
+fn a_new_leader_allows_for_a_worker_that_ends_expired_runs_late() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 60_000)]));
+    simulation.advance(500);
+    let first = simulation.runs_of(id)[0].0.clone();
+    let worker = &mut simulation.workers[&first];
+    worker.is_disconnected = true;
+    // The last lease that the earlier leader may have given.
+    worker.leased_until_ms = simulation.now_ms + INHERITED_RUNS_MAX_MS;
+    worker.expiry_delay_ms = EXPIRY_DELAY_MS;
+    simulation.fail_over(2);
+    simulation.advance(INHERITED_RUNS_MAX_MS + 2_000);
+    assert_eq!(
+        simulation.runs_of(id).len(),
+        2,
+        "a task was not started again"
+    );
+}
