Keep refused members of a wave apart from those that are recorded

The records of a wave hold its maintained instances in parts of 500, by their places in a set that also held the instances that the platform refuses, which are not recorded. After a change of leader the places could differ from those in the store, and a name fall out of its part.

Change: refused instances have a set of their own, and the recorded ones only grow at the end.

--- a/src/jobs/waves.rs
+++ b/src/jobs/waves.rs
@@ -44,8 +44,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Wave {
     pub(crate) spec: WaveSpec,
-    /// Instances that have been maintained, or that the platform says are not part of the wave.
+    /// Instances that have been maintained, in the order in which they are persisted.
     pub(crate) done: IndexSet<SmolStr>,
+    /// Instances that the platform says are not part of the wave. A later leader asks again.
+    refused: IndexSet<SmolStr>,
     /// Time at which a leader first received the wave, in Unix milliseconds.
     requested_unix_ms: u64,
     /// Time of the last report on its state; 0 for never.
@@ -71,6 +73,7 @@
                 let wave = Wave {
                     spec,
                     done: IndexSet::new(),
+                    refused: IndexSet::new(),
                     requested_unix_ms: unix_ms,
                     reported_ms: 0,
                     is_complete: false,
@@ -95,6 +98,7 @@
                 at_once_max: 0,
             },
             done: IndexSet::new(),
+            refused: IndexSet::new(),
             requested_unix_ms,
             reported_ms: 0,
             is_complete: false,
@@ -147,7 +151,7 @@
 
     pub(crate) fn wave_member_refused(&mut self, number: u64, instance: &SmolStr) {
         if let Some(wave) = self.instances.waves.get_mut(&number) {
-            wave.done.insert(instance.clone());
+            wave.refused.insert(instance.clone());
         }
     }
 
@@ -169,7 +173,7 @@
             .spec
             .instances
             .iter()
-            .filter(|name| !wave.done.contains(*name))
+            .filter(|name| !wave.done.contains(*name) && !wave.refused.contains(*name))
             .filter(|name| rows.contains_key(*name))
             .cloned()
             .collect();
@@ -278,7 +282,7 @@
         Event::new("wave_reported")
             .with("wave", number)
             .with("is_complete", is_complete)
-            .with("done_count", wave.done.len())
+            .with("done_count", wave.done.len() + wave.refused.len())
             .with("instances_count", wave.spec.instances.len())
             .info();
         self.actions.push(Action::ReportWave {
