Log when a worker leaves ends out, and give ended jobs and settings modules

New log line worker_ends_left_out: without it nothing told why jobs of an earlier leader wait in a pool all of whose workers have answered.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -17,11 +17,10 @@
 use crate::jobs::catalog::Catalog;
 use crate::jobs::crash_history::CrashHistory;
 use crate::jobs::demand::DemandCycle;
-use crate::jobs::demand_forecast::ForecastMethod;
 use crate::jobs::evacuation::EvacuatedZones;
 use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
 use crate::jobs::instances::Instances;
-use crate::jobs::job::{Job, JobState, Round, Task};
+use crate::jobs::job::{Job, Round, Task};
 use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
 use crate::jobs::known_capacity::WorkersList;
 use crate::jobs::lost_runs::LossCounts;
@@ -30,8 +29,9 @@
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
 use crate::jobs::poll_pace::PollPace;
 use crate::jobs::quarantine::Quarantine;
-use crate::jobs::record::{Record, RECORD_OVERHEAD_BYTES};
+use crate::jobs::record::Record;
 use crate::jobs::run_times::RunTimes;
+use crate::jobs::settings::EngineSettings;
 use crate::jobs::spec::Size;
 use crate::jobs::start_orders::HeldStart;
 use crate::jobs::start_rate::StartRate;
@@ -46,62 +46,6 @@
 /// Interval between checks for expired leases and for stops without effect, in milliseconds.
 const SWEEP_MS: u64 = 20;
 
-/// Part of a record that a checkpoint may take, as a divisor.
-const CHECKPOINT_DIVISOR: usize = 32;
-
-/// Settings of the engine, taken from the deployment.
-#[derive(Clone, Debug)]
-pub struct EngineSettings {
-    /// Fencing token of this leader; each new leader has a higher one.
-    pub fence: u64,
-    /// Lease that each poll and each start gives to the runs of a worker, in milliseconds.
-    pub run_lease_ms: u64,
-    /// Longest time that a worker holds a poll while it waits for a run to end, in milliseconds.
-    pub poll_wait_ms: u64,
-    /// Most starts that one step orders. What it leaves goes with the next step, in the order that
-    /// holds then.
-    pub starts_per_step_max: usize,
-    /// Time that a worker may take to stop a run, in milliseconds.
-    pub stop_ms: u64,
-    /// Longest time, from the start of this leader, for which a run leased by an earlier leader can
-    /// continue at an unreachable worker, in milliseconds.
-    pub inherited_runs_max_ms: u64,
-    /// Time for which the state of an ended job can be queried, in milliseconds.
-    pub ended_retention_ms: u64,
-    /// Time that moving an instance takes, in milliseconds.
-    pub move_ms: u64,
-    /// Time that the maintenance of an instance takes, in milliseconds.
-    pub maintain_ms: u64,
-    /// Time after which an order to an instance is old enough for one of another leader, in
-    /// milliseconds.
-    pub instance_lease_ms: u64,
-    /// Time for which this leader waits for orders of earlier ones, in milliseconds; 0 for the first
-    /// leader.
-    pub earlier_orders_wait_ms: u64,
-    /// Run time of a task outside the rack of its data relative to that inside, in thousandths.
-    /// With 1,000 or less, no task waits for a rack.
-    pub remote_factor_permille: u64,
-    /// Age of the list of workers from which no task is started by the capacities in it, where
-    /// workers do not enforce them, in milliseconds; 0 for no limit.
-    pub capacity_age_max_ms: u64,
-    /// How the demand of pools is forecast.
-    pub forecast: ForecastMethod,
-    /// Most bytes of a record of the store.
-    pub record_max_bytes: usize,
-}
-
-impl EngineSettings {
-    /// Returns the most bytes of the value of a record.
-    pub(crate) fn value_max_bytes(&self) -> usize {
-        self.record_max_bytes.saturating_sub(RECORD_OVERHEAD_BYTES)
-    }
-
-    /// Returns the most bytes of a checkpoint. Each is persisted with the progress of its job.
-    pub(crate) fn checkpoint_max_bytes(&self) -> usize {
-        self.value_max_bytes() / CHECKPOINT_DIVISOR
-    }
-}
-
 /// Result that a caller gets once the batch with its record is persisted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Settled {
@@ -296,6 +240,7 @@
         }
         self.starts_left = self.settings.starts_per_step_max;
         self.open_due_rounds();
+        self.drop_ended_jobs();
         if self.now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = self.now_ms + SWEEP_MS;
             self.expire_leases();
@@ -567,25 +512,7 @@
         }
     }
 
-    /// Ends a job in `state`: no more of its tasks are started, and its runs are stopped.
-    pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, reason: &'static str) {
-        let now_ms = self.now_ms;
-        self.stop_job(key, reason);
-        let job = self.job_mut(key);
-        job.state = state;
-        job.ended_ms = now_ms;
-        job.rounds = Vec::new();
-        self.live.swap_remove(&key);
-        self.recurring.swap_remove(&key);
-        self.ended.push_back(key);
-        self.tickets.forget(key);
-        self.drop_place_waits(key);
-        self.quarantine.forget_job(key);
-        self.mark_dirty(key);
-        self.needs_dispatch = true;
-    }
-
-    /// Opens the occurrences that are due, and drops jobs whose retention time has passed.
+    /// Opens the occurrences that are due.
     fn open_due_rounds(&mut self) {
         let unix_ms = self.unix_ms;
         for key in self.recurring.iter().copied().collect::<Vec<_>>() {
@@ -602,30 +529,6 @@
                 self.needs_dispatch = true;
             }
         }
-        while let Some(key) = self.ended.front().copied() {
-            let job = self.job(key);
-            let is_expired = job.persisted_state.is_final()
-                && self.now_ms >= job.ended_ms + self.settings.ended_retention_ms;
-            if !is_expired || self.is_referenced(key) {
-                break;
-            }
-            let id = job.id;
-            self.ended.pop_front();
-            self.job_keys.remove(&id);
-            self.free_jobs.push(key);
-            self.persist(Record::ForgetJob(id));
-        }
-    }
-
-    /// Returns whether a run, an unsaved change or a record in flight refers to a job.
-    fn is_referenced(&self, key: JobKey) -> bool {
-        let in_flight = self.in_flight.as_ref();
-        let is_in_flight = in_flight.is_some_and(|batch| {
-            let mut progressed = batch.progressed.iter();
-            progressed.any(|progressed| progressed.job == key)
-        });
-        let job = self.job(key);
-        is_in_flight || job.is_dirty || job.runs_count > 0
     }
 }
 
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -99,6 +99,13 @@
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
+        if reply.has_more_ends && !worker.has_more_ends {
+            Event::new("worker_ends_left_out")
+                .with("worker", &worker.info.id)
+                .with("listed_count", reply.ended.len())
+                .with("runs_count", worker.slots.len())
+                .info();
+        }
         worker.has_more_ends = reply.has_more_ends;
         worker.silent_since_ms = None;
         worker.answered_ms = now_ms;
