Log on which leadership and on how old a proof a run counts as lost

The hypotheses differ in whether the leader that takes a run for lost still has its own lease, and in how old its proof is; no line told either. run_lost now has the fence, the age of the worker's last answer and the end of the lease on the worker's clock; run_lost and start_sent say for how long the leader has been without its lease; leader_lease_over and leader_lease_renewed show when that begins and ends; run_adopted has the fence. The leader passes the end of its lease to the engine for that. No decision changes.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -61,6 +61,8 @@
     pub(crate) now_ms: u64,
     pub(crate) unix_ms: u64,
     pub(crate) opened_ms: u64,
+    /// Time until which no other leader can have acted, in milliseconds.
+    exclusive_until_ms: u64,
     pub(crate) catalog: Catalog,
     pub(crate) jobs: Vec<Job>,
     /// Keys of dropped jobs, to be reused.
@@ -141,6 +143,7 @@
             now_ms,
             unix_ms,
             opened_ms: now_ms,
+            exclusive_until_ms: u64::MAX,
             catalog,
             jobs: Vec::new(),
             free_jobs: Vec::new(),
@@ -258,6 +261,26 @@
         self.send_due_polls();
     }
 
+    /// Sets the time until which no other leader can act, in milliseconds; without a call there is
+    /// none. It moves on with each renewal of this leader's lease.
+    pub fn set_exclusive_until_ms(&mut self, exclusive_until_ms: u64) {
+        self.exclusive_until_ms = exclusive_until_ms;
+    }
+
+    /// Returns whether no other leader can have acted before `at_ms`. A later leader may have extended
+    /// the leases of runs that this one does not reach, or may know that they are done.
+    pub fn was_exclusive_at(&self, at_ms: u64) -> bool {
+        at_ms < self.exclusive_until_ms
+    }
+
+    /// Adds to a log event for how long this leader has been without its lease, if it is.
+    pub(crate) fn with_lease_state(&self, event: Event) -> Event {
+        match self.now_ms.checked_sub(self.exclusive_until_ms) {
+            Some(over_ms) => event.with("without_lease_ms", over_ms),
+            None => event,
+        }
+    }
+
     /// Sets how much later than planned the tasks of this process run now, in milliseconds.
     pub fn set_loop_delay_ms(&mut self, delay_ms: u64) {
         self.loop_delay_ms = delay_ms;
--- a/src/jobs/lost_runs.rs
+++ b/src/jobs/lost_runs.rs
@@ -94,7 +94,7 @@
         let worker = self.worker(key);
         let heard_ms = worker.last_heard_ms(self.now_ms);
         let crashes_count = self.task(run.task).map_or(0, |task| task.crashes.len());
-        Event::new("run_lost")
+        let event = Event::new("run_lost")
             .with("task", self.task_name(run.task))
             .with("run", run.run)
             .with("worker", &worker.info.id)
@@ -102,7 +102,13 @@
             .with("ran_ms", heard_ms.saturating_sub(slot.since_ms))
             .with("beside_count", beside_count)
             .with("crashes_before_count", crashes_count)
-            .info();
+            .with("fence", self.settings.fence)
+            .with(
+                "answered_ago_ms",
+                self.now_ms - worker.answered_ms.min(self.now_ms),
+            )
+            .with("leased_until_worker_ms", worker.leased_until_worker_ms);
+        self.with_lease_state(event).info();
         self.change_task(run.task, |task| {
             task.runs.retain(|known| *known != (key, run.run));
         });
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -319,6 +319,7 @@
             .with("task", self.task_name(run.task))
             .with("run", run.run)
             .with("worker", &self.worker(key).info.id)
+            .with("fence", self.settings.fence)
             .info();
         true
     }
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -144,14 +144,14 @@
             checkpoint: checkpoint.unwrap_or_default(),
             ticket,
         };
-        Event::new("start_sent")
+        let event = Event::new("start_sent")
             .with("task", order.name)
             .with("run", run.run)
             .with("worker", &order.target.id)
             .with("fence", order.target.fence)
             .with("since_accepted_ms", now_ms.saturating_sub(job.accepted_ms))
-            .with("target_in_ms", job.target_ms.saturating_sub(now_ms))
-            .info();
+            .with("target_in_ms", job.target_ms.saturating_sub(now_ms));
+        self.with_lease_state(event).info();
         self.actions.push(Action::Start(order));
     }
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -40,6 +40,23 @@
     pub(crate) wave_reports: WaveReports,
     /// Whether all job records have been read.
     pub(crate) is_restored: bool,
+    /// Whether it is logged that the lease is over.
+    is_lease_over: bool,
+}
+
+impl LeaderState {
+    /// Logs when the lease of this leader is over, and when it is renewed after all.
+    fn log_lease(&mut self, now_ms: u64) {
+        let is_over = !self.engine.was_exclusive_at(now_ms);
+        if is_over == std::mem::replace(&mut self.is_lease_over, is_over) {
+            return;
+        }
+        let event = match is_over {
+            true => Event::new("leader_lease_over"),
+            false => Event::new("leader_lease_renewed"),
+        };
+        event.with("fence", self.engine.fence()).warn();
+    }
 }
 
 impl Node {
@@ -48,6 +65,7 @@
         let catalog = self.catalog.borrow().clone();
         let mut leader = self.leader_state.borrow_mut();
         if let (Some(leader), Some(catalog)) = (leader.as_mut(), catalog) {
+            self.update_lease(leader);
             act(&mut leader.engine, &catalog);
         }
     }
@@ -60,10 +78,17 @@
         act: impl FnOnce(&mut LeaderState) -> T,
     ) -> Option<T> {
         let mut leader = self.leader_state.borrow_mut();
-        leader
+        let leader = leader
             .as_mut()
-            .filter(|leader| leader.engine.fence() == fence)
-            .map(act)
+            .filter(|leader| leader.engine.fence() == fence)?;
+        self.update_lease(leader);
+        Some(act(leader))
+    }
+
+    /// Tells the engine until when no other node can lead.
+    fn update_lease(&self, leader: &mut LeaderState) {
+        let exclusive_until_ms = self.leadership.borrow().exclusive_until_ms();
+        leader.engine.set_exclusive_until_ms(exclusive_until_ms);
     }
 
     /// Records that this node has lost the leadership that it held under `fence`.
@@ -119,7 +144,12 @@
             let Some(leader) = leader.as_mut() else {
                 return;
             };
-            if !leader.is_restored || !self.may_act() {
+            if !leader.is_restored {
+                return;
+            }
+            self.update_lease(leader);
+            leader.log_lease(self.now_ms());
+            if !self.may_act() {
                 return;
             }
             let delay_ms = self.loop_delay.get().mean_ms();
@@ -227,6 +257,7 @@
         waiters: Waiters::default(),
         wave_reports: WaveReports::default(),
         is_restored: false,
+        is_lease_over: false,
     });
     node.metrics.leading_fence.set(fence);
     spawn(restore(Rc::clone(node), fence));
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -257,6 +257,17 @@
         self.lease_start_ms + self.lease_ms
     }
 
+    /// Returns the time until which no other process can lead, in milliseconds; 0 if another one may
+    /// lead already. A lease that is being released may be claimed at any time.
+    pub fn exclusive_until_ms(&self) -> u64 {
+        match &self.newest {
+            Some(newest) if self.is_own(newest) && !self.is_release_requested => {
+                self.valid_until_ms()
+            }
+            _ => 0,
+        }
+    }
+
     /// Returns the write that is due, and records it as sent at `now_ms`.
     pub fn next_write(&mut self, now_ms: u64) -> Option<LeaseWrite> {
         if let Some(pending) = &self.pending {
