Take no run for lost by a lease that ended after the leader's own

Operators saw two runs of a task at once, and tasks started again after their ends as done were taken note of, when the zone of the leader was cut off.

Cause: a leader goes on with accepted work for 6 s after its own lease is over. The lease of the runs on workers that it no longer reaches ends 4.6 s after the cut, within that time, and it started their tasks again on the workers of its own zone. Its successor leads from 1.3 s after the cut on, has adopted these runs, extends their leases and acknowledges their ends. That a lease was not renewed by this leader proves nothing once another one may have renewed it.

Change: a run counts as lost by its lease only if that lease ended while this leader's own was valid, so that nobody else can have extended it. The leader still starts tasks that wait: a successor starts none of them before it has reached the workers of their pools, or waited until all leases are over.

Two tests in virtual time, with both leaders at once: before the change both fail (two runs at 5,850 ms; a start after an end as done), after it both pass. The simulation now checks at each start and each acknowledgement that no task starts again after its end as done was acknowledged; it knew one leader at a time only, which is why its soaks missed this.

--- a/src/jobs/expiry.rs
+++ b/src/jobs/expiry.rs
@@ -20,7 +20,9 @@
         let now_ms = self.now_ms;
         for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
-            if !worker.slots.is_empty() && now_ms >= worker.leases_expired_at_ms() {
+            let expired_at_ms = worker.leases_expired_at_ms();
+            let are_expired = now_ms >= expired_at_ms && self.was_exclusive_at(expired_at_ms);
+            if !worker.slots.is_empty() && are_expired {
                 self.lose_all_runs(key, LossReason::LeaseExpired);
             }
             self.forget_ends_of_silent(key);
--- a/tests/testsuite/jobs/checks.rs
+++ b/tests/testsuite/jobs/checks.rs
@@ -8,7 +8,30 @@
 use super::simulation::Simulation;
 
 impl Simulation {
+    /// Records ends as done that are acknowledged, and checks that their tasks have not been started
+    /// since.
+    pub(crate) fn note_done(&mut self, settled: &[(TaskName, u64)]) {
+        for (name, ended_ms) in settled {
+            let spec = &self.submitted[&name.job].spec.steps[usize::from(name.step)];
+            let again = self
+                .starts
+                .iter()
+                .find(|(at_ms, _, started)| started == name && at_ms > ended_ms);
+            assert!(
+                again.is_none() || spec.allows_copies,
+                "{name} was done at {ended_ms} and started again: {again:?}"
+            );
+            self.settled_done.insert(*name);
+        }
+    }
+
     pub(crate) fn check_order(&self, order: &StartOrder) {
+        let step = &order.spec.steps[usize::from(order.name.step)];
+        assert!(
+            !self.settled_done.contains(&order.name) || step.allows_copies,
+            "{} started after its end as done was acknowledged",
+            order.name
+        );
         for earlier in &order.spec.steps[usize::from(order.name.step)].after {
             for index in 0..order.spec.steps[usize::from(*earlier)].tasks_count {
                 let name = TaskName {
--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -1,6 +1,7 @@
 //! A simulated worker.
 
 use std::collections::HashSet;
+use std::mem;
 
 use hawthornladder::jobs::{EndKind, RunEnd, Size, TaskName, WorkerInfo};
 use indexmap::IndexMap;
@@ -22,6 +23,9 @@
     pub(crate) info: WorkerInfo,
     pub(crate) running: IndexMap<(TaskName, u64), Running>,
     pub(crate) ended: Vec<RunEnd>,
+    /// Ends as done that are not acknowledged: number, task and time in milliseconds. They no longer
+    /// count once the lease has expired.
+    pub(crate) unsettled_done: Vec<(u64, TaskName, u64)>,
     pub(crate) blocked: HashSet<(TaskName, u64)>,
     pub(crate) fence: u64,
     pub(crate) next_number: u64,
@@ -61,10 +65,24 @@
         });
     }
 
+    /// Takes the ends as done that are acknowledged up to `through`.
+    pub(crate) fn take_settled_done(&mut self, through: u64) -> Vec<(TaskName, u64)> {
+        let (settled, later) = mem::take(&mut self.unsettled_done)
+            .into_iter()
+            .partition(|(number, ..)| *number <= through);
+        self.unsettled_done = later;
+        let settled: Vec<(u64, TaskName, u64)> = settled;
+        settled
+            .into_iter()
+            .map(|(_, name, ended_ms)| (name, ended_ms))
+            .collect()
+    }
+
     /// Starts a new incarnation under the same id.
     pub(crate) fn restart(&mut self, started_unix_ms: u64) {
         self.running.clear();
         self.ended.clear();
+        self.unsettled_done.clear();
         self.blocked.clear();
         self.fence = 0;
         self.next_number = 0;
@@ -79,6 +97,7 @@
     pub(crate) fn crash(&mut self) {
         self.running.clear();
         self.ended.clear();
+        self.unsettled_done.clear();
         self.is_dead = true;
         self.resets_connections = true;
     }
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod constraints;
 mod crashes;
+mod cut_off_leader;
 mod evacuation;
 mod explain;
 mod fake_worker;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -15,6 +15,7 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::{format_smolstr, SmolStr};
 
+use super::cut_off_leader::CutOffLeader;
 pub(crate) use super::fake_worker::{FakeWorker, Running};
 
 pub(crate) use super::builders::{
@@ -65,6 +66,8 @@
 /// The engine with its simulated surroundings.
 pub(crate) struct Simulation {
     pub(crate) engine: Engine,
+    /// An earlier leader that is cut off and still acts.
+    pub(crate) cut_off: Option<CutOffLeader>,
     /// Run time outside the rack of a task's data relative to that inside, in thousandths.
     pub(crate) remote_factor_permille: u64,
     pub(crate) now_ms: u64,
@@ -108,15 +111,17 @@
     /// Tasks that crash each worker that starts them.
     pub(crate) crashing: HashSet<TaskName>,
     pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
-    polls: Vec<(PollOrder, u64)>,
+    pub(crate) polls: Vec<(PollOrder, u64)>,
     /// Polls of crashed workers, with the times at which their connections time out.
-    connecting_polls: Vec<(PollOrder, u64)>,
-    persisting: Option<(Vec<Record>, u64)>,
+    pub(crate) connecting_polls: Vec<(PollOrder, u64)>,
+    pub(crate) persisting: Option<(Vec<Record>, u64)>,
     arrivals: Vec<(u64, WorkerInfo)>,
     /// Delayed starts: due time, start time of the incarnation for which they were meant, and
     /// order.
     delayed_starts: Vec<(u64, u64, StartOrder)>,
     pub(crate) done: HashSet<TaskName>,
+    /// Tasks whose ends as done have been acknowledged.
+    pub(crate) settled_done: HashSet<TaskName>,
     pub(crate) submitted: HashMap<JobId, SubmittedJob>,
 }
 
@@ -132,6 +137,7 @@
         let settings = settings_with_factor(1, factor_permille);
         let mut simulation = Self {
             engine: Engine::open(settings, catalog.clone(), 1_000, UNIX_MS),
+            cut_off: None,
             remote_factor_permille: factor_permille,
             now_ms: 1_000,
             workers: IndexMap::new(),
@@ -164,6 +170,7 @@
             arrivals: Vec::new(),
             delayed_starts: Vec::new(),
             done: HashSet::new(),
+            settled_done: HashSet::new(),
             submitted: HashMap::new(),
         };
         for pool in pools {
@@ -219,6 +226,7 @@
             info,
             running: IndexMap::new(),
             ended: Vec::new(),
+            unsettled_done: Vec::new(),
             blocked: HashSet::new(),
             fence: 0,
             next_number: 0,
@@ -333,15 +341,25 @@
     /// Replaces the engine by one of a new leader, which has restored the stored records but has
     /// not read the lists.
     pub(crate) fn fail_over_without_lists(&mut self, fence: u64) {
+        self.engine = self.open_engine(fence);
+        self.polls.clear();
+        self.connecting_polls.clear();
+        self.persisting = None;
+        self.restore_engine();
+    }
+
+    /// Returns the engine of a new leader, which knows nothing yet.
+    pub(crate) fn open_engine(&self, fence: u64) -> Engine {
         let unix_ms = UNIX_MS + self.now_ms;
         let settings = EngineSettings {
             record_max_bytes: self.record_max_bytes,
             ..settings_with_factor(fence, self.remote_factor_permille)
         };
-        self.engine = Engine::open(settings, self.catalog.clone(), self.now_ms, unix_ms);
-        self.polls.clear();
-        self.connecting_polls.clear();
-        self.persisting = None;
+        Engine::open(settings, self.catalog.clone(), self.now_ms, unix_ms)
+    }
+
+    /// Lets the engine restore the stored records.
+    pub(crate) fn restore_engine(&mut self) {
         let records = self
             .stored
             .iter()
@@ -396,11 +414,17 @@
         self.start_arrived_workers();
         self.answer_polls();
         self.persist_records();
+        self.run_engine();
+        self.step_cut_off_leader();
+        self.check();
+    }
+
+    /// Lets the engine do what is due, and carries out its orders.
+    pub(crate) fn run_engine(&mut self) {
         self.engine.advance(self.now_ms, UNIX_MS + self.now_ms);
         for action in self.engine.take_actions() {
             self.carry_out(action);
         }
-        self.check();
     }
 
     fn end_runs(&mut self) {
@@ -425,6 +449,9 @@
                     },
                 )
                 .collect();
+            if is_lease_expired {
+                worker.unsettled_done.clear();
+            }
             for (key, end) in due {
                 let kind = if is_lease_expired {
                     EndKind::LeaseExpired
@@ -433,6 +460,9 @@
                 };
                 worker.end(key, kind);
                 if kind == EndKind::Done {
+                    worker
+                        .unsettled_done
+                        .push((worker.next_number, key.0, now_ms));
                     let step = &self.submitted[&key.0.job].spec.steps[usize::from(key.0.step)];
                     let all = (0..step.tasks_count).map(|index| TaskName { index, ..key.0 });
                     let ended = all.filter(|name| step.is_gang || *name == key.0);
@@ -485,7 +515,7 @@
         }
     }
 
-    fn answer_polls(&mut self) {
+    pub(crate) fn answer_polls(&mut self) {
         let now_ms = self.now_ms;
         for (order, due_ms) in std::mem::take(&mut self.connecting_polls) {
             match now_ms >= due_ms {
@@ -611,7 +641,10 @@
             worker.leased_until_ms = worker.leased_until_ms.max(until_ms);
             let settled_through = order.acknowledged_through;
             worker.ended.retain(|end| end.number > settled_through);
+            let settled = worker.take_settled_done(settled_through);
+            self.note_done(&settled);
         }
+        let worker = &self.workers[&order.target.id];
         if worker.is_dead && worker.resets_connections {
             self.connecting_polls
                 .push((order, now_ms + CONNECT_TIMEOUT_MS));
