Give the experiments one module for their simulated workers, lists and settings

Three experiments (engine, places, teams) each had their own simulated worker, list of one pool, entry of a worker and settings of the engine. They are in load/played_worker.rs now; no behaviour changes. Tests: the eight of the experiments and the one of the engine's cost pass.

--- a/src/load/engine_cost.rs
+++ b/src/load/engine_cost.rs
@@ -5,18 +5,19 @@
 //! how they grow with the fleet.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::jobs::{
-    Action, Catalog, EndKind, Engine, EngineSettings, ForecastMethod, JobId, JobSpec, PollOrder,
-    PollReply, Pool, Queue, Record, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
-    TaskName, WorkerInfo, WorkerKey,
+    Action, Engine, JobId, JobSpec, Record, Size, StartOrder, StepSpec, Submission, WorkerInfo,
+    WorkerKey,
+};
+use crate::load::played_worker::{
+    played_catalog, played_settings, played_worker_info, rack_name, PlayedWorker, POOL, UNIX_MS,
 };
-use crate::load::RECORD_MAX_BYTES;
 
 /// Numbers of workers that are measured.
 pub const WORKERS_COUNTS: [u32; 3] = [350, 1_100, 3_500];
@@ -37,10 +38,10 @@
 const TASK_CPU_MILLIS: u64 = 4_500;
 /// Memory of a task and of a worker, in megabytes.
 const MEMORY_MB: (u64, u64) = (4_600, 65_536);
-/// Unix time at virtual time 0, in milliseconds.
-const UNIX_MS: u64 = 1_700_000_000_000;
-/// Name of the pool and of its queue.
-const POOL: &str = "pool";
+/// Workers of a rack.
+const WORKERS_OF_RACK: u32 = 8;
+/// Run time of a task outside the rack of its data relative to that inside, in thousandths.
+const REMOTE_FACTOR_PERMILLE: u64 = 1_000;
 
 /// Cost at one number of workers.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
@@ -88,16 +89,6 @@
     std::iter::once(head.to_owned()).chain(lines).collect()
 }
 
-/// A simulated worker.
-#[derive(Default)]
-struct PlayedWorker {
-    running: HashSet<(TaskName, u64)>,
-    ended: Vec<RunEnd>,
-    next_number: u64,
-    /// Poll that waits for an end, and the time at which it is answered in any case.
-    waiting: Option<(PollOrder, u64)>,
-}
-
 /// One peak.
 struct PeakPlay {
     engine: Engine,
@@ -115,24 +106,8 @@
 
 impl PeakPlay {
     fn open(workers_count: u32) -> Self {
-        let settings = EngineSettings {
-            fence: 1,
-            run_lease_ms: 4_000,
-            poll_wait_ms: 800,
-            starts_per_step_max: usize::MAX,
-            stop_ms: 200,
-            inherited_runs_max_ms: 0,
-            ended_retention_ms: 120_000,
-            move_ms: 1_500,
-            maintain_ms: 2_000,
-            instance_lease_ms: 3_000,
-            earlier_orders_wait_ms: 0,
-            capacity_age_max_ms: 0,
-            forecast: ForecastMethod::default(),
-            record_max_bytes: RECORD_MAX_BYTES,
-            remote_factor_permille: 1_000,
-        };
-        let mut engine = Engine::open(settings, catalog(), 0, UNIX_MS);
+        let settings = played_settings(REMOTE_FACTOR_PERMILLE);
+        let mut engine = Engine::open(settings, played_catalog(), 0, UNIX_MS);
         for number in 0..workers_count {
             engine.worker_listed(worker_info(number), 0);
         }
@@ -238,7 +213,7 @@
                 let number = u64::try_from(self.started.len()).unwrap_or(u64::MAX);
                 self.ends.push(Reverse((self.now_ms + TASK_MS, number)));
                 let worker = self.workers.entry(order.target.worker).or_default();
-                worker.running.insert((order.name, order.run.run));
+                worker.start(&order);
                 let started = Instant::now();
                 self.engine
                     .start_accepted(&order, Some(self.now_ms), self.now_ms);
@@ -247,11 +222,8 @@
                 self.cost.starts_count += 1;
             }
             Action::Poll(order) => {
-                let until_ms = self.now_ms + order.wait_ms;
                 let worker = self.workers.entry(order.target.worker).or_default();
-                let acknowledged = order.acknowledged_through;
-                worker.ended.retain(|end| end.number > acknowledged);
-                worker.waiting = Some((order, until_ms));
+                worker.poll(order, self.now_ms);
             }
             _ => {}
         }
@@ -264,37 +236,17 @@
             }
             self.ends.pop();
             let order = &self.started[usize::try_from(number).unwrap_or(usize::MAX)];
-            let Some(worker) = self.workers.get_mut(&order.target.worker) else {
-                continue;
-            };
-            worker.running.remove(&(order.name, order.run.run));
-            worker.next_number += 1;
-            worker.ended.push(RunEnd {
-                number: worker.next_number,
-                name: order.name,
-                run_number: order.run.run,
-                kind: EndKind::Done,
-                checkpoint: SmolStr::default(),
-            });
+            if let Some(worker) = self.workers.get_mut(&order.target.worker) {
+                worker.end(order);
+            }
         }
     }
 
     fn answer_polls(&mut self) {
         for worker in self.workers.values_mut() {
-            let is_due = worker
-                .waiting
-                .as_ref()
-                .is_some_and(|(_, until_ms)| *until_ms <= self.now_ms || !worker.ended.is_empty());
-            let Some((order, _)) = worker.waiting.take_if(|_| is_due) else {
+            let Some((order, reply)) = worker.answer_poll(self.now_ms) else {
                 continue;
             };
-            let reply = PollReply {
-                has_more_ends: false,
-                clock_ms: self.now_ms,
-                started_unix_ms: UNIX_MS,
-                running: worker.running.iter().map(running_row).collect(),
-                ended: worker.ended.clone(),
-            };
             let started = Instant::now();
             self.engine.poll_answered(&order, reply, self.now_ms);
             self.spent_on_polls += started.elapsed();
@@ -313,51 +265,14 @@
     }
 }
 
-fn running_row((name, run_number): &(TaskName, u64)) -> RunRow {
-    RunRow {
-        name: *name,
-        run_number: *run_number,
-        checkpoint: SmolStr::default(),
-        percent: 50,
-        metric: 0,
-    }
-}
-
-fn catalog() -> Catalog {
-    let mut catalog = Catalog {
-        version: 1,
-        ..Catalog::default()
-    };
-    let queue = Queue {
-        name: POOL.into(),
-        pool: POOL.into(),
-        attempts_max: 3,
-        target_chain_factor: 1.6,
-        target_latency_ms: 600,
-        ..Queue::default()
-    };
-    catalog.queues.insert(POOL.into(), queue);
-    catalog.pools.insert(POOL.into(), Pool::default());
-    catalog
-}
-
 fn worker_info(number: u32) -> WorkerInfo {
-    WorkerInfo {
-        id: format_smolstr!("w{number}"),
-        started_unix_ms: UNIX_MS,
-        address: ([10, 0, 0, 1], 8_000).into(),
-        pool: POOL.into(),
-        zone: "a".into(),
-        labels: vec![format_smolstr!("r-{}", number / 8)],
-        capacity: Size {
-            cpu_millis: WORKER_CPU_MILLIS,
-            memory_mb: MEMORY_MB.1,
-            gpu_count: 0,
-        },
-        is_draining: false,
-        cold_ms: 0,
-        instance: None,
-    }
+    let capacity = Size {
+        cpu_millis: WORKER_CPU_MILLIS,
+        memory_mb: MEMORY_MB.1,
+        gpu_count: 0,
+    };
+    let rack = rack_name(number / WORKERS_OF_RACK);
+    played_worker_info(format_smolstr!("w{number}"), rack, capacity)
 }
 
 fn us_for_each(spent: Duration, count: u64) -> f64 {
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -14,6 +14,7 @@
 pub mod overload;
 pub mod places;
 pub(crate) mod played_pool;
+pub(crate) mod played_worker;
 pub mod plot;
 pub mod run_times;
 pub mod share;
--- a/src/load/places.rs
+++ b/src/load/places.rs
@@ -6,7 +6,7 @@
 use std::collections::BinaryHeap;
 
 use hdrhistogram::Histogram;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -14,11 +14,12 @@
 use strum::IntoEnumIterator;
 
 use crate::jobs::{
-    Action, Catalog, EndKind, Engine, EngineSettings, ForecastMethod, JobId, JobSpec, JobState,
-    PollOrder, PollReply, Pool, Queue, RunEnd, RunRow, Size, StartOrder, StepSpec, Submission,
-    TaskName, WorkerInfo, WorkerKey,
+    Action, Engine, JobId, JobSpec, JobState, Size, StartOrder, StepSpec, Submission, WorkerInfo,
+    WorkerKey,
+};
+use crate::load::played_worker::{
+    played_catalog, played_settings, played_worker_info, rack_name, PlayedWorker, POOL, UNIX_MS,
 };
-use crate::load::RECORD_MAX_BYTES;
 
 /// Length of a step of virtual time, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -48,10 +49,10 @@
 const RUN_MEAN_FACTOR: f64 = 1.2;
 /// Longest time that is told apart, in milliseconds.
 const TIME_MAX_MS: u64 = 3_600_000;
-/// Unix time at virtual time 0, in milliseconds.
-const UNIX_MS: u64 = 1_700_000_000_000;
-/// Name of the pool and of its queue.
-const POOL: &str = "pool";
+/// Memory of a worker, in megabytes.
+const WORKER_MEMORY_MB: u64 = 65_536;
+/// Factor with which no task waits for a rack, in thousandths.
+const NO_WAIT_FACTOR_PERMILLE: u64 = 1_000;
 
 /// When tasks wait for the rack of their data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display, strum::EnumIter)]
@@ -163,16 +164,6 @@
     }
 }
 
-/// A simulated worker.
-#[derive(Default)]
-struct PlayedWorker {
-    running: IndexSet<(TaskName, u64)>,
-    ended: Vec<RunEnd>,
-    next_number: u64,
-    /// Poll that waits for an end, and the time at which it is answered in any case.
-    waiting: Option<(PollOrder, u64)>,
-}
-
 /// One run of the experiment.
 struct Play {
     engine: Engine,
@@ -199,27 +190,11 @@
         factor_permille: u64,
         policy: PlacePolicy,
     ) -> Self {
-        let settings = EngineSettings {
-            fence: 1,
-            run_lease_ms: 4_000,
-            poll_wait_ms: 800,
-            starts_per_step_max: usize::MAX,
-            stop_ms: 200,
-            inherited_runs_max_ms: 0,
-            ended_retention_ms: 120_000,
-            move_ms: 1_500,
-            maintain_ms: 2_000,
-            instance_lease_ms: 3_000,
-            earlier_orders_wait_ms: 0,
-            capacity_age_max_ms: 0,
-            forecast: ForecastMethod::default(),
-            record_max_bytes: RECORD_MAX_BYTES,
-            remote_factor_permille: match policy {
-                PlacePolicy::Expected => factor_permille,
-                PlacePolicy::Never | PlacePolicy::Always => 1_000,
-            },
-        };
-        let mut engine = Engine::open(settings, catalog(), 0, UNIX_MS);
+        let settings = played_settings(match policy {
+            PlacePolicy::Expected => factor_permille,
+            PlacePolicy::Never | PlacePolicy::Always => NO_WAIT_FACTOR_PERMILLE,
+        });
+        let mut engine = Engine::open(settings, played_catalog(), 0, UNIX_MS);
         for number in 0..RACKS_COUNT * WORKERS_OF_RACK {
             engine.worker_listed(worker_info(number), 0);
         }
@@ -341,11 +316,8 @@
         match action {
             Action::Start(order) => self.start(order),
             Action::Poll(order) => {
-                let until_ms = self.now_ms + order.wait_ms;
                 let worker = self.workers.entry(order.target.worker).or_default();
-                let acknowledged = order.acknowledged_through;
-                worker.ended.retain(|end| end.number > acknowledged);
-                worker.waiting = Some((order, until_ms));
+                worker.poll(order, self.now_ms);
             }
             _ => {}
         }
@@ -364,7 +336,7 @@
         let number = self.started.len();
         self.ends.push(Reverse((self.now_ms + run_ms, number)));
         let worker = self.workers.entry(order.target.worker).or_default();
-        worker.running.insert((order.name, order.run.run));
+        worker.start(&order);
         self.engine
             .start_accepted(&order, Some(self.now_ms), self.now_ms);
         self.started.push(order);
@@ -378,35 +350,15 @@
             self.ends.pop();
             let order = &self.started[number];
             let worker = self.workers.entry(order.target.worker).or_default();
-            worker.running.swap_remove(&(order.name, order.run.run));
-            worker.next_number += 1;
-            worker.ended.push(RunEnd {
-                number: worker.next_number,
-                name: order.name,
-                run_number: order.run.run,
-                kind: EndKind::Done,
-                checkpoint: SmolStr::default(),
-            });
+            worker.end(order);
         }
     }
 
     fn answer_polls(&mut self) {
         for worker in self.workers.values_mut() {
-            let is_due = worker
-                .waiting
-                .as_ref()
-                .is_some_and(|(_, until_ms)| *until_ms <= self.now_ms || !worker.ended.is_empty());
-            let Some((order, _)) = worker.waiting.take_if(|_| is_due) else {
-                continue;
-            };
-            let reply = PollReply {
-                has_more_ends: false,
-                clock_ms: self.now_ms,
-                started_unix_ms: UNIX_MS,
-                running: worker.running.iter().map(running_row).collect(),
-                ended: worker.ended.clone(),
-            };
-            self.engine.poll_answered(&order, reply, self.now_ms);
+            if let Some((order, reply)) = worker.answer_poll(self.now_ms) {
+                self.engine.poll_answered(&order, reply, self.now_ms);
+            }
         }
     }
 
@@ -460,38 +412,6 @@
     Histogram::new_with_bounds(1, TIME_MAX_MS, 3).expect("the bounds are valid constants")
 }
 
-fn running_row((name, run_number): &(TaskName, u64)) -> RunRow {
-    RunRow {
-        name: *name,
-        run_number: *run_number,
-        checkpoint: SmolStr::default(),
-        percent: 50,
-        metric: 0,
-    }
-}
-
-fn catalog() -> Catalog {
-    let mut catalog = Catalog {
-        version: 1,
-        ..Catalog::default()
-    };
-    let queue = Queue {
-        name: POOL.into(),
-        pool: POOL.into(),
-        attempts_max: 3,
-        target_chain_factor: 1.6,
-        target_latency_ms: 600,
-        ..Queue::default()
-    };
-    catalog.queues.insert(POOL.into(), queue);
-    catalog.pools.insert(POOL.into(), Pool::default());
-    catalog
-}
-
-fn rack_name(rack: u32) -> SmolStr {
-    format_smolstr!("r-{rack}")
-}
-
 /// Returns the rack of a worker by its id, which is the name of the rack and a number.
 fn worker_rack(id: &str) -> SmolStr {
     id.rsplit_once('/').map_or("", |(rack, _)| rack).into()
@@ -499,20 +419,10 @@
 
 fn worker_info(number: u32) -> WorkerInfo {
     let rack = rack_name(number / WORKERS_OF_RACK);
-    WorkerInfo {
-        id: format_smolstr!("{rack}/{number}"),
-        started_unix_ms: UNIX_MS,
-        address: ([10, 0, 0, 1], 8_000).into(),
-        pool: POOL.into(),
-        zone: "a".into(),
-        labels: vec![rack],
-        capacity: Size {
-            cpu_millis: TASK_CPU_MILLIS * SLOTS_OF_WORKER,
-            memory_mb: 65_536,
-            gpu_count: 0,
-        },
-        is_draining: false,
-        cold_ms: 0,
-        instance: None,
-    }
+    let capacity = Size {
+        cpu_millis: TASK_CPU_MILLIS * SLOTS_OF_WORKER,
+        memory_mb: WORKER_MEMORY_MB,
+        gpu_count: 0,
+    };
+    played_worker_info(format_smolstr!("{rack}/{number}"), rack, capacity)
 }
--- a/src/load/teams.rs
+++ b/src/load/teams.rs
@@ -7,7 +7,8 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::jobs::{JobId, JobSpec, Size, StepSpec, Submission, SubmitOutcome, Team};
-use crate::load::played_pool::{PlayedPool, POOL, STEP_MS, WORKER_CPU_MILLIS};
+use crate::load::played_pool::{PlayedPool, STEP_MS, WORKER_CPU_MILLIS};
+use crate::load::played_worker::POOL;
 
 /// Tasks of a job.
 const TASKS_COUNT: u32 = 8;
