Take no worker for gone by a list of instances that is read without a lease

A leader that is cut off lost the runs of an unresponsive worker as soon as the list of instances showed another worker on its instance, or the instance down. Its successor may have adopted these runs and noted them as done, and the worker may have gone after that: the leader then started tasks again that were done. The same list settled the inherited runs of workers that it never reached.

Change: such a list removes no worker unless no other leader can have acted by then. The list is read again all the time, so that one removes the worker once the lease is renewed.

After: the test passes. The harness lets a test act as the leader that is cut off.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -273,6 +273,11 @@
         at_ms < self.exclusive_until_ms
     }
 
+    /// Returns whether no other leader can have acted yet.
+    pub(crate) fn is_exclusive(&self) -> bool {
+        self.was_exclusive_at(self.now_ms)
+    }
+
     /// Adds to a log event for how long this leader has been without its lease, if it is.
     pub(crate) fn with_lease_state(&self, event: Event) -> Event {
         match self.now_ms.checked_sub(self.exclusive_until_ms) {
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -142,8 +142,11 @@
     }
 
     /// Removes workers that are unresponsive, or only known from records, and that no instance in
-    /// the list has.
+    /// the list has. A worker may have gone after a later leader took note of what it had done.
     fn remove_workers_without_instance(&mut self, sent_ms: u64) {
+        if !self.is_exclusive() {
+            return;
+        }
         let rows = self.instances.rows.values();
         let alive: HashSet<SmolStr> = rows
             .filter(|row| row.info.state == InstanceState::Up)
--- a/tests/testsuite/jobs/cut_off_leader.rs
+++ b/tests/testsuite/jobs/cut_off_leader.rs
@@ -64,15 +64,21 @@
 
     /// Lets the leader that is cut off take its step.
     pub(crate) fn step_cut_off_leader(&mut self) {
-        let Some(mut cut_off) = self.cut_off.take() else {
-            return;
-        };
-        if self.now_ms < cut_off.acts_until_ms {
-            self.change_places(&mut cut_off);
-            self.answer_polls();
-            self.run_engine();
-            self.change_places(&mut cut_off);
+        let is_acting = |cut_off: &CutOffLeader| self.now_ms < cut_off.acts_until_ms;
+        if self.cut_off.as_ref().is_some_and(is_acting) {
+            self.as_cut_off_leader(|simulation| {
+                simulation.answer_polls();
+                simulation.run_engine();
+            });
         }
+    }
+
+    /// Calls `act` with the leader that is cut off in the place of its successor.
+    pub(crate) fn as_cut_off_leader(&mut self, act: impl FnOnce(&mut Self)) {
+        let mut cut_off = self.cut_off.take().expect("a leader that is cut off");
+        self.change_places(&mut cut_off);
+        act(self);
+        self.change_places(&mut cut_off);
         self.cut_off = Some(cut_off);
     }
 
@@ -94,7 +100,7 @@
 
 /// Opens a simulation of a pool in which the first worker gets the first runs; returns it with the
 /// others, which are cut off with the leader.
-fn open_pool() -> (Simulation, Vec<SmolStr>) {
+pub(crate) fn open_pool() -> (Simulation, Vec<SmolStr>) {
     let simulation = Simulation::open(&["maps"], 3);
     let ids: Vec<SmolStr> = simulation.workers.keys().cloned().collect();
     (simulation, ids[1..].to_vec())
--- /dev/null
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -0,0 +1,58 @@
+//! What shows a leader that runs are gone, but proves nothing while a later leader may lead: that one
+//! may have adopted the runs, and may have taken note of their ends.
+
+use hawthornladder::jobs::{JobId, JobState};
+use smol_str::SmolStr;
+
+use super::cut_off_leader::open_pool;
+use super::simulation::{job, step, Simulation};
+
+/// Time after a change of leader by which the tasks of [`submit_short_tasks`] are done, in
+/// milliseconds.
+const DONE_MS: u64 = 3_500;
+/// Time after which a leader has acted on what it was shown, in milliseconds.
+const ACTED_MS: u64 = 1_000;
+/// Time by which all work is done, in milliseconds.
+const SETTLE_MS: u64 = 20_000;
+
+/// Submits tasks of three seconds, some of which start at the first worker.
+fn submit_short_tasks(simulation: &mut Simulation) -> JobId {
+    let id = simulation.submit("maps", job(vec![step(8, 4_000, 3_000)]));
+    simulation.advance(300);
+    id
+}
+
+/// Returns the id of the first worker, which the leader that is cut off does not reach.
+fn first_worker(simulation: &Simulation) -> SmolStr {
+    simulation.workers.keys().next().expect("a worker").clone()
+}
+
+/// Cuts the leader off, and waits until its successor has taken note that tasks on the first worker
+/// are done.
+fn cut_off_until_done(simulation: &mut Simulation, cut_off: &[SmolStr], next_fence: u64) {
+    simulation.cut_leader_off(cut_off, next_fence);
+    simulation.advance(DONE_MS);
+    assert!(!simulation.settled_done.is_empty(), "no task is done");
+}
+
+/// Ends the cut, and waits until a job is complete.
+fn end_cut_and_complete(simulation: &mut Simulation, id: JobId) {
+    simulation.end_cut();
+    simulation.advance_until(SETTLE_MS, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
+
+/// Guards against a leader that is cut off and starts tasks again that are done, because a list of
+/// instances shows that their worker has gone since.
+#[test]
+fn a_list_of_instances_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = submit_short_tasks(&mut simulation);
+    let first = first_worker(&simulation);
+    cut_off_until_done(&mut simulation, &cut_off, 2);
+    simulation.crash(&first);
+    simulation.as_cut_off_leader(Simulation::list_instances);
+    simulation.advance(ACTED_MS);
+    end_cut_and_complete(&mut simulation, id);
+}
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod constraints;
 mod crashes;
 mod cut_off_leader;
+mod cut_off_proofs;
 mod evacuation;
 mod explain;
 mod fake_worker;
