Take no worker for gone by an order that is answered without a lease

The answer to an order to an instance may arrive when the leader's lease is over. It then took the worker of the instance for gone at once, also one that it had never reached. Its successor may have adopted the runs there and noted them as done before the order was carried out: the leader that was cut off then started tasks again that were done.

Change: without a lease such an answer counts as lost. The order is sent again once the lease is renewed, and the platform then answers that it is done.

After: the test passes.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -299,6 +299,9 @@
     ) {
         self.now_ms = now_ms.max(self.now_ms);
         match answer {
+            // A later leader may have taken note of what the worker had done before the order was
+            // carried out. The order is sent again.
+            Ok(()) if !self.is_exclusive() => {}
             Ok(()) => self.order_done(order),
             Err(InstanceFailure::Lost) => {}
             Err(failure) => self.order_refused(order, failure),
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -1,7 +1,7 @@
 //! What shows a leader that runs are gone, but proves nothing while a later leader may lead: that one
 //! may have adopted the runs, and may have taken note of their ends.
 
-use hawthornladder::jobs::{JobId, JobState};
+use hawthornladder::jobs::{InstanceOrder, JobId, JobState};
 use smol_str::SmolStr;
 
 use super::cut_off_leader::open_pool;
@@ -56,3 +56,35 @@
     simulation.advance(ACTED_MS);
     end_cut_and_complete(&mut simulation, id);
 }
+
+/// Guards against a leader that is cut off and starts tasks of an earlier leader that are done, because
+/// an order to the instance of their worker is answered late.
+#[test]
+fn the_answer_to_an_order_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = submit_short_tasks(&mut simulation);
+    let first = first_worker(&simulation);
+    let instance: SmolStr = "maps-0".into();
+    simulation.workers[&first].is_disconnected = true;
+    simulation.instances[&instance].worker = None;
+    simulation.fail_over_without_lists(2);
+    simulation.list_to_leader(&cut_off);
+    simulation.list_instances();
+    // The order is decided before the worker is listed, and is on its way for long.
+    simulation.loses_orders = true;
+    simulation.is_store_unavailable = true;
+    simulation.request_wave(1, std::slice::from_ref(&instance), 1);
+    simulation.advance(100);
+    simulation.list_to_leader(std::slice::from_ref(&first));
+    simulation.is_store_unavailable = false;
+    simulation.advance(100);
+    cut_off_until_done(&mut simulation, &cut_off, 3);
+    simulation.workers[&first].is_dead = true;
+    let order = InstanceOrder::Maintain { instance, wave: 1 };
+    simulation.as_cut_off_leader(|simulation| {
+        let now_ms = simulation.now_ms;
+        simulation.engine.instance_answered(&order, Ok(()), now_ms);
+    });
+    simulation.advance(ACTED_MS);
+    end_cut_and_complete(&mut simulation, id);
+}
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -255,6 +255,14 @@
         }
     }
 
+    /// Sends the entries of these workers to the engine.
+    pub(crate) fn list_to_leader(&mut self, ids: &[SmolStr]) {
+        for id in ids {
+            let info = self.workers[id].info.clone();
+            self.engine.worker_listed(info, self.now_ms);
+        }
+    }
+
     /// Sends the list of instances to the engine.
     pub(crate) fn list_instances(&mut self) {
         let infos = self.instances.values().cloned().collect();
