Lose no runs by the restart of a worker that is seen without a lease

A worker that restarts under its id knows no fence any more, so that it also answers a leader that is cut off and whose successor led it before. That leader took its own runs there for lost by the restart and started their tasks again, while its successor had noted them as done.

Change: without a lease the answer of a restarted worker is left aside. No task is started there, and it is polled again later; once the lease is renewed the runs are lost as before.

After: the test passes.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -92,8 +92,10 @@
                 && reply.started_unix_ms != 0
                 && worker.info.started_unix_ms != reply.started_unix_ms
         };
-        if is_restarted {
-            self.restart_worker(key, reply.started_unix_ms);
+        match is_restarted {
+            true if !self.is_exclusive() => return self.put_off_restart(key),
+            true => self.restart_worker(key, reply.started_unix_ms),
+            false => {}
         }
         let worker = self.worker_mut(key);
         if worker.info.started_unix_ms == 0 {
@@ -222,6 +224,15 @@
         }
     }
 
+    /// Starts nothing on a worker that has restarted, and polls it again later. It knows no fence any
+    /// more, and a later leader may have taken note of what it did before.
+    fn put_off_restart(&mut self, key: WorkerKey) {
+        let due_ms = self.now_ms + FAILED_POLL_RETRY_MS;
+        let worker = self.worker_mut(key);
+        worker.is_fenced = false;
+        worker.poll = PollState::Idle { due_ms };
+    }
+
     fn restart_worker(&mut self, key: WorkerKey, started_unix_ms: u64) {
         let worker = self.worker(key);
         Event::new("worker_restarted")
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use super::cut_off_leader::open_pool;
-use super::simulation::{job, step, Simulation};
+use super::simulation::{job, step, Simulation, UNIX_MS};
 
 /// Time after a change of leader by which the tasks of [`submit_short_tasks`] are done, in
 /// milliseconds.
@@ -35,6 +35,15 @@
     assert!(!simulation.settled_done.is_empty(), "no task is done");
 }
 
+/// Connects the first worker, which starts anew, with the leader that is cut off, and with it alone.
+fn restart_at_cut_off_leader(simulation: &mut Simulation, first: &SmolStr) {
+    let started_unix_ms = UNIX_MS + simulation.now_ms;
+    let worker = &mut simulation.workers[first];
+    worker.restart(started_unix_ms);
+    worker.is_disconnected = true;
+    simulation.advance(ACTED_MS);
+}
+
 /// Ends the cut, and waits until a job is complete.
 fn end_cut_and_complete(simulation: &mut Simulation, id: JobId) {
     simulation.end_cut();
@@ -88,3 +97,15 @@
     simulation.advance(ACTED_MS);
     end_cut_and_complete(&mut simulation, id);
 }
+
+/// Guards against a leader that is cut off and starts tasks again that are done, because their worker
+/// has restarted since and knows no fence.
+#[test]
+fn the_restart_of_a_worker_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = submit_short_tasks(&mut simulation);
+    let first = first_worker(&simulation);
+    cut_off_until_done(&mut simulation, &cut_off, 2);
+    restart_at_cut_off_leader(&mut simulation, &first);
+    end_cut_and_complete(&mut simulation, id);
+}
