Do not count a worker as read that answers first after the leader's lease

A new leader starts no inherited task before the recorded workers of its pool have answered. One that was cut off before it had reached a worker counted that worker's first answer, though the worker may have restarted meanwhile: it then knows neither the fence of the next leader nor the runs that this one had adopted and noted as done, and these tasks were started again.

Change: without a lease a worker is not counted as having answered. The runs and ends that it lists are applied, their leases are extended, and it is polled again until the lease is renewed.

After: the test passes.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -97,6 +97,7 @@
             true => self.restart_worker(key, reply.started_unix_ms),
             false => {}
         }
+        let is_exclusive = self.is_exclusive();
         let worker = self.worker_mut(key);
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
@@ -119,7 +120,9 @@
         }
         worker.failed_polls_count = 0;
         worker.read_clock(reply.clock_ms, now_ms);
-        if !worker.is_fenced {
+        // A worker that answers for the first time may have restarted, and may have forgotten the fence
+        // of a later leader with what it did under that one.
+        if !worker.is_fenced && is_exclusive {
             worker.is_fenced = true;
             self.needs_dispatch = true;
             Event::new("worker_fenced")
@@ -165,6 +168,7 @@
             worker.slots.is_empty() && order.acknowledged_through == worker.persisted_through;
         let due_ms = match worker.awaited_batch {
             Some(_) => now_ms + UNPERSISTED_POLL_MS,
+            None if !worker.is_fenced => now_ms + FAILED_POLL_RETRY_MS,
             None if is_idle => u64::MAX,
             None => worker.next_poll_ms,
         };
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -109,3 +109,19 @@
     restart_at_cut_off_leader(&mut simulation, &first);
     end_cut_and_complete(&mut simulation, id);
 }
+
+/// Guards against a leader that is cut off and starts tasks of an earlier leader that are done, because
+/// a worker that it has never reached answers after a restart.
+#[test]
+fn the_first_answer_of_a_worker_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = submit_short_tasks(&mut simulation);
+    let first = first_worker(&simulation);
+    simulation.workers[&first].is_disconnected = true;
+    simulation.fail_over_without_lists(2);
+    simulation.list_to_leader(&cut_off);
+    simulation.advance(300);
+    cut_off_until_done(&mut simulation, &cut_off, 3);
+    restart_at_cut_off_leader(&mut simulation, &first);
+    end_cut_and_complete(&mut simulation, id);
+}
