Count the leases of inherited runs as over only under the leader's own lease

A new leader takes runs of earlier leaders on workers that it never reached for gone 10.7 s after it began. One that was cut off before that time did so as well in the 6 s in which it acts without a lease, while the next leader had adopted these runs and extended their leases: their tasks ran twice. It also freed their part of the limits of teams and forgot the workers.

Change: the time counts only if no other leader can have acted by then.

After: the test passes.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -127,7 +127,7 @@
         if !job.is_persisted || !job.is_pool_persisted() {
             return true;
         }
-        let is_lease_left = self.now_ms < self.inherited_runs_end_at_ms();
+        let is_lease_left = self.may_have_inherited_runs();
         let mut pools = job.pools.iter();
         job.is_inherited
             && pools.any(|pool| {
@@ -142,17 +142,15 @@
     /// ended.
     pub(crate) fn may_have_unknown_runs(&self, key: WorkerKey) -> bool {
         let worker = self.worker(key);
-        let is_lease_left = self.now_ms < self.inherited_runs_end_at_ms();
-        worker.has_more_ends || (is_lease_left && worker.may_have_unseen_runs())
+        worker.has_more_ends || (self.may_have_inherited_runs() && worker.may_have_unseen_runs())
     }
 
-    /// Returns the time from which no run of an earlier leader can be left at an unreachable
-    /// worker.
-    pub(crate) fn inherited_runs_end_at_ms(&self) -> u64 {
-        match self.settings.inherited_runs_max_ms {
-            0 => self.opened_ms,
-            max_ms => self.opened_ms + max_ms + LEASE_EXPIRY_RESERVE_MS,
-        }
+    /// Returns whether runs of an earlier leader can be left at an unreachable worker: their leases
+    /// may last, or a later leader may have extended them.
+    pub(crate) fn may_have_inherited_runs(&self) -> bool {
+        let max_ms = self.settings.inherited_runs_max_ms;
+        let end_ms = self.opened_ms + max_ms + LEASE_EXPIRY_RESERVE_MS;
+        max_ms > 0 && (self.now_ms < end_ms || !self.was_exclusive_at(end_ms))
     }
 
     fn start_tasks_of(&mut self, key: JobKey, pass: &mut Pass) {
@@ -388,7 +386,7 @@
             return true;
         };
         let mut used = self.team_used.get(team).copied().unwrap_or_default();
-        if self.now_ms < self.inherited_runs_end_at_ms() {
+        if self.may_have_inherited_runs() {
             // Runs of an earlier leader on an unreachable worker may belong to this team.
             used.add(self.free_capacity.unseen());
         }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -35,8 +35,7 @@
         if !is_due || !self.present.contains(&key) {
             return false;
         }
-        let is_inherited =
-            worker.may_have_unseen_runs() && self.now_ms < self.inherited_runs_end_at_ms();
+        let is_inherited = worker.may_have_unseen_runs() && self.may_have_inherited_runs();
         let is_standby = self
             .catalog
             .pools
--- a/src/jobs/recovery.rs
+++ b/src/jobs/recovery.rs
@@ -159,7 +159,7 @@
     /// that have not answered this leader.
     pub(crate) fn log_recovering_pools(&mut self) {
         let now_ms = self.now_ms;
-        let is_over = now_ms >= self.inherited_runs_end_at_ms();
+        let is_over = !self.may_have_inherited_runs();
         for name in self.catalog.pools.keys() {
             let unseen_count = match self.free_capacity.pool(name) {
                 Some(pool) if !is_over => pool.unseen_count(),
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use super::cut_off_leader::open_pool;
-use super::simulation::{job, step, Simulation, UNIX_MS};
+use super::simulation::{job, long_running, step, Simulation, UNIX_MS};
 
 /// Time after a change of leader by which the tasks of [`submit_short_tasks`] are done, in
 /// milliseconds.
@@ -14,6 +14,8 @@
 const ACTED_MS: u64 = 1_000;
 /// Time by which all work is done, in milliseconds.
 const SETTLE_MS: u64 = 20_000;
+/// Longest time for which a run leased by an earlier leader can last, in milliseconds.
+const INHERITED_RUNS_MAX_MS: u64 = 10_200;
 
 /// Submits tasks of three seconds, some of which start at the first worker.
 fn submit_short_tasks(simulation: &mut Simulation) -> JobId {
@@ -125,3 +127,24 @@
     restart_at_cut_off_leader(&mut simulation, &first);
     end_cut_and_complete(&mut simulation, id);
 }
+
+/// Guards against a leader that is cut off and starts tasks of an earlier leader, because the longest
+/// lease of these runs is over, while its successor has extended it.
+#[test]
+fn the_end_of_inherited_leases_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = simulation.submit("maps", job(vec![long_running(8, 4_000)]));
+    simulation.advance(300);
+    let first = first_worker(&simulation);
+    let worker = &mut simulation.workers[&first];
+    worker.is_disconnected = true;
+    // The last lease that the earlier leader may have given.
+    worker.leased_until_ms = simulation.now_ms + INHERITED_RUNS_MAX_MS;
+    simulation.fail_over(2);
+    simulation.advance(5_000);
+    simulation.cut_leader_off(&cut_off, 3);
+    simulation.advance(10_000);
+    simulation.end_cut();
+    simulation.advance(SETTLE_MS);
+    assert_eq!(simulation.runs_of(id).len(), 8);
+}
