Wait for the ends of a silent worker unless the lease was valid all that time

A worker lists 500 ends at a time. A leader stopped waiting for the others once the worker had been silent for 8 s, also without its own lease: its successor may have read and noted them meanwhile, and the leader that was cut off started these tasks again.

Change: the 8 s count only if no other leader can have acted before they were over. The three places that judge a time so share one function.

After: the test passes.

--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -150,7 +150,7 @@
     pub(crate) fn may_have_inherited_runs(&self) -> bool {
         let max_ms = self.settings.inherited_runs_max_ms;
         let end_ms = self.opened_ms + max_ms + LEASE_EXPIRY_RESERVE_MS;
-        max_ms > 0 && (self.now_ms < end_ms || !self.was_exclusive_at(end_ms))
+        max_ms > 0 && !self.has_passed_exclusively(end_ms)
     }
 
     fn start_tasks_of(&mut self, key: JobKey, pass: &mut Pass) {
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -278,6 +278,11 @@
         self.was_exclusive_at(self.now_ms)
     }
 
+    /// Returns whether a time has passed, and no other leader can have acted before it.
+    pub(crate) fn has_passed_exclusively(&self, at_ms: u64) -> bool {
+        self.now_ms >= at_ms && self.was_exclusive_at(at_ms)
+    }
+
     /// Adds to a log event for how long this leader has been without its lease, if it is.
     pub(crate) fn with_lease_state(&self, event: Event) -> Event {
         match self.now_ms.checked_sub(self.exclusive_until_ms) {
--- a/src/jobs/expiry.rs
+++ b/src/jobs/expiry.rs
@@ -20,8 +20,7 @@
         let now_ms = self.now_ms;
         for key in self.present_keys().collect::<Vec<_>>() {
             let worker = self.worker(key);
-            let expired_at_ms = worker.leases_expired_at_ms();
-            let are_expired = now_ms >= expired_at_ms && self.was_exclusive_at(expired_at_ms);
+            let are_expired = self.has_passed_exclusively(worker.leases_expired_at_ms());
             if !worker.slots.is_empty() && are_expired {
                 self.lose_all_runs(key, LossReason::LeaseExpired);
             }
@@ -50,13 +49,13 @@
     }
 
     /// Waits no longer for the ends at a worker that has not answered for so long that its leases have
-    /// expired.
+    /// expired, and no other leader can have extended them.
     fn forget_ends_of_silent(&mut self, key: WorkerKey) {
         let worker = self.worker(key);
         let wait_ms = self.settings.run_lease_ms * SILENT_LEASES_COUNT;
         let is_over = worker
             .silent_since_ms
-            .is_some_and(|since_ms| self.now_ms >= since_ms + wait_ms);
+            .is_some_and(|since_ms| self.has_passed_exclusively(since_ms + wait_ms));
         if worker.has_more_ends && is_over {
             self.worker_mut(key).has_more_ends = false;
         }
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -148,3 +148,35 @@
     simulation.advance(SETTLE_MS);
     assert_eq!(simulation.runs_of(id).len(), 8);
 }
+
+/// Guards against a leader that is cut off and starts tasks again of which a silent worker has not
+/// listed the ends, while its successor has read them.
+#[test]
+fn ends_of_a_silent_worker_matter_to_a_leader_that_is_cut_off() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let first = first_worker(&simulation);
+    let second = simulation.workers.keys().nth(1).expect("a worker").clone();
+    // It lists all of its ends.
+    simulation.slow_workers.insert(second.clone(), 10);
+    // Runs for which the leases are renewed.
+    simulation.submit("maps", job(vec![long_running(2, 1_000)]));
+    simulation.advance(100);
+    let spec = || job(vec![step(40, 200, 300)]);
+    let ids: Vec<JobId> = (0..40).map(|_| simulation.submit("maps", spec())).collect();
+    simulation.advance(50);
+    simulation.is_store_unavailable = true;
+    simulation.advance(3_000);
+    simulation.fail_over(2);
+    simulation.advance(1_000);
+    assert!(simulation.workers[&first].ended.len() > 500);
+    assert!(simulation.workers[&second].ended.len() < 500);
+    simulation.workers[&first].is_disconnected = true;
+    simulation.advance(1_750);
+    simulation.cut_leader_off(&[second], 3);
+    simulation.advance(9_000);
+    simulation.end_cut();
+    simulation.advance_until(SETTLE_MS, |simulation| {
+        let mut states = ids.iter().map(|id| simulation.state(*id));
+        states.all(|state| state == Some(JobState::Complete))
+    });
+}
