Take no worker for gone whose instance is up without a worker

A row of the list of instances that is up but names no worker counted as proof that the worker of the instance was gone, so that its runs were started again after two failed polls. The row shows only that the platform knows no worker there at present, as when the worker is cut off from the store; it may run all the same.

Change: only a state other than up, or the id of another worker, shows that the worker is gone. Crashed workers whose instances are listed as down, or with their next worker, are found as fast as before.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -173,7 +173,8 @@
 
     /// Returns whether the list of instances shows that a worker is gone: its instance is not up, or has
     /// another worker. A list without a row of its instance does not show that, as rows that cannot be
-    /// read are left out, and instances may change while the list is read page by page.
+    /// read are left out, and instances may change while the list is read page by page. Nor does a row
+    /// without a worker: the platform may not know the worker at present.
     fn is_shown_gone(&self, key: WorkerKey, alive: &HashSet<SmolStr>) -> bool {
         let info = &self.worker(key).info;
         let Some(instance) = &info.instance else {
@@ -181,7 +182,8 @@
         };
         let row = self.instances.rows.get(instance);
         row.is_some_and(|row| {
-            row.info.state != InstanceState::Up || row.info.worker.as_ref() != Some(&info.id)
+            let listed = row.info.worker.as_ref();
+            row.info.state != InstanceState::Up || listed.is_some_and(|id| *id != info.id)
         })
     }
 
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -1,7 +1,7 @@
 //! What shows a leader that runs are gone, but proves nothing while a later leader may lead: that one
 //! may have adopted the runs, and may have taken note of their ends.
 
-use hawthornladder::jobs::{InstanceOrder, JobId, JobState};
+use hawthornladder::jobs::{InstanceInfo, InstanceOrder, InstanceState, JobId, JobState};
 use smol_str::SmolStr;
 
 use super::cut_off_leader::open_pool;
@@ -180,3 +180,31 @@
         states.all(|state| state == Some(JobState::Complete))
     });
 }
+
+/// Guards against runs that are started again beside the first ones because the list of instances has
+/// the instance of an unresponsive worker without the id of the worker.
+#[test]
+fn an_instance_that_is_up_without_a_worker_is_no_sign_that_its_worker_is_gone() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 20_000)]));
+    simulation.advance(4_000);
+    let first = simulation.runs_of(id)[0].0.clone();
+    simulation.workers[&first].is_disconnected = true;
+    simulation.advance(1_900);
+    let mut infos: Vec<InstanceInfo> = simulation.instances.values().cloned().collect();
+    for info in &mut infos {
+        if info.worker.as_ref() == Some(&first) {
+            assert_eq!(info.state, InstanceState::Up);
+            info.worker = None;
+        }
+    }
+    simulation
+        .engine
+        .instances_listed(infos, simulation.now_ms, simulation.now_ms);
+    simulation.advance(1_000);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.workers[&first].is_disconnected = false;
+    simulation.advance_until(30_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
