--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -142,8 +142,11 @@
     }
 
     /// Removes workers that are unresponsive, or only known from records, and that no instance in
-    /// the list has.
+    /// the list has. A worker may have gone after a later leader took note of what it had done.
     fn remove_workers_without_instance(&mut self, sent_ms: u64) {
+        if !self.is_exclusive() {
+            return;
+        }
         let rows = self.instances.rows.values();
         let alive: HashSet<SmolStr> = rows
             .filter(|row| row.info.state == InstanceState::Up)
@@ -170,7 +173,8 @@
 
     /// Returns whether the list of instances shows that a worker is gone: its instance is not up, or has
     /// another worker. A list without a row of its instance does not show that, as rows that cannot be
-    /// read are left out, and instances may change while the list is read page by page.
+    /// read are left out, and instances may change while the list is read page by page. Nor does a row
+    /// without a worker: the platform may not know the worker at present.
     fn is_shown_gone(&self, key: WorkerKey, alive: &HashSet<SmolStr>) -> bool {
         let info = &self.worker(key).info;
         let Some(instance) = &info.instance else {
@@ -178,7 +182,8 @@
         };
         let row = self.instances.rows.get(instance);
         row.is_some_and(|row| {
-            row.info.state != InstanceState::Up || row.info.worker.as_ref() != Some(&info.id)
+            let listed = row.info.worker.as_ref();
+            row.info.state != InstanceState::Up || listed.is_some_and(|id| *id != info.id)
         })
     }
 
@@ -296,6 +301,9 @@
     ) {
         self.now_ms = now_ms.max(self.now_ms);
         match answer {
+            // A later leader may have taken note of what the worker had done before the order was
+            // carried out. The order is sent again.
+            Ok(()) if !self.is_exclusive() => {}
             Ok(()) => self.order_done(order),
             Err(InstanceFailure::Lost) => {}
             Err(failure) => self.order_refused(order, failure),
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -35,8 +35,7 @@
         if !is_due || !self.present.contains(&key) {
             return false;
         }
-        let is_inherited =
-            worker.may_have_unseen_runs() && self.now_ms < self.inherited_runs_end_at_ms();
+        let is_inherited = worker.may_have_unseen_runs() && self.may_have_inherited_runs();
         let is_standby = self
             .catalog
             .pools
@@ -92,9 +91,12 @@
                 && reply.started_unix_ms != 0
                 && worker.info.started_unix_ms != reply.started_unix_ms
         };
-        if is_restarted {
-            self.restart_worker(key, reply.started_unix_ms);
+        match is_restarted {
+            true if !self.is_exclusive() => return self.put_off_restart(key),
+            true => self.restart_worker(key, reply.started_unix_ms),
+            false => {}
         }
+        let is_exclusive = self.is_exclusive();
         let worker = self.worker_mut(key);
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
@@ -117,7 +119,9 @@
         }
         worker.failed_polls_count = 0;
         worker.read_clock(reply.clock_ms, now_ms);
-        if !worker.is_fenced {
+        // A worker that answers for the first time may have restarted, and may have forgotten the fence
+        // of a later leader with what it did under that one.
+        if !worker.is_fenced && is_exclusive {
             worker.is_fenced = true;
             self.needs_dispatch = true;
             Event::new("worker_fenced")
@@ -163,6 +167,7 @@
             worker.slots.is_empty() && order.acknowledged_through == worker.persisted_through;
         let due_ms = match worker.awaited_batch {
             Some(_) => now_ms + UNPERSISTED_POLL_MS,
+            None if !worker.is_fenced => now_ms + FAILED_POLL_RETRY_MS,
             None if is_idle => u64::MAX,
             None => worker.next_poll_ms,
         };
@@ -222,6 +227,15 @@
         }
     }
 
+    /// Starts nothing on a worker that has restarted, and polls it again later. It knows no fence any
+    /// more, and a later leader may have taken note of what it did before.
+    fn put_off_restart(&mut self, key: WorkerKey) {
+        let due_ms = self.now_ms + FAILED_POLL_RETRY_MS;
+        let worker = self.worker_mut(key);
+        worker.is_fenced = false;
+        worker.poll = PollState::Idle { due_ms };
+    }
+
     fn restart_worker(&mut self, key: WorkerKey, started_unix_ms: u64) {
         let worker = self.worker(key);
         Event::new("worker_restarted")
