Settle a lease renewal only by the record at its own offset

Cause: `Leadership::apply_read` took any record that equals the pending write for that write. Successive renewals are equal. The long poll that was asked for from an older offset may return an earlier renewal after the next one is on its way; that one then counted as persisted, its call was given up, and the lease counted from the sending of a write that the store perhaps never got. Other nodes count from the earlier record, and claim while this node still takes its lease for valid.

Change: records are read with their offsets. Those before the known end of the topic are left out, and the write in flight is settled only by the record at its own offset.

Before: `a_late_read_of_an_earlier_renewal_does_not_prove_a_newer_one` fails ("the newer renewal counts as settled"). After: it passes, as do the other tests of `node_`.

--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -60,6 +60,15 @@
     pub sent_ms: u64,
 }
 
+/// A record as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadRecord {
+    /// Offset in the topic.
+    pub offset: u64,
+    /// The record.
+    pub record: LeaseRecord,
+}
+
 /// Outcome of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -160,15 +169,19 @@
         record.holder == self.own_record.holder && record.incarnation == self.own_record.incarnation
     }
 
-    /// Applies the records of a read that went up to `next_offset`.
-    pub fn apply_read(&mut self, records: Vec<LeaseRecord>, next_offset: u64, now_ms: u64) {
+    /// Applies the records of a read that went up to `next_offset`. Several reads and writes are under
+    /// way at once, so that a read may also return records that are known already.
+    pub fn apply_read(&mut self, records: Vec<ReadRecord>, next_offset: u64, now_ms: u64) {
         if !self.is_store_reachable {
             self.is_store_reachable = true;
             self.idle_since_ms = now_ms;
         }
-        let is_new = next_offset > self.end_offset;
-        self.end_offset = self.end_offset.max(next_offset);
-        for record in records {
+        let known_end_offset = self.end_offset;
+        let is_new = next_offset > known_end_offset;
+        self.end_offset = known_end_offset.max(next_offset);
+        let is_unknown = |read: &ReadRecord| read.offset >= known_end_offset;
+        for ReadRecord { offset, record } in records.into_iter().filter(is_unknown) {
+            self.settle_pending(offset, &record, now_ms);
             self.apply_record(record, now_ms);
         }
         if is_new {
@@ -200,15 +213,20 @@
                 .with("silent_ms", now_ms.saturating_sub(self.idle_since_ms))
                 .info();
         }
-        // The answer to this write was lost. Its lease counts from the sending.
+        self.newest = Some(record);
+    }
+
+    /// Applies the write in flight if it added the record that was read at `offset`: its answer is
+    /// late or lost. Its lease counts from the sending. Renewals are equal to each other, so that only
+    /// the offset tells them apart.
+    fn settle_pending(&mut self, offset: u64, record: &LeaseRecord, now_ms: u64) {
         let is_pending = self
             .pending
             .as_ref()
-            .is_some_and(|write| write.record == record);
+            .is_some_and(|write| write.at_offset == offset && write.record == *record);
         if let (true, Some(write)) = (is_pending, self.pending.take()) {
             self.apply_persisted_write(&write, now_ms);
         }
-        self.newest = Some(record);
     }
 
     fn apply_persisted_write(&mut self, write: &LeaseWrite, now_ms: u64) {
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -5,7 +5,7 @@
 
 use crate::logging::Event;
 use crate::node::{
-    leader, KeyedRecord, LeaseRecord, LeaseWrite, Node, Role, StoreFailure, WriteOutcome,
+    leader, KeyedRecord, LeaseWrite, Node, ReadRecord, Role, StoreFailure, WriteOutcome,
 };
 use crate::platform::store::Topic;
 
@@ -22,17 +22,20 @@
 /// Longest time between two checks whether a write is due, in milliseconds.
 const SLEEP_MAX_MS: u64 = 500;
 
-fn decode(records: &[KeyedRecord]) -> Vec<LeaseRecord> {
+fn decode(records: &[KeyedRecord]) -> Vec<ReadRecord> {
     let mut found = Vec::new();
-    for record in records {
-        let Some(value) = &record.value else {
+    for KeyedRecord { value, offset, .. } in records {
+        let Some(value) = value else {
             continue;
         };
         match serde_json::from_slice(value) {
-            Ok(record) => found.push(record),
+            Ok(record) => found.push(ReadRecord {
+                offset: *offset,
+                record,
+            }),
             Err(error) => Event::new("record_unreadable")
                 .with("topic", "lead")
-                .with("offset", record.offset)
+                .with("offset", offset)
                 .with("error", error)
                 .warn(),
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -45,7 +45,7 @@
 pub use explain::{ExplainAnswer, ExplainCall, EXPLAIN_PATH};
 pub use journal::{appends_of, Journal};
 pub use leader::{STARTS_PER_STEP_MAX, STEP_PAUSE_MS};
-pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
+pub use leadership::{Leadership, LeaseRecord, LeaseWrite, ReadRecord, Role, WriteOutcome};
 pub use loop_delay::LoopDelay;
 pub use metrics::NodeMetrics;
 pub use types::{
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -1,6 +1,6 @@
 //! The state machine of the leadership lease, with the topic in memory.
 
-use hawthornladder::node::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
+use hawthornladder::node::{Leadership, LeaseRecord, LeaseWrite, ReadRecord, Role, WriteOutcome};
 
 /// Shortest lease, in milliseconds.
 const LEASE_MS: u64 = 1_000;
@@ -31,8 +31,17 @@
     }
 
     fn read(&self, node: &mut Leadership, now_ms: u64) {
-        let from = usize::try_from(node.end_offset()).expect("the count fits");
-        node.apply_read(self.records[from..].to_vec(), self.end(), now_ms);
+        node.apply_read(self.records_from(node.end_offset()), self.end(), now_ms);
+    }
+
+    fn records_from(&self, from_offset: u64) -> Vec<ReadRecord> {
+        let records = (0..).zip(&self.records);
+        let records = records.filter(|(offset, _)| *offset >= from_offset);
+        let read = records.map(|(offset, record)| ReadRecord {
+            offset,
+            record: record.clone(),
+        });
+        read.collect()
     }
 
     fn write(&mut self, node: &mut Leadership, now_ms: u64) -> Option<WriteOutcome> {
@@ -224,3 +233,19 @@
     assert!(second.next_write(2_830 + 3_600).is_none());
     assert!(second.next_write(2_830 + 3_600 + 400).is_some());
 }
+
+/// An earlier renewal, read late, was taken for a newer one that equals it and never took effect, so
+/// that the lease lasted beyond the time after which another node claims.
+#[test]
+fn a_late_read_of_an_earlier_renewal_does_not_prove_a_newer_one() {
+    let (mut topic, mut first, _) = leader_and_follower();
+    let asked_from = first.end_offset();
+    assert!(topic.write(&mut first, 1_320).is_some());
+    let late = topic.records_from(asked_from);
+    let unsent = first.next_write(1_600).expect("a write is due");
+    assert_eq!(topic.records[1], unsent.record, "the renewals are equal");
+    first.apply_read(late, topic.end(), 1_650);
+    assert!(first.is_writing(), "the newer renewal counts as settled");
+    assert!(is_valid_leader(&first, 1_320 + LEASE_MS - 1));
+    assert!(!is_valid_leader(&first, 1_320 + LEASE_MS));
+}
