Let no renewal of the lease end before the lease that it follows

Cause: a lease lasts four times as long as the last write took, and gets shorter as soon as the store is fast again. The other nodes count it by the newest record. A leader that is cut off before it learns that the record is in the store goes on counting by the longer one before, and takes itself for the only leader up to 4 s after another may have claimed: it answers callers, and counts leases of runs as over.

Change: a renewal is at least as long as what is left of the lease before it. After a slow time the lease gets shorter by the time that passes.

Before: `a_renewal_does_not_end_the_lease_before_it` fails (two leaders at 3,740 ms, the first one valid until 5,830 ms). After: it passes, as do all 24 tests of `node_`.

--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -317,9 +317,12 @@
         match &self.newest {
             Some(newest) if self.is_own(newest) && !newest.is_released => {
                 let is_due = self.is_release_requested || now_ms >= self.lease_start_ms + RENEW_MS;
+                // The others count the lease by the newest record. This process, if it does not learn
+                // that the record is in the store, goes on counting by the one before.
+                let left_ms = self.valid_until_ms().saturating_sub(now_ms);
                 is_due.then(|| LeaseRecord {
                     is_released: self.is_release_requested,
-                    lease_ms,
+                    lease_ms: lease_ms.max(left_ms),
                     ..newest.clone()
                 })
             }
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -249,3 +249,27 @@
     assert!(is_valid_leader(&first, 1_320 + LEASE_MS - 1));
     assert!(!is_valid_leader(&first, 1_320 + LEASE_MS));
 }
+
+/// A node that shortened its lease, and did not learn that the store had taken the record, counted on
+/// the longer lease before it, after the others had claimed by the shorter one.
+#[test]
+fn a_renewal_does_not_end_the_lease_before_it() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    let slow = first.next_write(1_320).expect("a write is due");
+    let outcome = topic.append(&slow);
+    first.apply_write_outcome(&slow, outcome, 2_220);
+    // The write took 900 ms, so that the next lease is long. This one takes 10 ms.
+    let long = first.next_write(2_230).expect("a write is due");
+    let outcome = topic.append(&long);
+    first.apply_write_outcome(&long, outcome, 2_240);
+    let unanswered = first.next_write(2_490).expect("a write is due");
+    topic.append(&unanswered);
+    first.apply_write_outcome(&unanswered, WriteOutcome::Unknown, 2_500);
+    topic.read(&mut second, 2_500);
+    for now_ms in (2_500..9_000).step_by(10) {
+        topic.write(&mut second, now_ms);
+        let are_both_valid = is_valid_leader(&first, now_ms) && is_valid_leader(&second, now_ms);
+        assert!(!are_both_valid, "two leaders at {now_ms} ms");
+    }
+    assert!(is_valid_leader(&second, 8_990) || second.next_write(9_500).is_some());
+}
