Answer no callers, and order no instances, once the release is sent

Cause: a leader that hands off took its lease for valid until it learned that its release is in the store. The next leader claims as soon as it reads the release. If the answer is late (up to 2.5 s, RELEASE_WAIT_MS), both answer callers: the old one does not know the jobs that the new one has accepted (410), and shows those that the new one has cancelled or ended as active. Orders to instances that were connecting could leave under the old fence, too.

Change: a lease counts as valid only while no other process can lead, which ends with the sending of the release, not with the request for it. The engine is told the same: a release that waits behind a renewal, or that was certainly not sent, leaves the lease as it is.

Before: `a_lease_ends_when_its_release_is_sent` fails ("two leaders answer callers"), and so does `a_release_that_was_not_sent_does_not_end_the_lease` (0 instead of 2,020 ms).

--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -90,7 +90,7 @@
     Leader {
         /// Its fencing token.
         fence: u64,
-        /// Whether its lease is valid now.
+        /// Whether its lease is valid now, so that no other process leads.
         is_valid: bool,
     },
     /// Another process leads, or none does.
@@ -261,7 +261,7 @@
         match &self.newest {
             Some(newest) if self.is_own(newest) && !newest.is_released => Role::Leader {
                 fence: newest.fence,
-                is_valid: now_ms < self.valid_until_ms(),
+                is_valid: now_ms < self.exclusive_until_ms(),
             },
             Some(newest) if !newest.is_released => Role::Follower {
                 leader: Some(newest.peers_address),
@@ -276,16 +276,22 @@
     }
 
     /// Returns the time until which no other process can lead, in milliseconds; 0 if another one may
-    /// lead already. A lease that is being released may be claimed at any time.
+    /// lead already. Once its release is sent, the lease may be claimed at any time.
     pub fn exclusive_until_ms(&self) -> u64 {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !self.is_release_requested => {
-                self.valid_until_ms()
-            }
-            _ => 0,
+            Some(newest) if !self.is_own(newest) || newest.is_released => 0,
+            Some(_) if self.is_releasing() => 0,
+            Some(_) => self.valid_until_ms(),
+            None => 0,
         }
     }
 
+    /// Returns whether a release is in flight or of unknown outcome.
+    fn is_releasing(&self) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|write| write.record.is_released)
+    }
+
     /// Returns the write that is due, and records it as sent at `now_ms`.
     pub fn next_write(&mut self, now_ms: u64) -> Option<LeaseWrite> {
         if let Some(pending) = &self.pending {
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -273,3 +273,35 @@
     }
     assert!(is_valid_leader(&second, 8_990) || second.next_write(9_500).is_some());
 }
+
+/// A leader whose release was on its way answered callers from its own state, while the next leader
+/// already accepted and ended jobs.
+#[test]
+fn a_lease_ends_when_its_release_is_sent() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    first.release();
+    assert!(is_valid_leader(&first, 1_050), "no release is sent yet");
+    let release = first.next_write(1_060).expect("a write is due");
+    topic.append(&release);
+    topic.read(&mut second, 1_070);
+    assert!(topic.write(&mut second, 1_090).is_some());
+    assert!(is_valid_leader(&second, 1_090));
+    // The answer to the release is still on its way.
+    assert_eq!(first.exclusive_until_ms(), 0);
+    assert!(
+        !is_valid_leader(&first, 1_090),
+        "two leaders answer callers"
+    );
+}
+
+/// A release that was certainly not sent leaves the lease as it was.
+#[test]
+fn a_release_that_was_not_sent_does_not_end_the_lease() {
+    let (_, mut first, _) = leader_and_follower();
+    first.release();
+    assert_eq!(first.exclusive_until_ms(), 1_020 + LEASE_MS);
+    let release = first.next_write(1_060).expect("a write is due");
+    first.apply_write_outcome(&release, WriteOutcome::NotPersisted, 1_100);
+    assert!(is_valid_leader(&first, 1_110));
+    assert_eq!(first.exclusive_until_ms(), 1_020 + LEASE_MS);
+}
