Send no order to a worker once the leader may no longer act

Cause: whether a leader may act was looked at when a step of its engine ran. The orders of the step left without another look, up to 400 ms later where a connection had to be made, or after any pause of the process: a start, a stop, or a poll that extends leases could come from a node that had stopped leading, or whose lease had been over for longer than its successor allows for. Orders to instances have had this check (`call_if`).

Change: each order to a worker looks again once there is a connection: this node still leads under the fence of the order, and may act. An order that does not leave is reported as not sent. A poll that is held back so says nothing about the worker (`Engine::poll_withheld`): it would otherwise count as silent since its last answer, as after a crash.

Before: `no_order_leaves_a_leader_that_may_no_longer_act` fails (a poll is sent and answered), and with `poll_failed` for a poll held back so does `a_poll_that_the_leader_holds_back_says_nothing_about_the_worker` (1 start instead of 2).

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -197,6 +197,14 @@
         self.apply_failure(order.target.worker, failure);
     }
 
+    /// Records that a poll was not sent, as this leader may not act for the moment. That shows nothing
+    /// about the worker.
+    pub fn poll_withheld(&mut self, order: &PollOrder, now_ms: u64) {
+        self.now_ms = now_ms.max(self.now_ms);
+        let due_ms = self.now_ms + FAILED_POLL_RETRY_MS;
+        self.worker_mut(order.target.worker).poll = PollState::Idle { due_ms };
+    }
+
     /// Applies what a failed call shows about the worker or about this leader.
     pub(crate) fn apply_failure(&mut self, key: WorkerKey, failure: OrderFailure) {
         match failure {
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -127,7 +127,7 @@
 
     /// Returns whether the leader may still give orders to workers: its lease is valid, or expired
     /// less than `LEASE_GRACE_MS` ago.
-    fn may_act(&self) -> bool {
+    pub(crate) fn may_act(&self) -> bool {
         let now_ms = self.now_ms();
         now_ms < self.leadership.borrow().valid_until_ms() + LEASE_GRACE_MS
     }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::jobs::{
-    Action, InstanceOrder, PaceOrder, PollOrder, StartOrder, StopOrder, TicketRequest,
+    Action, InstanceOrder, OrderFailure, PaceOrder, PollOrder, StartOrder, StopOrder, TicketRequest,
 };
 use crate::logging::Event;
 use crate::node::leader::{spawn, to_f64};
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Returns whether an order of the leadership under `fence` may leave: this node still leads under
+    /// it, and may still act.
+    fn may_order(&self, fence: u64) -> bool {
+        self.with_leader(fence, |_| ()).is_some() && self.may_act()
+    }
+
     fn record_order(&self, kind: &'static str, outcome: &'static str, sent_ms: u64) {
         self.metrics.count_order(kind, outcome);
         self.metrics
@@ -44,10 +50,11 @@
 async fn start(node: Rc<Node>, order: StartOrder) {
     let sent_ms = node.now_ms();
     node.count_load(|load| load.starts_count += 1);
-    let answer = workers::start(&node.client, &order).await;
+    let fence = order.target.fence;
+    let answer = workers::start(&node.client, &order, || node.may_order(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("start", answer.map_or_else(Into::into, |_| "ok"), sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
+    node.with_leader(fence, |leader| match answer {
         Ok(clock_ms) => leader.engine.start_accepted(&order, clock_ms, now_ms),
         Err(failure) => leader.engine.start_failed(&order, failure, now_ms),
     });
@@ -56,10 +63,11 @@
 
 async fn stop(node: Rc<Node>, order: StopOrder) {
     let sent_ms = node.now_ms();
-    let answer = workers::stop(&node.client, &order).await;
+    let fence = order.target.fence;
+    let answer = workers::stop(&node.client, &order, || node.may_order(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("stop", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
+    node.with_leader(fence, |leader| match answer {
         Ok(()) => leader.engine.stop_accepted(&order, now_ms),
         Err(failure) => leader.engine.stop_failed(&order, failure, now_ms),
     });
@@ -68,11 +76,12 @@
 
 async fn pace(node: Rc<Node>, order: PaceOrder) {
     let sent_ms = node.now_ms();
-    let answer = workers::pace(&node.client, &order).await;
+    let fence = order.target.fence;
+    let answer = workers::pace(&node.client, &order, || node.may_order(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("pace", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
     if answer.is_err() {
-        node.with_leader(order.target.fence, |leader| {
+        node.with_leader(fence, |leader| {
             leader.engine.pace_failed(&order, now_ms);
         });
     }
@@ -81,14 +90,19 @@
 async fn poll(node: Rc<Node>, order: PollOrder) {
     let sent_ms = node.now_ms();
     node.count_load(|load| load.polls_count += 1);
-    let answer = workers::poll(&node.client, &order).await;
+    let fence = order.target.fence;
+    let answer = workers::poll(&node.client, &order, || node.may_order(fence)).await;
     let now_ms = node.now_ms();
     let outcome = answer
         .as_ref()
         .map_or_else(|failure| (*failure).into(), |_| "ok");
     node.record_order("look", outcome, sent_ms);
-    node.with_leader(order.target.fence, |leader| match answer {
+    let may_order = node.may_order(fence);
+    node.with_leader(fence, |leader| match answer {
         Ok(reply) => leader.engine.poll_answered(&order, reply, now_ms),
+        Err(OrderFailure::NotSent) if !may_order => {
+            leader.engine.poll_withheld(&order, now_ms);
+        }
         Err(failure) => leader.engine.poll_failed(&order, failure, now_ms),
     });
     node.request_step();
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,4 +1,5 @@
-//! Client of the workers: encodes orders and decodes the answers.
+//! Client of the workers: encodes orders and decodes the answers. Nothing is sent unless `may_send`
+//! holds once there is a connection.
 
 use hyper::body::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -96,6 +97,7 @@
     path: &'static str,
     body: &impl Serialize,
     timeout_ms: u64,
+    may_send: impl Fn() -> bool,
 ) -> Result<Reply, OrderFailure> {
     let id = HeaderValue::from_str(&target.id).map_err(|_| OrderFailure::NotSent)?;
     let body = serde_json::to_vec(body).map_err(|_| OrderFailure::NotSent)?;
@@ -108,10 +110,13 @@
         timeout_ms,
         answer_max_bytes: ANSWER_MAX_BYTES,
     };
-    let reply = client.call(call).await.map_err(|failure| match failure {
-        CallFailure::NotSent => OrderFailure::NotSent,
-        CallFailure::Lost => OrderFailure::Lost,
-    })?;
+    let reply = client
+        .call_if(call, may_send)
+        .await
+        .map_err(|failure| match failure {
+            CallFailure::NotSent => OrderFailure::NotSent,
+            CallFailure::Lost => OrderFailure::Lost,
+        })?;
     match reply.status {
         200 => Ok(reply),
         status => Err(failure_of(status, &reply.body)),
@@ -139,7 +144,11 @@
 }
 
 /// Starts a run of a task, and returns the worker's clock in milliseconds if the answer has it.
-pub async fn start(client: &Client, order: &StartOrder) -> Result<Option<u64>, OrderFailure> {
+pub async fn start(
+    client: &Client,
+    order: &StartOrder,
+    may_send: impl Fn() -> bool,
+) -> Result<Option<u64>, OrderFailure> {
     let body = StartWire {
         task: order.name.to_string(),
         run: order.run.run,
@@ -150,24 +159,48 @@
         ticket: order.ticket.as_ref(),
     };
     let path = "/hawthornladder/run-start";
-    let reply = call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    let reply = call(
+        client,
+        &order.target,
+        path,
+        &body,
+        ORDER_TIMEOUT_MS,
+        may_send,
+    )
+    .await?;
     Ok(clock_of(&reply))
 }
 
 /// Stops a run.
-pub async fn stop(client: &Client, order: &StopOrder) -> Result<(), OrderFailure> {
+pub async fn stop(
+    client: &Client,
+    order: &StopOrder,
+    may_send: impl Fn() -> bool,
+) -> Result<(), OrderFailure> {
     let body = StopWire {
         task: order.name.to_string(),
         run: order.run_number,
         fencing_token: order.target.fence,
     };
     let path = "/hawthornladder/run-stop";
-    call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    call(
+        client,
+        &order.target,
+        path,
+        &body,
+        ORDER_TIMEOUT_MS,
+        may_send,
+    )
+    .await?;
     Ok(())
 }
 
 /// Sets the pace of a run, in percent.
-pub async fn pace(client: &Client, order: &PaceOrder) -> Result<(), OrderFailure> {
+pub async fn pace(
+    client: &Client,
+    order: &PaceOrder,
+    may_send: impl Fn() -> bool,
+) -> Result<(), OrderFailure> {
     let body = PaceWire {
         task: order.name.to_string(),
         run: order.run.run,
@@ -175,13 +208,25 @@
         fencing_token: order.target.fence,
     };
     let path = "/hawthornladder/pace";
-    call(client, &order.target, path, &body, ORDER_TIMEOUT_MS).await?;
+    call(
+        client,
+        &order.target,
+        path,
+        &body,
+        ORDER_TIMEOUT_MS,
+        may_send,
+    )
+    .await?;
     Ok(())
 }
 
 /// Polls a worker: renews the lease of all its runs and lists them. The platform's protocol calls
 /// this a hold.
-pub async fn poll(client: &Client, order: &PollOrder) -> Result<PollReply, OrderFailure> {
+pub async fn poll(
+    client: &Client,
+    order: &PollOrder,
+    may_send: impl Fn() -> bool,
+) -> Result<PollReply, OrderFailure> {
     let body = HoldWire {
         until_ms: order.lease_end_worker_ms,
         fencing_token: order.target.fence,
@@ -190,7 +235,7 @@
     };
     let path = "/hawthornladder/hold";
     let timeout_ms = order.wait_ms + POLL_TIMEOUT_MARGIN_MS;
-    let reply = call(client, &order.target, path, &body, timeout_ms).await?;
+    let reply = call(client, &order.target, path, &body, timeout_ms, may_send).await?;
     parse_poll_reply(&reply.body).ok_or(OrderFailure::Invalid)
 }
 
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -22,7 +22,7 @@
 mod record_sizes;
 mod run_times;
 mod shrunk_capacity;
-mod simulation;
+pub(crate) mod simulation;
 mod soak;
 mod team_rates;
 mod unlisted_ends;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod node_journal;
 mod node_leadership;
 mod node_load;
+mod node_orders;
 mod node_refusals;
 mod node_waiters;
 mod operator_commands;
--- /dev/null
+++ b/tests/testsuite/node_orders.rs
@@ -0,0 +1,127 @@
+//! The orders of a leader to workers: none is sent once the leader may no longer act.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use hawthornladder::jobs::{
+    JobKey, OrderFailure, PollOrder, RunKey, StartOrder, TaskKey, TaskName,
+};
+use hawthornladder::net::{
+    self, Answer, Client, ClientSettings, IncomingRequest, ServerHandle, ServerSettings,
+};
+use hawthornladder::platform::workers;
+use hyper::body::Bytes;
+use smol_str::SmolStr;
+
+use crate::jobs::simulation::{job, long_running, Simulation};
+
+fn run<T: Future<Output = ()>>(test: T) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn client() -> Client {
+    Client::open(ClientSettings {
+        idle_max_count: 4,
+        idle_age_max_ms: 1_000,
+    })
+}
+
+/// A worker that has nothing to report, and counts the calls that it gets.
+struct QuietWorker {
+    address: SocketAddr,
+    calls_count: Rc<Cell<u32>>,
+    _server: ServerHandle,
+}
+
+impl QuietWorker {
+    async fn spawn() -> Self {
+        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = free.local_addr().expect("an address");
+        drop(free);
+        let settings = ServerSettings {
+            body_max_bytes: 10_000,
+            connections_max_count: 8,
+        };
+        let calls_count = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&calls_count);
+        let answer = move |_: IncomingRequest| {
+            counted.set(counted.get() + 1);
+            std::future::ready(Answer {
+                status: 200,
+                body: Bytes::from(r#"{"clock_ms":5000,"running":[],"finished":[]}"#),
+                ..Answer::default()
+            })
+        };
+        Self {
+            address,
+            calls_count,
+            _server: net::serve(address, settings, answer)
+                .await
+                .expect("the server starts"),
+        }
+    }
+}
+
+/// Returns a poll of the worker at `address`, and a start there.
+fn orders_to(address: SocketAddr) -> (PollOrder, StartOrder) {
+    let mut simulation = Simulation::open(&["pool"], 1);
+    simulation.submit("pool", job(vec![long_running(1, 1_000)]));
+    simulation.advance_until(2_000, |simulation| !simulation.polls.is_empty());
+    let (mut poll, _) = simulation.polls.remove(0);
+    poll.target.address = address;
+    let task = TaskKey {
+        job: JobKey(0),
+        round: 0,
+        step: 0,
+        index: 0,
+    };
+    let start = StartOrder {
+        target: poll.target.clone(),
+        run: RunKey { task, run: 1 },
+        name: TaskName::parse("0000000000000001.0.0.0").expect("a name"),
+        spec: Arc::new(job(vec![long_running(1, 1_000)])),
+        lease_end_worker_ms: 9_000,
+        checkpoint: SmolStr::default(),
+        ticket: None,
+    };
+    (poll, start)
+}
+
+/// A leader that was paused, or that had stopped leading while it connected, sent starts and polls
+/// that extended leases all the same. What was not sent is said to be so.
+#[test]
+fn no_order_leaves_a_leader_that_may_no_longer_act() {
+    run(async {
+        let worker = QuietWorker::spawn().await;
+        let client = client();
+        let (poll, start) = orders_to(worker.address);
+        let polled = workers::poll(&client, &poll, || false).await;
+        assert_eq!(polled.err(), Some(OrderFailure::NotSent));
+        let started = workers::start(&client, &start, || false).await;
+        assert_eq!(started, Err(OrderFailure::NotSent));
+        assert_eq!(worker.calls_count.get(), 0, "an order was sent");
+        let started = workers::start(&client, &start, || true).await;
+        assert_eq!(started, Ok(Some(5_000)));
+    });
+}
+
+/// A poll that was not sent by a leader that may not act must not make its worker count as silent.
+#[test]
+fn a_poll_that_the_leader_holds_back_says_nothing_about_the_worker() {
+    let mut simulation = Simulation::open(&["pool"], 1);
+    simulation.submit("pool", job(vec![long_running(1, 1_000)]));
+    simulation.advance_until(2_000, |simulation| !simulation.polls.is_empty());
+    let (poll, _) = simulation.polls.remove(0);
+    simulation.engine.poll_withheld(&poll, simulation.now_ms);
+    simulation.submit("pool", job(vec![long_running(1, 1_000)]));
+    // Less than the pause after which a silent worker is polled again.
+    simulation.advance(50);
+    assert_eq!(simulation.starts.len(), 2, "the worker counts as silent");
+}
