Give up the lease of a leadership that cannot go on

As long as no other record follows, nobody leads. And a restore that was still under way for an earlier leadership, whose fence the store then refuses, ended whichever leadership this process had by then; the next look at the lease began that one again under the same fence, with the answers to the orders of the one before still to come.

Change: `Leadership` knows which fence is superseded. It renews no such lease, shows no leader, and claims like any other process once the lease is over. `depose` does nothing if this node leads under another fence.

Before: `a_superseded_leader_does_not_keep_its_lease` fails (the role stays that of the leader). After: it passes, as do all 29 tests of `node_`. The part on the restore comes from reading; no test shows it, as it needs a node with a store.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -162,16 +162,14 @@
             self.execute(action);
         }
         journal::start_writer(self);
-        let has_lost_leadership = self
+        let lost_fence = self
             .leader_state
             .borrow()
             .as_ref()
-            .is_some_and(|leader| leader.engine.has_lost_leadership());
-        if has_lost_leadership {
-            if let Some(leader) = self.leader_state.borrow().as_ref() {
-                self.superseded_fence.set(leader.engine.fence());
-            }
-            step_down(self, "deposed");
+            .filter(|leader| leader.engine.has_lost_leadership())
+            .map(|leader| leader.engine.fence());
+        if let Some(fence) = lost_fence {
+            depose(self, fence);
         }
     }
 }
@@ -197,7 +195,6 @@
         .map(|leader| leader.engine.fence());
     match (role, leading_fence) {
         (Role::Leader { fence, .. }, Some(known)) if fence == known => {}
-        (Role::Leader { fence, .. }, _) if fence <= node.superseded_fence.get() => {}
         (Role::Leader { .. }, None) if node.is_stopping.get() => {}
         (Role::Leader { fence, .. }, _) => start_leading(node, fence),
         (Role::Follower { .. }, Some(_)) => step_down(node, "lease_lost"),
@@ -205,7 +202,18 @@
     }
 }
 
-pub(crate) fn step_down(node: &Rc<Node>, reason: &'static str) {
+/// Ends the leadership under `fence`, as another leader has followed or the journal cannot go on. Does
+/// nothing if this node leads under another fence by now.
+pub(crate) fn depose(node: &Rc<Node>, fence: u64) {
+    if node.with_leader(fence, |_| ()).is_none() {
+        return;
+    }
+    node.leadership.borrow_mut().supersede(fence);
+    node.lease_changed.notify_one();
+    step_down(node, "deposed");
+}
+
+fn step_down(node: &Rc<Node>, reason: &'static str) {
     // Dropping the channels reports to the waiting callers that the outcome is not known.
     if let Some(leader) = node.leader_state.borrow_mut().take() {
         Event::new("leadership_ended")
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -121,6 +121,8 @@
     /// Time of the last sending of `pending`.
     pending_sent_ms: u64,
     is_release_requested: bool,
+    /// Highest fence under which this process may no longer lead, although it holds the lease.
+    superseded_fence: u64,
 }
 
 impl Leadership {
@@ -152,6 +154,7 @@
             pending: None,
             pending_sent_ms: 0,
             is_release_requested: false,
+            superseded_fence: 0,
         }
     }
 
@@ -247,23 +250,34 @@
         self.is_release_requested = true;
     }
 
+    /// Records that this process can no longer lead under `fence`. It does not renew that lease, so that
+    /// another process, or this one with a higher fence, claims once it is over.
+    pub fn supersede(&mut self, fence: u64) {
+        self.superseded_fence = self.superseded_fence.max(fence);
+    }
+
+    /// Returns whether this process holds the lease by this record, and may lead.
+    fn is_held(&self, record: &LeaseRecord) -> bool {
+        self.is_own(record) && !record.is_released && record.fence > self.superseded_fence
+    }
+
     /// Returns whether this process does not hold the lease: it released the lease, never held it,
     /// or lost it to another process.
     pub fn is_released(&self) -> bool {
-        match &self.newest {
-            Some(newest) => !self.is_own(newest) || newest.is_released,
-            None => true,
-        }
+        !self
+            .newest
+            .as_ref()
+            .is_some_and(|newest| self.is_held(newest))
     }
 
     /// Returns the role of this process at `now_ms`.
     pub fn role(&self, now_ms: u64) -> Role {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => Role::Leader {
+            Some(newest) if self.is_held(newest) => Role::Leader {
                 fence: newest.fence,
                 is_valid: now_ms < self.exclusive_until_ms(),
             },
-            Some(newest) if !newest.is_released => Role::Follower {
+            Some(newest) if !self.is_own(newest) && !newest.is_released => Role::Follower {
                 leader: Some(newest.peers_address),
             },
             _ => Role::Follower { leader: None },
@@ -279,10 +293,8 @@
     /// lead already. Once its release is sent, the lease may be claimed at any time.
     pub fn exclusive_until_ms(&self) -> u64 {
         match &self.newest {
-            Some(newest) if !self.is_own(newest) || newest.is_released => 0,
-            Some(_) if self.is_releasing() => 0,
-            Some(_) => self.valid_until_ms(),
-            None => 0,
+            Some(newest) if self.is_held(newest) && !self.is_releasing() => self.valid_until_ms(),
+            _ => 0,
         }
     }
 
@@ -321,7 +333,7 @@
             .clamp(LEASE_BOUNDS_MS.0, LEASE_BOUNDS_MS.1);
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => {
+            Some(newest) if self.is_held(newest) => {
                 let is_due = self.is_release_requested || now_ms >= self.lease_start_ms + RENEW_MS;
                 // The others count the lease by the newest record. This process, if it does not learn
                 // that the record is in the store, goes on counting by the one before.
@@ -356,7 +368,7 @@
             () if newest.is_released => 0,
             // This process has bound the address of its predecessor of the same name, which must
             // have ended.
-            () if newest.holder == self.own_record.holder => 0,
+            () if newest.holder == self.own_record.holder && !self.is_own(newest) => 0,
             () => {
                 let drift_ms = newest.lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
                 newest.lease_ms + drift_ms + CLAIM_MARGIN_MS
@@ -367,7 +379,7 @@
     /// Returns the earliest time at which [`next_write`](Self::next_write) may return a write.
     pub fn next_due_ms(&self, now_ms: u64) -> u64 {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => {
+            Some(newest) if self.is_held(newest) => {
                 (self.lease_start_ms + RENEW_MS).max(now_ms + 1)
             }
             Some(newest) => self.idle_since_ms + self.claim_idle_ms(newest) + self.claim_delay_ms,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -108,8 +108,6 @@
     pub(crate) lease_changed: Notify,
     /// The engine and the rest of the leader's state, while this node leads.
     pub(crate) leader_state: RefCell<Option<LeaderState>>,
-    /// Highest fence under which this node led until another leader replaced it.
-    pub(crate) superseded_fence: Cell<u64>,
     pub(crate) is_stopping: Cell<bool>,
 }
 
@@ -185,7 +183,6 @@
             step_due: Notify::new(),
             lease_changed: Notify::new(),
             leader_state: RefCell::new(None),
-            superseded_fence: Cell::new(0),
             is_stopping: Cell::new(false),
             settings,
         });
--- a/src/node/restore.rs
+++ b/src/node/restore.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::Record;
 use crate::logging::Event;
-use crate::node::leader::{spawn, step_down, tick};
+use crate::node::leader::{depose, spawn, tick};
 use crate::node::{fleet_lists, journal, Node, StoreFailure};
 use crate::platform::store::Topic;
 
@@ -40,8 +40,7 @@
         match read_records(node, fence).await {
             Ok(records) => return Some(records),
             Err(StoreFailure::Fenced) => {
-                node.superseded_fence.set(fence);
-                step_down(node, "deposed");
+                depose(node, fence);
                 return None;
             }
             Err(failure) => {
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -305,3 +305,21 @@
     assert!(is_valid_leader(&first, 1_110));
     assert_eq!(first.exclusive_until_ms(), 1_020 + LEASE_MS);
 }
+
+/// A leader that had been replaced, or whose journal was out of step, went on renewing its lease
+/// without leading, so that nobody led any more.
+#[test]
+fn a_superseded_leader_does_not_keep_its_lease() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    first.supersede(1);
+    assert!(matches!(first.role(1_100), Role::Follower { leader: None }));
+    for now_ms in (1_100..4_000).step_by(100) {
+        topic.write(&mut first, now_ms);
+        topic.read(&mut second, now_ms);
+        topic.write(&mut second, now_ms);
+        topic.read(&mut first, now_ms);
+    }
+    let fences: Vec<u64> = topic.records.iter().map(|record| record.fence).collect();
+    assert_eq!(fences[..2], [1, 2], "the superseded lease was renewed");
+    assert!(is_valid_leader(&first, 4_000) != is_valid_leader(&second, 4_000));
+}
