--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -60,6 +60,15 @@
     pub sent_ms: u64,
 }
 
+/// A record as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadRecord {
+    /// Offset in the topic.
+    pub offset: u64,
+    /// The record.
+    pub record: LeaseRecord,
+}
+
 /// Outcome of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -81,7 +90,7 @@
     Leader {
         /// Its fencing token.
         fence: u64,
-        /// Whether its lease is valid now.
+        /// Whether its lease is valid now, so that no other process leads.
         is_valid: bool,
     },
     /// Another process leads, or none does.
@@ -112,6 +121,8 @@
     /// Time of the last sending of `pending`.
     pending_sent_ms: u64,
     is_release_requested: bool,
+    /// Highest fence under which this process may no longer lead, although it holds the lease.
+    superseded_fence: u64,
 }
 
 impl Leadership {
@@ -143,6 +154,7 @@
             pending: None,
             pending_sent_ms: 0,
             is_release_requested: false,
+            superseded_fence: 0,
         }
     }
 
@@ -160,15 +172,19 @@
         record.holder == self.own_record.holder && record.incarnation == self.own_record.incarnation
     }
 
-    /// Applies the records of a read that went up to `next_offset`.
-    pub fn apply_read(&mut self, records: Vec<LeaseRecord>, next_offset: u64, now_ms: u64) {
+    /// Applies the records of a read that went up to `next_offset`. Several reads and writes are under
+    /// way at once, so that a read may also return records that are known already.
+    pub fn apply_read(&mut self, records: Vec<ReadRecord>, next_offset: u64, now_ms: u64) {
         if !self.is_store_reachable {
             self.is_store_reachable = true;
             self.idle_since_ms = now_ms;
         }
-        let is_new = next_offset > self.end_offset;
-        self.end_offset = self.end_offset.max(next_offset);
-        for record in records {
+        let known_end_offset = self.end_offset;
+        let is_new = next_offset > known_end_offset;
+        self.end_offset = known_end_offset.max(next_offset);
+        let is_unknown = |read: &ReadRecord| read.offset >= known_end_offset;
+        for ReadRecord { offset, record } in records.into_iter().filter(is_unknown) {
+            self.settle_pending(offset, &record, now_ms);
             self.apply_record(record, now_ms);
         }
         if is_new {
@@ -200,15 +216,20 @@
                 .with("silent_ms", now_ms.saturating_sub(self.idle_since_ms))
                 .info();
         }
-        // The answer to this write was lost. Its lease counts from the sending.
+        self.newest = Some(record);
+    }
+
+    /// Applies the write in flight if it added the record that was read at `offset`: its answer is
+    /// late or lost. Its lease counts from the sending. Renewals are equal to each other, so that only
+    /// the offset tells them apart.
+    fn settle_pending(&mut self, offset: u64, record: &LeaseRecord, now_ms: u64) {
         let is_pending = self
             .pending
             .as_ref()
-            .is_some_and(|write| write.record == record);
+            .is_some_and(|write| write.at_offset == offset && write.record == *record);
         if let (true, Some(write)) = (is_pending, self.pending.take()) {
             self.apply_persisted_write(&write, now_ms);
         }
-        self.newest = Some(record);
     }
 
     fn apply_persisted_write(&mut self, write: &LeaseWrite, now_ms: u64) {
@@ -229,23 +250,34 @@
         self.is_release_requested = true;
     }
 
+    /// Records that this process can no longer lead under `fence`. It does not renew that lease, so that
+    /// another process, or this one with a higher fence, claims once it is over.
+    pub fn supersede(&mut self, fence: u64) {
+        self.superseded_fence = self.superseded_fence.max(fence);
+    }
+
+    /// Returns whether this process holds the lease by this record, and may lead.
+    fn is_held(&self, record: &LeaseRecord) -> bool {
+        self.is_own(record) && !record.is_released && record.fence > self.superseded_fence
+    }
+
     /// Returns whether this process does not hold the lease: it released the lease, never held it,
     /// or lost it to another process.
     pub fn is_released(&self) -> bool {
-        match &self.newest {
-            Some(newest) => !self.is_own(newest) || newest.is_released,
-            None => true,
-        }
+        !self
+            .newest
+            .as_ref()
+            .is_some_and(|newest| self.is_held(newest))
     }
 
     /// Returns the role of this process at `now_ms`.
     pub fn role(&self, now_ms: u64) -> Role {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => Role::Leader {
+            Some(newest) if self.is_held(newest) => Role::Leader {
                 fence: newest.fence,
-                is_valid: now_ms < self.valid_until_ms(),
+                is_valid: now_ms < self.exclusive_until_ms(),
             },
-            Some(newest) if !newest.is_released => Role::Follower {
+            Some(newest) if !self.is_own(newest) && !newest.is_released => Role::Follower {
                 leader: Some(newest.peers_address),
             },
             _ => Role::Follower { leader: None },
@@ -258,16 +290,20 @@
     }
 
     /// Returns the time until which no other process can lead, in milliseconds; 0 if another one may
-    /// lead already. A lease that is being released may be claimed at any time.
+    /// lead already. Once its release is sent, the lease may be claimed at any time.
     pub fn exclusive_until_ms(&self) -> u64 {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !self.is_release_requested => {
-                self.valid_until_ms()
-            }
+            Some(newest) if self.is_held(newest) && !self.is_releasing() => self.valid_until_ms(),
             _ => 0,
         }
     }
 
+    /// Returns whether a release is in flight or of unknown outcome.
+    fn is_releasing(&self) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|write| write.record.is_released)
+    }
+
     /// Returns the write that is due, and records it as sent at `now_ms`.
     pub fn next_write(&mut self, now_ms: u64) -> Option<LeaseWrite> {
         if let Some(pending) = &self.pending {
@@ -297,11 +333,14 @@
             .clamp(LEASE_BOUNDS_MS.0, LEASE_BOUNDS_MS.1);
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms);
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => {
+            Some(newest) if self.is_held(newest) => {
                 let is_due = self.is_release_requested || now_ms >= self.lease_start_ms + RENEW_MS;
+                // The others count the lease by the newest record. This process, if it does not learn
+                // that the record is in the store, goes on counting by the one before.
+                let left_ms = self.valid_until_ms().saturating_sub(now_ms);
                 is_due.then(|| LeaseRecord {
                     is_released: self.is_release_requested,
-                    lease_ms,
+                    lease_ms: lease_ms.max(left_ms),
                     ..newest.clone()
                 })
             }
@@ -329,7 +368,7 @@
             () if newest.is_released => 0,
             // This process has bound the address of its predecessor of the same name, which must
             // have ended.
-            () if newest.holder == self.own_record.holder => 0,
+            () if newest.holder == self.own_record.holder && !self.is_own(newest) => 0,
             () => {
                 let drift_ms = newest.lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
                 newest.lease_ms + drift_ms + CLAIM_MARGIN_MS
@@ -340,7 +379,7 @@
     /// Returns the earliest time at which [`next_write`](Self::next_write) may return a write.
     pub fn next_due_ms(&self, now_ms: u64) -> u64 {
         match &self.newest {
-            Some(newest) if self.is_own(newest) && !newest.is_released => {
+            Some(newest) if self.is_held(newest) => {
                 (self.lease_start_ms + RENEW_MS).max(now_ms + 1)
             }
             Some(newest) => self.idle_since_ms + self.claim_idle_ms(newest) + self.claim_delay_ms,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -45,7 +45,7 @@
 pub use explain::{ExplainAnswer, ExplainCall, EXPLAIN_PATH};
 pub use journal::{appends_of, Journal};
 pub use leader::{STARTS_PER_STEP_MAX, STEP_PAUSE_MS};
-pub use leadership::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
+pub use leadership::{Leadership, LeaseRecord, LeaseWrite, ReadRecord, Role, WriteOutcome};
 pub use loop_delay::LoopDelay;
 pub use metrics::NodeMetrics;
 pub use types::{
@@ -108,8 +108,6 @@
     pub(crate) lease_changed: Notify,
     /// The engine and the rest of the leader's state, while this node leads.
     pub(crate) leader_state: RefCell<Option<LeaderState>>,
-    /// Highest fence under which this node led until another leader replaced it.
-    pub(crate) superseded_fence: Cell<u64>,
     pub(crate) is_stopping: Cell<bool>,
 }
 
@@ -185,7 +183,6 @@
             step_due: Notify::new(),
             lease_changed: Notify::new(),
             leader_state: RefCell::new(None),
-            superseded_fence: Cell::new(0),
             is_stopping: Cell::new(false),
             settings,
         });
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -1,6 +1,6 @@
 //! The state machine of the leadership lease, with the topic in memory.
 
-use hawthornladder::node::{Leadership, LeaseRecord, LeaseWrite, Role, WriteOutcome};
+use hawthornladder::node::{Leadership, LeaseRecord, LeaseWrite, ReadRecord, Role, WriteOutcome};
 
 /// Shortest lease, in milliseconds.
 const LEASE_MS: u64 = 1_000;
@@ -31,8 +31,17 @@
     }
 
     fn read(&self, node: &mut Leadership, now_ms: u64) {
-        let from = usize::try_from(node.end_offset()).expect("the count fits");
-        node.apply_read(self.records[from..].to_vec(), self.end(), now_ms);
+        node.apply_read(self.records_from(node.end_offset()), self.end(), now_ms);
+    }
+
+    fn records_from(&self, from_offset: u64) -> Vec<ReadRecord> {
+        let records = (0..).zip(&self.records);
+        let records = records.filter(|(offset, _)| *offset >= from_offset);
+        let read = records.map(|(offset, record)| ReadRecord {
+            offset,
+            record: record.clone(),
+        });
+        read.collect()
     }
 
     fn write(&mut self, node: &mut Leadership, now_ms: u64) -> Option<WriteOutcome> {
@@ -224,3 +233,93 @@
     assert!(second.next_write(2_830 + 3_600).is_none());
     assert!(second.next_write(2_830 + 3_600 + 400).is_some());
 }
+
+/// An earlier renewal, read late, was taken for a newer one that equals it and never took effect, so
+/// that the lease lasted beyond the time after which another node claims.
+#[test]
+fn a_late_read_of_an_earlier_renewal_does_not_prove_a_newer_one() {
+    let (mut topic, mut first, _) = leader_and_follower();
+    let asked_from = first.end_offset();
+    assert!(topic.write(&mut first, 1_320).is_some());
+    let late = topic.records_from(asked_from);
+    let unsent = first.next_write(1_600).expect("a write is due");
+    assert_eq!(topic.records[1], unsent.record, "the renewals are equal");
+    first.apply_read(late, topic.end(), 1_650);
+    assert!(first.is_writing(), "the newer renewal counts as settled");
+    assert!(is_valid_leader(&first, 1_320 + LEASE_MS - 1));
+    assert!(!is_valid_leader(&first, 1_320 + LEASE_MS));
+}
+
+/// A node that shortened its lease, and did not learn that the store had taken the record, counted on
+/// the longer lease before it, after the others had claimed by the shorter one.
+#[test]
+fn a_renewal_does_not_end_the_lease_before_it() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    let slow = first.next_write(1_320).expect("a write is due");
+    let outcome = topic.append(&slow);
+    first.apply_write_outcome(&slow, outcome, 2_220);
+    // The write took 900 ms, so that the next lease is long. This one takes 10 ms.
+    let long = first.next_write(2_230).expect("a write is due");
+    let outcome = topic.append(&long);
+    first.apply_write_outcome(&long, outcome, 2_240);
+    let unanswered = first.next_write(2_490).expect("a write is due");
+    topic.append(&unanswered);
+    first.apply_write_outcome(&unanswered, WriteOutcome::Unknown, 2_500);
+    topic.read(&mut second, 2_500);
+    for now_ms in (2_500..9_000).step_by(10) {
+        topic.write(&mut second, now_ms);
+        let are_both_valid = is_valid_leader(&first, now_ms) && is_valid_leader(&second, now_ms);
+        assert!(!are_both_valid, "two leaders at {now_ms} ms");
+    }
+    assert!(is_valid_leader(&second, 8_990) || second.next_write(9_500).is_some());
+}
+
+/// A leader whose release was on its way answered callers from its own state, while the next leader
+/// already accepted and ended jobs.
+#[test]
+fn a_lease_ends_when_its_release_is_sent() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    first.release();
+    assert!(is_valid_leader(&first, 1_050), "no release is sent yet");
+    let release = first.next_write(1_060).expect("a write is due");
+    topic.append(&release);
+    topic.read(&mut second, 1_070);
+    assert!(topic.write(&mut second, 1_090).is_some());
+    assert!(is_valid_leader(&second, 1_090));
+    // The answer to the release is still on its way.
+    assert_eq!(first.exclusive_until_ms(), 0);
+    assert!(
+        !is_valid_leader(&first, 1_090),
+        "two leaders answer callers"
+    );
+}
+
+/// A release that was certainly not sent leaves the lease as it was.
+#[test]
+fn a_release_that_was_not_sent_does_not_end_the_lease() {
+    let (_, mut first, _) = leader_and_follower();
+    first.release();
+    assert_eq!(first.exclusive_until_ms(), 1_020 + LEASE_MS);
+    let release = first.next_write(1_060).expect("a write is due");
+    first.apply_write_outcome(&release, WriteOutcome::NotPersisted, 1_100);
+    assert!(is_valid_leader(&first, 1_110));
+    assert_eq!(first.exclusive_until_ms(), 1_020 + LEASE_MS);
+}
+
+/// A leader that had been replaced, or whose journal was out of step, went on renewing its lease
+/// without leading, so that nobody led any more.
+#[test]
+fn a_superseded_leader_does_not_keep_its_lease() {
+    let (mut topic, mut first, mut second) = leader_and_follower();
+    first.supersede(1);
+    assert!(matches!(first.role(1_100), Role::Follower { leader: None }));
+    for now_ms in (1_100..4_000).step_by(100) {
+        topic.write(&mut first, now_ms);
+        topic.read(&mut second, now_ms);
+        topic.write(&mut second, now_ms);
+        topic.read(&mut first, now_ms);
+    }
+    let fences: Vec<u64> = topic.records.iter().map(|record| record.fence).collect();
+    assert_eq!(fences[..2], [1, 2], "the superseded lease was renewed");
+    assert!(is_valid_leader(&first, 4_000) != is_valid_leader(&second, 4_000));
+}
