Reset the connection of a call that was given up

Cause: a call that timed out, or whose future was dropped, let go of its connection, but the task that serves it went on sending the request, and the operating system delivered what was written, both for as long as a cut lasted and after it. An order, an append or a forwarded submission of which the caller has long been told that its outcome is not known could arrive seconds later, after newer calls.

Change: a connection that is dropped during a call is reset, which also discards what the operating system has not sent yet. Connections that are idle close as before. What is on its way already still arrives: the fences and the ends of leases remain what protects from late orders.

Before: `what_is_left_of_a_call_that_timed_out_is_not_delivered_later` and `a_call_that_is_dropped_is_not_delivered_later` fail (the server gets all 67,108,964 bytes, after the timeout of 300 ms). After: both pass, as do the three other tests of `net_client`.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client that reuses connections. A call that fails after its connection was established may
-//! have taken effect; a call for which no connection was established has not.
+//! have taken effect; a call for which no connection was established has not. Once a call is given up,
+//! nothing more of it is sent.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 
 use crate::net::idle::IdleConnections;
@@ -23,6 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 type Sender = SendRequest<Full<Bytes>>;
+type ServedConnection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
 /// An HTTP call.
 #[derive(Clone, Debug)]
@@ -77,8 +80,26 @@
     pool: Rc<Pool>,
 }
 
+/// A connection. If it is dropped during a call, it is reset.
+struct Connection {
+    sender: Sender,
+    is_in_call: bool,
+    /// Resets the connection when a message is sent.
+    reset: Option<oneshot::Sender<()>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        match self.reset.take() {
+            // Sending fails if the connection is closed already.
+            Some(reset) if self.is_in_call => drop(reset.send(())),
+            _ => {}
+        }
+    }
+}
+
 struct Pool {
-    idle: RefCell<IdleConnections<Sender>>,
+    idle: RefCell<IdleConnections<Connection>>,
     /// Whether a task runs that closes the connections idle for too long.
     has_closer: Cell<bool>,
 }
@@ -110,18 +131,20 @@
     ) -> Result<Reply, CallFailure> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
         let address = call.address;
-        let mut sender = match self.take_idle(address) {
-            Some(sender) => sender,
+        let mut connection = match self.take_idle(address) {
+            Some(connection) => connection,
             None => connect(address, deadline).await?,
         };
         if !may_send() {
-            self.put_idle(address, sender);
+            self.put_idle(address, connection);
             return Err(CallFailure::NotSent);
         }
-        let result = timeout_at(deadline, exchange(&mut sender, call)).await;
+        connection.is_in_call = true;
+        let result = timeout_at(deadline, exchange(&mut connection.sender, call)).await;
         match result {
             Ok(Ok(reply)) => {
-                self.put_idle(address, sender);
+                connection.is_in_call = false;
+                self.put_idle(address, connection);
                 Ok(reply)
             }
             Ok(Err(failure)) => Err(failure),
@@ -129,11 +152,12 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.pool.idle.borrow_mut();
         while idle.count_to(address) > 0 {
-            let sender = idle.take(address);
-            let usable = sender.filter(|sender| !sender.is_closed() && sender.is_ready());
+            let usable = idle
+                .take(address)
+                .filter(|Connection { sender, .. }| !sender.is_closed() && sender.is_ready());
             if usable.is_some() {
                 return usable;
             }
@@ -141,12 +165,12 @@
         None
     }
 
-    fn put_idle(&self, address: SocketAddr, sender: Sender) {
+    fn put_idle(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.pool.idle.borrow_mut();
-        if sender.is_closed() || idle.count_to(address) >= IDLE_PER_ADDRESS_MAX_COUNT {
+        if connection.sender.is_closed() || idle.count_to(address) >= IDLE_PER_ADDRESS_MAX_COUNT {
             return;
         }
-        idle.put(address, sender);
+        idle.put(address, connection);
         if !self.pool.has_closer.replace(true) {
             tokio::task::spawn_local(close_expired(Rc::downgrade(&self.pool)));
         }
@@ -171,7 +195,7 @@
     }
 }
 
-async fn connect(address: SocketAddr, deadline: Instant) -> Result<Sender, CallFailure> {
+async fn connect(address: SocketAddr, deadline: Instant) -> Result<Connection, CallFailure> {
     let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = match timeout_at(until, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -181,11 +205,27 @@
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| CallFailure::NotSent)?;
-    tokio::task::spawn_local(async move {
+    let (reset, reset_requested) = oneshot::channel();
+    tokio::task::spawn_local(serve(connection, reset_requested));
+    Ok(Connection {
+        sender,
+        is_in_call: false,
+        reset: Some(reset),
+    })
+}
+
+/// Sends and receives on a connection until it is closed, or reset. To close it would still deliver
+/// what is written, and what the operating system holds back, however late.
+async fn serve(mut connection: ServedConnection, reset_requested: oneshot::Receiver<()>) {
+    tokio::select! {
         // The call on this connection gets the same error.
-        let _ = connection.await;
-    });
-    Ok(sender)
+        _ = &mut connection => {}
+        Ok(()) = reset_requested => {
+            let stream = connection.into_parts().io.into_inner();
+            // If this fails, the rest of the call is delivered late.
+            let _ = stream.set_zero_linger();
+        }
+    }
 }
 
 async fn exchange(sender: &mut Sender, call: Call) -> Result<Reply, CallFailure> {
--- a/tests/testsuite/net_client.rs
+++ b/tests/testsuite/net_client.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 };
 use hyper::body::Bytes;
 use hyper::Method;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 /// Time without use after which the client of a test closes a connection, in milliseconds.
 const IDLE_AGE_MAX_MS: u64 = 200;
@@ -136,3 +140,52 @@
         assert_eq!(sent.map(|reply| reply.status), Ok(200));
     });
 }
+
+/// A call that timed out in a cut was delivered by the kernel seconds later, after newer calls.
+#[test]
+fn what_is_left_of_a_call_that_timed_out_is_not_delivered_later() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let lost = Call {
+            method: Method::POST,
+            // More than the buffers of the kernel hold.
+            body: vec![b'x'; 64 << 20].into(),
+            timeout_ms: 300,
+            ..call(address)
+        };
+        let outcome = client(8).call(lost).await;
+        assert_eq!(outcome.map(|reply| reply.status), Err(CallFailure::Lost));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut delivered = Vec::new();
+        let ended = timeout(
+            Duration::from_millis(WAIT_MAX_MS),
+            stream.read_to_end(&mut delivered),
+        )
+        .await
+        .expect("the connection ends");
+        let ended = ended.map_err(|error| error.kind());
+        assert_eq!(ended, Err(ErrorKind::ConnectionReset));
+    });
+}
+
+/// A call that is given up by whoever made it must leave the connection as a timeout does.
+#[test]
+fn a_call_that_is_dropped_is_not_delivered_later() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let dropped = Call {
+            method: Method::POST,
+            body: vec![b'x'; 64 << 20].into(),
+            ..call(address)
+        };
+        let client = client(8);
+        let given_up = timeout(Duration::from_millis(300), client.call(dropped)).await;
+        assert!(given_up.is_err(), "the call ended by itself");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let ended = stream.read_to_end(&mut Vec::new()).await;
+        let ended = ended.map_err(|error| error.kind());
+        assert_eq!(ended, Err(ErrorKind::ConnectionReset));
+    });
+}
