Soak the node program as real processes with faults from outside

Change: `node_soak` runs six node processes in three zones with one settings file each. The test holds the rest: the store (conditional and fenced appends, long reads, newest records), the list of instances with moves, nine workers in two pools (leases, fences, run numbers, ends, new incarnations) and four clients. Each node has addresses of its own for the store and the list of instances; workers know the sender of a call by its fence. So a cut can take one node, or a zone with its workers, and drops messages or delivers them after its end. Checked on what callers and workers see: TWICE, ORDER, UNASKED, REFUSED, MIXED, and LOST as a job accepted that is unknown, shown as failed, or not complete in time.

Four tests: a run without faults, the cut of the leader's zone for 10 s of each kind, and random faults in series that overlap (cuts, SIGKILL and restart, SIGSTOP, a store that is down, slow, late or loses answers, workers that crash and return under the same id or a new one). `NODE_SOAK_SEEDS` runs other seeds.

Not covered: connections between nodes are not cut, and calls of clients are neither delayed nor cut.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod node_leadership;
 mod node_load;
 mod node_refusals;
+mod node_soak;
 mod node_waiters;
 mod operator_commands;
 mod peers;
--- /dev/null
+++ b/tests/testsuite/node_soak/faults.rs
@@ -0,0 +1,179 @@
+//! The faults from outside the nodes, in series that overlap.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+use super::network::{zone_of, CutScope, Fate, ZONES};
+use super::nodes::{Nodes, NODES_COUNT};
+use super::platform::Platform;
+use super::store::StoreFault;
+
+/// Time between the starts of two faults, in milliseconds.
+const INTERVAL_MIN_MS: u64 = 500;
+const INTERVAL_MAX_MS: u64 = 4_000;
+/// Length of a fault, in milliseconds.
+const LENGTH_MIN_MS: u64 = 500;
+const LENGTH_MAX_MS: u64 = 8_000;
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// A cut of the network.
+    Cut(CutScope, Fate),
+    /// A node is killed, and started again afterwards.
+    KilledNode(usize),
+    /// A node is paused.
+    PausedNode(usize),
+    /// The store misbehaves.
+    Store(StoreFault),
+    /// A worker crashes and starts again, under the same id or under a new one.
+    CrashedWorker(usize, bool),
+}
+
+/// What a fault affects. No two faults affect the same at a time, except cuts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Affected {
+    Network,
+    Node(usize),
+    Store,
+    Worker(usize),
+}
+
+impl Fault {
+    fn affected(self) -> Affected {
+        match self {
+            Self::Cut(..) => Affected::Network,
+            Self::KilledNode(number) | Self::PausedNode(number) => Affected::Node(number),
+            Self::Store(_) => Affected::Store,
+            Self::CrashedWorker(number, _) => Affected::Worker(number),
+        }
+    }
+}
+
+/// The faults of one run.
+pub(crate) struct Faults {
+    platform: Rc<Platform>,
+    nodes: Rc<Nodes>,
+    affected: RefCell<HashSet<Affected>>,
+}
+
+impl Faults {
+    /// Creates the source of faults for these processes.
+    pub(crate) fn open(platform: &Rc<Platform>, nodes: &Rc<Nodes>) -> Rc<Self> {
+        Rc::new(Self {
+            platform: Rc::clone(platform),
+            nodes: Rc::clone(nodes),
+            affected: RefCell::default(),
+        })
+    }
+
+    /// Returns the number of the zone of the leader.
+    pub(crate) fn zone_of_leader(&self) -> usize {
+        zone_of(self.platform.leader().unwrap_or(0))
+    }
+
+    /// Injects random faults for this time, and returns when all of them have ended.
+    pub(crate) async fn inject_random(self: Rc<Self>, seed: u64, lasts: Duration) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let until = Instant::now() + lasts;
+        let mut active = JoinSet::new();
+        while Instant::now() < until {
+            let fault = self.random_fault(&mut random);
+            let length_ms = random.random_range(LENGTH_MIN_MS..LENGTH_MAX_MS);
+            active.spawn_local(Rc::clone(&self).inject(fault, Duration::from_millis(length_ms)));
+            let pause_ms = random.random_range(INTERVAL_MIN_MS..INTERVAL_MAX_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+        active.join_all().await;
+    }
+
+    fn random_fault(&self, random: &mut ChaCha8Rng) -> Fault {
+        let leader = self.platform.leader().unwrap_or(0);
+        // The leader is affected more often than others.
+        let node = match random.random_bool(0.4) {
+            true => leader,
+            false => random.random_range(0..NODES_COUNT),
+        };
+        let zone = match random.random_bool(0.7) {
+            true => zone_of(leader),
+            false => random.random_range(0..ZONES.len()),
+        };
+        let fate = match random.random_bool(0.5) {
+            true => Fate::Dropped,
+            false => Fate::HeldBack,
+        };
+        let workers_count = self.platform.workers.borrow().len();
+        match random.random_range(0..8) {
+            0 | 1 => Fault::Cut(CutScope::Zone(zone), fate),
+            2 => Fault::Cut(CutScope::NodeFromPlatform(node), fate),
+            3 => Fault::KilledNode(node),
+            4 => Fault::PausedNode(node),
+            5 => Fault::Store(random_store_fault(random)),
+            _ => Fault::CrashedWorker(
+                random.random_range(0..workers_count),
+                random.random_bool(0.5),
+            ),
+        }
+    }
+
+    /// Injects a fault for this time, unless there is another one of the same.
+    pub(crate) async fn inject(self: Rc<Self>, fault: Fault, lasts: Duration) {
+        let affected = fault.affected();
+        let is_free = self.affected.borrow_mut().insert(affected);
+        if !is_free && affected != Affected::Network {
+            return;
+        }
+        let leader = self.platform.leader();
+        let line = |what| format!("fault {what} {fault:?} lasts={lasts:?} leader={leader:?}");
+        self.platform.runs.log(&line("begins"));
+        match fault {
+            Fault::Cut(scope, fate) => self.platform.network.cut(scope, fate, lasts).await,
+            Fault::KilledNode(number) => {
+                self.nodes.kill(number);
+                sleep(lasts).await;
+                self.nodes.start(number);
+            }
+            Fault::PausedNode(number) => {
+                self.nodes.pause(number);
+                sleep(lasts).await;
+                self.nodes.resume(number);
+            }
+            Fault::Store(fault) => {
+                self.platform.store.set_fault(fault);
+                sleep(lasts).await;
+                self.platform.store.set_fault(StoreFault::None);
+            }
+            Fault::CrashedWorker(number, keeps_id) => {
+                self.crash_worker(number, keeps_id, lasts).await
+            }
+        }
+        self.affected.borrow_mut().remove(&affected);
+        self.platform.runs.log(&line("ends"));
+    }
+
+    async fn crash_worker(&self, number: usize, keeps_id: bool, lasts: Duration) {
+        let worker = Rc::clone(&self.platform.workers.borrow()[number]);
+        // An instance that is being moved has no worker.
+        if worker.id().is_some() {
+            worker.crash();
+            sleep(lasts).await;
+            worker.start(keeps_id).await;
+        }
+    }
+}
+
+fn random_store_fault(random: &mut ChaCha8Rng) -> StoreFault {
+    match random.random_range(0..4) {
+        0 => StoreFault::Down,
+        1 => StoreFault::Slow(random.random_range(100..900)),
+        2 => StoreFault::LosesAnswers(random.random_range(2..8)),
+        _ => StoreFault::Late(random.random_range(2..8)),
+    }
+}
--- /dev/null
+++ b/tests/testsuite/node_soak/mod.rs
@@ -0,0 +1,191 @@
+//! A soak of the program that the users run: node processes in three zones, with stand-ins of the
+//! platform, the workers and the clients in the test, and faults from outside. The promises are
+//! checked on what callers and workers see.
+//!
+//! `NODE_SOAK_SEEDS=0..50 cargo test --release --test testsuite node_soak::random` runs other seeds
+//! than those of the CI. A run that fails leaves its log, and those of its nodes, in a folder that
+//! its message names.
+
+mod clients;
+mod faults;
+mod http_server;
+mod jobs;
+mod network;
+mod nodes;
+mod platform;
+mod runs;
+mod store;
+mod worker;
+
+use std::fs;
+use std::ops::Range;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use self::clients::Clients;
+use self::faults::{Fault, Faults};
+use self::network::{CutScope, Fate};
+use self::nodes::Nodes;
+use self::platform::Platform;
+use crate::proxy::unique_loopback_ip;
+
+/// Seeds of every run of the tests.
+const SEEDS: Range<u64> = 0..2;
+/// Longest time until a node leads.
+const LEADER_POLLS_COUNT: usize = 200;
+const LEADER_POLL: Duration = Duration::from_millis(100);
+/// Time for the nodes to know all workers.
+const SETTLE: Duration = Duration::from_secs(2);
+/// Time with jobs before the first fault, and after the last one.
+const BEFORE: Duration = Duration::from_secs(5);
+const AFTER: Duration = Duration::from_secs(3);
+/// Time with random faults.
+const RANDOM_FAULTS: Duration = Duration::from_secs(20);
+/// Length of the cut of the leader's zone: longer than the lease of a run, and than the time for
+/// which a leader without a valid lease goes on.
+const ZONE_CUT: Duration = Duration::from_secs(10);
+/// Least number of accepted jobs of a run that shows anything: some
+/// seconds of the clients' work.
+const ACCEPTED_MIN_COUNT: usize = 20;
+/// Number of violations that are shown.
+const SHOWN_MAX_COUNT: usize = 3;
+
+/// What came of a run.
+struct Outcome {
+    /// Folder of the logs.
+    folder: PathBuf,
+    accepted_count: usize,
+    /// What broke a promise.
+    violations: Vec<String>,
+}
+
+/// Runs nodes, workers and clients with these faults.
+fn play(name: &str, seed: u64, faults: impl AsyncFnOnce(Rc<Faults>)) -> Outcome {
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("node_soak-{name}-{seed}"));
+    fs::create_dir_all(&folder).expect("the folder is writable");
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime can be built");
+    let (accepted_count, (log, violations)) = LocalSet::new().block_on(&runtime, async {
+        let platform = Platform::open(unique_loopback_ip(), seed).await;
+        let nodes = Nodes::open(&platform, &folder).await;
+        wait_for_leader(&platform).await;
+        let clients = Clients::open(&platform, &nodes, seed);
+        clients.submit_long_running().await;
+        sleep(BEFORE).await;
+        clients.set_calm(false);
+        faults(Faults::open(&platform, &nodes)).await;
+        clients.set_calm(true);
+        sleep(AFTER).await;
+        let accepted_count = clients.finish().await;
+        nodes.close();
+        (accepted_count, platform.runs.findings())
+    });
+    fs::write(folder.join("record.txt"), log).expect("the folder is writable");
+    Outcome {
+        folder,
+        accepted_count,
+        violations,
+    }
+}
+
+async fn wait_for_leader(platform: &Platform) {
+    for _ in 0..LEADER_POLLS_COUNT {
+        if platform.leader().is_some() {
+            return sleep(SETTLE).await;
+        }
+        sleep(LEADER_POLL).await;
+    }
+    panic!("no node leads");
+}
+
+impl Outcome {
+    /// Asserts that no promise was broken, and removes the logs.
+    fn assert_kept(self) {
+        let shown: Vec<_> = self.violations.iter().take(SHOWN_MAX_COUNT).collect();
+        assert!(
+            self.violations.is_empty(),
+            "{} violations with {} accepted jobs, see {}; the first ones: {shown:#?}",
+            self.violations.len(),
+            self.accepted_count,
+            self.folder.display()
+        );
+        assert!(
+            self.accepted_count >= ACCEPTED_MIN_COUNT,
+            "{} jobs were accepted, see {}",
+            self.accepted_count,
+            self.folder.display()
+        );
+        self.remove_logs();
+    }
+
+    fn remove_logs(self) {
+        // Logs that stay harm nobody.
+        let _ = fs::remove_dir_all(self.folder);
+    }
+}
+
+/// Cuts off the zone of the leader.
+async fn cut_off_leader(faults: Rc<Faults>, fate: Fate) {
+    let zone = CutScope::Zone(faults.zone_of_leader());
+    faults.inject(Fault::Cut(zone, fate), ZONE_CUT).await;
+}
+
+#[test]
+fn without_faults_all_jobs_complete_and_no_task_runs_twice() {
+    play("calm", 1, async |_| ()).assert_kept();
+}
+
+/// A leader whose zone was cut off took runs on workers that it no longer reached for lost, and
+/// started their tasks again in its zone, while its successor kept the runs.
+#[test]
+fn a_leader_cut_off_with_its_zone_starts_no_task_a_second_time() {
+    let faults = async |faults| cut_off_leader(faults, Fate::HeldBack).await;
+    play("held-back", 1, faults).assert_kept();
+}
+
+/// As above, with calls that are lost instead of held back.
+#[test]
+fn a_leader_cut_off_from_lost_calls_starts_no_task_a_second_time() {
+    let faults = async |faults| cut_off_leader(faults, Fate::Dropped).await;
+    play("dropped", 1, faults).assert_kept();
+}
+
+/// Returns the seeds to run: those of the variable `NODE_SOAK_SEEDS`, written as `FROM..TO`, or else
+/// the fixed ones.
+fn seeds() -> Range<u64> {
+    let variable = std::env::var("NODE_SOAK_SEEDS").ok();
+    let Some((from, to)) = variable.as_deref().and_then(|text| text.split_once("..")) else {
+        return SEEDS;
+    };
+    let parse = |text: &str| text.parse().expect("NODE_SOAK_SEEDS has the form FROM..TO");
+    parse(from)..parse(to)
+}
+
+#[test]
+fn random_faults_neither_duplicate_nor_lose_work() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let faults = async |faults: Rc<Faults>| faults.inject_random(seed, RANDOM_FAULTS).await;
+        let outcome = play("random", seed, faults);
+        println!(
+            "seed={seed} accepted={} violations={} {:#?}",
+            outcome.accepted_count,
+            outcome.violations.len(),
+            outcome.violations.first()
+        );
+        match outcome.violations.is_empty() {
+            true => outcome.remove_logs(),
+            false => failed.push((seed, outcome.folder)),
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "failed seeds and their logs: {failed:#?}"
+    );
+}
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -48,6 +48,11 @@
     /// Starts the program with `args`. Its standard error goes to a log file that is kept if the
     /// test fails.
     pub(crate) fn spawn(name: &str, args: &[&str]) -> Self {
+        Self::spawn_with(name, args, &[])
+    }
+
+    /// Starts the program like [`Self::spawn`], with additional environment variables.
+    pub(crate) fn spawn_with(name: &str, args: &[&str], variables: &[(&str, &str)]) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let directory = std::env::temp_dir().join(format!("hawthornladder-{}", std::process::id()));
@@ -56,6 +61,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_hawthornladder"));
         command
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(File::create(&log_path).expect("the log file can be created"));
