--- a/tests/testsuite/node_soak/faults.rs
+++ b/tests/testsuite/node_soak/faults.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
-use super::network::{zone_of, CutScope, Fate, ZONES};
+use super::network::{zone_of, CutScope, Direction, Fate, ZONES};
 use super::nodes::{Nodes, NODES_COUNT};
 use super::platform::Platform;
 use super::store::StoreFault;
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
     /// A cut of the network.
-    Cut(CutScope, Fate),
+    Cut(CutScope, Direction, Fate),
     /// A node is killed, and started again afterwards.
     KilledNode(usize),
     /// A node is paused.
@@ -109,10 +109,15 @@
             true => Fate::Dropped,
             false => Fate::HeldBack,
         };
+        let direction = match random.random_range(0..4) {
+            0 => Direction::Outgoing,
+            1 => Direction::Incoming,
+            _ => Direction::Both,
+        };
         let workers_count = self.platform.workers.borrow().len();
         match random.random_range(0..8) {
-            0 | 1 => Fault::Cut(CutScope::Zone(zone), fate),
-            2 => Fault::Cut(CutScope::NodeFromPlatform(node), fate),
+            0 | 1 => Fault::Cut(CutScope::Zone(zone), direction, fate),
+            2 => Fault::Cut(CutScope::NodeFromPlatform(node), direction, fate),
             3 => Fault::KilledNode(node),
             4 => Fault::PausedNode(node),
             5 => Fault::Store(random_store_fault(random)),
@@ -134,7 +139,10 @@
         let line = |what| format!("fault {what} {fault:?} lasts={lasts:?} leader={leader:?}");
         self.platform.runs.log(&line("begins"));
         match fault {
-            Fault::Cut(scope, fate) => self.platform.network.cut(scope, fate, lasts).await,
+            Fault::Cut(scope, direction, fate) => {
+                let network = &self.platform.network;
+                network.cut(scope, direction, fate, lasts).await;
+            }
             Fault::KilledNode(number) => {
                 self.nodes.kill(number);
                 sleep(lasts).await;
--- a/tests/testsuite/node_soak/mod.rs
+++ b/tests/testsuite/node_soak/mod.rs
@@ -29,7 +29,7 @@
 
 use self::clients::Clients;
 use self::faults::{Fault, Faults};
-use self::network::{CutScope, Fate};
+use self::network::{CutScope, Direction, Fate};
 use self::nodes::Nodes;
 use self::platform::Platform;
 use crate::proxy::unique_loopback_ip;
@@ -133,7 +133,9 @@
 /// Cuts off the zone of the leader.
 async fn cut_off_leader(faults: Rc<Faults>, fate: Fate) {
     let zone = CutScope::Zone(faults.zone_of_leader());
-    faults.inject(Fault::Cut(zone, fate), ZONE_CUT).await;
+    faults
+        .inject(Fault::Cut(zone, Direction::Both, fate), ZONE_CUT)
+        .await;
 }
 
 #[test]
--- a/tests/testsuite/node_soak/network.rs
+++ b/tests/testsuite/node_soak/network.rs
@@ -50,14 +50,32 @@
     NodeFromPlatform(usize),
 }
 
+/// Direction of the messages that a cut affects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    /// Both directions.
+    Both,
+    /// Only messages from the zone or the node that is cut off.
+    Outgoing,
+    /// Only messages to it.
+    Incoming,
+}
+
 impl CutScope {
-    fn separates(self, from: Place, to: Place) -> bool {
+    fn separates(self, direction: Direction, from: Place, to: Place) -> bool {
+        let is_outgoing = self.is_way_out(from, to);
+        let is_incoming = self.is_way_out(to, from);
+        match direction {
+            Direction::Both => is_outgoing || is_incoming,
+            Direction::Outgoing => is_outgoing,
+            Direction::Incoming => is_incoming,
+        }
+    }
+
+    fn is_way_out(self, from: Place, to: Place) -> bool {
         match self {
-            Self::Zone(zone) => from.is_in_zone(zone) != to.is_in_zone(zone),
-            Self::NodeFromPlatform(number) => {
-                let ends = [from, to];
-                ends.contains(&Place::Node(number)) && ends.contains(&Place::Platform)
-            }
+            Self::Zone(zone) => from.is_in_zone(zone) && !to.is_in_zone(zone),
+            Self::NodeFromPlatform(number) => from == Place::Node(number) && to == Place::Platform,
         }
     }
 }
@@ -74,11 +92,18 @@
 struct Cut {
     number: u64,
     scope: CutScope,
+    direction: Direction,
     fate: Fate,
     /// Closes when the cut ends.
     end: watch::Sender<()>,
 }
 
+impl Cut {
+    fn separates(&self, from: Place, to: Place) -> bool {
+        self.scope.separates(self.direction, from, to)
+    }
+}
+
 /// The network between nodes, workers and the platform.
 pub(crate) struct Network {
     cuts: RefCell<Vec<Cut>>,
@@ -97,17 +122,23 @@
     }
 
     /// Cuts `scope` off for this time.
-    pub(crate) async fn cut(&self, scope: CutScope, fate: Fate, lasts: Duration) {
+    pub(crate) async fn cut(
+        &self,
+        scope: CutScope,
+        direction: Direction,
+        fate: Fate,
+        lasts: Duration,
+    ) {
         let (end, _) = watch::channel(());
         let number = self.cuts_count.get();
         self.cuts_count.set(number + 1);
-        let cut = Cut {
+        self.cuts.borrow_mut().push(Cut {
             number,
             scope,
+            direction,
             fate,
             end,
-        };
-        self.cuts.borrow_mut().push(cut);
+        });
         tokio::time::sleep(lasts).await;
         self.cuts.borrow_mut().retain(|cut| cut.number != number);
     }
@@ -115,7 +146,7 @@
     /// Returns whether a cut separates these places.
     pub(crate) fn is_cut(&self, from: Place, to: Place) -> bool {
         let cuts = self.cuts.borrow();
-        cuts.iter().any(|cut| cut.scope.separates(from, to))
+        cuts.iter().any(|cut| cut.separates(from, to))
     }
 
     /// Delivers a message; returns `None` if it was dropped.
@@ -134,7 +165,7 @@
 
     fn first_cut(&self, from: Place, to: Place) -> Option<(Fate, watch::Receiver<()>)> {
         let cuts = self.cuts.borrow();
-        let cut = cuts.iter().find(|cut| cut.scope.separates(from, to))?;
+        let cut = cuts.iter().find(|cut| cut.separates(from, to))?;
         Some((cut.fate, cut.end.subscribe()))
     }
 }
--- a/tests/testsuite/node_soak/worker.rs
+++ b/tests/testsuite/node_soak/worker.rs
@@ -26,6 +26,8 @@
 pub(crate) const CAPACITY_MEMORY_MB: u64 = 131_072;
 const HOLD_WAIT_MAX_MS: u64 = 2_000;
 const ENDS_PER_ANSWER_COUNT: usize = 500;
+/// Rates of the workers' clocks. The platform allows clocks that are slow by a fiftieth.
+const CLOCK_RATES_PERMILLE: [u64; 2] = [1_000, 980];
 /// Time that a stop takes.
 const STOP_TIME: Duration = Duration::from_millis(20);
 /// Progress of a task that is not done yet, at most, in percent.
@@ -51,6 +53,7 @@
     id: String,
     born_unix_ms: u64,
     started: Instant,
+    clock_rate_permille: u64,
     fence: u64,
     lease_end_ms: u64,
     has_lease: bool,
@@ -78,7 +81,8 @@
 
 impl Life {
     fn clock_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        let elapsed = self.started.elapsed().as_micros() as u64;
+        elapsed * self.clock_rate_permille / 1_000_000
     }
 
     fn extend(&mut self, until_ms: u64) {
@@ -175,6 +179,7 @@
             id,
             born_unix_ms: born.as_millis() as u64,
             started: Instant::now(),
+            clock_rate_permille: CLOCK_RATES_PERMILLE[self.zone % CLOCK_RATES_PERMILLE.len()],
             fence: 0,
             lease_end_ms: 0,
             has_lease: false,
