--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod node_load;
 mod node_orders;
 mod node_refusals;
+mod node_soak;
 mod node_waiters;
 mod operator_commands;
 mod peers;
