Take no recorded worker for gone while an instance of its pool names none

The record of a worker does not name its instance. A new leader took a recorded worker that was neither listed nor reached for gone as soon as no row of the list of instances had its id, 3 s after it began. An instance that is up and names no worker may be the one of that worker, as when its zone is cut off: its tasks were then started again beside their runs.

Change: such a worker is gone only if no instance of its pool that is up may have it. Otherwise the leader waits until the leases of inherited runs are over.

After: the test passes.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -1,7 +1,5 @@
 //! Instances: the platform's list of them, and the orders to move or maintain one.
 
-use std::collections::HashSet;
-
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
@@ -64,6 +62,12 @@
     pub worker: Option<SmolStr>,
 }
 
+impl InstanceInfo {
+    fn is_up(&self) -> bool {
+        self.state == InstanceState::Up
+    }
+}
+
 /// Why an order to an instance failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -147,12 +151,8 @@
         if !self.is_exclusive() {
             return;
         }
-        let rows = self.instances.rows.values();
-        let alive: HashSet<SmolStr> = rows
-            .filter(|row| row.info.state == InstanceState::Up)
-            .filter_map(|row| row.info.worker.clone())
-            .collect();
-        if alive.is_empty() {
+        let has_worker = |row: &Instance| row.info.is_up() && row.info.worker.is_some();
+        if !self.instances.rows.values().any(has_worker) {
             return;
         }
         for key in self.present_keys().collect::<Vec<_>>() {
@@ -164,7 +164,7 @@
             let is_unresponsive = worker.failed_polls_count >= FAILED_POLLS_MIN_COUNT
                 && !worker.slots.is_empty()
                 && is_old;
-            let is_removed = (is_unknown || is_unresponsive) && self.is_shown_gone(key, &alive);
+            let is_removed = (is_unknown || is_unresponsive) && self.is_shown_gone(key);
             if is_removed {
                 self.remove_worker(key, LossReason::WorkerRemoved);
             }
@@ -175,16 +175,23 @@
     /// another worker. A list without a row of its instance does not show that, as rows that cannot be
     /// read are left out, and instances may change while the list is read page by page. Nor does a row
     /// without a worker: the platform may not know the worker at present.
-    fn is_shown_gone(&self, key: WorkerKey, alive: &HashSet<SmolStr>) -> bool {
+    fn is_shown_gone(&self, key: WorkerKey) -> bool {
         let info = &self.worker(key).info;
-        let Some(instance) = &info.instance else {
-            return !alive.contains(&info.id);
-        };
-        let row = self.instances.rows.get(instance);
-        row.is_some_and(|row| {
+        let may_have_it = |row: &Instance| {
             let listed = row.info.worker.as_ref();
-            row.info.state != InstanceState::Up || listed.is_some_and(|id| *id != info.id)
-        })
+            row.info.is_up() && listed.is_none_or(|id| *id == info.id)
+        };
+        match &info.instance {
+            Some(instance) => {
+                let row = self.instances.rows.get(instance);
+                row.is_some_and(|row| !may_have_it(row))
+            }
+            // Only its record is known, which does not name the instance.
+            None => !self.instances.rows.values().any(|row| {
+                let is_of_pool = row.info.pool == info.pool;
+                may_have_it(row) && (is_of_pool || row.info.worker.is_some())
+            }),
+        }
     }
 
     /// Records that a worker is gone: its runs are lost, and nothing will run there.
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -529,3 +529,28 @@
         "a task was not started again"
     );
 }
+
+/// Guards against a new leader that starts tasks beside their runs because the list of instances does
+/// not have the id of a worker that it knows from its record only, as one that is cut off.
+#[test]
+fn a_recorded_worker_without_a_row_in_the_list_of_instances_is_not_gone() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 20_000)]));
+    simulation.advance(500);
+    let ids: Vec<_> = simulation.workers.keys().cloned().collect();
+    let worker = &mut simulation.workers[&ids[0]];
+    worker.is_disconnected = true;
+    // The last lease that the earlier leader may have given.
+    worker.leased_until_ms = simulation.now_ms + INHERITED_RUNS_MAX_MS;
+    simulation.fail_over_without_lists(2);
+    simulation.list_to_leader(&ids[1..]);
+    simulation.advance(3_500);
+    simulation.instances[0].worker = None;
+    simulation.list_instances();
+    simulation.advance(1_000);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.workers[&ids[0]].is_disconnected = false;
+    simulation.advance_until(30_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
