Take no restarted worker for gone by a list that may be older than its restart

The list of instances may be 3 s old, so that it proves nothing of a worker that was first listed less than 3 s ago. For a worker that restarts under its id the time of the earlier incarnation counted: a list from the time of its crash showed its instance as down, and the runs that had been started since were lost after two failed polls and started again beside the first ones.

Change: the time counts from the restart.

After: the test passes, and all 180 tests of jobs (105 s).

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -244,7 +244,9 @@
             .with("lost_count", worker.slots.len())
             .warn();
         let lost = self.lose_all_runs(key, LossReason::WorkerRestarted);
-        self.worker_mut(key).start_incarnation(started_unix_ms);
+        let now_ms = self.now_ms;
+        self.worker_mut(key)
+            .start_incarnation(started_unix_ms, now_ms);
         self.update_known_capacity(key);
         let may_start_late = |lost: &&LostRun| {
             matches!(
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -239,7 +239,7 @@
     pub(crate) failed_streak_count: u32,
     /// Time since which it has had no runs.
     pub(crate) idle_since_ms: u64,
-    /// Time at which it was first listed under this leader; 0 for never.
+    /// Time at which it was first listed under this leader, or seen to have restarted; 0 for never.
     pub(crate) listed_ms: u64,
     /// Time since which it has not been listed; has no meaning while it is listed.
     pub(crate) unlisted_since_ms: u64,
@@ -426,8 +426,9 @@
     }
 
     /// Resets the state that belongs to the previous incarnation, whose runs are lost.
-    pub(crate) fn start_incarnation(&mut self, started_unix_ms: u64) {
+    pub(crate) fn start_incarnation(&mut self, started_unix_ms: u64, now_ms: u64) {
         self.info.started_unix_ms = started_unix_ms;
+        self.listed_ms = now_ms;
         self.has_ended = false;
         self.clock = None;
         self.leased_until_worker_ms = 0;
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -1,6 +1,6 @@
 //! The engine when workers, the store or the leader fail.
 
-use hawthornladder::jobs::{InstanceInfo, JobState, StepSpec};
+use hawthornladder::jobs::{InstanceInfo, InstanceState, JobState, StepSpec};
 
 use super::simulation::{job, long_running, size, step, Simulation};
 
@@ -554,3 +554,33 @@
         simulation.state(id) == Some(JobState::Complete)
     });
 }
+
+/// Guards against runs of a restarted worker that are started again beside the first ones, because a
+/// delayed list of instances shows its instance as it was before the restart.
+#[test]
+fn a_delayed_instance_list_does_not_remove_a_restarted_worker() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(4_000);
+    let mut before: Vec<InstanceInfo> = simulation.instances.values().cloned().collect();
+    let started_unix_ms = super::simulation::UNIX_MS + simulation.now_ms;
+    for worker in simulation.workers.values_mut() {
+        worker.restart(started_unix_ms);
+    }
+    simulation.list_all();
+    simulation.advance(200);
+    let id = simulation.submit("maps", job(vec![long_running(2, 10_000)]));
+    simulation.advance(300);
+    let silent = simulation.runs_of(id)[0].0.clone();
+    simulation.workers[&silent].loses_answers = true;
+    simulation.advance(2_200);
+    let is_its_own = |info: &&mut InstanceInfo| {
+        Some(&info.name) == simulation.workers[&silent].info.instance.as_ref()
+    };
+    let row = before.iter_mut().find(is_its_own).expect("its instance");
+    row.state = InstanceState::Down;
+    simulation
+        .engine
+        .instances_listed(before, simulation.now_ms, simulation.now_ms);
+    simulation.advance(300);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+}
