Acknowledge no end of a gang before its record is persisted

One end as done stands for all members of a gang. The first one that a leader reads waits for its record before it is acknowledged; those of the other members were acknowledged at once, also while the store was unavailable. If the first one's worker crashed and the leader was lost before the record was persisted, the next leader found no end and started the gang again. Ends of copies were acknowledged alike.

Change: such an end waits for the batch that holds the progress of its job, if that is not persisted yet.

--- a/src/jobs/batches.rs
+++ b/src/jobs/batches.rs
@@ -12,8 +12,8 @@
 
 /// A job of which the progress is in flight to the store.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Progressed {
-    pub(crate) job: JobKey,
+struct Progressed {
+    job: JobKey,
     /// State that its record holds.
     state: JobState,
     /// Number of pools that its records hold.
@@ -25,10 +25,18 @@
 pub(crate) struct Batch {
     number: u64,
     accepted: Vec<JobKey>,
-    pub(crate) progressed: Vec<Progressed>,
+    progressed: Vec<Progressed>,
     workers: Vec<WorkerKey>,
 }
 
+impl Batch {
+    /// Returns whether it holds the progress of a job.
+    pub(crate) fn has_progress_of(&self, job: JobKey) -> bool {
+        let mut progressed = self.progressed.iter();
+        progressed.any(|progressed| progressed.job == job)
+    }
+}
+
 impl Engine {
     /// Returns whether there are records to persist.
     pub fn has_records(&self) -> bool {
@@ -148,6 +156,19 @@
         self.awaiting_workers.insert(key);
     }
 
+    /// Delays the acknowledgement of a worker's ends until the present progress of a job is persisted.
+    pub(crate) fn persist_progress_before_ack(&mut self, key: WorkerKey, job: JobKey) {
+        let in_flight = self.in_flight.as_ref();
+        let batch = match in_flight.filter(|batch| batch.has_progress_of(job)) {
+            _ if self.job(job).is_dirty => Some(self.next_batch),
+            Some(batch) => Some(batch.number),
+            None => return,
+        };
+        let worker = self.worker_mut(key);
+        worker.awaited_batch = worker.awaited_batch.max(batch);
+        self.awaiting_workers.insert(key);
+    }
+
     /// Queues the record of an accepted job.
     pub(crate) fn persist_new_job(&mut self, key: JobKey) {
         self.new_jobs.push(key);
--- a/src/jobs/ended_jobs.rs
+++ b/src/jobs/ended_jobs.rs
@@ -44,10 +44,7 @@
     /// Returns whether a run, an unsaved change or a record in flight refers to a job.
     fn is_referenced(&self, key: JobKey) -> bool {
         let in_flight = self.in_flight.as_ref();
-        let is_in_flight = in_flight.is_some_and(|batch| {
-            let mut progressed = batch.progressed.iter();
-            progressed.any(|progressed| progressed.job == key)
-        });
+        let is_in_flight = in_flight.is_some_and(|batch| batch.has_progress_of(key));
         let job = self.job(key);
         is_in_flight || job.is_dirty || job.runs_count > 0
     }
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -155,6 +155,8 @@
             is_first |= was_done == Some(false);
         }
         if !is_first {
+            // The end that is known may be lost with its worker before it is persisted.
+            self.persist_progress_before_ack(key, task.job);
             return;
         }
         self.stop_copies(task);
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -1,6 +1,7 @@
 //! The engine when workers, the store or the leader fail.
 
 use hawthornladder::jobs::{InstanceInfo, InstanceState, JobState, StepSpec};
+use smol_str::SmolStr;
 
 use super::simulation::{job, long_running, size, step, Simulation};
 
@@ -584,3 +585,34 @@
     simulation.advance(300);
     assert_eq!(simulation.runs_of(id).len(), 2);
 }
+
+/// Guards against a gang that is started again though the end of a member as done was acknowledged: the
+/// record of the end was not persisted, and the only other worker that listed an end crashed.
+#[test]
+fn the_ends_of_a_gang_are_acknowledged_once_one_of_them_is_persisted() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let gang = StepSpec {
+        is_gang: true,
+        per_worker_max: 1,
+        ..step(2, 1_000, 500)
+    };
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1_000, 300)
+    };
+    let id = simulation.submit("maps", job(vec![gang, second]));
+    simulation.advance(300);
+    simulation.is_store_unavailable = true;
+    simulation.advance(3_000);
+    let has_gang_end = |id: &&SmolStr| {
+        let mut ends = simulation.workers[*id].ended.iter();
+        ends.any(|end| end.name.step == 0)
+    };
+    let listing = simulation.workers.keys().find(has_gang_end).cloned();
+    simulation.crash(&listing.expect("a worker that lists an end"));
+    simulation.fail_over(2);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(20_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
