--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -1,6 +1,7 @@
 //! The engine when workers, the store or the leader fail.
 
-use hawthornladder::jobs::{InstanceInfo, JobState, StepSpec};
+use hawthornladder::jobs::{InstanceInfo, InstanceState, JobState, StepSpec};
+use smol_str::SmolStr;
 
 use super::simulation::{job, long_running, size, step, Simulation};
 
@@ -529,3 +530,89 @@
         "a task was not started again"
     );
 }
+
+/// Guards against a new leader that starts tasks beside their runs because the list of instances does
+/// not have the id of a worker that it knows from its record only, as one that is cut off.
+#[test]
+fn a_recorded_worker_without_a_row_in_the_list_of_instances_is_not_gone() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let id = simulation.submit("maps", job(vec![step(2, 1_000, 20_000)]));
+    simulation.advance(500);
+    let ids: Vec<_> = simulation.workers.keys().cloned().collect();
+    let worker = &mut simulation.workers[&ids[0]];
+    worker.is_disconnected = true;
+    // The last lease that the earlier leader may have given.
+    worker.leased_until_ms = simulation.now_ms + INHERITED_RUNS_MAX_MS;
+    simulation.fail_over_without_lists(2);
+    simulation.list_to_leader(&ids[1..]);
+    simulation.advance(3_500);
+    simulation.instances[0].worker = None;
+    simulation.list_instances();
+    simulation.advance(1_000);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+    simulation.workers[&ids[0]].is_disconnected = false;
+    simulation.advance_until(30_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
+
+/// Guards against runs of a restarted worker that are started again beside the first ones, because a
+/// delayed list of instances shows its instance as it was before the restart.
+#[test]
+fn a_delayed_instance_list_does_not_remove_a_restarted_worker() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(4_000);
+    let mut before: Vec<InstanceInfo> = simulation.instances.values().cloned().collect();
+    let started_unix_ms = super::simulation::UNIX_MS + simulation.now_ms;
+    for worker in simulation.workers.values_mut() {
+        worker.restart(started_unix_ms);
+    }
+    simulation.list_all();
+    simulation.advance(200);
+    let id = simulation.submit("maps", job(vec![long_running(2, 10_000)]));
+    simulation.advance(300);
+    let silent = simulation.runs_of(id)[0].0.clone();
+    simulation.workers[&silent].loses_answers = true;
+    simulation.advance(2_200);
+    let is_its_own = |info: &&mut InstanceInfo| {
+        Some(&info.name) == simulation.workers[&silent].info.instance.as_ref()
+    };
+    let row = before.iter_mut().find(is_its_own).expect("its instance");
+    row.state = InstanceState::Down;
+    simulation
+        .engine
+        .instances_listed(before, simulation.now_ms, simulation.now_ms);
+    simulation.advance(300);
+    assert_eq!(simulation.runs_of(id).len(), 2);
+}
+
+/// Guards against a gang that is started again though the end of a member as done was acknowledged: the
+/// record of the end was not persisted, and the only other worker that listed an end crashed.
+#[test]
+fn the_ends_of_a_gang_are_acknowledged_once_one_of_them_is_persisted() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    let gang = StepSpec {
+        is_gang: true,
+        per_worker_max: 1,
+        ..step(2, 1_000, 500)
+    };
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1_000, 300)
+    };
+    let id = simulation.submit("maps", job(vec![gang, second]));
+    simulation.advance(300);
+    simulation.is_store_unavailable = true;
+    simulation.advance(3_000);
+    let has_gang_end = |id: &&SmolStr| {
+        let mut ends = simulation.workers[*id].ended.iter();
+        ends.any(|end| end.name.step == 0)
+    };
+    let listing = simulation.workers.keys().find(has_gang_end).cloned();
+    simulation.crash(&listing.expect("a worker that lists an end"));
+    simulation.fail_over(2);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(20_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+}
