Write no report on a wave without a valid lease

Cause: reports for operators carry no fence, and are sent again for as long as the node leads. A leader that was cut off, and had not yet read that another one follows, could write "active" over the "complete" of its successor as soon as the cut ended.

Change: a report leaves only while the lease of this leadership is valid, looked at again once there is a connection (`Store::append_if`). Waiting for the lease does not count as an attempt, so that a report is not given up while the leader is without its lease.

Before: with an `append_if` that ignores its condition, `no_report_is_written_once_the_leader_may_no_longer_write_it` fails (the append is sent and answered). The path through a whole node was not run.

--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use crate::jobs::{
-    Action, InstanceOrder, OrderFailure, PaceOrder, PollOrder, StartOrder, StopOrder, TicketRequest,
+    Action, InstanceOrder, OrderFailure, PaceOrder, PollOrder, StartOrder, StopOrder, StoredRecord,
+    TicketRequest,
 };
 use crate::logging::Event;
 use crate::node::leader::{spawn, to_f64};
@@ -39,6 +40,17 @@
         self.with_leader(fence, |_| ()).is_some() && self.may_act()
     }
 
+    /// Returns the fence of this node's lease, if that is valid now.
+    fn valid_fence(&self) -> Option<u64> {
+        match self.leadership.borrow().role(self.now_ms()) {
+            Role::Leader {
+                fence,
+                is_valid: true,
+            } => Some(fence),
+            _ => None,
+        }
+    }
+
     fn record_order(&self, kind: &'static str, outcome: &'static str, sent_ms: u64) {
         self.metrics.count_order(kind, outcome);
         self.metrics
@@ -122,19 +134,12 @@
     let Some(address) = node.settings.instances_address else {
         return;
     };
-    let valid_fence = || match node.leadership.borrow().role(node.now_ms()) {
-        Role::Leader {
-            fence,
-            is_valid: true,
-        } => Some(fence),
-        _ => None,
-    };
-    let Some(fence) = valid_fence() else {
+    let Some(fence) = node.valid_fence() else {
         return;
     };
     let sent_ms = node.now_ms();
     let sender = (node.settings.name.as_str(), fence);
-    let may_send = || valid_fence() == Some(fence);
+    let may_send = || node.valid_fence() == Some(fence);
     let answer = instances::order(&node.client, address, &order, sender, may_send).await;
     let now_ms = node.now_ms();
     let outcome = match answer {
@@ -159,27 +164,44 @@
         return;
     };
     let record = [status::wave_record(wave, is_complete)];
-    for _ in 0..WAVE_REPORT_ATTEMPTS_MAX {
+    // Without a valid lease, a later leader may have reported more.
+    let may_report = || node.valid_fence() == Some(fence);
+    let mut attempts_count = 0;
+    while attempts_count < WAVE_REPORT_ATTEMPTS_MAX {
         let is_newest =
             node.with_leader(fence, |leader| leader.wave_reports.is_newest(wave, number));
         if is_newest != Some(true) {
             return;
         }
-        let sent_ms = node.now_ms();
-        let reported = node
-            .store
-            .append(Topic::Status, &record, None, None, WAVE_REPORT_TIMEOUT_MS)
-            .await;
-        node.record_store_call("status", &reported, sent_ms);
-        match reported {
-            Ok(_) => return,
-            Err(failure) => {
-                Event::new("wave_report_failed")
-                    .with("wave", wave)
-                    .with("failure", failure)
-                    .warn();
-                tokio::time::sleep(Duration::from_millis(WAVE_REPORT_RETRY_MS)).await;
+        if may_report() {
+            attempts_count += 1;
+            if send_report(&node, wave, &record, may_report).await {
+                return;
             }
         }
+        tokio::time::sleep(Duration::from_millis(WAVE_REPORT_RETRY_MS)).await;
+    }
+}
+
+/// Sends a report on a wave and returns whether the store has taken it.
+async fn send_report(
+    node: &Rc<Node>,
+    wave: u64,
+    record: &[StoredRecord],
+    may_send: impl Fn() -> bool,
+) -> bool {
+    let sent_ms = node.now_ms();
+    let timeout_ms = WAVE_REPORT_TIMEOUT_MS;
+    let reported = node
+        .store
+        .append_if(Topic::Status, record, (None, None), timeout_ms, may_send)
+        .await;
+    node.record_store_call("status", &reported, sent_ms);
+    if let Err(failure) = reported {
+        Event::new("wave_report_failed")
+            .with("wave", wave)
+            .with("failure", failure)
+            .warn();
     }
+    reported.is_ok()
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -104,6 +104,22 @@
         at_offset: Option<u64>,
         fence: Option<&Fence>,
         timeout_ms: u64,
+    ) -> Result<u64, StoreFailure> {
+        let condition = (at_offset, fence);
+        let may_send = || true;
+        self.append_if(topic, records, condition, timeout_ms, may_send)
+            .await
+    }
+
+    /// Appends records like [`append`](Self::append), but sends nothing unless `may_send` holds once
+    /// there is a connection.
+    pub async fn append_if(
+        &self,
+        topic: Topic,
+        records: &[(SmolStr, Option<Vec<u8>>)],
+        (at_offset, fence): (Option<u64>, Option<&Fence>),
+        timeout_ms: u64,
+        may_send: impl Fn() -> bool,
     ) -> Result<u64, StoreFailure> {
         let mut path = format!("/hawthornladder/log-append?topic={}&part=0", topic.name());
         if let Some(offset) = at_offset {
@@ -120,7 +136,12 @@
             ));
         }
         let body = encode_records(records);
-        let reply = self.call(Method::POST, path, body, timeout_ms).await?;
+        let call = self.call_of(Method::POST, path, body, timeout_ms);
+        let reply = self
+            .client
+            .call_if(call, may_send)
+            .await
+            .map_err(failure_of)?;
         match reply.status {
             200 => {
                 let appended: Result<AppendedWire, _> = serde_json::from_slice(&reply.body);
@@ -215,7 +236,12 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Reply, StoreFailure> {
-        let call = Call {
+        let call = self.call_of(method, path, body, timeout_ms);
+        self.client.call(call).await.map_err(failure_of)
+    }
+
+    fn call_of(&self, method: Method, path: String, body: Bytes, timeout_ms: u64) -> Call {
+        Call {
             address: self.address,
             method,
             path,
@@ -223,14 +249,14 @@
             body,
             timeout_ms,
             answer_max_bytes: ANSWER_MAX_BYTES,
-        };
-        self.client
-            .call(call)
-            .await
-            .map_err(|failure| match failure {
-                CallFailure::NotSent => StoreFailure::NotSent,
-                CallFailure::Lost => StoreFailure::Lost,
-            })
+        }
+    }
+}
+
+fn failure_of(failure: CallFailure) -> StoreFailure {
+    match failure {
+        CallFailure::NotSent => StoreFailure::NotSent,
+        CallFailure::Lost => StoreFailure::Lost,
     }
 }
 
--- a/tests/testsuite/node_orders.rs
+++ b/tests/testsuite/node_orders.rs
@@ -12,7 +12,9 @@
 use hawthornladder::net::{
     self, Answer, Client, ClientSettings, IncomingRequest, ServerHandle, ServerSettings,
 };
-use hawthornladder::platform::workers;
+use hawthornladder::node::StoreFailure;
+use hawthornladder::platform::store::{Store, Topic};
+use hawthornladder::platform::{status, workers};
 use hyper::body::Bytes;
 use smol_str::SmolStr;
 
@@ -125,3 +127,19 @@
     simulation.advance(50);
     assert_eq!(simulation.starts.len(), 2, "the worker counts as silent");
 }
+
+/// The report on a wave of a leader that had lost its lease replaced that of its successor.
+#[test]
+fn no_report_is_written_once_the_leader_may_no_longer_write_it() {
+    run(async {
+        let store_server = QuietWorker::spawn().await;
+        let store = Store::open(client(), store_server.address);
+        let record = [status::wave_record(7, false)];
+        let may_not = || false;
+        let reported = store
+            .append_if(Topic::Status, &record, (None, None), 1_000, may_not)
+            .await;
+        assert_eq!(reported, Err(StoreFailure::NotSent));
+        assert_eq!(store_server.calls_count.get(), 0, "a report was sent");
+    });
+}
