Let a process of the same name claim at once only at the same address

A process may claim without waiting for the lease of the holder if that one ran under its name, as it has bound its predecessor's address. Only the name was compared: started on another machine under the name of a live leader, it led beside it for up to a lease.

Before: a_process_of_the_same_name_at_another_address_waits_for_the_lease fails (it claims 10 ms after its first read).

--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -365,9 +365,7 @@
     fn claim_idle_ms(&self, newest: &LeaseRecord) -> u64 {
         match () {
             () if newest.is_released => 0,
-            // This process has bound the address of its predecessor of the same name, which must
-            // have ended.
-            () if newest.holder == self.own_record.holder && !self.is_own(newest) => 0,
+            () if self.is_predecessor(newest) => 0,
             () => {
                 let drift_ms = newest.lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
                 newest.lease_ms + drift_ms + CLAIM_MARGIN_MS
@@ -375,6 +373,14 @@
         }
     }
 
+    /// Returns whether the holder of `record` ran before this process under its name. This process has
+    /// bound the address of its predecessor, which must have ended. At another address it may still run.
+    fn is_predecessor(&self, record: &LeaseRecord) -> bool {
+        let own = &self.own_record;
+        let is_same = record.holder == own.holder && record.peers_address == own.peers_address;
+        is_same && !self.is_own(record)
+    }
+
     /// Returns the earliest time at which [`next_write`](Self::next_write) may return a write.
     pub fn next_due_ms(&self, now_ms: u64) -> u64 {
         match &self.newest {
--- a/tests/testsuite/node_leadership.rs
+++ b/tests/testsuite/node_leadership.rs
@@ -339,3 +339,16 @@
     assert_eq!(fences[..2], [1, 2], "the superseded lease was renewed");
     assert!(is_valid_leader(&first, 4_000) != is_valid_leader(&second, 4_000));
 }
+
+/// Guards against two leaders at once: a process that was started on another machine under the name of
+/// a live one claimed without waiting for the end of its lease.
+#[test]
+fn a_process_of_the_same_name_at_another_address_waits_for_the_lease() {
+    let (mut topic, first, _) = leader_and_follower();
+    let address = ([10, 0, 0, 2], 7_000).into();
+    let mut moved = Leadership::open("first".into(), "2".into(), address, 10);
+    topic.read(&mut moved, 1_100);
+    assert!(topic.write(&mut moved, 1_110).is_none());
+    assert!(is_valid_leader(&first, 1_110));
+    assert!(topic.write(&mut moved, 1_100 + CLAIM_MS).is_some());
+}
