Lose no run by a restart that was read before the run was ordered

A worker restarts under its id. Its first answer to a poll shows that all runs of the incarnation before are gone, and the leader lost all runs that it had there, also those that it had ordered after the poll was sent and that the new incarnation had accepted: they were started again elsewhere.

Change: only runs ordered before the poll are lost. The others stay until the next poll shows them; their leases count as the longest that a worker grants, as their ends are times of the earlier clock.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -93,7 +93,7 @@
         };
         match is_restarted {
             true if !self.is_exclusive() => return self.put_off_restart(key),
-            true => self.restart_worker(key, reply.started_unix_ms),
+            true => self.restart_worker(key, &reply, order.sent_ms),
             false => {}
         }
         let is_exclusive = self.is_exclusive();
@@ -244,17 +244,26 @@
         worker.poll = PollState::Idle { due_ms };
     }
 
-    fn restart_worker(&mut self, key: WorkerKey, started_unix_ms: u64) {
+    /// Loses the runs of the incarnation before the one that answers a poll sent at `sent_ms`. Runs that
+    /// were ordered since may be in the new one, and the next poll shows them.
+    fn restart_worker(&mut self, key: WorkerKey, reply: &PollReply, sent_ms: u64) {
         let worker = self.worker(key);
+        let slots = worker.slots.iter();
+        let earlier = slots.filter(|(_, slot)| slot.since_ms < sent_ms);
+        let runs: Vec<RunKey> = earlier.map(|(run, _)| *run).collect();
         Event::new("worker_restarted")
             .with("worker", &worker.info.id)
-            .with("born_unix_ms", started_unix_ms)
-            .with("lost_count", worker.slots.len())
+            .with("born_unix_ms", reply.started_unix_ms)
+            .with("lost_count", runs.len())
             .warn();
-        let lost = self.lose_all_runs(key, LossReason::WorkerRestarted);
-        let now_ms = self.now_ms;
-        self.worker_mut(key)
-            .start_incarnation(started_unix_ms, now_ms);
+        let lost = self.lose_runs(key, runs, LossReason::WorkerRestarted);
+        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let worker = self.worker_mut(key);
+        worker.start_incarnation(reply.started_unix_ms, now_ms);
+        // The ends of their leases are times of the earlier clock, which the worker shortens.
+        if !worker.slots.is_empty() {
+            worker.leased_until_worker_ms = reply.clock_ms + lease_max_ms;
+        }
         self.update_known_capacity(key);
         let may_start_late = |lost: &&LostRun| {
             matches!(
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -13,6 +13,8 @@
     pub fence: u64,
     /// Lease that each poll and each start gives to the runs of a worker, in milliseconds.
     pub run_lease_ms: u64,
+    /// Longest lease that a worker grants, in milliseconds; it shortens longer ones.
+    pub run_lease_max_ms: u64,
     /// Longest time that a worker holds a poll while it waits for a run to end, in milliseconds.
     pub poll_wait_ms: u64,
     /// Most starts that one step orders. What it leaves goes with the next step, in the order that
--- a/src/load/played_worker.rs
+++ b/src/load/played_worker.rs
@@ -87,6 +87,7 @@
     EngineSettings {
         fence: 1,
         run_lease_ms: 4_000,
+        run_lease_max_ms: 10_000,
         poll_wait_ms: 800,
         starts_per_step_max: usize::MAX,
         stop_ms: 200,
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -235,6 +235,7 @@
     let settings = EngineSettings {
         fence,
         run_lease_ms,
+        run_lease_max_ms: bounds.run_lease_max_ms,
         poll_wait_ms: POLL_WAIT_MS,
         starts_per_step_max: STARTS_PER_STEP_MAX,
         stop_ms: bounds.run_stop_ms,
--- a/tests/testsuite/jobs/builders.rs
+++ b/tests/testsuite/jobs/builders.rs
@@ -108,6 +108,7 @@
     EngineSettings {
         fence,
         run_lease_ms: 4_000,
+        run_lease_max_ms: 10_000,
         poll_wait_ms: 800,
         starts_per_step_max: usize::MAX,
         stop_ms: 200,
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -15,6 +15,7 @@
 mod fake_worker;
 mod faults;
 mod full_processor;
+mod late_proofs;
 mod moved_queues;
 mod odd_figures;
 mod overload;
