Apply answers to orders of instances once the lease is renewed

An answer that arrived without a lease was dropped, to be asked for again. A list that showed the maintenance meanwhile settled the order without the member of the wave; the next worker of the instance was ordered again, answered as done already, and taken for the one that had ended, so that its entries were ignored for good.

Change: the answer is kept and applied once the leader has its lease again.

Before: an_instance_whose_order_is_answered_without_a_lease_is_used_again fails (0 runs instead of 1).

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -246,6 +246,7 @@
         self.drop_ended_jobs();
         if self.now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = self.now_ms + SWEEP_MS;
+            self.apply_late_answers();
             self.expire_leases();
             self.resend_stops();
             self.review_quarantine();
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -106,6 +106,8 @@
 pub(crate) struct Instances {
     pub(crate) rows: IndexMap<SmolStr, Instance>,
     pub(crate) waves: IndexMap<u64, Wave>,
+    /// Orders that were answered as carried out while this leader was without its lease.
+    pub(crate) unapplied: Vec<InstanceOrder>,
     /// Whether this leader has read the list.
     pub(crate) is_list_read: bool,
 }
@@ -309,14 +311,24 @@
         self.now_ms = now_ms.max(self.now_ms);
         match answer {
             // A later leader may have taken note of what the worker had done before the order was
-            // carried out. The order is sent again.
-            Ok(()) if !self.is_exclusive() => {}
+            // carried out.
+            Ok(()) if !self.is_exclusive() => self.instances.unapplied.push(order.clone()),
             Ok(()) => self.order_done(order),
             Err(InstanceFailure::Lost) => {}
             Err(failure) => self.order_refused(order, failure),
         }
     }
 
+    /// Applies the answers that arrived while this leader was without its lease, once it has it again.
+    pub(crate) fn apply_late_answers(&mut self) {
+        if !self.is_exclusive() {
+            return;
+        }
+        for order in std::mem::take(&mut self.instances.unapplied) {
+            self.order_done(&order);
+        }
+    }
+
     fn order_done(&mut self, order: &InstanceOrder) {
         let now_ms = self.now_ms;
         let unavailable_ms = match order {
