Lose no runs that a worker does not list to a leader without a lease

A worker checks the fence of a poll when it receives it, and may answer it later, with the lists of that moment. The next leader may have read and acknowledged an end meanwhile, so that the answer has neither the run nor its end. The leader that was cut off took the run for lost and started its task again.

Change: without a lease a run that is not listed is not lost; it is lost by a later list once the lease is renewed. Stops of runs of unknown outcome are sent as before.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -389,7 +389,10 @@
                 _ => {}
             }
         }
-        self.lose_runs(key, lost, LossReason::NotListed);
+        // A worker may answer late, after a later leader has acknowledged ends.
+        if self.is_exclusive() {
+            self.lose_runs(key, lost, LossReason::NotListed);
+        }
         for run in unknown {
             self.stop_run(key, run, "outcome_unknown");
         }
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -1,11 +1,13 @@
 //! What shows a leader that runs are gone, but proves nothing while a later leader may lead: that one
 //! may have adopted the runs, and may have taken note of their ends.
 
-use hawthornladder::jobs::{InstanceInfo, InstanceOrder, InstanceState, JobId, JobState};
+use hawthornladder::jobs::{
+    InstanceInfo, InstanceOrder, InstanceState, JobId, JobState, PollReply,
+};
 use smol_str::SmolStr;
 
 use super::cut_off_leader::open_pool;
-use super::simulation::{job, long_running, step, Simulation, UNIX_MS};
+use super::simulation::{job, long_running, step, Simulation, STEP_MS, UNIX_MS};
 
 /// Time after a change of leader by which the tasks of [`submit_short_tasks`] are done, in
 /// milliseconds.
@@ -128,6 +130,41 @@
     end_cut_and_complete(&mut simulation, id);
 }
 
+/// Guards against a leader that is cut off and starts tasks again that are done, because a worker answers
+/// a poll late that it received before the first one of the next leader, which has acknowledged the
+/// ends meanwhile.
+#[test]
+fn a_late_answer_without_a_run_proves_nothing_to_a_leader_that_is_cut_off() {
+    let (mut simulation, cut_off) = open_pool();
+    let id = submit_short_tasks(&mut simulation);
+    let first = first_worker(&simulation);
+    cut_off_until_done(&mut simulation, &cut_off, 2);
+    let mut late = None;
+    while late.is_none() {
+        simulation.advance(STEP_MS);
+        simulation.as_cut_off_leader(|simulation| {
+            let polls = &mut simulation.polls;
+            let at = polls.iter().position(|(order, _)| order.target.id == first);
+            late = at.map(|at| polls.remove(at).0);
+        });
+    }
+    let order = late.expect("a poll in flight");
+    let reply = PollReply {
+        clock_ms: simulation.now_ms,
+        started_unix_ms: simulation.workers[&first].info.started_unix_ms,
+        ..PollReply::default()
+    };
+    // It takes no new tasks, so that they start at others.
+    simulation.workers[&first].info.is_draining = true;
+    simulation.as_cut_off_leader(|simulation| {
+        let now_ms = simulation.now_ms;
+        simulation.list_to_leader(std::slice::from_ref(&first));
+        simulation.engine.poll_answered(&order, reply, now_ms);
+    });
+    simulation.advance(ACTED_MS);
+    end_cut_and_complete(&mut simulation, id);
+}
+
 /// Guards against a leader that is cut off and starts tasks of an earlier leader, because the longest
 /// lease of these runs is over, while its successor has extended it.
 #[test]
