Submit some accepted jobs of the soak of nodes a second time

The platform may deliver a request again seconds after its success; it stays one job. The clients never did that.

Change: one of eight accepted jobs is submitted once more after 3 s, at any node. The checks of runs and of states find a job that runs again or goes back.

--- a/tests/testsuite/node_soak/clients.rs
+++ b/tests/testsuite/node_soak/clients.rs
@@ -24,6 +24,9 @@
 /// How often a client submits a job whose acceptance it does not know.
 const TRIES_COUNT: usize = 6;
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// One of this many accepted jobs is submitted once more, after this time.
+const REPEATED_EACH: usize = 8;
+const REPEATED_AFTER: Duration = Duration::from_secs(3);
 /// Pause of a client between two jobs, in milliseconds.
 const PAUSE_MIN_MS: u64 = 300;
 const PAUSE_MAX_MS: u64 = 800;
@@ -113,6 +116,9 @@
             match self.submit(queue, &id, &plan).await {
                 Submitted::Accepted => {
                     let at = Instant::now();
+                    if self.random_below(REPEATED_EACH) == 0 {
+                        spawn_local(Rc::clone(&self).submit_again(queue, id.clone(), plan));
+                    }
                     self.accepted.borrow_mut().push(Accepted { queue, id, at });
                 }
                 Submitted::Refused => self.refused.borrow_mut().push(id),
@@ -126,6 +132,17 @@
         }
     }
 
+    /// Submits an accepted job once more, as a network does that delivers a request twice.
+    async fn submit_again(self: Rc<Self>, queue: &'static str, id: String, plan: JobPlan) {
+        sleep(REPEATED_AFTER).await;
+        let node = self.random_below(NODES_COUNT);
+        let body = Bytes::from(plan.body().to_string());
+        let reply = self.call(node, Method::POST, queue, &id, body).await;
+        let status = reply.map(|reply| reply.status);
+        let line = format!("submit again {queue} {id} at node {node}: {status:?}");
+        self.platform.runs.log(&line);
+    }
+
     async fn ask_for_states(self: Rc<Self>) {
         loop {
             sleep(STATE_PAUSE).await;
