Acknowledge ends of a worker once, as the numbers mean others after a restart

Each poll repeated the highest number of the ends that were acknowledged. An idle worker that restarts under its id is not polled, so tasks may be started on it before the leader learns of the restart. Their ends have low numbers again, and the next poll acknowledged them by the number of the earlier incarnation before the leader had read them. The answer then showed the restart, the runs counted as lost, and tasks that were done were started again. This takes one leader.

Change: a poll acknowledges only what the worker has not been told yet; otherwise it says 0.

Left: ends that are acknowledged for the first time in the same poll cycle in which the worker restarts and ends new runs. The call names the worker by its id only, which stays the same.

--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -70,7 +70,11 @@
         let order = PollOrder {
             target,
             lease_end_worker_ms,
-            acknowledged_through: worker.persisted_through,
+            // After a restart under its id, the same numbers are those of other ends.
+            acknowledged_through: match worker.persisted_through > worker.dropped_through {
+                true => worker.persisted_through,
+                false => 0,
+            },
             wait_ms: match has_persisted_all && has_runs && worker.is_fenced {
                 true => wait_ms,
                 false => 0,
@@ -86,7 +90,8 @@
         let now_ms = self.now_ms;
         let key = order.target.worker;
         let is_restarted = {
-            let worker = self.worker(key);
+            let worker = self.worker_mut(key);
+            worker.dropped_through = worker.dropped_through.max(order.acknowledged_through);
             worker.info.started_unix_ms != 0
                 && reply.started_unix_ms != 0
                 && worker.info.started_unix_ms != reply.started_unix_ms
@@ -153,18 +158,17 @@
                 started_unix_ms: reply.started_unix_ms,
             },
         );
-        self.schedule_next_poll(key, order);
+        self.schedule_next_poll(key);
     }
 
-    fn schedule_next_poll(&mut self, key: WorkerKey, order: &PollOrder) {
+    fn schedule_next_poll(&mut self, key: WorkerKey) {
         let (now_ms, pause_ms) = (self.now_ms, self.poll_pace.pause_ms());
         let worker = self.worker_mut(key);
         worker.next_poll_ms = now_ms + pause_ms;
         if worker.awaited_batch.is_none() {
             worker.persisted_through = worker.seen_through;
         }
-        let is_idle =
-            worker.slots.is_empty() && order.acknowledged_through == worker.persisted_through;
+        let is_idle = worker.slots.is_empty() && worker.dropped_through == worker.persisted_through;
         let due_ms = match worker.awaited_batch {
             Some(_) => now_ms + UNPERSISTED_POLL_MS,
             None if !worker.is_fenced => now_ms + FAILED_POLL_RETRY_MS,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -215,6 +215,8 @@
     pub(crate) seen_through: u64,
     /// Highest number of the ends that are persisted or need no record.
     pub(crate) persisted_through: u64,
+    /// Highest number of the ends that it has dropped, as they were acknowledged.
+    pub(crate) dropped_through: u64,
     /// Whether its last answer may have left out ends of runs.
     pub(crate) has_more_ends: bool,
     /// Batch that has to be persisted before the ends up to `seen_through` may be acknowledged.
@@ -272,6 +274,7 @@
             leased_until_worker_ms: 0,
             seen_through: 0,
             persisted_through: 0,
+            dropped_through: 0,
             has_more_ends: false,
             awaited_batch: None,
             poll: PollState::Idle { due_ms: 0 },
@@ -434,6 +437,7 @@
         self.leased_until_worker_ms = 0;
         self.seen_through = 0;
         self.persisted_through = 0;
+        self.dropped_through = 0;
         self.has_more_ends = false;
         self.awaited_batch = None;
         self.is_fenced = false;
--- a/tests/testsuite/jobs/faults.rs
+++ b/tests/testsuite/jobs/faults.rs
@@ -616,3 +616,19 @@
         simulation.state(id) == Some(JobState::Complete)
     });
 }
+
+/// Guards against tasks that are started again though they are done: a worker restarted under its id,
+/// and the leader acknowledged the ends of its new runs by the numbers of its earlier ones.
+#[test]
+fn ends_of_a_restarted_worker_are_not_acknowledged_by_the_numbers_of_before() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    simulation.submit("maps", job(vec![step(4, 1_000, 300)]));
+    simulation.advance(2_000);
+    let started_unix_ms = super::simulation::UNIX_MS + simulation.now_ms;
+    simulation.workers[0].restart(started_unix_ms);
+    let id = simulation.submit("maps", job(vec![step(4, 1_000, 300)]));
+    simulation.advance_until(10_000, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    assert_eq!(simulation.starts.len(), 8, "a task was started twice");
+}
