Add lossy links to the faults of the soak of nodes

A cut dropped all messages or none; a start whose answer alone is lost was rare.

Change: a third kind of cut drops a quarter of the messages and delivers the others at once; workers still reach the store then. A stand-in that panics loses its listener now, so that the test fails in place of going on without an answer.

--- a/tests/testsuite/node_soak/faults.rs
+++ b/tests/testsuite/node_soak/faults.rs
@@ -105,10 +105,8 @@
             true => zone_of(leader),
             false => random.random_range(0..ZONES.len()),
         };
-        let fate = match random.random_bool(0.5) {
-            true => Fate::Dropped,
-            false => Fate::HeldBack,
-        };
+        let fates = [Fate::Dropped, Fate::HeldBack, Fate::Lossy];
+        let fate = fates[random.random_range(0..fates.len())];
         let direction = match random.random_range(0..4) {
             0 => Direction::Outgoing,
             1 => Direction::Incoming,
--- a/tests/testsuite/node_soak/http_server.rs
+++ b/tests/testsuite/node_soak/http_server.rs
@@ -102,7 +102,10 @@
             continue;
         };
         connections.spawn_local(serve_connection(stream, answer.clone()));
-        while connections.try_join_next().is_some() {}
+        while let Some(ended) = connections.try_join_next() {
+            // Without its listener the stand-in is gone, and the test fails.
+            ended.expect("the stand-in does not panic");
+        }
     }
 }
 
@@ -119,7 +122,8 @@
             let received = receive(request).await.ok_or("the call was cut short")?;
             // A task of its own goes on when the connection ends.
             let answered = spawn_local(answer(received)).await;
-            let (status, body) = answered.ok().flatten().ok_or("no answer")?;
+            let answered = answered.expect("the stand-in does not panic");
+            let (status, body) = answered.ok_or("no answer")?;
             let response = Response::builder().status(status).body(Full::new(body));
             Ok::<_, Box<dyn std::error::Error + Send + Sync>>(response?)
         }
--- a/tests/testsuite/node_soak/network.rs
+++ b/tests/testsuite/node_soak/network.rs
@@ -15,6 +15,9 @@
 /// Longest time until a message that was held back is sent again after a cut, in milliseconds.
 const RESEND_MAX_MS: u64 = 500;
 
+/// Share of the messages that a lossy cut drops.
+const LOST_SHARE: f64 = 0.25;
+
 /// A place in the network.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Place {
@@ -87,6 +90,8 @@
     Dropped,
     /// They are delivered after the cut.
     HeldBack,
+    /// Some are dropped, the others are delivered at once.
+    Lossy,
 }
 
 struct Cut {
@@ -143,17 +148,21 @@
         self.cuts.borrow_mut().retain(|cut| cut.number != number);
     }
 
-    /// Returns whether a cut separates these places.
+    /// Returns whether no message between these places arrives now.
     pub(crate) fn is_cut(&self, from: Place, to: Place) -> bool {
         let cuts = self.cuts.borrow();
-        cuts.iter().any(|cut| cut.separates(from, to))
+        cuts.iter()
+            .any(|cut| cut.fate != Fate::Lossy && cut.separates(from, to))
     }
 
     /// Delivers a message; returns `None` if it was dropped.
     pub(crate) async fn deliver(&self, from: Place, to: Place) -> Option<()> {
         while let Some((fate, mut ended)) = self.first_cut(from, to) {
-            if fate == Fate::Dropped {
-                silence::<()>().await?;
+            let is_lost = self.random.borrow_mut().random_bool(LOST_SHARE);
+            match fate {
+                Fate::Lossy if !is_lost => return Some(()),
+                Fate::Lossy | Fate::Dropped => silence::<()>().await?,
+                Fate::HeldBack => {}
             }
             // The sender is dropped when the cut ends.
             let _ = ended.changed().await;
