Soak leaders that are cut off while others lead, in virtual time

Cause: the soak knew one leader at a time, and its failovers drop the earlier one at once.

Change: a simulated leader has a link: which workers it reaches, what becomes of its other calls (lost, not sent, held back until the cut ends, or carried out without an answer), whether it reaches the store and the lists, and its lease, which the engine is told as by src/node/leader.rs. Any number of earlier leaders go on beside the present one, until 6 s after their leases. The new soak draws cuts of 2 to 12 s from a source of its own: sides that overlap, healing in part, further cuts with up to three leaders, held-back orders and polls that arrive up to 0.5 s late, an append in flight that is stored unknown to its leader, crashes and restarts of workers, beside all faults of the soak. Workers refuse stops of a lower fence, and keep the fence of starts, as the protocol says.

--- a/tests/testsuite/jobs/cut_off_leader.rs
+++ b/tests/testsuite/jobs/cut_off_leader.rs
@@ -3,15 +3,12 @@
 
 use std::mem;
 
-use hawthornladder::jobs::{Engine, JobState, PollOrder, Record};
+use hawthornladder::jobs::{Engine, JobState, OrderFailure, PollOrder, Record};
 use smol_str::SmolStr;
 
+use super::links::{Link, Reach, LEADER_LEASE_MS};
 use super::simulation::{job, long_running, step, Simulation};
 
-/// Lease of a leader, in milliseconds.
-const LEADER_LEASE_MS: u64 = 1_000;
-/// Time after the end of its lease for which a leader goes on with accepted work, in milliseconds.
-const ACTS_AFTER_LEASE_MS: u64 = 6_000;
 /// Time without a renewal after which another node leads, in milliseconds.
 const CLAIM_MS: u64 = 1_300;
 /// Time for which the zone of the leader is cut off, in milliseconds.
@@ -19,82 +16,100 @@
 /// Time after a cut by which all work is done, in milliseconds.
 const SETTLE_MS: u64 = 20_000;
 
-/// The leader that is cut off, and what it has in flight.
+/// A leader that is cut off, and what it has in flight.
 pub(crate) struct CutOffLeader {
-    engine: Engine,
+    pub(crate) engine: Engine,
+    pub(crate) link: Link,
     polls: Vec<(PollOrder, u64)>,
-    connecting_polls: Vec<(PollOrder, u64)>,
+    failing_polls: Vec<(PollOrder, u64, OrderFailure)>,
     persisting: Option<(Vec<Record>, u64)>,
-    /// Time until which it gives orders, in milliseconds.
-    acts_until_ms: u64,
 }
 
 impl Simulation {
     /// Cuts the leader off, together with these workers, and lets another one lead some time later.
     pub(crate) fn cut_leader_off(&mut self, workers: &[SmolStr], next_fence: u64) {
-        let leased_until_ms = self.now_ms + LEADER_LEASE_MS;
-        self.engine.set_exclusive_until_ms(leased_until_ms);
+        let mut next_link = Link::open();
+        self.link.leased_until_ms = Some(self.now_ms + LEADER_LEASE_MS);
+        self.link.is_cut_from_store = true;
         for (id, worker) in &mut self.workers {
-            worker.is_disconnected = !workers.contains(id);
+            worker.is_disconnected = false;
+            let cut = match workers.contains(id) {
+                true => &mut next_link,
+                false => &mut self.link,
+            };
+            cut.set_reach(id.clone(), Reach::Dropped);
         }
-        self.is_store_unavailable = true;
         self.advance(CLAIM_MS);
+        self.is_store_unavailable = false;
+        self.succeed(next_fence, next_link);
+        self.list_all();
+    }
+
+    /// Lets another leader lead beside the present one, which goes on cut off.
+    pub(crate) fn succeed(&mut self, next_fence: u64, next_link: Link) {
         let next = self.open_engine(next_fence);
-        let engine = mem::replace(&mut self.engine, next);
-        self.cut_off = Some(CutOffLeader {
-            engine,
+        let cut_off = CutOffLeader {
+            engine: mem::replace(&mut self.engine, next),
+            link: mem::replace(&mut self.link, next_link),
             polls: mem::take(&mut self.polls),
-            connecting_polls: mem::take(&mut self.connecting_polls),
+            failing_polls: mem::take(&mut self.failing_polls),
             persisting: self.persisting.take(),
-            acts_until_ms: leased_until_ms + ACTS_AFTER_LEASE_MS,
-        });
-        self.switch_sides();
-        self.is_store_unavailable = false;
+        };
+        self.cut_off.push(cut_off);
         self.restore_engine();
-        self.list_all();
     }
 
-    /// Ends the cut: the leader that was cut off learns that another one leads.
+    /// Ends the cut: the leaders that were cut off learn that another one leads.
     pub(crate) fn end_cut(&mut self) {
-        self.cut_off = None;
-        for worker in self.workers.values_mut() {
-            worker.is_disconnected = false;
-        }
+        self.cut_off.clear();
+        self.link.mend();
     }
 
-    /// Lets the leader that is cut off take its step.
-    pub(crate) fn step_cut_off_leader(&mut self) {
-        let is_acting = |cut_off: &CutOffLeader| self.now_ms < cut_off.acts_until_ms;
-        if self.cut_off.as_ref().is_some_and(is_acting) {
-            self.as_cut_off_leader(|simulation| {
+    /// Lets the leaders that are cut off take their steps.
+    pub(crate) fn step_cut_off_leaders(&mut self) {
+        self.for_each_cut_off(|simulation| {
+            simulation.renew_lease();
+            if simulation.link.may_act(simulation.now_ms) {
                 simulation.answer_polls();
                 simulation.run_engine();
-            });
+            }
+        });
+    }
+
+    /// Connects a worker with the leaders that are cut off, and with them alone.
+    pub(crate) fn connect_with_cut_off(&mut self, id: &SmolStr) {
+        self.link.set_reach(id.clone(), Reach::Dropped);
+        for leader in &mut self.cut_off {
+            leader.link.set_reach(id.clone(), Reach::Full);
         }
     }
 
-    /// Calls `act` with the leader that is cut off in the place of its successor.
+    /// Calls `act` with the leader that was cut off last in the place of the present one.
     pub(crate) fn as_cut_off_leader(&mut self, act: impl FnOnce(&mut Self)) {
-        let mut cut_off = self.cut_off.take().expect("a leader that is cut off");
-        self.change_places(&mut cut_off);
+        let mut leader = self.cut_off.pop().expect("a leader that is cut off");
+        self.change_places(&mut leader);
         act(self);
-        self.change_places(&mut cut_off);
-        self.cut_off = Some(cut_off);
+        self.change_places(&mut leader);
+        self.cut_off.push(leader);
+    }
+
+    /// Calls `act` with each leader that is cut off in the place of the present one.
+    pub(crate) fn for_each_cut_off(&mut self, mut act: impl FnMut(&mut Self)) {
+        let mut leaders = mem::take(&mut self.cut_off);
+        for leader in &mut leaders {
+            self.change_places(leader);
+            act(self);
+            self.change_places(leader);
+        }
+        self.cut_off = leaders;
     }
 
     fn change_places(&mut self, cut_off: &mut CutOffLeader) {
         mem::swap(&mut self.engine, &mut cut_off.engine);
+        mem::swap(&mut self.link, &mut cut_off.link);
         mem::swap(&mut self.polls, &mut cut_off.polls);
-        mem::swap(&mut self.connecting_polls, &mut cut_off.connecting_polls);
+        mem::swap(&mut self.failing_polls, &mut cut_off.failing_polls);
         mem::swap(&mut self.persisting, &mut cut_off.persisting);
-        self.switch_sides();
-    }
-
-    /// Connects the workers that were not reached, and disconnects the others.
-    fn switch_sides(&mut self) {
-        for worker in self.workers.values_mut() {
-            worker.is_disconnected = !worker.is_disconnected;
-        }
     }
 }
 
--- a/tests/testsuite/jobs/cut_off_proofs.rs
+++ b/tests/testsuite/jobs/cut_off_proofs.rs
@@ -42,9 +42,8 @@
 /// Connects the first worker, which starts anew, with the leader that is cut off, and with it alone.
 fn restart_at_cut_off_leader(simulation: &mut Simulation, first: &SmolStr) {
     let started_unix_ms = UNIX_MS + simulation.now_ms;
-    let worker = &mut simulation.workers[first];
-    worker.restart(started_unix_ms);
-    worker.is_disconnected = true;
+    simulation.workers[first].restart(started_unix_ms);
+    simulation.connect_with_cut_off(first);
     simulation.advance(ACTED_MS);
 }
 
@@ -143,8 +142,10 @@
     while late.is_none() {
         simulation.advance(STEP_MS);
         simulation.as_cut_off_leader(|simulation| {
-            let polls = &mut simulation.polls;
-            let at = polls.iter().position(|(order, _)| order.target.id == first);
+            let polls = &mut simulation.failing_polls;
+            let at = polls
+                .iter()
+                .position(|(order, ..)| order.target.id == first);
             late = at.map(|at| polls.remove(at).0);
         });
     }
--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -65,6 +65,27 @@
         });
     }
 
+    /// Returns whether the leader hears nothing of it.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.is_disconnected || self.is_dead || self.loses_answers
+    }
+
+    /// Returns whether it refuses a run: a run of the task that is no lower was stopped or has ended
+    /// there.
+    pub(crate) fn has_blocked(&self, (name, run): &(TaskName, u64)) -> bool {
+        let mut blocked = self.blocked.iter();
+        blocked.any(|(known, number)| known == name && number >= run)
+    }
+
+    /// Returns whether one more run fits beside the present ones.
+    pub(crate) fn has_room(&self, reservation: &Size) -> bool {
+        let mut used = Size::default();
+        for run in self.running.values() {
+            used.add(&run.reservation);
+        }
+        used.fits_with(reservation, &self.info.capacity)
+    }
+
     /// Takes the ends as done that are acknowledged up to `through`.
     pub(crate) fn take_settled_done(&mut self, through: u64) -> Vec<(TaskName, u64)> {
         let (settled, later) = mem::take(&mut self.unsettled_done)
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -17,6 +17,7 @@
 
 use super::cut_off_leader::CutOffLeader;
 pub(crate) use super::fake_worker::{FakeWorker, Running};
+use super::links::{Link, WorkerCall};
 
 pub(crate) use super::builders::{
     catalog, job, long_running, settings_with_factor, size, step, with_weights, RECORD_MAX_BYTES,
@@ -66,8 +67,15 @@
 /// The engine with its simulated surroundings.
 pub(crate) struct Simulation {
     pub(crate) engine: Engine,
-    /// An earlier leader that is cut off and still acts.
-    pub(crate) cut_off: Option<CutOffLeader>,
+    /// Connections and lease of the leader.
+    pub(crate) link: Link,
+    /// Earlier leaders that are cut off and still act.
+    pub(crate) cut_off: Vec<CutOffLeader>,
+    /// Calls that were held back and arrive late, with their times in milliseconds.
+    pub(crate) late_calls: Vec<(u64, WorkerCall)>,
+    /// A poll that a worker has not received is lost, also if the worker is reached again before the
+    /// leader gives the call up.
+    pub(crate) loses_unreceived_polls: bool,
     /// Run time outside the rack of a task's data relative to that inside, in thousandths.
     pub(crate) remote_factor_permille: u64,
     pub(crate) now_ms: u64,
@@ -112,8 +120,8 @@
     pub(crate) crashing: HashSet<TaskName>,
     pub(crate) starts: Vec<(u64, SmolStr, TaskName)>,
     pub(crate) polls: Vec<(PollOrder, u64)>,
-    /// Polls of crashed workers, with the times at which their connections time out.
-    pub(crate) connecting_polls: Vec<(PollOrder, u64)>,
+    /// Polls that fail, with the times at which they do.
+    pub(crate) failing_polls: Vec<(PollOrder, u64, OrderFailure)>,
     pub(crate) persisting: Option<(Vec<Record>, u64)>,
     arrivals: Vec<(u64, WorkerInfo)>,
     /// Delayed starts: due time, start time of the incarnation for which they were meant, and
@@ -137,7 +145,10 @@
         let settings = settings_with_factor(1, factor_permille);
         let mut simulation = Self {
             engine: Engine::open(settings, catalog.clone(), 1_000, UNIX_MS),
-            cut_off: None,
+            link: Link::open(),
+            cut_off: Vec::new(),
+            late_calls: Vec::new(),
+            loses_unreceived_polls: false,
             remote_factor_permille: factor_permille,
             now_ms: 1_000,
             workers: IndexMap::new(),
@@ -165,7 +176,7 @@
             crashing: HashSet::new(),
             starts: Vec::new(),
             polls: Vec::new(),
-            connecting_polls: Vec::new(),
+            failing_polls: Vec::new(),
             persisting: None,
             arrivals: Vec::new(),
             delayed_starts: Vec::new(),
@@ -250,6 +261,9 @@
     }
 
     fn list_workers(&mut self) {
+        if self.link.is_cut_from_worker_list {
+            return;
+        }
         for worker in self.workers.values().filter(|worker| !worker.is_dead) {
             self.engine.worker_listed(worker.info.clone(), self.now_ms);
         }
@@ -263,8 +277,23 @@
         }
     }
 
+    /// Tells the engine which workers are no longer listed, as their processes have ended.
+    pub(crate) fn unlist_dead_workers(&mut self) {
+        if self.link.is_cut_from_worker_list {
+            return;
+        }
+        for (id, worker) in &self.workers {
+            if worker.is_dead {
+                self.engine.worker_unlisted(id, self.now_ms);
+            }
+        }
+    }
+
     /// Sends the list of instances to the engine.
     pub(crate) fn list_instances(&mut self) {
+        if self.link.is_cut_from_instances {
+            return;
+        }
         let infos = self.instances.values().cloned().collect();
         self.engine
             .instances_listed(infos, self.now_ms, self.now_ms);
@@ -351,7 +380,7 @@
     pub(crate) fn fail_over_without_lists(&mut self, fence: u64) {
         self.engine = self.open_engine(fence);
         self.polls.clear();
-        self.connecting_polls.clear();
+        self.failing_polls.clear();
         self.persisting = None;
         self.restore_engine();
     }
@@ -419,16 +448,21 @@
     fn step(&mut self) {
         self.end_runs();
         self.run_delayed_starts();
+        self.deliver_late_calls();
         self.start_arrived_workers();
+        self.renew_lease();
         self.answer_polls();
         self.persist_records();
         self.run_engine();
-        self.step_cut_off_leader();
+        self.step_cut_off_leaders();
         self.check();
     }
 
     /// Lets the engine do what is due, and carries out its orders.
     pub(crate) fn run_engine(&mut self) {
+        if !self.link.may_act(self.now_ms) {
+            return;
+        }
         self.engine.advance(self.now_ms, UNIX_MS + self.now_ms);
         for action in self.engine.take_actions() {
             self.carry_out(action);
@@ -525,12 +559,10 @@
 
     pub(crate) fn answer_polls(&mut self) {
         let now_ms = self.now_ms;
-        for (order, due_ms) in std::mem::take(&mut self.connecting_polls) {
+        for (order, due_ms, failure) in std::mem::take(&mut self.failing_polls) {
             match now_ms >= due_ms {
-                true => self
-                    .engine
-                    .poll_failed(&order, OrderFailure::NotSent, now_ms),
-                false => self.connecting_polls.push((order, due_ms)),
+                true => self.engine.poll_failed(&order, failure, now_ms),
+                false => self.failing_polls.push((order, due_ms, failure)),
             }
         }
         for (order, due_ms) in std::mem::take(&mut self.polls) {
@@ -539,9 +571,14 @@
                 .ended
                 .iter()
                 .any(|end| end.number > order.acknowledged_through);
+            let is_unreceived = self.loses_unreceived_polls && worker.fence < order.target.fence;
+            let is_heard = self.link.hears(&order.target.id);
+            let is_cut = is_unreceived || !is_heard;
+            // The connection ended with the process that had received the poll.
+            let is_reset = is_unreceived && is_heard && !worker.is_silent();
             match () {
-                () if worker.is_disconnected || worker.is_dead || worker.loses_answers => {
-                    if now_ms >= due_ms || worker.resets_connections {
+                () if is_cut || worker.is_silent() => {
+                    if now_ms >= due_ms || worker.resets_connections || is_reset {
                         let failure = OrderFailure::Lost;
                         self.engine.poll_failed(&order, failure, now_ms);
                     } else {
@@ -586,7 +623,7 @@
     }
 
     fn persist_records(&mut self) {
-        if self.is_store_unavailable {
+        if self.is_store_unavailable || self.link.is_cut_from_store {
             return;
         }
         if let Some((records, due_ms)) = self.persisting.take() {
@@ -594,15 +631,7 @@
                 self.persisting = Some((records, due_ms));
                 return;
             }
-            for (key, value) in records.iter().flat_map(Record::encode) {
-                let bytes = key.len() + value.as_ref().map_or(0, Vec::len);
-                let max_bytes = self.record_max_bytes;
-                assert!(bytes < max_bytes, "a record of {bytes} bytes under {key}");
-                match value {
-                    Some(value) => self.stored.insert(key, value),
-                    None => self.stored.shift_remove(&key),
-                };
-            }
+            self.store(&records);
             for settled in self.engine.records_persisted() {
                 if let Settled::Accepted(id) = settled {
                     self.accepted.push(id);
@@ -614,6 +643,19 @@
         }
     }
 
+    /// Stores records.
+    pub(crate) fn store(&mut self, records: &[Record]) {
+        for (key, value) in records.iter().flat_map(Record::encode) {
+            let bytes = key.len() + value.as_ref().map_or(0, Vec::len);
+            let max_bytes = self.record_max_bytes;
+            assert!(bytes < max_bytes, "a record of {bytes} bytes under {key}");
+            match value {
+                Some(value) => self.stored.insert(key, value),
+                None => self.stored.shift_remove(&key),
+            };
+        }
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Start(order) => self.start(&order),
@@ -637,34 +679,52 @@
 
     fn poll(&mut self, order: PollOrder) {
         let now_ms = self.now_ms;
-        let worker = &mut self.workers[&order.target.id];
+        let due_ms = now_ms + order.wait_ms + STEP_MS;
+        if let Some(failure) = self.link.failure_of(WorkerCall::Poll(order.clone())) {
+            self.failing_polls.push((order, due_ms, failure));
+            return;
+        }
+        let worker = &self.workers[&order.target.id];
         if !worker.is_disconnected && !worker.is_dead {
             if order.target.fence < worker.fence {
                 self.engine
                     .poll_failed(&order, OrderFailure::Fenced, now_ms);
                 return;
             }
-            worker.fence = order.target.fence;
-            let until_ms = order.lease_end_worker_ms.unwrap_or(0);
-            worker.leased_until_ms = worker.leased_until_ms.max(until_ms);
-            let settled_through = order.acknowledged_through;
-            worker.ended.retain(|end| end.number > settled_through);
-            let settled = worker.take_settled_done(settled_through);
-            self.note_done(&settled);
+            self.receive_poll(&order);
         }
         let worker = &self.workers[&order.target.id];
         if worker.is_dead && worker.resets_connections {
-            self.connecting_polls
-                .push((order, now_ms + CONNECT_TIMEOUT_MS));
+            let failure = OrderFailure::NotSent;
+            self.failing_polls
+                .push((order, now_ms + CONNECT_TIMEOUT_MS, failure));
             return;
         }
-        let due_ms = now_ms + order.wait_ms + STEP_MS;
         self.polls.push((order, due_ms));
     }
 
+    /// Lets a worker carry out a poll, unless it has seen a higher fence.
+    pub(crate) fn receive_poll(&mut self, order: &PollOrder) {
+        let worker = &mut self.workers[&order.target.id];
+        if order.target.fence < worker.fence {
+            return;
+        }
+        worker.fence = order.target.fence;
+        let until_ms = order.lease_end_worker_ms.unwrap_or(0);
+        worker.leased_until_ms = worker.leased_until_ms.max(until_ms);
+        let settled_through = order.acknowledged_through;
+        worker.ended.retain(|end| end.number > settled_through);
+        let settled = worker.take_settled_done(settled_through);
+        self.note_done(&settled);
+    }
+
     fn start(&mut self, order: &StartOrder) {
         self.check_zone(order);
         let now_ms = self.now_ms;
+        if let Some(failure) = self.link.failure_of(WorkerCall::Start(order.clone())) {
+            self.engine.start_failed(order, failure, now_ms);
+            return;
+        }
         let worker = &mut self.workers[&order.target.id];
         if worker.is_disconnected || worker.is_dead {
             self.engine.start_failed(order, OrderFailure::Lost, now_ms);
@@ -689,9 +749,10 @@
             self.engine.start_failed(order, failure, now_ms);
             return;
         }
+        worker.fence = order.target.fence;
         self.start_run(order, Arrival::AtOnce);
         let worker = &self.workers[&order.target.id];
-        match worker.loses_answers {
+        match worker.loses_answers || !self.link.hears(&order.target.id) {
             true => self.engine.start_failed(order, OrderFailure::Lost, now_ms),
             false => self.engine.start_accepted(order, Some(now_ms), now_ms),
         }
@@ -772,6 +833,12 @@
         }
     }
 
+    /// Starts a run whose order was held back on its way.
+    pub(crate) fn start_run_late(&mut self, order: &StartOrder) {
+        self.start_run(order, Arrival::Late);
+        self.crash_if_crashing(order);
+    }
+
     /// Starts a run at its worker.
     fn start_run(&mut self, order: &StartOrder, arrival: Arrival) {
         let now_ms = self.now_ms;
@@ -844,25 +911,49 @@
     fn stop(&mut self, order: &StopOrder) {
         let now_ms = self.now_ms;
         self.stops.push((now_ms, order.name));
-        let worker = &mut self.workers[&order.target.id];
+        if let Some(failure) = self.link.failure_of(WorkerCall::Stop(order.clone())) {
+            self.engine.stop_failed(order, failure, now_ms);
+            return;
+        }
+        let worker = &self.workers[&order.target.id];
         if worker.is_disconnected || worker.is_dead {
             self.engine.stop_failed(order, OrderFailure::Lost, now_ms);
             return;
         }
+        if order.target.fence < worker.fence {
+            let failure = OrderFailure::Fenced;
+            self.engine.stop_failed(order, failure, now_ms);
+            return;
+        }
+        self.stop_at_worker(order);
+        let worker = &self.workers[&order.target.id];
+        if !worker.loses_answers && self.link.hears(&order.target.id) {
+            self.engine.stop_accepted(order, now_ms);
+        }
+    }
+
+    /// Lets a worker stop a run, unless it has seen a higher fence.
+    pub(crate) fn stop_at_worker(&mut self, order: &StopOrder) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[&order.target.id];
+        if order.target.fence < worker.fence {
+            return;
+        }
+        worker.fence = order.target.fence;
         let key = (order.name, order.run_number);
         worker.blocked.insert(key);
         if let Some(run) = worker.running.get_mut(&key) {
             run.ends_ms = run.ends_ms.min(now_ms + STOP_MS);
             run.end = EndKind::Stopped;
         }
-        if !worker.loses_answers {
-            self.engine.stop_accepted(order, now_ms);
-        }
     }
 
     fn order_instance(&mut self, order: InstanceOrder) {
         let now_ms = self.now_ms;
-        if self.loses_orders {
+        if !self.link.is_leased(now_ms) {
+            return;
+        }
+        if self.loses_orders || self.link.is_cut_from_instances {
             let answer = Err(InstanceFailure::Lost);
             self.engine.instance_answered(&order, answer, now_ms);
             return;
--- a/tests/testsuite/jobs/soak.rs
+++ b/tests/testsuite/jobs/soak.rs
@@ -16,6 +16,7 @@
 use smol_str::SmolStr;
 
 use super::simulation::{job, long_running, size, step, Simulation, UNIX_MS};
+use super::soak_cut_off::Cuts;
 
 /// Seeds of every run of the tests.
 const SEEDS: Range<u64> = 0..12;
@@ -59,10 +60,10 @@
     ListsOutdated,
 }
 
-struct Soak {
-    simulation: Simulation,
+pub(super) struct Soak {
+    pub(super) simulation: Simulation,
     rng: ChaCha8Rng,
-    fence: u64,
+    pub(super) fence: u64,
     faults: Vec<(u64, Fault)>,
     cancelled: Vec<(JobId, u64)>,
     jobs: Vec<(JobId, bool)>,
@@ -80,7 +81,9 @@
     /// `rng` as well; none for a run without them.
     crashes: Option<ChaCha8Rng>,
     /// Times at which leaders started, in milliseconds.
-    leaders_since_ms: Vec<u64>,
+    pub(super) leaders_since_ms: Vec<u64>,
+    /// Random cuts of leaders, with a source of their own as well; none for a run without them.
+    pub(super) cuts: Option<Cuts>,
 }
 
 fn open_simulation(factor_permille: u64) -> Simulation {
@@ -93,7 +96,7 @@
 }
 
 impl Soak {
-    fn open(seed: u64) -> Self {
+    pub(super) fn open(seed: u64) -> Self {
         Self {
             simulation: open_simulation(1_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -107,6 +110,7 @@
             refused: Vec::new(),
             crashes: None,
             leaders_since_ms: vec![0],
+            cuts: None,
         }
     }
 
@@ -211,23 +215,28 @@
             self.change_evacuations();
             self.change_rates();
             self.change_capacities();
+            self.change_cuts();
             self.simulation.advance(10);
         }
         self.simulation.evacuate(&[]);
         self.repair_due(u64::MAX);
+        self.end_cuts();
         self.settle();
         self.check_end();
     }
 
     /// Lets all accepted work end, with the lists read as in the run.
     fn settle(&mut self) {
-        if self.crashes.is_none() {
+        if self.crashes.is_none() && self.cuts.is_none() {
             self.simulation.advance(SETTLE_MS);
             return;
         }
         self.simulation.restore_capacities();
         for _ in 0..SETTLE_MS / LIST_MS {
             self.simulation.list_all();
+            if self.cuts.is_some() {
+                self.simulation.unlist_dead_workers();
+            }
             self.simulation.advance(LIST_MS);
         }
     }
@@ -383,7 +392,7 @@
 
     /// Starts a new leader if the store is available; it reads the lists at once or later.
     fn fail_over(&mut self) {
-        if self.simulation.is_store_unavailable {
+        if self.simulation.is_store_unavailable || self.simulation.link.is_cut_from_store {
             return;
         }
         self.fence += 1;
@@ -496,6 +505,12 @@
 /// Returns the seeds to run: those of the variable `SOAK_SEEDS`, written as `FROM..TO`, or else the
 /// fixed ones.
 fn seeds() -> Vec<u64> {
+    let fixed = SEEDS.chain(REGRESSION_SEEDS.iter().copied());
+    seeds_or(fixed.collect())
+}
+
+/// Returns the seeds of the variable `SOAK_SEEDS`, or else these.
+pub(super) fn seeds_or(fixed: Vec<u64>) -> Vec<u64> {
     let variable = std::env::var("SOAK_SEEDS").ok();
     let range = variable.as_deref().and_then(|text| text.split_once(".."));
     let parse = |text: &str| {
@@ -504,7 +519,7 @@
     };
     match range {
         Some((from, to)) => (parse(from)..parse(to)).collect(),
-        None => SEEDS.chain(REGRESSION_SEEDS.iter().copied()).collect(),
+        None => fixed,
     }
 }
 
@@ -512,7 +527,8 @@
     run_each(&seeds(), open);
 }
 
-fn run_each(seeds: &[u64], open: impl Fn(u64) -> Soak + std::panic::RefUnwindSafe) {
+/// Runs a soak with each of these seeds, and fails with those that failed.
+pub(super) fn run_each(seeds: &[u64], open: impl Fn(u64) -> Soak + std::panic::RefUnwindSafe) {
     let mut failed = Vec::new();
     for seed in seeds.iter().copied() {
         let outcome = std::panic::catch_unwind(|| open(seed).run());
