--- a/tests/testsuite/jobs/late_proofs.rs
+++ b/tests/testsuite/jobs/late_proofs.rs
@@ -149,7 +149,7 @@
     let now_ms = simulation.now_ms;
     simulation.workers[&ids[0]].restart(started_unix_ms);
     simulation.engine.worker_unlisted(&ids[0], now_ms);
-    simulation.workers[&ids[0]].is_disconnected = true;
+    simulation.connect_with_cut_off(&ids[0]);
     simulation.as_cut_off_leader(|simulation| {
         for other in &ids[1..] {
             simulation.engine.worker_unlisted(other, now_ms);
