Ask about further workers while those with tickets have no place

Seen by callers: a job whose policy allows six of 40 idle workers lost its worker and another eligible one, and was then shown as active and never ran again.

Cause: a request for tickets names the 30 least loaded workers. The answer was kept and dropped as one, so that each further request named the same 30, none of which was eligible any more.

Evidence: the record of the case (30 workers named every 3 s, none eligible, four others eligible and up), and five tests in jobs/tickets.rs, all of which failed before with "condition not met within 3000 ms": eligible workers lost, full or leaving, a gang that needs more workers than one answer has, workers that join or restart, a pool of 1,000 in which the last worker is eligible.

Change: the answer about each worker is remembered, for its incarnation. While the workers with a valid ticket have too few places for the task or the gang, the engine asks about those that are worth it most, each once before any is asked about again. A suspect counts the worker that is reserved for it; before, that one was never asked about. Members of a gang are counted by one function.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -54,7 +54,7 @@
         }
         self.avoid_after(key, failure);
         if failure == OrderFailure::NoTicket {
-            self.tickets.drop_worker(order.run.task, &order.target.id);
+            self.tickets.drop_worker(order.run.task, key);
         }
         self.remove_run(key, order.run);
     }
--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -218,10 +218,13 @@
         }
         let eligible = match self.needs_tickets(task.job) {
             false => None,
-            true => match self.with_tickets(task) {
-                None => return StartOutcome::NoWorker,
-                with_tickets => with_tickets,
-            },
+            true => {
+                let has_place = |engine: &Self, key| u32::from(engine.has_place(key, task, step));
+                match self.with_tickets(task, 1, has_place) {
+                    None => return StartOutcome::NoWorker,
+                    with_tickets => with_tickets,
+                }
+            }
         };
         let pool = self.job(task.job).pool.clone();
         let request = PlacementRequest {
@@ -269,10 +272,13 @@
         }
         let eligible = match self.needs_tickets(at.job) {
             false => self.accepting_workers(&self.job(at.job).pool),
-            true => match self.with_tickets(at) {
-                None => return,
-                Some(with_tickets) => with_tickets,
-            },
+            true => {
+                let places_count = |engine: &Self, key| engine.gang_places_count(key, step);
+                match self.with_tickets(at, step.tasks_count, places_count) {
+                    None => return,
+                    Some(with_tickets) => with_tickets,
+                }
+            }
         };
         let mut groups: Vec<Vec<WorkerKey>> = Vec::new();
         if step.in_one_rack {
@@ -339,29 +345,35 @@
         group: &[WorkerKey],
         step: &StepSpec,
     ) -> Option<Vec<WorkerKey>> {
-        let reservation = step.reservation();
         let mut places = Vec::new();
         for worker in group {
-            let worker_state = self.worker(*worker);
-            let is_fit = step
-                .label
-                .as_ref()
-                .is_none_or(|label| worker_state.info.labels.contains(label));
-            let mut used = worker_state.used;
-            let mut here_count = 0;
-            while is_fit
-                && places.len() < index(step.tasks_count)
-                && used.fits_with(&reservation, &worker_state.info.capacity)
-                && (step.per_worker_max == 0 || here_count < step.per_worker_max)
-            {
-                used.add(&reservation);
-                here_count += 1;
-                places.push(*worker);
-            }
+            let free_count = index(self.gang_places_count(*worker, step));
+            let missing_count = index(step.tasks_count) - places.len();
+            places.extend(std::iter::repeat_n(*worker, free_count.min(missing_count)));
         }
         (places.len() == index(step.tasks_count)).then_some(places)
     }
 
+    /// Returns how many members of a gang a worker can run beside its present runs.
+    fn gang_places_count(&self, key: WorkerKey, step: &StepSpec) -> u32 {
+        let worker = self.worker(key);
+        if !self.has_label(key, step) {
+            return 0;
+        }
+        let most_count = match step.per_worker_max {
+            0 => step.tasks_count,
+            per_worker_max => step.tasks_count.min(per_worker_max),
+        };
+        let reservation = step.reservation();
+        let mut used = worker.used;
+        let mut count = 0;
+        while count < most_count && used.fits_with(&reservation, &worker.info.capacity) {
+            used.add(&reservation);
+            count += 1;
+        }
+        count
+    }
+
     pub(crate) fn needs_tickets(&self, key: JobKey) -> bool {
         self.job_needs_tickets(self.job(key))
     }
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -78,16 +78,19 @@
 }
 
 fn fits(engine: &Engine, key: WorkerKey, request: &PlacementRequest<'_>) -> bool {
-    let worker = engine.worker(key);
-    let step = request.step;
-    engine.has_label(key, step)
-        && worker
-            .used
-            .fits_with(&step.reservation(), &worker.info.capacity)
-        && engine.is_below_worker_max(key, request.task, step)
+    engine.has_place(key, request.task, request.step)
 }
 
 impl Engine {
+    /// Returns whether a worker has the label and the capacity for a task.
+    pub(crate) fn has_place(&self, key: WorkerKey, task: TaskKey, step: &StepSpec) -> bool {
+        let worker = self.worker(key);
+        let has_capacity = worker
+            .used
+            .fits_with(&step.reservation(), &worker.info.capacity);
+        has_capacity && self.has_label(key, step) && self.is_below_worker_max(key, task, step)
+    }
+
     /// Returns whether a worker has the label that a step needs.
     pub(crate) fn has_label(&self, key: WorkerKey, step: &StepSpec) -> bool {
         let labels = &self.worker(key).info.labels;
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -212,24 +212,31 @@
     /// those without tasks that have no end. Returns `None` while tickets are awaited.
     fn workers_for_suspect(&mut self, task: TaskKey, step: &StepSpec) -> Option<Vec<WorkerKey>> {
         let mut workers = match self.needs_tickets(task.job) {
-            false => self.accepting_workers(&self.job(task.job).pool),
-            true => self.with_tickets(task)?,
+            false => {
+                let mut workers = self.accepting_workers(&self.job(task.job).pool);
+                workers.extend(self.reserved_for(task));
+                workers
+            }
+            true => self.with_tickets(task, 1, |engine, key| {
+                u32::from(engine.may_run_suspect(key, task, step))
+            })?,
         };
-        workers.extend(self.reserved_for(task));
-        let reservation = step.reservation();
-        workers.retain(|key| {
-            let worker = self.worker(*key);
-            let capacity = &worker.info.capacity;
-            worker.long_running_count == 0
-                && Size::default().fits_with(&reservation, capacity)
-                && self.has_label(*key, step)
-                && self.is_below_worker_max(*key, task, step)
-        });
+        workers.retain(|key| self.may_run_suspect(*key, task, step));
         Some(workers)
     }
 
+    /// Returns whether a suspect fits on a worker that has no other tasks.
+    fn may_run_suspect(&self, key: WorkerKey, task: TaskKey, step: &StepSpec) -> bool {
+        let worker = self.worker(key);
+        let fits = Size::default().fits_with(&step.reservation(), &worker.info.capacity);
+        worker.long_running_count == 0
+            && fits
+            && self.has_label(key, step)
+            && self.is_below_worker_max(key, task, step)
+    }
+
     /// Returns the workers that are reserved for a task or its gang and are otherwise usable.
-    fn reserved_for(&self, task: TaskKey) -> Vec<WorkerKey> {
+    pub(crate) fn reserved_for(&self, task: TaskKey) -> Vec<WorkerKey> {
         let reservations = self.quarantine.reservations.iter();
         reservations
             .filter(|(key, reservation)| {
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -132,7 +132,7 @@
         let now_ms = self.now_ms;
         let task = run.task;
         let lease_end_worker_ms = self.lease_for_start(key);
-        let ticket = self.tickets.of(task, &self.worker(key).info.id);
+        let ticket = self.tickets.of(task, key);
         let checkpoint = self.task(task).map(|state| state.checkpoint.clone());
         let job = self.job(task.job);
         let order = StartOrder {
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -29,5 +29,6 @@
 mod soak;
 mod soak_cut_off;
 mod team_rates;
+mod tickets;
 mod unlisted_ends;
 mod waves;
