Show a job as begun once a worker has begun it, not once it is ordered

Seen by callers: 20 jobs wait behind a worker that refuses starts; `pending` is given as 0, and each job is shown as active.

Cause: the order of a start set the state to active, and a refused start did not take that back.

Change: accepted starts, listed runs and reported ends mark the job as begun. Nothing else looked at the state.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -28,6 +28,10 @@
                 slot.state = SlotState::Placed { since_ms: now_ms };
             }
         }
+        // The job may have been dropped meanwhile, and its key reused.
+        if self.job(order.run.task.job).id == order.name.job {
+            self.mark_begun(order.run.task.job);
+        }
         self.request_poll(order.target.worker);
     }
 
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -79,15 +79,13 @@
         is_usable.then(|| checkpoint.clone())
     }
 
-    /// Opens the occurrences up to the one of a task that a worker reports.
+    /// Opens the occurrences up to the one of a task that a worker reports, which has begun.
     pub(crate) fn open_round(&mut self, task: TaskKey) {
         let job = self.job_mut(task.job);
         while job.rounds.len() <= crate::jobs::engine::index(task.round) {
             job.rounds.push(Round::open(&job.spec));
         }
-        if job.state == JobState::Queued {
-            job.state = JobState::Active;
-        }
+        self.mark_begun(task.job);
     }
 
     /// Updates the worker's failure streak and the run-time estimates after a run has ended.
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -25,9 +25,9 @@
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum JobState {
-    /// No task has started.
+    /// No worker has begun a task.
     Queued,
-    /// Some task has started, and not all are done.
+    /// A worker has begun some task, and not all are done.
     Active,
     /// All tasks are done.
     Complete,
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -311,6 +311,7 @@
                 return None;
             }
         };
+        self.mark_begun(run.task.job);
         let worker = self.worker_mut(key);
         if let Some(slot) = worker.slots.get_mut(&run) {
             if !matches!(slot.state, SlotState::Placed { .. }) {
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -6,7 +6,7 @@
 use crate::jobs::dispatch::RUNS_PER_FENCE;
 use crate::jobs::engine::Engine;
 use crate::jobs::job::JobState;
-use crate::jobs::keys::{RunKey, TaskKey, WorkerKey};
+use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
 use crate::jobs::orders::{Action, StartOrder};
 use crate::jobs::polls::new_slot;
 use crate::jobs::spec::{Size, StepSpec};
@@ -63,10 +63,6 @@
             state.started_ms = now_ms;
         });
         self.schedule_copy(task, step);
-        let job = self.job_mut(task.job);
-        if job.state == JobState::Queued {
-            job.state = JobState::Active;
-        }
         match is_held {
             true => self.held_starts.push(HeldStart {
                 batch: self.next_batch_number(),
@@ -78,6 +74,14 @@
         run
     }
 
+    /// Records that a worker has begun a task of a job. An order alone shows nothing: it may be refused,
+    /// or wait for its record.
+    pub(crate) fn mark_begun(&mut self, key: JobKey) {
+        if self.job(key).state == JobState::Queued {
+            self.job_mut(key).state = JobState::Active;
+        }
+    }
+
     /// Sets the time of the next start on a worker that is slow after its own start.
     fn pace_cold_starts(&mut self, key: WorkerKey) {
         let now_ms = self.now_ms;
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -21,6 +21,7 @@
 mod odd_figures;
 mod overload;
 mod peaks;
+mod pending;
 mod places;
 mod record_sizes;
 mod run_times;
