Drain the worker that an instance has now, not one that has crashed

Seen by callers: four long-running tasks of a step, of which one may be away, were ended at once by the maintenance of their instance.

Cause: the worker of an instance was the first listed one that names it. For three heartbeats that is the one that crashed there, which is idle, so that nothing was drained and the order was sent.

Change: the worker with runs counts, or else the one that started last.

Test: jobs::waves::the_new_worker_of_an_instance_is_drained_while_the_crashed_one_is_listed, before: "an order ended runs". After: it and the other tests of waves pass.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -224,13 +224,19 @@
         of_worker.next().map(|row| row.info.name.clone())
     }
 
-    /// Returns the worker of an instance, if the list of workers has one.
+    /// Returns the worker of an instance, if the list of workers has one. The entry of a worker that has
+    /// crashed stays for a while beside that of the next one on its instance: the one with runs counts,
+    /// or else the one that started last.
     pub(crate) fn worker_of(&self, name: &SmolStr) -> Option<WorkerKey> {
         let by_info = |key: &WorkerKey| {
             let worker = self.worker(*key);
             worker.is_listed && worker.info.instance.as_ref() == Some(name)
         };
-        let found = self.present_keys().find(by_info);
+        let listed = self.present_keys().filter(by_info);
+        let found = listed.max_by_key(|key| {
+            let worker = self.worker(*key);
+            (!worker.slots.is_empty(), worker.info.started_unix_ms)
+        });
         found.or_else(|| {
             let id = self.instances.rows.get(name)?.info.worker.as_ref()?;
             self.worker_keys.get(id).copied()
--- a/tests/testsuite/jobs/waves.rs
+++ b/tests/testsuite/jobs/waves.rs
@@ -86,3 +86,30 @@
         assert_eq!(simulation.runs_of(id).len(), 2, "an order ended a run");
     }
 }
+
+/// Guards against an order that ends the work of an instance's new worker, as the entry of the worker
+/// that has crashed there is still listed and has no work (review/9).
+#[test]
+fn the_new_worker_of_an_instance_is_drained_while_the_crashed_one_is_listed() {
+    let mut simulation = Simulation::open(&["a"], 1);
+    simulation.advance(1_000);
+    let crashed = simulation.workers.keys().next().expect("a worker").clone();
+    simulation.crash(&crashed);
+    simulation.advance_until(5_000, |simulation| simulation.workers.len() == 2);
+    // It gets no task, but its entry stays.
+    simulation.workers[&crashed].info.is_draining = true;
+    simulation.list_to_leader(std::slice::from_ref(&crashed));
+    let lasting = StepSpec {
+        unavailable_max: Some(1),
+        ..long_running(4, 2_000)
+    };
+    let id = simulation.submit("a", job(vec![lasting]));
+    simulation.advance(500);
+    assert_eq!(simulation.runs_of(id).len(), 4);
+    let all: Vec<SmolStr> = simulation.instances.keys().cloned().collect();
+    simulation.request_wave(1, &all, 1);
+    for _ in 0..300 {
+        simulation.advance(10);
+        assert!(simulation.runs_of(id).len() >= 3, "an order ended runs");
+    }
+}
