Limit the wait of suspects without an end behind other suspects

Seen by callers: a task without an end that was lost with two workers did not run again, with room on six workers.

Cause: the limit to the time in which a suspect starts only alone was set where a worker is sought for it, but not where its pool was already found to have none, for tasks without an end and gangs. No limit counts as none.

Change: one function sets it in both places.

--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -105,7 +105,9 @@
             }
             let pool = self.job(task.job).pool.clone();
             if full_pools.contains(&pool) && self.reserved_for(task).is_empty() {
-                self.isolate_until_next_turn(task);
+                let spec = self.job(task.job).spec.clone();
+                let step = &spec.steps[usize::from(task.step)];
+                self.limit_isolation(task, step, true);
                 continue;
             }
             if self.start_alone(task, others) == Reserved::NoneOfPool {
@@ -114,14 +116,17 @@
         }
     }
 
-    /// Lets a task that ends wait for its turn, where a pool has workers that can be reserved.
-    fn isolate_until_next_turn(&mut self, task: TaskKey) {
-        let step = &self.job(task.job).spec.steps[usize::from(task.step)];
-        if step.is_long_running || step.is_gang {
-            return;
-        }
+    /// Sets until when a suspect starts only alone. Where a pool has workers that can be reserved, a task
+    /// that ends waits for its turn. One without an end, and a gang, wait for a limited time.
+    fn limit_isolation(&mut self, task: TaskKey, step: &StepSpec, has_workers: bool) {
         let until_ms = self.now_ms + RESERVATION_WAIT_MS;
-        self.change_task(task, |state| state.isolated_until_ms = Some(until_ms));
+        let has_turn = has_workers && !step.is_long_running && !step.is_gang;
+        self.change_task(task, |state| {
+            state.isolated_until_ms = match has_turn {
+                true => Some(until_ms),
+                false => state.isolated_until_ms.or(Some(until_ms)),
+            };
+        });
     }
 
     /// Returns how many instances each pool needs for its suspects: one for each that waits or runs
@@ -189,15 +194,7 @@
         let Some(eligible) = self.workers_for_suspect(task, step) else {
             return Reserved::Other;
         };
-        let now_ms = self.now_ms;
-        let has_turn = !eligible.is_empty() && !step.is_long_running && !step.is_gang;
-        self.change_task(task, |state| {
-            let until_ms = now_ms + RESERVATION_WAIT_MS;
-            match has_turn {
-                true => state.isolated_until_ms = Some(until_ms),
-                false => state.isolated_until_ms = state.isolated_until_ms.or(Some(until_ms)),
-            }
-        });
+        self.limit_isolation(task, step, !eligible.is_empty());
         match step.is_gang {
             _ if !self.is_isolated(task) => Reserved::Other,
             true => {
--- a/tests/testsuite/jobs/crashes.rs
+++ b/tests/testsuite/jobs/crashes.rs
@@ -1,6 +1,7 @@
 //! Tasks that crash the workers that start them, and tasks that are lost with those workers.
 
-use hawthornladder::jobs::{JobId, JobState, StepSpec, TaskName};
+use hawthornladder::jobs::{InstanceState, JobId, JobState, StepSpec, TaskName};
+use smol_str::SmolStr;
 
 use super::simulation::{job, long_running, step, Simulation};
 
@@ -11,6 +12,9 @@
 /// Most starts of a task that crashes its workers: the third start that follows the third crash
 /// would be one too many.
 const STARTS_MAX_COUNT: usize = 5;
+/// Time by which a suspect without an end has to run again if it gets no worker of its own, in
+/// milliseconds.
+const ALONE_MAX_MS: u64 = 10_000;
 /// Time within which a task that crashes its workers is given up, in milliseconds.
 const GIVE_UP_MS: u64 = 20_000;
 
@@ -226,3 +230,41 @@
     assert_eq!(starts_count(&simulation, name), 1);
     assert_eq!(simulation.state(crashing), Some(JobState::Cancelled));
 }
+
+/// Loses a worker for good, with its instance.
+fn lose(simulation: &mut Simulation, id: &SmolStr) {
+    let worker = &mut simulation.workers[id];
+    worker.crash();
+    let instance = worker.info.instance.clone().expect("an instance");
+    let row = &mut simulation.instances[&instance];
+    row.worker = None;
+    row.state = InstanceState::Down;
+    simulation.unlist_dead_workers();
+}
+
+/// Guards against a task without an end that is never started again: it was lost with two workers, and
+/// other suspects, which end, have the turn at the workers that can be reserved (review/7).
+#[test]
+fn a_suspect_without_an_end_does_not_wait_behind_others_for_ever() {
+    let mut simulation = open(8);
+    // Each worker keeps a task that outlasts the test.
+    for _ in 0..8 {
+        simulation.submit("maps", job(vec![step(1, 17_000, 120_000)]));
+    }
+    simulation.advance(1_000);
+    simulation.submit("maps", job(vec![step(3, 4_000, 60_000)]));
+    // Its turn comes after theirs.
+    simulation.advance(100);
+    let lasting = simulation.submit("maps", job(vec![long_running(1, 2_700)]));
+    for _ in 0..2 {
+        simulation.advance_until(GIVE_UP_MS, |simulation| {
+            !simulation.runs_of(lasting).is_empty()
+        });
+        advance(&mut simulation, 1_500);
+        let worker = simulation.runs_of(lasting)[0].0.clone();
+        lose(&mut simulation, &worker);
+        advance(&mut simulation, 1_000);
+    }
+    advance(&mut simulation, ALONE_MAX_MS);
+    assert_eq!(simulation.runs_of(lasting).len(), 1);
+}
