--- a/src/jobs/dispatch.rs
+++ b/src/jobs/dispatch.rs
@@ -9,12 +9,12 @@
 use crate::jobs::engine::{index, Engine};
 use crate::jobs::job::Job;
 use crate::jobs::keys::{JobKey, RunKey, TaskKey, WorkerKey};
+use crate::jobs::leases::LEASE_EXPIRY_RESERVE_MS;
 use crate::jobs::place_pass::PlacePass;
 use crate::jobs::place_waits::WaitOutcome;
 use crate::jobs::placement::{choose, PlacementRequest};
 use crate::jobs::quarantine::OtherTasks;
 use crate::jobs::spec::{Size, StepSpec};
-use crate::jobs::worker::LEASE_EXPIRY_RESERVE_MS;
 use crate::logging::Event;
 
 /// Distance between the run numbers of two leaders. One leader starts a task fewer times than this.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 mod job;
 mod keys;
 mod known_capacity;
+mod leases;
 mod listed_workers;
 mod lost_runs;
 mod order_numbers;
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -88,7 +88,6 @@
     /// Applies the reply to a poll.
     pub fn poll_answered(&mut self, order: &PollOrder, reply: PollReply, now_ms: u64) {
         self.now_ms = now_ms.max(self.now_ms);
-        let now_ms = self.now_ms;
         let key = order.target.worker;
         let is_restarted = {
             let worker = self.worker_mut(key);
@@ -102,9 +101,36 @@
             true => self.restart_worker(key, &reply, order.sent_ms),
             false => {}
         }
-        let is_exclusive = self.is_exclusive();
-        let lease_max_ms = self.settings.run_lease_max_ms;
-        let worker = self.worker_mut(key);
+        self.note_answer(order, &reply);
+        // A worker that answers for the first time may have restarted, and may have forgotten the fence
+        // of a later leader with what it did under that one.
+        if !self.worker(key).is_fenced && self.is_exclusive() {
+            self.note_fence(order, &reply);
+        }
+        for end in &reply.ended {
+            self.apply_end(key, end);
+        }
+        let mut listed = IndexSet::default();
+        for row in &reply.running {
+            listed.extend(self.apply_row(key, row, order.sent_ms));
+        }
+        // A run that is not listed may be among the ends that are not listed either.
+        if !reply.has_more_ends {
+            self.check_unlisted_runs(key, &listed, order.sent_ms);
+        }
+        self.settle_inherited_runs(
+            key,
+            WorkerFate::Answers {
+                started_unix_ms: reply.started_unix_ms,
+            },
+        );
+        self.schedule_next_poll(key);
+    }
+
+    /// Records that a worker has answered a poll, and when.
+    fn note_answer(&mut self, order: &PollOrder, reply: &PollReply) {
+        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let worker = self.worker_mut(order.target.worker);
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
@@ -127,41 +153,23 @@
         worker.failed_polls_count = 0;
         worker.confirm_leases(lease_max_ms, order.sent_ms);
         worker.read_clock(reply.clock_ms, now_ms);
-        // A worker that answers for the first time may have restarted, and may have forgotten the fence
-        // of a later leader with what it did under that one.
-        if !worker.is_fenced && is_exclusive {
-            worker.is_fenced = true;
-            self.needs_dispatch = true;
-            Event::new("worker_fenced")
-                .with("worker", &order.target.id)
-                .with("fence", order.target.fence)
-                .with("running_count", reply.running.len())
-                .with("ended_count", reply.ended.len())
-                .info();
-            // Listed workers that never answer are not recorded, so that no later leader waits for
-            // them.
-            if !self.worker(key).is_persisted && self.worker(key).is_listed {
-                self.persist_worker(key);
-            }
-        }
-        for end in &reply.ended {
-            self.apply_end(key, end);
-        }
-        let mut listed = IndexSet::default();
-        for row in &reply.running {
-            listed.extend(self.apply_row(key, row, order.sent_ms));
-        }
-        // A run that is not listed may be among the ends that are not listed either.
-        if !reply.has_more_ends {
-            self.check_unlisted_runs(key, &listed, order.sent_ms);
+    }
+
+    /// Records that the fence of this leader is raised at a worker, which takes tasks from now on.
+    fn note_fence(&mut self, order: &PollOrder, reply: &PollReply) {
+        let key = order.target.worker;
+        self.worker_mut(key).is_fenced = true;
+        self.needs_dispatch = true;
+        Event::new("worker_fenced")
+            .with("worker", &order.target.id)
+            .with("fence", order.target.fence)
+            .with("running_count", reply.running.len())
+            .with("ended_count", reply.ended.len())
+            .info();
+        // Listed workers that never answer are not recorded, so that no later leader waits for them.
+        if !self.worker(key).is_persisted && self.worker(key).is_listed {
+            self.persist_worker(key);
         }
-        self.settle_inherited_runs(
-            key,
-            WorkerFate::Answers {
-                started_unix_ms: reply.started_unix_ms,
-            },
-        );
-        self.schedule_next_poll(key);
     }
 
     fn schedule_next_poll(&mut self, key: WorkerKey) {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -6,15 +6,9 @@
 
 use crate::collections::IndexMap;
 use crate::jobs::keys::RunKey;
+use crate::jobs::leases::ClockReading;
 use crate::jobs::slowness::Slowness;
 use crate::jobs::spec::Size;
-use crate::logging::Event;
-
-/// Allowance for a worker's clock that runs slow, in thousandths; includes a reserve.
-const CLOCK_DRIFT_PERMILLE: u64 = 30;
-/// Reserve added to the computed end of a lease, in milliseconds: a worker may notice late that a lease
-/// has expired.
-pub(crate) const LEASE_EXPIRY_RESERVE_MS: u64 = 500;
 
 /// Time for which a call without an answer may still be carried out, in milliseconds. If the worker
 /// restarts under its id meanwhile, its new incarnation carries it out.
@@ -156,15 +150,6 @@
     pub(crate) is_remote: bool,
 }
 
-/// A reading of the worker's clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct ClockReading {
-    /// Time on the worker's clock, in milliseconds.
-    pub(crate) worker_ms: u64,
-    /// Time at which the answer arrived, on the local monotonic clock, in milliseconds.
-    pub(crate) read_ms: u64,
-}
-
 /// State of the polls of one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PollState {
@@ -311,104 +296,12 @@
         }
     }
 
-    /// Estimates the time on the worker's clock at `now_ms` from the last reading; the actual time
-    /// may be later. Returns `None` before the first reading.
-    pub(crate) fn worker_time_ms(&self, now_ms: u64) -> Option<u64> {
-        let clock = self.clock?;
-        Some(clock.worker_ms + now_ms.saturating_sub(clock.read_ms))
-    }
-
-    /// Returns the time on the local monotonic clock at which all leases of the worker have surely
-    /// expired.
-    pub(crate) fn leases_expired_at_ms(&self) -> u64 {
-        match self.clock {
-            // No lease was given yet, or its end is unknown until the next poll.
-            None => u64::MAX,
-            Some(clock) => {
-                let left_ms = self.leased_until_worker_ms.saturating_sub(clock.worker_ms);
-                let expired_ms = clock.read_ms + lease_time_ms(left_ms);
-                expired_ms.max(self.unconfirmed_lease_end_ms)
-            }
-        }
-    }
-
-    /// Extends the leases that are counted for its runs to `lease_ms` from now. A call that was meant for
-    /// an earlier incarnation, whose clock was ahead, extends them up to `lease_max_ms`.
-    pub(crate) fn count_lease(&mut self, lease_ms: u64, lease_max_ms: u64, now_ms: u64) {
-        let counted_ms = match now_ms < self.late_calls_until_ms {
-            true => lease_max_ms,
-            false => lease_ms,
-        };
-        let end_worker_ms = self.worker_time_ms(now_ms).unwrap_or(0) + counted_ms;
-        self.leased_until_worker_ms = self.leased_until_worker_ms.max(end_worker_ms);
-    }
-
-    /// Counts the longest lease for a run whose order has had no answer.
-    pub(crate) fn count_unconfirmed_lease(&mut self, lease_max_ms: u64, now_ms: u64) {
-        let end_ms = now_ms + lease_time_ms(lease_max_ms);
-        self.unconfirmed_lease_end_ms = self.unconfirmed_lease_end_ms.max(end_ms);
-    }
-
-    /// Counts no longer what [`count_unconfirmed_lease`](Self::count_unconfirmed_lease) has counted before
-    /// a poll was sent at `sent_ms`, which the incarnation has answered.
-    pub(crate) fn confirm_leases(&mut self, lease_max_ms: u64, sent_ms: u64) {
-        if self.unconfirmed_lease_end_ms <= sent_ms + lease_time_ms(lease_max_ms) {
-            self.unconfirmed_lease_end_ms = 0;
-        }
-    }
-
-    /// Returns whether the answer to a call that was sent at `sent_ms` is of a later incarnation, as its
-    /// clock is behind that of the known one.
-    pub(crate) fn is_later_incarnation(&self, clock_ms: u64, sent_ms: u64) -> bool {
-        let Some(clock) = self.clock.filter(|clock| clock.read_ms <= sent_ms) else {
-            return false;
-        };
-        let elapsed_ms = sent_ms - clock.read_ms;
-        let least_ms = elapsed_ms - elapsed_ms * CLOCK_DRIFT_PERMILLE / 1_000;
-        clock_ms < clock.worker_ms + least_ms
-    }
-
-    /// Counts leases on the clock of an incarnation of which nothing else is known, and takes no further
-    /// tasks until it has been polled.
-    pub(crate) fn follow_unknown_incarnation(
-        &mut self,
-        clock_ms: u64,
-        lease_max_ms: u64,
-        now_ms: u64,
-    ) {
-        self.is_fenced = false;
-        self.clock = Some(ClockReading {
-            worker_ms: clock_ms,
-            read_ms: now_ms,
-        });
-        self.leased_until_worker_ms = clock_ms + lease_max_ms;
-    }
-
-    /// Adds the time until all leases of the worker have expired, if it has any, to a log event.
-    pub(crate) fn with_lease_left(&self, event: Event, now_ms: u64) -> Event {
-        match self.leases_expired_at_ms() {
-            u64::MAX => event,
-            expired_ms => event.with("lapse_in_ms", expired_ms.saturating_sub(now_ms)),
-        }
-    }
-
     /// Returns the time up to which it may have worked: that of the first failed poll if it does
     /// not answer, or else `now_ms`.
     pub(crate) fn last_heard_ms(&self, now_ms: u64) -> u64 {
         self.silent_since_ms.unwrap_or(now_ms)
     }
 
-    /// Records a reading of the worker's clock.
-    pub(crate) fn read_clock(&mut self, worker_ms: u64, now_ms: u64) {
-        let is_newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
-        if is_newer {
-            self.clock = Some(ClockReading {
-                worker_ms,
-                read_ms: now_ms,
-            });
-        }
-    }
-
     /// Returns whether `info` is an entry of the incarnation that has ended.
     pub(crate) fn is_outdated_entry(&self, info: &WorkerInfo) -> bool {
         let is_same = info.started_unix_ms == self.info.started_unix_ms;
@@ -518,11 +411,6 @@
     }
 }
 
-/// Returns the time after which a lease of this length has surely expired, in milliseconds.
-fn lease_time_ms(lease_ms: u64) -> u64 {
-    lease_ms + lease_ms * CLOCK_DRIFT_PERMILLE / 1_000 + LEASE_EXPIRY_RESERVE_MS
-}
-
 /// Finds the rack among a worker's labels: the first that contains a hyphen, as racks are named by
 /// row and place, or else the last label.
 pub(crate) fn rack_of(labels: &[SmolStr]) -> SmolStr {
