Confirm connections only without a lease; find the workers of an instance without a walk

Cause: each new connection on which a start or a poll with a lease left was first asked for its incarnation, also by a leader that nobody else can replace. Many starts at once open many connections; the leader of the largest deployment is short of processor time.

Change: orders carry what may leave at the moment: nothing, only what is confirmed, or all. Only a leader whose lease is over confirms its connections. With a valid lease nobody else acts on the worker, and what reaches another incarnation is found by the next poll and counted until then as if it had. Workers are kept by instance.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -88,6 +88,8 @@
     /// Workers whose ends are acknowledged once a batch of records is persisted.
     pub(crate) awaiting_workers: IndexSet<WorkerKey>,
     pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
+    /// Workers by the instance that their entries name.
+    pub(crate) instance_workers: HashMap<SmolStr, Vec<WorkerKey>>,
     /// Workers that are listed, persisted or have runs; all others are ignored.
     pub(crate) present: IndexSet<WorkerKey>,
     /// Pools in which jobs of earlier leaders wait for workers that have not answered this leader.
@@ -161,6 +163,7 @@
             worker_timers: BTreeSet::new(),
             awaiting_workers: IndexSet::default(),
             worker_keys: HashMap::default(),
+            instance_workers: HashMap::default(),
             present: IndexSet::default(),
             recovering_pools: IndexSet::default(),
             team_used: HashMap::default(),
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -232,7 +232,8 @@
             let worker = self.worker(*key);
             worker.is_listed && worker.info.instance.as_ref() == Some(name)
         };
-        let listed = self.present_keys().filter(by_info);
+        let of_instance = self.instance_workers.get(name).into_iter().flatten();
+        let listed = of_instance.copied().filter(by_info);
         let found = listed.max_by_key(|key| {
             let worker = self.worker(*key);
             (!worker.slots.is_empty(), worker.info.started_unix_ms)
--- a/src/jobs/listed_workers.rs
+++ b/src/jobs/listed_workers.rs
@@ -82,6 +82,7 @@
                 worker.poll = PollState::Idle { due_ms: 0 };
             }
         }
+        self.note_instance(key);
         self.apply_evacuation(key);
         self.update_known_capacity(key);
         if needs_new_record || (needs_record && self.worker(key).is_fenced) {
@@ -89,6 +90,18 @@
         }
     }
 
+    /// Adds a worker to those of the instance that its entry names, and drops those that are gone.
+    fn note_instance(&mut self, key: WorkerKey) {
+        let Some(instance) = self.worker(key).info.instance.clone() else {
+            return;
+        };
+        let workers = self.instance_workers.entry(instance).or_default();
+        if !workers.contains(&key) {
+            workers.retain(|known| self.present.contains(known));
+            workers.push(key);
+        }
+    }
+
     /// Handles the removal of a worker from the platform's list.
     pub fn worker_unlisted(&mut self, id: &SmolStr, now_ms: u64) {
         self.now_ms = now_ms.max(self.now_ms);
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -10,7 +10,8 @@
 use crate::logging::Event;
 use crate::node::leader::{spawn, to_f64};
 use crate::node::{Node, Role};
-use crate::platform::{advice, instances, status, store::Topic, workers};
+use crate::platform::workers::{self, Permission};
+use crate::platform::{advice, instances, status, store::Topic};
 
 /// Pause before a failed report on a wave is retried, in milliseconds.
 const WAVE_REPORT_RETRY_MS: u64 = 300;
@@ -34,10 +35,17 @@
         }
     }
 
-    /// Returns whether an order of the leadership under `fence` may leave: this node still leads under
-    /// it, and may still act.
-    fn may_order(&self, fence: u64) -> bool {
-        self.with_leader(fence, |_| ()).is_some() && self.may_act()
+    /// Returns which orders of the leadership under `fence` may leave: none unless this node still leads
+    /// under it and may still act.
+    fn permission(&self, fence: u64) -> Permission {
+        let now_ms = self.now_ms();
+        let is_exclusive = self.with_leader(fence, |leader| leader.engine.was_exclusive_at(now_ms));
+        match is_exclusive {
+            Some(_) if !self.may_act() => Permission::Nothing,
+            Some(true) => Permission::All,
+            Some(false) => Permission::Confirmed,
+            None => Permission::Nothing,
+        }
     }
 
     /// Returns the fence of this node's lease, if that is valid now.
@@ -63,7 +71,7 @@
     let sent_ms = node.now_ms();
     node.count_load(|load| load.starts_count += 1);
     let fence = order.target.fence;
-    let answer = workers::start(&node.client, &order, || node.may_order(fence)).await;
+    let answer = workers::start(&node.client, &order, || node.permission(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("start", answer.map_or_else(Into::into, |_| "ok"), sent_ms);
     node.with_leader(fence, |leader| match answer {
@@ -76,7 +84,7 @@
 async fn stop(node: Rc<Node>, order: StopOrder) {
     let sent_ms = node.now_ms();
     let fence = order.target.fence;
-    let answer = workers::stop(&node.client, &order, || node.may_order(fence)).await;
+    let answer = workers::stop(&node.client, &order, || node.permission(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("stop", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
     node.with_leader(fence, |leader| match answer {
@@ -89,7 +97,7 @@
 async fn pace(node: Rc<Node>, order: PaceOrder) {
     let sent_ms = node.now_ms();
     let fence = order.target.fence;
-    let answer = workers::pace(&node.client, &order, || node.may_order(fence)).await;
+    let answer = workers::pace(&node.client, &order, || node.permission(fence)).await;
     let now_ms = node.now_ms();
     node.record_order("pace", answer.map_or_else(Into::into, |()| "ok"), sent_ms);
     if answer.is_err() {
@@ -103,13 +111,13 @@
     let sent_ms = node.now_ms();
     node.count_load(|load| load.polls_count += 1);
     let fence = order.target.fence;
-    let answer = workers::poll(&node.client, &order, || node.may_order(fence)).await;
+    let answer = workers::poll(&node.client, &order, || node.permission(fence)).await;
     let now_ms = node.now_ms();
     let outcome = answer
         .as_ref()
         .map_or_else(|failure| (*failure).into(), |_| "ok");
     node.record_order("look", outcome, sent_ms);
-    let may_order = node.may_order(fence);
+    let may_order = node.permission(fence) != Permission::Nothing;
     node.with_leader(fence, |leader| match answer {
         Ok(reply) => leader.engine.poll_answered(&order, reply, now_ms),
         Err(OrderFailure::NotSent) if !may_order => {
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -2,8 +2,9 @@
 //! holds once there is a connection.
 //!
 //! A worker that has restarted takes calls that were meant for its former incarnation, and the
-//! protocol's header names its id alone. Starts, leases and acknowledgements are therefore sent only
-//! on a connection on which the incarnation has answered that they are meant for.
+//! protocol's header names its id alone. While another leader may lead, starts, leases and
+//! acknowledgements are therefore sent only on a connection on which the incarnation has answered that
+//! they are meant for.
 
 use hyper::body::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -30,6 +31,18 @@
 /// Header with the id of the worker that a call is meant for.
 static INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-hawthornladder-expected-instance");
 
+/// What may leave at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// Nothing: the leader may no longer act.
+    Nothing,
+    /// Orders to the incarnation that they are meant for: another leader may lead, whose fence the next
+    /// incarnation does not know.
+    Confirmed,
+    /// All orders: no other leader can lead.
+    All,
+}
+
 #[derive(Serialize)]
 struct StartWire<'o> {
     task: String,
@@ -106,7 +119,7 @@
     path: &'static str,
     body: &impl Serialize,
     timeout_ms: u64,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<Reply, OrderFailure> {
     let id = HeaderValue::from_str(&target.id).map_err(|_| OrderFailure::NotSent)?;
     let body = serde_json::to_vec(body).map_err(|_| OrderFailure::NotSent)?;
@@ -119,7 +132,10 @@
         timeout_ms,
         answer_max_bytes: ANSWER_MAX_BYTES,
     };
-    let reply = link.call(call, may_send).await.map_err(order_failure)?;
+    let reply = link
+        .call(call, || permission() != Permission::Nothing)
+        .await
+        .map_err(order_failure)?;
     match reply.status {
         200 => Ok(reply),
         status => Err(failure_of(status, &reply.body)),
@@ -138,6 +154,11 @@
     target.started_unix_ms == 0 || link.incarnation() == Some(target.started_unix_ms)
 }
 
+/// Returns whether a connection has to be confirmed before something is given on it.
+fn needs_confirmation(link: &Link, target: &Target, permission: Permission) -> bool {
+    permission == Permission::Confirmed && !is_confirmed(link, target)
+}
+
 fn failure_of(status: u16, body: &[u8]) -> OrderFailure {
     let wire: AnswerWire = serde_json::from_slice(body).unwrap_or_default();
     match (status, wire.reason.as_str()) {
@@ -162,7 +183,7 @@
 pub async fn start(
     client: &Client,
     order: &StartOrder,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<Option<u64>, OrderFailure> {
     let body = StartWire {
         task: order.name.to_string(),
@@ -176,10 +197,16 @@
     let path = "/hawthornladder/run-start";
     let target = &order.target;
     let mut link = link(client, target, ORDER_TIMEOUT_MS).await?;
-    if !is_confirmed(&link, target) {
-        confirm(&mut link, target, &may_send).await?;
+    if needs_confirmation(&link, target, permission()) {
+        confirm(&mut link, target, &permission).await?;
     }
-    let reply = call(&mut link, target, path, &body, ORDER_TIMEOUT_MS, may_send).await?;
+    let is_confirmed = is_confirmed(&link, target);
+    // The lease of the leader may have ended meanwhile.
+    let permission = || match permission() {
+        Permission::Confirmed if !is_confirmed => Permission::Nothing,
+        permission => permission,
+    };
+    let reply = call(&mut link, target, path, &body, ORDER_TIMEOUT_MS, permission).await?;
     Ok(clock_of(&reply))
 }
 
@@ -187,9 +214,9 @@
 async fn confirm(
     link: &mut Link,
     target: &Target,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<(), OrderFailure> {
-    let reply = look(link, target, ORDER_TIMEOUT_MS, may_send).await;
+    let reply = look(link, target, ORDER_TIMEOUT_MS, permission).await;
     match reply {
         Ok(reply) if is_meant(target, &reply) => Ok(()),
         Ok(_) => Err(OrderFailure::Restarted),
@@ -204,7 +231,7 @@
     link: &mut Link,
     target: &Target,
     timeout_ms: u64,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<PollReply, OrderFailure> {
     let body = HoldWire {
         until_ms: None,
@@ -212,7 +239,7 @@
         acked_through: 0,
         wait_ms: 0,
     };
-    hold(link, target, &body, timeout_ms, may_send).await
+    hold(link, target, &body, timeout_ms, permission).await
 }
 
 /// Returns whether a reply is of the incarnation that a call is meant for, or does not tell.
@@ -225,10 +252,10 @@
     target: &Target,
     body: &HoldWire,
     timeout_ms: u64,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<PollReply, OrderFailure> {
     let path = "/hawthornladder/hold";
-    let reply = call(link, target, path, body, timeout_ms, may_send).await?;
+    let reply = call(link, target, path, body, timeout_ms, permission).await?;
     let reply = parse_poll_reply(&reply.body).ok_or(OrderFailure::Invalid)?;
     if reply.started_unix_ms != 0 {
         link.set_incarnation(reply.started_unix_ms);
@@ -240,7 +267,7 @@
 pub async fn stop(
     client: &Client,
     order: &StopOrder,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<(), OrderFailure> {
     let body = StopWire {
         task: order.name.to_string(),
@@ -255,7 +282,7 @@
         path,
         &body,
         ORDER_TIMEOUT_MS,
-        may_send,
+        permission,
     )
     .await?;
     Ok(())
@@ -265,7 +292,7 @@
 pub async fn pace(
     client: &Client,
     order: &PaceOrder,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<(), OrderFailure> {
     let body = PaceWire {
         task: order.name.to_string(),
@@ -281,7 +308,7 @@
         path,
         &body,
         ORDER_TIMEOUT_MS,
-        may_send,
+        permission,
     )
     .await?;
     Ok(())
@@ -292,7 +319,7 @@
 pub async fn poll(
     client: &Client,
     order: &PollOrder,
-    may_send: impl Fn() -> bool,
+    permission: impl Fn() -> Permission,
 ) -> Result<PollReply, OrderFailure> {
     let body = HoldWire {
         until_ms: order.lease_end_worker_ms,
@@ -304,13 +331,13 @@
     let timeout_ms = order.wait_ms + POLL_TIMEOUT_MARGIN_MS;
     let mut link = link(client, target, timeout_ms).await?;
     let gives = order.lease_end_worker_ms.is_some() || order.acknowledged_through > 0;
-    if gives && !is_confirmed(&link, target) {
-        let reply = look(&mut link, target, timeout_ms, &may_send).await?;
+    if gives && needs_confirmation(&link, target, permission()) {
+        let reply = look(&mut link, target, timeout_ms, &permission).await?;
         if !is_meant(target, &reply) {
             return Ok(reply);
         }
     }
-    hold(&mut link, target, &body, timeout_ms, may_send).await
+    hold(&mut link, target, &body, timeout_ms, permission).await
 }
 
 /// Parses the answer to a poll. An answer in the usual form takes no allocation for each value;
--- a/tests/testsuite/jobs/fake_worker.rs
+++ b/tests/testsuite/jobs/fake_worker.rs
@@ -72,8 +72,8 @@
         });
     }
 
-    /// Returns whether a call on a connection that is confirmed is sent: this incarnation is the one that
-    /// the call is meant for.
+    /// Returns whether this incarnation is the one that a call is meant for. A leader without a valid lease
+    /// sends nothing to another one.
     pub(crate) fn is_incarnation_of(&self, target: &Target) -> bool {
         [0, self.info.started_unix_ms].contains(&target.started_unix_ms)
     }
