Show with tests what clients that do not behave do to a node

Cause: in a trial, clients that sent many chunked bodies and stopped short of their end made a process run out of memory. Nothing in the suite sends such requests. Change: tests that start a node with low limits in its settings (96 MB, 600 descriptors) on stand-ins of the platform, let a crowd connect, and check that the process lives, its peak of resident memory and what it has not read, its descriptors, and that ordinary requests are answered while the crowd is there and afterwards. Crowds and bounds are fixed here.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod load_experiments;
 mod model;
 mod net_client;
+mod node_clients;
 mod node_evacuations;
 mod node_journal;
 mod node_leadership;
--- a/tests/testsuite/node_soak/mod.rs
+++ b/tests/testsuite/node_soak/mod.rs
@@ -8,11 +8,11 @@
 
 mod clients;
 mod faults;
-mod http_server;
+pub(crate) mod http_server;
 mod jobs;
 mod network;
 mod nodes;
-mod platform;
+pub(crate) mod platform;
 mod runs;
 mod store;
 mod worker;
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -164,6 +164,12 @@
         number.expect("the kernel reports the peak resident memory") / 1_024
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub(crate) fn descriptors_count(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(path).expect("the child runs").count()
+    }
+
     /// Kills the process without warning and reaps it.
     pub(crate) fn kill(&mut self) {
         drop(self.child.kill());
