Bound the head of a request at 16 KiB

Cause: the HTTP library buffers a head of up to 400 KiB by default, for each connection. Change: 16 KiB, as the server of the entry does; the buffer of a connection in each direction has that bound. Longer heads are refused with 431.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -23,6 +23,8 @@
 
 /// Timeout for the headers of a request.
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest head of a request, in bytes; also the largest buffer of a connection in each direction.
+const HEAD_MAX_BYTES: usize = 16 << 10;
 /// Delay after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -180,6 +182,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADERS_TIMEOUT)
+        .max_buf_size(HEAD_MAX_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
