Stop reading a job at the first step too many

Cause: a step takes some 250 bytes in memory and as little as three in a body, and the number of steps was checked only when all were decoded. 2 MB at the address of the peers took over 150 MB. A flattened field of the wire's step also kept all unknown fields of a step. Change: the list of steps is read up to 256 (the bound that was there), in the wire's form and between nodes; the step's wire type has no flattened field. The job is refused with 400, as before.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -58,6 +58,7 @@
 mod spec;
 mod start_orders;
 mod start_rate;
+pub(crate) mod step_list;
 mod team_rates;
 mod terms;
 mod tickets;
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Most steps of a job.
-const STEPS_MAX_COUNT: usize = 256;
+use super::step_list::{self, STEPS_MAX_COUNT};
+
 /// Most tasks of one step.
 const TASKS_MAX_COUNT: u32 = 100_000;
 /// Most tasks of all steps. The leader keeps the state of each task in memory.
@@ -194,6 +194,7 @@
     /// Text with which each task is started.
     pub payload: String,
     /// The steps.
+    #[serde(deserialize_with = "step_list::deserialize")]
     pub steps: Vec<StepSpec>,
     /// Due times of the occurrences, for a recurring job.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -7,8 +7,7 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 
-use super::sizes::SizeWire;
-use crate::jobs::{JobId, JobSpec, JobState, Recurrence, StepSpec};
+use crate::jobs::{step_list, JobId, JobSpec, JobState, Recurrence, Size, StepSpec};
 use crate::net::{Answer, IncomingRequest};
 use crate::node::{CallAnswer, CallKind, Refusal, Refused};
 
@@ -25,6 +24,7 @@
 struct JobWire {
     #[serde(default)]
     spec: String,
+    #[serde(deserialize_with = "step_list::deserialize")]
     phases: Vec<PhaseWire>,
     #[serde(default)]
     repetitions: u32,
@@ -37,8 +37,12 @@
 #[derive(Deserialize)]
 struct PhaseWire {
     count: u32,
-    #[serde(flatten)]
-    size: SizeWire,
+    #[serde(default)]
+    cpu: u64,
+    #[serde(default)]
+    memory_request_mb: u64,
+    #[serde(default)]
+    gpu: u64,
     #[serde(default)]
     estimated_ms: u64,
     #[serde(default)]
@@ -72,7 +76,11 @@
 fn step_of(wire: PhaseWire) -> StepSpec {
     StepSpec {
         tasks_count: wire.count,
-        size: wire.size.into(),
+        size: Size {
+            cpu_millis: wire.cpu,
+            memory_mb: wire.memory_request_mb,
+            gpu_count: wire.gpu,
+        },
         estimate_ms: wire.estimated_ms,
         after: wire.after,
         has_checkpoints: wire.checkpointing,
