Bound the log lines about calls that change nothing

Cause: each refused call wrote a line, so that clients without a key could fill the log and, as its buffer has a bound, push other lines out of it. Change: at most 200 such lines a second; the others are counted in calls_not_logged. The metric of the calls counts all. Lines about accepted and cancelled jobs are not affected.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,8 @@
 //! Logging: one line of key=value pairs for each event, to standard error, standard output or a
 //! file.
 
+mod quota;
+
 use std::fmt::{Display, Write};
 use std::io::{self, Write as _};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,6 +12,8 @@
 use flexi_logger::{DeferredNow, FileSpec, FlexiLoggerError, Logger, LoggerHandle};
 use log::{Level, Record};
 
+pub use quota::LineQuota;
+
 /// Destination of the log lines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LogTarget {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -119,10 +119,12 @@
     }
 }
 
-/// Logs a call and its answer, except successful queries, which change nothing.
+/// Logs a call and its answer, except successful queries, and, beyond a bound, others that changed
+/// nothing.
 fn log_call(node: &Rc<Node>, kind: Option<CallKind>, answer: &CallAnswer, took_ms: u64) {
     let is_query_answer = matches!(answer, CallAnswer::State(_) | CallAnswer::Count(_));
-    if is_query_answer {
+    let has_effect = matches!(answer, CallAnswer::Accepted | CallAnswer::Cancelled);
+    if is_query_answer || !has_effect && !may_log_call(node) {
         return;
     }
     let id = match kind {
@@ -147,6 +149,18 @@
         .info();
 }
 
+/// Returns whether a line about a call that changed nothing may be logged now.
+fn may_log_call(node: &Node) -> bool {
+    let now_ms = node.now_ms();
+    match node.call_lines.take_left_out(now_ms) {
+        0 => {}
+        left_out_count => Event::new("calls_not_logged")
+            .with("count", left_out_count)
+            .warn(),
+    }
+    node.call_lines.take(now_ms)
+}
+
 /// A call that may be forwarded to the leader.
 struct Admitted {
     kind: CallKind,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -36,7 +36,7 @@
 
 use crate::adapters::clock::SystemClock;
 use crate::jobs::{Catalog, WaveSpec};
-use crate::logging::{BufferedLog, Event};
+use crate::logging::{BufferedLog, Event, LineQuota};
 use crate::net::{Client, ClientSettings, ServerHandle};
 use crate::platform::store::Store;
 use crate::ports::Clock;
@@ -58,6 +58,8 @@
 use leader::LeaderState;
 use leader_load::LeaderLoad;
 
+/// Most log lines a second about calls that changed nothing.
+const CALL_LINES_PER_S_MAX_COUNT: u64 = 200;
 /// Interval between flushes of the log, in milliseconds.
 const FLUSH_MS: u64 = 100;
 /// Greatest age of the last confirmation that the lists are the newest, in thousandths of the bound
@@ -88,6 +90,8 @@
     pub(crate) client: Client,
     pub(crate) store: Store,
     pub(crate) metrics: NodeMetrics,
+    /// Bound on the log lines about calls that changed nothing.
+    pub(crate) call_lines: LineQuota,
     /// The operators' lists in force; none before the first read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Zones whose evacuation operators requested.
@@ -173,6 +177,7 @@
             client,
             store,
             metrics: NodeMetrics::open(),
+            call_lines: LineQuota::new(CALL_LINES_PER_S_MAX_COUNT),
             catalog: RefCell::new(None),
             evacuations: RefCell::new(Evacuations::default()),
             waves: RefCell::new(Vec::new()),
