Share one bound among all connections that a node accepts

Callers saw: connections cut off without an answer, and nodes that ran out of memory, while others held connections with requests that they did not complete. Cause: each connection and body had a bound, their sum had none, and memory_mb was not read. When all connections were taken the newest was closed, and nothing ended a body. Bodies were read before the head was looked at, up to 1 MiB whatever the lists say. A request was answered while the answer before was not read. Change: a table of all accepted connections (src/net/ingress.rs) counts connections and bytes against half of memory_mb and the descriptors; when it is full, the connection that has waited the longest for a whole request is closed; one whose request has been read never is. Bodies have 30 s. Readiness, metrics and peers use the table too. Queue, path, key and method are checked first, the lists once more when the body has come. What is left of a refused body is read for a while, so that the refusal is not lost. The stream with a time limit for writes is the one that the entry uses.

--- a/src/adapters/http_server/connection.rs
+++ b/src/adapters/http_server/connection.rs
@@ -15,8 +15,8 @@
 use tokio::time::timeout;
 
 use super::slots::SlotGuard;
-use super::stream::TimedStream;
 use super::{until_stopped, Shared};
+use crate::net::TimedStream;
 
 /// Longest head of a request; also the maximum size of the read buffer.
 const HEAD_MAX_BYTES: usize = 16 << 10;
--- a/src/adapters/http_server/mod.rs
+++ b/src/adapters/http_server/mod.rs
@@ -4,7 +4,6 @@
 
 mod connection;
 mod slots;
-mod stream;
 
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -5,6 +5,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -102,6 +104,8 @@
 }
 
 struct Pool {
+    /// Number of open connections, idle or in use.
+    open_count: Arc<AtomicUsize>,
     idle: RefCell<IdleConnections<Connection>>,
     /// Whether a task runs that closes the connections idle for too long.
     has_closer: Cell<bool>,
@@ -112,6 +116,7 @@
     pub fn open(settings: ClientSettings) -> Self {
         let age_max = Duration::from_millis(settings.idle_age_max_ms);
         let pool = Pool {
+            open_count: Arc::default(),
             idle: RefCell::new(IdleConnections::new(settings.idle_max_count, age_max)),
             has_closer: Cell::new(false),
         };
@@ -120,6 +125,11 @@
         }
     }
 
+    /// Returns a count of the open connections that follows their number.
+    pub fn connections_count(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.pool.open_count)
+    }
+
     /// Makes a call on an idle connection, or on a new one if there is none.
     pub async fn call(&self, call: Call) -> Result<Reply, CallFailure> {
         self.call_if(call, || true).await
@@ -142,7 +152,7 @@
         let deadline = Instant::now() + Duration::from_millis(timeout_ms);
         let connection = match self.take_idle(address) {
             Some(connection) => connection,
-            None => connect(address, deadline).await?,
+            None => connect(address, deadline, &self.pool.open_count).await?,
         };
         Ok(Link {
             client: self.clone(),
@@ -248,7 +258,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, deadline: Instant) -> Result<Connection, CallFailure> {
+async fn connect(
+    address: SocketAddr,
+    deadline: Instant,
+    open_count: &Arc<AtomicUsize>,
+) -> Result<Connection, CallFailure> {
     let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = match timeout_at(until, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -259,7 +273,12 @@
     let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| CallFailure::NotSent)?;
     let (reset, reset_requested) = oneshot::channel();
-    tokio::task::spawn_local(serve(connection, reset_requested));
+    let open_count = Arc::clone(open_count);
+    open_count.fetch_add(1, Ordering::Relaxed);
+    tokio::task::spawn_local(async move {
+        serve(connection, reset_requested).await;
+        open_count.fetch_sub(1, Ordering::Relaxed);
+    });
     Ok(Connection {
         sender,
         is_in_call: false,
--- a/src/adapters/http_server/stream.rs
+++ b/src/net/timed_stream.rs
@@ -11,14 +11,14 @@
 use tokio::time::{sleep, Instant, Sleep};
 
 /// A stream whose writes fail once the client has accepted no bytes for `write_idle`.
-pub(super) struct TimedStream {
+pub(crate) struct TimedStream {
     stream: TcpStream,
     write_idle: Duration,
     idle: Option<Pin<Box<Sleep>>>,
 }
 
 impl TimedStream {
-    pub(super) fn new(stream: TcpStream, write_idle: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, write_idle: Duration) -> Self {
         Self {
             stream,
             write_idle,
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -5,10 +5,11 @@
 
 use hyper::body::Bytes;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+use smol_str::SmolStr;
 
 use crate::jobs::{Catalog, Denial, JobId, Queue};
 use crate::logging::Event;
-use crate::net::{self, Answer, IncomingRequest, ServerHandle, ServerSettings};
+use crate::net::{self, Answer, BodyError, RequestBody, RequestHead, ServerHandle};
 use crate::node::leader::to_f64;
 use crate::node::{peers, CallAnswer, CallKind, Node, PeerCall, Refusal};
 use crate::platform::callers;
@@ -29,8 +30,9 @@
 /// Serves the readiness probe.
 pub(crate) async fn serve_ready(node: &Rc<Node>) -> io::Result<ServerHandle> {
     let address = node.settings.ready_address;
+    let ingress = node.ingress.clone();
     let node = Rc::clone(node);
-    let answer = move |request: IncomingRequest| {
+    let answer = move |request: RequestHead, _: RequestBody| {
         let status = match request.path == callers::READY_PATH {
             true if node.is_ready() => 200,
             true => 503,
@@ -38,14 +40,15 @@
         };
         std::future::ready(Answer::status(status))
     };
-    net::serve(address, probe_settings(), answer).await
+    net::serve_heads(address, PROBE_CONNECTIONS_MAX, &ingress, answer).await
 }
 
 /// Serves the metrics.
 pub(crate) async fn serve_metrics(node: &Rc<Node>) -> io::Result<ServerHandle> {
     let address = node.settings.metrics_address;
+    let ingress = node.ingress.clone();
     let node = Rc::clone(node);
-    let answer = move |request: IncomingRequest| {
+    let answer = move |request: RequestHead, _: RequestBody| {
         node.metrics
             .lists_age_ms
             .set(node.lists_age_ms().unwrap_or(0));
@@ -64,32 +67,23 @@
         };
         std::future::ready(answer)
     };
-    net::serve(address, probe_settings(), answer).await
-}
-
-fn probe_settings() -> ServerSettings {
-    ServerSettings {
-        body_max_bytes: 1_024,
-        connections_max_count: PROBE_CONNECTIONS_MAX,
-    }
+    net::serve_heads(address, PROBE_CONNECTIONS_MAX, &ingress, answer).await
 }
 
 /// Serves the callers.
 pub(crate) async fn serve_callers(node: &Rc<Node>) -> io::Result<ServerHandle> {
-    let settings = ServerSettings {
-        body_max_bytes: BODY_MAX_BYTES,
-        connections_max_count: node.settings.descriptors_count * CALLER_CONNECTIONS_PERMILLE
-            / 1_000,
-    };
+    let connections_max_count =
+        node.settings.descriptors_count * CALLER_CONNECTIONS_PERMILLE / 1_000;
     let address = node.settings.callers_address;
+    let ingress = node.ingress.clone();
     let node = Rc::clone(node);
-    let answer = move |request| answer_caller(Rc::clone(&node), request);
-    net::serve(address, settings, answer).await
+    let answer = move |head, body| answer_caller(Rc::clone(&node), head, body);
+    net::serve_heads(address, connections_max_count, &ingress, answer).await
 }
 
-async fn answer_caller(node: Rc<Node>, request: IncomingRequest) -> Answer {
+async fn answer_caller(node: Rc<Node>, head: RequestHead, body: RequestBody) -> Answer {
     let started_ms = node.now_ms();
-    let (kind, answer) = match admit(&node, &request) {
+    let (kind, answer) = match admit(&node, &head, body).await {
         Ok(admitted) => {
             let kind = admitted.kind;
             (Some(kind), forward(&node, admitted).await)
@@ -168,10 +162,12 @@
     timeout_ms: u64,
 }
 
-/// Checks a call against the lists in force.
-fn admit(
+/// Checks a call against the lists in force, first its head. The body is read only if the head is in
+/// order and the call needs one.
+async fn admit(
     node: &Rc<Node>,
-    request: &IncomingRequest,
+    request: &RequestHead,
+    body: RequestBody,
 ) -> Result<Admitted, (Option<CallKind>, Refusal)> {
     let lists = node.catalog.borrow().clone();
     let Some(lists) = lists else {
@@ -186,16 +182,32 @@
         return Err((None, Refusal::BadCall));
     };
     let refuse = |refusal| (Some(kind), refusal);
-    if !queue.is_open && !node.may_verify_keys() {
-        return Err(refuse(Refusal::NoLists));
-    }
-    let team = lists
-        .team_of(queue, head.key)
-        .map_err(|denial| match denial {
-            Denial::BadKey => refuse(Refusal::BadKey),
-            Denial::NoQueue => refuse(Refusal::NoQueue),
-        })?;
-    let call = peer_call(kind, &lists, queue, team, request).map_err(refuse)?;
+    team_of(node, &lists, queue, head.key).map_err(refuse)?;
+    let call = match kind {
+        CallKind::Submit(JobId(id)) => {
+            let body_max_bytes = lists.body_max_bytes.min(BODY_MAX_BYTES);
+            let body = body.read(body_max_bytes).await;
+            let body = body.map_err(|error| refuse(refusal_of(error)))?;
+            // The lists may have changed, or have become too old, while the body arrived.
+            let lists = node.catalog.borrow().clone();
+            let lists = lists.ok_or(refuse(Refusal::NoLists))?;
+            let queue = lists.route(head.host, head.path);
+            let queue = queue.ok_or(refuse(Refusal::NoQueue))?;
+            let team = team_of(node, &lists, queue, head.key).map_err(refuse)?;
+            let spec = callers::parse_job_spec(&body).map_err(|_| refuse(Refusal::BadCall))?;
+            PeerCall::Submit {
+                id,
+                queue: queue.name.clone(),
+                team,
+                spec,
+            }
+        }
+        CallKind::State(JobId(id)) => PeerCall::State { id },
+        CallKind::Cancel(JobId(id)) => PeerCall::Cancel { id },
+        CallKind::Count => PeerCall::Count {
+            queue: queue.name.clone(),
+        },
+    };
     let timeout_ms = head
         .deadline_ms
         .saturating_sub(ANSWER_MARGIN_MS)
@@ -207,32 +219,28 @@
     })
 }
 
-fn peer_call(
-    kind: CallKind,
+/// Returns the team whose key a call carries; empty for an open queue.
+fn team_of(
+    node: &Node,
     lists: &Catalog,
     queue: &Queue,
-    team: smol_str::SmolStr,
-    request: &IncomingRequest,
-) -> Result<PeerCall, Refusal> {
-    match kind {
-        CallKind::Submit(JobId(id)) => {
-            let body = request.body.as_ref().ok_or(Refusal::TooLarge)?;
-            if body.len() > lists.body_max_bytes {
-                return Err(Refusal::TooLarge);
-            }
-            let spec = callers::parse_job_spec(body).map_err(|_| Refusal::BadCall)?;
-            Ok(PeerCall::Submit {
-                id,
-                queue: queue.name.clone(),
-                team,
-                spec,
-            })
-        }
-        CallKind::State(JobId(id)) => Ok(PeerCall::State { id }),
-        CallKind::Cancel(JobId(id)) => Ok(PeerCall::Cancel { id }),
-        CallKind::Count => Ok(PeerCall::Count {
-            queue: queue.name.clone(),
-        }),
+    key: Option<&str>,
+) -> Result<SmolStr, Refusal> {
+    if !queue.is_open && !node.may_verify_keys() {
+        return Err(Refusal::NoLists);
+    }
+    lists.team_of(queue, key).map_err(|denial| match denial {
+        Denial::BadKey => Refusal::BadKey,
+        Denial::NoQueue => Refusal::NoQueue,
+    })
+}
+
+fn refusal_of(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLarge => Refusal::TooLarge,
+        BodyError::TooSlow => Refusal::TooSlow,
+        BodyError::NoMemory => Refusal::NoMemory,
+        BodyError::Broken => Refusal::BadCall,
     }
 }
 
--- a/src/node/explain.rs
+++ b/src/node/explain.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::{JobExplanation, JobQuestion};
-use crate::net::{Answer, Call, IncomingRequest};
+use crate::net::{Answer, Call};
 use crate::node::{Node, Refusal, Role};
 
 /// Path of the call.
@@ -47,10 +47,8 @@
 }
 
 /// Answers the call, through the leader if this node does not lead.
-pub(crate) async fn answer(node: &Rc<Node>, request: &IncomingRequest) -> Answer {
-    let body = request.body.as_ref();
-    let call = body.and_then(|body| serde_json::from_slice::<ExplainCall>(body).ok());
-    let Some(call) = call else {
+pub(crate) async fn answer(node: &Rc<Node>, body: &[u8]) -> Answer {
+    let Ok(call) = serde_json::from_slice::<ExplainCall>(body) else {
         return Answer::status(400);
     };
     let role = node.leadership.borrow().role(node.now_ms());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,6 +29,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use smol_str::{format_smolstr, SmolStr};
@@ -37,7 +38,7 @@
 use crate::adapters::clock::SystemClock;
 use crate::jobs::{Catalog, WaveSpec};
 use crate::logging::{BufferedLog, Event, LineQuota};
-use crate::net::{Client, ClientSettings, ServerHandle};
+use crate::net::{Client, ClientSettings, Ingress, IngressLimits, ServerHandle};
 use crate::platform::store::Store;
 use crate::ports::Clock;
 
@@ -79,6 +80,16 @@
 const CLAIM_DELAY_MAX_MS: u64 = 400;
 /// Upper bound of the jitter added to that delay, in milliseconds.
 const CLAIM_JITTER_MS: u64 = 60;
+/// Share of the memory that accepted connections and their requests may use, in thousandths. The rest
+/// is for the state of the leader, the connections to other processes and the program.
+const INGRESS_MEMORY_PERMILLE: usize = 500;
+/// File descriptors that the platform reserves for files.
+const FILES_DESCRIPTORS_COUNT: usize = 200;
+/// Share of the file descriptors that is set aside for connections to other processes, in thousandths.
+const OUTGOING_CONNECTIONS_PERMILLE: usize = 250;
+/// Share of the file descriptors that stays free for further connections to other processes while
+/// there are more of them, in thousandths.
+const OUTGOING_RESERVE_PERMILLE: usize = 50;
 /// Share of the file descriptors that idle connections may use, in thousandths.
 const IDLE_CONNECTIONS_PERMILLE: usize = 250;
 /// Time without use after which a connection to another process is closed, in milliseconds.
@@ -88,6 +99,8 @@
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
     pub(crate) client: Client,
+    /// The connections that the node accepts, at all of its addresses.
+    pub(crate) ingress: Ingress,
     pub(crate) store: Store,
     pub(crate) metrics: NodeMetrics,
     /// Bound on the log lines about calls that changed nothing.
@@ -164,6 +177,7 @@
             idle_max_count: settings.descriptors_count * IDLE_CONNECTIONS_PERMILLE / 1_000,
             idle_age_max_ms: IDLE_AGE_MAX_MS,
         });
+        let ingress = open_ingress(&settings, &client);
         let store = Store::open(client.clone(), settings.store_address);
         let unix_ms = SystemClock.unix_ms();
         let incarnation = format_smolstr!("{unix_ms:x}");
@@ -175,6 +189,7 @@
         );
         let node = Rc::new(Node {
             client,
+            ingress,
             store,
             metrics: NodeMetrics::open(),
             call_lines: LineQuota::new(CALL_LINES_PER_S_MAX_COUNT),
@@ -256,6 +271,25 @@
     }
 }
 
+/// Creates the table of accepted connections. They may use the file descriptors that files and the
+/// connections to other processes leave.
+fn open_ingress(settings: &NodeSettings, client: &Client) -> Ingress {
+    let share = |permille: usize| settings.descriptors_count * permille / 1_000;
+    let outgoing_count = share(OUTGOING_CONNECTIONS_PERMILLE);
+    let reserve_count = share(OUTGOING_RESERVE_PERMILLE);
+    let limits = IngressLimits {
+        memory_max_bytes: (settings.memory_mb << 20) * INGRESS_MEMORY_PERMILLE / 1_000,
+        connections_max_count: settings
+            .descriptors_count
+            .saturating_sub(FILES_DESCRIPTORS_COUNT + outgoing_count),
+    };
+    let client_count = client.connections_count();
+    Ingress::open(limits, move || {
+        let needed_count = client_count.load(Ordering::Relaxed) + reserve_count;
+        needed_count.saturating_sub(outgoing_count)
+    })
+}
+
 /// Returns how long a node waits before it claims leadership, in milliseconds: a part by the size
 /// of the instance, and a jitter derived from name and incarnation.
 // The share of a core is a small positive number.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -11,7 +11,9 @@
 
 use crate::jobs::{CancelOutcome, JobId, Settled, Submission, SubmitOutcome};
 use crate::logging::Event;
-use crate::net::{self, Answer, Call, CallFailure, IncomingRequest, ServerHandle, ServerSettings};
+use crate::net::{
+    self, Answer, BodyError, Call, CallFailure, RequestBody, RequestHead, ServerHandle,
+};
 use crate::node::explain;
 use crate::node::leader::LeaderState;
 use crate::node::{CallAnswer, Node, PeerCall, Refusal, Refused, Role};
@@ -31,23 +33,38 @@
 
 /// Serves the peers of a node.
 pub(crate) async fn serve(node: &Rc<Node>) -> io::Result<ServerHandle> {
-    let settings = ServerSettings {
-        body_max_bytes: BODY_MAX_BYTES,
-        connections_max_count: CONNECTIONS_MAX,
-    };
     let address = node.settings.peers_address;
+    let ingress = node.ingress.clone();
     let node = Rc::clone(node);
-    let answer = move |request| answer_peer(Rc::clone(&node), request);
-    net::serve(address, settings, answer).await
+    let answer = move |head, body| answer_peer(Rc::clone(&node), head, body);
+    net::serve_heads(address, CONNECTIONS_MAX, &ingress, answer).await
 }
 
-async fn answer_peer(node: Rc<Node>, request: IncomingRequest) -> Answer {
-    if request.path == explain::EXPLAIN_PATH {
-        return explain::answer(&node, &request).await;
+async fn answer_peer(node: Rc<Node>, head: RequestHead, body: RequestBody) -> Answer {
+    if ![PATH, explain::EXPLAIN_PATH].contains(&head.path.as_str()) {
+        return Answer::status(400);
     }
-    let body = request.body.filter(|_| request.path == PATH);
-    let call = body.and_then(|body| serde_json::from_slice::<PeerCall>(&body).ok());
-    let Some(call) = call else {
+    let body = match body.read(BODY_MAX_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return Answer::status(status_of(error)),
+    };
+    match head.path.as_str() {
+        PATH => answer_call(node, body).await,
+        _ => explain::answer(&node, &body).await,
+    }
+}
+
+fn status_of(error: BodyError) -> u16 {
+    match error {
+        BodyError::TooLarge => 413,
+        BodyError::TooSlow => 408,
+        BodyError::NoMemory => 503,
+        BodyError::Broken => 400,
+    }
+}
+
+async fn answer_call(node: Rc<Node>, body: Bytes) -> Answer {
+    let Ok(call) = serde_json::from_slice::<PeerCall>(&body) else {
         return Answer::status(400);
     };
     node.count_load(|load| load.peer_calls_count += 1);
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -71,6 +71,8 @@
     pub cpu_share: f64,
     /// File descriptors that the process may open.
     pub descriptors_count: usize,
+    /// Memory of the process, in megabytes.
+    pub memory_mb: usize,
     /// Limits of calls to the store.
     pub store: StoreLimits,
     /// Time limits of the deployment.
@@ -231,6 +233,10 @@
     BadCall,
     /// The body exceeds the limit.
     TooLarge,
+    /// The body did not arrive in time.
+    TooSlow,
+    /// The node has no memory for the body now.
+    NoMemory,
     /// The lists have not been read yet, or too long ago to verify the key with them.
     NoLists,
     /// No leader is known, or it cannot be reached.
@@ -249,8 +255,9 @@
     /// if a retry would be refused as well.
     pub fn retry_after_s(self) -> Option<u64> {
         match self {
-            Self::NoQueue | Self::BadKey | Self::BadCall | Self::TooLarge => None,
+            Self::NoQueue | Self::BadKey | Self::BadCall | Self::TooLarge | Self::TooSlow => None,
             Self::NoLists
+            | Self::NoMemory
             | Self::NoLeader
             | Self::StoreUnavailable
             | Self::ZonesEvacuated
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::{step_list, JobId, JobSpec, JobState, Recurrence, Size, StepSpec};
-use crate::net::{Answer, IncomingRequest};
+use crate::net::{Answer, RequestHead};
 use crate::node::{CallAnswer, CallKind, Refusal, Refused};
 
 /// Path of the readiness probe.
@@ -125,7 +125,7 @@
 }
 
 /// Parses the head of a call.
-pub fn parse_head(request: &IncomingRequest) -> CallHead<'_> {
+pub fn parse_head(request: &RequestHead) -> CallHead<'_> {
     let host = request.header("host").unwrap_or("");
     CallHead {
         host: host.split(':').next().unwrap_or(""),
@@ -186,8 +186,10 @@
         Refusal::BadKey => 401,
         Refusal::BadCall => 400,
         Refusal::TooLarge => 413,
+        Refusal::TooSlow => 408,
         Refusal::TeamOverRate => 429,
         Refusal::NoLists
+        | Refusal::NoMemory
         | Refusal::NoLeader
         | Refusal::StoreUnavailable
         | Refusal::ZonesEvacuated => 503,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -61,6 +61,7 @@
 struct LimitsWire {
     cpu_share: f64,
     file_descriptors: usize,
+    memory_mb: usize,
 }
 
 impl Default for LimitsWire {
@@ -68,15 +69,16 @@
         Self {
             cpu_share: 0.25,
             file_descriptors: 1_024,
+            memory_mb: 256,
         }
     }
 }
 
-/// Time limits of the deployment; fields that the node does not use are not listed.
 /// Longest time from the decision to start a task until its worker has received the order, in
 /// milliseconds.
 const START_RESERVE_MS: u64 = 1_000;
 
+/// Time limits of the deployment; fields that the node does not use are not listed.
 #[derive(Debug, Deserialize)]
 #[serde(default)]
 struct BoundsWire {
@@ -178,6 +180,7 @@
         tickets_address,
         cpu_share: wire.limits.cpu_share,
         descriptors_count: wire.limits.file_descriptors,
+        memory_mb: wire.limits.memory_mb,
         store: StoreLimits {
             call_bytes: wire.platform.call_bytes,
             record_bytes: wire.platform.record_bytes,
