Bound what the clients of the operators' port can hold

Operators saw: no answer at the port of an entry while others held requests whose bodies stopped short. Cause: the server there has four threads, each of which waits for a body without a time limit, and takes any number of connections, heads and bodies. Change: the port is served by the HTTP server that callers and peers of the entry use, with 512 connections, 5 s for a head and 5 s for a body; the handler runs on blocking threads as before. Bodies are collected into one buffer. A slow body is refused as slow_sender.

--- a/src/adapters/operators_http.rs
+++ b/src/adapters/operators_http.rs
@@ -1,28 +1,45 @@
-//! The operators' HTTP interface, on `rouille`: readiness, metrics, status, explanations and the
-//! withdrawal of keys. It converts requests into [`OperatorCall`]s for a handler. It must listen on
-//! the loopback or the operators' network only, as `rouille` has no timeouts for connections.
+//! The operators' HTTP interface: readiness, metrics, status, explanations and the withdrawal of keys.
+//! It converts requests into [`OperatorCall`]s for a handler, which may block. It must listen on the
+//! loopback or the operators' network only, as it asks for no key.
 
-use std::io::Read;
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use rouille::{Request, Response, Server};
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use tokio::task::spawn_blocking;
+use tokio::time::timeout;
 
+use crate::adapters::http_server::{HttpLimits, HttpServer, Refusal};
 use crate::error::ErrorKind;
 use crate::fleet::{InstanceName, PoolName, QueueName, Resources, TeamName};
-
-/// Threads that answer requests.
-const THREADS_COUNT: usize = 4;
+use crate::net::{collect, BodyError};
+
+/// Limits of the server.
+const LIMITS: HttpLimits = HttpLimits {
+    connections_max_count: 512,
+    refusals_max_count: 16,
+    header_timeout_ms: 5_000,
+    write_idle_timeout_ms: 5_000,
+    threads_count: 1,
+    blocking_threads_count: 4,
+};
 /// Longest body of a request.
-const BODY_MAX_BYTES: u64 = 64 << 10;
-/// Interval at which the server checks whether it must stop.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
+const BODY_MAX_BYTES: usize = 64 << 10;
+/// Time limit of a whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Answer on a connection for which there is no room.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\n\
+    connection: close\r\n\r\n";
 
 /// A call from an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,79 +128,91 @@
 
 /// A running server of the operators' interface.
 pub struct OperatorsServer {
-    address: SocketAddr,
-    is_stopping: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
+    server: HttpServer,
 }
 
 impl OperatorsServer {
     /// Binds `address` and answers each call by `handler`.
     pub fn bind(address: SocketAddr, handler: OperatorHandler) -> std::io::Result<Self> {
-        let server = Server::new(address, move |request| respond(request, &handler))
-            .map_err(std::io::Error::other)?
-            .pool_size(THREADS_COUNT);
-        let address = server.server_addr();
-        let is_stopping = Arc::new(AtomicBool::new(false));
-        let is_stopping_shared = Arc::clone(&is_stopping);
-        let thread = thread::Builder::new()
-            .name("operators".into())
-            .spawn(move || {
-                while !is_stopping_shared.load(Ordering::Acquire) {
-                    server.poll_timeout(STOP_POLL_INTERVAL);
-                }
-            })?;
-        Ok(Self {
-            address,
-            is_stopping,
-            thread: Some(thread),
-        })
+        let refusal = Refusal {
+            response: REFUSAL.to_vec(),
+            on_refused: Box::new(|| ()),
+        };
+        let make_service = |_phase| {
+            move |_slot| {
+                let handler = Arc::clone(&handler);
+                service_fn(move |request| {
+                    let handler = Arc::clone(&handler);
+                    async move { Ok::<_, Infallible>(respond(request, handler).await) }
+                })
+            }
+        };
+        let server = HttpServer::bind(address, "operators", LIMITS, refusal, make_service)?;
+        Ok(Self { server })
     }
 
     /// Returns the bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
 }
 
-impl Drop for OperatorsServer {
-    fn drop(&mut self) {
-        self.is_stopping.store(true, Ordering::Release);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+async fn respond(request: Request<Incoming>, handler: OperatorHandler) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let has_body = !body.is_end_stream();
+    let call = match (&head.method, head.uri.path()) {
+        (&Method::GET, "/ready") => Ok(OperatorCall::Ready),
+        (&Method::GET, "/metrics") => Ok(OperatorCall::Metrics),
+        (&Method::GET, "/v1/status") => Ok(OperatorCall::Status),
+        (&Method::POST, "/v1/explain") => read_json(body).await.map(OperatorCall::Explain),
+        (&Method::POST, "/v1/keys/withdraw") => {
+            read_json(body).await.map(OperatorCall::WithdrawKey)
         }
-    }
-}
-
-fn respond(request: &Request, handler: &OperatorHandler) -> Response {
-    let url = request.url();
-    let call = match (request.method(), url.as_str()) {
-        ("GET", "/ready") => Ok(OperatorCall::Ready),
-        ("GET", "/metrics") => Ok(OperatorCall::Metrics),
-        ("GET", "/v1/status") => Ok(OperatorCall::Status),
-        ("POST", "/v1/explain") => read_json(request).map(OperatorCall::Explain),
-        ("POST", "/v1/keys/withdraw") => read_json(request).map(OperatorCall::WithdrawKey),
         _ => Err(malformed("nothing is served under this method and path")),
     };
-    to_response(call.map_or_else(|refusal| refusal, |call| handler(call)))
+    let is_refused = call.is_err();
+    let answer = match call {
+        Ok(call) => spawn_blocking(move || handler(call)).await,
+        Err(refusal) => Ok(refusal),
+    };
+    let answer = answer.unwrap_or_else(|_| OperatorAnswer::Failed {
+        kind: ErrorKind::Internal,
+        detail: SmolStr::new_static("the call could not be answered"),
+    });
+    let mut response = to_response(answer);
+    if is_refused && has_body {
+        // The body may not have been read to its end.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
 }
 
-fn read_json<T: DeserializeOwned>(request: &Request) -> Result<T, OperatorAnswer> {
-    let body = request
-        .data()
-        .ok_or_else(|| malformed("body: it is missing"))?;
-    let mut bytes = Vec::new();
-    body.take(BODY_MAX_BYTES + 1)
-        .read_to_end(&mut bytes)
-        .map_err(|_| malformed("body: it ended early"))?;
-    if bytes.len() as u64 > BODY_MAX_BYTES {
-        return Err(OperatorAnswer::Failed {
-            kind: ErrorKind::BodyTooLarge,
-            detail: SmolStr::default(),
-        });
+async fn read_json<T: DeserializeOwned>(mut body: Incoming) -> Result<T, OperatorAnswer> {
+    if body.is_end_stream() {
+        return Err(malformed("body: it is missing"));
     }
+    let reading = collect(&mut body, BODY_MAX_BYTES, |_| true);
+    let bytes = timeout(BODY_TIMEOUT, reading).await;
+    let bytes = bytes
+        .unwrap_or(Err(BodyError::TooSlow))
+        .map_err(refusal_of)?;
     serde_json::from_slice(&bytes).map_err(|error| malformed(&format!("body: {error}")))
 }
 
+fn refusal_of(error: BodyError) -> OperatorAnswer {
+    let kind = match error {
+        BodyError::TooLarge => ErrorKind::BodyTooLarge,
+        BodyError::TooSlow => ErrorKind::SlowSender,
+        BodyError::NoMemory => ErrorKind::QueueFull,
+        BodyError::Broken => return malformed("body: it ended early"),
+    };
+    OperatorAnswer::Failed {
+        kind,
+        detail: SmolStr::default(),
+    }
+}
+
 fn malformed(detail: &str) -> OperatorAnswer {
     OperatorAnswer::Failed {
         kind: ErrorKind::MalformedRequest,
@@ -191,16 +220,14 @@
     }
 }
 
-fn to_response(answer: OperatorAnswer) -> Response {
-    match answer {
+fn to_response(answer: OperatorAnswer) -> Response<Full<Bytes>> {
+    let (status, content_type, body) = match answer {
         OperatorAnswer::Text {
             status,
             content_type,
             body,
-        } => Response::from_data(content_type, body).with_status_code(status),
-        OperatorAnswer::Json { status, body } => {
-            Response::from_data("application/json", body.to_string()).with_status_code(status)
-        }
+        } => (status, content_type, body),
+        OperatorAnswer::Json { status, body } => (status, "application/json", body.to_string()),
         OperatorAnswer::Failed { kind, detail } => {
             let row = kind.answer();
             let body = serde_json::json!({
@@ -208,7 +235,13 @@
                 "text": row.text,
                 "detail": detail,
             });
-            Response::from_data("application/json", body.to_string()).with_status_code(row.status)
+            (row.status, "application/json", body.to_string())
         }
-    }
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod stream;
 mod timed_stream;
 
+pub(crate) use body::collect;
 pub use body::{BodyError, RequestBody};
 pub use client::{Call, CallFailure, Client, ClientSettings, Link, Reply};
 pub use ingress::{Ingress, IngressLimits};
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -25,6 +25,8 @@
 
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 const TIMEOUT_MS: u64 = 200;
+/// Clients that send a part of a request to the operators' port.
+const STALLED_OPERATORS_COUNT: usize = 300;
 
 fn answer(call: PeerCall) -> PeerAnswer {
     match call {
@@ -232,3 +234,28 @@
     assert_property(outcome);
     assert_eq!(send("GET /nothing", "").status, 400);
 }
+
+/// Requests whose bodies stop short took all threads of the server, and no operator was answered.
+#[test]
+fn stalled_requests_do_not_keep_operators_out() {
+    let handler = |_: OperatorCall| OperatorAnswer::Json {
+        status: 200,
+        body: json!("ready"),
+    };
+    let server = OperatorsServer::bind(SocketAddr::from(LOOPBACK), Arc::new(handler)).unwrap();
+    let start = b"POST /v1/explain HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n12345";
+    let mut stalled = Vec::new();
+    for _ in 0..STALLED_OPERATORS_COUNT {
+        let mut stream = connect(server.address());
+        stream
+            .write_all(start)
+            .expect("the server accepts requests");
+        stalled.push(stream);
+    }
+    let status = exchange(
+        server.address(),
+        b"GET /v1/status HTTP/1.1\r\nhost: x\r\n\r\n",
+    );
+    assert_eq!(status.map(|reply| reply.status), Some(200));
+    assert_eq!(stalled.len(), STALLED_OPERATORS_COUNT);
+}
