Split the check of a call's head from the reading of its body

Cause: the function that admits a call looked at the head, read the body and looked at the lists again in one piece, and kept the lists of the time of the head alive while the body arrived. Change: check_head returns what the head says by the lists in force; it is called again when the body has come.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::Bytes;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+use hyper::Method;
 use smol_str::SmolStr;
 
 use crate::jobs::{Catalog, Denial, JobId, Queue};
@@ -12,7 +13,7 @@
 use crate::net::{self, Answer, BodyError, RequestBody, RequestHead, ServerHandle};
 use crate::node::leader::to_f64;
 use crate::node::{peers, CallAnswer, CallKind, Node, PeerCall, Refusal};
-use crate::platform::callers;
+use crate::platform::callers::{self, CallHead};
 
 /// Most bytes of a body that are read; the lists may set a lower limit.
 const BODY_MAX_BYTES: usize = 1 << 20;
@@ -162,50 +163,38 @@
     timeout_ms: u64,
 }
 
-/// Checks a call against the lists in force, first its head. The body is read only if the head is in
-/// order and the call needs one.
+/// Why a call is refused, with its kind if that is known.
+type AdmitError = (Option<CallKind>, Refusal);
+
+/// Checks a call against the lists in force. The body is read only if the head is in order and the call
+/// needs one.
 async fn admit(
     node: &Rc<Node>,
     request: &RequestHead,
     body: RequestBody,
-) -> Result<Admitted, (Option<CallKind>, Refusal)> {
-    let lists = node.catalog.borrow().clone();
-    let Some(lists) = lists else {
-        return Err((None, Refusal::NoLists));
-    };
+) -> Result<Admitted, AdmitError> {
     let head = callers::parse_head(request);
-    let Some(queue) = lists.route(head.host, head.path) else {
-        return Err((None, Refusal::NoQueue));
-    };
-    let rest = &head.path[queue.path_prefix.len()..];
-    let Some(kind) = callers::parse_call_kind(&request.method, rest) else {
-        return Err((None, Refusal::BadCall));
-    };
-    let refuse = |refusal| (Some(kind), refusal);
-    team_of(node, &lists, queue, head.key).map_err(refuse)?;
+    let checked = check_head(node, &request.method, &head)?;
+    let kind = checked.kind;
     let call = match kind {
         CallKind::Submit(JobId(id)) => {
-            let body_max_bytes = lists.body_max_bytes.min(BODY_MAX_BYTES);
-            let body = body.read(body_max_bytes).await;
+            let refuse = |refusal| (Some(kind), refusal);
+            let body = body.read(checked.body_max_bytes).await;
             let body = body.map_err(|error| refuse(refusal_of(error)))?;
             // The lists may have changed, or have become too old, while the body arrived.
-            let lists = node.catalog.borrow().clone();
-            let lists = lists.ok_or(refuse(Refusal::NoLists))?;
-            let queue = lists.route(head.host, head.path);
-            let queue = queue.ok_or(refuse(Refusal::NoQueue))?;
-            let team = team_of(node, &lists, queue, head.key).map_err(refuse)?;
+            let checked = check_head(node, &request.method, &head)?;
             let spec = callers::parse_job_spec(&body).map_err(|_| refuse(Refusal::BadCall))?;
             PeerCall::Submit {
                 id,
-                queue: queue.name.clone(),
-                team,
+                queue: checked.queue,
+                team: checked.team,
                 spec,
             }
         }
         CallKind::State(JobId(id)) => PeerCall::State { id },
         CallKind::Cancel(JobId(id)) => PeerCall::Cancel { id },
         CallKind::Count => PeerCall::Count {
-            queue: queue.name.clone(),
+            queue: checked.queue,
         },
     };
     let timeout_ms = head
@@ -219,6 +208,41 @@
     })
 }
 
+/// What the head of a call says, by the lists in force.
+struct CheckedHead {
+    kind: CallKind,
+    queue: SmolStr,
+    /// Team whose key the call carries; empty for an open queue.
+    team: SmolStr,
+    /// Longest body, in bytes.
+    body_max_bytes: usize,
+}
+
+fn check_head(
+    node: &Node,
+    method: &Method,
+    head: &CallHead<'_>,
+) -> Result<CheckedHead, AdmitError> {
+    let lists = node.catalog.borrow();
+    let Some(lists) = lists.as_ref() else {
+        return Err((None, Refusal::NoLists));
+    };
+    let Some(queue) = lists.route(head.host, head.path) else {
+        return Err((None, Refusal::NoQueue));
+    };
+    let rest = &head.path[queue.path_prefix.len()..];
+    let Some(kind) = callers::parse_call_kind(method, rest) else {
+        return Err((None, Refusal::BadCall));
+    };
+    let team = team_of(node, lists, queue, head.key).map_err(|refusal| (Some(kind), refusal))?;
+    Ok(CheckedHead {
+        kind,
+        queue: queue.name.clone(),
+        team,
+        body_max_bytes: lists.body_max_bytes.min(BODY_MAX_BYTES),
+    })
+}
+
 /// Returns the team whose key a call carries; empty for an open queue.
 fn team_of(
     node: &Node,
