Let the bodies that an entry reads take what is reserved for them

Cause: bodies_max_bytes bounds the sum of the lengths of the bodies that are read, but the buffer of each doubled as it grew and moved, so that they took up to twice as much and more. Change: the blocks of the node's server are a buffer of its own (net::BlockBuffer), used by the entry as well; a complete body is copied once into its shared form.

--- a/src/adapters/callers_http/body.rs
+++ b/src/adapters/callers_http/body.rs
@@ -11,13 +11,12 @@
 use super::Shared;
 use crate::adapters::http_server::SlotGuard;
 use crate::error::ErrorKind;
-
-/// Most bytes that are allocated for a body before any of it has arrived.
-const INITIAL_CAPACITY_MAX_BYTES: u64 = 64 << 10;
+use crate::net::BlockBuffer;
 
 /// A partly received body.
 struct PartialBody {
-    bytes: Vec<u8>,
+    buffer: BlockBuffer,
+    /// Reserved bytes: the declared ones, or more once more have arrived.
     reserved_bytes: u64,
     guard: SlotGuard,
 }
@@ -35,7 +34,7 @@
         return Err(too_large());
     }
     let mut partial = PartialBody {
-        bytes: Vec::with_capacity(declared_bytes.min(INITIAL_CAPACITY_MAX_BYTES) as usize),
+        buffer: BlockBuffer::default(),
         reserved_bytes: declared_bytes,
         guard: shared
             .body_bytes
@@ -46,7 +45,7 @@
     loop {
         let until = deadline.min(Instant::now() + idle);
         match timeout_at(until, body.frame()).await {
-            Ok(None) => return Ok((partial.bytes.into(), partial.guard)),
+            Ok(None) => return Ok((partial.buffer.into_shared(), partial.guard)),
             Ok(Some(Ok(frame))) => {
                 let data = frame.into_data().unwrap_or_default();
                 partial.add(&data, limits.body_max_bytes)?;
@@ -59,7 +58,7 @@
 
 impl PartialBody {
     fn add(&mut self, data: &[u8], body_max_bytes: u64) -> Result<(), Refusal> {
-        let total_bytes = (self.bytes.len() + data.len()) as u64;
+        let total_bytes = (self.buffer.len() + data.len()) as u64;
         if total_bytes > body_max_bytes {
             return Err(too_large());
         }
@@ -68,7 +67,7 @@
             return Err(no_capacity());
         }
         self.reserved_bytes += missing_bytes;
-        self.bytes.extend_from_slice(data);
+        self.buffer.append(data);
         Ok(())
     }
 }
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Bytes, Incoming};
 use tokio::time::{timeout, timeout_at, Instant};
 
+use super::block_buffer::BlockBuffer;
 use super::connection::ConnectionState;
 
 /// Time limit of a body of a request, from its first byte to its last one.
@@ -20,8 +21,6 @@
 const DISCARD_MAX_BYTES: usize = 64 << 10;
 /// Time for which a refusal waits for the rest of its body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
-/// Size of a block of a buffer, in bytes.
-const BLOCK_BYTES: usize = 4 << 10;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,50 +114,13 @@
         let Ok(part) = frame.into_data() else {
             continue;
         };
-        if buffer.length_bytes + part.len() > max_bytes {
+        if buffer.len() + part.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
-        if !buffer.append(&part, &reserve) {
+        if !reserve(buffer.missing_bytes(part.len())) {
             return Err(BodyError::NoMemory);
         }
+        buffer.append(&part);
     }
     Ok(buffer.into_bytes())
 }
-
-/// Bytes in blocks of one size. A single buffer would have to move as it grows, and the allocator would
-/// keep the smaller ones that it leaves behind.
-#[derive(Default)]
-struct BlockBuffer {
-    blocks: Vec<Vec<u8>>,
-    length_bytes: usize,
-}
-
-impl BlockBuffer {
-    /// Appends a part of a body. Returns whether `reserve` has allowed all blocks that it needs.
-    fn append(&mut self, mut part: &[u8], reserve: &impl Fn(usize) -> bool) -> bool {
-        self.length_bytes += part.len();
-        while !part.is_empty() {
-            let space_bytes = self
-                .blocks
-                .last()
-                .map_or(0, |block| BLOCK_BYTES - block.len());
-            match self.blocks.last_mut() {
-                Some(block) if space_bytes > 0 => {
-                    let (fitting, rest) = part.split_at(space_bytes.min(part.len()));
-                    block.extend_from_slice(fitting);
-                    part = rest;
-                }
-                _ if reserve(BLOCK_BYTES) => self.blocks.push(Vec::with_capacity(BLOCK_BYTES)),
-                _ => return false,
-            }
-        }
-        true
-    }
-
-    fn into_bytes(self) -> Bytes {
-        match <[Vec<u8>; 1]>::try_from(self.blocks) {
-            Ok([block]) => Bytes::from(block),
-            Err(blocks) => Bytes::from(blocks.concat()),
-        }
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! sent, and a server that answers the requests it has read before it stops, and whose clients share one
 //! bound on what they make the process hold.
 
+mod block_buffer;
 mod body;
 mod client;
 mod connection;
@@ -11,6 +12,7 @@
 mod stream;
 mod timed_stream;
 
+pub(crate) use block_buffer::BlockBuffer;
 pub(crate) use body::collect;
 pub use body::{BodyError, RequestBody};
 pub use client::{Call, CallFailure, Client, ClientSettings, Link, Reply};
--- a/tests/testsuite/node_clients/mod.rs
+++ b/tests/testsuite/node_clients/mod.rs
@@ -1,8 +1,9 @@
-//! Clients of a node that do not behave. The node must live, stay within the memory and the
+//! Clients of a process that do not behave. A node must live, stay within the memory and the
 //! descriptors of its instance, and serve ordinary callers meanwhile. Each test has a node of its own
 //! with low limits; they run one at a time.
 
 mod crowd;
+mod entry;
 mod node;
 mod store;
 
