Log and count acknowledgements that meet another incarnation

Change: start_sent, run_ended and run_lost name the incarnation, run_ended the number of the end, worker_restarted what was read and acknowledged of the former one. New lines acknowledgement_misdirected, ends_missing and connection_outlived_worker; metrics acknowledgements{outcome} and missing_ends. An answer to a poll carries the number that was really sent. No decision changes: what counts as dropped follows what was sent, which differs only in an answer of another incarnation that was asked first, and whose numbers begin anew.

--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -37,6 +37,8 @@
             .with("task", end.name)
             .with("run", end.run_number)
             .with("worker", &self.worker(key).info.id)
+            .with("born_unix_ms", self.worker(key).info.started_unix_ms)
+            .with("number", end.number)
             .with("end", end.kind)
             .with(
                 "ran_ms",
--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::collections::{HashMap, IndexSet};
+use crate::jobs::acknowledgements::AcknowledgementCounts;
 use crate::jobs::admission::Admission;
 use crate::jobs::batches::Batch;
 use crate::jobs::capacity::CapacityPolicy;
@@ -101,6 +102,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) place_waits: PlaceWaits,
     pub(crate) loss_counts: LossCounts,
+    pub(crate) acknowledgement_counts: AcknowledgementCounts,
     pub(crate) crash_history: CrashHistory,
     pub(crate) quarantine: Quarantine,
     pub(crate) held_starts: Vec<HeldStart>,
@@ -173,6 +175,7 @@
             tickets: Tickets::default(),
             place_waits: PlaceWaits::default(),
             loss_counts: LossCounts::default(),
+            acknowledgement_counts: AcknowledgementCounts::default(),
             crash_history: CrashHistory::default(),
             quarantine: Quarantine::default(),
             held_starts: Vec::new(),
--- a/src/jobs/lost_runs.rs
+++ b/src/jobs/lost_runs.rs
@@ -98,6 +98,7 @@
             .with("task", self.task_name(run.task))
             .with("run", run.run)
             .with("worker", &worker.info.id)
+            .with("born_unix_ms", worker.info.started_unix_ms)
             .with("reason", reason)
             .with("ran_ms", heard_ms.saturating_sub(slot.since_ms))
             .with("beside_count", beside_count)
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 //! under leases. [`Engine`] is the leader's state machine, without input or output of its own; each
 //! other module holds one part of its logic.
 
+mod acknowledgements;
 mod admission;
 mod answers;
 mod arrivals;
@@ -67,6 +68,7 @@
 mod waves;
 mod worker;
 
+pub use acknowledgements::{AcknowledgementCounts, AcknowledgementOutcome};
 pub use capacity_plan::{allot, Allotment, Need, Needs};
 pub use catalog::{Catalog, Denial, Pool, Queue, Team};
 pub(crate) use copies::{copy_after_ms, copy_recheck_ms, is_copy_faster};
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -25,6 +25,13 @@
     pub fence: u64,
 }
 
+impl Target {
+    /// Returns whether an answer is of the incarnation that the call is meant for, or does not tell.
+    pub(crate) fn is_answered_by(&self, reply: &PollReply) -> bool {
+        [0, self.started_unix_ms].contains(&reply.started_unix_ms)
+    }
+}
+
 /// Order to start one task.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StartOrder {
@@ -257,4 +264,7 @@
     pub ended: Vec<RunEnd>,
     /// Whether runs may have ended that are not listed: a worker lists a limited number at a time.
     pub has_more_ends: bool,
+    /// Number up to which the poll has allowed the worker to drop the ends that it lists; 0 if it has
+    /// acknowledged nothing.
+    pub acknowledged_through: u64,
 }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -89,9 +89,10 @@
     pub fn poll_answered(&mut self, order: &PollOrder, reply: PollReply, now_ms: u64) {
         self.now_ms = now_ms.max(self.now_ms);
         let key = order.target.worker;
+        self.note_acknowledgement(order, &reply);
         let is_restarted = {
             let worker = self.worker_mut(key);
-            worker.dropped_through = worker.dropped_through.max(order.acknowledged_through);
+            worker.dropped_through = worker.dropped_through.max(reply.acknowledged_through);
             worker.info.started_unix_ms != 0
                 && reply.started_unix_ms != 0
                 && worker.info.started_unix_ms != reply.started_unix_ms
@@ -107,6 +108,7 @@
         if !self.worker(key).is_fenced && self.is_exclusive() {
             self.note_fence(order, &reply);
         }
+        self.note_missing_ends(key, &reply);
         for end in &reply.ended {
             self.apply_end(key, end);
         }
@@ -193,6 +195,7 @@
     pub fn poll_failed(&mut self, order: &PollOrder, failure: OrderFailure, now_ms: u64) {
         self.now_ms = now_ms.max(self.now_ms);
         let now_ms = self.now_ms;
+        self.note_lost_acknowledgement(order);
         let worker = self.worker_mut(order.target.worker);
         worker.failed_polls_count += 1;
         worker.poll = PollState::Idle {
@@ -274,6 +277,9 @@
         Event::new("worker_restarted")
             .with("worker", &worker.info.id)
             .with("born_unix_ms", reply.started_unix_ms)
+            .with("former_born_unix_ms", worker.info.started_unix_ms)
+            .with("read_through", worker.seen_through)
+            .with("acknowledged_through", worker.dropped_through)
             .with("lost_count", runs.len())
             .warn();
         let lost = self.lose_runs(key, runs, LossReason::WorkerRestarted);
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -152,6 +152,7 @@
             .with("task", order.name)
             .with("run", run.run)
             .with("worker", &order.target.id)
+            .with("born_unix_ms", order.target.started_unix_ms)
             .with("fence", order.target.fence)
             .with("since_accepted_ms", now_ms.saturating_sub(job.accepted_ms))
             .with("target_in_ms", job.target_ms.saturating_sub(now_ms));
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -109,6 +109,13 @@
     },
 }
 
+impl SlotState {
+    /// Returns whether the order of the start has had no answer that tells whether the run is there.
+    pub(crate) fn is_unanswered(self) -> bool {
+        !matches!(self, Self::Held | Self::Placed { .. })
+    }
+}
+
 /// A run that is, or may be, at a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
@@ -217,6 +224,8 @@
     pub(crate) persisted_through: u64,
     /// Highest number of the ends that it has dropped, as they were acknowledged.
     pub(crate) dropped_through: u64,
+    /// Whether this leader has known the incarnation since its start, so that nobody else has read ends.
+    pub(crate) is_known_from_start: bool,
     /// Whether its last answer may have left out ends of runs.
     pub(crate) has_more_ends: bool,
     /// Batch that has to be persisted before the ends up to `seen_through` may be acknowledged.
@@ -277,6 +286,7 @@
             seen_through: 0,
             persisted_through: 0,
             dropped_through: 0,
+            is_known_from_start: false,
             has_more_ends: false,
             awaited_batch: None,
             poll: PollState::Idle { due_ms: 0 },
@@ -402,6 +412,7 @@
         self.seen_through = 0;
         self.persisted_through = 0;
         self.dropped_through = 0;
+        self.is_known_from_start = true;
         self.has_more_ends = false;
         self.awaited_batch = None;
         self.is_fenced = false;
--- a/src/load/played_worker.rs
+++ b/src/load/played_worker.rs
@@ -66,6 +66,7 @@
             started_unix_ms: UNIX_MS,
             running: self.running.iter().map(running_row).collect(),
             ended: self.ended.clone(),
+            acknowledged_through: order.acknowledged_through,
         };
         Some((order, reply))
     }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -301,6 +301,8 @@
             self.metrics.count_place_waits(&waits);
             let losses = leader.engine.take_loss_counts();
             self.metrics.count_losses(&losses);
+            let acknowledgements = leader.engine.take_acknowledgement_counts();
+            self.metrics.count_acknowledgements(&acknowledgements);
             let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
             self.metrics
                 .live_jobs_count
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
-use crate::jobs::{LossCounts, PlaceWaitCounts};
+use crate::jobs::{AcknowledgementCounts, LossCounts, PlaceWaitCounts};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "hawthornladder_node";
@@ -43,6 +43,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AcknowledgementLabels {
+    outcome: &'static str,
+}
+
 /// The metrics of one node.
 pub struct NodeMetrics {
     registry: Registry,
@@ -55,6 +60,8 @@
     crashed_workers: Counter,
     given_up_jobs: Counter,
     lost_runs: Family<LossLabels, Counter>,
+    acknowledgements: Family<AcknowledgementLabels, Counter>,
+    missing_ends: Counter,
     /// Time from a caller's call to its answer, in milliseconds.
     pub call_ms: Histogram,
     /// Duration of a call to the store, without its wait, in milliseconds.
@@ -106,6 +113,8 @@
             crashed_workers: Counter::default(),
             given_up_jobs: Counter::default(),
             lost_runs: Family::default(),
+            acknowledgements: Family::default(),
+            missing_ends: Counter::default(),
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
             order_ms: histogram_ms(),
@@ -162,6 +171,16 @@
             "Runs that ended without a report.",
             self.lost_runs.clone(),
         );
+        registry.register(
+            "acknowledgements",
+            "Polls with an acknowledgement of ended runs.",
+            self.acknowledgements.clone(),
+        );
+        registry.register(
+            "missing_ends",
+            "Answers without ends that nobody has acknowledged here.",
+            self.missing_ends.clone(),
+        );
         registry.register("call_ms", "Time to an answer.", self.call_ms.clone());
         registry.register("store_ms", "Time of a store call.", self.store_ms.clone());
         registry.register("order_ms", "Time of an order.", self.order_ms.clone());
@@ -262,6 +281,16 @@
         }
     }
 
+    /// Adds to the counts of acknowledgements.
+    pub fn count_acknowledgements(&self, counts: &AcknowledgementCounts) {
+        for (outcome, count) in &counts.outcomes_counts {
+            let outcome = (*outcome).into();
+            let labels = AcknowledgementLabels { outcome };
+            self.acknowledgements.get_or_create(&labels).inc_by(*count);
+        }
+        self.missing_ends.inc_by(counts.missing_ends_count);
+    }
+
     /// Returns all metrics as text.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -16,6 +16,7 @@
     OrderFailure, PaceOrder, PollOrder, PollReply, RunEnd, RunRow, StartOrder, StopOrder, Target,
     TaskName,
 };
+use crate::logging::Event;
 use crate::net::{Call, CallFailure, Client, Link, Reply};
 
 /// Most ends in one answer to a poll. The others follow once these are acknowledged.
@@ -218,7 +219,7 @@
 ) -> Result<(), OrderFailure> {
     let reply = look(link, target, ORDER_TIMEOUT_MS, permission).await;
     match reply {
-        Ok(reply) if is_meant(target, &reply) => Ok(()),
+        Ok(reply) if target.is_answered_by(&reply) => Ok(()),
         Ok(_) => Err(OrderFailure::Restarted),
         // The question has no answer; the start itself is not sent.
         Err(OrderFailure::Lost) => Err(OrderFailure::NotSent),
@@ -242,11 +243,6 @@
     hold(link, target, &body, timeout_ms, permission).await
 }
 
-/// Returns whether a reply is of the incarnation that a call is meant for, or does not tell.
-fn is_meant(target: &Target, reply: &PollReply) -> bool {
-    [0, target.started_unix_ms].contains(&reply.started_unix_ms)
-}
-
 async fn hold(
     link: &mut Link,
     target: &Target,
@@ -258,9 +254,28 @@
     let reply = call(link, target, path, body, timeout_ms, permission).await?;
     let reply = parse_poll_reply(&reply.body).ok_or(OrderFailure::Invalid)?;
     if reply.started_unix_ms != 0 {
+        log_other_incarnation(link, target, reply.started_unix_ms);
         link.set_incarnation(reply.started_unix_ms);
     }
-    Ok(reply)
+    Ok(PollReply {
+        acknowledged_through: body.acked_through,
+        ..reply
+    })
+}
+
+/// Logs that a connection on which one incarnation has answered is used by another one, which is
+/// taken to be impossible where a connection stands for an incarnation.
+fn log_other_incarnation(link: &Link, target: &Target, started_unix_ms: u64) {
+    match link.incarnation() {
+        Some(earlier_unix_ms) if earlier_unix_ms != started_unix_ms => {
+            Event::new("connection_outlived_worker")
+                .with("worker", &target.id)
+                .with("born_unix_ms", earlier_unix_ms)
+                .with("answered_born_unix_ms", started_unix_ms)
+                .warn();
+        }
+        _ => {}
+    }
 }
 
 /// Stops a run.
@@ -333,7 +348,7 @@
     let gives = order.lease_end_worker_ms.is_some() || order.acknowledged_through > 0;
     if gives && needs_confirmation(&link, target, permission()) {
         let reply = look(&mut link, target, timeout_ms, &permission).await?;
-        if !is_meant(target, &reply) {
+        if !target.is_answered_by(&reply) {
             return Ok(reply);
         }
     }
@@ -356,6 +371,7 @@
             has_more_ends: answer.finished.len() >= ENDS_PER_ANSWER_COUNT,
             running: answer.running.iter().filter_map(row_of).collect(),
             ended: answer.finished.iter().filter_map(end_of).collect(),
+            acknowledged_through: 0,
         })
     });
     reply.filter(|reply| reply.clock_ms <= CLOCK_MAX_MS)
@@ -390,6 +406,7 @@
         running: running.collect::<Option<_>>()?,
         ended: ended.collect::<Option<_>>()?,
         has_more_ends,
+        acknowledged_through: 0,
     })
 }
 
--- a/tests/testsuite/jobs/full_processor.rs
+++ b/tests/testsuite/jobs/full_processor.rs
@@ -241,6 +241,7 @@
             started_unix_ms: UNIX_MS,
             running: running.collect(),
             ended: worker.ended.clone(),
+            acknowledged_through: order.acknowledged_through,
         };
         self.at(
             at_us + NETWORK_US,
--- a/tests/testsuite/jobs/late_proofs.rs
+++ b/tests/testsuite/jobs/late_proofs.rs
@@ -30,6 +30,7 @@
         running: worker.running.keys().map(row).collect(),
         ended: Vec::new(),
         has_more_ends: false,
+        acknowledged_through: 0,
     }
 }
 
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -15,6 +15,7 @@
 mod fake_worker;
 mod faults;
 mod full_processor;
+mod late_acknowledgements;
 mod late_proofs;
 mod links;
 mod moved_queues;
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -620,6 +620,7 @@
                 .cloned()
                 .collect(),
             has_more_ends: worker.ended.len() >= ENDS_PER_ANSWER_COUNT,
+            acknowledged_through: order.acknowledged_through,
         }
     }
 
@@ -678,7 +679,7 @@
         self.ticket_requests.push(request);
     }
 
-    fn poll(&mut self, order: PollOrder) {
+    fn poll(&mut self, mut order: PollOrder) {
         let now_ms = self.now_ms;
         let due_ms = now_ms + order.wait_ms + STEP_MS;
         if let Some(failure) = self.link.failure_of(WorkerCall::Poll(order.clone())) {
@@ -692,16 +693,11 @@
                     .poll_failed(&order, OrderFailure::Fenced, now_ms);
                 return;
             }
-            let is_meant = self.link.is_leased(now_ms) || worker.is_incarnation_of(&order.target);
-            let received = match is_meant {
-                true => order.clone(),
-                false => PollOrder {
-                    lease_end_worker_ms: None,
-                    acknowledged_through: 0,
-                    ..order.clone()
-                },
-            };
-            self.receive_poll(&received);
+            if !self.link.is_leased(now_ms) && !worker.is_incarnation_of(&order.target) {
+                order.lease_end_worker_ms = None;
+                order.acknowledged_through = 0;
+            }
+            self.receive_poll(&order);
         }
         let worker = &self.workers[&order.target.id];
         if worker.is_dead && worker.resets_connections {
