--- a/tests/testsuite/jobs/links.rs
+++ b/tests/testsuite/jobs/links.rs
@@ -52,6 +52,11 @@
 }
 
 impl WorkerCall {
+    /// Returns whether it is the order of a start.
+    pub(crate) fn is_start(&self) -> bool {
+        matches!(self, Self::Start(_))
+    }
+
     fn worker(&self) -> &SmolStr {
         match self {
             Self::Start(order) => &order.target.id,
--- a/tests/testsuite/node_orders.rs
+++ b/tests/testsuite/node_orders.rs
@@ -255,3 +255,30 @@
         }
     });
 }
+
+/// Guards against a task that is started again although it is done: the first poll after a restart carried
+/// the number of the ends of the former incarnation, also of a leader with its lease (issue 61).
+#[test]
+fn an_acknowledgement_is_sent_only_where_the_incarnation_has_answered() {
+    run(async {
+        let client = client();
+        let (mut poll, _) = orders_to(([127, 0, 0, 1], 1).into());
+        let first_ms = poll.target.started_unix_ms;
+        let mut worker = RestartingWorker::spawn(first_ms).await;
+        poll.target.address = worker.address;
+        poll.acknowledged_through = 7;
+        let acknowledged = async |poll: &PollOrder| {
+            let polled = workers::poll(&client, poll, || Permission::All).await;
+            polled.map(|reply| reply.acknowledged_through)
+        };
+        assert_eq!(acknowledged(&poll).await, Ok(0));
+        assert_eq!(acknowledged(&poll).await, Ok(7));
+        worker.start(first_ms + 1).await;
+        worker.take_calls();
+        assert_eq!(acknowledged(&poll).await, Ok(0));
+        assert_eq!(acknowledged(&poll).await, Ok(0));
+        for (_, given) in worker.take_calls() {
+            assert_eq!(given["acked_through"], 0);
+        }
+    });
+}
