Acknowledge ends only where the incarnation has answered

Cause: the number up to which a worker may drop the ends that it lists counts within one incarnation, and a leader with its lease sent it to whoever answered at the address. The first poll after a cut reached the next incarnation, and dropped ends there that nobody had read. Change: an acknowledgement goes only on a connection on which the incarnation has answered. A poll on another connection carries 0, and its answer confirms the connection for the next poll: no further call. Polls take a confirmed connection of the pool if one is idle, and starts leave it to them; before, the connection used last was taken, mostly that of a start.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -142,15 +142,22 @@
         call: Call,
         may_send: impl Fn() -> bool,
     ) -> Result<Reply, CallFailure> {
-        let mut link = self.link(call.address, call.timeout_ms).await?;
+        let any = |_: Option<u64>| true;
+        let mut link = self.link(call.address, call.timeout_ms, any).await?;
         link.call(call, may_send).await
     }
 
     /// Takes an idle connection to a server, or opens one. All calls on it have to be answered within
-    /// `timeout_ms`.
-    pub async fn link(&self, address: SocketAddr, timeout_ms: u64) -> Result<Link, CallFailure> {
+    /// `timeout_ms`. Of the idle connections, one is taken first that `is_preferred` by the incarnation
+    /// of the server that has answered on it.
+    pub async fn link(
+        &self,
+        address: SocketAddr,
+        timeout_ms: u64,
+        is_preferred: impl Fn(Option<u64>) -> bool,
+    ) -> Result<Link, CallFailure> {
         let deadline = Instant::now() + Duration::from_millis(timeout_ms);
-        let connection = match self.take_idle(address) {
+        let connection = match self.take_idle(address, is_preferred) {
             Some(connection) => connection,
             None => connect(address, deadline, &self.pool.open_count).await?,
         };
@@ -162,11 +169,16 @@
         })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        is_preferred: impl Fn(Option<u64>) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.pool.idle.borrow_mut();
+        let is_preferred = |connection: &Connection| is_preferred(connection.incarnation);
         while idle.count_to(address) > 0 {
             let usable = idle
-                .take(address)
+                .take(address, is_preferred)
                 .filter(|Connection { sender, .. }| !sender.is_closed() && sender.is_ready());
             if usable.is_some() {
                 return usable;
--- a/src/net/idle.rs
+++ b/src/net/idle.rs
@@ -40,9 +40,19 @@
         }
     }
 
-    /// Takes the connection to `address` that was used last.
-    pub(crate) fn take(&mut self, address: SocketAddr) -> Option<C> {
-        let idle = self.by_address.get_mut(&address)?.pop_back()?;
+    /// Takes the connection to `address` that was used last among those that are preferred, or among all
+    /// if none is.
+    pub(crate) fn take(
+        &mut self,
+        address: SocketAddr,
+        is_preferred: impl Fn(&C) -> bool,
+    ) -> Option<C> {
+        let connections = self.by_address.get_mut(&address)?;
+        let preferred = connections
+            .iter()
+            .rposition(|idle| is_preferred(&idle.connection));
+        let position = preferred.or(connections.len().checked_sub(1))?;
+        let idle = connections.remove(position)?;
         self.by_age.remove(&idle.number);
         self.forget_if_empty(address);
         let is_fresh = idle.since.elapsed() < self.age_max;
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -2,9 +2,9 @@
 //! holds once there is a connection.
 //!
 //! A worker that has restarted takes calls that were meant for its former incarnation, and the
-//! protocol's header names its id alone. While another leader may lead, starts, leases and
-//! acknowledgements are therefore sent only on a connection on which the incarnation has answered that
-//! they are meant for.
+//! protocol's header names its id alone. Acknowledgements are therefore sent only on a connection on
+//! which the incarnation has answered that they are meant for, and so are starts and leases while
+//! another leader may lead.
 
 use hyper::body::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -109,8 +109,24 @@
 /// An ended run: number, task, run, kind and checkpoint.
 type FinishedWire<'a> = (u64, &'a str, u64, &'a str, &'a str);
 
+/// Takes a connection for a call that needs no confirmation, and leaves those that are confirmed to the
+/// others.
 async fn link(client: &Client, target: &Target, timeout_ms: u64) -> Result<Link, OrderFailure> {
-    let link = client.link(target.address, timeout_ms).await;
+    let is_unconfirmed = |incarnation| incarnation != Some(target.started_unix_ms);
+    let link = client
+        .link(target.address, timeout_ms, is_unconfirmed)
+        .await;
+    link.map_err(order_failure)
+}
+
+/// Takes a connection on which the incarnation has answered that a call is meant for, if one is idle.
+async fn confirmed_link(
+    client: &Client,
+    target: &Target,
+    timeout_ms: u64,
+) -> Result<Link, OrderFailure> {
+    let is_confirmed = |incarnation| incarnation == Some(target.started_unix_ms);
+    let link = client.link(target.address, timeout_ms, is_confirmed).await;
     link.map_err(order_failure)
 }
 
@@ -197,7 +213,10 @@
     };
     let path = "/hawthornladder/run-start";
     let target = &order.target;
-    let mut link = link(client, target, ORDER_TIMEOUT_MS).await?;
+    let mut link = match permission() {
+        Permission::Confirmed => confirmed_link(client, target, ORDER_TIMEOUT_MS).await?,
+        _ => link(client, target, ORDER_TIMEOUT_MS).await?,
+    };
     if needs_confirmation(&link, target, permission()) {
         confirm(&mut link, target, &permission).await?;
     }
@@ -330,21 +349,16 @@
 }
 
 /// Polls a worker: renews the lease of all its runs and lists them. The platform's protocol calls
-/// this a hold.
+/// this a hold. On a connection on which the incarnation has not answered yet, nothing is acknowledged; the
+/// answer confirms the connection for the next poll.
 pub async fn poll(
     client: &Client,
     order: &PollOrder,
     permission: impl Fn() -> Permission,
 ) -> Result<PollReply, OrderFailure> {
-    let body = HoldWire {
-        until_ms: order.lease_end_worker_ms,
-        fencing_token: order.target.fence,
-        acked_through: order.acknowledged_through,
-        wait_ms: order.wait_ms,
-    };
     let target = &order.target;
     let timeout_ms = order.wait_ms + POLL_TIMEOUT_MARGIN_MS;
-    let mut link = link(client, target, timeout_ms).await?;
+    let mut link = confirmed_link(client, target, timeout_ms).await?;
     let gives = order.lease_end_worker_ms.is_some() || order.acknowledged_through > 0;
     if gives && needs_confirmation(&link, target, permission()) {
         let reply = look(&mut link, target, timeout_ms, &permission).await?;
@@ -352,6 +366,15 @@
             return Ok(reply);
         }
     }
+    let body = HoldWire {
+        until_ms: order.lease_end_worker_ms,
+        fencing_token: order.target.fence,
+        acked_through: match is_confirmed(&link, target) {
+            true => order.acknowledged_through,
+            false => 0,
+        },
+        wait_ms: order.wait_ms,
+    };
     hold(&mut link, target, &body, timeout_ms, permission).await
 }
 
