Acknowledge no ends beside a start that may be carried out late

A start that was given up without an answer may be carried out by the next incarnation, whose ends have the numbers of those that were read; a worker that has not answered the last call, or that is listed with a later start, may be another incarnation. Change: the engine withholds an acknowledgement while a start at the worker is unsettled (given up, and not yet found or shown to be absent by a poll), while the last poll of the worker has failed, and until this leader's fence is raised at the incarnation. Ends that were read are listed again; such a worker is polled every 600 ms at most, as it answers at once. How often and for how long is counted: acknowledgements{outcome="withheld"}, acknowledgement_deferral_ms.

--- a/src/jobs/acknowledgements.rs
+++ b/src/jobs/acknowledgements.rs
@@ -16,6 +16,8 @@
     Given,
     /// The poll went without it, as the incarnation had not answered on the connection.
     Unconfirmed,
+    /// The poll went without it, as another incarnation may have runs that this leader does not know.
+    Withheld,
     /// No answer arrived: the worker may have dropped the ends, or may still do so.
     Lost,
     /// Another incarnation has answered, and may have dropped ends that nobody has read.
@@ -29,6 +31,8 @@
     pub outcomes_counts: indexmap::IndexMap<AcknowledgementOutcome, u64>,
     /// Answers that lack ends which this leader has not acknowledged.
     pub missing_ends_count: u64,
+    /// Times from the first poll that went without a number to the one that carried it, in milliseconds.
+    pub deferrals_ms: Vec<u64>,
 }
 
 impl AcknowledgementCounts {
@@ -43,6 +47,22 @@
         std::mem::take(&mut self.acknowledgement_counts)
     }
 
+    /// Returns the number up to which the next poll of a worker acknowledges ends, or 0. A number that was
+    /// given is not given again.
+    pub(crate) fn take_acknowledgement(&mut self, key: WorkerKey) -> u64 {
+        let worker = self.worker(key);
+        match worker.has_unacknowledged_ends() {
+            false => 0,
+            true if worker.withholds_acknowledgement() => {
+                let outcome = AcknowledgementOutcome::Withheld;
+                self.acknowledgement_counts.count(outcome);
+                self.defer_acknowledgement(key, self.now_ms);
+                0
+            }
+            true => worker.persisted_through,
+        }
+    }
+
     /// Records what an answer tells about the acknowledgement in its poll.
     pub(crate) fn note_acknowledgement(&mut self, order: &PollOrder, reply: &PollReply) {
         if order.acknowledged_through == 0 {
@@ -55,8 +75,28 @@
             _ => AcknowledgementOutcome::Unconfirmed,
         };
         self.acknowledgement_counts.count(outcome);
-        if outcome == AcknowledgementOutcome::OtherIncarnation {
-            self.log_misdirected(order, reply);
+        match outcome {
+            AcknowledgementOutcome::OtherIncarnation => self.log_misdirected(order, reply),
+            AcknowledgementOutcome::Given => self.end_deferral(order),
+            _ => self.defer_acknowledgement(order.target.worker, order.sent_ms),
+        }
+    }
+
+    /// Records that a poll sent at `sent_ms` had to go without its number.
+    fn defer_acknowledgement(&mut self, key: WorkerKey, sent_ms: u64) {
+        let deferred_since_ms = &mut self.worker_mut(key).deferred_since_ms;
+        deferred_since_ms.get_or_insert(sent_ms);
+    }
+
+    /// Records for how long an acknowledgement was deferred that has been given.
+    fn end_deferral(&mut self, order: &PollOrder) {
+        let deferred_since_ms = self
+            .worker_mut(order.target.worker)
+            .deferred_since_ms
+            .take();
+        if let Some(since_ms) = deferred_since_ms {
+            let deferral_ms = order.sent_ms.saturating_sub(since_ms);
+            self.acknowledgement_counts.deferrals_ms.push(deferral_ms);
         }
     }
 
@@ -78,7 +118,7 @@
             .with("acknowledged_through", reply.acknowledged_through)
             .with("first_end_number", first_number(reply))
             .with("running_count", reply.running.len())
-            .with("unanswered_starts_count", worker.unanswered_starts_count())
+            .with("unsettled_starts_count", worker.unsettled_starts_count())
             .warn();
     }
 
@@ -97,7 +137,7 @@
             .with("expected_number", worker.seen_through + 1)
             .with("first_end_number", first_number(reply))
             .with("runs_count", worker.slots.len())
-            .with("unanswered_starts_count", worker.unanswered_starts_count())
+            .with("unsettled_starts_count", worker.unsettled_starts_count())
             .warn();
         self.acknowledgement_counts.missing_ends_count += 1;
     }
@@ -109,9 +149,23 @@
 }
 
 impl Worker {
-    /// Returns the number of runs whose starts have had no answer that tells whether they are there.
-    fn unanswered_starts_count(&self) -> usize {
+    /// Returns whether it lists ends that it may drop.
+    fn has_unacknowledged_ends(&self) -> bool {
+        self.persisted_through > self.dropped_through
+    }
+
+    /// Returns whether ends may not be acknowledged for now. If the incarnation that has listed them has
+    /// ended, the next one may have run what was ordered here, and its ends have the same numbers. That is
+    /// possible unless the incarnation has answered the last call, and all starts are settled.
+    pub(crate) fn withholds_acknowledgement(&self) -> bool {
+        let may_have_ended = !self.is_fenced || self.failed_polls_count > 0;
+        let has_unsettled_start = || self.slots.values().any(|slot| slot.state.is_unsettled());
+        self.has_unacknowledged_ends() && (may_have_ended || has_unsettled_start())
+    }
+
+    /// Returns the number of runs whose starts may have been carried out, now or later.
+    fn unsettled_starts_count(&self) -> usize {
         let slots = self.slots.values();
-        slots.filter(|slot| slot.state.is_unanswered()).count()
+        slots.filter(|slot| slot.state.is_unsettled()).count()
     }
 }
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -9,8 +9,8 @@
 use crate::jobs::worker::{PollState, Slot, SlotState, LATE_CALL_MS};
 use crate::logging::Event;
 
-/// Time to the next poll of a worker whose ends are not persisted yet, in milliseconds.
-const UNPERSISTED_POLL_MS: u64 = 600;
+/// Time to the next poll of a worker whose ends may not be acknowledged yet, in milliseconds.
+const UNACKNOWLEDGED_POLL_MS: u64 = 600;
 /// Time to the next poll after a failed one, in milliseconds.
 const FAILED_POLL_RETRY_MS: u64 = 350;
 /// Time after which a stop without effect is sent again, beyond the time that a stop may take, in
@@ -54,6 +54,7 @@
         let lease_ms = self.settings.run_lease_ms;
         let lease_max_ms = self.settings.run_lease_max_ms;
         let target = self.target(key);
+        let acknowledged_through = self.take_acknowledgement(key);
         let worker = self.worker_mut(key);
         let has_persisted_all = worker.awaited_batch.is_none();
         let has_runs = !worker.slots.is_empty();
@@ -71,11 +72,7 @@
         let order = PollOrder {
             target,
             lease_end_worker_ms,
-            // After a restart under its id, the same numbers are those of other ends.
-            acknowledged_through: match worker.persisted_through > worker.dropped_through {
-                true => worker.persisted_through,
-                false => 0,
-            },
+            acknowledged_through,
             wait_ms: match has_persisted_all && has_runs && worker.is_fenced {
                 true => wait_ms,
                 false => 0,
@@ -183,9 +180,11 @@
         }
         let is_idle = worker.slots.is_empty() && worker.dropped_through == worker.persisted_through;
         let due_ms = match worker.awaited_batch {
-            Some(_) => now_ms + UNPERSISTED_POLL_MS,
+            Some(_) => now_ms + UNACKNOWLEDGED_POLL_MS,
             None if !worker.is_fenced => now_ms + FAILED_POLL_RETRY_MS,
             None if is_idle => u64::MAX,
+            // It answers at once, as long as it lists ends.
+            None if worker.withholds_acknowledgement() => now_ms + UNACKNOWLEDGED_POLL_MS,
             None => worker.next_poll_ms,
         };
         worker.poll = PollState::Idle { due_ms };
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -110,9 +110,12 @@
 }
 
 impl SlotState {
-    /// Returns whether the order of the start has had no answer that tells whether the run is there.
-    pub(crate) fn is_unanswered(self) -> bool {
-        !matches!(self, Self::Held | Self::Placed { .. })
+    /// Returns whether the order of the start was given up, and no poll has told since what became of it.
+    pub(crate) fn is_unsettled(self) -> bool {
+        matches!(
+            self,
+            Self::OutcomeUnknown { .. } | Self::StartBlocked { .. }
+        )
     }
 }
 
@@ -224,6 +227,8 @@
     pub(crate) persisted_through: u64,
     /// Highest number of the ends that it has dropped, as they were acknowledged.
     pub(crate) dropped_through: u64,
+    /// Time of the first poll that went without an acknowledgement which is still due, in milliseconds.
+    pub(crate) deferred_since_ms: Option<u64>,
     /// Whether this leader has known the incarnation since its start, so that nobody else has read ends.
     pub(crate) is_known_from_start: bool,
     /// Whether its last answer may have left out ends of runs.
@@ -286,6 +291,7 @@
             seen_through: 0,
             persisted_through: 0,
             dropped_through: 0,
+            deferred_since_ms: None,
             is_known_from_start: false,
             has_more_ends: false,
             awaited_batch: None,
@@ -412,6 +418,7 @@
         self.seen_through = 0;
         self.persisted_through = 0;
         self.dropped_through = 0;
+        self.deferred_since_ms = None;
         self.is_known_from_start = true;
         self.has_more_ends = false;
         self.awaited_batch = None;
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::jobs::{AcknowledgementCounts, LossCounts, PlaceWaitCounts};
+use crate::node::leader::to_f64;
 
 /// Prefix of all metric names.
 const PREFIX: &str = "hawthornladder_node";
@@ -62,6 +63,7 @@
     lost_runs: Family<LossLabels, Counter>,
     acknowledgements: Family<AcknowledgementLabels, Counter>,
     missing_ends: Counter,
+    acknowledgement_deferral_ms: Histogram,
     /// Time from a caller's call to its answer, in milliseconds.
     pub call_ms: Histogram,
     /// Duration of a call to the store, without its wait, in milliseconds.
@@ -115,6 +117,7 @@
             lost_runs: Family::default(),
             acknowledgements: Family::default(),
             missing_ends: Counter::default(),
+            acknowledgement_deferral_ms: histogram_ms(),
             call_ms: histogram_ms(),
             store_ms: histogram_ms(),
             order_ms: histogram_ms(),
@@ -181,6 +184,11 @@
             "Answers without ends that nobody has acknowledged here.",
             self.missing_ends.clone(),
         );
+        registry.register(
+            "acknowledgement_deferral_ms",
+            "Time for which an acknowledgement was deferred.",
+            self.acknowledgement_deferral_ms.clone(),
+        );
         registry.register("call_ms", "Time to an answer.", self.call_ms.clone());
         registry.register("store_ms", "Time of a store call.", self.store_ms.clone());
         registry.register("order_ms", "Time of an order.", self.order_ms.clone());
@@ -289,6 +297,10 @@
             self.acknowledgements.get_or_create(&labels).inc_by(*count);
         }
         self.missing_ends.inc_by(counts.missing_ends_count);
+        for deferral_ms in &counts.deferrals_ms {
+            let deferral_ms = to_f64(*deferral_ms);
+            self.acknowledgement_deferral_ms.observe(deferral_ms);
+        }
     }
 
     /// Returns all metrics as text.
