Split the slots and the changed workers from the engine

Change: slots.rs has the slots of runs and the stops, changed_workers.rs the workers that have changed and their timers; text moved, nothing else but the visibility of two fields.

--- a/src/jobs/engine.rs
+++ b/src/jobs/engine.rs
@@ -19,14 +19,14 @@
 use crate::jobs::crash_history::CrashHistory;
 use crate::jobs::demand::DemandCycle;
 use crate::jobs::evacuation::EvacuatedZones;
-use crate::jobs::free_capacity::{FreeCapacity, Position, WorkerEntry};
+use crate::jobs::free_capacity::FreeCapacity;
 use crate::jobs::instances::Instances;
 use crate::jobs::job::{Job, Round, Task};
-use crate::jobs::keys::{JobId, JobKey, RunKey, TaskKey, TaskName, WorkerKey};
+use crate::jobs::keys::{JobId, JobKey, TaskKey, TaskName, WorkerKey};
 use crate::jobs::known_capacity::WorkersList;
 use crate::jobs::lost_runs::LossCounts;
 use crate::jobs::order_numbers::OrderNumbers;
-use crate::jobs::orders::{Action, StopOrder, Target};
+use crate::jobs::orders::{Action, Target};
 use crate::jobs::place_waits::{PlaceWaits, WaitOutcome};
 use crate::jobs::poll_pace::PollPace;
 use crate::jobs::quarantine::Quarantine;
@@ -41,7 +41,7 @@
 use crate::jobs::tickets::Tickets;
 use crate::jobs::waiting::WaitingJobs;
 use crate::jobs::watched_runs::InheritedRuns;
-use crate::jobs::worker::{PollState, Slot, Worker};
+use crate::jobs::worker::Worker;
 use crate::logging::Event;
 
 /// Interval between checks for expired leases and for stops without effect, in milliseconds.
@@ -81,11 +81,11 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) free_capacity: FreeCapacity,
     /// Workers that have changed since `free_capacity` was brought up to date.
-    touched_workers: Vec<WorkerKey>,
+    pub(crate) touched_workers: Vec<WorkerKey>,
     /// Workers that have changed since it was last checked whether they have to be polled.
     pub(crate) poll_checks: Vec<WorkerKey>,
     /// Times at which something about a worker becomes due without any event.
-    worker_timers: BTreeSet<(u64, WorkerKey)>,
+    pub(crate) worker_timers: BTreeSet<(u64, WorkerKey)>,
     /// Workers whose ends are acknowledged once a batch of records is persisted.
     pub(crate) awaiting_workers: IndexSet<WorkerKey>,
     pub(crate) worker_keys: HashMap<SmolStr, WorkerKey>,
@@ -345,75 +345,6 @@
         &mut self.workers[index(key.0)]
     }
 
-    /// Marks that the free capacity of a worker, or the time of its next poll, may have changed.
-    fn touch_worker(&mut self, key: WorkerKey) {
-        let worker = &mut self.workers[index(key.0)];
-        if !std::mem::replace(&mut worker.is_touched, true) {
-            self.touched_workers.push(key);
-        }
-    }
-
-    /// Brings the free capacity of all workers that have changed up to date.
-    pub(crate) fn refresh_workers(&mut self) {
-        while let Some((due_ms, key)) = self.worker_timers.first().copied() {
-            if due_ms > self.now_ms {
-                break;
-            }
-            self.worker_timers.pop_first();
-            self.touch_worker(key);
-        }
-        for key in std::mem::take(&mut self.touched_workers) {
-            self.workers[index(key.0)].is_touched = false;
-            self.refresh_worker(key);
-            self.poll_checks.push(key);
-        }
-    }
-
-    /// Brings the free capacity of one worker up to date, and sets the timers for what changes
-    /// without any event.
-    pub(crate) fn refresh_worker(&mut self, key: WorkerKey) {
-        let now_ms = self.now_ms;
-        let worker = &self.workers[index(key.0)];
-        let free_cpu_millis = worker
-            .info
-            .capacity
-            .cpu_millis
-            .saturating_sub(worker.used.cpu_millis);
-        let position = Position {
-            is_slow: worker.is_slow() || worker.is_cold(now_ms),
-            is_without_long_running: worker.long_running_count == 0,
-            free_cpu_millis,
-            worker: key,
-        };
-        let entry = WorkerEntry {
-            pool: worker.info.pool.clone(),
-            rack: worker.rack.clone(),
-            position: worker.takes_tasks(now_ms).then_some(position),
-            unseen: worker
-                .may_have_unseen_runs()
-                .then_some(worker.largest_capacity),
-            has_more_ends: worker.has_more_ends,
-        };
-        for due_ms in [
-            worker.avoided_until_ms,
-            worker.cold_until_ms,
-            worker.next_start_ms,
-        ] {
-            if due_ms > now_ms {
-                self.worker_timers.insert((due_ms, key));
-            }
-        }
-        match worker.poll {
-            PollState::Idle { due_ms } if due_ms > now_ms && due_ms < u64::MAX => {
-                self.worker_timers.insert((due_ms, key));
-            }
-            _ => {}
-        }
-        let has_changed = self.free_capacity.update(key, entry);
-        // Tasks may wait for this worker, or for one that it can replace.
-        self.needs_dispatch |= has_changed && !self.place_waits.is_empty();
-    }
-
     /// Returns the keys of the workers in [`present`](Self::present).
     pub(crate) fn present_keys(&self) -> impl Iterator<Item = WorkerKey> + '_ {
         self.present.iter().copied()
@@ -488,71 +419,6 @@
         }
     }
 
-    /// Removes a slot from its worker and releases its reservation and its share of the team's
-    /// limit.
-    pub(crate) fn drop_slot(&mut self, worker: WorkerKey, run: RunKey) -> Option<Slot> {
-        let now_ms = self.now_ms;
-        let team = self.job(run.task.job).team.clone();
-        let holder = self.worker_mut(worker);
-        let slot = holder.slots.swap_remove(&run)?;
-        holder.used.remove(&slot.reservation);
-        holder.long_running_count -= usize::from(slot.is_long_running);
-        if holder.slots.is_empty() {
-            holder.idle_since_ms = now_ms;
-        }
-        if let Some(used) = self.team_used.get_mut(&team) {
-            used.remove(&slot.size);
-        }
-        self.job_mut(run.task.job).runs_count -= 1;
-        self.end_watch(run.task, worker);
-        self.needs_dispatch = true;
-        Some(slot)
-    }
-
-    /// Adds a slot to a worker, with its reservation and its share of the team's limit.
-    pub(crate) fn put_slot(&mut self, worker: WorkerKey, run: RunKey, slot: Slot) {
-        let team = self.job(run.task.job).team.clone();
-        let used = self.team_used.entry(team).or_default();
-        used.add(&slot.size);
-        let holder = self.worker_mut(worker);
-        holder.used.add(&slot.reservation);
-        holder.long_running_count += usize::from(slot.is_long_running);
-        holder.slots.insert(run, slot);
-        self.job_mut(run.task.job).runs_count += 1;
-        self.present.insert(worker);
-    }
-
-    /// Orders a worker to stop a run.
-    pub(crate) fn stop_run(&mut self, worker: WorkerKey, run: RunKey, reason: &'static str) {
-        let now_ms = self.now_ms;
-        let Some(slot) = self.worker_mut(worker).slots.get_mut(&run) else {
-            return;
-        };
-        slot.is_stopping = true;
-        slot.stop_sent_ms = now_ms;
-        let order = StopOrder {
-            target: self.target(worker),
-            run: Some(run),
-            name: self.task_name(run.task),
-            run_number: run.run,
-        };
-        Event::new("stop_sent")
-            .with("task", order.name)
-            .with("run", run.run)
-            .with("worker", &order.target.id)
-            .with("reason", reason)
-            .info();
-        self.actions.push(Action::Stop(order));
-    }
-
-    /// Orders the stop of every run of a job's tasks. Other runs of the job are being stopped
-    /// already.
-    pub(crate) fn stop_job(&mut self, key: JobKey, reason: &'static str) {
-        for (worker, run) in self.job(key).runs(key) {
-            self.stop_run(worker, run, reason);
-        }
-    }
-
     /// Opens the occurrences that are due.
     fn open_due_rounds(&mut self) {
         let unix_ms = self.unix_ms;
