Show that late answers of a former incarnation end leases of the next

- The leader is lost at each 10 ms of a job with a gang and two occurrences, its batch in flight taken or refused, its calls late: no end is acknowledged that the next leader does not know.
- The next incarnation of a worker has accepted a start, and the leader counts its leases on the clock of that answer; then the answer of the former incarnation to an earlier poll, or start, arrives.
Its clock is ahead and replaces the other one, so that all leases seem to be over.
- An end of a cancelled job is read while the record of the cancel is in flight: its acknowledgement waits for the batch after that, and so for ever if nothing else changes.

--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod cut_off_leader;
 mod cut_off_proofs;
+mod ends_and_leaders;
 mod evacuation;
 mod explain;
 mod fake_worker;
