Read no clock from answers to calls sent before another one is followed

Cause: the clock in the answer to a start shows that a later incarnation has taken it, and leases count on that clock from then on. The answer of the former incarnation to an earlier poll or start may arrive after it (answers on different connections overtake each other). The leader still knew the start time of the former one, took that answer for one of the same process, and its clock, which is ahead, for the newer reading. All leases then seemed to be over, or counted 4 s where the worker had given the longest lease, so that the task of a worker that was cut off started elsewhere beside the first run.

Change: the worker remembers since when leases count on an unknown incarnation's clock, until its start time is known; answers to calls that were sent before show no clock.

Result: both tests of the late answers failed (the task ran on two workers at once), and pass.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -30,7 +30,9 @@
                 worker.follow_unknown_incarnation(clock_ms, lease_max_ms, now_ms);
             }
             // An answer of an earlier incarnation shows another clock.
-            (Some(clock_ms), _) if is_same => worker.read_clock(clock_ms, now_ms),
+            (Some(clock_ms), Some(sent_ms)) if is_same => {
+                worker.read_clock(clock_ms, sent_ms, now_ms);
+            }
             _ => {}
         }
         if let Some(slot) = worker.slots.get_mut(&order.run) {
--- a/src/jobs/leases.rs
+++ b/src/jobs/leases.rs
@@ -86,6 +86,7 @@
         now_ms: u64,
     ) {
         self.is_fenced = false;
+        self.followed_since_ms = now_ms;
         self.clock = Some(ClockReading {
             worker_ms: clock_ms,
             read_ms: now_ms,
@@ -101,10 +102,11 @@
         }
     }
 
-    /// Records a reading of the worker's clock.
-    pub(crate) fn read_clock(&mut self, worker_ms: u64, now_ms: u64) {
+    /// Records a reading of the worker's clock in the answer to a call that was sent at `sent_ms`. Of a
+    /// call that was sent before leases count on another clock, the former incarnation may have answered.
+    pub(crate) fn read_clock(&mut self, worker_ms: u64, sent_ms: u64, now_ms: u64) {
         let is_newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
-        if is_newer {
+        if is_newer && sent_ms >= self.followed_since_ms {
             self.clock = Some(ClockReading {
                 worker_ms,
                 read_ms: now_ms,
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -151,7 +151,7 @@
         }
         worker.failed_polls_count = 0;
         worker.confirm_leases(lease_max_ms, order.sent_ms);
-        worker.read_clock(reply.clock_ms, now_ms);
+        worker.read_clock(reply.clock_ms, order.sent_ms, now_ms);
     }
 
     /// Records that the fence of this leader is raised at a worker, which takes tasks from now on.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -213,6 +213,9 @@
     pub(crate) long_running_count: usize,
     /// Last reading of its clock.
     pub(crate) clock: Option<ClockReading>,
+    /// Time since which leases count on the clock of an incarnation of which nothing else is known, in
+    /// milliseconds; 0 for never.
+    pub(crate) followed_since_ms: u64,
     /// Latest end of the leases given to its runs, on its clock, in milliseconds.
     pub(crate) leased_until_worker_ms: u64,
     /// Time until which runs may last that were ordered without an answer, in milliseconds: the order
@@ -285,6 +288,7 @@
             used: Size::default(),
             long_running_count: 0,
             clock: None,
+            followed_since_ms: 0,
             leased_until_worker_ms: 0,
             unconfirmed_lease_end_ms: 0,
             late_calls_until_ms: 0,
@@ -412,6 +416,7 @@
         self.listed_ms = now_ms;
         self.has_ended = false;
         self.clock = None;
+        self.followed_since_ms = 0;
         self.leased_until_worker_ms = 0;
         self.unconfirmed_lease_end_ms = 0;
         self.late_calls_until_ms = now_ms + LATE_CALL_MS;
