Acknowledge ends of a cancelled job once its record is persisted

Cause: an end of a job that is final in memory only waited for the next batch.

Change: it waits for the batch that holds the job's progress, as ends that are known already do.

Result: the test of a cancel in flight failed (the end was still listed 2 s after the store had taken the record), and passes.

--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -54,7 +54,7 @@
         if !is_live {
             // Until the end of the job is persisted, a later leader still needs this end.
             if !self.job(task.job).persisted_state.is_final() {
-                self.persist_before_ack(key);
+                self.persist_progress_before_ack(key, task.job);
             }
             return;
         }
