Show that a ticket of a former life counts for the next one

An answer of the eligibility service that arrives after the worker has restarted counts as one about the new incarnation, as the incarnation is looked up when the answer arrives. The new test of jobs::tickets fails: the task is sent with a ticket that is not valid any more. An answer that the former life may not run the step keeps the new one out as long as it is valid.

--- a/tests/testsuite/jobs/tickets.rs
+++ b/tests/testsuite/jobs/tickets.rs
@@ -3,7 +3,7 @@
 
 use hawthornladder::jobs::{JobId, StepSpec};
 use indexmap::IndexSet;
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 
 use super::simulation::{job, long_running, step, Simulation, UNIX_MS};
 
@@ -13,6 +13,8 @@
 const START_MAX_MS: u64 = 3_000;
 /// Time until the list of instances shows that workers are lost, in milliseconds.
 const LOSS_SHOWN_MS: u64 = 3_000;
+/// Time in which a worker that may run a step is asked about, in milliseconds.
+const ASKED_MS: u64 = 500;
 /// Most workers that a request may name.
 const REQUEST_MAX_COUNT: usize = 100;
 
@@ -128,3 +130,27 @@
     let different: IndexSet<_> = asked.iter().collect();
     assert_eq!(asked.len(), different.len());
 }
+
+/// Guards against a start with a ticket of a former life: a request is answered after its worker has
+/// restarted, and the ticket counts as one of the new incarnation, which refuses it.
+#[test]
+fn an_answer_about_a_former_incarnation_gives_the_next_one_no_ticket() {
+    let mut simulation = open_with_tickets(1, &[]);
+    simulation.submit("maps", job(vec![step(1, 3_800, RUN_MS)]));
+    simulation.advance(ASKED_MS);
+    let former = simulation.ticket_requests[0].clone();
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    let started_unix_ms = UNIX_MS + simulation.now_ms;
+    simulation.workers[&first].restart(started_unix_ms);
+    simulation.list_all();
+    simulation.advance(ASKED_MS);
+    assert_eq!(simulation.ticket_requests.len(), 2);
+    let tickets = vec![(first.clone(), format_smolstr!("ticket-{first}"))];
+    let now_ms = simulation.now_ms;
+    let answer = Some((tickets, RUN_MS));
+    simulation.engine.tickets_answered(&former, answer, now_ms);
+    simulation.advance(ASKED_MS);
+    assert_eq!(simulation.starts.len(), 0, "started with a former ticket");
+    simulation.eligible = vec![first];
+    simulation.advance_until(START_MAX_MS, |simulation| !simulation.starts.is_empty());
+}
