Test that a followed leader acknowledges no end that it does not know

An end of a task that the engine does not know raises the number up to which ends are read, and has no record. The engine of a leader knows all jobs of which it can have started tasks, and those of its successor run only on workers that have seen the higher fence, which refuse the poll with the acknowledgement. The test lets a poll of the former leader wait at a worker and list the end of such a task; the next poll is refused, and a third leader still finds the end.

--- a/tests/testsuite/jobs/ends_and_leaders.rs
+++ b/tests/testsuite/jobs/ends_and_leaders.rs
@@ -9,7 +9,7 @@
 };
 use smol_str::SmolStr;
 
-use super::links::Reach;
+use super::links::{Link, Reach};
 use super::simulation::{job, step, Simulation, STEP_MS, UNIX_MS};
 
 /// Age of the first incarnations at the restart, in milliseconds: more than the longest lease.
@@ -144,7 +144,10 @@
     let former = submit_long_task(&mut simulation);
     simulation.advance(ACTED_MS);
     assert_eq!(simulation.runs_of(former)[0].0, id);
-    let at = simulation.polls.iter().position(|(poll, _)| poll.target.id == id);
+    let at = simulation
+        .polls
+        .iter()
+        .position(|(poll, _)| poll.target.id == id);
     let (poll, _) = simulation.polls.remove(at.expect("a poll in flight"));
     let worker = &simulation.workers[&id];
     let former_unix_ms = worker.info.started_unix_ms;
@@ -229,3 +232,41 @@
         .start_accepted(&order, clock_ms, now_ms);
     reborn.cut_off();
 }
+
+/// Guards against ends that are dropped though nobody knows them who could record them: the poll of a leader
+/// that has been followed still waits at a worker, and lists the end of a task of a job that only its
+/// successor knows. The worker is asked by a third leader before anybody has recorded the end.
+#[test]
+fn a_leader_that_has_been_followed_acknowledges_no_end_that_it_does_not_know() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    submit_long_task(&mut simulation);
+    simulation.advance(2 * ACTED_MS);
+    simulation.link = Link::leased(simulation.now_ms);
+    simulation.link.is_cut_from_store = true;
+    let mut next_link = Link::open();
+    next_link.set_reach(first.clone(), Reach::AnswersLost);
+    simulation.advance_until(2 * ACTED_MS, |simulation| {
+        let sent_ms = simulation.polls.first().map_or(0, |(poll, _)| poll.sent_ms);
+        sent_ms + STEP_MS == simulation.now_ms
+    });
+    simulation.succeed(2, next_link);
+    simulation.link.set_reach(first.clone(), Reach::Full);
+    simulation.list_all();
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, SHORT_RUN_MS)]));
+    simulation.advance_until(ACTED_MS, |simulation| !simulation.runs_of(id).is_empty());
+    simulation.link.set_reach(first.clone(), Reach::AnswersLost);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.runs_of(id).is_empty());
+    simulation.advance(4 * ACTED_MS);
+    let mut has_lost = false;
+    simulation.as_cut_off_leader(|simulation| has_lost = simulation.engine.has_lost_leadership());
+    assert!(has_lost, "the next poll of the former leader is refused");
+    assert_eq!(simulation.workers[&first].ended.len(), 1);
+    simulation.fail_over(3);
+    simulation.link.set_reach(first, Reach::Full);
+    simulation.advance_until(DONE_MS, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    let starts = simulation.starts.iter();
+    assert_eq!(starts.filter(|(_, _, name)| name.job == id).count(), 1);
+}
