Show that a blocked start may run in the next incarnation of its worker

A start without an answer is settled once its worker has acknowledged a stop and a later poll does not list the run: the task is sent elsewhere at once. What the worker has refused for ever holds for this incarnation only. If it restarts and the start arrives in the next one, seconds late, the task runs on two workers. Only starts that are unsettled when the leader learns of the restart are waited for (12 s).

The test of this in virtual time fails. No mend here: to wait 12 s after each start without an answer would cost each worker that is cut off.

--- a/tests/testsuite/jobs/ends_and_leaders.rs
+++ b/tests/testsuite/jobs/ends_and_leaders.rs
@@ -270,3 +270,28 @@
     let starts = simulation.starts.iter();
     assert_eq!(starts.filter(|(_, _, name)| name.job == id).count(), 1);
 }
+
+/// Guards against a task that runs twice: its start has had no answer, the worker has confirmed that the run
+/// is not there and will not be, and restarts; then the start arrives, in the next incarnation.
+#[test]
+fn a_start_that_one_incarnation_has_blocked_does_not_run_in_the_next() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(AGE_MS);
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    simulation.link.set_reach(first.clone(), Reach::HeldBack);
+    let id = submit_long_task(&mut simulation);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
+    simulation.link.set_reach(first.clone(), Reach::Full);
+    // The task is not sent there again.
+    simulation.workers[&first].info.is_draining = true;
+    simulation.list_all();
+    simulation.advance_until(CUT_MS, |simulation| simulation.starts.len() == 1);
+    assert_ne!(simulation.runs_of(id)[0].0, first);
+    simulation.release_calls(|| 2 * ACTED_MS);
+    simulation.late_calls.retain(|(_, call)| call.is_start());
+    simulation.advance(ACTED_MS);
+    let started_unix_ms = UNIX_MS + simulation.now_ms;
+    simulation.workers[&first].restart(started_unix_ms);
+    simulation.advance(CUT_MS);
+    assert_eq!(simulation.runs_of(id).len(), 1);
+}
