Count tickets for the incarnation that was asked about

Cause: an answer of the eligibility service was taken to be about the incarnation that was known when it arrived. The service takes up to seconds, in which a worker may restart: its next incarnation then got a ticket of the former life, or none as long as that answer was valid.

Change: a request names the incarnation of each worker, and an answer about another one than the known one is left out.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -86,7 +86,7 @@
 pub use lost_runs::{LossCounts, LossReason};
 pub use orders::{
     Action, EndKind, InstanceOrder, OrderFailure, PaceOrder, PollOrder, PollReply, RunEnd, RunRow,
-    StartOrder, StopOrder, Target, TicketRequest,
+    StartOrder, StopOrder, Target, TicketCandidate, TicketRequest,
 };
 pub use place_waits::{choose_place, PlaceChoice, PlaceVerdict, PlaceWaitCounts};
 pub use progress::{DoneTasks, ProgressPart, ProgressRecord, TaskRecord};
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -102,8 +102,17 @@
     pub round: u32,
     /// Step, from 0.
     pub step: u16,
-    /// Ids of the workers in question.
-    pub workers: Vec<SmolStr>,
+    /// Workers in question.
+    pub workers: Vec<TicketCandidate>,
+}
+
+/// A worker that a request for tickets names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TicketCandidate {
+    /// Id of the worker.
+    pub id: SmolStr,
+    /// Unix time at which the incarnation started that the answer will be about, in milliseconds.
+    pub started_unix_ms: u64,
 }
 
 /// Order to an instance.
--- a/src/jobs/tickets.rs
+++ b/src/jobs/tickets.rs
@@ -8,7 +8,7 @@
 
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::{JobKey, TaskKey, WorkerKey};
-use crate::jobs::orders::{Action, TicketRequest};
+use crate::jobs::orders::{Action, TicketCandidate, TicketRequest};
 use crate::logging::Event;
 
 /// Most workers in one request.
@@ -156,14 +156,18 @@
             return;
         }
         step.requested_ms = Some(now_ms);
-        let ids = candidates
-            .iter()
-            .map(|key| self.worker(*key).info.id.clone());
+        let workers = candidates.iter().map(|key| {
+            let info = &self.worker(*key).info;
+            TicketCandidate {
+                id: info.id.clone(),
+                started_unix_ms: info.started_unix_ms,
+            }
+        });
         let request = TicketRequest {
             job: self.job(task.job).id,
             round: task.round,
             step: task.step,
-            workers: ids.collect(),
+            workers: workers.collect(),
         };
         self.actions.push(Action::RequestTickets(request));
     }
@@ -250,13 +254,21 @@
         step.next_check_ms = 0;
         let valid_until_ms = now_ms + valid_ms.saturating_sub(EXPIRY_RESERVE_MS);
         let tickets: HashMap<SmolStr, SmolStr> = tickets.into_iter().collect();
-        for id in &request.workers {
+        for TicketCandidate {
+            id,
+            started_unix_ms,
+        } in &request.workers
+        {
             let Some(worker) = self.worker_keys.get(id).copied() else {
                 continue;
             };
             let info = &self.workers[crate::jobs::engine::index(worker.0)].info;
+            // The worker has restarted since it was asked about.
+            if info.started_unix_ms != *started_unix_ms {
+                continue;
+            }
             let eligibility = Eligibility {
-                started_unix_ms: info.started_unix_ms,
+                started_unix_ms: *started_unix_ms,
                 ticket: tickets.get(id).cloned(),
                 valid_until_ms,
             };
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -19,7 +19,7 @@
 #[derive(Serialize)]
 struct RequestWire<'q> {
     step: String,
-    workers: &'q [SmolStr],
+    workers: Vec<&'q SmolStr>,
 }
 
 #[derive(Deserialize)]
@@ -47,7 +47,7 @@
     } = request;
     let wire = RequestWire {
         step: format!("{job}.{round}.{step}"),
-        workers,
+        workers: workers.iter().map(|worker| &worker.id).collect(),
     };
     let call = Call {
         address,
--- a/tests/testsuite/jobs/simulation.rs
+++ b/tests/testsuite/jobs/simulation.rs
@@ -672,7 +672,8 @@
 
     fn answer_tickets(&mut self, request: TicketRequest) {
         let is_eligible = |id: &&SmolStr| self.eligible.contains(*id);
-        let tickets = request.workers.iter().filter(is_eligible);
+        let ids = request.workers.iter().map(|worker| &worker.id);
+        let tickets = ids.filter(is_eligible);
         let tickets = tickets.map(|id| (id.clone(), format_smolstr!("ticket-{id}")));
         let answer = Some((tickets.collect(), TICKETS_VALID_MS));
         self.engine.tickets_answered(&request, answer, self.now_ms);
--- a/tests/testsuite/jobs/tickets.rs
+++ b/tests/testsuite/jobs/tickets.rs
@@ -125,7 +125,7 @@
         .all(|request| request.workers.len() <= REQUEST_MAX_COUNT));
     let asked: Vec<&SmolStr> = requests
         .iter()
-        .flat_map(|request| &request.workers)
+        .flat_map(|request| request.workers.iter().map(|worker| &worker.id))
         .collect();
     let different: IndexSet<_> = asked.iter().collect();
     assert_eq!(asked.len(), different.len());
