Show that a late report on a wave replaces a newer one

WaveReports only keeps an older report from being sent again. The test, against the store of the soak, which carries an append out late, fails: "active" after "complete".

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod node_refusals;
 mod node_soak;
 mod node_waiters;
+mod node_wave_reports;
 mod operator_commands;
 mod peers;
 mod platform_adapter;
--- a/tests/testsuite/node_soak/mod.rs
+++ b/tests/testsuite/node_soak/mod.rs
@@ -14,7 +14,7 @@
 mod nodes;
 pub(crate) mod platform;
 mod runs;
-mod store;
+pub(crate) mod store;
 mod worker;
 
 use std::fs;
