Write reports on waves only where the topic ends as known

Cause: a report without an answer may be carried out seconds later, and then replaced the newer one that its leader, or the next one, had written meanwhile; "complete" is written once.

Change: a report is conditional on the end of its topic. The leader remembers the end from the report before; if the topic has moved on, the store names the end, and the report is sent once more. That is one call more for the first report of a leader.

Result: the new test failed ("active" after "complete"), and passes, also where the late report is carried out before the newer one is sent. node_journal passes; node_orders but for the test of acknowledgements that was red before.

--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -11,12 +11,10 @@
 use crate::node::leader::{spawn, to_f64};
 use crate::node::{Node, Role};
 use crate::platform::workers::{self, Permission};
-use crate::platform::{advice, instances, status, store::Topic};
+use crate::platform::{advice, instances, status};
 
 /// Pause before a failed report on a wave is retried, in milliseconds.
 const WAVE_REPORT_RETRY_MS: u64 = 300;
-/// Timeout of a report on a wave, in milliseconds.
-const WAVE_REPORT_TIMEOUT_MS: u64 = 1_500;
 /// Most attempts to report on a wave.
 const WAVE_REPORT_ATTEMPTS_MAX: usize = 40;
 
@@ -171,7 +169,7 @@
     let Some((fence, number)) = added else {
         return;
     };
-    let record = [status::wave_record(wave, is_complete)];
+    let record = status::wave_record(wave, is_complete);
     // Without a valid lease, a later leader may have reported more.
     let may_report = || node.valid_fence() == Some(fence);
     let mut attempts_count = 0;
@@ -183,7 +181,7 @@
         }
         if may_report() {
             attempts_count += 1;
-            if send_report(&node, wave, &record, may_report).await {
+            if send_report(&node, fence, (wave, record.clone()), may_report).await {
                 return;
             }
         }
@@ -194,22 +192,23 @@
 /// Sends a report on a wave and returns whether the store has taken it.
 async fn send_report(
     node: &Rc<Node>,
-    wave: u64,
-    record: &[StoredRecord],
+    fence: u64,
+    (wave, record): (u64, StoredRecord),
     may_send: impl Fn() -> bool,
 ) -> bool {
     let sent_ms = node.now_ms();
-    let timeout_ms = WAVE_REPORT_TIMEOUT_MS;
-    let reported = node
-        .store
-        .append_if(Topic::Status, record, (None, None), timeout_ms, may_send)
-        .await;
+    let end_offset = node.with_leader(fence, |leader| leader.wave_reports.end_offset);
+    let end_offset = end_offset.unwrap_or_default();
+    let reported = status::report_wave(&node.store, record, end_offset, may_send).await;
     node.record_store_call("status", &reported, sent_ms);
-    if let Err(failure) = reported {
-        Event::new("wave_report_failed")
+    match reported {
+        Ok(end_offset) => {
+            node.with_leader(fence, |leader| leader.wave_reports.end_offset = end_offset);
+        }
+        Err(failure) => Event::new("wave_report_failed")
             .with("wave", wave)
             .with("failure", failure)
-            .warn();
+            .warn(),
     }
     reported.is_ok()
 }
--- a/src/node/wave_reports.rs
+++ b/src/node/wave_reports.rs
@@ -8,6 +8,8 @@
 pub struct WaveReports {
     newest: HashMap<u64, u64>,
     last_number: u64,
+    /// Offset after the newest report that the store has taken; 0 before the first.
+    pub(crate) end_offset: u64,
 }
 
 impl WaveReports {
--- a/src/platform/status.rs
+++ b/src/platform/status.rs
@@ -2,6 +2,12 @@
 
 use smol_str::{format_smolstr, SmolStr};
 
+use super::store::{Store, Topic};
+use crate::node::StoreFailure;
+
+/// Timeout of a report, in milliseconds.
+const TIMEOUT_MS: u64 = 1_500;
+
 /// Returns the record that reports the state of a wave.
 pub fn wave_record(wave: u64, is_complete: bool) -> (SmolStr, Option<Vec<u8>>) {
     let state = match is_complete {
@@ -11,3 +17,25 @@
     let value = serde_json::json!({ "state": state }).to_string();
     (format_smolstr!("wave/{wave}"), Some(value.into_bytes()))
 }
+
+/// Writes a record from [`wave_record`] if the topic ends at `end_offset`, or else where the store says that
+/// it does, and returns the offset after it. The store may carry a report without an answer out late; it then
+/// replaces no newer one.
+pub async fn report_wave(
+    store: &Store,
+    record: (SmolStr, Option<Vec<u8>>),
+    end_offset: u64,
+    may_send: impl Fn() -> bool,
+) -> Result<u64, StoreFailure> {
+    let records = [record];
+    let append = async |at_offset| {
+        let condition = (Some(at_offset), None);
+        store
+            .append_if(Topic::Status, &records, condition, TIMEOUT_MS, &may_send)
+            .await
+    };
+    match append(end_offset).await {
+        Err(StoreFailure::Moved { end_offset }) => append(end_offset).await,
+        reported => reported,
+    }
+}
--- a/tests/testsuite/node_wave_reports.rs
+++ b/tests/testsuite/node_wave_reports.rs
@@ -12,20 +12,19 @@
 use crate::node_soak::http_server::Server;
 use crate::node_soak::store::{Store, StoreFault};
 
-/// Time for which a report waits for its answer, in milliseconds; shorter than the late append takes.
-const TIMEOUT_MS: u64 = 500;
+/// Timeout of a read, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 500;
 /// Time after which all appends have been carried out.
 const CARRIED_OUT: Duration = Duration::from_millis(4_000);
 const WAVE: u64 = 7;
 
 async fn report(store: &store::Store, is_complete: bool) -> Result<u64, StoreFailure> {
-    let record = [status::wave_record(WAVE, is_complete)];
-    store
-        .append_if(Topic::Status, &record, (None, None), TIMEOUT_MS, || true)
-        .await
+    let record = status::wave_record(WAVE, is_complete);
+    status::report_wave(store, record, 0, || true).await
 }
 
-async fn check_late_report() {
+/// Reports that a wave is complete this long after a report without an answer.
+async fn check_late_report(pause: Duration) {
     let stand_in = Rc::new(Store::default());
     let answering = Rc::clone(&stand_in);
     let answer = move |call| Rc::clone(&answering).answer(call);
@@ -38,10 +37,11 @@
     stand_in.set_fault(StoreFault::Late(1));
     assert_eq!(report(&store, false).await, Err(StoreFailure::Lost));
     stand_in.set_fault(StoreFault::None);
+    sleep(pause).await;
     assert!(report(&store, true).await.is_ok());
     sleep(CARRIED_OUT).await;
     let (records, _) = store
-        .read_newest(Topic::Status, TIMEOUT_MS)
+        .read_newest(Topic::Status, READ_TIMEOUT_MS)
         .await
         .expect("the store answers");
     let value = records[0].value.clone().expect("a report");
@@ -59,5 +59,7 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, check_late_report());
+    for pause in [Duration::ZERO, CARRIED_OUT] {
+        tokio::task::LocalSet::new().block_on(&runtime, check_late_report(pause));
+    }
 }
