--- a/tests/testsuite/jobs/ends_and_leaders.rs
+++ b/tests/testsuite/jobs/ends_and_leaders.rs
@@ -133,6 +133,12 @@
     simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]))
 }
 
+/// Restarts a worker; the leader does not learn it from the list.
+fn restart(simulation: &mut Simulation, id: &SmolStr) {
+    let started_unix_ms = UNIX_MS + simulation.now_ms;
+    simulation.workers[id].restart(started_unix_ms);
+}
+
 fn first_task(id: JobId) -> TaskName {
     TaskName::parse(&format!("{id}.0.0.0")).expect("a name")
 }
@@ -165,8 +171,7 @@
         running: vec![row],
         ..PollReply::default()
     };
-    let started_unix_ms = UNIX_MS + simulation.now_ms;
-    simulation.workers[&id].restart(started_unix_ms);
+    restart(&mut simulation, &id);
     let job = submit_long_task(&mut simulation);
     simulation.advance_until(ACTED_MS, |simulation| simulation.starts.len() == 2);
     assert_eq!(simulation.runs_of(job)[0].0, id);
@@ -290,8 +295,52 @@
     simulation.release_calls(|| 2 * ACTED_MS);
     simulation.late_calls.retain(|(_, call)| call.is_start());
     simulation.advance(ACTED_MS);
-    let started_unix_ms = UNIX_MS + simulation.now_ms;
-    simulation.workers[&first].restart(started_unix_ms);
+    restart(&mut simulation, &first);
     simulation.advance(CUT_MS);
     assert_eq!(simulation.runs_of(id).len(), 1);
 }
+
+/// Guards against an end that is dropped unread: the leader is without its lease when the next incarnation of
+/// a worker answers, puts the restart off, and has the lease again before the next poll, which must not carry
+/// the number of the former incarnation.
+#[test]
+fn a_restart_that_is_put_off_drops_no_end_that_nobody_has_read() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(AGE_MS);
+    simulation.link = Link::leased(simulation.now_ms);
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    let recurrence = Recurrence {
+        times: 1,
+        first_unix_ms: UNIX_MS + simulation.now_ms + ACTED_MS,
+        interval_ms: 1,
+    };
+    let later = JobSpec {
+        recurrence: Some(recurrence),
+        ..job(vec![step(1, 1_000, SHORT_RUN_MS)])
+    };
+    let id = simulation.submit("maps", later);
+    simulation.submit("maps", job(vec![step(1, 1_000, SHORT_RUN_MS)]));
+    simulation.advance_until(ACTED_MS, |simulation| !simulation.starts.is_empty());
+    // The end of the first task is read, and not recorded; the lease is not renewed.
+    simulation.is_store_unavailable = true;
+    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 0);
+    assert_eq!(simulation.workers[&first].ended.len(), 1);
+    simulation.link.set_reach(first.clone(), Reach::HeldBack);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
+    restart(&mut simulation, &first);
+    simulation.link.set_reach(first.clone(), Reach::Dropped);
+    simulation.release_calls(|| 0);
+    simulation.late_calls.retain(|(_, call)| call.is_start());
+    simulation.advance(2 * STEP_MS);
+    assert_eq!(simulation.runs_of(id)[0].0, first);
+    simulation.advance(2 * ACTED_MS);
+    assert!(!simulation.link.is_leased(simulation.now_ms));
+    simulation.link.set_reach(first.clone(), Reach::Full);
+    simulation.advance(2 * ACTED_MS);
+    assert_eq!(simulation.workers[&first].ended.len(), 1, "put off");
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(DONE_MS, |simulation| {
+        simulation.state(id) == Some(JobState::Complete)
+    });
+    assert_eq!(simulation.starts.len(), 2, "a task was started again");
+}
