Show a stop of a former life and a part of the records taken for all

- A stop that the former incarnation of a worker has answered counts as one that blocks the late start in the next one, if its answer arrives after the restart is known and the stop for the next one is lost.
The task runs on two workers at once.
- A page of the newest records that is empty though more follow ends the reading, and what was read counts as all.
A leader that restores a part of the records would acknowledge ends of jobs that it does not know.

--- a/tests/testsuite/jobs/ends_and_leaders.rs
+++ b/tests/testsuite/jobs/ends_and_leaders.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use hawthornladder::jobs::{
-    JobId, JobKey, JobSpec, JobState, PollOrder, PollReply, Recurrence, RunKey, RunRow, StartOrder,
-    StepSpec, TaskKey, TaskName,
+    Action, JobId, JobKey, JobSpec, JobState, OrderFailure, PollOrder, PollReply, Recurrence,
+    RunKey, RunRow, StartOrder, StepSpec, StopOrder, TaskKey, TaskName,
 };
 use smol_str::SmolStr;
 
@@ -29,6 +29,9 @@
 /// Time for which the calls of a leader are held back before it ends, in milliseconds.
 const HELD_BACK_MS: u64 = 30;
 
+/// Time after which a stop without effect has been sent again, in milliseconds; shorter than a poll waits.
+const STOP_RETRIED_MS: u64 = 700;
+
 /// What the store has done with the batch that was in flight as its leader ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InFlight {
@@ -344,3 +347,64 @@
     });
     assert_eq!(simulation.starts.len(), 2, "a task was started again");
 }
+
+/// Loses all orders that the engine gives now, and returns the stops among them.
+fn lose_stops(simulation: &mut Simulation) -> Vec<StopOrder> {
+    let now_ms = simulation.now_ms;
+    let actions = simulation.engine.take_actions().into_iter();
+    let stops: Vec<StopOrder> = actions
+        .filter_map(|action| match action {
+            Action::Stop(order) => Some(order),
+            _ => None,
+        })
+        .collect();
+    for order in &stops {
+        let failure = OrderFailure::Lost;
+        simulation.engine.stop_failed(order, failure, now_ms);
+    }
+    stops
+}
+
+/// Guards against a task that runs twice: a start is on its way at the restart of its worker, the stop that has
+/// to block it in the next incarnation is lost, and the answer of the former one to an earlier stop arrives in
+/// its place.
+#[test]
+fn a_stop_that_the_former_incarnation_has_answered_blocks_no_start_in_the_next() {
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(AGE_MS);
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    simulation.link.set_reach(first.clone(), Reach::HeldBack);
+    let id = submit_long_task(&mut simulation);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
+    simulation.link.set_reach(first.clone(), Reach::Full);
+    simulation.advance_until(ACTED_MS, |simulation| !simulation.polls.is_empty());
+    let (poll, _) = simulation.polls.remove(0);
+    assert_eq!(poll.target.id, first);
+    restart(&mut simulation, &first);
+    // The task is not sent there again.
+    simulation.workers[&first].info.is_draining = true;
+    simulation.list_all();
+    let reply = PollReply {
+        started_unix_ms: simulation.workers[&first].info.started_unix_ms,
+        ..PollReply::default()
+    };
+    let now_ms = simulation.now_ms;
+    simulation.engine.poll_answered(&poll, reply, now_ms);
+    let stops = lose_stops(&mut simulation);
+    assert_eq!(stops.len(), 1);
+    let answered = StopOrder {
+        target: poll.target.clone(),
+        ..stops[0].clone()
+    };
+    simulation.engine.stop_accepted(&answered, now_ms);
+    simulation.advance(2 * STEP_MS);
+    // The stop that is sent again is lost, too, while a poll waits at the worker.
+    simulation.link.set_reach(first.clone(), Reach::Dropped);
+    simulation.advance(STOP_RETRIED_MS);
+    simulation.link.set_reach(first.clone(), Reach::Full);
+    simulation.advance_until(CUT_MS, |simulation| simulation.starts.len() == 1);
+    simulation.release_calls(|| STEP_MS);
+    simulation.late_calls.retain(|(_, call)| call.is_start());
+    simulation.advance(CUT_MS);
+    assert_eq!(simulation.runs_of(id).len(), 1);
+}
--- a/tests/testsuite/platform_adapter.rs
+++ b/tests/testsuite/platform_adapter.rs
@@ -452,3 +452,13 @@
     let (_, read) = paths_of_pages(&[page, page]);
     assert_eq!(read, Err(StoreFailure::Unreadable));
 }
+
+/// Guards against a leader that takes a part of the records for all of them, and so acknowledges ends of
+/// jobs that it does not know.
+#[test]
+fn a_page_without_records_does_not_end_a_list_that_goes_on() {
+    let first = r#"{"items":[{"key":"i-1","offset":1}],"has_more":true,"end":9}"#;
+    let empty = r#"{"items":[],"has_more":true,"end":9}"#;
+    let (_, read) = paths_of_pages(&[first, empty]);
+    assert_eq!(read, Err(StoreFailure::Unreadable));
+}
