Count a stop as answered only by the incarnation that is meant

Cause: a stop without an answer from a worker blocks a late start there. An answer of the former incarnation to an earlier stop of the same run, which arrived after the restart was known, counted as one of the next, which had received no stop and took the start.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -108,8 +108,10 @@
             return;
         };
         let worker = self.worker_mut(order.target.worker);
+        // What an earlier incarnation refuses to start, the present one may still start.
+        let is_same = order.target.started_unix_ms == worker.info.started_unix_ms;
         if let Some(slot) = worker.slots.get_mut(&run) {
-            if matches!(slot.state, SlotState::OutcomeUnknown { .. }) {
+            if is_same && matches!(slot.state, SlotState::OutcomeUnknown { .. }) {
                 slot.state = SlotState::StartBlocked { since_ms: now_ms };
             }
         }
