Take no empty page of the newest records for their end

Cause: the reading ended with a page without records, also if the store said that there were more, and what had been read counted as all.

Change: such a page has no key after which to go on, and the reading fails as it does if pages repeat; the callers read again.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -185,7 +185,7 @@
         let first_end_offset = page.end_offset;
         let mut all = Vec::new();
         let mut after = SmolStr::default();
-        while page.has_more && !page.records.is_empty() {
+        while page.has_more {
             after = next_page_start(&page.records, &after).ok_or(StoreFailure::Unreadable)?;
             all.append(&mut page.records);
             page = self
