Lose leaders after outages of the store, too, in the test of their ends

A trial in which ends as done waited for no record passed the test: a batch takes 20 ms there, less than the next poll.

--- a/tests/testsuite/jobs/ends_and_leaders.rs
+++ b/tests/testsuite/jobs/ends_and_leaders.rs
@@ -32,6 +32,9 @@
 /// Time after which a stop without effect has been sent again, in milliseconds; shorter than a poll waits.
 const STOP_RETRIED_MS: u64 = 700;
 
+/// Times for which the store takes no records before a leader ends, in milliseconds.
+const OUTAGES_MS: [u64; 2] = [0, 400];
+
 /// What the store has done with the batch that was in flight as its leader ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InFlight {
@@ -60,17 +63,21 @@
     }
 }
 
-/// Lets another leader follow after `after_ms`, while the calls of the first one arrive late; returns the
-/// simulation once all is done.
-fn lose_leader_after(after_ms: u64, in_flight: InFlight) {
+/// Lets another leader follow after `after_ms` and an outage of the store, while the calls of the first one
+/// arrive late, until all is done.
+fn lose_leader_after(after_ms: u64, outage_ms: u64, in_flight: InFlight) {
     let mut simulation = Simulation::open(&["maps"], 2);
     let spec = mixed_job(&simulation);
     let id = simulation.submit("maps", spec);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.accepted == [id]);
     simulation.advance(after_ms);
+    simulation.is_store_unavailable = outage_ms > 0;
+    simulation.advance(outage_ms);
     simulation.link.other_reach = Reach::HeldBack;
     simulation.advance(HELD_BACK_MS);
     simulation.release_calls(|| STEP_MS);
     simulation.link.other_reach = Reach::Full;
+    simulation.is_store_unavailable = false;
     if let (InFlight::Taken, Some((records, _))) = (in_flight, simulation.persisting.take()) {
         simulation.store(&records);
     }
@@ -79,19 +86,22 @@
     while simulation.state(id) != Some(JobState::Complete) {
         assert!(
             simulation.now_ms < deadline_ms,
-            "not done: leader lost after {after_ms} ms, batch in flight {in_flight:?}"
+            "not done: leader lost after {after_ms} ms, outage {outage_ms} ms, batch {in_flight:?}"
         );
         simulation.advance(STEP_MS);
     }
 }
 
 /// Guards against ends that one leader acknowledges and the next one does not know: the leader is lost at
-/// each moment of a job, its last batch is taken or refused, and its last calls arrive late.
+/// each moment of a job, with and without an outage of the store before, its last batch is taken or refused,
+/// and its last calls arrive late.
 #[test]
 fn no_end_is_acknowledged_that_the_next_leader_does_not_know() {
     for after_ms in (0..UNDISTURBED_MS).step_by(10) {
-        lose_leader_after(after_ms, InFlight::Refused);
-        lose_leader_after(after_ms, InFlight::Taken);
+        for outage_ms in OUTAGES_MS {
+            lose_leader_after(after_ms, outage_ms, InFlight::Refused);
+            lose_leader_after(after_ms, outage_ms, InFlight::Taken);
+        }
     }
 }
 
