--- a/tests/testsuite/jobs/late_acknowledgements.rs
+++ b/tests/testsuite/jobs/late_acknowledgements.rs
@@ -83,6 +83,25 @@
     assert_done_once(&mut simulation, id, 2);
 }
 
+/// Guards against a number and a start that are on their way together: if the worker crashes, the next
+/// incarnation may end the run before the number arrives (issue 61).
+#[test]
+fn no_end_is_acknowledged_while_a_start_is_on_its_way() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    submit_task(&mut simulation, FORMER_RUN_MS);
+    simulation.advance_until(ACTED_MS, |simulation| !simulation.starts.is_empty());
+    // The end of the first task and the record of the third one wait behind the record of the second.
+    simulation.is_store_unavailable = true;
+    submit_task(&mut simulation, RUN_MS);
+    simulation.advance(FORMER_RUN_MS + ACTED_MS);
+    submit_task(&mut simulation, RUN_MS);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(ACTED_MS, |simulation| simulation.starts.len() == 3);
+    let acknowledged = |simulation: &Simulation| simulation.workers[0].ended.is_empty();
+    assert!(!acknowledged(&simulation), "acknowledged beside the start");
+    simulation.advance_until(ACTED_MS, acknowledged);
+}
+
 /// Returns an answer to the poll in flight by an incarnation that started at this time, which lists an
 /// end with this number.
 fn reply_with_end(simulation: &Simulation, started_unix_ms: u64, number: u64) -> PollReply {
