--- a/tests/testsuite/jobs/links.rs
+++ b/tests/testsuite/jobs/links.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::mem;
 
-use hawthornladder::jobs::{OrderFailure, PollOrder, StartOrder, StopOrder};
+use hawthornladder::jobs::{OrderFailure, PollOrder, StartOrder, StopOrder, Target};
 use smol_str::SmolStr;
 
 use super::simulation::Simulation;
@@ -57,11 +57,16 @@
         matches!(self, Self::Start(_))
     }
 
-    fn worker(&self) -> &SmolStr {
+    pub(crate) fn worker(&self) -> &SmolStr {
+        &self.target().id
+    }
+
+    /// Returns the incarnation that it is meant for.
+    pub(crate) fn target(&self) -> &Target {
         match self {
-            Self::Start(order) => &order.target.id,
-            Self::Stop(order) => &order.target.id,
-            Self::Poll(order) => &order.target.id,
+            Self::Start(order) => &order.target,
+            Self::Stop(order) => &order.target,
+            Self::Poll(order) => &order.target,
         }
     }
 }
@@ -81,6 +86,8 @@
     /// Time at which the cut ends, in milliseconds; none without a cut.
     pub(crate) cut_until_ms: Option<u64>,
     held_back: Vec<WorkerCall>,
+    /// The next call for which this is true is held back, whatever the reach.
+    pub(crate) holds_next: Option<fn(&WorkerCall) -> bool>,
     /// End of the lease, in milliseconds; none if the simulation leaves it out.
     pub(crate) leased_until_ms: Option<u64>,
 }
@@ -96,6 +103,7 @@
             other_reach: Reach::Full,
             cut_until_ms: None,
             held_back: Vec::new(),
+            holds_next: None,
             leased_until_ms: None,
         }
     }
@@ -118,6 +126,11 @@
 
     /// Returns the failure of a call that does not arrive, and keeps the call if it is held back.
     pub(crate) fn failure_of(&mut self, call: WorkerCall) -> Option<OrderFailure> {
+        if self.holds_next.is_some_and(|is_held| is_held(&call)) {
+            self.holds_next = None;
+            self.held_back.push(call);
+            return Some(OrderFailure::Lost);
+        }
         let reach = self.reach(call.worker());
         if reach == Reach::HeldBack {
             self.held_back.push(call);
