Let no acknowledgement wait for ever

Nobody has seen these outside of tests. Cause: two waits without an end. A worker with more ends than it lists, and a start there without an answer: the number was withheld until a poll settles the start, and polls settle no start while ends are left out of the list. And a worker, or a node with more workers than idle connections, of which no connection lasts from one poll to the next: no poll finds a confirmed one. Change: beside a full list an unsettled start withholds nothing; the confirmed connection still guards. If a number went unsent for its connection, the next poll asks the incarnation on its connection first and then sends the number there.

--- a/src/jobs/acknowledgements.rs
+++ b/src/jobs/acknowledgements.rs
@@ -160,7 +160,9 @@
     pub(crate) fn withholds_acknowledgement(&self) -> bool {
         let may_have_ended = !self.is_fenced || self.failed_polls_count > 0;
         let has_unsettled_start = || self.slots.values().any(|slot| slot.state.is_unsettled());
-        self.has_unacknowledged_ends() && (may_have_ended || has_unsettled_start())
+        // While ends are left out of the list, only their acknowledgement lets polls settle a start.
+        let waits_for_start = || !self.has_more_ends && has_unsettled_start();
+        self.has_unacknowledged_ends() && (may_have_ended || waits_for_start())
     }
 
     /// Returns the number of runs whose starts may have been carried out, now or later.
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -73,6 +73,7 @@
             target,
             lease_end_worker_ms,
             acknowledged_through,
+            confirms_first: worker.deferred_since_ms.is_some(),
             wait_ms: match has_persisted_all && has_runs && worker.is_fenced {
                 true => wait_ms,
                 false => 0,
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -350,7 +350,8 @@
 
 /// Polls a worker: renews the lease of all its runs and lists them. The platform's protocol calls
 /// this a hold. On a connection on which the incarnation has not answered yet, nothing is acknowledged; the
-/// answer confirms the connection for the next poll.
+/// answer confirms the connection for the next poll. If that has not helped before, the incarnation is asked
+/// first.
 pub async fn poll(
     client: &Client,
     order: &PollOrder,
@@ -359,8 +360,13 @@
     let target = &order.target;
     let timeout_ms = order.wait_ms + POLL_TIMEOUT_MARGIN_MS;
     let mut link = confirmed_link(client, target, timeout_ms).await?;
-    let gives = order.lease_end_worker_ms.is_some() || order.acknowledged_through > 0;
-    if gives && needs_confirmation(&link, target, permission()) {
+    let acknowledges = order.acknowledged_through > 0;
+    let gives = order.lease_end_worker_ms.is_some() || acknowledges;
+    let is_asked = match permission() {
+        Permission::Confirmed => gives,
+        _ => acknowledges && order.confirms_first,
+    };
+    if is_asked && !is_confirmed(&link, target) {
         let reply = look(&mut link, target, timeout_ms, &permission).await?;
         if !target.is_answered_by(&reply) {
             return Ok(reply);
--- a/tests/testsuite/jobs/unlisted_ends.rs
+++ b/tests/testsuite/jobs/unlisted_ends.rs
@@ -53,3 +53,25 @@
     });
     assert_eq!(simulation.starts.len(), 1_200, "a task was started twice");
 }
+
+/// Guards against tasks that never end: a worker has more ends than it lists at a time, a start there has had
+/// no answer, and its settlement and the acknowledgement of the ends wait for each other (issue 61).
+#[test]
+fn a_lost_start_holds_back_no_acknowledgement_of_ends_that_fill_the_list() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    let ids = submit_many_short_tasks(&mut simulation);
+    simulation.advance(50);
+    simulation.is_store_unavailable = true;
+    simulation.advance_until(5_000, |simulation| simulation.workers[0].ended.len() > 600);
+    // Starts that are neither answered nor carried out.
+    simulation.workers[0].start_delay_ms = 400_000;
+    simulation.advance(500);
+    simulation.workers[0].start_delay_ms = 0;
+    simulation.advance(1_000);
+    simulation.is_store_unavailable = false;
+    simulation.advance_until(40_000, |simulation| {
+        let mut states = ids.iter().map(|id| simulation.state(*id));
+        states.all(|state| state == Some(JobState::Complete))
+    });
+    assert_eq!(simulation.starts.len(), 1_200, "a task was started twice");
+}
--- a/tests/testsuite/node_orders.rs
+++ b/tests/testsuite/node_orders.rs
@@ -282,3 +282,28 @@
         }
     });
 }
+
+/// Guards against ends that are never acknowledged, as no connection lasts from one poll to the next.
+#[test]
+fn an_acknowledgement_that_had_to_wait_is_sent_on_a_new_connection() {
+    run(async {
+        let (mut poll, _) = orders_to(([127, 0, 0, 1], 1).into());
+        let worker = RestartingWorker::spawn(poll.target.started_unix_ms).await;
+        poll.target.address = worker.address;
+        poll.acknowledged_through = 7;
+        poll.confirms_first = true;
+        for _ in 0..2 {
+            let polled = workers::poll(&client(), &poll, || Permission::All).await;
+            assert_eq!(polled.map(|reply| reply.acknowledged_through), Ok(7));
+        }
+        poll.target.started_unix_ms += 1;
+        let polled = workers::poll(&client(), &poll, || Permission::All).await;
+        assert_eq!(polled.map(|reply| reply.acknowledged_through), Ok(0));
+        let calls = worker.take_calls().into_iter();
+        let given = calls.map(|(_, body)| body["acked_through"].clone());
+        assert_eq!(
+            given.collect::<Vec<_>>(),
+            [0, 7, 0, 7, 0].map(serde_json::Value::from)
+        );
+    });
+}
