Restart workers inside cuts while starts and acknowledgements are on their way

Besides, the first restart of a worker "under its id" in RestartedZone changes the id (i-m-0-1 becomes i-m-0), so that calls for the former incarnation are refused with 421; only a second restart of the same worker keeps it. That is left as it is here. Change: a fault RestartedInCut: the workers of a zone crash silently, are cut off with all calls dropped 500 ms later, and start again inside the cut under the ids that they had, where they carry out what had reached their machines. A test does so with each zone in turn, while the store is slow from 0.9 s before each crash until after the restart.

--- a/tests/testsuite/node_soak/faults.rs
+++ b/tests/testsuite/node_soak/faults.rs
@@ -38,6 +38,10 @@
     /// The workers of a zone crash silently, start again under their ids, and are cut off soon after. The
     /// leader may be killed between the two.
     RestartedZone(usize, Fate, Restart),
+    /// The workers of a zone crash silently and are cut off this many milliseconds later, with all calls
+    /// dropped. They start again under their ids inside the cut, where they carry out what had reached
+    /// their machines.
+    RestartedInCut(usize, u64),
 }
 
 /// The times of a restart of workers that are cut off afterwards.
@@ -79,7 +83,7 @@
             Self::KilledNode(number) | Self::PausedNode(number) => Affected::Node(number),
             Self::Store(_) => Affected::Store,
             Self::CrashedWorker(number, _) => Affected::Worker(number),
-            Self::RestartedZone(..) => Affected::Network,
+            Self::RestartedZone(..) | Self::RestartedInCut(..) => Affected::Network,
         }
     }
 }
@@ -193,6 +197,7 @@
             Fault::RestartedZone(zone, fate, restart) => {
                 self.restart_zone(zone, fate, restart, lasts).await
             }
+            Fault::RestartedInCut(zone, down_ms) => self.restart_in_cut(zone, down_ms, lasts).await,
         }
         self.affected.borrow_mut().remove(&affected);
         self.platform.runs.log(&line("ends"));
@@ -228,6 +233,29 @@
         }
     }
 
+    async fn restart_in_cut(&self, zone: usize, down_ms: u64, lasts: Duration) {
+        let workers = self.platform.workers.borrow().clone();
+        let of_zone = workers.iter().filter(|worker| worker.zone == zone);
+        let up: Vec<_> = of_zone
+            .filter_map(|worker| worker.id().map(|id| (worker, id)))
+            .collect();
+        up.iter().for_each(|(worker, _)| worker.crash_silently());
+        sleep(Duration::from_millis(down_ms)).await;
+        let network = &self.platform.network;
+        let cut = network.cut(
+            CutScope::Workers(zone),
+            Direction::Both,
+            Fate::Dropped,
+            lasts,
+        );
+        let start = async {
+            for (worker, id) in up {
+                worker.start_as(id).await;
+            }
+        };
+        tokio::join!(cut, start);
+    }
+
     /// Restarts the workers of zones by turns under their ids, each with long tasks, and cuts them off soon
     /// after.
     pub(crate) async fn restart_zones(self: Rc<Self>, seed: u64, count: usize) {
--- a/tests/testsuite/node_soak/mod.rs
+++ b/tests/testsuite/node_soak/mod.rs
@@ -33,6 +33,7 @@
 use self::network::{CutScope, Direction, Fate, ZONES};
 use self::nodes::Nodes;
 use self::platform::Platform;
+use self::store::StoreFault;
 use crate::proxy::unique_loopback_ip;
 
 /// Seeds of every run of the tests.
@@ -53,6 +54,18 @@
 /// Length of the cut of workers that have restarted, and the time until the next ones restart.
 const WORKERS_CUT: Duration = Duration::from_secs(9);
 const BETWEEN_CUTS: Duration = Duration::from_millis(2_400);
+/// Answer time of the store before a crash, in milliseconds: ends that were read are not acknowledged
+/// until it has their records.
+const SLOW_STORE_MS: u64 = 300;
+/// Time with a slow store before a crash, and in all: it ends after the restart.
+const SLOW_STORE_BEFORE_CRASH: Duration = Duration::from_millis(900);
+const SLOW_STORE: Duration = Duration::from_millis(1_800);
+/// Time for which workers are down that restart inside a cut, in milliseconds: shorter than the timeout
+/// of a start, so that no stop for it reaches the next incarnation.
+const DOWN_IN_CUT_MS: u64 = 500;
+/// Length of the cut inside which workers restart: longer than the runs of short tasks, and shorter than
+/// the time after which the platform no longer lists a worker.
+const RESTART_CUT: Duration = Duration::from_millis(3_800);
 /// Number of zones that restart in a run with random times.
 const RESTARTS_COUNT: usize = 3;
 /// Least number of accepted jobs of a run that shows anything: some
@@ -203,6 +216,35 @@
     play("restarted-killed", 1, TaskLengths::UpToLong, faults).assert_kept();
 }
 
+/// Restarts the workers of each zone by turns inside a cut, while starts are on their way to them and ends
+/// that were read there are not acknowledged yet.
+async fn restart_inside_cuts(faults: Rc<Faults>) {
+    for zone in 0..ZONES.len() {
+        let slow = Fault::Store(StoreFault::Slow(SLOW_STORE_MS));
+        let slow_store = Rc::clone(&faults).inject(slow, SLOW_STORE);
+        let restart = async {
+            sleep(SLOW_STORE_BEFORE_CRASH).await;
+            let fault = Fault::RestartedInCut(zone, DOWN_IN_CUT_MS);
+            Rc::clone(&faults).inject(fault, RESTART_CUT).await;
+        };
+        tokio::join!(slow_store, restart);
+        sleep(BETWEEN_CUTS).await;
+    }
+}
+
+/// Ends of an incarnation that restarted inside a cut were dropped unread, by the number up to which those
+/// of the former one had been read, and their tasks were started again.
+#[test]
+fn ends_inside_a_cut_are_not_acknowledged_by_the_numbers_of_the_former_incarnation() {
+    play(
+        "restarted-in-cut",
+        1,
+        TaskLengths::UpToSeconds,
+        restart_inside_cuts,
+    )
+    .assert_kept();
+}
+
 /// Returns the seeds to run: those of the variable `NODE_SOAK_SEEDS`, written as `FROM..TO`, or else
 /// the fixed ones.
 fn seeds() -> Range<u64> {
--- a/tests/testsuite/node_soak/worker.rs
+++ b/tests/testsuite/node_soak/worker.rs
@@ -176,6 +176,11 @@
             true => format!("i-{}", self.machine),
             false => format!("i-{}-{number}", self.machine),
         };
+        self.start_as(id).await;
+    }
+
+    /// Starts a new incarnation under this id.
+    pub(crate) async fn start_as(self: &Rc<Self>, id: String) {
         drop(self.server.borrow_mut().take());
         sleep(PORT_FREE_TIME).await;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
