--- a/tests/testsuite/jobs/late_acknowledgements.rs
+++ b/tests/testsuite/jobs/late_acknowledgements.rs
@@ -102,6 +102,27 @@
     simulation.advance_until(ACTED_MS, acknowledged);
 }
 
+/// Guards against ends that are never acknowledged: a poll had to go without its number, and the leader took
+/// the number for given.
+#[test]
+fn a_number_that_was_not_sent_is_sent_with_a_later_poll() {
+    let mut simulation = Simulation::open(&["maps"], 1);
+    submit_task(&mut simulation, FORMER_RUN_MS);
+    let carries = |simulation: &Simulation| {
+        let mut polls = simulation.polls.iter();
+        polls.any(|(order, _)| order.acknowledged_through > 0)
+    };
+    simulation.advance_until(2 * ACTED_MS, carries);
+    let (order, _) = simulation.polls.remove(0);
+    let mut reply = reply_with_end(&simulation, order.target.started_unix_ms, 1);
+    reply.acknowledged_through = 0;
+    let now_ms = simulation.now_ms;
+    simulation.engine.poll_answered(&order, reply, now_ms);
+    simulation.advance_until(ACTED_MS, carries);
+    let (order, _) = &simulation.polls[0];
+    assert!(order.confirms_first, "the connection is not asked first");
+}
+
 /// Returns an answer to the poll in flight by an incarnation that started at this time, which lists an
 /// end with this number.
 fn reply_with_end(simulation: &Simulation, started_unix_ms: u64, number: u64) -> PollReply {
