--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -110,12 +110,11 @@
 }
 
 impl SlotState {
-    /// Returns whether the order of the start is on its way, or was given up and no poll has told since what
-    /// became of it.
+    /// Returns whether the order of the start was given up, and no poll has told since what became of it.
     pub(crate) fn is_unsettled(self) -> bool {
         match self {
-            Self::Sent | Self::OutcomeUnknown { .. } | Self::StartBlocked { .. } => true,
-            Self::Held | Self::Placed { .. } => false,
+            Self::OutcomeUnknown { .. } | Self::StartBlocked { .. } => true,
+            Self::Held | Self::Sent | Self::Placed { .. } => false,
         }
     }
 }
