--- a/src/jobs/acknowledgements.rs
+++ b/src/jobs/acknowledgements.rs
@@ -1,6 +1,6 @@
 //! Acknowledgements of ended runs. The number up to which a worker may drop the ends that it lists counts
-//! within one incarnation. What shows that a number has met another one, or that ends are missing, is
-//! logged and counted.
+//! within one incarnation, so that it is withheld while that one may have ended. What shows that a number has
+//! met another incarnation, or that ends are missing, is logged and counted.
 
 use crate::jobs::engine::Engine;
 use crate::jobs::keys::WorkerKey;
@@ -47,9 +47,9 @@
         std::mem::take(&mut self.acknowledgement_counts)
     }
 
-    /// Returns the number up to which the next poll of a worker acknowledges ends, or 0. A number that was
-    /// given is not given again.
-    pub(crate) fn take_acknowledgement(&mut self, key: WorkerKey) -> u64 {
+    /// Returns the number up to which the next poll of a worker acknowledges ends, or 0. A number is sent
+    /// again until the worker has answered it.
+    pub(crate) fn next_acknowledgement(&mut self, key: WorkerKey) -> u64 {
         let worker = self.worker(key);
         match worker.has_unacknowledged_ends() {
             false => 0,
--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -57,6 +57,7 @@
             .with("task", order.name)
             .with("run", order.run.run)
             .with("worker", &order.target.id)
+            .with("born_unix_ms", order.target.started_unix_ms)
             .with("failure", failure)
             .info();
         self.apply_failure(key, failure);
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -87,8 +87,8 @@
     pub lease_end_worker_ms: Option<u64>,
     /// Number up to which the worker may drop the ends that it lists.
     pub acknowledged_through: u64,
-    /// Whether an acknowledgement went unsent before for want of a confirmed connection. The incarnation is
-    /// asked on the connection first then, as connections may not last from one poll to the next.
+    /// Whether the acknowledgement has been deferred before. The incarnation is then asked on the connection
+    /// first, unless it has answered there, as connections may not last from one poll to the next.
     pub confirms_first: bool,
     /// Longest time that the worker waits for a run to end, in milliseconds.
     pub wait_ms: u64,
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -54,7 +54,7 @@
         let lease_ms = self.settings.run_lease_ms;
         let lease_max_ms = self.settings.run_lease_max_ms;
         let target = self.target(key);
-        let acknowledged_through = self.take_acknowledgement(key);
+        let acknowledged_through = self.next_acknowledgement(key);
         let worker = self.worker_mut(key);
         let has_persisted_all = worker.awaited_batch.is_none();
         let has_runs = !worker.slots.is_empty();
@@ -214,6 +214,8 @@
             let event = Event::new("worker_unresponsive")
                 .with("worker", &order.target.id)
                 .with("failure", failure)
+                .with("born_unix_ms", order.target.started_unix_ms)
+                .with("acknowledged_through", order.acknowledged_through)
                 .with("runs_count", worker.slots.len());
             worker.with_lease_left(event, now_ms).warn();
         }
