Log the leases that calls give, and the lease that a successor counts

Change: `lease_end_worker_ms` in start_sent, start_failed, worker_unresponsive and worker_restarted (of the poll that the new incarnation has answered); `born_unix_ms` and `clock_ms` in worker_fenced, `clock_ms` in worker_restarted; `born_unix_ms` and `lapse_in_ms` in run_adopted. No decision is changed.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -58,6 +58,7 @@
             .with("run", order.run.run)
             .with("worker", &order.target.id)
             .with("born_unix_ms", order.target.started_unix_ms)
+            .with("lease_end_worker_ms", order.lease_end_worker_ms)
             .with("failure", failure)
             .info();
         self.apply_failure(key, failure);
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -97,7 +97,7 @@
         };
         match is_restarted {
             true if !self.is_exclusive() => return self.put_off_restart(key),
-            true => self.restart_worker(key, &reply, order.sent_ms),
+            true => self.restart_worker(order, &reply),
             false => {}
         }
         self.note_answer(order, &reply);
@@ -162,6 +162,8 @@
         self.needs_dispatch = true;
         Event::new("worker_fenced")
             .with("worker", &order.target.id)
+            .with("born_unix_ms", reply.started_unix_ms)
+            .with("clock_ms", reply.clock_ms)
             .with("fence", order.target.fence)
             .with("running_count", reply.running.len())
             .with("ended_count", reply.ended.len())
@@ -216,6 +218,10 @@
                 .with("failure", failure)
                 .with("born_unix_ms", order.target.started_unix_ms)
                 .with("acknowledged_through", order.acknowledged_through)
+                .with(
+                    "lease_end_worker_ms",
+                    order.lease_end_worker_ms.unwrap_or(0),
+                )
                 .with("runs_count", worker.slots.len());
             worker.with_lease_left(event, now_ms).warn();
         }
@@ -268,18 +274,24 @@
         worker.poll = PollState::Idle { due_ms };
     }
 
-    /// Loses the runs of the incarnation before the one that answers a poll sent at `sent_ms`. Runs that
-    /// were ordered since may be in the new one, and the next poll shows them.
-    fn restart_worker(&mut self, key: WorkerKey, reply: &PollReply, sent_ms: u64) {
+    /// Loses the runs of the incarnation before the one that answers a poll. Runs that were ordered since
+    /// may be in the new one, and the next poll shows them.
+    fn restart_worker(&mut self, order: &PollOrder, reply: &PollReply) {
+        let key = order.target.worker;
         let worker = self.worker(key);
         let slots = worker.slots.iter();
         let earlier =
-            slots.filter(|(_, slot)| slot.since_ms < sent_ms && !slot.is_in_next_incarnation);
+            slots.filter(|(_, slot)| slot.since_ms < order.sent_ms && !slot.is_in_next_incarnation);
         let runs: Vec<RunKey> = earlier.map(|(run, _)| *run).collect();
         Event::new("worker_restarted")
             .with("worker", &worker.info.id)
             .with("born_unix_ms", reply.started_unix_ms)
             .with("former_born_unix_ms", worker.info.started_unix_ms)
+            .with("clock_ms", reply.clock_ms)
+            .with(
+                "lease_end_worker_ms",
+                order.lease_end_worker_ms.unwrap_or(0),
+            )
             .with("read_through", worker.seen_through)
             .with("acknowledged_through", worker.dropped_through)
             .with("lost_count", runs.len())
@@ -401,12 +413,14 @@
         let mut slot = new_slot(step, SlotState::Placed { since_ms: now_ms }, now_ms);
         slot.is_remote = self.is_outside_rack(key, step);
         self.put_slot(key, run, slot);
-        Event::new("run_adopted")
+        let worker = self.worker(key);
+        let event = Event::new("run_adopted")
             .with("task", self.task_name(run.task))
             .with("run", run.run)
-            .with("worker", &self.worker(key).info.id)
-            .with("fence", self.settings.fence)
-            .info();
+            .with("worker", &worker.info.id)
+            .with("born_unix_ms", worker.info.started_unix_ms)
+            .with("fence", self.settings.fence);
+        worker.with_lease_left(event, now_ms).info();
         true
     }
 
--- a/src/jobs/start_orders.rs
+++ b/src/jobs/start_orders.rs
@@ -154,6 +154,7 @@
             .with("worker", &order.target.id)
             .with("born_unix_ms", order.target.started_unix_ms)
             .with("fence", order.target.fence)
+            .with("lease_end_worker_ms", order.lease_end_worker_ms)
             .with("since_accepted_ms", now_ms.saturating_sub(job.accepted_ms))
             .with("target_in_ms", job.target_ms.saturating_sub(now_ms));
         self.with_lease_state(event).info();
