--- /dev/null
+++ b/tests/testsuite/jobs/inherited_leases.rs
@@ -0,0 +1,178 @@
+//! What a leader assumes of a worker whose former incarnation was known to an earlier leader only. Calls that
+//! were meant for that one may have reached the present one, or still reach it.
+
+use hawthornladder::jobs::{InstanceState, JobId, PollOrder};
+use smol_str::SmolStr;
+
+use super::links::Reach;
+use super::simulation::{job, step, Simulation};
+
+/// Age of the first incarnations at the restart, in milliseconds: more than the longest lease.
+const AGE_MS: u64 = 15_000;
+/// Time after which a leader has acted on what it was shown, in milliseconds.
+const ACTED_MS: u64 = 500;
+/// Time in which all leases of a worker that is cut off end, in milliseconds.
+const CUT_MS: u64 = 15_000;
+/// Run time of tasks that do not end in a test, in milliseconds.
+const RUN_MS: u64 = 60_000;
+/// Number of tasks: more than one worker takes.
+const TASKS_COUNT: usize = 40;
+/// Fence of the second leader.
+const NEXT_FENCE: u64 = 2;
+
+/// A worker that has restarted, with a poll that was meant for its former incarnation.
+struct Restarted {
+    simulation: Simulation,
+    worker: SmolStr,
+    /// Job whose task ran there before the restart.
+    former: JobId,
+    late_poll: PollOrder,
+}
+
+impl Restarted {
+    /// Restarts a worker whose runs were just polled; the leader knows of it.
+    fn open() -> Self {
+        let mut simulation = Simulation::open(&["maps"], 2);
+        simulation.advance(AGE_MS);
+        let former = simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]));
+        simulation.advance(ACTED_MS);
+        let late_poll = simulation.polls[0].0.clone();
+        assert!(late_poll.lease_end_worker_ms.is_some());
+        let worker = late_poll.target.id.clone();
+        simulation.restart(&worker);
+        simulation.list_all();
+        simulation.advance(ACTED_MS);
+        Self {
+            simulation,
+            worker,
+            former,
+            late_poll,
+        }
+    }
+
+    /// Lets the late poll arrive, which extends the leases to the longest one.
+    fn receive_late_poll(&mut self) {
+        self.simulation.receive_poll(&self.late_poll);
+    }
+
+    /// Starts tasks on both workers.
+    fn start_tasks(&mut self) -> JobId {
+        let count = u32::try_from(TASKS_COUNT).expect("small");
+        let spec = job(vec![step(count, 1_000, RUN_MS)]);
+        let id = self.simulation.submit("maps", spec);
+        self.simulation.advance(ACTED_MS);
+        assert!(self.runs_count(id) > 0);
+        id
+    }
+
+    /// Returns the number of runs of a job at the worker.
+    fn runs_count(&self, id: JobId) -> usize {
+        let runs = self.simulation.runs_of(id);
+        runs.iter()
+            .filter(|(worker, ..)| *worker == self.worker)
+            .count()
+    }
+
+    /// Lets another leader lead, which reads the runs of the worker.
+    fn fail_over(&mut self) {
+        self.simulation.fail_over(NEXT_FENCE);
+        self.simulation.advance(ACTED_MS);
+    }
+
+    /// Cuts the worker off until its leases have ended. The simulation checks that no task runs twice
+    /// meanwhile, and its tasks have to run elsewhere in the end.
+    fn cut_off(mut self, id: JobId) {
+        let simulation = &mut self.simulation;
+        simulation.workers[&self.worker].is_disconnected = true;
+        // Here is room for all of its tasks.
+        simulation.add_instance(&"maps-spare".into(), "maps");
+        simulation.list_all();
+        simulation.advance(CUT_MS);
+        assert_eq!(self.runs_count(id), 0, "the leases have not ended");
+        assert_eq!(self.simulation.runs_of(id).len(), TASKS_COUNT);
+    }
+}
+
+/// Guards against tasks that run twice: a poll that was meant for the former incarnation has extended leases
+/// to the longest one, and the next leader, which has read the runs, counts a shorter one (issue 64).
+#[test]
+fn a_leader_counts_the_longest_lease_that_its_predecessor_may_have_given() {
+    let mut restarted = Restarted::open();
+    restarted.receive_late_poll();
+    let id = restarted.start_tasks();
+    restarted.fail_over();
+    restarted.cut_off(id);
+}
+
+/// As above, for tasks that the next leader starts there itself: the lease of the late poll holds for all that
+/// runs at the worker.
+#[test]
+fn a_leader_counts_the_longest_lease_for_its_own_starts_as_well() {
+    let mut restarted = Restarted::open();
+    restarted.receive_late_poll();
+    restarted.fail_over();
+    let id = restarted.start_tasks();
+    restarted.cut_off(id);
+}
+
+/// As above, with a second change of leader: what the first successor assumed is not known to the second.
+#[test]
+fn a_leader_counts_the_longest_lease_after_two_changes_of_leader() {
+    let mut restarted = Restarted::open();
+    restarted.receive_late_poll();
+    let id = restarted.start_tasks();
+    restarted.fail_over();
+    restarted.simulation.fail_over(NEXT_FENCE + 1);
+    restarted.simulation.advance(ACTED_MS);
+    restarted.cut_off(id);
+}
+
+/// Guards against tasks that run twice: a late call arrives just before it can no longer arrive, and tasks are
+/// started after that, which its lease holds as well.
+#[test]
+fn the_lease_of_the_last_late_call_is_counted_for_later_starts() {
+    /// Time from the restart to the arrival, in milliseconds: less than that for which calls arrive late.
+    const LATE_MS: u64 = 11_000;
+    /// Time from then to the start, in milliseconds.
+    const LATER_MS: u64 = 2_000;
+    let mut restarted = Restarted::open();
+    restarted.simulation.engine.cancel(restarted.former);
+    restarted.simulation.advance(LATE_MS);
+    restarted.receive_late_poll();
+    restarted.simulation.advance(LATER_MS);
+    let id = restarted.start_tasks();
+    restarted.cut_off(id);
+}
+
+/// Guards against a task that runs twice: its start is on its way when its worker goes down, the list of
+/// instances shows that, the task is started elsewhere, and the start arrives once the worker is back under its
+/// id (issue 64).
+#[test]
+fn a_start_that_is_on_its_way_to_a_worker_that_goes_down_repeats_no_task() {
+    /// Time in which polls fail, in milliseconds.
+    const SILENT_MS: u64 = 3_000;
+    /// Time until the task runs, in milliseconds.
+    const RUNS_MS: u64 = 20_000;
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(AGE_MS);
+    let first = simulation.workers.keys().next().expect("a worker").clone();
+    let instance = simulation.workers[&first].info.instance.clone();
+    let instance = instance.expect("set by `add_worker`");
+    simulation.link.set_reach(first.clone(), Reach::HeldBack);
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]));
+    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
+    simulation.workers[&first].crash();
+    simulation.instances[&instance].state = InstanceState::Down;
+    simulation.instances[&instance].worker = None;
+    simulation.advance(SILENT_MS);
+    simulation.list_instances();
+    simulation.advance(ACTED_MS);
+    simulation.restart(&first);
+    simulation.instances[&instance].state = InstanceState::Up;
+    simulation.instances[&instance].worker = Some(first.clone());
+    simulation.list_all();
+    simulation.link.set_reach(first, Reach::Full);
+    simulation.release_calls(|| ACTED_MS);
+    simulation.advance(SILENT_MS);
+    simulation.advance_until(RUNS_MS, |simulation| simulation.runs_of(id).len() == 1);
+}
--- a/tests/testsuite/jobs/mod.rs
+++ b/tests/testsuite/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod fake_worker;
 mod faults;
 mod full_processor;
+mod inherited_leases;
 mod late_acknowledgements;
 mod late_call_orders;
 mod late_call_play;
