--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -25,6 +25,7 @@
 mod explain;
 mod feasibility;
 mod free_capacity;
+mod incarnations;
 mod instances;
 mod job;
 mod keys;
