Count the leases that late calls may give, whoever has learned of the restart

Cause: a call that was meant for the former incarnation extends the leases of the next one to the longest one from its arrival, as its clock has only begun. Only the leader that had seen the restart counted that, for 12 s; its successor counted run_lease_ms for the runs that it adopted and for its own starts. The same leader counted the longest lease from its own last call, not from the arrival of the last late call: too short for what it started after those 12 s, and for a call that arrives inside the cut. Change: one rule for each incarnation, applied at its first answer to a leader (expect_late_calls): calls for an earlier one may have left until now where the leader has seen the restart, or until it followed where earlier leaders were, and no later than some seconds after the former one ended, which the age of the present one bounds. They arrive for 12 s more, and all leases there, of adopted runs and of own starts, count to the end of the longest lease after that (count_lease). The first leader, which nobody precedes, counts as before until it sees a restart.

--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -9,7 +9,43 @@
 use crate::jobs::worker::{PollState, Slot, SlotState, LATE_CALL_MS};
 use crate::logging::Event;
 
+/// Longest time for which a leader takes an incarnation that has ended for the present one, in milliseconds:
+/// its last poll fails, or its own lease ends.
+const UNNOTICED_END_MS: u64 = 6_000;
+
 impl Engine {
+    /// Records until when calls may arrive that were meant for an earlier incarnation than the one that
+    /// answers this leader for the first time.
+    pub(crate) fn expect_late_calls(&mut self, key: WorkerKey, reply: &PollReply) {
+        let late_calls_until_ms = self.earlier_calls_sent_until_ms(key).map(|sent_until_ms| {
+            let ended_ms = self.now_ms + UNNOTICED_END_MS;
+            let by_age_ms = (ended_ms + LATE_CALL_MS).saturating_sub(self.least_age_ms(reply));
+            by_age_ms.min(sent_until_ms + LATE_CALL_MS)
+        });
+        self.worker_mut(key).late_calls_until_ms = late_calls_until_ms;
+    }
+
+    /// Returns the time until which calls may have been sent that were meant for an earlier incarnation of a
+    /// worker; none if nobody has called one. What an earlier leader sends after this one has followed it, it
+    /// sends only where the incarnation has answered that is meant.
+    fn earlier_calls_sent_until_ms(&self, key: WorkerKey) -> Option<u64> {
+        match self.worker(key).is_known_from_start {
+            true => Some(self.now_ms),
+            false if self.settings.has_earlier_leaders() => Some(self.opened_ms),
+            false => None,
+        }
+    }
+
+    /// Returns for how long the incarnation that answers has run at least, in milliseconds. Its clock and the
+    /// time of day each tell an age.
+    fn least_age_ms(&self, reply: &PollReply) -> u64 {
+        let by_time_of_day_ms = match reply.started_unix_ms {
+            0 => 0,
+            started_unix_ms => self.unix_ms.saturating_sub(started_unix_ms),
+        };
+        by_time_of_day_ms.min(reply.clock_ms)
+    }
+
     /// Starts nothing on a worker that has restarted, and polls it again later. It knows no fence any
     /// more, and a later leader may have taken note of what it did before.
     pub(crate) fn put_off_restart(&mut self, key: WorkerKey) {
--- a/src/jobs/leases.rs
+++ b/src/jobs/leases.rs
@@ -41,14 +41,13 @@
         }
     }
 
-    /// Extends the leases that are counted for its runs to `lease_ms` from now. A call that was meant for
-    /// an earlier incarnation, whose clock was ahead, extends them up to `lease_max_ms`.
+    /// Extends the leases that are counted for its runs to `lease_ms` from now. The last call that was meant
+    /// for an earlier incarnation, whose clock was ahead, extends them by `lease_max_ms` from its arrival.
     pub(crate) fn count_lease(&mut self, lease_ms: u64, lease_max_ms: u64, now_ms: u64) {
-        let counted_ms = match now_ms < self.late_calls_until_ms {
-            true => lease_max_ms,
-            false => lease_ms,
-        };
-        let end_worker_ms = self.worker_time_ms(now_ms).unwrap_or(0) + counted_ms;
+        let own_end_ms = now_ms + lease_ms;
+        let late_end_ms = self.late_calls_until_ms.map_or(0, |ms| ms + lease_max_ms);
+        let left_ms = own_end_ms.max(late_end_ms) - now_ms;
+        let end_worker_ms = self.worker_time_ms(now_ms).unwrap_or(0) + left_ms;
         self.leased_until_worker_ms = self.leased_until_worker_ms.max(end_worker_ms);
     }
 
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -130,7 +130,11 @@
     /// Records that a worker has answered a poll, and when.
     fn note_answer(&mut self, order: &PollOrder, reply: &PollReply) {
         let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
-        let worker = self.worker_mut(order.target.worker);
+        let key = order.target.worker;
+        if self.worker(key).clock.is_none() {
+            self.expect_late_calls(key, reply);
+        }
+        let worker = self.worker_mut(key);
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -6,6 +6,9 @@
 /// Part of a record that a checkpoint may take, as a divisor.
 const CHECKPOINT_DIVISOR: usize = 32;
 
+/// Fencing token of the first leader.
+const FIRST_FENCE: u64 = 1;
+
 /// Settings of the engine, taken from the deployment.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -50,6 +53,11 @@
 }
 
 impl EngineSettings {
+    /// Returns whether other leaders may have acted before this one.
+    pub(crate) fn has_earlier_leaders(&self) -> bool {
+        self.fence > FIRST_FENCE
+    }
+
     /// Returns the most bytes of the value of a record.
     pub(crate) fn value_max_bytes(&self) -> usize {
         self.record_max_bytes.saturating_sub(RECORD_OVERHEAD_BYTES)
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -222,8 +222,9 @@
     /// may have been carried out by another incarnation, which counts the lease on another clock. 0 once
     /// the incarnation has answered since.
     pub(crate) unconfirmed_lease_end_ms: u64,
-    /// Time until which calls may arrive that were meant for an earlier incarnation, in milliseconds.
-    pub(crate) late_calls_until_ms: u64,
+    /// Time until which calls may arrive that were meant for an earlier incarnation, in milliseconds; none if
+    /// nobody has called one.
+    pub(crate) late_calls_until_ms: Option<u64>,
     /// Highest number of the ends that were processed.
     pub(crate) seen_through: u64,
     /// Highest number of the ends that are persisted or need no record.
@@ -291,7 +292,7 @@
             followed_since_ms: 0,
             leased_until_worker_ms: 0,
             unconfirmed_lease_end_ms: 0,
-            late_calls_until_ms: 0,
+            late_calls_until_ms: None,
             seen_through: 0,
             persisted_through: 0,
             dropped_through: 0,
@@ -419,7 +420,7 @@
         self.followed_since_ms = 0;
         self.leased_until_worker_ms = 0;
         self.unconfirmed_lease_end_ms = 0;
-        self.late_calls_until_ms = now_ms + LATE_CALL_MS;
+        self.late_calls_until_ms = None;
         self.seen_through = 0;
         self.persisted_through = 0;
         self.dropped_through = 0;
--- a/tests/testsuite/jobs/inherited_leases.rs
+++ b/tests/testsuite/jobs/inherited_leases.rs
@@ -11,8 +11,9 @@
 const AGE_MS: u64 = 15_000;
 /// Time after which a leader has acted on what it was shown, in milliseconds.
 const ACTED_MS: u64 = 500;
-/// Time in which all leases of a worker that is cut off end, in milliseconds.
-const CUT_MS: u64 = 15_000;
+/// Time in which all leases of a worker that is cut off end, in milliseconds: the time for which calls arrive
+/// late, and the longest lease.
+const CUT_MS: u64 = 23_000;
 /// Run time of tasks that do not end in a test, in milliseconds.
 const RUN_MS: u64 = 60_000;
 /// Number of tasks: more than one worker takes.
@@ -24,13 +25,11 @@
 struct Restarted {
     simulation: Simulation,
     worker: SmolStr,
-    /// Job whose task ran there before the restart.
-    former: JobId,
     late_poll: PollOrder,
 }
 
 impl Restarted {
-    /// Restarts a worker whose runs were just polled; the leader knows of it.
+    /// Restarts a worker whose runs were just polled; the leader knows of it, and nothing runs there.
     fn open() -> Self {
         let mut simulation = Simulation::open(&["maps"], 2);
         simulation.advance(AGE_MS);
@@ -41,11 +40,11 @@
         let worker = late_poll.target.id.clone();
         simulation.restart(&worker);
         simulation.list_all();
+        simulation.engine.cancel(former);
         simulation.advance(ACTED_MS);
         Self {
             simulation,
             worker,
-            former,
             late_poll,
         }
     }
@@ -136,7 +135,6 @@
     /// Time from then to the start, in milliseconds.
     const LATER_MS: u64 = 2_000;
     let mut restarted = Restarted::open();
-    restarted.simulation.engine.cancel(restarted.former);
     restarted.simulation.advance(LATE_MS);
     restarted.receive_late_poll();
     restarted.simulation.advance(LATER_MS);
