Wait for starts on their way to a worker that is gone until it is replaced

Cause: a list of instances that shows a worker's instance down was taken to end the id, not only the incarnation. Its runs were lost with the starts that were still on their way; the worker came back under its id, and took the start that had been started elsewhere by then. Change: what ends with an incarnation is in one place. An instance that has another worker shows that the id does not come back, and ends the wait (Disappearance).

--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -82,15 +82,7 @@
         self.worker_mut(key)
             .start_incarnation(reply.started_unix_ms, now_ms);
         self.update_known_capacity(key);
-        let may_start_late = |lost: &&LostRun| {
-            matches!(
-                lost.slot.state,
-                SlotState::Sent | SlotState::OutcomeUnknown { .. } | SlotState::StartBlocked { .. }
-            )
-        };
-        for late in lost.iter().filter(may_start_late) {
-            self.block_late_start(key, late);
-        }
+        self.block_late_starts(key, &lost);
         // The ends of their leases are times of the earlier clock, which the worker shortens.
         let worker = self.worker_mut(key);
         for slot in worker.slots.values_mut() {
@@ -101,6 +93,19 @@
         }
     }
 
+    /// Prevents the orders among lost runs that are still on their way from starting runs in the next
+    /// incarnation of a worker.
+    pub(crate) fn block_late_starts(&mut self, key: WorkerKey, lost: &[LostRun]) {
+        let late = lost.iter().filter(|lost| lost.slot.state.may_start_late());
+        late.for_each(|late| self.block_late_start(key, late));
+    }
+
+    /// Waits no longer for late starts at a worker that does not come back under its id.
+    pub(crate) fn forget_late_starts(&mut self, key: WorkerKey) {
+        let runs: Vec<RunKey> = self.worker(key).slots.keys().copied().collect();
+        runs.into_iter().for_each(|run| self.remove_run(key, run));
+    }
+
     /// Prevents an order whose answer was lost from starting the run in the new incarnation. Until the
     /// worker has acknowledged that, the run may be there, and its task is not started elsewhere.
     fn block_late_start(&mut self, key: WorkerKey, late: &LostRun) {
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -101,6 +101,15 @@
     pub(crate) no_order_until_ms: u64,
 }
 
+/// How a worker is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disappearance {
+    /// Its instance is not up, and the worker may start again there under its id.
+    Down,
+    /// Its instance has another worker.
+    Replaced,
+}
+
 /// All instances and waves.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Instances {
@@ -166,37 +175,54 @@
             let is_unresponsive = worker.failed_polls_count >= FAILED_POLLS_MIN_COUNT
                 && !worker.slots.is_empty()
                 && is_old;
-            let is_removed = (is_unknown || is_unresponsive) && self.is_shown_gone(key);
-            if is_removed {
-                self.remove_worker(key, LossReason::WorkerRemoved);
+            match self.disappearance(key) {
+                Some(how) if is_unknown || is_unresponsive => self.worker_disappeared(key, how),
+                _ => {}
             }
         }
     }
 
-    /// Returns whether the list of instances shows that a worker is gone: its instance is not up, or has
-    /// another worker. A list without a row of its instance does not show that, as rows that cannot be
-    /// read are left out, and instances may change while the list is read page by page. Nor does a row
-    /// without a worker: the platform may not know the worker at present.
-    fn is_shown_gone(&self, key: WorkerKey) -> bool {
+    /// Returns how the list of instances shows that a worker is gone, if it does. A list without a row of
+    /// its instance does not show that, as rows that cannot be read are left out, and instances may change
+    /// while the list is read page by page. Nor does a row without a worker: the platform may not know the
+    /// worker at present.
+    fn disappearance(&self, key: WorkerKey) -> Option<Disappearance> {
         let info = &self.worker(key).info;
         let may_have_it = |row: &Instance| {
             let listed = row.info.worker.as_ref();
             row.info.is_up() && listed.is_none_or(|id| *id == info.id)
         };
         match &info.instance {
-            Some(instance) => {
-                let row = self.instances.rows.get(instance);
-                row.is_some_and(|row| !may_have_it(row))
-            }
+            Some(instance) => match self.instances.rows.get(instance)? {
+                row if may_have_it(row) => None,
+                row if row.info.is_up() => Some(Disappearance::Replaced),
+                _ => Some(Disappearance::Down),
+            },
             // Only its record is known, which does not name the instance.
-            None => !self.instances.rows.values().any(|row| {
-                let is_of_pool = row.info.pool == info.pool;
-                may_have_it(row) && (is_of_pool || row.info.worker.is_some())
-            }),
+            None => {
+                let is_anywhere = self.instances.rows.values().any(|row| {
+                    let is_of_pool = row.info.pool == info.pool;
+                    may_have_it(row) && (is_of_pool || row.info.worker.is_some())
+                });
+                (!is_anywhere).then_some(Disappearance::Down)
+            }
+        }
+    }
+
+    /// Removes a worker that is gone. While it is down, it is removed once.
+    fn worker_disappeared(&mut self, key: WorkerKey, how: Disappearance) {
+        match how {
+            Disappearance::Down if self.worker(key).is_removed => {}
+            Disappearance::Down => self.remove_worker(key, LossReason::WorkerRemoved),
+            Disappearance::Replaced => {
+                self.remove_worker(key, LossReason::WorkerRemoved);
+                self.forget_late_starts(key);
+            }
         }
     }
 
-    /// Records that a worker is gone: its runs are lost, and nothing will run there.
+    /// Records that a worker is gone: its runs are lost. Starts that are on their way may still begin there if
+    /// it is back under its id.
     fn remove_worker(&mut self, key: WorkerKey, reason: LossReason) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
@@ -209,7 +235,8 @@
             .with("reason", reason)
             .with("lost_count", worker.slots.len())
             .info();
-        self.lose_all_runs(key, reason);
+        let lost = self.lose_all_runs(key, reason);
+        self.block_late_starts(key, &lost);
         self.settle_inherited_runs(key, WorkerFate::Replaced);
     }
 
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -110,6 +110,12 @@
 }
 
 impl SlotState {
+    /// Returns whether the order of the start may still be on its way, and begin the run in a later
+    /// incarnation of the worker.
+    pub(crate) fn may_start_late(self) -> bool {
+        self == Self::Sent || self.is_unsettled()
+    }
+
     /// Returns whether the order of the start was given up, and no poll has told since what became of it.
     pub(crate) fn is_unsettled(self) -> bool {
         match self {
--- a/tests/testsuite/jobs/inherited_leases.rs
+++ b/tests/testsuite/jobs/inherited_leases.rs
@@ -1,10 +1,9 @@
 //! What a leader assumes of a worker whose former incarnation was known to an earlier leader only. Calls that
 //! were meant for that one may have reached the present one, or still reach it.
 
-use hawthornladder::jobs::{InstanceState, JobId, PollOrder};
+use hawthornladder::jobs::{JobId, PollOrder};
 use smol_str::SmolStr;
 
-use super::links::Reach;
 use super::simulation::{job, step, Simulation};
 
 /// Age of the first incarnations at the restart, in milliseconds: more than the longest lease.
@@ -141,36 +140,3 @@
     let id = restarted.start_tasks();
     restarted.cut_off(id);
 }
-
-/// Guards against a task that runs twice: its start is on its way when its worker goes down, the list of
-/// instances shows that, the task is started elsewhere, and the start arrives once the worker is back under its
-/// id (issue 64).
-#[test]
-fn a_start_that_is_on_its_way_to_a_worker_that_goes_down_repeats_no_task() {
-    /// Time in which polls fail, in milliseconds.
-    const SILENT_MS: u64 = 3_000;
-    /// Time until the task runs, in milliseconds.
-    const RUNS_MS: u64 = 20_000;
-    let mut simulation = Simulation::open(&["maps"], 2);
-    simulation.advance(AGE_MS);
-    let first = simulation.workers.keys().next().expect("a worker").clone();
-    let instance = simulation.workers[&first].info.instance.clone();
-    let instance = instance.expect("set by `add_worker`");
-    simulation.link.set_reach(first.clone(), Reach::HeldBack);
-    let id = simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]));
-    simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
-    simulation.workers[&first].crash();
-    simulation.instances[&instance].state = InstanceState::Down;
-    simulation.instances[&instance].worker = None;
-    simulation.advance(SILENT_MS);
-    simulation.list_instances();
-    simulation.advance(ACTED_MS);
-    simulation.restart(&first);
-    simulation.instances[&instance].state = InstanceState::Up;
-    simulation.instances[&instance].worker = Some(first.clone());
-    simulation.list_all();
-    simulation.link.set_reach(first, Reach::Full);
-    simulation.release_calls(|| ACTED_MS);
-    simulation.advance(SILENT_MS);
-    simulation.advance_until(RUNS_MS, |simulation| simulation.runs_of(id).len() == 1);
-}
--- a/tests/testsuite/jobs/restarted_workers.rs
+++ b/tests/testsuite/jobs/restarted_workers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hawthornladder::jobs::{
-    JobId, JobKey, PollOrder, RunKey, StartOrder, Target, TaskKey, TaskName,
+    InstanceState, JobId, JobKey, PollOrder, RunKey, StartOrder, Target, TaskKey, TaskName,
 };
 use smol_str::SmolStr;
 
@@ -19,6 +19,8 @@
 const CUT_MS: u64 = 15_000;
 /// Run time of tasks that do not end in a test, in milliseconds.
 const RUN_MS: u64 = 60_000;
+/// Time in which polls fail before the list of instances is read, in milliseconds.
+const SILENT_MS: u64 = 3_000;
 
 /// Opens a simulation of old incarnations; returns the id of the worker that gets the first task.
 fn open_aged() -> (Simulation, SmolStr) {
@@ -150,3 +152,74 @@
     simulation.workers[&first].is_disconnected = true;
     simulation.advance(CUT_MS);
 }
+
+/// A start that is on its way to a worker that has gone down.
+struct LateStart {
+    simulation: Simulation,
+    worker: SmolStr,
+    instance: SmolStr,
+    job: JobId,
+}
+
+impl LateStart {
+    fn open() -> Self {
+        let (mut simulation, worker) = open_aged();
+        let instance = simulation.workers[&worker].info.instance.clone();
+        simulation.link.set_reach(worker.clone(), Reach::HeldBack);
+        let job = submit_long_task(&mut simulation);
+        simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
+        simulation.workers[&worker].crash();
+        let mut late = Self {
+            simulation,
+            worker,
+            instance: instance.expect("set by `add_worker`"),
+            job,
+        };
+        late.set_row(InstanceState::Down, None);
+        late
+    }
+
+    /// Lists the instance of the worker in this state, with this worker.
+    fn set_row(&mut self, state: InstanceState, worker: Option<&str>) {
+        let row = &mut self.simulation.instances[&self.instance];
+        row.state = state;
+        row.worker = worker.map(SmolStr::from);
+        self.simulation.advance(SILENT_MS);
+        self.simulation.list_instances();
+        self.simulation.advance(ACTED_MS);
+    }
+
+    /// Fails unless the task runs once within this time.
+    fn assert_runs(&mut self, within_ms: u64) {
+        let job = self.job;
+        self.simulation
+            .advance_until(within_ms, |simulation| simulation.runs_of(job).len() == 1);
+    }
+}
+
+/// Guards against a task that runs twice: its start is on its way when its worker goes down, the list of
+/// instances shows that, the task is started elsewhere, and the start arrives once the worker is back under its
+/// id (issue 64).
+#[test]
+fn a_start_that_is_on_its_way_to_a_worker_that_goes_down_repeats_no_task() {
+    let mut late = LateStart::open();
+    let (worker, instance) = (late.worker.clone(), late.instance.clone());
+    let simulation = &mut late.simulation;
+    simulation.restart(&worker);
+    simulation.instances[&instance].state = InstanceState::Up;
+    simulation.instances[&instance].worker = Some(worker.clone());
+    simulation.list_all();
+    simulation.link.set_reach(worker, Reach::Full);
+    simulation.release_calls(|| ACTED_MS);
+    simulation.advance(2 * ACTED_MS);
+    late.assert_runs(CUT_MS);
+}
+
+/// Guards against a task that waits for a late start without need: the instance has another worker, so that
+/// the one that the start is meant for does not come back.
+#[test]
+fn a_start_that_is_on_its_way_to_a_worker_that_is_replaced_holds_no_task_back() {
+    let mut late = LateStart::open();
+    late.set_row(InstanceState::Up, Some("w-other"));
+    late.assert_runs(2 * ACTED_MS);
+}
