Count the longest lease at the first answer to a leader that follows another

Callers would see: tasks that run twice after a change of leader and a cut, without any restart or late call. Change: at the first answer of an incarnation to a leader that follows others, all leases there count as the longest one from that answer on. That poll has raised the fence, so that earlier calls of former leaders do nothing any more; ages and the time since which the leader leads are not needed. Late calls of the leader itself, where it has seen the restart, count as before.

--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -9,41 +9,20 @@
 use crate::jobs::worker::{PollState, Slot, SlotState, LATE_CALL_MS};
 use crate::logging::Event;
 
-/// Longest time for which a leader takes an incarnation that has ended for the present one, in milliseconds:
-/// its last poll fails, or its own lease ends.
-const UNNOTICED_END_MS: u64 = 6_000;
-
 impl Engine {
-    /// Records until when calls may arrive that were meant for an earlier incarnation than the one that
-    /// answers this leader for the first time.
-    pub(crate) fn expect_late_calls(&mut self, key: WorkerKey, reply: &PollReply) {
-        let late_calls_until_ms = self.earlier_calls_sent_until_ms(key).map(|sent_until_ms| {
-            let ended_ms = self.now_ms + UNNOTICED_END_MS;
-            let by_age_ms = (ended_ms + LATE_CALL_MS).saturating_sub(self.least_age_ms(reply));
-            by_age_ms.min(sent_until_ms + LATE_CALL_MS)
-        });
-        self.worker_mut(key).late_calls_until_ms = late_calls_until_ms;
-    }
-
-    /// Returns the time until which calls may have been sent that were meant for an earlier incarnation of a
-    /// worker; none if nobody has called one. What an earlier leader sends after this one has followed it, it
-    /// sends only where the incarnation has answered that is meant.
-    fn earlier_calls_sent_until_ms(&self, key: WorkerKey) -> Option<u64> {
-        match self.worker(key).is_known_from_start {
-            true => Some(self.now_ms),
-            false if self.settings.has_earlier_leaders() => Some(self.opened_ms),
-            false => None,
+    /// Counts the leases that an incarnation may have by calls of which this leader knows nothing, at its first
+    /// answer to it. From then on it refuses the calls of earlier leaders, and what these have given ends within
+    /// the longest lease. Calls of this leader that were meant for an earlier incarnation may still arrive.
+    pub(crate) fn count_unknown_leases(&mut self, key: WorkerKey) {
+        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let has_earlier_leaders = self.settings.has_earlier_leaders();
+        let worker = self.worker_mut(key);
+        if worker.is_known_from_start {
+            worker.late_calls_until_ms = Some(now_ms + LATE_CALL_MS);
+        }
+        if worker.is_known_from_start || has_earlier_leaders {
+            worker.count_lease(lease_max_ms, lease_max_ms, now_ms);
         }
-    }
-
-    /// Returns for how long the incarnation that answers has run at least, in milliseconds. Its clock and the
-    /// time of day each tell an age.
-    fn least_age_ms(&self, reply: &PollReply) -> u64 {
-        let by_time_of_day_ms = match reply.started_unix_ms {
-            0 => 0,
-            started_unix_ms => self.unix_ms.saturating_sub(started_unix_ms),
-        };
-        by_time_of_day_ms.min(reply.clock_ms)
     }
 
     /// Starts nothing on a worker that has restarted, and polls it again later. It knows no fence any
@@ -78,19 +57,14 @@
             .with("lost_count", runs.len())
             .warn();
         let lost = self.lose_runs(key, runs, LossReason::WorkerRestarted);
-        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let now_ms = self.now_ms;
         self.worker_mut(key)
             .start_incarnation(reply.started_unix_ms, now_ms);
         self.update_known_capacity(key);
         self.block_late_starts(key, &lost);
-        // The ends of their leases are times of the earlier clock, which the worker shortens.
-        let worker = self.worker_mut(key);
-        for slot in worker.slots.values_mut() {
+        for slot in self.worker_mut(key).slots.values_mut() {
             slot.is_in_next_incarnation = false;
         }
-        if !worker.slots.is_empty() {
-            worker.leased_until_worker_ms = reply.clock_ms + lease_max_ms;
-        }
     }
 
     /// Prevents the orders among lost runs that are still on their way from starting runs in the next
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -131,10 +131,8 @@
     fn note_answer(&mut self, order: &PollOrder, reply: &PollReply) {
         let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
         let key = order.target.worker;
-        if self.worker(key).clock.is_none() {
-            self.expect_late_calls(key, reply);
-        }
         let worker = self.worker_mut(key);
+        let is_first_answer = worker.clock.is_none();
         if worker.info.started_unix_ms == 0 {
             worker.info.started_unix_ms = reply.started_unix_ms;
         }
@@ -157,6 +155,9 @@
         worker.failed_polls_count = 0;
         worker.confirm_leases(lease_max_ms, order.sent_ms);
         worker.read_clock(reply.clock_ms, order.sent_ms, now_ms);
+        if is_first_answer {
+            self.count_unknown_leases(key);
+        }
     }
 
     /// Records that the fence of this leader is raised at a worker, which takes tasks from now on.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -228,8 +228,8 @@
     /// may have been carried out by another incarnation, which counts the lease on another clock. 0 once
     /// the incarnation has answered since.
     pub(crate) unconfirmed_lease_end_ms: u64,
-    /// Time until which calls may arrive that were meant for an earlier incarnation, in milliseconds; none if
-    /// nobody has called one.
+    /// Time until which calls of this leader may arrive that were meant for an earlier incarnation, in
+    /// milliseconds; none if it knows of none.
     pub(crate) late_calls_until_ms: Option<u64>,
     /// Highest number of the ends that were processed.
     pub(crate) seen_through: u64,
--- a/tests/testsuite/jobs/inherited_leases.rs
+++ b/tests/testsuite/jobs/inherited_leases.rs
@@ -140,3 +140,46 @@
     let id = restarted.start_tasks();
     restarted.cut_off(id);
 }
+
+/// Lets another leader follow, and cuts off the worker that has the run of a job once that one has read it.
+fn follow_and_cut_off(mut simulation: Simulation, id: JobId) {
+    let worker = simulation.runs_of(id)[0].0.clone();
+    simulation.fail_over(NEXT_FENCE);
+    simulation.advance(ACTED_MS);
+    simulation.workers[&worker].is_disconnected = true;
+    simulation.advance(CUT_MS);
+    assert_eq!(simulation.runs_of(id).len(), 1);
+}
+
+/// Guards against a task that runs twice: the clock of an idle worker is slow by a fiftieth, so that a start there
+/// gives a longer lease than its leader means to, and the next leader, which reads the run, counts a shorter
+/// one.
+#[test]
+fn a_leader_counts_the_lease_that_its_predecessor_gave_by_a_slow_clock() {
+    /// Time without a poll of the worker, in milliseconds.
+    const IDLE_MS: u64 = 300_000;
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(IDLE_MS);
+    for worker in simulation.workers.values_mut() {
+        worker.clock_start_ms += IDLE_MS / 50;
+    }
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]));
+    simulation.advance(ACTED_MS);
+    follow_and_cut_off(simulation, id);
+}
+
+/// Guards against a task that runs twice: nobody has noticed the restart of an idle worker for long, a start
+/// that is meant for the former incarnation gives the longest lease, and the next leader counts a shorter one.
+#[test]
+fn a_leader_counts_the_lease_of_a_start_after_a_restart_that_nobody_has_noticed() {
+    /// Time from the restart to the start, in milliseconds.
+    const UNNOTICED_MS: u64 = 30_000;
+    let mut simulation = Simulation::open(&["maps"], 2);
+    simulation.advance(AGE_MS);
+    let ids: Vec<SmolStr> = simulation.workers.keys().cloned().collect();
+    ids.iter().for_each(|id| simulation.restart(id));
+    simulation.advance(UNNOTICED_MS);
+    let id = simulation.submit("maps", job(vec![step(1, 1_000, RUN_MS)]));
+    simulation.advance_until(ACTED_MS, |simulation| !simulation.starts.is_empty());
+    follow_and_cut_off(simulation, id);
+}
