--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -81,18 +81,24 @@
     }
 
     /// Prevents an order whose answer was lost from starting the run in the new incarnation. Until the
-    /// worker has acknowledged that, the run may be there, and its task is not started elsewhere.
+    /// worker has acknowledged that, the run may be there, and its task is not started elsewhere, unless it
+    /// may have copies.
     fn block_late_start(&mut self, key: WorkerKey, late: &LostRun) {
         let run = late.run;
-        let is_needed = self.task(run.task).is_some_and(|task| !task.is_done);
-        if !is_needed || self.job(run.task.job).state.is_final() {
+        let is_done = self.task(run.task).is_none_or(|task| task.is_done);
+        let job = self.job(run.task.job);
+        let may_have_copies = job.spec.steps[usize::from(run.task.step)].may_have_copies();
+        if is_done || may_have_copies || job.state.is_final() {
             return self.stop_untracked(key, run);
         }
         let now_ms = self.now_ms;
         let slot = Slot {
             state: SlotState::OutcomeUnknown { since_ms: now_ms },
             since_ms: now_ms,
-            may_start_until_ms: now_ms + LATE_CALL_MS,
+            may_start_until_ms: match late.slot.may_start_until_ms {
+                0 => now_ms + LATE_CALL_MS,
+                until_ms => until_ms,
+            },
             ..late.slot.clone()
         };
         self.change_task(run.task, |task| task.runs.push((key, run.run)));
--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -235,7 +235,9 @@
             .with("reason", reason)
             .with("lost_count", worker.slots.len())
             .info();
-        let lost = self.lose_all_runs(key, reason);
+        let mut lost = self.lose_all_runs(key, reason);
+        // A long-running task may not be without a run for as long as a start may be late.
+        lost.retain(|lost| !lost.slot.is_long_running);
         self.block_late_starts(key, &lost);
         self.settle_inherited_runs(key, WorkerFate::Replaced);
     }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -194,7 +194,8 @@
     pub(crate) is_persisted: bool,
     /// Whether this leader has raised its fence at this incarnation.
     pub(crate) is_fenced: bool,
-    /// Whether the worker is known to be gone: nothing runs there, and nothing will.
+    /// Whether the worker is known to be gone: nothing runs there. A start on its way may still begin there if it
+    /// is back under its id.
     pub(crate) is_removed: bool,
     /// Whether this incarnation has ended with an order to its instance. The list may still have
     /// it for some time.
--- a/tests/testsuite/jobs/restarted_workers.rs
+++ b/tests/testsuite/jobs/restarted_workers.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 
 use hawthornladder::jobs::{
-    InstanceState, JobId, JobKey, PollOrder, RunKey, StartOrder, Target, TaskKey, TaskName,
+    InstanceState, JobId, JobKey, PollOrder, RunKey, StartOrder, StepSpec, Target, TaskKey,
+    TaskName,
 };
 use smol_str::SmolStr;
 
 use super::links::Reach;
-use super::simulation::{job, step, Simulation};
+use super::simulation::{job, long_running, step, Simulation, STEP_MS};
 
 /// Age of the first incarnations at the restart, in milliseconds: more than the longest lease.
 const AGE_MS: u64 = 15_000;
@@ -162,21 +163,27 @@
 }
 
 impl LateStart {
-    fn open() -> Self {
+    /// Returns one whose worker the leader has taken for gone.
+    fn open(step: StepSpec) -> Self {
+        let mut late = Self::sent(step);
+        late.set_row(InstanceState::Down, None);
+        late
+    }
+
+    /// Returns one whose worker has just gone down.
+    fn sent(step: StepSpec) -> Self {
         let (mut simulation, worker) = open_aged();
         let instance = simulation.workers[&worker].info.instance.clone();
         simulation.link.set_reach(worker.clone(), Reach::HeldBack);
-        let job = submit_long_task(&mut simulation);
+        let job = simulation.submit("maps", job(vec![step]));
         simulation.advance_until(ACTED_MS, |simulation| simulation.engine.runs_count() == 1);
         simulation.workers[&worker].crash();
-        let mut late = Self {
+        Self {
             simulation,
             worker,
             instance: instance.expect("set by `add_worker`"),
             job,
-        };
-        late.set_row(InstanceState::Down, None);
-        late
+        }
     }
 
     /// Lists the instance of the worker in this state, with this worker.
@@ -202,7 +209,7 @@
 /// id (issue 64).
 #[test]
 fn a_start_that_is_on_its_way_to_a_worker_that_goes_down_repeats_no_task() {
-    let mut late = LateStart::open();
+    let mut late = LateStart::open(step(1, 1_000, RUN_MS));
     let (worker, instance) = (late.worker.clone(), late.instance.clone());
     let simulation = &mut late.simulation;
     simulation.restart(&worker);
@@ -219,7 +226,81 @@
 /// the one that the start is meant for does not come back.
 #[test]
 fn a_start_that_is_on_its_way_to_a_worker_that_is_replaced_holds_no_task_back() {
-    let mut late = LateStart::open();
+    let mut late = LateStart::open(step(1, 1_000, RUN_MS));
     late.set_row(InstanceState::Up, Some("w-other"));
     late.assert_runs(2 * ACTED_MS);
 }
+
+/// Guards against a task that waits for a late start without need: its step may have copies.
+#[test]
+fn a_start_that_is_on_its_way_to_a_worker_that_goes_down_holds_no_copies_back() {
+    let mut late = LateStart::open(StepSpec {
+        allows_copies: true,
+        ..step(1, 1_000, RUN_MS)
+    });
+    late.assert_runs(2 * ACTED_MS);
+}
+
+/// Guards against a wait that begins anew with each entry of the worker that is read again.
+#[test]
+fn a_worker_that_is_listed_again_does_not_prolong_the_wait_for_a_late_start() {
+    /// Time in which the wait ends, in milliseconds: that for which calls arrive late, and a step.
+    const WAIT_MS: u64 = 13_000;
+    let mut late = LateStart::open(step(1, 1_000, RUN_MS));
+    let from_ms = late.simulation.now_ms;
+    while late.simulation.runs_of(late.job).is_empty() {
+        late.simulation
+            .list_to_leader(std::slice::from_ref(&late.worker));
+        late.simulation.list_instances();
+        late.simulation.advance(ACTED_MS);
+        assert!(late.simulation.now_ms < from_ms + WAIT_MS, "still waits");
+    }
+}
+
+/// Guards against a task that runs twice: a worker that was taken for gone is back under its id inside a cut, and
+/// takes the late start there, whose lease begins only then.
+#[test]
+fn a_late_start_at_a_worker_that_was_taken_for_gone_is_waited_for_with_its_lease() {
+    /// Time from then until the worker is back, in milliseconds.
+    const BACK_MS: u64 = 7_000;
+    /// Time from the crash until the start arrives, in milliseconds.
+    const ARRIVES_MS: u64 = 11_000;
+    let mut late = LateStart::sent(step(1, 1_000, RUN_MS));
+    let worker = late.worker.clone();
+    // Nothing that is sent from now on arrives.
+    late.simulation
+        .link
+        .set_reach(worker.clone(), Reach::Dropped);
+    late.simulation.release_calls(|| ARRIVES_MS);
+    late.set_row(InstanceState::Down, None);
+    late.simulation.advance(BACK_MS);
+    late.simulation.restart(&worker);
+    late.simulation.advance(2 * CUT_MS);
+    late.assert_runs(STEP_MS);
+}
+
+/// Guards against a task that runs twice: the leader whose start is on its way is followed, its successor takes
+/// the worker for gone, and the start arrives as the worker is back under its id.
+#[test]
+fn a_start_of_a_former_leader_to_a_worker_that_goes_down_repeats_no_task() {
+    let mut late = LateStart::sent(step(1, 1_000, RUN_MS));
+    late.simulation.fail_over(2);
+    late.simulation.advance(ACTED_MS);
+    late.set_row(InstanceState::Down, None);
+    let worker = late.worker.clone();
+    late.simulation.restart(&worker);
+    late.simulation.link.set_reach(worker, Reach::Full);
+    late.simulation.release_calls(|| STEP_MS);
+    late.simulation.advance(2 * STEP_MS);
+    late.set_row(InstanceState::Up, Some("w-maps-0-0"));
+    late.assert_runs(CUT_MS);
+}
+
+/// Guards against a long-running task that waits for a late start for longer than it may have no run in calm.
+#[test]
+fn a_long_running_task_runs_again_within_seconds_of_the_crash_of_its_worker() {
+    /// Time from the list that shows the crash, in milliseconds; the rest of 7 s has passed before.
+    const CALM_MS: u64 = 3_500;
+    let mut late = LateStart::open(long_running(1, 1_000));
+    late.assert_runs(CALM_MS);
+}
