Restart workers with a renewal for their former incarnation, and change the leader before the cut

Change: a fault in which each worker of a zone crashes as a renewal of its leases arrives; its next incarnation carries the renewal out, whose answer is lost with the connection. The leader is killed 2.4 s before the cut. The stand-in notes whether a call gave the longest lease, and which leader its polls were answered to; the test fails if no run with such a lease was seen by a later leader than the one that started it, before the cut. All tasks are long, and two to a job, so that other workers have room for them. Not yet run on the logic before the mend.

--- a/tests/testsuite/node_soak/faults.rs
+++ b/tests/testsuite/node_soak/faults.rs
@@ -14,6 +14,7 @@
 use super::nodes::{Nodes, NODES_COUNT};
 use super::platform::Platform;
 use super::store::StoreFault;
+use super::worker::Worker;
 
 /// Time between the starts of two faults, in milliseconds.
 const INTERVAL_MIN_MS: u64 = 500;
@@ -21,6 +22,8 @@
 /// Length of a fault, in milliseconds.
 const LENGTH_MIN_MS: u64 = 500;
 const LENGTH_MAX_MS: u64 = 8_000;
+/// Longest time to the next renewal of the leases of a worker that has runs.
+const RENEWAL_WAIT: Duration = Duration::from_secs(2);
 
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,9 @@
     /// dropped. They start again under their ids inside the cut, where they carry out what had reached
     /// their machines.
     RestartedInCut(usize, u64),
+    /// As [`RestartedZone`](Self::RestartedZone), with calls dropped by the cut. Each worker that has
+    /// runs crashes as a renewal of their leases arrives, which its next incarnation carries out.
+    RestartedAtRenewals(usize, Restart),
 }
 
 /// The times of a restart of workers that are cut off afterwards.
@@ -83,7 +89,9 @@
             Self::KilledNode(number) | Self::PausedNode(number) => Affected::Node(number),
             Self::Store(_) => Affected::Store,
             Self::CrashedWorker(number, _) => Affected::Worker(number),
-            Self::RestartedZone(..) | Self::RestartedInCut(..) => Affected::Network,
+            Self::RestartedZone(..) | Self::RestartedInCut(..) | Self::RestartedAtRenewals(..) => {
+                Affected::Network
+            }
         }
     }
 }
@@ -198,20 +206,50 @@
                 self.restart_zone(zone, fate, restart, lasts).await
             }
             Fault::RestartedInCut(zone, down_ms) => self.restart_in_cut(zone, down_ms, lasts).await,
+            Fault::RestartedAtRenewals(zone, restart) => {
+                self.restart_at_renewals(zone, restart, lasts).await;
+            }
         }
         self.affected.borrow_mut().remove(&affected);
         self.platform.runs.log(&line("ends"));
     }
 
-    async fn restart_zone(&self, zone: usize, fate: Fate, restart: Restart, lasts: Duration) {
-        let workers = self.platform.workers.borrow().clone();
+    /// Returns the workers of a zone that are up.
+    fn up_in_zone(&self, zone: usize) -> Vec<Rc<Worker>> {
+        let workers = self.platform.workers.borrow();
         let of_zone = workers.iter().filter(|worker| worker.zone == zone);
-        let up: Vec<_> = of_zone.filter(|worker| worker.id().is_some()).collect();
+        let up = of_zone.filter(|worker| worker.id().is_some());
+        up.cloned().collect()
+    }
+
+    async fn restart_zone(&self, zone: usize, fate: Fate, restart: Restart, lasts: Duration) {
+        let up = self.up_in_zone(zone);
         up.iter().for_each(|worker| worker.crash_silently());
         sleep(Duration::from_millis(restart.down_ms)).await;
         for worker in up {
             worker.start(true).await;
         }
+        self.cut_off_restarted(zone, fate, restart, lasts).await;
+    }
+
+    async fn restart_at_renewals(&self, zone: usize, restart: Restart, lasts: Duration) {
+        let mut restarts = JoinSet::new();
+        for worker in self.up_in_zone(zone) {
+            restarts.spawn_local(async move {
+                // A worker without runs has no leases.
+                if worker.crash_at_renewal(RENEWAL_WAIT).await {
+                    sleep(Duration::from_millis(restart.down_ms)).await;
+                    worker.start(true).await;
+                }
+            });
+        }
+        restarts.join_all().await;
+        self.cut_off_restarted(zone, Fate::Dropped, restart, lasts)
+            .await;
+    }
+
+    /// Cuts off the workers of a zone that have restarted, after the leader was killed if it is to be.
+    async fn cut_off_restarted(&self, zone: usize, fate: Fate, restart: Restart, lasts: Duration) {
         let killed_before_ms = restart.leader_killed_before_ms.unwrap_or(0);
         sleep(Duration::from_millis(restart.back_ms - killed_before_ms)).await;
         let leader = self.platform.leader().unwrap_or(0);
@@ -221,6 +259,9 @@
             self.nodes.kill(leader);
         }
         sleep(Duration::from_millis(killed_before_ms)).await;
+        let up = self.up_in_zone(zone);
+        let counts = up.iter().map(|worker| worker.inherited_runs_count());
+        self.platform.runs.add_inherited(counts.sum());
         let network = &self.platform.network;
         network
             .cut(CutScope::Workers(zone), Direction::Both, fate, lasts)
@@ -234,9 +275,7 @@
     }
 
     async fn restart_in_cut(&self, zone: usize, down_ms: u64, lasts: Duration) {
-        let workers = self.platform.workers.borrow().clone();
-        let of_zone = workers.iter().filter(|worker| worker.zone == zone);
-        let up: Vec<_> = of_zone.filter(|worker| worker.id().is_some()).collect();
+        let up = self.up_in_zone(zone);
         up.iter().for_each(|worker| worker.crash_silently());
         sleep(Duration::from_millis(down_ms)).await;
         let network = &self.platform.network;
--- a/tests/testsuite/node_soak/jobs.rs
+++ b/tests/testsuite/node_soak/jobs.rs
@@ -26,13 +26,17 @@
 
 impl JobPlan {
     /// Returns a job of short tasks, one of tasks of some seconds with a second step, or, if they may be
-    /// long, one of long tasks.
+    /// long, one of long tasks. If all are long, they are few, so that other workers have room for them.
     pub(crate) fn random(random: &mut impl Rng, lengths: TaskLengths) -> Self {
         let step = |tasks_count, work_ms| StepPlan {
             tasks_count,
             cpu_milli: 1_000,
             work_ms: Some(work_ms),
         };
+        if lengths == TaskLengths::Long {
+            let steps = vec![step(FEW_TASKS_COUNT, LONG_WORK_MS)];
+            return Self { steps };
+        }
         let is_long = lengths == TaskLengths::UpToLong && random.random_bool(0.2);
         let steps = match random.random_bool(0.5) {
             _ if is_long => vec![step(4, LONG_WORK_MS)],
@@ -87,6 +91,8 @@
     UpToSeconds,
     /// Some of them longer than the leases of their runs.
     UpToLong,
+    /// All of them longer than the leases of their runs.
+    Long,
 }
 
 impl TaskLengths {
@@ -94,12 +100,14 @@
     pub(crate) fn longest_ms(self) -> u64 {
         match self {
             Self::UpToSeconds => 8_000,
-            Self::UpToLong => LONG_WORK_MS,
+            Self::UpToLong | Self::Long => LONG_WORK_MS,
         }
     }
 }
 
 /// Time that a long task works, in milliseconds: longer than the leases of its run.
 const LONG_WORK_MS: u64 = 12_000;
+/// Number of tasks of a job, where all are long.
+const FEW_TASKS_COUNT: usize = 2;
 /// Number of tasks of the long-running job.
 pub(crate) const LONG_RUNNING_TASKS_COUNT: usize = 5;
--- a/tests/testsuite/node_soak/mod.rs
+++ b/tests/testsuite/node_soak/mod.rs
@@ -81,6 +81,9 @@
     accepted_count: usize,
     /// Number of runs whose starts were meant for an earlier incarnation of their worker.
     carried_over_count: usize,
+    /// Number of runs whose leases a call for a former incarnation has extended, and which the next leader
+    /// has seen before their workers were cut off.
+    inherited_count: usize,
     /// What broke a promise.
     violations: Vec<String>,
 }
@@ -97,7 +100,7 @@
     fs::create_dir_all(&folder).expect("the folder is writable");
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("a runtime can be built");
-    let (accepted_count, carried_over_count, (log, violations)) =
+    let (accepted_count, (carried_over_count, inherited_count), (log, violations)) =
         LocalSet::new().block_on(&runtime, async {
             let platform = Platform::open(unique_loopback_ip(), seed).await;
             let nodes = Nodes::open(&platform, &folder).await;
@@ -112,13 +115,15 @@
             let accepted_count = clients.finish().await;
             nodes.close();
             let runs = &platform.runs;
-            (accepted_count, runs.carried_over_count(), runs.findings())
+            let counts = (runs.carried_over_count(), runs.inherited_count());
+            (accepted_count, counts, runs.findings())
         });
     fs::write(folder.join("record.txt"), log).expect("the folder is writable");
     Outcome {
         folder,
         accepted_count,
         carried_over_count,
+        inherited_count,
         violations,
     }
 }
@@ -247,6 +252,38 @@
     outcome.assert_kept();
 }
 
+/// Restarts the workers of a zone under their ids, with a renewal of leases that the next incarnation
+/// carries out, and cuts them off after the next leader has polled them.
+async fn restart_at_renewals(faults: Rc<Faults>, zone: usize) {
+    let restart = Restart {
+        down_ms: 500,
+        back_ms: 3_400,
+        leader_killed_before_ms: Some(2_400),
+    };
+    let fault = Fault::RestartedAtRenewals(zone, restart);
+    faults.inject(fault, WORKERS_CUT).await;
+}
+
+/// The next leader took leases for over that a renewal for the former incarnation had extended, and started
+/// the tasks of its runs a second time.
+#[test]
+fn leases_that_only_the_former_leader_knew_of_let_no_task_run_a_second_time() {
+    let name = "restarted-at-renewals";
+    for seed in seeds() {
+        let zone = usize::try_from(seed).expect("seeds are small") % ZONES.len();
+        let faults = async |faults| restart_at_renewals(faults, zone).await;
+        let outcome = play(name, seed, TaskLengths::Long, faults);
+        let (inherited_count, violations) = (outcome.inherited_count, outcome.violations.len());
+        println!("{name} seed={seed} inherited={inherited_count} violations={violations}");
+        assert!(
+            inherited_count > 0,
+            "no such lease was inherited, see {}",
+            outcome.folder.display()
+        );
+        outcome.assert_kept();
+    }
+}
+
 /// Returns the seeds to run: those of the variable `NODE_SOAK_SEEDS`, written as `FROM..TO`, or else
 /// the fixed ones.
 fn seeds() -> Range<u64> {
--- a/tests/testsuite/node_soak/runs.rs
+++ b/tests/testsuite/node_soak/runs.rs
@@ -77,6 +77,9 @@
     violations: Vec<String>,
     /// Number of runs whose starts were meant for an earlier incarnation of their worker.
     carried_over_count: usize,
+    /// Number of runs whose leases a call for a former incarnation has extended, and which the next leader
+    /// has seen before their workers were cut off.
+    inherited_count: usize,
 }
 
 /// The runs of all workers, in the order of their starts.
@@ -128,6 +131,20 @@
         self.state.borrow().carried_over_count
     }
 
+    /// Adds runs whose leases a call for a former incarnation has extended, and which the next leader has
+    /// seen before their workers are cut off.
+    pub(crate) fn add_inherited(&self, count: usize) {
+        self.log(&format!(
+            "{count} runs with the longest lease are inherited"
+        ));
+        self.state.borrow_mut().inherited_count += count;
+    }
+
+    /// Returns the number of runs that [`add_inherited`](Self::add_inherited) has added.
+    pub(crate) fn inherited_count(&self) -> usize {
+        self.state.borrow().inherited_count
+    }
+
     /// Returns the number of runs.
     pub(crate) fn count(&self) -> usize {
         self.state.borrow().runs.len()
--- a/tests/testsuite/node_soak/worker.rs
+++ b/tests/testsuite/node_soak/worker.rs
@@ -40,6 +40,8 @@
 struct Active {
     key: RunKey,
     number: u64,
+    /// Fence under which it was started.
+    fence: u64,
     started: Instant,
     step: StepPlan,
 }
@@ -61,6 +63,11 @@
     fence: u64,
     lease_end_ms: u64,
     has_lease: bool,
+    /// Whether a call gave the longest lease. No leader asks for that on the clock of the incarnation that
+    /// it knows, so that the call was meant for a former one.
+    is_lease_longest: bool,
+    /// Highest fence of a poll that was answered.
+    listed_to_fence: u64,
     running: IndexMap<String, Active>,
     ends: VecDeque<ListedEnd>,
     last_end_number: u64,
@@ -82,6 +89,8 @@
     /// Id of the last incarnation; empty before the first.
     last_id: RefCell<String>,
     server: RefCell<Option<Server>>,
+    /// Whether it crashes as the next renewal of its leases arrives.
+    crashes_at_renewal: Cell<bool>,
     ended: Notify,
 }
 
@@ -93,6 +102,7 @@
 
     fn extend(&mut self, until_ms: u64) {
         let longest_ms = self.clock_ms() + LEASE_MAX_MS;
+        self.is_lease_longest |= until_ms >= longest_ms;
         self.lease_end_ms = self.lease_end_ms.max(until_ms.min(longest_ms));
         self.has_lease = self.lease_end_ms > self.clock_ms();
     }
@@ -107,6 +117,11 @@
         self.answer(409, json!({ "reason": reason }))
     }
 
+    fn list_to(&mut self, fence: u64) -> Answer {
+        self.listed_to_fence = fence.max(self.listed_to_fence);
+        self.list()
+    }
+
     fn list(&self) -> Answer {
         let running = self.running.iter().map(|(task, run)| {
             let done = |work: Duration| 100 * run.started.elapsed().as_millis() / work.as_millis();
@@ -167,6 +182,7 @@
             lives_count: Cell::new(0),
             last_id: RefCell::default(),
             server: RefCell::default(),
+            crashes_at_renewal: Cell::default(),
             ended: Notify::new(),
         })
     }
@@ -192,6 +208,8 @@
             fence: 0,
             lease_end_ms: 0,
             has_lease: false,
+            is_lease_longest: false,
+            listed_to_fence: 0,
             running: IndexMap::new(),
             ends: VecDeque::new(),
             last_end_number: 0,
@@ -223,6 +241,28 @@
         }
     }
 
+    /// Ends the incarnation silently as the next renewal of its leases arrives, which the next incarnation
+    /// carries out. Returns whether that happened within this time.
+    pub(crate) async fn crash_at_renewal(&self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        self.crashes_at_renewal.set(true);
+        while self.crashes_at_renewal.get() && Instant::now() < until {
+            sleep(BACK_POLL).await;
+        }
+        !self.crashes_at_renewal.replace(false)
+    }
+
+    /// Returns the number of runs whose leases a call for a former incarnation has extended to the longest
+    /// one, and which a later leader has seen than the one that started them.
+    pub(crate) fn inherited_runs_count(&self) -> usize {
+        let life = self.life.borrow();
+        let Some(life) = life.as_ref().filter(|life| life.is_lease_longest) else {
+            return 0;
+        };
+        let runs = life.running.values();
+        runs.filter(|run| run.fence < life.listed_to_fence).count()
+    }
+
     /// Puts the machine into another pool; its incarnation must have ended.
     pub(crate) fn set_pool(&self, pool: &str) {
         *self.pool.borrow_mut() = pool.to_owned();
@@ -297,6 +337,11 @@
         if let Some(sender) = sender {
             network.deliver(sender, here).await?;
         }
+        let is_renewal = order["until_ms"].is_u64() && call.path.ends_with("hold");
+        let is_up = self.life.borrow().is_some();
+        if is_up && is_renewal && self.crashes_at_renewal.replace(false) {
+            self.crash_silently();
+        }
         // A worker that is back under its id takes calls that were meant for its former incarnation.
         let is_carried_over = self.life.borrow().is_none();
         while self.life.borrow().is_none() {
@@ -316,6 +361,7 @@
 
     async fn execute(self: &Rc<Self>, call: &Received, order: &Value) -> Option<Answer> {
         self.tick();
+        let fence = order["fencing_token"].as_u64()?;
         {
             let mut life = self.life.borrow_mut();
             let life = life.as_mut()?;
@@ -323,7 +369,6 @@
             if intended.is_some_and(|id| id != life.id) {
                 return Some(json_answer(421, &json!({})));
             }
-            let fence = order["fencing_token"].as_u64()?;
             if fence < life.fence {
                 return Some(life.refuse("fence"));
             }
@@ -338,7 +383,8 @@
         }
         let wait_ms = order["wait_ms"].as_u64().unwrap_or(0).min(HOLD_WAIT_MAX_MS);
         self.wait_for_end(wait_ms).await;
-        self.life.borrow().as_ref().map(Life::list)
+        let mut life = self.life.borrow_mut();
+        life.as_mut().map(|life| life.list_to(fence))
     }
 
     fn start_run(&self, life: &mut Life, order: &Value) -> Option<Answer> {
@@ -370,6 +416,7 @@
             Active {
                 key,
                 number,
+                fence: life.fence,
                 started,
                 step,
             },
