Count late calls at an incarnation that is known by an accepted start only

Callers saw: nothing yet; found by reading. Two runs of a task at once are possible. Cause: a worker restarts, and accepts a start before the leader has learnt of that. The leader counted the longest lease from the answer (follow_unknown_incarnation). A call for the former incarnation that was on its way, and had no answer, extends the leases to the longest one from its arrival, which may be seconds later, inside a cut. Change: calls with a lease that were given up without an answer are noted (lost_lease_ms). A call that was answered is not expected, so that nothing changes where each call with a lease was answered.

--- a/src/jobs/answers.rs
+++ b/src/jobs/answers.rs
@@ -18,7 +18,6 @@
     pub fn start_accepted(&mut self, order: &StartOrder, clock_ms: Option<u64>, now_ms: u64) {
         self.now_ms = now_ms.max(self.now_ms);
         let now_ms = self.now_ms;
-        let lease_max_ms = self.settings.run_lease_max_ms;
         let worker = self.worker_mut(order.target.worker);
         worker.answered_ms = now_ms;
         let sent_ms = worker.slots.get(&order.run).map(|slot| slot.since_ms);
@@ -27,7 +26,7 @@
         match (clock_ms, sent_ms) {
             (Some(clock_ms), Some(sent_ms)) if worker.is_later_incarnation(clock_ms, sent_ms) => {
                 is_in_next_incarnation = true;
-                worker.follow_unknown_incarnation(clock_ms, lease_max_ms, now_ms);
+                self.follow_unknown_incarnation(order.target.worker, clock_ms);
             }
             // An answer of an earlier incarnation shows another clock.
             (Some(clock_ms), Some(sent_ms)) if is_same => {
@@ -35,6 +34,7 @@
             }
             _ => {}
         }
+        let worker = self.worker_mut(order.target.worker);
         if let Some(slot) = worker.slots.get_mut(&order.run) {
             slot.is_in_next_incarnation = is_in_next_incarnation;
             if matches!(slot.state, SlotState::Sent) {
@@ -67,9 +67,11 @@
             let worker = self.worker_mut(key);
             worker.avoided_until_ms = worker.avoided_until_ms.max(now_ms + NO_CAPACITY_AVOID_MS);
             worker.count_unconfirmed_lease(lease_max_ms, now_ms);
+            let sent_ms = worker.slots.get(&order.run).map(|slot| slot.since_ms);
             if let Some(slot) = worker.slots.get_mut(&order.run) {
                 slot.state = SlotState::OutcomeUnknown { since_ms: now_ms };
             }
+            self.note_lost_lease(key, sent_ms.unwrap_or(now_ms));
             self.request_poll(key);
             return;
         }
--- a/src/jobs/incarnations.rs
+++ b/src/jobs/incarnations.rs
@@ -25,6 +25,28 @@
         }
     }
 
+    /// Counts leases on the clock of an incarnation that has accepted a start and of which nothing else is
+    /// known.
+    pub(crate) fn follow_unknown_incarnation(&mut self, key: WorkerKey, clock_ms: u64) {
+        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let worker = self.worker_mut(key);
+        worker.follow_clock(clock_ms, now_ms);
+        worker.expect_lost_calls();
+        worker.count_lease(lease_max_ms, lease_max_ms, now_ms);
+    }
+
+    /// Records that a call sent at `sent_ms`, which may give leases, has had no answer. If another
+    /// incarnation is followed since, it may still arrive there.
+    pub(crate) fn note_lost_lease(&mut self, key: WorkerKey, sent_ms: u64) {
+        let (now_ms, lease_max_ms) = (self.now_ms, self.settings.run_lease_max_ms);
+        let worker = self.worker_mut(key);
+        worker.lost_lease_ms = Some(now_ms);
+        if sent_ms < worker.followed_since_ms {
+            worker.expect_lost_calls();
+            worker.count_lease(0, lease_max_ms, now_ms);
+        }
+    }
+
     /// Starts nothing on a worker that has restarted, and polls it again later. It knows no fence any
     /// more, and a later leader may have taken note of what it did before.
     pub(crate) fn put_off_restart(&mut self, key: WorkerKey) {
--- a/src/jobs/leases.rs
+++ b/src/jobs/leases.rs
@@ -1,7 +1,7 @@
 //! The leases of the runs at a worker. Their ends are times on the worker's clock, which begins anew
 //! with each incarnation and may run slow.
 
-use crate::jobs::worker::Worker;
+use crate::jobs::worker::{Worker, LATE_CALL_MS};
 use crate::logging::Event;
 
 /// Allowance for a worker's clock that runs slow, in thousandths; includes a reserve.
@@ -76,21 +76,22 @@
         clock_ms < clock.worker_ms + least_ms
     }
 
-    /// Counts leases on the clock of an incarnation of which nothing else is known, and takes no further
-    /// tasks until it has been polled.
-    pub(crate) fn follow_unknown_incarnation(
-        &mut self,
-        clock_ms: u64,
-        lease_max_ms: u64,
-        now_ms: u64,
-    ) {
+    /// Expects the calls of this leader that have had no answer at the incarnation that is followed.
+    pub(crate) fn expect_lost_calls(&mut self) {
+        let until_ms = self.lost_lease_ms.map(|lost_ms| lost_ms + LATE_CALL_MS);
+        self.late_calls_until_ms = self.late_calls_until_ms.max(until_ms);
+    }
+
+    /// Counts leases on the clock of another incarnation from now on, and takes no further tasks until it
+    /// has been polled.
+    pub(crate) fn follow_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.is_fenced = false;
         self.followed_since_ms = now_ms;
         self.clock = Some(ClockReading {
             worker_ms: clock_ms,
             read_ms: now_ms,
         });
-        self.leased_until_worker_ms = clock_ms + lease_max_ms;
+        self.leased_until_worker_ms = 0;
     }
 
     /// Adds the time until all leases of the worker have expired, if it has any, to a log event.
--- a/src/jobs/polls.rs
+++ b/src/jobs/polls.rs
@@ -203,6 +203,9 @@
         self.now_ms = now_ms.max(self.now_ms);
         let now_ms = self.now_ms;
         self.note_lost_acknowledgement(order);
+        if order.lease_end_worker_ms.is_some() && !failure.is_not_carried_out() {
+            self.note_lost_lease(order.target.worker, order.sent_ms);
+        }
         let worker = self.worker_mut(order.target.worker);
         worker.failed_polls_count += 1;
         worker.poll = PollState::Idle {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -229,6 +229,8 @@
     /// may have been carried out by another incarnation, which counts the lease on another clock. 0 once
     /// the incarnation has answered since.
     pub(crate) unconfirmed_lease_end_ms: u64,
+    /// Time at which the last call that may give leases was given up without an answer, in milliseconds.
+    pub(crate) lost_lease_ms: Option<u64>,
     /// Time until which calls of this leader may arrive that were meant for an earlier incarnation, in
     /// milliseconds; none if it knows of none.
     pub(crate) late_calls_until_ms: Option<u64>,
@@ -299,6 +301,7 @@
             followed_since_ms: 0,
             leased_until_worker_ms: 0,
             unconfirmed_lease_end_ms: 0,
+            lost_lease_ms: None,
             late_calls_until_ms: None,
             seen_through: 0,
             persisted_through: 0,
--- a/tests/testsuite/jobs/restarted_workers.rs
+++ b/tests/testsuite/jobs/restarted_workers.rs
@@ -75,6 +75,32 @@
     }
 }
 
+/// Guards against a task that runs twice: a new incarnation accepts its start before the leader has learnt of
+/// the restart, and a poll that was on its way extends its lease once more, inside a cut.
+#[test]
+fn the_lease_of_a_poll_that_meets_an_unknown_incarnation_late_is_counted() {
+    /// Time from the cut to the arrival of the poll, in milliseconds.
+    const LATE_MS: u64 = 3_000;
+    /// Time in which all leases end that late calls may give, in milliseconds.
+    const LATE_LEASES_MS: u64 = 23_000;
+    let (mut simulation, first) = open_aged();
+    submit_long_task(&mut simulation);
+    simulation.advance(ACTED_MS);
+    let former: PollOrder = simulation.polls[0].0.clone();
+    assert!(former.lease_end_worker_ms.is_some());
+    assert_eq!(former.target.id, first);
+    simulation.restart(&first);
+    let id = submit_long_task(&mut simulation);
+    simulation.advance_until(ACTED_MS, |simulation| simulation.starts.len() == 2);
+    assert_eq!(simulation.runs_of(id)[0].0, first);
+    simulation.workers[&first].is_disconnected = true;
+    simulation.advance(LATE_MS);
+    simulation.receive_poll(&former);
+    simulation.advance(LATE_LEASES_MS);
+    assert_eq!(simulation.runs_of(id).len(), 1);
+    assert_ne!(simulation.runs_of(id)[0].0, first);
+}
+
 /// Guards against a task that is lost and started elsewhere although a new incarnation has accepted it
 /// before the leader has learnt of the restart.
 #[test]
