--- a/tests/testsuite/jobs/late_call_orders.rs
+++ b/tests/testsuite/jobs/late_call_orders.rs
@@ -65,8 +65,23 @@
     CutEnds,
     TaskEnds,
     LeaderChanges,
+    /// Another task is submitted that runs on each worker with room.
+    TaskStarts,
+    /// The worker crashes, and its instance is down.
+    WorkerGoesDown,
+    /// The leader reads the list of instances.
+    InstancesListed,
+    /// The worker is back under its id, and its instance is up.
+    WorkerReturns,
 }
 
+/// Pairs of events of which the first comes before the second.
+const PAIRS: [(Event, Event); 3] = [
+    (Event::CutBegins, Event::CutEnds),
+    (Event::WorkerGoesDown, Event::InstancesListed),
+    (Event::InstancesListed, Event::WorkerReturns),
+];
+
 /// Events that are in all orders.
 const BASE_EVENTS: [Event; 4] = [
     Event::CallArrives,
@@ -111,6 +126,11 @@
 }
 
 impl Order {
+    /// Returns whether the call arrives while a call may.
+    pub(crate) fn is_possible(&self) -> bool {
+        self.lateness_ms() <= LATE_MAX_MS
+    }
+
     /// Returns the time from the loss of the call to its arrival, in milliseconds.
     fn lateness_ms(&self) -> u64 {
         let (first_ms, next_ms) = self.gaps_ms;
@@ -120,8 +140,8 @@
     }
 }
 
-/// Returns all orders of these events in which a cut begins before it ends.
-fn permutations(events: &[Event]) -> Vec<Vec<Event>> {
+/// Returns all orders of these events, of which some may repeat, in which the [`PAIRS`] hold.
+pub(crate) fn permutations(events: &[Event]) -> Vec<Vec<Event>> {
     if events.is_empty() {
         return vec![Vec::new()];
     }
@@ -129,7 +149,9 @@
     for (position, last) in events.iter().enumerate() {
         let mut others = events.to_vec();
         others.remove(position);
-        if *last == Event::CutBegins && others.contains(&Event::CutEnds) {
+        let is_repeated = events[..position].contains(last);
+        let mut pairs = PAIRS.iter();
+        if is_repeated || pairs.any(|(first, second)| first == last && others.contains(second)) {
             continue;
         }
         for mut order in permutations(&others) {
@@ -171,6 +193,6 @@
             }
         }
     }
-    all.retain(|order| order.lateness_ms() <= LATE_MAX_MS);
+    all.retain(Order::is_possible);
     all
 }
--- a/tests/testsuite/jobs/late_call_play.rs
+++ b/tests/testsuite/jobs/late_call_play.rs
@@ -2,7 +2,7 @@
 
 use std::mem;
 
-use hawthornladder::jobs::{JobId, JobState, LossReason, OrderFailure, TaskName};
+use hawthornladder::jobs::{InstanceState, JobId, JobState, LossReason, OrderFailure, TaskName};
 use smol_str::SmolStr;
 
 use super::late_call_orders::{Event, LateCall, Order};
@@ -19,6 +19,13 @@
 const RUN_MS: u64 = 13_000;
 /// Time after the last event by which the task is done, in milliseconds.
 const DONE_MS: u64 = 40_000;
+/// Time after the last event for which a cut lasts whose end is no event, in milliseconds: that for which
+/// calls arrive late, and the longest lease.
+const CUT_MS: u64 = 23_000;
+/// Number of tasks that start at once: one a worker.
+const LATER_TASKS_COUNT: u32 = 2;
+/// Processor time that each of these takes, in thousandths of a core: more than half of a worker.
+const LATER_CPU_MILLIS: u64 = 20_000;
 /// Fence of the first leader.
 const FIRST_FENCE: u64 = 1;
 
@@ -33,8 +40,16 @@
     LapsedStart,
     /// Another incarnation, as the start of a task that its leader has ordered again since.
     RepeatedStart,
+    /// Another incarnation, as a start at a worker that its leader takes for gone at some time.
+    RemovedStart,
+    /// As before, while the worker is cut off.
+    CutOffRemovedStart,
+    /// Another incarnation than the next one, as a start, while the worker is cut off.
+    LaterIncarnationStart,
     /// Another incarnation, as the start of a former leader.
     FormerLeadersStart,
+    /// Another incarnation, which the present leader has not reached, as the lease of a former one.
+    FormerLeadersLease,
     /// Another incarnation, as an acknowledgement, with ends there.
     Acknowledgement,
 }
@@ -44,11 +59,20 @@
     simulation: Simulation,
     worker: SmolStr,
     id: JobId,
+    /// Jobs that were submitted later.
+    later: Vec<JobId>,
     late: Option<WorkerCall>,
     /// Fence of the present leader.
     fence: u64,
     /// Whether a leader has taken a run there for lapsed.
     has_lapsed: bool,
+    /// Whether a leader has taken the worker for gone.
+    has_removed: bool,
+    /// Whether the worker was cut off as the call arrived.
+    is_cut_off: bool,
+    /// Number of restarts before that.
+    passed_restarts_count: usize,
+    restarts_count: usize,
     arrival: Arrival,
 }
 
@@ -61,9 +85,14 @@
             worker: simulation.workers.keys().next().expect("a worker").clone(),
             simulation,
             id: JobId(0),
+            later: Vec::new(),
             late: None,
             fence: FIRST_FENCE,
             has_lapsed: false,
+            has_removed: false,
+            is_cut_off: false,
+            passed_restarts_count: 0,
+            restarts_count: 0,
             arrival: Arrival::Harmless,
         };
         if has_former_end {
@@ -88,6 +117,17 @@
         self.id = self.simulation.submit("maps", spec);
     }
 
+    /// Submits the jobs again whose acceptance the former leader has not confirmed.
+    fn submit_again(&mut self) {
+        let simulation = &mut self.simulation;
+        for id in &self.later {
+            if !simulation.accepted.contains(id) {
+                let spec = simulation.submitted[id].spec.clone();
+                simulation.try_submit(*id, "team", "maps", spec);
+            }
+        }
+    }
+
     /// Returns what the call meets if it arrives now.
     fn arrival(&self, late: &WorkerCall) -> Arrival {
         let (target, worker) = (late.target(), &self.simulation.workers[&self.worker]);
@@ -100,6 +140,13 @@
             WorkerCall::Poll(poll) if has_ends_through(poll.acknowledged_through) => {
                 Arrival::Acknowledgement
             }
+            WorkerCall::Poll(poll)
+                if poll.lease_end_worker_ms.is_some()
+                    && self.fence > target.fence
+                    && worker.fence <= target.fence =>
+            {
+                Arrival::FormerLeadersLease
+            }
             WorkerCall::Poll(_) | WorkerCall::Stop(_) => Arrival::Harmless,
         }
     }
@@ -113,19 +160,27 @@
     pub(crate) fn outcome(&mut self) -> Arrival {
         self.note_inference();
         match self.arrival {
+            Arrival::Start | Arrival::RepeatedStart if self.has_removed && self.is_cut_off => {
+                Arrival::CutOffRemovedStart
+            }
+            Arrival::Start | Arrival::RepeatedStart if self.has_removed => Arrival::RemovedStart,
             Arrival::Start if self.has_lapsed => Arrival::LapsedStart,
+            Arrival::Start if self.is_cut_off && self.passed_restarts_count > 1 => {
+                Arrival::LaterIncarnationStart
+            }
             arrival => arrival,
         }
     }
 
-    /// Records whether the leader has taken a run for lapsed.
+    /// Records whether the leader has taken a run for lapsed, or the worker for gone.
     fn note_inference(&mut self) {
         let counts = self.simulation.engine.take_loss_counts();
         let losses = counts.lost_runs_counts;
         self.has_lapsed |= losses.contains_key(&LossReason::LeaseExpired);
+        self.has_removed |= losses.contains_key(&LossReason::WorkerRemoved);
     }
 
-    /// Plays the order; fails if a check does, or if the task is not done in the end.
+    /// Plays the order; fails if a check does, or if a task is not done in the end.
     pub(crate) fn play(&mut self, order: &Order) {
         self.send(order.call);
         let (mut gap_ms, next_ms) = order.gaps_ms;
@@ -134,12 +189,25 @@
             self.apply(*event, order.is_listed);
             gap_ms = next_ms;
         }
-        let id = self.id;
+        if !order.events.contains(&Event::CutEnds) {
+            self.end_long_cut();
+        }
+        let jobs = [&self.later[..], &[self.id]].concat();
         self.simulation.advance_until(DONE_MS, |simulation| {
-            simulation.state(id) == Some(JobState::Complete)
+            let is_complete = |id: &JobId| simulation.state(*id) == Some(JobState::Complete);
+            jobs.iter().all(is_complete)
         });
     }
 
+    /// Ends a cut that outlasts all leases, after which the lists are read.
+    fn end_long_cut(&mut self) {
+        self.simulation.advance(CUT_MS);
+        self.simulation
+            .link
+            .set_reach(self.worker.clone(), Reach::Full);
+        self.simulation.list_all();
+    }
+
     /// Has the task started, and the call sent, which is lost on its way.
     fn send(&mut self, call: LateCall) {
         if call == LateCall::EarlyAcknowledgement {
@@ -171,17 +239,26 @@
     fn deliver(&mut self) {
         let call = self.late.take().expect("set by `hold`");
         self.arrival = self.arrival(&call);
+        self.is_cut_off = !self.simulation.link.hears(&self.worker);
+        self.passed_restarts_count = self.restarts_count;
         let now_ms = self.simulation.now_ms;
         self.simulation.late_calls.push((now_ms, call));
     }
 
     fn apply(&mut self, event: Event, is_listed: bool) {
         let id = self.worker.clone();
+        let is_restart = [Event::WorkerRestarts, Event::WorkerReturns].contains(&event);
+        self.restarts_count += usize::from(is_restart);
         let simulation = &mut self.simulation;
         match event {
             Event::CallArrives => self.deliver(),
             Event::WorkerRestarts => restart(simulation, &id, is_listed),
-            Event::CutBegins => simulation.link.set_reach(id, Reach::Dropped),
+            Event::CutBegins => {
+                simulation.link.set_reach(id, Reach::Dropped);
+                if !self.later.is_empty() {
+                    add_spare(simulation);
+                }
+            }
             Event::CutEnds => simulation.link.set_reach(id, Reach::Full),
             Event::TaskEnds => {
                 let runs = simulation.workers[&id].running.iter_mut();
@@ -189,10 +266,24 @@
                     run.ends_ms = simulation.now_ms;
                 }
             }
+            Event::TaskStarts => {
+                let spec = job(vec![step(LATER_TASKS_COUNT, LATER_CPU_MILLIS, RUN_MS)]);
+                self.later.push(simulation.submit("maps", spec));
+            }
+            Event::WorkerGoesDown => {
+                simulation.workers[&id].crash();
+                set_row(simulation, &id, InstanceState::Down);
+            }
+            Event::InstancesListed => simulation.list_instances(),
+            Event::WorkerReturns => {
+                set_row(simulation, &id, InstanceState::Up);
+                restart(simulation, &id, is_listed);
+            }
             Event::LeaderChanges => {
                 self.note_inference();
                 self.fence += 1;
                 self.simulation.fail_over(self.fence);
+                self.submit_again();
             }
         }
     }
@@ -215,3 +306,19 @@
         simulation.list_all();
     }
 }
+
+/// Adds a worker with room for the tasks of the one that is cut off; the leader knows it at once.
+fn add_spare(simulation: &mut Simulation) {
+    let name = SmolStr::from("maps-spare");
+    simulation.add_instance(&name, "maps");
+    let spare = simulation.instances[&name].worker.clone();
+    simulation.list_to_leader(&[spare.expect("set by `add_instance`")]);
+}
+
+/// Shows the instance of a worker as up with this worker, or as down.
+fn set_row(simulation: &mut Simulation, id: &SmolStr, state: InstanceState) {
+    let instance = simulation.workers[id].info.instance.clone();
+    let row = &mut simulation.instances[&instance.expect("set by `add_worker`")];
+    row.state = state;
+    row.worker = (state == InstanceState::Up).then(|| id.clone());
+}
