Count runs at a worker that does not answer as unavailable for planned stops

Cause, read from the code, not traced: may_stop took runs at a worker that is silent for available as long as their leases were counted, which a leader that follows another one does for longer since. Change: a run at a worker whose last poll has failed is not available.

--- a/src/jobs/instances.rs
+++ b/src/jobs/instances.rs
@@ -464,8 +464,11 @@
                 task: key,
                 run: *run,
             };
-            self.worker(*worker).slots.get(&run).is_some_and(|slot| {
-                matches!(slot.state, SlotState::Placed { .. })
+            let worker = self.worker(*worker);
+            worker.slots.get(&run).is_some_and(|slot| {
+                // While it does not answer, its runs may be gone, however long their leases are counted.
+                worker.failed_polls_count == 0
+                    && matches!(slot.state, SlotState::Placed { .. })
                     && !slot.is_stopping
                     && slot.percent >= 100
             })
